--- /dev/null
+++ b/admit/runner.go
@@ -0,0 +1,109 @@
+package admit
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Runner drives a Gate for goroutines that wait for their turn.
+type Runner struct {
+	mu     sync.Mutex
+	gate   *Gate
+	closed bool
+	now    func() time.Time
+}
+
+// NewRunner makes a runner. now is the clock; time.Now in production.
+func NewRunner(s Settings, now func() time.Time) *Runner {
+	return &Runner{gate: NewGate(s), now: now}
+}
+
+type verdict struct {
+	ch chan error
+}
+
+// Enter waits for the work's turn. It returns a function that must be called
+// once, when the work is over; or an error, and then the work was not started.
+func (r *Runner) Enter(ctx context.Context, w *Work) (release func(), err error) {
+	v := &verdict{ch: make(chan error, 1)}
+	w.Value = v
+	if err := r.offer(w); err != nil {
+		return nil, err
+	}
+	timeout, stop := r.deadline(w)
+	defer stop()
+	select {
+	case err = <-v.ch:
+	case <-timeout:
+		err = ErrDeadline
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
+		r.leave(w)
+		return nil, err
+	}
+	var once sync.Once
+	return func() { once.Do(func() { r.leave(w) }) }, nil
+}
+
+func (r *Runner) deadline(w *Work) (<-chan time.Time, func()) {
+	if w.Deadline.IsZero() {
+		return nil, func() {}
+	}
+	t := time.NewTimer(w.Deadline.Sub(r.now()))
+	return t.C, func() { t.Stop() }
+}
+
+func (r *Runner) offer(w *Work) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return ErrClosed
+	}
+	if err := r.gate.Offer(r.now(), w); err != nil {
+		return err
+	}
+	r.pump()
+	return nil
+}
+
+func (r *Runner) leave(w *Work) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gate.Done(w)
+	r.pump()
+}
+
+func (r *Runner) pump() {
+	start, expired := r.gate.Start(r.now())
+	for _, w := range start {
+		w.Value.(*verdict).ch <- nil
+	}
+	for _, w := range expired {
+		w.Value.(*verdict).ch <- ErrDeadline
+	}
+}
+
+// Configure changes the settings in flight.
+func (r *Runner) Configure(s Settings) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gate.Configure(s)
+	r.pump()
+}
+
+// Close refuses new work; what waits or runs goes on.
+func (r *Runner) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+}
+
+// Counts returns how much work runs and waits.
+func (r *Runner) Counts() (running, waiting int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.gate.Running(), r.gate.Waiting()
+}
--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,193 @@
+// Package agent is the process beside each upstream. It announces the upstream,
+// queues work for it, runs an attempt at most once, says "not run" only when it
+// knows, and passes on load, cache events and orders.
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/snipereach/snipereach/admit"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/upstream"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// ErrStart is returned when the agent can't come up.
+var ErrStart = merry.Sentinel("agent can't start")
+
+// Agent implements kernel.Daemon.
+type Agent struct {
+	settings    *Settings
+	log         log.Logger
+	up          upstream.Upstream
+	sec         transport.Security
+	certs       *transport.Certificates
+	srv         *transport.Server
+	pool        *transport.Pool
+	lis         net.Listener
+	ops         *http.Server
+	runner      *admit.Runner
+	attempts    *attempts
+	incarnation uint64
+	seq         atomic.Uint64
+	metrics     metrics.Registry
+	dumps       kernel.Dumps
+	cancel      context.CancelFunc
+	load        atomic.Pointer[wire.Load]
+	loadSeq     atomic.Uint64
+}
+
+// New makes an agent from checked settings.
+func New(s *Settings, l log.Logger) (*Agent, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	sec, certs, err := transport.NewSecurity(s.ClusterSecret, s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	up, err := upstream.New(s.Kind, s.Upstream)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{
+		settings: s, log: kernel.PartLog(l, "agent"), up: up, sec: sec, certs: certs,
+		pool:    transport.NewPool(sec),
+		srv:     transport.NewServer(sec),
+		runner:  admit.NewRunner(gateSettings(s), time.Now),
+		metrics: metrics.NewRegistry(),
+		// The clock orders the lives of one agent; a host whose clock was set
+		// back is told so by its first announcement and takes a higher number.
+		incarnation: uint64(time.Now().UnixNano()),
+		attempts:    newAttempts(),
+	}
+	a.dumps.Add("agent", a.dump)
+	return a, wire.DRPCRegisterAgent(a.srv.Mux, service{a})
+}
+
+func gateSettings(s *Settings) admit.Settings {
+	return admit.Settings{
+		Slots:    s.Slots,
+		Reserved: s.Slots * s.UrgentPercent / 100,
+		MaxQueue: s.MaxQueue,
+	}
+}
+
+// Start implements kernel.Daemon.
+func (a *Agent) Start(ctx context.Context) error {
+	lis, err := net.Listen("tcp", a.settings.Listen)
+	if err != nil {
+		return merry.Prepend(ErrStart, err.Error())
+	}
+	a.lis = lis
+	ctx, a.cancel = context.WithCancel(ctx)
+	go a.srv.Serve(ctx, lis)
+	go a.pollLoad(ctx)
+	go a.announceLoop(ctx)
+	kernel.Info(a.log, "Listening.", "id", a.settings.ID, "addr", lis.Addr(), "kind", a.up.Kind())
+	return a.startOperators()
+}
+
+func (a *Agent) startOperators() error {
+	if a.settings.Operators == "" {
+		return nil
+	}
+	lis, err := net.Listen("tcp", a.settings.Operators)
+	if err != nil {
+		return merry.Prepend(ErrStart, err.Error())
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/debug/state", &a.dumps)
+	mux.Handle("/metrics", kernel.MetricsHandler(a.metrics))
+	a.ops = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = a.ops.Serve(lis) }()
+	return nil
+}
+
+// Address returns the drpc address that the agent listens on.
+func (a *Agent) Address() string {
+	if a.settings.Advertise != "" {
+		return a.settings.Advertise
+	}
+	return a.lis.Addr().String()
+}
+
+// Leave refuses new work from now on and says so to the directory.
+func (a *Agent) Leave(ctx context.Context) {
+	if a.attempts.close() {
+		kernel.Info(a.log, "Leaving. No new work is taken.")
+	}
+	a.announceAll(ctx, wire.Phase_PHASE_LEAVING)
+}
+
+// Drain implements kernel.Daemon: it finishes what runs and waits.
+func (a *Agent) Drain(ctx context.Context) error {
+	a.Leave(ctx)
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		running, waiting := a.runner.Counts()
+		if running+waiting == 0 && a.attempts.active() == 0 {
+			a.announceAll(ctx, wire.Phase_PHASE_GONE)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+// Stop implements kernel.Daemon.
+func (a *Agent) Stop() int {
+	cut := a.attempts.active()
+	if a.cancel != nil {
+		a.cancel()
+	}
+	if a.lis != nil {
+		_ = a.lis.Close()
+	}
+	if a.ops != nil {
+		_ = a.ops.Close()
+	}
+	a.srv.Close()
+	a.pool.Close()
+	a.up.Close()
+	return cut
+}
+
+// Reload implements kernel.Reloader.
+func (a *Agent) Reload() error {
+	if a.certs == nil {
+		return nil
+	}
+	return a.certs.Reload()
+}
+
+type agentDump struct {
+	ID          string     `json:"id"`
+	Incarnation uint64     `json:"incarnation"`
+	Leaving     bool       `json:"leaving"`
+	Running     int        `json:"running"`
+	Waiting     int        `json:"waiting"`
+	Remembered  int        `json:"remembered_attempts"`
+	Load        *wire.Load `json:"load"`
+}
+
+func (a *Agent) dump() any {
+	running, waiting := a.runner.Counts()
+	return agentDump{
+		ID: a.settings.ID, Incarnation: a.incarnation, Leaving: a.attempts.isClosed(),
+		Running: running, Waiting: waiting, Remembered: a.attempts.size(), Load: a.load.Load(),
+	}
+}
--- /dev/null
+++ b/agent/run.go
@@ -0,0 +1,166 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/admit"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/upstream"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// ErrBadFrame is returned for a stream that breaks the Run protocol.
+var ErrBadFrame = merry.Sentinel("malformed run frame")
+
+// maxTimeout bounds what an entry may ask for.
+const maxTimeout = time.Hour
+
+// attempt is one Run call in progress.
+type attempt struct {
+	agent    *Agent
+	stream   wire.DRPCAgent_RunStream
+	head     *wire.RunHead
+	body     []byte
+	deadline time.Time
+	queued   time.Duration
+	sent     uint64
+}
+
+// Run implements the Agent service.
+func (a *Agent) Run(stream wire.DRPCAgent_RunStream) error {
+	now := time.Now()
+	at, err := a.receive(stream, now)
+	if err != nil {
+		return err
+	}
+	// An attempt that was sent to an earlier life may have been run by it, and
+	// this life's memory of attempts is empty: it must not run again.
+	if h := at.head; h.Incarnation != 0 && h.Incarnation != a.incarnation {
+		return at.end(wire.Outcome_OUTCOME_NOT_RUN, wire.Reason_REASON_NO_UPSTREAM, "meant for another incarnation of the agent")
+	}
+	switch a.attempts.begin(now, at.head.AttemptId, at.deadline) {
+	case wire.Reason_REASON_DUPLICATE_ATTEMPT:
+		// The first message of this attempt may be running: only the stream
+		// that carries it can say what became of it.
+		return at.end(wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_DUPLICATE_ATTEMPT, "attempt was seen before")
+	case wire.Reason_REASON_UPSTREAM_LEAVING:
+		return at.end(wire.Outcome_OUTCOME_NOT_RUN, wire.Reason_REASON_UPSTREAM_LEAVING, "upstream is leaving")
+	}
+	defer a.attempts.end()
+	return at.run()
+}
+
+func (a *Agent) receive(stream wire.DRPCAgent_RunStream, now time.Time) (*attempt, error) {
+	frame, err := stream.Recv()
+	if err != nil {
+		return nil, err
+	}
+	h := frame.Head
+	if h == nil || h.AttemptId == "" || h.RequestId == "" || h.Method == "" || h.TimeoutUs <= 0 {
+		return nil, merry.Prepend(ErrBadFrame, "first frame lacks a complete head")
+	}
+	timeout := min(time.Duration(h.TimeoutUs)*time.Microsecond, maxTimeout)
+	at := &attempt{agent: a, stream: stream, head: h, deadline: now.Add(timeout)}
+	for {
+		if int64(len(at.body)+len(frame.Body)) > a.settings.MaxBody {
+			return nil, merry.Prependf(ErrBadFrame, "body is over %d bytes", a.settings.MaxBody)
+		}
+		at.body = append(at.body, frame.Body...)
+		if frame.Last {
+			return at, nil
+		}
+		if frame, err = stream.Recv(); err != nil {
+			return nil, err
+		}
+		if frame.Head != nil {
+			return nil, merry.Prepend(ErrBadFrame, "second head")
+		}
+	}
+}
+
+func (at *attempt) run() error {
+	ctx, cancel := context.WithDeadline(at.stream.Context(), at.deadline)
+	defer cancel()
+	began := time.Now()
+	release, err := at.agent.runner.Enter(ctx, &admit.Work{
+		Team: at.head.Team, Weight: int(at.head.Weight), Priority: at.head.Priority,
+		Cost: float64(max(at.head.Tokens, 1)), Deadline: at.deadline,
+	})
+	at.queued = time.Since(began)
+	if err != nil {
+		return at.end(wire.Outcome_OUTCOME_NOT_RUN, queueReason(err), err.Error())
+	}
+	defer release()
+	answer, err := at.agent.up.Do(ctx, at.head, bytes.NewReader(at.body))
+	if err != nil {
+		return at.failed(err)
+	}
+	defer answer.Body.Close()
+	return at.relay(answer)
+}
+
+func queueReason(err error) wire.Reason {
+	switch {
+	case errors.Is(err, admit.ErrQueueFull):
+		return wire.Reason_REASON_QUEUE_FULL
+	case errors.Is(err, admit.ErrClosed):
+		return wire.Reason_REASON_UPSTREAM_LEAVING
+	}
+	return wire.Reason_REASON_DEADLINE
+}
+
+func (at *attempt) failed(err error) error {
+	outcome, reason := wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_UPSTREAM_FAILED
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		outcome = wire.Outcome_OUTCOME_NOT_RUN
+	case errors.Is(err, upstream.ErrCrossed):
+		reason = wire.Reason_REASON_ANSWER_INVALID
+	case errors.Is(err, context.DeadlineExceeded) || time.Now().After(at.deadline):
+		reason = wire.Reason_REASON_DEADLINE
+	}
+	return at.end(outcome, reason, err.Error())
+}
+
+func (at *attempt) relay(answer *upstream.Answer) error {
+	head := &wire.RunReplyHead{
+		RequestId: at.head.RequestId, AttemptId: at.head.AttemptId,
+		Status: uint32(answer.Status), Headers: answer.Headers, Streaming: answer.Streaming,
+	}
+	if err := at.stream.Send(&wire.RunReply{Head: head}); err != nil {
+		return err
+	}
+	buf := make([]byte, transport.BodyFrame)
+	for {
+		n, err := answer.Body.Read(buf)
+		if n > 0 {
+			at.sent += uint64(n)
+			if err := at.stream.Send(&wire.RunReply{Body: buf[:n]}); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return at.end(wire.Outcome_OUTCOME_DONE, 0, "")
+		}
+		if err != nil {
+			// The upstream's answer was cut. It ran, but the caller must not
+			// take the part for the whole.
+			return at.end(wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_ANSWER_INVALID, err.Error())
+		}
+	}
+}
+
+func (at *attempt) end(o wire.Outcome, r wire.Reason, detail string) error {
+	at.agent.count(o, r)
+	return at.stream.Send(&wire.RunReply{End: &wire.RunEnd{
+		RequestId: at.head.RequestId, AttemptId: at.head.AttemptId,
+		Outcome: o, Reason: r, Detail: detail, Load: at.agent.currentLoad(),
+		BodyBytes: at.sent, QueuedUs: at.queued.Microseconds(),
+	}})
+}
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,198 @@
+// Package directory holds the soft state of who is up, leaving or gone:
+// upstreams and entries. It is rebuilt from announcements after a start and
+// never written to the log.
+//
+// State is pure: time and announcements go in, changes come out. Daemons
+// drive it.
+package directory
+
+import (
+	"sort"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// Settings of a State.
+type Settings struct {
+	// DefaultLease stands in when an announcement asks for none.
+	DefaultLease time.Duration
+	// MaxLease bounds what an announcement may ask for.
+	MaxLease time.Duration
+	// Tombstone is how long a gone instance's incarnation is remembered, so
+	// that a late message of its life can't bring it back.
+	Tombstone time.Duration
+	// SettleTime is the longest time after a start in which nothing is
+	// declared gone; 0 turns the settling rule off.
+	SettleTime time.Duration
+	// SettleShare is the share of formerly known instances that ends settling
+	// early once they have announced themselves.
+	SettleShare float64
+}
+
+// DefaultSettings are those of a daemon with no [directory] section.
+func DefaultSettings() Settings {
+	return Settings{
+		DefaultLease: 3 * time.Second,
+		MaxLease:     30 * time.Second,
+		Tombstone:    10 * time.Minute,
+		SettleTime:   10 * time.Second,
+		SettleShare:  0.9,
+	}
+}
+
+// Instance is one upstream or entry as this process knows it. Instances are
+// immutable: a change makes a new one.
+type Instance struct {
+	*wire.Announcement
+	// Heard is when the announcement reached its origin, by this process's clock.
+	Heard time.Time
+	// Expires is when its lease ends.
+	Expires time.Time
+	// Local says that the instance announced to this process itself.
+	Local bool
+}
+
+// Up says whether the instance takes new work.
+func (i *Instance) Up() bool { return i.Phase == wire.Phase_PHASE_UP }
+
+// State is a directory. It is not safe for use by several goroutines.
+type State struct {
+	settings  Settings
+	instances map[string]*Instance
+	started   time.Time
+	settled   bool
+	// known is how many instances were known before the start.
+	known int
+}
+
+// New makes a directory at a process's start. known is the number of instances
+// that it, or a peer, knew before; 0 if that is not known.
+func New(settings Settings, now time.Time, known int) *State {
+	return &State{
+		settings:  settings,
+		instances: map[string]*Instance{},
+		started:   now,
+		settled:   settings.SettleTime == 0,
+		known:     known,
+	}
+}
+
+// Announce takes an announcement heard age ago. It returns whether it changed
+// the instance (beyond renewing its lease) and whether a later incarnation has
+// superseded the sender.
+func (s *State) Announce(now time.Time, a *wire.Announcement, age time.Duration, local bool) (changed, superseded bool) {
+	old := s.instances[a.Id]
+	if old != nil && old.Incarnation > a.Incarnation {
+		return false, true
+	}
+	// A late or doubled message of the same life would undo a later one, for
+	// example bring a leaving upstream back up; the sequence number stops it.
+	if old != nil && old.Incarnation == a.Incarnation && old.Seq >= a.Seq {
+		return false, false
+	}
+	heard := now.Add(-age)
+	inst := &Instance{Announcement: a, Heard: heard, Expires: heard.Add(s.lease(a)), Local: local}
+	s.instances[a.Id] = inst
+	return old == nil || !sameButForLoad(old.Announcement, a), false
+}
+
+// Renew extends the lease of an unchanged instance.
+func (s *State) Renew(now time.Time, r *wire.Renewal) bool {
+	old := s.instances[r.Id]
+	if old == nil || old.Incarnation != r.Incarnation || old.Seq > r.Seq || old.Phase == wire.Phase_PHASE_GONE {
+		return false
+	}
+	heard := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
+	if heard.Before(old.Heard) {
+		return true
+	}
+	next := *old
+	next.Heard = heard
+	next.Expires = heard.Add(s.lease(old.Announcement))
+	s.instances[r.Id] = &next
+	return true
+}
+
+func (s *State) lease(a *wire.Announcement) time.Duration {
+	d := time.Duration(a.LeaseMs) * time.Millisecond
+	if d <= 0 {
+		d = s.settings.DefaultLease
+	}
+	return min(d, s.settings.MaxLease)
+}
+
+func sameButForLoad(a, b *wire.Announcement) bool {
+	x, y := proto.Clone(a).(*wire.Announcement), proto.Clone(b).(*wire.Announcement)
+	x.Seq, y.Seq = 0, 0
+	x.Load, y.Load = nil, nil
+	x.Revision, y.Revision = 0, 0
+	return proto.Equal(x, y)
+}
+
+// Settled says whether the directory may declare instances gone.
+//
+// A process that just started knows only who has announced to it so far. If it
+// declared the others gone it would shrink pools that are whole; it waits until
+// a share of those formerly known is back, or a set time has passed.
+func (s *State) Settled(now time.Time) bool {
+	if s.settled {
+		return true
+	}
+	enough := s.known > 0 && float64(len(s.instances)) >= s.settings.SettleShare*float64(s.known)
+	s.settled = enough || now.Sub(s.started) >= s.settings.SettleTime
+	return s.settled
+}
+
+// Tick ends leases that have run out and returns the instances that changed.
+func (s *State) Tick(now time.Time) []*Instance {
+	if !s.Settled(now) {
+		return nil
+	}
+	var changed []*Instance
+	for id, inst := range s.instances {
+		if inst.Phase != wire.Phase_PHASE_GONE && now.After(inst.Expires) {
+			gone := s.gone(inst, now)
+			s.instances[id] = gone
+			changed = append(changed, gone)
+			continue
+		}
+		if inst.Phase == wire.Phase_PHASE_GONE && now.Sub(inst.Heard) > s.settings.Tombstone {
+			delete(s.instances, id)
+		}
+	}
+	return changed
+}
+
+func (s *State) gone(inst *Instance, now time.Time) *Instance {
+	a := proto.Clone(inst.Announcement).(*wire.Announcement)
+	a.Phase = wire.Phase_PHASE_GONE
+	return &Instance{Announcement: a, Heard: now, Expires: now, Local: inst.Local}
+}
+
+// Get returns an instance, or nil.
+func (s *State) Get(id string) *Instance { return s.instances[id] }
+
+// Instances returns those of a role that are not gone, sorted by ID.
+func (s *State) Instances(role wire.Role) []*Instance {
+	var list []*Instance
+	for _, inst := range s.instances {
+		if inst.Role == role && inst.Phase != wire.Phase_PHASE_GONE {
+			list = append(list, inst)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Id < list[j].Id })
+	return list
+}
+
+// All returns every instance, gone ones too, sorted by ID.
+func (s *State) All() []*Instance {
+	list := make([]*Instance, 0, len(s.instances))
+	for _, inst := range s.instances {
+		list = append(list, inst)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Id < list[j].Id })
+	return list
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,331 @@
+// Package entry is the process that callers talk to: it admits, routes,
+// forwards and answers, and explains what it refused.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+	"storj.io/drpc"
+
+	"github.com/snipereach/snipereach/admit"
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/forward"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/refusal"
+	"github.com/snipereach/snipereach/route"
+	"github.com/snipereach/snipereach/table"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// ErrStart is returned when the entry can't come up.
+var ErrStart = merry.Sentinel("entry can't start")
+
+// Entry implements kernel.Daemon.
+type Entry struct {
+	settings    *Settings
+	log         log.Logger
+	sec         transport.Security
+	certs       []*transport.Certificates
+	callersTLS  *tls.Config
+	srv         *transport.Server
+	pool        *transport.Pool
+	node        *directory.Node
+	fwd         *forward.Forwarder
+	runner      *admit.Runner
+	sealer      *refusal.Sealer
+	metrics     metrics.Registry
+	dumps       kernel.Dumps
+	view        atomic.Pointer[table.View]
+	draining    atomic.Bool
+	requests    atomic.Int64
+	incarnation uint64
+	seq         atomic.Uint64
+	started     time.Time
+
+	internal, callers, operators net.Listener
+	callersHTTP, operatorsHTTP   *http.Server
+	watches                      *watches
+	cancel                       context.CancelFunc
+}
+
+// New makes an entry from checked settings.
+func New(s *Settings, l log.Logger) (*Entry, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	sec, certs, err := transport.NewSecurity(s.ClusterSecret, s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{
+		settings: s, log: kernel.PartLog(l, "entry"), sec: sec,
+		srv:         transport.NewServer(sec),
+		pool:        transport.NewPool(sec),
+		sealer:      refusal.NewSealer(sec.Secret),
+		metrics:     metrics.NewRegistry(),
+		incarnation: uint64(time.Now().UnixNano()),
+		started:     time.Now(),
+		runner: admit.NewRunner(admit.Settings{
+			Slots: s.Slots, Reserved: s.Slots * s.UrgentPercent / 100, MaxQueue: s.MaxQueue,
+		}, time.Now),
+	}
+	if certs != nil {
+		e.certs = append(e.certs, certs)
+	}
+	if err := e.loadCallersTLS(); err != nil {
+		return nil, err
+	}
+	place := route.Place{Entry: s.ID, FailureDomain: s.FailureDomain, Seed: xxhash.Sum64String(s.ID)}
+	e.fwd = forward.New(e.pool, place, time.Now)
+	e.node = directory.NewNode(directory.DefaultSettings(), time.Now, e.refresh)
+	e.watches = newWatches(e)
+	e.dumps.Add("entry", e.dump)
+	e.dumps.Add("directory", e.node.Dump)
+	if err := e.loadRows(); err != nil {
+		return nil, err
+	}
+	return e, wire.DRPCRegisterDirectory(e.srv.Mux, e.node)
+}
+
+func (e *Entry) loadCallersTLS() error {
+	if !e.settings.CallersTLS.On() {
+		return nil
+	}
+	certs, err := transport.LoadCertificates(e.settings.CallersTLS)
+	if err != nil {
+		return err
+	}
+	e.certs = append(e.certs, certs)
+	e.callersTLS = certs.Public()
+	return nil
+}
+
+func (e *Entry) loadRows() error {
+	if e.settings.Rows == "" {
+		return nil
+	}
+	f, err := os.Open(e.settings.Rows)
+	if err != nil {
+		return merry.Prependf(kernel.ErrSettings, "key \"rows\": %v", err)
+	}
+	defer f.Close()
+	rows, err := table.ReadTSV(f)
+	if err != nil {
+		return merry.Prependf(err, "%s", e.settings.Rows)
+	}
+	v, err := table.NewView(1, rows)
+	if err != nil {
+		return merry.Prependf(err, "%s", e.settings.Rows)
+	}
+	e.SetView(v)
+	return nil
+}
+
+// SetView puts rows in force. A lower revision than the one in force is
+// ignored: it would bring an old row back.
+func (e *Entry) SetView(v *table.View) {
+	for {
+		old := e.view.Load()
+		if old != nil && old.Revision >= v.Revision {
+			return
+		}
+		if e.view.CompareAndSwap(old, v) {
+			break
+		}
+	}
+	e.refresh()
+}
+
+// refresh hands the upstreams that are up to the balancers of their pools.
+func (e *Entry) refresh() {
+	v := e.view.Load()
+	if v == nil || e.fwd == nil || e.node == nil {
+		return
+	}
+	byPool := map[string][]route.Upstream{}
+	insts := e.node.Instances(wire.Role_ROLE_UPSTREAM)
+	for _, i := range insts {
+		if !i.Up() {
+			continue
+		}
+		up := route.Upstream{
+			ID: i.Id, Incarnation: i.Incarnation, Address: i.Address,
+			FailureDomain: i.FailureDomain, Load: i.Load,
+		}
+		for _, p := range i.Pools {
+			byPool[p] = append(byPool[p], up)
+		}
+	}
+	for name, p := range v.Pools {
+		if err := e.fwd.Update(p, byPool[name]); err != nil {
+			kernel.Warn(e.log, "Pool can't be routed.", "pool", name, "err", err)
+		}
+	}
+	e.watches.update(insts)
+}
+
+// Start implements kernel.Daemon.
+func (e *Entry) Start(ctx context.Context) error {
+	ctx, e.cancel = context.WithCancel(ctx)
+	e.watches.start(ctx)
+	if err := e.listen(); err != nil {
+		return err
+	}
+	go e.srv.Serve(ctx, e.internal)
+	go e.node.Run(ctx)
+	go e.announceLoop(ctx)
+	for _, addr := range e.settings.ControlReplicas {
+		go e.node.Follow(ctx, func(ctx context.Context) drpc.Conn { return e.pool.Conn(ctx, addr) },
+			&wire.DirectoryWatchRequest{Watcher: e.settings.ID, LocalOnly: true})
+	}
+	e.callersHTTP = &http.Server{Handler: e.callerRoutes(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}
+	go func() { _ = e.callersHTTP.Serve(e.callers) }()
+	if e.operators != nil {
+		e.operatorsHTTP = &http.Server{Handler: e.operatorRoutes(), ReadHeaderTimeout: 10 * time.Second}
+		go func() { _ = e.operatorsHTTP.Serve(e.operators) }()
+	}
+	kernel.Info(e.log, "Listening.", "id", e.settings.ID, "callers", e.callers.Addr(), "internal", e.internal.Addr())
+	return nil
+}
+
+func (e *Entry) listen() error {
+	var err error
+	if e.internal, err = net.Listen("tcp", e.settings.Internal); err != nil {
+		return merry.Prepend(ErrStart, err.Error())
+	}
+	if e.callers, err = net.Listen("tcp", e.settings.Callers); err != nil {
+		return merry.Prepend(ErrStart, err.Error())
+	}
+	if e.callersTLS != nil {
+		e.callers = tls.NewListener(e.callers, e.callersTLS)
+	}
+	if e.settings.Operators == "" {
+		return nil
+	}
+	if e.operators, err = net.Listen("tcp", e.settings.Operators); err != nil {
+		return merry.Prepend(ErrStart, err.Error())
+	}
+	return nil
+}
+
+// CallerAddress is the address for callers.
+func (e *Entry) CallerAddress() string {
+	if e.settings.CallersAdvertise != "" {
+		return e.settings.CallersAdvertise
+	}
+	return e.callers.Addr().String()
+}
+
+// InternalAddress is the drpc address.
+func (e *Entry) InternalAddress() string {
+	if e.settings.InternalAdvertise != "" {
+		return e.settings.InternalAdvertise
+	}
+	return e.internal.Addr().String()
+}
+
+// OperatorAddress is the address for operators, or "".
+func (e *Entry) OperatorAddress() string {
+	if e.operators == nil {
+		return ""
+	}
+	return e.operators.Addr().String()
+}
+
+// Drain implements kernel.Daemon. Callers keep the list of entries for a while
+// and come here until then, so the entry leaves the list at once, takes new
+// requests for that time and a margin, and then finishes what is in progress.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.draining.Store(true)
+	e.announceAll(ctx, wire.Phase_PHASE_LEAVING)
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(e.settings.Keep.D() + drainMargin):
+	}
+	err := e.callersHTTP.Shutdown(ctx)
+	if err == nil {
+		e.announceAll(ctx, wire.Phase_PHASE_GONE)
+	}
+	return err
+}
+
+// drainMargin covers the time an answer with the list is on its way.
+const drainMargin = time.Second
+
+// Stop implements kernel.Daemon.
+func (e *Entry) Stop() int {
+	cut := int(e.requests.Load())
+	if e.cancel != nil {
+		e.cancel()
+	}
+	for _, h := range []*http.Server{e.callersHTTP, e.operatorsHTTP} {
+		if h != nil {
+			_ = h.Close()
+		}
+	}
+	for _, l := range []net.Listener{e.internal, e.callers, e.operators} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+	e.srv.Close()
+	e.pool.Close()
+	return cut
+}
+
+// Reload implements kernel.Reloader.
+func (e *Entry) Reload() error {
+	for _, c := range e.certs {
+		if err := c.Reload(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type entryDump struct {
+	ID          string `json:"id"`
+	Incarnation uint64 `json:"incarnation"`
+	Draining    bool   `json:"draining"`
+	Requests    int64  `json:"requests_in_progress"`
+	Waiting     int    `json:"waiting"`
+	Revision    uint64 `json:"revision"`
+}
+
+func (e *Entry) dump() any {
+	_, waiting := e.runner.Counts()
+	d := entryDump{
+		ID: e.settings.ID, Incarnation: e.incarnation, Draining: e.draining.Load(),
+		Requests: e.requests.Load(), Waiting: waiting,
+	}
+	if v := e.view.Load(); v != nil {
+		d.Revision = v.Revision
+	}
+	return d
+}
+
+// Upstreams returns how many upstreams are up in each pool, as this entry knows it.
+func (e *Entry) Upstreams() map[string]int {
+	n := map[string]int{}
+	for _, i := range e.node.Instances(wire.Role_ROLE_UPSTREAM) {
+		if !i.Up() {
+			continue
+		}
+		for _, p := range i.Pools {
+			n[p]++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,334 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/snipereach/snipereach/admit"
+	"github.com/snipereach/snipereach/forward"
+	"github.com/snipereach/snipereach/refusal"
+	"github.com/snipereach/snipereach/route"
+	"github.com/snipereach/snipereach/table"
+	"github.com/snipereach/snipereach/upstream"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// Header names from callers.
+const (
+	headerKey        = "Idempotency-Key"
+	headerIdempotent = "X-Idempotent"
+	headerPriority   = "X-Priority"
+	headerTimeout    = "X-Timeout-Ms"
+)
+
+// maxModelBody bounds a model call until its service is known.
+const maxModelBody = 64 << 20
+
+// charsPerToken estimates prompt tokens from text.
+const charsPerToken = 4
+
+// defaultOutputTokens is the estimate for a call that sets no bound.
+const defaultOutputTokens = 256
+
+// refuse makes a refusal of a request that was not run.
+func (e *Entry) refuse(reason wire.Reason, detail string) *wire.Refusal {
+	r := &wire.Refusal{
+		RequestId: rand.Text(), Reason: reason, Outcome: wire.Outcome_OUTCOME_NOT_RUN,
+		Detail: detail, Entry: e.settings.ID, AtUnixMs: time.Now().UnixMilli(),
+	}
+	if v := e.view.Load(); v != nil {
+		r.Revision = v.Revision
+	}
+	return r
+}
+
+// request is one caller's request on its way through the entry.
+type request struct {
+	entry   *Entry
+	w       http.ResponseWriter
+	r       *http.Request
+	id      string
+	view    *table.View
+	team    *table.Team
+	service *table.Service
+	body    []byte
+	tokens  int
+	prefix  []uint64
+	path    string
+}
+
+func (e *Entry) begin(w http.ResponseWriter, r *http.Request) (*request, *wire.Refusal) {
+	v := e.view.Load()
+	if v == nil {
+		return nil, e.refuse(wire.Reason_REASON_CONFIG_UNCONFIRMED, "no rows are in force yet")
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return nil, e.refuse(wire.Reason_REASON_UNAUTHENTICATED, "header Authorization: Bearer KEY is needed")
+	}
+	team := v.TeamByKey(key)
+	if team == nil {
+		return nil, e.refuse(wire.Reason_REASON_UNAUTHENTICATED, "the key belongs to no team")
+	}
+	return &request{entry: e, w: w, r: r, id: rand.Text(), view: v, team: team}, nil
+}
+
+// modelCall is the part of an OpenAI-shaped body that the entry reads.
+type modelCall struct {
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            json.RawMessage `json:"messages"`
+}
+
+func (e *Entry) serveModel(w http.ResponseWriter, r *http.Request) {
+	q, ref := e.begin(w, r)
+	if ref == nil {
+		ref = q.readModel()
+	}
+	if ref == nil {
+		ref = q.serve()
+	}
+	if ref != nil {
+		e.writeRefusal(w, q, ref)
+	}
+}
+
+func (e *Entry) servePlain(w http.ResponseWriter, r *http.Request) {
+	q, ref := e.begin(w, r)
+	if ref == nil {
+		ref = q.readPlain()
+	}
+	if ref == nil {
+		ref = q.serve()
+	}
+	if ref != nil {
+		e.writeRefusal(w, q, ref)
+	}
+}
+
+func (e *Entry) writeRefusal(w http.ResponseWriter, q *request, ref *wire.Refusal) {
+	if q != nil {
+		ref.RequestId = q.id
+		ref.Team = q.team.Name
+		ref.Revision = q.view.Revision
+		if q.service != nil {
+			ref.Service = q.service.Name
+		}
+	}
+	name := "entry.refusals." + refusal.ReasonWord(ref.Reason) + "." + refusal.OutcomeWord(ref.Outcome)
+	metrics.GetOrRegisterCounter(name, e.metrics).Inc(1)
+	e.sealer.Write(w, ref)
+}
+
+func (q *request) readBody(limit int64) *wire.Refusal {
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return q.entry.refuse(wire.Reason_REASON_BODY_TOO_LARGE, "body is over "+strconv.FormatInt(limit, 10)+" bytes")
+	}
+	if err != nil {
+		return q.entry.refuse(wire.Reason_REASON_BAD_REQUEST, "body can't be read: "+err.Error())
+	}
+	q.body = body
+	return nil
+}
+
+func (q *request) readModel() *wire.Refusal {
+	if ref := q.readBody(maxModelBody); ref != nil {
+		return ref
+	}
+	var c modelCall
+	if err := json.Unmarshal(q.body, &c); err != nil {
+		return q.entry.refuse(wire.Reason_REASON_BAD_REQUEST, "body is not the JSON of a model call: "+err.Error())
+	}
+	q.service = q.view.ServiceByModel(c.Model)
+	if q.service == nil {
+		return q.entry.refuse(wire.Reason_REASON_UNKNOWN_SERVICE, "no service serves model "+strconv.Quote(c.Model))
+	}
+	if int64(len(q.body)) > q.service.MaxBody {
+		return q.entry.refuse(wire.Reason_REASON_BODY_TOO_LARGE, "body is over "+strconv.FormatInt(q.service.MaxBody, 10)+" bytes")
+	}
+	output := max(c.MaxTokens, c.MaxCompletionTokens)
+	if output <= 0 {
+		output = defaultOutputTokens
+	}
+	prompt := string(c.Prompt) + string(c.Messages)
+	q.tokens = len(prompt)/charsPerToken + output
+	q.prefix = prefixHashes(q.team.Name+"\x00"+c.Model, prompt)
+	q.path = q.r.URL.Path
+	return nil
+}
+
+func (q *request) readPlain() *wire.Refusal {
+	name := mux.Vars(q.r)["service"]
+	q.service = q.view.Services[name]
+	if q.service == nil || q.service.Kind != "plain" {
+		return q.entry.refuse(wire.Reason_REASON_UNKNOWN_SERVICE, "no plain service "+strconv.Quote(name))
+	}
+	q.path = strings.TrimPrefix(q.r.URL.EscapedPath(), "/services/"+name)
+	if q.r.URL.RawQuery != "" {
+		q.path += "?" + q.r.URL.RawQuery
+	}
+	return q.readBody(q.service.MaxBody)
+}
+
+// priority is what the caller asks for, else the service's; the team's row
+// bounds it.
+func (q *request) priority() (wire.Priority, *wire.Refusal) {
+	p := q.service.Priority
+	asked := q.r.Header.Get(headerPriority)
+	if asked != "" {
+		p = table.ParsePriority(asked)
+		if p == wire.Priority_PRIORITY_UNSPECIFIED {
+			return 0, q.entry.refuse(wire.Reason_REASON_BAD_REQUEST, "header "+headerPriority+": must be urgent, normal or batch")
+		}
+	}
+	if p < q.team.MaxPriority && asked != "" {
+		ref := q.entry.refuse(wire.Reason_REASON_FORBIDDEN, "the team may not ask for priority "+asked)
+		ref.RowKind, ref.RowKey, ref.RowVersion = q.team.Kind, q.team.Key, q.team.Version
+		return 0, ref
+	}
+	return max(p, q.team.MaxPriority), nil
+}
+
+// idempotent says whether the call may be run again: the service row and the
+// caller must both say so; the stricter wins.
+func (q *request) idempotent() bool {
+	return q.service.Idempotent && q.r.Header.Get(headerIdempotent) != "no"
+}
+
+func (q *request) deadline(now time.Time) (time.Time, *wire.Refusal) {
+	timeout := q.service.Timeout
+	if h := q.r.Header.Get(headerTimeout); h != "" {
+		ms, err := strconv.Atoi(h)
+		if err != nil || ms <= 0 {
+			return now, q.entry.refuse(wire.Reason_REASON_BAD_REQUEST, "header "+headerTimeout+": must be a number of milliseconds over 0")
+		}
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	return now.Add(timeout), nil
+}
+
+// serve admits the request and carries it to an upstream.
+func (q *request) serve() *wire.Refusal {
+	e := q.entry
+	e.requests.Add(1)
+	defer e.requests.Add(-1)
+	prio, ref := q.priority()
+	if ref != nil {
+		return ref
+	}
+	deadline, ref := q.deadline(time.Now())
+	if ref != nil {
+		return ref
+	}
+	weight := q.view.Weight(q.team.Name, q.service.Name)
+	release, err := e.runner.Enter(q.r.Context(), &admit.Work{
+		Team: q.team.Name, Weight: weight, Priority: prio,
+		Cost: float64(max(q.tokens, 1)), Deadline: deadline,
+	})
+	if err != nil {
+		return e.refuse(admitReason(err), err.Error())
+	}
+	defer release()
+	return q.forward(&forward.Call{
+		Head: &wire.RunHead{
+			RequestId: q.id, Team: q.team.Name, Service: q.service.Name, Priority: prio,
+			Weight: uint32(weight), Idempotent: q.idempotent(), Method: q.r.Method,
+			Path: q.path, Headers: q.headers(), Tokens: uint32(q.tokens),
+		},
+		Body: q.body, Pool: q.view.Pools[q.service.Pool], Deadline: deadline,
+		Route:     &route.Request{Priority: prio, Tokens: q.tokens, Prefix: q.prefix},
+		MaxAnswer: q.service.MaxBody,
+	})
+}
+
+func admitReason(err error) wire.Reason {
+	switch {
+	case errors.Is(err, admit.ErrQueueFull):
+		return wire.Reason_REASON_QUEUE_FULL
+	case errors.Is(err, admit.ErrClosed):
+		return wire.Reason_REASON_DRAINING
+	}
+	return wire.Reason_REASON_DEADLINE
+}
+
+func (q *request) headers() []*wire.Header {
+	var list []*wire.Header
+	for name, values := range q.r.Header {
+		if !upstream.PassHeader(name) || name == headerKey {
+			continue
+		}
+		for _, v := range values {
+			list = append(list, &wire.Header{Name: name, Value: v})
+		}
+	}
+	return list
+}
+
+func (q *request) forward(c *forward.Call) *wire.Refusal {
+	sink := &httpSink{w: q.w, id: q.id}
+	res := q.entry.fwd.Do(q.r.Context(), c, sink)
+	if res.Reason == 0 {
+		metrics.GetOrRegisterCounter("entry.answers", q.entry.metrics).Inc(1)
+		return nil
+	}
+	if res.Begun || sink.begun {
+		// Part of the answer is with the caller. Ending the response as usual
+		// would pass the part off as the whole; aborting the connection (HTTP/1.1)
+		// or resetting the stream (HTTP/2) shows the cut.
+		metrics.GetOrRegisterCounter("entry.answers.cut", q.entry.metrics).Inc(1)
+		panic(http.ErrAbortHandler)
+	}
+	ref := q.entry.refuse(res.Reason, res.Detail)
+	ref.Outcome = res.Outcome
+	ref.Attempts = res.Attempts
+	if errors.Is(q.r.Context().Err(), context.Canceled) {
+		metrics.GetOrRegisterCounter("entry.callers.left", q.entry.metrics).Inc(1)
+	}
+	return ref
+}
+
+// httpSink writes an answer to the caller.
+type httpSink struct {
+	w     http.ResponseWriter
+	id    string
+	begun bool
+	flush bool
+}
+
+// Begin implements forward.Sink.
+func (s *httpSink) Begin(h *wire.RunReplyHead) error {
+	s.begun = true
+	s.flush = h.Streaming
+	for _, f := range h.Headers {
+		s.w.Header().Add(f.Name, f.Value)
+	}
+	s.w.Header().Set(upstream.HeaderRequestID, s.id)
+	s.w.WriteHeader(int(h.Status))
+	return nil
+}
+
+// Write implements forward.Sink.
+func (s *httpSink) Write(b []byte) error {
+	if _, err := s.w.Write(b); err != nil {
+		return err
+	}
+	if s.flush {
+		return http.NewResponseController(s.w).Flush()
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"net"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/transport"
+)
+
+// Settings of an entry, as its TOML file gives them.
+type Settings struct {
+	// ID names the entry.
+	ID            string `toml:"id"`
+	FailureDomain string `toml:"failure_domain"`
+	ClusterSecret string `toml:"cluster_secret"`
+	// Callers is the HTTP address for callers, IP:port; port 0 takes a free one.
+	Callers string `toml:"callers_listen"`
+	// CallersAdvertise is the address told to callers; Callers if empty.
+	CallersAdvertise string `toml:"callers_advertise"`
+	// Operators is the HTTP address for operators; empty is off.
+	Operators string `toml:"operators_listen"`
+	// Internal is the drpc address.
+	Internal          string `toml:"internal_listen"`
+	InternalAdvertise string `toml:"internal_advertise"`
+	// CallersTLS and TLS (between processes) turn TLS on.
+	CallersTLS transport.TLSSettings `toml:"callers_tls"`
+	TLS        transport.TLSSettings `toml:"tls"`
+	// ControlReplicas lists drpc addresses of control replicas to follow.
+	ControlReplicas []string `toml:"control_replicas"`
+	// Rows is a TSV file of rows that stand in until a control replica answers.
+	Rows string `toml:"rows"`
+	// Keep is how long callers may keep the list of entries.
+	Keep kernel.Duration `toml:"keep"`
+	// Slots is how many requests the entry carries at once.
+	Slots         int `toml:"slots"`
+	UrgentPercent int `toml:"urgent_percent"`
+	MaxQueue      int `toml:"max_queue"`
+	// StopLimit bounds a planned stop.
+	StopLimit kernel.Duration `toml:"stop_limit"`
+	// Lease and AnnounceInterval are those of the entry's own announcement.
+	Lease            kernel.Duration `toml:"lease"`
+	AnnounceInterval kernel.Duration `toml:"announce_interval"`
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() *Settings {
+	return &Settings{
+		Callers:          "127.0.0.1:0",
+		Internal:         "127.0.0.1:0",
+		Keep:             kernel.Duration(10 * time.Second),
+		Slots:            4096,
+		UrgentPercent:    10,
+		MaxQueue:         4096,
+		StopLimit:        kernel.Duration(5 * time.Minute),
+		Lease:            kernel.Duration(3 * time.Second),
+		AnnounceInterval: kernel.Duration(500 * time.Millisecond),
+	}
+}
+
+// Check names the first key that is wrong.
+func (s *Settings) Check() error {
+	bad := func(key, detail string) error {
+		return merry.Prependf(kernel.ErrSettings, "key %q: %s", key, detail)
+	}
+	switch {
+	case s.ID == "":
+		return bad("id", "must not be empty")
+	case s.FailureDomain == "":
+		return bad("failure_domain", "must not be empty")
+	case s.Slots < 1:
+		return bad("slots", "must be at least 1")
+	case s.UrgentPercent < 0 || s.UrgentPercent > 90:
+		return bad("urgent_percent", "must be from 0 to 90")
+	case s.Keep < kernel.Duration(time.Second):
+		return bad("keep", "must be at least 1s")
+	case s.Lease < 2*s.AnnounceInterval:
+		return bad("lease", "must be at least twice announce_interval")
+	}
+	for key, addr := range map[string]string{"callers_listen": s.Callers, "internal_listen": s.Internal} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return bad(key, err.Error())
+		}
+	}
+	for _, addr := range s.ControlReplicas {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return bad("control_replicas", err.Error())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/watch.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/wire"
+)
+
+const (
+	reportInterval = 500 * time.Millisecond
+	rewatchDelay   = 500 * time.Millisecond
+)
+
+// watches keeps one report stream open to each upstream's agent.
+type watches struct {
+	entry *Entry
+	mu    sync.Mutex
+	ctx   context.Context
+	open  map[string]*openWatch
+}
+
+type openWatch struct {
+	incarnation uint64
+	address     string
+	cancel      context.CancelFunc
+}
+
+func newWatches(e *Entry) *watches {
+	return &watches{entry: e, open: map[string]*openWatch{}}
+}
+
+func (w *watches) start(ctx context.Context) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ctx = ctx
+}
+
+// update opens a stream to each instance and closes those to others.
+func (w *watches) update(insts []*directory.Instance) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ctx == nil || w.ctx.Err() != nil {
+		return
+	}
+	live := map[string]bool{}
+	for _, i := range insts {
+		live[i.Id] = true
+		old := w.open[i.Id]
+		if old != nil && old.incarnation == i.Incarnation && old.address == i.Address {
+			continue
+		}
+		if old != nil {
+			old.cancel()
+		}
+		ctx, cancel := context.WithCancel(w.ctx)
+		w.open[i.Id] = &openWatch{incarnation: i.Incarnation, address: i.Address, cancel: cancel}
+		go w.follow(ctx, i.Address)
+	}
+	for id, old := range w.open {
+		if !live[id] {
+			old.cancel()
+			delete(w.open, id)
+		}
+	}
+}
+
+func (w *watches) follow(ctx context.Context, addr string) {
+	for ctx.Err() == nil {
+		w.once(ctx, addr)
+		select {
+		case <-ctx.Done():
+		case <-time.After(rewatchDelay):
+		}
+	}
+}
+
+func (w *watches) once(ctx context.Context, addr string) {
+	e := w.entry
+	stream, err := wire.NewDRPCAgentClient(e.pool.Conn(ctx, addr)).Watch(ctx, &wire.WatchRequest{
+		Entry: e.settings.ID, IntervalMs: uint32(reportInterval.Milliseconds()),
+	})
+	if err != nil {
+		return
+	}
+	defer stream.Close()
+	for {
+		r, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		e.fwd.Report(r)
+	}
+}
--- /dev/null
+++ b/fake/engine.go
@@ -0,0 +1,146 @@
+package fake
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Engine is a model engine: OpenAI-shaped completions, streamed or not, at a
+// steady step time; orders with or without a check of the fencing token.
+type Engine struct {
+	Server
+	// Step is the time of one decoding step; every running request gets one
+	// token a step.
+	Step time.Duration
+	// Fencing makes the engine refuse an order with an old token.
+	Fencing bool
+
+	orderMu sync.Mutex
+	highest uint64
+	orders  []GivenOrder
+}
+
+// GivenOrder is an order that the engine carried out.
+type GivenOrder struct {
+	Verb  string
+	Token uint64
+	Body  string
+}
+
+// Start listens on a free loopback port.
+func (e *Engine) Start() error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /load", e.serveLoad)
+	mux.HandleFunc("POST /v1/chat/completions", e.serve)
+	mux.HandleFunc("POST /v1/completions", e.serve)
+	mux.HandleFunc("POST /orders/{verb}", e.serveOrder)
+	return e.listen(mux)
+}
+
+type engineCall struct {
+	Model     string          `json:"model"`
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+	Prompt    string          `json:"prompt"`
+	Messages  []engineMessage `json:"messages"`
+}
+
+type engineMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+const defaultEngineTokens = 16
+
+func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	var c engineCall
+	if err := json.Unmarshal(body, &c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if c.MaxTokens <= 0 {
+		c.MaxTokens = defaultEngineTokens
+	}
+	r.Body = io.NopCloser(bytes.NewReader(nil))
+	e.answerWith(w, r, func(w http.ResponseWriter) {
+		if c.Stream {
+			e.stream(w, r, &c)
+			return
+		}
+		time.Sleep(time.Duration(c.MaxTokens) * e.Step)
+		writeJSON(w, e.completion(r, &c))
+	})
+}
+
+// text is what the engine generates: the caller's own key again and again, so
+// that a crossed answer shows.
+func text(r *http.Request, n int) string {
+	return runKey(r) + ":" + strconv.Itoa(n) + " "
+}
+
+func (e *Engine) completion(r *http.Request, c *engineCall) any {
+	var out bytes.Buffer
+	for n := range c.MaxTokens {
+		out.WriteString(text(r, n))
+	}
+	return map[string]any{
+		"object": "chat.completion",
+		"model":  c.Model,
+		"choices": []any{map[string]any{
+			"index": 0, "finish_reason": "length",
+			"message": engineMessage{Role: "assistant", Content: out.String()},
+		}},
+		"usage": map[string]int{"completion_tokens": c.MaxTokens},
+	}
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, c *engineCall) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w)
+	for n := range c.MaxTokens {
+		time.Sleep(e.Step)
+		if r.Context().Err() != nil {
+			return
+		}
+		chunk, _ := json.Marshal(map[string]any{
+			"object":  "chat.completion.chunk",
+			"choices": []any{map[string]any{"index": 0, "delta": engineMessage{Content: text(r, n)}}},
+		})
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", chunk); err != nil {
+			return
+		}
+		_ = rc.Flush()
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	token, _ := strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
+	body, _ := io.ReadAll(r.Body)
+	e.orderMu.Lock()
+	defer e.orderMu.Unlock()
+	if e.Fencing && token < e.highest {
+		writeJSON(w, map[string]any{"accepted": false, "detail": "fencing token is old"})
+		return
+	}
+	e.highest = max(e.highest, token)
+	e.orders = append(e.orders, GivenOrder{Verb: r.PathValue("verb"), Token: token, Body: string(body)})
+	writeJSON(w, map[string]any{"accepted": true})
+}
+
+// Orders returns the orders that the engine carried out, in their order.
+func (e *Engine) Orders() []GivenOrder {
+	e.orderMu.Lock()
+	defer e.orderMu.Unlock()
+	return append([]GivenOrder(nil), e.orders...)
+}
--- /dev/null
+++ b/fake/server.go
@@ -0,0 +1,177 @@
+// Package fake holds small stand-ins at the system's interfaces: a model
+// engine, a plain service, a clock. They serve tests, the quickstart and the
+// load tool; nothing in production depends on them.
+package fake
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Fault is what a server does wrong with one request.
+type Fault int
+
+// Faults of a fake server.
+const (
+	FaultNone Fault = iota
+	// FaultDieBefore closes the connection and runs nothing.
+	FaultDieBefore
+	// FaultDieAfterRun runs the request and closes the connection unanswered.
+	FaultDieAfterRun
+	// FaultCut runs the request and cuts the answer in the middle.
+	FaultCut
+	// FaultCrossed answers in the name of another request.
+	FaultCrossed
+	// FaultStall runs the request and answers only when the caller gives up.
+	FaultStall
+)
+
+// Server is what the fakes share: a listener, counts of runs, and faults.
+type Server struct {
+	// Slots is how many requests run at once; 0 is no bound.
+	Slots int
+	// Fault chooses what goes wrong with a request; nil is nothing.
+	Fault func(r *http.Request) Fault
+
+	mu      sync.Mutex
+	runs    map[string]int
+	running int
+	waiting int
+	lis     net.Listener
+	http    *http.Server
+	slots   chan struct{}
+}
+
+// Listen serves a handler on a free loopback port.
+func (s *Server) listen(h http.Handler) error {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.lis = lis
+	s.runs = map[string]int{}
+	if s.Slots > 0 {
+		s.slots = make(chan struct{}, s.Slots)
+	}
+	s.http = &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = s.http.Serve(lis) }()
+	return nil
+}
+
+// URL returns the server's address as an http URL.
+func (s *Server) URL() string { return "http://" + s.lis.Addr().String() }
+
+// Close cuts every connection.
+func (s *Server) Close() { _ = s.http.Close() }
+
+// Runs returns how often each request ran, by the caller's key (header
+// X-Run-Key), or by request ID where there is none.
+func (s *Server) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := make(map[string]int, len(s.runs))
+	for k, v := range s.runs {
+		copied[k] = v
+	}
+	return copied
+}
+
+// HeaderRunKey lets a caller name its request, so that runs can be counted
+// through retries.
+const HeaderRunKey = "X-Run-Key"
+
+func runKey(r *http.Request) string {
+	if k := r.Header.Get(HeaderRunKey); k != "" {
+		return k
+	}
+	return r.Header.Get("X-Request-Id")
+}
+
+// enter waits for a slot; it returns false if the caller left.
+func (s *Server) enter(r *http.Request) bool {
+	s.mu.Lock()
+	s.waiting++
+	s.mu.Unlock()
+	ok := true
+	if s.slots != nil {
+		select {
+		case s.slots <- struct{}{}:
+		case <-r.Context().Done():
+			ok = false
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting--
+	if ok {
+		s.running++
+		s.runs[runKey(r)]++
+	}
+	return ok
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	s.running--
+	s.mu.Unlock()
+	if s.slots != nil {
+		<-s.slots
+	}
+}
+
+func (s *Server) fault(r *http.Request) Fault {
+	if s.Fault == nil {
+		return FaultNone
+	}
+	return s.Fault(r)
+}
+
+func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	load := map[string]int{"running": s.running, "waiting": s.waiting, "slots": s.Slots}
+	s.mu.Unlock()
+	writeJSON(w, load)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// answerWith runs a request under its fault; run writes the answer.
+func (s *Server) answerWith(w http.ResponseWriter, r *http.Request, run func(w http.ResponseWriter)) {
+	fault := s.fault(r)
+	if fault == FaultDieBefore {
+		panic(http.ErrAbortHandler)
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	if !s.enter(r) {
+		return
+	}
+	defer s.leave()
+	switch fault {
+	case FaultDieAfterRun:
+		panic(http.ErrAbortHandler)
+	case FaultStall:
+		<-r.Context().Done()
+		return
+	case FaultCrossed:
+		w.Header().Set("X-Request-Id", "another-request")
+	case FaultCut:
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("Content-Length", "1000")
+		fmt.Fprint(w, "only a part of it")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	default:
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	}
+	run(w)
+}
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,301 @@
+// Package forward carries one request through its attempts: which upstream,
+// whether to try again, when an answer is whole, and what may be said of the
+// outcome.
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/route"
+	"github.com/snipereach/snipereach/table"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// Errors of this layer.
+var (
+	// ErrInvalidAnswer is a late, crossed, cut, oversized or malformed answer.
+	ErrInvalidAnswer = merry.Sentinel("answer is invalid")
+	// ErrCallerGone says that the answer could not be written to the caller.
+	ErrCallerGone = merry.Sentinel("caller is gone")
+)
+
+// maxAttempts bounds the attempts of one request, whatever the budget.
+const maxAttempts = 4
+
+// Call is one request.
+type Call struct {
+	Head     *wire.RunHead
+	Body     []byte
+	Pool     *table.Pool
+	Route    *route.Request
+	Deadline time.Time
+	// MaxAnswer bounds an unstreamed answer, in bytes.
+	MaxAnswer int64
+}
+
+// Sink takes an answer. An unstreamed answer reaches it whole, in one Write.
+type Sink interface {
+	Begin(h *wire.RunReplyHead) error
+	Write(body []byte) error
+}
+
+// Result is what became of a call.
+type Result struct {
+	Outcome wire.Outcome
+	// Reason is zero when the answer is whole.
+	Reason wire.Reason
+	Detail string
+	// Begun says that part of a streamed answer has reached the sink: the
+	// caller must be shown a cut, not a refusal.
+	Begun    bool
+	Attempts []*wire.RefusedAttempt
+}
+
+// Forwarder makes attempts for one entry.
+type Forwarder struct {
+	pool  *transport.Pool
+	place route.Place
+	now   func() time.Time
+
+	mu        sync.Mutex
+	balancers map[string]*balancer
+}
+
+type balancer struct {
+	route.Balancer
+	plugin string
+	budget *Budget
+	ups    []route.Upstream
+}
+
+// New makes a forwarder.
+func New(pool *transport.Pool, place route.Place, now func() time.Time) *Forwarder {
+	return &Forwarder{pool: pool, place: place, now: now, balancers: map[string]*balancer{}}
+}
+
+// Update sets the upstreams of a pool that are up.
+func (f *Forwarder) Update(p *table.Pool, ups []route.Upstream) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b, err := f.balancer(p)
+	if err != nil {
+		return err
+	}
+	b.ups = ups
+	b.Update(f.now(), ups)
+	return nil
+}
+
+// balancer returns a pool's balancer and makes it anew when its row names
+// another plug-in. The caller holds mu.
+func (f *Forwarder) balancer(p *table.Pool) (*balancer, error) {
+	b := f.balancers[p.Name]
+	if b != nil && b.plugin == p.Route {
+		b.budget.Configure(float64(p.RetryPercent) / 100)
+		return b, nil
+	}
+	made, err := route.New(p.Route, f.place)
+	if err != nil {
+		return nil, err
+	}
+	next := &balancer{Balancer: made, plugin: p.Route, budget: NewBudget(float64(p.RetryPercent) / 100)}
+	if b != nil {
+		next.ups = b.ups
+		next.Update(f.now(), b.ups)
+	}
+	f.balancers[p.Name] = next
+	return next, nil
+}
+
+// Report hands a load report and cache events to the balancers.
+func (f *Forwarder) Report(r *wire.Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	for _, b := range f.balancers {
+		b.Report(now, r.Upstream, r.Incarnation, r.Load)
+		if len(r.Cache) > 0 {
+			b.Cache(now, r.Upstream, r.Incarnation, r.Cache)
+		}
+	}
+}
+
+// Do makes attempts until one is answered, or no more may be made.
+func (f *Forwarder) Do(ctx context.Context, c *Call, sink Sink) Result {
+	var res Result
+	c.Route.Exclude = map[string]bool{}
+	for n := 1; ; n++ {
+		up, end := f.attempt(ctx, c, sink, n)
+		res.Outcome, res.Reason, res.Detail, res.Begun = end.outcome, end.reason, end.detail, end.begun
+		if end.reason == 0 {
+			return res
+		}
+		if up.ID != "" {
+			res.Attempts = append(res.Attempts, &wire.RefusedAttempt{
+				Upstream: up.ID, Outcome: end.outcome, Reason: end.reason, Detail: end.detail,
+			})
+			c.Route.Exclude[up.ID] = true
+		}
+		if !f.again(ctx, c, end, n) {
+			res.Outcome = worst(res)
+			return res
+		}
+	}
+}
+
+// worst is the outcome of a whole request: "not run" only if no attempt may
+// have run. An idempotent request whose first attempt is in doubt and whose
+// second was certainly not run is in doubt.
+func worst(res Result) wire.Outcome {
+	for _, a := range res.Attempts {
+		if a.Outcome != wire.Outcome_OUTCOME_NOT_RUN {
+			return wire.Outcome_OUTCOME_UNKNOWN
+		}
+	}
+	return res.Outcome
+}
+
+// again decides whether another attempt is made.
+func (f *Forwarder) again(ctx context.Context, c *Call, e ending, n int) bool {
+	if e.begun || e.final || n >= maxAttempts || ctx.Err() != nil || !f.now().Before(c.Deadline) {
+		return false
+	}
+	// Only a certified "not run" lets a call that is not idempotent go again.
+	if e.outcome != wire.Outcome_OUTCOME_NOT_RUN && !c.Head.Idempotent {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := f.balancers[c.Pool.Name]
+	return b != nil && b.budget.Take()
+}
+
+// ending is how one attempt ended.
+type ending struct {
+	outcome wire.Outcome
+	reason  wire.Reason
+	detail  string
+	begun   bool
+	// final says that another attempt can't help.
+	final bool
+	load  *wire.Load
+}
+
+func (f *Forwarder) attempt(ctx context.Context, c *Call, sink Sink, n int) (route.Upstream, ending) {
+	up, err := f.pick(c, n)
+	if err != nil {
+		return up, ending{
+			outcome: wire.Outcome_OUTCOME_NOT_RUN, reason: wire.Reason_REASON_NO_UPSTREAM,
+			detail: err.Error(), final: true,
+		}
+	}
+	began := f.now()
+	head := headFor(c, up, n, began)
+	e := f.exchange(ctx, up, head, c, sink)
+	f.done(c, up, e, began)
+	return up, e
+}
+
+// headFor makes the head of one attempt.
+func headFor(c *Call, up route.Upstream, n int, now time.Time) *wire.RunHead {
+	h := c.Head
+	return &wire.RunHead{
+		RequestId: h.RequestId, AttemptId: fmt.Sprintf("%s.%d", h.RequestId, n),
+		Team: h.Team, Service: h.Service, Priority: h.Priority, Weight: h.Weight,
+		TimeoutUs: c.Deadline.Sub(now).Microseconds(), Idempotent: h.Idempotent,
+		Method: h.Method, Path: h.Path, Headers: h.Headers, Tokens: h.Tokens,
+		Incarnation: up.Incarnation,
+	}
+}
+
+var errNoUpstream = merry.Sentinel("no upstream is up")
+
+func (f *Forwarder) pick(c *Call, n int) (route.Upstream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b, err := f.balancer(c.Pool)
+	if err != nil {
+		return route.Upstream{}, err
+	}
+	if n == 1 {
+		b.budget.Offer()
+	}
+	up, ok := b.Pick(f.now(), c.Route)
+	if !ok {
+		return route.Upstream{}, errNoUpstream
+	}
+	return up, nil
+}
+
+func (f *Forwarder) done(c *Call, up route.Upstream, e ending, began time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	if b := f.balancers[c.Pool.Name]; b != nil {
+		b.Done(now, up.ID, c.Route, route.Result{
+			Outcome: e.outcome, Reason: e.reason, Load: e.load, Elapsed: now.Sub(began),
+		})
+	}
+}
+
+// exchange runs one attempt over drpc.
+func (f *Forwarder) exchange(ctx context.Context, up route.Upstream, head *wire.RunHead, c *Call, sink Sink) ending {
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	stream, err := wire.NewDRPCAgentClient(f.pool.Conn(ctx, up.Address)).Run(ctx)
+	if err != nil {
+		return notRun(wire.Reason_REASON_UPSTREAM_FAILED, err)
+	}
+	defer stream.Close()
+	if handed, err := send(stream, head, c.Body); err != nil {
+		if handed {
+			return inDoubt(ctx, err)
+		}
+		return notRun(wire.Reason_REASON_UPSTREAM_FAILED, err)
+	}
+	rd := &reader{stream: stream, head: head, sink: sink, max: c.MaxAnswer}
+	e := rd.read(ctx)
+	if e.reason != 0 {
+		// The rest of an answer that is no longer wanted must not reach the
+		// next call on the connection: the call is cancelled with it.
+		cancel()
+	}
+	return e
+}
+
+// send hands the request over. handed is true once the last frame may have left:
+// the agent runs nothing before it.
+func send(stream wire.DRPCAgent_RunClient, head *wire.RunHead, body []byte) (handed bool, err error) {
+	frame := &wire.RunFrame{Head: head}
+	for {
+		n := min(len(body), transport.BodyFrame)
+		frame.Body, body = body[:n], body[n:]
+		frame.Last = len(body) == 0
+		if err := stream.Send(frame); err != nil {
+			return frame.Last, err
+		}
+		if frame.Last {
+			return true, nil
+		}
+		frame = &wire.RunFrame{}
+	}
+}
+
+func notRun(r wire.Reason, err error) ending {
+	return ending{outcome: wire.Outcome_OUTCOME_NOT_RUN, reason: r, detail: err.Error()}
+}
+
+func inDoubt(ctx context.Context, err error) ending {
+	reason := wire.Reason_REASON_UPSTREAM_FAILED
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = wire.Reason_REASON_DEADLINE
+	}
+	return ending{outcome: wire.Outcome_OUTCOME_UNKNOWN, reason: reason, detail: err.Error()}
+}
--- /dev/null
+++ b/kernel/log.go
@@ -0,0 +1,40 @@
+package kernel
+
+import (
+	"io"
+	"os"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// NewLog returns a structured logger in logfmt that writes records of at least
+// the named level: debug, info, warn or error.
+func NewLog(w io.Writer, lowest string) log.Logger {
+	if w == nil {
+		w = os.Stderr
+	}
+	l := log.NewLogfmtLogger(log.NewSyncWriter(w))
+	l = log.With(l, "ts", log.DefaultTimestampUTC)
+	return level.NewFilter(l, level.Allow(level.ParseDefault(lowest, level.InfoValue())))
+}
+
+// PartLog returns a logger whose records carry the fixed prefix of one part.
+func PartLog(l log.Logger, part string) log.Logger {
+	return log.With(l, "part", part)
+}
+
+// Info logs a short sentence with pairs of keys and values.
+func Info(l log.Logger, msg string, kv ...any) {
+	_ = level.Info(l).Log(append([]any{"msg", msg}, kv...)...)
+}
+
+// Warn logs a short sentence with pairs of keys and values.
+func Warn(l log.Logger, msg string, kv ...any) {
+	_ = level.Warn(l).Log(append([]any{"msg", msg}, kv...)...)
+}
+
+// Debug logs a short sentence with pairs of keys and values.
+func Debug(l log.Logger, msg string, kv ...any) {
+	_ = level.Debug(l).Log(append([]any{"msg", msg}, kv...)...)
+}
--- /dev/null
+++ b/quickstart/quickstart.go
@@ -0,0 +1,242 @@
+// Package quickstart runs a whole small system in one process on loopback: three
+// entries, four agents, and a fake upstream behind each. It serves newcomers and
+// the tests of the whole path.
+package quickstart
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-kit/log"
+
+	"github.com/snipereach/snipereach/agent"
+	"github.com/snipereach/snipereach/entry"
+	"github.com/snipereach/snipereach/fake"
+	"github.com/snipereach/snipereach/kernel"
+)
+
+// ErrNotReady is returned when the system doesn't come up in time.
+var ErrNotReady = merry.Sentinel("system did not become ready")
+
+// TeamKey is the bearer key of the team that the quickstart makes.
+const TeamKey = "quickstart-key"
+
+const secret = "quickstart cluster secret"
+
+// Options of a quickstart.
+type Options struct {
+	Log log.Logger
+	// CallersPort is the first entry's port for callers; 0 takes a free one.
+	CallersPort int
+	// Rows in TSV stand in for the built-in ones if not empty.
+	Rows string
+	// Engines and Plains are how many upstreams there are; 3 and 1 if zero.
+	Engines, Plains int
+	// Keep is how long callers may keep the list of entries; 10 s if zero.
+	Keep time.Duration
+}
+
+// System is a running quickstart.
+type System struct {
+	Entries []*entry.Entry
+	Agents  []*agent.Agent
+	Engines []*fake.Engine
+	Plains  []*fake.Plain
+
+	opts Options
+	dir  string
+}
+
+var domains = []string{"hall-a", "hall-b", "hall-c"}
+
+// Rows returns the built-in rows: one team, an engine service and an urgent
+// plain service.
+func Rows() string {
+	digest := sha256.Sum256([]byte(TeamKey))
+	return strings.Join([]string{
+		"pool\tlm\tslots=8",
+		"pool\tclock\tslots=32",
+		"service\tpushpa-lm\tkind=engine\tpool=lm\tidempotent=yes",
+		"service\tclock-core\tkind=plain\tpool=clock\tpriority=urgent\ttimeout_ms=2000",
+		"team\tgrowers\tkey_sha256=" + hex.EncodeToString(digest[:]) + "\tmax_priority=urgent",
+		"",
+	}, "\n")
+}
+
+// Start brings a system up.
+func Start(ctx context.Context, opts Options) (*System, error) {
+	if opts.Engines == 0 {
+		opts.Engines = 3
+	}
+	if opts.Plains == 0 {
+		opts.Plains = 1
+	}
+	if opts.Rows == "" {
+		opts.Rows = Rows()
+	}
+	dir, err := os.MkdirTemp("", "snipereach-quickstart-")
+	if err != nil {
+		return nil, err
+	}
+	s := &System{opts: opts, dir: dir}
+	if err := s.start(ctx); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *System) start(ctx context.Context) error {
+	rows := filepath.Join(s.dir, "rows.tsv")
+	if err := os.WriteFile(rows, []byte(s.opts.Rows), 0o600); err != nil {
+		return err
+	}
+	for i, d := range domains {
+		if err := s.startEntry(ctx, i, d, rows); err != nil {
+			return err
+		}
+	}
+	for i := range s.opts.Engines {
+		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond}
+		if err := e.Start(); err != nil {
+			return err
+		}
+		s.Engines = append(s.Engines, e)
+		if err := s.startAgent(ctx, fmt.Sprintf("lm-%d", i+1), "engine", "lm", e.URL(), i); err != nil {
+			return err
+		}
+	}
+	for i := range s.opts.Plains {
+		p := &fake.Plain{Server: fake.Server{Slots: 32}, Work: time.Millisecond}
+		if err := p.Start(); err != nil {
+			return err
+		}
+		s.Plains = append(s.Plains, p)
+		if err := s.startAgent(ctx, fmt.Sprintf("clock-%d", i+1), "plain", "clock", p.URL(), i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) startEntry(ctx context.Context, i int, domain, rows string) error {
+	set := entry.DefaultSettings()
+	set.ID = fmt.Sprintf("entry-%d", i+1)
+	set.FailureDomain = domain
+	set.ClusterSecret = secret
+	set.Operators = "127.0.0.1:0"
+	set.Rows = rows
+	if s.opts.Keep > 0 {
+		set.Keep = kernel.Duration(s.opts.Keep)
+	}
+	if i == 0 && s.opts.CallersPort != 0 {
+		set.Callers = fmt.Sprintf("127.0.0.1:%d", s.opts.CallersPort)
+	}
+	for _, e := range s.Entries {
+		set.ControlReplicas = append(set.ControlReplicas, e.InternalAddress())
+	}
+	e, err := entry.New(set, s.opts.Log)
+	if err != nil {
+		return err
+	}
+	if err := e.Start(ctx); err != nil {
+		return err
+	}
+	s.Entries = append(s.Entries, e)
+	return nil
+}
+
+func (s *System) startAgent(ctx context.Context, id, kind, pool, url string, i int) error {
+	set := agent.DefaultSettings()
+	set.ID = id
+	set.FailureDomain = domains[i%len(domains)]
+	set.ClusterSecret = secret
+	set.Kind = kind
+	set.Pools = []string{pool}
+	set.Upstream = map[string]any{"url": url}
+	if kind == "plain" {
+		set.Slots = 32
+	}
+	for _, e := range s.Entries {
+		set.AnnounceTo = append(set.AnnounceTo, e.InternalAddress())
+	}
+	a, err := agent.New(set, s.opts.Log)
+	if err != nil {
+		return err
+	}
+	if err := a.Start(ctx); err != nil {
+		return err
+	}
+	s.Agents = append(s.Agents, a)
+	return nil
+}
+
+// readyTimeout bounds WaitReady.
+const readyTimeout = 15 * time.Second
+
+// WaitReady returns once every entry answers a call to every service.
+func (s *System) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, e := range s.Entries {
+		for !s.ready(ctx, e) {
+			select {
+			case <-ctx.Done():
+				return merry.Prepend(ErrNotReady, e.CallerAddress())
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func (s *System) ready(ctx context.Context, e *entry.Entry) bool {
+	pools := e.Upstreams()
+	return pools["lm"] == s.opts.Engines && pools["clock"] == s.opts.Plains && ctx.Err() == nil
+}
+
+// Describe prints addresses and commands that work as printed.
+func (s *System) Describe(w io.Writer) {
+	fmt.Fprintln(w, "Snipereach is running. Entries:")
+	for _, e := range s.Entries {
+		fmt.Fprintf(w, "  callers http://%s  operators http://%s\n", e.CallerAddress(), e.OperatorAddress())
+	}
+	addr := s.Entries[0].CallerAddress()
+	fmt.Fprintf(w, `
+Try:
+  curl -s http://%[1]s/v1/entries
+  curl -s http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' -d '{"model":"pushpa-lm","max_tokens":8,"messages":[{"role":"user","content":"Describe a lot of jasmine."}]}'
+  curl -sN http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' -d '{"model":"pushpa-lm","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"Describe a lot of jasmine."}]}'
+  curl -s -X POST http://%[1]s/services/clock-core/lots/17/confirm -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: bid-17' -d '{}'
+  curl -s http://%[1]s/v1/chat/completions -H 'Authorization: Bearer wrong' -d '{}'
+
+Stop with Ctrl-C.
+`, addr, TeamKey)
+}
+
+// Stop ends everything at once and removes the folder.
+func (s *System) Stop() {
+	for _, e := range s.Entries {
+		e.Stop()
+	}
+	for _, a := range s.Agents {
+		a.Stop()
+	}
+	for _, e := range s.Engines {
+		e.Close()
+	}
+	for _, p := range s.Plains {
+		p.Close()
+	}
+	http.DefaultClient.CloseIdleConnections()
+	_ = os.RemoveAll(s.dir)
+}
--- /dev/null
+++ b/quickstart/quickstart_test.go
@@ -0,0 +1,184 @@
+package quickstart
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/snipereach/snipereach/fake"
+)
+
+func start(t *testing.T, opts Options) *System {
+	t.Helper()
+	opts.Log = log.NewNopLogger()
+	s, err := Start(context.Background(), opts)
+	assert.NilError(t, err)
+	t.Cleanup(s.Stop)
+	assert.NilError(t, s.WaitReady(context.Background()))
+	return s
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func call(s *System, method, path, body string, header map[string]string) reply {
+	return callEntry(s, 0, method, path, body, header)
+}
+
+func callEntry(s *System, n int, method, path, body string, header map[string]string) reply {
+	req, _ := http.NewRequest(method, "http://"+s.Entries[n].CallerAddress()+path, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+TeamKey)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+}
+
+type problem struct {
+	Reason  string `json:"reason"`
+	Outcome string `json:"outcome"`
+	Token   string `json:"explanation_token"`
+}
+
+func problemOf(t *testing.T, r reply) problem {
+	t.Helper()
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.header.Get("Content-Type"), "application/problem+json")
+	var p problem
+	assert.NilError(t, json.Unmarshal([]byte(r.body), &p))
+	return p
+}
+
+const modelBody = `{"model":"pushpa-lm","max_tokens":4,"messages":[{"role":"user","content":"a lot of jasmine"}]}`
+
+func TestWholePathAnswersEachCaller(t *testing.T) {
+	s := start(t, Options{})
+	for n := range s.Entries {
+		key := fmt.Sprintf("caller-%d", n)
+		r := callEntry(s, n, "POST", "/v1/chat/completions", modelBody, map[string]string{fake.HeaderRunKey: key})
+		assert.NilError(t, r.err)
+		assert.Equal(t, r.status, 200, r.body)
+		assert.Assert(t, strings.Contains(r.body, key+":3 "), r.body)
+	}
+	r := call(s, "PUT", "/services/clock-core/lots/17/confirm?lane=2", "{}", map[string]string{fake.HeaderRunKey: "bid"})
+	assert.Equal(t, r.status, 200, r.body)
+	var a fake.PlainAnswer
+	assert.NilError(t, json.Unmarshal([]byte(r.body), &a))
+	assert.Equal(t, a, fake.PlainAnswer{Key: "bid", Method: "PUT", Path: "/lots/17/confirm", Query: "lane=2"})
+}
+
+func TestStreamIsWholeAndInOrder(t *testing.T) {
+	s := start(t, Options{})
+	body := strings.Replace(modelBody, `"max_tokens":4`, `"max_tokens":5,"stream":true`, 1)
+	r := call(s, "POST", "/v1/chat/completions", body, map[string]string{fake.HeaderRunKey: "k"})
+	assert.NilError(t, r.err)
+	sc := bufio.NewScanner(strings.NewReader(r.body))
+	var data []string
+	for sc.Scan() {
+		if line, ok := strings.CutPrefix(sc.Text(), "data: "); ok {
+			data = append(data, line)
+		}
+	}
+	assert.Equal(t, len(data), 6, r.body)
+	assert.Equal(t, data[5], "[DONE]")
+}
+
+// A caller is refused by one entry, which then dies. Another entry explains the
+// refusal from the token alone, because the token carries all that decided it;
+// a token with one letter changed is refused.
+func TestAnotherEntryExplainsARefusalAfterTheFirstDied(t *testing.T) {
+	s := start(t, Options{})
+	p := problemOf(t, call(s, "POST", "/v1/chat/completions", `{"model":"nobody"}`, nil))
+	assert.Equal(t, p.Reason, "unknown-service")
+	assert.Equal(t, p.Outcome, "not-run")
+	s.Entries[0].Stop()
+	r := callEntry(s, 1, "GET", "/v1/refusals/"+p.Token, "", nil)
+	assert.Equal(t, r.status, 200, r.body)
+	assert.Assert(t, strings.Contains(r.body, `"entry": "entry-1"`), r.body)
+	forged := "A" + p.Token[1:]
+	if p.Token[0] == 'A' {
+		forged = "B" + p.Token[1:]
+	}
+	assert.Equal(t, callEntry(s, 1, "GET", "/v1/refusals/"+forged, "", nil).status, 400)
+}
+
+// The upstream dies at each point of a call that may not be repeated. The
+// caller is told "not run" or "unknown", never gets part of an answer as the
+// whole, and the call has run at most once.
+func TestUpstreamDeathIsToldTruthfully(t *testing.T) {
+	s := start(t, Options{})
+	for _, c := range []struct {
+		fault   fake.Fault
+		runs    int
+		outcome string
+		reason  string
+	}{
+		{fake.FaultDieBefore, 0, "unknown", "upstream-failed"},
+		{fake.FaultDieAfterRun, 1, "unknown", "upstream-failed"},
+		{fake.FaultCut, 1, "unknown", "answer-invalid"},
+		{fake.FaultCrossed, 1, "unknown", "answer-invalid"},
+	} {
+		key := fmt.Sprintf("fault-%d", c.fault)
+		s.Plains[0].Fault = func(*http.Request) fake.Fault { return c.fault }
+		p := problemOf(t, call(s, "POST", "/services/clock-core/bid", "{}", map[string]string{fake.HeaderRunKey: key}))
+		assert.Equal(t, p.Outcome, c.outcome, key)
+		assert.Equal(t, p.Reason, c.reason, key)
+		assert.Equal(t, s.Plains[0].Runs()[key], c.runs, key)
+	}
+	s.Plains[0].Close()
+	p := problemOf(t, call(s, "POST", "/services/clock-core/bid", "{}", map[string]string{fake.HeaderRunKey: "closed"}))
+	assert.Equal(t, p.Outcome, "not-run", "nothing listens: no byte can have reached it")
+}
+
+// An agent is told to leave while it runs a request. That request is answered
+// whole; new ones go to the other upstreams.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	s := start(t, Options{Engines: 2})
+	slow := strings.Replace(modelBody, `"max_tokens":4`, `"max_tokens":100`, 1)
+	got := make(chan reply, 8)
+	for range 8 {
+		go func() { got <- call(s, "POST", "/v1/chat/completions", slow, nil) }()
+	}
+	waitFor(t, func() bool { return len(s.Engines[0].Runs()) > 0 })
+	assert.NilError(t, s.Agents[0].Drain(context.Background()))
+	before := len(s.Engines[0].Runs())
+	for range 8 {
+		r := <-got
+		assert.NilError(t, r.err)
+		assert.Equal(t, r.status, 200, r.body)
+	}
+	for range 8 {
+		assert.Equal(t, call(s, "POST", "/v1/chat/completions", modelBody, nil).status, 200)
+	}
+	assert.Equal(t, len(s.Engines[0].Runs()), before)
+}
+
+func waitFor(t *testing.T, cond func() bool) {
+	t.Helper()
+	for range 500 {
+		if cond() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("condition did not come true")
+}
--- /dev/null
+++ b/route/roundrobin.go
@@ -0,0 +1,46 @@
+package route
+
+import (
+	"time"
+
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/wire"
+)
+
+func init() {
+	kernel.Register(kernel.Module{
+		ID:  "route.round-robin",
+		Doc: "each upstream in turn; the naive baseline",
+		New: func() any { return &RoundRobin{} },
+	})
+}
+
+// RoundRobin takes each upstream in turn, whatever its load.
+type RoundRobin struct {
+	ups  []Upstream
+	next int
+}
+
+// Update implements Balancer.
+func (b *RoundRobin) Update(_ time.Time, ups []Upstream) { b.ups = ups }
+
+// Report implements Balancer.
+func (b *RoundRobin) Report(time.Time, string, uint64, *wire.Load) {}
+
+// Cache implements Balancer.
+func (b *RoundRobin) Cache(time.Time, string, uint64, []*wire.CacheEvent) {}
+
+// Done implements Balancer.
+func (b *RoundRobin) Done(time.Time, string, *Request, Result) {}
+
+// Pick implements Balancer.
+func (b *RoundRobin) Pick(_ time.Time, r *Request) (Upstream, bool) {
+	for range b.ups {
+		u := b.ups[b.next%len(b.ups)]
+		b.next++
+		if !r.Exclude[u.ID] {
+			return u, true
+		}
+	}
+	return Upstream{}, false
+}
--- /dev/null
+++ b/table/view.go
@@ -0,0 +1,312 @@
+package table
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// Source names the row and version that a typed value comes from, so that a
+// refusal can name what decided it.
+type Source struct {
+	Kind, Key         string
+	Version, Revision uint64
+}
+
+// Team is a typed team row.
+type Team struct {
+	Source
+	Name        string
+	KeyDigests  [][sha256.Size]byte
+	MaxPriority wire.Priority
+}
+
+// Service is a typed service row.
+type Service struct {
+	Source
+	Name       string
+	Kind       string
+	Pool       string
+	Models     []string
+	Idempotent bool
+	Priority   wire.Priority
+	Timeout    time.Duration
+	MaxBody    int64
+	MaxQueue   int
+	ClaimTTL   time.Duration
+}
+
+// Pool is a typed pool row.
+type Pool struct {
+	Source
+	Name          string
+	Route         string
+	MaxQueue      int
+	Slots         int
+	RetryPercent  int
+	UrgentPercent int
+}
+
+// Limit is a typed limit row; zero values mean no limit.
+type Limit struct {
+	Source
+	Requests   float64
+	Tokens     float64
+	Concurrent int
+}
+
+// Weight is a typed weight row.
+type Weight struct {
+	Source
+	Weight int
+}
+
+// Group is a typed group row.
+type Group struct {
+	Source
+	Name                               string
+	Pool                               string
+	Ranks, Experts, Layers, SpareSlots int
+	Planner                            string
+	SkewWeight, MoveWeight             float64
+	Paused                             bool
+}
+
+// View is an immutable, checked state of the table at one revision.
+type View struct {
+	Revision uint64
+	Teams    map[string]*Team
+	Services map[string]*Service
+	Pools    map[string]*Pool
+	Groups   map[string]*Group
+	limits   map[string]*Limit
+	weights  map[string]*Weight
+	byModel  map[string]*Service
+	byKey    map[[sha256.Size]byte]*Team
+}
+
+// NewView checks rows and builds their typed view. Rows marked deleted are
+// left out.
+func NewView(revision uint64, rows []*wire.Row) (*View, error) {
+	v := &View{
+		Revision: revision,
+		Teams:    map[string]*Team{},
+		Services: map[string]*Service{},
+		Pools:    map[string]*Pool{},
+		Groups:   map[string]*Group{},
+		limits:   map[string]*Limit{},
+		weights:  map[string]*Weight{},
+		byModel:  map[string]*Service{},
+		byKey:    map[[sha256.Size]byte]*Team{},
+	}
+	for _, r := range rows {
+		if r.Deleted {
+			continue
+		}
+		if err := CheckRow(r.Kind, r.Key, r.Columns); err != nil {
+			return nil, err
+		}
+		v.add(r)
+	}
+	if err := v.checkReferences(); err != nil {
+		return nil, err
+	}
+	return v, nil
+}
+
+// cells reads the checked text of one row; a cell that was checked can't fail
+// to parse.
+type cells struct{ row *wire.Row }
+
+func (c cells) text(name string) string {
+	if s := c.row.Columns[name]; s != "" {
+		return s
+	}
+	for _, col := range Schema[c.row.Kind] {
+		if col.Name == name {
+			return col.Default
+		}
+	}
+	return ""
+}
+
+func (c cells) int(name string) int {
+	n, _ := strconv.ParseInt(c.text(name), 10, 64)
+	return int(n)
+}
+
+func (c cells) float(name string) float64 {
+	f, _ := strconv.ParseFloat(c.text(name), 64)
+	return f
+}
+
+func (c cells) yes(name string) bool { return c.text(name) == "yes" }
+
+func (c cells) millis(name string) time.Duration {
+	return time.Duration(c.int(name)) * time.Millisecond
+}
+
+// ParsePriority returns the priority that a word names, or unspecified.
+func ParsePriority(word string) wire.Priority {
+	switch word {
+	case "urgent":
+		return wire.Priority_PRIORITY_URGENT
+	case "normal":
+		return wire.Priority_PRIORITY_NORMAL
+	case "batch":
+		return wire.Priority_PRIORITY_BATCH
+	}
+	return wire.Priority_PRIORITY_UNSPECIFIED
+}
+
+func (v *View) add(r *wire.Row) {
+	c := cells{r}
+	src := Source{Kind: r.Kind, Key: r.Key, Version: r.Version, Revision: r.Revision}
+	switch r.Kind {
+	case KindTeam:
+		v.addTeam(src, c)
+	case KindService:
+		v.addService(src, c)
+	case KindPool:
+		v.Pools[r.Key] = &Pool{
+			Source: src, Name: r.Key, Route: c.text("route"),
+			MaxQueue: c.int("max_queue"), Slots: c.int("slots"),
+			RetryPercent: c.int("retry_percent"), UrgentPercent: c.int("urgent_percent"),
+		}
+	case KindLimit:
+		v.limits[r.Key] = &Limit{
+			Source: src, Requests: c.float("requests_per_second"),
+			Tokens: c.float("tokens_per_second"), Concurrent: c.int("concurrent"),
+		}
+	case KindWeight:
+		v.weights[r.Key] = &Weight{Source: src, Weight: c.int("weight")}
+	case KindGroup:
+		v.Groups[r.Key] = &Group{
+			Source: src, Name: r.Key, Pool: c.text("pool"),
+			Ranks: c.int("ranks"), Experts: c.int("experts"), Layers: c.int("layers"),
+			SpareSlots: c.int("spare_slots"), Planner: c.text("planner"),
+			SkewWeight: c.float("skew_weight"), MoveWeight: c.float("move_weight"),
+			Paused: c.yes("paused"),
+		}
+	}
+}
+
+func (v *View) addTeam(src Source, c cells) {
+	t := &Team{Source: src, Name: src.Key, MaxPriority: ParsePriority(c.text("max_priority"))}
+	for _, h := range strings.Split(c.text("key_sha256"), ",") {
+		var d [sha256.Size]byte
+		b, _ := hex.DecodeString(strings.TrimSpace(h))
+		copy(d[:], b)
+		t.KeyDigests = append(t.KeyDigests, d)
+		v.byKey[d] = t
+	}
+	v.Teams[t.Name] = t
+}
+
+func (v *View) addService(src Source, c cells) {
+	s := &Service{
+		Source: src, Name: src.Key, Kind: c.text("kind"), Pool: c.text("pool"),
+		Idempotent: c.yes("idempotent"), Priority: ParsePriority(c.text("priority")),
+		Timeout: c.millis("timeout_ms"), MaxBody: int64(c.int("max_body_bytes")),
+		MaxQueue: c.int("max_queue"), ClaimTTL: c.millis("claim_ttl_ms"),
+	}
+	models := c.text("models")
+	if models == "" {
+		models = src.Key
+	}
+	for _, m := range strings.Split(models, ",") {
+		m = strings.TrimSpace(m)
+		s.Models = append(s.Models, m)
+		if s.Kind == "engine" {
+			v.byModel[m] = s
+		}
+	}
+	v.Services[s.Name] = s
+}
+
+func (v *View) checkReferences() error {
+	for _, s := range v.Services {
+		if v.Pools[s.Pool] == nil {
+			return v.missing(s.Source, "pool", "no pool "+strconv.Quote(s.Pool))
+		}
+	}
+	for _, g := range v.Groups {
+		if v.Pools[g.Pool] == nil {
+			return v.missing(g.Source, "pool", "no pool "+strconv.Quote(g.Pool))
+		}
+	}
+	for key, l := range v.limits {
+		if err := v.checkPair(l.Source, key); err != nil {
+			return err
+		}
+	}
+	for key, w := range v.weights {
+		if err := v.checkPair(w.Source, key); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (v *View) checkPair(src Source, key string) error {
+	team, service, _ := strings.Cut(key, "/")
+	if v.Teams[team] == nil {
+		return v.missing(src, "key", "no team "+strconv.Quote(team))
+	}
+	if service != "*" && v.Services[service] == nil {
+		return v.missing(src, "key", "no service "+strconv.Quote(service))
+	}
+	return nil
+}
+
+func (v *View) missing(src Source, column, detail string) error {
+	err := &ColumnError{Kind: src.Kind, Key: src.Key, Column: column, Detail: detail}
+	return merry.Wrap(err, merry.WithCause(ErrReference))
+}
+
+// TeamByKey finds the team of a bearer key. The digest is looked up, and then
+// compared in constant time: a map look-up alone could tell, by its time, how
+// much of a digest was right.
+func (v *View) TeamByKey(key string) *Team {
+	digest := sha256.Sum256([]byte(key))
+	t := v.byKey[digest]
+	if t == nil {
+		return nil
+	}
+	for _, d := range t.KeyDigests {
+		if subtle.ConstantTimeCompare(d[:], digest[:]) == 1 {
+			return t
+		}
+	}
+	return nil
+}
+
+// ServiceByModel finds the engine service that serves a model, or nil.
+func (v *View) ServiceByModel(model string) *Service { return v.byModel[model] }
+
+// Limit returns the limit row for a team and service, the team's row for all
+// services if there is none, or nil.
+func (v *View) Limit(team, service string) *Limit {
+	if l := v.limits[team+"/"+service]; l != nil {
+		return l
+	}
+	return v.limits[team+"/*"]
+}
+
+// Weight returns the team's weight at a service, 1 if no row says otherwise.
+func (v *View) Weight(team, service string) int {
+	if w := v.weights[team+"/"+service]; w != nil {
+		return w.Weight
+	}
+	if w := v.weights[team+"/*"]; w != nil {
+		return w.Weight
+	}
+	return 1
+}
--- /dev/null
+++ b/upstream/http.go
@@ -0,0 +1,200 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// Header names towards upstreams.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderPriority  = "X-Request-Priority"
+	HeaderToken     = "X-Fencing-Token"
+)
+
+// maxControlBody bounds an answer to a load, cache or order call.
+const maxControlBody = 4 << 20
+
+// HTTP holds the settings and the client that both kinds share.
+type HTTP struct {
+	// URL of the server, http://IP:port.
+	URL string `toml:"url"`
+	// ControlTimeout bounds a load, cache or order call.
+	ControlTimeout kernel.Duration `toml:"control_timeout"`
+	// MaxIdle bounds idle connections.
+	MaxIdle int `toml:"max_idle"`
+
+	base   *url.URL
+	client *http.Client
+}
+
+func defaultHTTP() HTTP {
+	return HTTP{ControlTimeout: kernel.Duration(2 * time.Second), MaxIdle: 256}
+}
+
+// Provision implements kernel.Provisioner.
+func (h *HTTP) Provision() error {
+	base, err := url.Parse(h.URL)
+	if err != nil || base.Scheme != "http" && base.Scheme != "https" || base.Host == "" {
+		return merry.Prependf(kernel.ErrSettings, "key \"url\": %q is not an http or https URL", h.URL)
+	}
+	h.base = base
+	h.client = &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConns:        h.MaxIdle,
+			MaxIdleConnsPerHost: h.MaxIdle,
+			IdleConnTimeout:     30 * time.Second,
+			DisableCompression:  true,
+			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return nil
+}
+
+// Close drops idle connections.
+func (h *HTTP) Close() { h.client.CloseIdleConnections() }
+
+// onceBody hides from net/http that a body may be empty or replayed.
+//
+// net/http sends a request again on a new connection, without a word, when an
+// idle connection breaks and the request looks replayable: a GET, or any method
+// with an Idempotency-Key header, whose body is nil. For a call that must run
+// at most once that is a second run. A body that is not nil and has no GetBody
+// is never replayed once a byte was written.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// Do implements Upstream.
+func (h *HTTP) Do(ctx context.Context, head *wire.RunHead, body io.Reader) (*Answer, error) {
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	req, err := h.request(httptrace.WithClientTrace(ctx, trace), head, body)
+	if err != nil {
+		return nil, merry.Prepend(ErrNotSent, err.Error())
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		// Without a connection not one byte can have reached the upstream;
+		// after one was had, nobody here can tell.
+		if !sent.Load() {
+			return nil, merry.Prepend(ErrNotSent, err.Error())
+		}
+		return nil, merry.Prepend(ErrFailed, err.Error())
+	}
+	if id := resp.Header.Get(HeaderRequestID); id != "" && id != head.RequestId {
+		_ = resp.Body.Close()
+		return nil, merry.Prependf(ErrCrossed, "asked %s, answered %s", head.RequestId, id)
+	}
+	return &Answer{
+		Status:    resp.StatusCode,
+		Headers:   answerHeaders(resp.Header),
+		Streaming: strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"),
+		Body:      resp.Body,
+	}, nil
+}
+
+func (h *HTTP) request(ctx context.Context, head *wire.RunHead, body io.Reader) (*http.Request, error) {
+	ref, err := url.Parse(head.Path)
+	if err != nil {
+		return nil, err
+	}
+	u := *h.base
+	u.Path = strings.TrimSuffix(u.Path, "/") + ref.Path
+	u.RawPath = ""
+	u.RawQuery = ref.RawQuery
+	req, err := http.NewRequestWithContext(ctx, head.Method, u.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Body = onceBody{body}
+	req.ContentLength = -1
+	for _, f := range head.Headers {
+		if f.Name == "Content-Length" {
+			continue
+		}
+		req.Header.Add(f.Name, f.Value)
+	}
+	req.Header.Set(HeaderRequestID, head.RequestId)
+	req.Header.Set(HeaderPriority, priorityWord(head.Priority))
+	return req, nil
+}
+
+func priorityWord(p wire.Priority) string {
+	return strings.ToLower(strings.TrimPrefix(p.String(), "PRIORITY_"))
+}
+
+// hopHeaders belong to one connection (RFC 9110, 7.6.1) and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Authorization": true,
+}
+
+// PassHeader says whether a header field is passed on to the next hop.
+func PassHeader(name string) bool { return !hopHeaders[http.CanonicalHeaderKey(name)] }
+
+func answerHeaders(h http.Header) []*wire.Header {
+	var list []*wire.Header
+	for name, values := range h {
+		if !PassHeader(name) {
+			continue
+		}
+		for _, v := range values {
+			list = append(list, &wire.Header{Name: name, Value: v})
+		}
+	}
+	return list
+}
+
+// getJSON reads a control answer.
+func (h *HTTP) getJSON(ctx context.Context, path string, v any) error {
+	return h.callJSON(ctx, http.MethodGet, path, nil, nil, v)
+}
+
+func (h *HTTP) callJSON(ctx context.Context, method, path string, body io.Reader, header http.Header, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, h.ControlTimeout.D())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, h.base.JoinPath(path).String(), body)
+	if err != nil {
+		return merry.Prepend(ErrFailed, err.Error())
+	}
+	if path, query, ok := strings.Cut(path, "?"); ok {
+		req.URL = h.base.JoinPath(path)
+		req.URL.RawQuery = query
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return merry.Prepend(ErrFailed, err.Error())
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotFound {
+		return ErrUnsupported
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxControlBody)).Decode(v)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return merry.Prependf(ErrFailed, "%s: %v", path, err)
+	}
+	if resp.StatusCode >= 300 && resp.StatusCode != http.StatusConflict {
+		return merry.Prependf(ErrFailed, "%s: status %d", path, resp.StatusCode)
+	}
+	return nil
+}
