--- /dev/null
+++ b/consensus/leader.go
@@ -0,0 +1,341 @@
+package consensus
+
+import (
+	"sort"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// progress is what a leader knows of one peer.
+type progress struct {
+	match, next uint64
+	// acked is the latest round that the peer acknowledged.
+	acked uint64
+	// sent is when the latest append left; probing peers get one at a time.
+	sent    Time
+	probing bool
+	// snapshotUntil holds appends back while a snapshot is on its way.
+	snapshotUntil Time
+}
+
+func (n *Node) becomeLeader() {
+	n.role = Leader
+	n.leader = n.cfg.ID
+	n.sinceLead = n.now
+	n.votes = nil
+	n.progress = map[string]*progress{}
+	n.sentAt = map[uint64]Time{}
+	n.syncProgress()
+	// Entries of earlier terms are committed only through one of this term
+	// (Raft paper, 5.4.2); it also makes linearizable reads possible.
+	n.appendEntry(wire.EntryType_ENTRY_TYPE_NOOP, nil)
+	n.broadcast()
+}
+
+// syncProgress follows the membership.
+func (n *Node) syncProgress() {
+	live := map[string]bool{}
+	for _, p := range n.log.config().Peers {
+		live[p.Id] = true
+		if n.progress[p.Id] == nil {
+			n.progress[p.Id] = &progress{next: n.log.lastIndex() + 1, probing: true}
+		}
+	}
+	for id := range n.progress {
+		if !live[id] {
+			delete(n.progress, id)
+		}
+	}
+	if own := n.progress[n.cfg.ID]; own != nil {
+		own.match = n.log.stable
+	}
+}
+
+func (n *Node) appendEntry(t wire.EntryType, data []byte) uint64 {
+	e := &wire.LogEntry{Index: n.log.lastIndex() + 1, Term: n.term, Type: t, Data: data}
+	n.log.append(e)
+	return e.Index
+}
+
+func (n *Node) tickLeader() {
+	// A leader that hears no majority can commit nothing and its lease is over;
+	// stepping down lets callers look elsewhere.
+	if n.now >= n.sinceLead+2*n.cfg.ElectionTimeout && !n.leaseLive() && !n.cfg.off.lease {
+		n.becomeFollower(n.term, "")
+		return
+	}
+	if n.now >= n.nextBeat {
+		n.broadcast()
+	}
+}
+
+// broadcast sends each peer what it lacks, or a heartbeat.
+func (n *Node) broadcast() {
+	n.nextBeat = n.now + n.cfg.Heartbeat
+	n.round++
+	n.sentAt[n.round] = n.now
+	n.forgetRounds()
+	for _, id := range n.peerIDs() {
+		n.sendAppend(id, true)
+	}
+	if n.onlyVoter() {
+		n.confirmReads()
+	}
+}
+
+// peerIDs lists the other peers, sorted, so that a run is repeatable.
+func (n *Node) peerIDs() []string {
+	var ids []string
+	for id := range n.progress {
+		if id != n.cfg.ID {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+const keptRounds = 4096
+
+func (n *Node) forgetRounds() {
+	if len(n.sentAt) <= keptRounds {
+		return
+	}
+	for r := range n.sentAt {
+		if r+keptRounds/2 < n.round {
+			delete(n.sentAt, r)
+		}
+	}
+}
+
+// sendAppend sends entries from the peer's next index; beat forces a message
+// without any.
+func (n *Node) sendAppend(id string, beat bool) {
+	p := n.progress[id]
+	prev := p.next - 1
+	prevTerm, ok := n.log.term(prev)
+	if !ok {
+		n.sendSnapshot(id, p, beat)
+		return
+	}
+	var entries []*wire.LogEntry
+	if !p.probing || beat {
+		entries = n.log.slice(p.next, n.cfg.MaxEntries, n.cfg.MaxBytes)
+	}
+	if len(entries) == 0 && !beat {
+		return
+	}
+	n.sendEarly(&wire.RaftMessage{
+		Kind: wire.RaftKind_RAFT_KIND_APPEND, To: id, PrevIndex: prev, PrevTerm: prevTerm,
+		Entries: entries, Commit: n.log.committed, Round: n.round, Witness: n.witness(),
+	})
+	if !p.probing {
+		p.next += uint64(len(entries))
+	}
+}
+
+// sendEarly sends a leader's append. It need not wait for the leader's own
+// sync: the leader counts itself only once its entries are durable.
+func (n *Node) sendEarly(m *wire.RaftMessage) {
+	m.From = n.cfg.ID
+	m.Term = n.term
+	n.early = append(n.early, m)
+}
+
+func (n *Node) sendSnapshot(id string, p *progress, beat bool) {
+	if n.now < p.snapshotUntil {
+		if beat {
+			n.sendEarly(&wire.RaftMessage{
+				Kind: wire.RaftKind_RAFT_KIND_APPEND, To: id, PrevIndex: n.log.snapshot.Index,
+				PrevTerm: n.log.snapshot.Term, Commit: n.log.committed, Round: n.round,
+			})
+		}
+		return
+	}
+	p.snapshotUntil = n.now + 10*n.cfg.Heartbeat
+	n.sendEarly(&wire.RaftMessage{
+		Kind: wire.RaftKind_RAFT_KIND_SNAPSHOT, To: id, Snapshot: n.log.snapshot,
+		Round: n.round, Commit: n.log.committed,
+	})
+}
+
+// witness tells every peer what the others hold, so that any of them can tell a
+// replica that its folder is an older copy.
+func (n *Node) witness() map[string]uint64 {
+	w := make(map[string]uint64, len(n.progress))
+	for id, p := range n.progress {
+		w[id] = p.match
+	}
+	return w
+}
+
+func (n *Node) takeAppendReply(m *wire.RaftMessage) {
+	p := n.progress[m.From]
+	if n.role != Leader || p == nil {
+		return
+	}
+	p.acked = max(p.acked, m.Round)
+	n.confirmReads()
+	if m.Reject {
+		// The peer's log differs or is shorter. Its hint is never trusted below
+		// what it has acknowledged.
+		p.next = max(p.match+1, min(p.next-1, m.Index+1))
+		p.probing = true
+		n.sendAppend(m.From, true)
+		return
+	}
+	p.probing = false
+	p.snapshotUntil = 0
+	if m.Index > p.match {
+		p.match = m.Index
+		n.witnessed[m.From] = max(n.witnessed[m.From], m.Index)
+		n.advanceCommit()
+	}
+	p.next = max(p.next, p.match+1)
+	if p.next <= n.log.lastIndex() {
+		n.sendAppend(m.From, false)
+	}
+}
+
+// advanceCommit commits what a majority of voters holds durably.
+func (n *Node) advanceCommit() {
+	var matches []uint64
+	for _, id := range n.voters() {
+		if p := n.progress[id]; p != nil {
+			matches = append(matches, p.match)
+		}
+	}
+	if len(matches) == 0 {
+		return
+	}
+	sort.Slice(matches, func(i, j int) bool { return matches[i] > matches[j] })
+	index := matches[len(matches)/2]
+	if term, ok := n.log.term(index); !ok || term != n.term || index <= n.log.committed {
+		return
+	}
+	before := n.log.committed
+	n.log.commitTo(index)
+	n.confirmReads()
+	n.afterCommit(before)
+}
+
+// afterCommit makes a leader that is no longer a voter step down, and tells the
+// peers of the commit without waiting for the next heartbeat.
+func (n *Node) afterCommit(before uint64) {
+	if ci := n.log.configIndex(); ci > before && ci <= n.log.committed && !n.isVoter(n.cfg.ID) {
+		n.becomeFollower(n.term, "")
+		return
+	}
+	for _, id := range n.peerIDs() {
+		if !n.progress[id].probing {
+			n.sendAppend(id, true)
+		}
+	}
+}
+
+// leaseStart is when the latest append left that a majority has acknowledged.
+func (n *Node) leaseStart() (Time, bool) {
+	if n.onlyVoter() {
+		return n.now, true
+	}
+	var rounds []uint64
+	for _, id := range n.voters() {
+		switch {
+		case id == n.cfg.ID:
+			rounds = append(rounds, n.round)
+		case n.progress[id] != nil:
+			rounds = append(rounds, n.progress[id].acked)
+		default:
+			rounds = append(rounds, 0)
+		}
+	}
+	sort.Slice(rounds, func(i, j int) bool { return rounds[i] > rounds[j] })
+	at, ok := n.sentAt[rounds[len(rounds)/2]]
+	return at, ok
+}
+
+// leaseLive says whether no other leader can have been elected. A majority
+// grants no vote for ElectionTimeout, by its own clocks, after it heard an
+// append; the lease runs from before that append left, and is shorter by the
+// bound on clock rates.
+func (n *Node) leaseLive() bool {
+	start, ok := n.leaseStart()
+	length := time.Duration(float64(n.cfg.ElectionTimeout) / n.cfg.ClockRatio)
+	return ok && n.now < start+length
+}
+
+// Propose appends a command. It is accepted when the entry of this index and
+// term is in a Ready's Apply.
+func (n *Node) Propose(now Time, data []byte) (index, term uint64, err error) {
+	n.now = max(n.now, now)
+	if n.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	if n.log.lastIndex()-n.log.committed >= uint64(n.cfg.MaxPending) {
+		return 0, 0, ErrTooManyPending
+	}
+	index = n.appendEntry(wire.EntryType_ENTRY_TYPE_COMMAND, data)
+	return index, n.term, nil
+}
+
+// Flush sends proposals that have been appended since the last one, together.
+func (n *Node) Flush() {
+	if n.role != Leader {
+		return
+	}
+	for _, id := range n.peerIDs() {
+		n.sendAppend(id, false)
+	}
+}
+
+// Read asks for a linearizable read: a ReadState with this ID will come.
+func (n *Node) Read(now Time, id uint64) error {
+	n.now = max(n.now, now)
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	// Before an entry of its own term is committed, a new leader doesn't know
+	// which earlier entries are.
+	if term, ok := n.log.term(n.log.committed); !ok || term != n.term {
+		return ErrNotReady
+	}
+	if n.leaseLive() || n.cfg.off.lease {
+		n.readStates = append(n.readStates, ReadState{ID: id, Index: n.log.committed, OK: true})
+		return nil
+	}
+	n.reads = append(n.reads, pendingRead{id: id, index: n.log.committed, after: n.round + 1})
+	n.broadcast()
+	return nil
+}
+
+// confirmReads answers reads once a majority has acknowledged an append sent
+// after they came: this leader was still the leader then.
+func (n *Node) confirmReads() {
+	kept := n.reads[:0]
+	for _, r := range n.reads {
+		ok := n.quorum(func(id string) bool {
+			return id == n.cfg.ID || n.progress[id] != nil && n.progress[id].acked >= r.after
+		})
+		if !ok {
+			kept = append(kept, r)
+			continue
+		}
+		n.readStates = append(n.readStates, ReadState{ID: r.id, Index: r.index, OK: true})
+	}
+	n.reads = kept
+}
+
+func (n *Node) failReads() {
+	for _, r := range n.reads {
+		n.readStates = append(n.readStates, ReadState{ID: r.id})
+	}
+	n.reads = nil
+}
+
+// Snapshot bodies must not be shared between replicas of one process.
+func cloneSnapshot(s *wire.LogSnapshot) *wire.LogSnapshot {
+	return proto.Clone(s).(*wire.LogSnapshot)
+}
--- /dev/null
+++ b/consensus/log.go
@@ -0,0 +1,180 @@
+package consensus
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// raftLog is the log in memory: a snapshot's position, and the entries after.
+type raftLog struct {
+	snapshot *wire.LogSnapshot
+	entries  []*wire.LogEntry
+
+	committed uint64
+	applied   uint64
+	// handed was given to the driver to make durable; stable is durable.
+	handed uint64
+	stable uint64
+	// configs holds the membership by the index that set it, oldest first.
+	configs []indexedConfig
+}
+
+type indexedConfig struct {
+	index  uint64
+	config *wire.Configuration
+}
+
+func newLog(s *wire.LogSnapshot, entries []*wire.LogEntry) raftLog {
+	if s == nil {
+		s = &wire.LogSnapshot{Config: &wire.Configuration{}}
+	}
+	l := raftLog{
+		snapshot: s, entries: entries,
+		committed: s.Index, applied: s.Index,
+		configs: []indexedConfig{{s.Index, s.Config}},
+	}
+	l.handed = l.lastIndex()
+	l.stable = l.handed
+	for _, e := range entries {
+		l.noteConfig(e)
+	}
+	return l
+}
+
+func (l *raftLog) noteConfig(e *wire.LogEntry) {
+	if e.Type != wire.EntryType_ENTRY_TYPE_CONFIG {
+		return
+	}
+	c := &wire.Configuration{}
+	if err := proto.Unmarshal(e.Data, c); err == nil {
+		l.configs = append(l.configs, indexedConfig{e.Index, c})
+	}
+}
+
+// config is the membership in force: a change holds from the moment it stands
+// in the log, committed or not (Ongaro's thesis, 4.1).
+func (l *raftLog) config() *wire.Configuration { return l.configs[len(l.configs)-1].config }
+
+func (l *raftLog) configIndex() uint64 { return l.configs[len(l.configs)-1].index }
+
+func (l *raftLog) firstIndex() uint64 { return l.snapshot.Index + 1 }
+
+func (l *raftLog) lastIndex() uint64 {
+	return l.snapshot.Index + uint64(len(l.entries))
+}
+
+func (l *raftLog) lastTerm() uint64 {
+	t, _ := l.term(l.lastIndex())
+	return t
+}
+
+// term returns the term at an index; false if it is compacted or not there.
+func (l *raftLog) term(index uint64) (uint64, bool) {
+	if index == l.snapshot.Index {
+		return l.snapshot.Term, true
+	}
+	if index < l.snapshot.Index || index > l.lastIndex() {
+		return 0, false
+	}
+	return l.entries[index-l.firstIndex()].Term, true
+}
+
+// slice returns entries from an index on, within bounds of count and bytes but
+// at least one.
+func (l *raftLog) slice(from uint64, maxEntries, maxBytes int) []*wire.LogEntry {
+	if from > l.lastIndex() {
+		return nil
+	}
+	all := l.entries[from-l.firstIndex():]
+	bytes := 0
+	for i, e := range all {
+		bytes += len(e.Data)
+		if i > 0 && (i >= maxEntries || bytes > maxBytes) {
+			return all[:i:i]
+		}
+	}
+	return all[:len(all):len(all)]
+}
+
+func (l *raftLog) append(e *wire.LogEntry) {
+	l.entries = append(l.entries, e)
+	l.noteConfig(e)
+}
+
+// truncate drops entries from an index on. Committed entries are never dropped:
+// that would take back what was accepted, so it is a fault that must stop the
+// process.
+func (l *raftLog) truncate(from uint64) {
+	if from <= l.committed {
+		panic("consensus: committed entry would change")
+	}
+	l.entries = l.entries[: from-l.firstIndex() : from-l.firstIndex()]
+	for len(l.configs) > 1 && l.configs[len(l.configs)-1].index >= from {
+		l.configs = l.configs[:len(l.configs)-1]
+	}
+	l.handed = min(l.handed, from-1)
+	l.stable = min(l.stable, from-1)
+}
+
+func (l *raftLog) commitTo(index uint64) {
+	l.committed = max(l.committed, min(index, l.lastIndex()))
+}
+
+// takeUnstable returns entries that the driver must make durable. A journal
+// reads them as replacing all entries from their first index on.
+func (l *raftLog) takeUnstable() []*wire.LogEntry {
+	if l.handed >= l.lastIndex() {
+		return nil
+	}
+	out := l.slice(l.handed+1, len(l.entries), int(^uint(0)>>1))
+	l.handed = l.lastIndex()
+	return out
+}
+
+func (l *raftLog) takeCommitted() []*wire.LogEntry {
+	if l.applied >= l.committed {
+		return nil
+	}
+	from := l.applied + 1 - l.firstIndex()
+	to := l.committed + 1 - l.firstIndex()
+	l.applied = l.committed
+	return l.entries[from:to:to]
+}
+
+func (l *raftLog) compact(index uint64, data []byte) *wire.LogSnapshot {
+	if index <= l.snapshot.Index || index > l.applied {
+		return nil
+	}
+	term, _ := l.term(index)
+	s := &wire.LogSnapshot{Index: index, Term: term, Config: l.configAt(index), Data: data}
+	l.entries = append([]*wire.LogEntry(nil), l.entries[index+1-l.firstIndex():]...)
+	l.snapshot = s
+	l.dropConfigs()
+	return s
+}
+
+func (l *raftLog) configAt(index uint64) *wire.Configuration {
+	c := l.configs[0].config
+	for _, ic := range l.configs {
+		if ic.index <= index {
+			c = ic.config
+		}
+	}
+	return c
+}
+
+func (l *raftLog) dropConfigs() {
+	kept := []indexedConfig{{l.snapshot.Index, l.snapshot.Config}}
+	for _, ic := range l.configs {
+		if ic.index > l.snapshot.Index {
+			kept = append(kept, ic)
+		}
+	}
+	l.configs = kept
+}
+
+// restore replaces the whole log by a snapshot.
+func (l *raftLog) restore(s *wire.LogSnapshot) {
+	*l = newLog(s, nil)
+}
--- /dev/null
+++ b/consensus/members.go
@@ -0,0 +1,143 @@
+package consensus
+
+import (
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// Peers returns the membership in force.
+func (n *Node) Peers() []*wire.Peer { return n.log.config().Peers }
+
+// AddLearner takes a replica in; it receives the log and doesn't vote.
+func (n *Node) AddLearner(now Time, p *wire.Peer) error {
+	learner := proto.Clone(p).(*wire.Peer)
+	learner.Learner = true
+	return n.change(now, func(peers []*wire.Peer) ([]*wire.Peer, error) {
+		for _, old := range peers {
+			if old.Id == p.Id {
+				return peers, nil
+			}
+		}
+		return append(peers, learner), nil
+	})
+}
+
+// Promote makes a learner a voter once it holds all that is committed.
+//
+// A voter that had not caught up would count towards a majority that holds
+// nothing: a second host lost right after would lose what was accepted.
+func (n *Node) Promote(now Time, id string) error {
+	if !n.CaughtUp(id) {
+		return merry.Prepend(ErrNotCaughtUp, id)
+	}
+	return n.change(now, func(peers []*wire.Peer) ([]*wire.Peer, error) {
+		for _, p := range peers {
+			if p.Id == id {
+				p.Learner = false
+				return peers, nil
+			}
+		}
+		return nil, merry.Prepend(ErrUnknownPeer, id)
+	})
+}
+
+// Remove takes a replica out.
+func (n *Node) Remove(now Time, id string) error {
+	return n.change(now, func(peers []*wire.Peer) ([]*wire.Peer, error) {
+		var kept []*wire.Peer
+		for _, p := range peers {
+			if p.Id != id {
+				kept = append(kept, p)
+			}
+		}
+		if len(kept) == len(peers) {
+			return nil, merry.Prepend(ErrUnknownPeer, id)
+		}
+		return kept, nil
+	})
+}
+
+// CaughtUp says whether a peer durably holds all that is committed.
+func (n *Node) CaughtUp(id string) bool {
+	p := n.progress[id]
+	return n.role == Leader && p != nil && p.match >= n.log.committed
+}
+
+// Match returns the highest index that a peer is known to hold; leaders only.
+func (n *Node) Match(id string) uint64 {
+	if p := n.progress[id]; p != nil {
+		return p.match
+	}
+	return 0
+}
+
+// Live says whether a peer acknowledged an append within the election timeout.
+func (n *Node) Live(id string) bool {
+	if id == n.cfg.ID {
+		return true
+	}
+	p := n.progress[id]
+	if p == nil {
+		return false
+	}
+	at, ok := n.sentAt[p.acked]
+	return ok && n.now < at+n.cfg.ElectionTimeout
+}
+
+// change appends a membership that differs by one replica. Two majorities that
+// differ by one replica always share one, so no joint phase is needed; the
+// change before must be committed, and so must an entry of this leader's term
+// (Ongaro's correction of 2015).
+func (n *Node) change(now Time, edit func([]*wire.Peer) ([]*wire.Peer, error)) error {
+	n.now = max(n.now, now)
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	if n.log.configIndex() > n.log.committed {
+		return ErrConfigPending
+	}
+	if term, ok := n.log.term(n.log.committed); !ok || term != n.term {
+		return ErrNotReady
+	}
+	next := proto.Clone(n.log.config()).(*wire.Configuration)
+	peers, err := edit(next.Peers)
+	if err != nil {
+		return err
+	}
+	next.Peers = peers
+	if proto.Equal(next, n.log.config()) {
+		return nil
+	}
+	if err := n.checkQuorumAfter(next); err != nil {
+		return err
+	}
+	data, err := proto.Marshal(next)
+	if err != nil {
+		return err
+	}
+	n.appendEntry(wire.EntryType_ENTRY_TYPE_CONFIG, data)
+	n.syncProgress()
+	n.broadcast()
+	return nil
+}
+
+// checkQuorumAfter refuses a membership whose live voters are no majority: it
+// could never commit itself, nor be undone.
+func (n *Node) checkQuorumAfter(c *wire.Configuration) error {
+	live, all := 0, 0
+	for _, p := range c.Peers {
+		if p.Learner {
+			continue
+		}
+		all++
+		if n.Live(p.Id) {
+			live++
+		}
+	}
+	if all == 0 || live <= all/2 {
+		return merry.Prependf(ErrLastVoter, "%d of %d voters would be live", live, all)
+	}
+	return nil
+}
--- /dev/null
+++ b/consensus/node.go
@@ -0,0 +1,418 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// Errors of this layer.
+var (
+	ErrNotLeader      = merry.Sentinel("replica is not the leader")
+	ErrNotReady       = merry.Sentinel("leader has not committed an entry of its term yet")
+	ErrConfigPending  = merry.Sentinel("a membership change is in progress")
+	ErrLastVoter      = merry.Sentinel("change would leave the log without a quorum")
+	ErrUnknownPeer    = merry.Sentinel("no such replica")
+	ErrNotCaughtUp    = merry.Sentinel("replica has not caught up")
+	ErrRolledBack     = merry.Sentinel("data folder is older than what this replica has acknowledged")
+	ErrTooManyPending = merry.Sentinel("too many proposals are in progress")
+)
+
+// Time is monotonic time since any fixed moment of one process.
+type Time = time.Duration
+
+// Config of a Node.
+type Config struct {
+	// ID is name/incarnation.
+	ID string
+	// ElectionTimeout is the least time without a leader before an election; a
+	// replica waits up to twice as long.
+	ElectionTimeout time.Duration
+	// Heartbeat is the time between a leader's appends.
+	Heartbeat time.Duration
+	// ClockRatio bounds how much faster one clock may run than another: 1.1
+	// means ten percent.
+	ClockRatio float64
+	// MaxEntries and MaxBytes bound one append.
+	MaxEntries int
+	MaxBytes   int
+	// MaxPending bounds entries that are proposed and not committed.
+	MaxPending int
+	// Rand draws election timeouts.
+	Rand *rand.Rand
+	// off turns safeguards off; only this package's tests can set it.
+	off safeguards
+}
+
+// safeguards names what tests turn off to show that the suite would catch its
+// absence.
+type safeguards struct {
+	// lease lets a leader answer reads without a live lease.
+	lease bool
+	// identity lets a replica vote before its peers have told what they saw.
+	identity bool
+}
+
+// DefaultConfig suits links of a few milliseconds.
+func DefaultConfig(id string) Config {
+	return Config{
+		ID:              id,
+		ElectionTimeout: time.Second,
+		Heartbeat:       150 * time.Millisecond,
+		ClockRatio:      1.1,
+		MaxEntries:      512,
+		MaxBytes:        1 << 20,
+		MaxPending:      8192,
+	}
+}
+
+// Role of a replica.
+type Role int
+
+// Roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role as dumps show it.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Restored is what a replica read from its data folder.
+type Restored struct {
+	Hard     *wire.HardState
+	Snapshot *wire.LogSnapshot
+	Entries  []*wire.LogEntry
+	// Fresh says that the folder is new: nothing was ever acknowledged from it,
+	// so peers need not be asked what they saw.
+	Fresh bool
+}
+
+// Ready is what a driver must do, in this order: Early messages may leave at
+// once; records are made durable; then Messages leave, a snapshot is restored,
+// entries are applied and reads are answered.
+type Ready struct {
+	Early    []*wire.RaftMessage
+	Hard     *wire.HardState
+	Snapshot *wire.LogSnapshot
+	Entries  []*wire.LogEntry
+	Messages []*wire.RaftMessage
+	// Apply holds committed entries, in order, each once.
+	Apply []*wire.LogEntry
+	// Reads may be answered from state that has applied up to their index.
+	Reads []ReadState
+}
+
+// Durable says whether the Ready holds records to sync.
+func (r *Ready) Durable() bool {
+	return r.Hard != nil || r.Snapshot != nil || len(r.Entries) > 0
+}
+
+// Empty says whether there is nothing to do.
+func (r *Ready) Empty() bool {
+	return !r.Durable() && len(r.Early)+len(r.Messages)+len(r.Apply)+len(r.Reads) == 0
+}
+
+// ReadState answers a linearizable read.
+type ReadState struct {
+	ID    uint64
+	Index uint64
+	// OK is false when leadership was lost first; the read must be refused.
+	OK bool
+}
+
+// Node is one replica of one log. It is not safe for use by several goroutines.
+type Node struct {
+	cfg  Config
+	now  Time
+	role Role
+	log  raftLog
+
+	term uint64
+	vote string
+	// persisted is the hard state that the driver was told to make durable.
+	persisted *wire.HardState
+
+	leader string
+	// heard is when a leader was last heard; votes are withheld after it.
+	heard    Time
+	deadline Time
+
+	votes    map[string]bool
+	progress map[string]*progress
+	// round numbers appends; see wire.RaftMessage.round.
+	round     uint64
+	sentAt    map[uint64]Time
+	nextBeat  Time
+	reads     []pendingRead
+	sinceLead Time
+
+	verified bool
+	failed   error
+	hellos   map[string]bool
+	// newest is the latest membership heard of while not verified.
+	newest indexedConfig
+	// witnessed is the highest index that each peer was seen to hold.
+	witnessed map[string]uint64
+
+	early, messages []*wire.RaftMessage
+	readStates      []ReadState
+	installed       *wire.LogSnapshot
+}
+
+type pendingRead struct {
+	id    uint64
+	index uint64
+	// after is the round of which a quorum must acknowledge.
+	after uint64
+}
+
+// New makes a replica from what its folder held.
+func New(cfg Config, r Restored, now Time) *Node {
+	n := &Node{
+		cfg:       cfg,
+		now:       now,
+		log:       newLog(r.Snapshot, r.Entries),
+		heard:     now,
+		hellos:    map[string]bool{},
+		witnessed: map[string]uint64{},
+		verified:  r.Fresh || cfg.off.identity,
+		sentAt:    map[uint64]Time{},
+	}
+	n.newest = indexedConfig{n.log.configIndex(), n.log.config()}
+	if r.Hard != nil {
+		n.term, n.vote = r.Hard.Term, r.Hard.Vote
+		n.log.commitTo(min(r.Hard.Commit, n.log.lastIndex()))
+		n.persisted = proto.Clone(r.Hard).(*wire.HardState)
+	} else {
+		n.persisted = &wire.HardState{}
+	}
+	n.resetDeadline()
+	if n.onlyVoter() {
+		n.verified = true
+		n.deadline = now
+	}
+	return n
+}
+
+// Bootstrap is the state of a new log with one voter.
+func Bootstrap(p *wire.Peer) Restored {
+	return Restored{
+		Fresh: true,
+		Hard:  &wire.HardState{Term: 1, Commit: 1},
+		Snapshot: &wire.LogSnapshot{
+			Index: 1, Term: 1, Config: &wire.Configuration{Peers: []*wire.Peer{p}},
+		},
+	}
+}
+
+func (n *Node) resetDeadline() {
+	jitter := n.cfg.Rand.Int64N(int64(n.cfg.ElectionTimeout))
+	n.deadline = n.now + n.cfg.ElectionTimeout + time.Duration(jitter)
+}
+
+// Tick moves time on.
+func (n *Node) Tick(now Time) {
+	n.now = max(n.now, now)
+	if n.failed != nil {
+		return
+	}
+	if !n.verified {
+		n.sayHello()
+		return
+	}
+	if n.role == Leader {
+		n.tickLeader()
+		return
+	}
+	if n.now >= n.deadline && n.isVoter(n.cfg.ID) {
+		n.campaign(PreCandidate)
+	}
+}
+
+// Step takes a message.
+func (n *Node) Step(now Time, m *wire.RaftMessage) {
+	n.now = max(n.now, now)
+	if n.failed != nil || m.To != n.cfg.ID {
+		return
+	}
+	switch m.Kind {
+	case wire.RaftKind_RAFT_KIND_HELLO:
+		n.answerHello(m)
+		return
+	case wire.RaftKind_RAFT_KIND_HELLO_REPLY:
+		n.takeHello(m)
+		return
+	}
+	if !n.verified {
+		return
+	}
+	if m.Term > n.term && !n.meetNewTerm(m) {
+		return
+	}
+	if m.Term < n.term {
+		n.answerOldTerm(m)
+		return
+	}
+	n.stepTerm(m)
+}
+
+// meetNewTerm takes a message of a later term; it returns false if the message
+// goes no further.
+func (n *Node) meetNewTerm(m *wire.RaftMessage) bool {
+	switch m.Kind {
+	case wire.RaftKind_RAFT_KIND_PRE_VOTE:
+		return true
+	case wire.RaftKind_RAFT_KIND_PRE_VOTE_REPLY:
+		// A granted pre-vote carries the term asked for, which nobody is in yet.
+		if !m.Reject {
+			return true
+		}
+	case wire.RaftKind_RAFT_KIND_VOTE:
+		// A replica that returns from a cut must not depose a leader that the
+		// others hear, and a vote within the lease would let two leaders answer.
+		if n.hearsLeader() {
+			return false
+		}
+	}
+	leader := ""
+	if m.Kind == wire.RaftKind_RAFT_KIND_APPEND || m.Kind == wire.RaftKind_RAFT_KIND_SNAPSHOT {
+		leader = m.From
+	}
+	n.becomeFollower(m.Term, leader)
+	return true
+}
+
+// hearsLeader says whether a leader may hold a live lease that this replica is
+// part of.
+func (n *Node) hearsLeader() bool {
+	if n.role == Leader {
+		return n.leaseLive()
+	}
+	return n.now < n.heard+n.cfg.ElectionTimeout
+}
+
+// answerOldTerm tells a replica of an earlier term about ours, so that a
+// deposed leader or a stuck candidate moves on.
+func (n *Node) answerOldTerm(m *wire.RaftMessage) {
+	switch m.Kind {
+	case wire.RaftKind_RAFT_KIND_APPEND, wire.RaftKind_RAFT_KIND_SNAPSHOT:
+		n.send(&wire.RaftMessage{Kind: wire.RaftKind_RAFT_KIND_APPEND_REPLY, To: m.From, Reject: true, Round: m.Round, Index: n.log.lastIndex()})
+	case wire.RaftKind_RAFT_KIND_PRE_VOTE:
+		n.send(&wire.RaftMessage{Kind: wire.RaftKind_RAFT_KIND_PRE_VOTE_REPLY, To: m.From, Reject: true})
+	}
+}
+
+func (n *Node) stepTerm(m *wire.RaftMessage) {
+	switch m.Kind {
+	case wire.RaftKind_RAFT_KIND_PRE_VOTE, wire.RaftKind_RAFT_KIND_VOTE:
+		n.answerVote(m)
+	case wire.RaftKind_RAFT_KIND_PRE_VOTE_REPLY, wire.RaftKind_RAFT_KIND_VOTE_REPLY:
+		n.takeVote(m)
+	case wire.RaftKind_RAFT_KIND_APPEND:
+		n.takeAppend(m)
+	case wire.RaftKind_RAFT_KIND_SNAPSHOT:
+		n.takeSnapshot(m)
+	case wire.RaftKind_RAFT_KIND_APPEND_REPLY:
+		n.takeAppendReply(m)
+	}
+}
+
+func (n *Node) send(m *wire.RaftMessage) {
+	m.From = n.cfg.ID
+	if m.Term == 0 {
+		m.Term = n.term
+	}
+	n.messages = append(n.messages, m)
+}
+
+func (n *Node) becomeFollower(term uint64, leader string) {
+	if term > n.term {
+		n.term = term
+		n.vote = ""
+	}
+	n.failReads()
+	n.role = Follower
+	n.leader = leader
+	n.votes = nil
+	n.progress = nil
+	n.resetDeadline()
+}
+
+// Ready returns what is to be done, and forgets it.
+func (n *Node) Ready() Ready {
+	r := Ready{Early: n.early, Messages: n.messages, Reads: n.readStates, Snapshot: n.installed}
+	r.Entries = n.log.takeUnstable()
+	r.Apply = n.log.takeCommitted()
+	hard := &wire.HardState{Term: n.term, Vote: n.vote, Commit: n.log.committed}
+	if hard.Term != n.persisted.Term || hard.Vote != n.persisted.Vote || (r.Durable() && hard.Commit != n.persisted.Commit) {
+		// Appends of a term that a crash could undo must wait for its sync: a
+		// sole voter would otherwise lead the same term twice, with other entries.
+		if hard.Term != n.persisted.Term {
+			r.Messages = append(r.Early, r.Messages...)
+			r.Early = nil
+		}
+		r.Hard = hard
+		n.persisted = hard
+	}
+	n.early, n.messages, n.readStates, n.installed = nil, nil, nil, nil
+	return r
+}
+
+// Persisted tells that all records of the last Ready are durable. A leader
+// counts its own log only from here on.
+func (n *Node) Persisted() {
+	n.log.stable = n.log.handed
+	if n.role != Leader {
+		return
+	}
+	if p := n.progress[n.cfg.ID]; p != nil {
+		p.match = min(n.log.stable, n.log.lastIndex())
+		n.advanceCommit()
+	}
+}
+
+// Compact drops the log up to an applied index; data is the state there.
+func (n *Node) Compact(index uint64, data []byte) *wire.LogSnapshot {
+	return n.log.compact(index, data)
+}
+
+// Err returns why the replica has stopped, or nil.
+func (n *Node) Err() error { return n.failed }
+
+// Status describes a replica.
+type Status struct {
+	ID       string `json:"id"`
+	Role     string `json:"role"`
+	Leader   string `json:"leader"`
+	Term     uint64 `json:"term"`
+	Commit   uint64 `json:"commit"`
+	Applied  uint64 `json:"applied"`
+	Last     uint64 `json:"last"`
+	First    uint64 `json:"first"`
+	Verified bool   `json:"verified"`
+	Lease    bool   `json:"lease"`
+}
+
+// Status returns the replica's state for dumps.
+func (n *Node) Status() Status {
+	return Status{
+		ID: n.cfg.ID, Role: n.role.String(), Leader: n.leader, Term: n.term,
+		Commit: n.log.committed, Applied: n.log.applied, Last: n.log.lastIndex(),
+		First: n.log.firstIndex(), Verified: n.verified, Lease: n.role == Leader && n.leaseLive(),
+	}
+}
+
+// IsLeader says whether the replica leads and holds a live lease.
+func (n *Node) IsLeader() bool { return n.role == Leader && n.leaseLive() }
+
+// Leader returns the ID of the leader that this replica follows, or "".
+func (n *Node) Leader() string { return n.leader }
--- /dev/null
+++ b/consensus/property_test.go
@@ -0,0 +1,238 @@
+package consensus
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+const schedules = 10_000
+
+// runSchedule runs one seeded schedule of faults and returns the violation, or "".
+func runSchedule(seed uint64, off simSwitches) (found string) {
+	defer func() {
+		if v, ok := recover().(violation); ok {
+			found = v.text
+		}
+	}()
+	s := newSim(seed, 3, off)
+	s.lossy = seed%4 != 0
+	rnd := rand.New(rand.NewPCG(seed, 3))
+	// Some schedules hold each fault for long, others change quickly.
+	every := 30 << (seed % 3)
+	for i := range 300 {
+		s.step()
+		s.client()
+		if i > 75 && i < 225 {
+			s.faults(rnd, every)
+		}
+		if i == 225 {
+			s.heal()
+		}
+	}
+	s.settle()
+	s.checkHistory()
+	return ""
+}
+
+func (s *sim) faults(rnd *rand.Rand, every int) {
+	r := s.replicas[s.order[rnd.IntN(len(s.order))]]
+	switch rnd.IntN(every) {
+	case 0:
+		if r.up {
+			s.note("%s crashes", r.id)
+			s.crash(r)
+		}
+	case 1, 2:
+		if !r.up && !r.lost && s.inConfig(r.id) {
+			s.note("%s starts", r.id)
+			s.boot(r)
+		}
+	case 3:
+		s.isolate(r, rnd)
+	case 4:
+		if l := s.leader(); l != nil {
+			s.isolate(l, rnd)
+		}
+	case 5, 6:
+		s.note("links heal")
+		clear(s.cut)
+	case 7:
+		if s.mayLose(r) {
+			s.loseDisk(r)
+		}
+	}
+}
+
+// isolate cuts a replica off, one way or both.
+func (s *sim) isolate(r *simReplica, rnd *rand.Rand) {
+	mode := rnd.IntN(3)
+	s.note("%s is cut off, mode %d", r.id, mode)
+	for _, id := range s.order {
+		if mode != 1 {
+			s.cut[[2]string{r.id, id}] = true
+		}
+		if mode != 0 {
+			s.cut[[2]string{id, r.id}] = true
+		}
+	}
+}
+
+func (s *sim) inConfig(id string) bool {
+	for _, p := range s.anyConfig().Peers {
+		if p.Id == id {
+			return true
+		}
+	}
+	return s.repairs[id] != ""
+}
+
+// mayLose allows one lost folder at a time, and the next as soon as the repair
+// is done: no replicated log outlives the loss of a majority.
+func (s *sim) mayLose(r *simReplica) bool {
+	return len(s.repairs) == 0 && !r.lost && s.inConfig(r.id) && s.leader() != nil
+}
+
+func (s *sim) heal() {
+	s.note("all heals")
+	clear(s.cut)
+	s.lossy = false
+	for _, id := range s.order {
+		if r := s.replicas[id]; !r.up && !r.lost && s.inConfig(id) {
+			s.boot(r)
+		}
+	}
+}
+
+// settle: once all has healed, a leader holds every accepted write.
+func (s *sim) settle() {
+	for range 750 {
+		s.step()
+		if l := s.leader(); l != nil && len(s.repairs) == 0 && l.node.log.committed == l.node.log.lastIndex() {
+			s.checkAccepted(l)
+			return
+		}
+	}
+	s.fail("no leader after all has healed")
+}
+
+func (s *sim) checkAccepted(l *simReplica) {
+	for index, v := range s.accepted {
+		if l.at < index {
+			s.fail(lostEntry+": %s at %d, %s ends at %d", v, index, l.id, l.at)
+		}
+	}
+}
+
+// searchSchedules runs seeds in parallel and returns the lowest that violates.
+func searchSchedules(from, n uint64, off simSwitches) (uint64, string) {
+	var next atomic.Uint64
+	var mu sync.Mutex
+	worst, text := uint64(0), ""
+	var wg sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				seed := from + next.Add(1) - 1
+				if seed >= from+n {
+					return
+				}
+				if v := runSchedule(seed, off); v != "" {
+					mu.Lock()
+					if text == "" || seed < worst {
+						worst, text = seed, v
+					}
+					mu.Unlock()
+					next.Store(n)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	return worst, text
+}
+
+// Operators edit while links drop, delay, double and reorder messages, replicas
+// crash at any point, leaders are silently cut off, folders are lost, replaced,
+// and a second one is lost right after. No accepted entry may change or vanish,
+// no term may have two leaders, and no read may be older than one before it.
+func TestSchedulesKeepTheInvariants(t *testing.T) {
+	if s := os.Getenv("SNIPEREACH_SEED"); s != "" {
+		seed, err := strconv.ParseUint(s, 10, 64)
+		assert.NilError(t, err)
+		assert.Equal(t, runSchedule(seed, simSwitches{}), "")
+		return
+	}
+	began := time.Now()
+	seed, text := searchSchedules(1, schedules, simSwitches{})
+	assert.Equal(t, text, "", "seed %d", seed)
+	t.Logf("%d schedules in %v", schedules, time.Since(began).Round(time.Millisecond))
+}
+
+// Each safeguard is turned off in turn. The same schedules must then find a
+// violation: a suite that passes without the safeguard would not guard it.
+func TestSchedulesCatchAMissingSafeguard(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		off   simSwitches
+		finds []string
+	}{
+		{"sync before answer", simSwitches{sync: true}, []string{twoLeaders, changedEntry, lostEntry, lostAck}},
+		{"lease end", simSwitches{node: safeguards{lease: true}}, []string{staleRead}},
+		{"empty folder votes", simSwitches{newIdentity: true}, []string{twoLeaders, changedEntry, lostEntry, lostAck}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			seed, text := searchSchedules(1, schedules, c.off)
+			caught := slices.ContainsFunc(c.finds, func(kind string) bool { return strings.Contains(text, kind) })
+			assert.Assert(t, caught, "schedule %d found: %s", seed, text)
+			t.Logf("found by schedule %d: %.120s", seed, fmt.Sprintf("%q", text))
+		})
+	}
+}
+
+// A host's folder is restored from a copy made earlier. The replica is told by
+// its peers that they saw it hold more, and stops, instead of voting for a
+// leader that lacks what it once acknowledged.
+func TestOlderFolderStopsTheReplica(t *testing.T) {
+	s := newSim(5, 3, simSwitches{})
+	for range 200 {
+		s.step()
+	}
+	r := s.replicas["r1"]
+	older := r.disk
+	older.log = append([]*wire.LogEntry(nil), r.disk.log...)
+	for range 100 {
+		s.step()
+		s.client()
+	}
+	s.crash(r)
+	r.disk = older
+	s.boot(r)
+	var stopped error
+	func() {
+		defer func() {
+			if v, ok := recover().(violation); ok {
+				stopped = r.node.Err()
+				assert.Assert(t, strings.Contains(v.text, lostAck), v.text)
+			}
+		}()
+		for range 100 {
+			s.step()
+		}
+	}()
+	assert.ErrorIs(t, stopped, ErrRolledBack)
+}
--- /dev/null
+++ b/consensus/sim_test.go
@@ -0,0 +1,496 @@
+package consensus
+
+import (
+	"container/heap"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// sim runs replicas in virtual time under a seeded schedule of faults. It
+// checks the invariants after every step and panics with a violation.
+type sim struct {
+	rnd      *rand.Rand
+	now      time.Duration
+	replicas map[string]*simReplica
+	order    []string
+	queue    simQueue
+	seq      int
+	cut      map[[2]string]bool
+	off      simSwitches
+	lossy    bool
+
+	leaders   map[uint64]string
+	committed map[uint64]uint64
+	accepted  map[uint64]string
+
+	history  []porcupine.Operation
+	pending  map[string]*simOp
+	inflight map[string]map[uint64]*simOp
+	nextID   uint64
+	repairs  map[string]string
+	born     int
+	config   *wire.Configuration
+	trace    []string
+}
+
+// simSwitches turns safeguards off.
+type simSwitches struct {
+	node safeguards
+	// sync sends messages before their records are durable.
+	sync bool
+	// newIdentity lets a replica whose folder was lost come back under its old identity.
+	newIdentity bool
+}
+
+type simReplica struct {
+	id    string
+	node  *Node
+	disk  simDisk
+	up    bool
+	rate  float64
+	value string
+	at    uint64
+	// bootedAt is when the process started; its clock starts there.
+	bootedAt time.Duration
+	// lost says that the folder is gone: this identity never comes back.
+	lost bool
+}
+
+// simDisk is what a folder durably holds.
+type simDisk struct {
+	hard  *wire.HardState
+	snap  *wire.LogSnapshot
+	log   []*wire.LogEntry
+	fresh bool
+}
+
+type simOp struct {
+	client int
+	write  string
+	call   time.Duration
+	done   bool
+}
+
+type simMessage struct {
+	at  time.Duration
+	seq int
+	m   *wire.RaftMessage
+}
+
+type simQueue []simMessage
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simMessage)) }
+func (q *simQueue) Pop() any {
+	old := *q
+	m := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return m
+}
+
+type violation struct{ text string }
+
+// What a violation breaks.
+const (
+	twoLeaders   = "two leaders in a term"
+	changedEntry = "committed entry changed"
+	lostEntry    = "accepted entry lost"
+	lostAck      = "acknowledged record lost"
+	staleRead    = "reads are not linearizable"
+)
+
+func (s *sim) fail(format string, args ...any) {
+	panic(violation{fmt.Sprintf("t=%v: ", s.now) + fmt.Sprintf(format, args...) + "\n" + strings.Join(s.trace, "\n")})
+}
+
+func (s *sim) note(format string, args ...any) {
+	s.trace = append(s.trace, fmt.Sprintf("%8v ", s.now)+fmt.Sprintf(format, args...))
+}
+
+func newSim(seed uint64, voters int, off simSwitches) *sim {
+	s := &sim{
+		rnd:      rand.New(rand.NewPCG(seed, 77)),
+		replicas: map[string]*simReplica{}, cut: map[[2]string]bool{}, off: off,
+		leaders: map[uint64]string{}, committed: map[uint64]uint64{}, accepted: map[uint64]string{},
+		pending: map[string]*simOp{}, inflight: map[string]map[uint64]*simOp{}, repairs: map[string]string{},
+	}
+	var peers []*wire.Peer
+	for i := range voters {
+		peers = append(peers, &wire.Peer{Id: fmt.Sprintf("r%d", i)})
+	}
+	s.config = &wire.Configuration{Peers: peers}
+	snap := &wire.LogSnapshot{Index: 1, Term: 1, Config: s.config}
+	for _, p := range peers {
+		s.add(p.Id, simDisk{hard: &wire.HardState{Term: 1, Commit: 1}, snap: snap, fresh: true})
+	}
+	return s
+}
+
+func (s *sim) add(id string, d simDisk) {
+	r := &simReplica{id: id, disk: d, rate: 1 + 0.08*s.rnd.Float64()}
+	s.replicas[id] = r
+	s.order = append(s.order, id)
+	s.boot(r)
+}
+
+func (s *sim) boot(r *simReplica) {
+	cfg := DefaultConfig(r.id)
+	cfg.Rand = s.rnd
+	cfg.off = s.off.node
+	cfg.MaxEntries = 4
+	r.bootedAt = s.now
+	r.node = New(cfg, Restored{
+		Hard: r.disk.hard, Snapshot: r.disk.snap,
+		Entries: append([]*wire.LogEntry(nil), r.disk.log...), Fresh: r.disk.fresh,
+	}, 0)
+	r.up = true
+	r.value, r.at = "", 0
+	if r.disk.snap != nil {
+		r.value, r.at = string(r.disk.snap.Data), r.disk.snap.Index
+	}
+	s.inflight[r.id] = map[uint64]*simOp{}
+}
+
+func (s *sim) clock(r *simReplica) time.Duration {
+	return time.Duration(float64(s.now-r.bootedAt) * r.rate)
+}
+
+// drain does what a Ready asks for; a crash may come at each point.
+func (s *sim) drain(r *simReplica) {
+	for r.up {
+		rd := r.node.Ready()
+		if rd.Empty() {
+			break
+		}
+		s.sendAll(rd.Early)
+		if s.off.sync {
+			s.sendAll(rd.Messages)
+		}
+		if rd.Durable() && s.lossy && s.rnd.IntN(400) == 0 {
+			s.note("%s crashes before its sync", r.id)
+			s.crash(r)
+			return
+		}
+		r.disk.write(&rd)
+		r.node.Persisted()
+		if !s.off.sync {
+			s.sendAll(rd.Messages)
+		}
+		s.apply(r, &rd)
+	}
+	s.check(r)
+}
+
+func (d *simDisk) write(rd *Ready) {
+	if rd.Hard != nil {
+		d.hard = rd.Hard
+	}
+	if rd.Snapshot != nil {
+		d.snap, d.log = rd.Snapshot, nil
+	}
+	if len(rd.Entries) > 0 {
+		keep := 0
+		for keep < len(d.log) && d.log[keep].Index < rd.Entries[0].Index {
+			keep++
+		}
+		d.log = append(d.log[:keep:keep], rd.Entries...)
+	}
+	if rd.Durable() {
+		d.fresh = false
+	}
+}
+
+func (s *sim) apply(r *simReplica, rd *Ready) {
+	if rd.Snapshot != nil {
+		r.value, r.at = string(rd.Snapshot.Data), rd.Snapshot.Index
+	}
+	for _, e := range rd.Apply {
+		if e.Index != r.at+1 {
+			s.fail("%s applies %d after %d", r.id, e.Index, r.at)
+		}
+		s.checkCommitted(r, e)
+		r.at = e.Index
+		if e.Type == wire.EntryType_ENTRY_TYPE_COMMAND {
+			r.value = string(e.Data)
+		}
+		s.answerWrite(r, e)
+	}
+	for _, rs := range rd.Reads {
+		s.answerRead(r, rs)
+	}
+	if r.at > r.node.Status().First+20 {
+		if snap := r.node.Compact(r.at, []byte(r.value)); snap != nil {
+			r.disk.compact(snap)
+		}
+	}
+}
+
+func (d *simDisk) compact(snap *wire.LogSnapshot) {
+	d.snap = snap
+	var kept []*wire.LogEntry
+	for _, e := range d.log {
+		if e.Index > snap.Index {
+			kept = append(kept, e)
+		}
+	}
+	d.log = kept
+}
+
+func digest(e *wire.LogEntry) uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d/%d/%s", e.Term, e.Type, e.Data)
+	return h.Sum64()
+}
+
+// checkCommitted: a committed entry never changes, on any replica, ever.
+func (s *sim) checkCommitted(r *simReplica, e *wire.LogEntry) {
+	d := digest(e)
+	if old, ok := s.committed[e.Index]; ok && old != d {
+		s.fail(changedEntry+": %s applies another entry at %d", r.id, e.Index)
+	}
+	s.committed[e.Index] = d
+}
+
+// check: at most one leader a term.
+func (s *sim) check(r *simReplica) {
+	if r.up && r.node.role == Leader {
+		if old, ok := s.leaders[r.node.term]; ok && old != r.id {
+			s.fail(twoLeaders+": %s and %s lead term %d", old, r.id, r.node.term)
+		}
+		s.leaders[r.node.term] = r.id
+	}
+}
+
+func (s *sim) sendAll(list []*wire.RaftMessage) {
+	for _, m := range list {
+		s.transmit(m)
+	}
+}
+
+func (s *sim) transmit(m *wire.RaftMessage) {
+	if s.cut[[2]string{m.From, m.To}] {
+		return
+	}
+	copies := 1
+	if s.lossy {
+		switch s.rnd.IntN(20) {
+		case 0:
+			return
+		case 1:
+			copies = 2
+		}
+	}
+	for range copies {
+		delay := time.Millisecond + time.Duration(s.rnd.IntN(3000))*time.Microsecond
+		if s.lossy && s.rnd.IntN(15) == 0 {
+			delay += time.Duration(s.rnd.IntN(1500)) * time.Millisecond
+		}
+		s.seq++
+		heap.Push(&s.queue, simMessage{s.now + delay, s.seq, proto.Clone(m).(*wire.RaftMessage)})
+	}
+}
+
+func (s *sim) crash(r *simReplica) {
+	r.up = false
+	r.node = nil
+}
+
+// step moves time on by one tick and delivers what is due.
+func (s *sim) step() {
+	s.now += 20 * time.Millisecond
+	for len(s.queue) > 0 && s.queue[0].at <= s.now {
+		m := heap.Pop(&s.queue).(simMessage).m
+		if r := s.replicas[m.To]; r != nil && r.up {
+			r.node.Step(s.clock(r), m)
+			s.drain(r)
+		}
+	}
+	for _, id := range s.order {
+		r := s.replicas[id]
+		if !r.up {
+			continue
+		}
+		r.node.Tick(s.clock(r))
+		s.drain(r)
+		if r.up && r.node.Err() != nil {
+			s.fail(lostAck+": %v", r.node.Err())
+		}
+	}
+	s.repair()
+	s.anyConfig()
+}
+
+// client behaviour: writes and reads at any replica that believes it leads.
+func (s *sim) client() {
+	for _, id := range s.order {
+		r := s.replicas[id]
+		if !r.up || r.node.role != Leader || s.rnd.IntN(6) != 0 {
+			continue
+		}
+		s.nextID++
+		if s.rnd.IntN(2) == 0 {
+			s.write(r)
+			continue
+		}
+		s.inflight[id][s.nextID] = &simOp{client: int(s.nextID), call: s.now}
+		if r.node.Read(s.clock(r), s.nextID) != nil {
+			delete(s.inflight[id], s.nextID)
+		}
+		s.drain(r)
+	}
+}
+
+func (s *sim) write(r *simReplica) {
+	v := fmt.Sprintf("v%d", s.nextID)
+	if _, _, err := r.node.Propose(s.clock(r), []byte(v)); err != nil {
+		return
+	}
+	s.pending[v] = &simOp{client: int(s.nextID), write: v, call: s.now}
+	r.node.Flush()
+	s.drain(r)
+}
+
+// answerWrite accepts a write when a replica that leads applies it. Any client
+// would do; the invariant is the same.
+func (s *sim) answerWrite(r *simReplica, e *wire.LogEntry) {
+	op := s.pending[string(e.Data)]
+	if op == nil || op.done || r.node.role != Leader {
+		return
+	}
+	op.done = true
+	s.accepted[e.Index] = op.write
+	s.history = append(s.history, porcupine.Operation{
+		ClientId: op.client, Input: op.write, Call: int64(op.call), Output: "", Return: int64(s.now) + 1,
+	})
+}
+
+func (s *sim) answerRead(r *simReplica, rs ReadState) {
+	op := s.inflight[r.id][rs.ID]
+	if op == nil {
+		return
+	}
+	delete(s.inflight[r.id], rs.ID)
+	if !rs.OK {
+		return
+	}
+	if r.at < rs.Index {
+		s.fail("%s answers a read at %d, applied %d", r.id, rs.Index, r.at)
+	}
+	s.history = append(s.history, porcupine.Operation{
+		ClientId: op.client, Input: "", Call: int64(op.call), Output: r.value, Return: int64(s.now) + 1,
+	})
+}
+
+var registerModel = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		if input.(string) != "" {
+			return true, input
+		}
+		return output == state, state
+	},
+}
+
+// checkHistory: accepted writes and reads are linearizable. A write whose
+// answer never came may have taken effect at any time after its call.
+func (s *sim) checkHistory() {
+	ops := append([]porcupine.Operation(nil), s.history...)
+	seen := map[string]bool{}
+	for _, op := range s.history {
+		if out, ok := op.Output.(string); ok && op.Input == "" {
+			seen[out] = true
+		}
+	}
+	keys := make([]string, 0, len(s.pending))
+	for v := range s.pending {
+		keys = append(keys, v)
+	}
+	sort.Strings(keys)
+	for _, v := range keys {
+		if op := s.pending[v]; !op.done && seen[v] {
+			ops = append(ops, porcupine.Operation{ClientId: op.client, Input: v, Call: int64(op.call), Output: "", Return: int64(s.now) + 2})
+		}
+	}
+	if porcupine.CheckOperationsTimeout(registerModel, ops, 5*time.Second) == porcupine.Illegal {
+		s.fail(staleRead)
+	}
+}
+
+// loseDisk empties a replica's folder. It comes back under a new identity, as a
+// learner, and is promoted once caught up.
+func (s *sim) loseDisk(r *simReplica) {
+	s.note("%s loses its folder", r.id)
+	s.crash(r)
+	if s.off.newIdentity {
+		r.disk = simDisk{snap: &wire.LogSnapshot{Index: 1, Term: 1, Config: s.anyConfig()}, hard: &wire.HardState{Term: 1, Commit: 1}, fresh: true}
+		s.boot(r)
+		return
+	}
+	r.lost = true
+	s.born++
+	id := fmt.Sprintf("%s.%d", r.id[:2], s.born)
+	s.repairs[id] = r.id
+	s.add(id, simDisk{fresh: true})
+}
+
+// anyConfig is the membership that the last leader knew.
+func (s *sim) anyConfig() *wire.Configuration {
+	if l := s.leader(); l != nil {
+		s.config = l.node.log.config()
+	}
+	return s.config
+}
+
+// repair does what an operator's replace does, through whichever leader there is.
+func (s *sim) repair() {
+	for id, old := range s.repairs {
+		l := s.leader()
+		if l == nil {
+			return
+		}
+		now := s.clock(l)
+		switch {
+		case !hasPeer(l.node, id):
+			_ = l.node.AddLearner(now, &wire.Peer{Id: id})
+		case !l.node.isVoter(id):
+			_ = l.node.Promote(now, id)
+		case hasPeer(l.node, old):
+			_ = l.node.Remove(now, old)
+		case l.node.log.configIndex() <= l.node.log.committed:
+			s.note("%s has replaced %s", id, old)
+			delete(s.repairs, id)
+		}
+		s.drain(l)
+	}
+}
+
+func hasPeer(n *Node, id string) bool {
+	for _, p := range n.Peers() {
+		if p.Id == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *sim) leader() *simReplica {
+	for _, id := range s.order {
+		if r := s.replicas[id]; r.up && r.node.IsLeader() {
+			return r
+		}
+	}
+	return nil
+}
