--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -14,8 +14,7 @@
 	match, next uint64
 	// acked is the latest round that the peer acknowledged.
 	acked uint64
-	// sent is when the latest append left; probing peers get one at a time.
-	sent    Time
+	// probing peers get appends with a heartbeat only, until one matches.
 	probing bool
 	// snapshotUntil holds appends back while a snapshot is on its way.
 	snapshotUntil Time
--- /dev/null
+++ b/fake/disk.go
@@ -0,0 +1,230 @@
+package fake
+
+import (
+	"errors"
+	"io/fs"
+	"sort"
+	"sync"
+
+	"github.com/snipereach/snipereach/journal"
+)
+
+// Errors of a faulty disk.
+var (
+	ErrDiskFull   = errors.New("no space left on device")
+	ErrSyncFailed = errors.New("input/output error")
+)
+
+// Disk is a data folder in memory that forgets what was not synced. It
+// implements journal.FS. Files and names are durable separately: a file under a
+// name that was not synced is gone after a crash.
+type Disk struct {
+	mu    sync.Mutex
+	files map[string]*diskFile
+	// names are those that survive a crash.
+	names  map[string]*diskFile
+	locked bool
+
+	// Full makes every write fail.
+	Full bool
+	// FailSync makes the next sync fail; the data written before it is lost
+	// although later syncs succeed, as on a real kernel.
+	FailSync bool
+	// Syncs counts syncs.
+	Syncs int
+}
+
+type diskFile struct {
+	data   []byte
+	synced int
+	// lost says that a sync failed: what was not synced by then never will be.
+	lost bool
+}
+
+// NewDisk returns an empty disk.
+func NewDisk() *Disk {
+	return &Disk{files: map[string]*diskFile{}, names: map[string]*diskFile{}}
+}
+
+// Crash forgets what was not synced, but for the first keep bytes of each
+// file's unsynced tail: a torn write. The lock is dropped, as with the process.
+func (d *Disk) Crash(keep int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.locked = false
+	d.files = map[string]*diskFile{}
+	for name, f := range d.names {
+		end := min(f.synced+keep, len(f.data))
+		f.data = append([]byte(nil), f.data[:end]...)
+		f.synced = end
+		d.files[name] = f
+	}
+}
+
+// Flip inverts one bit of a file's durable content.
+func (d *Disk) Flip(name string, bit int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.files[name].data[bit/8] ^= 1 << (bit % 8)
+}
+
+// Size returns a file's length, or -1.
+func (d *Disk) Size(name string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if f := d.files[name]; f != nil {
+		return len(f.data)
+	}
+	return -1
+}
+
+// Clone returns a copy of the disk as it stands; the copy is not locked.
+func (d *Disk) Clone() *Disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := NewDisk()
+	for name, f := range d.files {
+		c.files[name] = &diskFile{data: append([]byte(nil), f.data...), synced: f.synced}
+		if d.names[name] == f {
+			c.names[name] = c.files[name]
+		}
+	}
+	return c
+}
+
+// Create implements journal.FS.
+func (d *Disk) Create(name string) (journal.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := &diskFile{}
+	d.files[name] = f
+	return &diskHandle{d, f}, nil
+}
+
+// Append implements journal.FS.
+func (d *Disk) Append(name string) (journal.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.files[name]
+	if f == nil {
+		return nil, fs.ErrNotExist
+	}
+	return &diskHandle{d, f}, nil
+}
+
+// ReadFile implements journal.FS.
+func (d *Disk) ReadFile(name string) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.files[name]
+	if f == nil {
+		return nil, fs.ErrNotExist
+	}
+	return append([]byte(nil), f.data...), nil
+}
+
+// Rename implements journal.FS.
+func (d *Disk) Rename(from, to string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.files[from]
+	if f == nil {
+		return fs.ErrNotExist
+	}
+	delete(d.files, from)
+	d.files[to] = f
+	return nil
+}
+
+// Remove implements journal.FS.
+func (d *Disk) Remove(name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.files, name)
+	return nil
+}
+
+// Truncate implements journal.FS.
+func (d *Disk) Truncate(name string, size int64) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.files[name]
+	f.data = f.data[:size]
+	f.synced = len(f.data)
+	return nil
+}
+
+// List implements journal.FS.
+func (d *Disk) List() ([]string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var names []string
+	for n := range d.files {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+// SyncDir implements journal.FS.
+func (d *Disk) SyncDir() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Syncs++
+	d.names = make(map[string]*diskFile, len(d.files))
+	for n, f := range d.files {
+		d.names[n] = f
+	}
+	return nil
+}
+
+// Lock implements journal.FS.
+func (d *Disk) Lock() (func(), error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.locked {
+		return nil, journal.ErrLocked
+	}
+	d.locked = true
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.locked = false
+	}, nil
+}
+
+type diskHandle struct {
+	disk *Disk
+	file *diskFile
+}
+
+func (h *diskHandle) Write(b []byte) (int, error) {
+	h.disk.mu.Lock()
+	defer h.disk.mu.Unlock()
+	if h.disk.Full {
+		n := len(b) / 2
+		h.file.data = append(h.file.data, b[:n]...)
+		return n, ErrDiskFull
+	}
+	h.file.data = append(h.file.data, b...)
+	return len(b), nil
+}
+
+func (h *diskHandle) Sync() error {
+	h.disk.mu.Lock()
+	defer h.disk.mu.Unlock()
+	h.disk.Syncs++
+	if h.disk.FailSync {
+		h.disk.FailSync = false
+		// The kernel marks the pages clean and drops the error: they never
+		// reach the disk, whatever a later sync says.
+		h.file.lost = true
+		return ErrSyncFailed
+	}
+	if !h.file.lost {
+		h.file.synced = len(h.file.data)
+	}
+	return nil
+}
+
+func (h *diskHandle) Close() error { return nil }
--- /dev/null
+++ b/journal/recover.go
@@ -0,0 +1,190 @@
+package journal
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// recover reads the folder: identity, the newest snapshot, then every segment.
+func (j *Journal) recover() (*State, error) {
+	names, err := j.fs.List()
+	if err != nil {
+		return nil, merry.Prepend(ErrFolder, err.Error())
+	}
+	st := &State{}
+	var logs, snapshots []string
+	for _, n := range names {
+		switch {
+		case strings.HasSuffix(n, tempSuffix):
+			// A file that was never renamed was never relied on.
+			_ = j.fs.Remove(n)
+		case n == identityName:
+			err = j.readIdentity(st)
+		case strings.HasPrefix(n, logPrefix):
+			logs = append(logs, n)
+		case strings.HasPrefix(n, snapshotPrefix):
+			snapshots = append(snapshots, n)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	if err := j.checkShape(st, logs, snapshots); err != nil {
+		return nil, err
+	}
+	if len(snapshots) > 0 {
+		if err := j.readSnapshot(st, snapshots[len(snapshots)-1]); err != nil {
+			return nil, err
+		}
+	}
+	for i, n := range logs {
+		if err := j.readSegment(st, n, i == len(logs)-1); err != nil {
+			return nil, err
+		}
+	}
+	return st, j.checkState(st)
+}
+
+// checkShape refuses a folder that lacks a file. Records without an identity
+// are those of nobody knows whom.
+func (j *Journal) checkShape(st *State, logs, snapshots []string) error {
+	if st.Identity == nil && len(snapshots) > 0 {
+		return merry.Prepend(ErrCorrupt, "identity is missing")
+	}
+	for i := 1; i < len(logs); i++ {
+		if number(logs[i]) != number(logs[i-1])+1 {
+			return merry.Prependf(ErrCorrupt, "a segment is missing before %s", logs[i])
+		}
+	}
+	if len(logs) > 0 {
+		j.number = number(logs[len(logs)-1])
+	}
+	return nil
+}
+
+func number(name string) uint64 {
+	n, _ := strconv.ParseUint(strings.TrimPrefix(name, logPrefix), 10, 64)
+	return n
+}
+
+func (j *Journal) readOne(name string) (*wire.JournalRecord, error) {
+	data, err := j.fs.ReadFile(name)
+	if err != nil {
+		return nil, merry.Prepend(ErrFolder, err.Error())
+	}
+	var rec *wire.JournalRecord
+	_, err = readFrames(data, false, func(r *wire.JournalRecord) error {
+		rec = r
+		return nil
+	})
+	if err == nil && rec == nil {
+		err = merry.Prepend(ErrCorrupt, "file is empty")
+	}
+	if err != nil {
+		return nil, merry.Prepend(err, name)
+	}
+	return rec, nil
+}
+
+func (j *Journal) readIdentity(st *State) error {
+	rec, err := j.readOne(identityName)
+	if err != nil {
+		return err
+	}
+	if st.Identity = rec.GetIdentity(); st.Identity == nil {
+		return merry.Prependf(ErrCorrupt, "%s: holds another record", identityName)
+	}
+	return nil
+}
+
+func (j *Journal) readSnapshot(st *State, name string) error {
+	rec, err := j.readOne(name)
+	if err != nil {
+		return err
+	}
+	if st.Snapshot = rec.GetSnapshot(); st.Snapshot == nil {
+		return merry.Prependf(ErrCorrupt, "%s: holds another record", name)
+	}
+	return nil
+}
+
+func (j *Journal) readSegment(st *State, name string, last bool) error {
+	data, err := j.fs.ReadFile(name)
+	if err != nil {
+		return merry.Prepend(ErrFolder, err.Error())
+	}
+	good, err := readFrames(data, last, st.add)
+	if err != nil {
+		return merry.Prepend(err, name)
+	}
+	if good < len(data) {
+		st.TornBytes = len(data) - good
+		if err := j.fs.Truncate(name, int64(good)); err != nil {
+			return merry.Prepend(ErrFolder, err.Error())
+		}
+	}
+	return nil
+}
+
+// add takes one record of a segment.
+func (st *State) add(rec *wire.JournalRecord) error {
+	if h := rec.GetHardState(); h != nil {
+		st.Hard = h
+		return nil
+	}
+	if rec.GetSnapshot() != nil {
+		st.Entries = nil
+		return nil
+	}
+	e := rec.GetEntry()
+	if e == nil {
+		return merry.Prepend(ErrCorrupt, "segment holds another kind of record")
+	}
+	if st.Snapshot != nil && e.Index <= st.Snapshot.Index {
+		return nil
+	}
+	first := st.firstIndex()
+	if e.Index < first || e.Index > first+uint64(len(st.Entries)) {
+		return merry.Prependf(ErrCorrupt, "entry %d doesn't follow entry %d", e.Index, first+uint64(len(st.Entries))-1)
+	}
+	st.Entries = append(st.Entries[:e.Index-first], e)
+	return nil
+}
+
+func (st *State) firstIndex() uint64 {
+	if st.Snapshot != nil {
+		return st.Snapshot.Index + 1
+	}
+	if len(st.Entries) > 0 {
+		return st.Entries[0].Index
+	}
+	return 1
+}
+
+func (j *Journal) checkState(st *State) error {
+	if st.Identity != nil && st.Hard == nil && len(st.Entries) > 0 {
+		return merry.Prepend(ErrCorrupt, "hard state is missing")
+	}
+	j.hard = st.Hard
+	return nil
+}
+
+// startSegment opens the segment that new records go to.
+func (j *Journal) startSegment(st *State) error {
+	if j.number == 0 {
+		if err := j.rotate(nil, nil); err != nil {
+			return merry.Prepend(ErrFolder, err.Error())
+		}
+		return nil
+	}
+	file, err := j.fs.Append(j.segmentName())
+	if err != nil {
+		return merry.Prepend(ErrFolder, err.Error())
+	}
+	j.file = file
+	return nil
+}
