--- /dev/null
+++ b/cmd/snipereach-control/main.go
@@ -0,0 +1,24 @@
+// Command snipereach-control runs a control replica on a host of its own.
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/kernel"
+)
+
+func main() {
+	os.Exit(kernel.Main(kernel.Program{
+		Name:        "snipereach-control",
+		NewSettings: func() any { return control.DefaultDaemonSettings() },
+		Build: func(v any, l log.Logger) (kernel.Daemon, time.Duration, error) {
+			s := v.(*control.DaemonSettings)
+			d, err := control.NewDaemon(s, l)
+			return d, s.StopLimit.D(), err
+		},
+	}, os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/consensus/follower.go
+++ b/consensus/follower.go
@@ -32,6 +32,9 @@
 	n.take(m.Entries)
 	last := m.PrevIndex + uint64(len(m.Entries))
 	n.log.commitTo(min(m.Commit, last))
+	if n.log.committed >= m.Commit {
+		n.confirmed = n.now
+	}
 	reply.Index = last
 	n.send(reply)
 }
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -145,6 +145,8 @@
 	// heard is when a leader was last heard; votes are withheld after it.
 	heard    Time
 	deadline Time
+	// confirmed is when a leader's append last left nothing to be fetched.
+	confirmed Time
 
 	votes    map[string]bool
 	progress map[string]*progress
@@ -416,3 +418,27 @@
 
 // Leader returns the ID of the leader that this replica follows, or "".
 func (n *Node) Leader() string { return n.leader }
+
+// EntriesAfter returns the entries after an index, for a driver that rewrites
+// its records after a compaction.
+func (n *Node) EntriesAfter(index uint64) []*wire.LogEntry {
+	return n.log.slice(index+1, int(^uint(0)>>1), int(^uint(0)>>1))
+}
+
+// ConfirmedAge is how long ago this replica's applied state was known to hold
+// all that was committed: for a leader since its lease began, for a follower
+// since it heard a leader's append with all applied.
+func (n *Node) ConfirmedAge(now Time) time.Duration {
+	now = max(n.now, now)
+	if n.role == Leader {
+		at, ok := n.leaseStart()
+		if !ok {
+			at = n.sinceLead
+		}
+		return now - at
+	}
+	if n.leader == "" && n.confirmed == 0 {
+		return now + n.cfg.ElectionTimeout
+	}
+	return now - n.confirmed
+}
--- /dev/null
+++ b/control/client.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// Client calls whichever control replica answers.
+type Client struct {
+	pool  *transport.Pool
+	addrs []string
+	// last is the replica that answered last.
+	last atomic.Uint32
+}
+
+// NewClient makes a client of the replicas at these drpc addresses. The name
+// decides which one is asked first, so that clients spread over them.
+func NewClient(pool *transport.Pool, addrs []string, name string) *Client {
+	c := &Client{pool: pool, addrs: addrs}
+	if len(addrs) > 0 {
+		c.last.Store(uint32(xxhash.Sum64String(name) % uint64(len(addrs))))
+	}
+	return c
+}
+
+// Call tries the replicas in turn, from the one that answered last, until one
+// call returns no error.
+func (c *Client) Call(ctx context.Context, f func(context.Context, wire.DRPCControlClient) error) error {
+	err := merry.Prepend(ErrUnavailable, "no control replica is known")
+	first := int(c.last.Load())
+	for i := range c.addrs {
+		n := (first + i) % len(c.addrs)
+		if ctx.Err() != nil {
+			return merry.Prepend(ErrUnavailable, ctx.Err().Error())
+		}
+		callErr := f(ctx, wire.NewDRPCControlClient(c.pool.Conn(ctx, c.addrs[n])))
+		if callErr == nil {
+			c.last.Store(uint32(n))
+			return nil
+		}
+		err = merry.Prependf(ErrUnavailable, "%s: %v", c.addrs[n], callErr)
+	}
+	return err
+}
+
+// Edit sends an edit until a leader has decided it, or the context ends. It may
+// be sent more than once: the edit ID makes that safe.
+func (c *Client) Edit(ctx context.Context, e *wire.TableEdit) (*wire.EditReply, error) {
+	var reply *wire.EditReply
+	err := c.Call(ctx, func(ctx context.Context, cc wire.DRPCControlClient) error {
+		r, err := cc.Edit(ctx, e)
+		if err != nil {
+			return err
+		}
+		if r.Status == wire.EditStatus_EDIT_STATUS_UNAVAILABLE {
+			return merry.Prepend(ErrUnavailable, r.Detail)
+		}
+		reply = r
+		return nil
+	})
+	return reply, err
+}
+
+// Read returns rows; see wire.ReadRequest.
+func (c *Client) Read(ctx context.Context, req *wire.ReadRequest) (*wire.ReadReply, error) {
+	var reply *wire.ReadReply
+	err := c.Call(ctx, func(ctx context.Context, cc wire.DRPCControlClient) error {
+		r, err := cc.Read(ctx, req)
+		reply = r
+		return err
+	})
+	return reply, err
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,281 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-kit/log"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+
+	"github.com/snipereach/snipereach/consensus"
+	"github.com/snipereach/snipereach/journal"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// Intervals of forming and joining.
+const (
+	joinInterval    = 300 * time.Millisecond
+	identifyTimeout = time.Second
+)
+
+// Place says who and where a control replica is.
+type Place struct {
+	// Name is unique among the members.
+	Name          string
+	Address       string
+	FailureDomain string
+}
+
+// Control is a control replica with its way into a cluster: it opens the data
+// folder, forms a cluster or joins one, and then runs a Replica.
+type Control struct {
+	settings Settings
+	place    Place
+	log      log.Logger
+	pool     *transport.Pool
+	fs       journal.FS
+
+	mu       sync.Mutex
+	identity *wire.Identity
+	replica  *Replica
+	stopped  bool
+	cancel   context.CancelFunc
+}
+
+// New makes a control replica from checked settings.
+func New(s Settings, l log.Logger, pool *transport.Pool) (*Control, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	fs, err := journal.OpenFolder(s.DataDir)
+	if err != nil {
+		return nil, err
+	}
+	return &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, fs: fs}, nil
+}
+
+// Register adds the Raft and Control services to a server.
+func (c *Control) Register(mux drpc.Mux) error {
+	if err := wire.DRPCRegisterRaft(mux, raftService{c}); err != nil {
+		return err
+	}
+	return wire.DRPCRegisterControl(mux, &service{c})
+}
+
+// Start opens the folder and, in the background, takes part as soon as it
+// belongs to a cluster.
+func (c *Control) Start(ctx context.Context, p Place) error {
+	c.place = p
+	ctx, c.cancel = context.WithCancel(ctx)
+	j, st, err := journal.Open(c.fs)
+	if err != nil {
+		return err
+	}
+	if st.TornBytes > 0 {
+		kernel.Info(c.log, "Cut a torn write from the journal.", "bytes", st.TornBytes)
+	}
+	id := st.Identity
+	if id == nil {
+		id = &wire.Identity{Name: p.Name, Incarnation: rand.Text()}
+	}
+	id.Address, id.FailureDomain = p.Address, p.FailureDomain
+	c.setIdentity(id)
+	if id.Cluster != "" {
+		return c.run(ctx, j, st)
+	}
+	go c.enter(ctx, j, st)
+	return nil
+}
+
+func (c *Control) setIdentity(id *wire.Identity) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.identity = id
+}
+
+func (c *Control) currentIdentity() *wire.Identity {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.identity
+}
+
+// current returns the running replica, or nil.
+func (c *Control) current() *Replica {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replica
+}
+
+// run starts the replica over an open journal.
+func (c *Control) run(ctx context.Context, j *journal.Journal, st *journal.State) error {
+	id := c.currentIdentity()
+	restored := consensus.Restored{Hard: st.Hard, Snapshot: st.Snapshot, Entries: st.Entries}
+	restored.Fresh = st.Hard == nil && st.Snapshot == nil && len(st.Entries) == 0
+	if restored.Fresh && id.Founder {
+		restored = consensus.Bootstrap(&wire.Peer{Id: idOf(id), Address: id.Address, FailureDomain: id.FailureDomain})
+		if err := j.Compact(restored.Snapshot, restored.Hard, nil); err != nil {
+			j.Close()
+			return err
+		}
+	}
+	r, err := newReplica(c.settings, c.log, id, j, restored, c.pool)
+	if err != nil {
+		j.Close()
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		j.Close()
+		return ErrStopped
+	}
+	r.start(ctx)
+	c.replica = r
+	go c.keepJoined(ctx, r)
+	return nil
+}
+
+// enter finds the cluster that the members belong to, or forms one.
+func (c *Control) enter(ctx context.Context, j *journal.Journal, st *journal.State) {
+	for {
+		id, ok := c.choose(ctx)
+		if ok {
+			if err := j.WriteIdentity(id); err != nil {
+				kernel.Warn(c.log, "Identity can't be written.", "err", err)
+				j.Close()
+				return
+			}
+			c.setIdentity(id)
+			kernel.Info(c.log, "Belongs to a cluster.", "cluster", id.Cluster, "replica", idOf(id), "founder", id.Founder)
+			if err := c.run(ctx, j, st); err != nil && !errors.Is(err, ErrStopped) {
+				kernel.Warn(c.log, "Replica can't run.", "err", err)
+			}
+			return
+		}
+		select {
+		case <-ctx.Done():
+			j.Close()
+			return
+		case <-time.After(joinInterval):
+		}
+	}
+}
+
+// choose asks every other member who it is. If one belongs to a cluster, that
+// is ours. If all answer and none does, the one with the lowest name forms a
+// cluster; one silent member is enough to wait, because it may know of a
+// cluster whose accepted rows a new one would not have.
+func (c *Control) choose(ctx context.Context) (*wire.Identity, bool) {
+	own := proto.Clone(c.currentIdentity()).(*wire.Identity)
+	lowest, answers := true, 0
+	for _, addr := range c.others() {
+		peer, err := c.identify(ctx, addr)
+		if err != nil {
+			continue
+		}
+		if peer.Cluster != "" {
+			own.Cluster = peer.Cluster
+			return own, true
+		}
+		answers++
+		if peer.Name <= own.Name {
+			lowest = false
+		}
+	}
+	if !c.settings.FormCluster || !lowest || answers < len(c.others()) {
+		return nil, false
+	}
+	own.Cluster = rand.Text()
+	own.Founder = true
+	return own, true
+}
+
+func (c *Control) others() []string {
+	var list []string
+	for _, m := range c.settings.Members {
+		if m != c.place.Address {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func (c *Control) identify(ctx context.Context, addr string) (*wire.Identity, error) {
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	id, err := wire.NewDRPCRaftClient(c.pool.Conn(ctx, addr)).Identify(ctx, &wire.IdentifyRequest{})
+	if err != nil {
+		return nil, merry.Prepend(ErrUnavailable, err.Error())
+	}
+	return id, nil
+}
+
+// keepJoined asks to be taken in until the membership names this replica.
+func (c *Control) keepJoined(ctx context.Context, r *Replica) {
+	for ctx.Err() == nil {
+		if r.isMember(ctx) {
+			return
+		}
+		for _, addr := range c.others() {
+			c.askToJoin(ctx, addr)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(joinInterval):
+		}
+	}
+}
+
+func (c *Control) askToJoin(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	reply, err := wire.NewDRPCRaftClient(c.pool.Conn(ctx, addr)).Join(ctx, &wire.JoinRequest{Identity: c.currentIdentity()})
+	if err == nil && !reply.Accepted && reply.Detail != "" {
+		kernel.Debug(c.log, "Not taken in yet.", "by", addr, "detail", reply.Detail)
+	}
+}
+
+// Stop ends the replica and releases the folder.
+func (c *Control) Stop() {
+	c.mu.Lock()
+	c.stopped = true
+	r := c.replica
+	c.mu.Unlock()
+	if c.cancel != nil {
+		c.cancel()
+	}
+	if r != nil {
+		r.close()
+	}
+}
+
+// Formed says whether the cluster takes edits.
+func (c *Control) Formed(ctx context.Context) bool {
+	r := c.current()
+	formed := false
+	if r != nil {
+		_ = r.do(ctx, func() { formed = r.machine.formed })
+	}
+	return formed
+}
+
+// Dump returns the replica's state for a state dump.
+func (c *Control) Dump() any {
+	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
+	defer cancel()
+	d := struct {
+		Identity *wire.Identity `json:"identity"`
+		Replica  any            `json:"replica,omitempty"`
+	}{Identity: c.currentIdentity()}
+	if r := c.current(); r != nil {
+		_ = r.do(ctx, func() { d.Replica = r.dump() })
+	}
+	return d
+}
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,288 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
+)
+
+var sec = transport.Security{Secret: []byte("a secret of the tests")}
+
+// cluster runs control replicas over real folders and loopback sockets.
+type cluster struct {
+	t       *testing.T
+	dir     string
+	addrs   []string
+	running []*runningReplica
+	pool    *transport.Pool
+	client  *control.Client
+}
+
+type runningReplica struct {
+	ctl  *control.Control
+	srv  *transport.Server
+	pool *transport.Pool
+	lis  net.Listener
+}
+
+func newCluster(t *testing.T, n int) *cluster {
+	c := &cluster{t: t, dir: t.TempDir(), pool: transport.NewPool(sec), running: make([]*runningReplica, n)}
+	var lis []net.Listener
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		lis = append(lis, l)
+		c.addrs = append(c.addrs, l.Addr().String())
+	}
+	for i := range n {
+		c.start(i, lis[i])
+	}
+	c.client = control.NewClient(c.pool, c.addrs, "test")
+	t.Cleanup(func() {
+		for i := range n {
+			c.stop(i)
+		}
+		c.pool.Close()
+	})
+	return c
+}
+
+func (c *cluster) folder(i int) string { return filepath.Join(c.dir, fmt.Sprint(i)) }
+
+func (c *cluster) start(i int, lis net.Listener) {
+	c.t.Helper()
+	var err error
+	if lis == nil {
+		lis, err = net.Listen("tcp", c.addrs[i])
+		assert.NilError(c.t, err)
+	}
+	s := control.DefaultSettings()
+	s.DataDir = c.folder(i)
+	s.Members = c.addrs
+	s.FormCluster = true
+	s.ElectionTimeout = kernel.Duration(300 * time.Millisecond)
+	s.Heartbeat = kernel.Duration(50 * time.Millisecond)
+	s.ReplaceAfter = kernel.Duration(600 * time.Millisecond)
+	s.SnapshotEvery = 20
+	r := &runningReplica{srv: transport.NewServer(sec), pool: transport.NewPool(sec), lis: lis}
+	r.ctl, err = control.New(s, log.NewNopLogger(), r.pool)
+	assert.NilError(c.t, err)
+	assert.NilError(c.t, r.ctl.Register(r.srv.Mux))
+	go r.srv.Serve(context.Background(), lis)
+	place := control.Place{Name: fmt.Sprintf("c%d", i), Address: c.addrs[i], FailureDomain: fmt.Sprintf("hall-%d", i)}
+	assert.NilError(c.t, r.ctl.Start(context.Background(), place))
+	c.running[i] = r
+}
+
+func (c *cluster) stop(i int) {
+	r := c.running[i]
+	if r == nil {
+		return
+	}
+	c.running[i] = nil
+	_ = r.lis.Close()
+	r.srv.Close()
+	r.ctl.Stop()
+	r.pool.Close()
+}
+
+const patience = 20 * time.Second
+
+// edit sends an edit until it is decided.
+func (c *cluster) edit(e *wire.TableEdit) *wire.EditReply {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for {
+		reply, err := c.client.Edit(ctx, e)
+		if err == nil {
+			return reply
+		}
+		assert.NilError(c.t, ctx.Err(), "%v", err)
+		time.Sleep(30 * time.Millisecond)
+	}
+}
+
+func poolEdit(id, key, slots string, base uint64) *wire.TableEdit {
+	return &wire.TableEdit{EditId: id, By: "tester", Rows: []*wire.RowEdit{
+		{Kind: "pool", Key: key, Columns: map[string]string{"slots": slots}, BaseVersion: base},
+	}}
+}
+
+func (c *cluster) accept(e *wire.TableEdit) *wire.EditReply {
+	c.t.Helper()
+	reply := c.edit(e)
+	assert.Equal(c.t, reply.Status, wire.EditStatus_EDIT_STATUS_ACCEPTED, reply.Detail)
+	return reply
+}
+
+func (c *cluster) health() (string, []*wire.Member) {
+	var reply *wire.MembersReply
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_ = c.client.Call(ctx, func(ctx context.Context, cc wire.DRPCControlClient) error {
+		r, err := cc.Members(ctx, &wire.MembersRequest{})
+		reply = r
+		return err
+	})
+	if reply == nil {
+		return "", nil
+	}
+	return reply.Health, reply.Members
+}
+
+func (c *cluster) waitHealth(want string) []*wire.Member {
+	c.t.Helper()
+	var got string
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
+		health, members := c.health()
+		if got = health; got == want {
+			return members
+		}
+	}
+	c.t.Fatalf("health is %q, not %q", got, want)
+	return nil
+}
+
+func (c *cluster) leader() int {
+	c.t.Helper()
+	for _, m := range c.waitHealthAny() {
+		for i, a := range c.addrs {
+			if m.Leader && m.Address == a {
+				return i
+			}
+		}
+	}
+	c.t.Fatal("no leader")
+	return -1
+}
+
+func (c *cluster) waitHealthAny() []*wire.Member {
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
+		if _, members := c.health(); members != nil {
+			return members
+		}
+	}
+	return nil
+}
+
+func (c *cluster) rows() map[string]string {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for {
+		reply, err := c.client.Read(ctx, &wire.ReadRequest{Kind: "pool", Linearizable: true})
+		if err == nil {
+			m := map[string]string{}
+			for _, r := range reply.Rows {
+				m[r.Key] = r.Columns["slots"]
+			}
+			return m
+		}
+		assert.NilError(c.t, ctx.Err(), "%v", err)
+		time.Sleep(30 * time.Millisecond)
+	}
+}
+
+// Two operators edit one row from the same version. One is accepted; the other
+// is told the row in force. The first one's answer was lost: the edit sent again,
+// after the leader died, gets the same answer and changes nothing.
+func TestEqualVersionsAndResends(t *testing.T) {
+	c := newCluster(t, 3)
+	first := c.accept(poolEdit("a", "lm", "8", 0))
+	second := c.edit(poolEdit("b", "lm", "9", 0))
+	assert.Equal(t, second.Status, wire.EditStatus_EDIT_STATUS_CONFLICT)
+	assert.Equal(t, second.Rows[0].Columns["slots"], "8")
+	assert.Equal(t, second.Rows[0].ChangedBy, "tester")
+	c.stop(c.leader())
+	again := c.edit(poolEdit("a", "lm", "8", 0))
+	assert.Assert(t, again.Replayed)
+	assert.Equal(t, again.Revision, first.Revision)
+	reused := c.edit(poolEdit("a", "other", "8", 0))
+	assert.Equal(t, reused.Status, wire.EditStatus_EDIT_STATUS_INVALID)
+}
+
+// A host loses its disk and comes back empty: it joins under a new identity and
+// the repair reads "degraded" until it holds everything. Then a second host is
+// lost. Every accepted row is still there.
+func TestSecondHostLostRightAfterARepair(t *testing.T) {
+	c := newCluster(t, 3)
+	want := map[string]string{}
+	put := func(n int) {
+		key := fmt.Sprintf("p%d", n)
+		want[key] = fmt.Sprint(n + 1)
+		c.accept(poolEdit(key, key, want[key], 0))
+	}
+	for n := range 50 {
+		put(n)
+	}
+	c.waitHealth(control.HealthOK)
+	lost := (c.leader() + 1) % 3
+	c.stop(lost)
+	assert.NilError(t, os.RemoveAll(c.folder(lost)))
+	put(50)
+	c.waitHealth(control.HealthDegraded)
+	c.start(lost, nil)
+	members := c.waitHealth(control.HealthOK)
+	assert.Equal(t, len(members), 3)
+	second := (lost + 1) % 3
+	c.stop(second)
+	assert.NilError(t, os.RemoveAll(c.folder(second)))
+	assert.DeepEqual(t, c.rows(), want)
+	put(51)
+	assert.DeepEqual(t, c.rows(), want)
+}
+
+// All hosts lose power at once and start again. What was accepted is in force.
+func TestWholeClusterRestarts(t *testing.T) {
+	c := newCluster(t, 3)
+	for n := range 30 {
+		c.accept(poolEdit(fmt.Sprint(n), "lm", fmt.Sprint(n+1), uint64(n)))
+	}
+	for i := range 3 {
+		c.stop(i)
+	}
+	for i := range 3 {
+		c.start(i, nil)
+	}
+	assert.DeepEqual(t, c.rows(), map[string]string{"lm": "30"})
+	assert.Assert(t, c.edit(poolEdit("7", "lm", "8", 7)).Replayed)
+}
+
+// An operator orders the last quorum to be removed. The order is refused with
+// the reason, and the cluster goes on.
+func TestRemovingTheLastQuorumIsRefused(t *testing.T) {
+	c := newCluster(t, 3)
+	c.accept(poolEdit("a", "lm", "8", 0))
+	members := c.waitHealth(control.HealthOK)
+	leader := c.leader()
+	c.stop((leader + 1) % 3)
+	c.waitHealth(control.HealthDegraded)
+	var reply *wire.MembersReply
+	for _, m := range members {
+		if m.Address != c.addrs[(leader+2)%3] {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		assert.NilError(t, c.client.Call(ctx, func(ctx context.Context, cc wire.DRPCControlClient) (err error) {
+			reply, err = cc.Members(ctx, &wire.MembersRequest{Verb: control.VerbRemove, Member: m})
+			return err
+		}))
+	}
+	assert.Assert(t, reply.Refused)
+	assert.Assert(t, reply.Detail != "")
+	c.accept(poolEdit("b", "lm", "9", 1))
+}
--- /dev/null
+++ b/control/members.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"fmt"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// Verbs of a members request.
+const (
+	VerbList   = "list"
+	VerbRemove = "remove"
+)
+
+// Health of a cluster.
+const (
+	HealthOK       = "ok"
+	HealthDegraded = "degraded"
+	HealthForming  = "forming"
+)
+
+// members lists the replicas, or takes one out.
+func (r *Replica) members(req *wire.MembersRequest, reply *wire.MembersReply) {
+	switch req.Verb {
+	case "", VerbList:
+	case VerbRemove:
+		r.remove(req.Member, reply)
+	default:
+		reply.Refused = true
+		reply.Detail = fmt.Sprintf("unknown verb %q", req.Verb)
+	}
+	live, voters := 0, 0
+	for _, p := range r.node.Peers() {
+		m := &wire.Member{
+			Id: p.Id, Address: p.Address, FailureDomain: p.FailureDomain, Learner: p.Learner,
+			Leader: p.Id == r.node.Leader(), CaughtUp: r.node.CaughtUp(p.Id), MatchIndex: r.node.Match(p.Id),
+		}
+		if !p.Learner {
+			voters++
+		}
+		if !p.Learner && r.node.Live(p.Id) && m.CaughtUp {
+			live++
+		}
+		reply.Members = append(reply.Members, m)
+	}
+	reply.Health = HealthOK
+	switch {
+	case !r.machine.formed:
+		reply.Health = HealthForming
+	case live < voters || voters < r.settings.voterTarget():
+		reply.Health = HealthDegraded
+	}
+}
+
+func (r *Replica) remove(m *wire.Member, reply *wire.MembersReply) {
+	if m == nil || m.Id == "" {
+		reply.Refused, reply.Detail = true, "a member ID is needed"
+		return
+	}
+	if err := r.node.Remove(r.now(), m.Id); err != nil {
+		reply.Refused, reply.Detail = true, err.Error()
+	}
+}
+
+// dump is the replica's state for a state dump.
+func (r *Replica) dump() any {
+	return struct {
+		Status   any    `json:"status"`
+		Formed   bool   `json:"formed"`
+		Revision uint64 `json:"revision"`
+		Failed   string `json:"failed,omitempty"`
+	}{r.node.Status(), r.machine.formed, r.machine.table.Revision(), errText(r.failed)}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/control/settings.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"net"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/kernel"
+)
+
+// Settings of a control replica: the [control] section of an entry's file, or
+// the file of snipereach-control.
+type Settings struct {
+	// DataDir is the one folder for durable state.
+	DataDir string `toml:"data_dir"`
+	// Members lists the drpc addresses of all control replicas, this one too.
+	Members []string `toml:"members"`
+	// FormCluster lets a new cluster be formed when all members are new. Turn it
+	// off once the cluster stands.
+	FormCluster bool `toml:"form_cluster"`
+	// Voters is how many members vote at most; the others are learners.
+	Voters int `toml:"voters"`
+	// ElectionTimeout and Heartbeat of the replicated log.
+	ElectionTimeout kernel.Duration `toml:"election_timeout"`
+	Heartbeat       kernel.Duration `toml:"heartbeat"`
+	// SnapshotEvery is how many log entries pass between snapshots.
+	SnapshotEvery int `toml:"snapshot_every"`
+	// ReplaceAfter is how long a member must be silent before another folder
+	// may take its name.
+	ReplaceAfter kernel.Duration `toml:"replace_after"`
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		Voters:          5,
+		ElectionTimeout: kernel.Duration(time.Second),
+		Heartbeat:       kernel.Duration(150 * time.Millisecond),
+		SnapshotEvery:   10_000,
+		ReplaceAfter:    kernel.Duration(5 * time.Second),
+	}
+}
+
+// Check names the first key that is wrong.
+func (s *Settings) Check() error {
+	bad := func(key, detail string) error {
+		return merry.Prependf(kernel.ErrSettings, "key \"control.%s\": %s", key, detail)
+	}
+	switch {
+	case s.DataDir == "":
+		return bad("data_dir", "must not be empty")
+	case len(s.Members) == 0:
+		return bad("members", "must name at least one control replica")
+	case s.Voters < 1 || s.Voters > 9 || s.Voters%2 == 0:
+		return bad("voters", "must be an odd number from 1 to 9")
+	case s.Heartbeat <= 0 || s.ElectionTimeout < 3*s.Heartbeat:
+		return bad("election_timeout", "must be at least three times heartbeat")
+	case s.SnapshotEvery < 10:
+		return bad("snapshot_every", "must be at least 10")
+	}
+	for _, m := range s.Members {
+		if _, _, err := net.SplitHostPort(m); err != nil {
+			return bad("members", err.Error())
+		}
+	}
+	return nil
+}
+
+// voterTarget is how many voters the cluster should have.
+func (s *Settings) voterTarget() int {
+	n := min(s.Voters, len(s.Members))
+	if n%2 == 0 {
+		n--
+	}
+	return n
+}
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -31,7 +31,7 @@
 	msg := e.announcement(phase)
 	_, _ = e.node.Announce(ctx, msg)
 	var wg sync.WaitGroup
-	for _, addr := range e.settings.ControlReplicas {
+	for _, addr := range e.settings.replicas() {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -53,7 +53,7 @@
 	}
 	if v := e.view.Load(); v != nil {
 		a.Revision = v.Revision
-		a.Listed = phase == wire.Phase_PHASE_UP
+		a.Listed = phase == wire.Phase_PHASE_UP && e.rowsConfirmed()
 	}
 	return a
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,7 +7,6 @@
 	"crypto/tls"
 	"net"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +17,7 @@
 	"storj.io/drpc"
 
 	"github.com/snipereach/snipereach/admit"
+	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/forward"
 	"github.com/snipereach/snipereach/kernel"
@@ -57,6 +57,10 @@
 	callersHTTP, operatorsHTTP   *http.Server
 	watches                      *watches
 	cancel                       context.CancelFunc
+
+	control   *control.Control
+	client    *control.Client
+	confirmed atomic.Int64
 }
 
 // New makes an entry from checked settings.
@@ -92,7 +96,8 @@
 	e.watches = newWatches(e)
 	e.dumps.Add("entry", e.dump)
 	e.dumps.Add("directory", e.node.Dump)
-	if err := e.loadRows(); err != nil {
+	e.client = control.NewClient(e.pool, s.replicas(), s.ID)
+	if err := e.newControl(l); err != nil {
 		return nil, err
 	}
 	return e, wire.DRPCRegisterDirectory(e.srv.Mux, e.node)
@@ -111,25 +116,17 @@
 	return nil
 }
 
-func (e *Entry) loadRows() error {
-	if e.settings.Rows == "" {
+func (e *Entry) newControl(l log.Logger) error {
+	if e.settings.Control == nil {
 		return nil
 	}
-	f, err := os.Open(e.settings.Rows)
-	if err != nil {
-		return merry.Prependf(kernel.ErrSettings, "key \"rows\": %v", err)
-	}
-	defer f.Close()
-	rows, err := table.ReadTSV(f)
+	c, err := control.New(*e.settings.Control, l, e.pool)
 	if err != nil {
-		return merry.Prependf(err, "%s", e.settings.Rows)
-	}
-	v, err := table.NewView(1, rows)
-	if err != nil {
-		return merry.Prependf(err, "%s", e.settings.Rows)
+		return err
 	}
-	e.SetView(v)
-	return nil
+	e.control = c
+	e.dumps.Add("control", c.Dump)
+	return c.Register(e.srv.Mux)
 }
 
 // SetView puts rows in force. A lower revision than the one in force is
@@ -183,9 +180,16 @@
 		return err
 	}
 	go e.srv.Serve(ctx, e.internal)
+	if e.control != nil {
+		place := control.Place{Name: e.settings.ID, Address: e.InternalAddress(), FailureDomain: e.settings.FailureDomain}
+		if err := e.control.Start(ctx, place); err != nil {
+			return err
+		}
+	}
+	go e.followTable(ctx)
 	go e.node.Run(ctx)
 	go e.announceLoop(ctx)
-	for _, addr := range e.settings.ControlReplicas {
+	for _, addr := range e.settings.replicas() {
 		go e.node.Follow(ctx, func(ctx context.Context) drpc.Conn { return e.pool.Conn(ctx, addr) },
 			&wire.DirectoryWatchRequest{Watcher: e.settings.ID, LocalOnly: true})
 	}
@@ -201,7 +205,11 @@
 
 func (e *Entry) listen() error {
 	var err error
-	if e.internal, err = net.Listen("tcp", e.settings.Internal); err != nil {
+	e.internal = e.settings.InternalListener
+	if e.internal == nil {
+		e.internal, err = net.Listen("tcp", e.settings.Internal)
+	}
+	if err != nil {
 		return merry.Prepend(ErrStart, err.Error())
 	}
 	if e.callers, err = net.Listen("tcp", e.settings.Callers); err != nil {
@@ -280,6 +288,9 @@
 			_ = l.Close()
 		}
 	}
+	if e.control != nil {
+		e.control.Stop()
+	}
 	e.srv.Close()
 	e.pool.Close()
 	return cut
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -58,13 +58,18 @@
 }
 
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if e.draining.Load() || e.view.Load() == nil {
+	if !e.Ready() {
 		kernel.WriteJSON(w, http.StatusServiceUnavailable, map[string]string{"status": "not ready"})
 		return
 	}
 	kernel.WriteJSON(w, http.StatusOK, map[string]string{"status": "ready"})
 }
 
+// Ready says whether the entry serves requests and stands in the list.
+func (e *Entry) Ready() bool {
+	return !e.draining.Load() && e.view.Load() != nil && e.rowsConfirmed()
+}
+
 // explanation is a refusal as callers and operators read it later.
 type explanation struct {
 	*refusal.Problem
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/transport"
 )
@@ -25,13 +26,19 @@
 	// Internal is the drpc address.
 	Internal          string `toml:"internal_listen"`
 	InternalAdvertise string `toml:"internal_advertise"`
+	// InternalListener is used in place of Internal if set: who embeds an entry
+	// may need its address before it starts.
+	InternalListener net.Listener `toml:"-"`
 	// CallersTLS and TLS (between processes) turn TLS on.
 	CallersTLS transport.TLSSettings `toml:"callers_tls"`
 	TLS        transport.TLSSettings `toml:"tls"`
 	// ControlReplicas lists drpc addresses of control replicas to follow.
 	ControlReplicas []string `toml:"control_replicas"`
-	// Rows is a TSV file of rows that stand in until a control replica answers.
-	Rows string `toml:"rows"`
+	// Control makes this entry a control replica too.
+	Control *control.Settings `toml:"control"`
+	// ConfigLease is how long the entry stays listed without having its rows
+	// confirmed as current.
+	ConfigLease kernel.Duration `toml:"config_lease"`
 	// Keep is how long callers may keep the list of entries.
 	Keep kernel.Duration `toml:"keep"`
 	// Slots is how many requests the entry carries at once.
@@ -57,6 +64,7 @@
 		StopLimit:        kernel.Duration(5 * time.Minute),
 		Lease:            kernel.Duration(3 * time.Second),
 		AnnounceInterval: kernel.Duration(500 * time.Millisecond),
+		ConfigLease:      kernel.Duration(10 * time.Second),
 	}
 }
 
@@ -76,6 +84,10 @@
 		return bad("urgent_percent", "must be from 0 to 90")
 	case s.Keep < kernel.Duration(time.Second):
 		return bad("keep", "must be at least 1s")
+	case len(s.ControlReplicas) == 0 && s.Control == nil:
+		return bad("control_replicas", "must name at least one control replica")
+	case s.ConfigLease < kernel.Duration(3*time.Second):
+		return bad("config_lease", "must be at least 3s")
 	case s.Lease < 2*s.AnnounceInterval:
 		return bad("lease", "must be at least twice announce_interval")
 	}
@@ -89,5 +101,16 @@
 			return bad("control_replicas", err.Error())
 		}
 	}
+	if s.Control != nil {
+		return s.Control.Check()
+	}
 	return nil
 }
+
+// replicas lists the control replicas to follow.
+func (s *Settings) replicas() []string {
+	if len(s.ControlReplicas) == 0 {
+		return s.Control.Members
+	}
+	return s.ControlReplicas
+}
--- a/fake/server.go
+++ b/fake/server.go
@@ -35,10 +35,9 @@
 type Server struct {
 	// Slots is how many requests run at once; 0 is no bound.
 	Slots int
-	// Fault chooses what goes wrong with a request; nil is nothing.
-	Fault func(r *http.Request) Fault
 
 	mu      sync.Mutex
+	faults  func(r *http.Request) Fault
 	runs    map[string]int
 	running int
 	waiting int
@@ -124,11 +123,21 @@
 	}
 }
 
+// SetFault chooses what goes wrong with each request; nil is nothing.
+func (s *Server) SetFault(f func(r *http.Request) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
 func (s *Server) fault(r *http.Request) Fault {
-	if s.Fault == nil {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if f == nil {
 		return FaultNone
 	}
-	return s.Fault(r)
+	return f(r)
 }
 
 func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -9,7 +9,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
-	"net/http"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -19,9 +19,13 @@
 	"github.com/go-kit/log"
 
 	"github.com/snipereach/snipereach/agent"
+	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/entry"
 	"github.com/snipereach/snipereach/fake"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/table"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
 )
 
 // ErrNotReady is returned when the system doesn't come up in time.
@@ -52,8 +56,10 @@
 	Engines []*fake.Engine
 	Plains  []*fake.Plain
 
-	opts Options
-	dir  string
+	opts    Options
+	dir     string
+	members []string
+	pool    *transport.Pool
 }
 
 var domains = []string{"hall-a", "hall-b", "hall-c"}
@@ -96,14 +102,11 @@
 }
 
 func (s *System) start(ctx context.Context) error {
-	rows := filepath.Join(s.dir, "rows.tsv")
-	if err := os.WriteFile(rows, []byte(s.opts.Rows), 0o600); err != nil {
+	if err := s.startEntries(ctx); err != nil {
 		return err
 	}
-	for i, d := range domains {
-		if err := s.startEntry(ctx, i, d, rows); err != nil {
-			return err
-		}
+	if err := s.putRows(ctx); err != nil {
+		return err
 	}
 	for i := range s.opts.Engines {
 		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond}
@@ -128,31 +131,79 @@
 	return nil
 }
 
-func (s *System) startEntry(ctx context.Context, i int, domain, rows string) error {
+// startEntries starts three entries, each with a control replica.
+func (s *System) startEntries(ctx context.Context) error {
+	var listeners []net.Listener
+	for range domains {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		listeners = append(listeners, lis)
+		s.members = append(s.members, lis.Addr().String())
+	}
+	for i, lis := range listeners {
+		e, err := entry.New(s.entrySettings(i, lis), s.opts.Log)
+		if err != nil {
+			return err
+		}
+		s.Entries = append(s.Entries, e)
+		if err := e.Start(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) entrySettings(i int, lis net.Listener) *entry.Settings {
 	set := entry.DefaultSettings()
 	set.ID = fmt.Sprintf("entry-%d", i+1)
-	set.FailureDomain = domain
+	set.FailureDomain = domains[i]
 	set.ClusterSecret = secret
 	set.Operators = "127.0.0.1:0"
-	set.Rows = rows
+	set.InternalListener = lis
+	ctl := control.DefaultSettings()
+	ctl.DataDir = filepath.Join(s.dir, set.ID)
+	ctl.Members = s.members
+	ctl.FormCluster = true
+	set.Control = &ctl
 	if s.opts.Keep > 0 {
 		set.Keep = kernel.Duration(s.opts.Keep)
 	}
 	if i == 0 && s.opts.CallersPort != 0 {
 		set.Callers = fmt.Sprintf("127.0.0.1:%d", s.opts.CallersPort)
 	}
-	for _, e := range s.Entries {
-		set.ControlReplicas = append(set.ControlReplicas, e.InternalAddress())
-	}
-	e, err := entry.New(set, s.opts.Log)
+	return set
+}
+
+// putRows makes the first edit, as an operator would.
+func (s *System) putRows(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	rows, err := table.ReadTSV(strings.NewReader(s.opts.Rows))
 	if err != nil {
 		return err
 	}
-	if err := e.Start(ctx); err != nil {
-		return err
+	edit := &wire.TableEdit{EditId: "quickstart", By: "quickstart"}
+	for _, r := range rows {
+		edit.Rows = append(edit.Rows, &wire.RowEdit{Kind: r.Kind, Key: r.Key, Columns: r.Columns})
+	}
+	s.pool = transport.NewPool(transport.Security{Secret: []byte(secret)})
+	client := control.NewClient(s.pool, s.members, "quickstart")
+	for {
+		reply, err := client.Edit(ctx, edit)
+		if err == nil && reply.Status != wire.EditStatus_EDIT_STATUS_ACCEPTED {
+			return merry.Prepend(ErrNotReady, reply.Detail)
+		}
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return merry.Prepend(ErrNotReady, err.Error())
+		case <-time.After(50 * time.Millisecond):
+		}
 	}
-	s.Entries = append(s.Entries, e)
-	return nil
 }
 
 func (s *System) startAgent(ctx context.Context, id, kind, pool, url string, i int) error {
@@ -166,9 +217,7 @@
 	if kind == "plain" {
 		set.Slots = 32
 	}
-	for _, e := range s.Entries {
-		set.AnnounceTo = append(set.AnnounceTo, e.InternalAddress())
-	}
+	set.AnnounceTo = s.members
 	a, err := agent.New(set, s.opts.Log)
 	if err != nil {
 		return err
@@ -201,7 +250,7 @@
 
 func (s *System) ready(ctx context.Context, e *entry.Entry) bool {
 	pools := e.Upstreams()
-	return pools["lm"] == s.opts.Engines && pools["clock"] == s.opts.Plains && ctx.Err() == nil
+	return pools["lm"] == s.opts.Engines && pools["clock"] == s.opts.Plains && e.Ready() && ctx.Err() == nil
 }
 
 // Describe prints addresses and commands that work as printed.
@@ -237,6 +286,8 @@
 	for _, p := range s.Plains {
 		p.Close()
 	}
-	http.DefaultClient.CloseIdleConnections()
+	if s.pool != nil {
+		s.pool.Close()
+	}
 	_ = os.RemoveAll(s.dir)
 }
--- a/quickstart/quickstart_test.go
+++ b/quickstart/quickstart_test.go
@@ -138,7 +138,7 @@
 		{fake.FaultCrossed, 1, "unknown", "answer-invalid"},
 	} {
 		key := fmt.Sprintf("fault-%d", c.fault)
-		s.Plains[0].Fault = func(*http.Request) fake.Fault { return c.fault }
+		s.Plains[0].SetFault(func(*http.Request) fake.Fault { return c.fault })
 		p := problemOf(t, call(s, "POST", "/services/clock-core/bid", "{}", map[string]string{fake.HeaderRunKey: key}))
 		assert.Equal(t, p.Outcome, c.outcome, key)
 		assert.Equal(t, p.Reason, c.reason, key)
--- /dev/null
+++ b/table/machine.go
@@ -0,0 +1,483 @@
+package table
+
+import (
+	"crypto/sha256"
+	"errors"
+	"slices"
+	"sort"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// Bounds of what the table remembers besides the rows in force.
+const (
+	// MaxEdits is how many answers are kept for resent edits: about four days
+	// at 22,000 edits a day. A resend that comes later is judged by its version.
+	MaxEdits = 100_000
+	// MaxVersions is how many earlier versions of one row are kept.
+	MaxVersions = 50
+	// MaxHistory is how many earlier versions are kept in all.
+	MaxHistory = 200_000
+	// MaxTombstones is how many deleted rows are kept for watchers.
+	MaxTombstones = 10_000
+)
+
+type rowID struct{ kind, key string }
+
+// Machine is the table as a state machine on the replicated log: every replica
+// applies the same edits in the same order and comes to the same rows. It is
+// not safe for use by several goroutines.
+type Machine struct {
+	revision  uint64
+	rows      map[rowID]*wire.Row
+	history   []*wire.Row
+	edits     map[string]*wire.StoredEdit
+	editOrder []string
+	versions  map[rowID]int
+	deleted   []rowID
+	floor     uint64
+	// referenced counts the live rows that refer to a row.
+	referenced map[rowID]int
+	// unique maps a value that may stand in one row only to that row.
+	unique map[string]rowID
+}
+
+// NewMachine makes an empty table.
+func NewMachine() *Machine {
+	m := &Machine{}
+	m.Restore(&wire.TableSnapshot{})
+	return m
+}
+
+// Revision is the log index of the latest accepted edit.
+func (m *Machine) Revision() uint64 { return m.revision }
+
+// Check says what is wrong with an edit on its own: kinds, keys and columns. It
+// is made before an edit is proposed, so that a bad one never reaches the log.
+func Check(e *wire.TableEdit) *wire.EditReply {
+	if e.EditId == "" || len(e.EditId) > 128 {
+		return invalid("", "edit_id", "1 to 128 characters are needed")
+	}
+	if len(e.Rows) == 0 {
+		return invalid("", "rows", "an edit needs at least one row")
+	}
+	seen := map[rowID]bool{}
+	for _, r := range e.Rows {
+		id := rowID{r.Kind, r.Key}
+		if seen[id] {
+			return invalid(id.String(), "", "the row stands twice in the edit")
+		}
+		seen[id] = true
+		if r.Delete {
+			continue
+		}
+		if err := CheckRow(r.Kind, r.Key, r.Columns); err != nil {
+			return invalidErr(id, err)
+		}
+	}
+	return nil
+}
+
+func (id rowID) String() string { return id.kind + " " + id.key }
+
+func invalid(row, column, detail string) *wire.EditReply {
+	return &wire.EditReply{Status: wire.EditStatus_EDIT_STATUS_INVALID, Row: row, Column: column, Detail: detail}
+}
+
+func invalidErr(id rowID, err error) *wire.EditReply {
+	var ce *ColumnError
+	if errors.As(err, &ce) {
+		return invalid(id.String(), ce.Column, ce.Detail)
+	}
+	return invalid(id.String(), "", err.Error())
+}
+
+func digestOf(e *wire.TableEdit) []byte {
+	c := proto.Clone(e).(*wire.TableEdit)
+	c.AtMs = 0
+	b, _ := proto.MarshalOptions{Deterministic: true}.Marshal(c)
+	d := sha256.Sum256(b)
+	return d[:16]
+}
+
+// Stored returns the answer to an edit that was decided before, or nil. Only
+// accepted edits are stored: a conflict decided nothing, and the row in force
+// may have moved on.
+func (m *Machine) Stored(e *wire.TableEdit) *wire.EditReply {
+	s := m.edits[e.EditId]
+	if s == nil {
+		return nil
+	}
+	if string(s.Digest) != string(digestOf(e)) {
+		return invalid("", "edit_id", "the ID was used for another edit")
+	}
+	r := proto.Clone(s.Reply).(*wire.EditReply)
+	r.Replayed = true
+	return r
+}
+
+// Apply decides an edit at a log index.
+func (m *Machine) Apply(index uint64, e *wire.TableEdit) *wire.EditReply {
+	if r := m.Stored(e); r != nil {
+		return r
+	}
+	if r := Check(e); r != nil {
+		return r
+	}
+	if r := m.conflicts(e); r != nil {
+		return r
+	}
+	next := m.nextRows(index, e)
+	if r := m.checkReferences(next); r != nil {
+		return r
+	}
+	for _, row := range next {
+		m.put(row)
+	}
+	m.revision = index
+	reply := &wire.EditReply{Status: wire.EditStatus_EDIT_STATUS_ACCEPTED, Rows: next, Revision: index}
+	m.store(e, reply)
+	m.trim()
+	return reply
+}
+
+// conflicts compares versions. Of two edits based on the same version the log
+// orders one first; the other finds a version that has moved on.
+func (m *Machine) conflicts(e *wire.TableEdit) *wire.EditReply {
+	var inForce []*wire.Row
+	for _, r := range e.Rows {
+		old := m.rows[rowID{r.Kind, r.Key}]
+		if m.versionOf(old) != r.BaseVersion && !(r.BaseVersion == 0 && old.GetDeleted()) {
+			inForce = append(inForce, currentOrMissing(old, r))
+		}
+	}
+	if inForce == nil {
+		return nil
+	}
+	return &wire.EditReply{
+		Status: wire.EditStatus_EDIT_STATUS_CONFLICT, Rows: inForce, Revision: m.revision,
+		Row: inForce[0].Kind + " " + inForce[0].Key, Detail: "the row has another version",
+	}
+}
+
+func (m *Machine) versionOf(r *wire.Row) uint64 {
+	if r == nil {
+		return 0
+	}
+	return r.Version
+}
+
+func currentOrMissing(old *wire.Row, r *wire.RowEdit) *wire.Row {
+	if old != nil {
+		return old
+	}
+	return &wire.Row{Kind: r.Kind, Key: r.Key, Deleted: true}
+}
+
+func (m *Machine) nextRows(index uint64, e *wire.TableEdit) []*wire.Row {
+	var next []*wire.Row
+	for _, r := range e.Rows {
+		old := m.rows[rowID{r.Kind, r.Key}]
+		row := &wire.Row{
+			Kind: r.Kind, Key: r.Key, Columns: r.Columns, Version: m.versionOf(old) + 1,
+			Revision: index, ChangedBy: e.By, ChangedAtMs: e.AtMs, Deleted: r.Delete,
+		}
+		if r.Delete {
+			row.Columns = old.GetColumns()
+		}
+		next = append(next, row)
+	}
+	return next
+}
+
+// references lists the rows that a row can't do without.
+func references(r *wire.Row) []rowID {
+	switch r.Kind {
+	case KindService, KindGroup:
+		return []rowID{{KindPool, r.Columns["pool"]}}
+	case KindLimit, KindWeight:
+		team, service, _ := strings.Cut(r.Key, "/")
+		refs := []rowID{{KindTeam, team}}
+		if service != "*" {
+			refs = append(refs, rowID{KindService, service})
+		}
+		return refs
+	}
+	return nil
+}
+
+// uniques lists the values of a row that no other row may have: a bearer key
+// or a model name in two rows would make the choice between them an accident.
+func uniques(r *wire.Row) []string {
+	var values []string
+	switch {
+	case r.Kind == KindTeam:
+		for _, h := range strings.Split(r.Columns["key_sha256"], ",") {
+			values = append(values, "key "+strings.ToLower(strings.TrimSpace(h)))
+		}
+	case r.Kind == KindService && r.Columns["kind"] == "engine":
+		models := r.Columns["models"]
+		if models == "" {
+			models = r.Key
+		}
+		for _, name := range strings.Split(models, ",") {
+			values = append(values, "model "+strings.TrimSpace(name))
+		}
+	}
+	return values
+}
+
+// checkReferences judges the rows as they would be after the whole edit, so
+// that one edit may bring a pool and the service that needs it.
+func (m *Machine) checkReferences(next []*wire.Row) *wire.EditReply {
+	after := map[rowID]*wire.Row{}
+	for _, r := range next {
+		after[rowID{r.Kind, r.Key}] = r
+	}
+	exists := func(id rowID) bool {
+		if r, ok := after[id]; ok {
+			return !r.Deleted
+		}
+		old := m.rows[id]
+		return old != nil && !old.Deleted
+	}
+	lost := map[rowID]int{}
+	for _, r := range next {
+		if old := m.rows[rowID{r.Kind, r.Key}]; old != nil && !old.Deleted {
+			for _, ref := range references(old) {
+				lost[ref]++
+			}
+		}
+	}
+	taken := map[string]rowID{}
+	for _, r := range next {
+		id := rowID{r.Kind, r.Key}
+		if r.Deleted {
+			if m.referenced[id]-lost[id] > 0 {
+				return invalid(id.String(), "", "other rows refer to it")
+			}
+			continue
+		}
+		if reply := m.checkRow(r, exists, after, taken); reply != nil {
+			return reply
+		}
+	}
+	return nil
+}
+
+func (m *Machine) checkRow(r *wire.Row, exists func(rowID) bool, after map[rowID]*wire.Row, taken map[string]rowID) *wire.EditReply {
+	id := rowID{r.Kind, r.Key}
+	for _, ref := range references(r) {
+		if !exists(ref) {
+			return invalid(id.String(), ref.kind, "no "+ref.String())
+		}
+	}
+	for _, v := range uniques(r) {
+		holder, ok := taken[v]
+		if !ok {
+			holder, ok = m.unique[v]
+			if _, changing := after[holder]; ok && changing && holder != id {
+				ok = slices.Contains(uniques(after[holder]), v) && !after[holder].Deleted
+			}
+		}
+		if ok && holder != id {
+			return invalid(id.String(), "", "the same "+strings.Fields(v)[0]+" stands in "+holder.String())
+		}
+		taken[v] = id
+	}
+	return nil
+}
+
+// put replaces a row and keeps the old version as history.
+func (m *Machine) put(r *wire.Row) {
+	id := rowID{r.Kind, r.Key}
+	if old := m.rows[id]; old != nil {
+		m.history = append(m.history, old)
+		m.versions[id]++
+		m.index(old, -1)
+		if old.Deleted {
+			m.deleted = slices.DeleteFunc(m.deleted, func(d rowID) bool { return d == id })
+		}
+	}
+	m.rows[id] = r
+	m.index(r, 1)
+	if r.Deleted {
+		m.deleted = append(m.deleted, id)
+	}
+}
+
+func (m *Machine) index(r *wire.Row, by int) {
+	if r.Deleted {
+		return
+	}
+	id := rowID{r.Kind, r.Key}
+	for _, ref := range references(r) {
+		m.referenced[ref] += by
+	}
+	for _, v := range uniques(r) {
+		if by > 0 {
+			m.unique[v] = id
+		} else if m.unique[v] == id {
+			delete(m.unique, v)
+		}
+	}
+}
+
+func (m *Machine) store(e *wire.TableEdit, reply *wire.EditReply) {
+	m.edits[e.EditId] = &wire.StoredEdit{EditId: e.EditId, Digest: digestOf(e), Reply: reply}
+	m.editOrder = append(m.editOrder, e.EditId)
+}
+
+// trim keeps the bounds; every replica trims alike.
+func (m *Machine) trim() {
+	for len(m.editOrder) > MaxEdits {
+		delete(m.edits, m.editOrder[0])
+		m.editOrder = m.editOrder[1:]
+	}
+	m.trimHistory()
+	for len(m.deleted) > MaxTombstones {
+		id := m.deleted[0]
+		m.deleted = m.deleted[1:]
+		if r := m.rows[id]; r != nil && r.Deleted {
+			m.floor = max(m.floor, r.Revision)
+			delete(m.rows, id)
+		}
+	}
+}
+
+// trimHistory drops versions beyond the bounds once a tenth more has gathered,
+// so that the cost is spread over many edits.
+func (m *Machine) trimHistory() {
+	if len(m.history) < MaxHistory+MaxHistory/10 && !m.overVersions() {
+		return
+	}
+	drop := len(m.history) - MaxHistory
+	var kept []*wire.Row
+	for i, r := range m.history {
+		id := rowID{r.Kind, r.Key}
+		if i < drop || m.versions[id] > MaxVersions {
+			m.versions[id]--
+			continue
+		}
+		kept = append(kept, r)
+	}
+	m.history = kept
+}
+
+func (m *Machine) overVersions() bool {
+	if len(m.history) == 0 {
+		return false
+	}
+	last := m.history[len(m.history)-1]
+	return m.versions[rowID{last.Kind, last.Key}] > 2*MaxVersions
+}
+
+// Get returns the row in force, or nil.
+func (m *Machine) Get(kind, key string) *wire.Row {
+	r := m.rows[rowID{kind, key}]
+	if r == nil || r.Deleted {
+		return nil
+	}
+	return r
+}
+
+// Rows returns the rows in force of a kind, or of all kinds if it is empty,
+// sorted by kind and key.
+func (m *Machine) Rows(kind string) []*wire.Row {
+	var list []*wire.Row
+	for _, r := range m.rows {
+		if !r.Deleted && (kind == "" || r.Kind == kind) {
+			list = append(list, r)
+		}
+	}
+	sortRows(list)
+	return list
+}
+
+func sortRows(list []*wire.Row) {
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].Kind != list[j].Kind {
+			return list[i].Kind < list[j].Kind
+		}
+		return list[i].Key < list[j].Key
+	})
+}
+
+// History returns the versions of a row that are kept, newest first, the one in
+// force included; only the one in force at a revision if it isn't 0.
+func (m *Machine) History(kind, key string, at uint64) []*wire.Row {
+	var list []*wire.Row
+	if r := m.rows[rowID{kind, key}]; r != nil {
+		list = append(list, r)
+	}
+	for i := len(m.history) - 1; i >= 0; i-- {
+		if h := m.history[i]; h.Kind == kind && h.Key == key {
+			list = append(list, h)
+		}
+	}
+	if at == 0 {
+		return list
+	}
+	for _, r := range list {
+		if r.Revision <= at {
+			return []*wire.Row{r}
+		}
+	}
+	return nil
+}
+
+// Since returns what changed after a revision, deleted rows included, or the
+// whole table when that is no longer known.
+func (m *Machine) Since(revision uint64) (rows []*wire.Row, snapshot bool) {
+	if revision == 0 || revision < m.floor || revision > m.revision {
+		return m.Rows(""), true
+	}
+	for _, r := range m.rows {
+		if r.Revision > revision {
+			rows = append(rows, r)
+		}
+	}
+	sortRows(rows)
+	return rows, false
+}
+
+// Snapshot returns the whole state.
+func (m *Machine) Snapshot() *wire.TableSnapshot {
+	s := &wire.TableSnapshot{Revision: m.revision, History: m.history, Floor: m.floor}
+	for _, r := range m.rows {
+		s.Rows = append(s.Rows, r)
+	}
+	sortRows(s.Rows)
+	for _, id := range m.editOrder {
+		s.Edits = append(s.Edits, m.edits[id])
+	}
+	return s
+}
+
+// Restore replaces the whole state.
+func (m *Machine) Restore(s *wire.TableSnapshot) {
+	*m = Machine{
+		revision: s.GetRevision(), floor: s.GetFloor(), history: s.GetHistory(),
+		rows: map[rowID]*wire.Row{}, edits: map[string]*wire.StoredEdit{}, versions: map[rowID]int{},
+		referenced: map[rowID]int{}, unique: map[string]rowID{},
+	}
+	for _, r := range s.GetRows() {
+		id := rowID{r.Kind, r.Key}
+		m.rows[id] = r
+		m.index(r, 1)
+		if r.Deleted {
+			m.deleted = append(m.deleted, id)
+		}
+	}
+	sort.Slice(m.deleted, func(i, j int) bool { return m.rows[m.deleted[i]].Revision < m.rows[m.deleted[j]].Revision })
+	for _, r := range m.history {
+		m.versions[rowID{r.Kind, r.Key}]++
+	}
+	for _, e := range s.GetEdits() {
+		m.edits[e.EditId] = e
+		m.editOrder = append(m.editOrder, e.EditId)
+	}
+}
