Run a request with an idempotency key at most once, on the whole path

Cause: keys were passed over; a resend ran again.

Change: entries hold claim registers and copy them after a restart; the ring of registers is on the replicated log and reaches entries with the rows; a keyed request that may not be repeated is claimed before it is admitted, so that "not run" is only ever said while the key is held.

Measured: nine sendings of one bid through three entries at once run it once and all get its answer; a resend after an unknown outcome does not run; a bid that reached no upstream is told "not run".

--- a/claim/ring.go
+++ b/claim/ring.go
@@ -1,6 +1,8 @@
 package claim
 
 import (
+	"fmt"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/snipereach/snipereach/wire"
@@ -14,7 +16,7 @@
 
 // keyText is a key as text that no other key shares: its parts have lengths.
 func keyText(k *wire.ClaimKey) string {
-	return string(rune(len(k.GetTeam()))) + k.GetTeam() + string(rune(len(k.GetService()))) + k.GetService() + k.GetKey()
+	return fmt.Sprintf("%d:%s%d:%s%s", len(k.GetTeam()), k.GetTeam(), len(k.GetService()), k.GetService(), k.GetKey())
 }
 
 // Registers returns the members that hold a key's registers: the highest by
--- a/control/control.go
+++ b/control/control.go
@@ -42,6 +42,8 @@
 	pool     *transport.Pool
 	fs       journal.FS
 
+	entries func() []*wire.RingMember
+
 	mu       sync.Mutex
 	identity *wire.Identity
 	replica  *Replica
@@ -61,6 +63,10 @@
 	return &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, fs: fs}, nil
 }
 
+// SetEntries tells where a leader learns which entries are up. It is called
+// before Start; without it there is no ring of claim registers.
+func (c *Control) SetEntries(f func() []*wire.RingMember) { c.entries = f }
+
 // Register adds the Raft and Control services to a server.
 func (c *Control) Register(mux drpc.Mux) error {
 	if err := wire.DRPCRegisterRaft(mux, raftService{c}); err != nil {
@@ -130,6 +136,7 @@
 		j.Close()
 		return err
 	}
+	r.entries = c.entries
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stopped {
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -93,6 +93,7 @@
 	}
 	d.dumps.Add("control", d.control.Dump)
 	d.dumps.Add("directory", d.node.Dump)
+	d.control.SetEntries(d.node.RingMembers)
 	if err := d.control.Register(d.srv.Mux); err != nil {
 		return nil, err
 	}
--- a/control/machine.go
+++ b/control/machine.go
@@ -20,10 +20,11 @@
 	table  *table.Machine
 	fence  *fence.Machine
 	formed bool
+	ring   *wire.Ring
 }
 
 func newMachine() *machine {
-	return &machine{table: table.NewMachine(), fence: fence.NewMachine()}
+	return &machine{table: table.NewMachine(), fence: fence.NewMachine(), ring: &wire.Ring{}}
 }
 
 // apply carries out a committed command. The result is a *wire.EditReply, a
@@ -40,13 +41,18 @@
 		return m.fence.Apply(index, c.GetLease())
 	case c.GetFormed() != nil:
 		m.formed = true
+	case c.GetRing() != nil:
+		// Two leaders in turn may propose the same epoch; the first holds.
+		if r := c.GetRing(); r.Epoch == m.ring.Epoch+1 {
+			m.ring = r
+		}
 	}
 	return nil
 }
 
 func (m *machine) snapshot() ([]byte, error) {
 	return proto.Marshal(&wire.MachineSnapshot{
-		Table: m.table.Snapshot(), Fence: m.fence.Snapshot(), Formed: m.formed,
+		Table: m.table.Snapshot(), Fence: m.fence.Snapshot(), Formed: m.formed, Ring: m.ring,
 	})
 }
 
@@ -58,5 +64,9 @@
 	m.table.Restore(s.Table)
 	m.fence.Restore(s.Fence)
 	m.formed = s.Formed
+	m.ring = s.Ring
+	if m.ring == nil {
+		m.ring = &wire.Ring{}
+	}
 	return nil
 }
--- a/control/replica.go
+++ b/control/replica.go
@@ -59,7 +59,14 @@
 	sinceCut int
 	lastCare time.Time
 	leads    leaseClock
-	failed   error
+	rings    ringClock
+	// proposedEpoch is the ring epoch that was proposed last, and when.
+	proposedEpoch uint64
+	proposedAt    time.Time
+	failed        error
+
+	// entries lists the entries that are up, for the ring of claim registers.
+	entries func() []*wire.RingMember
 
 	mu       sync.Mutex
 	watchers map[chan struct{}]struct{}
@@ -102,6 +109,7 @@
 		queued:  map[uint64][]uint64{},
 		hard:    st.Hard, watchers: map[chan struct{}]struct{}{},
 		leads: leaseClock{expires: map[string]time.Time{}},
+		rings: ringClock{changed: time.Now()},
 	}
 	return r, nil
 }
@@ -209,6 +217,7 @@
 			v = r.machine.apply(e.Index, e.Data)
 		}
 		r.answer(e, v)
+		r.rings.follow(r.machine.ring.Epoch, time.Now())
 		r.sinceCut++
 	}
 	if len(rd.Apply) > 0 {
@@ -414,6 +423,7 @@
 	if !r.machine.formed && voters >= r.settings.voterTarget() {
 		r.proposeFormed()
 	}
+	r.careRing()
 	s := nextStep(members, r.settings.voterTarget())
 	var err error
 	switch {
--- /dev/null
+++ b/control/ring.go
@@ -0,0 +1,146 @@
+package control
+
+import (
+	"sort"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/snipereach/snipereach/claim"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// Times after which the ring of claim registers follows the directory.
+const (
+	// firstRingAfter lets the entries of a new cluster announce themselves.
+	firstRingAfter = 500 * time.Millisecond
+	// joinRingAfter and leaveRingAfter keep a restart from changing the ring.
+	joinRingAfter  = 10 * time.Second
+	leaveRingAfter = time.Minute
+)
+
+// ringClock is a replica's soft knowledge about the ring: since when it knows
+// the epoch, and since when a leader has seen each entry up or missed it.
+type ringClock struct {
+	epoch   uint64
+	changed time.Time
+	since   map[string]time.Time
+	seen    map[string]time.Time
+}
+
+func (c *ringClock) follow(epoch uint64, now time.Time) {
+	if epoch != c.epoch {
+		c.epoch = epoch
+		c.changed = now
+	}
+}
+
+// observe notes which entries are up.
+func (c *ringClock) observe(up []*wire.RingMember, now time.Time) {
+	if c.since == nil {
+		c.since, c.seen = map[string]time.Time{}, map[string]time.Time{}
+	}
+	live := map[string]bool{}
+	for _, m := range up {
+		live[m.Id] = true
+		c.seen[m.Id] = now
+		if _, ok := c.since[m.Id]; !ok {
+			c.since[m.Id] = now
+		}
+	}
+	for id := range c.since {
+		if !live[id] {
+			delete(c.since, id)
+		}
+	}
+}
+
+// nextRing returns the ring that should follow, or nil. A ring is changed at
+// most once in the period in which claims need majorities of two rings, so that
+// two are always enough.
+func (c *ringClock) nextRing(ring *wire.Ring, up []*wire.RingMember, leadingSince, now time.Time) *wire.Ring {
+	if len(ring.Members) == 0 {
+		if now.Sub(leadingSince) < firstRingAfter || len(up) < claim.Majority {
+			return nil
+		}
+		return &wire.Ring{Epoch: ring.Epoch + 1, Members: sorted(up)}
+	}
+	maxTTL := claim.DefaultRegisterSettings().MaxTTL
+	if now.Sub(c.changed) < claim.JointPeriod(maxTTL) {
+		return nil
+	}
+	members := c.kept(ring, leadingSince, now)
+	changed := len(members) != len(ring.Members)
+	for _, m := range up {
+		if !inRing(members, m.Id) && now.Sub(c.since[m.Id]) >= joinRingAfter {
+			members = append(members, m)
+			changed = true
+		}
+	}
+	if !changed || len(members) < claim.Majority {
+		return nil
+	}
+	return &wire.Ring{Epoch: ring.Epoch + 1, Members: sorted(members), Previous: ring.Members}
+}
+
+// kept lists the members that were up lately, as far as this leader can tell.
+func (c *ringClock) kept(ring *wire.Ring, leadingSince, now time.Time) []*wire.RingMember {
+	var members []*wire.RingMember
+	for _, m := range ring.Members {
+		last := leadingSince
+		if at, ok := c.seen[m.Id]; ok && at.After(last) {
+			last = at
+		}
+		if now.Sub(last) < leaveRingAfter {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+func inRing(list []*wire.RingMember, id string) bool {
+	for _, m := range list {
+		if m.Id == id {
+			return true
+		}
+	}
+	return false
+}
+
+func sorted(list []*wire.RingMember) []*wire.RingMember {
+	out := append([]*wire.RingMember(nil), list...)
+	sort.Slice(out, func(i, j int) bool { return out[i].Id < out[j].Id })
+	return out
+}
+
+// careRing lets a leader propose the next ring.
+func (r *Replica) careRing() {
+	if r.entries == nil || !r.machine.formed {
+		return
+	}
+	now := time.Now()
+	up := r.entries()
+	r.rings.observe(up, now)
+	next := r.rings.nextRing(r.machine.ring, up, r.leads.since, now)
+	if next == nil || r.ringPending(next.Epoch) {
+		return
+	}
+	data, err := proto.Marshal(&wire.Command{Command: &wire.Command_Ring{Ring: next}})
+	if err != nil {
+		return
+	}
+	if _, _, err := r.node.Propose(r.now(), data); err == nil {
+		kernel.Info(r.log, "Ring of claim registers changes.", "epoch", next.Epoch, "members", len(next.Members))
+	}
+}
+
+// ringPending says whether this epoch was proposed within the last second, so
+// that one change is not proposed at every look.
+func (r *Replica) ringPending(epoch uint64) bool {
+	if r.proposedEpoch == epoch && time.Since(r.proposedAt) < time.Second {
+		return true
+	}
+	r.proposedEpoch, r.proposedAt = epoch, time.Now()
+	return false
+}
--- a/control/service.go
+++ b/control/service.go
@@ -167,6 +167,8 @@
 		if from != u.Revision || from == 0 {
 			u.Rows, u.Snapshot = r.machine.table.Since(from)
 		}
+		u.Ring = r.machine.ring
+		u.RingAgeMs = uint32(min(time.Since(r.rings.changed).Milliseconds(), 1<<31))
 		u.ConfirmedAgeMs = uint32(min(r.node.ConfirmedAge(r.now()).Milliseconds(), 1<<31))
 	})
 	return u, err
--- a/directory/node.go
+++ b/directory/node.go
@@ -76,6 +76,29 @@
 	return n.state.Instances(role)
 }
 
+// RingMembers lists the entries that are up, as members of a ring of claim
+// registers.
+func (n *Node) RingMembers() []*wire.RingMember {
+	var list []*wire.RingMember
+	for _, i := range n.Instances(wire.Role_ROLE_ENTRY) {
+		if i.Up() {
+			list = append(list, &wire.RingMember{
+				Id: i.Id, Address: i.Address, FailureDomain: i.FailureDomain, Incarnation: i.Incarnation,
+			})
+		}
+	}
+	return list
+}
+
+// Gone says whether a life of an instance has ended: it is known as gone, or a
+// later life is known. An instance that is not known at all may be new here.
+func (n *Node) Gone(life *wire.Incarnation) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	i := n.state.Get(life.GetId())
+	return i != nil && (i.Incarnation > life.GetNumber() || i.Phase == wire.Phase_PHASE_GONE && i.Incarnation == life.GetNumber())
+}
+
 // Settled says whether the node may declare instances gone.
 func (n *Node) Settled() bool {
 	n.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"storj.io/drpc"
 
 	"github.com/snipereach/snipereach/admit"
+	"github.com/snipereach/snipereach/claim"
 	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/forward"
@@ -58,6 +59,7 @@
 	watches                      *watches
 	cancel                       context.CancelFunc
 
+	claims    *claim.Node
 	control   *control.Control
 	client    *control.Client
 	confirmed atomic.Int64
@@ -94,6 +96,11 @@
 	e.fwd = forward.New(e.pool, place, time.Now)
 	e.node = directory.NewNode(directory.DefaultSettings(), time.Now, e.refresh)
 	e.watches = newWatches(e)
+	e.claims = claim.NewNode(claim.DefaultRegisterSettings(), e.life(), e.pool.Conn, time.Now)
+	e.dumps.Add("claims", e.claims.Dump)
+	if err := wire.DRPCRegisterClaim(e.srv.Mux, e.claims); err != nil {
+		return nil, err
+	}
 	e.dumps.Add("entry", e.dump)
 	e.dumps.Add("directory", e.node.Dump)
 	e.client = control.NewClient(e.pool, s.replicas(), s.ID)
@@ -125,6 +132,7 @@
 		return err
 	}
 	e.control = c
+	c.SetEntries(e.ringMembers)
 	e.dumps.Add("control", c.Dump)
 	return c.Register(e.srv.Mux)
 }
@@ -187,6 +195,7 @@
 		}
 	}
 	go e.followTable(ctx)
+	go e.claims.Run(ctx)
 	go e.node.Run(ctx)
 	go e.announceLoop(ctx)
 	for _, addr := range e.settings.replicas() {
--- a/entry/request.go
+++ b/entry/request.go
@@ -222,7 +222,8 @@
 	return now.Add(timeout), nil
 }
 
-// serve admits the request and carries it to an upstream.
+// serve claims the request's key if it has one, admits the request and carries
+// it to an upstream.
 func (q *request) serve() *wire.Refusal {
 	e := q.entry
 	e.requests.Add(1)
@@ -235,6 +236,26 @@
 	if ref != nil {
 		return ref
 	}
+	hold, done, ref := q.claim(deadline)
+	if done || ref != nil {
+		return ref
+	}
+	sink := &httpSink{w: q.w, id: q.id, keep: hold != nil}
+	res := forward.Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN}
+	defer func() { q.settle(hold, res, sink) }()
+	ref = q.admitted(prio, deadline, func(c *forward.Call) *wire.Refusal {
+		res = e.fwd.Do(q.r.Context(), c, sink)
+		return q.finish(res, sink)
+	})
+	if ref != nil && res.Reason == 0 {
+		res.Outcome = ref.Outcome
+	}
+	return ref
+}
+
+// admitted waits for the request's turn and then runs it.
+func (q *request) admitted(prio wire.Priority, deadline time.Time, run func(*forward.Call) *wire.Refusal) *wire.Refusal {
+	e := q.entry
 	weight := q.view.Weight(q.team.Name, q.service.Name)
 	release, err := e.runner.Enter(q.r.Context(), &admit.Work{
 		Team: q.team.Name, Weight: weight, Priority: prio,
@@ -244,7 +265,7 @@
 		return e.refuse(admitReason(err), err.Error())
 	}
 	defer release()
-	return q.forward(&forward.Call{
+	return run(&forward.Call{
 		Head: &wire.RunHead{
 			RequestId: q.id, Team: q.team.Name, Service: q.service.Name, Priority: prio,
 			Weight: uint32(weight), Idempotent: q.idempotent(), Method: q.r.Method,
@@ -279,9 +300,8 @@
 	return list
 }
 
-func (q *request) forward(c *forward.Call) *wire.Refusal {
-	sink := &httpSink{w: q.w, id: q.id}
-	res := q.entry.fwd.Do(q.r.Context(), c, sink)
+// finish answers the caller of a request that was not answered whole.
+func (q *request) finish(res forward.Result, sink *httpSink) *wire.Refusal {
 	if res.Reason == 0 {
 		metrics.GetOrRegisterCounter("entry.answers", q.entry.metrics).Inc(1)
 		return nil
@@ -301,34 +321,3 @@
 	}
 	return ref
 }
-
-// httpSink writes an answer to the caller.
-type httpSink struct {
-	w     http.ResponseWriter
-	id    string
-	begun bool
-	flush bool
-}
-
-// Begin implements forward.Sink.
-func (s *httpSink) Begin(h *wire.RunReplyHead) error {
-	s.begun = true
-	s.flush = h.Streaming
-	for _, f := range h.Headers {
-		s.w.Header().Add(f.Name, f.Value)
-	}
-	s.w.Header().Set(upstream.HeaderRequestID, s.id)
-	s.w.WriteHeader(int(h.Status))
-	return nil
-}
-
-// Write implements forward.Sink.
-func (s *httpSink) Write(b []byte) error {
-	if _, err := s.w.Write(b); err != nil {
-		return err
-	}
-	if s.flush {
-		return http.NewResponseController(s.w).Flush()
-	}
-	return nil
-}
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -83,6 +83,7 @@
 			e.SetView(v)
 		}
 		e.confirmed.Store(f.Confirmed().UnixNano())
+		e.claims.SetRing(u.Ring, time.Duration(u.RingAgeMs)*time.Millisecond, f.Confirmed())
 		if age := time.Duration(u.ConfirmedAgeMs) * time.Millisecond; age > silentWatch {
 			return merry.Prependf(errStaleReplica, "%v", age)
 		}
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -250,7 +250,7 @@
 
 func (s *System) ready(ctx context.Context, e *entry.Entry) bool {
 	pools := e.Upstreams()
-	return pools["lm"] == s.opts.Engines && pools["clock"] == s.opts.Plains && e.Ready() && ctx.Err() == nil
+	return pools["lm"] == s.opts.Engines && pools["clock"] == s.opts.Plains && e.Ready() && e.ClaimsReady() && ctx.Err() == nil
 }
 
 // Describe prints addresses and commands that work as printed.
--- a/quickstart/quickstart_test.go
+++ b/quickstart/quickstart_test.go
@@ -172,6 +172,54 @@
 	assert.Equal(t, len(s.Engines[0].Runs()), before)
 }
 
+// A buyer's bid confirmation is sent again through every other entry, while it
+// runs and after it was answered. It runs once, and each sending gets the one
+// answer.
+func TestBidConfirmationRunsOnceThroughAnyEntry(t *testing.T) {
+	s := start(t, Options{})
+	send := func(n int, body string) reply {
+		return callEntry(s, n, "POST", "/services/clock-core/lots/17/confirm", body,
+			map[string]string{"Idempotency-Key": "bid-17", fake.HeaderRunKey: "bid-17"})
+	}
+	got := make(chan reply, 9)
+	for i := range 9 {
+		go func() { got <- send(i%3, "{}") }()
+	}
+	for range 9 {
+		r := <-got
+		assert.NilError(t, r.err)
+		assert.Equal(t, r.status, 200, r.body)
+		assert.Assert(t, strings.Contains(r.body, `"key":"bid-17"`))
+	}
+	again := send(1, "{}")
+	assert.Equal(t, again.header.Get("Idempotent-Replayed"), "true")
+	assert.Equal(t, s.Plains[0].Runs()["bid-17"], 1)
+	other := problemOf(t, send(2, `{"lane":2}`))
+	assert.Equal(t, other.Outcome, "not-run")
+	assert.Equal(t, s.Plains[0].Runs()["bid-17"], 1)
+}
+
+// The upstream dies after it ran a bid. The caller is told "unknown", sends the
+// bid again through another entry, and is told "unknown" again: it never runs a
+// second time. A bid whose upstream was never reached is told "not run", and its
+// resend runs.
+func TestResendAfterAnUnknownOutcomeDoesNotRun(t *testing.T) {
+	s := start(t, Options{})
+	send := func(n int, key string) reply {
+		return callEntry(s, n, "POST", "/services/clock-core/confirm", "{}",
+			map[string]string{"Idempotency-Key": key, fake.HeaderRunKey: key})
+	}
+	s.Plains[0].SetFault(func(*http.Request) fake.Fault { return fake.FaultDieAfterRun })
+	assert.Equal(t, problemOf(t, send(0, "a")).Outcome, "unknown")
+	s.Plains[0].SetFault(nil)
+	assert.Equal(t, problemOf(t, send(1, "a")).Outcome, "unknown")
+	assert.Equal(t, s.Plains[0].Runs()["a"], 1)
+	s.Agents[3].Leave(context.Background())
+	waitFor(t, func() bool { return s.Entries[2].Upstreams()["clock"] == 0 })
+	assert.Equal(t, problemOf(t, send(2, "b")).Outcome, "not-run")
+	assert.Equal(t, s.Plains[0].Runs()["b"], 0)
+}
+
 func waitFor(t *testing.T, cond func() bool) {
 	t.Helper()
 	for range 500 {
--- a/table/schema.go
+++ b/table/schema.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/wire"
 )
 
 // Kinds of rows.
@@ -108,7 +110,7 @@
 		{Name: "timeout_ms", Default: "30000", Unit: "ms", Doc: "deadline of one request", check: intBetween(1, 3_600_000)},
 		{Name: "max_body_bytes", Default: "1048576", Unit: "bytes", Doc: "largest request or unstreamed answer", check: intBetween(1, 64<<20)},
 		{Name: "max_queue", Default: "1000", Unit: "requests", Doc: "requests that may wait at one entry", check: intBetween(0, 1_000_000)},
-		{Name: "claim_ttl_ms", Default: "600000", Unit: "ms", Doc: "how long an idempotency key is remembered", check: intBetween(1000, 86_400_000)},
+		{Name: "claim_ttl_ms", Default: "600000", Unit: "ms", Doc: "how long an idempotency key is remembered", check: intBetween(1000, 600_000)},
 	},
 	KindPool: {
 		{Name: "route", Default: "least-loaded", Doc: "routing plug-in", check: nonEmpty},
@@ -185,9 +187,24 @@
 			return &ColumnError{Kind: kind, Key: key, Column: name, Detail: "no such column"}
 		}
 	}
+	if kind == KindService {
+		return checkClaimTTL(key, cells{&wire.Row{Kind: kind, Columns: columns}})
+	}
 	return nil
 }
 
+// checkClaimTTL: registers must remember a key for at least twice as long as a
+// request may run, or a resend could run beside the first sending.
+func checkClaimTTL(key string, c cells) error {
+	if c.yes("idempotent") || c.millis("claim_ttl_ms") >= 2*c.millis("timeout_ms") {
+		return nil
+	}
+	return &ColumnError{
+		Kind: KindService, Key: key, Column: "claim_ttl_ms",
+		Detail: "must be at least twice timeout_ms while idempotent is no",
+	}
+}
+
 func checkKey(kind, key string) error {
 	if key == "" || len(key) > 128 || strings.ContainsAny(key, "\t\r\n\" ") {
 		return merry.Prependf(ErrInvalidKey, "%s %q: 1 to 128 characters without blanks", kind, key)
