Guard orders at the agent by their fencing token

Cause: an order of a leader that is cut off reached the engine; engines that ignore the token would carry it out.

Change: the agent keeps the highest token of each group, lets one order through at a time, and after its own start asks a quorum for the current token first.

Measured: with and without a check in the engine, no order of the old token is carried out after the first of the new one, also across a restart of the agent; without a quorum a restarted agent lets nothing through.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/snipereach/snipereach/admit"
+	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/upstream"
@@ -37,6 +38,7 @@
 	ops         *http.Server
 	runner      *admit.Runner
 	attempts    *attempts
+	orders      *orders
 	incarnation uint64
 	seq         atomic.Uint64
 	metrics     metrics.Registry
@@ -70,6 +72,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		attempts:    newAttempts(),
 	}
+	a.orders = newOrders(control.NewClient(a.pool, s.AnnounceTo, s.ID))
 	a.dumps.Add("agent", a.dump)
 	return a, wire.DRPCRegisterAgent(a.srv.Mux, service{a})
 }
--- /dev/null
+++ b/agent/orders.go
@@ -0,0 +1,76 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/fence"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// orders lets orders through to the upstream under the guard of their fencing
+// tokens. Engines that ignore tokens have no other guard.
+type orders struct {
+	// mu is held while an order is with the upstream. Two orders that were both
+	// admitted could otherwise overtake each other on their way: the older one
+	// would be carried out after the newer one's first.
+	mu     sync.Mutex
+	guard  *fence.Guard
+	tokens func(ctx context.Context, group string) (uint64, error)
+}
+
+func newOrders(client *control.Client) *orders {
+	return &orders{
+		guard: fence.NewGuard(),
+		tokens: func(ctx context.Context, group string) (token uint64, err error) {
+			err = client.Call(ctx, func(ctx context.Context, c wire.DRPCControlClient) error {
+				r, err := c.Token(ctx, &wire.TokenRequest{Group: group})
+				if err == nil {
+					token = r.Token
+				}
+				return err
+			})
+			return token, err
+		},
+	}
+}
+
+// admit says whether an order may pass; the caller holds mu. A guard that has
+// just started has forgotten which tokens it saw, so it asks a quorum first.
+func (o *orders) admit(ctx context.Context, order *wire.Order) (bool, string) {
+	if !o.guard.Known(order.Group) {
+		token, err := o.tokens(ctx, order.Group)
+		if err != nil {
+			return false, "the current fencing token can't be learned: " + err.Error()
+		}
+		o.guard.Learn(order.Group, token)
+	}
+	if !o.guard.Admit(order.Group, order.Token) {
+		return false, fmt.Sprintf("fencing token %d is old", order.Token)
+	}
+	return true, ""
+}
+
+// Give implements the Agent service.
+func (a *Agent) Give(ctx context.Context, order *wire.Order) (*wire.OrderReply, error) {
+	a.orders.mu.Lock()
+	defer a.orders.mu.Unlock()
+	ok, detail := a.orders.admit(ctx, order)
+	highest := a.orders.guard.Highest(order.Group)
+	if !ok {
+		metrics.GetOrRegisterCounter("agent.orders.refused", a.metrics).Inc(1)
+		kernel.Warn(a.log, "Refused an order.", "verb", order.Verb, "group", order.Group, "token", order.Token, "highest", highest, "detail", detail)
+		return &wire.OrderReply{Detail: detail, HighestToken: highest}, nil
+	}
+	reply, err := a.up.Give(ctx, order)
+	if err != nil {
+		return nil, err
+	}
+	reply.HighestToken = highest
+	return reply, nil
+}
--- /dev/null
+++ b/agent/orders_test.go
@@ -0,0 +1,79 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"github.com/snipereach/snipereach/fake"
+	"github.com/snipereach/snipereach/fence"
+	"github.com/snipereach/snipereach/upstream"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// agentBeside makes an agent whose guard learns tokens from a function.
+func agentBeside(t *testing.T, e *fake.Engine, tokens func() (uint64, error)) *Agent {
+	t.Helper()
+	up, err := upstream.New("engine", map[string]any{"url": e.URL()})
+	assert.NilError(t, err)
+	t.Cleanup(up.Close)
+	return &Agent{
+		up: up, log: log.NewNopLogger(), metrics: metrics.NewRegistry(),
+		orders: &orders{
+			guard:  fence.NewGuard(),
+			tokens: func(context.Context, string) (uint64, error) { return tokens() },
+		},
+	}
+}
+
+func order(token uint64, verb string) *wire.Order {
+	return &wire.Order{Group: "g", Token: token, OrderId: verb, Verb: verb}
+}
+
+// A leader is cut off, silently, and goes on giving orders. A new leader gives
+// its first one. No order of the old leader is carried out after it, by an
+// engine that checks tokens or by one that ignores them, and also not by an
+// agent that restarted in between and has forgotten what it saw.
+func TestOldLeadersOrdersAreNotCarriedOut(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		e := &fake.Engine{Fencing: fencing}
+		assert.NilError(t, e.Start())
+		current := uint64(7)
+		a := agentBeside(t, e, func() (uint64, error) { return current, nil })
+		give := func(token uint64, verb string) bool {
+			r, err := a.Give(context.Background(), order(token, verb))
+			assert.NilError(t, err)
+			return r.Accepted
+		}
+		assert.Assert(t, give(7, "old"))
+		current = 9
+		assert.Assert(t, give(9, "new"))
+		assert.Assert(t, !give(7, "late"))
+		a = agentBeside(t, e, func() (uint64, error) { return current, nil })
+		assert.Assert(t, !give(7, "after-restart"))
+		assert.Assert(t, give(9, "new-again"))
+		var verbs []string
+		for _, o := range e.Orders() {
+			verbs = append(verbs, o.Verb)
+		}
+		assert.DeepEqual(t, verbs, []string{"old", "new", "new-again"})
+		e.Close()
+	}
+}
+
+// An agent restarts while no quorum can be reached. It lets no order through,
+// not even one that looks new: it can't know.
+func TestRestartedAgentWithoutAQuorumLetsNothingThrough(t *testing.T) {
+	e := &fake.Engine{}
+	assert.NilError(t, e.Start())
+	defer e.Close()
+	a := agentBeside(t, e, func() (uint64, error) { return 0, errors.New("no leader") })
+	r, err := a.Give(context.Background(), order(99, "any"))
+	assert.NilError(t, err)
+	assert.Assert(t, !r.Accepted)
+	assert.Equal(t, len(e.Orders()), 0)
+}
--- a/agent/services.go
+++ b/agent/services.go
@@ -48,11 +48,6 @@
 	}
 }
 
-// Give implements the Agent service.
-func (a *Agent) Give(ctx context.Context, o *wire.Order) (*wire.OrderReply, error) {
-	return a.up.Give(ctx, o)
-}
-
 // service is the agent as its peers call it.
 type service struct{ *Agent }
 
