--- a/kernel/settings.go
+++ b/kernel/settings.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -57,12 +58,12 @@
 	if errors.As(err, &missing) && len(missing.Errors) > 0 {
 		first := missing.Errors[0]
 		line, _ := first.Position()
-		return merry.Prepend(ErrSettings, fmt.Sprintf("line %d: unknown key %q", line, first.Key()))
+		return merry.Prepend(ErrSettings, fmt.Sprintf("line %d: unknown key %q", line, strings.Join(first.Key(), ".")))
 	}
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
 		line, _ := decode.Position()
-		return merry.Prepend(ErrSettings, fmt.Sprintf("line %d: key %q: %s", line, decode.Key(), decode.Error()))
+		return merry.Prepend(ErrSettings, fmt.Sprintf("line %d: key %q: %s", line, strings.Join(decode.Key(), "."), decode.Error()))
 	}
 	return merry.Prepend(ErrSettings, err.Error())
 }
