--- a/admit/limiter.go
+++ b/admit/limiter.go
@@ -26,7 +26,6 @@
 type Limiter struct {
 	entries  int
 	subjects map[Subject]*local
-	swept    time.Time
 }
 
 type local struct {
--- a/claim/register.go
+++ b/claim/register.go
@@ -187,6 +187,9 @@
 
 // known names the lives of the key's other registers that copied from this one.
 func (r *Register) known(key *wire.ClaimKey) []*wire.Incarnation {
+	if len(r.lives) == 0 {
+		return nil
+	}
 	var list []*wire.Incarnation
 	for _, set := range sets(r.ring, key) {
 		for _, m := range set {
--- a/claim/ring.go
+++ b/claim/ring.go
@@ -1,7 +1,7 @@
 package claim
 
 import (
-	"fmt"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -16,7 +16,12 @@
 
 // keyText is a key as text that no other key shares: its parts have lengths.
 func keyText(k *wire.ClaimKey) string {
-	return fmt.Sprintf("%d:%s%d:%s%s", len(k.GetTeam()), k.GetTeam(), len(k.GetService()), k.GetService(), k.GetKey())
+	b := make([]byte, 0, 64)
+	b = strconv.AppendInt(b, int64(len(k.GetTeam())), 10)
+	b = append(append(b, ':'), k.GetTeam()...)
+	b = strconv.AppendInt(b, int64(len(k.GetService())), 10)
+	b = append(append(b, ':'), k.GetService()...)
+	return string(append(b, k.GetKey()...))
 }
 
 // Registers returns the members that hold a key's registers: the highest by
--- a/claim/sim_test.go
+++ b/claim/sim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -122,7 +123,9 @@
 	return s
 }
 
-func id(n int) string { return fmt.Sprintf("e%d", n) }
+func id(n int) string { return "e" + strconv.Itoa(n) }
+
+func number(id string) int { return int(id[1] - '0') }
 
 func (s *sim) member(e *simEntry) *wire.RingMember {
 	return &wire.RingMember{Id: id(e.n), FailureDomain: fmt.Sprintf("hall-%d", e.n%3), Incarnation: e.life}
@@ -191,8 +194,7 @@
 			return
 		}
 		for _, m := range missing {
-			var n int
-			fmt.Sscanf(m.Id, "e%d", &n)
+			n := number(m.Id)
 			peer := s.entries[n]
 			q := &wire.ClaimCopyRequest{From: &wire.Incarnation{Id: id(e.n), Number: life}, RingEpoch: e.reg.Epoch()}
 			s.deliver(e.n, n, func() {
@@ -239,8 +241,7 @@
 }
 
 func (s *sim) gone(i *wire.Incarnation) bool {
-	var n int
-	fmt.Sscanf(i.GetId(), "e%d", &n)
+	n := number(i.GetId())
 	return s.entries[n].life != i.GetNumber() || !s.entries[n].up
 }
 
@@ -294,8 +295,7 @@
 	s := r.s
 	holder := r.flow.Holder()
 	for _, m := range a.Targets {
-		var n int
-		fmt.Sscanf(m.Id, "e%d", &n)
+		n := number(m.Id)
 		peer := s.entries[n]
 		s.deliver(r.e.n, n, func() {
 			if !peer.up {
@@ -314,8 +314,7 @@
 
 func (r *simRequest) settle(c *wire.ClaimSettle, targets []*wire.RingMember) {
 	for _, m := range targets {
-		var n int
-		fmt.Sscanf(m.Id, "e%d", &n)
+		n := number(m.Id)
 		peer := r.s.entries[n]
 		r.s.deliver(r.e.n, n, func() {
 			if peer.up {
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -89,7 +89,6 @@
 	}
 	ref := q.entry.refuse(reason, detail)
 	ref.Outcome = wire.Outcome_OUTCOME_UNKNOWN
-	ref.RetryAfterMs = 1000
 	return ref
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -45,6 +45,7 @@
 	r := &wire.Refusal{
 		RequestId: rand.Text(), Reason: reason, Outcome: wire.Outcome_OUTCOME_NOT_RUN,
 		Detail: detail, Entry: e.settings.ID, AtUnixMs: time.Now().UnixMilli(),
+		RetryAfterMs: uint32(refusal.RetryAfter(reason).Milliseconds()),
 	}
 	if v := e.view.Load(); v != nil {
 		r.Revision = v.Revision
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
@@ -143,6 +144,27 @@
 	return strings.ReplaceAll(strings.ToLower(strings.TrimPrefix(s, prefix)), "_", "-")
 }
 
+// retryAfter is when a caller should come back, by reason: those that pass by
+// themselves. A limit's refusal carries its own time.
+var retryAfter = map[wire.Reason]time.Duration{
+	wire.Reason_REASON_RATE_LIMIT:         time.Second,
+	wire.Reason_REASON_TOKEN_LIMIT:        time.Second,
+	wire.Reason_REASON_CONCURRENCY_LIMIT:  time.Second,
+	wire.Reason_REASON_QUEUE_FULL:         time.Second,
+	wire.Reason_REASON_NO_UPSTREAM:        2 * time.Second,
+	wire.Reason_REASON_UPSTREAM_LEAVING:   time.Second,
+	wire.Reason_REASON_CLAIM_HELD:         time.Second,
+	wire.Reason_REASON_CLAIM_LOST:         5 * time.Second,
+	wire.Reason_REASON_CLAIM_FULL:         10 * time.Second,
+	wire.Reason_REASON_CONFIG_UNCONFIRMED: 2 * time.Second,
+	wire.Reason_REASON_DRAINING:           time.Second,
+	wire.Reason_REASON_RETRY_BUDGET:       time.Second,
+}
+
+// RetryAfter is when a caller should come back after a refusal for a reason; 0
+// if coming back doesn't help.
+func RetryAfter(r wire.Reason) time.Duration { return retryAfter[r] }
+
 // Status returns the HTTP status of a reason.
 func Status(r wire.Reason) int {
 	if c, ok := classes[r]; ok {
--- /dev/null
+++ b/refusal/refusal_test.go
@@ -0,0 +1,77 @@
+package refusal
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+func sample() *wire.Refusal {
+	return &wire.Refusal{
+		RequestId: "q1", Reason: wire.Reason_REASON_RATE_LIMIT, Outcome: wire.Outcome_OUTCOME_NOT_RUN,
+		Team: "growers", RowKind: "limit", RowKey: "growers/*", RowVersion: 3, Revision: 41,
+		Observed: []*wire.Observed{{Name: "requests_per_second", Value: 12, Unit: "requests/s"}}, RetryAfterMs: 1200,
+	}
+}
+
+func TestTokenHoldsTheWholeRefusal(t *testing.T) {
+	s := NewSealer([]byte("secret"))
+	got, err := s.Open(s.Seal(sample()))
+	assert.NilError(t, err)
+	assert.Assert(t, proto.Equal(got, sample()))
+}
+
+// A token that is cut anywhere, changed anywhere, or made under another secret
+// is refused, and never read as another refusal.
+func TestForgedTokensAreRefused(t *testing.T) {
+	s := NewSealer([]byte("secret"))
+	token := s.Seal(sample())
+	for n := range token {
+		_, err := s.Open(token[:n])
+		assert.Assert(t, err != nil, "cut at %d", n)
+		changed := []byte(token)
+		changed[n] ^= 1
+		_, err = s.Open(string(changed))
+		assert.Assert(t, err != nil, "changed at %d", n)
+	}
+	_, err := NewSealer([]byte("other")).Open(token)
+	assert.ErrorIs(t, err, ErrForeignToken)
+	_, err = s.Open(string(make([]byte, maxToken+1)))
+	assert.ErrorIs(t, err, ErrMalformedToken)
+}
+
+func TestAnyTextIsOpenedWithoutHarm(t *testing.T) {
+	s := NewSealer([]byte("secret"))
+	rapid.Check(t, func(t *rapid.T) {
+		if _, err := s.Open(rapid.String().Draw(t, "token")); err == nil {
+			t.Fatal("a random token was taken")
+		}
+	})
+}
+
+func TestProblemAnswer(t *testing.T) {
+	s := NewSealer([]byte("secret"))
+	w := httptest.NewRecorder()
+	s.Write(w, sample())
+	assert.Equal(t, w.Code, 429)
+	assert.Equal(t, w.Header().Get("Retry-After"), "2")
+	assert.Equal(t, w.Header().Get("X-Request-Outcome"), "not-run")
+	assert.Equal(t, w.Header().Get("Content-Type"), "application/problem+json")
+}
+
+// Every reason that the protocol knows has a status and a title of its own: one
+// that was forgotten would reach callers as an internal error.
+func TestEveryReasonIsDescribed(t *testing.T) {
+	for n, name := range wire.Reason_name {
+		if n == 0 {
+			continue
+		}
+		_, ok := classes[wire.Reason(n)]
+		assert.Assert(t, ok, name)
+	}
+}
--- /dev/null
+++ b/table/follower_test.go
@@ -0,0 +1,65 @@
+package table
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+var now = time.Unix(1000, 0)
+
+func update(rev uint64, slots string) *wire.TableUpdate {
+	return &wire.TableUpdate{
+		Revision: rev, Cluster: "c",
+		Rows: []*wire.Row{{Kind: KindPool, Key: "lm", Revision: rev, Columns: map[string]string{"slots": slots}}},
+	}
+}
+
+// An entry starts and first reaches a replica that lags. It puts no row in force
+// until it holds what was accepted before its start; later a lagging replica
+// can't take it back.
+func TestRestartNeverBringsAnOldRowBack(t *testing.T) {
+	f := NewFollower()
+	v, err := f.Apply(now, update(3, "3"))
+	assert.NilError(t, err)
+	assert.Assert(t, v == nil, "before the linearizable read nothing is in force")
+	assert.NilError(t, f.SetFloor("c", 7))
+	v, err = f.Apply(now, update(5, "5"))
+	assert.NilError(t, err)
+	assert.Assert(t, v == nil, "revision 7 was accepted before the start")
+	v, err = f.Apply(now, update(8, "8"))
+	assert.NilError(t, err)
+	assert.Equal(t, v.Pools["lm"].Slots, 8)
+	v, err = f.Apply(now, update(5, "5"))
+	assert.NilError(t, err)
+	assert.Assert(t, v == nil)
+	assert.Equal(t, f.Revision(), uint64(8))
+}
+
+// A host of another cluster answers at an address that was ours. Its rows are
+// refused.
+func TestRowsOfAnotherClusterAreRefused(t *testing.T) {
+	f := NewFollower()
+	assert.NilError(t, f.SetFloor("c", 1))
+	u := update(9, "9")
+	u.Cluster = "d"
+	_, err := f.Apply(now, u)
+	assert.ErrorIs(t, err, ErrForeignCluster)
+	assert.ErrorIs(t, f.SetFloor("d", 1), ErrForeignCluster)
+}
+
+func TestConfirmedNeverGoesBack(t *testing.T) {
+	f := NewFollower()
+	assert.NilError(t, f.SetFloor("c", 0))
+	u := update(1, "1")
+	_, err := f.Apply(now, u)
+	assert.NilError(t, err)
+	assert.Equal(t, f.Confirmed(), now)
+	late := &wire.TableUpdate{Revision: 1, Cluster: "c", ConfirmedAgeMs: 5000}
+	_, err = f.Apply(now.Add(time.Second), late)
+	assert.NilError(t, err)
+	assert.Equal(t, f.Confirmed(), now)
+}
--- a/transport/settings.go
+++ b/transport/settings.go
@@ -106,8 +106,12 @@
 }
 
 // NewSecurity makes the security between processes from settings. Plain text
-// with a secret is used only where no TLS is set.
+// with a secret is used only where no TLS is set. The secret is needed in both
+// cases: explanation tokens are signed with it.
 func NewSecurity(secret string, t TLSSettings) (Security, *Certificates, error) {
+	if len(strings.TrimSpace(secret)) < minSecret {
+		return Security{}, nil, merry.Prependf(ErrSettings, "key \"cluster_secret\": at least %d characters are needed", minSecret)
+	}
 	if t.On() {
 		if t.CA == "" {
 			return Security{}, nil, merry.Prepend(ErrSettings, "key \"ca\" is needed between processes")
@@ -120,8 +124,5 @@
 		sec.Server, sec.Client = certs.Mutual()
 		return sec, certs, nil
 	}
-	if len(strings.TrimSpace(secret)) < minSecret {
-		return Security{}, nil, merry.Prependf(ErrSettings, "key \"cluster_secret\": at least %d characters are needed", minSecret)
-	}
 	return Security{Secret: []byte(secret)}, nil, nil
 }
