Serve the table to operators over HTTP, with conflicts and who lags

Cause: rows could only be edited over drpc, and nobody saw where an edit was in force.

Change: package operators (ETag, If-Match, Idempotency-Key, 412 with the row in force, history, members), bearer keys of operators in the settings; entries announce a new revision at once. A directory whose watch stalled beyond a lease kept upstreams gone for ever; their renewals bring them back, and carry the revision.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -53,6 +53,9 @@
 	Expires time.Time
 	// Local says that the instance announced to this process itself.
 	Local bool
+	// before is the announcement of an instance whose lease ran out here. It may
+	// have been heard elsewhere all the time, behind a watch that stalled.
+	before *wire.Announcement
 }
 
 // Up says whether the instance takes new work.
@@ -99,17 +102,27 @@
 	return old == nil || !sameButForLoad(old.Announcement, a), false
 }
 
-// Renew extends the lease of an unchanged instance.
+// Renew extends the lease of an unchanged instance. It returns false if the
+// instance isn't known as the renewal means it.
 func (s *State) Renew(now time.Time, r *wire.Renewal) bool {
 	old := s.instances[r.Id]
-	if old == nil || old.Incarnation != r.Incarnation || old.Seq > r.Seq || old.Phase == wire.Phase_PHASE_GONE {
+	if old == nil || old.Incarnation != r.Incarnation || old.Seq > r.Seq {
 		return false
 	}
+	if old.Phase == wire.Phase_PHASE_GONE {
+		if old.before == nil || old.Seq == r.Seq {
+			return false
+		}
+		old = &Instance{Announcement: old.before, Heard: old.Heard, Local: old.Local}
+	}
 	heard := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
-	if heard.Before(old.Heard) {
+	if heard.Before(old.Heard) && old.Phase != wire.Phase_PHASE_GONE && s.instances[r.Id] == old {
 		return true
 	}
 	next := *old
+	next.Announcement = proto.Clone(old.Announcement).(*wire.Announcement)
+	next.Seq = r.Seq
+	next.Revision = r.Revision
 	next.Heard = heard
 	next.Expires = heard.Add(s.lease(old.Announcement))
 	s.instances[r.Id] = &next
@@ -169,7 +182,7 @@
 func (s *State) gone(inst *Instance, now time.Time) *Instance {
 	a := proto.Clone(inst.Announcement).(*wire.Announcement)
 	a.Phase = wire.Phase_PHASE_GONE
-	return &Instance{Announcement: a, Heard: now, Expires: now, Local: inst.Local}
+	return &Instance{Announcement: a, Heard: now, Expires: now, Local: inst.Local, before: inst.Announcement}
 }
 
 // Get returns an instance, or nil.
--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,85 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func unsettled() Settings {
+	s := DefaultSettings()
+	s.SettleTime = 0
+	return s
+}
+
+func up(id string, incarnation, seq uint64) *wire.Announcement {
+	return &wire.Announcement{Id: id, Incarnation: incarnation, Seq: seq, Role: wire.Role_ROLE_UPSTREAM, Phase: wire.Phase_PHASE_UP}
+}
+
+func leaving(id string, incarnation, seq uint64) *wire.Announcement {
+	a := up(id, incarnation, seq)
+	a.Phase = wire.Phase_PHASE_LEAVING
+	return a
+}
+
+// An upstream leaves and starts again. Messages of its earlier life, and earlier
+// messages of the same life, arrive late: they change nothing.
+func TestLateMessagesChangeNothing(t *testing.T) {
+	s := New(unsettled(), epoch, 0)
+	s.Announce(epoch, up("u", 1, 1), 0, true)
+	s.Announce(epoch, leaving("u", 1, 3), 0, true)
+	changed, _ := s.Announce(epoch, up("u", 1, 2), 0, true)
+	assert.Assert(t, !changed)
+	assert.Equal(t, s.Get("u").Phase, wire.Phase_PHASE_LEAVING)
+	s.Announce(epoch, up("u", 2, 1), 0, true)
+	assert.Assert(t, s.Get("u").Up())
+	_, superseded := s.Announce(epoch, leaving("u", 1, 9), 0, true)
+	assert.Assert(t, superseded)
+	assert.Assert(t, s.Get("u").Up())
+	assert.Assert(t, !s.Renew(epoch, &wire.Renewal{Id: "u", Incarnation: 1, Seq: 99}))
+}
+
+// A watch stalls for longer than the lease and goes on. The upstreams that were
+// heard elsewhere all the time are up again with the first renewal.
+func TestStalledWatchBringsInstancesBack(t *testing.T) {
+	s := New(unsettled(), epoch, 0)
+	s.Announce(epoch, up("u", 1, 1), 0, false)
+	later := epoch.Add(10 * time.Second)
+	assert.Equal(t, len(s.Tick(later)), 1)
+	assert.Equal(t, len(s.Instances(wire.Role_ROLE_UPSTREAM)), 0)
+	assert.Assert(t, !s.Renew(later, &wire.Renewal{Id: "u", Incarnation: 1, Seq: 1}), "nothing new was heard")
+	assert.Assert(t, s.Renew(later, &wire.Renewal{Id: "u", Incarnation: 1, Seq: 20, AgeMs: 100}))
+	assert.Assert(t, s.Get("u").Up())
+	assert.Equal(t, len(s.Tick(later.Add(time.Second))), 0)
+}
+
+// A process starts while all upstreams are up but have not announced to it yet.
+// It declares none gone before enough are back, or the settling time has passed.
+func TestSettlingDeclaresNothingGone(t *testing.T) {
+	set := DefaultSettings()
+	s := New(set, epoch, 10)
+	s.Announce(epoch, up("a", 1, 1), 0, false)
+	assert.Equal(t, len(s.Tick(epoch.Add(set.SettleTime-1))), 0)
+	assert.Equal(t, len(s.Tick(epoch.Add(set.SettleTime))), 1)
+	s = New(set, epoch, 10)
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
+		s.Announce(epoch, up(id, 1, 1), 0, false)
+	}
+	assert.Assert(t, s.Settled(epoch), "nine of ten are back")
+}
+
+func TestTombstonesAreForgottenInTime(t *testing.T) {
+	set := unsettled()
+	s := New(set, epoch, 0)
+	s.Announce(epoch, up("u", 5, 1), 0, true)
+	s.Tick(epoch.Add(time.Minute))
+	_, superseded := s.Announce(epoch.Add(2*time.Minute), up("u", 4, 1), 0, true)
+	assert.Assert(t, superseded)
+	s.Tick(epoch.Add(time.Minute + set.Tombstone + time.Second))
+	assert.Assert(t, s.Get("u") == nil)
+}
--- a/directory/node.go
+++ b/directory/node.go
@@ -146,7 +146,7 @@
 		sent[inst.Id] = inst
 		age := uint32(max(now.Sub(inst.Heard), 0).Milliseconds())
 		if old != nil && old.Incarnation == inst.Incarnation && sameButForLoad(old.Announcement, inst.Announcement) {
-			u.Renewals = append(u.Renewals, &wire.Renewal{Id: inst.Id, Incarnation: inst.Incarnation, Seq: inst.Seq, AgeMs: age})
+			u.Renewals = append(u.Renewals, &wire.Renewal{Id: inst.Id, Incarnation: inst.Incarnation, Seq: inst.Seq, AgeMs: age, Revision: inst.Revision})
 			continue
 		}
 		u.Entries = append(u.Entries, &wire.DirectoryEntry{Announcement: inst.Announcement, AgeMs: age})
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -22,6 +22,7 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-e.announceNow:
 		case <-tick.C:
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/forward"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/operators"
 	"github.com/snipereach/snipereach/refusal"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/table"
@@ -62,7 +63,10 @@
 	claims    *claim.Node
 	control   *control.Control
 	client    *control.Client
+	ops       *operators.Handler
 	confirmed atomic.Int64
+	// announceNow is sent to when others should hear of a change at once.
+	announceNow chan struct{}
 }
 
 // New makes an entry from checked settings.
@@ -82,6 +86,7 @@
 		metrics:     metrics.NewRegistry(),
 		incarnation: uint64(time.Now().UnixNano()),
 		started:     time.Now(),
+		announceNow: make(chan struct{}, 1),
 		runner: admit.NewRunner(admit.Settings{
 			Slots: s.Slots, Reserved: s.Slots * s.UrgentPercent / 100, MaxQueue: s.MaxQueue,
 		}, time.Now),
@@ -104,6 +109,9 @@
 	e.dumps.Add("entry", e.dump)
 	e.dumps.Add("directory", e.node.Dump)
 	e.client = control.NewClient(e.pool, s.replicas(), s.ID)
+	if e.ops, err = operators.New(s.Operator, e.client, e.entryStates, l); err != nil {
+		return nil, err
+	}
 	if err := e.newControl(l); err != nil {
 		return nil, err
 	}
@@ -150,6 +158,10 @@
 		}
 	}
 	e.refresh()
+	select {
+	case e.announceNow <- struct{}{}:
+	default:
+	}
 }
 
 // refresh hands the upstreams that are up to the balancers of their pools.
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -6,6 +6,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/operators"
 	"github.com/snipereach/snipereach/refusal"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -27,9 +28,21 @@
 	r.Handle("/debug/state", &e.dumps).Methods(http.MethodGet)
 	r.Handle("/metrics", kernel.MetricsHandler(e.metrics)).Methods(http.MethodGet)
 	r.HandleFunc("/healthz", e.serveHealth).Methods(http.MethodGet)
+	e.ops.Register(r)
 	return r
 }
 
+// entryStates lists the entries that are up, with the revision in force at each.
+func (e *Entry) entryStates() []operators.EntryState {
+	var list []operators.EntryState
+	for _, i := range e.node.Instances(wire.Role_ROLE_ENTRY) {
+		if i.Up() {
+			list = append(list, operators.EntryState{ID: i.Id, Revision: i.Revision})
+		}
+	}
+	return list
+}
+
 // listedEntry is one entry as callers see it.
 type listedEntry struct {
 	ID            string `json:"id"`
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/operators"
 	"github.com/snipereach/snipereach/transport"
 )
 
@@ -23,6 +24,8 @@
 	CallersAdvertise string `toml:"callers_advertise"`
 	// Operators is the HTTP address for operators; empty is off.
 	Operators string `toml:"operators_listen"`
+	// Operator lists who may edit the table there.
+	Operator []operators.Operator `toml:"operator"`
 	// Internal is the drpc address.
 	Internal          string `toml:"internal_listen"`
 	InternalAdvertise string `toml:"internal_advertise"`
--- /dev/null
+++ b/operators/operators.go
@@ -0,0 +1,511 @@
+// Package operators is what operators reach over HTTP: the table, its history,
+// the members of the log, and one page to edit rows.
+package operators
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	_ "embed"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-kit/log"
+	"github.com/gorilla/mux"
+
+	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/table"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// ErrSettings is returned for operators that can't be told apart.
+var ErrSettings = merry.Sentinel("operator settings are invalid")
+
+// Times and bounds of the interface.
+const (
+	callTimeout = 10 * time.Second
+	// forceWait is how long an edit's answer waits for the entries.
+	forceWait = 3 * time.Second
+	forcePoll = 50 * time.Millisecond
+	maxBody   = 4 << 20
+	// maxApply is how many rows one request may edit.
+	maxApply = 5000
+)
+
+// Operator is one person or program that may edit.
+type Operator struct {
+	Name string `toml:"name"`
+	// KeySHA256 is the digest of the operator's bearer key, in hex.
+	KeySHA256 string `toml:"key_sha256"`
+}
+
+// EntryState is what an edit's answer needs to know of an entry.
+type EntryState struct {
+	ID       string
+	Revision uint64
+}
+
+// Handler serves operators.
+type Handler struct {
+	client  *control.Client
+	entries func() []EntryState
+	keys    map[[sha256.Size]byte]string
+	log     log.Logger
+}
+
+// New makes a handler. entries lists the entries that are up, with the revision
+// that each has in force.
+func New(ops []Operator, client *control.Client, entries func() []EntryState, l log.Logger) (*Handler, error) {
+	h := &Handler{client: client, entries: entries, keys: map[[sha256.Size]byte]string{}, log: kernel.PartLog(l, "operators")}
+	for _, o := range ops {
+		raw, err := hex.DecodeString(o.KeySHA256)
+		if err != nil || len(raw) != sha256.Size || o.Name == "" {
+			return nil, merry.Prependf(ErrSettings, "operator %q: a name and a SHA-256 digest in hex are needed", o.Name)
+		}
+		digest := [sha256.Size]byte(raw)
+		if other, ok := h.keys[digest]; ok {
+			return nil, merry.Prependf(ErrSettings, "operators %q and %q have the same key", other, o.Name)
+		}
+		h.keys[digest] = o.Name
+	}
+	return h, nil
+}
+
+//go:embed table.html
+var page []byte
+
+// Register adds the routes.
+func (h *Handler) Register(r *mux.Router) {
+	r.HandleFunc("/", h.servePage).Methods(http.MethodGet)
+	r.HandleFunc("/v1/schema", h.with(h.schema)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/table", h.with(h.list)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/table", h.with(h.apply)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/table/{kind}", h.with(h.list)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/table/{kind}/{key:.+}", h.with(h.get)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/table/{kind}/{key:.+}", h.with(h.put)).Methods(http.MethodPut, http.MethodDelete)
+	r.HandleFunc("/v1/history/{kind}/{key:.+}", h.with(h.history)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/force/{revision:[0-9]+}", h.with(h.inForce)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/members", h.with(h.members)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/members/{id:.+}", h.with(h.removeMember)).Methods(http.MethodDelete)
+}
+
+// call is one authenticated request.
+type call struct {
+	w        http.ResponseWriter
+	r        *http.Request
+	operator string
+}
+
+// problem is an RFC 9457 answer.
+type problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+	Row    string `json:"row,omitempty"`
+	Column string `json:"column,omitempty"`
+	// InForce are the rows that an edit conflicted with.
+	InForce []Row `json:"in_force,omitempty"`
+}
+
+func (c *call) problem(status int, title, detail string) {
+	c.writeProblem(&problem{Type: "about:blank", Title: title, Status: status, Detail: detail})
+}
+
+func (c *call) writeProblem(p *problem) {
+	c.w.Header().Set("Content-Type", "application/problem+json")
+	c.w.WriteHeader(p.Status)
+	_ = json.NewEncoder(c.w).Encode(p)
+}
+
+// with checks who calls and bounds the call.
+func (h *Handler) with(f func(*call)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c := &call{w: w, r: r}
+		c.operator = h.operator(r)
+		if c.operator == "" {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			c.problem(http.StatusUnauthorized, "Operators identify themselves.", "header Authorization: Bearer KEY is needed")
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		defer cancel()
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		c.r = r.WithContext(ctx)
+		f(c)
+	}
+}
+
+// operator returns the caller's name, or "". The digest is looked up, and then
+// compared in constant time.
+func (h *Handler) operator(r *http.Request) string {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	digest := sha256.Sum256([]byte(key))
+	for known, name := range h.keys {
+		if subtle.ConstantTimeCompare(known[:], digest[:]) == 1 {
+			return name
+		}
+	}
+	return ""
+}
+
+func (h *Handler) servePage(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/html; charset=utf-8")
+	w.Header().Set("Content-Security-Policy", "default-src 'self'; style-src 'unsafe-inline'; script-src 'unsafe-inline'")
+	_, _ = w.Write(page)
+}
+
+// Row is a row as operators see it.
+type Row struct {
+	Kind      string            `json:"kind"`
+	Key       string            `json:"key"`
+	Columns   map[string]string `json:"columns"`
+	Version   uint64            `json:"version"`
+	Revision  uint64            `json:"revision"`
+	ChangedBy string            `json:"changed_by,omitempty"`
+	ChangedAt string            `json:"changed_at,omitempty"`
+	Deleted   bool              `json:"deleted,omitempty"`
+}
+
+func rowOf(r *wire.Row) Row {
+	row := Row{
+		Kind: r.Kind, Key: r.Key, Columns: r.Columns, Version: r.Version,
+		Revision: r.Revision, ChangedBy: r.ChangedBy, Deleted: r.Deleted,
+	}
+	if r.ChangedAtMs != 0 {
+		row.ChangedAt = time.UnixMilli(r.ChangedAtMs).UTC().Format(time.RFC3339Nano)
+	}
+	return row
+}
+
+func rowsOf(list []*wire.Row) []Row {
+	rows := make([]Row, 0, len(list))
+	for _, r := range list {
+		rows = append(rows, rowOf(r))
+	}
+	return rows
+}
+
+// Rows is a list of rows at one revision.
+type Rows struct {
+	Revision uint64 `json:"revision"`
+	Rows     []Row  `json:"rows"`
+}
+
+// Force says on how many entries a revision is in force, and which lag.
+type Force struct {
+	Revision uint64   `json:"revision"`
+	InForce  int      `json:"in_force"`
+	Entries  int      `json:"entries"`
+	Lagging  []string `json:"lagging,omitempty"`
+}
+
+// Edited is the answer to an accepted edit.
+type Edited struct {
+	Rows     []Row `json:"rows"`
+	Replayed bool  `json:"replayed,omitempty"`
+	Force    Force `json:"force"`
+}
+
+type column struct {
+	Name    string `json:"name"`
+	Default string `json:"default,omitempty"`
+	Unit    string `json:"unit,omitempty"`
+	Doc     string `json:"doc"`
+}
+
+func (h *Handler) schema(c *call) {
+	kinds := map[string][]column{}
+	for kind, cols := range table.Schema {
+		for _, col := range cols {
+			kinds[kind] = append(kinds[kind], column{col.Name, col.Default, col.Unit, col.Doc})
+		}
+	}
+	kernel.WriteJSON(c.w, http.StatusOK, kinds)
+}
+
+func (h *Handler) read(c *call, kind, key string) (*wire.ReadReply, bool) {
+	if kind != "" && table.Schema[kind] == nil {
+		c.problem(http.StatusNotFound, "No such kind of rows.", "known kinds: "+strings.Join(table.Kinds(), ", "))
+		return nil, false
+	}
+	reply, err := h.client.Read(c.r.Context(), &wire.ReadRequest{Kind: kind, Key: key, Linearizable: true})
+	if err != nil {
+		c.problem(http.StatusServiceUnavailable, "The table can't be read now.", err.Error())
+		return nil, false
+	}
+	return reply, true
+}
+
+func (h *Handler) list(c *call) {
+	reply, ok := h.read(c, mux.Vars(c.r)["kind"], "")
+	if !ok {
+		return
+	}
+	if strings.Contains(c.r.Header.Get("Accept"), "text/tab-separated-values") {
+		c.w.Header().Set("Content-Type", "text/tab-separated-values")
+		_ = table.WriteTSV(c.w, reply.Rows)
+		return
+	}
+	kernel.WriteJSON(c.w, http.StatusOK, Rows{reply.Revision, rowsOf(reply.Rows)})
+}
+
+func etag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
+
+func (h *Handler) get(c *call) {
+	v := mux.Vars(c.r)
+	reply, ok := h.read(c, v["kind"], v["key"])
+	if !ok {
+		return
+	}
+	if len(reply.Rows) == 0 {
+		c.problem(http.StatusNotFound, "No such row.", v["kind"]+" "+v["key"])
+		return
+	}
+	c.w.Header().Set("ETag", etag(reply.Rows[0].Version))
+	kernel.WriteJSON(c.w, http.StatusOK, rowOf(reply.Rows[0]))
+}
+
+// base reads the version that an edit is based on.
+func base(r *http.Request) (uint64, error) {
+	if r.Header.Get("If-None-Match") == "*" {
+		return 0, nil
+	}
+	match := r.Header.Get("If-Match")
+	if match == "" {
+		return 0, errors.New("header If-Match with the row's ETag is needed, or If-None-Match: * for a new row")
+	}
+	n, err := strconv.ParseUint(strings.Trim(match, `"`), 10, 64)
+	if err != nil {
+		return 0, errors.New("header If-Match: not an ETag of this table")
+	}
+	return n, nil
+}
+
+func (h *Handler) put(c *call) {
+	v := mux.Vars(c.r)
+	version, err := base(c.r)
+	if err != nil {
+		c.problem(http.StatusPreconditionRequired, "An edit says what it is based on.", err.Error())
+		return
+	}
+	row := &wire.RowEdit{Kind: v["kind"], Key: v["key"], BaseVersion: version, Delete: c.r.Method == http.MethodDelete}
+	if !row.Delete {
+		var body struct {
+			Columns map[string]string `json:"columns"`
+		}
+		if !c.decode(&body) {
+			return
+		}
+		row.Columns = body.Columns
+	}
+	h.edit(c, []*wire.RowEdit{row})
+}
+
+func (c *call) decode(v any) bool {
+	dec := json.NewDecoder(c.r.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		c.problem(http.StatusBadRequest, "The body is not what is expected.", err.Error())
+		return false
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		c.problem(http.StatusBadRequest, "The body is not what is expected.", "more follows the JSON value")
+		return false
+	}
+	return true
+}
+
+// RowEdit is one row of an edit of several rows.
+type RowEdit struct {
+	Kind        string            `json:"kind"`
+	Key         string            `json:"key"`
+	Columns     map[string]string `json:"columns,omitempty"`
+	BaseVersion uint64            `json:"base_version"`
+	Delete      bool              `json:"delete,omitempty"`
+}
+
+func (h *Handler) apply(c *call) {
+	var body struct {
+		Rows []RowEdit `json:"rows"`
+	}
+	if !c.decode(&body) {
+		return
+	}
+	if len(body.Rows) == 0 || len(body.Rows) > maxApply {
+		c.problem(http.StatusBadRequest, "The edit has no rows, or too many.", "1 to "+strconv.Itoa(maxApply)+" rows")
+		return
+	}
+	rows := make([]*wire.RowEdit, 0, len(body.Rows))
+	for _, r := range body.Rows {
+		rows = append(rows, &wire.RowEdit{Kind: r.Kind, Key: r.Key, Columns: r.Columns, BaseVersion: r.BaseVersion, Delete: r.Delete})
+	}
+	h.edit(c, rows)
+}
+
+func (h *Handler) edit(c *call, rows []*wire.RowEdit) {
+	id := c.r.Header.Get("Idempotency-Key")
+	if id == "" {
+		id = rand.Text()
+	}
+	reply, err := h.client.Edit(c.r.Context(), &wire.TableEdit{EditId: id, By: c.operator, Rows: rows})
+	if err != nil {
+		c.w.Header().Set("Retry-After", "1")
+		c.problem(http.StatusServiceUnavailable, "The edit is not decided. Send it again with the same Idempotency-Key.", err.Error())
+		return
+	}
+	h.answerEdit(c, id, reply)
+}
+
+func (h *Handler) answerEdit(c *call, id string, reply *wire.EditReply) {
+	switch reply.Status {
+	case wire.EditStatus_EDIT_STATUS_ACCEPTED:
+		if !reply.Replayed {
+			kernel.Info(h.log, "Accepted an edit.", "by", c.operator, "edit", id, "revision", reply.Revision, "rows", len(reply.Rows), "first", reply.Rows[0].Kind+" "+reply.Rows[0].Key)
+		}
+		if len(reply.Rows) == 1 {
+			c.w.Header().Set("ETag", etag(reply.Rows[0].Version))
+		}
+		kernel.WriteJSON(c.w, http.StatusOK, Edited{
+			Rows: rowsOf(reply.Rows), Replayed: reply.Replayed, Force: h.waitForce(c.r.Context(), reply.Revision),
+		})
+	case wire.EditStatus_EDIT_STATUS_CONFLICT:
+		c.writeProblem(&problem{
+			Type: "urn:snipereach:edit:conflict", Title: "The row was changed by another edit.",
+			Status: http.StatusPreconditionFailed, Detail: reply.Detail, Row: reply.Row, InForce: rowsOf(reply.Rows),
+		})
+	default:
+		c.writeProblem(&problem{
+			Type: "urn:snipereach:edit:invalid", Title: "The edit is not valid.",
+			Status: http.StatusUnprocessableEntity, Detail: reply.Detail, Row: reply.Row, Column: reply.Column,
+		})
+	}
+}
+
+// waitForce waits until every entry that is up has a revision in force, but not
+// for long: an entry that lags is named in the answer.
+func (h *Handler) waitForce(ctx context.Context, revision uint64) Force {
+	end := time.Now().Add(forceWait)
+	for {
+		f := h.force(revision)
+		if f.InForce == f.Entries || time.Now().After(end) {
+			return f
+		}
+		select {
+		case <-ctx.Done():
+			return f
+		case <-time.After(forcePoll):
+		}
+	}
+}
+
+func (h *Handler) force(revision uint64) Force {
+	f := Force{Revision: revision}
+	for _, e := range h.entries() {
+		f.Entries++
+		if e.Revision >= revision {
+			f.InForce++
+			continue
+		}
+		f.Lagging = append(f.Lagging, e.ID)
+	}
+	return f
+}
+
+func (h *Handler) inForce(c *call) {
+	revision, err := strconv.ParseUint(mux.Vars(c.r)["revision"], 10, 64)
+	if err != nil {
+		c.problem(http.StatusBadRequest, "Not a revision.", err.Error())
+		return
+	}
+	kernel.WriteJSON(c.w, http.StatusOK, h.force(revision))
+}
+
+func (h *Handler) history(c *call) {
+	v := mux.Vars(c.r)
+	req := &wire.HistoryRequest{Kind: v["kind"], Key: v["key"]}
+	if at := c.r.URL.Query().Get("at_revision"); at != "" {
+		n, err := strconv.ParseUint(at, 10, 64)
+		if err != nil {
+			c.problem(http.StatusBadRequest, "Not a revision.", err.Error())
+			return
+		}
+		req.AtRevision = n
+	}
+	var reply *wire.HistoryReply
+	err := h.client.Call(c.r.Context(), func(ctx context.Context, cc wire.DRPCControlClient) (err error) {
+		reply, err = cc.History(ctx, req)
+		return err
+	})
+	if err != nil {
+		c.problem(http.StatusServiceUnavailable, "The history can't be read now.", err.Error())
+		return
+	}
+	kernel.WriteJSON(c.w, http.StatusOK, Rows{Rows: rowsOf(reply.Rows)})
+}
+
+// Member is a control replica as operators see it.
+type Member struct {
+	ID            string `json:"id"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	Role          string `json:"role"`
+	CaughtUp      bool   `json:"caught_up"`
+	Index         uint64 `json:"index"`
+}
+
+// Members is the state of the replicated log.
+type Members struct {
+	Health  string   `json:"health"`
+	Members []Member `json:"members"`
+}
+
+func (h *Handler) members(c *call) {
+	h.askMembers(c, &wire.MembersRequest{Verb: control.VerbList})
+}
+
+func (h *Handler) removeMember(c *call) {
+	id := mux.Vars(c.r)["id"]
+	kernel.Info(h.log, "Asked to remove a member.", "by", c.operator, "member", id)
+	h.askMembers(c, &wire.MembersRequest{Verb: control.VerbRemove, Member: &wire.Member{Id: id}})
+}
+
+func (h *Handler) askMembers(c *call, req *wire.MembersRequest) {
+	var reply *wire.MembersReply
+	err := h.client.Call(c.r.Context(), func(ctx context.Context, cc wire.DRPCControlClient) (err error) {
+		reply, err = cc.Members(ctx, req)
+		return err
+	})
+	if err != nil {
+		c.problem(http.StatusServiceUnavailable, "No leader answers. The log may have no quorum.", err.Error())
+		return
+	}
+	if reply.Refused {
+		c.problem(http.StatusConflict, "The order is refused.", reply.Detail)
+		return
+	}
+	out := Members{Health: reply.Health, Members: []Member{}}
+	for _, m := range reply.Members {
+		role := "voter"
+		switch {
+		case m.Leader:
+			role = "leader"
+		case m.Learner:
+			role = "learner"
+		}
+		out.Members = append(out.Members, Member{m.Id, m.Address, m.FailureDomain, role, m.CaughtUp, m.MatchIndex})
+	}
+	kernel.WriteJSON(c.w, http.StatusOK, out)
+}
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -23,6 +23,7 @@
 	"github.com/snipereach/snipereach/entry"
 	"github.com/snipereach/snipereach/fake"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/operators"
 	"github.com/snipereach/snipereach/table"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
@@ -34,6 +35,9 @@
 // TeamKey is the bearer key of the team that the quickstart makes.
 const TeamKey = "quickstart-key"
 
+// OperatorKey is the bearer key of the operator that the quickstart makes.
+const OperatorKey = "quickstart-operator"
+
 const secret = "quickstart cluster secret"
 
 // Options of a quickstart.
@@ -161,6 +165,8 @@
 	set.FailureDomain = domains[i]
 	set.ClusterSecret = secret
 	set.Operators = "127.0.0.1:0"
+	digest := sha256.Sum256([]byte(OperatorKey))
+	set.Operator = []operators.Operator{{Name: "quickstart", KeySHA256: hex.EncodeToString(digest[:])}}
 	set.InternalListener = lis
 	ctl := control.DefaultSettings()
 	ctl.DataDir = filepath.Join(s.dir, set.ID)
