Add the operators' command line

Change: snipereachctl with table get, set, delete, history, apply (plan shown first), export; status, remove, explain, dump; output as table, JSON or TSV.

--- /dev/null
+++ b/cmd/snipereachctl/main.go
@@ -0,0 +1,10 @@
+// Command snipereachctl is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"github.com/snipereach/snipereach/ctl"
+)
+
+func main() { os.Exit(ctl.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/ctl/commands.go
@@ -0,0 +1,392 @@
+package ctl
+
+import (
+	"bufio"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/snipereach/snipereach/operators"
+	"github.com/snipereach/snipereach/table"
+	"github.com/snipereach/snipereach/wire"
+)
+
+func (a *app) addCommands(p *flags.Parser) error {
+	t, err := p.AddCommand("table", "read and edit the table", "Rows of the kinds "+strings.Join(table.Kinds(), ", ")+".", &struct{}{})
+	if err != nil {
+		return err
+	}
+	for _, c := range []struct {
+		parent      *flags.Command
+		name, short string
+		data        any
+	}{
+		{t, "get", "show rows", &tableGet{app: a}},
+		{t, "set", "change columns of one row, or make it", &tableSet{app: a}},
+		{t, "delete", "delete one row", &tableDelete{app: a}},
+		{t, "history", "show the versions of one row", &tableHistory{app: a}},
+		{t, "apply", "make the rows of a TSV file those in force", &tableApply{app: a}},
+		{t, "export", "write all rows as TSV", &tableExport{app: a}},
+		{p.Command, "status", "show the control replicas and the entries' state", &status{app: a}},
+		{p.Command, "members", "show the control replicas", &status{app: a}},
+		{p.Command, "remove", "remove a control replica from the log", &remove{app: a}},
+		{p.Command, "explain", "explain a refusal from its token", &explain{app: a}},
+		{p.Command, "dump", "show a process's state", &dump{app: a}},
+	} {
+		if _, err := c.parent.AddCommand(c.name, c.short, "", c.data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func rowPath(root, kind, key string) string {
+	parts := strings.Split(key, "/")
+	for i := range parts {
+		parts[i] = url.PathEscape(parts[i])
+	}
+	return root + "/" + url.PathEscape(kind) + "/" + strings.Join(parts, "/")
+}
+
+// rowArgs name one row.
+type rowArgs struct {
+	Kind string `positional-arg-name:"KIND" required:"yes"`
+	Key  string `positional-arg-name:"KEY" required:"yes"`
+}
+
+type tableGet struct {
+	*app `no-flag:"yes"`
+	Args struct {
+		Kind string `positional-arg-name:"KIND"`
+		Key  string `positional-arg-name:"KEY"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *tableGet) Execute([]string) error {
+	if c.Args.Key != "" {
+		var r operators.Row
+		if err := c.get(rowPath("/v1/table", c.Args.Kind, c.Args.Key), &r); err != nil {
+			return err
+		}
+		return c.show(r, rowSheet([]operators.Row{r}))
+	}
+	rows, err := c.rows(c.Args.Kind)
+	if err != nil {
+		return err
+	}
+	return c.show(rows, rowSheet(rows.Rows))
+}
+
+func (a *app) rows(kind string) (*operators.Rows, error) {
+	path := "/v1/table"
+	if kind != "" {
+		path += "/" + url.PathEscape(kind)
+	}
+	var rows operators.Rows
+	return &rows, a.get(path, &rows)
+}
+
+// current returns the row in force, or nil.
+func (a *app) current(kind, key string) (*operators.Row, error) {
+	rows, err := a.rows(kind)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range rows.Rows {
+		if r.Key == key {
+			return &r, nil
+		}
+	}
+	return nil, nil
+}
+
+type editOptions struct {
+	Version *uint64 `long:"version" description:"version the edit is based on; the one in force if not given"`
+	EditID  string  `long:"edit-id" description:"give the same ID again when an answer was lost: the edit is made once"`
+}
+
+func (o *editOptions) header(version uint64) map[string]string {
+	if o.Version != nil {
+		version = *o.Version
+	}
+	if o.EditID == "" {
+		o.EditID = rand.Text()
+	}
+	h := map[string]string{"Idempotency-Key": o.EditID, "If-Match": strconv.Quote(strconv.FormatUint(version, 10))}
+	if version == 0 {
+		delete(h, "If-Match")
+		h["If-None-Match"] = "*"
+	}
+	return h
+}
+
+// sendEdit makes an edit and tells where it is in force.
+func (a *app) sendEdit(r request) error {
+	text, err := a.call(r)
+	if err != nil {
+		return err
+	}
+	var e operators.Edited
+	if err := json.Unmarshal(text, &e); err != nil {
+		return merry.Prepend(ErrServer, err.Error())
+	}
+	if err := a.show(e, rowSheet(e.Rows)); err != nil {
+		return err
+	}
+	fmt.Fprintln(a.stderr, forceText(e.Force))
+	return nil
+}
+
+type tableSet struct {
+	*app `no-flag:"yes"`
+	editOptions
+	Args struct {
+		Kind  string   `positional-arg-name:"KIND" required:"yes"`
+		Key   string   `positional-arg-name:"KEY" required:"yes"`
+		Cells []string `positional-arg-name:"COLUMN=VALUE" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *tableSet) Execute([]string) error {
+	old, err := c.current(c.Args.Kind, c.Args.Key)
+	if err != nil {
+		return err
+	}
+	columns := map[string]string{}
+	version := uint64(0)
+	if old != nil {
+		version = old.Version
+		for name, value := range old.Columns {
+			columns[name] = value
+		}
+	}
+	for _, cell := range c.Args.Cells {
+		name, value, ok := strings.Cut(cell, "=")
+		if !ok {
+			return merry.Prependf(ErrUsage, "%q is not COLUMN=VALUE", cell)
+		}
+		columns[name] = value
+	}
+	return c.sendEdit(request{
+		method: http.MethodPut, path: rowPath("/v1/table", c.Args.Kind, c.Args.Key),
+		header: c.header(version), body: map[string]any{"columns": columns},
+	})
+}
+
+type tableDelete struct {
+	*app `no-flag:"yes"`
+	editOptions
+	Args rowArgs `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *tableDelete) Execute([]string) error {
+	old, err := c.current(c.Args.Kind, c.Args.Key)
+	if err != nil {
+		return err
+	}
+	if old == nil {
+		return merry.Prependf(ErrRefused, "no row %s %s", c.Args.Kind, c.Args.Key)
+	}
+	return c.sendEdit(request{
+		method: http.MethodDelete, path: rowPath("/v1/table", c.Args.Kind, c.Args.Key), header: c.header(old.Version),
+	})
+}
+
+type tableHistory struct {
+	*app       `no-flag:"yes"`
+	AtRevision uint64  `long:"at-revision" description:"only the version that was in force at a revision"`
+	Args       rowArgs `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *tableHistory) Execute([]string) error {
+	path := rowPath("/v1/history", c.Args.Kind, c.Args.Key)
+	if c.AtRevision != 0 {
+		path += "?at_revision=" + strconv.FormatUint(c.AtRevision, 10)
+	}
+	var rows operators.Rows
+	if err := c.get(path, &rows); err != nil {
+		return err
+	}
+	return c.show(rows, rowSheet(rows.Rows))
+}
+
+type tableExport struct {
+	*app `no-flag:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *tableExport) Execute([]string) error {
+	text, err := c.call(request{
+		method: http.MethodGet, path: "/v1/table", header: map[string]string{"Accept": "text/tab-separated-values"},
+	})
+	if err != nil {
+		return err
+	}
+	_, err = c.stdout.Write(text)
+	return err
+}
+
+type tableApply struct {
+	*app   `no-flag:"yes"`
+	Yes    bool   `long:"yes" description:"don't ask"`
+	Prune  bool   `long:"prune" description:"delete rows in force that the file lacks"`
+	EditID string `long:"edit-id" description:"give the same ID again when an answer was lost: the edit is made once"`
+	Args   struct {
+		File string `positional-arg-name:"FILE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *tableApply) Execute([]string) error {
+	f, err := os.Open(c.Args.File)
+	if err != nil {
+		return merry.Prepend(ErrUsage, err.Error())
+	}
+	defer f.Close()
+	wanted, err := table.ReadTSV(f)
+	if err != nil {
+		return merry.Prependf(ErrUsage, "%s: %v", c.Args.File, err)
+	}
+	inForce, err := c.rows("")
+	if err != nil {
+		return err
+	}
+	edits := plan(wanted, inForce.Rows, c.Prune)
+	if len(edits) == 0 {
+		fmt.Fprintln(c.stderr, "Nothing to change.")
+		return nil
+	}
+	if !c.confirm(edits, inForce.Rows) {
+		return merry.Prepend(ErrRefused, "not confirmed; nothing was changed")
+	}
+	if c.EditID == "" {
+		c.EditID = rand.Text()
+	}
+	return c.sendEdit(request{
+		method: http.MethodPost, path: "/v1/table",
+		header: map[string]string{"Idempotency-Key": c.EditID}, body: map[string]any{"rows": edits},
+	})
+}
+
+// plan lists the edits that lead from the rows in force to those wanted.
+func plan(wanted []*wire.Row, inForce []operators.Row, prune bool) []operators.RowEdit {
+	var edits []operators.RowEdit
+	for _, w := range wanted {
+		i := slices.IndexFunc(inForce, func(r operators.Row) bool { return r.Kind == w.Kind && r.Key == w.Key })
+		e := operators.RowEdit{Kind: w.Kind, Key: w.Key, Columns: w.Columns}
+		if i >= 0 {
+			if cells(inForce[i].Columns) == cells(w.Columns) {
+				continue
+			}
+			e.BaseVersion = inForce[i].Version
+		}
+		edits = append(edits, e)
+	}
+	if !prune {
+		return edits
+	}
+	for _, r := range inForce {
+		kept := slices.ContainsFunc(wanted, func(w *wire.Row) bool { return r.Kind == w.Kind && r.Key == w.Key })
+		if !kept {
+			edits = append(edits, operators.RowEdit{Kind: r.Kind, Key: r.Key, BaseVersion: r.Version, Delete: true})
+		}
+	}
+	return edits
+}
+
+// confirm shows the plan and asks.
+func (c *tableApply) confirm(edits []operators.RowEdit, inForce []operators.Row) bool {
+	for _, e := range edits {
+		i := slices.IndexFunc(inForce, func(r operators.Row) bool { return r.Kind == e.Kind && r.Key == e.Key })
+		switch {
+		case e.Delete:
+			fmt.Fprintf(c.stderr, "- %s %s\n", e.Kind, e.Key)
+		case i < 0:
+			fmt.Fprintf(c.stderr, "+ %s %s  %s\n", e.Kind, e.Key, cells(e.Columns))
+		default:
+			fmt.Fprintf(c.stderr, "~ %s %s  %s  (was %s)\n", e.Kind, e.Key, cells(e.Columns), cells(inForce[i].Columns))
+		}
+	}
+	if c.Yes {
+		return true
+	}
+	fmt.Fprintf(c.stderr, "Apply %d changes? [y/N] ", len(edits))
+	line, _ := bufio.NewReader(c.stdin).ReadString('\n')
+	return strings.EqualFold(strings.TrimSpace(line), "y")
+}
+
+type status struct {
+	*app `no-flag:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *status) Execute([]string) error {
+	var m operators.Members
+	if err := c.get("/v1/members", &m); err != nil {
+		return err
+	}
+	s := sheet{head: []string{"replica", "role", "caught up", "index", "failure domain", "address"}}
+	for _, r := range m.Members {
+		s.rows = append(s.rows, []string{r.ID, r.Role, fmt.Sprint(r.CaughtUp), fmt.Sprint(r.Index), r.FailureDomain, r.Address})
+	}
+	if err := c.show(m, s); err != nil {
+		return err
+	}
+	fmt.Fprintln(c.stderr, "health: "+m.Health)
+	return nil
+}
+
+type remove struct {
+	*app `no-flag:"yes"`
+	Args struct {
+		ID string `positional-arg-name:"REPLICA" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *remove) Execute([]string) error {
+	name, incarnation, _ := strings.Cut(c.Args.ID, "/")
+	_, err := c.call(request{method: http.MethodDelete, path: "/v1/members/" + url.PathEscape(name) + "/" + url.PathEscape(incarnation)})
+	return err
+}
+
+type explain struct {
+	*app `no-flag:"yes"`
+	Args struct {
+		Token string `positional-arg-name:"TOKEN" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *explain) Execute([]string) error {
+	return c.printJSON("/v1/refusals/" + url.PathEscape(c.Args.Token))
+}
+
+type dump struct {
+	*app `no-flag:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *dump) Execute([]string) error { return c.printJSON("/debug/state") }
+
+func (a *app) printJSON(path string) error {
+	text, err := a.call(request{method: http.MethodGet, path: path})
+	if err != nil {
+		return err
+	}
+	_, err = a.stdout.Write(text)
+	return err
+}
--- /dev/null
+++ b/ctl/ctl.go
@@ -0,0 +1,159 @@
+// Package ctl is the operators' command line: it speaks HTTP to an entry's
+// operators' address.
+package ctl
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/snipereach/snipereach/kernel"
+)
+
+// Errors of this layer.
+var (
+	ErrRefused = merry.Sentinel("refused")
+	ErrServer  = merry.Sentinel("server can't be reached")
+	ErrUsage   = merry.Sentinel("usage")
+)
+
+const timeout = 30 * time.Second
+
+// global are the options that every command takes.
+type global struct {
+	Server  string `long:"server" env:"SNIPEREACH_SERVER" default:"http://127.0.0.1:8081" description:"an entry's operators' address" value-name:"URL"`
+	Key     string `long:"key" env:"SNIPEREACH_KEY" description:"operator's bearer key; better given in the environment" value-name:"KEY"`
+	Output  string `long:"output" short:"o" choice:"table" choice:"json" choice:"tsv" default:"table" description:"form of the output"`
+	Version bool   `long:"version" description:"print the version and exit"`
+}
+
+// app carries a command's surroundings.
+type app struct {
+	global
+	stdin          io.Reader
+	stdout, stderr io.Writer
+	http           *http.Client
+}
+
+// Main runs a command and returns the exit code.
+func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	a := &app{stdin: stdin, stdout: stdout, stderr: stderr, http: &http.Client{Timeout: timeout}}
+	p := flags.NewNamedParser("snipereachctl", flags.HelpFlag|flags.PassDoubleDash)
+	p.SubcommandsOptional = true
+	if _, err := p.AddGroup("Options", "", &a.global); err != nil {
+		fmt.Fprintln(stderr, err)
+		return kernel.ExitFailed
+	}
+	if err := a.addCommands(p); err != nil {
+		fmt.Fprintln(stderr, err)
+		return kernel.ExitFailed
+	}
+	_, err := p.ParseArgs(args)
+	var fe *flags.Error
+	switch {
+	case errors.As(err, &fe) && fe.Type == flags.ErrHelp:
+		fmt.Fprintln(stdout, fe.Message)
+		return kernel.ExitOK
+	case errors.As(err, &fe) || errors.Is(err, ErrUsage):
+		fmt.Fprintln(stderr, "snipereachctl:", err)
+		return kernel.ExitSettings
+	case err != nil:
+		fmt.Fprintln(stderr, "snipereachctl:", err)
+		return kernel.ExitFailed
+	case a.Version:
+		fmt.Fprintln(stdout, "snipereachctl", kernel.Version)
+	case p.Active == nil:
+		fmt.Fprintln(stderr, "snipereachctl: a command is needed; see --help")
+		return kernel.ExitSettings
+	}
+	return kernel.ExitOK
+}
+
+// request is one call to the server.
+type request struct {
+	method, path string
+	header       map[string]string
+	body         any
+}
+
+// problem is the part of an RFC 9457 answer that is shown.
+type problem struct {
+	Title   string          `json:"title"`
+	Detail  string          `json:"detail"`
+	Row     string          `json:"row"`
+	Column  string          `json:"column"`
+	InForce json.RawMessage `json:"in_force"`
+}
+
+func (p *problem) text() string {
+	parts := []string{p.Title}
+	if p.Row != "" {
+		parts = append(parts, p.Row)
+	}
+	if p.Column != "" {
+		parts = append(parts, "column "+p.Column)
+	}
+	if p.Detail != "" {
+		parts = append(parts, p.Detail)
+	}
+	if len(p.InForce) > 0 {
+		parts = append(parts, "in force: "+string(p.InForce))
+	}
+	return strings.Join(parts, " ")
+}
+
+// call sends a request and returns the body of a successful answer.
+func (a *app) call(r request) ([]byte, error) {
+	var body io.Reader
+	if r.body != nil {
+		text, err := json.Marshal(r.body)
+		if err != nil {
+			return nil, merry.Prepend(ErrUsage, err.Error())
+		}
+		body = strings.NewReader(string(text))
+	}
+	req, err := http.NewRequest(r.method, strings.TrimSuffix(a.Server, "/")+r.path, body)
+	if err != nil {
+		return nil, merry.Prepend(ErrUsage, err.Error())
+	}
+	req.Header.Set("Authorization", "Bearer "+a.Key)
+	for name, value := range r.header {
+		req.Header.Set(name, value)
+	}
+	resp, err := a.http.Do(req)
+	if err != nil {
+		return nil, merry.Prepend(ErrServer, err.Error())
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, merry.Prepend(ErrServer, err.Error())
+	}
+	if resp.StatusCode >= 300 {
+		var p problem
+		if json.Unmarshal(text, &p) != nil {
+			p.Title = resp.Status
+		}
+		return nil, merry.Prepend(ErrRefused, p.text())
+	}
+	return text, nil
+}
+
+// get reads a JSON answer.
+func (a *app) get(path string, v any) error {
+	text, err := a.call(request{method: http.MethodGet, path: path})
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(text, v); err != nil {
+		return merry.Prepend(ErrServer, err.Error())
+	}
+	return nil
+}
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -27,6 +27,7 @@
 	r := mux.NewRouter()
 	r.Handle("/debug/state", &e.dumps).Methods(http.MethodGet)
 	r.Handle("/metrics", kernel.MetricsHandler(e.metrics)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/refusals/{token}", e.serveRefusal).Methods(http.MethodGet)
 	r.HandleFunc("/healthz", e.serveHealth).Methods(http.MethodGet)
 	e.ops.Register(r)
 	return r
