Enforce teams' limits, split between the entries

Cause: limit rows were read and not enforced.

Measured: a team at many times its limit is refused truthfully through three entries, none of what was refused ran, another service is not held up. The sum of the shares is not yet proved under faults.

--- a/admit/limiter.go
+++ b/admit/limiter.go
@@ -94,17 +94,25 @@
 // share is what this entry may use now: its floor, and its grant while that
 // lasts, never more than the row says now.
 func (l *Limiter) share(now time.Time, loc *local) Amounts {
-	a := Floor(loc.limit, l.entries)
+	floor := Floor(loc.limit, l.entries)
+	granted := Amounts{}
 	if now.Before(loc.until) {
-		a = a.add(loc.granted)
+		granted = loc.granted
 	}
 	return Amounts{
-		Requests:   min(a.Requests, loc.limit.Requests),
-		Tokens:     min(a.Tokens, loc.limit.Tokens),
-		Concurrent: min(a.Concurrent, loc.limit.Concurrent),
+		Requests:   part(loc.limit.Requests, floor.Requests, granted.Requests),
+		Tokens:     part(loc.limit.Tokens, floor.Tokens, granted.Tokens),
+		Concurrent: part(loc.limit.Concurrent, floor.Concurrent, granted.Concurrent),
 	}
 }
 
+func part(limit, floor, granted float64) float64 {
+	if math.IsInf(limit, 1) {
+		return limit
+	}
+	return min(floor+granted, limit)
+}
+
 func (loc *local) refill(now time.Time, share Amounts) {
 	loc.requests.setRate(now, share.Requests, max(1, share.Requests*burstTime.Seconds()))
 	loc.tokens.setRate(now, share.Tokens, max(1, share.Tokens*burstTime.Seconds()))
@@ -127,7 +135,7 @@
 		}
 		requests, tokens := loc.asked.rates(now)
 		list[s] = Demand{
-			Wanted:  Amounts{Requests: requests, Tokens: tokens, Concurrent: float64(loc.running) + loc.asked.peak + 1},
+			Wanted:  Amounts{Requests: requests, Tokens: tokens, Concurrent: float64(loc.running) + math.Ceil(requests*meterWindow.Seconds()) + 1},
 			Running: float64(loc.running),
 			Ack:     loc.epoch,
 		}
@@ -151,11 +159,11 @@
 	loc.until = sent.Add(ShareTTL)
 }
 
-// Reset forgets all grants: their epochs are those of a home that is no more.
-func (l *Limiter) Reset() {
+// ResetEpochs is called when another home answers: its epochs begin anew. Grants
+// of the one before are used up to their end, which the new home waits for.
+func (l *Limiter) ResetEpochs() {
 	for _, loc := range l.subjects {
 		loc.epoch = 0
-		loc.until = time.Time{}
 	}
 }
 
@@ -165,7 +173,6 @@
 	requests, tokens float64
 	// rate holds the averages up to the last window.
 	rateRequests, rateTokens float64
-	peak                     float64
 }
 
 const meterWindow = 500 * time.Millisecond
--- a/control/replica.go
+++ b/control/replica.go
@@ -60,6 +60,7 @@
 	lastCare time.Time
 	leads    leaseClock
 	rings    ringClock
+	shares   shareHome
 	// proposedEpoch is the ring epoch that was proposed last, and when.
 	proposedEpoch uint64
 	proposedAt    time.Time
@@ -407,6 +408,7 @@
 // care lets a leader look after the membership.
 func (r *Replica) care() {
 	r.leads.follow(r.node.IsLeader(), time.Now())
+	r.followHome()
 	if !r.node.IsLeader() || time.Since(r.lastCare) < careInterval {
 		return
 	}
--- a/control/service.go
+++ b/control/service.go
@@ -174,11 +174,6 @@
 	return u, err
 }
 
-// Share implements the Control service.
-func (s *service) Share(context.Context, *wire.ShareRequest) (*wire.ShareReply, error) {
-	return nil, merry.Prepend(ErrUnavailable, "limits are not shared yet")
-}
-
 // Acquire implements the Control service.
 func (s *service) Acquire(ctx context.Context, req *wire.LeaseRequest) (*wire.LeaseReply, error) {
 	reply, done, err := passOn(ctx, s, func(ctx context.Context, c wire.DRPCControlClient) (*wire.LeaseReply, error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,6 +64,7 @@
 	control   *control.Control
 	client    *control.Client
 	ops       *operators.Handler
+	limits    *limits
 	confirmed atomic.Int64
 	// announceNow is sent to when others should hear of a change at once.
 	announceNow chan struct{}
@@ -101,6 +102,7 @@
 	e.fwd = forward.New(e.pool, place, time.Now)
 	e.node = directory.NewNode(directory.DefaultSettings(), time.Now, e.refresh)
 	e.watches = newWatches(e)
+	e.limits = newLimits(e)
 	e.claims = claim.NewNode(claim.DefaultRegisterSettings(), e.life(), e.pool.Conn, time.Now)
 	e.dumps.Add("claims", e.claims.Dump)
 	if err := wire.DRPCRegisterClaim(e.srv.Mux, e.claims); err != nil {
@@ -208,6 +210,7 @@
 	}
 	go e.followTable(ctx)
 	go e.claims.Run(ctx)
+	go e.limits.run(ctx)
 	go e.node.Run(ctx)
 	go e.announceLoop(ctx)
 	for _, addr := range e.settings.replicas() {
--- a/entry/request.go
+++ b/entry/request.go
@@ -257,6 +257,11 @@
 // admitted waits for the request's turn and then runs it.
 func (q *request) admitted(prio wire.Priority, deadline time.Time, run func(*forward.Call) *wire.Refusal) *wire.Refusal {
 	e := q.entry
+	done, ref := e.limits.take(q.r.Context(), q, deadline)
+	if ref != nil {
+		return ref
+	}
+	defer done()
 	weight := q.view.Weight(q.team.Name, q.service.Name)
 	release, err := e.runner.Enter(q.r.Context(), &admit.Work{
 		Team: q.team.Name, Weight: weight, Priority: prio,
--- a/quickstart/quickstart_test.go
+++ b/quickstart/quickstart_test.go
@@ -230,3 +230,29 @@
 	}
 	t.Fatal("condition did not come true")
 }
+
+// A team sends far more than its limit through all entries. It is refused with
+// the row that decided, is told when to come back, and nothing of what was
+// refused ran; another team is not held up.
+func TestTeamOverItsLimitIsRefusedTruthfully(t *testing.T) {
+	s := start(t, Options{Rows: Rows() + "limit\tgrowers/clock-core\trequests_per_second=5\n"})
+	refused, served := 0, 0
+	for i := 0; i < 2000 && (i < 60 || served == 0); i++ {
+		time.Sleep(5 * time.Millisecond)
+		key := fmt.Sprintf("n%d", i)
+		r := callEntry(s, i%3, "POST", "/services/clock-core/ping", "{}", map[string]string{fake.HeaderRunKey: key})
+		if r.status == 200 {
+			served++
+			continue
+		}
+		refused++
+		p := problemOf(t, r)
+		assert.Equal(t, p.Reason, "rate-limit")
+		assert.Equal(t, p.Outcome, "not-run")
+		assert.Assert(t, strings.Contains(r.body, `"row":"limit growers/clock-core"`), r.body)
+		assert.Assert(t, r.header.Get("Retry-After") != "")
+		assert.Equal(t, s.Plains[0].Runs()[key], 0)
+	}
+	assert.Assert(t, refused > 0 && served > 0, "%d refused, %d served", refused, served)
+	assert.Equal(t, call(s, "POST", "/v1/chat/completions", modelBody, nil).status, 200)
+}
