Let the control leader plan and roll out expert maps

Change: control/groups.go takes each group's lease, reads its row, gathers the counters that agents relay, runs the planner that the row names and rolls out what it decides. Operators' pins are commands on the log. The fake engine is a rank of a lock-step group. Not tested end to end yet.

--- a/agent/orders.go
+++ b/agent/orders.go
@@ -6,10 +6,12 @@
 	"sync"
 
 	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/fence"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/rollout"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -67,10 +69,25 @@
 		kernel.Warn(a.log, "Refused an order.", "verb", order.Verb, "group", order.Group, "token", order.Token, "highest", highest, "detail", detail)
 		return &wire.OrderReply{Detail: detail, HighestToken: highest}, nil
 	}
-	reply, err := a.up.Give(ctx, order)
+	reply, err := a.passOn(ctx, order)
 	if err != nil {
 		return nil, err
 	}
 	reply.HighestToken = highest
 	return reply, nil
 }
+
+// passOn gives an order to the upstream, or collects its expert counters. The
+// counters start anew with each collection, so they go to the holder of the
+// lease only: a second collector would take half of them away.
+func (a *Agent) passOn(ctx context.Context, order *wire.Order) (*wire.OrderReply, error) {
+	if order.Verb != rollout.VerbCounters {
+		return a.up.Give(ctx, order)
+	}
+	counters, err := a.up.Counters(ctx)
+	if err != nil {
+		return nil, err
+	}
+	body, err := proto.Marshal(counters)
+	return &wire.OrderReply{Accepted: err == nil, Body: body}, err
+}
--- a/control/control.go
+++ b/control/control.go
@@ -43,6 +43,7 @@
 	fs       journal.FS
 
 	entries func() []*wire.RingMember
+	groups  *groupLeader
 
 	mu       sync.Mutex
 	identity *wire.Identity
@@ -60,13 +61,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, fs: fs}, nil
+	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, fs: fs}
+	c.groups = newGroupLeader(s.Groups, kernel.PartLog(l, "groups"), pool)
+	return c, nil
 }
 
 // SetEntries tells where a leader learns which entries are up. It is called
 // before Start; without it there is no ring of claim registers.
 func (c *Control) SetEntries(f func() []*wire.RingMember) { c.entries = f }
 
+// SetUpstreams tells where a leader learns which ranks of groups are up. It is
+// called before Start; without it no group is looked after.
+func (c *Control) SetUpstreams(f func() []*wire.Announcement) { c.groups.upstreams = f }
+
 // Register adds the Raft and Control services to a server.
 func (c *Control) Register(mux drpc.Mux) error {
 	if err := wire.DRPCRegisterRaft(mux, raftService{c}); err != nil {
@@ -146,6 +153,7 @@
 	r.start(ctx)
 	c.replica = r
 	go c.keepJoined(ctx, r)
+	go c.groups.run(ctx, r)
 	return nil
 }
 
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -94,6 +94,7 @@
 	d.dumps.Add("control", d.control.Dump)
 	d.dumps.Add("directory", d.node.Dump)
 	d.control.SetEntries(d.node.RingMembers)
+	d.control.SetUpstreams(UpstreamsOf(d.node))
 	if err := d.control.Register(d.srv.Mux); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/control/groups.go
@@ -0,0 +1,239 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-kit/log"
+
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/rollout"
+	"github.com/snipereach/snipereach/table"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// ErrLease is returned when a group's lease can't be taken.
+var ErrLease = merry.Sentinel("lease of the group can't be taken")
+
+// Intervals of the loop that looks after groups.
+const (
+	groupTick     = 20 * time.Millisecond
+	groupIdleTick = 250 * time.Millisecond
+	// leaseHolder is the prefix of control replicas among holders of leases.
+	leaseHolder  = "control "
+	leaseTimeout = 2 * time.Second
+)
+
+// UpstreamsOf lists the upstreams that a directory knows and that aren't gone.
+func UpstreamsOf(n *directory.Node) func() []*wire.Announcement {
+	return func() []*wire.Announcement {
+		var list []*wire.Announcement
+		for _, i := range n.Instances(wire.Role_ROLE_UPSTREAM) {
+			list = append(list, i.Announcement)
+		}
+		return list
+	}
+}
+
+// groupLeader looks after the expert maps of all groups while its replica leads.
+type groupLeader struct {
+	settings  GroupSettings
+	log       log.Logger
+	pool      *transport.Pool
+	upstreams func() []*wire.Announcement
+
+	// mu guards drivers and what they hold.
+	mu      sync.Mutex
+	drivers map[string]*groupDriver
+}
+
+func newGroupLeader(s GroupSettings, l log.Logger, pool *transport.Pool) *groupLeader {
+	return &groupLeader{settings: s, log: l, pool: pool, drivers: map[string]*groupDriver{}}
+}
+
+// groupsNow is what the log and the table say of groups at one moment.
+type groupsNow struct {
+	leads  bool
+	view   *table.View
+	states map[string]*wire.GroupState
+	tokens map[string]uint64
+}
+
+// run drives the groups until the replica stops.
+func (g *groupLeader) run(ctx context.Context, r *Replica) {
+	if g.upstreams == nil {
+		return
+	}
+	defer g.drop()
+	changed, cancel := r.subscribe()
+	defer cancel()
+	for {
+		wait := groupIdleTick
+		if g.tick(ctx, r) {
+			wait = groupTick
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.done:
+			return
+		case <-changed:
+		case <-time.After(wait):
+		}
+	}
+}
+
+// tick does what is due; it returns whether there is a group to lead.
+func (g *groupLeader) tick(ctx context.Context, r *Replica) bool {
+	n := r.groupsNow(ctx)
+	if !n.leads {
+		g.drop()
+		return false
+	}
+	ranks := ranksOf(g.upstreams())
+	names := map[string]bool{}
+	for name := range n.view.Groups {
+		names[name] = true
+	}
+	// A group whose row is gone may still have a switch in doubt, with ranks
+	// that have stopped for its decision.
+	for name := range n.states {
+		names[name] = true
+	}
+	for name := range names {
+		d := g.driver(ctx, r, name, n)
+		if d == nil {
+			continue
+		}
+		g.mu.Lock()
+		d.tick(ctx, time.Now(), n.view.Groups[name], n.states[name], ranks[name])
+		g.mu.Unlock()
+	}
+	return len(names) > 0
+}
+
+// groupsNow reads the groups' state in the replica's loop.
+func (r *Replica) groupsNow(ctx context.Context) groupsNow {
+	n := groupsNow{states: map[string]*wire.GroupState{}, tokens: map[string]uint64{}}
+	err := r.do(ctx, func() {
+		v, err := r.shareView()
+		if err != nil || !r.node.IsLeader() || r.failed != nil {
+			return
+		}
+		n.leads, n.view = true, v
+		for _, name := range r.machine.groups.Groups() {
+			n.states[name] = r.machine.groups.Get(name)
+			n.tokens[name] = r.machine.fence.Token(name)
+		}
+		for name := range v.Groups {
+			n.tokens[name] = r.machine.fence.Token(name)
+		}
+	})
+	n.leads = n.leads && err == nil
+	return n
+}
+
+// ranksOf sorts the ranks that are up by group. Of two upstreams that claim one
+// rank the first by ID is taken.
+func ranksOf(list []*wire.Announcement) map[string]map[int]*wire.Announcement {
+	groups := map[string]map[int]*wire.Announcement{}
+	for _, a := range list {
+		if a.Group == "" {
+			continue
+		}
+		if groups[a.Group] == nil {
+			groups[a.Group] = map[int]*wire.Announcement{}
+		}
+		if groups[a.Group][int(a.Rank)] == nil {
+			groups[a.Group][int(a.Rank)] = a
+		}
+	}
+	return groups
+}
+
+// driver returns a group's driver under the lease in force, which it takes first
+// if this replica doesn't hold it; nil if it can't.
+func (g *groupLeader) driver(ctx context.Context, r *Replica, name string, n groupsNow) *groupDriver {
+	g.mu.Lock()
+	d := g.drivers[name]
+	g.mu.Unlock()
+	if d != nil && d.token == n.tokens[name] {
+		return d
+	}
+	if d != nil {
+		g.mu.Lock()
+		delete(g.drivers, name)
+		g.mu.Unlock()
+	}
+	token, err := r.takeLease(ctx, name)
+	if err != nil {
+		if !errors.Is(err, ErrUnavailable) {
+			kernel.Warn(g.log, "Group can't be led.", "group", name, "err", err)
+		}
+		return nil
+	}
+	kernel.Info(g.log, "Leads a group.", "group", name, "token", token)
+	d = newGroupDriver(g, r, name, token)
+	g.mu.Lock()
+	g.drivers[name] = d
+	g.mu.Unlock()
+	// Its first tick comes with a state that is read after the grant.
+	return nil
+}
+
+// takeLease gives a group's lease to this replica. It doesn't wait for the lease
+// of another control replica to end: with the new token that one's orders are
+// refused by every agent that has heard of it, and its commands by the log.
+func (r *Replica) takeLease(ctx context.Context, group string) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	holder := leaseHolder + idOf(r.identity)
+	var held *wire.Lease
+	var over bool
+	if err := r.do(ctx, func() {
+		held = r.machine.fence.Get(group)
+		over = held.Token == 0 || r.leads.over(group, time.Now())
+	}); err != nil {
+		return 0, err
+	}
+	if len(held.Holder) > 0 && !isControl(held.Holder) && !over {
+		return 0, merry.Prependf(ErrLease, "%s holds it", held.Holder)
+	}
+	v, err := r.propose(ctx, &wire.Command{Command: &wire.Command_Lease{
+		Lease: &wire.LeaseGrant{Group: group, Holder: holder, Replaces: held.Token},
+	}})
+	if err != nil {
+		return 0, merry.Prepend(ErrUnavailable, err.Error())
+	}
+	l := v.(*wire.Lease)
+	if l.Holder != holder {
+		return 0, merry.Prependf(ErrLease, "%s holds it", l.Holder)
+	}
+	return l.Token, nil
+}
+
+func isControl(holder string) bool {
+	return len(holder) > len(leaseHolder) && holder[:len(leaseHolder)] == leaseHolder
+}
+
+// drop forgets all groups: this replica doesn't lead.
+func (g *groupLeader) drop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	clear(g.drivers)
+}
+
+// proposeGroup puts a group command on the log.
+func (r *Replica) proposeGroup(ctx context.Context, c *wire.GroupCommand) (rollout.Result, error) {
+	c.AtMs = time.Now().UnixMilli()
+	v, err := r.propose(ctx, &wire.Command{Command: &wire.Command_Group{Group: c}})
+	if err != nil {
+		return rollout.Result{}, err
+	}
+	return v.(rollout.Result), nil
+}
--- /dev/null
+++ b/control/groupservice.go
@@ -0,0 +1,107 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sort"
+
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/rollout"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// Verbs of ChangeGroup.
+const (
+	VerbPin   = "pin"
+	VerbUnpin = "unpin"
+	VerbUndo  = "undo"
+)
+
+// Groups implements the Control service.
+func (s *service) Groups(ctx context.Context, req *wire.GroupsRequest) (*wire.GroupsReply, error) {
+	reply, done, err := passOn(ctx, s, func(ctx context.Context, c wire.DRPCControlClient) (*wire.GroupsReply, error) {
+		return c.Groups(ctx, req)
+	})
+	if done || err != nil {
+		return reply, err
+	}
+	return &wire.GroupsReply{Groups: s.groups.views(req.Group)}, nil
+}
+
+func (g *groupLeader) views(only string) []*wire.GroupView {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []*wire.GroupView
+	for name, d := range g.drivers {
+		if only == "" || only == name {
+			list = append(list, d.view())
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Group < list[j].Group })
+	return list
+}
+
+// ChangeGroup implements the Control service.
+func (s *service) ChangeGroup(ctx context.Context, req *wire.GroupChangeRequest) (*wire.GroupChangeReply, error) {
+	reply, done, err := passOn(ctx, s, func(ctx context.Context, c wire.DRPCControlClient) (*wire.GroupChangeReply, error) {
+		return c.ChangeGroup(ctx, req)
+	})
+	if done || err != nil {
+		return reply, err
+	}
+	r := s.current()
+	if err := r.barrier(ctx); err != nil {
+		return nil, err
+	}
+	var state *wire.GroupState
+	if err := r.do(ctx, func() { state = r.machine.groups.Get(req.Group) }); err != nil {
+		return nil, err
+	}
+	pin, detail := pinOf(state, req)
+	if detail != "" {
+		return &wire.GroupChangeReply{Detail: detail}, nil
+	}
+	kernel.Info(s.log, "Asked to change a group.", "group", req.Group, "verb", req.Verb, "epoch", pin.Epoch, "by", req.By)
+	res, err := r.proposeGroup(ctx, &wire.GroupCommand{
+		Group: req.Group, Command: &wire.GroupCommand_Pin{Pin: pin},
+	})
+	if err != nil {
+		return nil, err
+	}
+	if res.Accepted && pin.Epoch != 0 {
+		res.Detail = fmt.Sprintf("map %d is pinned", pin.Epoch)
+	}
+	return &wire.GroupChangeReply{Accepted: res.Accepted, Detail: res.Detail}, nil
+}
+
+// pinOf turns an operator's wish into a pin, or says why it can't be had.
+func pinOf(s *wire.GroupState, req *wire.GroupChangeRequest) (*wire.PinMap, string) {
+	if s == nil {
+		return nil, "no group " + req.Group + " has a map"
+	}
+	switch req.Verb {
+	case VerbUnpin:
+		return &wire.PinMap{By: req.By}, ""
+	case VerbPin:
+		epoch := req.Epoch
+		if epoch == 0 {
+			epoch = s.Map.Epoch
+		}
+		return &wire.PinMap{Epoch: epoch, By: req.By}, ""
+	case VerbUndo:
+		return undoOf(s, req.By)
+	}
+	return nil, "no verb " + req.Verb
+}
+
+// undoOf pins the map before the last change: the one in force if the change
+// isn't decided yet, else the one that it replaced.
+func undoOf(s *wire.GroupState, by string) (*wire.PinMap, string) {
+	if rollout.Undecided(s.Switch) {
+		return &wire.PinMap{Epoch: s.Map.Epoch, By: by}, ""
+	}
+	if len(s.Earlier) == 0 {
+		return nil, "the group has had one map only"
+	}
+	return &wire.PinMap{Epoch: s.Earlier[0].Epoch, By: by}, ""
+}
--- a/control/machine.go
+++ b/control/machine.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/snipereach/snipereach/fence"
+	"github.com/snipereach/snipereach/rollout"
 	"github.com/snipereach/snipereach/table"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -21,14 +22,15 @@
 	fence  *fence.Machine
 	formed bool
 	ring   *wire.Ring
+	groups *rollout.Machine
 }
 
 func newMachine() *machine {
-	return &machine{table: table.NewMachine(), fence: fence.NewMachine(), ring: &wire.Ring{}}
+	return &machine{table: table.NewMachine(), fence: fence.NewMachine(), ring: &wire.Ring{}, groups: rollout.NewMachine()}
 }
 
 // apply carries out a committed command. The result is a *wire.EditReply, a
-// *wire.Lease or nil.
+// *wire.Lease, a rollout.Result or nil.
 func (m *machine) apply(index uint64, data []byte) any {
 	c := &wire.Command{}
 	if err := proto.Unmarshal(data, c); err != nil {
@@ -39,6 +41,8 @@
 		return m.table.Apply(index, c.GetEdit())
 	case c.GetLease() != nil:
 		return m.fence.Apply(index, c.GetLease())
+	case c.GetGroup() != nil:
+		return m.groups.Apply(index, c.GetGroup(), m.fence.Token(c.GetGroup().Group))
 	case c.GetFormed() != nil:
 		m.formed = true
 	case c.GetRing() != nil:
@@ -53,6 +57,7 @@
 func (m *machine) snapshot() ([]byte, error) {
 	return proto.Marshal(&wire.MachineSnapshot{
 		Table: m.table.Snapshot(), Fence: m.fence.Snapshot(), Formed: m.formed, Ring: m.ring,
+		Groups: m.groups.Snapshot(),
 	})
 }
 
@@ -63,6 +68,7 @@
 	}
 	m.table.Restore(s.Table)
 	m.fence.Restore(s.Fence)
+	m.groups.Restore(s.Groups)
 	m.formed = s.Formed
 	m.ring = s.Ring
 	if m.ring == nil {
--- a/control/settings.go
+++ b/control/settings.go
@@ -29,6 +29,21 @@
 	// ReplaceAfter is how long a member must be silent before another folder
 	// may take its name.
 	ReplaceAfter kernel.Duration `toml:"replace_after"`
+	// Groups is how a leader looks after the expert maps of groups.
+	Groups GroupSettings `toml:"groups"`
+}
+
+// GroupSettings is the [control.groups] section.
+type GroupSettings struct {
+	// CounterPeriod is the time between two windows of expert counters.
+	CounterPeriod kernel.Duration `toml:"counter_period"`
+	// PlanPeriod is the time between two plans of one group.
+	PlanPeriod kernel.Duration `toml:"plan_period"`
+	// StageTimeout and ArmTimeout bound the phases of a switch.
+	StageTimeout kernel.Duration `toml:"stage_timeout"`
+	ArmTimeout   kernel.Duration `toml:"arm_timeout"`
+	// OrderTimeout bounds one order to a rank.
+	OrderTimeout kernel.Duration `toml:"order_timeout"`
 }
 
 // DefaultSettings returns the defaults.
@@ -39,6 +54,13 @@
 		Heartbeat:       kernel.Duration(150 * time.Millisecond),
 		SnapshotEvery:   10_000,
 		ReplaceAfter:    kernel.Duration(5 * time.Second),
+		Groups: GroupSettings{
+			CounterPeriod: kernel.Duration(time.Second),
+			PlanPeriod:    kernel.Duration(10 * time.Second),
+			StageTimeout:  kernel.Duration(10 * time.Minute),
+			ArmTimeout:    kernel.Duration(5 * time.Second),
+			OrderTimeout:  kernel.Duration(2 * time.Second),
+		},
 	}
 }
 
@@ -59,6 +81,9 @@
 	case s.SnapshotEvery < 10:
 		return bad("snapshot_every", "must be at least 10")
 	}
+	if key := s.Groups.notPositive(); key != "" {
+		return bad("groups."+key, "must be positive")
+	}
 	for _, m := range s.Members {
 		if _, _, err := net.SplitHostPort(m); err != nil {
 			return bad("members", err.Error())
@@ -67,6 +92,25 @@
 	return nil
 }
 
+// notPositive names the first time that isn't, or "".
+func (g *GroupSettings) notPositive() string {
+	for _, d := range []struct {
+		key   string
+		value kernel.Duration
+	}{
+		{"counter_period", g.CounterPeriod},
+		{"plan_period", g.PlanPeriod},
+		{"stage_timeout", g.StageTimeout},
+		{"arm_timeout", g.ArmTimeout},
+		{"order_timeout", g.OrderTimeout},
+	} {
+		if d.value <= 0 {
+			return d.key
+		}
+	}
+	return ""
+}
+
 // voterTarget is how many voters the cluster should have.
 func (s *Settings) voterTarget() int {
 	n := min(s.Voters, len(s.Members))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -143,6 +143,7 @@
 	}
 	e.control = c
 	c.SetEntries(e.ringMembers)
+	c.SetUpstreams(control.UpstreamsOf(e.node))
 	e.dumps.Add("control", c.Dump)
 	return c.Register(e.srv.Mux)
 }
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/snipereach/snipereach/rollout"
 )
 
 // Engine is a model engine: OpenAI-shaped completions, streamed or not, at a
@@ -20,6 +22,9 @@
 	Step time.Duration
 	// Fencing makes the engine refuse an order with an old token.
 	Fencing bool
+	// Group and Rank make the engine one rank of a lock-step group.
+	Group *Group
+	Rank  int
 
 	orderMu sync.Mutex
 	highest uint64
@@ -40,6 +45,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", e.serve)
 	mux.HandleFunc("POST /v1/completions", e.serve)
 	mux.HandleFunc("POST /orders/{verb}", e.serveOrder)
+	mux.HandleFunc("GET /expert-counters", e.serveCounters)
 	return e.listen(mux)
 }
 
@@ -134,10 +140,32 @@
 		return
 	}
 	e.highest = max(e.highest, token)
+	if e.Group != nil {
+		e.serveRankOrder(w, r.PathValue("verb"), body)
+		return
+	}
 	e.orders = append(e.orders, GivenOrder{Verb: r.PathValue("verb"), Token: token, Body: string(body)})
 	writeJSON(w, map[string]any{"accepted": true})
 }
 
+func (e *Engine) serveRankOrder(w http.ResponseWriter, verb string, body []byte) {
+	var o rollout.Order
+	if err := json.Unmarshal(body, &o); err != nil {
+		writeJSON(w, map[string]any{"accepted": false, "detail": err.Error()})
+		return
+	}
+	status, err := json.Marshal(e.Group.Give(e.Rank, verb, &o))
+	writeJSON(w, map[string]any{"accepted": err == nil, "body": status})
+}
+
+func (e *Engine) serveCounters(w http.ResponseWriter, _ *http.Request) {
+	if e.Group == nil {
+		http.Error(w, "the engine belongs to no group", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, e.Group.Counters(e.Rank))
+}
+
 // Orders returns the orders that the engine carried out, in their order.
 func (e *Engine) Orders() []GivenOrder {
 	e.orderMu.Lock()
--- a/fake/group.go
+++ b/fake/group.go
@@ -1,189 +1,242 @@
 package fake
 
 import (
-	"fmt"
+	"context"
+	"sync"
+	"time"
 
+	"github.com/snipereach/snipereach/placement"
 	"github.com/snipereach/snipereach/rollout"
+	"github.com/snipereach/snipereach/wire"
 )
 
-// Rank is one rank of a lock-step group, as far as expert maps go. It is pure,
-// and says exactly what an engine must do:
-//
-//   - A rank that starts is blank: it runs no step until it is told the map in
-//     force, and refuses orders that were meant for an earlier life.
-//   - A staged map's weights are held beside those in use until it is committed
-//     or aborted.
-//   - An armed rank doesn't begin the armed step until it knows the decision.
-//     It refuses to be armed for a step that it has begun.
-//   - Once told to commit, it uses the new map from the armed step on.
-//   - All ranks agree on the number of each step before they begin it; a group
-//     that forms anew takes the highest number that any of its ranks names.
-type Rank struct {
-	incarnation uint64
-	seq         uint64
-	blank       bool
-	epoch       uint64
-	next        uint64
-	loading     uint64
-	staged      uint64
-	armed       uint64
-	armedStep   uint64
-	decided     bool
-	// settled is the highest epoch that this life saw decided: an order of an
-	// older switch that comes late must not bring it back.
-	settled uint64
-	// StepMicros is reported as the time of a step.
-	StepMicros uint64
-}
-
-// NewRank starts a rank. Incarnations of one rank grow.
-func NewRank(incarnation uint64) *Rank { return &Rank{incarnation: incarnation, blank: true} }
-
-// Give carries out an order.
-func (r *Rank) Give(verb string, o *rollout.Order) rollout.Status {
-	refused := ""
-	switch {
-	case verb == rollout.VerbStatus:
-	case o.Incarnation != r.incarnation:
-		refused = fmt.Sprintf("order is for incarnation %d", o.Incarnation)
-	case verb == rollout.VerbAdopt:
-		r.adopt(o)
-	case r.blank:
-		refused = "rank has no map"
-	default:
-		refused = r.change(verb, o)
-	}
-	s := r.Status()
-	s.Refused = refused
-	return s
+// groupPoll is how often a rank that may not begin its step looks again.
+const groupPoll = time.Millisecond / 2
+
+// Group is a lock-step group of ranks in real time: a step begins once all ranks
+// are up and have ended the last one, and takes as long as its busiest rank.
+type Group struct {
+	Name  string
+	Shape placement.Shape
+	// Step is the time of a step whose ranks are even.
+	Step time.Duration
+	// Load is the time that staging takes.
+	Load time.Duration
+	// Tokens returns the tokens that each expert gets in a step, layer by layer.
+	Tokens func(step uint64) placement.Load
+
+	mu       sync.Mutex
+	ranks    []*Rank
+	lives    []uint64
+	maps     map[uint64]*placement.Map
+	counters []wire.ExpertCounters
+	// broken counts deaths of ranks; the step in progress at one is void.
+	broken  int
+	history GroupHistory
 }
 
-// Status returns the rank's state; each call takes the next sequence number.
-func (r *Rank) Status() rollout.Status {
-	r.seq++
-	return rollout.Status{
-		Incarnation: r.incarnation, Seq: r.seq, Blank: r.blank, Epoch: r.epoch, NextStep: r.next,
-		StepMicros: r.StepMicros, Loading: r.loading, Staged: r.staged, Armed: r.armed, ArmedStep: r.armedStep,
-		Decided: r.decided,
-	}
+// GroupHistory is what a group has run.
+type GroupHistory struct {
+	// Steps that all ranks ended.
+	Steps int
+	// Mixed counts steps that ranks began with different maps.
+	Mixed int
+	// Epochs are the maps used, in the order of their first step.
+	Epochs []uint64
+	// Blocked is the longest time that a step waited for a rank that was armed
+	// or had no map.
+	Blocked time.Duration
 }
 
-func (r *Rank) adopt(o *rollout.Order) {
-	if !r.blank {
-		return
+// Start makes the ranks and runs steps until the context is done.
+func (g *Group) Start(ctx context.Context) {
+	g.maps = map[uint64]*placement.Map{}
+	for range g.Shape.Ranks {
+		g.ranks = append(g.ranks, NewRank(1))
+		g.lives = append(g.lives, 1)
 	}
-	r.blank = false
-	r.epoch, r.settled = o.Epoch, o.Epoch
-	r.next = max(r.next, o.Step)
+	g.counters = make([]wire.ExpertCounters, g.Shape.Ranks)
+	go g.run(ctx)
 }
 
-func (r *Rank) change(verb string, o *rollout.Order) string {
-	switch verb {
-	case rollout.VerbStage:
-		return r.stage(o)
-	case rollout.VerbArm:
-		return r.arm(o)
-	case rollout.VerbCommit:
-		return r.commit(o)
-	case rollout.VerbAbort:
-		return r.abort(o)
+// Give carries out an order to a rank.
+func (g *Group) Give(rank int, verb string, o *rollout.Order) rollout.Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.ranks[rank]
+	if o.Map != nil {
+		g.maps[o.Epoch] = o.Map
+	}
+	before := r.Loading()
+	s := r.Give(verb, o)
+	if now := r.Loading(); now != 0 && now != before {
+		time.AfterFunc(g.Load, func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			if r.Loading() == now {
+				r.Loaded()
+			}
+		})
 	}
-	return "no such order"
+	return s
 }
 
-func (r *Rank) stage(o *rollout.Order) string {
-	switch {
-	case o.Epoch <= r.settled:
-		return "the map was decided before"
-	case o.Base != r.epoch || r.armed != 0 && r.armed != o.Epoch:
-		return "the map is based on another one"
-	case r.staged != o.Epoch:
-		r.loading, r.staged = o.Epoch, 0
+// Counters returns a rank's counters and starts them anew.
+func (g *Group) Counters(rank int) *wire.ExpertCounters {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := &g.counters[rank]
+	out := &wire.ExpertCounters{
+		Group: g.Name, Rank: uint32(rank), Seq: c.Seq, Step: c.Step, MapEpoch: c.MapEpoch, StepUs: c.StepUs, Tokens: c.Tokens,
 	}
-	return ""
+	c.Seq++
+	c.Tokens = nil
+	return out
 }
 
-// Loaded ends the loading of weights.
-func (r *Rank) Loaded() {
-	if r.loading != 0 {
-		r.staged, r.loading = r.loading, 0
-	}
+// Restart kills a rank and starts it again without a map.
+func (g *Group) Restart(rank int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lives[rank]++
+	g.ranks[rank] = NewRank(g.lives[rank])
+	g.broken++
 }
 
-// Loading returns the map whose weights are being loaded, or 0.
-func (r *Rank) Loading() uint64 { return r.loading }
+// History returns what the group has run so far.
+func (g *Group) History() GroupHistory {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	h := g.history
+	h.Epochs = append([]uint64(nil), h.Epochs...)
+	return h
+}
 
-func (r *Rank) arm(o *rollout.Order) string {
-	switch {
-	case r.armed == o.Epoch && r.armedStep == o.Step:
-	case o.Epoch <= r.settled:
-		return "the map was decided before"
-	case r.staged != o.Epoch || r.armed != 0:
-		return "the map isn't staged"
-	case r.next > o.Step:
-		return "the step has begun"
-	default:
-		r.armed, r.armedStep = o.Epoch, o.Step
+func (g *Group) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !g.runStep(ctx) {
+			sleep(ctx, groupPoll)
+		}
 	}
-	return ""
 }
 
-func (r *Rank) commit(o *rollout.Order) string {
-	if r.epoch == o.Epoch {
-		return ""
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
-	if r.armed != o.Epoch || r.armedStep != o.Step {
-		return "the map isn't armed"
-	}
-	r.decided = true
-	r.settled = max(r.settled, o.Epoch)
-	return ""
 }
 
-func (r *Rank) abort(o *rollout.Order) string {
-	if r.epoch == o.Epoch || r.decided && r.armed == o.Epoch {
-		return "the map was committed"
+// runStep runs one step; it returns false if no step could be run to its end.
+func (g *Group) runStep(ctx context.Context) bool {
+	step, broken, ok := g.agree()
+	if !ok {
+		return false
 	}
-	r.settled = max(r.settled, o.Epoch)
-	if r.loading == o.Epoch {
-		r.loading = 0
+	began := time.Now()
+	used := map[int]uint64{}
+	for g.begin(step, broken, used) {
+		if len(used) == g.Shape.Ranks {
+			d := g.stepTime(step, used[0])
+			sleep(ctx, d)
+			return g.end(step, broken, used[0], d)
+		}
+		g.note(time.Since(began))
+		sleep(ctx, groupPoll)
 	}
-	if r.staged == o.Epoch {
-		r.staged = 0
+	return false
+}
+
+// agree chooses the number of the next step, once all ranks are there.
+func (g *Group) agree() (step uint64, broken int, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.ranks {
+		if r.Blank() {
+			return 0, 0, false
+		}
+		step = max(step, r.Next())
 	}
-	if r.armed == o.Epoch {
-		r.armed, r.armedStep = 0, 0
+	return step, g.broken, true
+}
+
+// begin lets every rank begin that may and hasn't; false if the step is void.
+func (g *Group) begin(step uint64, broken int, used map[int]uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.broken != broken {
+		return false
+	}
+	for i, r := range g.ranks {
+		if _, begun := used[i]; begun {
+			continue
+		}
+		r.Join(step)
+		if !r.MayBegin() {
+			continue
+		}
+		used[i] = r.Begin(step)
+		for _, other := range used {
+			if other != used[i] {
+				g.history.Mixed++
+				break
+			}
+		}
 	}
-	return ""
+	return true
 }
 
-// Blank says whether the rank waits to be told the map in force.
-func (r *Rank) Blank() bool { return r.blank }
+func (g *Group) note(blocked time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.history.Blocked = max(g.history.Blocked, blocked)
+}
 
-// Next returns the number of the step that the rank will begin.
-func (r *Rank) Next() uint64 { return r.next }
+// stepTime is the step's time with the busiest rank of each layer as its pace.
+func (g *Group) stepTime(step, epoch uint64) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.maps[epoch]
+	if m == nil || g.Tokens == nil {
+		return g.Step
+	}
+	load := g.Tokens(step)
+	skew := 0.0
+	for layer := range g.Shape.Layers {
+		skew += m.Skew(g.Shape, layer, load)
+	}
+	return time.Duration(float64(g.Step) * skew / float64(g.Shape.Layers))
+}
 
-// MayBegin says whether the rank may begin its next step now.
-func (r *Rank) MayBegin() bool {
-	if r.blank {
+// end counts a step; false if a rank died in it.
+func (g *Group) end(step uint64, broken int, epoch uint64, d time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.broken != broken {
 		return false
 	}
-	// Another rank may know the decision already and begin the step with the
-	// new map; beginning it with the old one would mix two maps in one step.
-	// Stopping is enough: no rank is told to switch before all have armed.
-	return r.armed == 0 || r.decided || r.next < r.armedStep
+	g.history.Steps++
+	if n := len(g.history.Epochs); n == 0 || g.history.Epochs[n-1] != epoch {
+		g.history.Epochs = append(g.history.Epochs, epoch)
+	}
+	for i, r := range g.ranks {
+		r.StepMicros = uint64(d.Microseconds())
+		g.countTokens(&g.counters[i], step, epoch, d)
+	}
+	return true
 }
 
-// Begin begins the step that the group agreed on and returns the epoch of the
-// map that the rank uses in it.
-func (r *Rank) Begin(step uint64) uint64 {
-	r.next = step + 1
-	if r.decided && step >= r.armedStep {
-		r.epoch = r.armed
-		r.armed, r.armedStep, r.staged, r.decided = 0, 0, 0, false
+// countTokens credits a rank with its even share of the step's tokens.
+func (g *Group) countTokens(c *wire.ExpertCounters, step, epoch uint64, d time.Duration) {
+	c.Step, c.MapEpoch, c.StepUs = step, epoch, uint32(d.Microseconds())
+	if g.Tokens == nil {
+		return
+	}
+	load := g.Tokens(step)
+	if c.Tokens == nil {
+		c.Tokens = make([]uint32, len(load))
+	}
+	for i, n := range load {
+		c.Tokens[i] += uint32(n / float64(g.Shape.Ranks))
 	}
-	return r.epoch
 }
-
-// Join raises the rank's next step to what the group agreed on.
-func (r *Rank) Join(step uint64) { r.next = max(r.next, step) }
--- /dev/null
+++ b/fake/rank.go
@@ -0,0 +1,189 @@
+package fake
+
+import (
+	"fmt"
+
+	"github.com/snipereach/snipereach/rollout"
+)
+
+// Rank is one rank of a lock-step group, as far as expert maps go. It is pure,
+// and says exactly what an engine must do:
+//
+//   - A rank that starts is blank: it runs no step until it is told the map in
+//     force, and refuses orders that were meant for an earlier life.
+//   - A staged map's weights are held beside those in use until it is committed
+//     or aborted.
+//   - An armed rank doesn't begin the armed step until it knows the decision.
+//     It refuses to be armed for a step that it has begun.
+//   - Once told to commit, it uses the new map from the armed step on.
+//   - All ranks agree on the number of each step before they begin it; a group
+//     that forms anew takes the highest number that any of its ranks names.
+type Rank struct {
+	incarnation uint64
+	seq         uint64
+	blank       bool
+	epoch       uint64
+	next        uint64
+	loading     uint64
+	staged      uint64
+	armed       uint64
+	armedStep   uint64
+	decided     bool
+	// settled is the highest epoch that this life saw decided: an order of an
+	// older switch that comes late must not bring it back.
+	settled uint64
+	// StepMicros is reported as the time of a step.
+	StepMicros uint64
+}
+
+// NewRank starts a rank. Incarnations of one rank grow.
+func NewRank(incarnation uint64) *Rank { return &Rank{incarnation: incarnation, blank: true} }
+
+// Give carries out an order.
+func (r *Rank) Give(verb string, o *rollout.Order) rollout.Status {
+	refused := ""
+	switch {
+	case verb == rollout.VerbStatus:
+	case o.Incarnation != r.incarnation:
+		refused = fmt.Sprintf("order is for incarnation %d", o.Incarnation)
+	case verb == rollout.VerbAdopt:
+		r.adopt(o)
+	case r.blank:
+		refused = "rank has no map"
+	default:
+		refused = r.change(verb, o)
+	}
+	s := r.Status()
+	s.Refused = refused
+	return s
+}
+
+// Status returns the rank's state; each call takes the next sequence number.
+func (r *Rank) Status() rollout.Status {
+	r.seq++
+	return rollout.Status{
+		Incarnation: r.incarnation, Seq: r.seq, Blank: r.blank, Epoch: r.epoch, NextStep: r.next,
+		StepMicros: r.StepMicros, Loading: r.loading, Staged: r.staged, Armed: r.armed, ArmedStep: r.armedStep,
+		Decided: r.decided,
+	}
+}
+
+func (r *Rank) adopt(o *rollout.Order) {
+	if !r.blank {
+		return
+	}
+	r.blank = false
+	r.epoch, r.settled = o.Epoch, o.Epoch
+	r.next = max(r.next, o.Step)
+}
+
+func (r *Rank) change(verb string, o *rollout.Order) string {
+	switch verb {
+	case rollout.VerbStage:
+		return r.stage(o)
+	case rollout.VerbArm:
+		return r.arm(o)
+	case rollout.VerbCommit:
+		return r.commit(o)
+	case rollout.VerbAbort:
+		return r.abort(o)
+	}
+	return "no such order"
+}
+
+func (r *Rank) stage(o *rollout.Order) string {
+	switch {
+	case o.Epoch <= r.settled:
+		return "the map was decided before"
+	case o.Base != r.epoch || r.armed != 0 && r.armed != o.Epoch:
+		return "the map is based on another one"
+	case r.staged != o.Epoch:
+		r.loading, r.staged = o.Epoch, 0
+	}
+	return ""
+}
+
+// Loaded ends the loading of weights.
+func (r *Rank) Loaded() {
+	if r.loading != 0 {
+		r.staged, r.loading = r.loading, 0
+	}
+}
+
+// Loading returns the map whose weights are being loaded, or 0.
+func (r *Rank) Loading() uint64 { return r.loading }
+
+func (r *Rank) arm(o *rollout.Order) string {
+	switch {
+	case r.armed == o.Epoch && r.armedStep == o.Step:
+	case o.Epoch <= r.settled:
+		return "the map was decided before"
+	case r.staged != o.Epoch || r.armed != 0:
+		return "the map isn't staged"
+	case r.next > o.Step:
+		return "the step has begun"
+	default:
+		r.armed, r.armedStep = o.Epoch, o.Step
+	}
+	return ""
+}
+
+func (r *Rank) commit(o *rollout.Order) string {
+	if r.epoch == o.Epoch {
+		return ""
+	}
+	if r.armed != o.Epoch || r.armedStep != o.Step {
+		return "the map isn't armed"
+	}
+	r.decided = true
+	r.settled = max(r.settled, o.Epoch)
+	return ""
+}
+
+func (r *Rank) abort(o *rollout.Order) string {
+	if r.epoch == o.Epoch || r.decided && r.armed == o.Epoch {
+		return "the map was committed"
+	}
+	r.settled = max(r.settled, o.Epoch)
+	if r.loading == o.Epoch {
+		r.loading = 0
+	}
+	if r.staged == o.Epoch {
+		r.staged = 0
+	}
+	if r.armed == o.Epoch {
+		r.armed, r.armedStep = 0, 0
+	}
+	return ""
+}
+
+// Blank says whether the rank waits to be told the map in force.
+func (r *Rank) Blank() bool { return r.blank }
+
+// Next returns the number of the step that the rank will begin.
+func (r *Rank) Next() uint64 { return r.next }
+
+// MayBegin says whether the rank may begin its next step now.
+func (r *Rank) MayBegin() bool {
+	if r.blank {
+		return false
+	}
+	// Another rank may know the decision already and begin the step with the
+	// new map; beginning it with the old one would mix two maps in one step.
+	// Stopping is enough: no rank is told to switch before all have armed.
+	return r.armed == 0 || r.decided || r.next < r.armedStep
+}
+
+// Begin begins the step that the group agreed on and returns the epoch of the
+// map that the rank uses in it.
+func (r *Rank) Begin(step uint64) uint64 {
+	r.next = step + 1
+	if r.decided && step >= r.armedStep {
+		r.epoch = r.armed
+		r.armed, r.armedStep, r.staged, r.decided = 0, 0, 0, false
+	}
+	return r.epoch
+}
+
+// Join raises the rank's next step to what the group agreed on.
+func (r *Rank) Join(step uint64) { r.next = max(r.next, step) }
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -17,6 +17,8 @@
 	VerbCommit = "commit"
 	// VerbAbort tells that the map will never be used.
 	VerbAbort = "abort"
+	// VerbCounters collects a rank's expert counters; agents answer it.
+	VerbCounters = "counters"
 )
 
 // Order is the body of an order to one rank.
--- a/table/schema.go
+++ b/table/schema.go
@@ -136,6 +136,9 @@
 		{Name: "planner", Default: "incremental", Doc: "placement plug-in", check: nonEmpty},
 		{Name: "skew_weight", Default: "1", Doc: "weight of time lost to the busiest rank", check: floatBetween(0, 1e6)},
 		{Name: "move_weight", Default: "1", Doc: "weight of moving an expert", check: floatBetween(0, 1e6)},
+		{Name: "expert_bytes", Default: "25000000", Unit: "bytes", Doc: "weights of one expert in one layer", check: floatBetween(1, 1e13)},
+		{Name: "store_bytes_per_second", Default: "1000000000", Unit: "bytes/s", Doc: "rate of the weight store", check: floatBetween(1, 1e13)},
+		{Name: "step_us", Default: "5000", Unit: "us", Doc: "time of a step when all ranks are even", check: intBetween(1, 60_000_000)},
 		{Name: "paused", Default: "no", Doc: "yes stops rebalancing", check: oneOf("yes", "no")},
 	},
 }
--- a/table/view.go
+++ b/table/view.go
@@ -76,6 +76,8 @@
 	Ranks, Experts, Layers, SpareSlots int
 	Planner                            string
 	SkewWeight, MoveWeight             float64
+	ExpertBytes, StoreRate             float64
+	StepTime                           time.Duration
 	Paused                             bool
 }
 
@@ -193,7 +195,9 @@
 			Ranks: c.int("ranks"), Experts: c.int("experts"), Layers: c.int("layers"),
 			SpareSlots: c.int("spare_slots"), Planner: c.text("planner"),
 			SkewWeight: c.float("skew_weight"), MoveWeight: c.float("move_weight"),
-			Paused: c.yes("paused"),
+			ExpertBytes: c.float("expert_bytes"), StoreRate: c.float("store_bytes_per_second"),
+			StepTime: time.Duration(c.int("step_us")) * time.Microsecond,
+			Paused:   c.yes("paused"),
 		}
 	}
 }
