--- a/control/control_test.go
+++ b/control/control_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
@@ -77,8 +78,13 @@
 	s.ReplaceAfter = kernel.Duration(600 * time.Millisecond)
 	s.SnapshotEvery = 20
 	r := &runningReplica{srv: transport.NewServer(sec), pool: transport.NewPool(sec), lis: lis}
+	s.Groups.CounterPeriod = kernel.Duration(60 * time.Millisecond)
+	s.Groups.PlanPeriod = kernel.Duration(200 * time.Millisecond)
 	r.ctl, err = control.New(s, log.NewNopLogger(), r.pool)
 	assert.NilError(c.t, err)
+	node := directory.NewNode(directory.DefaultSettings(), time.Now, nil)
+	assert.NilError(c.t, wire.DRPCRegisterDirectory(r.srv.Mux, node))
+	r.ctl.SetUpstreams(control.UpstreamsOf(node))
 	assert.NilError(c.t, r.ctl.Register(r.srv.Mux))
 	go r.srv.Serve(context.Background(), lis)
 	place := control.Place{Name: fmt.Sprintf("c%d", i), Address: c.addrs[i], FailureDomain: fmt.Sprintf("hall-%d", i)}
