--- a/cmd/snipereach-quickstart/main.go
+++ b/cmd/snipereach-quickstart/main.go
@@ -16,8 +16,9 @@
 )
 
 type options struct {
-	Log  string `long:"log" description:"lowest level to log: debug, info, warn, error" default:"warn"`
-	Port int    `long:"port" description:"callers' port of the first entry; 0 takes a free one" default:"8080"`
+	Log     string `long:"log" description:"lowest level to log: debug, info, warn, error" default:"warn"`
+	Port    int    `long:"port" description:"callers' port of the first entry; 0 takes a free one" default:"8080"`
+	Planner string `long:"planner" description:"make the engines one lock-step group with this planner, for example incremental"`
 }
 
 func main() {
@@ -35,7 +36,7 @@
 
 func run(ctx context.Context, opts options) error {
 	sys, err := quickstart.Start(ctx, quickstart.Options{
-		Log: kernel.NewLog(os.Stderr, opts.Log), CallersPort: opts.Port,
+		Log: kernel.NewLog(os.Stderr, opts.Log), CallersPort: opts.Port, Planner: opts.Planner,
 	})
 	if err != nil {
 		return err
--- a/operators/operators.go
+++ b/operators/operators.go
@@ -94,6 +94,7 @@
 	r.HandleFunc("/v1/table/{kind}/{key:.+}", h.with(h.put)).Methods(http.MethodPut, http.MethodDelete)
 	r.HandleFunc("/v1/history/{kind}/{key:.+}", h.with(h.history)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/force/{revision:[0-9]+}", h.with(h.inForce)).Methods(http.MethodGet)
+	h.registerGroups(r)
 	r.HandleFunc("/v1/members", h.with(h.members)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/members/{id:.+}", h.with(h.removeMember)).Methods(http.MethodDelete)
 }
--- /dev/null
+++ b/quickstart/group.go
@@ -0,0 +1,58 @@
+package quickstart
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/snipereach/snipereach/fake"
+	"github.com/snipereach/snipereach/placement"
+)
+
+// GroupName is the group that a quickstart with a planner makes.
+const GroupName = "pushpa"
+
+// Sizes and times of the group.
+const (
+	groupExpertsPerRank = 4
+	groupLayers         = 2
+	groupStep           = 5 * time.Millisecond
+	groupStaging        = 200 * time.Millisecond
+	// driftSteps is how long one expert stays the busiest.
+	driftSteps = 4000
+)
+
+func groupRow(o Options) string {
+	return fmt.Sprintf("group\t%s\tpool=lm\tranks=%d\texperts=%d\tlayers=%d\tspare_slots=1\tplanner=%s\n",
+		GroupName, o.Engines, groupExpertsPerRank*o.Engines, groupLayers, o.Planner)
+}
+
+// startGroup makes the engines one lock-step group, whose busiest expert changes
+// now and then.
+func (s *System) startGroup(ctx context.Context) {
+	if s.opts.Planner == "" {
+		return
+	}
+	shape := placement.Shape{
+		Ranks: s.opts.Engines, Experts: groupExpertsPerRank * s.opts.Engines,
+		Layers: groupLayers, Slots: groupExpertsPerRank + 1,
+	}
+	s.Group = &fake.Group{
+		Name: GroupName, Shape: shape, Step: groupStep, Load: groupStaging,
+		Tokens: func(step uint64) placement.Load { return driftingLoad(shape, step) },
+	}
+	s.Group.Start(ctx)
+}
+
+func driftingLoad(s placement.Shape, step uint64) placement.Load {
+	const even, busy = 12, 120
+	load := make(placement.Load, s.Layers*s.Experts)
+	for i := range load {
+		load[i] = even
+	}
+	for layer := range s.Layers {
+		hot := (int(step/driftSteps) + 5*layer) % s.Experts
+		load[layer*s.Experts+hot] = busy
+	}
+	return load
+}
--- /dev/null
+++ b/quickstart/group_test.go
@@ -0,0 +1,149 @@
+package quickstart
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipereach/snipereach/ctl"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/placement"
+)
+
+// rotate hands each rank's experts to the next one, as often as it is asked.
+type rotate struct{ shape placement.Shape }
+
+func init() {
+	kernel.Register(kernel.Module{ID: "placement.test-rotate", New: func() any { return &rotate{} }})
+}
+
+func (p *rotate) Reset(s placement.Shape, _ placement.Cost) { p.shape = s }
+
+func (p *rotate) Observe(time.Time, placement.Load) {}
+
+func (p *rotate) Plan(_ time.Time, m *placement.Map) placement.Decision {
+	d := placement.Decision{Next: &placement.Map{}, Why: "rotated by one rank", SkewBefore: 1.5, SkewAfter: 1.25}
+	per := p.shape.Ranks * p.shape.Slots
+	for layer := range p.shape.Layers {
+		slots := m.Slots[layer*per : (layer+1)*per]
+		d.Next.Slots = append(append(d.Next.Slots, slots[p.shape.Slots:]...), slots[:p.shape.Slots]...)
+	}
+	return d
+}
+
+// operate runs a command against one entry and returns its output.
+func operate(t *testing.T, s *System, entry int, args ...string) (string, int) {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	server := []string{"--server", "http://" + s.Entries[entry].OperatorAddress(), "--key", OperatorKey, "-o", "tsv"}
+	code := ctl.Main(append(server, args...), strings.NewReader(""), &out, &errOut)
+	if code != 0 {
+		return errOut.String(), code
+	}
+	return out.String(), code
+}
+
+// eventually waits longer than waitFor: an election may come first.
+func eventually(t *testing.T, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatal("condition did not come true")
+}
+
+// groupLine returns the columns of snipereachctl groups, or nil.
+func groupLine(t *testing.T, s *System, entry int) []string {
+	out, code := operate(t, s, entry, "groups")
+	if cols := strings.Split(strings.TrimSuffix(out, "\n"), "\t"); code == 0 && len(cols) == 7 {
+		return cols
+	}
+	return nil
+}
+
+func epochOf(cols []string) uint64 {
+	if cols == nil {
+		return 0
+	}
+	n, _ := strconv.ParseUint(cols[1], 10, 64)
+	return n
+}
+
+// leaderOf returns the number of the entry whose control replica leads.
+func leaderOf(t *testing.T, s *System) int {
+	out, _ := operate(t, s, 0, "status")
+	for _, line := range strings.Split(out, "\n") {
+		for i := range s.Entries {
+			if strings.HasPrefix(line, fmt.Sprintf("entry-%d/", i+1)) && strings.Contains(line, "\tleader\t") {
+				return i
+			}
+		}
+	}
+	t.Fatal("no leader: " + out)
+	return 0
+}
+
+// The entry whose control replica leads dies while the group switches maps.
+// Callers go on through the other entries; the next leader ends the switch from
+// the log; no step mixes two maps; and the operator sees there what became of it.
+func TestEntryThatLeadsDiesDuringASwitch(t *testing.T) {
+	s := start(t, Options{Planner: "test-rotate"})
+	var cols []string
+	eventually(t, func() bool {
+		cols = groupLine(t, s, 0)
+		return epochOf(cols) > 0 && strings.HasPrefix(cols[3], "switching")
+	})
+	before := epochOf(cols)
+	dead := leaderOf(t, s)
+	s.Entries[dead].Stop()
+	other := (dead + 1) % 3
+	assert.Equal(t, callEntry(s, other, "POST", "/v1/chat/completions", modelBody, nil).status, 200)
+	eventually(t, func() bool { return epochOf(groupLine(t, s, other)) > before })
+	var out string
+	eventually(t, func() bool {
+		out, _ = operate(t, s, other, "groups", "log", GroupName)
+		return strings.Contains(out, "\tin-force\t")
+	})
+	assert.Assert(t, strings.Contains(out, "1.500\t1.250\t0.00\t0.00\tplanner test-rotate\trotated by one rank"), out)
+	h := s.Group.History()
+	assert.Equal(t, h.Mixed, 0)
+	assert.Assert(t, slices.IsSorted(h.Epochs) && h.Steps > 100, "%+v", h)
+}
+
+// An operator takes a change back on the command line, sees who holds the map,
+// and lets the planner go on. A wish that can't be had is refused with the reason.
+func TestOperatorUndoesOnTheCommandLine(t *testing.T) {
+	s := start(t, Options{Planner: "test-rotate"})
+	eventually(t, func() bool {
+		out, _ := operate(t, s, 0, "groups", "log", GroupName)
+		return strings.Contains(out, "in-force")
+	})
+	out, code := operate(t, s, 0, "groups", "undo", GroupName)
+	assert.Equal(t, code, 0, out)
+	eventually(t, func() bool {
+		cols := groupLine(t, s, 1)
+		return cols != nil && strings.HasSuffix(cols[3], "by quickstart") && strings.HasPrefix(cols[3], "pinned")
+	})
+	out, code = operate(t, s, 0, "groups", "pin", "--epoch", "999999", GroupName)
+	assert.Equal(t, code, kernel.ExitFailed)
+	assert.Assert(t, strings.Contains(out, "map 999999 is not kept"), out)
+	out, code = operate(t, s, 0, "groups", "pin", "nobody")
+	assert.Equal(t, code, kernel.ExitFailed)
+	assert.Assert(t, strings.Contains(out, "no group nobody has a map"), out)
+	held := epochOf(groupLine(t, s, 0))
+	out, code = operate(t, s, 2, "groups", "unpin", GroupName)
+	assert.Equal(t, code, 0, out)
+	eventually(t, func() bool { return epochOf(groupLine(t, s, 0)) > held })
+	out, code = operate(t, s, 0, "groups", "ranks", GroupName)
+	assert.Equal(t, code, 0, out)
+	assert.Equal(t, strings.Count(out, "lm-"), 3, out)
+	assert.Equal(t, s.Group.History().Mixed, 0)
+}
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -38,6 +38,9 @@
 // OperatorKey is the bearer key of the operator that the quickstart makes.
 const OperatorKey = "quickstart-operator"
 
+// planPeriod is shorter than the default, for a laptop's patience.
+const planPeriod = 2 * time.Second
+
 const secret = "quickstart cluster secret"
 
 // Options of a quickstart.
@@ -51,6 +54,9 @@
 	Engines, Plains int
 	// Keep is how long callers may keep the list of entries; 10 s if zero.
 	Keep time.Duration
+	// Planner makes the engines one lock-step group whose row names this
+	// placement plug-in; empty is no group.
+	Planner string
 }
 
 // System is a running quickstart.
@@ -59,8 +65,11 @@
 	Agents  []*agent.Agent
 	Engines []*fake.Engine
 	Plains  []*fake.Plain
+	// Group is the engines' group, or nil.
+	Group *fake.Group
 
 	opts    Options
+	cancel  context.CancelFunc
 	dir     string
 	members []string
 	pool    *transport.Pool
@@ -93,6 +102,9 @@
 	if opts.Rows == "" {
 		opts.Rows = Rows()
 	}
+	if opts.Planner != "" {
+		opts.Rows += groupRow(opts)
+	}
 	dir, err := os.MkdirTemp("", "snipereach-quickstart-")
 	if err != nil {
 		return nil, err
@@ -112,8 +124,11 @@
 	if err := s.putRows(ctx); err != nil {
 		return err
 	}
+	var groupCtx context.Context
+	groupCtx, s.cancel = context.WithCancel(ctx)
+	s.startGroup(groupCtx)
 	for i := range s.opts.Engines {
-		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond}
+		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond, Group: s.Group, Rank: i}
 		if err := e.Start(); err != nil {
 			return err
 		}
@@ -172,6 +187,7 @@
 	ctl.DataDir = filepath.Join(s.dir, set.ID)
 	ctl.Members = s.members
 	ctl.FormCluster = true
+	ctl.Groups.PlanPeriod = kernel.Duration(planPeriod)
 	set.Control = &ctl
 	if s.opts.Keep > 0 {
 		set.Keep = kernel.Duration(s.opts.Keep)
@@ -223,6 +239,9 @@
 	if kind == "plain" {
 		set.Slots = 32
 	}
+	if kind == "engine" && s.Group != nil {
+		set.Group, set.Rank = s.Group.Name, uint32(i)
+	}
 	set.AnnounceTo = s.members
 	a, err := agent.New(set, s.opts.Log)
 	if err != nil {
@@ -280,6 +299,9 @@
 
 // Stop ends everything at once and removes the folder.
 func (s *System) Stop() {
+	if s.cancel != nil {
+		s.cancel()
+	}
 	for _, e := range s.Entries {
 		e.Stop()
 	}
