--- a/agent/agent.go
+++ b/agent/agent.go
@@ -74,6 +74,9 @@
 	}
 	a.orders = newOrders(control.NewClient(a.pool, s.AnnounceTo, s.ID))
 	a.dumps.Add("agent", a.dump)
+	if err := a.dumps.Register(a.srv.Mux); err != nil {
+		return nil, err
+	}
 	return a, wire.DRPCRegisterAgent(a.srv.Mux, service{a})
 }
 
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -97,6 +97,9 @@
 	if err := d.control.Register(d.srv.Mux); err != nil {
 		return nil, err
 	}
+	if err := d.dumps.Register(d.srv.Mux); err != nil {
+		return nil, err
+	}
 	return d, wire.DRPCRegisterDirectory(d.srv.Mux, d.node)
 }
 
--- a/control/members.go
+++ b/control/members.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"errors"
 	"fmt"
 
+	"github.com/snipereach/snipereach/consensus"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -10,6 +12,9 @@
 const (
 	VerbList   = "list"
 	VerbRemove = "remove"
+	// VerbReplace makes the next step of replacing a lost replica by one that has
+	// caught up: promote the newcomer, then remove the lost one.
+	VerbReplace = "replace"
 )
 
 // Health of a cluster.
@@ -25,6 +30,8 @@
 	case "", VerbList:
 	case VerbRemove:
 		r.remove(req.Member, reply)
+	case VerbReplace:
+		r.replace(req.Member, reply)
 	default:
 		reply.Refused = true
 		reply.Detail = fmt.Sprintf("unknown verb %q", req.Verb)
@@ -62,6 +69,39 @@
 	}
 }
 
+func (r *Replica) replace(m *wire.Member, reply *wire.MembersReply) {
+	s, refused := replaceStep(r.memberList(), m.GetId(), r.settings.voterTarget())
+	if refused != "" {
+		reply.Refused, reply.Detail = true, refused
+		return
+	}
+	var err error
+	switch {
+	case s.promote != "":
+		err = r.node.Promote(r.now(), s.promote)
+		reply.Detail = s.promote + " is made a voter"
+	case s.remove != "":
+		err = r.node.Remove(r.now(), s.remove)
+		reply.Detail = s.remove + " is removed"
+	}
+	if errors.Is(err, consensus.ErrConfigPending) {
+		reply.Detail = "another membership change is being committed"
+		return
+	}
+	if err != nil {
+		reply.Refused, reply.Detail = true, err.Error()
+	}
+}
+
+// memberList is what the leader knows of its peers.
+func (r *Replica) memberList() []member {
+	var list []member
+	for _, p := range r.node.Peers() {
+		list = append(list, member{Peer: p, live: r.alive(p.Id), caughtUp: r.node.CaughtUp(p.Id)})
+	}
+	return list
+}
+
 // dump is the replica's state for a state dump.
 func (r *Replica) dump() any {
 	return struct {
--- a/control/membership.go
+++ b/control/membership.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/snipereach/snipereach/wire"
@@ -13,7 +15,8 @@
 	caughtUp bool
 }
 
-func peerName(id string) string {
+// NameOf returns the name of the replica with an ID: NAME/INCARNATION.
+func NameOf(id string) string {
 	name, _, _ := strings.Cut(id, "/")
 	return name
 }
@@ -68,13 +71,68 @@
 	return step{promote: best.Id}
 }
 
+// replaceStep chooses the next step of replacing a lost replica on an operator's
+// order, or says why the order is refused. The heir is the replica that took the
+// lost one's name, else a learner that has caught up, one in the lost one's
+// failure domain first. It votes before the lost one is removed: the number of
+// voters that hold everything never falls.
+func replaceStep(members []member, old string, target int) (step, string) {
+	i := slices.IndexFunc(members, func(m member) bool { return m.Id == old })
+	if i < 0 {
+		return step{}, fmt.Sprintf("%q is no member; IDs are NAME/INCARNATION as members shows them", old)
+	}
+	lost := members[i]
+	if lost.live {
+		return step{}, old + " is live, or was within replace_after: stop it first"
+	}
+	if lost.Learner || otherVoters(members, old) >= target {
+		return step{remove: old}, ""
+	}
+	heir := heirOf(members, lost)
+	if heir == nil {
+		heir = spareFor(members, lost)
+	}
+	switch {
+	case heir == nil:
+		return step{}, "no replica that could take its place has caught up: start one on an empty data folder and wait until it has"
+	case heir.Learner:
+		return step{promote: heir.Id}, ""
+	}
+	return step{remove: old}, ""
+}
+
+// otherVoters counts the voters besides one that are live and have caught up.
+func otherVoters(members []member, id string) int {
+	n := 0
+	for _, m := range members {
+		if m.Id != id && !m.Learner && m.live && m.caughtUp {
+			n++
+		}
+	}
+	return n
+}
+
+// spareFor returns the learner that is to vote in a lost voter's place.
+func spareFor(members []member, lost member) *member {
+	var best *member
+	for i, m := range members {
+		if !m.Learner || !m.live || !m.caughtUp {
+			continue
+		}
+		if best == nil || m.FailureDomain == lost.FailureDomain && best.FailureDomain != lost.FailureDomain {
+			best = &members[i]
+		}
+	}
+	return best
+}
+
 // heirOf returns the live, caught-up replica that has taken a dead one's name.
 func heirOf(members []member, dead member) *member {
 	if dead.live {
 		return nil
 	}
 	for i, m := range members {
-		if m.Id != dead.Id && peerName(m.Id) == peerName(dead.Id) && m.live && m.caughtUp {
+		if m.Id != dead.Id && NameOf(m.Id) == NameOf(dead.Id) && m.live && m.caughtUp {
 			return &members[i]
 		}
 	}
--- a/control/raftservice.go
+++ b/control/raftservice.go
@@ -54,7 +54,7 @@
 		return
 	}
 	for _, p := range r.node.Peers() {
-		if peerName(p.Id) == id.Name && p.Id != idOf(id) && r.alive(p.Id) {
+		if NameOf(p.Id) == id.Name && p.Id != idOf(id) && r.alive(p.Id) {
 			// Two hosts that use one name would otherwise take turns in throwing
 			// each other out.
 			reply.Detail = "the name is in use by a live replica: " + p.Id
--- a/control/replica.go
+++ b/control/replica.go
@@ -413,14 +413,12 @@
 		return
 	}
 	r.lastCare = time.Now()
-	var members []member
+	members := r.memberList()
 	voters := 0
-	for _, p := range r.node.Peers() {
-		m := member{Peer: p, live: r.alive(p.Id), caughtUp: r.node.CaughtUp(p.Id)}
-		if !p.Learner && m.live {
+	for _, m := range members {
+		if !m.Learner && m.live {
 			voters++
 		}
-		members = append(members, m)
 	}
 	if !r.machine.formed && voters >= r.settings.voterTarget() {
 		r.proposeFormed()
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"crypto/rand"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -36,11 +37,13 @@
 		{t, "history", "show the versions of one row", &tableHistory{app: a}},
 		{t, "apply", "make the rows of a TSV file those in force", &tableApply{app: a}},
 		{t, "export", "write all rows as TSV", &tableExport{app: a}},
-		{p.Command, "status", "show the control replicas and the entries' state", &status{app: a}},
-		{p.Command, "members", "show the control replicas", &status{app: a}},
+		{p.Command, "status", "show health, control replicas, entries and upstreams", &status{app: a}},
+		{p.Command, "members", "show the control replicas", &members{app: a}},
+		{p.Command, "replace", "replace a lost control replica by one that has caught up", &replace{app: a}},
 		{p.Command, "remove", "remove a control replica from the log", &remove{app: a}},
+		{p.Command, "drain", "make an upstream or an entry leave; nothing in progress is cut", &drain{app: a}},
 		{p.Command, "explain", "explain a refusal from its token", &explain{app: a}},
-		{p.Command, "dump", "show a process's state", &dump{app: a}},
+		{p.Command, "dump", "show a process's state as JSON", &dump{app: a}},
 	} {
 		if _, err := c.parent.AddCommand(c.name, c.short, "", c.data); err != nil {
 			return err
@@ -96,6 +99,28 @@
 	return &rows, a.get(path, &rows)
 }
 
+// base returns the row that an edit is based on, or nil: the one in force, or the
+// version that the operator names. An edit that is sent again with its ID and
+// version is then the same edit, also when the row has changed meanwhile.
+func (a *app) base(kind, key string, version *uint64) (*operators.Row, error) {
+	if version == nil {
+		return a.current(kind, key)
+	}
+	if *version == 0 {
+		return nil, nil
+	}
+	var rows operators.Rows
+	if err := a.get(rowPath("/v1/history", kind, key), &rows); err != nil {
+		return nil, err
+	}
+	for _, r := range rows.Rows {
+		if r.Version == *version {
+			return &r, nil
+		}
+	}
+	return nil, merry.Prependf(ErrRefused, "%s %s has no version %d in its history", kind, key, *version)
+}
+
 // current returns the row in force, or nil.
 func (a *app) current(kind, key string) (*operators.Row, error) {
 	rows, err := a.rows(kind)
@@ -110,21 +135,24 @@
 	return nil, nil
 }
 
+// Header names of an edit.
+const (
+	headerEditID  = "Idempotency-Key"
+	headerIfMatch = "If-Match"
+)
+
 type editOptions struct {
 	Version *uint64 `long:"version" description:"version the edit is based on; the one in force if not given"`
-	EditID  string  `long:"edit-id" description:"give the same ID again when an answer was lost: the edit is made once"`
+	EditID  string  `long:"edit-id" description:"ID of the edit; give the same one, and the same --version, when an answer was lost: the edit is made once"`
 }
 
 func (o *editOptions) header(version uint64) map[string]string {
-	if o.Version != nil {
-		version = *o.Version
-	}
 	if o.EditID == "" {
 		o.EditID = rand.Text()
 	}
-	h := map[string]string{"Idempotency-Key": o.EditID, "If-Match": strconv.Quote(strconv.FormatUint(version, 10))}
+	h := map[string]string{headerEditID: o.EditID, headerIfMatch: strconv.Quote(strconv.FormatUint(version, 10))}
 	if version == 0 {
-		delete(h, "If-Match")
+		delete(h, headerIfMatch)
 		h["If-None-Match"] = "*"
 	}
 	return h
@@ -133,6 +161,9 @@
 // sendEdit makes an edit and tells where it is in force.
 func (a *app) sendEdit(r request) error {
 	text, err := a.call(r)
+	if errors.Is(err, ErrServer) {
+		return merry.Append(err, resendHint(r))
+	}
 	if err != nil {
 		return err
 	}
@@ -147,6 +178,19 @@
 	return nil
 }
 
+// resendHint tells how to send an edit again whose answer was lost.
+func resendHint(r request) string {
+	hint := "the edit may have been made; send it again with --edit-id " + r.header[headerEditID]
+	if r.method == http.MethodPost {
+		return hint
+	}
+	version := strings.Trim(r.header[headerIfMatch], `"`)
+	if version == "" {
+		version = "0"
+	}
+	return hint + " --version " + version
+}
+
 type tableSet struct {
 	*app `no-flag:"yes"`
 	editOptions
@@ -159,7 +203,7 @@
 
 // Execute implements flags.Commander.
 func (c *tableSet) Execute([]string) error {
-	old, err := c.current(c.Args.Kind, c.Args.Key)
+	old, err := c.base(c.Args.Kind, c.Args.Key, c.Version)
 	if err != nil {
 		return err
 	}
@@ -192,7 +236,7 @@
 
 // Execute implements flags.Commander.
 func (c *tableDelete) Execute([]string) error {
-	old, err := c.current(c.Args.Kind, c.Args.Key)
+	old, err := c.base(c.Args.Kind, c.Args.Key, c.Version)
 	if err != nil {
 		return err
 	}
@@ -277,7 +321,7 @@
 	}
 	return c.sendEdit(request{
 		method: http.MethodPost, path: "/v1/table",
-		header: map[string]string{"Idempotency-Key": c.EditID}, body: map[string]any{"rows": edits},
+		header: map[string]string{headerEditID: c.EditID}, body: map[string]any{"rows": edits},
 	})
 }
 
@@ -327,66 +371,3 @@
 	line, _ := bufio.NewReader(c.stdin).ReadString('\n')
 	return strings.EqualFold(strings.TrimSpace(line), "y")
 }
-
-type status struct {
-	*app `no-flag:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (c *status) Execute([]string) error {
-	var m operators.Members
-	if err := c.get("/v1/members", &m); err != nil {
-		return err
-	}
-	s := sheet{head: []string{"replica", "role", "caught up", "index", "failure domain", "address"}}
-	for _, r := range m.Members {
-		s.rows = append(s.rows, []string{r.ID, r.Role, fmt.Sprint(r.CaughtUp), fmt.Sprint(r.Index), r.FailureDomain, r.Address})
-	}
-	if err := c.show(m, s); err != nil {
-		return err
-	}
-	fmt.Fprintln(c.stderr, "health: "+m.Health)
-	return nil
-}
-
-type remove struct {
-	*app `no-flag:"yes"`
-	Args struct {
-		ID string `positional-arg-name:"REPLICA" required:"yes"`
-	} `positional-args:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (c *remove) Execute([]string) error {
-	name, incarnation, _ := strings.Cut(c.Args.ID, "/")
-	_, err := c.call(request{method: http.MethodDelete, path: "/v1/members/" + url.PathEscape(name) + "/" + url.PathEscape(incarnation)})
-	return err
-}
-
-type explain struct {
-	*app `no-flag:"yes"`
-	Args struct {
-		Token string `positional-arg-name:"TOKEN" required:"yes"`
-	} `positional-args:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (c *explain) Execute([]string) error {
-	return c.printJSON("/v1/refusals/" + url.PathEscape(c.Args.Token))
-}
-
-type dump struct {
-	*app `no-flag:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (c *dump) Execute([]string) error { return c.printJSON("/debug/state") }
-
-func (a *app) printJSON(path string) error {
-	text, err := a.call(request{method: http.MethodGet, path: path})
-	if err != nil {
-		return err
-	}
-	_, err = a.stdout.Write(text)
-	return err
-}
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -15,6 +15,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/operators"
 )
 
 // Errors of this layer.
@@ -85,11 +86,11 @@
 
 // problem is the part of an RFC 9457 answer that is shown.
 type problem struct {
-	Title   string          `json:"title"`
-	Detail  string          `json:"detail"`
-	Row     string          `json:"row"`
-	Column  string          `json:"column"`
-	InForce json.RawMessage `json:"in_force"`
+	Title   string `json:"title"`
+	Detail  string `json:"detail"`
+	Row     string `json:"row"`
+	Column  string `json:"column"`
+	InForce []operators.Row `json:"in_force"`
 }
 
 func (p *problem) text() string {
@@ -103,8 +104,8 @@
 	if p.Detail != "" {
 		parts = append(parts, p.Detail)
 	}
-	if len(p.InForce) > 0 {
-		parts = append(parts, "in force: "+string(p.InForce))
+	for _, r := range p.InForce {
+		parts = append(parts, "\n  in force: "+r.Kind+" "+r.Key+" "+rowText(&r))
 	}
 	return strings.Join(parts, " ")
 }
--- a/ctl/output.go
+++ b/ctl/output.go
@@ -16,14 +16,26 @@
 	rows [][]string
 }
 
-// show writes a value in the form that was asked for.
-func (a *app) show(v any, s sheet) error {
-	switch a.Output {
-	case "json":
+// show writes a value in the form that was asked for: as JSON, or as sheets.
+func (a *app) show(v any, sheets ...sheet) error {
+	if a.Output == "json" {
 		enc := json.NewEncoder(a.stdout)
 		enc.SetIndent("", "  ")
 		return enc.Encode(v)
-	case "tsv":
+	}
+	for i, s := range sheets {
+		if i > 0 {
+			fmt.Fprintln(a.stdout)
+		}
+		if err := a.showSheet(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *app) showSheet(s sheet) error {
+	if a.Output == "tsv" {
 		for _, r := range s.rows {
 			fmt.Fprintln(a.stdout, strings.Join(r, "\t"))
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -50,6 +50,8 @@
 	dumps       kernel.Dumps
 	view        atomic.Pointer[table.View]
 	draining    atomic.Bool
+	leaving     chan struct{}
+	drained     chan struct{}
 	requests    atomic.Int64
 	incarnation uint64
 	seq         atomic.Uint64
@@ -88,6 +90,8 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		started:     time.Now(),
 		announceNow: make(chan struct{}, 1),
+		leaving:     make(chan struct{}),
+		drained:     make(chan struct{}),
 		runner: admit.NewRunner(admit.Settings{
 			Slots: s.Slots, Reserved: s.Slots * s.UrgentPercent / 100, MaxQueue: s.MaxQueue,
 		}, time.Now),
@@ -111,12 +115,18 @@
 	e.dumps.Add("entry", e.dump)
 	e.dumps.Add("directory", e.node.Dump)
 	e.client = control.NewClient(e.pool, s.replicas(), s.ID)
-	if e.ops, err = operators.New(s.Operator, e.client, e.entryStates, l); err != nil {
+	if e.ops, err = operators.New(s.Operator, e.client, process{e}, l); err != nil {
 		return nil, err
 	}
 	if err := e.newControl(l); err != nil {
 		return nil, err
 	}
+	if err := e.dumps.Register(e.srv.Mux); err != nil {
+		return nil, err
+	}
+	if err := wire.DRPCRegisterEntry(e.srv.Mux, drainService{e}); err != nil {
+		return nil, err
+	}
 	return e, wire.DRPCRegisterDirectory(e.srv.Mux, e.node)
 }
 
@@ -211,6 +221,7 @@
 	go e.followTable(ctx)
 	go e.claims.Run(ctx)
 	go e.limits.run(ctx)
+	go e.drainCallers(ctx)
 	go e.node.Run(ctx)
 	go e.announceLoop(ctx)
 	for _, addr := range e.settings.replicas() {
@@ -275,27 +286,6 @@
 	return e.operators.Addr().String()
 }
 
-// Drain implements kernel.Daemon. Callers keep the list of entries for a while
-// and come here until then, so the entry leaves the list at once, takes new
-// requests for that time and a margin, and then finishes what is in progress.
-func (e *Entry) Drain(ctx context.Context) error {
-	e.draining.Store(true)
-	e.announceAll(ctx, wire.Phase_PHASE_LEAVING)
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(e.settings.Keep.D() + drainMargin):
-	}
-	err := e.callersHTTP.Shutdown(ctx)
-	if err == nil {
-		e.announceAll(ctx, wire.Phase_PHASE_GONE)
-	}
-	return err
-}
-
-// drainMargin covers the time an answer with the list is on its way.
-const drainMargin = time.Second
-
 // Stop implements kernel.Daemon.
 func (e *Entry) Stop() int {
 	cut := int(e.requests.Load())
--- /dev/null
+++ b/entry/process.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/operators"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// processTimeout bounds a call to another process on behalf of an operator.
+const processTimeout = 5 * time.Second
+
+// process shows the entry, and those that it knows, to operators.
+type process struct{ *Entry }
+
+func phaseOf(i *directory.Instance) string {
+	return strings.ToLower(strings.TrimPrefix(i.Phase.String(), "PHASE_"))
+}
+
+// instances calls f for each instance of a role, with the phase to show.
+func (p process) instances(role wire.Role, f func(i *directory.Instance, phase string)) {
+	for _, i := range p.node.Instances(role) {
+		f(i, phaseOf(i))
+	}
+	for _, i := range p.node.Silent(role) {
+		f(i, operators.PhaseSilent)
+	}
+}
+
+// Entries implements operators.System.
+func (p process) Entries() []operators.EntryState {
+	list := []operators.EntryState{}
+	p.instances(wire.Role_ROLE_ENTRY, func(i *directory.Instance, phase string) {
+		list = append(list, operators.EntryState{
+			ID: i.Id, FailureDomain: i.FailureDomain, Address: i.Address, Phase: phase,
+			Revision: i.Revision, Listed: i.Listed && i.Up(),
+		})
+	})
+	return list
+}
+
+// Upstreams implements operators.System.
+func (p process) Upstreams() []operators.UpstreamState {
+	list := []operators.UpstreamState{}
+	p.instances(wire.Role_ROLE_UPSTREAM, func(i *directory.Instance, phase string) {
+		load := p.watches.load(i)
+		list = append(list, operators.UpstreamState{
+			ID: i.Id, FailureDomain: i.FailureDomain, Address: i.Address, Kind: i.Kind, Pools: i.Pools,
+			Phase: phase, Running: load.GetRunning(), Waiting: load.GetWaiting(), Slots: load.GetSlots(),
+		})
+	})
+	return list
+}
+
+// find returns an upstream or an entry by ID, or nil.
+func (p process) find(id string) *directory.Instance {
+	for _, role := range []wire.Role{wire.Role_ROLE_ENTRY, wire.Role_ROLE_UPSTREAM} {
+		for _, i := range p.node.Instances(role) {
+			if i.Id == id {
+				return i
+			}
+		}
+	}
+	return nil
+}
+
+// Dump implements operators.System.
+func (p process) Dump(ctx context.Context, id, address string) (json.RawMessage, error) {
+	if i := p.find(id); i != nil {
+		address = i.Address
+	}
+	if address == "" {
+		return nil, merry.Prepend(operators.ErrUnknownProcess, id)
+	}
+	ctx, cancel := context.WithTimeout(ctx, processTimeout)
+	defer cancel()
+	reply, err := wire.NewDRPCProcessClient(p.pool.Conn(ctx, address)).Dump(ctx, &wire.DumpRequest{})
+	if err != nil {
+		return nil, merry.Prependf(operators.ErrNotReached, "%s at %s: %v", id, address, err)
+	}
+	return reply.State, nil
+}
+
+// Drain implements operators.System.
+func (p process) Drain(ctx context.Context, id, by string) (operators.Drained, error) {
+	i := p.find(id)
+	if i == nil {
+		return operators.Drained{}, merry.Prependf(operators.ErrUnknownProcess, "%s: no upstream or entry of this ID is up", id)
+	}
+	ctx, cancel := context.WithTimeout(ctx, processTimeout)
+	defer cancel()
+	conn := p.pool.Conn(ctx, i.Address)
+	drain := wire.NewDRPCAgentClient(conn).Drain
+	if i.Role == wire.Role_ROLE_ENTRY {
+		drain = wire.NewDRPCEntryClient(conn).Drain
+	}
+	reply, err := drain(ctx, &wire.DrainRequest{By: by})
+	if err != nil {
+		return operators.Drained{}, merry.Prependf(operators.ErrNotReached, "%s at %s: %v", id, i.Address, err)
+	}
+	return operators.Drained{ID: id, Running: reply.Running, Waiting: reply.Waiting}, nil
+}
+
+// drainService is the entry as other entries call it.
+type drainService struct{ *Entry }
+
+// Drain implements the Entry service: an operator asks the entry to leave.
+func (s drainService) Drain(ctx context.Context, req *wire.DrainRequest) (*wire.DrainReply, error) {
+	kernel.Info(s.log, "Asked to leave.", "by", req.By)
+	s.leave(ctx)
+	_, waiting := s.runner.Counts()
+	return &wire.DrainReply{Running: uint32(s.requests.Load()), Waiting: uint32(waiting)}, nil
+}
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -6,8 +6,6 @@
 	"github.com/gorilla/mux"
 
 	"github.com/snipereach/snipereach/kernel"
-	"github.com/snipereach/snipereach/operators"
-	"github.com/snipereach/snipereach/refusal"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -33,17 +31,6 @@
 	return r
 }
 
-// entryStates lists the entries that are up, with the revision in force at each.
-func (e *Entry) entryStates() []operators.EntryState {
-	var list []operators.EntryState
-	for _, i := range e.node.Instances(wire.Role_ROLE_ENTRY) {
-		if i.Up() {
-			list = append(list, operators.EntryState{ID: i.Id, Revision: i.Revision})
-		}
-	}
-	return list
-}
-
 // listedEntry is one entry as callers see it.
 type listedEntry struct {
 	ID            string `json:"id"`
@@ -83,39 +70,3 @@
 func (e *Entry) Ready() bool {
 	return !e.draining.Load() && e.view.Load() != nil && e.rowsConfirmed()
 }
-
-// explanation is a refusal as callers and operators read it later.
-type explanation struct {
-	*refusal.Problem
-	Team     string         `json:"team,omitempty"`
-	Service  string         `json:"service,omitempty"`
-	Entry    string         `json:"entry"`
-	AtUnixMS int64          `json:"at_unix_ms"`
-	Attempts []attemptShown `json:"attempts,omitempty"`
-}
-
-type attemptShown struct {
-	Upstream string `json:"upstream"`
-	Outcome  string `json:"outcome"`
-	Reason   string `json:"reason"`
-	Detail   string `json:"detail,omitempty"`
-}
-
-func (e *Entry) serveRefusal(w http.ResponseWriter, r *http.Request) {
-	ref, err := e.sealer.Open(mux.Vars(r)["token"])
-	if err != nil {
-		e.sealer.Write(w, e.refuse(wire.Reason_REASON_BAD_REQUEST, err.Error()))
-		return
-	}
-	x := explanation{
-		Problem: e.sealer.ProblemOf(ref), Team: ref.Team, Service: ref.Service,
-		Entry: ref.Entry, AtUnixMS: ref.AtUnixMs,
-	}
-	for _, a := range ref.Attempts {
-		x.Attempts = append(x.Attempts, attemptShown{
-			Upstream: a.Upstream, Outcome: refusal.OutcomeWord(a.Outcome),
-			Reason: refusal.ReasonWord(a.Reason), Detail: a.Detail,
-		})
-	}
-	kernel.WriteJSON(w, http.StatusOK, x)
-}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -104,12 +104,28 @@
 			return bad("control_replicas", err.Error())
 		}
 	}
+	if err := s.checkOperators(); err != nil {
+		return err
+	}
 	if s.Control != nil {
 		return s.Control.Check()
 	}
 	return nil
 }
 
+func (s *Settings) checkOperators() error {
+	if err := operators.CheckOperators(s.Operator); err != nil {
+		return merry.Prepend(kernel.ErrSettings, err.Error())
+	}
+	if s.Operators == "" {
+		return nil
+	}
+	if _, _, err := net.SplitHostPort(s.Operators); err != nil {
+		return merry.Prependf(kernel.ErrSettings, "key \"operators_listen\": %v", err)
+	}
+	return nil
+}
+
 // replicas lists the control replicas to follow.
 func (s *Settings) replicas() []string {
 	if len(s.ControlReplicas) == 0 {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/snipereach/snipereach/directory"
@@ -26,6 +27,8 @@
 	incarnation uint64
 	address     string
 	cancel      context.CancelFunc
+	// load is the last report's.
+	load atomic.Pointer[wire.Load]
 }
 
 func newWatches(e *Entry) *watches {
@@ -56,8 +59,9 @@
 			old.cancel()
 		}
 		ctx, cancel := context.WithCancel(w.ctx)
-		w.open[i.Id] = &openWatch{incarnation: i.Incarnation, address: i.Address, cancel: cancel}
-		go w.follow(ctx, i.Address)
+		o := &openWatch{incarnation: i.Incarnation, address: i.Address, cancel: cancel}
+		w.open[i.Id] = o
+		go w.follow(ctx, o)
 	}
 	for id, old := range w.open {
 		if !live[id] {
@@ -67,9 +71,19 @@
 	}
 }
 
-func (w *watches) follow(ctx context.Context, addr string) {
+// load returns the last load that an instance reported, or announced.
+func (w *watches) load(i *directory.Instance) *wire.Load {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if o := w.open[i.Id]; o != nil && o.incarnation == i.Incarnation && o.load.Load() != nil {
+		return o.load.Load()
+	}
+	return i.Load
+}
+
+func (w *watches) follow(ctx context.Context, o *openWatch) {
 	for ctx.Err() == nil {
-		w.once(ctx, addr)
+		w.once(ctx, o)
 		select {
 		case <-ctx.Done():
 		case <-time.After(rewatchDelay):
@@ -77,9 +91,9 @@
 	}
 }
 
-func (w *watches) once(ctx context.Context, addr string) {
+func (w *watches) once(ctx context.Context, o *openWatch) {
 	e := w.entry
-	stream, err := wire.NewDRPCAgentClient(e.pool.Conn(ctx, addr)).Watch(ctx, &wire.WatchRequest{
+	stream, err := wire.NewDRPCAgentClient(e.pool.Conn(ctx, o.address)).Watch(ctx, &wire.WatchRequest{
 		Entry: e.settings.ID, IntervalMs: uint32(reportInterval.Milliseconds()),
 	})
 	if err != nil {
@@ -91,6 +105,7 @@
 		if err != nil {
 			return
 		}
+		o.load.Store(r.Load)
 		e.fwd.Report(r)
 	}
 }
--- a/operators/operators.go
+++ b/operators/operators.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	_ "embed"
+	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -16,6 +17,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/go-kit/log"
@@ -39,6 +41,8 @@
 	maxBody   = 4 << 20
 	// maxApply is how many rows one request may edit.
 	maxApply = 5000
+	// maxName bounds an operator's name, in bytes.
+	maxName = 64
 )
 
 // Operator is one person or program that may edit.
@@ -48,36 +52,56 @@
 	KeySHA256 string `toml:"key_sha256"`
 }
 
-// EntryState is what an edit's answer needs to know of an entry.
-type EntryState struct {
-	ID       string
-	Revision uint64
-}
-
 // Handler serves operators.
 type Handler struct {
-	client  *control.Client
-	entries func() []EntryState
-	keys    map[[sha256.Size]byte]string
-	log     log.Logger
+	client *control.Client
+	system System
+	keys   map[[sha256.Size]byte]string
+	log    log.Logger
+}
+
+// New makes a handler.
+func New(ops []Operator, client *control.Client, system System, l log.Logger) (*Handler, error) {
+	keys, err := keysOf(ops)
+	if err != nil {
+		return nil, err
+	}
+	return &Handler{client: client, system: system, keys: keys, log: kernel.PartLog(l, "operators")}, nil
+}
+
+// CheckOperators names the first operator that can't be told apart.
+func CheckOperators(ops []Operator) error {
+	_, err := keysOf(ops)
+	return err
 }
 
-// New makes a handler. entries lists the entries that are up, with the revision
-// that each has in force.
-func New(ops []Operator, client *control.Client, entries func() []EntryState, l log.Logger) (*Handler, error) {
-	h := &Handler{client: client, entries: entries, keys: map[[sha256.Size]byte]string{}, log: kernel.PartLog(l, "operators")}
-	for _, o := range ops {
+// keysOf maps key digests to names. Two operators with one name or one key would
+// be one in the history.
+func keysOf(ops []Operator) (map[[sha256.Size]byte]string, error) {
+	keys := map[[sha256.Size]byte]string{}
+	names := map[string]bool{}
+	for i, o := range ops {
+		bad := func(key, detail string) error {
+			return merry.Prependf(ErrSettings, "key \"operator.%s\": operator %d (%q): %s", key, i+1, o.Name, detail)
+		}
+		if o.Name == "" || len(o.Name) > maxName || strings.ContainsFunc(o.Name, unicode.IsControl) {
+			return nil, bad("name", "1 to "+strconv.Itoa(maxName)+" printable bytes are needed")
+		}
+		if names[o.Name] {
+			return nil, bad("name", "the name stands twice")
+		}
+		names[o.Name] = true
 		raw, err := hex.DecodeString(o.KeySHA256)
-		if err != nil || len(raw) != sha256.Size || o.Name == "" {
-			return nil, merry.Prependf(ErrSettings, "operator %q: a name and a SHA-256 digest in hex are needed", o.Name)
+		if err != nil || len(raw) != sha256.Size {
+			return nil, bad("key_sha256", "64 hexadecimal digits are needed")
 		}
 		digest := [sha256.Size]byte(raw)
-		if other, ok := h.keys[digest]; ok {
-			return nil, merry.Prependf(ErrSettings, "operators %q and %q have the same key", other, o.Name)
+		if other, ok := keys[digest]; ok {
+			return nil, bad("key_sha256", "operator "+strconv.Quote(other)+" has the same key")
 		}
-		h.keys[digest] = o.Name
+		keys[digest] = o.Name
 	}
-	return h, nil
+	return keys, nil
 }
 
 //go:embed table.html
@@ -96,6 +120,10 @@
 	r.HandleFunc("/v1/force/{revision:[0-9]+}", h.with(h.inForce)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/members", h.with(h.members)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/members/{id:.+}", h.with(h.removeMember)).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/replace/{id:.+}", h.with(h.replaceMember)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/status", h.with(h.status)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/dump/{id:.+}", h.with(h.dump)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/drain/{id:.+}", h.with(h.drain)).Methods(http.MethodPost)
 }
 
 // call is one authenticated request.
@@ -130,6 +158,9 @@
 // with checks who calls and bounds the call.
 func (h *Handler) with(f func(*call)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		// Rows are never kept by a cache: a stale one would be edited as if in force.
+		w.Header().Set("Cache-Control", "no-store")
+		w.Header().Set("X-Content-Type-Options", "nosniff")
 		c := &call{w: w, r: r}
 		c.operator = h.operator(r)
 		if c.operator == "" {
@@ -161,9 +192,26 @@
 	return ""
 }
 
+// pagePolicy lets the page run its own script and style, known by their digests,
+// and talk to its own address; nothing that a row's text could bring in runs.
+var pagePolicy = "default-src 'none'; connect-src 'self'; base-uri 'none'; form-action 'none'; frame-ancestors 'none'; script-src " +
+	digestOf("script") + "; style-src " + digestOf("style")
+
+// digestOf returns the policy's source for the page's one element of a name.
+func digestOf(element string) string {
+	_, text, _ := strings.Cut(string(page), "<"+element+">")
+	text, _, _ = strings.Cut(text, "</"+element+">")
+	sum := sha256.Sum256([]byte(text))
+	return "'sha256-" + base64.StdEncoding.EncodeToString(sum[:]) + "'"
+}
+
 func (h *Handler) servePage(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "text/html; charset=utf-8")
-	w.Header().Set("Content-Security-Policy", "default-src 'self'; style-src 'unsafe-inline'; script-src 'unsafe-inline'")
+	header := w.Header()
+	header.Set("Content-Type", "text/html; charset=utf-8")
+	header.Set("Content-Security-Policy", pagePolicy)
+	header.Set("X-Content-Type-Options", "nosniff")
+	header.Set("Referrer-Policy", "no-referrer")
+	header.Set("Cache-Control", "no-store")
 	_, _ = w.Write(page)
 }
 
@@ -179,7 +227,8 @@
 	Deleted   bool              `json:"deleted,omitempty"`
 }
 
-func rowOf(r *wire.Row) Row {
+// RowOf shows a row of the table.
+func RowOf(r *wire.Row) Row {
 	row := Row{
 		Kind: r.Kind, Key: r.Key, Columns: r.Columns, Version: r.Version,
 		Revision: r.Revision, ChangedBy: r.ChangedBy, Deleted: r.Deleted,
@@ -193,7 +242,7 @@
 func rowsOf(list []*wire.Row) []Row {
 	rows := make([]Row, 0, len(list))
 	for _, r := range list {
-		rows = append(rows, rowOf(r))
+		rows = append(rows, RowOf(r))
 	}
 	return rows
 }
@@ -210,6 +259,8 @@
 	InForce  int      `json:"in_force"`
 	Entries  int      `json:"entries"`
 	Lagging  []string `json:"lagging,omitempty"`
+	// silent is how many of those that lag can't be waited for.
+	silent int
 }
 
 // Edited is the answer to an accepted edit.
@@ -275,17 +326,23 @@
 		return
 	}
 	c.w.Header().Set("ETag", etag(reply.Rows[0].Version))
-	kernel.WriteJSON(c.w, http.StatusOK, rowOf(reply.Rows[0]))
+	kernel.WriteJSON(c.w, http.StatusOK, RowOf(reply.Rows[0]))
 }
 
+// errNoBase is returned for an edit that doesn't say what it is based on.
+var errNoBase = errors.New("header If-Match with the row's ETag is needed, or If-None-Match: * for a new row")
+
 // base reads the version that an edit is based on.
 func base(r *http.Request) (uint64, error) {
-	if r.Header.Get("If-None-Match") == "*" {
+	match, none := r.Header.Get("If-Match"), r.Header.Get("If-None-Match")
+	if match != "" && none != "" {
+		return 0, errors.New("headers If-Match and If-None-Match contradict each other")
+	}
+	if none == "*" {
 		return 0, nil
 	}
-	match := r.Header.Get("If-Match")
 	if match == "" {
-		return 0, errors.New("header If-Match with the row's ETag is needed, or If-None-Match: * for a new row")
+		return 0, errNoBase
 	}
 	n, err := strconv.ParseUint(strings.Trim(match, `"`), 10, 64)
 	if err != nil {
@@ -297,10 +354,14 @@
 func (h *Handler) put(c *call) {
 	v := mux.Vars(c.r)
 	version, err := base(c.r)
-	if err != nil {
+	if errors.Is(err, errNoBase) {
 		c.problem(http.StatusPreconditionRequired, "An edit says what it is based on.", err.Error())
 		return
 	}
+	if err != nil {
+		c.problem(http.StatusBadRequest, "The precondition is malformed.", err.Error())
+		return
+	}
 	row := &wire.RowEdit{Kind: v["kind"], Key: v["key"], BaseVersion: version, Delete: c.r.Method == http.MethodDelete}
 	if !row.Delete {
 		var body struct {
@@ -317,7 +378,13 @@
 func (c *call) decode(v any) bool {
 	dec := json.NewDecoder(c.r.Body)
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
+	err := dec.Decode(v)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		c.problem(http.StatusRequestEntityTooLarge, "The body is too large.", "at most "+strconv.Itoa(maxBody)+" bytes are taken")
+		return false
+	}
+	if err != nil {
 		c.problem(http.StatusBadRequest, "The body is not what is expected.", err.Error())
 		return false
 	}
@@ -373,7 +440,7 @@
 	switch reply.Status {
 	case wire.EditStatus_EDIT_STATUS_ACCEPTED:
 		if !reply.Replayed {
-			kernel.Info(h.log, "Accepted an edit.", "by", c.operator, "edit", id, "revision", reply.Revision, "rows", len(reply.Rows), "first", reply.Rows[0].Kind+" "+reply.Rows[0].Key)
+			h.logEdit(c.operator, id, reply)
 		}
 		if len(reply.Rows) == 1 {
 			c.w.Header().Set("ETag", etag(reply.Rows[0].Version))
@@ -394,13 +461,26 @@
 	}
 }
 
-// waitForce waits until every entry that is up has a revision in force, but not
-// for long: an entry that lags is named in the answer.
+// logEdit writes a line for each row: who changed what, and to which version.
+// Cells stay out of the log; the history has them.
+func (h *Handler) logEdit(by, id string, reply *wire.EditReply) {
+	for _, r := range reply.Rows {
+		verb := "Changed a row."
+		if r.Deleted {
+			verb = "Deleted a row."
+		}
+		kernel.Info(h.log, verb, "by", by, "row", r.Kind+" "+r.Key, "version", r.Version, "revision", reply.Revision, "edit", id)
+	}
+}
+
+// waitForce waits until every entry that is heard has a revision in force, but
+// not for long: an entry that lags is named in the answer. A silent one is not
+// waited for, but named: it may serve callers behind a partition.
 func (h *Handler) waitForce(ctx context.Context, revision uint64) Force {
 	end := time.Now().Add(forceWait)
 	for {
 		f := h.force(revision)
-		if f.InForce == f.Entries || time.Now().After(end) {
+		if len(f.Lagging) == f.silent || time.Now().After(end) {
 			return f
 		}
 		select {
@@ -413,13 +493,16 @@
 
 func (h *Handler) force(revision uint64) Force {
 	f := Force{Revision: revision}
-	for _, e := range h.entries() {
+	for _, e := range h.system.Entries() {
 		f.Entries++
 		if e.Revision >= revision {
 			f.InForce++
 			continue
 		}
 		f.Lagging = append(f.Lagging, e.ID)
+		if e.Phase == PhaseSilent {
+			f.silent++
+		}
 	}
 	return f
 }
@@ -468,7 +551,9 @@
 
 // Members is the state of the replicated log.
 type Members struct {
-	Health  string   `json:"health"`
+	Health string `json:"health"`
+	// Detail says what an order has brought about so far.
+	Detail  string   `json:"detail,omitempty"`
 	Members []Member `json:"members"`
 }
 
@@ -482,12 +567,23 @@
 	h.askMembers(c, &wire.MembersRequest{Verb: control.VerbRemove, Member: &wire.Member{Id: id}})
 }
 
-func (h *Handler) askMembers(c *call, req *wire.MembersRequest) {
+func (h *Handler) replaceMember(c *call) {
+	id := mux.Vars(c.r)["id"]
+	kernel.Info(h.log, "Asked to replace a member.", "by", c.operator, "member", id)
+	h.askMembers(c, &wire.MembersRequest{Verb: control.VerbReplace, Member: &wire.Member{Id: id}})
+}
+
+func (h *Handler) callMembers(ctx context.Context, req *wire.MembersRequest) (*wire.MembersReply, error) {
 	var reply *wire.MembersReply
-	err := h.client.Call(c.r.Context(), func(ctx context.Context, cc wire.DRPCControlClient) (err error) {
+	err := h.client.Call(ctx, func(ctx context.Context, cc wire.DRPCControlClient) (err error) {
 		reply, err = cc.Members(ctx, req)
 		return err
 	})
+	return reply, err
+}
+
+func (h *Handler) askMembers(c *call, req *wire.MembersRequest) {
+	reply, err := h.callMembers(c.r.Context(), req)
 	if err != nil {
 		c.problem(http.StatusServiceUnavailable, "No leader answers. The log may have no quorum.", err.Error())
 		return
@@ -496,7 +592,11 @@
 		c.problem(http.StatusConflict, "The order is refused.", reply.Detail)
 		return
 	}
-	out := Members{Health: reply.Health, Members: []Member{}}
+	kernel.WriteJSON(c.w, http.StatusOK, Members{Health: reply.Health, Detail: reply.Detail, Members: membersOf(reply)})
+}
+
+func membersOf(reply *wire.MembersReply) []Member {
+	list := []Member{}
 	for _, m := range reply.Members {
 		role := "voter"
 		switch {
@@ -505,7 +605,7 @@
 		case m.Learner:
 			role = "learner"
 		}
-		out.Members = append(out.Members, Member{m.Id, m.Address, m.FailureDomain, role, m.CaughtUp, m.MatchIndex})
+		list = append(list, Member{m.Id, m.Address, m.FailureDomain, role, m.CaughtUp, m.MatchIndex})
 	}
-	kernel.WriteJSON(c.w, http.StatusOK, out)
+	return list
 }
--- a/table/schema.go
+++ b/table/schema.go
@@ -21,6 +21,9 @@
 	KindGroup   = "group"
 )
 
+// ColumnKeySHA256 holds digests of a team's bearer keys; it is not shown to callers.
+const ColumnKeySHA256 = "key_sha256"
+
 // Errors of this layer.
 var (
 	ErrUnknownKind   = merry.Sentinel("unknown row kind")
@@ -97,7 +100,7 @@
 // Schema lists the columns of each kind, in the order operators see them.
 var Schema = map[string][]Column{
 	KindTeam: {
-		{Name: "key_sha256", Doc: "digests of the team's bearer keys", check: sha256List},
+		{Name: ColumnKeySHA256, Doc: "digests of the team's bearer keys", check: sha256List},
 		{Name: "max_priority", Default: "normal", Doc: "highest priority the team may ask for", check: priorities},
 		{Name: "contact", Doc: "whom to ask", check: anyText},
 	},
