--- a/control/client.go
+++ b/control/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
@@ -49,9 +50,27 @@
 	return err
 }
 
+// editRetry is the time between two sendings of an edit that nobody decided.
+const editRetry = 100 * time.Millisecond
+
 // Edit sends an edit until a leader has decided it, or the context ends. It may
 // be sent more than once: the edit ID makes that safe.
 func (c *Client) Edit(ctx context.Context, e *wire.TableEdit) (*wire.EditReply, error) {
+	for {
+		reply, err := c.editOnce(ctx, e)
+		if err == nil {
+			return reply, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(editRetry):
+		}
+	}
+}
+
+// editOnce asks each replica once.
+func (c *Client) editOnce(ctx context.Context, e *wire.TableEdit) (*wire.EditReply, error) {
 	var reply *wire.EditReply
 	err := c.Call(ctx, func(ctx context.Context, cc wire.DRPCControlClient) error {
 		r, err := cc.Edit(ctx, e)
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/url"
 	"os"
@@ -161,7 +162,7 @@
 // sendEdit makes an edit and tells where it is in force.
 func (a *app) sendEdit(r request) error {
 	text, err := a.call(r)
-	if errors.Is(err, ErrServer) {
+	if errors.Is(err, ErrServer) || errors.Is(err, ErrUnavailable) {
 		return merry.Append(err, resendHint(r))
 	}
 	if err != nil {
@@ -203,6 +204,10 @@
 
 // Execute implements flags.Commander.
 func (c *tableSet) Execute([]string) error {
+	cells, err := parseCells(c.Args.Cells)
+	if err != nil {
+		return err
+	}
 	old, err := c.base(c.Args.Kind, c.Args.Key, c.Version)
 	if err != nil {
 		return err
@@ -211,23 +216,28 @@
 	version := uint64(0)
 	if old != nil {
 		version = old.Version
-		for name, value := range old.Columns {
-			columns[name] = value
-		}
-	}
-	for _, cell := range c.Args.Cells {
-		name, value, ok := strings.Cut(cell, "=")
-		if !ok {
-			return merry.Prependf(ErrUsage, "%q is not COLUMN=VALUE", cell)
-		}
-		columns[name] = value
+		maps.Copy(columns, old.Columns)
 	}
+	maps.Copy(columns, cells)
 	return c.sendEdit(request{
 		method: http.MethodPut, path: rowPath("/v1/table", c.Args.Kind, c.Args.Key),
 		header: c.header(version), body: map[string]any{"columns": columns},
 	})
 }
 
+// parseCells reads COLUMN=VALUE words.
+func parseCells(words []string) (map[string]string, error) {
+	parsed := map[string]string{}
+	for _, word := range words {
+		name, value, ok := strings.Cut(word, "=")
+		if !ok {
+			return nil, merry.Prependf(ErrUsage, "%q is not COLUMN=VALUE", word)
+		}
+		parsed[name] = value
+	}
+	return parsed, nil
+}
+
 type tableDelete struct {
 	*app `no-flag:"yes"`
 	editOptions
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -23,6 +23,8 @@
 	ErrRefused = merry.Sentinel("refused")
 	ErrServer  = merry.Sentinel("server can't be reached")
 	ErrUsage   = merry.Sentinel("usage")
+	// ErrUnavailable is returned when nobody could decide.
+	ErrUnavailable = merry.Sentinel("unavailable")
 )
 
 const timeout = 30 * time.Second
@@ -48,6 +50,7 @@
 	a := &app{stdin: stdin, stdout: stdout, stderr: stderr, http: &http.Client{Timeout: timeout}}
 	p := flags.NewNamedParser("snipereachctl", flags.HelpFlag|flags.PassDoubleDash)
 	p.SubcommandsOptional = true
+	p.CommandHandler = runCommand
 	if _, err := p.AddGroup("Options", "", &a.global); err != nil {
 		fmt.Fprintln(stderr, err)
 		return kernel.ExitFailed
@@ -56,7 +59,7 @@
 		fmt.Fprintln(stderr, err)
 		return kernel.ExitFailed
 	}
-	_, err := p.ParseArgs(args)
+	rest, err := p.ParseArgs(args)
 	var fe *flags.Error
 	switch {
 	case errors.As(err, &fe) && fe.Type == flags.ErrHelp:
@@ -70,6 +73,9 @@
 		return kernel.ExitFailed
 	case a.Version:
 		fmt.Fprintln(stdout, "snipereachctl", kernel.Version)
+	case len(rest) > 0:
+		fmt.Fprintf(stderr, "snipereachctl: unknown command %q; see --help\n", rest[0])
+		return kernel.ExitSettings
 	case p.Active == nil:
 		fmt.Fprintln(stderr, "snipereachctl: a command is needed; see --help")
 		return kernel.ExitSettings
@@ -77,6 +83,18 @@
 	return kernel.ExitOK
 }
 
+// runCommand runs a command, and refuses words that it doesn't take: an order
+// would otherwise be carried out for the first of several hosts without a word.
+func runCommand(c flags.Commander, rest []string) error {
+	if c == nil {
+		return nil
+	}
+	if len(rest) > 0 {
+		return merry.Prependf(ErrUsage, "unexpected argument %q", rest[0])
+	}
+	return c.Execute(nil)
+}
+
 // request is one call to the server.
 type request struct {
 	method, path string
@@ -86,10 +104,10 @@
 
 // problem is the part of an RFC 9457 answer that is shown.
 type problem struct {
-	Title   string `json:"title"`
-	Detail  string `json:"detail"`
-	Row     string `json:"row"`
-	Column  string `json:"column"`
+	Title   string          `json:"title"`
+	Detail  string          `json:"detail"`
+	Row     string          `json:"row"`
+	Column  string          `json:"column"`
 	InForce []operators.Row `json:"in_force"`
 }
 
@@ -142,6 +160,9 @@
 		if json.Unmarshal(text, &p) != nil {
 			p.Title = resp.Status
 		}
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			return nil, merry.Prepend(ErrUnavailable, p.text())
+		}
 		return nil, merry.Prepend(ErrRefused, p.text())
 	}
 	return text, nil
--- /dev/null
+++ b/operators/operators_test.go
@@ -0,0 +1,270 @@
+package operators_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/snipereach/snipereach/operators"
+	"github.com/snipereach/snipereach/quickstart"
+)
+
+func start(t *testing.T) *quickstart.System {
+	t.Helper()
+	s, err := quickstart.Start(context.Background(), quickstart.Options{Log: log.NewNopLogger()})
+	assert.NilError(t, err)
+	t.Cleanup(s.Stop)
+	assert.NilError(t, s.WaitReady(context.Background()))
+	return s
+}
+
+// answer holds every member that an answer of the interface may have.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+
+	operators.Row
+	Title    string          `json:"title"`
+	Detail   string          `json:"detail"`
+	BadRow   string          `json:"row"`
+	Column   string          `json:"column"`
+	InForce  []operators.Row `json:"in_force"`
+	Rows     []operators.Row `json:"rows"`
+	Replayed bool            `json:"replayed"`
+	Force    operators.Force `json:"force"`
+}
+
+// send calls the first entry's operators' address. Headers are NAME, VALUE pairs.
+func send(t *testing.T, s *quickstart.System, method, path, body string, headers ...string) answer {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+s.Entries[0].OperatorAddress()+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+quickstart.OperatorKey)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	a := answer{status: resp.StatusCode, header: resp.Header, body: string(text)}
+	if strings.Contains(resp.Header.Get("Content-Type"), "json") && !strings.HasPrefix(path, "/v1/force/") {
+		assert.NilError(t, json.Unmarshal(text, &a), "%s", text)
+	}
+	return a
+}
+
+func columns(cells ...string) string {
+	m := map[string]string{}
+	for _, c := range cells {
+		name, value, _ := strings.Cut(c, "=")
+		m[name] = value
+	}
+	text, _ := json.Marshal(map[string]any{"columns": m})
+	return string(text)
+}
+
+// Two operators edit a row that both read at version 1. The first is accepted.
+// The second is told 412 with the row now in force, by whom and when, and
+// nothing of its edit is in force; based on the new version it is accepted.
+func TestOperatorsRaceWithEqualVersions(t *testing.T) {
+	s := start(t)
+	const path = "/v1/table/pool/lm"
+	read := send(t, s, "GET", path, "")
+	assert.Equal(t, read.status, 200)
+	tag := read.header.Get("ETag")
+	assert.Equal(t, tag, `"1"`)
+
+	first := send(t, s, "PUT", path, columns("slots=9"), "If-Match", tag)
+	assert.Equal(t, first.status, 200, first.body)
+	assert.Equal(t, first.header.Get("ETag"), `"2"`)
+	assert.Equal(t, first.Rows[0].ChangedBy, "quickstart")
+	assert.Equal(t, first.Force.Entries, 3)
+	assert.Equal(t, first.Force.InForce, 3)
+
+	second := send(t, s, "PUT", path, columns("slots=10"), "If-Match", tag)
+	assert.Equal(t, second.status, 412)
+	assert.Equal(t, len(second.InForce), 1)
+	now := second.InForce[0]
+	assert.Equal(t, now.Columns["slots"], "9")
+	assert.Equal(t, now.ChangedBy, "quickstart")
+	assert.Equal(t, now.ChangedAt, first.Rows[0].ChangedAt)
+	assert.Assert(t, now.ChangedAt != "")
+	assert.Equal(t, send(t, s, "GET", path, "").Columns["slots"], "9")
+
+	again := send(t, s, "PUT", path, columns("slots=10"), "If-Match", `"2"`)
+	assert.Equal(t, again.status, 200, again.body)
+	gone := send(t, s, "DELETE", path, "", "If-Match", `"1"`)
+	assert.Equal(t, gone.status, 412)
+}
+
+func TestNewRowIsMadeOnlyOnce(t *testing.T) {
+	s := start(t)
+	const path = "/v1/table/pool/repair"
+	assert.Equal(t, send(t, s, "GET", path, "").status, 404)
+	made := send(t, s, "PUT", path, columns("slots=3"), "If-None-Match", "*")
+	assert.Equal(t, made.status, 200, made.body)
+	twice := send(t, s, "PUT", path, columns("slots=4"), "If-None-Match", "*")
+	assert.Equal(t, twice.status, 412)
+	assert.Equal(t, twice.InForce[0].Columns["slots"], "3")
+	deleted := send(t, s, "DELETE", path, "", "If-Match", `"1"`)
+	assert.Equal(t, deleted.status, 200, deleted.body)
+	assert.Equal(t, send(t, s, "GET", path, "").status, 404)
+	history := send(t, s, "GET", "/v1/history/pool/repair", "")
+	assert.Equal(t, len(history.Rows), 2)
+	assert.Assert(t, history.Rows[0].Deleted)
+}
+
+// The answer to an edit is lost, another operator changes the row, and the first
+// sends the edit again with its ID. The operator gets the first answer, and the
+// other's row stays in force. The same ID with another edit is refused.
+func TestResentEditGetsTheFirstAnswer(t *testing.T) {
+	s := start(t)
+	const path = "/v1/table/pool/lm"
+	put := func(slots, tag, id string) answer {
+		return send(t, s, "PUT", path, columns("slots="+slots), "If-Match", tag, "Idempotency-Key", id)
+	}
+	first := put("9", `"1"`, "edit-a")
+	assert.Equal(t, first.status, 200, first.body)
+	assert.Equal(t, put("20", `"2"`, "edit-b").status, 200)
+	again := put("9", `"1"`, "edit-a")
+	assert.Equal(t, again.status, 200, again.body)
+	assert.Assert(t, again.Replayed)
+	assert.DeepEqual(t, again.Rows, first.Rows)
+	assert.Equal(t, send(t, s, "GET", path, "").Columns["slots"], "20")
+	assert.Equal(t, put("11", `"3"`, "edit-a").status, 422)
+	assert.Equal(t, send(t, s, "GET", path, "").Columns["slots"], "20")
+}
+
+func TestMalformedEditsAreRefused(t *testing.T) {
+	s := start(t)
+	many := `{"rows":[` + strings.Repeat(`{"kind":"pool","key":"a","base_version":0},`, 5000) + `{"kind":"pool","key":"b","base_version":0}]}`
+	for _, c := range []struct {
+		name, method, path, body string
+		headers                  []string
+		status                   int
+		column                   string
+	}{
+		{"bad cell", "PUT", "/v1/table/pool/lm", columns("slots=many"), []string{"If-Match", `"1"`}, 422, "slots"},
+		{"unknown column", "PUT", "/v1/table/pool/lm", columns("slotz=1"), []string{"If-Match", `"1"`}, 422, "slotz"},
+		{"no such pool", "PUT", "/v1/table/service/x", columns("kind=plain", "pool=none"), []string{"If-None-Match", "*"}, 422, "pool"},
+		{"referred to", "DELETE", "/v1/table/pool/lm", "", []string{"If-Match", `"1"`}, 422, ""},
+		{"long edit ID", "PUT", "/v1/table/pool/lm", columns("slots=1"), []string{"If-Match", `"1"`, "Idempotency-Key", strings.Repeat("k", 129)}, 422, "edit_id"},
+		{"no base", "PUT", "/v1/table/pool/lm", columns("slots=1"), nil, 428, ""},
+		{"no base of a delete", "DELETE", "/v1/table/pool/lm", "", nil, 428, ""},
+		{"not an ETag", "PUT", "/v1/table/pool/lm", columns("slots=1"), []string{"If-Match", "W/x"}, 400, ""},
+		{"both bases", "PUT", "/v1/table/pool/lm", columns("slots=1"), []string{"If-Match", `"1"`, "If-None-Match", "*"}, 400, ""},
+		{"unknown kind", "GET", "/v1/table/teams", "", nil, 404, ""},
+		{"unknown kind of an edit", "PUT", "/v1/table/teams/x", columns(), []string{"If-None-Match", "*"}, 422, ""},
+		{"no JSON", "PUT", "/v1/table/pool/lm", "slots=1", []string{"If-Match", `"1"`}, 400, ""},
+		{"more after the JSON", "PUT", "/v1/table/pool/lm", columns("slots=1") + "{}", []string{"If-Match", `"1"`}, 400, ""},
+		{"unknown member", "PUT", "/v1/table/pool/lm", `{"cells":{}}`, []string{"If-Match", `"1"`}, 400, ""},
+		{"no rows", "POST", "/v1/table", `{"rows":[]}`, nil, 400, ""},
+		{"too many rows", "POST", "/v1/table", many, nil, 400, ""},
+		{"body too large", "POST", "/v1/table", `{"rows":[{"kind":"` + strings.Repeat("x", 4<<20) + `"}]}`, nil, 413, ""},
+		{"not a revision", "GET", "/v1/history/pool/lm?at_revision=x", "", nil, 400, ""},
+	} {
+		a := send(t, s, c.method, c.path, c.body, c.headers...)
+		assert.Equal(t, a.status, c.status, "%s: %s", c.name, a.body)
+		assert.Equal(t, a.Column, c.column, "%s: %s", c.name, a.body)
+		assert.Equal(t, a.header.Get("Content-Type"), "application/problem+json", c.name)
+	}
+	row := send(t, s, "GET", "/v1/table/pool/lm", "")
+	assert.Equal(t, row.Row.Version, uint64(1))
+}
+
+// An edit of two rows has one that conflicts. None of them is in force, and the
+// answer has the row that it conflicted with.
+func TestAnEditOfSeveralRowsIsWholeOrNothing(t *testing.T) {
+	s := start(t)
+	edit := func(version int) answer {
+		body := fmt.Sprintf(`{"rows":[{"kind":"pool","key":"new","columns":{"slots":"2"},"base_version":0},
+			{"kind":"pool","key":"lm","columns":{"slots":"9"},"base_version":%d}]}`, version)
+		return send(t, s, "POST", "/v1/table", body)
+	}
+	bad := edit(7)
+	assert.Equal(t, bad.status, 412)
+	assert.Equal(t, bad.InForce[0].Key, "lm")
+	assert.Equal(t, send(t, s, "GET", "/v1/table/pool/new", "").status, 404)
+	good := edit(1)
+	assert.Equal(t, good.status, 200, good.body)
+	assert.Equal(t, len(good.Rows), 2)
+}
+
+func TestEveryRouteNeedsAnOperatorsKey(t *testing.T) {
+	s := start(t)
+	for _, route := range []string{
+		"GET /v1/schema", "GET /v1/table", "POST /v1/table", "GET /v1/table/pool", "GET /v1/table/pool/lm",
+		"PUT /v1/table/pool/lm", "DELETE /v1/table/pool/lm", "GET /v1/history/pool/lm", "GET /v1/force/1",
+		"GET /v1/members", "DELETE /v1/members/a/b", "POST /v1/replace/a/b", "GET /v1/status",
+		"GET /v1/dump/lm-1", "POST /v1/drain/lm-1",
+	} {
+		method, path, _ := strings.Cut(route, " ")
+		for _, key := range []string{"", "Bearer ", "Bearer wrong", "Bearer " + quickstart.TeamKey, "Basic " + quickstart.OperatorKey} {
+			a := send(t, s, method, path, columns("slots=1"), "Authorization", key, "If-Match", `"1"`)
+			assert.Equal(t, a.status, 401, "%s %q: %s", route, key, a.body)
+			assert.Equal(t, a.header.Get("WWW-Authenticate"), "Bearer")
+		}
+	}
+	assert.Equal(t, send(t, s, "GET", "/v1/table/pool/lm", "").Row.Version, uint64(1))
+}
+
+// One of three entries dies without a word. The next edit is accepted; its
+// answer says that it is in force on 2 of 3 and names the dead one, which may
+// as well be alive behind a partition and serve the old row.
+func TestAnEntryThatLagsIsNamed(t *testing.T) {
+	s := start(t)
+	s.Entries[2].Stop()
+	a := send(t, s, "PUT", "/v1/table/pool/lm", columns("slots=9"), "If-Match", `"1"`)
+	assert.Equal(t, a.status, 200, a.body)
+	assert.Equal(t, a.Force.Entries, 3)
+	assert.Equal(t, a.Force.InForce, 2)
+	assert.DeepEqual(t, a.Force.Lagging, []string{"entry-3"})
+	later := send(t, s, "GET", fmt.Sprintf("/v1/force/%d", a.Force.Revision), "")
+	assert.Assert(t, strings.Contains(later.body, `"entry-3"`), later.body)
+}
+
+// Rows and pages of operators must not be kept by a cache or run in another
+// page's frame, and a row's text must not become script.
+func TestHeadersOfThePageAndTheRows(t *testing.T) {
+	s := start(t)
+	page := send(t, s, "GET", "/", "", "Authorization", "")
+	assert.Equal(t, page.status, 200)
+	policy := page.header.Get("Content-Security-Policy")
+	for _, want := range []string{"default-src 'none'", "connect-src 'self'", "frame-ancestors 'none'", "script-src 'sha256-", "style-src 'sha256-"} {
+		assert.Assert(t, strings.Contains(policy, want), policy)
+	}
+	assert.Assert(t, !strings.Contains(policy, "unsafe"))
+	assert.Equal(t, page.header.Get("X-Content-Type-Options"), "nosniff")
+	assert.Equal(t, page.header.Get("Cache-Control"), "no-store")
+	assert.Equal(t, send(t, s, "GET", "/v1/table", "").header.Get("Cache-Control"), "no-store")
+	for _, forbidden := range []string{"innerHTML", "outerHTML", "insertAdjacentHTML", "document.write", "eval(", " style=", " onclick=", "http://", "https://"} {
+		assert.Assert(t, !strings.Contains(page.body, forbidden), forbidden)
+	}
+}
+
+func TestOperatorsWhoCantBeToldApartAreRefused(t *testing.T) {
+	digest, other := strings.Repeat("ab", 32), strings.Repeat("cd", 32)
+	for want, ops := range map[string][]operators.Operator{
+		`"operator.name": operator 1`:             {{KeySHA256: digest}},
+		`operator 1 ("a\nb")`:                     {{Name: "a\nb", KeySHA256: digest}},
+		`operator 2 ("asha"): the name stands`:    {{Name: "asha", KeySHA256: digest}, {Name: "asha", KeySHA256: other}},
+		`64 hexadecimal digits`:                   {{Name: "asha", KeySHA256: digest[2:]}},
+		`operator "asha" has the same key`:        {{Name: "asha", KeySHA256: digest}, {Name: "bela", KeySHA256: strings.ToUpper(digest)}},
+		`"operator.key_sha256": operator 1 ("a")`: {{Name: "a", KeySHA256: "zz"}},
+	} {
+		err := operators.CheckOperators(ops)
+		assert.ErrorIs(t, err, operators.ErrSettings)
+		assert.ErrorContains(t, err, want)
+	}
+	assert.NilError(t, operators.CheckOperators([]operators.Operator{{Name: "a", KeySHA256: digest}, {Name: "b", KeySHA256: other}}))
+}
