Split the page into parts and mend its keyboard, conflicts and lost answers

Cause: after each saved row the focus was lost, a row deleted by another could only be dropped, a lost answer left 'Saving' for ever, typing during a save was overwritten, and rows that others changed stayed stale on the screen. Change: page, style and script are files of their own under a policy without inline parts; the script keeps focus and typing, offers to make a deleted row again, keeps the edit ID after a lost answer and takes over others' changes.

--- a/operators/operators.go
+++ b/operators/operators.go
@@ -7,8 +7,6 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
-	_ "embed"
-	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -104,12 +102,9 @@
 	return keys, nil
 }
 
-//go:embed table.html
-var page []byte
-
 // Register adds the routes.
 func (h *Handler) Register(r *mux.Router) {
-	r.HandleFunc("/", h.servePage).Methods(http.MethodGet)
+	registerPage(r)
 	r.HandleFunc("/v1/schema", h.with(h.schema)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/table", h.with(h.list)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/table", h.with(h.apply)).Methods(http.MethodPost)
@@ -192,29 +187,6 @@
 	return ""
 }
 
-// pagePolicy lets the page run its own script and style, known by their digests,
-// and talk to its own address; nothing that a row's text could bring in runs.
-var pagePolicy = "default-src 'none'; connect-src 'self'; base-uri 'none'; form-action 'none'; frame-ancestors 'none'; script-src " +
-	digestOf("script") + "; style-src " + digestOf("style")
-
-// digestOf returns the policy's source for the page's one element of a name.
-func digestOf(element string) string {
-	_, text, _ := strings.Cut(string(page), "<"+element+">")
-	text, _, _ = strings.Cut(text, "</"+element+">")
-	sum := sha256.Sum256([]byte(text))
-	return "'sha256-" + base64.StdEncoding.EncodeToString(sum[:]) + "'"
-}
-
-func (h *Handler) servePage(w http.ResponseWriter, _ *http.Request) {
-	header := w.Header()
-	header.Set("Content-Type", "text/html; charset=utf-8")
-	header.Set("Content-Security-Policy", pagePolicy)
-	header.Set("X-Content-Type-Options", "nosniff")
-	header.Set("Referrer-Policy", "no-referrer")
-	header.Set("Cache-Control", "no-store")
-	_, _ = w.Write(page)
-}
-
 // Row is a row as operators see it.
 type Row struct {
 	Kind      string            `json:"kind"`
