--- a/operators/operators.go
+++ b/operators/operators.go
@@ -205,6 +205,10 @@
 		Kind: r.Kind, Key: r.Key, Columns: r.Columns, Version: r.Version,
 		Revision: r.Revision, ChangedBy: r.ChangedBy, Deleted: r.Deleted,
 	}
+	if row.Columns == nil {
+		// A row of defaults only: clients expect an object, not null.
+		row.Columns = map[string]string{}
+	}
 	if r.ChangedAtMs != 0 {
 		row.ChangedAt = time.UnixMilli(r.ChangedAtMs).UTC().Format(time.RFC3339Nano)
 	}
--- a/operators/operators_test.go
+++ b/operators/operators_test.go
@@ -113,6 +113,8 @@
 	assert.Equal(t, send(t, s, "GET", path, "").status, 404)
 	made := send(t, s, "PUT", path, columns("slots=3"), "If-None-Match", "*")
 	assert.Equal(t, made.status, 200, made.body)
+	defaults := send(t, s, "PUT", "/v1/table/pool/defaults", columns(), "If-None-Match", "*")
+	assert.Assert(t, strings.Contains(defaults.body, `"columns": {}`), defaults.body)
 	twice := send(t, s, "PUT", path, columns("slots=4"), "If-None-Match", "*")
 	assert.Equal(t, twice.status, 412)
 	assert.Equal(t, twice.InForce[0].Columns["slots"], "3")
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -274,8 +274,12 @@
   curl -s -X POST http://%[1]s/services/clock-core/lots/17/confirm -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: bid-17' -d '{}'
   curl -s http://%[1]s/v1/chat/completions -H 'Authorization: Bearer wrong' -d '{}'
 
+Operators' page: http://%[3]s/ with the key %[4]s, or
+  export SNIPEREACH_SERVER=http://%[3]s SNIPEREACH_KEY=%[4]s
+  go run ./cmd/snipereachctl status
+
 Stop with Ctrl-C.
-`, addr, TeamKey)
+`, addr, TeamKey, s.Entries[0].OperatorAddress(), OperatorKey)
 }
 
 // Stop ends everything at once and removes the folder.
