End a call whose handler panics, not the process

Cause: drpc runs handlers without a guard, so one unexpected message from a peer ended a process with all requests in it.

Measured: a handler that panics fails its own call; the next call is answered.

--- a/control/replica.go
+++ b/control/replica.go
@@ -214,6 +214,7 @@
 			return err
 		}
 		r.feed.reset(r.machine.table.Revision(), r.machine.ring, r.rings.changed)
+		r.forgetWaiting(rd.Snapshot.Index)
 		r.wake()
 	}
 	var changed []*wire.Row
@@ -252,6 +253,17 @@
 	w.reply <- result{value: v}
 }
 
+// forgetWaiting answers proposals that a snapshot has passed over: whether they
+// are in it isn't known here, so they are to be sent again with the same ID.
+func (r *Replica) forgetWaiting(index uint64) {
+	for i, w := range r.waiting {
+		if i <= index {
+			delete(r.waiting, i)
+			w.reply <- result{err: merry.Prepend(ErrUnavailable, "the replica was sent a snapshot")}
+		}
+	}
+}
+
 func (r *Replica) answerRead(rs consensus.ReadState) {
 	ch := r.reads[rs.ID]
 	delete(r.reads, rs.ID)
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -11,6 +11,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -29,6 +30,7 @@
 var (
 	ErrDial      = merry.Sentinel("peer can't be reached")
 	ErrHandshake = merry.Sentinel("peer doesn't know the cluster secret")
+	ErrHandler   = merry.Sentinel("call can't be served")
 )
 
 // Bounds of a connection.
@@ -80,11 +82,25 @@
 	return &Server{
 		Mux:   mux,
 		sec:   sec,
-		srv:   drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}),
+		srv:   drpcserver.NewWithOptions(guarded{mux}, drpcserver.Options{Manager: managerOptions()}),
 		conns: map[net.Conn]struct{}{},
 	}
 }
 
+// guarded ends a call whose handler panics, and its connection. A message that a
+// handler did not expect would otherwise end the process with all that it carries.
+type guarded struct{ drpc.Handler }
+
+// HandleRPC implements drpc.Handler.
+func (g guarded) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = merry.Prependf(ErrHandler, "%s: %v\n%s", rpc, v, debug.Stack())
+		}
+	}()
+	return g.Handler.HandleRPC(stream, rpc)
+}
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ctx context.Context, lis net.Listener) {
 	for {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -27,9 +27,26 @@
 }
 
 func (*echo) Announce(_ context.Context, a *wire.Announcement) (*wire.AnnounceReply, error) {
+	if a.Id == "unexpected" {
+		panic("unexpected message")
+	}
 	return &wire.AnnounceReply{LeaseMs: a.LeaseMs}, nil
 }
 
+// A peer sends what a handler did not expect, and the handler panics. The peer
+// gets an error; the process goes on and answers others.
+func TestPanickingHandlerEndsItsCallOnly(t *testing.T) {
+	sec := secret("one cluster's secret")
+	addr := serve(t, sec)
+	p := transport.NewPool(sec)
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := wire.NewDRPCDirectoryClient(p.Conn(ctx, addr)).Announce(ctx, &wire.Announcement{Id: "unexpected"})
+	assert.Assert(t, err != nil)
+	assert.NilError(t, call(t, sec, addr))
+}
+
 func serve(t *testing.T, sec transport.Security) string {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
