--- a/transport/transport.go
+++ b/transport/transport.go
@@ -10,7 +10,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
+	"os"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -95,7 +97,10 @@
 func (g guarded) HandleRPC(stream drpc.Stream, rpc string) (err error) {
 	defer func() {
 		if v := recover(); v != nil {
-			err = merry.Prependf(ErrHandler, "%s: %v\n%s", rpc, v, debug.Stack())
+			// The stack is for the operator of this process, not for the peer, who
+			// may pass the error on to a caller.
+			fmt.Fprintf(os.Stderr, "transport: %s: panic: %v\n%s", rpc, v, debug.Stack())
+			err = merry.Prepend(ErrHandler, rpc)
 		}
 	}()
 	return g.Handler.HandleRPC(stream, rpc)
