Give a [control] section its defaults, check files without touching folders, count edits

Change: what a section leaves out takes its default once the file is read; the folder is opened at the start.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -74,6 +74,7 @@
 	}
 	a.orders = newOrders(control.NewClient(a.pool, s.AnnounceTo, s.ID))
 	a.dumps.Add("agent", a.dump)
+	a.registerGauges()
 	if err := a.dumps.Register(a.srv.Mux); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/agent/gauges.go
@@ -0,0 +1,18 @@
+package agent
+
+import "github.com/rcrowley/go-metrics"
+
+// registerGauges adds what is read when the metrics are asked for.
+func (a *Agent) registerGauges() {
+	gauge := func(name string, value func() int64) {
+		metrics.NewRegisteredFunctionalGauge(name, a.metrics, value)
+	}
+	gauge("agent.running", func() int64 { running, _ := a.runner.Counts(); return int64(running) })
+	gauge("agent.waiting", func() int64 { _, waiting := a.runner.Counts(); return int64(waiting) })
+	gauge("agent.leaving", func() int64 {
+		if a.attempts.isClosed() {
+			return 1
+		}
+		return 0
+	})
+}
--- a/control/control.go
+++ b/control/control.go
@@ -40,7 +40,6 @@
 	place    Place
 	log      log.Logger
 	pool     *transport.Pool
-	fs       journal.FS
 
 	entries func() []*wire.RingMember
 
@@ -56,11 +55,7 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	fs, err := journal.OpenFolder(s.DataDir)
-	if err != nil {
-		return nil, err
-	}
-	return &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, fs: fs}, nil
+	return &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool}, nil
 }
 
 // SetEntries tells where a leader learns which entries are up. It is called
@@ -80,7 +75,11 @@
 func (c *Control) Start(ctx context.Context, p Place) error {
 	c.place = p
 	ctx, c.cancel = context.WithCancel(ctx)
-	j, st, err := journal.Open(c.fs)
+	fs, err := journal.OpenFolder(c.settings.DataDir)
+	if err != nil {
+		return err
+	}
+	j, st, err := journal.Open(fs)
 	if err != nil {
 		return err
 	}
--- a/control/settings.go
+++ b/control/settings.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"net"
 	"time"
 
@@ -42,6 +43,16 @@
 	}
 }
 
+// SetDefaults fills in what a section leaves out.
+func (s *Settings) SetDefaults() {
+	d := DefaultSettings()
+	s.Voters = cmp.Or(s.Voters, d.Voters)
+	s.ElectionTimeout = cmp.Or(s.ElectionTimeout, d.ElectionTimeout)
+	s.Heartbeat = cmp.Or(s.Heartbeat, d.Heartbeat)
+	s.SnapshotEvery = cmp.Or(s.SnapshotEvery, d.SnapshotEvery)
+	s.ReplaceAfter = cmp.Or(s.ReplaceAfter, d.ReplaceAfter)
+}
+
 // Check names the first key that is wrong.
 func (s *Settings) Check() error {
 	bad := func(key, detail string) error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -113,9 +113,10 @@
 		return nil, err
 	}
 	e.dumps.Add("entry", e.dump)
+	e.registerGauges()
 	e.dumps.Add("directory", e.node.Dump)
 	e.client = control.NewClient(e.pool, s.replicas(), s.ID)
-	if e.ops, err = operators.New(s.Operator, e.client, process{e}, l); err != nil {
+	if e.ops, err = operators.New(s.Operator, e.client, process{e}, e.metrics, l); err != nil {
 		return nil, err
 	}
 	if err := e.newControl(l); err != nil {
@@ -231,7 +232,7 @@
 	e.callersHTTP = &http.Server{Handler: e.callerRoutes(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}
 	go func() { _ = e.callersHTTP.Serve(e.callers) }()
 	if e.operators != nil {
-		e.operatorsHTTP = &http.Server{Handler: e.operatorRoutes(), ReadHeaderTimeout: 10 * time.Second}
+		e.operatorsHTTP = &http.Server{Handler: e.operatorRoutes(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}
 		go func() { _ = e.operatorsHTTP.Serve(e.operators) }()
 	}
 	kernel.Info(e.log, "Listening.", "id", e.settings.ID, "callers", e.callers.Addr(), "internal", e.internal.Addr())
--- /dev/null
+++ b/entry/gauges.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// registerGauges adds what is read when the metrics are asked for.
+func (e *Entry) registerGauges() {
+	for name, value := range map[string]func() int64{
+		"entry.requests":    e.requests.Load,
+		"entry.waiting":     e.waiting,
+		"entry.revision":    e.revision,
+		"entry.rows.age_ms": e.rowsAge,
+		"entry.listed":      e.listed,
+		"entry.upstreams":   e.upstreamsUp,
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, e.metrics, value)
+	}
+}
+
+func (e *Entry) waiting() int64 {
+	_, waiting := e.runner.Counts()
+	return int64(waiting)
+}
+
+func (e *Entry) revision() int64 {
+	if v := e.view.Load(); v != nil {
+		return int64(v.Revision)
+	}
+	return 0
+}
+
+// rowsAge is how long ago the rows in force were known to be current, in
+// milliseconds; -1 if they never were.
+func (e *Entry) rowsAge() int64 {
+	at := e.confirmed.Load()
+	if at == 0 {
+		return -1
+	}
+	return (time.Now().UnixNano() - at) / int64(time.Millisecond)
+}
+
+func (e *Entry) listed() int64 {
+	if e.Ready() {
+		return 1
+	}
+	return 0
+}
+
+func (e *Entry) upstreamsUp() int64 {
+	n := int64(0)
+	for _, i := range e.node.Instances(wire.Role_ROLE_UPSTREAM) {
+		if i.Up() {
+			n++
+		}
+	}
+	return n
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// SetDefaults implements kernel.Defaulter.
+func (s *Settings) SetDefaults() {
+	if s.Control != nil {
+		s.Control.SetDefaults()
+	}
+}
+
 // Check names the first key that is wrong.
 func (s *Settings) Check() error {
 	bad := func(key, detail string) error {
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -54,3 +54,22 @@
 		assert.ErrorContains(t, err, "line ")
 	}
 }
+
+// An entry's file has a [control] section with no more than it needs. The rest
+// takes its defaults, as the annotated file says.
+func TestControlSectionTakesDefaults(t *testing.T) {
+	path := t.TempDir() + "/entry.toml"
+	text := `id = "entry-1"
+failure_domain = "hall-a"
+[control]
+data_dir = "/var/lib/snipereach"
+members = ["127.0.0.1:7001"]
+`
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	s := entry.DefaultSettings()
+	assert.NilError(t, kernel.ReadSettings(path, s))
+	assert.NilError(t, s.Check())
+	want := control.DefaultSettings()
+	want.DataDir, want.Members = s.Control.DataDir, s.Control.Members
+	assert.DeepEqual(t, *s.Control, want)
+}
--- a/kernel/settings.go
+++ b/kernel/settings.go
@@ -33,6 +33,10 @@
 // D returns the time.Duration.
 func (d Duration) D() time.Duration { return time.Duration(d) }
 
+// Defaulter is settings with a part that stands in the file or not: what is left
+// out of a part that stands there takes its default after the file was read.
+type Defaulter interface{ SetDefaults() }
+
 // ReadSettings decodes a TOML file strictly into v. The error names the file,
 // the line and the key.
 func ReadSettings(path string, v any) error {
@@ -44,6 +48,9 @@
 	if err := decodeStrict(f, v); err != nil {
 		return merry.Prepend(err, path)
 	}
+	if d, ok := v.(Defaulter); ok {
+		d.SetDefaults()
+	}
 	return nil
 }
 
--- a/operators/operators.go
+++ b/operators/operators.go
@@ -20,6 +20,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/go-kit/log"
 	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/kernel"
@@ -55,16 +56,32 @@
 	client *control.Client
 	system System
 	keys   map[[sha256.Size]byte]string
+	counts counts
 	log    log.Logger
 }
 
-// New makes a handler.
-func New(ops []Operator, client *control.Client, system System, l log.Logger) (*Handler, error) {
+// New makes a handler, which counts in a registry.
+func New(ops []Operator, client *control.Client, system System, r metrics.Registry, l log.Logger) (*Handler, error) {
 	keys, err := keysOf(ops)
 	if err != nil {
 		return nil, err
 	}
-	return &Handler{client: client, system: system, keys: keys, log: kernel.PartLog(l, "operators")}, nil
+	return &Handler{client: client, system: system, keys: keys, counts: newCounts(r), log: kernel.PartLog(l, "operators")}, nil
+}
+
+// counts are of edits by how they ended, and of calls without a known key.
+type counts struct {
+	accepted, conflicts, invalid, undecided, unauthenticated metrics.Counter
+}
+
+func newCounts(r metrics.Registry) counts {
+	return counts{
+		accepted:        metrics.GetOrRegisterCounter("operators.edits.accepted", r),
+		conflicts:       metrics.GetOrRegisterCounter("operators.edits.conflicts", r),
+		invalid:         metrics.GetOrRegisterCounter("operators.edits.invalid", r),
+		undecided:       metrics.GetOrRegisterCounter("operators.edits.undecided", r),
+		unauthenticated: metrics.GetOrRegisterCounter("operators.unauthenticated", r),
+	}
 }
 
 // CheckOperators names the first operator that can't be told apart.
@@ -159,6 +176,8 @@
 		c := &call{w: w, r: r}
 		c.operator = h.operator(r)
 		if c.operator == "" {
+			h.counts.unauthenticated.Inc(1)
+			kernel.Debug(h.log, "Refused a call without a known key.", "from", r.RemoteAddr)
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			c.problem(http.StatusUnauthorized, "Operators identify themselves.", "header Authorization: Bearer KEY is needed")
 			return
@@ -405,6 +424,8 @@
 	}
 	reply, err := h.client.Edit(c.r.Context(), &wire.TableEdit{EditId: id, By: c.operator, Rows: rows})
 	if err != nil {
+		h.counts.undecided.Inc(1)
+		kernel.Warn(h.log, "An edit is not decided.", "by", c.operator, "edit", id, "err", err)
 		c.w.Header().Set("Retry-After", "1")
 		c.problem(http.StatusServiceUnavailable, "The edit is not decided. Send it again with the same Idempotency-Key.", err.Error())
 		return
@@ -416,6 +437,7 @@
 	switch reply.Status {
 	case wire.EditStatus_EDIT_STATUS_ACCEPTED:
 		if !reply.Replayed {
+			h.counts.accepted.Inc(1)
 			h.logEdit(c.operator, id, reply)
 		}
 		if len(reply.Rows) == 1 {
@@ -425,11 +447,13 @@
 			Rows: rowsOf(reply.Rows), Replayed: reply.Replayed, Force: h.waitForce(c.r.Context(), reply.Revision),
 		})
 	case wire.EditStatus_EDIT_STATUS_CONFLICT:
+		h.counts.conflicts.Inc(1)
 		c.writeProblem(&problem{
 			Type: "urn:snipereach:edit:conflict", Title: "The row was changed by another edit.",
 			Status: http.StatusPreconditionFailed, Detail: reply.Detail, Row: reply.Row, InForce: rowsOf(reply.Rows),
 		})
 	default:
+		h.counts.invalid.Inc(1)
 		c.writeProblem(&problem{
 			Type: "urn:snipereach:edit:invalid", Title: "The edit is not valid.",
 			Status: http.StatusUnprocessableEntity, Detail: reply.Detail, Row: reply.Row, Column: reply.Column,
