--- a/entry/settings.go
+++ b/entry/settings.go
@@ -98,6 +98,8 @@
 		return bad("control_replicas", "must name at least one control replica")
 	case s.ConfigLease < kernel.Duration(3*time.Second):
 		return bad("config_lease", "must be at least 3s")
+	case s.CallersTLS.CA != "":
+		return bad("callers_tls.ca", "must be empty: callers show no certificate")
 	case s.Lease < 2*s.AnnounceInterval:
 		return bad("lease", "must be at least twice announce_interval")
 	}
