--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -3,11 +3,14 @@
 package ctl
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -33,6 +36,7 @@
 type global struct {
 	Server  string `long:"server" env:"SNIPEREACH_SERVER" default:"http://127.0.0.1:8081" description:"an entry's operators' address" value-name:"URL"`
 	Key     string `long:"key" env:"SNIPEREACH_KEY" description:"operator's bearer key; better given in the environment" value-name:"KEY"`
+	CA      string `long:"ca" env:"SNIPEREACH_CA" description:"file with the CA of the server's certificate, PEM; the system's if not given" value-name:"FILE"`
 	Output  string `long:"output" short:"o" choice:"table" choice:"json" choice:"tsv" default:"table" description:"form of the output"`
 	Version bool   `long:"version" description:"print the version and exit"`
 }
@@ -142,6 +146,9 @@
 	if err != nil {
 		return nil, merry.Prepend(ErrUsage, err.Error())
 	}
+	if err := a.trustCA(); err != nil {
+		return nil, err
+	}
 	req.Header.Set("Authorization", "Bearer "+a.Key)
 	for name, value := range r.header {
 		req.Header.Set(name, value)
@@ -168,6 +175,23 @@
 	return text, nil
 }
 
+// trustCA lets the client accept certificates of the CA that was given.
+func (a *app) trustCA() error {
+	if a.CA == "" || a.http.Transport != nil {
+		return nil
+	}
+	text, err := os.ReadFile(a.CA)
+	if err != nil {
+		return merry.Prepend(ErrUsage, err.Error())
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return merry.Prependf(ErrUsage, "%s holds no certificate", a.CA)
+	}
+	a.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
+	return nil
+}
+
 // get reads a JSON answer.
 func (a *app) get(path string, v any) error {
 	text, err := a.call(request{method: http.MethodGet, path: path})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,27 +35,27 @@
 
 // Entry implements kernel.Daemon.
 type Entry struct {
-	settings    *Settings
-	log         log.Logger
-	sec         transport.Security
-	certs       []*transport.Certificates
-	callersTLS  *tls.Config
-	srv         *transport.Server
-	pool        *transport.Pool
-	node        *directory.Node
-	fwd         *forward.Forwarder
-	runner      *admit.Runner
-	sealer      *refusal.Sealer
-	metrics     metrics.Registry
-	dumps       kernel.Dumps
-	view        atomic.Pointer[table.View]
-	draining    atomic.Bool
-	leaving     chan struct{}
-	drained     chan struct{}
-	requests    atomic.Int64
-	incarnation uint64
-	seq         atomic.Uint64
-	started     time.Time
+	settings                 *Settings
+	log                      log.Logger
+	sec                      transport.Security
+	certs                    []*transport.Certificates
+	callersTLS, operatorsTLS *tls.Config
+	srv                      *transport.Server
+	pool                     *transport.Pool
+	node                     *directory.Node
+	fwd                      *forward.Forwarder
+	runner                   *admit.Runner
+	sealer                   *refusal.Sealer
+	metrics                  metrics.Registry
+	dumps                    kernel.Dumps
+	view                     atomic.Pointer[table.View]
+	draining                 atomic.Bool
+	leaving                  chan struct{}
+	drained                  chan struct{}
+	requests                 atomic.Int64
+	incarnation              uint64
+	seq                      atomic.Uint64
+	started                  time.Time
 
 	internal, callers, operators net.Listener
 	callersHTTP, operatorsHTTP   *http.Server
@@ -99,7 +99,10 @@
 	if certs != nil {
 		e.certs = append(e.certs, certs)
 	}
-	if err := e.loadCallersTLS(); err != nil {
+	if e.callersTLS, err = e.publicTLS(s.CallersTLS); err != nil {
+		return nil, err
+	}
+	if e.operatorsTLS, err = e.publicTLS(s.OperatorsTLS); err != nil {
 		return nil, err
 	}
 	place := route.Place{Entry: s.ID, FailureDomain: s.FailureDomain, Seed: xxhash.Sum64String(s.ID)}
@@ -131,17 +134,17 @@
 	return e, wire.DRPCRegisterDirectory(e.srv.Mux, e.node)
 }
 
-func (e *Entry) loadCallersTLS() error {
-	if !e.settings.CallersTLS.On() {
-		return nil
+// publicTLS loads the certificate of an HTTP address; nil is plain text.
+func (e *Entry) publicTLS(s transport.TLSSettings) (*tls.Config, error) {
+	if !s.On() {
+		return nil, nil
 	}
-	certs, err := transport.LoadCertificates(e.settings.CallersTLS)
+	certs, err := transport.LoadCertificates(s)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	e.certs = append(e.certs, certs)
-	e.callersTLS = certs.Public()
-	return nil
+	return certs.Public(), nil
 }
 
 func (e *Entry) newControl(l log.Logger) error {
@@ -260,6 +263,9 @@
 	if e.operators, err = net.Listen("tcp", e.settings.Operators); err != nil {
 		return merry.Prepend(ErrStart, err.Error())
 	}
+	if e.operatorsTLS != nil {
+		e.operators = tls.NewListener(e.operators, e.operatorsTLS)
+	}
 	return nil
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -32,9 +32,10 @@
 	// InternalListener is used in place of Internal if set: who embeds an entry
 	// may need its address before it starts.
 	InternalListener net.Listener `toml:"-"`
-	// CallersTLS and TLS (between processes) turn TLS on.
-	CallersTLS transport.TLSSettings `toml:"callers_tls"`
-	TLS        transport.TLSSettings `toml:"tls"`
+	// CallersTLS, OperatorsTLS and TLS (between processes) turn TLS on.
+	CallersTLS   transport.TLSSettings `toml:"callers_tls"`
+	OperatorsTLS transport.TLSSettings `toml:"operators_tls"`
+	TLS          transport.TLSSettings `toml:"tls"`
 	// ControlReplicas lists drpc addresses of control replicas to follow.
 	ControlReplicas []string `toml:"control_replicas"`
 	// Control makes this entry a control replica too.
@@ -100,6 +101,8 @@
 		return bad("config_lease", "must be at least 3s")
 	case s.CallersTLS.CA != "":
 		return bad("callers_tls.ca", "must be empty: callers show no certificate")
+	case s.OperatorsTLS.CA != "":
+		return bad("operators_tls.ca", "must be empty: operators prove themselves by their keys")
 	case s.Lease < 2*s.AnnounceInterval:
 		return bad("lease", "must be at least twice announce_interval")
 	}
--- a/internal/settingsdoc/meanings.go
+++ b/internal/settingsdoc/meanings.go
@@ -14,13 +14,15 @@
 type meanings struct {
 	// keys by SECTION.KEY, sections by name.
 	keys, sections map[string]string
+	// headers of the sections, as they are written.
+	headers map[string]string
 	// order of the keys as they stand.
 	order []string
 }
 
 // readMeanings takes the comment right above a key as its meaning.
 func readMeanings(text string) meanings {
-	m := meanings{keys: map[string]string{}, sections: map[string]string{}}
+	m := meanings{keys: map[string]string{}, sections: map[string]string{}, headers: map[string]string{}}
 	section, comment := "", ""
 	for line := range strings.SplitSeq(text, "\n") {
 		switch {
@@ -30,6 +32,7 @@
 			comment = ""
 		case sectionLine.MatchString(line):
 			section = sectionLine.FindStringSubmatch(line)[1]
+			m.headers[section] = line
 			m.sections[section] = comment
 			comment = ""
 		case keyLine.MatchString(line):
--- a/internal/settingsdoc/render.go
+++ b/internal/settingsdoc/render.go
@@ -65,7 +65,7 @@
 
 func renderSection(b *strings.Builder, section string, m meanings) {
 	if section != "" {
-		fmt.Fprintf(b, "\n### [%s]\n\n%s\n", section, m.sections[section])
+		fmt.Fprintf(b, "\n### %s\n\n%s\n", m.headers[section], m.sections[section])
 	}
 	b.WriteString("\n| key | type | default | meaning |\n| --- | --- | --- | --- |\n")
 }
