Measure the path with an upstream that costs little, and urgent calls beside bulk

Cause: the upstream's own millisecond and its 32 slots hid what the path adds and refused calls at 512 in flight.

--- /dev/null
+++ b/measure/path/closed.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/snipereach/snipereach/fake"
+)
+
+// maxLatency bounds the histograms, in microseconds.
+const maxLatency = 60_000_000
+
+// figures is what one or several measurements of a way gave.
+type figures struct {
+	latency *hdrhistogram.Histogram // microseconds
+	failed  int
+	mallocs uint64
+	time    time.Duration
+}
+
+func newFigures() *figures {
+	return &figures{latency: hdrhistogram.New(1, maxLatency, 3)}
+}
+
+func (f *figures) add(g *figures) {
+	f.latency.Merge(g.latency)
+	f.failed += g.failed
+	f.mallocs += g.mallocs
+	f.time += g.time
+}
+
+func (f *figures) rate() float64 { return float64(f.latency.TotalCount()) / f.time.Seconds() }
+func (f *figures) p50() int64    { return f.latency.ValueAtQuantile(50) }
+func (f *figures) p99() int64    { return f.latency.ValueAtQuantile(99) }
+
+func printFigures(name string, concurrency int, f *figures) {
+	fmt.Printf("%-8s %11d %12.0f %8dµs %8dµs %12.0f", name, concurrency, f.rate(), f.p50(), f.p99(),
+		float64(f.mallocs)/float64(max(f.latency.TotalCount(), 1)))
+	if f.failed > 0 {
+		fmt.Printf("  %d failed", f.failed)
+	}
+	fmt.Println()
+}
+
+func newClient(connections int) *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConns: connections, MaxIdleConnsPerHost: connections}}
+}
+
+// closedLoop keeps a number of requests in flight for a time.
+func closedLoop(w way, concurrency int, d time.Duration) *figures {
+	client := newClient(concurrency)
+	defer client.CloseIdleConnections()
+	total := newFigures()
+	total.time = d
+	var mu sync.Mutex
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	end := time.Now().Add(d)
+	var wg sync.WaitGroup
+	for range concurrency {
+		wg.Go(func() {
+			own := newFigures()
+			for time.Now().Before(end) {
+				began := time.Now()
+				if !call(client, w, "") {
+					own.failed++
+					continue
+				}
+				_ = own.latency.RecordValue(time.Since(began).Microseconds())
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			total.add(own)
+		})
+	}
+	wg.Wait()
+	runtime.ReadMemStats(&after)
+	total.mallocs = after.Mallocs - before.Mallocs
+	return total
+}
+
+// call makes one request and says whether it was answered.
+func call(c *http.Client, w way, priority string) bool {
+	req, err := http.NewRequest(http.MethodPost, w.url, strings.NewReader("{}"))
+	if err != nil {
+		return false
+	}
+	// One name for all requests keeps the upstream's count of runs small.
+	req.Header.Set(fake.HeaderRunKey, "measure")
+	if w.key != "" {
+		req.Header.Set("Authorization", "Bearer "+w.key)
+	}
+	if priority != "" {
+		req.Header.Set("X-Priority", priority)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -51,6 +51,12 @@
 	Engines, Plains int
 	// Keep is how long callers may keep the list of entries; 10 s if zero.
 	Keep time.Duration
+	// PlainSlots is how many requests a plain service and its agent run at
+	// once; 32 if zero. At least as many again may wait at the agent.
+	PlainSlots int
+	// PlainWork is the time of one request at a plain service; 1 ms if zero,
+	// none if negative.
+	PlainWork time.Duration
 }
 
 // System is a running quickstart.
@@ -66,6 +72,8 @@
 	pool    *transport.Pool
 }
 
+const defaultPlainSlots = 32
+
 var domains = []string{"hall-a", "hall-b", "hall-c"}
 
 // Rows returns the built-in rows: one team, an engine service and an urgent
@@ -90,6 +98,12 @@
 	if opts.Plains == 0 {
 		opts.Plains = 1
 	}
+	if opts.PlainSlots == 0 {
+		opts.PlainSlots = defaultPlainSlots
+	}
+	if opts.PlainWork == 0 {
+		opts.PlainWork = time.Millisecond
+	}
 	if opts.Rows == "" {
 		opts.Rows = Rows()
 	}
@@ -123,7 +137,7 @@
 		}
 	}
 	for i := range s.opts.Plains {
-		p := &fake.Plain{Server: fake.Server{Slots: 32}, Work: time.Millisecond}
+		p := &fake.Plain{Server: fake.Server{Slots: s.opts.PlainSlots}, Work: max(s.opts.PlainWork, 0)}
 		if err := p.Start(); err != nil {
 			return err
 		}
@@ -221,7 +235,8 @@
 	set.Pools = []string{pool}
 	set.Upstream = map[string]any{"url": url}
 	if kind == "plain" {
-		set.Slots = 32
+		set.Slots = s.opts.PlainSlots
+		set.MaxQueue = max(set.MaxQueue, set.Slots)
 	}
 	set.AnnounceTo = s.members
 	a, err := agent.New(set, s.opts.Log)
