Show the processor time of a call in the path's figures

On a shared machine requests/s and quantiles move by half from run to run; the processor time of the whole process over the calls moves less and shows what a change did.

--- a/measure/path/closed.go
+++ b/measure/path/closed.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -22,7 +23,10 @@
 	latency *hdrhistogram.Histogram // microseconds
 	failed  int
 	mallocs uint64
-	time    time.Duration
+	// cpu is the whole process's processor time. It depends less than the
+	// others on what else the machine does.
+	cpu  time.Duration
+	time time.Duration
 }
 
 func newFigures() *figures {
@@ -33,16 +37,21 @@
 	f.latency.Merge(g.latency)
 	f.failed += g.failed
 	f.mallocs += g.mallocs
+	f.cpu += g.cpu
 	f.time += g.time
 }
 
 func (f *figures) rate() float64 { return float64(f.latency.TotalCount()) / f.time.Seconds() }
-func (f *figures) p50() int64    { return f.latency.ValueAtQuantile(50) }
-func (f *figures) p99() int64    { return f.latency.ValueAtQuantile(99) }
+func (f *figures) cpuPerCall() time.Duration {
+	return f.cpu / time.Duration(max(f.latency.TotalCount(), 1))
+}
+
+func (f *figures) p50() int64 { return f.latency.ValueAtQuantile(50) }
+func (f *figures) p99() int64 { return f.latency.ValueAtQuantile(99) }
 
 func printFigures(name string, concurrency int, f *figures) {
-	fmt.Printf("%-8s %11d %12.0f %8dµs %8dµs %12.0f", name, concurrency, f.rate(), f.p50(), f.p99(),
-		float64(f.mallocs)/float64(max(f.latency.TotalCount(), 1)))
+	fmt.Printf("%-8s %11d %12.0f %8dµs %8dµs %8dµs %10.0f", name, concurrency, f.rate(), f.p50(), f.p99(),
+		f.cpuPerCall().Microseconds(), float64(f.mallocs)/float64(max(f.latency.TotalCount(), 1)))
 	if f.failed > 0 {
 		fmt.Printf("  %d failed", f.failed)
 	}
@@ -62,6 +71,7 @@
 	var mu sync.Mutex
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
+	cpu := processorTime()
 	end := time.Now().Add(d)
 	var wg sync.WaitGroup
 	for range concurrency {
@@ -82,10 +92,17 @@
 	}
 	wg.Wait()
 	runtime.ReadMemStats(&after)
+	total.cpu = processorTime() - cpu
 	total.mallocs = after.Mallocs - before.Mallocs
 	return total
 }
 
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 // call makes one request and says whether it was answered.
 func call(c *http.Client, w way, priority string) bool {
 	req, err := http.NewRequest(http.MethodPost, w.url, strings.NewReader("{}"))
--- a/measure/path/main.go
+++ b/measure/path/main.go
@@ -21,11 +21,11 @@
 
 type options struct {
 	Time        time.Duration `long:"time" default:"2s" description:"time of each measurement"`
-	Concurrency []int           `long:"concurrency" default:"1" default:"64" default:"512" description:"requests in flight"`
+	Concurrency []int         `long:"concurrency" default:"1" default:"64" default:"512" description:"requests in flight"`
 	Work        time.Duration `long:"work" default:"0s" description:"time of one request at the upstream"`
-	Rounds      int             `long:"rounds" default:"3" description:"times that the ways take turns at each concurrency"`
-	Only        string          `long:"only" choice:"ways" choice:"urgent" description:"measure just this part"`
-	Profile     string          `long:"profile" description:"file for a processor profile of the full path; nothing else runs then"`
+	Rounds      int           `long:"rounds" default:"3" description:"times that the ways take turns at each concurrency"`
+	Only        string        `long:"only" choice:"ways" choice:"urgent" description:"measure just this part"`
+	Profile     string        `long:"profile" description:"file for a processor profile of the full path; nothing else runs then"`
 }
 
 func main() {
--- a/measure/path/ways.go
+++ b/measure/path/ways.go
@@ -75,7 +75,7 @@
 		return err
 	}
 	defer b.close()
-	fmt.Printf("%-8s %11s %12s %10s %10s %12s\n", "way", "concurrency", "requests/s", "p50", "p99", "allocs/req")
+	fmt.Printf("%-8s %11s %12s %10s %10s %10s %10s\n", "way", "concurrency", "requests/s", "p50", "p99", "cpu/req", "allocs/req")
 	for _, c := range o.Concurrency {
 		total := make([]*figures, len(b.ways))
 		for i := range total {
@@ -90,8 +90,9 @@
 			printFigures(w.name, c, total[i])
 		}
 		direct, full := total[0], total[len(total)-1]
-		fmt.Printf("%-8s %11d %11.0f%% %8dµs %8dµs  added by the full path\n", "", c,
-			100*full.rate()/direct.rate(), full.p50()-direct.p50(), full.p99()-direct.p99())
+		fmt.Printf("%-8s %11d %11.0f%% %8dµs %8dµs %8dµs  added by the full path\n", "", c,
+			100*full.rate()/direct.rate(), full.p50()-direct.p50(), full.p99()-direct.p99(),
+			(full.cpuPerCall() - direct.cpuPerCall()).Microseconds())
 	}
 	return nil
 }
