Take the agent's relay buffers from a pool

Cause: each answer allocated 64 KB to relay even a small body; the collector took most of the path's time. Send encodes before it returns, so a buffer is free again.

--- a/agent/run.go
+++ b/agent/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -32,6 +33,13 @@
 	sent     uint64
 }
 
+// frames holds buffers for relayed answers. Send encodes a message before it
+// returns, so a buffer can be used again at once.
+var frames = sync.Pool{New: func() any {
+	b := make([]byte, transport.BodyFrame)
+	return &b
+}}
+
 // Run implements the Agent service.
 func (a *Agent) Run(stream wire.DRPCAgent_RunStream) error {
 	now := time.Now()
@@ -136,7 +144,9 @@
 	if err := at.stream.Send(&wire.RunReply{Head: head}); err != nil {
 		return err
 	}
-	buf := make([]byte, transport.BodyFrame)
+	frame := frames.Get().(*[]byte)
+	defer frames.Put(frame)
+	buf := *frame
 	for {
 		n, err := answer.Body.Read(buf)
 		if n > 0 {
