--- a/transport/transport.go
+++ b/transport/transport.go
@@ -41,7 +41,7 @@
 	dialTimeout      = 2 * time.Second
 	handshakeTimeout = 2 * time.Second
 	idleExpiry       = 30 * time.Second
-	poolPerAddress   = 64
+	poolPerAddress   = 1024
 	poolCapacity     = 4096
 )
 
