Send a request to the upstream in one write, with its length

Cause: a body of unknown kind and length made net/http write the head by itself, then the body in chunks. The reader is now one that net/http knows as held in memory; it still has no GetBody, so it is never replayed. A new test breaks an idle connection under each kind of request and counts what the upstream sees.

--- a/agent/run.go
+++ b/agent/run.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -105,7 +104,7 @@
 		return at.end(wire.Outcome_OUTCOME_NOT_RUN, queueReason(err), err.Error())
 	}
 	defer release()
-	answer, err := at.agent.up.Do(ctx, at.head, bytes.NewReader(at.body))
+	answer, err := at.agent.up.Do(ctx, at.head, at.body)
 	if err != nil {
 		return at.failed(err)
 	}
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -76,12 +77,13 @@
 // with an Idempotency-Key header, whose body is nil. For a call that must run
 // at most once that is a second run. A body that is not nil and has no GetBody
 // is never replayed once a byte was written.
-type onceBody struct{ io.Reader }
-
-func (onceBody) Close() error { return nil }
+//
+// A bytes.Reader under io.NopCloser is known to net/http as held in memory: head
+// and body then go out in one write, and no timer waits for a first byte.
+func onceBody(body []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(body)) }
 
 // Do implements Upstream.
-func (h *HTTP) Do(ctx context.Context, head *wire.RunHead, body io.Reader) (*Answer, error) {
+func (h *HTTP) Do(ctx context.Context, head *wire.RunHead, body []byte) (*Answer, error) {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	req, err := h.request(httptrace.WithClientTrace(ctx, trace), head, body)
@@ -109,7 +111,7 @@
 	}, nil
 }
 
-func (h *HTTP) request(ctx context.Context, head *wire.RunHead, body io.Reader) (*http.Request, error) {
+func (h *HTTP) request(ctx context.Context, head *wire.RunHead, body []byte) (*http.Request, error) {
 	ref, err := url.Parse(head.Path)
 	if err != nil {
 		return nil, err
@@ -118,12 +120,15 @@
 	u.Path = strings.TrimSuffix(u.Path, "/") + ref.Path
 	u.RawPath = ""
 	u.RawQuery = ref.RawQuery
-	req, err := http.NewRequestWithContext(ctx, head.Method, u.String(), nil)
+	req, err := http.NewRequestWithContext(ctx, head.Method, u.String(), onceBody(body))
 	if err != nil {
 		return nil, err
 	}
-	req.Body = onceBody{body}
-	req.ContentLength = -1
+	// Length 0 would mean "unknown" beside a body that is not nil.
+	req.ContentLength = unknownLength
+	if len(body) > 0 {
+		req.ContentLength = int64(len(body))
+	}
 	for _, f := range head.Headers {
 		if f.Name == "Content-Length" {
 			continue
@@ -135,6 +140,9 @@
 	return req, nil
 }
 
+// unknownLength is net/http's word for a body whose length is not said.
+const unknownLength = -1
+
 func priorityWord(p wire.Priority) string {
 	return strings.ToLower(strings.TrimPrefix(p.String(), "PRIORITY_"))
 }
--- /dev/null
+++ b/upstream/http_test.go
@@ -0,0 +1,78 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// dropper answers the first request and closes the connection after it has read
+// the second: what a server does that dies between two requests.
+func dropper(t *testing.T, seen *atomic.Int32, bodies chan<- string) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					body, _ := io.ReadAll(req.Body)
+					bodies <- string(body)
+					if seen.Add(1) != 1 {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			}()
+		}
+	}()
+	return "http://" + lis.Addr().String()
+}
+
+// The upstream dies after it has read a request on a connection that was idle.
+// net/http would send such a request again by itself when it looks repeatable:
+// the agent must see an error, and the upstream must see the request once.
+func TestBrokenIdleConnectionRunsNothingTwice(t *testing.T) {
+	for _, c := range []struct{ method, body string }{
+		{http.MethodPost, "a body"}, {http.MethodPost, ""}, {http.MethodGet, ""}, {http.MethodGet, "a body"},
+	} {
+		var seen atomic.Int32
+		bodies := make(chan string, 8)
+		up, err := New("plain", map[string]any{"url": dropper(t, &seen, bodies)})
+		assert.NilError(t, err)
+		defer up.Close()
+		head := &wire.RunHead{
+			RequestId: "q", Method: c.method, Path: "/lots/1",
+			Headers: []*wire.Header{{Name: "Idempotency-Key", Value: "bid"}},
+		}
+		a, err := up.Do(context.Background(), head, []byte(c.body))
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, a.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, a.Body.Close())
+		_, err = up.Do(context.Background(), head, []byte(c.body))
+		assert.ErrorIs(t, err, ErrFailed, "%s %q", c.method, c.body)
+		assert.Equal(t, seen.Load(), int32(2), "%s %q", c.method, c.body)
+		assert.Equal(t, <-bodies, c.body)
+		assert.Equal(t, <-bodies, c.body)
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -40,7 +40,7 @@
 	Kind() string
 	// Do runs a request. An error that is not ErrNotSent means that it may
 	// have been run.
-	Do(ctx context.Context, head *wire.RunHead, body io.Reader) (*Answer, error)
+	Do(ctx context.Context, head *wire.RunHead, body []byte) (*Answer, error)
 	// Load asks for a load report.
 	Load(ctx context.Context) (*wire.Load, error)
 	// Cache returns the cache events after a sequence number.
