Send a small answer, and a request with the end of its sending, in one write each

Cause: head, body and end of an answer were three messages, each flushed and each a hand-over between goroutines; the request's frame and the stream's closing were two writes. A reply may now carry head, body and end together, in this order; every check of IDs, order and byte counts is made as before, and the tests cut and cross joined replies as well. A call's connection keeps what it sends until the end of sending.

--- a/agent/run.go
+++ b/agent/run.go
@@ -135,41 +135,67 @@
 	return at.end(outcome, reason, err.Error())
 }
 
+// relay sends the answer on. The first reply of a stream is its head, at once;
+// the head of any other answer waits for the first frame of body, and the last
+// frame goes with the end: a small answer is one message.
 func (at *attempt) relay(answer *upstream.Answer) error {
-	head := &wire.RunReplyHead{
+	frame := frames.Get().(*[]byte)
+	defer frames.Put(frame)
+	reply := &wire.RunReply{Head: &wire.RunReplyHead{
 		RequestId: at.head.RequestId, AttemptId: at.head.AttemptId,
 		Status: uint32(answer.Status), Headers: answer.Headers, Streaming: answer.Streaming,
+	}}
+	read := fill
+	if answer.Streaming {
+		if err := at.stream.Send(reply); err != nil {
+			return err
+		}
+		reply, read = &wire.RunReply{}, io.Reader.Read
 	}
-	if err := at.stream.Send(&wire.RunReply{Head: head}); err != nil {
-		return err
-	}
-	frame := frames.Get().(*[]byte)
-	defer frames.Put(frame)
-	buf := *frame
 	for {
-		n, err := answer.Body.Read(buf)
-		if n > 0 {
-			at.sent += uint64(n)
-			if err := at.stream.Send(&wire.RunReply{Body: buf[:n]}); err != nil {
-				return err
-			}
-		}
-		if err == io.EOF {
-			return at.end(wire.Outcome_OUTCOME_DONE, 0, "")
-		}
-		if err != nil {
+		n, err := read(answer.Body, *frame)
+		at.sent += uint64(n)
+		reply.Body = (*frame)[:n]
+		switch {
+		case err == io.EOF:
+			return at.sendEnd(reply, wire.Outcome_OUTCOME_DONE, 0, "")
+		case err != nil:
 			// The upstream's answer was cut. It ran, but the caller must not
 			// take the part for the whole.
-			return at.end(wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_ANSWER_INVALID, err.Error())
+			return at.sendEnd(reply, wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_ANSWER_INVALID, err.Error())
+		case n == 0:
+			continue
+		}
+		if err := at.stream.Send(reply); err != nil {
+			return err
 		}
+		reply = &wire.RunReply{}
+	}
+}
+
+// fill reads until the buffer is full or the reader ends. io.ReadFull would do
+// it too, but says "unexpected end" both of an answer shorter than the buffer
+// and of one that the upstream cut.
+func fill(r io.Reader, buf []byte) (n int, err error) {
+	for n < len(buf) && err == nil {
+		var m int
+		m, err = r.Read(buf[n:])
+		n += m
 	}
+	return n, err
 }
 
 func (at *attempt) end(o wire.Outcome, r wire.Reason, detail string) error {
+	return at.sendEnd(&wire.RunReply{}, o, r, detail)
+}
+
+func (at *attempt) sendEnd(reply *wire.RunReply, o wire.Outcome, r wire.Reason, detail string) error {
 	at.agent.count(o, r)
-	return at.stream.Send(&wire.RunReply{End: &wire.RunEnd{
+	reply.End = &wire.RunEnd{
 		RequestId: at.head.RequestId, AttemptId: at.head.AttemptId,
 		Outcome: o, Reason: r, Detail: detail, Load: at.agent.currentLoad(),
 		BodyBytes: at.sent, QueuedUs: at.queued.Microseconds(),
-	}})
+	}
+	transport.HoldFlush(at.stream)
+	return at.stream.Send(reply)
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -249,7 +249,7 @@
 func (f *Forwarder) exchange(ctx context.Context, up route.Upstream, head *wire.RunHead, c *Call, sink Sink) ending {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	stream, err := wire.NewDRPCAgentClient(f.pool.Conn(ctx, up.Address)).Run(ctx)
+	stream, err := wire.NewDRPCAgentClient(f.pool.CallConn(ctx, up.Address)).Run(ctx)
 	if err != nil {
 		return notRun(wire.Reason_REASON_UPSTREAM_FAILED, err)
 	}
@@ -270,8 +270,8 @@
 	return e
 }
 
-// send hands the request over. handed is true once the last frame may have left:
-// the agent runs nothing before it.
+// send hands the request over, and the end of sending with it. handed is true once
+// the last frame may have left: the agent runs nothing before it.
 func send(stream wire.DRPCAgent_RunClient, head *wire.RunHead, body []byte) (handed bool, err error) {
 	frame := &wire.RunFrame{Head: head}
 	for {
@@ -282,7 +282,7 @@
 			return frame.Last, err
 		}
 		if frame.Last {
-			return true, nil
+			return true, stream.CloseSend()
 		}
 		frame = &wire.RunFrame{}
 	}
--- a/forward/reader.go
+++ b/forward/reader.go
@@ -50,17 +50,26 @@
 	}
 }
 
+// take takes one reply: a head, a piece of the body, an end, or several of them
+// in this order.
 func (r *reader) take(m *wire.RunReply) (*wire.RunEnd, error) {
-	switch {
-	case m.Head != nil:
-		return nil, r.takeHead(m.Head)
-	case m.End != nil:
-		if err := r.mine(m.End.RequestId, m.End.AttemptId); err != nil {
+	if m.Head != nil {
+		if err := r.takeHead(m.Head); err != nil {
 			return nil, err
 		}
-		return m.End, nil
 	}
-	return nil, r.takeBody(m.Body)
+	if len(m.Body) > 0 || m.Head == nil && m.End == nil {
+		if err := r.takeBody(m.Body); err != nil {
+			return nil, err
+		}
+	}
+	if m.End == nil {
+		return nil, nil
+	}
+	if err := r.mine(m.End.RequestId, m.End.AttemptId); err != nil {
+		return nil, err
+	}
+	return m.End, nil
 }
 
 // mine refuses a frame of another request. It would hand one caller a part of
@@ -101,6 +110,10 @@
 	if int64(r.got) > r.max {
 		return merry.Prependf(ErrInvalidAnswer, "answer is over %d bytes", r.max)
 	}
+	if r.held == nil {
+		r.held = b
+		return nil
+	}
 	r.held = append(r.held, b...)
 	return nil
 }
--- a/forward/reader_test.go
+++ b/forward/reader_test.go
@@ -64,6 +64,15 @@
 	}}
 }
 
+// joined puts several replies into one, as an agent does with a small answer.
+func joined(parts ...*wire.RunReply) *wire.RunReply {
+	whole := &wire.RunReply{}
+	for _, p := range parts {
+		proto.Merge(whole, p)
+	}
+	return whole
+}
+
 func read(list []*wire.RunReply, c *caller) ending {
 	r := &reader{stream: &script{list: list}, head: &wire.RunHead{RequestId: "q", AttemptId: "q.1"}, sink: c, max: 20}
 	return r.read(context.Background())
@@ -86,19 +95,25 @@
 func TestUnstreamedAnswerIsWholeOrNothing(t *testing.T) {
 	head, last := replyHead(false), end(5)
 	for name, list := range map[string][]*wire.RunReply{
-		"nothing":                {},
-		"cut after the head":     {head},
-		"cut before the end":     {head, body("hello")},
-		"bytes missing":          {head, body("hell"), last},
-		"bytes doubled":          {head, body("hello"), body("hello"), last},
-		"head of another":        {of(head, "other", "other.1"), body("hello"), last},
-		"head of an old attempt": {of(head, "q", "q.0"), body("hello"), last},
-		"end of another":         {head, body("hello"), of(last, "other", "other.1")},
-		"body before head":       {body("hello"), last},
-		"second head":            {head, head, body("hello"), last},
-		"no head":                {end(0)},
-		"too large":              {head, body("hello hello hello hello"), end(23)},
-		"status out of range":    {{Head: &wire.RunReplyHead{RequestId: "q", AttemptId: "q.1", Status: 99}}, body("hello"), last},
+		"nothing":                         {},
+		"cut after the head":              {head},
+		"cut before the end":              {head, body("hello")},
+		"bytes missing":                   {head, body("hell"), last},
+		"bytes doubled":                   {head, body("hello"), body("hello"), last},
+		"head of another":                 {of(head, "other", "other.1"), body("hello"), last},
+		"head of an old attempt":          {of(head, "q", "q.0"), body("hello"), last},
+		"end of another":                  {head, body("hello"), of(last, "other", "other.1")},
+		"body before head":                {body("hello"), last},
+		"second head":                     {head, head, body("hello"), last},
+		"no head":                         {end(0)},
+		"too large":                       {head, body("hello hello hello hello"), end(23)},
+		"one reply, bytes missing":        {joined(head, body("hell"), last)},
+		"one reply, head of another":      {joined(of(head, "other", "other.1"), body("hello"), last)},
+		"one reply, end of another":       {joined(head, body("hello"), of(last, "other", "other.1"))},
+		"one reply, no head":              {joined(body("hello"), last)},
+		"one reply, body without its end": {joined(head, body("hello"))},
+		"one reply, too large":            {joined(head, body("hello hello hello hello"), end(23))},
+		"status out of range":             {{Head: &wire.RunReplyHead{RequestId: "q", AttemptId: "q.1", Status: 99}}, body("hello"), last},
 	} {
 		c := &caller{}
 		e := read(list, c)
@@ -107,11 +122,17 @@
 		assert.Equal(t, len(c.body), 0, name)
 		assert.Assert(t, !e.begun, name)
 	}
-	c := &caller{}
-	e := read([]*wire.RunReply{head, body("hel"), body("lo"), last}, c)
-	assert.Equal(t, e.reason, wire.Reason(0))
-	assert.Equal(t, string(c.body), "hello")
-	assert.Equal(t, c.writes, 1)
+	for _, list := range [][]*wire.RunReply{
+		{head, body("hel"), body("lo"), last},
+		{joined(head, body("hel")), joined(body("lo"), last)},
+		{joined(head, body("hello"), last)},
+	} {
+		c := &caller{}
+		e := read(list, c)
+		assert.Equal(t, e.reason, wire.Reason(0))
+		assert.Equal(t, string(c.body), "hello")
+		assert.Equal(t, c.writes, 1)
+	}
 }
 
 // A stream is cut, or a frame of another answer comes. What the caller has is
@@ -119,9 +140,10 @@
 func TestCutStreamIsToldAsCut(t *testing.T) {
 	head := replyHead(true)
 	for name, list := range map[string][]*wire.RunReply{
-		"cut":            {head, body("hel")},
-		"bytes missing":  {head, body("hel"), end(5)},
-		"end of another": {head, body("hel"), of(end(3), "other", "other.1")},
+		"cut":                                {head, body("hel")},
+		"bytes missing":                      {head, body("hel"), end(5)},
+		"end of another":                     {head, body("hel"), of(end(3), "other", "other.1")},
+		"end of another with the last bytes": {joined(head, body("he")), joined(body("l"), of(end(3), "other", "other.1"))},
 	} {
 		c := &caller{}
 		e := read(list, c)
--- a/measure/path/main.go
+++ b/measure/path/main.go
@@ -26,6 +26,7 @@
 	Rounds      int           `long:"rounds" default:"3" description:"times that the ways take turns at each concurrency"`
 	Only        string        `long:"only" choice:"ways" choice:"urgent" description:"measure just this part"`
 	Profile     string        `long:"profile" description:"file for a processor profile of the full path; nothing else runs then"`
+	Allocations string        `long:"allocations" description:"file for the allocations of the profiled run"`
 }
 
 func main() {
@@ -73,5 +74,17 @@
 	}
 	defer pprof.StopCPUProfile()
 	printFigures(full.name, o.Concurrency[0], closedLoop(full, o.Concurrency[0], o.Time))
-	return nil
+	return writeAllocations(o.Allocations)
+}
+
+func writeAllocations(path string) error {
+	if path == "" {
+		return nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return pprof.Lookup("allocs").WriteTo(f, 0)
 }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -145,19 +145,22 @@
 
 // Pool dials peers and keeps idle connections.
 type Pool struct {
-	sec  Security
-	pool *drpcpool.Pool[string, drpcpool.Conn]
+	sec   Security
+	pool  *drpcpool.Pool[string, drpcpool.Conn]
+	calls *drpcpool.Pool[string, drpcpool.Conn]
 }
 
 // NewPool makes a pool.
 func NewPool(sec Security) *Pool {
+	opts := drpcpool.Options{
+		Expiration:  idleExpiry,
+		Capacity:    poolCapacity,
+		KeyCapacity: poolPerAddress,
+	}
 	return &Pool{
-		sec: sec,
-		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
-			Expiration:  idleExpiry,
-			Capacity:    poolCapacity,
-			KeyCapacity: poolPerAddress,
-		}),
+		sec:   sec,
+		pool:  drpcpool.New[string, drpcpool.Conn](opts),
+		calls: drpcpool.New[string, drpcpool.Conn](opts),
 	}
 }
 
@@ -166,12 +169,41 @@
 	return p.pool.Get(ctx, addr, p.dial)
 }
 
+// CallConn is like Conn, but what a stream sends may be kept back until the
+// caller receives from it or closes its sending side: a request and the end of
+// its sending leave in one write. A stream that only sends must not use it.
+func (p *Pool) CallConn(ctx context.Context, addr string) drpc.Conn {
+	return p.calls.Get(ctx, addr, p.dialCalls)
+}
+
 func (p *Pool) dial(ctx context.Context, addr string) (drpcpool.Conn, error) {
+	return p.dialWith(ctx, addr, managerOptions())
+}
+
+func (p *Pool) dialCalls(ctx context.Context, addr string) (drpcpool.Conn, error) {
+	opts := managerOptions()
+	opts.Stream.ManualFlush = true
+	return p.dialWith(ctx, addr, opts)
+}
+
+func (p *Pool) dialWith(ctx context.Context, addr string, opts drpcmanager.Options) (drpcpool.Conn, error) {
 	conn, err := p.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: opts}), nil
+}
+
+// HoldFlush keeps what a server's stream sends from now on until the handler
+// returns, so that an answer's last message and the end of the stream leave in
+// one write. It may not be called while another goroutine uses the stream.
+func HoldFlush(stream drpc.Stream) {
+	if w, ok := stream.(interface{ GetStream() drpc.Stream }); ok {
+		stream = w.GetStream()
+	}
+	if f, ok := stream.(interface{ SetManualFlush(bool) }); ok {
+		f.SetManualFlush(true)
+	}
 }
 
 // Dial opens one connection and proves who we are.
@@ -205,4 +237,7 @@
 }
 
 // Close drops every idle connection.
-func (p *Pool) Close() { _ = p.pool.Close() }
+func (p *Pool) Close() {
+	_ = p.pool.Close()
+	_ = p.calls.Close()
+}
