Drop copies and look-ups that every call paid for

Cause: the profile showed http.Client copying heads for redirects that are never followed, a URL printed and parsed again, one allocation a header field, a timer for work that starts at once, metrics looked up by a name put together for each call, and a map of excluded upstreams for calls that are never tried twice.

--- a/admit/runner.go
+++ b/admit/runner.go
@@ -19,33 +19,48 @@
 	return &Runner{gate: NewGate(s), now: now}
 }
 
-type verdict struct {
-	ch chan error
+// turn is one piece of work on its way through a runner.
+type turn struct {
+	runner *Runner
+	work   *Work
+	ch     chan error
+	over   sync.Once
 }
 
+func (t *turn) release() { t.over.Do(func() { t.runner.leave(t.work) }) }
+
 // Enter waits for the work's turn. It returns a function that must be called
 // once, when the work is over; or an error, and then the work was not started.
 func (r *Runner) Enter(ctx context.Context, w *Work) (release func(), err error) {
-	v := &verdict{ch: make(chan error, 1)}
-	w.Value = v
+	t := &turn{runner: r, work: w, ch: make(chan error, 1)}
+	w.Value = t
 	if err := r.offer(w); err != nil {
 		return nil, err
 	}
-	timeout, stop := r.deadline(w)
+	if err := r.await(ctx, t); err != nil {
+		r.leave(w)
+		return nil, err
+	}
+	return t.release, nil
+}
+
+func (r *Runner) await(ctx context.Context, t *turn) error {
+	// Most work starts at once and needs no timer.
+	select {
+	case err := <-t.ch:
+		return err
+	default:
+	}
+	timeout, stop := r.deadline(t.work)
 	defer stop()
 	select {
-	case err = <-v.ch:
+	case err := <-t.ch:
+		return err
 	case <-timeout:
-		err = ErrDeadline
+		return ErrDeadline
 	case <-ctx.Done():
-		err = ctx.Err()
-	}
-	if err != nil {
-		r.leave(w)
-		return nil, err
+		return ctx.Err()
 	}
-	var once sync.Once
-	return func() { once.Do(func() { r.leave(w) }) }, nil
 }
 
 func (r *Runner) deadline(w *Work) (<-chan time.Time, func()) {
@@ -79,10 +94,10 @@
 func (r *Runner) pump() {
 	start, expired := r.gate.Start(r.now())
 	for _, w := range start {
-		w.Value.(*verdict).ch <- nil
+		w.Value.(*turn).ch <- nil
 	}
 	for _, w := range expired {
-		w.Value.(*verdict).ch <- ErrDeadline
+		w.Value.(*turn).ch <- ErrDeadline
 	}
 }
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/snipereach/snipereach/admit"
 	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/refusal"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/upstream"
 	"github.com/snipereach/snipereach/wire"
@@ -42,6 +43,7 @@
 	incarnation uint64
 	seq         atomic.Uint64
 	metrics     metrics.Registry
+	done        metrics.Counter
 	dumps       kernel.Dumps
 	cancel      context.CancelFunc
 	load        atomic.Pointer[wire.Load]
@@ -72,6 +74,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		attempts:    newAttempts(),
 	}
+	a.done = metrics.GetOrRegisterCounter("agent.attempts."+refusal.OutcomeWord(wire.Outcome_OUTCOME_DONE), a.metrics)
 	a.orders = newOrders(control.NewClient(a.pool, s.AnnounceTo, s.ID))
 	a.dumps.Add("agent", a.dump)
 	return a, wire.DRPCRegisterAgent(a.srv.Mux, service{a})
--- a/agent/services.go
+++ b/agent/services.go
@@ -15,6 +15,10 @@
 const minReportInterval = 50 * time.Millisecond
 
 func (a *Agent) count(o wire.Outcome, r wire.Reason) {
+	if o == wire.Outcome_OUTCOME_DONE && r == 0 {
+		a.done.Inc(1)
+		return
+	}
 	name := "agent.attempts." + refusal.OutcomeWord(o)
 	if r != 0 {
 		name += "." + refusal.ReasonWord(r)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -65,6 +65,7 @@
 	client    *control.Client
 	ops       *operators.Handler
 	limits    *limits
+	answers   metrics.Counter
 	confirmed atomic.Int64
 	// announceNow is sent to when others should hear of a change at once.
 	announceNow chan struct{}
@@ -92,6 +93,7 @@
 			Slots: s.Slots, Reserved: s.Slots * s.UrgentPercent / 100, MaxQueue: s.MaxQueue,
 		}, time.Now),
 	}
+	e.answers = metrics.GetOrRegisterCounter("entry.answers", e.metrics)
 	if certs != nil {
 		e.certs = append(e.certs, certs)
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -275,7 +275,7 @@
 		Head: &wire.RunHead{
 			RequestId: q.id, Team: q.team.Name, Service: q.service.Name, Priority: prio,
 			Weight: uint32(weight), Idempotent: q.idempotent(), Method: q.r.Method,
-			Path: q.path, Headers: q.headers(), Tokens: uint32(q.tokens),
+			Path: q.path, Headers: upstream.PassedHeaders(q.r.Header, headerKey), Tokens: uint32(q.tokens),
 		},
 		Body: q.body, Pool: q.view.Pools[q.service.Pool], Deadline: deadline,
 		Route:     &route.Request{Priority: prio, Tokens: q.tokens, Prefix: q.prefix},
@@ -293,23 +293,10 @@
 	return wire.Reason_REASON_DEADLINE
 }
 
-func (q *request) headers() []*wire.Header {
-	var list []*wire.Header
-	for name, values := range q.r.Header {
-		if !upstream.PassHeader(name) || name == headerKey {
-			continue
-		}
-		for _, v := range values {
-			list = append(list, &wire.Header{Name: name, Value: v})
-		}
-	}
-	return list
-}
-
 // finish answers the caller of a request that was not answered whole.
 func (q *request) finish(res forward.Result, sink *httpSink) *wire.Refusal {
 	if res.Reason == 0 {
-		metrics.GetOrRegisterCounter("entry.answers", q.entry.metrics).Inc(1)
+		q.entry.answers.Inc(1)
 		return nil
 	}
 	if res.Begun || sink.begun {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -130,7 +130,6 @@
 // Do makes attempts until one is answered, or no more may be made.
 func (f *Forwarder) Do(ctx context.Context, c *Call, sink Sink) Result {
 	var res Result
-	c.Route.Exclude = map[string]bool{}
 	for n := 1; ; n++ {
 		up, end := f.attempt(ctx, c, sink, n)
 		res.Outcome, res.Reason, res.Detail, res.Begun = end.outcome, end.reason, end.detail, end.begun
@@ -141,7 +140,7 @@
 			res.Attempts = append(res.Attempts, &wire.RefusedAttempt{
 				Upstream: up.ID, Outcome: end.outcome, Reason: end.reason, Detail: end.detail,
 			})
-			c.Route.Exclude[up.ID] = true
+			c.exclude(up.ID)
 		}
 		if !f.again(ctx, c, end, n) {
 			res.Outcome = worst(res)
@@ -150,6 +149,13 @@
 	}
 }
 
+func (c *Call) exclude(upstream string) {
+	if c.Route.Exclude == nil {
+		c.Route.Exclude = map[string]bool{}
+	}
+	c.Route.Exclude[upstream] = true
+}
+
 // worst is the outcome of a whole request: "not run" only if no attempt may
 // have run. An idempotent request whose first attempt is in doubt and whose
 // second was certainly not run is in doubt.
@@ -207,7 +213,7 @@
 func headFor(c *Call, up route.Upstream, n int, now time.Time) *wire.RunHead {
 	h := c.Head
 	return &wire.RunHead{
-		RequestId: h.RequestId, AttemptId: fmt.Sprintf("%s.%d", h.RequestId, n),
+		RequestId: h.RequestId, AttemptId: h.RequestId + "." + strconv.Itoa(n),
 		Team: h.Team, Service: h.Service, Priority: h.Priority, Weight: h.Weight,
 		TimeoutUs: c.Deadline.Sub(now).Microseconds(), Idempotent: h.Idempotent,
 		Method: h.Method, Path: h.Path, Headers: h.Headers, Tokens: h.Tokens,
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -90,7 +90,9 @@
 	if err != nil {
 		return nil, merry.Prepend(ErrNotSent, err.Error())
 	}
-	resp, err := h.client.Do(req)
+	// The transport is called straight: what http.Client adds (redirects,
+	// cookies, copies of the head for them) has no place here.
+	resp, err := h.client.Transport.RoundTrip(req)
 	if err != nil {
 		// Without a connection not one byte can have reached the upstream;
 		// after one was had, nobody here can tell.
@@ -105,7 +107,7 @@
 	}
 	return &Answer{
 		Status:    resp.StatusCode,
-		Headers:   answerHeaders(resp.Header),
+		Headers:   PassedHeaders(resp.Header, ""),
 		Streaming: strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"),
 		Body:      resp.Body,
 	}, nil
@@ -120,10 +122,10 @@
 	u.Path = strings.TrimSuffix(u.Path, "/") + ref.Path
 	u.RawPath = ""
 	u.RawQuery = ref.RawQuery
-	req, err := http.NewRequestWithContext(ctx, head.Method, u.String(), onceBody(body))
-	if err != nil {
-		return nil, err
-	}
+	req := (&http.Request{
+		Method: head.Method, URL: &u, Host: u.Host, Body: onceBody(body),
+		Header: make(http.Header, len(head.Headers)+ownHeaders),
+	}).WithContext(ctx)
 	// Length 0 would mean "unknown" beside a body that is not nil.
 	req.ContentLength = unknownLength
 	if len(body) > 0 {
@@ -135,11 +137,18 @@
 		}
 		req.Header.Add(f.Name, f.Value)
 	}
+	if u.User != nil {
+		password, _ := u.User.Password()
+		req.SetBasicAuth(u.User.Username(), password)
+	}
 	req.Header.Set(HeaderRequestID, head.RequestId)
 	req.Header.Set(HeaderPriority, priorityWord(head.Priority))
 	return req, nil
 }
 
+// ownHeaders is how many fields request adds.
+const ownHeaders = 2
+
 // unknownLength is net/http's word for a body whose length is not said.
 const unknownLength = -1
 
@@ -157,14 +166,23 @@
 // PassHeader says whether a header field is passed on to the next hop.
 func PassHeader(name string) bool { return !hopHeaders[http.CanonicalHeaderKey(name)] }
 
-func answerHeaders(h http.Header) []*wire.Header {
-	var list []*wire.Header
+// PassedHeaders lists the fields of h that are passed on, but for those that skip
+// names.
+func PassedHeaders(h http.Header, skip string) []*wire.Header {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	// One allocation holds all fields of a head.
+	fields := make([]wire.Header, 0, n)
+	list := make([]*wire.Header, 0, n)
 	for name, values := range h {
-		if !PassHeader(name) {
+		if name == skip || !PassHeader(name) {
 			continue
 		}
 		for _, v := range values {
-			list = append(list, &wire.Header{Name: name, Value: v})
+			fields = append(fields, wire.Header{Name: name, Value: v})
+			list = append(list, &fields[len(fields)-1])
 		}
 	}
 	return list
