--- a/fake/engine.go
+++ b/fake/engine.go
@@ -33,7 +33,7 @@
 	Body  string
 }
 
-// Start listens on a free loopback port.
+// Start listens and serves.
 func (e *Engine) Start() error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /load", e.serveLoad)
--- a/fake/plain.go
+++ b/fake/plain.go
@@ -13,7 +13,7 @@
 	Work time.Duration
 }
 
-// Start listens on a free loopback port.
+// Start listens and serves.
 func (p *Plain) Start() error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /load", p.serveLoad)
--- a/fake/server.go
+++ b/fake/server.go
@@ -35,6 +35,8 @@
 type Server struct {
 	// Slots is how many requests run at once; 0 is no bound.
 	Slots int
+	// Listen is the address; a free loopback port if empty.
+	Listen string
 
 	mu      sync.Mutex
 	faults  func(r *http.Request) Fault
@@ -46,9 +48,12 @@
 	slots   chan struct{}
 }
 
-// Listen serves a handler on a free loopback port.
+// listen serves a handler.
 func (s *Server) listen(h http.Handler) error {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if s.Listen == "" {
+		s.Listen = "127.0.0.1:0"
+	}
+	lis, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return err
 	}
