--- a/control/settings.go
+++ b/control/settings.go
@@ -73,6 +73,12 @@
 	s.Heartbeat = cmp.Or(s.Heartbeat, d.Heartbeat)
 	s.SnapshotEvery = cmp.Or(s.SnapshotEvery, d.SnapshotEvery)
 	s.ReplaceAfter = cmp.Or(s.ReplaceAfter, d.ReplaceAfter)
+	g := &s.Groups
+	g.CounterPeriod = cmp.Or(g.CounterPeriod, d.Groups.CounterPeriod)
+	g.PlanPeriod = cmp.Or(g.PlanPeriod, d.Groups.PlanPeriod)
+	g.StageTimeout = cmp.Or(g.StageTimeout, d.Groups.StageTimeout)
+	g.ArmTimeout = cmp.Or(g.ArmTimeout, d.Groups.ArmTimeout)
+	g.OrderTimeout = cmp.Or(g.OrderTimeout, d.Groups.OrderTimeout)
 }
 
 // Check names the first key that is wrong.
