--- a/control/control.go
+++ b/control/control.go
@@ -40,7 +40,6 @@
 	place    Place
 	log      log.Logger
 	pool     *transport.Pool
-	fs       journal.FS
 
 	entries func() []*wire.RingMember
 	groups  *groupLeader
@@ -57,11 +56,7 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	fs, err := journal.OpenFolder(s.DataDir)
-	if err != nil {
-		return nil, err
-	}
-	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, fs: fs}
+	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool}
 	c.groups = newGroupLeader(s.Groups, kernel.PartLog(l, "groups"), pool)
 	return c, nil
 }
@@ -87,7 +82,11 @@
 func (c *Control) Start(ctx context.Context, p Place) error {
 	c.place = p
 	ctx, c.cancel = context.WithCancel(ctx)
-	j, st, err := journal.Open(c.fs)
+	fs, err := journal.OpenFolder(c.settings.DataDir)
+	if err != nil {
+		return err
+	}
+	j, st, err := journal.Open(fs)
 	if err != nil {
 		return err
 	}
--- a/control/raftservice.go
+++ b/control/raftservice.go
@@ -27,7 +27,7 @@
 			continue
 		}
 		r.peers.learn(env.Message.From, env.Address)
-		if err := r.do(stream.Context(), func() { r.node.Step(r.now(), env.Message) }); err != nil {
+		if err := r.post(stream.Context(), func() { r.node.Step(r.now(), env.Message) }); err != nil {
 			return err
 		}
 	}
@@ -54,7 +54,7 @@
 		return
 	}
 	for _, p := range r.node.Peers() {
-		if peerName(p.Id) == id.Name && p.Id != idOf(id) && r.alive(p.Id) {
+		if NameOf(p.Id) == id.Name && p.Id != idOf(id) && r.alive(p.Id) {
 			// Two hosts that use one name would otherwise take turns in throwing
 			// each other out.
 			reply.Detail = "the name is in use by a live replica: " + p.Id
--- a/control/settings.go
+++ b/control/settings.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"net"
 	"time"
 
@@ -64,6 +65,22 @@
 	}
 }
 
+// SetDefaults fills in what a section leaves out.
+func (s *Settings) SetDefaults() {
+	d := DefaultSettings()
+	s.Voters = cmp.Or(s.Voters, d.Voters)
+	s.ElectionTimeout = cmp.Or(s.ElectionTimeout, d.ElectionTimeout)
+	s.Heartbeat = cmp.Or(s.Heartbeat, d.Heartbeat)
+	s.SnapshotEvery = cmp.Or(s.SnapshotEvery, d.SnapshotEvery)
+	s.ReplaceAfter = cmp.Or(s.ReplaceAfter, d.ReplaceAfter)
+	g := &s.Groups
+	g.CounterPeriod = cmp.Or(g.CounterPeriod, d.Groups.CounterPeriod)
+	g.PlanPeriod = cmp.Or(g.PlanPeriod, d.Groups.PlanPeriod)
+	g.StageTimeout = cmp.Or(g.StageTimeout, d.Groups.StageTimeout)
+	g.ArmTimeout = cmp.Or(g.ArmTimeout, d.Groups.ArmTimeout)
+	g.OrderTimeout = cmp.Or(g.OrderTimeout, d.Groups.OrderTimeout)
+}
+
 // Check names the first key that is wrong.
 func (s *Settings) Check() error {
 	bad := func(key, detail string) error {
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -57,6 +57,12 @@
 	// Planner makes the engines one lock-step group whose row names this
 	// placement plug-in; empty is no group.
 	Planner string
+	// PlainSlots is how many requests a plain service and its agent run at
+	// once; 32 if zero. At least as many again may wait at the agent.
+	PlainSlots int
+	// PlainWork is the time of one request at a plain service; 1 ms if zero,
+	// none if negative.
+	PlainWork time.Duration
 }
 
 // System is a running quickstart.
@@ -75,6 +81,8 @@
 	pool    *transport.Pool
 }
 
+const defaultPlainSlots = 32
+
 var domains = []string{"hall-a", "hall-b", "hall-c"}
 
 // Rows returns the built-in rows: one team, an engine service and an urgent
@@ -99,6 +107,12 @@
 	if opts.Plains == 0 {
 		opts.Plains = 1
 	}
+	if opts.PlainSlots == 0 {
+		opts.PlainSlots = defaultPlainSlots
+	}
+	if opts.PlainWork == 0 {
+		opts.PlainWork = time.Millisecond
+	}
 	if opts.Rows == "" {
 		opts.Rows = Rows()
 	}
@@ -138,7 +152,7 @@
 		}
 	}
 	for i := range s.opts.Plains {
-		p := &fake.Plain{Server: fake.Server{Slots: 32}, Work: time.Millisecond}
+		p := &fake.Plain{Server: fake.Server{Slots: s.opts.PlainSlots}, Work: max(s.opts.PlainWork, 0)}
 		if err := p.Start(); err != nil {
 			return err
 		}
@@ -237,7 +251,8 @@
 	set.Pools = []string{pool}
 	set.Upstream = map[string]any{"url": url}
 	if kind == "plain" {
-		set.Slots = 32
+		set.Slots = s.opts.PlainSlots
+		set.MaxQueue = max(set.MaxQueue, set.Slots)
 	}
 	if kind == "engine" && s.Group != nil {
 		set.Group, set.Rank = s.Group.Name, uint32(i)
@@ -293,8 +308,12 @@
   curl -s -X POST http://%[1]s/services/clock-core/lots/17/confirm -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: bid-17' -d '{}'
   curl -s http://%[1]s/v1/chat/completions -H 'Authorization: Bearer wrong' -d '{}'
 
+Operators' page: http://%[3]s/ with the key %[4]s, or
+  export SNIPEREACH_SERVER=http://%[3]s SNIPEREACH_KEY=%[4]s
+  go run ./cmd/snipereachctl status
+
 Stop with Ctrl-C.
-`, addr, TeamKey)
+`, addr, TeamKey, s.Entries[0].OperatorAddress(), OperatorKey)
 }
 
 // Stop ends everything at once and removes the folder.
