Name two upstreams that claim one rank, and test the log's decisions

Cause: of two upstreams with one rank number one was taken without a word, and what the log refuses was tested by schedules only.

--- a/control/groupdriver.go
+++ b/control/groupdriver.go
@@ -28,6 +28,7 @@
 	row       *table.Group
 	state     *wire.GroupState
 	ranks     map[int]*wire.Announcement
+	conflict  string
 	shape     placement.Shape
 	cfg       rollout.Config
 	coord     *rollout.Coordinator
@@ -71,9 +72,9 @@
 }
 
 // tick takes what the log, the table and the directory say, and does what is due.
-func (d *groupDriver) tick(ctx context.Context, now time.Time, row *table.Group, state *wire.GroupState, ranks map[int]*wire.Announcement) {
+func (d *groupDriver) tick(ctx context.Context, now time.Time, row *table.Group, state *wire.GroupState, ranks groupRanks) {
 	d.logRecords(state)
-	d.row, d.state, d.ranks = row, state, ranks
+	d.row, d.state, d.ranks, d.conflict = row, state, ranks.byRank, ranks.conflict
 	if now.Sub(d.renewed) > maxLease/leaseRenewals {
 		d.renewed = now
 		_ = d.replica.do(ctx, func() { d.replica.leads.renew(d.name, now, maxLease) })
@@ -129,6 +130,10 @@
 	case d.row == nil:
 		d.coord.Cancel("the group's row is gone")
 		return "the group's row is gone"
+	case d.conflict != "":
+		// Each of the two would take the other's orders for its own.
+		d.coord.Cancel(d.conflict)
+		return d.conflict
 	case d.row.Paused:
 		d.coord.Cancel("the row is paused")
 		return ""
--- a/control/groups.go
+++ b/control/groups.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -138,20 +139,30 @@
 	return n
 }
 
-// ranksOf sorts the ranks that are up by group. Of two upstreams that claim one
-// rank the first by ID is taken.
-func ranksOf(list []*wire.Announcement) map[string]map[int]*wire.Announcement {
-	groups := map[string]map[int]*wire.Announcement{}
+// groupRanks are the upstreams that announce the ranks of one group.
+type groupRanks struct {
+	byRank map[int]*wire.Announcement
+	// conflict names two upstreams that claim one rank.
+	conflict string
+}
+
+// ranksOf sorts the ranks that are up by group.
+func ranksOf(list []*wire.Announcement) map[string]groupRanks {
+	groups := map[string]groupRanks{}
 	for _, a := range list {
 		if a.Group == "" {
 			continue
 		}
-		if groups[a.Group] == nil {
-			groups[a.Group] = map[int]*wire.Announcement{}
+		g, ok := groups[a.Group]
+		if !ok {
+			g.byRank = map[int]*wire.Announcement{}
 		}
-		if groups[a.Group][int(a.Rank)] == nil {
-			groups[a.Group][int(a.Rank)] = a
+		if other := g.byRank[int(a.Rank)]; other != nil {
+			g.conflict = fmt.Sprintf("upstreams %s and %s both announce rank %d", other.Id, a.Id, a.Rank)
+		} else {
+			g.byRank[int(a.Rank)] = a
 		}
+		groups[a.Group] = g
 	}
 	return groups
 }
--- a/control/groups_test.go
+++ b/control/groups_test.go
@@ -83,7 +83,7 @@
 
 func (r *ranks) startAgent(i int, url string) {
 	set := agent.DefaultSettings()
-	set.ID = fmt.Sprintf("rank-%d", i)
+	set.ID = fmt.Sprintf("rank-%d-%d", i, len(r.agents))
 	set.FailureDomain = "hall-0"
 	set.ClusterSecret = string(sec.Secret)
 	set.Pools = []string{"lm"}
@@ -247,3 +247,24 @@
 	r.waitForSteps(20)
 	r.checkHistory()
 }
+
+// Two engines are set up as the same rank. Nothing is planned, and the error
+// names both; once one of them leaves, planning goes on.
+func TestTwoUpstreamsWithOneRankAreNamed(t *testing.T) {
+	r := startGroup(t, "test-rotate")
+	r.waitFor("a first switch", func(v *wire.GroupView) bool { return len(inForce(v)) > 0 })
+	e := &fake.Engine{Group: r.group, Rank: 1}
+	assert.NilError(t, e.Start())
+	t.Cleanup(e.Close)
+	r.startAgent(1, e.URL())
+	r.waitFor("an error", func(v *wire.GroupView) bool {
+		return strings.Contains(v.Error, "upstreams rank-1-1 and rank-1-4 both announce rank 1")
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	assert.NilError(t, r.agents[4].Drain(ctx))
+	r.agents[4].Stop()
+	before := r.view().GetState().GetMap().GetEpoch()
+	r.waitFor("planning goes on", func(v *wire.GroupView) bool { return v.GetState().GetMap().GetEpoch() > before })
+	r.checkHistory()
+}
--- a/fake/group.go
+++ b/fake/group.go
@@ -65,7 +65,7 @@
 	defer g.mu.Unlock()
 	r := g.ranks[rank]
 	if o.Map != nil {
-		g.maps[o.Epoch] = o.Map
+		g.maps[o.Epoch] = &placement.Map{Epoch: o.Epoch, Slots: o.Map.Slots}
 	}
 	before := r.Loading()
 	s := r.Give(verb, o)
--- a/measure/rollout/main.go
+++ b/measure/rollout/main.go
@@ -23,6 +23,7 @@
 		os.Exit(2)
 	}
 	virtual(o.Switches)
+	sizes()
 	if o.Real > 0 {
 		if err := overSockets(o.Real); err != nil {
 			fmt.Fprintln(os.Stderr, "rollout:", err)
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -204,7 +204,7 @@
 		return Outgoing{}, false
 	}
 	r.verb, r.epoch, r.sentAt, r.sent = verb, o.Epoch, now, true
-	o.Group, o.Rank, o.Shape, o.Incarnation = c.cfg.Group, i, c.cfg.Shape, r.status.Incarnation
+	o.Group, o.Rank, o.Incarnation = c.cfg.Group, i, r.status.Incarnation
 	return Outgoing{Rank: i, Verb: verb, Order: o}, true
 }
 
@@ -241,7 +241,7 @@
 	switch {
 	case !Undecided(sw):
 	case sw.Phase == wire.SwitchPhase_SWITCH_PHASE_STAGING && r.status.Staged != sw.Map.Epoch && r.status.Loading != sw.Map.Epoch:
-		return VerbStage, Order{Epoch: sw.Map.Epoch, Base: c.state.Map.Epoch, Map: ToMap(sw.Map)}
+		return VerbStage, Order{Epoch: sw.Map.Epoch, Base: c.state.Map.Epoch, Map: orderMap(sw.Map)}
 	case sw.Phase == wire.SwitchPhase_SWITCH_PHASE_ARMING && r.status.Armed != sw.Map.Epoch:
 		return VerbArm, Order{Epoch: sw.Map.Epoch, Step: sw.Step}
 	case c.cfg.off.log && c.allArmed():
@@ -259,7 +259,7 @@
 		return VerbStatus, Order{}
 	}
 	m := c.state.Map
-	return VerbAdopt, Order{Epoch: m.Epoch, Step: m.FromStep, Map: ToMap(m)}
+	return VerbAdopt, Order{Epoch: m.Epoch, Step: m.FromStep, Map: orderMap(m)}
 }
 
 // settle tells a rank the end of a switch that it still has open.
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -1,6 +1,6 @@
 package rollout
 
-import "github.com/snipereach/snipereach/placement"
+import "github.com/snipereach/snipereach/wire"
 
 // Verbs of the orders that a rank takes. Each is idempotent, and each is
 // answered with the rank's Status.
@@ -37,9 +37,26 @@
 	// Step is the first step of the map: arm, commit and adopt.
 	Step uint64 `json:"step,omitempty"`
 	// Map is set on adopt and stage.
-	Map *placement.Map `json:"map,omitempty"`
-	// Shape is the size of the group.
-	Shape placement.Shape `json:"shape"`
+	Map *OrderMap `json:"map,omitempty"`
+}
+
+// OrderMap is an expert map as an engine gets it.
+type OrderMap struct {
+	Ranks   int `json:"ranks"`
+	Experts int `json:"experts"`
+	Layers  int `json:"layers"`
+	// SlotsPerRank is how many experts a rank holds in one layer.
+	SlotsPerRank int `json:"slots_per_rank"`
+	// Slots holds the expert in each slot: layer by layer, rank by rank, slot by
+	// slot.
+	Slots []int32 `json:"slots"`
+}
+
+func orderMap(g *wire.GroupMap) *OrderMap {
+	return &OrderMap{
+		Ranks: int(g.Ranks), Experts: int(g.Experts), Layers: int(g.Layers),
+		SlotsPerRank: int(g.Slots), Slots: g.ExpertsInSlots,
+	}
 }
 
 // Status is what a rank answers to each order.
