Ask fewer ranks for counters if told so, and tick quiet groups seldom

Cause: at 32 ranks x 256 experts x 58 layers one rank's counters are 29.7 kB a window, and every group cost the leader a tick each 20 ms.

Change: counter_ranks in [control.groups]; quiet groups tick each 100 ms.

--- a/control/groupdriver.go
+++ b/control/groupdriver.go
@@ -38,6 +38,7 @@
 	details   map[int]string
 
 	window   counterWindow
+	turn     int
 	planner  placement.Planner
 	planKey  string
 	planning bool
@@ -362,10 +363,7 @@
 		return
 	}
 	*w = counterWindow{began: now, open: true, load: make(placement.Load, d.shape.Layers*d.shape.Experts)}
-	for rank, a := range d.ranks {
-		if rank >= d.shape.Ranks {
-			continue
-		}
+	for _, a := range d.asked() {
 		w.waiting++
 		go func() {
 			reply, err := d.give(ctx, a, rollout.VerbCounters, struct{}{})
@@ -381,6 +379,22 @@
 	d.closeWindow()
 }
 
+// asked lists the ranks of this window, in turn.
+func (d *groupDriver) asked() []*wire.Announcement {
+	n := d.shape.Ranks
+	if c := d.settings.CounterRanks; c > 0 {
+		n = min(c, n)
+	}
+	var list []*wire.Announcement
+	for range n {
+		if a := d.ranks[d.turn%d.shape.Ranks]; a != nil {
+			list = append(list, a)
+		}
+		d.turn++
+	}
+	return list
+}
+
 func (d *groupDriver) count(body []byte) {
 	c := &wire.ExpertCounters{}
 	if proto.Unmarshal(body, c) != nil || c.Group != d.name || len(c.Tokens) != len(d.window.load) {
--- a/control/groups.go
+++ b/control/groups.go
@@ -24,7 +24,7 @@
 // Intervals of the loop that looks after groups.
 const (
 	groupTick     = 20 * time.Millisecond
-	groupIdleTick = 250 * time.Millisecond
+	groupIdleTick = 100 * time.Millisecond
 	// leaseHolder is the prefix of control replicas among holders of leases.
 	leaseHolder  = "control "
 	leaseTimeout = 2 * time.Second
@@ -89,7 +89,7 @@
 	}
 }
 
-// tick does what is due; it returns whether there is a group to lead.
+// tick does what is due; it returns whether a group is waiting for something.
 func (g *groupLeader) tick(ctx context.Context, r *Replica) bool {
 	n := r.groupsNow(ctx)
 	if !n.leads {
@@ -106,16 +106,19 @@
 	for name := range n.states {
 		names[name] = true
 	}
+	busy := false
 	for name := range names {
 		d := g.driver(ctx, r, name, n)
 		if d == nil {
+			busy = true
 			continue
 		}
 		g.mu.Lock()
 		d.tick(ctx, time.Now(), n.view.Groups[name], n.states[name], ranks[name])
+		busy = busy || d.coord == nil || !d.coord.Quiet()
 		g.mu.Unlock()
 	}
-	return len(names) > 0
+	return busy
 }
 
 // groupsNow reads the groups' state in the replica's loop.
--- a/control/settings.go
+++ b/control/settings.go
@@ -38,6 +38,9 @@
 type GroupSettings struct {
 	// CounterPeriod is the time between two windows of expert counters.
 	CounterPeriod kernel.Duration `toml:"counter_period"`
+	// CounterRanks is how many ranks of a group are asked in one window, in turn;
+	// 0 is all. The others count on until it is their turn.
+	CounterRanks int `toml:"counter_ranks"`
 	// PlanPeriod is the time between two plans of one group.
 	PlanPeriod kernel.Duration `toml:"plan_period"`
 	// StageTimeout and ArmTimeout bound the phases of a switch.
@@ -98,6 +101,9 @@
 	case s.SnapshotEvery < 10:
 		return bad("snapshot_every", "must be at least 10")
 	}
+	if s.Groups.CounterRanks < 0 {
+		return bad("groups.counter_ranks", "must not be negative")
+	}
 	if key := s.Groups.notPositive(); key != "" {
 		return bad("groups."+key, "must be positive")
 	}
--- a/measure/rollout/size.go
+++ b/measure/rollout/size.go
@@ -32,6 +32,11 @@
 	status, _ := json.Marshal(rollout.Status{Incarnation: 1 << 60, Seq: 1 << 20, Epoch: 1 << 20, NextStep: 1 << 30, StepMicros: 5000})
 	fmt.Printf("\nGroup of 32 ranks, 256 experts, 58 layers, 9 slots: begin on the log %d bytes, stage order %d bytes a rank, status %d bytes, state with one map and a switch %d bytes.\n",
 		begin, len(order), len(status), proto.Size(m.Get("g")))
+	counters := &wire.ExpertCounters{Group: "g", Tokens: make([]uint32, s.Layers*s.Experts)}
+	for i := range counters.Tokens {
+		counters.Tokens[i] = 5000
+	}
+	fmt.Printf("Counters of one rank: %d bytes.\n", proto.Size(counters))
 	fmt.Printf("Coordinator's tick with 32 quiet ranks: %v.\n", tickTime(s, m.Get("g")).Round(10*time.Nanosecond))
 }
 
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -171,6 +171,11 @@
 	return c.state != nil && c.state.Switch == nil && c.want == nil
 }
 
+// Quiet says whether all ranks use the map in force and nothing is to be done.
+func (c *Coordinator) Quiet() bool {
+	return c.Idle() && c.allUse(c.state.Map.Epoch)
+}
+
 // Cancel ends a switch that is not decided yet.
 func (c *Coordinator) Cancel(why string) {
 	c.want = nil
