Let operators undo and pin in a paused group

Change: a pin comes before the pause; the pause stops the planner only.

Measured: go test ./control -run Operators -count=2 passes with the case added.

--- a/control/groupdriver.go
+++ b/control/groupdriver.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// steer decides whether the map is to change: an operator's pin first, then the
-// planner. It returns why nothing is planned, if so.
+// steer decides whether the map is to change: an operator's pin first, also while
+// the row is paused, then the planner. It returns why nothing is planned, if so.
 func (d *groupDriver) steer(ctx context.Context, now time.Time) string {
 	switch {
 	case d.state == nil:
@@ -135,12 +135,12 @@
 		// Each of the two would take the other's orders for its own.
 		d.coord.Cancel(d.conflict)
 		return d.conflict
-	case d.row.Paused:
-		d.coord.Cancel("the row is paused")
-		return ""
 	case d.state.Pinned != 0:
 		d.holdPinned()
 		return ""
+	case d.row.Paused:
+		d.coord.Cancel("the row is paused")
+		return ""
 	case shapeOfRow(d.row) != d.shape:
 		d.coord.Cancel("the row has another shape than the map in force")
 		return fmt.Sprintf("row: shape %+v differs from that of the map in force, %+v", shapeOfRow(d.row), d.shape)
--- a/control/groups_test.go
+++ b/control/groups_test.go
@@ -210,8 +210,9 @@
 	r.checkHistory()
 }
 
-// An operator takes back the last change, pins, pauses and unpins. The map that
-// was taken back stays away until the pin is taken off.
+// An operator takes back the last change, pauses and unpins. The map that was
+// taken back stays away until the pin is taken off and the row goes on. In a paused
+// group, too, an operator can take a change back.
 func TestOperatorsPinPauseAndUndo(t *testing.T) {
 	r := startGroup(t, "test-rotate")
 	r.waitFor("two switches", func(v *wire.GroupView) bool { return len(inForce(v)) > 1 })
@@ -231,6 +232,12 @@
 	assert.Assert(t, r.change(control.VerbUnpin, 0).Accepted)
 	r.waitForSteps(150)
 	assert.Equal(t, r.view().State.Map.Epoch, held, "the row is paused")
+	assert.Assert(t, r.change(control.VerbUndo, 0).Accepted)
+	v = r.waitFor("the undo of a paused group", func(v *wire.GroupView) bool {
+		return v.GetState().GetMap().GetEpoch() > held && v.State.Switch == nil
+	})
+	held = v.State.Map.Epoch
+	assert.Assert(t, r.change(control.VerbUnpin, 0).Accepted)
 	r.edit(groupColumns("test-rotate", "no"))
 	r.waitFor("planning goes on", func(v *wire.GroupView) bool { return v.GetState().GetMap().GetEpoch() > held })
 	refused := r.change(control.VerbPin, 1<<40)
--- a/ctl/groups.go
+++ b/ctl/groups.go
@@ -87,10 +87,10 @@
 		return "error: " + g.Error
 	case g.Switch != nil:
 		return fmt.Sprintf("switching to %d, %s", g.Switch.Epoch, g.Switch.Phase)
-	case g.Paused:
-		return "paused"
 	case g.Pinned != 0:
 		return fmt.Sprintf("pinned to %d by %s", g.Pinned, g.PinnedBy)
+	case g.Paused:
+		return "paused"
 	}
 	return "planning"
 }
