Let an agent ask for the decision that its armed rank waits for

Cause: a leader that a partition keeps from one rank alone goes on leading, and the group stood still for as long as the partition lasted, though any control replica knew the decision.

What a state says of an ended switch stays true, so an old one will do.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -23,8 +23,12 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
-// ErrStart is returned when the agent can't come up.
-var ErrStart = merry.Sentinel("agent can't start")
+// Errors of this layer.
+var (
+	// ErrStart is returned when the agent can't come up.
+	ErrStart = merry.Sentinel("agent can't start")
+	ErrOrder = merry.Sentinel("order was not carried out")
+)
 
 // Agent implements kernel.Daemon.
 type Agent struct {
@@ -103,6 +107,7 @@
 	go a.srv.Serve(ctx, lis)
 	go a.pollLoad(ctx)
 	go a.announceLoop(ctx)
+	go a.resolveLoop(ctx)
 	kernel.Info(a.log, "Listening.", "id", a.settings.ID, "addr", lis.Addr(), "kind", a.up.Kind())
 	return a.startOperators()
 }
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -24,6 +24,12 @@
 	mu     sync.Mutex
 	guard  *fence.Guard
 	tokens func(ctx context.Context, group string) (uint64, error)
+	// states hands the group's state on each control replica to a function until
+	// that returns true.
+	states func(ctx context.Context, group string, f func(*wire.GroupState) bool)
+	// doubt is the epoch that the engine was armed for, and not told the end of,
+	// when it was last looked at.
+	doubt uint64
 }
 
 func newOrders(client *control.Client) *orders {
@@ -39,6 +45,12 @@
 			})
 			return token, err
 		},
+		states: func(ctx context.Context, group string, f func(*wire.GroupState) bool) {
+			client.Each(ctx, stateTimeout, func(ctx context.Context, c wire.DRPCControlClient) bool {
+				state, err := c.GroupMaps(ctx, &wire.GroupsRequest{Group: group})
+				return err == nil && f(state)
+			})
+		},
 	}
 }
 
--- a/agent/orders_test.go
+++ b/agent/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"testing"
 
@@ -11,6 +12,8 @@
 
 	"github.com/snipereach/snipereach/fake"
 	"github.com/snipereach/snipereach/fence"
+	"github.com/snipereach/snipereach/placement"
+	"github.com/snipereach/snipereach/rollout"
 	"github.com/snipereach/snipereach/upstream"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -77,3 +80,52 @@
 	assert.Assert(t, !r.Accepted)
 	assert.Equal(t, len(e.Orders()), 0)
 }
+
+// A rank is armed, and the network between the leader and this host goes. One
+// replica doesn't know the decision yet, the next one does: the agent tells its rank,
+// so the group doesn't stand still until the network is back. Nothing is told while
+// no replica knows.
+func TestAgentTellsAnArmedRankTheDecision(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		g := &fake.Group{Name: "g", Shape: placement.Shape{Ranks: 1, Experts: 1, Layers: 1, Slots: 1}}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		g.Start(ctx)
+		e := &fake.Engine{Group: g, Fencing: fencing}
+		assert.NilError(t, e.Start())
+		a := agentBeside(t, e, func() (uint64, error) { return 7, nil })
+		give := func(verb string, o rollout.Order) (s rollout.Status) {
+			o.Incarnation = 1
+			body, err := json.Marshal(o)
+			assert.NilError(t, err)
+			r, err := a.Give(context.Background(), &wire.Order{Group: "g", Token: 7, Verb: verb, Body: body})
+			assert.NilError(t, err)
+			assert.Assert(t, r.Accepted, r.Detail)
+			assert.NilError(t, json.Unmarshal(r.Body, &s))
+			return s
+		}
+		give(rollout.VerbAdopt, rollout.Order{Epoch: 3})
+		give(rollout.VerbStage, rollout.Order{Epoch: 9, Base: 3})
+		for give(rollout.VerbStatus, rollout.Order{}).Staged != 9 {
+		}
+		assert.Equal(t, give(rollout.VerbArm, rollout.Order{Epoch: 9, Step: 50}).Armed, uint64(9))
+
+		old := &wire.GroupState{Map: &wire.GroupMap{Epoch: 3}, Settled: 3}
+		known := []*wire.GroupState{old, {}}
+		a.orders.states = func(_ context.Context, _ string, f func(*wire.GroupState) bool) {
+			for _, st := range known {
+				if f(st) {
+					return
+				}
+			}
+		}
+		for range 3 {
+			a.resolve(context.Background(), "g", 0)
+		}
+		assert.Assert(t, !give(rollout.VerbStatus, rollout.Order{}).Decided)
+		known = []*wire.GroupState{old, {Map: &wire.GroupMap{Epoch: 9, FromStep: 50}, Settled: 9}}
+		a.resolve(context.Background(), "g", 0)
+		assert.Assert(t, give(rollout.VerbStatus, rollout.Order{}).Decided)
+		e.Close()
+	}
+}
--- a/control/client.go
+++ b/control/client.go
@@ -53,6 +53,18 @@
 // editRetry is the time between two sendings of an edit that nobody decided.
 const editRetry = 100 * time.Millisecond
 
+// Each calls every replica, each within a time, until f returns true.
+func (c *Client) Each(ctx context.Context, timeout time.Duration, f func(context.Context, wire.DRPCControlClient) bool) {
+	for _, addr := range c.addrs {
+		one, cancel := context.WithTimeout(ctx, timeout)
+		done := f(one, wire.NewDRPCControlClient(c.pool.Conn(one, addr)))
+		cancel()
+		if done || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
 // Edit sends an edit until a leader has decided it, or the context ends. It may
 // be sent more than once: the edit ID makes that safe.
 func (c *Client) Edit(ctx context.Context, e *wire.TableEdit) (*wire.EditReply, error) {
--- a/control/groupservice.go
+++ b/control/groupservice.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sort"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/rollout"
 	"github.com/snipereach/snipereach/wire"
@@ -41,6 +43,22 @@
 	return list
 }
 
+// GroupMaps implements the Control service. It reads this replica's own state, so
+// that an agent that can't reach the leader learns of decisions.
+func (s *service) GroupMaps(ctx context.Context, req *wire.GroupsRequest) (*wire.GroupState, error) {
+	r := s.current()
+	if r == nil {
+		return nil, merry.Prepend(ErrUnavailable, "replica belongs to no cluster yet")
+	}
+	state := &wire.GroupState{}
+	err := r.do(ctx, func() {
+		if st := r.machine.groups.Get(req.Group); st != nil {
+			state = st
+		}
+	})
+	return state, err
+}
+
 // ChangeGroup implements the Control service.
 func (s *service) ChangeGroup(ctx context.Context, req *wire.GroupChangeRequest) (*wire.GroupChangeReply, error) {
 	reply, done, err := passOn(ctx, s, func(ctx context.Context, c wire.DRPCControlClient) (*wire.GroupChangeReply, error) {
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -239,7 +239,7 @@
 	if r.status.Blank {
 		return c.orderForBlank()
 	}
-	if verb, o, ok := c.settle(r.status); ok {
+	if verb, o, ok := Settle(c.state, r.status); ok {
 		return verb, o
 	}
 	sw := c.state.Switch
@@ -267,15 +267,18 @@
 	return VerbAdopt, Order{Epoch: m.Epoch, Step: m.FromStep, Map: orderMap(m)}
 }
 
-// settle tells a rank the end of a switch that it still has open.
-func (c *Coordinator) settle(s Status) (string, Order, bool) {
-	inForce := c.state.Map.Epoch
+// Settle chooses the order that tells a rank the end of a switch that it still has
+// open, if the state says one. The state may be an old one: what it says of a switch
+// that has ended stays true.
+func Settle(state *wire.GroupState, s Status) (verb string, o Order, ok bool) {
+	inForce := state.GetMap().GetEpoch()
+	settled := state.GetSettled()
 	switch {
 	case s.Armed == inForce && s.Armed != 0 && !s.Decided:
-		return VerbCommit, Order{Epoch: inForce, Step: c.state.Map.FromStep}, true
-	case s.Armed != 0 && s.Armed != inForce && s.Armed <= c.state.Settled:
+		return VerbCommit, Order{Epoch: inForce, Step: state.Map.FromStep}, true
+	case s.Armed != 0 && s.Armed != inForce && s.Armed <= settled:
 		return VerbAbort, Order{Epoch: s.Armed}, true
-	case s.Staged != 0 && s.Staged != inForce && s.Staged <= c.state.Settled:
+	case s.Staged != 0 && s.Staged != inForce && s.Staged <= settled:
 		return VerbAbort, Order{Epoch: s.Staged}, true
 	}
 	return "", Order{}, false
