Tell planners how long each rank is busy

Cause: a rank that is slow for a reason that isn't its experts looks like a skew that no map mends.

Change: windows in which all ranks used one map carry their busy times (ExpertCounters.step_us); planners that take them (ObserveTimes) are told, and the decision's text reaches the operator. The fake group can have slow ranks.

Measured: go test ./control -run 'Leader|Rank|Operators|Planner|Upstreams' passes with a rank 1.6 times as slow, reported under two maps.

--- a/control/groupdriver.go
+++ b/control/groupdriver.go
@@ -60,9 +60,25 @@
 	next *rollout.Outgoing
 }
 
+// observed is one window. times are the ranks' busy times under one map, or nil.
 type observed struct {
-	at   time.Time
-	load placement.Load
+	at    time.Time
+	load  placement.Load
+	times []time.Duration
+	under *placement.Map
+}
+
+// timesObserver is a planner that also takes the time that each rank is busy in a
+// step, without waiting for the others, to tell a slow rank from a loaded one.
+type timesObserver interface {
+	ObserveTimes(times []time.Duration, current *placement.Map)
+}
+
+func (o *observed) tell(p placement.Planner) {
+	p.Observe(o.at, o.load)
+	if t, ok := p.(timesObserver); ok && o.times != nil {
+		t.ObserveTimes(o.times, o.under)
+	}
 }
 
 func newGroupDriver(g *groupLeader, r *Replica, name string, token uint64) *groupDriver {
@@ -216,7 +232,7 @@
 	name := d.row.Planner
 	go func() {
 		for _, l := range loads {
-			p.Observe(l.at, l.load)
+			l.tell(p)
 		}
 		decision := p.Plan(now, rollout.ToMap(current))
 		d.mu.Lock()
@@ -354,6 +370,10 @@
 	waiting int
 	heard   int
 	load    placement.Load
+	// times are kept for windows in which every rank used one map.
+	times []time.Duration
+	epoch uint64
+	mixed bool
 }
 
 // collect asks the ranks for their counters once a period.
@@ -362,7 +382,10 @@
 	if w.open || d.state == nil || now.Sub(w.began) < d.settings.CounterPeriod.D() {
 		return
 	}
-	*w = counterWindow{began: now, open: true, load: make(placement.Load, d.shape.Layers*d.shape.Experts)}
+	*w = counterWindow{
+		began: now, open: true, epoch: d.state.Map.Epoch,
+		load: make(placement.Load, d.shape.Layers*d.shape.Experts), times: make([]time.Duration, d.shape.Ranks),
+	}
 	for _, a := range d.asked() {
 		w.waiting++
 		go func() {
@@ -400,7 +423,12 @@
 	if proto.Unmarshal(body, c) != nil || c.Group != d.name || len(c.Tokens) != len(d.window.load) {
 		return
 	}
-	d.window.heard++
+	w := &d.window
+	w.heard++
+	w.mixed = w.mixed || c.MapEpoch != w.epoch || c.StepUs == 0
+	if int(c.Rank) < len(w.times) {
+		w.times[c.Rank] = time.Duration(c.StepUs) * time.Microsecond
+	}
 	for i, n := range c.Tokens {
 		d.window.load[i] += float64(n)
 	}
@@ -426,7 +454,11 @@
 	}
 	d.windows++
 	d.skew = meanSkew(d.shape, d.state.Map, w.load)
-	d.loads = append(d.loads, observed{time.Now(), w.load})
+	o := observed{at: time.Now(), load: w.load}
+	if !w.mixed && !slices.Contains(w.times, 0) && d.state.Map.Epoch == w.epoch {
+		o.times, o.under = w.times, rollout.ToMap(d.state.Map)
+	}
+	d.loads = append(d.loads, o)
 	if len(d.loads) > maxLoads {
 		d.loads = d.loads[1:]
 	}
--- a/control/groups_test.go
+++ b/control/groups_test.go
@@ -25,6 +25,7 @@
 type rotate struct {
 	shape placement.Shape
 	seen  int
+	slow  string
 }
 
 func init() {
@@ -35,13 +36,24 @@
 
 func (p *rotate) Observe(time.Time, placement.Load) { p.seen++ }
 
+func (p *rotate) ObserveTimes(times []time.Duration, m *placement.Map) {
+	loads := m.RankLoads(p.shape, 0, fakeLoad(0))
+	slowest := 0
+	for r := range times {
+		if times[r].Seconds()/loads[r] > 1.2*times[slowest].Seconds()/loads[slowest] {
+			slowest = r
+		}
+	}
+	p.slow = fmt.Sprintf("; rank %d is slow", slowest)
+}
+
 func (p *rotate) Plan(_ time.Time, m *placement.Map) placement.Decision {
 	if p.seen == 0 {
 		return placement.Decision{Why: "no counters yet"}
 	}
 	by := p.shape.Slots
 	next := &placement.Map{Slots: append(slices.Clone(m.Slots[by:]), m.Slots[:by]...)}
-	return placement.Decision{Next: next, Why: fmt.Sprintf("rotated after %d windows", p.seen)}
+	return placement.Decision{Next: next, Why: fmt.Sprintf("rotated after %d windows%s", p.seen, p.slow)}
 }
 
 // ranks runs a fake group with an agent beside each rank.
@@ -51,12 +63,14 @@
 	agents []*agent.Agent
 }
 
+func fakeLoad(uint64) placement.Load { return placement.Load{80, 8, 8, 8, 8, 8, 8, 8} }
+
 func startGroup(t *testing.T, planner string) *ranks {
 	r := &ranks{cluster: newCluster(t, 3)}
 	r.group = &fake.Group{
 		Name: "g", Shape: placement.Shape{Ranks: 4, Experts: 8, Layers: 1, Slots: 3},
 		Step: 2 * time.Millisecond, Load: 50 * time.Millisecond,
-		Tokens: func(uint64) placement.Load { return placement.Load{80, 8, 8, 8, 8, 8, 8, 8} },
+		Tokens: fakeLoad, Slow: map[int]float64{2: 1.6},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -275,3 +289,16 @@
 	r.waitFor("planning goes on", func(v *wire.GroupView) bool { return v.GetState().GetMap().GetEpoch() > before })
 	r.checkHistory()
 }
+
+// One rank is slow for a reason that isn't its experts. The planner is told how long
+// each rank is busy, whoever holds the busiest expert, and the operator reads of it in
+// the decision.
+func TestASlowRankIsReported(t *testing.T) {
+	r := startGroup(t, "test-rotate")
+	for range 2 {
+		seen := r.view().GetState().GetMap().GetEpoch()
+		r.waitFor("a report under another map", func(v *wire.GroupView) bool {
+			return v.GetState().GetMap().GetEpoch() > seen && strings.Contains(v.GetLast().GetWhy(), "; rank 2 is slow")
+		})
+	}
+}
--- a/fake/group.go
+++ b/fake/group.go
@@ -24,6 +24,8 @@
 	Load time.Duration
 	// Tokens returns the tokens that each expert gets in a step, layer by layer.
 	Tokens func(step uint64) placement.Load
+	// Slow makes ranks take so many times longer than their load explains.
+	Slow map[int]float64
 
 	mu       sync.Mutex
 	ranks    []*Rank
@@ -140,9 +142,9 @@
 			if waited {
 				g.note(time.Since(began))
 			}
-			d := g.stepTime(step, used[0])
+			d, busy := g.stepTime(step, used[0])
 			sleep(ctx, d)
-			return g.end(step, broken, used[0], d)
+			return g.end(step, broken, used[0], d, busy)
 		}
 		sleep(ctx, groupPoll)
 	}
@@ -195,24 +197,47 @@
 	g.history.Lost += blocked
 }
 
-// stepTime is the step's time with the busiest rank of each layer as its pace.
-func (g *Group) stepTime(step, epoch uint64) time.Duration {
+// stepTime is the step's time with the slowest rank of each layer as its pace, and
+// the time that each rank is busy in it.
+func (g *Group) stepTime(step, epoch uint64) (d time.Duration, busy []time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	busy = make([]time.Duration, g.Shape.Ranks)
 	m := g.maps[epoch]
 	if m == nil || g.Tokens == nil {
-		return g.Step
+		for i := range busy {
+			busy[i] = g.Step
+		}
+		return g.Step, busy
 	}
 	load := g.Tokens(step)
-	skew := 0.0
+	perLayer := float64(g.Step) / float64(g.Shape.Layers)
 	for layer := range g.Shape.Layers {
-		skew += m.Skew(g.Shape, layer, load)
+		d += g.layerTime(m.RankLoads(g.Shape, layer, load), perLayer, busy)
+	}
+	return d, busy
+}
+
+// layerTime adds one layer to the ranks' busy times and returns the longest.
+func (g *Group) layerTime(loads []float64, even float64, busy []time.Duration) time.Duration {
+	total := 0.0
+	for _, v := range loads {
+		total += v
+	}
+	longest := time.Duration(0)
+	for i, v := range loads {
+		own := even * v * float64(len(loads)) / total
+		if slow := g.Slow[i]; slow > 0 {
+			own *= slow
+		}
+		busy[i] += time.Duration(own)
+		longest = max(longest, time.Duration(own))
 	}
-	return time.Duration(float64(g.Step) * skew / float64(g.Shape.Layers))
+	return longest
 }
 
 // end counts a step; false if a rank died in it.
-func (g *Group) end(step uint64, broken int, epoch uint64, d time.Duration) bool {
+func (g *Group) end(step uint64, broken int, epoch uint64, d time.Duration, busy []time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.broken != broken {
@@ -224,14 +249,14 @@
 	}
 	for i, r := range g.ranks {
 		r.StepMicros = uint64(d.Microseconds())
-		g.countTokens(&g.counters[i], step, epoch, d)
+		g.countTokens(&g.counters[i], step, epoch, busy[i])
 	}
 	return true
 }
 
 // countTokens credits a rank with its even share of the step's tokens.
-func (g *Group) countTokens(c *wire.ExpertCounters, step, epoch uint64, d time.Duration) {
-	c.Step, c.MapEpoch, c.StepUs = step, epoch, uint32(d.Microseconds())
+func (g *Group) countTokens(c *wire.ExpertCounters, step, epoch uint64, busy time.Duration) {
+	c.Step, c.MapEpoch, c.StepUs = step, epoch, uint32(busy.Microseconds())
 	if g.Tokens == nil {
 		return
 	}
