Add snipereach-load, an open-loop load and experiment tool

Requests start at their intended times whatever became of earlier ones, and latency counts from those times. Every answer is checked against its own request; requests of unknown outcome are sent again with the same key through another entry. With fake upstreams in its own process it compares what callers were told with what ran.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -12,11 +13,12 @@
 	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/entry"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/load"
 )
 
 type settings interface{ Check() error }
 
-func load(file string) settings {
+func defaults(file string) settings {
 	switch file {
 	case "entry.toml":
 		return entry.DefaultSettings()
@@ -24,15 +26,20 @@
 		return agent.DefaultSettings()
 	case "control.toml":
 		return control.DefaultDaemonSettings()
+	case "load-auction.toml", "load-lift.toml":
+		return load.DefaultSettings()
 	}
 	return nil
 }
 
-var files = []string{"entry.toml", "agent.toml", "control.toml"}
+var (
+	daemons   = []string{"entry.toml", "agent.toml", "control.toml"}
+	workloads = []string{"load-auction.toml", "load-lift.toml"}
+)
 
 func TestExamplesAreValid(t *testing.T) {
-	for _, f := range files {
-		s := load(f)
+	for _, f := range append(append([]string(nil), daemons...), workloads...) {
+		s := defaults(f)
 		assert.NilError(t, kernel.ReadSettings(f, s))
 		assert.NilError(t, s.Check(), f)
 	}
@@ -41,16 +48,23 @@
 // A misspelt key is an error that names file, line and key: a default would
 // otherwise stay in force without a word.
 func TestMisspeltKeyIsNamed(t *testing.T) {
-	for _, f := range files {
+	keys := map[string][2]string{}
+	for _, f := range daemons {
+		keys[f] = [2]string{"cluster_secret", "cluster_sekret"}
+	}
+	for _, f := range workloads {
+		keys[f] = [2]string{"max_in_flight", "max_in_flite"}
+	}
+	for f, key := range keys {
 		text, err := os.ReadFile(f)
 		assert.NilError(t, err)
 		path := t.TempDir() + "/" + f
-		wrong := strings.Replace(string(text), "cluster_secret =", "cluster_sekret =", 1)
+		wrong := strings.Replace(string(text), key[0]+" =", key[1]+" =", 1)
 		assert.NilError(t, os.WriteFile(path, []byte(wrong), 0o600))
-		err = kernel.ReadSettings(path, load(f))
+		err = kernel.ReadSettings(path, defaults(f))
 		assert.ErrorIs(t, err, kernel.ErrSettings)
 		assert.ErrorContains(t, err, path)
-		assert.ErrorContains(t, err, `unknown key "cluster_sekret"`)
+		assert.ErrorContains(t, err, "unknown key "+strconv.Quote(key[1]))
 		assert.ErrorContains(t, err, "line ")
 	}
 }
--- /dev/null
+++ b/load/entries.go
@@ -0,0 +1,134 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	// listTimeout bounds one question for the list.
+	listTimeout = 2 * time.Second
+	// retryList is the wait after nobody gave the list.
+	retryList = 200 * time.Millisecond
+)
+
+// entries keeps the list of entries as long as the system lets callers keep it.
+type entries struct {
+	client *http.Client
+	seeds  []string
+	allow  func(address string) error
+
+	mu       sync.Mutex
+	list     []string
+	until    time.Time
+	next     int
+	changes  int
+	fetching bool
+}
+
+type entryList struct {
+	Entries []struct {
+		Address string `json:"address"`
+	} `json:"entries"`
+	KeepSeconds int `json:"keep_seconds"`
+}
+
+// pick returns the next entry in turn that is not avoid, if there is another.
+func (e *entries) pick(ctx context.Context, avoid string) (string, error) {
+	var err error
+	if e.stale() {
+		err = e.fetch(ctx)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.list) == 0 {
+		return "", merry.Prependf(ErrNoEntries, "%v", err)
+	}
+	for range e.list {
+		e.next++
+		if a := e.list[e.next%len(e.list)]; a != avoid {
+			return a, nil
+		}
+	}
+	return e.list[0], nil
+}
+
+// stale says whether the caller is to fetch the list: one does it at a time, and
+// the others go on with the old list meanwhile, if there is one.
+func (e *entries) stale() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if time.Now().Before(e.until) || e.fetching && len(e.list) > 0 {
+		return false
+	}
+	e.fetching = true
+	return true
+}
+
+// fetch asks the entries that are known, then those of the settings.
+func (e *entries) fetch(ctx context.Context) error {
+	e.mu.Lock()
+	ask := append(append([]string(nil), e.list...), e.seeds...)
+	e.mu.Unlock()
+	var last error
+	for _, a := range ask {
+		l, err := e.ask(ctx, a)
+		if err == nil {
+			e.set(l)
+			return nil
+		}
+		last = err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fetching = false
+	// An old list is better than none; the question is put again soon.
+	e.until = time.Now().Add(retryList)
+	return merry.Prependf(ErrNoEntries, "%v", last)
+}
+
+func (e *entries) set(l *entryList) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fetching = false
+	e.changes++
+	e.until = time.Now().Add(time.Duration(l.KeepSeconds) * time.Second)
+	e.list = e.list[:0]
+	for _, x := range l.Entries {
+		e.list = append(e.list, x.Address)
+	}
+}
+
+func (e *entries) ask(ctx context.Context, address string) (*entryList, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/entries", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var l entryList
+	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK || len(l.Entries) == 0 {
+		return nil, fmt.Errorf("%s: status %d, %d entries", address, resp.StatusCode, len(l.Entries))
+	}
+	for _, x := range l.Entries {
+		// The list may name addresses that the settings did not.
+		if err := e.allow(x.Address); err != nil {
+			return nil, err
+		}
+	}
+	return &l, nil
+}
--- /dev/null
+++ b/load/plan.go
@@ -0,0 +1,116 @@
+package load
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Arrival is one request that is due.
+type Arrival struct {
+	// Due is when it is due, from the run's start.
+	Due    time.Duration
+	Number int
+	Class  *Class
+	Team   *Team
+	// Tokens and Prefix are drawn for engine classes.
+	Tokens int
+	Prefix int
+}
+
+// Plan draws the arrivals of a run: a Poisson process whose rate follows the
+// day's shape, by thinning (Lewis, Shedler: Simulation of Nonhomogeneous Poisson
+// Processes by Thinning, 1979). The same settings give the same arrivals.
+type Plan struct {
+	settings *Settings
+	rand     *rand.Rand
+	teams    [][]*Team
+	total    float64
+	peak     float64
+	now      time.Duration
+	number   int
+}
+
+// NewPlan makes the plan of checked settings.
+func NewPlan(s *Settings) *Plan {
+	p := &Plan{settings: s, rand: rand.New(rand.NewPCG(s.Seed, 0)), peak: 1}
+	if len(s.Day) > 0 {
+		p.peak = 0
+		for _, d := range s.Day {
+			p.peak = max(p.peak, d.Factor)
+		}
+	}
+	for i := range s.Class {
+		p.total += s.Class[i].Rate
+		p.teams = append(p.teams, teamsOf(s, &s.Class[i]))
+	}
+	return p
+}
+
+func teamsOf(s *Settings, c *Class) []*Team {
+	var list []*Team
+	for i := range s.Team {
+		t := &s.Team[i]
+		if len(c.Teams) == 0 {
+			list = append(list, t)
+		}
+		for _, name := range c.Teams {
+			if name == t.Name {
+				list = append(list, t)
+			}
+		}
+	}
+	return list
+}
+
+// Next returns the next arrival, or false when the run is over.
+func (p *Plan) Next() (Arrival, bool) {
+	length := p.settings.Duration.D()
+	for p.peak > 0 {
+		gap := p.rand.ExpFloat64() / (p.total * p.peak)
+		p.now += time.Duration(gap * float64(time.Second))
+		if p.now >= length {
+			break
+		}
+		factor := Factor(p.settings.Day, p.now.Seconds()/length.Seconds())
+		if p.rand.Float64()*p.peak < factor {
+			return p.draw(), true
+		}
+	}
+	return Arrival{}, false
+}
+
+func (p *Plan) draw() Arrival {
+	at := p.rand.Float64() * p.total
+	i := 0
+	for i < len(p.settings.Class)-1 && at >= p.settings.Class[i].Rate {
+		at -= p.settings.Class[i].Rate
+		i++
+	}
+	c := &p.settings.Class[i]
+	p.number++
+	return Arrival{
+		Due: p.now, Number: p.number, Class: c,
+		Team:   p.teams[i][p.rand.IntN(len(p.teams[i]))],
+		Tokens: c.MinTokens + p.rand.IntN(c.MaxTokens-c.MinTokens+1),
+		Prefix: p.rand.IntN(max(c.Prefixes, 1)),
+	}
+}
+
+// Factor is the day's shape at a fraction of the run, from 0 to 1; 1 without
+// points.
+func Factor(day []Point, at float64) float64 {
+	if len(day) == 0 {
+		return 1
+	}
+	before := day[0]
+	for _, p := range day {
+		if p.At > at {
+			if p.At == before.At {
+				return p.Factor
+			}
+			return before.Factor + (p.Factor-before.Factor)*max(at-before.At, 0)/(p.At-before.At)
+		}
+		before = p
+	}
+	return before.Factor
+}
--- /dev/null
+++ b/load/plot.go
@@ -0,0 +1,110 @@
+package load
+
+import (
+	"io"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+)
+
+const (
+	plotWidth  = 10 * vg.Inch
+	plotHeight = 8 * vg.Inch
+)
+
+// WritePlot writes a PNG over the run's time: each class's 99th percentile of the
+// whole answer above, answers and other ends a second below.
+func (r *Report) WritePlot(w io.Writer) error {
+	latency, err := r.latencyPlot()
+	if err != nil {
+		return err
+	}
+	rates, err := r.ratePlot()
+	if err != nil {
+		return err
+	}
+	img := vgimg.New(plotWidth, plotHeight)
+	tiles := draw.Tiles{Rows: 2, Cols: 1, PadY: vg.Millimeter * 4}
+	rows := [][]*plot.Plot{{latency}, {rates}}
+	canvases := plot.Align(rows, tiles, draw.New(img))
+	latency.Draw(canvases[0][0])
+	rates.Draw(canvases[1][0])
+	_, err = vgimg.PngCanvas{Canvas: img}.WriteTo(w)
+	return err
+}
+
+func newPlot(title, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "intended start, s", y
+	p.Legend.Top = true
+	p.Y.Min = 0
+	return p
+}
+
+func (r *Report) latencyPlot() (*plot.Plot, error) {
+	p := newPlot("whole answer, 99th percentile", "ms")
+	var lines []any
+	for i := range r.settings.Class {
+		c := &r.settings.Class[i]
+		points := r.points(c, func(x *piece) (float64, bool) {
+			return float64(x.whole.ValueAtQuantile(99)) / 1000, x.whole.TotalCount() > 0
+		})
+		if len(points) > 0 {
+			lines = append(lines, c.Name, points)
+		}
+	}
+	return p, plotutil.AddLinePoints(p, lines...)
+}
+
+func (r *Report) ratePlot() (*plot.Plot, error) {
+	p := newPlot("requests by outcome", "a second")
+	var lines []any
+	for _, o := range []Outcome{Answered, NotRun, Unknown, Unsent} {
+		if points := r.rate(o); len(points) > 0 {
+			lines = append(lines, string(o), points)
+		}
+	}
+	return p, plotutil.AddLinePoints(p, lines...)
+}
+
+func (r *Report) points(c *Class, value func(*piece) (float64, bool)) plotter.XYs {
+	var list plotter.XYs
+	for i, x := range r.stats.classes[c].pieces {
+		if x == nil {
+			continue
+		}
+		if y, ok := value(x); ok {
+			list = append(list, plotter.XY{X: r.at(i), Y: y})
+		}
+	}
+	return list
+}
+
+func (r *Report) rate(o Outcome) plotter.XYs {
+	var list plotter.XYs
+	seen := false
+	pieces := int(r.settings.Duration.D() / r.stats.length)
+	for i := range pieces {
+		n := 0
+		for _, cs := range r.stats.classes {
+			if x := cs.pieces[i]; x != nil {
+				n += x.outcomes[o]
+			}
+		}
+		seen = seen || n > 0
+		list = append(list, plotter.XY{X: r.at(i), Y: float64(n) / r.stats.length.Seconds()})
+	}
+	if !seen {
+		return nil
+	}
+	return list
+}
+
+func (r *Report) at(piece int) float64 {
+	return (time.Duration(piece) * r.stats.length).Seconds()
+}
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,228 @@
+package load
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// resendPause is the wait before a request is sent again.
+	resendPause = 100 * time.Millisecond
+	// maxUnreachable bounds the entries that one request tries to connect to.
+	maxUnreachable   = 5
+	progressInterval = time.Second
+	dialTimeout      = 2 * time.Second
+)
+
+// Options of a run.
+type Options struct {
+	// Progress takes a line a second; nil is none.
+	Progress io.Writer
+	// AnyAddress lets load go to addresses that are not on the loopback.
+	AnyAddress bool
+	// Runs returns how often the upstreams ran each request, by its key; nil if
+	// that is not known.
+	Runs func() map[string]int
+}
+
+// Runner sends a workload.
+type Runner struct {
+	settings *Settings
+	opts     Options
+	id       string
+	client   *http.Client
+	entries  *entries
+	began    time.Time
+	stats    *stats
+	inFlight atomic.Int64
+	wg       sync.WaitGroup
+
+	mu    sync.Mutex
+	calls []ended
+}
+
+// ended is what is kept of a request for the audit of runs.
+type ended struct {
+	key        string
+	idempotent bool
+	outcome    Outcome
+	verdict    Verdict
+}
+
+// NewRunner makes a runner from checked settings.
+func NewRunner(s *Settings, o Options) (*Runner, error) {
+	allow := CheckLoopback
+	if o.AnyAddress {
+		allow = func(string) error { return nil }
+	}
+	for _, a := range s.Entries {
+		if err := allow(a); err != nil {
+			return nil, err
+		}
+	}
+	client := &http.Client{Transport: &http.Transport{
+		MaxIdleConns: s.MaxInFlight, MaxIdleConnsPerHost: s.MaxInFlight, IdleConnTimeout: time.Minute,
+		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableCompression: true,
+	}}
+	return &Runner{
+		settings: s, opts: o, id: rand.Text()[:8], client: client,
+		entries: &entries{client: client, seeds: s.Entries, allow: allow},
+		stats:   newStats(s),
+	}, nil
+}
+
+// Run sends the workload and returns the report. It ends with the plan, or when
+// the context is done, and waits for answers as long as the settings let it.
+func (r *Runner) Run(ctx context.Context) (*Report, error) {
+	defer r.client.CloseIdleConnections()
+	if err := r.entries.fetch(ctx); err != nil {
+		return nil, err
+	}
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	r.began = time.Now()
+	stop := r.progress()
+	r.sendAll(ctx, work)
+	r.drain(ctx, cancel)
+	stop()
+	return r.report(), nil
+}
+
+// sendAll starts each request at its time. It never waits for an answer: a system
+// that slows down gets no less load (open loop), and latency counts from the
+// intended start, also where the tool itself was late.
+func (r *Runner) sendAll(ctx, work context.Context) {
+	plan := NewPlan(r.settings)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		a, ok := plan.Next()
+		if !ok {
+			return
+		}
+		timer.Reset(time.Until(r.began.Add(a.Due)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		r.start(work, a)
+	}
+}
+
+func (r *Runner) start(work context.Context, a Arrival) {
+	c := &call{Arrival: a, key: r.id + "-" + strconv.Itoa(a.Number), due: r.began.Add(a.Due)}
+	if int(r.inFlight.Add(1)) > r.settings.MaxInFlight {
+		r.inFlight.Add(-1)
+		r.stats.add(c, reply{outcome: Unsent}, 0, time.Now())
+		return
+	}
+	r.wg.Go(func() {
+		defer r.inFlight.Add(-1)
+		r.carry(work, c)
+	})
+}
+
+// carry brings one request to its end.
+func (r *Runner) carry(ctx context.Context, c *call) {
+	rep, sendings := r.sendings(ctx, c)
+	r.stats.add(c, rep, sendings, time.Now())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls = append(r.calls, ended{c.key, c.Class.Idempotent, rep.outcome, rep.verdict})
+}
+
+func (r *Runner) sendings(ctx context.Context, c *call) (rep reply, sendings int) {
+	entry, unreachable, doubt := "", 0, false
+	for {
+		next, err := r.entries.pick(ctx, entry)
+		if err != nil {
+			return inDoubt(reply{outcome: NotRun, reason: reasonUnreachable}, doubt), sendings
+		}
+		entry = next
+		rep = c.send(ctx, r.client, entry)
+		if rep.reason == reasonUnreachable && unreachable < maxUnreachable && ctx.Err() == nil {
+			unreachable++
+			continue
+		}
+		sendings++
+		if rep.outcome != Unknown || sendings > c.Class.Resends || !pause(ctx) {
+			// Of a request without a key, a "not run" speaks of one sending.
+			return inDoubt(rep, doubt && !c.Class.Keys), sendings
+		}
+		doubt = true
+	}
+}
+
+func inDoubt(rep reply, doubt bool) reply {
+	if doubt && rep.outcome == NotRun {
+		rep.outcome = Unknown
+	}
+	return rep
+}
+
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(resendPause):
+		return true
+	}
+}
+
+// drain waits for answers, then cancels what is left; those end as unknown.
+func (r *Runner) drain(ctx context.Context, cancel context.CancelFunc) {
+	done := make(chan struct{})
+	go func() {
+		r.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return
+	case <-ctx.Done():
+	case <-time.After(r.settings.Drain.D()):
+	}
+	cancel()
+	<-done
+}
+
+// progress prints a line a second until the returned function is called.
+func (r *Runner) progress() (stop func()) {
+	if r.opts.Progress == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		tick := time.NewTicker(progressInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-tick.C:
+				fmt.Fprintln(r.opts.Progress, r.progressLine())
+			}
+		}
+	})
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
+func (r *Runner) progressLine() string {
+	t := r.stats.totals()
+	return fmt.Sprintf("%5.0fs of %.0fs  in flight %5d  answered %7d  not run %6d  unknown %5d  unsent %5d  wrong %d",
+		time.Since(r.began).Seconds(), r.settings.Duration.D().Seconds(), r.inFlight.Load(),
+		t[Answered], t[NotRun], t[Unknown], t[Unsent], r.stats.wrong())
+}
--- /dev/null
+++ b/load/send.go
@@ -0,0 +1,234 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/snipereach/snipereach/fake"
+	"github.com/snipereach/snipereach/refusal"
+)
+
+// maxAnswer bounds what is read of one answer.
+const maxAnswer = 64 << 20
+
+// Outcome is what a caller knows of a request.
+type Outcome string
+
+// Outcomes.
+const (
+	// Answered is a whole answer, whatever the check of it found.
+	Answered Outcome = "answered"
+	// NotRun is a refusal that says so, or no connection at all.
+	NotRun Outcome = "not-run"
+	// Unknown is everything else: it may have run.
+	Unknown Outcome = "unknown"
+	// Unsent was due while the tool was at its bound of requests in flight.
+	Unsent Outcome = "unsent"
+)
+
+// Reasons that the tool finds itself; the others are the system's.
+const (
+	reasonUnreachable = "entry-unreachable"
+	reasonConnection  = "connection-cut"
+	reasonTimeout     = "caller-timeout"
+	reasonStatus      = "status-"
+)
+
+// reply is what came of one sending.
+type reply struct {
+	outcome  Outcome
+	reason   string
+	verdict  Verdict
+	replayed bool
+	// first is when the first byte (of a stream: the first token) came.
+	first time.Time
+	// gaps are the times between the tokens of a stream.
+	gaps []time.Duration
+}
+
+// call is one request, whatever the number of its sendings.
+type call struct {
+	Arrival
+	key string
+	due time.Time
+}
+
+func (c *call) path() string {
+	if c.Class.Kind == KindEngine {
+		return "/v1/chat/completions"
+	}
+	return strings.ReplaceAll(c.Class.Path, "{n}", strconv.Itoa(c.Number))
+}
+
+func (c *call) expected() expected {
+	return expected{key: c.key, tokens: c.Tokens, method: http.MethodPost, path: c.path()}
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatCall struct {
+	Model     string        `json:"model"`
+	Stream    bool          `json:"stream"`
+	MaxTokens int           `json:"max_tokens"`
+	Messages  []chatMessage `json:"messages"`
+}
+
+func (c *call) body() []byte {
+	if c.Class.Kind == KindPlain {
+		return []byte(`{"request":"` + c.key + `"}`)
+	}
+	body, _ := json.Marshal(chatCall{
+		Model: c.Class.Target, Stream: c.Class.Stream, MaxTokens: c.Tokens,
+		Messages: []chatMessage{
+			{Role: "system", Content: prefixText(c.Prefix, c.Class.PrefixChars)},
+			{Role: "user", Content: c.key},
+		},
+	})
+	return body
+}
+
+// prefixText makes a prompt prefix: the same number gives the same text.
+func prefixText(number, chars int) string {
+	word := "prefix " + strconv.Itoa(number) + " "
+	return strings.Repeat(word, chars/len(word)+1)[:chars]
+}
+
+func (c *call) request(ctx context.Context, entry string) (*http.Request, error) {
+	url := "http://" + entry + c.path()
+	if c.Class.Kind == KindPlain {
+		url = "http://" + entry + "/services/" + c.Class.Target + c.path()
+	}
+	body := c.body()
+	// Without GetBody net/http sends nothing again by itself: a resend that the
+	// tool doesn't know of would look like a doubled run.
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Authorization", "Bearer "+c.Team.Key)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(fake.HeaderRunKey, c.key)
+	if c.Class.Keys {
+		req.Header.Set("Idempotency-Key", c.key)
+	}
+	if !c.Class.Idempotent {
+		req.Header.Set("X-Idempotent", "no")
+	}
+	if c.Class.Priority != "" {
+		req.Header.Set("X-Priority", c.Class.Priority)
+	}
+	return req, nil
+}
+
+// send makes one sending and waits for what comes of it.
+func (c *call) send(ctx context.Context, client *http.Client, entry string) reply {
+	ctx, cancel := context.WithTimeout(ctx, c.Class.Timeout.D())
+	defer cancel()
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	req, err := c.request(httptrace.WithClientTrace(ctx, trace), entry)
+	if err != nil {
+		return reply{outcome: NotRun, reason: reasonUnreachable}
+	}
+	resp, err := client.Do(req)
+	switch {
+	case err != nil && !connected:
+		return reply{outcome: NotRun, reason: reasonUnreachable}
+	case err != nil:
+		return reply{outcome: Unknown, reason: brokenReason(ctx)}
+	}
+	defer resp.Body.Close()
+	rep := reply{first: time.Now(), replayed: resp.Header.Get("Idempotent-Replayed") != ""}
+	kind := resp.Header.Get("Content-Type")
+	switch {
+	case strings.HasPrefix(kind, "application/problem+json"):
+		c.readRefusal(ctx, resp.Body, &rep)
+	case resp.StatusCode != http.StatusOK:
+		rep.outcome, rep.reason = Unknown, reasonStatus+strconv.Itoa(resp.StatusCode)
+	case strings.HasPrefix(kind, "text/event-stream"):
+		c.readStream(ctx, resp.Body, &rep)
+	default:
+		c.readWhole(ctx, resp.Body, &rep)
+	}
+	return rep
+}
+
+func brokenReason(ctx context.Context) string {
+	if ctx.Err() != nil {
+		return reasonTimeout
+	}
+	return reasonConnection
+}
+
+func (c *call) readRefusal(ctx context.Context, body io.Reader, rep *reply) {
+	var p refusal.Problem
+	rep.outcome = Unknown
+	if err := json.NewDecoder(io.LimitReader(body, maxAnswer)).Decode(&p); err != nil {
+		rep.reason = brokenReason(ctx)
+		return
+	}
+	rep.reason = p.Reason
+	if p.Outcome == string(NotRun) {
+		rep.outcome = NotRun
+	}
+}
+
+func (c *call) readWhole(ctx context.Context, body io.Reader, rep *reply) {
+	text, err := io.ReadAll(io.LimitReader(body, maxAnswer))
+	if err != nil {
+		rep.outcome, rep.reason = Unknown, brokenReason(ctx)
+		return
+	}
+	rep.outcome, rep.verdict = Answered, Whole
+	switch {
+	case c.Class.Check == checkNone:
+	case c.Class.Kind == KindEngine:
+		rep.verdict = checkCompletion(c.expected(), text)
+	default:
+		rep.verdict = checkEcho(c.expected(), text)
+	}
+}
+
+func (c *call) readStream(ctx context.Context, body io.Reader, rep *reply) {
+	check := &streamCheck{want: c.expected()}
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxAnswer)
+	var last time.Time
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok || !check.event(data) {
+			continue
+		}
+		now := time.Now()
+		if last.IsZero() {
+			rep.first = now
+		} else {
+			rep.gaps = append(rep.gaps, now.Sub(last))
+		}
+		last = now
+	}
+	if lines.Err() != nil {
+		// The cut shows. What came before it must still be the request's own.
+		rep.outcome, rep.reason = Unknown, brokenReason(ctx)
+		if v := check.verdict(); v == Crossed || v == Doubled {
+			rep.verdict = v
+		}
+		return
+	}
+	rep.outcome, rep.verdict = Answered, check.verdict()
+	if c.Class.Check == checkNone {
+		rep.verdict = Whole
+	}
+}
