Test that the load tool catches what goes wrong, and that the path does not

A naive entry without safeguards crosses, doubles, cuts and invents answers, says a wrong "not run", loses answers, and runs resends again: the tool names each by itself and says nothing of a run without a fault.

--- /dev/null
+++ b/load/faults_test.go
@@ -0,0 +1,240 @@
+package load
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/snipereach/snipereach/fake"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/quickstart"
+)
+
+// naiveEntry forwards as it comes, checks nothing, and does wrong what a test
+// asks of it.
+type naiveEntry struct {
+	upstream string
+	// wrong, if set, answers in place of the forwarder.
+	wrong func(e *naiveEntry, w http.ResponseWriter, r *http.Request)
+	list  []string
+}
+
+func (e *naiveEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/v1/entries":
+		list := `{"keep_seconds":1,"entries":[`
+		for i, a := range e.list {
+			list += strings.Repeat(",", min(i, 1)) + `{"address":` + strconv.Quote(a) + `}`
+		}
+		_, _ = io.WriteString(w, list+`]}`)
+	case e.wrong != nil:
+		e.wrong(e, w, r)
+	default:
+		pass(w, e.forward(r))
+	}
+}
+
+// forward returns the upstream's answer, or panics so that the caller sees a cut.
+func (e *naiveEntry) forward(r *http.Request) []byte {
+	path := strings.TrimPrefix(r.URL.Path, "/services/clock")
+	req, _ := http.NewRequest(r.Method, e.upstream+path, strings.NewReader("{}"))
+	req.Header.Set(fake.HeaderRunKey, r.Header.Get(fake.HeaderRunKey))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return body
+}
+
+func pass(w http.ResponseWriter, body []byte) { _, _ = w.Write(body) }
+
+// crossing returns a fault that gives each two callers each other's answers.
+func crossing() func(*naiveEntry, http.ResponseWriter, *http.Request) {
+	pairs := make(chan [2]chan []byte)
+	return func(e *naiveEntry, w http.ResponseWriter, r *http.Request) {
+		mine := e.forward(r)
+		ends := [2]chan []byte{make(chan []byte, 1), make(chan []byte, 1)}
+		select {
+		case pairs <- ends:
+			ends[0] <- mine
+			pass(w, <-ends[1])
+		case ends = <-pairs:
+			ends[1] <- mine
+			pass(w, <-ends[0])
+		case <-time.After(time.Second):
+			pass(w, mine) // the last one finds no other
+		}
+	}
+}
+
+func signals(addresses ...string) *Settings {
+	s := workload()
+	s.Entries = addresses[:1]
+	s.Class = s.Class[:1]
+	s.Class[0].Rate, s.Class[0].Resends = 100, 0
+	s.Duration, s.Drain = kernel.Duration(400*time.Millisecond), kernel.Duration(30*time.Second)
+	s.Class[0].Timeout = kernel.Duration(20 * time.Second)
+	return s
+}
+
+func runLoad(t *testing.T, s *Settings, runs func() map[string]int) *Report {
+	t.Helper()
+	assert.NilError(t, s.Check())
+	r, err := NewRunner(s, Options{Runs: runs})
+	assert.NilError(t, err)
+	rep, err := r.Run(context.Background())
+	assert.NilError(t, err)
+	return rep
+}
+
+// naiveRun sends signals through two naive entries.
+func naiveRun(t *testing.T, wrong func(*naiveEntry, http.ResponseWriter, *http.Request), fault func(*http.Request) fake.Fault, resends int) *Report {
+	t.Helper()
+	up := &fake.Plain{}
+	assert.NilError(t, up.Start())
+	defer up.Close()
+	up.SetFault(fault)
+	e := &naiveEntry{upstream: up.URL(), wrong: wrong}
+	for range 2 {
+		srv := httptest.NewServer(e)
+		defer srv.Close()
+		e.list = append(e.list, srv.Listener.Addr().String())
+	}
+	s := signals(e.list...)
+	s.Class[0].Resends = resends
+	return runLoad(t, s, up.Runs)
+}
+
+// An entry without safeguards gives callers wrong answers or runs requests wrongly,
+// one way at a time. The tool says so, and which; without a fault it says nothing.
+func TestToolCatchesWhatANaiveEntryDoesWrong(t *testing.T) {
+	every := func(f fake.Fault) func(*http.Request) fake.Fault {
+		return func(*http.Request) fake.Fault { return f }
+	}
+	rep := naiveRun(t, nil, nil, 0)
+	assert.Assert(t, rep.Clean())
+	sent := rep.Audit.Requests
+	assert.Assert(t, sent > 20)
+	assert.Equal(t, rep.Classes[0].Verdicts[Whole], sent)
+
+	rep = naiveRun(t, crossing(), nil, 0)
+	assert.Assert(t, rep.Audit.Crossed > 0 && !rep.Clean())
+	assert.Equal(t, rep.Classes[0].Verdicts[Crossed], rep.Audit.Crossed)
+
+	rep = naiveRun(t, func(e *naiveEntry, w http.ResponseWriter, r *http.Request) {
+		_ = e.forward(r)
+		pass(w, e.forward(r))
+	}, nil, 0)
+	assert.Equal(t, rep.Audit.Doubled, sent)
+	assert.Assert(t, !rep.Clean())
+
+	rep = naiveRun(t, func(e *naiveEntry, w http.ResponseWriter, r *http.Request) {
+		b := e.forward(r)
+		pass(w, append(b, b...))
+	}, nil, 0)
+	assert.Equal(t, rep.Classes[0].Verdicts[Doubled], sent)
+	assert.Assert(t, !rep.Clean())
+
+	rep = naiveRun(t, func(e *naiveEntry, w http.ResponseWriter, r *http.Request) {
+		b := e.forward(r)
+		pass(w, b[:len(b)/2])
+	}, nil, 0)
+	assert.Equal(t, rep.Classes[0].Verdicts[Cut], sent)
+	assert.Assert(t, !rep.Clean())
+
+	rep = naiveRun(t, func(e *naiveEntry, w http.ResponseWriter, r *http.Request) {
+		_ = e.forward(r)
+		w.Header().Set("Content-Type", "application/problem+json")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, `{"reason":"queue-full","outcome":"not-run"}`)
+	}, nil, 0)
+	assert.Equal(t, rep.Audit.WrongNotRun, sent)
+	assert.Equal(t, rep.Classes[0].Reasons["not-run queue-full"], sent)
+	assert.Assert(t, !rep.Clean())
+
+	rep = naiveRun(t, func(_ *naiveEntry, w http.ResponseWriter, r *http.Request) {
+		kernel.WriteJSON(w, http.StatusOK, fake.PlainAnswer{
+			Key: r.Header.Get(fake.HeaderRunKey), Method: r.Method, Path: strings.TrimPrefix(r.URL.Path, "/services/clock"),
+		})
+	}, nil, 0)
+	assert.Equal(t, rep.Audit.Unrun, sent)
+	assert.Assert(t, !rep.Clean())
+
+	// Lost answers: the caller sees a cut and knows that it knows nothing.
+	for _, f := range []fake.Fault{fake.FaultDieAfterRun, fake.FaultCut} {
+		rep = naiveRun(t, nil, every(f), 0)
+		assert.Equal(t, rep.Audit.Lost, sent)
+		assert.Equal(t, rep.Classes[0].Outcomes[Unknown], sent)
+		assert.Assert(t, rep.Audit.LostRan > 0 && rep.Clean())
+	}
+
+	// A resend through an entry that knows nothing of keys runs the request again.
+	rep = naiveRun(t, nil, every(fake.FaultDieAfterRun), 1)
+	assert.Equal(t, rep.Audit.Doubled, sent)
+	assert.Equal(t, rep.Classes[0].Resent, sent)
+	assert.Assert(t, !rep.Clean())
+}
+
+// Upstreams of the real path die, cut and cross answers all the time. Callers see
+// refusals and resend what is in doubt; nothing runs twice, nothing crosses, and no
+// "not run" is wrong.
+func TestPathKeepsItsPromisesUnderFaults(t *testing.T) {
+	sys, err := quickstart.Start(context.Background(), quickstart.Options{Log: log.NewNopLogger(), Plains: 2})
+	assert.NilError(t, err)
+	defer sys.Stop()
+	assert.NilError(t, sys.WaitReady(context.Background()))
+	var n atomic.Int64
+	fault := func(*http.Request) fake.Fault {
+		return []fake.Fault{
+			fake.FaultNone, fake.FaultNone, fake.FaultDieBefore, fake.FaultNone,
+			fake.FaultDieAfterRun, fake.FaultCut, fake.FaultNone, fake.FaultCrossed,
+		}[n.Add(1)%8]
+	}
+	runs := func() map[string]int {
+		total := map[string]int{}
+		for _, p := range sys.Plains {
+			addRuns(total, p.Runs())
+		}
+		for _, e := range sys.Engines {
+			addRuns(total, e.Runs())
+		}
+		return total
+	}
+	for _, p := range sys.Plains {
+		p.SetFault(fault)
+	}
+	for _, e := range sys.Engines {
+		e.SetFault(fault)
+	}
+	s := signals(sys.Entries[0].CallerAddress())
+	s.Team = []Team{{Name: "growers", Key: quickstart.TeamKey}}
+	s.Class[0].Teams, s.Class[0].Target, s.Class[0].Resends = nil, "clock-core", 2
+	s.Class = append(s.Class, Class{
+		Name: "texts", Kind: KindEngine, Target: "pushpa-lm", Rate: 30, Idempotent: true, Stream: true,
+		MinTokens: 2, MaxTokens: 6, Prefixes: 2, PrefixChars: 50, Resends: 2, Timeout: kernel.Duration(5 * time.Second),
+	}, Class{
+		Name: "unkeyed", Kind: KindPlain, Target: "clock-core", Path: "/scan/{n}", Rate: 30, Timeout: kernel.Duration(2 * time.Second),
+	})
+	s.Duration = kernel.Duration(2 * time.Second)
+	rep := runLoad(t, s, runs)
+	assert.Assert(t, rep.Clean(), "%+v", rep.Audit)
+	assert.Assert(t, rep.Classes[0].Resent > 0 && rep.Classes[0].Outcomes[Answered] > 0, "%+v", rep.Classes[0])
+	assert.Assert(t, rep.Classes[1].Outcomes[Answered] > 0, "%+v", rep.Classes[1])
+	assert.Equal(t, rep.Classes[2].Resent, 0)
+	assert.Assert(t, rep.Classes[2].Outcomes[Unknown] > 0, "%+v", rep.Classes[2])
+	assert.Assert(t, rep.WriteTable(io.Discard) == nil && rep.WriteJSON(io.Discard) == nil && rep.WritePlot(io.Discard) == nil)
+}
--- a/load/settings.go
+++ b/load/settings.go
@@ -112,8 +112,8 @@
 	// Settle is the wait between their start and the first request, in which the
 	// system finds them.
 	Settle kernel.Duration `toml:"settle"`
-	Engine []FakeServer `toml:"engine"`
-	Plain  []FakeServer `toml:"plain"`
+	Engine []FakeServer    `toml:"engine"`
+	Plain  []FakeServer    `toml:"plain"`
 }
 
 // FakeServer is one fake upstream. Work is the time of a plain request or of one
