--- a/agent/agent.go
+++ b/agent/agent.go
@@ -77,6 +77,10 @@
 	a.done = metrics.GetOrRegisterCounter("agent.attempts."+refusal.OutcomeWord(wire.Outcome_OUTCOME_DONE), a.metrics)
 	a.orders = newOrders(control.NewClient(a.pool, s.AnnounceTo, s.ID))
 	a.dumps.Add("agent", a.dump)
+	a.registerGauges()
+	if err := a.dumps.Register(a.srv.Mux); err != nil {
+		return nil, err
+	}
 	return a, wire.DRPCRegisterAgent(a.srv.Mux, service{a})
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -32,9 +32,10 @@
 	// InternalListener is used in place of Internal if set: who embeds an entry
 	// may need its address before it starts.
 	InternalListener net.Listener `toml:"-"`
-	// CallersTLS and TLS (between processes) turn TLS on.
-	CallersTLS transport.TLSSettings `toml:"callers_tls"`
-	TLS        transport.TLSSettings `toml:"tls"`
+	// CallersTLS, OperatorsTLS and TLS (between processes) turn TLS on.
+	CallersTLS   transport.TLSSettings `toml:"callers_tls"`
+	OperatorsTLS transport.TLSSettings `toml:"operators_tls"`
+	TLS          transport.TLSSettings `toml:"tls"`
 	// ControlReplicas lists drpc addresses of control replicas to follow.
 	ControlReplicas []string `toml:"control_replicas"`
 	// Control makes this entry a control replica too.
@@ -71,6 +72,13 @@
 	}
 }
 
+// SetDefaults implements kernel.Defaulter.
+func (s *Settings) SetDefaults() {
+	if s.Control != nil {
+		s.Control.SetDefaults()
+	}
+}
+
 // Check names the first key that is wrong.
 func (s *Settings) Check() error {
 	bad := func(key, detail string) error {
@@ -91,6 +99,10 @@
 		return bad("control_replicas", "must name at least one control replica")
 	case s.ConfigLease < kernel.Duration(3*time.Second):
 		return bad("config_lease", "must be at least 3s")
+	case s.CallersTLS.CA != "":
+		return bad("callers_tls.ca", "must be empty: callers show no certificate")
+	case s.OperatorsTLS.CA != "":
+		return bad("operators_tls.ca", "must be empty: operators prove themselves by their keys")
 	case s.Lease < 2*s.AnnounceInterval:
 		return bad("lease", "must be at least twice announce_interval")
 	}
@@ -104,12 +116,28 @@
 			return bad("control_replicas", err.Error())
 		}
 	}
+	if err := s.checkOperators(); err != nil {
+		return err
+	}
 	if s.Control != nil {
 		return s.Control.Check()
 	}
 	return nil
 }
 
+func (s *Settings) checkOperators() error {
+	if err := operators.CheckOperators(s.Operator); err != nil {
+		return merry.Prepend(kernel.ErrSettings, err.Error())
+	}
+	if s.Operators == "" {
+		return nil
+	}
+	if _, _, err := net.SplitHostPort(s.Operators); err != nil {
+		return merry.Prependf(kernel.ErrSettings, "key \"operators_listen\": %v", err)
+	}
+	return nil
+}
+
 // replicas lists the control replicas to follow.
 func (s *Settings) replicas() []string {
 	if len(s.ControlReplicas) == 0 {
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -38,6 +38,9 @@
 // OperatorKey is the bearer key of the operator that the quickstart makes.
 const OperatorKey = "quickstart-operator"
 
+// planPeriod is shorter than the default, for a laptop's patience.
+const planPeriod = 2 * time.Second
+
 const secret = "quickstart cluster secret"
 
 // Options of a quickstart.
@@ -51,6 +54,9 @@
 	Engines, Plains int
 	// Keep is how long callers may keep the list of entries; 10 s if zero.
 	Keep time.Duration
+	// Planner makes the engines one lock-step group whose row names this
+	// placement plug-in; empty is no group.
+	Planner string
 	// PlainSlots is how many requests a plain service and its agent run at
 	// once; 32 if zero. At least as many again may wait at the agent.
 	PlainSlots int
@@ -65,8 +71,11 @@
 	Agents  []*agent.Agent
 	Engines []*fake.Engine
 	Plains  []*fake.Plain
+	// Group is the engines' group, or nil.
+	Group *fake.Group
 
 	opts    Options
+	cancel  context.CancelFunc
 	dir     string
 	members []string
 	pool    *transport.Pool
@@ -107,6 +116,9 @@
 	if opts.Rows == "" {
 		opts.Rows = Rows()
 	}
+	if opts.Planner != "" {
+		opts.Rows += groupRow(opts)
+	}
 	dir, err := os.MkdirTemp("", "snipereach-quickstart-")
 	if err != nil {
 		return nil, err
@@ -126,8 +138,11 @@
 	if err := s.putRows(ctx); err != nil {
 		return err
 	}
+	var groupCtx context.Context
+	groupCtx, s.cancel = context.WithCancel(ctx)
+	s.startGroup(groupCtx)
 	for i := range s.opts.Engines {
-		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond}
+		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond, Group: s.Group, Rank: i}
 		if err := e.Start(); err != nil {
 			return err
 		}
@@ -186,6 +201,7 @@
 	ctl.DataDir = filepath.Join(s.dir, set.ID)
 	ctl.Members = s.members
 	ctl.FormCluster = true
+	ctl.Groups.PlanPeriod = kernel.Duration(planPeriod)
 	set.Control = &ctl
 	if s.opts.Keep > 0 {
 		set.Keep = kernel.Duration(s.opts.Keep)
@@ -238,6 +254,9 @@
 		set.Slots = s.opts.PlainSlots
 		set.MaxQueue = max(set.MaxQueue, set.Slots)
 	}
+	if kind == "engine" && s.Group != nil {
+		set.Group, set.Rank = s.Group.Name, uint32(i)
+	}
 	set.AnnounceTo = s.members
 	a, err := agent.New(set, s.opts.Log)
 	if err != nil {
@@ -289,12 +308,19 @@
   curl -s -X POST http://%[1]s/services/clock-core/lots/17/confirm -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: bid-17' -d '{}'
   curl -s http://%[1]s/v1/chat/completions -H 'Authorization: Bearer wrong' -d '{}'
 
+Operators' page: http://%[3]s/ with the key %[4]s, or
+  export SNIPEREACH_SERVER=http://%[3]s SNIPEREACH_KEY=%[4]s
+  go run ./cmd/snipereachctl status
+
 Stop with Ctrl-C.
-`, addr, TeamKey)
+`, addr, TeamKey, s.Entries[0].OperatorAddress(), OperatorKey)
 }
 
 // Stop ends everything at once and removes the folder.
 func (s *System) Stop() {
+	if s.cancel != nil {
+		s.cancel()
+	}
 	for _, e := range s.Entries {
 		e.Stop()
 	}
