--- a/ctl/system_test.go
+++ b/ctl/system_test.go
@@ -110,13 +110,14 @@
 }
 
 // An operator drains an entry while it answers. It leaves the list of entries
-// at once, the answer in progress is whole, a caller that still holds the list
-// is served, and the process can be asked for its state afterwards.
+// at once, a caller that still holds the list is served, the answer that is in
+// progress when the entry closes its door (after keep and a second) is whole, and
+// the process can be asked for its state afterwards.
 func TestDrainOfAnEntryCutsNothing(t *testing.T) {
 	s := start(t, quickstart.Options{Keep: time.Second})
 	got := make(chan error, 4)
 	for range 4 {
-		go func() { _, err := call(s, longCall); got <- err }()
+		go func() { _, err := call(s, strings.Replace(longCall, "150", "800", 1)); got <- err }()
 	}
 	waitFor(t, func() bool { return running(s) == 4 })
 	code, out := command(s, 2, "drain", "entry-1")
--- a/operators/system.go
+++ b/operators/system.go
@@ -18,8 +18,6 @@
 var (
 	ErrUnknownProcess = merry.Sentinel("no such process is known")
 	ErrNotReached     = merry.Sentinel("the process can't be reached")
-	// ErrNotDrainable is returned for a process that has no requests of its own.
-	ErrNotDrainable = merry.Sentinel("the process can't be drained")
 )
 
 // PhaseSilent is the phase of an instance whose lease ran out without a word.
@@ -132,12 +130,9 @@
 }
 
 func (c *call) systemProblem(err error) {
-	switch {
-	case errors.Is(err, ErrUnknownProcess):
+	if errors.Is(err, ErrUnknownProcess) {
 		c.problem(http.StatusNotFound, "No such process is known here.", err.Error())
-	case errors.Is(err, ErrNotDrainable):
-		c.problem(http.StatusConflict, "The order is refused.", err.Error())
-	default:
-		c.problem(http.StatusServiceUnavailable, "The process can't be reached.", err.Error())
+		return
 	}
+	c.problem(http.StatusServiceUnavailable, "The process can't be reached.", err.Error())
 }
