--- a/internal/settingsdoc/meanings.go
+++ b/internal/settingsdoc/meanings.go
@@ -6,7 +6,7 @@
 )
 
 var (
-	sectionLine = regexp.MustCompile(`^\[\[?([a-z_]+)\]\]?$`)
+	sectionLine = regexp.MustCompile(`^\[\[?(?:[a-z_]+\.)*([a-z_]+)\]\]?$`)
 	keyLine     = regexp.MustCompile(`^([a-z_0-9]+) = `)
 )
 
