--- a/control/client.go
+++ b/control/client.go
@@ -50,29 +50,30 @@
 	return err
 }
 
-// editRetry is the time between two sendings of an edit that nobody decided.
-const editRetry = 100 * time.Millisecond
+// retryInterval is the time between two rounds over the replicas.
+const retryInterval = 100 * time.Millisecond
 
-// Edit sends an edit until a leader has decided it, or the context ends. It may
-// be sent more than once: the edit ID makes that safe.
-func (c *Client) Edit(ctx context.Context, e *wire.TableEdit) (*wire.EditReply, error) {
+// callUntil goes on calling until one call returns no error or the context ends:
+// a fail-over takes longer than one round over the replicas.
+func (c *Client) callUntil(ctx context.Context, f func(context.Context, wire.DRPCControlClient) error) error {
 	for {
-		reply, err := c.editOnce(ctx, e)
+		err := c.Call(ctx, f)
 		if err == nil {
-			return reply, nil
+			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, err
-		case <-time.After(editRetry):
+			return err
+		case <-time.After(retryInterval):
 		}
 	}
 }
 
-// editOnce asks each replica once.
-func (c *Client) editOnce(ctx context.Context, e *wire.TableEdit) (*wire.EditReply, error) {
+// Edit sends an edit until a leader has decided it, or the context ends. It may
+// be sent more than once: the edit ID makes that safe.
+func (c *Client) Edit(ctx context.Context, e *wire.TableEdit) (*wire.EditReply, error) {
 	var reply *wire.EditReply
-	err := c.Call(ctx, func(ctx context.Context, cc wire.DRPCControlClient) error {
+	err := c.callUntil(ctx, func(ctx context.Context, cc wire.DRPCControlClient) error {
 		r, err := cc.Edit(ctx, e)
 		if err != nil {
 			return err
@@ -86,10 +87,10 @@
 	return reply, err
 }
 
-// Read returns rows; see wire.ReadRequest.
+// Read returns rows, or an error when the context ends; see wire.ReadRequest.
 func (c *Client) Read(ctx context.Context, req *wire.ReadRequest) (*wire.ReadReply, error) {
 	var reply *wire.ReadReply
-	err := c.Call(ctx, func(ctx context.Context, cc wire.DRPCControlClient) error {
+	err := c.callUntil(ctx, func(ctx context.Context, cc wire.DRPCControlClient) error {
 		r, err := cc.Read(ctx, req)
 		reply = r
 		return err
