--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/rogpeppe/go-internal/testscript"
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/snipereach/snipereach/ctl"
 	"github.com/snipereach/snipereach/quickstart"
@@ -33,8 +34,8 @@
 	var finished atomic.Int32
 	t.Cleanup(func() {
 		scripts, err := filepath.Glob("testdata/*.txtar")
-		assert.NilError(t, err)
-		assert.Equal(t, int(finished.Load()), len(scripts), "scripts that ran to their end")
+		assert.Check(t, err)
+		assert.Check(t, is.Equal(int(finished.Load()), len(scripts)), "scripts that ran to their end")
 	})
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
