--- a/operators/operators.go
+++ b/operators/operators.go
@@ -36,7 +36,7 @@
 	callTimeout = 10 * time.Second
 	// forceWait is how long an edit's answer waits for the entries.
 	forceWait = 3 * time.Second
-	forcePoll = 50 * time.Millisecond
+	forcePoll = 10 * time.Millisecond
 	maxBody   = 4 << 20
 	// maxApply is how many rows one request may edit.
 	maxApply = 5000
