--- a/operators/operators_test.go
+++ b/operators/operators_test.go
@@ -2,16 +2,19 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
 
 	"github.com/go-kit/log"
+	"github.com/gorilla/mux"
 	"gotest.tools/v3/assert"
 
 	"github.com/snipereach/snipereach/operators"
@@ -204,14 +207,34 @@
 	assert.Equal(t, len(good.Rows), 2)
 }
 
+var pathVariable = regexp.MustCompile(`\{([a-z]+)[^}]*\}`)
+
+// registered lists every route of the handler but the page's, as METHOD PATH.
+func registered(t *testing.T) []string {
+	t.Helper()
+	values := map[string]string{"kind": "pool", "key": "lm", "revision": "1", "verb": "pin"}
+	var list []string
+	err := alone(t, fixed{}).Walk(func(route *mux.Route, _ *mux.Router, _ []*mux.Route) error {
+		path, err := route.GetPathTemplate()
+		if err != nil || path == "/" || strings.HasPrefix(path, "/page/") {
+			return err
+		}
+		methods, err := route.GetMethods()
+		for _, m := range methods {
+			list = append(list, m+" "+pathVariable.ReplaceAllStringFunc(path, func(v string) string {
+				return cmp.Or(values[pathVariable.FindStringSubmatch(v)[1]], "x")
+			}))
+		}
+		return err
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, len(list) >= 15, "%v", list)
+	return list
+}
+
 func TestEveryRouteNeedsAnOperatorsKey(t *testing.T) {
 	s := start(t)
-	for _, route := range []string{
-		"GET /v1/schema", "GET /v1/table", "POST /v1/table", "GET /v1/table/pool", "GET /v1/table/pool/lm",
-		"PUT /v1/table/pool/lm", "DELETE /v1/table/pool/lm", "GET /v1/history/pool/lm", "GET /v1/force/1",
-		"GET /v1/members", "DELETE /v1/members/a/b", "POST /v1/replace/a/b", "GET /v1/status",
-		"GET /v1/dump/lm-1", "POST /v1/drain/lm-1",
-	} {
+	for _, route := range registered(t) {
 		method, path, _ := strings.Cut(route, " ")
 		for _, key := range []string{"", "Bearer ", "Bearer wrong", "Bearer " + quickstart.TeamKey, "Basic " + quickstart.OperatorKey} {
 			a := send(t, s, method, path, columns("slots=1"), "Authorization", key, "If-Match", `"1"`)
