Divide limits without overshoot: whole units, settled homes, ordered reports

Cause: a home of a new leader knew nothing of requests in progress at entries that were cut off; a late report undercounted; small limits were divided into parts that served nobody; saved-up bursts moved along with shares. Change: reports carry a sequence number and name the home, concurrent shares are held back until every entry of the ring has told, bursts are divided as rates are.

--- a/admit/limiter.go
+++ b/admit/limiter.go
@@ -26,13 +26,24 @@
 type Limiter struct {
 	entries  int
 	subjects map[Subject]*local
+	// home is the one that answered last.
+	home string
+	seq  uint64
 }
 
+// local is an entry's part of one subject.
 type local struct {
-	limit   Amounts
+	limit Amounts
+	// entries is the ring size that the buckets were last set for.
+	entries int
 	granted Amounts
-	until   time.Time
-	epoch   uint64
+	burst   float64
+	// hold bounds the timeout of a request in the concurrent part of the grant.
+	hold  time.Duration
+	sent  time.Time
+	until time.Time
+	home  string
+	epoch uint64
 	// requests and tokens are the buckets of this entry's share.
 	requests, tokens bucket
 	running          int
@@ -49,23 +60,29 @@
 // burstTime is how much of a rate may be saved up.
 const burstTime = time.Second
 
-// Take admits a request of some tokens, or says why not. limit is the row's.
-func (l *Limiter) Take(now time.Time, s Subject, limit Amounts, tokens float64) *Refused {
+// Ask is a request that wants to be admitted.
+type Ask struct {
+	Tokens float64
+	// Timeout is how long the request may be in progress.
+	Timeout time.Duration
+}
+
+// Take admits a request, or says why not. limit is the row's.
+func (l *Limiter) Take(now time.Time, s Subject, limit Amounts, a Ask) *Refused {
 	loc := l.local(now, s, limit)
-	loc.asked.add(now, 1, tokens)
-	share := l.share(now, loc)
-	loc.refill(now, share)
-	if float64(loc.running)+1 > share.Concurrent {
-		return &Refused{MeasureConcurrent, limit.Concurrent, share.Concurrent, time.Second}
+	loc.asked.add(now, 1, a.Tokens)
+	share := loc.share(now)
+	if most := loc.concurrent(now, a.Timeout); float64(loc.running)+1 > most {
+		return &Refused{MeasureConcurrent, limit.Concurrent, most, noShareWait}
 	}
 	if !math.IsInf(share.Tokens, 1) {
-		if ok, wait := loc.tokens.take(now, tokens); !ok {
+		if ok, wait := loc.tokens.takeLarge(now, a.Tokens); !ok {
 			return &Refused{MeasureTokens, limit.Tokens, share.Tokens, wait}
 		}
 	}
 	if !math.IsInf(share.Requests, 1) {
 		if ok, wait := loc.requests.take(now, 1); !ok {
-			loc.tokens.level += tokens
+			loc.tokens.level += a.Tokens
 			return &Refused{MeasureRequests, limit.Requests, share.Requests, wait}
 		}
 	}
@@ -80,30 +97,49 @@
 	}
 }
 
+// local returns a subject's state, brought up to now.
 func (l *Limiter) local(now time.Time, s Subject, limit Amounts) *local {
 	loc := l.subjects[s]
 	if loc == nil {
-		loc = &local{}
+		loc = &local{limit: limit, entries: l.entries}
 		l.subjects[s] = loc
 	}
-	loc.limit = limit
+	loc.settle(now)
+	if loc.limit != limit || loc.entries != l.entries {
+		loc.limit, loc.entries = limit, l.entries
+		loc.refill(now, now)
+	}
 	loc.seen = now
 	return loc
 }
 
 // share is what this entry may use now: its floor, and its grant while that
 // lasts, never more than the row says now.
-func (l *Limiter) share(now time.Time, loc *local) Amounts {
-	floor := Floor(loc.limit, l.entries)
-	granted := Amounts{}
-	if now.Before(loc.until) {
-		granted = loc.granted
-	}
+func (loc *local) share(now time.Time) Amounts {
+	floor := Floor(loc.limit, loc.entries)
+	g := loc.grant(now)
 	return Amounts{
-		Requests:   part(loc.limit.Requests, floor.Requests, granted.Requests),
-		Tokens:     part(loc.limit.Tokens, floor.Tokens, granted.Tokens),
-		Concurrent: part(loc.limit.Concurrent, floor.Concurrent, granted.Concurrent),
+		Requests:   part(loc.limit.Requests, floor.Requests, g.Requests),
+		Tokens:     part(loc.limit.Tokens, floor.Tokens, g.Tokens),
+		Concurrent: part(loc.limit.Concurrent, floor.Concurrent, g.Concurrent),
+	}
+}
+
+// concurrent is how many requests with a timeout may be in progress here. The
+// home counts what was admitted under a grant for the grant's hold, and then
+// gives it to others: a request that may run longer is held to the floor.
+func (loc *local) concurrent(now time.Time, timeout time.Duration) float64 {
+	if timeout > loc.hold {
+		return part(loc.limit.Concurrent, Floor(loc.limit, loc.entries).Concurrent, 0)
 	}
+	return loc.share(now).Concurrent
+}
+
+func (loc *local) grant(now time.Time) Amounts {
+	if !now.Before(loc.until) {
+		return Amounts{}
+	}
+	return loc.granted
 }
 
 func part(limit, floor, granted float64) float64 {
@@ -113,9 +149,34 @@
 	return min(floor+granted, limit)
 }
 
-func (loc *local) refill(now time.Time, share Amounts) {
-	loc.requests.setRate(now, share.Requests, max(1, share.Requests*burstTime.Seconds()))
-	loc.tokens.setRate(now, share.Tokens, max(1, share.Tokens*burstTime.Seconds()))
+// settle brings the buckets up to now. A grant that has ended since is counted up
+// to its end and no further: its home gives the same part to others from then on.
+func (loc *local) settle(now time.Time) {
+	if !loc.until.IsZero() && loc.requests.filled.Before(loc.until) && !now.Before(loc.until) {
+		loc.refill(loc.until, loc.until)
+	}
+	loc.refill(now, now)
+}
+
+// refill fills the buckets up to a time and sets the rates of the share that
+// holds from then on.
+func (loc *local) refill(at, now time.Time) {
+	share := loc.share(now)
+	if math.IsInf(loc.limit.Tokens, 1) {
+		loc.tokens = bucket{filled: at}
+	} else {
+		loc.tokens.setRate(at, share.Tokens, share.Tokens*burstTime.Seconds())
+	}
+	if math.IsInf(loc.limit.Requests, 1) {
+		loc.requests = bucket{filled: at}
+		return
+	}
+	saved := floorBurst(loc.limit.Requests, loc.entries)
+	if now.Before(loc.until) {
+		saved += loc.burst
+	}
+	most := max(loc.limit.Requests*burstTime.Seconds(), 1)
+	loc.requests.setRate(at, share.Requests, min(saved, most))
 }
 
 // Granted says whether the entry holds a grant for a subject now.
@@ -124,47 +185,69 @@
 	return loc != nil && now.Before(loc.until)
 }
 
-// Demands returns what to ask the home for: each subject that was lately asked
-// for or has requests in progress.
-func (l *Limiter) Demands(now time.Time) map[Subject]Demand {
+// idleRate is the rate of requests below which a subject asks for no share.
+const idleRate = 0.05
+
+// Report returns what to ask the home for: each subject that was lately asked for
+// or has requests in progress. The caller adds who it is.
+func (l *Limiter) Report(now time.Time) (Report, map[Subject]Demand) {
 	list := map[Subject]Demand{}
 	for s, loc := range l.subjects {
 		if now.Sub(loc.seen) > idleAfter && loc.running == 0 {
 			delete(l.subjects, s)
 			continue
 		}
-		requests, tokens := loc.asked.rates(now)
-		list[s] = Demand{
-			Wanted:  Amounts{Requests: requests, Tokens: tokens, Concurrent: float64(loc.running) + math.Ceil(requests*meterWindow.Seconds()) + 1},
-			Running: float64(loc.running),
-			Ack:     loc.epoch,
-		}
+		list[s] = l.demand(now, loc)
+	}
+	l.seq++
+	return Report{Seq: l.seq, Home: l.home}, list
+}
+
+// demand of a subject that has gone idle is nothing: it says so until the home
+// has taken the grant back, so that others need not wait for its end.
+func (l *Limiter) demand(now time.Time, loc *local) Demand {
+	d := Demand{Running: max(float64(loc.running)-Floor(loc.limit, loc.entries).Concurrent, 0)}
+	if loc.home == l.home {
+		d.Ack = loc.epoch
 	}
-	return list
+	requests, tokens := loc.asked.rates(now)
+	if requests < idleRate && loc.running == 0 {
+		return d
+	}
+	d.Wanted = Amounts{
+		Requests: requests, Tokens: tokens,
+		Concurrent: float64(loc.running) + math.Ceil(requests*meterWindow.Seconds()) + 1,
+	}
+	return d
 }
 
 // idleAfter is when a subject without requests is forgotten. A bucket that is
 // made anew starts empty, so nothing is gained by it.
 const idleAfter = 10 * time.Second
 
+// Answered notes the home that answered last, or nothing if it may not grant yet.
+func (l *Limiter) Answered(home string) {
+	if home != "" {
+		l.home = home
+	}
+}
+
 // Apply takes a grant. sent is when the demand left: the grant is used from
 // there, so that it ends here before it ends at the home.
-func (l *Limiter) Apply(sent time.Time, s Subject, a Amounts, epoch uint64) {
+func (l *Limiter) Apply(now, sent time.Time, s Subject, home string, g Share) {
 	loc := l.subjects[s]
-	if loc == nil || epoch <= loc.epoch {
+	if loc == nil || home == loc.home && g.Epoch <= loc.epoch {
 		return
 	}
-	loc.epoch = epoch
-	loc.granted = a
-	loc.until = sent.Add(ShareTTL)
-}
-
-// ResetEpochs is called when another home answers: its epochs begin anew. Grants
-// of the one before are used up to their end, which the new home waits for.
-func (l *Limiter) ResetEpochs() {
-	for _, loc := range l.subjects {
-		loc.epoch = 0
+	if home != loc.home && sent.Before(loc.sent) {
+		// A late answer of another home would replace the grant of a later one.
+		return
 	}
+	loc.settle(now)
+	loc.home, loc.epoch = home, g.Epoch
+	loc.granted, loc.burst, loc.hold = g.Amounts, g.Burst, g.Hold
+	loc.sent, loc.until = sent, sent.Add(ShareTTL)
+	loc.refill(now, now)
 }
 
 // meter measures how much was asked for lately.
--- a/control/share.go
+++ b/control/share.go
@@ -17,7 +17,7 @@
 // as one leadership; the next leader waits until its grants have ended.
 type shareHome struct {
 	home *admit.Home
-	name string
+	term uint64
 	// view is the table's typed view at a revision.
 	view *table.View
 }
@@ -28,10 +28,11 @@
 		r.shares.home = nil
 		return
 	}
-	if r.shares.home == nil {
-		st := r.node.Status()
-		r.shares.home = admit.NewHome(time.Now())
-		r.shares.name = fmt.Sprintf("%s@%d", st.ID, st.Term)
+	// The term, and not only the sampled role, tells one leadership from the
+	// next: a process that stalled may have missed another leader in between.
+	if st := r.node.Status(); r.shares.home == nil || r.shares.term != st.Term {
+		r.shares.home = admit.NewHome(time.Now(), fmt.Sprintf("%s@%d", st.ID, st.Term))
+		r.shares.term = st.Term
 	}
 }
 
@@ -55,6 +56,7 @@
 }
 
 func (r *Replica) grantShares(req *wire.ShareRequest, reply *wire.ShareReply) error {
+	r.followHome()
 	if !r.node.IsLeader() || r.shares.home == nil {
 		return merry.Prepend(ErrUnavailable, "not the leader")
 	}
@@ -63,32 +65,54 @@
 		return err
 	}
 	now := time.Now()
-	reply.Home = r.shares.name
+	r.followRing(now)
+	home := r.shares.home
+	if !home.Hear(now, admit.Report{Entry: req.Entry, Incarnation: req.Incarnation, Seq: req.Seq, Home: req.Home}) {
+		return nil
+	}
+	reply.Home = home.Name(now)
 	for _, d := range req.Demands {
 		l := v.Limit(d.Team, d.Service)
 		if l == nil {
 			continue
 		}
-		hold := time.Duration(0)
-		if svc := v.Services[d.Service]; svc != nil {
-			hold = svc.Timeout
-		}
-		a, epoch, ok := r.shares.home.Grant(now, req.Entry, admit.SubjectOf(l, d.Team, d.Service), admit.LimitOf(l), admit.Demand{
+		subject := admit.SubjectOf(l, d.Team, d.Service)
+		share := home.Grant(now, req.Entry, subject, admit.LimitOf(l), admit.Demand{
 			Wanted:  admit.Amounts{Requests: d.Requests, Tokens: d.Tokens, Concurrent: float64(d.Concurrent)},
 			Running: float64(d.Running), Ack: d.Ack,
-		}, hold)
-		if ok {
-			reply.Grants = append(reply.Grants, grantOf(d, a, epoch))
-		}
+		}, holdOf(v, subject))
+		reply.Grants = append(reply.Grants, grantOf(d, share))
 	}
 	return nil
 }
 
-func grantOf(d *wire.ShareDemand, a admit.Amounts, epoch uint64) *wire.ShareGrant {
+// followRing tells the home which entries the ring on the log has.
+func (r *Replica) followRing(now time.Time) {
+	ring := r.machine.ring
+	fleet := admit.Fleet{Unchanged: now.Sub(r.rings.changed)}
+	for _, m := range ring.GetMembers() {
+		fleet.Members = append(fleet.Members, m.Id)
+	}
+	r.shares.home.SetFleet(fleet)
+}
+
+// holdOf is the longest time that a request of a subject may run.
+func holdOf(v *table.View, s admit.Subject) time.Duration {
+	hold := time.Duration(0)
+	for name, svc := range v.Services {
+		if s.Service == "*" || s.Service == name {
+			hold = max(hold, svc.Timeout)
+		}
+	}
+	return hold
+}
+
+func grantOf(d *wire.ShareDemand, s admit.Share) *wire.ShareGrant {
 	return &wire.ShareGrant{
-		Team: d.Team, Service: d.Service, Epoch: epoch,
-		RequestsPerSecond: a.Requests, TokensPerSecond: a.Tokens,
-		Concurrent: uint32(min(a.Concurrent, math.MaxUint32)),
+		Team: d.Team, Service: d.Service, Epoch: s.Epoch, RequestBurst: s.Burst,
+		RequestsPerSecond: s.Requests, TokensPerSecond: s.Tokens,
+		Concurrent: uint32(min(s.Concurrent, math.MaxUint32)),
+		HoldMs:     uint32(s.Hold.Milliseconds()),
 	}
 }
 
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -18,6 +18,9 @@
 	// that would have to wait longer is refused at once.
 	maxShareWait = 250 * time.Millisecond
 	shareTimeout = time.Second
+	// idleReport is how often an entry without requests says so: a new home that
+	// has not heard it must reckon with requests in progress there.
+	idleReport = 2 * time.Second
 )
 
 // limits drives the entry's limiter.
@@ -25,10 +28,11 @@
 	entry *Entry
 	mu    sync.Mutex
 	lim   *admit.Limiter
-	home  string
 	// services holds, by subject, the service that a demand is asked under.
 	services map[admit.Subject]string
 	ask      chan struct{}
+	// reported is when the home was asked last; it is the loop's own.
+	reported time.Time
 }
 
 func newLimits(e *Entry) *limits {
@@ -68,7 +72,7 @@
 	now := time.Now()
 	l.lim.SetEntries(len(l.entry.claims.Ring().Ring.GetMembers()))
 	l.services[s] = q.service.Name
-	refused := l.lim.Take(now, s, admit.LimitOf(row), float64(q.tokens))
+	refused := l.lim.Take(now, s, admit.LimitOf(row), admit.Ask{Tokens: float64(q.tokens), Timeout: q.service.Timeout})
 	if refused != nil {
 		// The share may follow a demand that has just grown; asking at once is
 		// what makes a first request wait for a round trip and not for a round.
@@ -134,10 +138,11 @@
 
 func (l *limits) round(ctx context.Context) {
 	sent := time.Now()
-	req, subjects := l.demands(sent)
-	if len(req.Demands) == 0 {
+	req, subjects := l.report(sent)
+	if len(req.Demands) == 0 && sent.Sub(l.reported) < idleReport {
 		return
 	}
+	l.reported = sent
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
 	var reply *wire.ShareReply
@@ -152,12 +157,13 @@
 	l.apply(sent, reply, subjects)
 }
 
-func (l *limits) demands(now time.Time) (*wire.ShareRequest, map[admit.Subject]admit.Subject) {
+func (l *limits) report(now time.Time) (*wire.ShareRequest, map[admit.Subject]admit.Subject) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	req := &wire.ShareRequest{Entry: l.entry.settings.ID, Incarnation: l.entry.incarnation}
+	r, demands := l.lim.Report(now)
+	req := &wire.ShareRequest{Entry: l.entry.settings.ID, Incarnation: l.entry.incarnation, Seq: r.Seq, Home: r.Home}
 	subjects := map[admit.Subject]admit.Subject{}
-	for s, d := range l.lim.Demands(now) {
+	for s, d := range demands {
 		service := l.services[s]
 		subjects[admit.Subject{Team: s.Team, Service: service}] = s
 		req.Demands = append(req.Demands, &wire.ShareDemand{
@@ -165,24 +171,35 @@
 			Concurrent: uint32(d.Wanted.Concurrent), Running: uint32(d.Running), Ack: d.Ack,
 		})
 	}
+	l.forget(demands)
 	return req, subjects
 }
 
+// forget drops the services of subjects that the limiter has forgotten.
+func (l *limits) forget(live map[admit.Subject]admit.Demand) {
+	for s := range l.services {
+		if _, ok := live[s]; !ok {
+			delete(l.services, s)
+		}
+	}
+}
+
 func (l *limits) apply(sent time.Time, reply *wire.ShareReply, subjects map[admit.Subject]admit.Subject) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if reply.Home != l.home {
-		l.home = reply.Home
-		l.lim.ResetEpochs()
-	}
+	l.lim.Answered(reply.Home)
+	now := time.Now()
 	for _, g := range reply.Grants {
 		s, ok := subjects[admit.Subject{Team: g.Team, Service: g.Service}]
 		if !ok {
 			continue
 		}
-		l.lim.Apply(sent, s, admit.Amounts{
-			Requests: g.RequestsPerSecond, Tokens: g.TokensPerSecond, Concurrent: concurrent(g.Concurrent),
-		}, g.Epoch)
+		l.lim.Apply(now, sent, s, reply.Home, admit.Share{
+			Amounts: admit.Amounts{
+				Requests: g.RequestsPerSecond, Tokens: g.TokensPerSecond, Concurrent: concurrent(g.Concurrent),
+			},
+			Epoch: g.Epoch, Burst: g.RequestBurst, Hold: time.Duration(g.HoldMs) * time.Millisecond,
+		})
 	}
 }
 
