--- a/admit/share.go
+++ b/admit/share.go
@@ -178,6 +178,10 @@
 type account struct {
 	// grants that the entry may be using, oldest first.
 	grants []grant
+	// ended stands for the grants that ended before the entry named a later one:
+	// a report that was sent before their end and comes after it doesn't count the
+	// requests that were admitted in between.
+	ended  grant
 	demand Amounts
 	// running is what the entry last reported to have in progress.
 	running float64
@@ -189,6 +193,8 @@
 	epoch   uint64
 	amounts Amounts
 	expires time.Time
+	// held is when the last request that was admitted under it has ended.
+	held time.Time
 }
 
 // Demand is what an entry asks for.
@@ -282,7 +288,7 @@
 }
 
 // Grant answers one demand of a report that Hear has taken. hold is the longest
-// time that a request of the subject may run.
+// time that a request of the subject may run; see Holds.
 func (h *Home) Grant(now time.Time, entry string, s Subject, limit Amounts, d Demand, hold time.Duration) Share {
 	byEntry := h.subjects[s]
 	if byEntry == nil {
@@ -333,35 +339,55 @@
 // take notes a new grant. The answer that carries it may be lost, so earlier
 // grants count until the entry has named a later one or they have ended.
 func (acc *account) take(now time.Time, d Demand, g grant, hold time.Duration) {
+	g.held = g.expires.Add(time.Duration(float64(hold) * clockRatio))
 	kept := acc.grants[:0]
 	for _, old := range acc.grants {
-		if old.epoch >= d.Ack && now.Before(old.expires) {
+		switch {
+		case old.epoch < d.Ack:
+		case now.Before(old.expires):
 			kept = append(kept, old)
+		default:
+			acc.ended = acc.ended.join(old)
 		}
 	}
+	if acc.ended.epoch < d.Ack {
+		acc.ended = grant{}
+	}
 	acc.grants = append(kept, g)
 	acc.demand = d.Wanted
 	acc.running = d.Running
-	if held := g.expires.Add(time.Duration(float64(hold) * clockRatio)); held.After(acc.held) {
-		acc.held = held
+	if g.held.After(acc.held) {
+		acc.held = g.held
+	}
+}
+
+// join returns a grant that counts for as much and as long as both.
+func (g grant) join(o grant) grant {
+	g.epoch = max(g.epoch, o.epoch)
+	g.amounts.Concurrent = max(g.amounts.Concurrent, o.amounts.Concurrent)
+	if o.held.After(g.held) {
+		g.held = o.held
 	}
+	return g
 }
 
 // live is what the entry may be using now.
 func (acc *account) live(now time.Time) Amounts {
 	var a Amounts
 	for _, g := range acc.grants {
-		if !now.Before(g.expires) {
-			continue
+		if now.Before(g.held) {
+			a.Concurrent = max(a.Concurrent, g.amounts.Concurrent)
+		}
+		if now.Before(g.expires) {
+			a.Requests = max(a.Requests, g.amounts.Requests)
+			a.Tokens = max(a.Tokens, g.amounts.Tokens)
 		}
-		a.Requests = max(a.Requests, g.amounts.Requests)
-		a.Tokens = max(a.Tokens, g.amounts.Tokens)
+	}
+	if now.Before(acc.ended.held) {
+		a.Concurrent = max(a.Concurrent, acc.ended.amounts.Concurrent)
 	}
 	if now.Before(acc.held) {
-		a.Concurrent = acc.running
-		for _, g := range acc.grants {
-			a.Concurrent = max(a.Concurrent, g.amounts.Concurrent)
-		}
+		a.Concurrent = max(a.Concurrent, acc.running)
 	}
 	return a
 }
--- a/admit/share_test.go
+++ b/admit/share_test.go
@@ -29,6 +29,7 @@
 	unsafe   func(*Home)
 	mail     []message
 	row      simRow
+	holds    Holds
 	// ringSince is when the ring on the log changed last.
 	ring      int
 	ringSince time.Duration
@@ -88,6 +89,7 @@
 	rng := rand.New(rand.NewPCG(seed, 5))
 	s := &sim{rng: rng, unsafe: unsafe, ring: 2 + rng.IntN(6)}
 	s.row = simRow{limit: s.someLimit(), hold: s.someHold(), ring: s.ring}
+	s.holds.Set(simEpoch, "clock-core", s.row.hold)
 	for i := range s.ring {
 		s.entries = append(s.entries, s.newEntry(i))
 	}
@@ -143,6 +145,7 @@
 		s.row.limit = s.someLimit()
 	case 1:
 		s.row.hold = s.someHold()
+		s.holds.Set(s.clock(1), "clock-core", s.row.hold)
 	case 2:
 		s.changeRing()
 	case 3:
@@ -227,7 +230,7 @@
 	reply := m
 	reply.toHome, reply.home = false, s.home.Name(now)
 	if m.listed {
-		reply.share = s.home.Grant(now, m.entry.id, simSubject, s.row.limit, m.demand, s.row.hold)
+		reply.share = s.home.Grant(now, m.entry.id, simSubject, s.row.limit, m.demand, s.holds.Of(s.clock(1), simSubject))
 	}
 	s.send(reply)
 }
