--- a/admit/share.go
+++ b/admit/share.go
@@ -299,8 +299,8 @@
 		d.Ack = 0
 	}
 	o := othersOf(now, byEntry, entry)
-	o.turn = int(now.Sub(h.open) / turnTime)
 	p := pool(limit)
+	o.turn = turn(now.Sub(h.open), limit.Requests)
 	a := Amounts{
 		Requests:   o.portion(p.Requests, o.used.Requests, requestUnit(limit.Requests), false, d, requestsOf),
 		Tokens:     o.portion(p.Tokens, o.used.Tokens, 0, false, d, tokensOf),
@@ -322,6 +322,14 @@
 	return Share{Amounts: a, Epoch: h.epoch, Burst: burst(limit.Requests, a.Requests), Hold: hold}
 }
 
+// turn counts the turns since the home began. The whole of a limit below one
+// request a second is held for two requests at least: what was saved up towards
+// one is lost with the share.
+func turn(since time.Duration, limit float64) int {
+	length := max(turnTime.Seconds(), 2/limit)
+	return int(since.Seconds() / length)
+}
+
 // concurrentBound is what an entry may be granted to have in progress. Until this
 // home is settled, another entry may be running any part of the limit that this
 // one does not: it may go on with as many as it has, and no more. An entry that
