Give lowered timeouts to the home, on every replica

Cause: a home that began after timeout_ms was lowered counted requests of cut-off entries for the new timeout only. Change: each replica follows the versions of service rows. Measured: go test ./control -run Lowered and ./quickstart -run Limit pass.

--- a/control/replica.go
+++ b/control/replica.go
@@ -221,6 +221,7 @@
 		r.rings.follow(r.machine.ring.Epoch, time.Now())
 		r.sinceCut++
 	}
+	r.followHolds(time.Now())
 	if len(rd.Apply) > 0 {
 		r.wake()
 	}
--- a/control/share.go
+++ b/control/share.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -20,6 +21,10 @@
 	term uint64
 	// view is the table's typed view at a revision.
 	view *table.View
+	// holds is followed by every replica, and not only by a leader: the next
+	// leader must know the timeouts of requests that the last one admitted.
+	holds admit.Holds
+	held  uint64
 }
 
 // followHome makes a home when leadership begins and drops it when it ends.
@@ -80,7 +85,7 @@
 		share := home.Grant(now, req.Entry, subject, admit.LimitOf(l), admit.Demand{
 			Wanted:  admit.Amounts{Requests: d.Requests, Tokens: d.Tokens, Concurrent: float64(d.Concurrent)},
 			Running: float64(d.Running), Ack: d.Ack,
-		}, holdOf(v, subject))
+		}, r.shares.holds.Of(now, subject))
 		reply.Grants = append(reply.Grants, grantOf(d, share))
 	}
 	return nil
@@ -96,17 +101,6 @@
 	r.shares.home.SetFleet(fleet)
 }
 
-// holdOf is the longest time that a request of a subject may run.
-func holdOf(v *table.View, s admit.Subject) time.Duration {
-	hold := time.Duration(0)
-	for name, svc := range v.Services {
-		if s.Service == "*" || s.Service == name {
-			hold = max(hold, svc.Timeout)
-		}
-	}
-	return hold
-}
-
 func grantOf(d *wire.ShareDemand, s admit.Share) *wire.ShareGrant {
 	return &wire.ShareGrant{
 		Team: d.Team, Service: d.Service, Epoch: s.Epoch, RequestBurst: s.Burst,
@@ -128,3 +122,40 @@
 	}
 	return r.shares.view, nil
 }
+
+// followHolds takes in the timeouts of service rows that have changed, every
+// version in turn. After a start, all versions that are kept count as changed now.
+func (r *Replica) followHolds(now time.Time) {
+	rev := r.machine.table.Revision()
+	if rev == r.shares.held {
+		return
+	}
+	rows, _ := r.machine.table.Since(r.shares.held)
+	for _, row := range rows {
+		if row.Kind != table.KindService {
+			continue
+		}
+		versions := r.machine.table.History(row.Kind, row.Key, 0)
+		for i := len(versions) - 1; i >= 0; i-- {
+			if v := versions[i]; v.Revision > r.shares.held {
+				r.shares.holds.Set(now, v.Key, timeoutOf(v))
+			}
+		}
+	}
+	r.shares.held = rev
+}
+
+// timeoutOf is the timeout of a service row.
+func timeoutOf(row *wire.Row) time.Duration {
+	if row.Deleted {
+		return 0
+	}
+	text := row.Columns["timeout_ms"]
+	for _, col := range table.Schema[table.KindService] {
+		if col.Name == "timeout_ms" && text == "" {
+			text = col.Default
+		}
+	}
+	ms, _ := strconv.Atoi(text)
+	return time.Duration(ms) * time.Millisecond
+}
