Keep a queue's tags per team, bound queues fairly and refuse hopeless deadlines early

Cause: a team that sent without end filled the queue and others were told it was full; cancelled work was charged to its team; a tenth of eight slots, rounded down, reserved none; a hopeless deadline was refused only once it had passed. Change: only a team's first work carries tags, a full queue makes room for teams under their even part, reserved slots are rounded up, the wait is estimated.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -1,8 +1,9 @@
 // Package admit decides who goes first: an urgent class with capacity of its
-// own, weighted fair queueing between teams, bounded queues and deadlines.
+// own, weighted fair queueing between teams, bounded queues and deadlines; and
+// it divides teams' limits between entries.
 //
-// Gate is pure: time and work go in, work to start comes out. Runner drives one
-// for goroutines.
+// Gate, Home and Limiter are pure: time and work go in, decisions come out.
+// Runner drives a Gate for goroutines.
 package admit
 
 import (
@@ -31,6 +32,13 @@
 	MaxQueue int
 }
 
+// ReservedSlots is how many of some slots are kept for urgent work: a part in
+// percent, rounded up, since a tenth of eight slots that is rounded down keeps
+// none. One slot at least is left for other work.
+func ReservedSlots(slots, percent int) int {
+	return max(min((slots*percent+99)/100, slots-1), 0)
+}
+
 // Work is one piece of work. Its fields are set by the caller.
 type Work struct {
 	Team     string
@@ -40,13 +48,18 @@
 	Cost float64
 	// Deadline by which the work must have started; zero is none.
 	Deadline time.Time
+	// Queue names a part of the queue that has a bound of its own, MaxQueue. No
+	// name is no such bound.
+	Queue    string
+	MaxQueue int
 	// Value is the caller's.
 	Value any
 
-	start, finish float64
-	seq           uint64
-	index         int
-	state         workState
+	flow       *flow
+	prev, next *Work
+	seq        uint64
+	began      time.Time
+	state      workState
 }
 
 type workState int
@@ -58,30 +71,33 @@
 	stateOver
 )
 
+// Refusal is work that waited and will not be started.
+type Refusal struct {
+	Work *Work
+	Err  error
+}
+
 // Gate queues work and says what starts. Classes are strict: urgent before
 // normal before batch. Within a class, teams share by start-time fair queueing
-// (Goyal, Vin, Cheng: Start-time Fair Queueing, SIGCOMM 1996).
+// (Goyal, Vin, Cheng: Start-time Fair Queueing, SIGCOMM 1996). Only the first
+// work of each team carries tags: work that is cancelled or refused while it
+// waits costs its team nothing.
 type Gate struct {
 	settings Settings
 	classes  [4]class
-	running  int
-	urgent   int
-	seq      uint64
-}
-
-type class struct {
-	queue workHeap
-	// vtime is the start tag of the work last started.
-	vtime float64
-	// finish holds each team's last finish tag.
-	finish map[string]float64
+	// queues counts the work that waits in each named queue.
+	queues  map[string]*occupancy
+	running int
+	urgent  int
+	seq     uint64
+	refused []Refusal
 }
 
 // NewGate makes a gate.
 func NewGate(s Settings) *Gate {
-	g := &Gate{settings: s}
+	g := &Gate{settings: s, queues: map[string]*occupancy{}}
 	for i := range g.classes {
-		g.classes[i].finish = map[string]float64{}
+		g.classes[i].flows = map[string]*flow{}
 	}
 	return g
 }
@@ -97,40 +113,136 @@
 	return int(p)
 }
 
-// Offer queues work, or refuses it.
+const urgentClass = int(wire.Priority_PRIORITY_URGENT)
+
+// Offer queues work, or refuses it. Work that gives way to it is among the
+// refusals that the next Start returns.
 func (g *Gate) Offer(now time.Time, w *Work) error {
-	if !w.Deadline.IsZero() && !now.Before(w.Deadline) {
+	if w.Weight < 1 {
+		w.Weight = 1
+	}
+	if w.Cost <= 0 {
+		w.Cost = 1
+	}
+	class := classOf(w.Priority)
+	if !w.Deadline.IsZero() && !now.Add(g.wait(class, w)).Before(w.Deadline) {
 		return ErrDeadline
 	}
-	c := &g.classes[classOf(w.Priority)]
-	if len(c.queue) >= g.settings.MaxQueue && !g.free(w.Priority) {
+	if !g.startsAtOnce(class) && !g.makeRoom(class, w) {
 		return ErrQueueFull
 	}
-	g.tag(c, w)
+	g.seq++
+	w.seq = g.seq
 	w.state = stateWaiting
-	heap.Push(&c.queue, w)
+	g.classes[class].push(w)
+	if w.Queue != "" {
+		g.queue(w.Queue).add(w.Team)
+	}
 	return nil
 }
 
-func (g *Gate) tag(c *class, w *Work) {
-	cost := w.Cost
-	if cost <= 0 {
-		cost = 1
+func (g *Gate) queue(name string) *occupancy {
+	q := g.queues[name]
+	if q == nil {
+		q = newOccupancy()
+		g.queues[name] = q
 	}
-	weight := float64(max(w.Weight, 1))
-	w.start = max(c.vtime, c.finish[w.Team])
-	w.finish = w.start + cost/weight
-	c.finish[w.Team] = w.finish
-	g.seq++
-	w.seq = g.seq
+	return q
+}
+
+// startsAtOnce says whether the next work of a class doesn't wait at all.
+func (g *Gate) startsAtOnce(class int) bool {
+	for i := range class + 1 {
+		if g.classes[i].total > 0 {
+			return false
+		}
+	}
+	return g.free(class)
+}
+
+// wait estimates from below how long work would wait: what goes before it, by
+// the mean time that each class was seen to run, over the slots that it may use.
+// Work that can't make its deadline by this is refused at once, and its caller
+// can go elsewhere while there is time. What arrives later isn't counted.
+func (g *Gate) wait(class int, w *Work) time.Duration {
+	if g.startsAtOnce(class) {
+		return 0
+	}
+	slots := g.settings.Slots
+	if class != urgentClass {
+		slots -= g.settings.Reserved
+	}
+	ahead := 0.0
+	for i := range class {
+		ahead += float64(g.classes[i].total) * g.classes[i].mean
+	}
+	c := &g.classes[class]
+	ahead += c.ahead(w) * c.mean
+	return time.Duration(ahead / float64(max(slots, 1)) * float64(time.Second))
 }
 
-// free says whether work of a class would start at once.
-func (g *Gate) free(p wire.Priority) bool {
+// makeRoom says whether work may wait. If a queue is full, work of a team that
+// has more than an even part of it gives way to that of one that has less: a
+// team that sends without end can't keep others out of the queue.
+func (g *Gate) makeRoom(class int, w *Work) bool {
+	if w.Queue != "" {
+		q := g.queue(w.Queue)
+		if q.total >= w.MaxQueue && !g.replace(q, len(g.classes)-1, class, w, w.MaxQueue) {
+			return false
+		}
+	}
+	c := &g.classes[class]
+	if c.total < g.settings.MaxQueue {
+		return true
+	}
+	return g.replace(&c.occupancy, class, class, w, g.settings.MaxQueue)
+}
+
+// replace refuses the newest waiting work of the team that has most in a full
+// queue, in the classes from lowest up to that of the new work: work never gives
+// way to work of a lower class.
+func (g *Gate) replace(q *occupancy, lowest, class int, w *Work, bound int) bool {
+	if !q.underEvenPart(w.Team, bound) {
+		return false
+	}
+	team := q.largest()
+	if q.teams[team] <= q.teams[w.Team]+1 {
+		return false
+	}
+	for i := lowest; i >= class; i-- {
+		if victim := g.classes[i].newest(team, q, w.Queue); victim != nil {
+			g.drop(victim, ErrQueueFull)
+			return true
+		}
+	}
+	return false
+}
+
+// drop takes waiting work out and refuses it.
+func (g *Gate) drop(w *Work, err error) {
+	g.unqueue(w)
+	w.state = stateOver
+	g.refused = append(g.refused, Refusal{w, err})
+}
+
+func (g *Gate) unqueue(w *Work) {
+	g.classes[classOf(w.Priority)].remove(w)
+	if w.Queue == "" {
+		return
+	}
+	q := g.queues[w.Queue]
+	q.sub(w.Team)
+	if q.total == 0 {
+		delete(g.queues, w.Queue)
+	}
+}
+
+// free says whether a slot is free for a class.
+func (g *Gate) free(class int) bool {
 	if g.running >= g.settings.Slots {
 		return false
 	}
-	if classOf(p) == int(wire.Priority_PRIORITY_URGENT) {
+	if class == urgentClass {
 		return true
 	}
 	// Reserved slots that urgent work does not use stay empty: work that ran in
@@ -139,57 +251,50 @@
 	return g.running+reservedFree < g.settings.Slots
 }
 
-// Start returns the work that starts now, and work whose deadline has passed
-// while it waited.
-func (g *Gate) Start(now time.Time) (start, expired []*Work) {
+// Start returns the work that starts now, and work that waited and is refused.
+func (g *Gate) Start(now time.Time) (start []*Work, refused []Refusal) {
 	for i := range g.classes {
 		c := &g.classes[i]
-		for len(c.queue) > 0 {
-			w := c.queue[0]
+		for len(c.heap) > 0 {
+			w := c.heap[0].head
 			if !w.Deadline.IsZero() && !now.Before(w.Deadline) {
-				heap.Pop(&c.queue)
-				w.state = stateOver
-				expired = append(expired, w)
+				g.drop(w, ErrDeadline)
 				continue
 			}
-			if !g.free(w.Priority) {
+			if !g.free(i) {
 				break
 			}
-			heap.Pop(&c.queue)
-			g.begin(c, w)
+			g.begin(now, w)
 			start = append(start, w)
 		}
-		g.forget(c)
 	}
-	return start, expired
+	refused, g.refused = g.refused, nil
+	return start, refused
 }
 
-func (g *Gate) begin(c *class, w *Work) {
+func (g *Gate) begin(now time.Time, w *Work) {
+	class := classOf(w.Priority)
+	g.classes[class].charge(w)
+	g.unqueue(w)
 	w.state = stateRunning
-	c.vtime = max(c.vtime, w.start)
+	w.began = now
 	g.running++
-	if classOf(w.Priority) == int(wire.Priority_PRIORITY_URGENT) {
+	g.classes[class].running++
+	if class == urgentClass {
 		g.urgent++
 	}
 }
 
-// forget drops the finish tags of an idle class, so that memory follows the
-// teams that wait, not all teams ever seen.
-func (g *Gate) forget(c *class) {
-	if len(c.queue) == 0 && len(c.finish) > 1024 {
-		clear(c.finish)
-		c.vtime = 0
-	}
-}
-
 // Done ends running work, or takes waiting work out of the queue.
-func (g *Gate) Done(w *Work) {
+func (g *Gate) Done(now time.Time, w *Work) {
 	switch w.state {
 	case stateWaiting:
-		heap.Remove(&g.classes[classOf(w.Priority)].queue, w.index)
+		g.unqueue(w)
 	case stateRunning:
+		class := classOf(w.Priority)
 		g.running--
-		if classOf(w.Priority) == int(wire.Priority_PRIORITY_URGENT) {
+		g.classes[class].ended(now.Sub(w.began))
+		if class == urgentClass {
 			g.urgent--
 		}
 	}
@@ -203,37 +308,233 @@
 func (g *Gate) Waiting() int {
 	n := 0
 	for i := range g.classes {
-		n += len(g.classes[i].queue)
+		n += g.classes[i].total
 	}
 	return n
 }
 
-type workHeap []*Work
+// class is the work of one priority.
+type class struct {
+	// flows holds each team that waits, and the finish tags of teams that
+	// could otherwise gain by having nothing waiting for a moment.
+	flows map[string]*flow
+	heap  flowHeap
+	// occupancy counts all work that waits in the class.
+	occupancy
+	running int
+	// weights is the sum over the teams that wait.
+	weights float64
+	// vtime is the start tag of the work last started; last is the largest
+	// finish tag.
+	vtime, last float64
+	// mean is the mean time that work ran, in seconds; 0 before the first.
+	mean float64
+	// sweepAt is the number of flows at which idle ones are looked for.
+	sweepAt int
+}
+
+// flow is the waiting work of one team, oldest first.
+type flow struct {
+	team       string
+	head, tail *Work
+	n          int
+	weight     float64
+	// start is the tag of the head, finish that of the work last started.
+	start, finish float64
+	index         int
+}
+
+func (c *class) push(w *Work) {
+	f := c.flows[w.Team]
+	if f == nil {
+		f = &flow{team: w.Team}
+		c.flows[w.Team] = f
+	}
+	w.flow = f
+	w.prev = f.tail
+	if f.tail != nil {
+		f.tail.next = w
+	} else {
+		f.head = w
+	}
+	f.tail = w
+	f.n++
+	c.add(w.Team)
+	if f.n == 1 {
+		// A team that was idle begins now: it gets no credit for the past.
+		f.start = max(c.vtime, f.finish)
+		f.weight = float64(w.Weight)
+		c.weights += f.weight
+		heap.Push(&c.heap, f)
+	}
+}
+
+func (c *class) remove(w *Work) {
+	f := w.flow
+	wasHead := f.head == w
+	if w.prev != nil {
+		w.prev.next = w.next
+	} else {
+		f.head = w.next
+	}
+	if w.next != nil {
+		w.next.prev = w.prev
+	} else {
+		f.tail = w.prev
+	}
+	w.prev, w.next, w.flow = nil, nil, nil
+	f.n--
+	c.sub(f.team)
+	switch {
+	case f.n == 0:
+		heap.Remove(&c.heap, f.index)
+		c.weights -= f.weight
+		c.forget()
+	case wasHead:
+		heap.Fix(&c.heap, f.index)
+	}
+}
+
+// charge moves the tags for work that starts; it is still its team's head.
+func (c *class) charge(w *Work) {
+	f := w.flow
+	c.vtime = max(c.vtime, f.start)
+	f.finish = f.start + w.Cost/float64(w.Weight)
+	f.start = f.finish
+	c.last = max(c.last, f.finish)
+}
+
+// ahead estimates how much of its class goes before new work: its team's own, and
+// what other teams get by their weights meanwhile, at most all that waits.
+func (c *class) ahead(w *Work) float64 {
+	own, weights := 0.0, c.weights
+	if f := c.flows[w.Team]; f != nil && f.n > 0 {
+		own = float64(f.n)
+	} else {
+		weights += float64(w.Weight)
+	}
+	return min(own*weights/float64(w.Weight), float64(c.total))
+}
+
+// meanPart is the weight of the newest run in the mean.
+const meanPart = 0.1
+
+func (c *class) ended(ran time.Duration) {
+	c.running--
+	if c.mean == 0 {
+		c.mean = ran.Seconds()
+	}
+	c.mean += meanPart * (ran.Seconds() - c.mean)
+	c.forget()
+}
+
+// forget drops the tags of idle teams that make no difference: those that virtual
+// time has passed, and all of them once the class is idle (then virtual time is
+// the largest finish tag, as in the paper). Memory follows the teams that wait or
+// were served lately, not all teams ever seen.
+func (c *class) forget() {
+	if c.total == 0 && c.running == 0 {
+		c.vtime = c.last
+		clear(c.flows)
+		return
+	}
+	if len(c.flows) < c.sweepAt {
+		return
+	}
+	for team, f := range c.flows {
+		if f.n == 0 && f.finish <= c.vtime {
+			delete(c.flows, team)
+		}
+	}
+	c.sweepAt = 2*len(c.flows) + minSweep
+}
+
+const minSweep = 64
+
+// newest returns a team's newest waiting work that counts in a full queue.
+func (c *class) newest(team string, q *occupancy, queue string) *Work {
+	f := c.flows[team]
+	if f == nil {
+		return nil
+	}
+	for w := f.tail; w != nil; w = w.prev {
+		if q == &c.occupancy || w.Queue == queue {
+			return w
+		}
+	}
+	return nil
+}
+
+// occupancy counts the work that waits in a queue, by team.
+type occupancy struct {
+	total int
+	teams map[string]int
+}
+
+func newOccupancy() *occupancy { return &occupancy{teams: map[string]int{}} }
+
+func (o *occupancy) add(team string) {
+	if o.teams == nil {
+		o.teams = map[string]int{}
+	}
+	o.total++
+	o.teams[team]++
+}
+
+func (o *occupancy) sub(team string) {
+	o.total--
+	if o.teams[team]--; o.teams[team] == 0 {
+		delete(o.teams, team)
+	}
+}
+
+// underEvenPart says whether a team has less than its even part of a full queue.
+func (o *occupancy) underEvenPart(team string, bound int) bool {
+	teams := len(o.teams)
+	if o.teams[team] == 0 {
+		teams++
+	}
+	return (o.teams[team]+1)*teams <= max(bound, o.total)
+}
+
+// largest returns the team that has most; the first by name of several.
+func (o *occupancy) largest() string {
+	found, most := "", 0
+	for team, n := range o.teams {
+		if n > most || n == most && team < found {
+			found, most = team, n
+		}
+	}
+	return found
+}
+
+// flowHeap orders the teams that wait by the tags of their oldest work.
+type flowHeap []*flow
 
-func (h workHeap) Len() int { return len(h) }
+func (h flowHeap) Len() int { return len(h) }
 
-func (h workHeap) Less(i, j int) bool {
+func (h flowHeap) Less(i, j int) bool {
 	if h[i].start != h[j].start {
 		return h[i].start < h[j].start
 	}
-	return h[i].seq < h[j].seq
+	return h[i].head.seq < h[j].head.seq
 }
 
-func (h workHeap) Swap(i, j int) {
+func (h flowHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].index, h[j].index = i, j
 }
 
-func (h *workHeap) Push(x any) {
-	w := x.(*Work)
-	w.index = len(*h)
-	*h = append(*h, w)
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.index = len(*h)
+	*h = append(*h, f)
 }
 
-func (h *workHeap) Pop() any {
+func (h *flowHeap) Pop() any {
 	old := *h
-	w := old[len(old)-1]
+	f := old[len(old)-1]
 	old[len(old)-1] = nil
 	*h = old[:len(old)-1]
-	return w
+	return f
 }
--- a/admit/runner.go
+++ b/admit/runner.go
@@ -72,17 +72,17 @@
 func (r *Runner) leave(w *Work) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.gate.Done(w)
+	r.gate.Done(r.now(), w)
 	r.pump()
 }
 
 func (r *Runner) pump() {
-	start, expired := r.gate.Start(r.now())
+	start, refused := r.gate.Start(r.now())
 	for _, w := range start {
 		w.Value.(*verdict).ch <- nil
 	}
-	for _, w := range expired {
-		w.Value.(*verdict).ch <- ErrDeadline
+	for _, x := range refused {
+		x.Work.Value.(*verdict).ch <- x.Err
 	}
 }
 
