--- a/admit/gate.go
+++ b/admit/gate.go
@@ -58,6 +58,7 @@
 	Value any
 
 	flow       *flow
+	part       *occupancy
 	prev, next *Work
 	seq        uint64
 	began      time.Time
@@ -140,15 +141,16 @@
 	w.state = stateWaiting
 	g.classes[class].push(w)
 	if w.Queue != "" {
-		g.queue(w.Queue).add(w.Team)
+		w.part = g.part(w.Queue)
+		w.part.add(w.Team)
 	}
 	return nil
 }
 
-func (g *Gate) queue(name string) *occupancy {
+func (g *Gate) part(name string) *occupancy {
 	q := g.queues[name]
 	if q == nil {
-		q = newOccupancy()
+		q = &occupancy{teams: map[string]int{}}
 		g.queues[name] = q
 	}
 	return q
@@ -189,40 +191,38 @@
 // has more than an even part of it gives way to that of one that has less: a
 // team that sends without end can't keep others out of the queue.
 func (g *Gate) makeRoom(class int, w *Work) error {
-	if w.Queue != "" {
-		q := g.queues[w.Queue]
-		if q == nil {
-			q = &occupancy{}
-		}
-		if q.total >= w.MaxQueue && !g.replace(q, len(g.classes)-1, class, w, w.MaxQueue) {
-			return ErrPartFull
-		}
+	if w.Queue != "" && !g.makeRoomInPart(class, w) {
+		return ErrPartFull
 	}
 	c := &g.classes[class]
-	if c.total >= g.settings.MaxQueue && !g.replace(&c.occupancy, class, class, w, g.settings.MaxQueue) {
+	if c.total < g.settings.MaxQueue {
+		return nil
+	}
+	victim := c.giveWay(w, g.settings.MaxQueue)
+	if victim == nil {
 		return ErrQueueFull
 	}
+	g.drop(victim, ErrQueueFull)
 	return nil
 }
 
-// replace refuses the newest waiting work of the team that has most in a full
-// queue, in the classes from lowest up to that of the new work: work never gives
-// way to work of a lower class.
-func (g *Gate) replace(q *occupancy, lowest, class int, w *Work, bound int) bool {
-	if !q.underEvenPart(w.Team, bound) {
-		return false
+// makeRoomInPart looks for work that gives way in the classes from the lowest up
+// to that of the new work: none gives way to work of a lower class.
+func (g *Gate) makeRoomInPart(class int, w *Work) bool {
+	q := g.queues[w.Queue]
+	if q == nil {
+		return w.MaxQueue > 0
 	}
-	team := q.largest()
-	if q.teams[team] <= q.teams[w.Team]+1 {
-		return false
+	if q.total < w.MaxQueue {
+		return true
 	}
-	err := ErrPartFull
-	if q == &g.classes[class].occupancy {
-		err = ErrQueueFull
+	team := q.givesWay(w.Team, w.MaxQueue)
+	if team == "" {
+		return false
 	}
-	for i := lowest; i >= class; i-- {
-		if victim := g.classes[i].newest(team, q, w.Queue); victim != nil {
-			g.drop(victim, err)
+	for i := len(g.classes) - 1; i >= class; i-- {
+		if victim := g.classes[i].newest(team, w.Queue); victim != nil {
+			g.drop(victim, ErrPartFull)
 			return true
 		}
 	}
@@ -238,14 +238,14 @@
 
 func (g *Gate) unqueue(w *Work) {
 	g.classes[classOf(w.Priority)].remove(w)
-	if w.Queue == "" {
+	if w.part == nil {
 		return
 	}
-	q := g.queues[w.Queue]
-	q.sub(w.Team)
-	if q.total == 0 {
+	w.part.sub(w.Team)
+	if w.part.total == 0 {
 		delete(g.queues, w.Queue)
 	}
+	w.part = nil
 }
 
 // free says whether a slot is free for a class.
@@ -330,8 +330,8 @@
 	// could otherwise gain by having nothing waiting for a moment.
 	flows map[string]*flow
 	heap  flowHeap
-	// occupancy counts all work that waits in the class.
-	occupancy
+	// total is how much work waits.
+	total   int
 	running int
 	// weights is the sum over the teams that wait.
 	weights float64
@@ -370,7 +370,7 @@
 	}
 	f.tail = w
 	f.n++
-	c.add(w.Team)
+	c.total++
 	if f.n == 1 {
 		// A team that was idle begins now: it gets no credit for the past.
 		f.start = max(c.vtime, f.finish)
@@ -395,7 +395,7 @@
 	}
 	w.prev, w.next, w.flow = nil, nil, nil
 	f.n--
-	c.sub(f.team)
+	c.total--
 	switch {
 	case f.n == 0:
 		heap.Remove(&c.heap, f.index)
@@ -462,32 +462,54 @@
 
 const minSweep = 64
 
-// newest returns a team's newest waiting work that counts in a full queue.
-func (c *class) newest(team string, q *occupancy, queue string) *Work {
+// newest returns a team's newest waiting work of a named queue.
+func (c *class) newest(team, queue string) *Work {
 	f := c.flows[team]
 	if f == nil {
 		return nil
 	}
 	for w := f.tail; w != nil; w = w.prev {
-		if q == &c.occupancy || w.Queue == queue {
+		if w.Queue == queue {
 			return w
 		}
 	}
 	return nil
 }
 
-// occupancy counts the work that waits in a queue, by team.
+// giveWay returns the work that gives way to new work in the full class, or nil.
+func (c *class) giveWay(w *Work, bound int) *Work {
+	own, teams := 0, len(c.heap)
+	if f := c.flows[w.Team]; f != nil && f.n > 0 {
+		own = f.n
+	} else {
+		teams++
+	}
+	if !underEvenPart(own, teams, max(bound, c.total)) {
+		return nil
+	}
+	largest := c.heap[0]
+	for _, f := range c.heap {
+		if f.n > largest.n || f.n == largest.n && f.team < largest.team {
+			largest = f
+		}
+	}
+	if largest.n <= own+1 {
+		return nil
+	}
+	return largest.tail
+}
+
+// underEvenPart says whether a team that has some of a full queue may have one
+// more.
+func underEvenPart(own, teams, total int) bool { return (own+1)*teams <= total }
+
+// occupancy counts the work that waits in a named queue, by team.
 type occupancy struct {
 	total int
 	teams map[string]int
 }
 
-func newOccupancy() *occupancy { return &occupancy{teams: map[string]int{}} }
-
 func (o *occupancy) add(team string) {
-	if o.teams == nil {
-		o.teams = map[string]int{}
-	}
 	o.total++
 	o.teams[team]++
 }
@@ -499,21 +521,20 @@
 	}
 }
 
-// underEvenPart says whether a team has less than its even part of a full queue.
-func (o *occupancy) underEvenPart(team string, bound int) bool {
-	teams := len(o.teams)
-	if o.teams[team] == 0 {
+// givesWay returns the team whose work gives way to that of another in a full
+// queue, or nothing: the one that has most, the first by name of several.
+func (o *occupancy) givesWay(team string, bound int) string {
+	own, teams := o.teams[team], len(o.teams)
+	if own == 0 {
 		teams++
 	}
-	return (o.teams[team]+1)*teams <= max(bound, o.total)
-}
-
-// largest returns the team that has most; the first by name of several.
-func (o *occupancy) largest() string {
-	found, most := "", 0
-	for team, n := range o.teams {
-		if n > most || n == most && team < found {
-			found, most = team, n
+	if !underEvenPart(own, teams, max(bound, o.total)) {
+		return ""
+	}
+	found, most := "", own+1
+	for t, n := range o.teams {
+		if n > most || n == most && found != "" && t < found {
+			found, most = t, n
 		}
 	}
 	return found
--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -363,7 +363,7 @@
 	}
 	assert.Assert(t, most <= 2*minSweep+20, "%d flows", most)
 	b.to(b.now.Add(time.Second))
-	assert.Equal(t, len(c.flows)+len(c.teams)+len(b.q.(*Gate).queues), 0)
+	assert.Equal(t, len(c.flows)+c.total+len(b.q.(*Gate).queues), 0)
 }
 
 // Rows change the slots and bounds while work waits and runs: all of it is
