--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -320,6 +320,7 @@
 	}
 	fill("idle", "busy")
 	b.to(b.now.Add(10 * time.Minute))
+	fill("busy", "busy") // it always waits from here on
 	for range 36 {
 		fill("busy")
 	}
@@ -349,6 +350,34 @@
 	assert.Equal(t, served["a"], 10)
 }
 
+// A team sends one large work at a time, each once the last has started, so that it
+// never waits twice. Its tag is kept while other teams come and go: it gets its
+// even part, and not a fresh start each time that idle teams are forgotten.
+func TestLargeWorkOneAtATimeGetsNoMoreThanItsPart(t *testing.T) {
+	b := newBench(NewGate(Settings{Slots: 1, MaxQueue: 1000}), 0)
+	b.length = func(w *Work) time.Duration { return time.Duration(w.Cost) * time.Millisecond }
+	got := map[string]float64{}
+	again := false
+	b.begun = func(w *Work) {
+		got[w.Team] += w.Cost
+		again = again || w.Team == "large"
+	}
+	offer := func(team string, cost float64) { _ = b.offer(&Work{Team: team, Cost: cost, Priority: normal}) }
+	offer("large", 100)
+	for i := range 20_000 {
+		b.to(b.now.Add(time.Millisecond))
+		offer("small", 1)
+		if i%5 == 0 {
+			offer(fmt.Sprint("once-", i), 0.1)
+		}
+		if again {
+			again = false
+			offer("large", 100)
+		}
+	}
+	assert.Assert(t, got["large"] < 1.1*got["small"], "large got %g, small %g", got["large"], got["small"])
+}
+
 // A hundred thousand teams come once each while one team always waits. What is
 // kept of them is bounded by those that wait or were just served.
 func TestMemoryFollowsTheTeamsThatWait(t *testing.T) {
