--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -350,29 +350,25 @@
 	assert.Equal(t, served["a"], 10)
 }
 
-// A team sends one large work at a time, each once the last has started, so that it
-// never waits twice. Its tag is kept while other teams come and go: it gets its
-// even part, and not a fresh start each time that idle teams are forgotten.
+// A team sends one large work at a time, each once the last has ended, so that it
+// never has two. Its tag is kept while other teams come and go: it gets its even
+// part, and not a fresh start each time that idle teams are forgotten.
 func TestLargeWorkOneAtATimeGetsNoMoreThanItsPart(t *testing.T) {
 	b := newBench(NewGate(Settings{Slots: 1, MaxQueue: 1000}), 0)
-	b.length = func(w *Work) time.Duration { return time.Duration(w.Cost) * time.Millisecond }
+	b.length = func(w *Work) time.Duration { return time.Duration(w.Cost * float64(time.Millisecond)) }
 	got := map[string]float64{}
-	again := false
-	b.begun = func(w *Work) {
-		got[w.Team] += w.Cost
-		again = again || w.Team == "large"
-	}
-	offer := func(team string, cost float64) { _ = b.offer(&Work{Team: team, Cost: cost, Priority: normal}) }
-	offer("large", 100)
-	for i := range 20_000 {
+	b.begun = func(w *Work) { got[w.Team] += w.Cost }
+	large := &Work{Team: "large", Cost: 100, Priority: normal}
+	assert.NilError(t, b.offer(large))
+	for i := range 40_000 {
 		b.to(b.now.Add(time.Millisecond))
-		offer("small", 1)
-		if i%5 == 0 {
-			offer(fmt.Sprint("once-", i), 0.1)
+		_ = b.offer(&Work{Team: "small", Cost: 1, Priority: normal})
+		for k := range 4 {
+			_ = b.offer(&Work{Team: fmt.Sprint("once-", i, k), Cost: 0.01, Priority: normal})
 		}
-		if again {
-			again = false
-			offer("large", 100)
+		if large.state == stateOver {
+			large = &Work{Team: "large", Cost: 100, Priority: normal}
+			assert.NilError(t, b.offer(large))
 		}
 	}
 	assert.Assert(t, got["large"] < 1.1*got["small"], "large got %g, small %g", got["large"], got["small"])
