--- a/admit/share.go
+++ b/admit/share.go
@@ -312,7 +312,7 @@
 	}
 	o := othersOf(now, byEntry, entry)
 	p := pool(limit)
-	o.turn = turn(now.Sub(h.open), limit.Requests)
+	o.turn = turnAt(now.Sub(h.open), limit.Requests)
 	a := Amounts{
 		Requests:   o.portion(p.Requests, o.used.Requests, requestUnit(limit.Requests), false, d, requestsOf),
 		Tokens:     o.portion(p.Tokens, o.used.Tokens, 0, false, d, tokensOf),
@@ -334,10 +334,10 @@
 	return Share{Amounts: a, Epoch: h.epoch, Burst: burst(limit.Requests, a.Requests), Hold: hold}
 }
 
-// turn counts the turns since the home began. The whole of a limit below one
+// turnAt counts the turns since the home began. The whole of a limit below one
 // request a second is held for two requests at least: what was saved up towards
 // one is lost with the share.
-func turn(since time.Duration, limit float64) int {
+func turnAt(since time.Duration, limit float64) int {
 	length := max(turnTime.Seconds(), 2/limit)
 	return int(since.Seconds() / length)
 }
--- a/control/share.go
+++ b/control/share.go
@@ -19,6 +19,8 @@
 type shareHome struct {
 	home *admit.Home
 	term uint64
+	// homes counts the homes of this process.
+	homes int
 	// view is the table's typed view at a revision.
 	view *table.View
 	// holds is followed by every replica, and not only by a leader: the next
@@ -35,8 +37,11 @@
 	}
 	// The term, and not only the sampled role, tells one leadership from the
 	// next: a process that stalled may have missed another leader in between.
+	// A lease that lapses and is renewed makes a second home in one term; with the
+	// name of the first, its epochs would be taken for those of the first.
 	if st := r.node.Status(); r.shares.home == nil || r.shares.term != st.Term {
-		r.shares.home = admit.NewHome(time.Now(), fmt.Sprintf("%s@%d", st.ID, st.Term))
+		r.shares.homes++
+		r.shares.home = admit.NewHome(time.Now(), fmt.Sprintf("%s@%d.%d", st.ID, st.Term, r.shares.homes))
 		r.shares.term = st.Term
 	}
 }
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -38,6 +38,9 @@
 // OperatorKey is the bearer key of the operator that the quickstart makes.
 const OperatorKey = "quickstart-operator"
 
+// planPeriod is shorter than the default, for a laptop's patience.
+const planPeriod = 2 * time.Second
+
 const secret = "quickstart cluster secret"
 
 // Options of a quickstart.
@@ -54,6 +57,15 @@
 	// EntrySlots is how many requests an entry carries at once; the default of
 	// an entry's settings if zero.
 	EntrySlots int
+	// Planner makes the engines one lock-step group whose row names this
+	// placement plug-in; empty is no group.
+	Planner string
+	// PlainSlots is how many requests a plain service and its agent run at
+	// once; 32 if zero. At least as many again may wait at the agent.
+	PlainSlots int
+	// PlainWork is the time of one request at a plain service; 1 ms if zero,
+	// none if negative.
+	PlainWork time.Duration
 }
 
 // System is a running quickstart.
@@ -62,13 +74,18 @@
 	Agents  []*agent.Agent
 	Engines []*fake.Engine
 	Plains  []*fake.Plain
+	// Group is the engines' group, or nil.
+	Group *fake.Group
 
 	opts    Options
+	cancel  context.CancelFunc
 	dir     string
 	members []string
 	pool    *transport.Pool
 }
 
+const defaultPlainSlots = 32
+
 var domains = []string{"hall-a", "hall-b", "hall-c"}
 
 // Rows returns the built-in rows: one team, an engine service and an urgent
@@ -93,9 +110,18 @@
 	if opts.Plains == 0 {
 		opts.Plains = 1
 	}
+	if opts.PlainSlots == 0 {
+		opts.PlainSlots = defaultPlainSlots
+	}
+	if opts.PlainWork == 0 {
+		opts.PlainWork = time.Millisecond
+	}
 	if opts.Rows == "" {
 		opts.Rows = Rows()
 	}
+	if opts.Planner != "" {
+		opts.Rows += groupRow(opts)
+	}
 	dir, err := os.MkdirTemp("", "snipereach-quickstart-")
 	if err != nil {
 		return nil, err
@@ -115,8 +141,11 @@
 	if err := s.putRows(ctx); err != nil {
 		return err
 	}
+	var groupCtx context.Context
+	groupCtx, s.cancel = context.WithCancel(ctx)
+	s.startGroup(groupCtx)
 	for i := range s.opts.Engines {
-		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond}
+		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond, Group: s.Group, Rank: i}
 		if err := e.Start(); err != nil {
 			return err
 		}
@@ -126,7 +155,7 @@
 		}
 	}
 	for i := range s.opts.Plains {
-		p := &fake.Plain{Server: fake.Server{Slots: 32}, Work: time.Millisecond}
+		p := &fake.Plain{Server: fake.Server{Slots: s.opts.PlainSlots}, Work: max(s.opts.PlainWork, 0)}
 		if err := p.Start(); err != nil {
 			return err
 		}
@@ -175,6 +204,7 @@
 	ctl.DataDir = filepath.Join(s.dir, set.ID)
 	ctl.Members = s.members
 	ctl.FormCluster = true
+	ctl.Groups.PlanPeriod = kernel.Duration(planPeriod)
 	set.Control = &ctl
 	if s.opts.Keep > 0 {
 		set.Keep = kernel.Duration(s.opts.Keep)
@@ -227,7 +257,11 @@
 	set.Pools = []string{pool}
 	set.Upstream = map[string]any{"url": url}
 	if kind == "plain" {
-		set.Slots = 32
+		set.Slots = s.opts.PlainSlots
+		set.MaxQueue = max(set.MaxQueue, set.Slots)
+	}
+	if kind == "engine" && s.Group != nil {
+		set.Group, set.Rank = s.Group.Name, uint32(i)
 	}
 	set.AnnounceTo = s.members
 	a, err := agent.New(set, s.opts.Log)
@@ -280,12 +314,19 @@
   curl -s -X POST http://%[1]s/services/clock-core/lots/17/confirm -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: bid-17' -d '{}'
   curl -s http://%[1]s/v1/chat/completions -H 'Authorization: Bearer wrong' -d '{}'
 
+Operators' page: http://%[3]s/ with the key %[4]s, or
+  export SNIPEREACH_SERVER=http://%[3]s SNIPEREACH_KEY=%[4]s
+  go run ./cmd/snipereachctl status
+
 Stop with Ctrl-C.
-`, addr, TeamKey)
+`, addr, TeamKey, s.Entries[0].OperatorAddress(), OperatorKey)
 }
 
 // Stop ends everything at once and removes the folder.
 func (s *System) Stop() {
+	if s.cancel != nil {
+		s.cancel()
+	}
 	for _, e := range s.Entries {
 		e.Stop()
 	}
--- a/table/schema.go
+++ b/table/schema.go
@@ -21,6 +21,9 @@
 	KindGroup   = "group"
 )
 
+// ColumnKeySHA256 holds digests of a team's bearer keys; it is not shown to callers.
+const ColumnKeySHA256 = "key_sha256"
+
 // Errors of this layer.
 var (
 	ErrUnknownKind   = merry.Sentinel("unknown row kind")
@@ -97,7 +100,7 @@
 // Schema lists the columns of each kind, in the order operators see them.
 var Schema = map[string][]Column{
 	KindTeam: {
-		{Name: "key_sha256", Doc: "digests of the team's bearer keys", check: sha256List},
+		{Name: ColumnKeySHA256, Doc: "digests of the team's bearer keys", check: sha256List},
 		{Name: "max_priority", Default: "normal", Doc: "highest priority the team may ask for", check: priorities},
 		{Name: "contact", Doc: "whom to ask", check: anyText},
 	},
@@ -136,6 +139,9 @@
 		{Name: "planner", Default: "incremental", Doc: "placement plug-in", check: nonEmpty},
 		{Name: "skew_weight", Default: "1", Doc: "weight of time lost to the busiest rank", check: floatBetween(0, 1e6)},
 		{Name: "move_weight", Default: "1", Doc: "weight of moving an expert", check: floatBetween(0, 1e6)},
+		{Name: "expert_bytes", Default: "25000000", Unit: "bytes", Doc: "weights of one expert in one layer", check: floatBetween(1, 1e13)},
+		{Name: "store_bytes_per_second", Default: "1000000000", Unit: "bytes/s", Doc: "rate of the weight store", check: floatBetween(1, 1e13)},
+		{Name: "step_us", Default: "5000", Unit: "us", Doc: "time of a step when all ranks are even", check: intBetween(1, 60_000_000)},
 		{Name: "paused", Default: "no", Doc: "yes stops rebalancing", check: oneOf("yes", "no")},
 	},
 }
