--- a/admit/limiter.go
+++ b/admit/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 )
 
@@ -185,6 +186,39 @@
 	return loc != nil && now.Before(loc.until)
 }
 
+// LocalState is one subject of an entry in a dump. -1 is no limit.
+type LocalState struct {
+	Team       string  `json:"team"`
+	Service    string  `json:"service"`
+	Requests   float64 `json:"share_requests_per_second"`
+	Tokens     float64 `json:"share_tokens_per_second"`
+	Concurrent float64 `json:"share_concurrent"`
+	Running    int     `json:"running"`
+	// Granted is how long the grant still lasts; 0 leaves the floor alone.
+	Granted int64  `json:"granted_ms"`
+	Home    string `json:"home"`
+}
+
+// Dump lists the subjects that this entry has a part of.
+func (l *Limiter) Dump(now time.Time) []LocalState {
+	list := []LocalState{}
+	for s, loc := range l.subjects {
+		share := loc.share(now)
+		list = append(list, LocalState{
+			Team: s.Team, Service: s.Service, Requests: finite(share.Requests), Tokens: finite(share.Tokens),
+			Concurrent: finite(share.Concurrent), Running: loc.running,
+			Granted: max(loc.until.Sub(now).Milliseconds(), 0), Home: loc.home,
+		})
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].Team != list[j].Team {
+			return list[i].Team < list[j].Team
+		}
+		return list[i].Service < list[j].Service
+	})
+	return list
+}
+
 // idleRate is the rate of requests below which a subject asks for no share.
 const idleRate = 0.05
 
--- a/control/members.go
+++ b/control/members.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/snipereach/snipereach/admit"
 	"github.com/snipereach/snipereach/consensus"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -109,7 +110,9 @@
 		Formed   bool   `json:"formed"`
 		Revision uint64 `json:"revision"`
 		Failed   string `json:"failed,omitempty"`
-	}{r.node.Status(), r.machine.formed, r.machine.table.Revision(), errText(r.failed)}
+		// Shares are the parts of limits that a leader has granted.
+		Shares []admit.SubjectState `json:"shares,omitempty"`
+	}{r.node.Status(), r.machine.formed, r.machine.table.Revision(), errText(r.failed), r.shares.dump()}
 }
 
 func errText(err error) string {
--- a/control/share.go
+++ b/control/share.go
@@ -46,6 +46,13 @@
 	}
 }
 
+func (s *shareHome) dump() []admit.SubjectState {
+	if s.home == nil {
+		return nil
+	}
+	return s.home.Dump(time.Now())
+}
+
 // Share implements the Control service. Only a leader with a live lease grants:
 // two homes at once would each divide the whole limit.
 func (s *service) Share(ctx context.Context, req *wire.ShareRequest) (*wire.ShareReply, error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -118,6 +118,7 @@
 		return nil, err
 	}
 	e.dumps.Add("entry", e.dump)
+	e.dumps.Add("limits", e.limits.dump)
 	e.registerGauges()
 	e.dumps.Add("directory", e.node.Dump)
 	e.client = control.NewClient(e.pool, s.replicas(), s.ID)
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -211,6 +211,12 @@
 	}
 }
 
+func (l *limits) dump() any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lim.Dump(time.Now())
+}
+
 func concurrent(n uint32) float64 {
 	if n == math.MaxUint32 {
 		return math.Inf(1)
