--- a/measure/admit/queues.go
+++ b/measure/admit/queues.go
@@ -44,6 +44,8 @@
 	{"malanad", [24]float64{.2, .2, .3, .8, 1.8, 2.2, 2.2, 1.9, 1.4, 1.1, 1, 1, 1.2, 1.5, 1.6, 1.3, 1, .8, .6, .5, .4, .3, .3, .2}},
 	// Shifts that begin at seven and at nineteen, and a cold snap in the night.
 	{"karaganda", [24]float64{.6, .6, 1.6, 1.8, 1.4, .8, 1.2, 2, 1.6, 1.2, 1, .9, .9, 1, 1, .9, .8, .9, 1.2, 1.6, 1, .7, .6, .6}},
+	// Without hours in which everybody is served, fairness shows.
+	{"flat", [24]float64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1}},
 }
 
 // weight and demand of a team: two are large, and their weights don't match.
@@ -223,7 +225,9 @@
 // admit queues a request at an entry that its caller chose.
 func (m *model) admit(r *request) {
 	m.came[r.class]++
-	m.offered[r.team] += r.run.Seconds()
+	if r.class == wire.Priority_PRIORITY_NORMAL {
+		m.offered[r.team] += r.run.Seconds()
+	}
 	if m.policy.global {
 		m.toEngine(r)
 		return
@@ -279,7 +283,7 @@
 
 func (m *model) begin(r *request) {
 	_ = m.waits[r.class].RecordValue(max(m.now.Sub(r.came).Microseconds(), 1))
-	if r.class != wire.Priority_PRIORITY_URGENT {
+	if r.class == wire.Priority_PRIORITY_NORMAL {
 		m.served[r.team] += r.run.Seconds()
 	}
 	m.after(r.run, func() {
@@ -313,7 +317,7 @@
 	return sum * sum / (float64(len(x)) * squares)
 }
 
-// weighted is what each team was served, over its max-min fair part by weight of
+// weighted is what each team was served in the normal class, over its max-min fair part by weight of
 // the same total: 1 for each team is what the weights ask for.
 func (m *model) weighted() []float64 {
 	total := 0.0
