Show led groups in the state dump

Cause: a process's dump said nothing of the groups that its replica leads.

Change: token, epoch, switch, phase and ranks of each, without the maps.

Measured: go test ./quickstart ./control -run 'Entry|Operator|Leader|Slow' passes.

--- a/control/control.go
+++ b/control/control.go
@@ -287,7 +287,8 @@
 	d := struct {
 		Identity *wire.Identity `json:"identity"`
 		Replica  any            `json:"replica,omitempty"`
-	}{Identity: c.currentIdentity()}
+		Groups   []groupDump    `json:"groups,omitempty"`
+	}{Identity: c.currentIdentity(), Groups: c.groups.dump()}
 	if r := c.current(); r != nil {
 		_ = r.do(ctx, func() { d.Replica = r.dump() })
 	}
--- a/control/groupservice.go
+++ b/control/groupservice.go
@@ -43,6 +43,36 @@
 	return list
 }
 
+// groupDump is a group that this replica leads, for a state dump; without its maps,
+// which are long.
+type groupDump struct {
+	Group   string           `json:"group"`
+	Token   uint64           `json:"token"`
+	Epoch   uint64           `json:"epoch"`
+	Switch  uint64           `json:"switch,omitempty"`
+	Phase   string           `json:"phase,omitempty"`
+	Step    uint64           `json:"step,omitempty"`
+	Pinned  uint64           `json:"pinned,omitempty"`
+	Error   string           `json:"error,omitempty"`
+	Windows uint64           `json:"windows"`
+	Ranks   []*wire.RankView `json:"ranks"`
+}
+
+func (g *groupLeader) dump() []groupDump {
+	var list []groupDump
+	for _, v := range g.views("") {
+		d := groupDump{Group: v.Group, Token: v.Token, Error: v.Error, Windows: v.Windows, Ranks: v.Ranks}
+		if s := v.State; s != nil {
+			d.Epoch, d.Pinned = s.Map.Epoch, s.Pinned
+			if sw := s.Switch; sw != nil {
+				d.Switch, d.Phase, d.Step = sw.Map.Epoch, sw.Phase.String(), sw.Step
+			}
+		}
+		list = append(list, d)
+	}
+	return list
+}
+
 // GroupMaps implements the Control service. It reads this replica's own state, so
 // that an agent that can't reach the leader learns of decisions.
 func (s *service) GroupMaps(ctx context.Context, req *wire.GroupsRequest) (*wire.GroupState, error) {
--- a/quickstart/group_test.go
+++ b/quickstart/group_test.go
@@ -102,6 +102,8 @@
 		return epochOf(cols) > 0 && strings.HasPrefix(cols[3], "switching")
 	})
 	before := epochOf(cols)
+	state, _ := operate(t, s, leaderOf(t, s), "dump")
+	assert.Assert(t, strings.Contains(state, `"group": "`+GroupName+`"`), state)
 	dead := leaderOf(t, s)
 	s.Entries[dead].Stop()
 	other := (dead + 1) % 3
