--- a/measure/rollout/main.go
+++ b/measure/rollout/main.go
@@ -15,6 +15,7 @@
 type options struct {
 	Switches int           `long:"switches" default:"200" description:"switches of each case in virtual time"`
 	Real     time.Duration `long:"real" default:"15s" description:"time of the run over sockets; 0 leaves it out"`
+	Ranks    int           `long:"ranks" default:"8" description:"ranks of the run over sockets"`
 }
 
 func main() {
@@ -25,7 +26,7 @@
 	virtual(o.Switches)
 	sizes()
 	if o.Real > 0 {
-		if err := overSockets(o.Real); err != nil {
+		if err := overSockets(o.Real, o.Ranks); err != nil {
 			fmt.Fprintln(os.Stderr, "rollout:", err)
 			os.Exit(1)
 		}
--- a/measure/rollout/real.go
+++ b/measure/rollout/real.go
@@ -36,10 +36,10 @@
 	return d
 }
 
-// overSockets runs the quickstart with a group of eight ranks.
-func overSockets(d time.Duration) error {
+// overSockets runs the quickstart with a group of some ranks.
+func overSockets(d time.Duration, ranks int) error {
 	ctx := context.Background()
-	sys, err := quickstart.Start(ctx, quickstart.Options{Log: log.NewNopLogger(), Engines: 8, Planner: "measure-rotate"})
+	sys, err := quickstart.Start(ctx, quickstart.Options{Log: log.NewNopLogger(), Engines: ranks, Planner: "measure-rotate"})
 	if err != nil {
 		return err
 	}
@@ -49,7 +49,7 @@
 	}
 	time.Sleep(d)
 	h := sys.Group.History()
-	fmt.Printf("\nOver sockets, 8 ranks, in %v: %d steps, %d switches, %d steps with two maps, %v lost in all, %v at most at once.\n",
-		d, h.Steps, max(len(h.Epochs)-1, 0), h.Mixed, h.Lost.Round(time.Millisecond), h.Blocked.Round(time.Millisecond))
+	fmt.Printf("\nOver sockets, %d ranks, in %v: %d steps, %d switches, %d steps with two maps, %v lost in all, %v at most at once.\n",
+		ranks, d, h.Steps, max(len(h.Epochs)-1, 0), h.Mixed, h.Lost.Round(time.Millisecond), h.Blocked.Round(time.Millisecond))
 	return nil
 }
