Let a test of a leaving caller tell its request from the agent's load calls

Cause: the test's upstream took the agent's own load call for the caller's request and cancelled before it was sent; it failed one run in two.

--- a/agent/relay_test.go
+++ b/agent/relay_test.go
@@ -153,9 +153,15 @@
 func TestCallerThatLeavesCancelsUpstream(t *testing.T) {
 	began, left := make(chan struct{}, 1), make(chan struct{})
 	r := newRelay(t, func(w http.ResponseWriter, q *http.Request) {
-		if q.URL.Path == "/next" {
+		switch q.URL.Path {
+		case "/next":
 			_, _ = io.WriteString(w, "mine")
 			return
+		case "/wait":
+		default:
+			// The agent asks for the load by itself; that is no request of a caller.
+			http.NotFound(w, q)
+			return
 		}
 		_, _ = io.Copy(io.Discard, q.Body)
 		began <- struct{}{}
