Relay the directory between control replicas, and vouch in place of renewals

Cause: agents and entries announced to every control replica, and a watcher was sent every instance's renewals; at 5,500 upstreams and 2,000 entries both grow with everything at once.

Change: an announcement goes to two replicas (own failure domain first, then by rendezvous hash, another one when one doesn't answer). Replicas follow each other's own announcers, other entries follow one replica. A sender vouches for what it has not withdrawn with one short message; the entries' revisions are summarised.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,6 +16,7 @@
 
 	"github.com/snipereach/snipereach/admit"
 	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/upstream"
@@ -44,6 +45,7 @@
 	metrics     metrics.Registry
 	dumps       kernel.Dumps
 	cancel      context.CancelFunc
+	announcer   *directory.Announcer
 	load        atomic.Pointer[wire.Load]
 	loadSeq     atomic.Uint64
 }
@@ -72,6 +74,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		attempts:    newAttempts(),
 	}
+	a.announcer = directory.NewAnnouncer(directory.NewTargets(s.ID, s.FailureDomain, s.AnnounceTo), a.pool.Conn, time.Now)
 	a.orders = newOrders(control.NewClient(a.pool, s.AnnounceTo, s.ID))
 	a.dumps.Add("agent", a.dump)
 	return a, wire.DRPCRegisterAgent(a.srv.Mux, service{a})
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/wire"
 )
 
-// announceTimeout bounds one announcement, so that a silent replica doesn't
-// hold up the others.
-const announceTimeout = time.Second
-
 func (a *Agent) announceLoop(ctx context.Context) {
 	tick := time.NewTicker(a.settings.AnnounceInterval.D())
 	defer tick.Stop()
@@ -30,17 +25,14 @@
 	}
 }
 
+// announceAll announces to the control replicas that this agent uses; they tell
+// the others.
 func (a *Agent) announceAll(ctx context.Context, phase wire.Phase) {
-	msg := a.announcement(phase)
-	var wg sync.WaitGroup
-	for _, addr := range a.settings.AnnounceTo {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			a.announce(ctx, addr, msg)
-		}()
+	for addr, reply := range a.announcer.Announce(ctx, a.announcement(phase)) {
+		if reply.Superseded {
+			kernel.Warn(a.log, "A later life of this ID is known. Is the ID used twice?", "id", a.settings.ID, "told_by", addr)
+		}
 	}
-	wg.Wait()
 }
 
 func (a *Agent) announcement(phase wire.Phase) *wire.Announcement {
@@ -54,19 +46,6 @@
 	}
 }
 
-func (a *Agent) announce(ctx context.Context, addr string, msg *wire.Announcement) {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	reply, err := wire.NewDRPCDirectoryClient(a.pool.Conn(ctx, addr)).Announce(ctx, msg)
-	if err != nil {
-		kernel.Debug(a.log, "Announcement failed.", "to", addr, "err", err)
-		return
-	}
-	if reply.Superseded {
-		kernel.Warn(a.log, "A later life of this ID is known. Is the ID used twice?", "id", a.settings.ID, "told_by", addr)
-	}
-}
-
 // pollLoad asks the upstream for its load between announcements.
 func (a *Agent) pollLoad(ctx context.Context) {
 	tick := time.NewTicker(a.settings.AnnounceInterval.D())
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -94,6 +94,7 @@
 	d.dumps.Add("control", d.control.Dump)
 	d.dumps.Add("directory", d.node.Dump)
 	d.control.SetEntries(d.node.RingMembers)
+	d.node.SetReplicas(d.control.DirectoryReplicas)
 	if err := d.control.Register(d.srv.Mux); err != nil {
 		return nil, err
 	}
@@ -114,6 +115,7 @@
 	if err := d.control.Start(ctx, place); err != nil {
 		return err
 	}
+	d.node.FollowPeers(ctx, d.settings.Control.Members, d.address(), d.pool.Conn, d.settings.ID)
 	kernel.Info(d.log, "Listening.", "id", d.settings.ID, "addr", lis.Addr())
 	return d.startOperators()
 }
--- a/control/peers.go
+++ b/control/peers.go
@@ -130,3 +130,19 @@
 		}
 	}
 }
+
+// DirectoryReplicas lists the replicas of the log, which also take
+// announcements, with their failure domains.
+func (c *Control) DirectoryReplicas(ctx context.Context) []*wire.DirectoryReplica {
+	r := c.current()
+	if r == nil {
+		return nil
+	}
+	var list []*wire.DirectoryReplica
+	_ = r.do(ctx, func() {
+		for _, p := range r.node.Peers() {
+			list = append(list, &wire.DirectoryReplica{Address: p.Address, FailureDomain: p.FailureDomain})
+		}
+	})
+	return list
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -7,6 +7,7 @@
 package directory
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -30,6 +31,9 @@
 	// SettleShare is the share of formerly known instances that ends settling
 	// early once they have announced themselves.
 	SettleShare float64
+	// VouchLease is how long the word of a source that fell silent holds for the
+	// instances that it vouched for.
+	VouchLease time.Duration
 }
 
 // DefaultSettings are those of a daemon with no [directory] section.
@@ -40,6 +44,7 @@
 		Tombstone:    10 * time.Minute,
 		SettleTime:   10 * time.Second,
 		SettleShare:  0.9,
+		VouchLease:   4 * time.Second,
 	}
 }
 
@@ -49,10 +54,14 @@
 	*wire.Announcement
 	// Heard is when the announcement reached its origin, by this process's clock.
 	Heard time.Time
-	// Expires is when its lease ends.
+	// Expires is when the lease of the announcement itself ends. The instance
+	// lives on while a source vouches for it.
 	Expires time.Time
-	// Local says that the instance announced to this process itself.
-	Local bool
+	// localUntil is when the lease of what it announced to this process itself
+	// ends; zero if it never did.
+	localUntil time.Time
+	// holders are the sources that vouch for this life.
+	holders []*Source
 	// before is the announcement of an instance whose lease ran out here. It may
 	// have been heard elsewhere all the time, behind a watch that stalled.
 	before *wire.Announcement
@@ -61,6 +70,18 @@
 // Up says whether the instance takes new work.
 func (i *Instance) Up() bool { return i.Phase == wire.Phase_PHASE_UP }
 
+// alive says whether anything speaks for the instance now.
+func (i *Instance) alive(now time.Time) bool {
+	if !now.After(i.Expires) {
+		return true
+	}
+	return slices.ContainsFunc(i.holders, func(s *Source) bool { return s.valid(now) })
+}
+
+// expired says whether the instance is gone because nothing spoke for it, and
+// not by its own word.
+func (i *Instance) expired() bool { return i.before != nil }
+
 // State is a directory. It is not safe for use by several goroutines.
 type State struct {
 	settings  Settings
@@ -68,7 +89,11 @@
 	started   time.Time
 	settled   bool
 	// known is how many instances were known before the start.
-	known int
+	known   int
+	sources []*Source
+	changes changeLog
+	// revisions counts changes of the entries' table revisions.
+	revisions uint64
 }
 
 // New makes a directory at a process's start. known is the number of instances
@@ -80,53 +105,71 @@
 		started:   now,
 		settled:   settings.SettleTime == 0,
 		known:     known,
+		changes:   newChangeLog(),
 	}
 }
 
 // Announce takes an announcement heard age ago. It returns whether it changed
 // the instance (beyond renewing its lease) and whether a later incarnation has
-// superseded the sender.
+// superseded the sender. local says that it was made to this process itself.
 func (s *State) Announce(now time.Time, a *wire.Announcement, age time.Duration, local bool) (changed, superseded bool) {
+	return s.take(now, a, age, local, nil)
+}
+
+func (s *State) take(now time.Time, a *wire.Announcement, age time.Duration, local bool, src *Source) (changed, superseded bool) {
 	old := s.instances[a.Id]
 	if old != nil && old.Incarnation > a.Incarnation {
 		return false, true
 	}
+	sameLife := old != nil && old.Incarnation == a.Incarnation
 	// A late or doubled message of the same life would undo a later one, for
 	// example bring a leaving upstream back up; the sequence number stops it.
-	if old != nil && old.Incarnation == a.Incarnation && old.Seq >= a.Seq {
-		return false, false
+	if sameLife && old.Seq >= a.Seq {
+		return s.hold(now, old, a, src), false
 	}
 	heard := now.Add(-age)
-	inst := &Instance{Announcement: a, Heard: heard, Expires: heard.Add(s.lease(a)), Local: local}
+	inst := &Instance{Announcement: a, Heard: heard, Expires: heard.Add(s.lease(a))}
+	if local {
+		inst.localUntil = inst.Expires
+	}
+	if sameLife {
+		s.keep(inst, old)
+	}
+	if src != nil && a.Phase != wire.Phase_PHASE_GONE {
+		inst.addHolder(src)
+	}
+	if old == nil || old.Revision != inst.Revision {
+		s.revisions++
+	}
 	s.instances[a.Id] = inst
-	return old == nil || !sameButForLoad(old.Announcement, a), false
+	changed = old == nil || !sameButForLoad(old.Announcement, a)
+	becameLocal := old != nil && old.localUntil.IsZero() && local
+	if changed || becameLocal {
+		s.changes.touch(a.Id)
+	}
+	return changed, false
 }
 
-// Renew extends the lease of an unchanged instance. It returns false if the
-// instance isn't known as the renewal means it.
-func (s *State) Renew(now time.Time, r *wire.Renewal) bool {
-	old := s.instances[r.Id]
-	if old == nil || old.Incarnation != r.Incarnation || old.Seq > r.Seq {
-		return false
+// keep carries over what a later announcement of the same life doesn't replace.
+func (s *State) keep(inst, old *Instance) {
+	inst.holders = old.holders
+	if inst.localUntil.IsZero() {
+		inst.localUntil = old.localUntil
 	}
-	if old.Phase == wire.Phase_PHASE_GONE {
-		if old.before == nil || old.Seq == r.Seq {
-			return false
-		}
-		old = &Instance{Announcement: old.before, Heard: old.Heard, Local: old.Local}
+	if old.Expires.After(inst.Expires) {
+		inst.Expires = old.Expires
 	}
-	heard := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
-	if heard.Before(old.Heard) && old.Phase != wire.Phase_PHASE_GONE && s.instances[r.Id] == old {
-		return true
+	// Revisions only grow within a life; the announcement of a source that lags
+	// must not lower the one that is known.
+	if old.Revision > inst.Revision {
+		inst.Announcement = withRevision(inst.Announcement, old.Revision)
 	}
-	next := *old
-	next.Announcement = proto.Clone(old.Announcement).(*wire.Announcement)
-	next.Seq = r.Seq
-	next.Revision = r.Revision
-	next.Heard = heard
-	next.Expires = heard.Add(s.lease(old.Announcement))
-	s.instances[r.Id] = &next
-	return true
+}
+
+func withRevision(a *wire.Announcement, revision uint64) *wire.Announcement {
+	c := proto.Clone(a).(*wire.Announcement)
+	c.Revision = revision
+	return c
 }
 
 func (s *State) lease(a *wire.Announcement) time.Duration {
@@ -137,12 +180,13 @@
 	return min(d, s.settings.MaxLease)
 }
 
+// sameButForLoad compares what watchers are told of. It is called for every
+// renewal, so it compares field by field.
 func sameButForLoad(a, b *wire.Announcement) bool {
-	x, y := proto.Clone(a).(*wire.Announcement), proto.Clone(b).(*wire.Announcement)
-	x.Seq, y.Seq = 0, 0
-	x.Load, y.Load = nil, nil
-	x.Revision, y.Revision = 0, 0
-	return proto.Equal(x, y)
+	return a.Id == b.Id && a.Incarnation == b.Incarnation && a.Role == b.Role && a.Phase == b.Phase &&
+		a.FailureDomain == b.FailureDomain && a.Address == b.Address && a.CallerAddress == b.CallerAddress &&
+		slices.Equal(a.Pools, b.Pools) && a.Kind == b.Kind && a.Group == b.Group && a.Rank == b.Rank &&
+		a.LeaseMs == b.LeaseMs && a.Listed == b.Listed
 }
 
 // Settled says whether the directory may declare instances gone.
@@ -161,28 +205,51 @@
 
 // Tick ends leases that have run out and returns the instances that changed.
 func (s *State) Tick(now time.Time) []*Instance {
-	if !s.Settled(now) {
+	s.dropSources(now)
+	if !s.Settled(now) || s.onlyUnsettledSources(now) {
 		return nil
 	}
 	var changed []*Instance
 	for id, inst := range s.instances {
-		if inst.Phase != wire.Phase_PHASE_GONE && now.After(inst.Expires) {
+		if inst.Phase == wire.Phase_PHASE_GONE {
+			if now.Sub(inst.Heard) > s.settings.Tombstone {
+				delete(s.instances, id)
+				s.changes.forget(id)
+			}
+			continue
+		}
+		if !inst.alive(now) {
 			gone := s.gone(inst, now)
 			s.instances[id] = gone
+			s.changes.touch(id)
+			s.revisions++
 			changed = append(changed, gone)
 			continue
 		}
-		if inst.Phase == wire.Phase_PHASE_GONE && now.Sub(inst.Heard) > s.settings.Tombstone {
-			delete(s.instances, id)
-		}
+		s.endLocal(id, inst, now)
 	}
 	return changed
 }
 
+// endLocal notes that an instance which others still vouch for no longer
+// announces to this process.
+func (s *State) endLocal(id string, inst *Instance, now time.Time) {
+	if inst.localUntil.IsZero() || !now.After(inst.localUntil) {
+		return
+	}
+	next := *inst
+	next.localUntil = time.Time{}
+	s.instances[id] = &next
+	s.changes.touch(id)
+	s.revisions++
+}
+
 func (s *State) gone(inst *Instance, now time.Time) *Instance {
 	a := proto.Clone(inst.Announcement).(*wire.Announcement)
 	a.Phase = wire.Phase_PHASE_GONE
-	return &Instance{Announcement: a, Heard: now, Expires: now, Local: inst.Local, before: inst.Announcement}
+	return &Instance{
+		Announcement: a, Heard: now, Expires: now, holders: inst.holders, before: inst.Announcement,
+	}
 }
 
 // Get returns an instance, or nil.
--- /dev/null
+++ b/directory/follow.go
@@ -0,0 +1,104 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"storj.io/drpc"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// errSettling ends a watch of a replica that has just started, where another
+// one may know more.
+var errSettling = merry.Sentinel("replica has just started")
+
+const (
+	redialDelay = 100 * time.Millisecond
+	// silentWatch is how long a watch may say nothing. A sender vouches every
+	// vouchInterval; behind a silent cut the connection doesn't break, and
+	// without a limit the watcher would wait until all leases have run out.
+	silentWatch = 3 * vouchInterval
+)
+
+// Follow copies what announces to another node until the context is done. Nodes
+// of control replicas follow each other so.
+func (n *Node) Follow(ctx context.Context, conn func(context.Context) drpc.Conn, req *wire.DirectoryWatchRequest) {
+	for ctx.Err() == nil {
+		_ = n.followOnce(ctx, conn(ctx), req, nil)
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialDelay):
+		}
+	}
+}
+
+// FollowPeers follows the other control replicas, in the background. Each is
+// asked only for what announced to it itself.
+func (n *Node) FollowPeers(ctx context.Context, replicas []string, own string, dial Dial, watcher string) {
+	for _, addr := range replicas {
+		if addr == own {
+			continue
+		}
+		conn := func(ctx context.Context) drpc.Conn { return dial(ctx, addr) }
+		go n.Follow(ctx, conn, &wire.DirectoryWatchRequest{Watcher: watcher, LocalOnly: true})
+	}
+}
+
+// FollowOne copies the whole directory of one of the replicas until the context
+// is done, and goes to another one when that falls silent or has just started.
+// What the earlier one vouched for is held meanwhile, for Settings.VouchLease.
+func (n *Node) FollowOne(ctx context.Context, targets *Targets, dial Dial, watcher string) {
+	req := &wire.DirectoryWatchRequest{Watcher: watcher}
+	for ctx.Err() == nil {
+		addr := targets.Pick(n.now(), 1)[0]
+		_ = n.followOnce(ctx, dial(ctx, addr), req, func(u *wire.DirectoryUpdate) error {
+			if u.Settling && targets.Others(addr, n.now()) {
+				return errSettling
+			}
+			return nil
+		})
+		targets.Failed(addr, n.now())
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialDelay):
+		}
+	}
+}
+
+// followOnce follows one watch to its end, or until check returns an error.
+func (n *Node) followOnce(ctx context.Context, conn drpc.Conn, req *wire.DirectoryWatchRequest, check func(*wire.DirectoryUpdate) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(silentWatch, cancel)
+	defer silence.Stop()
+	stream, err := wire.NewDRPCDirectoryClient(conn).Watch(ctx, req)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	src := &Source{}
+	for {
+		u, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		silence.Reset(silentWatch)
+		if n.apply(src, u) {
+			n.onChange()
+		}
+		if check == nil {
+			continue
+		}
+		if err := check(u); err != nil {
+			return err
+		}
+	}
+}
+
+func (n *Node) apply(src *Source, u *wire.DirectoryUpdate) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Apply(n.now(), src, u)
+}
--- a/directory/node.go
+++ b/directory/node.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"storj.io/drpc"
-
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -14,7 +12,9 @@
 const (
 	tickInterval  = 100 * time.Millisecond
 	watchInterval = 200 * time.Millisecond
-	redialDelay   = 300 * time.Millisecond
+	// vouchInterval is the longest time between two updates; a multiple of
+	// watchInterval.
+	vouchInterval = 400 * time.Millisecond
 )
 
 // Node drives a State for goroutines: it serves announcements and watches, and
@@ -24,6 +24,8 @@
 	state    *State
 	now      func() time.Time
 	onChange func()
+	// replicas lists the control replicas that take announcements; it may be nil.
+	replicas func(context.Context) []*wire.DirectoryReplica
 }
 
 // NewNode makes a node. onChange is called, outside any lock, after a change;
@@ -35,6 +37,10 @@
 	return &Node{state: New(s, now(), 0), now: now, onChange: onChange}
 }
 
+// SetReplicas tells where the node learns the control replicas and their failure
+// domains, for those that announce to it. It is called before the node serves.
+func (n *Node) SetReplicas(f func(context.Context) []*wire.DirectoryReplica) { n.replicas = f }
+
 // Run ends leases until the context is done.
 func (n *Node) Run(ctx context.Context) {
 	tick := time.NewTicker(tickInterval)
@@ -55,12 +61,16 @@
 }
 
 // Announce implements the Directory service.
-func (n *Node) Announce(_ context.Context, a *wire.Announcement) (*wire.AnnounceReply, error) {
+func (n *Node) Announce(ctx context.Context, a *wire.Announcement) (*wire.AnnounceReply, error) {
 	changed, superseded := n.take(a, 0, true)
 	if changed {
 		n.onChange()
 	}
-	return &wire.AnnounceReply{LeaseMs: a.LeaseMs, Superseded: superseded}, nil
+	reply := &wire.AnnounceReply{LeaseMs: a.LeaseMs, Superseded: superseded}
+	if a.AskReplicas && n.replicas != nil {
+		reply.Replicas = n.replicas(ctx)
+	}
+	return reply, nil
 }
 
 func (n *Node) take(a *wire.Announcement, age time.Duration, local bool) (changed, superseded bool) {
@@ -106,21 +116,26 @@
 	return n.state.Settled(n.now())
 }
 
-// Watch implements the Directory service.
+// Watch implements the Directory service: it sends the whole directory, then
+// what changes, and at least every vouchInterval a message that vouches for all
+// that has not changed.
 func (n *Node) Watch(req *wire.DirectoryWatchRequest, stream wire.DRPCDirectory_WatchStream) error {
 	tick := time.NewTicker(watchInterval)
 	defer tick.Stop()
-	sent := map[string]*Instance{}
-	first := true
+	view := &View{LocalOnly: req.LocalOnly}
+	var sent time.Time
 	for {
-		u := n.update(req.LocalOnly, sent)
-		u.Synced = first
-		if first || len(u.Entries)+len(u.Renewals) > 0 {
+		u, more := n.update(view)
+		now := n.now()
+		if more || worthSending(u) || now.Sub(sent) > vouchInterval-watchInterval/2 {
 			if err := stream.Send(u); err != nil {
 				return err
 			}
+			sent = now
+		}
+		if more {
+			continue
 		}
-		first = false
 		select {
 		case <-stream.Context().Done():
 			return nil
@@ -129,73 +144,14 @@
 	}
 }
 
-// update collects what a watcher has not been sent.
-func (n *Node) update(localOnly bool, sent map[string]*Instance) *wire.DirectoryUpdate {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := n.now()
-	u := &wire.DirectoryUpdate{Settling: !n.state.Settled(now)}
-	for _, inst := range n.state.All() {
-		if localOnly && !inst.Local {
-			continue
-		}
-		old := sent[inst.Id]
-		if old == inst {
-			continue
-		}
-		sent[inst.Id] = inst
-		age := uint32(max(now.Sub(inst.Heard), 0).Milliseconds())
-		if old != nil && old.Incarnation == inst.Incarnation && sameButForLoad(old.Announcement, inst.Announcement) {
-			u.Renewals = append(u.Renewals, &wire.Renewal{Id: inst.Id, Incarnation: inst.Incarnation, Seq: inst.Seq, AgeMs: age, Revision: inst.Revision})
-			continue
-		}
-		u.Entries = append(u.Entries, &wire.DirectoryEntry{Announcement: inst.Announcement, AgeMs: age})
-	}
-	return u
-}
-
-// Follow copies another node's directory until the context is done.
-func (n *Node) Follow(ctx context.Context, conn func(context.Context) drpc.Conn, req *wire.DirectoryWatchRequest) {
-	for ctx.Err() == nil {
-		_ = n.followOnce(ctx, conn(ctx), req)
-		select {
-		case <-ctx.Done():
-		case <-time.After(redialDelay):
-		}
-	}
-}
-
-func (n *Node) followOnce(ctx context.Context, conn drpc.Conn, req *wire.DirectoryWatchRequest) error {
-	stream, err := wire.NewDRPCDirectoryClient(conn).Watch(ctx, req)
-	if err != nil {
-		return err
-	}
-	defer stream.Close()
-	for {
-		u, err := stream.Recv()
-		if err != nil {
-			return err
-		}
-		if n.apply(u) {
-			n.onChange()
-		}
-	}
+func worthSending(u *wire.DirectoryUpdate) bool {
+	return u.Synced || len(u.Entries)+len(u.Withdrawn) > 0 || u.Revision != 0
 }
 
-func (n *Node) apply(u *wire.DirectoryUpdate) bool {
+func (n *Node) update(v *View) (u *wire.DirectoryUpdate, more bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.now()
-	changed := false
-	for _, e := range u.Entries {
-		age := time.Duration(e.AgeMs) * time.Millisecond
-		c, _ := n.state.Announce(now, e.Announcement, age, false)
-		changed = changed || c
-	}
-	for _, r := range u.Renewals {
-		n.state.Renew(now, r)
-	}
-	return changed
+	return n.state.Update(n.now(), v)
 }
 
 type instanceDump struct {
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/snipereach/snipereach/wire"
 )
 
-const announceTimeout = time.Second
-
 func (e *Entry) announceLoop(ctx context.Context) {
 	tick := time.NewTicker(e.settings.AnnounceInterval.D())
 	defer tick.Stop()
@@ -28,20 +25,22 @@
 	}
 }
 
+// announceAll announces to this entry's own directory and to the control replicas
+// that it uses; they tell the others.
 func (e *Entry) announceAll(ctx context.Context, phase wire.Phase) {
 	msg := e.announcement(phase)
 	_, _ = e.node.Announce(ctx, msg)
-	var wg sync.WaitGroup
-	for _, addr := range e.settings.replicas() {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-			defer cancel()
-			_, _ = wire.NewDRPCDirectoryClient(e.pool.Conn(ctx, addr)).Announce(ctx, msg)
-		}()
+	e.announcer.Announce(ctx, msg)
+}
+
+// followDirectory keeps the entry's directory up to date. A control replica
+// hears what announces to each of the others; another entry follows one of them.
+func (e *Entry) followDirectory(ctx context.Context) {
+	if e.control == nil {
+		go e.node.FollowOne(ctx, e.targets, e.pool.Conn, e.settings.ID)
+		return
 	}
-	wg.Wait()
+	e.node.FollowPeers(ctx, e.settings.replicas(), e.InternalAddress(), e.pool.Conn, e.settings.ID)
 }
 
 func (e *Entry) announcement(phase wire.Phase) *wire.Announcement {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,7 +14,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
-	"storj.io/drpc"
 
 	"github.com/snipereach/snipereach/admit"
 	"github.com/snipereach/snipereach/claim"
@@ -60,6 +59,9 @@
 	watches                      *watches
 	cancel                       context.CancelFunc
 
+	// targets orders the control replicas that this entry uses.
+	targets   *directory.Targets
+	announcer *directory.Announcer
 	claims    *claim.Node
 	control   *control.Control
 	client    *control.Client
@@ -101,6 +103,8 @@
 	place := route.Place{Entry: s.ID, FailureDomain: s.FailureDomain, Seed: xxhash.Sum64String(s.ID)}
 	e.fwd = forward.New(e.pool, place, time.Now)
 	e.node = directory.NewNode(directory.DefaultSettings(), time.Now, e.refresh)
+	e.targets = directory.NewTargets(s.ID, s.FailureDomain, s.replicas())
+	e.announcer = directory.NewAnnouncer(e.targets, e.pool.Conn, time.Now)
 	e.watches = newWatches(e)
 	e.limits = newLimits(e)
 	e.claims = claim.NewNode(claim.DefaultRegisterSettings(), e.life(), e.pool.Conn, time.Now)
@@ -143,6 +147,7 @@
 	}
 	e.control = c
 	c.SetEntries(e.ringMembers)
+	e.node.SetReplicas(c.DirectoryReplicas)
 	e.dumps.Add("control", c.Dump)
 	return c.Register(e.srv.Mux)
 }
@@ -213,10 +218,7 @@
 	go e.limits.run(ctx)
 	go e.node.Run(ctx)
 	go e.announceLoop(ctx)
-	for _, addr := range e.settings.replicas() {
-		go e.node.Follow(ctx, func(ctx context.Context) drpc.Conn { return e.pool.Conn(ctx, addr) },
-			&wire.DirectoryWatchRequest{Watcher: e.settings.ID, LocalOnly: true})
-	}
+	e.followDirectory(ctx)
 	e.callersHTTP = &http.Server{Handler: e.callerRoutes(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}
 	go func() { _ = e.callersHTTP.Serve(e.callers) }()
 	if e.operators != nil {
