Measure the control replicas: edits, force, recovery, fail-over, watches

Change: measure/control, one part for each figure; max_batch as a setting (a batch is now that many calls, it was one more); a stream sends a ring's members once.

--- a/control/replica.go
+++ b/control/replica.go
@@ -29,8 +29,8 @@
 
 const (
 	tickInterval = 25 * time.Millisecond
-	// maxBatch bounds the calls that share one sync.
-	maxBatch = 512
+	// callQueue bounds the calls that wait for the loop.
+	callQueue = 2048
 	// careInterval is how often a leader looks after the membership.
 	careInterval = 250 * time.Millisecond
 )
@@ -104,7 +104,7 @@
 		node:    consensus.New(cfg, st, 0),
 		peers:   newPeers(pool, id.Address),
 		started: time.Now(),
-		calls:   make(chan func(), 4*maxBatch),
+		calls:   make(chan func(), callQueue),
 		done:    make(chan struct{}),
 		waiting: map[uint64]waiter{},
 		reads:   map[uint64]chan<- error{},
@@ -159,7 +159,7 @@
 }
 
 func (r *Replica) runQueued() {
-	for range maxBatch {
+	for range r.settings.MaxBatch - 1 {
 		select {
 		case f := <-r.calls:
 			f()
--- a/control/service.go
+++ b/control/service.go
@@ -140,11 +140,18 @@
 	tick := time.NewTicker(confirmInterval)
 	defer tick.Stop()
 	from := req.FromRevision
+	ringSent := uint64(0)
 	for {
 		u, err := s.update(stream.Context(), r, from)
 		if err != nil {
 			return err
 		}
+		if u.Ring.GetEpoch() == ringSent && ringSent > 0 {
+			// The members went before on this stream; with thousands of them each
+			// confirmation would be tens of kilobytes.
+			u.Ring = &wire.Ring{Epoch: ringSent}
+		}
+		ringSent = u.Ring.GetEpoch()
 		if err := stream.Send(u); err != nil {
 			return err
 		}
--- a/control/settings.go
+++ b/control/settings.go
@@ -26,6 +26,8 @@
 	Heartbeat       kernel.Duration `toml:"heartbeat"`
 	// SnapshotEvery is how many log entries pass between snapshots.
 	SnapshotEvery int `toml:"snapshot_every"`
+	// MaxBatch bounds the calls that share one sync; 1 turns group commit off.
+	MaxBatch int `toml:"max_batch"`
 	// ReplaceAfter is how long a member must be silent before another folder
 	// may take its name.
 	ReplaceAfter kernel.Duration `toml:"replace_after"`
@@ -38,6 +40,7 @@
 		ElectionTimeout: kernel.Duration(time.Second),
 		Heartbeat:       kernel.Duration(150 * time.Millisecond),
 		SnapshotEvery:   10_000,
+		MaxBatch:        512,
 		ReplaceAfter:    kernel.Duration(5 * time.Second),
 	}
 }
@@ -56,6 +59,8 @@
 		return bad("voters", "must be an odd number from 1 to 9")
 	case s.Heartbeat <= 0 || s.ElectionTimeout < 3*s.Heartbeat:
 		return bad("election_timeout", "must be at least three times heartbeat")
+	case s.MaxBatch < 1:
+		return bad("max_batch", "must be at least 1")
 	case s.SnapshotEvery < 10:
 		return bad("snapshot_every", "must be at least 10")
 	}
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -57,3 +57,11 @@
 	}
 	return a
 }
+
+// Revision returns the table revision in force at this entry, 0 before the first.
+func (e *Entry) Revision() uint64 {
+	if v := e.view.Load(); v != nil {
+		return v.Revision
+	}
+	return 0
+}
--- /dev/null
+++ b/measure/control/edits.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/wire"
+)
+
+const (
+	// writers is how many operators edit at once.
+	writers = 64
+	// teams is how many rows the edits go over.
+	teams = 3800
+	// longest is the highest latency that is told apart, in microseconds.
+	longest = 60_000_000
+)
+
+func digestOf(key string) string {
+	d := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(d[:])
+}
+
+func measureEdits(ctx context.Context, o options) error {
+	fmt.Printf("%8s %9s %9s %10s %10s %9s\n", "replicas", "max_batch", "edits/s", "p50", "p99", "failed")
+	for _, n := range []int{3, 5} {
+		for _, batch := range []int{512, 1} {
+			if err := editsOnce(ctx, o, n, batch); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func editsOnce(ctx context.Context, o options, n, batch int) error {
+	dir := filepath.Join(o.Dir, fmt.Sprintf("edits-%d-%d", n, batch))
+	c, err := newCluster(ctx, dir, n, func(s *control.Settings) { s.MaxBatch = batch })
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	h, failed, took := c.write(ctx, writers, func(_ int64, began time.Time) bool { return time.Since(began) < o.time() })
+	fmt.Printf("%8d %9d %9.0f %8.2fms %8.2fms %9d\n", n, batch, float64(h.TotalCount())/took.Seconds(),
+		float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000, failed)
+	return nil
+}
+
+// write lets writers edit, each its own share of the teams, while more says so.
+func (c *cluster) write(ctx context.Context, writers int, more func(done int64, began time.Time) bool) (*hdrhistogram.Histogram, int, time.Duration) {
+	total := hdrhistogram.New(1, longest, 3)
+	failed := 0
+	began := time.Now()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for w := range writers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			h, bad := c.writeOne(ctx, w, writers, func() bool { return more(c.edits.Load(), began) })
+			mu.Lock()
+			defer mu.Unlock()
+			total.Merge(h)
+			failed += bad
+		}()
+	}
+	wg.Wait()
+	return total, failed, time.Since(began)
+}
+
+func (c *cluster) writeOne(ctx context.Context, w, writers int, more func() bool) (*hdrhistogram.Histogram, int) {
+	h := hdrhistogram.New(1, longest, 3)
+	failed := 0
+	versions := map[string]uint64{}
+	own := teams / writers
+	for n := 0; more(); n++ {
+		key := fmt.Sprintf("team-%04d", w*own+n%own)
+		began := time.Now()
+		reply, err := c.edit(ctx, key, versions[key])
+		if err != nil {
+			failed++
+			if reply != nil && reply.Status == wire.EditStatus_EDIT_STATUS_CONFLICT {
+				versions[key] = reply.Rows[0].Version
+			}
+			continue
+		}
+		_ = h.RecordValue(time.Since(began).Microseconds())
+		versions[key] = reply.Rows[0].Version
+	}
+	return h, failed
+}
+
+func measureRecovery(ctx context.Context, o options) error {
+	fmt.Printf("%9s %10s %12s %12s %12s %12s %12s\n", "edits", "edits/s", "read files", "first read", "folder", "heap before", "heap after")
+	for _, n := range o.Edits {
+		if err := recoveryOnce(ctx, o, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// recoveryOnce runs one replica, which holds all that a voter holds.
+func recoveryOnce(ctx context.Context, o options, n int) error {
+	base := heap()
+	c, err := newCluster(ctx, filepath.Join(o.Dir, fmt.Sprintf("recovery-%d", n)), 1, nil)
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	_, failed, took := c.write(ctx, 256, func(done int64, _ time.Time) bool { return done < int64(n) })
+	if failed > 0 {
+		return fmt.Errorf("%d edits failed", failed)
+	}
+	before := heap() - base
+	c.stop(0)
+	began := time.Now()
+	read, err := c.start(ctx, 0, nil)
+	if err != nil {
+		return err
+	}
+	if err := c.waitRead(ctx); err != nil {
+		return err
+	}
+	first := time.Since(began)
+	fmt.Printf("%9d %10.0f %10.0fms %10.0fms %10.1fMB %10.1fMB %10.1fMB\n", n, float64(n)/took.Seconds(),
+		read.Seconds()*1000, first.Seconds()*1000, mb(folderSize(c.dir)), mb(before), mb(heap()-base))
+	return nil
+}
+
+// waitRead waits for a linearizable read: an election, and the state as it was.
+func (c *cluster) waitRead(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	for {
+		_, err := c.client.Read(ctx, &wire.ReadRequest{Kind: "team", Key: "team-0000", Linearizable: true})
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// heap is the live heap, in bytes.
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+func mb(n int64) float64 { return float64(n) / (1 << 20) }
--- /dev/null
+++ b/measure/control/force.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-kit/log"
+
+	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/entry"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
+)
+
+const (
+	forceEntries  = 7
+	forceReplicas = 3
+	forceEvery    = 20 * time.Millisecond
+	forcePoll     = 500 * time.Microsecond
+)
+
+// entries is seven entries, three of them with a control replica.
+type entries struct {
+	list   []*entry.Entry
+	addrs  []string
+	pool   *transport.Pool
+	client *control.Client
+}
+
+// measureForce takes the time from an edit's acceptance until it is in force at
+// all entries, as each entry itself says; then the same while one of the entries
+// with a replica is killed half-way, counted over those that live.
+func measureForce(ctx context.Context, o options) error {
+	for _, kill := range []bool{false, true} {
+		h, err := forceOnce(ctx, o, kill)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%d entries, one with a replica killed %v: edits %d, in force everywhere after p50 %.1fms, p99 %.1fms, max %.1fms\n",
+			forceEntries, kill, h.TotalCount(), float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000, float64(h.Max())/1000)
+	}
+	return nil
+}
+
+func forceOnce(ctx context.Context, o options, kill bool) (*hdrhistogram.Histogram, error) {
+	es, err := startEntries(ctx, filepath.Join(o.Dir, fmt.Sprintf("force-%v", kill)))
+	if err != nil {
+		return nil, err
+	}
+	defer es.stop()
+	h := hdrhistogram.New(1, longest, 3)
+	began := time.Now()
+	alive := es.list
+	for n := uint64(0); time.Since(began) < 2*o.time(); n++ {
+		if kill && len(alive) == forceEntries && time.Since(began) > o.time() {
+			es.list[0].Stop()
+			alive = es.list[1:]
+		}
+		reply, err := es.edit(ctx, n)
+		if err != nil {
+			return nil, err
+		}
+		_ = h.RecordValue(waitForce(alive, reply.Revision).Microseconds())
+		time.Sleep(forceEvery)
+	}
+	return h, nil
+}
+
+// waitForce returns how long it took until all entries had a revision in force.
+func waitForce(list []*entry.Entry, revision uint64) time.Duration {
+	began := time.Now()
+	for {
+		lagging := false
+		for _, e := range list {
+			lagging = lagging || e.Revision() < revision
+		}
+		if !lagging || time.Since(began) > patience {
+			return time.Since(began)
+		}
+		time.Sleep(forcePoll)
+	}
+}
+
+func (es *entries) edit(ctx context.Context, n uint64) (*wire.EditReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	e := &wire.TableEdit{EditId: fmt.Sprint("force-", n), By: "operator-1", Rows: []*wire.RowEdit{
+		{Kind: "pool", Key: "lm", BaseVersion: n, Columns: map[string]string{"slots": fmt.Sprint(1 + n%64)}},
+	}}
+	for {
+		reply, err := es.client.Edit(ctx, e)
+		if err == nil && reply.Status != wire.EditStatus_EDIT_STATUS_ACCEPTED {
+			return nil, fmt.Errorf("%w: %s", errNotAccepted, reply.Detail)
+		}
+		if err == nil {
+			return reply, nil
+		}
+		if ctx.Err() != nil {
+			return nil, err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func startEntries(ctx context.Context, dir string) (*entries, error) {
+	es := &entries{pool: transport.NewPool(security)}
+	var listeners []net.Listener
+	for range forceReplicas {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		listeners = append(listeners, lis)
+		es.addrs = append(es.addrs, lis.Addr().String())
+	}
+	for i := range forceEntries {
+		set := entry.DefaultSettings()
+		set.ID, set.FailureDomain = fmt.Sprintf("entry-%d", i+1), fmt.Sprintf("hall-%d", i%3)
+		set.ClusterSecret = string(security.Secret)
+		set.ControlReplicas = es.addrs
+		if i < forceReplicas {
+			ctl := control.DefaultSettings()
+			ctl.DataDir, ctl.Members, ctl.FormCluster = filepath.Join(dir, set.ID), es.addrs, true
+			set.Control, set.InternalListener = &ctl, listeners[i]
+		}
+		e, err := entry.New(set, log.NewNopLogger())
+		if err != nil {
+			return nil, err
+		}
+		if err := e.Start(ctx); err != nil {
+			return nil, err
+		}
+		es.list = append(es.list, e)
+	}
+	es.client = control.NewClient(es.pool, es.addrs, "measure")
+	return es, es.waitFirst(ctx)
+}
+
+// waitFirst waits until a first edit is in force everywhere.
+func (es *entries) waitFirst(ctx context.Context) error {
+	e := &wire.TableEdit{EditId: "first", By: "operator-1", Rows: []*wire.RowEdit{{Kind: "pool", Key: "first"}}}
+	end := time.Now().Add(patience)
+	for time.Now().Before(end) {
+		reply, err := es.client.Edit(ctx, e)
+		if err == nil && reply.Status == wire.EditStatus_EDIT_STATUS_ACCEPTED && waitForce(es.list, reply.Revision) < patience {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return fmt.Errorf("entries were not ready within %v", patience)
+}
+
+func (es *entries) stop() {
+	for _, e := range es.list {
+		e.Stop()
+	}
+	es.pool.Close()
+}
