Measure the directory's growth: announcements, watches, changes, memory

Cause: nothing said what an agent, a watch or a changed instance costs.

Change: measure/capacity, and internal/meter for what both measuring programs count.

--- /dev/null
+++ b/measure/capacity/directory.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/internal/meter"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
+)
+
+var security = transport.Security{Secret: []byte("a secret of the measurement")}
+
+const (
+	announceInterval = 500 * time.Millisecond
+	// settleDown is how long a measurement waits for connections to stand.
+	settleDown = 1500 * time.Millisecond
+	patience   = 20 * time.Second
+)
+
+// served is a directory that answers on loopback.
+type served struct {
+	node *directory.Node
+	lis  *meter.Listener
+	srv  *transport.Server
+	stop context.CancelFunc
+	ctx  context.Context
+}
+
+func serve() (*served, error) {
+	lis, err := meter.Listen()
+	if err != nil {
+		return nil, err
+	}
+	settings := directory.DefaultSettings()
+	settings.SettleTime = 0
+	s := &served{node: directory.NewNode(settings, time.Now, nil), lis: lis, srv: transport.NewServer(security)}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	if err := wire.DRPCRegisterDirectory(s.srv.Mux, s.node); err != nil {
+		return nil, err
+	}
+	go s.srv.Serve(s.ctx, lis)
+	go s.node.Run(s.ctx)
+	return s, nil
+}
+
+func (s *served) close() {
+	s.stop()
+	_ = s.lis.Close()
+	s.srv.Close()
+}
+
+func (s *served) address() string { return s.lis.Addr().String() }
+
+// announcement is one of a real size.
+func announcement(role wire.Role, i int, seq uint64) *wire.Announcement {
+	a := &wire.Announcement{
+		Id: fmt.Sprintf("upstream-%05d", i), Incarnation: 1764670000000000000, Seq: seq,
+		Role: role, Phase: wire.Phase_PHASE_UP, FailureDomain: fmt.Sprintf("hall-%02d", i%19),
+		Address: fmt.Sprintf("10.20.%d.%d:7100", i/250, i%250), Pools: []string{"pushpa-lm"}, Kind: "engine",
+		Group: fmt.Sprintf("group-%03d", i/4), Rank: uint32(i % 4), LeaseMs: 3000,
+		Load: &wire.Load{Seq: seq, Running: 8, Waiting: 3, Slots: 8, PendingTokens: 4096, CachePermille: 700},
+	}
+	if role == wire.Role_ROLE_ENTRY {
+		a.Id, a.Pools, a.Kind, a.Group, a.Load = fmt.Sprintf("entry-%05d", i), nil, "", "", nil
+		a.CallerAddress, a.Listed = a.Address, true
+	}
+	return a
+}
+
+// measureAnnounce lets agents announce to one directory, each over a connection
+// of its own.
+func measureAnnounce(o options) error {
+	fmt.Printf("%7s %16s %18s %20s\n", "agents", "B/s in, each", "B/s back, each", "CPU µs/announcement")
+	for _, n := range o.Agents {
+		if err := announceOnce(o, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func announceOnce(o options, n int) error {
+	s, err := serve()
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	ctx, cancel := context.WithCancel(s.ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	for i := range n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			announceLoop(ctx, s.address(), i, n)
+		}()
+	}
+	time.Sleep(settleDown)
+	spent := meter.Spend(s.lis, func() { time.Sleep(o.time()) })
+	share := float64(n) * spent.Took.Seconds()
+	calls := share / announceInterval.Seconds()
+	fmt.Printf("%7d %16.0f %18.0f %20.1f\n", n, float64(spent.Received)/share, float64(spent.Sent)/share, meter.Micros(spent.CPU)/calls)
+	return nil
+}
+
+func announceLoop(ctx context.Context, addr string, i, n int) {
+	pool := transport.NewPool(security)
+	defer pool.Close()
+	targets := directory.NewTargets(fmt.Sprint(i), "hall-00", []string{addr})
+	targets.Learn([]*wire.DirectoryReplica{{Address: addr, FailureDomain: "hall-00"}})
+	a := directory.NewAnnouncer(targets, pool.Conn, time.Now)
+	wait := announceInterval * time.Duration(i) / time.Duration(n)
+	for seq := uint64(1); ; seq++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+		a.Announce(ctx, announcement(wire.Role_ROLE_UPSTREAM, i, seq))
+		wait = announceInterval
+	}
+}
+
+// fill puts instances into a directory and renews them until the context ends,
+// without sockets: only the watches are to be measured.
+func (s *served) fill(ctx context.Context, role wire.Role, n int) {
+	for i := range n {
+		_, _ = s.node.Announce(ctx, announcement(role, i, 1))
+	}
+	go func() {
+		for seq := uint64(2); ctx.Err() == nil; seq++ {
+			for i := range n {
+				_, _ = s.node.Announce(ctx, announcement(role, i, seq))
+			}
+			time.Sleep(announceInterval)
+		}
+	}()
+}
+
+// follower is another directory that follows the served one, as an entry does.
+type follower struct {
+	node *directory.Node
+	pool *transport.Pool
+}
+
+func (s *served) follow(ctx context.Context, name string) *follower {
+	f := &follower{node: directory.NewNode(directory.DefaultSettings(), time.Now, nil), pool: transport.NewPool(security)}
+	targets := directory.NewTargets(name, "hall-00", []string{s.address()})
+	go f.node.FollowOne(ctx, targets, func(ctx context.Context, addr string) drpc.Conn { return f.pool.Conn(ctx, addr) }, name)
+	return f
+}
+
+// followers starts watchers and waits until each has the whole directory.
+func (s *served) followers(ctx context.Context, count, instances int, role wire.Role) ([]*follower, error) {
+	var list []*follower
+	for i := range count {
+		list = append(list, s.follow(ctx, fmt.Sprint("watcher-", i)))
+	}
+	end := time.Now().Add(patience)
+	for _, f := range list {
+		for len(f.node.Instances(role)) < instances {
+			if time.Now().After(end) {
+				return nil, fmt.Errorf("a watcher has %d of %d instances", len(f.node.Instances(role)), instances)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return list, nil
+}
+
+func closeAll(list []*follower) {
+	for _, f := range list {
+		f.pool.Close()
+	}
+}
+
+// measureWatch takes an idle watch's bytes and processor time, the first copy,
+// and what single renewals would have taken, the way this replaced.
+func measureWatch(o options) error {
+	fmt.Printf("%10s %14s %18s %16s %22s\n", "instances", "B/s, each", "CPU µs/s, each", "first copy, B", "renewals one by one B/s")
+	for _, n := range o.Instances {
+		if err := watchOnce(o, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func watchOnce(o options, n int) error {
+	s, err := serve()
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	s.fill(s.ctx, wire.Role_ROLE_UPSTREAM, n)
+	time.Sleep(settleDown)
+	alone := meter.Spend(s.lis, func() { time.Sleep(o.time()) })
+	before := s.lis.Sent()
+	list, err := s.followers(s.ctx, o.Watchers, n, wire.Role_ROLE_UPSTREAM)
+	defer closeAll(list)
+	if err != nil {
+		return err
+	}
+	first := float64(s.lis.Sent()-before) / float64(o.Watchers)
+	time.Sleep(settleDown)
+	spent := meter.Spend(s.lis, func() { time.Sleep(o.time()) })
+	share := float64(o.Watchers) * spent.Took.Seconds()
+	cpu := meter.Micros(spent.CPU) - meter.Micros(alone.CPU)*spent.Took.Seconds()/alone.Took.Seconds()
+	fmt.Printf("%10d %14.0f %18.0f %16.0f %22.0f\n", n, float64(spent.Sent)/share, cpu/share, first, renewalsPerSecond(n))
+	return nil
+}
+
+// renewalsPerSecond is the bytes of one renewal an instance and interval.
+func renewalsPerSecond(n int) float64 {
+	sum := 0
+	for i := range n {
+		a := announcement(wire.Role_ROLE_UPSTREAM, i, 100_000)
+		sum += proto.Size(&wire.DirectoryUpdate{Renewals: []*wire.Renewal{{Id: a.Id, Incarnation: a.Incarnation, Seq: a.Seq, AgeMs: 100}}})
+	}
+	return float64(sum) / announceInterval.Seconds()
+}
--- /dev/null
+++ b/measure/capacity/memory.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/snipereach/snipereach/agent"
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/fake"
+	"github.com/snipereach/snipereach/internal/meter"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// measureFollow takes what an entry spends on its own directory, with one watch.
+func measureFollow(o options) error {
+	fmt.Printf("%10s %26s %22s\n", "instances", "CPU µs/s of an idle entry", "CPU ms of first copy")
+	for _, n := range o.Instances {
+		settings := directory.DefaultSettings()
+		settings.SettleTime = 0
+		node := directory.NewNode(settings, time.Now, nil)
+		src := &directory.Source{}
+		state := directory.New(settings, time.Now(), 0)
+		for i := range n {
+			state.Announce(time.Now(), announcement(wire.Role_ROLE_UPSTREAM, i, 1), 0, true)
+		}
+		view := &directory.View{}
+		began := meter.ProcessorTime()
+		target := directory.New(settings, time.Now(), 0)
+		for more := true; more; {
+			var u *wire.DirectoryUpdate
+			u, more = state.Update(time.Now(), view)
+			target.Apply(time.Now(), src, u)
+		}
+		first := meter.ProcessorTime() - began
+		for i := range n {
+			_, _ = node.Announce(context.Background(), withLease(announcement(wire.Role_ROLE_UPSTREAM, i, 1), 30_000))
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		go node.Run(ctx)
+		began = meter.ProcessorTime()
+		time.Sleep(o.time())
+		idle := meter.ProcessorTime() - began
+		cancel()
+		fmt.Printf("%10d %26.0f %22.1f\n", n, meter.Micros(idle)/o.Seconds, meter.Micros(first)/1000)
+	}
+	return nil
+}
+
+func withLease(a *wire.Announcement, ms uint32) *wire.Announcement {
+	a.LeaseMs = ms
+	return a
+}
+
+// measureMemory takes the live heap of each part as it grows.
+func measureMemory(o options) error {
+	fmt.Printf("%-32s %8s %14s\n", "part", "count", "bytes each")
+	for _, n := range o.Instances {
+		before := meter.Heap()
+		node := directory.NewNode(directory.DefaultSettings(), time.Now, nil)
+		for i := range n {
+			_, _ = node.Announce(context.Background(), announcement(wire.Role_ROLE_UPSTREAM, i, 1))
+		}
+		fmt.Printf("%-32s %8d %14.0f\n", "instance in a directory", n, float64(meter.Heap()-before)/float64(n))
+		runtime.KeepAlive(node)
+	}
+	return agentMemory()
+}
+
+// agentMemory starts agents in this process, all beside one fake upstream.
+func agentMemory() error {
+	up := &fake.Plain{}
+	if err := up.Start(); err != nil {
+		return err
+	}
+	defer up.Close()
+	for _, n := range []int{10, 40, 160} {
+		s, err := serve()
+		if err != nil {
+			return err
+		}
+		before, routines := meter.Heap(), runtime.NumGoroutine()
+		list, err := startAgents(s, up.URL(), n)
+		if err != nil {
+			return err
+		}
+		time.Sleep(settleDown)
+		fmt.Printf("%-32s %8d %14.0f  goroutines each %.1f\n", "idle agent, both connection ends", n,
+			float64(meter.Heap()-before)/float64(n), float64(runtime.NumGoroutine()-routines)/float64(n))
+		for _, a := range list {
+			a.Stop()
+		}
+		s.close()
+	}
+	return nil
+}
+
+func startAgents(s *served, url string, n int) ([]*agent.Agent, error) {
+	var list []*agent.Agent
+	for i := range n {
+		set := agent.DefaultSettings()
+		set.ID, set.FailureDomain = fmt.Sprint("upstream-", i), "hall-00"
+		set.ClusterSecret = string(security.Secret)
+		set.Kind, set.Pools = "plain", []string{"clock"}
+		set.Upstream = map[string]any{"url": url}
+		set.AnnounceTo = []string{s.address()}
+		a, err := agent.New(set, log.NewNopLogger())
+		if err != nil {
+			return nil, err
+		}
+		if err := a.Start(s.ctx); err != nil {
+			return nil, err
+		}
+		list = append(list, a)
+	}
+	return list, nil
+}
--- a/measure/control/cluster.go
+++ b/measure/control/cluster.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/internal/meter"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -32,17 +33,14 @@
 	replicas []*replica
 	pool     *transport.Pool
 	client   *control.Client
-	// sent and received count the bytes of all connections that the replicas
-	// accepted.
-	sent, received atomic.Int64
-	edits          atomic.Int64
+	edits    atomic.Int64
 }
 
 type replica struct {
 	ctl  *control.Control
 	srv  *transport.Server
 	pool *transport.Pool
-	lis  net.Listener
+	lis  *meter.Listener
 }
 
 func newCluster(ctx context.Context, dir string, n int, change func(*control.Settings)) (*cluster, error) {
@@ -80,7 +78,7 @@
 	}
 	s := c.settings
 	s.DataDir = filepath.Join(c.dir, fmt.Sprint(i))
-	r := &replica{srv: transport.NewServer(security), pool: transport.NewPool(security), lis: &countingListener{lis, c}}
+	r := &replica{srv: transport.NewServer(security), pool: transport.NewPool(security), lis: &meter.Listener{Listener: lis}}
 	if r.ctl, err = control.New(s, log.NewNopLogger(), r.pool); err != nil {
 		return 0, err
 	}
@@ -184,31 +182,3 @@
 	}
 	return reply, nil
 }
-
-// countingListener counts the bytes of what it accepts.
-type countingListener struct {
-	net.Listener
-	cluster *cluster
-}
-
-type countingConn struct {
-	net.Conn
-	cluster *cluster
-}
-
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	return &countingConn{conn, l.cluster}, err
-}
-
-func (c *countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.cluster.received.Add(int64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.cluster.sent.Add(int64(n))
-	return n, err
-}
--- a/measure/control/edits.go
+++ b/measure/control/edits.go
@@ -6,13 +6,13 @@
 	"encoding/hex"
 	"fmt"
 	"path/filepath"
-	"runtime"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/internal/meter"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -111,7 +111,7 @@
 
 // recoveryOnce runs one replica, which holds all that a voter holds.
 func recoveryOnce(ctx context.Context, o options, n int) error {
-	base := heap()
+	base := meter.Heap()
 	c, err := newCluster(ctx, filepath.Join(o.Dir, fmt.Sprintf("recovery-%d", n)), 1, nil)
 	if err != nil {
 		return err
@@ -121,7 +121,7 @@
 	if failed > 0 {
 		return fmt.Errorf("%d edits failed", failed)
 	}
-	before := heap() - base
+	before := meter.Heap() - base
 	c.stop(0)
 	began := time.Now()
 	read, err := c.start(ctx, 0, nil)
@@ -133,7 +133,7 @@
 	}
 	first := time.Since(began)
 	fmt.Printf("%9d %10.0f %10.0fms %10.0fms %10.1fMB %10.1fMB %10.1fMB\n", n, float64(n)/took.Seconds(),
-		read.Seconds()*1000, first.Seconds()*1000, mb(folderSize(c.dir)), mb(before), mb(heap()-base))
+		read.Seconds()*1000, first.Seconds()*1000, meter.MB(folderSize(c.dir)), meter.MB(before), meter.MB(meter.Heap()-base))
 	return nil
 }
 
@@ -153,14 +153,3 @@
 		}
 	}
 }
-
-// heap is the live heap, in bytes.
-func heap() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
-
-func mb(n int64) float64 { return float64(n) / (1 << 20) }
--- a/measure/control/watch.go
+++ b/measure/control/watch.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"path/filepath"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"github.com/snipereach/snipereach/internal/meter"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -40,28 +40,15 @@
 	return w
 }
 
-// cost is what passed in a stretch of time.
+// cost is what one watch takes.
 type cost struct {
 	bytes float64
 	cpu   time.Duration
-	took  time.Duration
 }
 
-// spend measures the bytes that the replicas sent and the processor time of the
-// whole process while f runs.
-func (c *cluster) spend(f func()) cost {
-	bytes, cpu, began := c.sent.Load(), processorTime(), time.Now()
-	f()
-	return cost{float64(c.sent.Load() - bytes), processorTime() - cpu, time.Since(began)}
-}
-
-func processorTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
+// spend measures the bytes that the first replica sent and the processor time of
+// the whole process while f runs.
+func (c *cluster) spend(f func()) meter.Spent { return meter.Spend(c.replicas[0].lis, f) }
 
 // measureWatch takes what one watch costs in bytes, idle and for each edit.
 func measureWatch(ctx context.Context, o options) error {
@@ -99,14 +86,14 @@
 		return idle, perEdit, err
 	}
 	with := c.spend(func() { time.Sleep(o.time()) })
-	share := float64(n) * with.took.Seconds()
-	idle.bytes = (with.bytes - none.bytes) / share
-	idle.cpu = time.Duration(float64(with.cpu-none.cpu) / share)
+	share := float64(n) * with.Took.Seconds()
+	idle.bytes = float64(with.Sent-none.Sent) / share
+	idle.cpu = time.Duration(float64(with.CPU-none.CPU) / share)
 	const edits = 50
 	busy := c.spend(func() { err = c.editsInForce(ctx, list, edits) })
-	rest := busy.took.Seconds() * float64(n)
-	perEdit.bytes = (busy.bytes - idle.bytes*rest) / float64(n*edits)
-	perEdit.cpu = time.Duration((float64(busy.cpu) - float64(idle.cpu)*rest) / float64(n*edits))
+	rest := busy.Took.Seconds() * float64(n)
+	perEdit.bytes = (float64(busy.Sent) - idle.bytes*rest) / float64(n*edits)
+	perEdit.cpu = time.Duration((float64(busy.CPU) - float64(idle.cpu)*rest) / float64(n*edits))
 	return idle, perEdit, err
 }
 
@@ -150,9 +137,7 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("%9d %14.0f %14.1f %14.0f %14.1f\n", n, idle.bytes, micros(idle.cpu), perEdit.bytes, micros(perEdit.cpu))
+		fmt.Printf("%9d %14.0f %14.1f %14.0f %14.1f\n", n, idle.bytes, meter.Micros(idle.cpu), perEdit.bytes, meter.Micros(perEdit.cpu))
 	}
 	return nil
 }
-
-func micros(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1000 }
