Keep past rows and stored answers encoded, and look at leases only when due

Cause: after 1,000,000 edits a replica took 1,254 ms to read its files and held 266 MB of heap (100,000: 476 ms, 187 MB): history and answers were kept as messages with maps, 200,000 and 100,000 of them. An entry's ticks over 7,500 instances took 15 ms of processor time a second.

Directory ticks look at instances only once a lease can have ended, and watchers share the summary of the entries' revisions.

--- a/directory/changes.go
+++ b/directory/changes.go
@@ -119,7 +119,7 @@
 	if v.sum.counted == s.revisions && !u.Synced {
 		return
 	}
-	sum := s.summarize(now, v.LocalOnly)
+	sum := s.summary(now, v.LocalOnly)
 	if !sum.same(&v.sum) || len(u.Entries) > 0 {
 		u.Revision, u.Behind = sum.revision, sum.behind
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -92,8 +92,13 @@
 	known   int
 	sources []*Source
 	changes changeLog
-	// revisions counts changes of the entries' table revisions.
+	// due is the earliest time at which a lease can end. A look at thousands of
+	// instances at each tick would take more than one percent of a core.
+	due time.Time
+	// revisions counts changes of the entries' table revisions, and sums holds
+	// their summaries for both kinds of view.
 	revisions uint64
+	sums      map[bool]revisionSummary
 }
 
 // New makes a directory at a process's start. known is the number of instances
@@ -106,6 +111,7 @@
 		settled:   settings.SettleTime == 0,
 		known:     known,
 		changes:   newChangeLog(),
+		sums:      map[bool]revisionSummary{},
 	}
 }
 
@@ -142,6 +148,7 @@
 		s.revisions++
 	}
 	s.instances[a.Id] = inst
+	s.lookBy(s.deadline(inst))
 	changed = old == nil || !sameButForLoad(old.Announcement, a)
 	becameLocal := old != nil && old.localUntil.IsZero() && local
 	if changed || becameLocal {
@@ -204,10 +211,47 @@
 	return s.settled
 }
 
+// deadline is when the next thing about an instance ends, if nobody speaks of it
+// until then.
+func (s *State) deadline(i *Instance) time.Time {
+	if i.Phase == wire.Phase_PHASE_GONE {
+		return i.Heard.Add(s.settings.Tombstone)
+	}
+	end := i.Expires
+	for _, src := range i.holders {
+		if src.until.After(end) {
+			end = src.until
+		}
+	}
+	if !i.localUntil.IsZero() && i.localUntil.Before(end) {
+		end = i.localUntil
+	}
+	return end
+}
+
+// lookBy makes sure that the instances are looked at after a time.
+func (s *State) lookBy(t time.Time) {
+	if t.Before(s.due) {
+		s.due = t
+	}
+}
+
 // Tick ends leases that have run out and returns the instances that changed.
 func (s *State) Tick(now time.Time) []*Instance {
 	s.dropSources(now)
 	settled := s.Settled(now) && !s.onlyUnsettledSources(now)
+	if !now.After(s.due) {
+		return nil
+	}
+	changed := s.endLeases(now, settled)
+	s.due = now.Add(s.settings.MaxLease)
+	for _, inst := range s.instances {
+		s.lookBy(s.deadline(inst))
+	}
+	return changed
+}
+
+func (s *State) endLeases(now time.Time, settled bool) []*Instance {
 	var changed []*Instance
 	for id, inst := range s.instances {
 		if inst.Phase == wire.Phase_PHASE_GONE {
--- a/directory/revisions.go
+++ b/directory/revisions.go
@@ -21,7 +21,16 @@
 	behind   []*wire.EntryRevision
 }
 
-// summarize computes the summary of the entries that a view vouches for.
+// summary is that of the entries that a view vouches for. Watchers share it.
+func (s *State) summary(now time.Time, localOnly bool) revisionSummary {
+	sum, ok := s.sums[localOnly]
+	if !ok || sum.counted != s.revisions {
+		sum = s.summarize(now, localOnly)
+		s.sums[localOnly] = sum
+	}
+	return sum
+}
+
 func (s *State) summarize(now time.Time, localOnly bool) revisionSummary {
 	sum := revisionSummary{counted: s.revisions}
 	var entries []*Instance
--- a/directory/source.go
+++ b/directory/source.go
@@ -50,6 +50,7 @@
 	s.raiseRevisions(src, u)
 	if u.Synced && !u.Settling && src.Replaces != nil {
 		src.Replaces.until = time.Time{}
+		s.due = time.Time{}
 		src.Replaces = nil
 	}
 	return changed
@@ -77,6 +78,7 @@
 func (s *State) revive(inst *Instance, now time.Time) {
 	inst.Announcement, inst.before = inst.before, nil
 	inst.Heard = now
+	s.lookBy(s.deadline(inst))
 	s.changes.touch(inst.Id)
 	s.revisions++
 }
@@ -98,6 +100,7 @@
 	next := *old
 	next.holders = slices.DeleteFunc(slices.Clone(old.holders), func(h *Source) bool { return h == src })
 	s.instances[w.Id] = &next
+	s.lookBy(s.deadline(&next))
 }
 
 // vouch extends a source's word. After a silence that was longer than its word
--- a/measure/capacity/directory.go
+++ b/measure/capacity/directory.go
@@ -200,8 +200,10 @@
 		return err
 	}
 	defer s.close()
-	s.fill(s.ctx, wire.Role_ROLE_UPSTREAM, n)
-	time.Sleep(settleDown)
+	// A long lease, announced once: renewals would cost more than the watches.
+	for i := range n {
+		_, _ = s.node.Announce(s.ctx, withLease(announcement(wire.Role_ROLE_UPSTREAM, i, 1), 30_000))
+	}
 	alone := meter.Spend(s.lis, func() { time.Sleep(o.time()) })
 	before := s.lis.Sent()
 	list, err := s.followers(s.ctx, o.Watchers, n, wire.Role_ROLE_UPSTREAM)
--- a/table/machine.go
+++ b/table/machine.go
@@ -1,26 +1,25 @@
 package table
 
 import (
-	"crypto/sha256"
 	"errors"
 	"slices"
 	"sort"
 	"strings"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/snipereach/snipereach/wire"
 )
 
 // Bounds of what the table remembers besides the rows in force.
 const (
-	// MaxEdits is how many answers are kept for resent edits: about four days
-	// at 22,000 edits a day. A resend that comes later is judged by its version.
-	MaxEdits = 100_000
+	// MaxEdits is how many answers are kept for resent edits: about two days at
+	// 22,000 edits a day. A resend that comes later is judged by its version.
+	MaxEdits = 50_000
 	// MaxVersions is how many earlier versions of one row are kept.
 	MaxVersions = 50
-	// MaxHistory is how many earlier versions are kept in all.
-	MaxHistory = 200_000
+	// MaxHistory is how many earlier versions are kept in all: at least four days
+	// at 22,000 edits a day. With MaxEdits it bounds a replica's memory, its
+	// snapshots and the time of its start, however many edits there were.
+	MaxHistory = 100_000
 	// MaxTombstones is how many deleted rows are kept for watchers.
 	MaxTombstones = 10_000
 )
@@ -33,8 +32,8 @@
 type Machine struct {
 	revision  uint64
 	rows      map[rowID]*wire.Row
-	history   []*wire.Row
-	edits     map[string]*wire.StoredEdit
+	history   []pastRow
+	edits     map[string]storedEdit
 	editOrder []string
 	versions  map[rowID]int
 	deleted   []rowID
@@ -95,26 +94,18 @@
 	return invalid(id.String(), "", err.Error())
 }
 
-func digestOf(e *wire.TableEdit) []byte {
-	c := proto.Clone(e).(*wire.TableEdit)
-	c.AtMs = 0
-	b, _ := proto.MarshalOptions{Deterministic: true}.Marshal(c)
-	d := sha256.Sum256(b)
-	return d[:16]
-}
-
 // Stored returns the answer to an edit that was decided before, or nil. Only
 // accepted edits are stored: a conflict decided nothing, and the row in force
 // may have moved on.
 func (m *Machine) Stored(e *wire.TableEdit) *wire.EditReply {
-	s := m.edits[e.EditId]
-	if s == nil {
+	s, ok := m.edits[e.EditId]
+	if !ok {
 		return nil
 	}
-	if string(s.Digest) != string(digestOf(e)) {
+	if s.digest != digestOf(e) {
 		return invalid("", "edit_id", "the ID was used for another edit")
 	}
-	r := proto.Clone(s.Reply).(*wire.EditReply)
+	r := s.decode()
 	r.Replayed = true
 	return r
 }
@@ -295,7 +286,7 @@
 func (m *Machine) put(r *wire.Row) {
 	id := rowID{r.Kind, r.Key}
 	if old := m.rows[id]; old != nil {
-		m.history = append(m.history, old)
+		m.history = append(m.history, newPastRow(id, old))
 		m.versions[id]++
 		m.index(old, -1)
 		if old.Deleted {
@@ -327,7 +318,7 @@
 }
 
 func (m *Machine) store(e *wire.TableEdit, reply *wire.EditReply) {
-	m.edits[e.EditId] = &wire.StoredEdit{EditId: e.EditId, Digest: digestOf(e), Reply: reply}
+	m.edits[e.EditId] = newStoredEdit(e, reply)
 	m.editOrder = append(m.editOrder, e.EditId)
 }
 
@@ -355,11 +346,10 @@
 		return
 	}
 	drop := len(m.history) - MaxHistory
-	var kept []*wire.Row
+	kept := make([]pastRow, 0, min(len(m.history), MaxHistory+MaxHistory/10))
 	for i, r := range m.history {
-		id := rowID{r.Kind, r.Key}
-		if i < drop || m.versions[id] > MaxVersions {
-			m.versions[id]--
+		if i < drop || m.versions[r.id] > MaxVersions {
+			m.versions[r.id]--
 			continue
 		}
 		kept = append(kept, r)
@@ -372,7 +362,7 @@
 		return false
 	}
 	last := m.history[len(m.history)-1]
-	return m.versions[rowID{last.Kind, last.Key}] > 2*MaxVersions
+	return m.versions[last.id] > 2*MaxVersions
 }
 
 // Get returns the row in force, or nil.
@@ -414,8 +404,8 @@
 		list = append(list, r)
 	}
 	for i := len(m.history) - 1; i >= 0; i-- {
-		if h := m.history[i]; h.Kind == kind && h.Key == key {
-			list = append(list, h)
+		if h := m.history[i]; h.id == (rowID{kind, key}) {
+			list = append(list, h.decode())
 		}
 	}
 	if at == 0 {
@@ -446,13 +436,17 @@
 
 // Snapshot returns the whole state.
 func (m *Machine) Snapshot() *wire.TableSnapshot {
-	s := &wire.TableSnapshot{Revision: m.revision, History: m.history, Floor: m.floor}
+	s := &wire.TableSnapshot{Revision: m.revision, Floor: m.floor}
+	for _, r := range m.history {
+		s.History = append(s.History, r.encoded)
+	}
 	for _, r := range m.rows {
 		s.Rows = append(s.Rows, r)
 	}
 	sortRows(s.Rows)
 	for _, id := range m.editOrder {
-		s.Edits = append(s.Edits, m.edits[id])
+		e := m.edits[id]
+		s.Edits = append(s.Edits, &wire.StoredEdit{EditId: id, Digest: e.digest[:], Reply: e.reply})
 	}
 	return s
 }
@@ -460,8 +454,8 @@
 // Restore replaces the whole state.
 func (m *Machine) Restore(s *wire.TableSnapshot) {
 	*m = Machine{
-		revision: s.GetRevision(), floor: s.GetFloor(), history: s.GetHistory(),
-		rows: map[rowID]*wire.Row{}, edits: map[string]*wire.StoredEdit{}, versions: map[rowID]int{},
+		revision: s.GetRevision(), floor: s.GetFloor(),
+		rows: map[rowID]*wire.Row{}, edits: make(map[string]storedEdit, len(s.GetEdits())), versions: map[rowID]int{},
 		referenced: map[rowID]int{}, unique: map[string]rowID{},
 	}
 	for _, r := range s.GetRows() {
@@ -473,11 +467,16 @@
 		}
 	}
 	sort.Slice(m.deleted, func(i, j int) bool { return m.rows[m.deleted[i]].Revision < m.rows[m.deleted[j]].Revision })
-	for _, r := range m.history {
-		m.versions[rowID{r.Kind, r.Key}]++
+	known := map[rowID]rowID{}
+	for _, b := range s.GetHistory() {
+		r := pastRow{readRowID(b, known), b}
+		m.history = append(m.history, r)
+		m.versions[r.id]++
 	}
 	for _, e := range s.GetEdits() {
-		m.edits[e.EditId] = e
+		kept := storedEdit{reply: e.Reply}
+		copy(kept.digest[:], e.Digest)
+		m.edits[e.EditId] = kept
 		m.editOrder = append(m.editOrder, e.EditId)
 	}
 }
--- /dev/null
+++ b/table/past.go
@@ -0,0 +1,96 @@
+package table
+
+import (
+	"crypto/sha256"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// What is kept for the rare question (a row's history, an edit sent again) is
+// kept encoded. As messages with maps, 100,000 of each took four times the
+// memory, and each start and snapshot the time to build them.
+
+// pastRow is an earlier version of a row.
+type pastRow struct {
+	id      rowID
+	encoded []byte
+}
+
+func newPastRow(id rowID, r *wire.Row) pastRow {
+	b, _ := proto.Marshal(r)
+	return pastRow{id, b}
+}
+
+func (p pastRow) decode() *wire.Row {
+	r := &wire.Row{}
+	_ = proto.Unmarshal(p.encoded, r)
+	return r
+}
+
+// Field numbers of wire.Row.
+const (
+	rowKindField = 1
+	rowKeyField  = 2
+)
+
+// readRowID reads only the kind and key of an encoded row. Equal ones share
+// their text.
+func readRowID(b []byte, known map[rowID]rowID) rowID {
+	var id rowID
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			break
+		}
+		b = b[n:]
+		size := protowire.ConsumeFieldValue(num, typ, b)
+		if size < 0 {
+			break
+		}
+		if typ == protowire.BytesType && num <= rowKeyField {
+			text, _ := protowire.ConsumeBytes(b)
+			if num == rowKindField {
+				id.kind = string(text)
+			} else {
+				id.key = string(text)
+			}
+		}
+		b = b[size:]
+	}
+	if old, ok := known[id]; ok {
+		return old
+	}
+	known[id] = id
+	return id
+}
+
+// editDigest tells two edits apart.
+type editDigest [16]byte
+
+// storedEdit is the answer to an edit, kept for resends.
+type storedEdit struct {
+	digest editDigest
+	reply  []byte
+}
+
+func newStoredEdit(e *wire.TableEdit, reply *wire.EditReply) storedEdit {
+	b, _ := proto.Marshal(reply)
+	return storedEdit{digestOf(e), b}
+}
+
+func (s storedEdit) decode() *wire.EditReply {
+	r := &wire.EditReply{}
+	_ = proto.Unmarshal(s.reply, r)
+	return r
+}
+
+func digestOf(e *wire.TableEdit) editDigest {
+	c := proto.Clone(e).(*wire.TableEdit)
+	c.AtMs = 0
+	b, _ := proto.MarshalOptions{Deterministic: true}.Marshal(c)
+	d := sha256.Sum256(b)
+	return editDigest(d[:len(editDigest{})])
+}
