--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/refusal"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/upstream"
 	"github.com/snipereach/snipereach/wire"
@@ -43,6 +44,7 @@
 	incarnation uint64
 	seq         atomic.Uint64
 	metrics     metrics.Registry
+	done        metrics.Counter
 	dumps       kernel.Dumps
 	cancel      context.CancelFunc
 	announcer   *directory.Announcer
@@ -75,8 +77,13 @@
 		attempts:    newAttempts(),
 	}
 	a.announcer = directory.NewAnnouncer(directory.NewTargets(s.ID, s.FailureDomain, s.AnnounceTo), a.pool.Conn, time.Now)
+	a.done = metrics.GetOrRegisterCounter("agent.attempts."+refusal.OutcomeWord(wire.Outcome_OUTCOME_DONE), a.metrics)
 	a.orders = newOrders(control.NewClient(a.pool, s.AnnounceTo, s.ID))
 	a.dumps.Add("agent", a.dump)
+	a.registerGauges()
+	if err := a.dumps.Register(a.srv.Mux); err != nil {
+		return nil, err
+	}
 	return a, wire.DRPCRegisterAgent(a.srv.Mux, service{a})
 }
 
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -95,9 +95,13 @@
 	d.dumps.Add("directory", d.node.Dump)
 	d.control.SetEntries(d.node.RingMembers)
 	d.node.SetReplicas(d.control.DirectoryReplicas)
+	d.control.SetUpstreams(UpstreamsOf(d.node))
 	if err := d.control.Register(d.srv.Mux); err != nil {
 		return nil, err
 	}
+	if err := d.dumps.Register(d.srv.Mux); err != nil {
+		return nil, err
+	}
 	return d, wire.DRPCRegisterDirectory(d.srv.Mux, d.node)
 }
 
