--- a/control/control_test.go
+++ b/control/control_test.go
@@ -36,6 +36,8 @@
 	srv  *transport.Server
 	pool *transport.Pool
 	lis  net.Listener
+	// unfollow ends the watches of the other replicas' directories.
+	unfollow context.CancelFunc
 }
 
 func newCluster(t *testing.T, n int) *cluster {
@@ -89,6 +91,9 @@
 	go r.srv.Serve(context.Background(), lis)
 	place := control.Place{Name: fmt.Sprintf("c%d", i), Address: c.addrs[i], FailureDomain: fmt.Sprintf("hall-%d", i)}
 	assert.NilError(c.t, r.ctl.Start(context.Background(), place))
+	ctx, cancel := context.WithCancel(context.Background())
+	r.unfollow = cancel
+	node.FollowPeers(ctx, c.addrs, c.addrs[i], r.pool.Conn, place.Name)
 	c.running[i] = r
 }
 
@@ -99,6 +104,7 @@
 	}
 	c.running[i] = nil
 	_ = r.lis.Close()
+	r.unfollow()
 	r.srv.Close()
 	r.ctl.Stop()
 	r.pool.Close()
--- a/control/settings.go
+++ b/control/settings.go
@@ -74,6 +74,7 @@
 	s.Voters = cmp.Or(s.Voters, d.Voters)
 	s.ElectionTimeout = cmp.Or(s.ElectionTimeout, d.ElectionTimeout)
 	s.Heartbeat = cmp.Or(s.Heartbeat, d.Heartbeat)
+	s.MaxBatch = cmp.Or(s.MaxBatch, d.MaxBatch)
 	s.SnapshotEvery = cmp.Or(s.SnapshotEvery, d.SnapshotEvery)
 	s.ReplaceAfter = cmp.Or(s.ReplaceAfter, d.ReplaceAfter)
 	g := &s.Groups
