--- a/directory/directory.go
+++ b/directory/directory.go
@@ -34,6 +34,10 @@
 	// VouchLease is how long the word of a source that fell silent holds for the
 	// instances that it vouched for.
 	VouchLease time.Duration
+	// SilentHold is how long a directory that follows one replica, and hears none
+	// at all, declares nothing gone after the last one's word has ended. All
+	// replicas may be starting again, while the upstreams are up.
+	SilentHold time.Duration
 }
 
 // DefaultSettings are those of a daemon with no [directory] section.
@@ -45,6 +49,7 @@
 		SettleTime:   10 * time.Second,
 		SettleShare:  0.9,
 		VouchLease:   3 * time.Second,
+		SilentHold:   15 * time.Second,
 	}
 }
 
@@ -239,7 +244,7 @@
 // Tick ends leases that have run out and returns the instances that changed.
 func (s *State) Tick(now time.Time) []*Instance {
 	s.dropSources(now)
-	settled := s.Settled(now) && !s.onlyUnsettledSources(now)
+	settled := s.Settled(now) && !s.onlyUnsettledSources(now) && !s.holds(now)
 	if !now.After(s.due) {
 		return nil
 	}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -73,7 +73,7 @@
 		return last
 	}
 	defer stream.Close()
-	src := &Source{Replaces: last}
+	src := &Source{Replaces: last, Whole: !req.LocalOnly}
 	for {
 		u, err := stream.Recv()
 		if err != nil {
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -150,7 +150,7 @@
 func (s *relay) watch(to, from *simNode, localOnly bool) bool {
 	w := to.watches[from.name]
 	if w == nil {
-		w = &simWatch{view: &View{LocalOnly: localOnly}, src: &Source{Replaces: to.last}, heard: s.now}
+		w = &simWatch{view: &View{LocalOnly: localOnly}, src: &Source{Replaces: to.last, Whole: !localOnly}, heard: s.now}
 		to.watches[from.name] = w
 	}
 	if from.dead || !s.reach(to.name, from.name) {
@@ -289,3 +289,33 @@
 		}
 	}
 }
+
+// All control replicas start again at once, with nothing, and are away for ten
+// seconds. The upstreams are up all the time; no entry takes one for gone, neither
+// while nobody speaks nor while the replicas know only some. One that died
+// meanwhile is gone once the replicas have settled.
+func TestAllReplicasStartAgain(t *testing.T) {
+	s := newRelay(t, DefaultSettings(), 12, 5)
+	s.run(12*time.Second, func() {})
+	for _, r := range s.replicas {
+		r.dead = true
+	}
+	dies := s.agents[4]
+	dies.dead, dies.deadSince = true, s.now
+	still := func() {
+		for _, e := range s.entries {
+			for _, a := range s.agents {
+				assert.Assert(t, a.dead || e.state.Get(a.name).Up(), "%s at %s, %v", a.name, e.name, s.now.Sub(epoch))
+			}
+		}
+	}
+	s.run(10*time.Second, still)
+	for i, r := range s.replicas {
+		s.restart(r)
+		s.run(time.Duration(i)*time.Second, still)
+	}
+	s.run(s.settings.SettleTime+simLease+2*time.Second, still)
+	for _, e := range s.entries {
+		assert.Equal(t, e.state.Get(dies.name).Phase, wire.Phase_PHASE_GONE)
+	}
+}
--- a/directory/source.go
+++ b/directory/source.go
@@ -16,6 +16,8 @@
 	until time.Time
 	// settling says that it can't yet declare anything gone itself.
 	settling bool
+	// Whole says that it sends the whole directory, not only what announces to it.
+	Whole bool
 	// Replaces is the watch that this one takes over from. Once this one is
 	// synced, the earlier one's word ends: what it vouched for may have gone in
 	// between.
@@ -143,6 +145,21 @@
 	return unsettled
 }
 
+// holds says whether all replicas have fallen silent, lately. A control replica
+// does not hold: it would vouch to others for what nobody hears.
+func (s *State) holds(now time.Time) bool {
+	var last time.Time
+	for _, src := range s.sources {
+		if !src.Whole {
+			return false
+		}
+		if src.until.After(last) {
+			last = src.until
+		}
+	}
+	return now.After(last) && now.Sub(last) <= s.settings.SilentHold
+}
+
 // sourceMemory is how long after its word ended a source is remembered.
 const sourceMemory = time.Minute
 
