--- a/measure/capacity/memory.go
+++ b/measure/capacity/memory.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"runtime"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/fake"
 	"github.com/snipereach/snipereach/internal/meter"
+	"github.com/snipereach/snipereach/table"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -67,9 +70,48 @@
 		fmt.Printf("%-32s %8d %14.0f\n", "instance in a directory", n, float64(meter.Heap()-before)/float64(n))
 		runtime.KeepAlive(node)
 	}
+	if err := tableMemory(); err != nil {
+		return err
+	}
 	return agentMemory()
 }
 
+// tableMemory takes what an entry keeps of the table: rows and their typed view,
+// a team with a limit and a weight each.
+func tableMemory() error {
+	for _, n := range []int{100, 1000, 3800} {
+		before := meter.Heap()
+		rows := teamRows(n)
+		v, err := table.NewView(1, rows)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%-32s %8d %14.0f\n", "team with limit and weight", n, float64(meter.Heap()-before)/float64(n))
+		runtime.KeepAlive(v)
+		runtime.KeepAlive(rows)
+	}
+	return nil
+}
+
+func teamRows(n int) []*wire.Row {
+	rows := []*wire.Row{
+		{Kind: table.KindPool, Key: "lm", Columns: map[string]string{}, Version: 1, Revision: 1},
+		{Kind: table.KindService, Key: "pushpa-lm", Columns: map[string]string{"kind": "engine", "pool": "lm"}, Version: 1, Revision: 1},
+	}
+	for i := range n {
+		team := fmt.Sprintf("team-%04d", i)
+		key := sha256.Sum256([]byte(team))
+		rows = append(rows,
+			&wire.Row{Kind: table.KindTeam, Key: team, Version: 1, Revision: 1, ChangedBy: "operator-1", Columns: map[string]string{
+				"key_sha256": hex.EncodeToString(key[:]), "max_priority": "normal", "contact": fmt.Sprintf("desk %d", i%97)}},
+			&wire.Row{Kind: table.KindLimit, Key: team + "/*", Version: 1, Revision: 1, ChangedBy: "operator-1",
+				Columns: map[string]string{"requests_per_second": "30", "tokens_per_second": "6000"}},
+			&wire.Row{Kind: table.KindWeight, Key: team + "/*", Version: 1, Revision: 1, ChangedBy: "operator-1",
+				Columns: map[string]string{"weight": "10"}})
+	}
+	return rows
+}
+
 // agentMemory starts agents in this process, all beside one fake upstream.
 func agentMemory() error {
 	up := &fake.Plain{}
--- /dev/null
+++ b/measure/capacity/shares.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/snipereach/snipereach/admit"
+	"github.com/snipereach/snipereach/internal/meter"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// shareRounds is how often each entry asks in the measurement.
+const shareRounds = 4
+
+// measureShares takes what the division of limits costs: the size of one entry's
+// question for so many active teams, and the time that the home needs for one
+// team of one entry.
+func measureShares(options) error {
+	fmt.Printf("%8s %8s %18s %16s %18s\n", "entries", "teams", "B/question", "B/s, each", "home µs/team")
+	for _, c := range []struct{ entries, teams int }{{20, 100}, {20, 1000}, {20, 3800}, {200, 100}, {2000, 10}, {2000, 40}} {
+		h := admit.NewHome(time.Unix(0, 0))
+		now := time.Unix(100, 0)
+		began := meter.ProcessorTime()
+		for range shareRounds {
+			for e := range c.entries {
+				askShares(h, now, fmt.Sprint("entry-", e), c.teams)
+			}
+			now = now.Add(admit.ShareInterval)
+		}
+		took := meter.ProcessorTime() - began
+		size := proto.Size(shareQuestion(c.teams))
+		fmt.Printf("%8d %8d %18d %16.0f %18.2f\n", c.entries, c.teams, size, float64(size)/admit.ShareInterval.Seconds(),
+			meter.Micros(took)/float64(shareRounds*c.entries*c.teams))
+	}
+	return nil
+}
+
+func askShares(h *admit.Home, now time.Time, entry string, teams int) {
+	limit := admit.Amounts{Requests: 30, Tokens: 6000, Concurrent: 50}
+	for t := range teams {
+		h.Grant(now, entry, admit.Subject{Team: fmt.Sprint("team-", t)}, limit,
+			admit.Demand{Wanted: admit.Amounts{Requests: 1, Tokens: 200, Concurrent: 2}}, time.Second)
+	}
+}
+
+func shareQuestion(teams int) *wire.ShareRequest {
+	req := &wire.ShareRequest{Entry: "entry-00001", Incarnation: 1764670000000000000}
+	for t := range teams {
+		req.Demands = append(req.Demands, &wire.ShareDemand{
+			Team: fmt.Sprintf("team-%04d", t), Service: "pushpa-lm", Requests: 1.25, Tokens: 212.5, Concurrent: 2, Running: 1, Ack: 4000,
+		})
+	}
+	return req
+}
--- a/measure/control/main.go
+++ b/measure/control/main.go
@@ -15,7 +15,7 @@
 )
 
 type options struct {
-	Parts    []string `long:"part" description:"edits, force, recovery, failover, watch or watchers; all if none is named"`
+	Parts    []string `long:"part" description:"edits, force, recovery, failover, watch, watchers or peers; all if none is named"`
 	Seconds  float64  `long:"seconds" default:"4" description:"time of each measurement"`
 	Dir      string   `long:"dir" description:"folder for the replicas' files; a temporary one if empty"`
 	Rounds   int      `long:"rounds" default:"15" description:"rounds of fail-over"`
@@ -51,7 +51,7 @@
 	o.Dir = dir
 	for _, p := range []part{
 		{"edits", measureEdits}, {"force", measureForce}, {"recovery", measureRecovery},
-		{"failover", measureFailover}, {"watch", measureWatch}, {"watchers", measureWatchers},
+		{"failover", measureFailover}, {"watch", measureWatch}, {"watchers", measureWatchers}, {"peers", measurePeers},
 	} {
 		if len(o.Parts) > 0 && !slices.Contains(o.Parts, p.name) {
 			continue
