--- a/measure/capacity/main.go
+++ b/measure/capacity/main.go
@@ -13,7 +13,7 @@
 )
 
 type options struct {
-	Parts     []string `long:"part" description:"announce, watch, change, revision, settling, follow, shares or memory; all if none is named"`
+	Parts     []string `long:"part" description:"announce, watch, change, revision, settling, follow, shares, reports or memory; all if none is named"`
 	Seconds   float64  `long:"seconds" default:"4" description:"time of each measurement"`
 	Agents    []int    `long:"agents" default:"50" default:"200" default:"800" description:"agents that announce to one directory"`
 	Instances []int    `long:"instances" default:"200" default:"800" default:"3200" default:"7500" description:"instances in a watched directory"`
@@ -34,7 +34,7 @@
 	}
 	for _, p := range []part{
 		{"announce", measureAnnounce}, {"watch", measureWatch}, {"change", measureChange},
-		{"revision", measureRevision}, {"settling", measureSettling}, {"follow", measureFollow}, {"shares", measureShares}, {"memory", measureMemory},
+		{"revision", measureRevision}, {"settling", measureSettling}, {"follow", measureFollow}, {"shares", measureShares}, {"reports", measureReports}, {"memory", measureMemory},
 	} {
 		if len(o.Parts) > 0 && !slices.Contains(o.Parts, p.name) {
 			continue
--- a/measure/capacity/memory.go
+++ b/measure/capacity/memory.go
@@ -82,11 +82,14 @@
 	for _, n := range []int{100, 1000, 3800} {
 		before := meter.Heap()
 		rows := teamRows(n)
+		began := meter.ProcessorTime()
 		v, err := table.NewView(1, rows)
 		if err != nil {
 			return err
 		}
-		fmt.Printf("%-32s %8d %14.0f\n", "team with limit and weight", n, float64(meter.Heap()-before)/float64(n))
+		took := meter.ProcessorTime() - began
+		fmt.Printf("%-32s %8d %14.0f  typed view in %.1f ms\n", "team with limit and weight", n,
+			float64(meter.Heap()-before)/float64(n), meter.Micros(took)/1000)
 		runtime.KeepAlive(v)
 		runtime.KeepAlive(rows)
 	}
--- /dev/null
+++ b/measure/capacity/reports.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/snipereach/snipereach/fake"
+	"github.com/snipereach/snipereach/internal/meter"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// reportInterval is that of an entry's watch of an upstream.
+const reportInterval = 500 * time.Millisecond
+
+// measureReports takes what one entry's watch of one idle agent costs, over a
+// relay that counts the bytes; its copying is in the processor time.
+func measureReports(o options) error {
+	up := &fake.Plain{}
+	if err := up.Start(); err != nil {
+		return err
+	}
+	defer up.Close()
+	s, err := serve()
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	list, err := startAgents(s, up.URL(), 1)
+	if err != nil {
+		return err
+	}
+	defer list[0].Stop()
+	fmt.Printf("%8s %14s %16s\n", "watches", "B/s, each", "CPU µs/s, each")
+	for _, n := range []int{10, 50, 200} {
+		if err := reportsOnce(o, list[0].Address(), n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func reportsOnce(o options, agent string, n int) error {
+	lis, err := meter.Listen()
+	if err != nil {
+		return err
+	}
+	defer lis.Close()
+	go relay(lis, agent)
+	none := meter.Spend(lis, func() { time.Sleep(o.time()) })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for i := range n {
+		pool := transport.NewPool(security)
+		defer pool.Close()
+		go watchReports(ctx, pool, lis.Addr().String(), i)
+	}
+	time.Sleep(settleDown)
+	spent := meter.Spend(lis, func() { time.Sleep(o.time()) })
+	share := float64(n) * spent.Took.Seconds()
+	fmt.Printf("%8d %14.0f %16.0f\n", n, float64(spent.Sent)/share, (meter.Micros(spent.CPU)-meter.Micros(none.CPU))/share)
+	return nil
+}
+
+func watchReports(ctx context.Context, pool *transport.Pool, addr string, i int) {
+	stream, err := wire.NewDRPCAgentClient(pool.Conn(ctx, addr)).Watch(ctx, &wire.WatchRequest{
+		Entry: fmt.Sprint("entry-", i), IntervalMs: uint32(reportInterval.Milliseconds()),
+	})
+	if err != nil {
+		return
+	}
+	defer stream.Close()
+	for {
+		if _, err := stream.Recv(); err != nil {
+			return
+		}
+	}
+}
+
+// relay copies between what a listener accepts and an address.
+func relay(lis net.Listener, addr string) {
+	for {
+		in, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", addr)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		go copyAndClose(in, out)
+		go copyAndClose(out, in)
+	}
+}
+
+func copyAndClose(to, from net.Conn) {
+	_, _ = io.Copy(to, from)
+	_ = to.Close()
+	_ = from.Close()
+}
