--- a/agent/announce.go
+++ b/agent/announce.go
@@ -29,6 +29,7 @@
 // the others.
 func (a *Agent) announceAll(ctx context.Context, phase wire.Phase) {
 	for addr, reply := range a.announcer.Announce(ctx, a.announcement(phase)) {
+		a.followPools(reply.Pools)
 		if reply.Superseded {
 			kernel.Warn(a.log, "A later life of this ID is known. Is the ID used twice?", "id", a.settings.ID, "told_by", addr)
 		}
@@ -70,7 +71,7 @@
 		Seq:     a.loadSeq.Add(1),
 		Running: uint32(running),
 		Waiting: uint32(waiting),
-		Slots:   uint32(a.settings.Slots),
+		Slots:   uint32(a.queue.get().Slots),
 	}
 	if r := a.load.Load(); r != nil {
 		l.Waiting += r.Waiting
--- a/control/share.go
+++ b/control/share.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/snipereach/snipereach/admit"
+	"github.com/snipereach/snipereach/claim"
 	"github.com/snipereach/snipereach/table"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -17,9 +18,15 @@
 // as one leadership; the next leader waits until its grants have ended.
 type shareHome struct {
 	home *admit.Home
-	name string
+	term uint64
+	// homes counts the homes of this process.
+	homes int
 	// view is the table's typed view at a revision.
 	view *table.View
+	// holds is followed by every replica, and not only by a leader: the next
+	// leader must know the timeouts of requests that the last one admitted.
+	holds admit.Holds
+	held  uint64
 }
 
 // followHome makes a home when leadership begins and drops it when it ends.
@@ -28,13 +35,24 @@
 		r.shares.home = nil
 		return
 	}
-	if r.shares.home == nil {
-		st := r.node.Status()
-		r.shares.home = admit.NewHome(time.Now())
-		r.shares.name = fmt.Sprintf("%s@%d", st.ID, st.Term)
+	// The term, and not only the sampled role, tells one leadership from the
+	// next: a process that stalled may have missed another leader in between.
+	// A lease that lapses and is renewed makes a second home in one term; with the
+	// name of the first, its epochs would be taken for those of the first.
+	if st := r.node.Status(); r.shares.home == nil || r.shares.term != st.Term {
+		r.shares.homes++
+		r.shares.home = admit.NewHome(time.Now(), fmt.Sprintf("%s@%d.%d", st.ID, st.Term, r.shares.homes))
+		r.shares.term = st.Term
 	}
 }
 
+func (s *shareHome) dump() []admit.SubjectState {
+	if s.home == nil {
+		return nil
+	}
+	return s.home.Dump(time.Now())
+}
+
 // Share implements the Control service. Only a leader with a live lease grants:
 // two homes at once would each divide the whole limit.
 func (s *service) Share(ctx context.Context, req *wire.ShareRequest) (*wire.ShareReply, error) {
@@ -55,6 +73,7 @@
 }
 
 func (r *Replica) grantShares(req *wire.ShareRequest, reply *wire.ShareReply) error {
+	r.followHome()
 	if !r.node.IsLeader() || r.shares.home == nil {
 		return merry.Prepend(ErrUnavailable, "not the leader")
 	}
@@ -63,32 +82,46 @@
 		return err
 	}
 	now := time.Now()
-	reply.Home = r.shares.name
+	r.followRing(now)
+	home := r.shares.home
+	if !home.Hear(now, admit.Report{Entry: req.Entry, Incarnation: req.Incarnation, Seq: req.Seq, Home: req.Home}) {
+		return nil
+	}
+	reply.Home = home.Name(now)
 	for _, d := range req.Demands {
 		l := v.Limit(d.Team, d.Service)
 		if l == nil {
 			continue
 		}
-		hold := time.Duration(0)
-		if svc := v.Services[d.Service]; svc != nil {
-			hold = svc.Timeout
-		}
-		a, epoch, ok := r.shares.home.Grant(now, req.Entry, admit.SubjectOf(l, d.Team, d.Service), admit.LimitOf(l), admit.Demand{
+		subject := admit.SubjectOf(l, d.Team, d.Service)
+		share := home.Grant(now, req.Entry, subject, admit.LimitOf(l), admit.Demand{
 			Wanted:  admit.Amounts{Requests: d.Requests, Tokens: d.Tokens, Concurrent: float64(d.Concurrent)},
 			Running: float64(d.Running), Ack: d.Ack,
-		}, hold)
-		if ok {
-			reply.Grants = append(reply.Grants, grantOf(d, a, epoch))
-		}
+		}, r.shares.holds.Of(now, subject))
+		reply.Grants = append(reply.Grants, grantOf(d, share))
 	}
 	return nil
 }
 
-func grantOf(d *wire.ShareDemand, a admit.Amounts, epoch uint64) *wire.ShareGrant {
+// followRing tells the home which entries the ring on the log has.
+func (r *Replica) followRing(now time.Time) {
+	ring := r.machine.ring
+	fleet := admit.Fleet{Unchanged: now.Sub(r.rings.changed), MostOnce: claim.JointPeriod(claim.DefaultRegisterSettings().MaxTTL)}
+	for _, m := range ring.GetMembers() {
+		fleet.Members = append(fleet.Members, m.Id)
+	}
+	for _, m := range ring.GetPrevious() {
+		fleet.Previous = append(fleet.Previous, m.Id)
+	}
+	r.shares.home.SetFleet(fleet)
+}
+
+func grantOf(d *wire.ShareDemand, s admit.Share) *wire.ShareGrant {
 	return &wire.ShareGrant{
-		Team: d.Team, Service: d.Service, Epoch: epoch,
-		RequestsPerSecond: a.Requests, TokensPerSecond: a.Tokens,
-		Concurrent: uint32(min(a.Concurrent, math.MaxUint32)),
+		Team: d.Team, Service: d.Service, Epoch: s.Epoch, RequestBurst: s.Burst,
+		RequestsPerSecond: s.Requests, TokensPerSecond: s.Tokens,
+		Concurrent: uint32(min(s.Concurrent, math.MaxUint32)),
+		HoldMs:     uint32(s.Hold.Milliseconds()),
 	}
 }
 
@@ -104,3 +137,45 @@
 	}
 	return r.shares.view, nil
 }
+
+// followRows takes in the service and pool rows that have changed: of services the
+// timeouts of every version in turn, of pools the queue settings. After a start,
+// all versions that are kept count as changed now.
+func (r *Replica) followRows(now time.Time) {
+	rev := r.machine.table.Revision()
+	if rev == r.shares.held {
+		return
+	}
+	rows, whole := r.machine.table.Since(r.shares.held)
+	pools := poolSettings{}
+	if old := r.pools.Load(); old != nil && !whole {
+		pools = *old
+	}
+	for _, row := range rows {
+		switch row.Kind {
+		case table.KindService:
+			r.followTimeouts(now, row)
+		case table.KindPool:
+			pools = pools.with(row)
+		}
+	}
+	r.pools.Store(&pools)
+	r.shares.held = rev
+}
+
+func (r *Replica) followTimeouts(now time.Time, row *wire.Row) {
+	versions := r.machine.table.History(row.Kind, row.Key, 0)
+	for i := len(versions) - 1; i >= 0; i-- {
+		if v := versions[i]; v.Revision > r.shares.held {
+			r.shares.holds.Set(now, v.Key, timeoutOf(v))
+		}
+	}
+}
+
+// timeoutOf is the timeout of a service row; one that is gone has none.
+func timeoutOf(row *wire.Row) time.Duration {
+	if row.Deleted {
+		return 0
+	}
+	return time.Duration(cell(row, "timeout_ms")) * time.Millisecond
+}
--- a/measure/capacity/shares.go
+++ b/measure/capacity/shares.go
@@ -20,7 +20,7 @@
 func measureShares(options) error {
 	fmt.Printf("%8s %8s %18s %16s %18s\n", "entries", "teams", "B/question", "B/s, each", "home µs/team")
 	for _, c := range []struct{ entries, teams int }{{20, 100}, {20, 1000}, {20, 3800}, {200, 100}, {2000, 10}, {2000, 40}} {
-		h := admit.NewHome(time.Unix(0, 0))
+		h := admit.NewHome(time.Unix(0, 0), "measure")
 		now := time.Unix(100, 0)
 		began := meter.ProcessorTime()
 		for range shareRounds {
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -17,6 +17,9 @@
 	// Resend is the time after which an order or a command is sent again. It
 	// also bounds how long a rank's restart goes unseen during a switch.
 	Resend time.Duration
+	// Urgent is the same for orders that a stopped group may be waiting for: arm,
+	// commit, abort and adopt.
+	Urgent time.Duration
 	// IdlePoll is the time between status orders while nothing is in progress.
 	IdlePoll time.Duration
 	// StageTimeout and ArmTimeout bound the phases; a switch that isn't ready
@@ -43,7 +46,7 @@
 func DefaultConfig(group string, s placement.Shape, token uint64) Config {
 	return Config{
 		Group: group, Shape: s, Token: token,
-		Resend: 250 * time.Millisecond, IdlePoll: 2 * time.Second,
+		Resend: 250 * time.Millisecond, Urgent: 50 * time.Millisecond, IdlePoll: 2 * time.Second,
 		StageTimeout: 10 * time.Minute, ArmTimeout: 5 * time.Second,
 		Lead: 50 * time.Millisecond, MaxLead: 2 * time.Second, MinStep: time.Millisecond,
 	}
@@ -168,6 +171,11 @@
 	return c.state != nil && c.state.Switch == nil && c.want == nil
 }
 
+// Quiet says whether all ranks use the map in force and nothing is to be done.
+func (c *Coordinator) Quiet() bool {
+	return c.Idle() && c.allUse(c.state.Map.Epoch)
+}
+
 // Cancel ends a switch that is not decided yet.
 func (c *Coordinator) Cancel(why string) {
 	c.want = nil
@@ -196,18 +204,28 @@
 func (c *Coordinator) tickRank(now time.Time, i int) (Outgoing, bool) {
 	r := &c.ranks[i]
 	verb, o := c.orderFor(r)
-	again := c.cfg.Resend
-	if verb == VerbStatus && r.heard && c.quiet(r) {
-		again = c.cfg.IdlePoll
-	}
+	again := c.again(verb, r)
 	if !r.sentAt.IsZero() && verb == r.verb && o.Epoch == r.epoch && now.Sub(r.sentAt) < again {
 		return Outgoing{}, false
 	}
 	r.verb, r.epoch, r.sentAt, r.sent = verb, o.Epoch, now, true
-	o.Group, o.Rank, o.Shape, o.Incarnation = c.cfg.Group, i, c.cfg.Shape, r.status.Incarnation
+	o.Group, o.Rank, o.Incarnation = c.cfg.Group, i, r.status.Incarnation
 	return Outgoing{Rank: i, Verb: verb, Order: o}, true
 }
 
+// again is the time after which an order is given once more.
+func (c *Coordinator) again(verb string, r *rankState) time.Duration {
+	switch verb {
+	case VerbArm, VerbCommit, VerbAbort, VerbAdopt:
+		return c.cfg.Urgent
+	case VerbStatus:
+		if r.heard && c.quiet(r) {
+			return c.cfg.IdlePoll
+		}
+	}
+	return c.cfg.Resend
+}
+
 // quiet says whether nothing is expected to change at a rank.
 func (c *Coordinator) quiet(r *rankState) bool {
 	return c.Idle() && !r.status.Blank
@@ -221,14 +239,14 @@
 	if r.status.Blank {
 		return c.orderForBlank()
 	}
-	if verb, o, ok := c.settle(r.status); ok {
+	if verb, o, ok := Settle(c.state, r.status); ok {
 		return verb, o
 	}
 	sw := c.state.Switch
 	switch {
 	case !Undecided(sw):
 	case sw.Phase == wire.SwitchPhase_SWITCH_PHASE_STAGING && r.status.Staged != sw.Map.Epoch && r.status.Loading != sw.Map.Epoch:
-		return VerbStage, Order{Epoch: sw.Map.Epoch, Base: c.state.Map.Epoch, Map: ToMap(sw.Map)}
+		return VerbStage, Order{Epoch: sw.Map.Epoch, Base: c.state.Map.Epoch, Map: orderMap(sw.Map)}
 	case sw.Phase == wire.SwitchPhase_SWITCH_PHASE_ARMING && r.status.Armed != sw.Map.Epoch:
 		return VerbArm, Order{Epoch: sw.Map.Epoch, Step: sw.Step}
 	case c.cfg.off.log && c.allArmed():
@@ -246,18 +264,21 @@
 		return VerbStatus, Order{}
 	}
 	m := c.state.Map
-	return VerbAdopt, Order{Epoch: m.Epoch, Step: m.FromStep, Map: ToMap(m)}
+	return VerbAdopt, Order{Epoch: m.Epoch, Step: m.FromStep, Map: orderMap(m)}
 }
 
-// settle tells a rank the end of a switch that it still has open.
-func (c *Coordinator) settle(s Status) (string, Order, bool) {
-	inForce := c.state.Map.Epoch
+// Settle chooses the order that tells a rank the end of a switch that it still has
+// open, if the state says one. The state may be an old one: what it says of a switch
+// that has ended stays true.
+func Settle(state *wire.GroupState, s Status) (verb string, o Order, ok bool) {
+	inForce := state.GetMap().GetEpoch()
+	settled := state.GetSettled()
 	switch {
 	case s.Armed == inForce && s.Armed != 0 && !s.Decided:
-		return VerbCommit, Order{Epoch: inForce, Step: c.state.Map.FromStep}, true
-	case s.Armed != 0 && s.Armed != inForce && s.Armed <= c.state.Settled:
+		return VerbCommit, Order{Epoch: inForce, Step: state.Map.FromStep}, true
+	case s.Armed != 0 && s.Armed != inForce && s.Armed <= settled:
 		return VerbAbort, Order{Epoch: s.Armed}, true
-	case s.Staged != 0 && s.Staged != inForce && s.Staged <= c.state.Settled:
+	case s.Staged != 0 && s.Staged != inForce && s.Staged <= settled:
 		return VerbAbort, Order{Epoch: s.Staged}, true
 	}
 	return "", Order{}, false
