--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,6 +16,7 @@
 
 	"github.com/snipereach/snipereach/admit"
 	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/refusal"
 	"github.com/snipereach/snipereach/transport"
@@ -51,6 +52,7 @@
 	done        metrics.Counter
 	dumps       kernel.Dumps
 	cancel      context.CancelFunc
+	announcer   *directory.Announcer
 	load        atomic.Pointer[wire.Load]
 	loadSeq     atomic.Uint64
 }
@@ -79,6 +81,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		attempts:    newAttempts(),
 	}
+	a.announcer = directory.NewAnnouncer(directory.NewTargets(s.ID, s.FailureDomain, s.AnnounceTo), a.pool.Conn, time.Now)
 	a.queue.current = startSettings(s)
 	a.done = metrics.GetOrRegisterCounter("agent.attempts."+refusal.OutcomeWord(wire.Outcome_OUTCOME_DONE), a.metrics)
 	a.orders = newOrders(control.NewClient(a.pool, s.AnnounceTo, s.ID))
--- /dev/null
+++ b/directory/follow.go
@@ -0,0 +1,97 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+const (
+	redialDelay = 100 * time.Millisecond
+	// silentWatch is how long a watch may say nothing. A sender vouches every
+	// vouchInterval; behind a silent cut the connection doesn't break, and
+	// without a limit the watcher would wait until all leases have run out.
+	silentWatch = 3 * vouchInterval
+)
+
+// Follow copies what announces to another node until the context is done. Nodes
+// of control replicas follow each other so.
+func (n *Node) Follow(ctx context.Context, conn func(context.Context) drpc.Conn, req *wire.DirectoryWatchRequest) {
+	var last *Source
+	for ctx.Err() == nil {
+		last = n.followOnce(ctx, conn(ctx), req, last, nil)
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialDelay):
+		}
+	}
+}
+
+// FollowPeers follows the other control replicas, in the background. Each is
+// asked only for what announced to it itself.
+func (n *Node) FollowPeers(ctx context.Context, replicas []string, own string, dial Dial, watcher string) {
+	for _, addr := range replicas {
+		if addr == own {
+			continue
+		}
+		conn := func(ctx context.Context) drpc.Conn { return dial(ctx, addr) }
+		go n.Follow(ctx, conn, &wire.DirectoryWatchRequest{Watcher: watcher, LocalOnly: true})
+	}
+}
+
+// FollowOne copies the whole directory of one of the replicas until the context
+// is done, and goes to another one when that falls silent or has just started.
+// What the earlier one vouched for is held meanwhile, for Settings.VouchLease.
+func (n *Node) FollowOne(ctx context.Context, targets *Targets, dial Dial, watcher string) {
+	req := &wire.DirectoryWatchRequest{Watcher: watcher}
+	var last *Source
+	for ctx.Err() == nil {
+		addr := targets.Pick(n.now(), 1)[0]
+		last = n.followOnce(ctx, dial(ctx, addr), req, last, func(u *wire.DirectoryUpdate) bool {
+			return u.Settling && targets.Others(addr, n.now())
+		})
+		targets.Failed(addr, n.now())
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialDelay):
+		}
+	}
+}
+
+// followOnce follows one watch until it ends or leave says so. It returns the
+// watch that spoke last.
+func (n *Node) followOnce(ctx context.Context, conn drpc.Conn, req *wire.DirectoryWatchRequest, last *Source, leave func(*wire.DirectoryUpdate) bool) *Source {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(silentWatch, cancel)
+	defer silence.Stop()
+	stream, err := wire.NewDRPCDirectoryClient(conn).Watch(ctx, req)
+	if err != nil {
+		return last
+	}
+	defer stream.Close()
+	src := &Source{Replaces: last, Whole: !req.LocalOnly}
+	for {
+		u, err := stream.Recv()
+		if err != nil {
+			return last
+		}
+		last = src
+		silence.Reset(silentWatch)
+		if n.apply(src, u) {
+			n.onChange()
+		}
+		if leave != nil && leave(u) {
+			return last
+		}
+	}
+}
+
+func (n *Node) apply(src *Source, u *wire.DirectoryUpdate) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Apply(n.now(), src, u)
+}
