Let attempts that reach no agent leave the retry budget alone

Such an attempt puts no load on upstreams that are left, which is what the budget guards against; the bound of four attempts stays.

The new test fails without the change.

--- a/agent/relay_test.go
+++ b/agent/relay_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -26,8 +27,9 @@
 
 // relay is a forwarder, an agent and an upstream.
 type relay struct {
-	fwd  *forward.Forwarder
-	pool *table.Pool
+	fwd     *forward.Forwarder
+	pool    *table.Pool
+	address string
 }
 
 func newRelay(t *testing.T, upstream http.HandlerFunc) *relay {
@@ -46,12 +48,17 @@
 	t.Cleanup(conns.Close)
 	r := &relay{
 		fwd:  forward.New(conns, route.Place{Entry: "e", FailureDomain: "hall-a"}, time.Now),
-		pool: &table.Pool{Name: "p", Route: "least-loaded"},
+		pool: &table.Pool{Name: "p", Route: "least-loaded"}, address: a.Address(),
 	}
-	assert.NilError(t, r.fwd.Update(r.pool, []route.Upstream{{ID: "up-1", Address: a.Address(), FailureDomain: "hall-a"}}))
+	r.set(t, route.Upstream{ID: "up-1", Address: a.Address(), FailureDomain: "hall-a"})
 	return r
 }
 
+func (r *relay) set(t *testing.T, ups ...route.Upstream) {
+	t.Helper()
+	assert.NilError(t, r.fwd.Update(r.pool, ups))
+}
+
 // caller keeps what reaches it.
 type caller struct {
 	head *wire.RunReplyHead
@@ -175,3 +182,31 @@
 	assert.Equal(t, res.Reason, wire.Reason(0), res.Detail)
 	assert.Equal(t, c.body.String(), "mine")
 }
+
+// Agents have died and their leases have not ended, so calls still go to them. No
+// connection comes about, so nothing ran: each caller is answered by the agent that
+// is left, also calls that may not be repeated, and with no retry budget.
+func TestDeadAgentCostsNoAnswer(t *testing.T) {
+	r := newRelay(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "mine") })
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	dead := lis.Addr().String()
+	assert.NilError(t, lis.Close())
+	r.set(t,
+		route.Upstream{ID: "dead-1", Address: dead, FailureDomain: "hall-a"},
+		route.Upstream{ID: "dead-2", Address: dead, FailureDomain: "hall-a"},
+		route.Upstream{ID: "up-1", Address: r.address, FailureDomain: "hall-a"},
+	)
+	met := 0
+	for i := range 50 {
+		c, res := r.call(context.Background(), "q"+strconv.Itoa(i), "/", nil)
+		assert.Equal(t, res.Reason, wire.Reason(0), res.Detail)
+		assert.Equal(t, c.body.String(), "mine")
+		met += len(res.Attempts)
+	}
+	assert.Assert(t, met > 0, "no call met a dead agent: the test shows nothing")
+	r.set(t, route.Upstream{ID: "dead-1", Address: dead, FailureDomain: "hall-a"})
+	_, res := r.call(context.Background(), "none", "/", nil)
+	assert.Equal(t, res.Outcome, wire.Outcome_OUTCOME_NOT_RUN)
+	assert.Assert(t, res.Reason != 0)
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -177,6 +177,12 @@
 	if e.outcome != wire.Outcome_OUTCOME_NOT_RUN && !c.Head.Idempotent {
 		return false
 	}
+	// The budget keeps retries from multiplying the load on upstreams that are
+	// left. An attempt that reached none put no load on any; counting it would
+	// refuse calls for a dead agent, until its lease ends, although others are up.
+	if e.unreached {
+		return true
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b := f.balancers[c.Pool.Name]
@@ -191,7 +197,9 @@
 	begun   bool
 	// final says that another attempt can't help.
 	final bool
-	load  *wire.Load
+	// unreached says that no agent got any of the request.
+	unreached bool
+	load      *wire.Load
 }
 
 func (f *Forwarder) attempt(ctx context.Context, c *Call, sink Sink, n int) (route.Upstream, ending) {
@@ -257,7 +265,9 @@
 	defer cancel()
 	stream, err := wire.NewDRPCAgentClient(f.pool.CallConn(ctx, up.Address)).Run(ctx)
 	if err != nil {
-		return notRun(wire.Reason_REASON_UPSTREAM_FAILED, err)
+		e := notRun(wire.Reason_REASON_UPSTREAM_FAILED, err)
+		e.unreached = true
+		return e
 	}
 	defer stream.Close()
 	if handed, err := send(stream, head, c.Body); err != nil {
