--- a/control/replica.go
+++ b/control/replica.go
@@ -5,6 +5,7 @@
 	"hash/maphash"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -61,7 +62,9 @@
 	leads    leaseClock
 	rings    ringClock
 	shares   shareHome
-	feed     feed
+	// pools is read by announcements, outside the loop.
+	pools atomic.Pointer[poolSettings]
+	feed  feed
 	// proposedEpoch is the ring epoch that was proposed last, and when.
 	proposedEpoch uint64
 	proposedAt    time.Time
@@ -230,6 +233,7 @@
 		r.rings.follow(r.machine.ring.Epoch, time.Now())
 		r.sinceCut++
 	}
+	r.followRows(time.Now())
 	if len(rd.Apply) > 0 {
 		r.feed.add(r.machine.table.Revision(), changed, r.machine.ring, r.rings.changed)
 		r.wake()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -94,7 +94,7 @@
 		leaving:     make(chan struct{}),
 		drained:     make(chan struct{}),
 		runner: admit.NewRunner(admit.Settings{
-			Slots: s.Slots, Reserved: s.Slots * s.UrgentPercent / 100, MaxQueue: s.MaxQueue,
+			Slots: s.Slots, Reserved: admit.ReservedSlots(s.Slots, s.UrgentPercent), MaxQueue: s.MaxQueue,
 		}, time.Now),
 	}
 	e.answers = metrics.GetOrRegisterCounter("entry.answers", e.metrics)
@@ -118,6 +118,7 @@
 		return nil, err
 	}
 	e.dumps.Add("entry", e.dump)
+	e.dumps.Add("limits", e.limits.dump)
 	e.registerGauges()
 	e.dumps.Add("directory", e.node.Dump)
 	e.client = control.NewClient(e.pool, s.replicas(), s.ID)
@@ -133,6 +134,9 @@
 	if err := wire.DRPCRegisterEntry(e.srv.Mux, drainService{e}); err != nil {
 		return nil, err
 	}
+	if e.control != nil {
+		return e, wire.DRPCRegisterDirectory(e.srv.Mux, control.NewDirectoryService(e.node, e.control))
+	}
 	return e, wire.DRPCRegisterDirectory(e.srv.Mux, e.node)
 }
 
