Keep load from following redirects and lists off the loopback

Cause: an answer with a redirect, or a list with another address, could have led load away from the loopback although the settings named loopback addresses only.

--- a/load/entries.go
+++ b/load/entries.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -14,6 +15,8 @@
 const (
 	// listTimeout bounds one question for the list.
 	listTimeout = 2 * time.Second
+	// maxList bounds the list, in bytes.
+	maxList = 1 << 20
 	// retryList is the wait after nobody gave the list.
 	retryList = 200 * time.Millisecond
 )
@@ -118,7 +121,7 @@
 	}
 	defer resp.Body.Close()
 	var l entryList
-	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&l); err != nil {
 		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK || len(l.Entries) == 0 {
--- a/load/faults_test.go
+++ b/load/faults_test.go
@@ -182,6 +182,14 @@
 		assert.Assert(t, rep.Audit.LostRan > 0 && rep.Clean())
 	}
 
+	// An answer that leads elsewhere is not followed.
+	away := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("load went elsewhere") }))
+	defer away.Close()
+	rep = naiveRun(t, func(_ *naiveEntry, w http.ResponseWriter, r *http.Request) {
+		http.Redirect(w, r, away.URL, http.StatusFound)
+	}, nil, 0)
+	assert.Equal(t, rep.Classes[0].Reasons["unknown status-302"], sent)
+
 	// A resend through an entry that knows nothing of keys runs the request again.
 	rep = naiveRun(t, nil, every(fake.FaultDieAfterRun), 1)
 	assert.Equal(t, rep.Audit.Doubled, sent)
--- a/load/run.go
+++ b/load/run.go
@@ -68,10 +68,14 @@
 			return nil, err
 		}
 	}
-	client := &http.Client{Transport: &http.Transport{
-		MaxIdleConns: s.MaxInFlight, MaxIdleConnsPerHost: s.MaxInFlight, IdleConnTimeout: time.Minute,
-		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableCompression: true,
-	}}
+	client := &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConns: s.MaxInFlight, MaxIdleConnsPerHost: s.MaxInFlight, IdleConnTimeout: time.Minute,
+			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableCompression: true,
+		},
+		// A redirect could lead load away from the loopback.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 	return &Runner{
 		settings: s, opts: o, id: rand.Text()[:8], client: client,
 		entries: &entries{client: client, seeds: s.Entries, allow: allow},
