Refuse keys that a path can't carry, and bound calls of operators

Cause: 'table set pool ..' was redirected to the list of rows; the command line followed, showed the list's answer as the edit's and exited with 0 though nothing was made. A body that trickled in held a connection of the operators' address. Change: parts of keys are not empty or dots, the command line follows no redirect, calls of operators end after 30 s.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -51,7 +51,7 @@
 
 // Main runs a command and returns the exit code.
 func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
-	a := &app{stdin: stdin, stdout: stdout, stderr: stderr, http: &http.Client{Timeout: timeout}}
+	a := &app{stdin: stdin, stdout: stdout, stderr: stderr, http: &http.Client{Timeout: timeout, CheckRedirect: noRedirect}}
 	p := flags.NewNamedParser("snipereachctl", flags.HelpFlag|flags.PassDoubleDash)
 	p.SubcommandsOptional = true
 	p.CommandHandler = runCommand
@@ -87,6 +87,11 @@
 	return kernel.ExitOK
 }
 
+// noRedirect makes a redirect an answer like any other. The interface sends none;
+// following one would turn a PUT into a GET, and its answer would look like the
+// edit's.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // runCommand runs a command, and refuses words that it doesn't take: an order
 // would otherwise be carried out for the first of several hosts without a word.
 func runCommand(c flags.Commander, rest []string) error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,6 +33,10 @@
 // ErrStart is returned when the entry can't come up.
 var ErrStart = merry.Sentinel("entry can't start")
 
+// operatorsTimeout bounds one call of an operator; a body that trickles in would
+// otherwise hold its connection for ever.
+const operatorsTimeout = 30 * time.Second
+
 // Entry implements kernel.Daemon.
 type Entry struct {
 	settings                 *Settings
@@ -238,7 +242,10 @@
 	e.callersHTTP = &http.Server{Handler: e.callerRoutes(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}
 	go func() { _ = e.callersHTTP.Serve(e.callers) }()
 	if e.operators != nil {
-		e.operatorsHTTP = &http.Server{Handler: e.operatorRoutes(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}
+		e.operatorsHTTP = &http.Server{
+			Handler: e.operatorRoutes(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10,
+			ReadTimeout: operatorsTimeout, WriteTimeout: operatorsTimeout, IdleTimeout: 2 * operatorsTimeout,
+		}
 		go func() { _ = e.operatorsHTTP.Serve(e.operators) }()
 	}
 	kernel.Info(e.log, "Listening.", "id", e.settings.ID, "callers", e.callers.Addr(), "internal", e.internal.Addr())
--- a/table/schema.go
+++ b/table/schema.go
@@ -215,6 +215,13 @@
 	if key == "" || len(key) > 128 || strings.ContainsAny(key, "\t\r\n\" ") {
 		return merry.Prependf(ErrInvalidKey, "%s %q: 1 to 128 characters without blanks", kind, key)
 	}
+	// A dot as a part of a key would be taken out of the row's path by HTTP
+	// libraries: an order for the row would go to another path.
+	for part := range strings.SplitSeq(key, "/") {
+		if part == "" || part == "." || part == ".." {
+			return merry.Prependf(ErrInvalidKey, "%s %q: its parts must not be empty or dots", kind, key)
+		}
+	}
 	pair := kind == KindLimit || kind == KindWeight
 	if pair && strings.Count(key, "/") != 1 {
 		return merry.Prependf(ErrInvalidKey, "%s %q: must be TEAM/SERVICE, or TEAM/* for all services", kind, key)
