--- a/control/client.go
+++ b/control/client.go
@@ -53,6 +53,18 @@
 // retryInterval is the time between two rounds over the replicas.
 const retryInterval = 100 * time.Millisecond
 
+// Each calls every replica, each within a time, until f returns true.
+func (c *Client) Each(ctx context.Context, timeout time.Duration, f func(context.Context, wire.DRPCControlClient) bool) {
+	for _, addr := range c.addrs {
+		one, cancel := context.WithTimeout(ctx, timeout)
+		done := f(one, wire.NewDRPCControlClient(c.pool.Conn(one, addr)))
+		cancel()
+		if done || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
 // callUntil goes on calling until one call returns no error or the context ends:
 // a fail-over takes longer than one round over the replicas.
 func (c *Client) callUntil(ctx context.Context, f func(context.Context, wire.DRPCControlClient) error) error {
--- a/control/groupdriver.go
+++ b/control/groupdriver.go
@@ -28,6 +28,7 @@
 	row       *table.Group
 	state     *wire.GroupState
 	ranks     map[int]*wire.Announcement
+	conflict  string
 	shape     placement.Shape
 	cfg       rollout.Config
 	coord     *rollout.Coordinator
@@ -37,6 +38,7 @@
 	details   map[int]string
 
 	window   counterWindow
+	turn     int
 	planner  placement.Planner
 	planKey  string
 	planning bool
@@ -71,9 +73,9 @@
 }
 
 // tick takes what the log, the table and the directory say, and does what is due.
-func (d *groupDriver) tick(ctx context.Context, now time.Time, row *table.Group, state *wire.GroupState, ranks map[int]*wire.Announcement) {
+func (d *groupDriver) tick(ctx context.Context, now time.Time, row *table.Group, state *wire.GroupState, ranks groupRanks) {
 	d.logRecords(state)
-	d.row, d.state, d.ranks = row, state, ranks
+	d.row, d.state, d.ranks, d.conflict = row, state, ranks.byRank, ranks.conflict
 	if now.Sub(d.renewed) > maxLease/leaseRenewals {
 		d.renewed = now
 		_ = d.replica.do(ctx, func() { d.replica.leads.renew(d.name, now, maxLease) })
@@ -120,8 +122,8 @@
 	}
 }
 
-// steer decides whether the map is to change: an operator's pin first, then the
-// planner. It returns why nothing is planned, if so.
+// steer decides whether the map is to change: an operator's pin first, also while
+// the row is paused, then the planner. It returns why nothing is planned, if so.
 func (d *groupDriver) steer(ctx context.Context, now time.Time) string {
 	switch {
 	case d.state == nil:
@@ -129,12 +131,16 @@
 	case d.row == nil:
 		d.coord.Cancel("the group's row is gone")
 		return "the group's row is gone"
-	case d.row.Paused:
-		d.coord.Cancel("the row is paused")
-		return ""
+	case d.conflict != "":
+		// Each of the two would take the other's orders for its own.
+		d.coord.Cancel(d.conflict)
+		return d.conflict
 	case d.state.Pinned != 0:
 		d.holdPinned()
 		return ""
+	case d.row.Paused:
+		d.coord.Cancel("the row is paused")
+		return ""
 	case shapeOfRow(d.row) != d.shape:
 		d.coord.Cancel("the row has another shape than the map in force")
 		return fmt.Sprintf("row: shape %+v differs from that of the map in force, %+v", shapeOfRow(d.row), d.shape)
@@ -316,9 +322,19 @@
 	d.coord.Heard(time.Now(), o.Rank, s)
 }
 
+// timeoutOf bounds an order. Those that carry no map are answered at once, and a
+// group may be waiting for them: a connection that hangs is given up early.
+func (d *groupDriver) timeoutOf(verb string) time.Duration {
+	switch verb {
+	case rollout.VerbArm, rollout.VerbCommit, rollout.VerbAbort:
+		return min(d.cfg.Resend, d.settings.OrderTimeout.D())
+	}
+	return d.settings.OrderTimeout.D()
+}
+
 // give sends one order through the rank's agent.
 func (d *groupDriver) give(ctx context.Context, a *wire.Announcement, verb string, body any) (*wire.OrderReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.settings.OrderTimeout.D())
+	ctx, cancel := context.WithTimeout(ctx, d.timeoutOf(verb))
 	defer cancel()
 	text, err := json.Marshal(body)
 	if err != nil {
@@ -347,10 +363,7 @@
 		return
 	}
 	*w = counterWindow{began: now, open: true, load: make(placement.Load, d.shape.Layers*d.shape.Experts)}
-	for rank, a := range d.ranks {
-		if rank >= d.shape.Ranks {
-			continue
-		}
+	for _, a := range d.asked() {
 		w.waiting++
 		go func() {
 			reply, err := d.give(ctx, a, rollout.VerbCounters, struct{}{})
@@ -366,6 +379,22 @@
 	d.closeWindow()
 }
 
+// asked lists the ranks of this window, in turn.
+func (d *groupDriver) asked() []*wire.Announcement {
+	n := d.shape.Ranks
+	if c := d.settings.CounterRanks; c > 0 {
+		n = min(c, n)
+	}
+	var list []*wire.Announcement
+	for range n {
+		if a := d.ranks[d.turn%d.shape.Ranks]; a != nil {
+			list = append(list, a)
+		}
+		d.turn++
+	}
+	return list
+}
+
 func (d *groupDriver) count(body []byte) {
 	c := &wire.ExpertCounters{}
 	if proto.Unmarshal(body, c) != nil || c.Group != d.name || len(c.Tokens) != len(d.window.load) {
