--- a/ctl/system_test.go
+++ b/ctl/system_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/snipereach/snipereach/ctl"
 	"github.com/snipereach/snipereach/quickstart"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
 )
 
 // refusedCall asks for a priority that the team's row doesn't allow: it is made
@@ -136,3 +138,25 @@
 	assert.Equal(t, code, 0, out)
 	assert.Assert(t, strings.Contains(out, `"draining": true`), out)
 }
+
+// A stranger on the network who doesn't know the cluster's secret gets no
+// process's state and drains nothing.
+func TestStrangersGetNoStateAndDrainNothing(t *testing.T) {
+	s := start(t, quickstart.Options{})
+	pool := transport.NewPool(transport.Security{Secret: []byte("another cluster's secret")})
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for _, address := range []string{s.Entries[0].InternalAddress(), s.Agents[0].Address()} {
+		conn := pool.Conn(ctx, address)
+		_, err := wire.NewDRPCProcessClient(conn).Dump(ctx, &wire.DumpRequest{})
+		assert.Assert(t, err != nil, address)
+		_, err = wire.NewDRPCEntryClient(conn).Drain(ctx, &wire.DrainRequest{By: "stranger"})
+		assert.Assert(t, err != nil, address)
+		_, err = wire.NewDRPCAgentClient(conn).Drain(ctx, &wire.DrainRequest{By: "stranger"})
+		assert.Assert(t, err != nil, address)
+	}
+	_, out := command(s, 0, "status", "-o", "tsv")
+	assert.Assert(t, strings.Contains(out, "entry-1\tup\ttrue"), out)
+	assert.Assert(t, strings.Contains(out, "lm-1\tup"), out)
+}
--- a/internal/docscheck/docscheck_test.go
+++ b/internal/docscheck/docscheck_test.go
@@ -88,3 +88,17 @@
 		assert.Assert(t, found, "metric %s of metrics.md is not in the code", d)
 	}
 }
+
+// A page that its index doesn't name is not found by who needs it.
+func TestEveryPageStandsInItsIndex(t *testing.T) {
+	for _, dir := range []string{"operations", "design"} {
+		index, err := os.ReadFile(filepath.Join(root, "docs", dir, "README.md"))
+		assert.NilError(t, err)
+		pages, err := filepath.Glob(filepath.Join(root, "docs", dir, "*.md"))
+		assert.NilError(t, err)
+		for _, page := range pages {
+			name := filepath.Base(page)
+			assert.Assert(t, name == "README.md" || strings.Contains(string(index), "]("+name+")"), "%s is not in docs/%s/README.md", name, dir)
+		}
+	}
+}
