Ask for an operator's key before an entry's state is dumped

Cause: /debug/state on the operators' address answered anybody. Result: go test ./entry ./operators ./ctl ./internal/... ./quickstart pass; a wrong key gets no dump, as a test shows.

--- a/entry/routes.go
+++ b/entry/routes.go
@@ -23,7 +23,7 @@
 
 func (e *Entry) operatorRoutes() http.Handler {
 	r := mux.NewRouter()
-	r.Handle("/debug/state", &e.dumps).Methods(http.MethodGet)
+	r.Handle("/debug/state", e.ops.Authenticated(&e.dumps)).Methods(http.MethodGet)
 	r.Handle("/metrics", kernel.MetricsHandler(e.metrics)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/refusals/{token}", e.serveRefusal).Methods(http.MethodGet)
 	r.HandleFunc("/healthz", e.serveHealth).Methods(http.MethodGet)
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -6,7 +6,9 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/sha256"
 	"crypto/x509"
+	"encoding/hex"
 	"encoding/pem"
 	"math/big"
 	"net"
@@ -81,18 +83,24 @@
 	s := valid()
 	s.Operators = "127.0.0.1:0"
 	s.OperatorsTLS = certificate(t)
+	digest := sha256.Sum256([]byte("asha's key"))
+	s.Operator = []operators.Operator{{Name: "asha", KeySHA256: hex.EncodeToString(digest[:])}}
 	e, err := New(s, log.NewNopLogger())
 	assert.NilError(t, err)
 	t.Cleanup(func() { e.Stop() })
 	assert.NilError(t, e.Start(context.Background()))
 	dump := func(args ...string) (int, string) {
 		var out bytes.Buffer
-		code := ctl.Main(append(args, "dump"), strings.NewReader(""), &out, &out)
+		code := ctl.Main(append(args, "--key", "asha's key", "dump"), strings.NewReader(""), &out, &out)
 		return code, out.String()
 	}
 	code, out := dump("--server", "https://"+e.OperatorAddress(), "--ca", s.OperatorsTLS.Certificate)
 	assert.Equal(t, code, 0, out)
 	assert.Assert(t, strings.Contains(out, `"entry-1"`), out)
+	var refused bytes.Buffer
+	code = ctl.Main([]string{"--server", "https://" + e.OperatorAddress(), "--ca", s.OperatorsTLS.Certificate, "--key", "none", "dump"}, nil, &refused, &refused)
+	assert.Equal(t, code, 1)
+	assert.Assert(t, strings.Contains(refused.String(), "Operators identify themselves"), refused.String())
 	code, out = dump("--server", "https://"+e.OperatorAddress())
 	assert.Equal(t, code, 1, out)
 	assert.Assert(t, strings.Contains(out, "certificate"), out)
--- a/operators/operators.go
+++ b/operators/operators.go
@@ -191,6 +191,11 @@
 	}
 }
 
+// Authenticated guards a handler of the operators' address by the operators' keys.
+func (h *Handler) Authenticated(next http.Handler) http.Handler {
+	return h.with(func(c *call) { next.ServeHTTP(c.w, c.r) })
+}
+
 // operator returns the caller's name, or "". The digest is looked up, and then
 // compared in constant time.
 func (h *Handler) operator(r *http.Request) string {
