--- a/admit/share_test.go
+++ b/admit/share_test.go
@@ -360,6 +360,9 @@
 	running := 0.0
 	for _, e := range s.everyEntry() {
 		if loc := e.lim.subjects[simSubject]; loc != nil {
+			// An entry that is cut off has its old row in force, also while
+			// nobody asks.
+			s.hold(loc.limit)
 			share = share.add(loc.share(s.clock(e.rate)))
 		}
 		running += float64(len(e.ends))
