--- a/control/groups_test.go
+++ b/control/groups_test.go
@@ -25,6 +25,7 @@
 type rotate struct {
 	shape placement.Shape
 	seen  int
+	slow  string
 }
 
 func init() {
@@ -35,13 +36,24 @@
 
 func (p *rotate) Observe(time.Time, placement.Load) { p.seen++ }
 
+func (p *rotate) ObserveTimes(times []time.Duration, m *placement.Map) {
+	loads := m.RankLoads(p.shape, 0, fakeLoad(0))
+	slowest := 0
+	for r := range times {
+		if times[r].Seconds()/loads[r] > 1.2*times[slowest].Seconds()/loads[slowest] {
+			slowest = r
+		}
+	}
+	p.slow = fmt.Sprintf("; rank %d is slow", slowest)
+}
+
 func (p *rotate) Plan(_ time.Time, m *placement.Map) placement.Decision {
 	if p.seen == 0 {
 		return placement.Decision{Why: "no counters yet"}
 	}
 	by := p.shape.Slots
 	next := &placement.Map{Slots: append(slices.Clone(m.Slots[by:]), m.Slots[:by]...)}
-	return placement.Decision{Next: next, Why: fmt.Sprintf("rotated after %d windows", p.seen)}
+	return placement.Decision{Next: next, Why: fmt.Sprintf("rotated after %d windows%s", p.seen, p.slow)}
 }
 
 // ranks runs a fake group with an agent beside each rank.
@@ -51,12 +63,14 @@
 	agents []*agent.Agent
 }
 
+func fakeLoad(uint64) placement.Load { return placement.Load{80, 8, 8, 8, 8, 8, 8, 8} }
+
 func startGroup(t *testing.T, planner string) *ranks {
 	r := &ranks{cluster: newCluster(t, 3)}
 	r.group = &fake.Group{
 		Name: "g", Shape: placement.Shape{Ranks: 4, Experts: 8, Layers: 1, Slots: 3},
 		Step: 2 * time.Millisecond, Load: 50 * time.Millisecond,
-		Tokens: func(uint64) placement.Load { return placement.Load{80, 8, 8, 8, 8, 8, 8, 8} },
+		Tokens: fakeLoad, Slow: map[int]float64{2: 1.6},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -83,7 +97,7 @@
 
 func (r *ranks) startAgent(i int, url string) {
 	set := agent.DefaultSettings()
-	set.ID = fmt.Sprintf("rank-%d", i)
+	set.ID = fmt.Sprintf("rank-%d-%d", i, len(r.agents))
 	set.FailureDomain = "hall-0"
 	set.ClusterSecret = string(sec.Secret)
 	set.Pools = []string{"lm"}
@@ -210,8 +224,9 @@
 	r.checkHistory()
 }
 
-// An operator takes back the last change, pins, pauses and unpins. The map that
-// was taken back stays away until the pin is taken off.
+// An operator takes back the last change, pauses and unpins. The map that was
+// taken back stays away until the pin is taken off and the row goes on. In a paused
+// group, too, an operator can take a change back.
 func TestOperatorsPinPauseAndUndo(t *testing.T) {
 	r := startGroup(t, "test-rotate")
 	r.waitFor("two switches", func(v *wire.GroupView) bool { return len(inForce(v)) > 1 })
@@ -231,6 +246,12 @@
 	assert.Assert(t, r.change(control.VerbUnpin, 0).Accepted)
 	r.waitForSteps(150)
 	assert.Equal(t, r.view().State.Map.Epoch, held, "the row is paused")
+	assert.Assert(t, r.change(control.VerbUndo, 0).Accepted)
+	v = r.waitFor("the undo of a paused group", func(v *wire.GroupView) bool {
+		return v.GetState().GetMap().GetEpoch() > held && v.State.Switch == nil
+	})
+	held = v.State.Map.Epoch
+	assert.Assert(t, r.change(control.VerbUnpin, 0).Accepted)
 	r.edit(groupColumns("test-rotate", "no"))
 	r.waitFor("planning goes on", func(v *wire.GroupView) bool { return v.GetState().GetMap().GetEpoch() > held })
 	refused := r.change(control.VerbPin, 1<<40)
@@ -247,3 +268,37 @@
 	r.waitForSteps(20)
 	r.checkHistory()
 }
+
+// Two engines are set up as the same rank. Nothing is planned, and the error
+// names both; once one of them leaves, planning goes on.
+func TestTwoUpstreamsWithOneRankAreNamed(t *testing.T) {
+	r := startGroup(t, "test-rotate")
+	r.waitFor("a first switch", func(v *wire.GroupView) bool { return len(inForce(v)) > 0 })
+	e := &fake.Engine{Group: r.group, Rank: 1}
+	assert.NilError(t, e.Start())
+	t.Cleanup(e.Close)
+	r.startAgent(1, e.URL())
+	r.waitFor("an error", func(v *wire.GroupView) bool {
+		return strings.Contains(v.Error, "upstreams rank-1-1 and rank-1-4 both announce rank 1")
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	assert.NilError(t, r.agents[4].Drain(ctx))
+	r.agents[4].Stop()
+	before := r.view().GetState().GetMap().GetEpoch()
+	r.waitFor("planning goes on", func(v *wire.GroupView) bool { return v.GetState().GetMap().GetEpoch() > before })
+	r.checkHistory()
+}
+
+// One rank is slow for a reason that isn't its experts. The planner is told how long
+// each rank is busy, whoever holds the busiest expert, and the operator reads of it in
+// the decision.
+func TestASlowRankIsReported(t *testing.T) {
+	r := startGroup(t, "test-rotate")
+	for range 2 {
+		seen := r.view().GetState().GetMap().GetEpoch()
+		r.waitFor("a report under another map", func(v *wire.GroupView) bool {
+			return v.GetState().GetMap().GetEpoch() > seen && strings.Contains(v.GetLast().GetWhy(), "; rank 2 is slow")
+		})
+	}
+}
--- a/operators/operators_test.go
+++ b/operators/operators_test.go
@@ -1,15 +1,20 @@
 package operators_test
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/go-kit/log"
+	"github.com/gorilla/mux"
 	"gotest.tools/v3/assert"
 
 	"github.com/snipereach/snipereach/operators"
@@ -202,14 +207,34 @@
 	assert.Equal(t, len(good.Rows), 2)
 }
 
+var pathVariable = regexp.MustCompile(`\{([a-z]+)[^}]*\}`)
+
+// registered lists every route of the handler but the page's, as METHOD PATH.
+func registered(t *testing.T) []string {
+	t.Helper()
+	values := map[string]string{"kind": "pool", "key": "lm", "revision": "1", "verb": "pin"}
+	var list []string
+	err := alone(t, fixed{}).Walk(func(route *mux.Route, _ *mux.Router, _ []*mux.Route) error {
+		path, err := route.GetPathTemplate()
+		if err != nil || path == "/" || strings.HasPrefix(path, "/page/") {
+			return err
+		}
+		methods, err := route.GetMethods()
+		for _, m := range methods {
+			list = append(list, m+" "+pathVariable.ReplaceAllStringFunc(path, func(v string) string {
+				return cmp.Or(values[pathVariable.FindStringSubmatch(v)[1]], "x")
+			}))
+		}
+		return err
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, len(list) >= 15, "%v", list)
+	return list
+}
+
 func TestEveryRouteNeedsAnOperatorsKey(t *testing.T) {
 	s := start(t)
-	for _, route := range []string{
-		"GET /v1/schema", "GET /v1/table", "POST /v1/table", "GET /v1/table/pool", "GET /v1/table/pool/lm",
-		"PUT /v1/table/pool/lm", "DELETE /v1/table/pool/lm", "GET /v1/history/pool/lm", "GET /v1/force/1",
-		"GET /v1/members", "DELETE /v1/members/a/b", "POST /v1/replace/a/b", "GET /v1/status",
-		"GET /v1/dump/lm-1", "POST /v1/drain/lm-1",
-	} {
+	for _, route := range registered(t) {
 		method, path, _ := strings.Cut(route, " ")
 		for _, key := range []string{"", "Bearer ", "Bearer wrong", "Bearer " + quickstart.TeamKey, "Basic " + quickstart.OperatorKey} {
 			a := send(t, s, method, path, columns("slots=1"), "Authorization", key, "If-Match", `"1"`)
@@ -251,3 +276,41 @@
 	}
 	assert.NilError(t, operators.CheckOperators([]operators.Operator{{Name: "a", KeySHA256: digest}, {Name: "b", KeySHA256: other}}))
 }
+
+// lockedBuffer collects log lines of several goroutines.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// The log says who changed which row to which version, once for an edit that is
+// sent twice; the cells, which may hold digests of keys, stay out of it.
+func TestLogSaysWhoChangedWhat(t *testing.T) {
+	logged := &lockedBuffer{}
+	s, err := quickstart.Start(context.Background(), quickstart.Options{Log: log.NewLogfmtLogger(logged)})
+	assert.NilError(t, err)
+	t.Cleanup(s.Stop)
+	assert.NilError(t, s.WaitReady(context.Background()))
+	digest := strings.Repeat("ab", 32)
+	for range 2 {
+		a := send(t, s, "PUT", "/v1/table/team/buyers", columns("key_sha256="+digest), "If-None-Match", "*", "Idempotency-Key", "e1")
+		assert.Equal(t, a.status, 200, a.body)
+	}
+	const line = `msg="Changed a row." by=quickstart row="team buyers" version=1`
+	assert.Equal(t, strings.Count(logged.String(), line), 1)
+	assert.Equal(t, send(t, s, "DELETE", "/v1/table/team/buyers", "", "If-Match", `"1"`).status, 200)
+	assert.Assert(t, strings.Contains(logged.String(), `msg="Deleted a row." by=quickstart row="team buyers" version=2`))
+	assert.Assert(t, !strings.Contains(logged.String(), digest))
+}
