--- a/entry/prefix.go
+++ b/entry/prefix.go
@@ -1,23 +1,9 @@
 package entry
 
-import "github.com/cespare/xxhash/v2"
+import "github.com/snipereach/snipereach/route"
 
-// Blocks of a prompt that are hashed for prefix routing.
-const (
-	prefixBlock = 256
-	maxPrefix   = 64
-)
-
-// prefixHashes returns the chained hashes of a prompt's blocks of prefixBlock
-// bytes, shortest prefix first. The scope keeps teams and models apart.
-func prefixHashes(scope, prompt string) []uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(scope)
-	var list []uint64
-	for len(prompt) >= prefixBlock && len(list) < maxPrefix {
-		_, _ = d.WriteString(prompt[:prefixBlock])
-		list = append(list, d.Sum64())
-		prompt = prompt[prefixBlock:]
-	}
-	return list
-}
+// prefixHashes names the blocks of a call's prompt as the engines' cache events
+// do. They depend on the model and the prompt alone: an engine doesn't know the
+// team, and teams that share a beginning of their prompts share its cache. What
+// is hashed decides only where a request goes.
+func prefixHashes(model, prompt string) []uint64 { return route.PrefixHashes(model, prompt) }
--- a/entry/request.go
+++ b/entry/request.go
@@ -168,7 +168,7 @@
 	}
 	prompt := string(c.Prompt) + string(c.Messages)
 	q.tokens = len(prompt)/charsPerToken + output
-	q.prefix = prefixHashes(q.team.Name+"\x00"+c.Model, prompt)
+	q.prefix = prefixHashes(c.Model, prompt)
 	q.path = q.r.URL.Path
 	return nil
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -239,7 +239,7 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	if b := f.balancers[c.Pool.Name]; b != nil {
-		b.Done(now, up.ID, c.Route, route.Result{
+		b.Done(now, up, c.Route, route.Result{
 			Outcome: e.outcome, Reason: e.reason, Load: e.load, Elapsed: now.Sub(began),
 		})
 	}
--- a/route/leastloaded.go
+++ b/route/leastloaded.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/snipereach/snipereach/kernel"
@@ -11,91 +10,62 @@
 func init() {
 	kernel.Register(kernel.Module{
 		ID:  "route.least-loaded",
-		Doc: "the less loaded of two random upstreams, counting own work in flight",
-		New: func() any { return &LeastLoaded{known: map[string]*known{}, rnd: rand.New(rand.NewPCG(1, 1))} },
+		Doc: "the least busy of a few random upstreams, counting own work that reports can't hold",
+		New: func() any { return &LeastLoaded{pool: newPool(), choices: defaultChoices} },
 	})
 }
 
-// known is what the entry knows of one upstream.
-type known struct {
-	Upstream
-	inflight int
-}
+// defaultChoices is how many upstreams are compared. More know better when
+// reports are fresh and crowd on one upstream when they are old; see
+// docs/design/route.md for the figures.
+const defaultChoices = 5
 
-// LeastLoaded compares two random candidates by reported load plus own work in
-// flight (Mitzenmacher: The Power of Two Choices, 2001).
+// LeastLoaded compares a few random candidates (Mitzenmacher: The Power of Two
+// Choices in Randomized Load Balancing, 2001) by their corrected load.
 type LeastLoaded struct {
-	known map[string]*known
-	ids   []string
-	rnd   *rand.Rand
+	pool
+	choices int
 }
 
-// SetPlace implements Placed.
-func (b *LeastLoaded) SetPlace(p Place) { b.rnd = rand.New(rand.NewPCG(p.Seed, 2)) }
+// SetChoices changes how many upstreams are compared, for measurements.
+func (b *LeastLoaded) SetChoices(n int) { b.choices = n }
 
 // Update implements Balancer.
-func (b *LeastLoaded) Update(_ time.Time, ups []Upstream) {
-	next := make(map[string]*known, len(ups))
-	b.ids = b.ids[:0]
-	for _, u := range ups {
-		k := &known{Upstream: u}
-		if old := b.known[u.ID]; old != nil && old.Incarnation == u.Incarnation {
-			k.inflight = old.inflight
-		}
-		next[u.ID] = k
-		b.ids = append(b.ids, u.ID)
-	}
-	b.known = next
-}
+func (b *LeastLoaded) Update(now time.Time, ups []Upstream) { b.update(now, ups) }
 
 // Report implements Balancer.
-func (b *LeastLoaded) Report(_ time.Time, id string, incarnation uint64, l *wire.Load) {
-	k := b.known[id]
-	if k == nil || k.Incarnation != incarnation || l == nil {
-		return
-	}
-	if k.Load == nil || l.Seq > k.Load.Seq {
-		k.Load = l
-	}
+func (b *LeastLoaded) Report(now time.Time, id string, incarnation uint64, l *wire.Load) {
+	b.report(now, id, incarnation, l)
 }
 
 // Cache implements Balancer.
 func (b *LeastLoaded) Cache(time.Time, string, uint64, []*wire.CacheEvent) {}
 
 // Pick implements Balancer.
-func (b *LeastLoaded) Pick(_ time.Time, r *Request) (Upstream, bool) {
-	var ids []string
-	for _, id := range b.ids {
-		if !r.Exclude[id] {
-			ids = append(ids, id)
-		}
+func (b *LeastLoaded) Pick(now time.Time, r *Request) (Upstream, bool) {
+	best := b.leastBusy(now, b.sample(now, r, b.choices))
+	if best == nil {
+		best = b.lastResort(r)
 	}
-	if len(ids) == 0 {
+	if best == nil {
 		return Upstream{}, false
 	}
-	best := b.known[ids[b.rnd.IntN(len(ids))]]
-	other := b.known[ids[b.rnd.IntN(len(ids))]]
-	if other.cost() < best.cost() {
-		best = other
-	}
-	best.inflight++
+	b.start(now, best, r)
 	return best.Upstream, true
 }
 
-func (k *known) cost() float64 {
-	c := float64(k.inflight)
-	if k.Load != nil {
-		c += float64(k.Load.Running+k.Load.Waiting) / float64(max(k.Load.Slots, 1))
+func (p *pool) leastBusy(now time.Time, list []*state) *state {
+	var best *state
+	least := 0.0
+	for _, s := range list {
+		if busy := p.busy(now, s); best == nil || busy < least {
+			best, least = s, busy
+		}
 	}
-	return c
+	return best
 }
 
 // Done implements Balancer.
-func (b *LeastLoaded) Done(now time.Time, id string, _ *Request, res Result) {
-	k := b.known[id]
-	if k == nil {
-		return
-	}
-	k.inflight = max(k.inflight-1, 0)
-	b.Report(now, id, k.Incarnation, res.Load)
+func (b *LeastLoaded) Done(now time.Time, up Upstream, r *Request, res Result) {
+	b.done(now, up, r, res)
 }
--- a/route/roundrobin.go
+++ b/route/roundrobin.go
@@ -31,7 +31,7 @@
 func (b *RoundRobin) Cache(time.Time, string, uint64, []*wire.CacheEvent) {}
 
 // Done implements Balancer.
-func (b *RoundRobin) Done(time.Time, string, *Request, Result) {}
+func (b *RoundRobin) Done(time.Time, Upstream, *Request, Result) {}
 
 // Pick implements Balancer.
 func (b *RoundRobin) Pick(_ time.Time, r *Request) (Upstream, bool) {
--- a/route/route.go
+++ b/route/route.go
@@ -41,6 +41,9 @@
 	Load    *wire.Load
 	// Elapsed is the time from Pick to the end.
 	Elapsed time.Duration
+	// CallerGone says that the caller left first: the end tells nothing of the
+	// upstream.
+	CallerGone bool
 }
 
 // Balancer chooses among the upstreams of one pool, at one entry. It is pure:
@@ -55,7 +58,7 @@
 	// Pick chooses; the attempt counts as in flight until Done.
 	Pick(now time.Time, r *Request) (Upstream, bool)
 	// Done ends an attempt that Pick chose.
-	Done(now time.Time, id string, r *Request, res Result)
+	Done(now time.Time, up Upstream, r *Request, res Result)
 }
 
 // Place says where an entry stands, for plug-ins that prefer what is near.
