Let an agent refuse an attempt that finds it busier than the entry expected

With reports a second old, seven entries queue at the upstreams that looked idle then. An attempt now carries the number of requests at which it is better off elsewhere; the agent refuses it, not run, with its load of that moment, and the entry moves on, three times at most. Estimates of old loads drift to the pool's mean.

--- a/agent/run.go
+++ b/agent/run.go
@@ -53,9 +53,20 @@
 		return at.end(wire.Outcome_OUTCOME_NOT_RUN, wire.Reason_REASON_UPSTREAM_LEAVING, "upstream is leaving")
 	}
 	defer a.attempts.end()
+	if at.busier() {
+		return at.end(wire.Outcome_OUTCOME_NOT_RUN, wire.Reason_REASON_QUEUE_FULL, "busier than the entry expected")
+	}
 	return at.run()
 }
 
+// busier says whether the attempt was meant for a less busy upstream. Entries
+// know the load of a moment ago; without this check they would all queue where
+// it was lowest then.
+func (at *attempt) busier() bool {
+	running, waiting := at.agent.runner.Counts()
+	return at.head.RefuseAt > 0 && running+waiting >= int(at.head.RefuseAt)
+}
+
 func (a *Agent) receive(stream wire.DRPCAgent_RunStream, now time.Time) (*attempt, error) {
 	frame, err := stream.Recv()
 	if err != nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -26,8 +26,13 @@
 	ErrCallerGone = merry.Sentinel("caller is gone")
 )
 
-// maxAttempts bounds the attempts of one request, whatever the budget.
-const maxAttempts = 4
+const (
+	// maxAttempts bounds the attempts of one request, whatever the budget.
+	maxAttempts = 4
+	// maxMoves bounds how often a request moves on because an upstream is busier
+	// than expected. A move is no retry: nothing failed, and nothing ran.
+	maxMoves = 3
+)
 
 // Call is one request.
 type Call struct {
@@ -38,6 +43,9 @@
 	Deadline time.Time
 	// MaxAnswer bounds an unstreamed answer, in bytes.
 	MaxAnswer int64
+
+	// mayMove lets an agent refuse the next attempt if it is busier than expected.
+	mayMove bool
 }
 
 // Sink takes an answer. An unstreamed answer reaches it whole, in one Write.
@@ -131,7 +139,9 @@
 func (f *Forwarder) Do(ctx context.Context, c *Call, sink Sink) Result {
 	var res Result
 	c.Route.Exclude = map[string]bool{}
+	moves := 0
 	for n := 1; ; n++ {
+		c.mayMove = moves < maxMoves && len(c.Body) <= transport.BodyFrame
 		up, end := f.attempt(ctx, c, sink, n)
 		res.Outcome, res.Reason, res.Detail, res.Begun = end.outcome, end.reason, end.detail, end.begun
 		if end.reason == 0 {
@@ -141,15 +151,23 @@
 			res.Attempts = append(res.Attempts, &wire.RefusedAttempt{
 				Upstream: up.ID, Outcome: end.outcome, Reason: end.reason, Detail: end.detail,
 			})
-			c.Route.Exclude[up.ID] = true
 		}
-		if !f.again(ctx, c, end, n) {
+		if end.move && f.inTime(ctx, c) {
+			moves++
+			continue
+		}
+		c.Route.Exclude[up.ID] = true
+		if !f.again(ctx, c, end, n-moves) {
 			res.Outcome = worst(res)
 			return res
 		}
 	}
 }
 
+func (f *Forwarder) inTime(ctx context.Context, c *Call) bool {
+	return ctx.Err() == nil && f.now().Before(c.Deadline)
+}
+
 // worst is the outcome of a whole request: "not run" only if no attempt may
 // have run. An idempotent request whose first attempt is in doubt and whose
 // second was certainly not run is in doubt.
@@ -164,7 +182,7 @@
 
 // again decides whether another attempt is made.
 func (f *Forwarder) again(ctx context.Context, c *Call, e ending, n int) bool {
-	if e.begun || e.final || n >= maxAttempts || ctx.Err() != nil || !f.now().Before(c.Deadline) {
+	if e.begun || e.final || n >= maxAttempts || !f.inTime(ctx, c) {
 		return false
 	}
 	// Only a certified "not run" lets a call that is not idempotent go again.
@@ -185,11 +203,14 @@
 	begun   bool
 	// final says that another attempt can't help.
 	final bool
-	load  *wire.Load
+	// move says that the upstream was busier than expected.
+	move bool
+	load *wire.Load
 }
 
 func (f *Forwarder) attempt(ctx context.Context, c *Call, sink Sink, n int) (route.Upstream, ending) {
-	up, err := f.pick(c, n)
+	choice, err := f.pick(c, n)
+	up := choice.Upstream
 	if err != nil {
 		return up, ending{
 			outcome: wire.Outcome_OUTCOME_NOT_RUN, reason: wire.Reason_REASON_NO_UPSTREAM,
@@ -197,50 +218,64 @@
 		}
 	}
 	began := f.now()
-	head := headFor(c, up, n, began)
+	head := headFor(c, choice, n, began)
 	e := f.exchange(ctx, up, head, c, sink)
-	f.done(c, up, e, began)
+	e.move = movedOn(head, e)
+	f.done(ctx, c, up, e, began)
 	return up, e
 }
 
+// movedOn says whether an agent refused because it is busier than expected.
+func movedOn(h *wire.RunHead, e ending) bool {
+	if e.reason != wire.Reason_REASON_QUEUE_FULL || e.outcome != wire.Outcome_OUTCOME_NOT_RUN || e.load == nil {
+		return false
+	}
+	return h.RefuseAt > 0 && e.load.Running+e.load.Waiting >= h.RefuseAt
+}
+
 // headFor makes the head of one attempt.
-func headFor(c *Call, up route.Upstream, n int, now time.Time) *wire.RunHead {
+func headFor(c *Call, up route.Choice, n int, now time.Time) *wire.RunHead {
 	h := c.Head
-	return &wire.RunHead{
+	head := &wire.RunHead{
 		RequestId: h.RequestId, AttemptId: fmt.Sprintf("%s.%d", h.RequestId, n),
 		Team: h.Team, Service: h.Service, Priority: h.Priority, Weight: h.Weight,
 		TimeoutUs: c.Deadline.Sub(now).Microseconds(), Idempotent: h.Idempotent,
 		Method: h.Method, Path: h.Path, Headers: h.Headers, Tokens: h.Tokens,
 		Incarnation: up.Incarnation,
 	}
+	if c.mayMove {
+		head.RefuseAt = uint32(up.RefuseAt)
+	}
+	return head
 }
 
 var errNoUpstream = merry.Sentinel("no upstream is up")
 
-func (f *Forwarder) pick(c *Call, n int) (route.Upstream, error) {
+func (f *Forwarder) pick(c *Call, n int) (route.Choice, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b, err := f.balancer(c.Pool)
 	if err != nil {
-		return route.Upstream{}, err
+		return route.Choice{}, err
 	}
 	if n == 1 {
 		b.budget.Offer()
 	}
-	up, ok := b.Pick(f.now(), c.Route)
+	choice, ok := b.Pick(f.now(), c.Route)
 	if !ok {
-		return route.Upstream{}, errNoUpstream
+		return route.Choice{}, errNoUpstream
 	}
-	return up, nil
+	return choice, nil
 }
 
-func (f *Forwarder) done(c *Call, up route.Upstream, e ending, began time.Time) {
+func (f *Forwarder) done(ctx context.Context, c *Call, up route.Upstream, e ending, began time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
 	if b := f.balancers[c.Pool.Name]; b != nil {
 		b.Done(now, up, c.Route, route.Result{
 			Outcome: e.outcome, Reason: e.reason, Load: e.load, Elapsed: now.Sub(began),
+			CallerGone: e.final || errors.Is(ctx.Err(), context.Canceled),
 		})
 	}
 }
--- /dev/null
+++ b/measure/route/main.go
@@ -0,0 +1,307 @@
+// Command route measures the routing plug-ins on a seeded model of queues and
+// batching in virtual time: entries with the real balancers before modelled
+// engines, beside a single global queue and beside perfect knowledge.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jessevdk/go-flags"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/snipereach/snipereach/route"
+	"github.com/snipereach/snipereach/wire"
+)
+
+type options struct {
+	Seconds int      `long:"seconds" default:"900" description:"virtual time of a run"`
+	Seeds   []uint64 `long:"seed" default:"1" default:"2" default:"3" description:"seeds; figures are over all"`
+	Tables  []string `long:"table" description:"tables: choices, wait, classes, clock, days, faults, prefix, worth; all if none"`
+	Workers int      `long:"workers" default:"4" description:"runs at once"`
+}
+
+var (
+	engines = spec{servers: 16, slots: 8, maxQueue: 64, step: 5 * time.Millisecond, idleStep: 0.6, prefill: 1}
+	clocks  = spec{servers: 3, slots: 32, maxQueue: 64, step: 5 * time.Millisecond, idleStep: 1}
+	lags    = []time.Duration{100 * time.Millisecond, time.Second, 5 * time.Second}
+)
+
+// cacheBlocks holds a part of what is in use: 16 caches of it hold the sessions
+// of all teams once, but not several times.
+const cacheBlocks = 2000
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	runtime.GOMAXPROCS(o.Workers)
+	tables := map[string]func(*bench){
+		"choices": choices, "wait": wait, "classes": classes, "clock": clockPool,
+		"days": days, "faults": faults, "prefix": prefix, "worth": worth,
+	}
+	if len(o.Tables) == 0 {
+		o.Tables = []string{"choices", "wait", "classes", "clock", "days", "faults", "prefix", "worth"}
+	}
+	for _, name := range o.Tables {
+		table, ok := tables[name]
+		if !ok {
+			fmt.Fprintln(os.Stderr, "route: no table", name)
+			os.Exit(2)
+		}
+		table(&bench{options: o})
+	}
+}
+
+// bench makes runs and adds up their outcomes over the seeds.
+type bench struct{ options }
+
+// variant is a run without its work.
+type variant struct {
+	spec    spec
+	policy  string
+	load    float64
+	lag     time.Duration
+	fault   fault
+	shape   shape
+	plain   bool
+	choices int
+	// moves allowed; 0 is as the forwarder does, -1 is none.
+	moves  int
+	prefix *route.PrefixSettings
+}
+
+func (b *bench) run(v variant, seed uint64) *outcome {
+	until := time.Duration(b.Seconds) * time.Second
+	if v.shape == nil {
+		v.shape = steady
+	}
+	probe := newGenerator(seed, v.plain).arrivals(100*time.Second, 50, steady)
+	steps := meanSteps(probe, v.spec.prefill)
+	capacity := float64(v.spec.servers*v.spec.slots) / (steps * v.spec.step.Seconds())
+	list := newGenerator(seed, v.plain).arrivals(until, v.load*capacity, v.shape)
+	if v.moves == 0 {
+		v.moves = maxMoves
+	}
+	return newSystem(setup{
+		spec: v.spec, policy: v.policy, lag: v.lag, fault: v.fault, until: until,
+		list: list, choices: v.choices, moves: v.moves, prefix: v.prefix,
+	}).run()
+}
+
+// all runs variants over the seeds and joins the seeds.
+func (b *bench) all(list []variant) []*outcome {
+	outs := make([][]*outcome, len(list))
+	var g errgroup.Group
+	g.SetLimit(b.Workers)
+	for i, v := range list {
+		outs[i] = make([]*outcome, len(b.Seeds))
+		for s, seed := range b.Seeds {
+			g.Go(func() error {
+				outs[i][s] = b.run(v, seed)
+				return nil
+			})
+		}
+	}
+	_ = g.Wait()
+	joined := make([]*outcome, len(list))
+	for i := range list {
+		joined[i] = join(outs[i])
+	}
+	return joined
+}
+
+func join(list []*outcome) *outcome {
+	sum := list[0]
+	for _, o := range list[1:] {
+		for c := range sum.wait {
+			sum.wait[c].Merge(o.wait[c])
+		}
+		sum.all.Merge(o.all)
+		sum.refused += o.refused
+		sum.lost += o.lost
+		sum.hits += o.hits
+		sum.blocks += o.blocks
+		sum.offered += o.offered
+		sum.attempt += o.attempt
+	}
+	return sum
+}
+
+// attempts is the number of attempts for each request.
+func (o *outcome) attempts() float64 { return float64(o.attempt) / float64(max(o.offered, 1)) }
+
+func millis(h *hdrhistogram.Histogram) string {
+	if h.TotalCount() == 0 {
+		return fmt.Sprintf("%8s %8s %8s", "-", "-", "-")
+	}
+	return fmt.Sprintf("%8.1f %8.1f %8.1f", h.Mean()/1e3, float64(h.ValueAtQuantile(50))/1e3, float64(h.ValueAtQuantile(99))/1e3)
+}
+
+func share(n, of int) string { return fmt.Sprintf("%6.2f%%", 100*float64(n)/float64(max(of, 1))) }
+
+const waitHead = "    mean      p50      p99"
+
+// choices compares how many candidates least-loaded should look at, and how
+// often a request may move on.
+func choices(b *bench) {
+	fmt.Println("\nWait in ms at 95% load by number of candidates compared and moves allowed (least-loaded, 16 engines)")
+	fmt.Printf("%8s %6s %6s %s %9s\n", "choices", "moves", "lag", waitHead, "attempts")
+	var list []variant
+	for _, n := range []int{2, 5, 8, 16} {
+		for _, moves := range []int{-1, 1, 2, 3, 4} {
+			for _, lag := range lags {
+				list = append(list, variant{spec: engines, policy: "least-loaded", load: 0.95, lag: lag, choices: n, moves: moves})
+			}
+		}
+	}
+	for i, o := range b.all(list) {
+		fmt.Printf("%8d %6d %6v %s %9.2f\n", list[i].choices, max(list[i].moves, 0), list[i].lag, millis(o.all), o.attempts())
+	}
+}
+
+// wait compares the policies by load and lag.
+func wait(b *bench) {
+	fmt.Println("\nWait in ms by load and lag, 16 engines, no prefix caches")
+	fmt.Printf("%-13s %5s %6s %s %9s %8s\n", "policy", "load", "lag", waitHead, "x global", "refused")
+	for _, load := range []float64{0.7, 0.95, 1.5} {
+		list := []variant{{spec: engines, policy: "global", load: load}}
+		for _, policy := range []string{"round-robin", "least-loaded", "prefix", "perfect"} {
+			for _, lag := range lags {
+				if lag != time.Second && (policy == "round-robin" || policy == "perfect") {
+					continue
+				}
+				list = append(list, variant{spec: engines, policy: policy, load: load, lag: lag})
+			}
+		}
+		outs := b.all(list)
+		for i, o := range outs {
+			fmt.Printf("%-13s %4.0f%% %6v %s %9.2f %8s\n", list[i].policy, load*100, list[i].lag, millis(o.all),
+				o.all.Mean()/outs[0].all.Mean(), share(o.refused, o.offered))
+		}
+	}
+}
+
+// classes shows waits by class at 1 s lag.
+func classes(b *bench) {
+	fmt.Println("\nWait in ms by class, lag 1 s, 16 engines, no prefix caches")
+	fmt.Printf("%-13s %5s %-7s %s\n", "policy", "load", "class", waitHead)
+	names := map[wire.Priority]string{1: "urgent", 2: "normal", 3: "batch"}
+	for _, load := range []float64{0.7, 0.95, 1.5} {
+		var list []variant
+		for _, policy := range []string{"global", "round-robin", "least-loaded", "prefix"} {
+			list = append(list, variant{spec: engines, policy: policy, load: load, lag: time.Second})
+		}
+		for i, o := range b.all(list) {
+			for class := wire.Priority_PRIORITY_URGENT; class <= wire.Priority_PRIORITY_BATCH; class++ {
+				fmt.Printf("%-13s %4.0f%% %-7s %s\n", list[i].policy, load*100, names[class], millis(o.wait[class]))
+			}
+		}
+	}
+}
+
+// clockPool shows the pool of three plain servers.
+func clockPool(b *bench) {
+	fmt.Println("\nWait in ms, 3 plain servers of the urgent service, lag 1 s")
+	fmt.Printf("%-13s %5s %s %8s\n", "policy", "load", waitHead, "refused")
+	short := *b
+	short.Seconds = min(b.Seconds, 30)
+	for _, load := range []float64{0.7, 0.95, 1.5} {
+		var list []variant
+		for _, policy := range []string{"global", "round-robin", "least-loaded", "prefix"} {
+			list = append(list, variant{spec: clocks, policy: policy, load: load, lag: time.Second, plain: true})
+		}
+		for i, o := range short.all(list) {
+			fmt.Printf("%-13s %4.0f%% %s %8s\n", list[i].policy, load*100, millis(o.all), share(o.refused, o.offered))
+		}
+	}
+}
+
+// days shows both users' days, with the peak at 110% of the capacity.
+func days(b *bench) {
+	fmt.Println("\nWait in ms over a day, peak at 110% load, lag 1 s, 16 engines, no prefix caches")
+	fmt.Printf("%-13s %-8s %s %9s %8s\n", "policy", "day", waitHead, "x global", "refused")
+	for _, day := range []struct {
+		name  string
+		shape shape
+	}{{"growers", growersDay}, {"lift", liftDay}} {
+		var list []variant
+		for _, policy := range []string{"global", "round-robin", "least-loaded", "prefix"} {
+			list = append(list, variant{spec: engines, policy: policy, load: 1.1, lag: time.Second, shape: day.shape})
+		}
+		outs := b.all(list)
+		for i, o := range outs {
+			fmt.Printf("%-13s %-8s %s %9.2f %8s\n", list[i].policy, day.name, millis(o.all),
+				o.all.Mean()/outs[0].all.Mean(), share(o.refused, o.offered))
+		}
+	}
+}
+
+// faults shows one stalled upstream and one lost failure domain.
+func faults(b *bench) {
+	fmt.Println("\nFaults a third into the run, lag 1 s, 16 engines, no prefix caches")
+	fmt.Printf("%-13s %-16s %5s %s %8s %8s %9s\n", "policy", "fault", "load", waitHead, "lost", "refused", "attempts")
+	for _, f := range []struct {
+		name  string
+		fault fault
+	}{{"stalled upstream", stalledUpstream}, {"lost domain", lostDomain}} {
+		for _, load := range []float64{0.6, 0.7, 0.95} {
+			var list []variant
+			for _, policy := range []string{"global", "round-robin", "least-loaded", "prefix"} {
+				list = append(list, variant{spec: engines, policy: policy, load: load, lag: time.Second, fault: f.fault})
+			}
+			for i, o := range b.all(list) {
+				fmt.Printf("%-13s %-16s %4.0f%% %s %8d %8s %9.3f\n", list[i].policy, f.name, load*100, millis(o.all),
+					o.lost, share(o.refused, o.offered), o.attempts())
+			}
+		}
+	}
+}
+
+func cached() spec {
+	s := engines
+	s.cache = cacheBlocks
+	return s
+}
+
+// prefix shows hit rates of the engines' caches.
+func prefix(b *bench) {
+	fmt.Printf("\nPrefix hits (blocks of prompts found cached) and wait in ms, 16 engines with %d cached blocks each\n", cacheBlocks)
+	fmt.Printf("%-13s %5s %6s %8s %10s %s\n", "policy", "load", "lag", "hits", "of perfect", waitHead)
+	for _, load := range []float64{0.7, 0.95} {
+		list := []variant{{spec: cached(), policy: "perfect", load: load, lag: time.Second}}
+		for _, policy := range []string{"round-robin", "least-loaded", "prefix"} {
+			for _, lag := range lags {
+				if lag != time.Second && policy != "prefix" {
+					continue
+				}
+				list = append(list, variant{spec: cached(), policy: policy, load: load, lag: lag})
+			}
+		}
+		outs := b.all(list)
+		rate := func(o *outcome) float64 { return float64(o.hits) / float64(max(o.blocks, 1)) }
+		for i, o := range outs {
+			fmt.Printf("%-13s %4.0f%% %6v %7.1f%% %9.1f%% %s\n", list[i].policy, load*100, list[i].lag,
+				100*rate(o), 100*rate(o)/rate(outs[0]), millis(o.all))
+		}
+	}
+}
+
+// worth compares how much a cached prompt should outweigh load.
+func worth(b *bench) {
+	fmt.Println("\nPrefix hits and wait in ms at 95% load, lag 1 s, by what a cached prompt is worth in shares of the slots")
+	fmt.Printf("%6s %8s %s\n", "worth", "hits", waitHead)
+	var list []variant
+	for _, w := range []float64{0.1, 0.25, 0.5, 1, 2} {
+		s := route.DefaultPrefixSettings()
+		s.Worth = w
+		list = append(list, variant{spec: cached(), policy: "prefix", load: 0.95, lag: time.Second, prefix: &s})
+	}
+	for i, o := range b.all(list) {
+		fmt.Printf("%6.2f %7.1f%% %s\n", list[i].prefix.Worth, 100*float64(o.hits)/float64(max(o.blocks, 1)), millis(o.all))
+	}
+}
--- /dev/null
+++ b/measure/route/work.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// arrival is one request of the work, the same for every policy.
+type arrival struct {
+	at      time.Duration
+	entry   int
+	class   wire.Priority
+	output  int
+	tokens  int
+	prefix  []uint64
+	retries int
+}
+
+const (
+	teams          = 10
+	entries        = 7
+	stickyShare    = 0.8
+	sessionShare   = 0.6
+	activeSessions = 60
+	maxBlocks      = 64
+	blockTokens    = 64
+	meanOutput     = 200
+	maxOutput      = 1024
+)
+
+// shape is the load of a user's day, as a factor of the mean, over a share of
+// the day from 0 to 1.
+type shape func(x float64) float64
+
+func steady(float64) float64 { return 1 }
+
+// growersDay has the morning rush before the clock and the settlement queries
+// after it.
+func growersDay(x float64) float64 {
+	return 0.5 + 1.2*bump(x, 0.3, 0.08) + 0.7*bump(x, 0.6, 0.1)
+}
+
+// liftDay is flat, with two sharp cold snaps.
+func liftDay(x float64) float64 {
+	return 0.7 + 1.4*bump(x, 0.35, 0.03) + 1.4*bump(x, 0.75, 0.03)
+}
+
+func bump(x, middle, width float64) float64 {
+	d := (x - middle) / width
+	return math.Exp(-d * d / 2)
+}
+
+// peak is the highest value of a shape.
+func peak(s shape) float64 {
+	top := 0.0
+	for i := range 1000 {
+		top = max(top, s(float64(i)/1000))
+	}
+	return top
+}
+
+type session struct {
+	entry  int
+	prefix []uint64
+}
+
+// generator makes the arrivals of teams of uneven size whose calls share the
+// team's template and go on in sessions.
+type generator struct {
+	rnd      *rand.Rand
+	template [teams][]uint64
+	sessions [teams][]*session
+	weights  [teams]float64
+	plain    bool
+}
+
+func newGenerator(seed uint64, plain bool) *generator {
+	g := &generator{rnd: rand.New(rand.NewPCG(seed, 7)), plain: plain}
+	total := 0.0
+	for t := range teams {
+		g.template[t] = g.blocks(nil, 8+g.rnd.IntN(17))
+		g.weights[t] = 1 / float64(t+1)
+		total += g.weights[t]
+	}
+	for t := range teams {
+		g.weights[t] /= total
+	}
+	return g
+}
+
+func (g *generator) blocks(prefix []uint64, n int) []uint64 {
+	grown := append([]uint64(nil), prefix...)
+	for len(grown) < maxBlocks && n > 0 {
+		grown = append(grown, g.rnd.Uint64())
+		n--
+	}
+	return grown
+}
+
+func (g *generator) team() int {
+	x := g.rnd.Float64()
+	for t, w := range g.weights {
+		if x < w {
+			return t
+		}
+		x -= w
+	}
+	return 0
+}
+
+// arrivals draws a Poisson process whose highest rate is top per second, shaped
+// over the given time.
+func (g *generator) arrivals(until time.Duration, top float64, s shape) []arrival {
+	var all []arrival
+	high := peak(s)
+	at := 0.0
+	for {
+		at += g.rnd.ExpFloat64() / top
+		if at > until.Seconds() {
+			return all
+		}
+		if g.rnd.Float64()*high > s(at/until.Seconds()) {
+			continue
+		}
+		all = append(all, g.arrival(time.Duration(at*float64(time.Second))))
+	}
+}
+
+func (g *generator) arrival(at time.Duration) arrival {
+	if g.plain {
+		return arrival{at: at, entry: g.rnd.IntN(entries), class: wire.Priority_PRIORITY_URGENT, output: 1 + int(g.rnd.ExpFloat64()*4)}
+	}
+	s := g.session(g.team())
+	a := arrival{at: at, entry: s.entry, class: g.class(), output: g.output(), prefix: s.prefix}
+	if g.rnd.Float64() > stickyShare {
+		a.entry = g.rnd.IntN(entries)
+	}
+	// Callers bound the output generously.
+	a.tokens = len(a.prefix)*blockTokens + int(float64(a.output)*(1+g.rnd.Float64()))
+	return a
+}
+
+func (g *generator) session(t int) *session {
+	list := g.sessions[t]
+	if len(list) > 0 && g.rnd.Float64() < sessionShare {
+		s := list[g.rnd.IntN(len(list))]
+		s.prefix = g.blocks(s.prefix, 2+g.rnd.IntN(5))
+		return &session{s.entry, s.prefix}
+	}
+	s := &session{entry: g.rnd.IntN(entries), prefix: g.blocks(g.template[t], 2+g.rnd.IntN(5))}
+	if len(list) == activeSessions {
+		list = list[1:]
+	}
+	g.sessions[t] = append(list, s)
+	return &session{s.entry, s.prefix}
+}
+
+func (g *generator) class() wire.Priority {
+	switch x := g.rnd.Float64(); {
+	case x < 0.05:
+		return wire.Priority_PRIORITY_URGENT
+	case x < 0.8:
+		return wire.Priority_PRIORITY_NORMAL
+	}
+	return wire.Priority_PRIORITY_BATCH
+}
+
+// output is lognormal with a heavy upper tail.
+func (g *generator) output() int {
+	const sigma = 0.8
+	mu := math.Log(meanOutput) - sigma*sigma/2
+	return min(max(int(math.Exp(mu+sigma*g.rnd.NormFloat64())), 8), maxOutput)
+}
+
+// meanSteps is the mean work of arrivals in steps, with nothing cached.
+func meanSteps(list []arrival, prefill float64) float64 {
+	sum := 0.0
+	for _, a := range list {
+		sum += float64(a.output) + prefill*float64(len(a.prefix))
+	}
+	return sum / float64(len(list))
+}
--- a/route/estimate.go
+++ b/route/estimate.go
@@ -13,6 +13,8 @@
 	// maxReportAge is how old a report may be. Own work that was sent earlier is
 	// in every report that arrives now.
 	maxReportAge = 5 * time.Second
+	// usualReportAge is taken for the age of a report where only bounds are known.
+	usualReportAge = 500 * time.Millisecond
 	// maxSteps bounds the memory of own work for one upstream. Beyond it the
 	// oldest is taken as reported, which is true of all but the oldest reports.
 	maxSteps = 256
@@ -44,6 +46,8 @@
 	since int
 	// answered is when the last answer came.
 	answered time.Time
+	// made is when the reported load was true, as far as that is known.
+	made time.Time
 }
 
 // sent counts a request sent now.
@@ -73,7 +77,7 @@
 // answer takes the load that came with an answer.
 func (e *estimate) answer(now time.Time, l *wire.Load) {
 	if e.take(l) {
-		e.answered = now
+		e.answered, e.made = now, now
 		e.forget(now, now)
 	}
 }
@@ -83,11 +87,15 @@
 	if !e.take(l) {
 		return
 	}
-	made := now.Add(-maxReportAge)
-	if e.answered.After(made) {
-		made = e.answered
+	e.made = later(e.answered, now.Add(-usualReportAge))
+	e.forget(now, later(e.answered, now.Add(-maxReportAge)))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	e.forget(now, made)
+	return b
 }
 
 // take stores a load unless a later one is known: reports, answers and
--- a/route/health.go
+++ b/route/health.go
@@ -99,11 +99,6 @@
 	return res.Reason == wire.Reason_REASON_UPSTREAM_FAILED || res.Reason == wire.Reason_REASON_ANSWER_INVALID
 }
 
-// alive says whether a result came from the upstream's side in order.
-func alive(res Result) bool {
-	return res.Outcome == wire.Outcome_OUTCOME_DONE || res.Load != nil && !failed(res)
-}
-
 // judge takes a result into account.
 func (p *pool) judge(now time.Time, s *state, units float64, res Result) {
 	switch {
@@ -116,8 +111,12 @@
 		if s.probing || s.failures >= failuresToEject {
 			p.eject(now, s)
 		}
-	case alive(res):
+	case res.Outcome == wire.Outcome_OUTCOME_DONE:
 		p.praise(now, s, units, res)
+	case res.Outcome == wire.Outcome_OUTCOME_NOT_RUN:
+		// The agent speaks for itself here: it refuses although, or because, the
+		// upstream behind it stands still.
+		s.unanswered = max(s.unanswered-1, 0)
 	}
 }
 
@@ -130,9 +129,7 @@
 		s.calm = now.Add(calmTime)
 		s.warmFrom = now
 	}
-	if res.Outcome == wire.Outcome_OUTCOME_DONE {
-		p.pace(now, s, units, res.Elapsed)
-	}
+	p.pace(now, s, units, res.Elapsed)
 }
 
 // pace compares how fast an upstream answers with the others.
--- a/route/leastloaded.go
+++ b/route/leastloaded.go
@@ -15,10 +15,9 @@
 	})
 }
 
-// defaultChoices is how many upstreams are compared. More know better when
-// reports are fresh and crowd on one upstream when they are old; see
-// docs/design/route.md for the figures.
-const defaultChoices = 5
+// defaultChoices is how many upstreams are compared: all of a small pool. More
+// cost time in a large one and crowd on the same few; see docs/design/route.md.
+const defaultChoices = 16
 
 // LeastLoaded compares a few random candidates (Mitzenmacher: The Power of Two
 // Choices in Randomized Load Balancing, 2001) by their corrected load.
@@ -42,27 +41,13 @@
 func (b *LeastLoaded) Cache(time.Time, string, uint64, []*wire.CacheEvent) {}
 
 // Pick implements Balancer.
-func (b *LeastLoaded) Pick(now time.Time, r *Request) (Upstream, bool) {
-	best := b.leastBusy(now, b.sample(now, r, b.choices))
-	if best == nil {
-		best = b.lastResort(r)
-	}
-	if best == nil {
-		return Upstream{}, false
-	}
-	b.start(now, best, r)
-	return best.Upstream, true
-}
-
-func (p *pool) leastBusy(now time.Time, list []*state) *state {
-	var best *state
-	least := 0.0
+func (b *LeastLoaded) Pick(now time.Time, r *Request) (Choice, bool) {
+	list := b.sample(now, r, b.choices)
+	c := contest{usual: usual(list)}
 	for _, s := range list {
-		if busy := p.busy(now, s); best == nil || busy < least {
-			best, least = s, busy
-		}
+		c.enter(s, b.busy(now, s, c.usual))
 	}
-	return best
+	return b.choose(now, r, &c)
 }
 
 // Done implements Balancer.
--- a/route/pool.go
+++ b/route/pool.go
@@ -165,10 +165,37 @@
 	workWeight = 0.02
 )
 
+// usual is the mean reported load of some upstreams, per slot.
+func usual(list []*state) float64 {
+	reported, width := 0, 0
+	for _, s := range list {
+		reported += s.reported
+		width += s.width()
+	}
+	return float64(reported) / float64(max(width, 1))
+}
+
+// expected is the estimated number of requests at an upstream. What others
+// have done since its load was true is unknown; as all of them even out the
+// load, the longer ago it was, the closer it is to the usual. Without this, each
+// entry goes on to send to whichever upstream once reported little.
+func (p *pool) expected(now time.Time, s *state, usual float64) float64 {
+	n := float64(s.requests())
+	age := now.Sub(s.made).Seconds()
+	if age <= 0 || p.elapsed == 0 {
+		return n
+	}
+	drift := age / (age + memory*p.elapsed)
+	return n + drift*(usual*float64(s.width())-float64(s.reported))
+}
+
+// memory is how long a load stays half true, in answer times.
+const memory = 0.4
+
 // busy is the share of an upstream's slots in use with one request more; over 1
 // it must wait.
-func (p *pool) busy(now time.Time, s *state) float64 {
-	n := float64(s.requests()) + 1
+func (p *pool) busy(now time.Time, s *state, usual float64) float64 {
+	n := p.expected(now, s, usual) + 1
 	if s.near {
 		n -= nearBonus
 	}
@@ -183,6 +210,60 @@
 // one each: tokens are an estimate, and part of them is done already.
 const ownWorkWeight = 0.5
 
+// contest finds the best of several candidates, and the next best.
+type contest struct {
+	best        *state
+	least, next float64
+	hasNext     bool
+	// usual is the mean load of the candidates, per slot.
+	usual float64
+}
+
+func (c *contest) enter(s *state, score float64) {
+	switch {
+	case s == c.best:
+	case c.best == nil:
+		c.best, c.least = s, score
+	case score < c.least:
+		c.next, c.hasNext = c.least, true
+		c.best, c.least = s, score
+	case !c.hasNext || score < c.next:
+		c.next, c.hasNext = score, true
+	}
+}
+
+// choose starts an attempt at a contest's best, or at the last resort.
+func (p *pool) choose(now time.Time, r *Request, c *contest) (Choice, bool) {
+	if c.best == nil {
+		c.best = p.lastResort(r)
+	}
+	if c.best == nil {
+		return Choice{}, false
+	}
+	choice := Choice{Upstream: c.best.Upstream}
+	if c.hasNext {
+		choice.RefuseAt = refuseAt(now, c)
+	}
+	p.start(now, c.best, r)
+	return choice, true
+}
+
+// refuseAt is the number of requests at which another upstream is likely the
+// better choice. While the pool has about as many slots as requests, some have a
+// free slot, and a full one is not worth waiting at. Beyond that it is the
+// number at which the best would score as the next best.
+func refuseAt(now time.Time, c *contest) int {
+	s := c.best
+	if c.usual < crowded {
+		return s.width()
+	}
+	more := (c.next - c.least) * float64(s.width()) * s.share(now)
+	return max(s.requests()+int(more)+1, s.width())
+}
+
+// crowded is the load per slot above which free slots are too rare to look for.
+const crowded = 1.1
+
 // start counts an attempt.
 func (p *pool) start(now time.Time, s *state, r *Request) {
 	s.estimate.sent(now)
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -102,24 +102,25 @@
 }
 
 // Pick implements Balancer.
-func (b *Prefix) Pick(now time.Time, r *Request) (Upstream, bool) {
+func (b *Prefix) Pick(now time.Time, r *Request) (Choice, bool) {
 	held := b.match(r.Prefix)
-	best, least := b.bestOf(now, r, b.sample(now, r, b.settings.Choices), held)
-	if near, score := b.bestOf(now, r, b.longest(now, r, held), held); near != nil && (best == nil || score < least) {
-		best = near
+	list := b.sample(now, r, b.settings.Choices)
+	c := contest{usual: usual(list)}
+	for _, s := range list {
+		c.enter(s, b.score(now, r, s, held, c.usual))
 	}
-	if best == nil {
-		best = b.lastResort(r)
+	for _, s := range b.longest(now, r, held) {
+		c.enter(s, b.score(now, r, s, held, c.usual))
 	}
-	if best == nil {
-		return Upstream{}, false
+	choice, ok := b.choose(now, r, &c)
+	if !ok {
+		return choice, false
 	}
-	b.start(now, best, r)
 	// What was sent there will be cached there, whether events tell so or not.
 	for _, block := range r.Prefix {
-		b.index.add(block, 1<<best.bit)
+		b.index.add(block, 1<<c.best.bit)
 	}
-	return best.Upstream, true
+	return choice, true
 }
 
 // match sets depths and returns the mask of upstreams that hold any prefix.
@@ -178,19 +179,14 @@
 	}
 }
 
-// bestOf returns the candidate with the lowest score: how busy it is, less what
-// the part of the prompt that it holds is worth.
-func (b *Prefix) bestOf(now time.Time, r *Request, list []*state, held uint64) (best *state, least float64) {
-	for _, s := range list {
-		score := b.busy(now, s)
-		if held&(1<<s.bit) != 0 {
-			score -= b.settings.Worth * float64(b.depths[s.bit]) / float64(len(r.Prefix))
-		}
-		if best == nil || score < least {
-			best, least = s, score
-		}
+// score is how busy an upstream is, less what the part of the prompt that it
+// holds is worth.
+func (b *Prefix) score(now time.Time, r *Request, s *state, held uint64, usual float64) float64 {
+	score := b.busy(now, s, usual)
+	if held&(1<<s.bit) != 0 {
+		score -= b.settings.Worth * float64(b.depths[s.bit]) / float64(len(r.Prefix))
 	}
-	return best, least
+	return score
 }
 
 // Done implements Balancer.
--- a/route/roundrobin.go
+++ b/route/roundrobin.go
@@ -34,13 +34,13 @@
 func (b *RoundRobin) Done(time.Time, Upstream, *Request, Result) {}
 
 // Pick implements Balancer.
-func (b *RoundRobin) Pick(_ time.Time, r *Request) (Upstream, bool) {
+func (b *RoundRobin) Pick(_ time.Time, r *Request) (Choice, bool) {
 	for range b.ups {
 		u := b.ups[b.next%len(b.ups)]
 		b.next++
 		if !r.Exclude[u.ID] {
-			return u, true
+			return Choice{Upstream: u}, true
 		}
 	}
-	return Upstream{}, false
+	return Choice{}, false
 }
--- a/route/route.go
+++ b/route/route.go
@@ -46,6 +46,15 @@
 	CallerGone bool
 }
 
+// Choice is the upstream for an attempt.
+type Choice struct {
+	Upstream
+	// RefuseAt is how many requests make the upstream a worse choice than the
+	// next best: with so many waiting and running, its agent is to refuse the
+	// attempt, which then goes elsewhere. 0 is no bound.
+	RefuseAt int
+}
+
 // Balancer chooses among the upstreams of one pool, at one entry. It is pure:
 // no goroutine, no clock. It is not safe for use by several goroutines.
 type Balancer interface {
@@ -56,7 +65,7 @@
 	// Cache takes cache events of one incarnation.
 	Cache(now time.Time, id string, incarnation uint64, events []*wire.CacheEvent)
 	// Pick chooses; the attempt counts as in flight until Done.
-	Pick(now time.Time, r *Request) (Upstream, bool)
+	Pick(now time.Time, r *Request) (Choice, bool)
 	// Done ends an attempt that Pick chose.
 	Done(now time.Time, up Upstream, r *Request, res Result)
 }
