Let the prefix plug-in wait longer where a prompt is cached

A request that was sent to a busy upstream for its cache was refused by the agent as soon as the slots were full, and lost the cache. The bound now grows with what the cached part is worth.

--- a/route/leastloaded.go
+++ b/route/leastloaded.go
@@ -45,7 +45,7 @@
 	list := b.sample(now, r, b.choices)
 	c := contest{usual: usual(list)}
 	for _, s := range list {
-		c.enter(s, b.busy(now, s, c.usual))
+		c.enter(s, b.busy(now, s, c.usual), 0)
 	}
 	return b.choose(now, r, &c)
 }
--- a/route/pool.go
+++ b/route/pool.go
@@ -217,16 +217,19 @@
 	hasNext     bool
 	// usual is the mean load of the candidates, per slot.
 	usual float64
+	// worth is how much busier the best may be for what it holds of the prompt,
+	// in shares of its slots.
+	worth float64
 }
 
-func (c *contest) enter(s *state, score float64) {
+func (c *contest) enter(s *state, score, worth float64) {
 	switch {
 	case s == c.best:
 	case c.best == nil:
-		c.best, c.least = s, score
+		c.best, c.least, c.worth = s, score, worth
 	case score < c.least:
 		c.next, c.hasNext = c.least, true
-		c.best, c.least = s, score
+		c.best, c.least, c.worth = s, score, worth
 	case !c.hasNext || score < c.next:
 		c.next, c.hasNext = score, true
 	}
@@ -255,7 +258,7 @@
 func refuseAt(now time.Time, c *contest) int {
 	s := c.best
 	if c.usual < crowded {
-		return s.width()
+		return s.width() + int(c.worth*float64(s.width()))
 	}
 	more := (c.next - c.least) * float64(s.width()) * s.share(now)
 	return max(s.requests()+int(more)+1, s.width())
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -32,7 +32,7 @@
 
 // DefaultPrefixSettings are those of a pool row that names the plug-in.
 func DefaultPrefixSettings() PrefixSettings {
-	return PrefixSettings{Choices: defaultChoices, MaxHolders: 4, MaxBlocks: 1 << 17, Worth: 0.5}
+	return PrefixSettings{Choices: defaultChoices, MaxHolders: 4, MaxBlocks: 1 << 17, Worth: 0.25}
 }
 
 // Prefix routes to where a prompt's beginning is cached, unless work waits there.
@@ -107,10 +107,12 @@
 	list := b.sample(now, r, b.settings.Choices)
 	c := contest{usual: usual(list)}
 	for _, s := range list {
-		c.enter(s, b.score(now, r, s, held, c.usual))
+		worth := b.worth(r, s, held)
+		c.enter(s, b.busy(now, s, c.usual)-worth, worth)
 	}
 	for _, s := range b.longest(now, r, held) {
-		c.enter(s, b.score(now, r, s, held, c.usual))
+		worth := b.worth(r, s, held)
+		c.enter(s, b.busy(now, s, c.usual)-worth, worth)
 	}
 	choice, ok := b.choose(now, r, &c)
 	if !ok {
@@ -179,14 +181,13 @@
 	}
 }
 
-// score is how busy an upstream is, less what the part of the prompt that it
-// holds is worth.
-func (b *Prefix) score(now time.Time, r *Request, s *state, held uint64, usual float64) float64 {
-	score := b.busy(now, s, usual)
-	if held&(1<<s.bit) != 0 {
-		score -= b.settings.Worth * float64(b.depths[s.bit]) / float64(len(r.Prefix))
+// worth is how much busier an upstream may be for the part of the prompt that
+// it holds.
+func (b *Prefix) worth(r *Request, s *state, held uint64) float64 {
+	if held&(1<<s.bit) == 0 {
+		return 0
 	}
-	return score
+	return b.settings.Worth * float64(b.depths[s.bit]) / float64(len(r.Prefix))
 }
 
 // Done implements Balancer.
