--- a/measure/route/system.go
+++ b/measure/route/system.go
@@ -25,6 +25,8 @@
 	dialTimeout = time.Second
 	// leaseTime is how long the directory keeps a host that is gone.
 	leaseTime = 3 * time.Second
+	// cacheInterval is the shortest time between two cache events of an engine.
+	cacheInterval = 500 * time.Millisecond
 	// lostEvents is the share of cache events that never arrive.
 	lostEvents = 0.01
 )
@@ -79,7 +81,9 @@
 	// central is the single global queue with perfect knowledge, if that is the
 	// policy.
 	central [4][]func(*engine)
-	seqs    []uint64
+	// seqs and told are the number and the time of each engine's last cache event.
+	seqs []uint64
+	told []time.Duration
 }
 
 func newSystem(s setup) *system {
@@ -94,6 +98,7 @@
 		})
 	}
 	m.seqs = make([]uint64, s.spec.servers)
+	m.told = make([]time.Duration, s.spec.servers)
 	if s.policy == "global" {
 		return m
 	}
@@ -296,7 +301,8 @@
 func (m *system) report(i int, e *engine) {
 	load := e.load()
 	var cache []*wire.CacheEvent
-	if len(e.cache.added)+len(e.cache.removed) > 0 {
+	if len(e.cache.added)+len(e.cache.removed) > 0 && m.clock.now >= m.told[i]+cacheInterval {
+		m.told[i] = m.clock.now
 		m.seqs[i]++
 		cache = append(cache, &wire.CacheEvent{Seq: m.seqs[i], Added: e.cache.added, Removed: e.cache.removed})
 		e.cache.added, e.cache.removed = nil, nil
