--- a/entry/entry.go
+++ b/entry/entry.go
@@ -110,6 +110,7 @@
 	}
 	e.dumps.Add("entry", e.dump)
 	e.dumps.Add("directory", e.node.Dump)
+	e.dumps.Add("route", e.fwd.Dump)
 	e.client = control.NewClient(e.pool, s.replicas(), s.ID)
 	if e.ops, err = operators.New(s.Operator, e.client, e.entryStates, l); err != nil {
 		return nil, err
--- /dev/null
+++ b/fake/cache.go
@@ -0,0 +1,130 @@
+package fake
+
+import (
+	"container/list"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/snipereach/snipereach/route"
+)
+
+// maxCacheEvents is how many events an engine keeps for those who ask late.
+const maxCacheEvents = 256
+
+// cacheEvent is the JSON of a cache event.
+type cacheEvent struct {
+	Seq     uint64   `json:"seq"`
+	Added   []uint64 `json:"added,omitempty"`
+	Removed []uint64 `json:"removed,omitempty"`
+	Cleared bool     `json:"cleared,omitempty"`
+}
+
+// prefixCache is an engine's cache of prompt prefixes: bounded, least recently
+// used blocks go first, and each change is an event.
+type prefixCache struct {
+	mu     sync.Mutex
+	blocks int
+	order  *list.List
+	held   map[uint64]*list.Element
+	seq    uint64
+	events []cacheEvent
+	// lose is how many of the next events are numbered but never published.
+	lose         int
+	hits, looked int
+}
+
+// use looks a prompt up and caches it; it returns how many blocks were missing.
+func (c *prefixCache) use(model, prompt string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hashes := route.PrefixHashes(model, prompt)
+	if c.blocks == 0 || len(hashes) == 0 {
+		return len(hashes)
+	}
+	if c.order == nil {
+		c.order, c.held = list.New(), map[uint64]*list.Element{}
+	}
+	hit := 0
+	for hit < len(hashes) && c.held[hashes[hit]] != nil {
+		hit++
+	}
+	c.hits += hit
+	c.looked += len(hashes)
+	var e cacheEvent
+	// The end of a prompt goes before its beginning, which others share.
+	for i := len(hashes) - 1; i >= 0; i-- {
+		if el := c.held[hashes[i]]; el != nil {
+			c.order.MoveToFront(el)
+			continue
+		}
+		c.held[hashes[i]] = c.order.PushFront(hashes[i])
+		e.Added = append(e.Added, hashes[i])
+	}
+	for c.order.Len() > c.blocks {
+		last := c.order.Remove(c.order.Back()).(uint64)
+		delete(c.held, last)
+		e.Removed = append(e.Removed, last)
+	}
+	c.publish(e)
+	return len(hashes) - hit
+}
+
+func (c *prefixCache) publish(e cacheEvent) {
+	if len(e.Added)+len(e.Removed) == 0 && !e.Cleared {
+		return
+	}
+	c.seq++
+	e.Seq = c.seq
+	if c.lose > 0 {
+		c.lose--
+		return
+	}
+	c.events = append(c.events, e)
+	if len(c.events) > maxCacheEvents {
+		c.events = c.events[1:]
+	}
+}
+
+func (c *prefixCache) clear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.order, c.held = nil, nil
+	c.publish(cacheEvent{Cleared: true})
+}
+
+func (c *prefixCache) after(seq uint64) []cacheEvent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	later := []cacheEvent{}
+	for _, e := range c.events {
+		if e.Seq > seq {
+			later = append(later, e)
+		}
+	}
+	return later
+}
+
+// serveCacheEvents answers with the events after a sequence number. There may be
+// gaps: events that were lost, or are older than those kept.
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	writeJSON(w, e.cache.after(after))
+}
+
+// CacheHits returns how many blocks of prompts were found cached, of how many.
+func (e *Engine) CacheHits() (hits, looked int) {
+	e.cache.mu.Lock()
+	defer e.cache.mu.Unlock()
+	return e.cache.hits, e.cache.looked
+}
+
+// ClearCache drops the whole cache.
+func (e *Engine) ClearCache() { e.cache.clear() }
+
+// LoseCacheEvents makes the next n cache events get lost.
+func (e *Engine) LoseCacheEvents(n int) {
+	e.cache.mu.Lock()
+	defer e.cache.mu.Unlock()
+	e.cache.lose = n
+}
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -18,9 +18,15 @@
 	// Step is the time of one decoding step; every running request gets one
 	// token a step.
 	Step time.Duration
+	// CacheBlocks is the size of the prefix cache; 0 is none.
+	CacheBlocks int
+	// Prefill is the time for a block of the prompt that is not cached.
+	Prefill time.Duration
 	// Fencing makes the engine refuse an order with an old token.
 	Fencing bool
 
+	cache prefixCache
+
 	orderMu sync.Mutex
 	highest uint64
 	orders  []GivenOrder
@@ -36,7 +42,9 @@
 // Start listens on a free loopback port.
 func (e *Engine) Start() error {
 	mux := http.NewServeMux()
+	e.cache.blocks = e.CacheBlocks
 	mux.HandleFunc("GET /load", e.serveLoad)
+	mux.HandleFunc("GET /cache-events", e.serveCacheEvents)
 	mux.HandleFunc("POST /v1/chat/completions", e.serve)
 	mux.HandleFunc("POST /v1/completions", e.serve)
 	mux.HandleFunc("POST /orders/{verb}", e.serveOrder)
@@ -47,8 +55,8 @@
 	Model     string          `json:"model"`
 	Stream    bool            `json:"stream"`
 	MaxTokens int             `json:"max_tokens"`
-	Prompt    string          `json:"prompt"`
-	Messages  []engineMessage `json:"messages"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
 }
 
 type engineMessage struct {
@@ -73,6 +81,8 @@
 	}
 	r.Body = io.NopCloser(bytes.NewReader(nil))
 	e.answerWith(w, r, func(w http.ResponseWriter) {
+		missing := e.cache.use(c.Model, string(c.Prompt)+string(c.Messages))
+		time.Sleep(time.Duration(missing) * e.Prefill)
 		if c.Stream {
 			e.stream(w, r, &c)
 			return
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -135,6 +135,27 @@
 	}
 }
 
+// poolDump is what is known of a pool, for operators.
+type poolDump struct {
+	Plugin    string                `json:"plugin"`
+	Upstreams []route.UpstreamState `json:"upstreams,omitempty"`
+}
+
+// Dump returns what the balancers know, by pool.
+func (f *Forwarder) Dump() any {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	pools := make(map[string]poolDump, len(f.balancers))
+	for name, b := range f.balancers {
+		d := poolDump{Plugin: b.plugin}
+		if shown, ok := b.Balancer.(route.Dumper); ok {
+			d.Upstreams = shown.Dump(f.now())
+		}
+		pools[name] = d
+	}
+	return pools
+}
+
 // Do makes attempts until one is answered, or no more may be made.
 func (f *Forwarder) Do(ctx context.Context, c *Call, sink Sink) Result {
 	var res Result
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -113,7 +113,7 @@
 		return err
 	}
 	for i := range s.opts.Engines {
-		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond}
+		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond, CacheBlocks: 1024}
 		if err := e.Start(); err != nil {
 			return err
 		}
