--- /dev/null
+++ b/quickstart/route_test.go
@@ -0,0 +1,92 @@
+package quickstart
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipereach/snipereach/route"
+)
+
+// routeOf reads what an entry's balancer of the engines knows.
+func routeOf(t *testing.T, s *System, n int) map[string]route.UpstreamState {
+	t.Helper()
+	resp, err := http.Get("http://" + s.Entries[n].OperatorAddress() + "/debug/state")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	var state struct {
+		Route map[string]struct {
+			Upstreams []route.UpstreamState `json:"upstreams"`
+		} `json:"route"`
+	}
+	assert.NilError(t, json.Unmarshal(text, &state), "%s", text)
+	known := map[string]route.UpstreamState{}
+	for _, u := range state.Route["lm"].Upstreams {
+		known[u.ID] = u
+	}
+	return known
+}
+
+func prompt(topic string) string {
+	text := strings.Repeat(topic+" of the morning lots. ", 100)
+	return fmt.Sprintf(`{"model":"pushpa-lm","max_tokens":2,"messages":[{"role":"user","content":%q}]}`, text)
+}
+
+// holder sends a prompt through the first entry and returns which engine ran it.
+func holder(t *testing.T, s *System, body string) int {
+	t.Helper()
+	before := make([]int, len(s.Engines))
+	for i, e := range s.Engines {
+		_, before[i] = e.CacheHits()
+	}
+	assert.Equal(t, call(s, "POST", "/v1/chat/completions", body, nil).status, 200)
+	for i, e := range s.Engines {
+		if _, looked := e.CacheHits(); looked > before[i] {
+			return i
+		}
+	}
+	t.Fatal("no engine looked the prompt up")
+	return 0
+}
+
+// A long prompt runs through one entry. The engine publishes what it cached, and
+// another entry, which never saw the prompt, sends the same one to that engine
+// and to no other.
+func TestOtherEntriesLearnWhatAnEngineHolds(t *testing.T) {
+	s := start(t, Options{Rows: strings.Replace(Rows(), "pool\tlm\t", "pool\tlm\troute=prefix\t", 1)})
+	body := prompt("roses")
+	i := holder(t, s, body)
+	id := fmt.Sprintf("lm-%d", i+1)
+	waitFor(t, func() bool { return routeOf(t, s, 1)[id].CacheSeq > 0 })
+	for range 5 {
+		assert.Equal(t, callEntry(s, 1, "POST", "/v1/chat/completions", body, nil).status, 200)
+	}
+	hits, looked := s.Engines[i].CacheHits()
+	assert.Assert(t, hits > 0)
+	assert.Equal(t, hits*6, looked*5, "5 of 6 prompts are found whole")
+}
+
+// Cache events are lost. The entries notice the gap, forget what they knew of
+// the engine, and go on answering; what the engine caches later counts again.
+func TestLostCacheEventsCostNoAnswer(t *testing.T) {
+	s := start(t, Options{Rows: strings.Replace(Rows(), "pool\tlm\t", "pool\tlm\troute=prefix\t", 1)})
+	i := holder(t, s, prompt("roses"))
+	id := fmt.Sprintf("lm-%d", i+1)
+	waitFor(t, func() bool { return routeOf(t, s, 1)[id].CacheSeq == 1 })
+	s.Engines[i].LoseCacheEvents(1)
+	s.Engines[i].ClearCache()
+	s.Engines[i].ClearCache()
+	waitFor(t, func() bool { return routeOf(t, s, 1)[id].CacheSeq == 3 })
+	for _, topic := range []string{"roses", "jasmine", "marigolds"} {
+		for n := range s.Entries {
+			assert.Equal(t, callEntry(s, n, "POST", "/v1/chat/completions", prompt(topic), nil).status, 200)
+		}
+	}
+}
