--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -3,11 +3,14 @@
 package ctl
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -15,6 +18,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/operators"
 )
 
 // Errors of this layer.
@@ -22,6 +26,8 @@
 	ErrRefused = merry.Sentinel("refused")
 	ErrServer  = merry.Sentinel("server can't be reached")
 	ErrUsage   = merry.Sentinel("usage")
+	// ErrUnavailable is returned when nobody could decide.
+	ErrUnavailable = merry.Sentinel("unavailable")
 )
 
 const timeout = 30 * time.Second
@@ -30,6 +36,7 @@
 type global struct {
 	Server  string `long:"server" env:"SNIPEREACH_SERVER" default:"http://127.0.0.1:8081" description:"an entry's operators' address" value-name:"URL"`
 	Key     string `long:"key" env:"SNIPEREACH_KEY" description:"operator's bearer key; better given in the environment" value-name:"KEY"`
+	CA      string `long:"ca" env:"SNIPEREACH_CA" description:"file with the CA of the server's certificate, PEM; the system's if not given" value-name:"FILE"`
 	Output  string `long:"output" short:"o" choice:"table" choice:"json" choice:"tsv" default:"table" description:"form of the output"`
 	Version bool   `long:"version" description:"print the version and exit"`
 }
@@ -47,6 +54,7 @@
 	a := &app{stdin: stdin, stdout: stdout, stderr: stderr, http: &http.Client{Timeout: timeout}}
 	p := flags.NewNamedParser("snipereachctl", flags.HelpFlag|flags.PassDoubleDash)
 	p.SubcommandsOptional = true
+	p.CommandHandler = runCommand
 	if _, err := p.AddGroup("Options", "", &a.global); err != nil {
 		fmt.Fprintln(stderr, err)
 		return kernel.ExitFailed
@@ -55,7 +63,7 @@
 		fmt.Fprintln(stderr, err)
 		return kernel.ExitFailed
 	}
-	_, err := p.ParseArgs(args)
+	rest, err := p.ParseArgs(args)
 	var fe *flags.Error
 	switch {
 	case errors.As(err, &fe) && fe.Type == flags.ErrHelp:
@@ -69,6 +77,9 @@
 		return kernel.ExitFailed
 	case a.Version:
 		fmt.Fprintln(stdout, "snipereachctl", kernel.Version)
+	case len(rest) > 0:
+		fmt.Fprintf(stderr, "snipereachctl: unknown command %q; see --help\n", rest[0])
+		return kernel.ExitSettings
 	case p.Active == nil:
 		fmt.Fprintln(stderr, "snipereachctl: a command is needed; see --help")
 		return kernel.ExitSettings
@@ -76,6 +87,18 @@
 	return kernel.ExitOK
 }
 
+// runCommand runs a command, and refuses words that it doesn't take: an order
+// would otherwise be carried out for the first of several hosts without a word.
+func runCommand(c flags.Commander, rest []string) error {
+	if c == nil {
+		return nil
+	}
+	if len(rest) > 0 {
+		return merry.Prependf(ErrUsage, "unexpected argument %q", rest[0])
+	}
+	return c.Execute(nil)
+}
+
 // request is one call to the server.
 type request struct {
 	method, path string
@@ -89,7 +112,7 @@
 	Detail  string          `json:"detail"`
 	Row     string          `json:"row"`
 	Column  string          `json:"column"`
-	InForce json.RawMessage `json:"in_force"`
+	InForce []operators.Row `json:"in_force"`
 }
 
 func (p *problem) text() string {
@@ -103,8 +126,8 @@
 	if p.Detail != "" {
 		parts = append(parts, p.Detail)
 	}
-	if len(p.InForce) > 0 {
-		parts = append(parts, "in force: "+string(p.InForce))
+	for _, r := range p.InForce {
+		parts = append(parts, "\n  in force: "+r.Kind+" "+r.Key+" "+rowText(&r))
 	}
 	return strings.Join(parts, " ")
 }
@@ -123,6 +146,9 @@
 	if err != nil {
 		return nil, merry.Prepend(ErrUsage, err.Error())
 	}
+	if err := a.trustCA(); err != nil {
+		return nil, err
+	}
 	req.Header.Set("Authorization", "Bearer "+a.Key)
 	for name, value := range r.header {
 		req.Header.Set(name, value)
@@ -141,11 +167,31 @@
 		if json.Unmarshal(text, &p) != nil {
 			p.Title = resp.Status
 		}
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			return nil, merry.Prepend(ErrUnavailable, p.text())
+		}
 		return nil, merry.Prepend(ErrRefused, p.text())
 	}
 	return text, nil
 }
 
+// trustCA lets the client accept certificates of the CA that was given.
+func (a *app) trustCA() error {
+	if a.CA == "" || a.http.Transport != nil {
+		return nil
+	}
+	text, err := os.ReadFile(a.CA)
+	if err != nil {
+		return merry.Prepend(ErrUsage, err.Error())
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return merry.Prependf(ErrUsage, "%s holds no certificate", a.CA)
+	}
+	a.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
+	return nil
+}
+
 // get reads a JSON answer.
 func (a *app) get(path string, v any) error {
 	text, err := a.call(request{method: http.MethodGet, path: path})
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -159,7 +159,6 @@
 // Do makes attempts until one is answered, or no more may be made.
 func (f *Forwarder) Do(ctx context.Context, c *Call, sink Sink) Result {
 	var res Result
-	c.Route.Exclude = map[string]bool{}
 	moves := 0
 	for n := 1; ; n++ {
 		c.mayMove = moves < maxMoves && len(c.Body) <= transport.BodyFrame
@@ -177,7 +176,7 @@
 			moves++
 			continue
 		}
-		c.Route.Exclude[up.ID] = true
+		c.exclude(up.ID)
 		if !f.again(ctx, c, end, n-moves) {
 			res.Outcome = worst(res)
 			return res
@@ -189,6 +188,13 @@
 	return ctx.Err() == nil && f.now().Before(c.Deadline)
 }
 
+func (c *Call) exclude(upstream string) {
+	if c.Route.Exclude == nil {
+		c.Route.Exclude = map[string]bool{}
+	}
+	c.Route.Exclude[upstream] = true
+}
+
 // worst is the outcome of a whole request: "not run" only if no attempt may
 // have run. An idempotent request whose first attempt is in doubt and whose
 // second was certainly not run is in doubt.
@@ -258,7 +264,7 @@
 func headFor(c *Call, up route.Choice, n int, now time.Time) *wire.RunHead {
 	h := c.Head
 	head := &wire.RunHead{
-		RequestId: h.RequestId, AttemptId: fmt.Sprintf("%s.%d", h.RequestId, n),
+		RequestId: h.RequestId, AttemptId: h.RequestId + "." + strconv.Itoa(n),
 		Team: h.Team, Service: h.Service, Priority: h.Priority, Weight: h.Weight,
 		TimeoutUs: c.Deadline.Sub(now).Microseconds(), Idempotent: h.Idempotent,
 		Method: h.Method, Path: h.Path, Headers: h.Headers, Tokens: h.Tokens,
@@ -305,7 +311,7 @@
 func (f *Forwarder) exchange(ctx context.Context, up route.Upstream, head *wire.RunHead, c *Call, sink Sink) ending {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	stream, err := wire.NewDRPCAgentClient(f.pool.Conn(ctx, up.Address)).Run(ctx)
+	stream, err := wire.NewDRPCAgentClient(f.pool.CallConn(ctx, up.Address)).Run(ctx)
 	if err != nil {
 		return notRun(wire.Reason_REASON_UPSTREAM_FAILED, err)
 	}
@@ -326,8 +332,8 @@
 	return e
 }
 
-// send hands the request over. handed is true once the last frame may have left:
-// the agent runs nothing before it.
+// send hands the request over, and the end of sending with it. handed is true once
+// the last frame may have left: the agent runs nothing before it.
 func send(stream wire.DRPCAgent_RunClient, head *wire.RunHead, body []byte) (handed bool, err error) {
 	frame := &wire.RunFrame{Head: head}
 	for {
@@ -338,7 +344,7 @@
 			return frame.Last, err
 		}
 		if frame.Last {
-			return true, nil
+			return true, stream.CloseSend()
 		}
 		frame = &wire.RunFrame{}
 	}
--- a/route/pool.go
+++ b/route/pool.go
@@ -39,9 +39,10 @@
 	// work is the smoothed tokens of a request; 0 for plain services.
 	work float64
 	// order is a permutation of the list that sample draws from.
-	order  []*state
-	drawn  []*state
-	warmed bool
+	order []*state
+	drawn []*state
+	// known is when the first upstreams were known.
+	known time.Time
 }
 
 func newPool() pool {
@@ -68,8 +69,9 @@
 			if s != nil {
 				lost |= p.drop(s)
 			}
+			again := s != nil
 			s = &state{}
-			if p.warmed {
+			if again || p.settled(now) {
 				s.warmFrom = now
 			}
 		}
@@ -87,6 +89,15 @@
 	return lost
 }
 
+// settled says whether the entry itself has been up for so long that an upstream
+// it hasn't seen before must have just started.
+func (p *pool) settled(now time.Time) bool {
+	if p.known.IsZero() {
+		p.known = now
+	}
+	return now.Sub(p.known) > slowStart
+}
+
 // drop gives back the bit of an upstream that is gone.
 func (p *pool) drop(s *state) uint64 {
 	mask := uint64(1) << s.bit
@@ -109,7 +120,6 @@
 
 func (p *pool) count() {
 	p.order = append(p.order[:0], p.list...)
-	p.warmed = p.warmed || len(p.list) > 0
 	p.ejected = 0
 	for _, s := range p.list {
 		if s.ejected {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -125,6 +125,16 @@
 	assert.Assert(t, early >= 1 && early <= 3, "%d of 12 in the first second", early)
 }
 
+// An entry starts and hears of its upstreams one after the other: none of them
+// is new. One that turns up much later is.
+func TestEntryStartIsNoUpstreamStart(t *testing.T) {
+	b := newLeastLoaded(1)
+	b.Update(at(time.Second), upstreams(2))
+	b.Update(at(time.Minute), upstreams(3))
+	assert.Equal(t, b.byID["up-1"].share(at(time.Minute)), 1.0)
+	assert.Equal(t, b.byID["up-2"].share(at(time.Minute)), slowStartFrom)
+}
+
 // An upstream answers every request with a cut connection. Callers see retries
 // until it is left; it is asked again after a while, and used once it answers.
 func TestFailingUpstreamIsEjectedAndProbed(t *testing.T) {
