--- a/measure/route/engine.go
+++ b/measure/route/engine.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"container/list"
+	"slices"
 	"time"
 
 	"github.com/snipereach/snipereach/wire"
@@ -102,6 +103,8 @@
 	prefill float64
 	// cache is the size of the prefix cache in blocks.
 	cache int
+	// timeout is the deadline of a request.
+	timeout time.Duration
 }
 
 // engine is a server with its agent: a queue by class, slots, and steps that
@@ -119,15 +122,17 @@
 	version int
 	stalled bool
 	dead    bool
-	seq     uint64
-	cache   blockCache
+	// slow is how many times longer a step takes; 0 is as usual.
+	slow  float64
+	seq   uint64
+	cache blockCache
 }
 
 func (e *engine) full() bool { return len(e.running) >= e.spec.slots }
 
 func (e *engine) stepTime() float64 {
 	share := float64(len(e.running)) / float64(e.spec.slots)
-	return e.spec.step.Seconds() * (e.spec.idleStep + (1-e.spec.idleStep)*share)
+	return max(e.slow, 1) * e.spec.step.Seconds() * (e.spec.idleStep + (1-e.spec.idleStep)*share)
 }
 
 // advance moves the steps to the present.
@@ -216,6 +221,30 @@
 	e.fill()
 }
 
+// cancel takes a job back, waiting or running.
+func (e *engine) cancel(j *job) {
+	for i, w := range e.queue[j.class] {
+		if w == j {
+			e.queue[j.class] = slices.Delete(e.queue[j.class], i, i+1)
+			e.waiting--
+			return
+		}
+	}
+	if j.index < len(e.running) && e.running[j.index] == j {
+		e.advance()
+		heap.Remove(&e.running, j.index)
+		e.schedule()
+		e.fill()
+	}
+}
+
+// slowDown makes every step take longer from now on.
+func (e *engine) slowDown(factor float64) {
+	e.advance()
+	e.slow = factor
+	e.schedule()
+}
+
 // stall stops the engine; its agent goes on reporting.
 func (e *engine) stall() {
 	e.advance()
--- a/measure/route/main.go
+++ b/measure/route/main.go
@@ -20,13 +20,13 @@
 type options struct {
 	Seconds int      `long:"seconds" default:"900" description:"virtual time of a run"`
 	Seeds   []uint64 `long:"seed" default:"1" default:"2" default:"3" description:"seeds; figures are over all"`
-	Tables  []string `long:"table" description:"tables: choices, wait, classes, clock, days, faults, prefix, worth; all if none"`
+	Tables  []string `long:"table" description:"tables: choices, wait, classes, clock, days, faults, prefix, worth, hedge; all if none"`
 	Workers int      `long:"workers" default:"4" description:"runs at once"`
 }
 
 var (
-	engines = spec{servers: 16, slots: 8, maxQueue: 64, step: 5 * time.Millisecond, idleStep: 0.6, prefill: 1}
-	clocks  = spec{servers: 3, slots: 32, maxQueue: 64, step: 5 * time.Millisecond, idleStep: 1}
+	engines = spec{servers: 16, slots: 8, maxQueue: 64, step: 5 * time.Millisecond, idleStep: 0.6, prefill: 1, timeout: 30 * time.Second}
+	clocks  = spec{servers: 3, slots: 32, maxQueue: 64, step: 5 * time.Millisecond, idleStep: 1, timeout: 2 * time.Second}
 	lags    = []time.Duration{100 * time.Millisecond, time.Second, 5 * time.Second}
 )
 
@@ -42,10 +42,10 @@
 	runtime.GOMAXPROCS(o.Workers)
 	tables := map[string]func(*bench){
 		"choices": choices, "wait": wait, "classes": classes, "clock": clockPool,
-		"days": days, "faults": faults, "prefix": prefix, "worth": worth,
+		"days": days, "faults": faults, "prefix": prefix, "worth": worth, "hedge": hedge,
 	}
 	if len(o.Tables) == 0 {
-		o.Tables = []string{"choices", "wait", "classes", "clock", "days", "faults", "prefix", "worth"}
+		o.Tables = []string{"choices", "wait", "classes", "clock", "days", "faults", "prefix", "worth", "hedge"}
 	}
 	for _, name := range o.Tables {
 		table, ok := tables[name]
@@ -73,6 +73,7 @@
 	// moves allowed; 0 is as the forwarder does, -1 is none.
 	moves  int
 	prefix *route.PrefixSettings
+	hedge  time.Duration
 }
 
 func (b *bench) run(v variant, seed uint64) *outcome {
@@ -89,7 +90,7 @@
 	}
 	return newSystem(setup{
 		spec: v.spec, policy: v.policy, lag: v.lag, fault: v.fault, until: until,
-		list: list, choices: v.choices, moves: v.moves, prefix: v.prefix,
+		list: list, choices: v.choices, moves: v.moves, prefix: v.prefix, hedge: v.hedge,
 	}).run()
 }
 
@@ -122,6 +123,7 @@
 			sum.wait[c].Merge(o.wait[c])
 		}
 		sum.all.Merge(o.all)
+		sum.answer.Merge(o.answer)
 		sum.refused += o.refused
 		sum.lost += o.lost
 		sum.hits += o.hits
@@ -314,3 +316,28 @@
 		fmt.Printf("%6.2f %7.1f%% %s\n", list[i].prefix.Worth, 100*float64(o.hits)/float64(max(o.blocks, 1)), millis(o.all))
 	}
 }
+
+// hedge shows second attempts of urgent requests to the plain service.
+func hedge(b *bench) {
+	fmt.Println("\nTime to the answer in ms, 3 plain servers of the urgent service, least-loaded, lag 1 s, with and without hedging")
+	fmt.Printf("%-16s %5s %6s %s %9s %6s %9s\n", "fault", "load", "hedge", waitHead, "p99.9", "lost", "attempts")
+	short := *b
+	short.Seconds = min(b.Seconds, 60)
+	for _, f := range []struct {
+		name  string
+		fault fault
+	}{{"none", noFault}, {"stalled upstream", stalledUpstream}, {"slow upstream", slowUpstream}} {
+		for _, load := range []float64{0.3, 0.6, 0.95} {
+			var list []variant
+			for _, after := range []time.Duration{0, 60 * time.Millisecond, 120 * time.Millisecond, 250 * time.Millisecond} {
+				list = append(list, variant{
+					spec: clocks, policy: "least-loaded", load: load, lag: time.Second, fault: f.fault, plain: true, hedge: after,
+				})
+			}
+			for i, o := range short.all(list) {
+				fmt.Printf("%-16s %4.0f%% %6v %s %9.1f %6d %9.3f\n", f.name, load*100, list[i].hedge, millis(o.answer),
+					float64(o.answer.ValueAtQuantile(99.9))/1e3, o.lost, o.attempts())
+			}
+		}
+	}
+}
--- a/measure/route/system.go
+++ b/measure/route/system.go
@@ -17,7 +17,6 @@
 
 const (
 	hop         = time.Millisecond
-	timeout     = 30 * time.Second
 	maxAttempts = 4
 	maxMoves    = 3
 	retryShare  = 0.1
@@ -38,8 +37,12 @@
 	noFault fault = iota
 	stalledUpstream
 	lostDomain
+	slowUpstream
 )
 
+// slowTimes is how many times longer a slow upstream takes.
+const slowTimes = 10
+
 // setup is one run.
 type setup struct {
 	spec   spec
@@ -53,12 +56,17 @@
 	// moves is how often a request may move on from a busier upstream than expected.
 	moves  int
 	prefix *route.PrefixSettings
+	// hedge is the time after which a second attempt goes to another upstream if
+	// the first isn't answered; 0 is never.
+	hedge time.Duration
 }
 
 // outcome is what a run measured, after a tenth of warming up.
 type outcome struct {
-	wait             [4]*hdrhistogram.Histogram
-	all              *hdrhistogram.Histogram
+	wait [4]*hdrhistogram.Histogram
+	all  *hdrhistogram.Histogram
+	// answer is the time to the whole answer.
+	answer           *hdrhistogram.Histogram
 	refused, lost    int
 	hits, blocks     int
 	offered, attempt int
@@ -67,7 +75,9 @@
 type entryNode struct {
 	balancer route.Balancer
 	budget   *forward.Budget
-	domain   string
+	// hedges bounds second attempts as budget bounds retries.
+	hedges *forward.Budget
+	domain string
 }
 
 // system is the model: entries with real balancers before modelled engines.
@@ -91,6 +101,7 @@
 	for i := range m.out.wait {
 		m.out.wait[i] = hdrhistogram.New(1, 120_000_000, 3)
 	}
+	m.out.answer = hdrhistogram.New(1, 120_000_000, 3)
 	m.out.all = hdrhistogram.New(1, 120_000_000, 3)
 	for i := range s.spec.servers {
 		m.engines = append(m.engines, &engine{
@@ -129,7 +140,7 @@
 	if l, ok := b.(*route.LeastLoaded); ok && m.choices > 0 {
 		l.SetChoices(m.choices)
 	}
-	return &entryNode{balancer: b, budget: forward.NewBudget(retryShare), domain: place.FailureDomain}
+	return &entryNode{balancer: b, budget: forward.NewBudget(retryShare), hedges: forward.NewBudget(retryShare), domain: place.FailureDomain}
 }
 
 func (m *system) time() time.Time { return time.Unix(0, 0).Add(m.clock.now) }
@@ -187,8 +198,12 @@
 		m.offerGlobal(a)
 		return
 	}
-	r := &route.Request{Priority: a.class, Tokens: a.tokens, Prefix: a.prefix, Exclude: map[string]bool{}}
+	r := &request{
+		Request: route.Request{Priority: a.class, Tokens: a.tokens, Prefix: a.prefix, Exclude: map[string]bool{}},
+		jobs:    map[*job]*engine{},
+	}
 	m.entries[a.entry].budget.Offer()
+	m.entries[a.entry].hedges.Offer()
 	m.try(a, r, 1)
 }
 
@@ -205,7 +220,7 @@
 }
 
 func (m *system) newJob(a *arrival) *job {
-	j := &job{class: a.class, output: a.output, prefix: a.prefix, deadline: a.at + timeout}
+	j := &job{class: a.class, output: a.output, prefix: a.prefix, deadline: a.at + m.spec.timeout}
 	j.started = func() { m.started(a, j) }
 	return j
 }
@@ -219,9 +234,9 @@
 }
 
 // try makes one attempt, by the forwarder's rules for idempotent requests.
-func (m *system) try(a *arrival, r *route.Request, attempt int) {
+func (m *system) try(a *arrival, r *request, attempt int) {
 	n := m.entries[a.entry]
-	choice, ok := n.balancer.Pick(m.time(), r)
+	choice, ok := n.balancer.Pick(m.time(), &r.Request)
 	up := choice.Upstream
 	if !ok {
 		m.refuse(a)
@@ -233,12 +248,16 @@
 	began := m.clock.now
 	e := m.engines[upstreamIndex(up.ID)]
 	over := false
+	var j *job
 	end := func(o wire.Outcome, reason wire.Reason, l *wire.Load) {
 		if over {
 			return
 		}
 		over = true
-		n.balancer.Done(m.time(), up, r, route.Result{Outcome: o, Reason: reason, Load: l, Elapsed: m.clock.now - began})
+		if reason == 0 {
+			m.answered(a, r, j)
+		}
+		n.balancer.Done(m.time(), up, &r.Request, route.Result{Outcome: o, Reason: reason, Load: l, Elapsed: m.clock.now - began})
 		if reason != 0 {
 			if reason == wire.Reason_REASON_QUEUE_FULL && attempt <= m.moves {
 				m.try(a, r, attempt+1)
@@ -253,7 +272,8 @@
 		return
 	}
 	way := m.way(n, e)
-	j := m.newJob(a)
+	j = m.newJob(a)
+	r.jobs[j] = e
 	if attempt <= m.moves {
 		j.refuseAt = choice.RefuseAt
 	}
@@ -261,13 +281,56 @@
 		m.clock.after(way, func() { end(o, reason, l) })
 	}
 	m.clock.after(way, func() { e.offer(j) })
+	m.hedgeLater(a, r, up, attempt)
 	if m.fault == stalledUpstream {
-		m.clock.after(a.at+timeout-m.clock.now, func() { end(wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_DEADLINE, nil) })
+		m.clock.after(a.at+m.spec.timeout-m.clock.now, func() { end(wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_DEADLINE, nil) })
+	}
+}
+
+// request is a request with its attempts.
+type request struct {
+	route.Request
+	jobs   map[*job]*engine
+	hedged bool
+	done   bool
+}
+
+// answered takes the first whole answer and cancels the other attempts.
+func (m *system) answered(a *arrival, r *request, won *job) {
+	if r.done {
+		return
+	}
+	r.done = true
+	if m.measured(a) {
+		_ = m.out.answer.RecordValue((m.clock.now - a.at).Microseconds())
+	}
+	for j, e := range r.jobs {
+		if j != won {
+			e.cancel(j)
+			j.ended(wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_DEADLINE, nil)
+		}
 	}
 }
 
-func (m *system) again(a *arrival, r *route.Request, n *entryNode, attempt int, o wire.Outcome) {
-	late := m.clock.now >= a.at+timeout
+func (m *system) hedgeLater(a *arrival, r *request, up route.Upstream, attempt int) {
+	if m.hedge == 0 || r.hedged {
+		return
+	}
+	m.clock.after(m.hedge, func() {
+		if r.done || r.hedged || !m.entries[a.entry].hedges.Take() {
+			return
+		}
+		r.hedged = true
+		r.Exclude[up.ID] = true
+		m.try(a, r, attempt+1)
+	})
+}
+
+func (m *system) again(a *arrival, r *request, n *entryNode, attempt int, o wire.Outcome) {
+	if r.done {
+		return
+	}
+	late := m.clock.now >= a.at+m.spec.timeout
 	if late || attempt >= maxAttempts+m.moves || !n.budget.Take() {
 		if o == wire.Outcome_OUTCOME_NOT_RUN {
 			m.refuse(a)
@@ -322,6 +385,8 @@
 	switch m.fault {
 	case stalledUpstream:
 		m.clock.after(m.until/3, m.engines[0].stall)
+	case slowUpstream:
+		m.clock.after(m.until/3, func() { m.engines[0].slowDown(slowTimes) })
 	case lostDomain:
 		m.clock.after(m.until/3, func() {
 			for _, e := range m.engines {
--- a/measure/route/work.go
+++ b/measure/route/work.go
@@ -10,13 +10,12 @@
 
 // arrival is one request of the work, the same for every policy.
 type arrival struct {
-	at      time.Duration
-	entry   int
-	class   wire.Priority
-	output  int
-	tokens  int
-	prefix  []uint64
-	retries int
+	at     time.Duration
+	entry  int
+	class  wire.Priority
+	output int
+	tokens int
+	prefix []uint64
 }
 
 const (
--- a/route/health.go
+++ b/route/health.go
@@ -14,7 +14,7 @@
 	// without any answer mean a stall.
 	unansweredToEject = 3
 	stallFactor       = 4
-	minStall          = 2 * time.Second
+	minStall          = 250 * time.Millisecond
 	// slowFactor times the others' time per unit of work is slow.
 	slowFactor  = 4
 	minAnswers  = 10
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -154,7 +154,7 @@
 		}
 		return got
 	}
-	assert.Equal(t, pick(at(firstEjection-time.Millisecond))["up-2"], 0)
+	assert.Equal(t, pick(at(firstEjection - time.Millisecond))["up-2"], 0)
 	assert.Equal(t, pick(at(firstEjection))["up-2"], 1)
 	b.Done(at(firstEjection), upstreams(4)[2], &Request{}, whole(load(1, 0)))
 	assert.Assert(t, pick(at(firstEjection + slowStart))["up-2"] > 1)
