Don't take callers that leave early for a stall

The shorter stall limit made a test fail that was right: a hundred callers that left at once ejected a healthy upstream. A request that ended before the limit no longer counts as unanswered.

--- a/route/health.go
+++ b/route/health.go
@@ -113,13 +113,19 @@
 		}
 	case res.Outcome == wire.Outcome_OUTCOME_DONE:
 		p.praise(now, s, units, res)
-	case res.Outcome == wire.Outcome_OUTCOME_NOT_RUN:
+	case res.Outcome == wire.Outcome_OUTCOME_NOT_RUN || res.Elapsed < p.patience():
 		// The agent speaks for itself here: it refuses although, or because, the
-		// upstream behind it stands still.
+		// upstream behind it stands still. And a caller that left early leaves no
+		// proof: impatient callers could take a healthy upstream from all others.
 		s.unanswered = max(s.unanswered-1, 0)
 	}
 }
 
+// patience is how long an upstream may leave requests unanswered.
+func (p *pool) patience() time.Duration {
+	return max(minStall, time.Duration(stallFactor*p.elapsed*float64(time.Second)))
+}
+
 // praise takes an answer in order into account. It ends a probe: the upstream
 // comes back slowly, like one that has just started.
 func (p *pool) praise(now time.Time, s *state, units float64, res Result) {
@@ -171,8 +177,7 @@
 	if s.unanswered < unansweredToEject {
 		return false
 	}
-	limit := max(minStall, time.Duration(stallFactor*p.elapsed*float64(time.Second)))
-	return now.Sub(s.unansweredSince) > limit
+	return now.Sub(s.unansweredSince) > p.patience()
 }
 
 // eject takes an upstream out of the choice for a while, unless too many are.
