Wait for a first answer before taking silence for a stall

Cause: without any answer yet the limit was 250 ms, so that an entry before slow engines would have ejected half of them at its start; found when a changed safeguard made an unrelated test fail. Change: 30 s until the first answer. Tests that did not notice a missing bound of the index, a missing correction by own work, or ejections left over in a shrunk pool now do.

--- a/route/health.go
+++ b/route/health.go
@@ -15,6 +15,7 @@
 	unansweredToEject = 3
 	stallFactor       = 4
 	minStall          = 250 * time.Millisecond
+	firstPatience     = 30 * time.Second
 	// slowFactor times the others' time per unit of work is slow.
 	slowFactor  = 4
 	minAnswers  = 10
@@ -121,8 +122,13 @@
 	}
 }
 
-// patience is how long an upstream may leave requests unanswered.
+// patience is how long an upstream may leave requests unanswered. Until a first
+// answer shows what is usual here, it is long: a pool whose answers take seconds
+// would lose half its upstreams as soon as the entry starts.
 func (p *pool) patience() time.Duration {
+	if p.elapsed == 0 {
+		return firstPatience
+	}
 	return max(minStall, time.Duration(stallFactor*p.elapsed*float64(time.Second)))
 }
 
--- a/route/prefix_test.go
+++ b/route/prefix_test.go
@@ -138,6 +138,20 @@
 	})
 }
 
+// Prompts come without end. The index stays within its bound and knows the
+// latest of them.
+func TestPrefixIndexIsBounded(t *testing.T) {
+	const limit = 64
+	x := newPrefixIndex(limit)
+	for block := range uint64(10 * limit) {
+		x.add(block, 1)
+		assert.Assert(t, x.size() <= limit)
+		for back := range min(block, limit/2-1) {
+			assert.Equal(t, x.holders(block-back), uint64(1))
+		}
+	}
+}
+
 // The depth that match finds is that of a search block by block.
 func TestMatchAgainstSearch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -81,10 +81,12 @@
 		b.Pick(start, &Request{})
 	}
 	later := at(time.Second)
-	b.Pick(later, &Request{})
+	for range 2 {
+		b.Pick(later, &Request{})
+	}
 	b.Done(later.Add(time.Millisecond), upstreams(1)[0], &Request{}, whole(load(1, 9)))
-	// 9 at the answer's time, the one that ended among them, and one on its way.
-	assert.Equal(t, b.byID["up-0"].requests(), 9)
+	// 9 at the answer's time, the one that ended among them, and two on their way.
+	assert.Equal(t, b.byID["up-0"].requests(), 10)
 }
 
 // Callers see no difference, but the own failure domain saves a millisecond each
@@ -160,6 +162,21 @@
 	assert.Assert(t, pick(at(firstEjection + slowStart))["up-2"] > 1)
 }
 
+// Half of a pool is ejected when its healthy half goes. What is left must not
+// be ejected whole: callers would wait for nobody.
+func TestEjectionsEndWhenThePoolShrinks(t *testing.T) {
+	b := newLeastLoaded(8)
+	for _, u := range upstreams(4) {
+		for range failuresToEject {
+			b.start(start, b.byID[u.ID], &Request{})
+			b.Done(start, u, &Request{}, broken)
+		}
+	}
+	assert.Equal(t, b.ejected, 4)
+	b.Update(start, upstreams(4))
+	assert.Equal(t, b.ejected, 2)
+}
+
 // A probe fails: the upstream is left for twice as long, and so on up to a bound.
 func TestFailedProbeEjectsForLonger(t *testing.T) {
 	b := newLeastLoaded(4)
@@ -198,6 +215,16 @@
 	assert.Assert(t, got < 60, "%d of 400 went to the stalled upstream", got)
 }
 
+// An entry has just started and its engines take many seconds for their first
+// answers. Nothing is known of what is usual: none of them is taken for stalled.
+func TestSlowFirstAnswersAreNoStall(t *testing.T) {
+	b := newLeastLoaded(4)
+	for i := range 100 {
+		b.Pick(at(time.Duration(i)*100*time.Millisecond), &Request{})
+	}
+	assert.Equal(t, b.ejected, 0)
+}
+
 // An engine answers all, but ten times slower than the others.
 func TestSlowUpstreamIsEjected(t *testing.T) {
 	b := newLeastLoaded(4)
