--- a/control/replica.go
+++ b/control/replica.go
@@ -5,6 +5,7 @@
 	"hash/maphash"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -29,8 +30,8 @@
 
 const (
 	tickInterval = 25 * time.Millisecond
-	// maxBatch bounds the calls that share one sync.
-	maxBatch = 512
+	// callQueue bounds the calls that wait for the loop.
+	callQueue = 2048
 	// careInterval is how often a leader looks after the membership.
 	careInterval = 250 * time.Millisecond
 )
@@ -61,7 +62,9 @@
 	leads    leaseClock
 	rings    ringClock
 	shares   shareHome
-	feed     feed
+	// pools is read by announcements, outside the loop.
+	pools atomic.Pointer[poolSettings]
+	feed  feed
 	// proposedEpoch is the ring epoch that was proposed last, and when.
 	proposedEpoch uint64
 	proposedAt    time.Time
@@ -104,7 +107,7 @@
 		node:    consensus.New(cfg, st, 0),
 		peers:   newPeers(pool, id.Address),
 		started: time.Now(),
-		calls:   make(chan func(), 4*maxBatch),
+		calls:   make(chan func(), callQueue),
 		done:    make(chan struct{}),
 		waiting: map[uint64]waiter{},
 		reads:   map[uint64]chan<- error{},
@@ -159,7 +162,7 @@
 }
 
 func (r *Replica) runQueued() {
-	for range maxBatch {
+	for range r.settings.MaxBatch - 1 {
 		select {
 		case f := <-r.calls:
 			f()
@@ -230,6 +233,7 @@
 		r.rings.follow(r.machine.ring.Epoch, time.Now())
 		r.sinceCut++
 	}
+	r.followRows(time.Now())
 	if len(rd.Apply) > 0 {
 		r.feed.add(r.machine.table.Revision(), changed, r.machine.ring, r.rings.changed)
 		r.wake()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,7 +14,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
-	"storj.io/drpc"
 
 	"github.com/snipereach/snipereach/admit"
 	"github.com/snipereach/snipereach/claim"
@@ -62,6 +61,9 @@
 	watches                      *watches
 	cancel                       context.CancelFunc
 
+	// targets orders the control replicas that this entry uses.
+	targets   *directory.Targets
+	announcer *directory.Announcer
 	claims    *claim.Node
 	control   *control.Control
 	client    *control.Client
@@ -94,7 +96,7 @@
 		leaving:     make(chan struct{}),
 		drained:     make(chan struct{}),
 		runner: admit.NewRunner(admit.Settings{
-			Slots: s.Slots, Reserved: s.Slots * s.UrgentPercent / 100, MaxQueue: s.MaxQueue,
+			Slots: s.Slots, Reserved: admit.ReservedSlots(s.Slots, s.UrgentPercent), MaxQueue: s.MaxQueue,
 		}, time.Now),
 	}
 	e.answers = metrics.GetOrRegisterCounter("entry.answers", e.metrics)
@@ -110,6 +112,8 @@
 	place := route.Place{Entry: s.ID, FailureDomain: s.FailureDomain, Seed: xxhash.Sum64String(s.ID)}
 	e.fwd = forward.New(e.pool, place, time.Now)
 	e.node = directory.NewNode(directory.DefaultSettings(), time.Now, e.refresh)
+	e.targets = directory.NewTargets(s.ID, s.FailureDomain, s.replicas())
+	e.announcer = directory.NewAnnouncer(e.targets, e.pool.Conn, time.Now)
 	e.watches = newWatches(e)
 	e.limits = newLimits(e)
 	e.claims = claim.NewNode(claim.DefaultRegisterSettings(), e.life(), e.pool.Conn, time.Now)
@@ -118,6 +122,7 @@
 		return nil, err
 	}
 	e.dumps.Add("entry", e.dump)
+	e.dumps.Add("limits", e.limits.dump)
 	e.registerGauges()
 	e.dumps.Add("directory", e.node.Dump)
 	e.dumps.Add("route", e.fwd.Dump)
@@ -134,6 +139,9 @@
 	if err := wire.DRPCRegisterEntry(e.srv.Mux, drainService{e}); err != nil {
 		return nil, err
 	}
+	if e.control != nil {
+		return e, wire.DRPCRegisterDirectory(e.srv.Mux, control.NewDirectoryService(e.node, e.control))
+	}
 	return e, wire.DRPCRegisterDirectory(e.srv.Mux, e.node)
 }
 
@@ -160,6 +168,7 @@
 	}
 	e.control = c
 	c.SetEntries(e.ringMembers)
+	e.node.SetReplicas(c.DirectoryReplicas)
 	c.SetUpstreams(control.UpstreamsOf(e.node))
 	e.dumps.Add("control", c.Dump)
 	return c.Register(e.srv.Mux)
@@ -232,10 +241,7 @@
 	go e.drainCallers(ctx)
 	go e.node.Run(ctx)
 	go e.announceLoop(ctx)
-	for _, addr := range e.settings.replicas() {
-		go e.node.Follow(ctx, func(ctx context.Context) drpc.Conn { return e.pool.Conn(ctx, addr) },
-			&wire.DirectoryWatchRequest{Watcher: e.settings.ID, LocalOnly: true})
-	}
+	e.followDirectory(ctx)
 	e.callersHTTP = &http.Server{Handler: e.callerRoutes(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}
 	go func() { _ = e.callersHTTP.Serve(e.callers) }()
 	if e.operators != nil {
