--- a/upstream/http.go
+++ b/upstream/http.go
@@ -196,14 +196,15 @@
 func (h *HTTP) callJSON(ctx context.Context, method, path string, body io.Reader, header http.Header, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, h.ControlTimeout.D())
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, h.base.JoinPath(path).String(), body)
+	file, query, _ := strings.Cut(path, "?")
+	target := h.base.JoinPath(file)
+	target.RawQuery = query
+	// JoinPath leaves the path without its first slash when the base has none;
+	// only String puts it back. Sent as it is, every server refuses the request.
+	req, err := http.NewRequestWithContext(ctx, method, target.String(), body)
 	if err != nil {
 		return merry.Prepend(ErrFailed, err.Error())
 	}
-	if path, query, ok := strings.Cut(path, "?"); ok {
-		req.URL = h.base.JoinPath(path)
-		req.URL.RawQuery = query
-	}
 	for name, values := range header {
 		req.Header[name] = values
 	}
