--- a/entry/entry.go
+++ b/entry/entry.go
@@ -213,12 +213,18 @@
 			byPool[p] = append(byPool[p], up)
 		}
 	}
+	routed := map[string]bool{}
 	for name, p := range v.Pools {
-		if err := e.fwd.Update(p, byPool[name]); err != nil {
+		// Of a large pool the entry uses, and watches, a part.
+		ups := route.Subset(e.settings.ID, byPool[name], route.MaxCandidates)
+		for _, u := range ups {
+			routed[u.ID] = true
+		}
+		if err := e.fwd.Update(p, ups); err != nil {
 			kernel.Warn(e.log, "Pool can't be routed.", "pool", name, "err", err)
 		}
 	}
-	e.watches.update(insts)
+	e.watches.update(insts, routed)
 }
 
 // Start implements kernel.Daemon.
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -41,8 +41,9 @@
 	w.ctx = ctx
 }
 
-// update opens a stream to each instance and closes those to others.
-func (w *watches) update(insts []*directory.Instance) {
+// update opens a stream to each instance that requests are routed to and closes
+// those to others. One that is leaving is followed to its end.
+func (w *watches) update(insts []*directory.Instance, routed map[string]bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.ctx == nil || w.ctx.Err() != nil {
@@ -50,8 +51,11 @@
 	}
 	live := map[string]bool{}
 	for _, i := range insts {
-		live[i.Id] = true
 		old := w.open[i.Id]
+		if !routed[i.Id] && (old == nil || i.Phase != wire.Phase_PHASE_LEAVING) {
+			continue
+		}
+		live[i.Id] = true
 		if old != nil && old.incarnation == i.Incarnation && old.address == i.Address {
 			continue
 		}
--- a/route/pool.go
+++ b/route/pool.go
@@ -58,7 +58,7 @@
 // update replaces the candidates. It returns the bits of those that are gone or
 // have started again.
 func (p *pool) update(now time.Time, ups []Upstream) (lost uint64) {
-	ups = Subset(p.place.Entry, ups, maxCandidates)
+	ups = Subset(p.place.Entry, ups, MaxCandidates)
 	old := p.byID
 	p.byID = make(map[string]*state, len(ups))
 	p.list = p.list[:0]
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -41,10 +41,10 @@
 	settings PrefixSettings
 	index    prefixIndex
 	// seqs holds the last cache event of each upstream, by its bit.
-	seqs [maxCandidates]uint64
+	seqs [MaxCandidates]uint64
 	// depths is how many blocks each upstream holds, by its bit; valid during Pick.
-	depths  [maxCandidates]int
-	byBit   [maxCandidates]*state
+	depths  [MaxCandidates]int
+	byBit   [MaxCandidates]*state
 	holders []*state
 }
 
@@ -61,7 +61,7 @@
 			b.seqs[bits.TrailingZeros64(m)] = 0
 		}
 	}
-	b.byBit = [maxCandidates]*state{}
+	b.byBit = [MaxCandidates]*state{}
 	for _, s := range b.list {
 		b.byBit[s.bit] = s
 	}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -364,7 +364,7 @@
 // A large pool is cut to a subset. An upstream that few entries use would idle
 // beside others that queue.
 func TestSubsetsCoverUpstreamsEvenly(t *testing.T) {
-	const entries, size = 700, maxCandidates
+	const entries, size = 700, MaxCandidates
 	ups := upstreams(900)
 	covered := map[string]int{}
 	for e := range entries {
@@ -388,13 +388,13 @@
 	for e := range 50 {
 		entry := fmt.Sprintf("entry-%d", e)
 		before := map[string]bool{}
-		for _, u := range Subset(entry, ups, maxCandidates) {
+		for _, u := range Subset(entry, ups, MaxCandidates) {
 			before[u.ID] = true
 		}
 		shuffled := append([]Upstream(nil), ups[1:]...)
 		rand.New(rand.NewPCG(1, 2)).Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
 		fresh := 0
-		for _, u := range Subset(entry, shuffled, maxCandidates) {
+		for _, u := range Subset(entry, shuffled, MaxCandidates) {
 			if !before[u.ID] {
 				fresh++
 			}
--- a/route/subset.go
+++ b/route/subset.go
@@ -6,10 +6,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxCandidates is how many upstreams of one pool an entry uses at most. A pool
+// MaxCandidates is how many upstreams of one pool an entry uses at most. A pool
 // that is larger is cut to a subset, so that connections, reports and memory at
 // an entry don't grow with the pool.
-const maxCandidates = 64
+const MaxCandidates = 64
 
 // Subset returns the upstreams of a large pool that an entry uses, by
 // rendezvous hashing (Thaler, Ravishankar: A Name-Based Mapping Scheme for
