--- a/quickstart/route_test.go
+++ b/quickstart/route_test.go
@@ -16,7 +16,10 @@
 // routeOf reads what an entry's balancer of the engines knows.
 func routeOf(t *testing.T, s *System, n int) map[string]route.UpstreamState {
 	t.Helper()
-	resp, err := http.Get("http://" + s.Entries[n].OperatorAddress() + "/debug/state")
+	req, err := http.NewRequest(http.MethodGet, "http://"+s.Entries[n].OperatorAddress()+"/debug/state", nil)
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+OperatorKey)
+	resp, err := http.DefaultClient.Do(req)
 	assert.NilError(t, err)
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
