Judge forecasts by raw windows, bound the search of a plan

Cause: the naive search was too slow at the large size, and medians of overlapping windows favoured the quickest forecast. Change: several half-lives judged by raw windows; the least even layers are searched first, with a bound on steps; exchanges that can't even two ranks are skipped. Settings still untuned.

--- a/measure/placement/tune.go
+++ b/measure/placement/tune.go
@@ -11,20 +11,29 @@
 
 // setting is one choice of the incremental planner's settings.
 type setting struct {
-	half, horizon, margin, minGain float64
-	median                         bool
+	half, life, horizon, margin, minGain float64
+	median                               bool
 }
 
+// grid varies one or two settings at a time around the default.
 func grid() []setting {
+	base := setting{half: 30, life: 300, horizon: 900, margin: 1.5, minGain: 0.004, median: true}
 	var out []setting
-	for _, half := range []float64{30, 60, 120, 300} {
-		for _, horizon := range []float64{450, 900, 1800, 3600} {
-			for _, margin := range []float64{1, 2} {
-				for _, minGain := range []float64{0, 0.005, 0.01} {
-					for _, median := range []bool{false, true} {
-						out = append(out, setting{half, horizon, margin, minGain, median})
-					}
-				}
+	for _, horizon := range []float64{300, 900} {
+		for _, margin := range []float64{1, 3} {
+			for _, minGain := range []float64{0.002, 0.006} {
+				s := base
+				s.horizon, s.margin, s.minGain = horizon, margin, minGain
+				out = append(out, s)
+			}
+		}
+	}
+	for _, half := range []float64{15, 60} {
+		for _, life := range []float64{120, 600} {
+			for _, median := range []bool{false} {
+				s := base
+				s.half, s.life, s.median = half, life, median
+				out = append(out, s)
 			}
 		}
 	}
@@ -33,7 +42,7 @@
 
 func (s setting) planner() *placement.Incremental {
 	p := placement.NewIncremental()
-	p.HalfLifeSeconds, p.HorizonSeconds = s.half, s.horizon
+	p.HalfLifeSeconds, p.ErrorLifeSeconds, p.HorizonSeconds = s.half, s.life, s.horizon
 	p.Margin, p.MinGain, p.Median = s.margin, s.minGain, s.median
 	return p
 }
@@ -70,7 +79,7 @@
 			least[i] = min(least[i], j)
 		}
 	}
-	fmt.Printf("half-life horizon margin min-gain median | mean | by trace\n")
+	fmt.Printf("half-life error-life horizon margin min-gain median | mean | by trace\n")
 	for k, s := range settings {
 		sum, worst, each := 0.0, 0.0, ""
 		for i := range users {
@@ -79,8 +88,8 @@
 			worst = max(worst, ratio)
 			each += fmt.Sprintf(" %.2f", ratio)
 		}
-		fmt.Printf("%4.0f %5.0f %4.1f %6.3f %5v | %.3f | worst %.2f |%s\n",
-			s.half, s.horizon, s.margin, s.minGain, s.median, sum/float64(len(users)), worst, each)
+		fmt.Printf("%4.0f %5.0f %5.0f %4.1f %6.3f %5v | %.3f | worst %.2f |%s\n",
+			s.half, s.life, s.horizon, s.margin, s.minGain, s.median, sum/float64(len(users)), worst, each)
 	}
 	return nil
 }
--- a/measure/placement/ways.go
+++ b/measure/placement/ways.go
@@ -45,7 +45,7 @@
 
 func (p *hysteresis) Reset(s placement.Shape, c placement.Cost) {
 	p.s, p.c = s, c
-	p.forecast = placement.Forecast{HalfLife: time.Minute, Median: true}
+	p.forecast = placement.NewIncremental().NewForecast()
 	p.forecast.Reset(s)
 }
 
@@ -89,7 +89,7 @@
 		Horizon: time.Duration(own.HorizonSeconds) * time.Second, Margin: own.Margin,
 		MinGain: own.MinGain, MaxMoves: pace(c),
 	}
-	p.forecast = placement.Forecast{HalfLife: time.Duration(own.HalfLifeSeconds) * time.Second, Median: own.Median}
+	p.forecast = own.NewForecast()
 	p.forecast.Reset(s)
 	p.days = map[int]placement.Load{}
 }
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -13,25 +13,43 @@
 // expert's share. Windows may come late, out of order or doubled, and may be
 // missing: a window's weight depends on its end alone. Shares are smoothed, not
 // tokens, so a busy hour doesn't outweigh the quiet one that follows it.
+//
+// Several half-lives run side by side; each layer is forecast by the one that has
+// lately erred least about the next window. So noise is smoothed away where the load
+// stands still, and a sudden change is followed quickly.
 type Forecast struct {
-	// HalfLife is the age at which a window counts half.
-	HalfLife time.Duration
+	// HalfLives are the ages at which a window counts half.
+	HalfLives []time.Duration
+	// ErrorHalfLife is the age at which an error about a window counts half.
+	ErrorHalfLife time.Duration
 	// Median takes each expert's median of the last three windows first, so that
 	// one wrong counter can't start a move.
 	Median bool
 
-	shape  Shape
+	shape     Shape
+	smoothers []smoother
+	ref       time.Time
+	seen      []time.Time
+	recent    []Load
+}
+
+// smoother is one half-life's weighted sum of windows, and its recent squared error
+// in each layer.
+type smoother struct {
+	half   time.Duration
 	sum    []float64
 	weight float64
-	ref    time.Time
-	seen   []time.Time
-	recent []Load
+	errors []float64
 }
 
 // Reset forgets all windows.
 func (f *Forecast) Reset(s Shape) {
-	*f = Forecast{HalfLife: f.HalfLife, Median: f.Median, shape: s}
-	f.sum = make([]float64, s.Layers*s.Experts)
+	*f = Forecast{HalfLives: f.HalfLives, ErrorHalfLife: f.ErrorHalfLife, Median: f.Median, shape: s}
+	for _, half := range f.HalfLives {
+		f.smoothers = append(f.smoothers, smoother{
+			half: half, sum: make([]float64, s.Layers*s.Experts), errors: make([]float64, s.Layers),
+		})
+	}
 }
 
 // Observe takes a window; it says whether the window was used.
@@ -43,7 +61,8 @@
 	if len(f.seen) > seenWindows {
 		f.seen = slices.Delete(f.seen, 0, 1)
 	}
-	f.add(at, f.filtered(f.shares(load)))
+	raw := f.shares(load)
+	f.add(at, raw, f.filtered(raw))
 	return true
 }
 
@@ -53,16 +72,29 @@
 // Load is the forecast: shares that sum to the number of ranks in each layer, so
 // that the mean rank has load 1. It is nil without windows.
 func (f *Forecast) Load() Load {
-	if f.weight == 0 {
+	if f.ref.IsZero() {
 		return nil
 	}
-	out := make(Load, len(f.sum))
-	for i, v := range f.sum {
-		out[i] = v / f.weight
+	out := make(Load, 0, f.shape.Layers*f.shape.Experts)
+	for layer := range f.shape.Layers {
+		sm := f.best(layer)
+		for _, v := range sm.sum[layer*f.shape.Experts : (layer+1)*f.shape.Experts] {
+			out = append(out, v/sm.weight)
+		}
 	}
 	return out
 }
 
+func (f *Forecast) best(layer int) *smoother {
+	best := &f.smoothers[0]
+	for i := range f.smoothers {
+		if f.smoothers[i].errors[layer] < best.errors[layer] {
+			best = &f.smoothers[i]
+		}
+	}
+	return best
+}
+
 // shares scales each layer to a sum of Ranks. A layer without tokens says nothing
 // about its experts: they count as equal.
 func (f *Forecast) shares(load Load) Load {
@@ -102,30 +134,56 @@
 	return f.shares(out)
 }
 
-func (f *Forecast) add(at time.Time, load Load) {
-	if f.ref.IsZero() {
+// add takes a window into all smoothers. They are judged by the raw window: medians
+// of overlapping windows resemble each other, which would favour the quickest one.
+func (f *Forecast) add(at time.Time, raw, load Load) {
+	first := f.ref.IsZero()
+	if first {
 		f.ref = at
 	}
-	w := 1.0
-	if at.After(f.ref) {
-		f.decay(f.fade(at.Sub(f.ref)))
+	age := f.ref.Sub(at)
+	for i := range f.smoothers {
+		sm := &f.smoothers[i]
+		if age < 0 {
+			sm.judge(raw, fade(-age, f.ErrorHalfLife))
+			sm.decay(fade(-age, sm.half))
+		}
+		sm.add(load, fade(max(age, 0), sm.half))
+	}
+	if age < 0 {
 		f.ref = at
-	} else {
-		w = f.fade(f.ref.Sub(at))
 	}
-	for i, v := range load {
-		f.sum[i] += w * v
+}
+
+// judge adds the error about a window that is the newest so far.
+func (sm *smoother) judge(load Load, by float64) {
+	experts := len(load) / len(sm.errors)
+	for layer := range sm.errors {
+		sum := 0.0
+		for i := layer * experts; i < (layer+1)*experts; i++ {
+			d := load[i] - sm.sum[i]/sm.weight
+			sum += d * d
+		}
+		sm.errors[layer] = sm.errors[layer]*by + sum
 	}
-	f.weight += w
 }
 
-func (f *Forecast) fade(age time.Duration) float64 {
-	return math.Exp2(-float64(age) / float64(f.HalfLife))
+func (sm *smoother) add(load Load, w float64) {
+	for i, v := range load {
+		sm.sum[i] += w * v
+	}
+	sm.weight += w
 }
 
-func (f *Forecast) decay(by float64) {
-	for i := range f.sum {
-		f.sum[i] *= by
+// minWeight keeps sums from vanishing over a long gap: only their ratio counts.
+const minWeight = 1e-9
+
+func (sm *smoother) decay(by float64) {
+	by = max(by, minWeight/sm.weight)
+	for i := range sm.sum {
+		sm.sum[i] *= by
 	}
-	f.weight *= by
+	sm.weight *= by
 }
+
+func fade(age, half time.Duration) float64 { return math.Exp2(-float64(age) / float64(half)) }
--- a/placement/incremental.go
+++ b/placement/incremental.go
@@ -18,10 +18,14 @@
 // Settings of the incremental planner, chosen by measurement on the tuning seeds
 // (docs/design/placement.md).
 const (
-	defaultHalfLife = 60 * time.Second
-	defaultHorizon  = 15 * time.Minute
-	defaultMargin   = 1.5
-	defaultMinGain  = 0.004
+	defaultHalfLife = 30 * time.Second
+	// halfLifeSteps half-lives run side by side, each halfLifeFactor times longer.
+	halfLifeSteps    = 3
+	halfLifeFactor   = 5
+	defaultErrorLife = 5 * time.Minute
+	defaultHorizon   = 15 * time.Minute
+	defaultMargin    = 1.5
+	defaultMinGain   = 0.004
 	// defaultPace is the time that the weight store may be kept busy by one plan.
 	defaultPace = 60 * time.Second
 	// defaultStale is the age of the counters above which nothing is moved.
@@ -32,13 +36,16 @@
 // pay for themselves. It starts no plan while the store still gives out the weights
 // of the last one.
 type Incremental struct {
+	// HalfLifeSeconds is the shortest half-life of the forecast.
 	HalfLifeSeconds float64 `toml:"half_life_seconds"`
-	HorizonSeconds  float64 `toml:"horizon_seconds"`
-	Margin          float64 `toml:"margin"`
-	MinGain         float64 `toml:"min_gain"`
-	PaceSeconds     float64 `toml:"pace_seconds"`
-	StaleSeconds    float64 `toml:"stale_seconds"`
-	Median          bool    `toml:"median"`
+	// ErrorLifeSeconds is the age at which an error of a forecast counts half.
+	ErrorLifeSeconds float64 `toml:"error_life_seconds"`
+	HorizonSeconds   float64 `toml:"horizon_seconds"`
+	Margin           float64 `toml:"margin"`
+	MinGain          float64 `toml:"min_gain"`
+	PaceSeconds      float64 `toml:"pace_seconds"`
+	StaleSeconds     float64 `toml:"stale_seconds"`
+	Median           bool    `toml:"median"`
 
 	shape    Shape
 	cost     Cost
@@ -49,23 +56,35 @@
 // NewIncremental makes a planner with the default settings.
 func NewIncremental() *Incremental {
 	return &Incremental{
-		HalfLifeSeconds: defaultHalfLife.Seconds(),
-		HorizonSeconds:  defaultHorizon.Seconds(),
-		Margin:          defaultMargin,
-		MinGain:         defaultMinGain,
-		PaceSeconds:     defaultPace.Seconds(),
-		StaleSeconds:    defaultStale.Seconds(),
-		Median:          true,
+		HalfLifeSeconds:  defaultHalfLife.Seconds(),
+		ErrorLifeSeconds: defaultErrorLife.Seconds(),
+		HorizonSeconds:   defaultHorizon.Seconds(),
+		Margin:           defaultMargin,
+		MinGain:          defaultMinGain,
+		PaceSeconds:      defaultPace.Seconds(),
+		StaleSeconds:     defaultStale.Seconds(),
+		Median:           true,
 	}
 }
 
 // Reset implements Planner.
 func (p *Incremental) Reset(s Shape, c Cost) {
 	p.shape, p.cost, p.busy = s, c, time.Time{}
-	p.forecast = Forecast{HalfLife: seconds(p.HalfLifeSeconds), Median: p.Median}
+	p.forecast = p.NewForecast()
 	p.forecast.Reset(s)
 }
 
+// NewForecast makes a forecast with the planner's settings.
+func (p *Incremental) NewForecast() Forecast {
+	f := Forecast{Median: p.Median, ErrorHalfLife: seconds(p.ErrorLifeSeconds)}
+	half := p.HalfLifeSeconds
+	for range halfLifeSteps {
+		f.HalfLives = append(f.HalfLives, seconds(half))
+		half *= halfLifeFactor
+	}
+	return f
+}
+
 // Observe implements Planner.
 func (p *Incremental) Observe(at time.Time, load Load) { p.forecast.Observe(at, load) }
 
--- a/placement/search.go
+++ b/placement/search.go
@@ -27,6 +27,9 @@
 const (
 	// maxSteps bounds the search in one layer and so the time of a plan.
 	maxSteps = 16
+	// planSteps bounds the search of one plan over all layers; the least even layers
+	// come first, and the others' turn comes with the next plans.
+	planSteps = 256
 	// exchangeRanks is how many of the emptiest ranks are looked at for exchanges
 	// of two experts, the costly part of the search.
 	exchangeRanks = 7
@@ -44,18 +47,17 @@
 	search.value = c.SkewWeight * lim.Horizon.Seconds() / float64(s.Layers)
 	search.price = c.Price(s, 1)
 	var found []layerPlan
-	before, after := 0.0, 0.0
-	for layer := range s.Layers {
-		p := search.layer(m, layer, load)
-		before += p.skews[0]
-		after += p.skews[0]
+	states, before := search.states(m, load)
+	left := planSteps
+	for _, st := range states {
+		p := search.plan(st, min(left, maxSteps))
+		left -= len(p.steps)
 		if p.best > 0 {
 			found = append(found, p)
 		}
 	}
 	chosen, gain := search.choose(found)
-	after -= gain
-	d := Decision{SkewBefore: before / float64(s.Layers), SkewAfter: after / float64(s.Layers)}
+	d := Decision{SkewBefore: before, SkewAfter: before - gain/float64(s.Layers)}
 	for _, p := range chosen {
 		for _, st := range p.steps[:p.best] {
 			d.Moves = append(d.Moves, st.moves[:st.n]...)
@@ -107,13 +109,26 @@
 	return gain > sr.lim.MinGain*moves && sr.value*gain > sr.lim.Margin*sr.price*moves
 }
 
-func (sr *search) layer(m *Map, layer int, load Load) layerPlan {
+// states makes the layers' states, the least even layer first, and gives their mean
+// skew.
+func (sr *search) states(m *Map, load Load) ([]*layerState, float64) {
 	size := sr.s.Ranks * sr.s.Slots
-	share := load[layer*sr.s.Experts : (layer+1)*sr.s.Experts]
-	st := newLayerState(sr.s, m.Slots[layer*size:(layer+1)*size], share, sr.lim.Slow)
+	states := make([]*layerState, sr.s.Layers)
+	sum := 0.0
+	for layer := range states {
+		share := load[layer*sr.s.Experts : (layer+1)*sr.s.Experts]
+		states[layer] = newLayerState(sr.s, layer, m.Slots[layer*size:(layer+1)*size], share, sr.lim.Slow)
+		sum += states[layer].skew()
+	}
+	slices.SortStableFunc(states, func(a, b *layerState) int { return cmp.Compare(b.skew(), a.skew()) })
+	return states, sum / float64(sr.s.Layers)
+}
+
+// plan searches one layer.
+func (sr *search) plan(st *layerState, steps int) layerPlan {
 	p := layerPlan{skews: []float64{st.skew()}, moves: []int{0}}
-	for len(p.steps) < maxSteps && sr.mayPay(st, share) {
-		found, ok := st.bestStep(layer)
+	for len(p.steps) < steps && sr.mayPay(st) {
+		found, ok := st.bestStep()
 		if !ok {
 			break
 		}
@@ -126,12 +141,12 @@
 }
 
 // mayPay says whether reaching the lower bound would pay for one more move.
-func (sr *search) mayPay(st *layerState, share []float64) bool {
+func (sr *search) mayPay(st *layerState) bool {
 	room := st.skew() - 1
 	if room <= sr.lim.MinGain || sr.value*room <= sr.lim.Margin*sr.price {
 		return false
 	}
-	room = st.skew() - boundOf(sr.s, share)
+	room = st.skew() - boundOf(sr.s, st.share)
 	return room > sr.lim.MinGain && sr.value*room > sr.lim.Margin*sr.price
 }
 
@@ -184,27 +199,27 @@
 }
 
 // bestStep finds the best change that relieves the busiest rank and makes it.
-func (st *layerState) bestStep(layer int) (step, bool) {
+func (st *layerState) bestStep() (step, bool) {
 	busy := st.busiest()
 	best := &candidate{fall: st.peak * 1e-6}
-	st.offerCopies(layer, busy, best)
-	st.offerDrops(layer, busy, best)
+	st.offerCopies(busy, best)
+	st.offerDrops(busy, best)
 	for _, rank := range st.emptiest(busy) {
-		st.offerExchanges(layer, busy, rank, best)
+		st.offerExchanges(busy, rank, best)
 	}
 	if best.step.n == 0 {
 		return step{}, false
 	}
 	skew := st.skew()
 	for i, mv := range best.step.moves[:best.step.n] {
-		best.step.moves[i] = st.put(layer, mv.Rank, mv.Slot, mv.To)
+		best.step.moves[i] = st.put(mv.Rank, mv.Slot, mv.To)
 	}
 	st.settle()
 	return best.step, st.skew() < skew
 }
 
 // offerCopies looks at copying an expert of the busy rank to a spare slot.
-func (st *layerState) offerCopies(layer, busy int, best *candidate) {
+func (st *layerState) offerCopies(busy int, best *candidate) {
 	for rank := range st.s.Ranks {
 		if rank == busy {
 			continue
@@ -215,7 +230,7 @@
 			}
 			for _, e := range st.rankSlots(busy) {
 				if e != c && !st.holds(rank, e) {
-					best.offer(st.peak-st.try(rank, slot, e), Move{layer, rank, slot, c, e})
+					best.offer(st.peak-st.try(rank, slot, e), Move{st.layer, rank, slot, c, e})
 				}
 			}
 		}
@@ -223,7 +238,7 @@
 }
 
 // offerDrops looks at overwriting a spare copy on the busy rank by a lighter expert.
-func (st *layerState) offerDrops(layer, busy int, best *candidate) {
+func (st *layerState) offerDrops(busy int, best *candidate) {
 	for slot, c := range st.rankSlots(busy) {
 		if !st.spare(c) {
 			continue
@@ -233,7 +248,7 @@
 			if st.share[e]/float64(len(st.holders[e])+1) >= dropped || st.holds(busy, e) {
 				continue
 			}
-			best.offer(st.peak-st.try(busy, slot, e), Move{layer, busy, slot, c, e})
+			best.offer(st.peak-st.try(busy, slot, e), Move{st.layer, busy, slot, c, e})
 		}
 	}
 }
@@ -241,66 +256,83 @@
 // offerExchanges looks at moving an expert of the busy rank to another one, and at
 // exchanging two experts. A slot with a spare copy on either rank is used to pass
 // through, so no expert is without a rank in between.
-func (st *layerState) offerExchanges(layer, busy, rank int, best *candidate) {
-	peak := st.peak
+func (st *layerState) offerExchanges(busy, rank int, best *candidate) {
 	for from, e := range st.rankSlots(busy) {
 		if st.holds(rank, e) {
 			continue
 		}
+		st.partners = st.partnersOf(busy, rank, e, st.partners[:0])
 		for slot, c := range st.rankSlots(rank) {
-			if !st.spare(c) {
-				continue
+			if st.spare(c) {
+				st.offerThroughOther(busy, from, rank, slot, best)
 			}
-			first := st.put(layer, rank, slot, e)
-			st.offerReturns(layer, busy, from, rank, first, peak, best)
-			st.take(first)
-			st.peak = peak
 		}
 		for slot, c := range st.rankSlots(busy) {
 			if slot != from && st.spare(c) {
-				st.offerThroughBusy(layer, busy, from, rank, slot, best)
+				st.offerThroughBusy(busy, from, rank, slot, best)
 			}
 		}
 	}
 }
 
-// offerReturns completes an exchange whose first move copied e to the other rank:
-// the old slot of e gets the expert that was overwritten or one of the other rank's,
-// and in the latter case the overwritten one may come back.
-func (st *layerState) offerReturns(layer, busy, from, rank int, first Move, peak float64, best *candidate) {
-	e, base := first.To, st.peak
-	if !st.holds(busy, first.From) {
-		second := Move{layer, busy, from, e, first.From}
-		best.offer(peak-st.try(busy, from, first.From), first, second)
-	}
+// partnersOf lists the slots of a rank whose expert may be exchanged for e of the
+// busy rank. What passes over must be less than the difference of the ranks,
+// otherwise the other one becomes as busy; this spares the search most trials.
+func (st *layerState) partnersOf(busy, rank int, e int32, slots []int) []int {
+	gap := st.load[busy] - st.load[rank]
+	given := st.share[e] / float64(len(st.holders[e]))
 	for slot, x := range st.rankSlots(rank) {
-		if x == e || st.share[x] >= st.share[e] || st.holds(busy, x) {
+		passed := given - st.share[x]/float64(len(st.holders[x]))
+		if passed > 0 && passed < gap && !st.holds(busy, x) {
+			slots = append(slots, slot)
+		}
+	}
+	return slots
+}
+
+// offerThroughOther copies e over a spare copy c of the other rank; the old slot of e
+// then gets c or a partner, and in the latter case c may come back.
+func (st *layerState) offerThroughOther(busy, from, rank, spareSlot int, best *candidate) {
+	e, c := st.rankSlots(busy)[from], st.rankSlots(rank)[spareSlot]
+	restored := !st.holds(busy, c)
+	if !restored && len(st.partners) == 0 {
+		return
+	}
+	peak := st.peak
+	first := st.put(rank, spareSlot, e)
+	base := st.peak
+	if restored {
+		best.offer(peak-st.try(busy, from, c), first, Move{st.layer, busy, from, e, c})
+	}
+	for _, slot := range st.partners {
+		if slot == spareSlot {
 			continue
 		}
-		second := st.put(layer, busy, from, x)
+		x := st.rankSlots(rank)[slot]
+		second := st.put(busy, from, x)
 		best.offer(peak-st.peak, first, second)
-		if c := first.From; !st.holds(rank, c) {
-			best.offer(peak-st.try(rank, slot, c), first, second, Move{layer, rank, slot, x, c})
-		}
+		best.offer(peak-st.try(rank, slot, c), first, second, Move{st.layer, rank, slot, x, c})
 		st.take(second)
 		st.peak = base
 	}
+	st.take(first)
+	st.peak = peak
 }
 
-// offerThroughBusy looks at exchanges that pass through the busy rank's own spare
-// copy: an expert x comes over it, e takes the slot of x, and the spare copy comes
-// back in the slot of e.
-func (st *layerState) offerThroughBusy(layer, busy, from, rank, spareSlot int, best *candidate) {
+// offerThroughBusy passes through the busy rank's own spare copy: a partner comes
+// over it, e takes the partner's slot, and the spare copy comes back in the slot of e.
+func (st *layerState) offerThroughBusy(busy, from, rank, spareSlot int, best *candidate) {
 	peak := st.peak
 	e, c := st.rankSlots(busy)[from], st.rankSlots(busy)[spareSlot]
-	for slot, x := range st.rankSlots(rank) {
-		if st.share[x] >= st.share[e] || x == c || st.holds(busy, x) {
+	for _, slot := range st.partners {
+		x := st.rankSlots(rank)[slot]
+		if x == c {
 			continue
 		}
-		first := st.put(layer, busy, spareSlot, x)
-		second := st.put(layer, rank, slot, e)
+		first := st.put(busy, spareSlot, x)
+		second := st.put(rank, slot, e)
 		best.offer(peak-st.peak, first, second)
-		best.offer(peak-st.try(busy, from, c), first, second, Move{layer, busy, from, e, c})
+		best.offer(peak-st.try(busy, from, c), first, second, Move{st.layer, busy, from, e, c})
 		st.take(second)
 		st.take(first)
 		st.peak = peak
@@ -308,7 +340,7 @@
 }
 
 // take reverses a move that was the last one made.
-func (st *layerState) take(mv Move) { st.put(mv.Layer, mv.Rank, mv.Slot, mv.From) }
+func (st *layerState) take(mv Move) { st.put(mv.Rank, mv.Slot, mv.From) }
 
 func (st *layerState) emptiest(except int) []int {
 	ranks := make([]int, 0, st.s.Ranks)
--- a/placement/state.go
+++ b/placement/state.go
@@ -5,7 +5,8 @@
 // layerState is one layer of a map with the forecast loads of its ranks, changed
 // move by move. Loads are scaled so that the mean rank has 1.
 type layerState struct {
-	s Shape
+	s     Shape
+	layer int
 	// share is the forecast of each expert; slow is by how much a rank's time for
 	// the same load exceeds the others', 1 for an ordinary rank.
 	share, slow []float64
@@ -18,6 +19,8 @@
 	steep bool
 	// undo holds what a trial has overwritten.
 	undo []savedLoad
+	// partners is scratch space of the search.
+	partners []int
 }
 
 type savedLoad struct {
@@ -56,9 +59,9 @@
 	return p
 }
 
-func newLayerState(s Shape, slots []int32, share, slow []float64) *layerState {
+func newLayerState(s Shape, layer int, slots []int32, share, slow []float64) *layerState {
 	st := &layerState{
-		s: s, share: share, slow: slow, slots: slices.Clone(slots),
+		s: s, layer: layer, share: share, slow: slow, slots: slices.Clone(slots),
 		holders: make([][]int32, s.Experts), load: make([]float64, s.Ranks),
 	}
 	backing := make([]int32, 0, len(slots)+4*s.Experts)
@@ -156,7 +159,7 @@
 }
 
 // put makes a move and returns it. The expert in the slot must have another copy.
-func (st *layerState) put(layer, rank, slot int, e int32) Move {
+func (st *layerState) put(rank, slot int, e int32) Move {
 	i := rank*st.s.Slots + slot
 	c := st.slots[i]
 	st.undo = st.undo[:0]
@@ -166,5 +169,5 @@
 	st.holders[e] = append(st.holders[e], int32(rank))
 	at := slices.Index(st.holders[c], int32(rank))
 	st.holders[c] = slices.Delete(st.holders[c], at, at+1)
-	return Move{Layer: layer, Rank: rank, Slot: slot, From: c, To: e}
+	return Move{Layer: st.layer, Rank: rank, Slot: slot, From: c, To: e}
 }
