Recognise ranks that are slow for other reasons than experts

Cause: load even, time not: the operator must read which rank it is. Change: a watch of busy times, reported in Decision.Why; lightening is a setting.

--- a/measure/placement/tune.go
+++ b/measure/placement/tune.go
@@ -15,26 +15,20 @@
 	median                               bool
 }
 
-// grid varies one or two settings at a time around the default.
+// grid lists the settings that are tried; a first, coarser grid (half-lives 15 to 60 s,
+// horizons 300 and 900 s, margins 1 and 3, least gains 0.002 and 0.006) led here.
 func grid() []setting {
-	base := setting{half: 30, life: 300, horizon: 900, margin: 1.5, minGain: 0.004, median: true}
 	var out []setting
-	for _, horizon := range []float64{300, 900} {
-		for _, margin := range []float64{1, 3} {
-			for _, minGain := range []float64{0.002, 0.006} {
-				s := base
-				s.horizon, s.margin, s.minGain = horizon, margin, minGain
-				out = append(out, s)
+	for _, half := range []float64{15, 30} {
+		for _, life := range []float64{120, 300} {
+			for _, minGain := range []float64{0.0005, 0.002} {
+				out = append(out, setting{half: half, life: life, horizon: 300, margin: 1, minGain: minGain, median: true})
 			}
 		}
 	}
-	for _, half := range []float64{15, 60} {
-		for _, life := range []float64{120, 600} {
-			for _, median := range []bool{false} {
-				s := base
-				s.half, s.life, s.median = half, life, median
-				out = append(out, s)
-			}
+	for _, horizon := range []float64{150, 300} {
+		for _, median := range []bool{false, true} {
+			out = append(out, setting{half: 30, life: 300, horizon: horizon, margin: 1, minGain: 0.001, median: median})
 		}
 	}
 	return out
--- a/placement/incremental.go
+++ b/placement/incremental.go
@@ -46,10 +46,13 @@
 	PaceSeconds      float64 `toml:"pace_seconds"`
 	StaleSeconds     float64 `toml:"stale_seconds"`
 	Median           bool    `toml:"median"`
+	// Lighten gives a rank that is slow for other reasons than its experts less load.
+	Lighten bool `toml:"lighten"`
 
 	shape    Shape
 	cost     Cost
 	forecast Forecast
+	watch    stragglerWatch
 	busy     time.Time
 }
 
@@ -70,6 +73,7 @@
 // Reset implements Planner.
 func (p *Incremental) Reset(s Shape, c Cost) {
 	p.shape, p.cost, p.busy = s, c, time.Time{}
+	p.watch = stragglerWatch{}
 	p.forecast = p.NewForecast()
 	p.forecast.Reset(s)
 }
@@ -88,13 +92,22 @@
 // Observe implements Planner.
 func (p *Incremental) Observe(at time.Time, load Load) { p.forecast.Observe(at, load) }
 
+// ObserveTimes implements TimesObserver. The times are those of the window observed
+// last, under the map that was in force in it.
+func (p *Incremental) ObserveTimes(times []time.Duration, current *Map) {
+	byTime, byToken := Slowness(p.shape, current, p.forecast.Load(), times)
+	if byTime != nil {
+		p.watch.observe(byTime, byToken)
+	}
+}
+
 // Plan implements Planner.
 func (p *Incremental) Plan(now time.Time, current *Map) Decision {
 	if why := p.hold(now, current); why != "" {
-		return Decision{Why: "incremental: " + why}
+		return Decision{Why: "incremental: " + why + p.watch.report()}
 	}
 	d := Improve(p.shape, p.cost, current, p.forecast.Load(), p.limits())
-	d.Why = "incremental: " + d.Why
+	d.Why = "incremental: " + d.Why + p.watch.report()
 	p.busy = now.Add(time.Duration(len(d.Moves)) * p.cost.LoadTime())
 	return d
 }
@@ -121,6 +134,9 @@
 
 func (p *Incremental) limits() Limits {
 	lim := Limits{Horizon: seconds(p.HorizonSeconds), Margin: p.Margin, MinGain: p.MinGain}
+	if p.Lighten {
+		lim.Slow = p.watch.lasting()
+	}
 	if each := p.cost.LoadTime().Seconds(); each > 0 {
 		lim.MaxMoves = max(int(p.PaceSeconds/each), 1)
 	}
