--- a/placement/cost.go
+++ b/placement/cost.go
@@ -45,9 +45,10 @@
 }
 
 // usable says whether a window can be taken: the right size, and no value that
-// would poison all later forecasts.
+// would poison all later forecasts. Without a shape that a map can have (a row may
+// name more slots than experts) none can, so no plan is made.
 func usable(s Shape, load Load) bool {
-	if len(load) != s.Layers*s.Experts {
+	if s.Check() != nil || len(load) != s.Layers*s.Experts {
 		return false
 	}
 	for _, v := range load {
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -269,3 +269,18 @@
 		assert.NilError(t, err)
 	}
 }
+
+// An operator's row names more spare slots than there are experts to fill them. No
+// valid map exists; the planners must say so by not moving, and not fail.
+func TestNoPlanForAnImpossibleShape(t *testing.T) {
+	for _, s := range []Shape{{Ranks: 2, Experts: 4, Layers: 1, Slots: 5}, {Ranks: 2, Experts: 8, Layers: 1, Slots: 3}, {}} {
+		assert.ErrorIs(t, s.Check(), ErrShape)
+		for _, name := range []string{"static", "repack", "incremental"} {
+			p, err := NewPlanner(name)
+			assert.NilError(t, err)
+			p.Reset(s, testCost(1, 1))
+			p.Observe(epoch0, make(Load, s.Layers*s.Experts))
+			assert.Assert(t, p.Plan(epoch0, Contiguous(s)).Next == nil)
+		}
+	}
+}
--- a/placement/repack.go
+++ b/placement/repack.go
@@ -71,7 +71,8 @@
 
 // Pack makes a map from loads alone: spare slots go, one by one, to the expert
 // whose copies are the heaviest; copies are then placed, heaviest first, on the
-// emptiest rank that may take them (longest processing time first; Graham 1969).
+// emptiest rank that may take them (longest processing time first; Graham 1969). The
+// shape must pass its check.
 func Pack(s Shape, load Load) *Map {
 	m := &Map{Epoch: 1, Slots: make([]int32, s.Layers*s.Ranks*s.Slots)}
 	for layer := range s.Layers {
