--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -33,11 +33,11 @@
 }
 
 type simNode struct {
-	name, domain string
-	state        *State
-	dead         bool
-	watches      map[string]*simWatch
-	targets      *Targets
+	name    string
+	state   *State
+	dead    bool
+	watches map[string]*simWatch
+	targets *Targets
 	// last is the watch of an entry that spoke last.
 	last *Source
 }
