--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -145,7 +145,7 @@
 	groupCtx, s.cancel = context.WithCancel(ctx)
 	s.startGroup(groupCtx)
 	for i := range s.opts.Engines {
-		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond, Group: s.Group, Rank: i}
+		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond, Group: s.Group, Rank: i, CacheBlocks: 1024}
 		if err := e.Start(); err != nil {
 			return err
 		}
--- a/table/schema.go
+++ b/table/schema.go
@@ -112,15 +112,15 @@
 		{Name: "priority", Default: "normal", Doc: "priority of calls that name none", check: priorities},
 		{Name: "timeout_ms", Default: "30000", Unit: "ms", Doc: "deadline of one request", check: intBetween(1, 3_600_000)},
 		{Name: "max_body_bytes", Default: "1048576", Unit: "bytes", Doc: "largest request or unstreamed answer", check: intBetween(1, 64<<20)},
-		{Name: "max_queue", Default: "1000", Unit: "requests", Doc: "requests that may wait at one entry (no effect yet: the entry's max_queue holds)", check: intBetween(0, 1_000_000)},
+		{Name: "max_queue", Default: "1000", Unit: "requests", Doc: "requests that may wait at one entry", check: intBetween(0, 1_000_000)},
 		{Name: "claim_ttl_ms", Default: "600000", Unit: "ms", Doc: "how long an idempotency key is remembered", check: intBetween(1000, 600_000)},
 	},
 	KindPool: {
 		{Name: "route", Default: "least-loaded", Doc: "routing plug-in", check: nonEmpty},
-		{Name: "max_queue", Default: "64", Unit: "requests", Doc: "requests that may wait at one upstream (no effect yet: the agent's max_queue holds)", check: intBetween(0, 1_000_000)},
-		{Name: "slots", Default: "8", Unit: "requests", Doc: "requests that one upstream runs at once (no effect yet: the agent's slots hold)", check: intBetween(1, 100_000)},
+		{Name: "max_queue", Default: "64", Unit: "requests", Doc: "requests that may wait at one upstream", check: intBetween(0, 1_000_000)},
+		{Name: "slots", Default: "8", Unit: "requests", Doc: "requests that one upstream runs at once", check: intBetween(1, 100_000)},
 		{Name: "retry_percent", Default: "10", Unit: "%", Doc: "retries allowed per hundred requests", check: intBetween(0, 100)},
-		{Name: "urgent_percent", Default: "10", Unit: "%", Doc: "share of the slots kept for urgent work (no effect yet: the agent's urgent_percent holds)", check: intBetween(0, 90)},
+		{Name: "urgent_percent", Default: "10", Unit: "%", Doc: "share of the slots kept for urgent work", check: intBetween(0, 90)},
 	},
 	KindLimit: {
 		{Name: "requests_per_second", Default: "0", Unit: "requests/s", Doc: "0 is no limit", check: floatBetween(0, 1e9)},
@@ -215,6 +215,13 @@
 	if key == "" || len(key) > 128 || strings.ContainsAny(key, "\t\r\n\" ") {
 		return merry.Prependf(ErrInvalidKey, "%s %q: 1 to 128 characters without blanks", kind, key)
 	}
+	// A dot as a part of a key would be taken out of the row's path by HTTP
+	// libraries: an order for the row would go to another path.
+	for part := range strings.SplitSeq(key, "/") {
+		if part == "" || part == "." || part == ".." {
+			return merry.Prependf(ErrInvalidKey, "%s %q: its parts must not be empty or dots", kind, key)
+		}
+	}
 	pair := kind == KindLimit || kind == KindWeight
 	if pair && strings.Count(key, "/") != 1 {
 		return merry.Prependf(ErrInvalidKey, "%s %q: must be TEAM/SERVICE, or TEAM/* for all services", kind, key)
