Start the scenario language, over links that can be cut

Scripts on testscript start a user's system in process, cut, heal and delay links between named parts, kill and drain parts, and check after each script that every call ended, every answer is whole and the caller's own, nothing that may run once ran twice, and "not run" is true. The quickstart can start both users' layouts, and start, kill and drain single parts.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -72,6 +72,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		attempts:    newAttempts(),
 	}
+	a.pool.SetDial(s.Dial)
 	a.orders = newOrders(control.NewClient(a.pool, s.AnnounceTo, s.ID))
 	a.dumps.Add("agent", a.dump)
 	return a, wire.DRPCRegisterAgent(a.srv.Mux, service{a})
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -42,6 +42,9 @@
 	Rank  uint32 `toml:"rank"`
 	// Operators is the HTTP address of metrics and the state dump; empty is off.
 	Operators string `toml:"operators_listen"`
+	// Dial opens connections to other processes if set: who embeds an agent may
+	// want a network of its own.
+	Dial transport.DialFunc `toml:"-"`
 }
 
 // DefaultSettings returns the defaults.
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -31,6 +31,9 @@
 	Operators string          `toml:"operators_listen"`
 	Control   Settings        `toml:"control"`
 	StopLimit kernel.Duration `toml:"stop_limit"`
+	// Dial opens connections to other processes if set: who embeds a replica may
+	// want a network of its own.
+	Dial transport.DialFunc `toml:"-"`
 }
 
 // DefaultDaemonSettings returns the defaults.
@@ -88,6 +91,7 @@
 		pool: transport.NewPool(sec), srv: transport.NewServer(sec),
 		node: directory.NewNode(directory.DefaultSettings(), time.Now, nil),
 	}
+	d.pool.SetDial(s.Dial)
 	if d.control, err = New(s.Control, l, d.pool); err != nil {
 		return nil, err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -92,6 +92,7 @@
 			Slots: s.Slots, Reserved: s.Slots * s.UrgentPercent / 100, MaxQueue: s.MaxQueue,
 		}, time.Now),
 	}
+	e.pool.SetDial(s.Dial)
 	if certs != nil {
 		e.certs = append(e.certs, certs)
 	}
@@ -351,6 +352,15 @@
 	return d
 }
 
+// Revision returns the revision of the rows in force at this entry; 0 while it
+// has none.
+func (e *Entry) Revision() uint64 {
+	if v := e.view.Load(); v != nil {
+		return v.Revision
+	}
+	return 0
+}
+
 // Upstreams returns how many upstreams are up in each pool, as this entry knows it.
 func (e *Entry) Upstreams() map[string]int {
 	n := map[string]int{}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -32,6 +32,8 @@
 	// InternalListener is used in place of Internal if set: who embeds an entry
 	// may need its address before it starts.
 	InternalListener net.Listener `toml:"-"`
+	// Dial opens connections to other processes if set.
+	Dial transport.DialFunc `toml:"-"`
 	// CallersTLS and TLS (between processes) turn TLS on.
 	CallersTLS transport.TLSSettings `toml:"callers_tls"`
 	TLS        transport.TLSSettings `toml:"tls"`
--- /dev/null
+++ b/fake/network.go
@@ -0,0 +1,265 @@
+package fake
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// ErrUnreachable is what a dial over a cut link ends with when nobody gives it
+// up earlier.
+var ErrUnreachable = errors.New("connect: no route to host")
+
+// dialLimit is how long a dial over a cut link waits, as a kernel's does.
+const dialLimit = 2 * time.Second
+
+// Network is loopback with links between named parts that can be cut and
+// healed. A cut link is silent: bytes are neither delivered nor refused, and no
+// connection breaks. What was under way arrives when the link is healed, as TCP
+// would send it again.
+type Network struct {
+	mu    sync.Mutex
+	names map[string]string
+	links map[link]*linkState
+}
+
+// link is one direction between two parts.
+type link struct{ from, to string }
+
+type linkState struct {
+	// open is closed while the link carries bytes.
+	open  chan struct{}
+	cut   bool
+	delay time.Duration
+}
+
+// NewNetwork returns a network on which nothing is cut.
+func NewNetwork() *Network {
+	return &Network{names: map[string]string{}, links: map[link]*linkState{}}
+}
+
+// Name says which part listens on an address.
+func (n *Network) Name(address, part string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.names[address] = part
+}
+
+// Cut stops what one part sends to another.
+func (n *Network) Cut(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.state(link{from, to})
+	if !s.cut {
+		s.cut = true
+		s.open = make(chan struct{})
+	}
+}
+
+// Heal lets what one part sends to another arrive again.
+func (n *Network) Heal(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.state(link{from, to})
+	if s.cut {
+		s.cut = false
+		close(s.open)
+	}
+}
+
+// HealAll heals every link and takes its delay away.
+func (n *Network) HealAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, s := range n.links {
+		s.delay = 0
+		if s.cut {
+			s.cut = false
+			close(s.open)
+		}
+	}
+}
+
+// Delay makes what one part sends to another take longer.
+func (n *Network) Delay(from, to string, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.state(link{from, to}).delay = d
+}
+
+// state returns a link's state; the caller holds mu.
+func (n *Network) state(l link) *linkState {
+	s := n.links[l]
+	if s == nil {
+		s = &linkState{open: make(chan struct{})}
+		close(s.open)
+		n.links[l] = s
+	}
+	return s
+}
+
+func (n *Network) look(l link) (<-chan struct{}, time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.state(l)
+	return s.open, s.delay
+}
+
+// Dialer returns a dial function for what one part connects to.
+func (n *Network) Dialer(part string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		n.mu.Lock()
+		peer, known := n.names[address]
+		n.mu.Unlock()
+		if !known {
+			return new(net.Dialer).DialContext(ctx, network, address)
+		}
+		out, back := link{part, peer}, link{peer, part}
+		if err := n.passDial(ctx, out, back); err != nil {
+			return nil, err
+		}
+		c, err := new(net.Dialer).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &networkConn{Conn: c, net: n, out: out, back: back, closed: make(chan struct{})}, nil
+	}
+}
+
+// passDial waits until both directions carry bytes, as a SYN and its answer do.
+func (n *Network) passDial(ctx context.Context, dirs ...link) error {
+	limit := time.NewTimer(dialLimit)
+	defer limit.Stop()
+	for _, l := range dirs {
+		open, delay := n.look(l)
+		select {
+		case <-open:
+		case <-limit.C:
+			return ErrUnreachable
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		time.Sleep(delay)
+	}
+	return nil
+}
+
+// networkConn is a connection over two links, seen from the part that dialled.
+type networkConn struct {
+	net.Conn
+	net       *Network
+	out, back link
+	once      sync.Once
+	closed    chan struct{}
+
+	mu                 sync.Mutex
+	readEnd, writeEnd  time.Time
+	readHeld, heldFrom []byte
+}
+
+// Read holds what has arrived until its link carries bytes: it may have been
+// sent before the cut, but a caller must not see it during one.
+func (c *networkConn) Read(b []byte) (int, error) {
+	if len(c.readHeld) == 0 {
+		if c.heldFrom == nil {
+			c.heldFrom = make([]byte, 64<<10)
+		}
+		n, err := c.Conn.Read(c.heldFrom)
+		if n == 0 && err != nil {
+			if cut := c.pass(c.back, c.end(&c.readEnd)); cut != nil {
+				return 0, cut
+			}
+			return 0, err
+		}
+		c.readHeld = c.heldFrom[:n]
+	}
+	if err := c.pass(c.back, c.end(&c.readEnd)); err != nil {
+		return 0, err
+	}
+	n := copy(b, c.readHeld)
+	c.readHeld = c.readHeld[n:]
+	return n, nil
+}
+
+func (c *networkConn) Write(b []byte) (int, error) {
+	if err := c.pass(c.out, c.end(&c.writeEnd)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// Close tells the peer only if the link carries bytes: the end of a connection
+// is lost on a cut link like everything else, and arrives after the heal.
+func (c *networkConn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		open, _ := c.net.look(c.out)
+		select {
+		case <-open:
+			_ = c.Conn.Close()
+		default:
+			go func() {
+				<-open
+				_ = c.Conn.Close()
+			}()
+		}
+		// A Read that waits for bytes ends.
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	})
+	return nil
+}
+
+func (c *networkConn) end(at *time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return *at
+}
+
+// pass waits until a link carries bytes.
+func (c *networkConn) pass(l link, end time.Time) error {
+	var timeout <-chan time.Time
+	if !end.IsZero() {
+		t := time.NewTimer(time.Until(end))
+		defer t.Stop()
+		timeout = t.C
+	}
+	open, delay := c.net.look(l)
+	select {
+	case <-open:
+	case <-timeout:
+		return os.ErrDeadlineExceeded
+	case <-c.closed:
+		return net.ErrClosed
+	}
+	if delay == 0 {
+		return nil
+	}
+	select {
+	case <-time.After(delay):
+		return nil
+	case <-c.closed:
+		return net.ErrClosed
+	}
+}
+
+func (c *networkConn) SetDeadline(t time.Time) error {
+	_ = c.SetReadDeadline(t)
+	return c.SetWriteDeadline(t)
+}
+
+func (c *networkConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.readEnd = t
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *networkConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.writeEnd = t
+	c.mu.Unlock()
+	return c.Conn.SetWriteDeadline(t)
+}
--- a/fake/server.go
+++ b/fake/server.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -29,12 +31,24 @@
 	FaultCrossed
 	// FaultStall runs the request and answers only when the caller gives up.
 	FaultStall
+	// FaultHeld runs the request and answers after Release, or when the caller
+	// gives up.
+	FaultHeld
+	// FaultOversized answers with Oversize bytes more than it should.
+	FaultOversized
+	// FaultCutShort cuts the answer after CutAfter bytes of its body.
+	FaultCutShort
 )
 
+// Oversize is more than any service row of the tests lets through.
+const Oversize = 2 << 20
+
 // Server is what the fakes share: a listener, counts of runs, and faults.
 type Server struct {
 	// Slots is how many requests run at once; 0 is no bound.
 	Slots int
+	// CutAfter is where FaultCutShort cuts; set it while nothing runs.
+	CutAfter int
 
 	mu      sync.Mutex
 	faults  func(r *http.Request) Fault
@@ -44,6 +58,7 @@
 	lis     net.Listener
 	http    *http.Server
 	slots   chan struct{}
+	held    chan struct{}
 }
 
 // Listen serves a handler on a free loopback port.
@@ -54,6 +69,7 @@
 	}
 	s.lis = lis
 	s.runs = map[string]int{}
+	s.held = make(chan struct{})
 	if s.Slots > 0 {
 		s.slots = make(chan struct{}, s.Slots)
 	}
@@ -130,6 +146,34 @@
 	s.faults = f
 }
 
+// Release lets answers that are held go.
+func (s *Server) Release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.held)
+	s.held = make(chan struct{})
+}
+
+// Running returns how many requests run now.
+func (s *Server) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
+
+// hold waits for Release; false if the caller left first.
+func (s *Server) hold(r *http.Request) bool {
+	s.mu.Lock()
+	held := s.held
+	s.mu.Unlock()
+	select {
+	case <-held:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
 func (s *Server) fault(r *http.Request) Fault {
 	s.mu.Lock()
 	f := s.faults
@@ -171,6 +215,18 @@
 	case FaultStall:
 		<-r.Context().Done()
 		return
+	case FaultHeld:
+		if !s.hold(r) {
+			return
+		}
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	case FaultOversized:
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		run(w)
+		_, _ = w.Write(make([]byte, Oversize))
+		return
+	case FaultCutShort:
+		s.cutShort(w, r, run)
 	case FaultCrossed:
 		w.Header().Set("X-Request-Id", "another-request")
 	case FaultCut:
@@ -184,3 +240,16 @@
 	}
 	run(w)
 }
+
+// cutShort announces the whole answer and sends the first CutAfter bytes of it.
+func (s *Server) cutShort(w http.ResponseWriter, r *http.Request, run func(http.ResponseWriter)) {
+	whole := httptest.NewRecorder()
+	run(whole)
+	body := whole.Body.Bytes()
+	w.Header().Set("Content-Type", whole.Header().Get("Content-Type"))
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body[:min(s.CutAfter, len(body)-1)])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/quickstart/layout.go
@@ -0,0 +1,54 @@
+package quickstart
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+)
+
+// Layout names a user's failure domains, services and pools.
+type Layout struct {
+	Domains []string
+	Team    string
+	// ModelService and PlainService are the services; their upstreams are
+	// named after the pools.
+	ModelService, ModelPool string
+	PlainService, PlainPool string
+}
+
+// Idukki is the layout of the clock auction: lot descriptions, and bids that
+// may run once.
+func Idukki() Layout {
+	return Layout{
+		Domains: []string{"hall-a", "hall-b", "hall-c"}, Team: "growers",
+		ModelService: "pushpa-lm", ModelPool: "lm",
+		PlainService: "clock-core", PlainPool: "clock",
+	}
+}
+
+// Karaganda is the layout of the lift service: repair summaries, and status
+// pings that may run once.
+func Karaganda() Layout {
+	return Layout{
+		Domains: []string{"hall-north", "hall-south", "hall-grain"}, Team: "mechanics",
+		ModelService: "repair-llm", ModelPool: "llm",
+		PlainService: "yard-status", PlainPool: "yard",
+	}
+}
+
+// Rows returns the layout's rows: one team, an engine service and an urgent
+// plain service.
+func (l Layout) Rows() string {
+	digest := sha256.Sum256([]byte(TeamKey))
+	return strings.Join([]string{
+		"pool\t" + l.ModelPool + "\tslots=8",
+		"pool\t" + l.PlainPool + "\tslots=32",
+		"service\t" + l.ModelService + "\tkind=engine\tpool=" + l.ModelPool + "\tidempotent=yes",
+		"service\t" + l.PlainService + "\tkind=plain\tpool=" + l.PlainPool + "\tpriority=urgent\ttimeout_ms=2000",
+		"team\t" + l.Team + "\tkey_sha256=" + hex.EncodeToString(digest[:]) + "\tmax_priority=urgent",
+		"",
+	}, "\n")
+}
+
+// domain returns the failure domain of the i-th part of a kind.
+func (l Layout) domain(i int) string { return l.Domains[i%len(l.Domains)] }
--- /dev/null
+++ b/quickstart/parts.go
@@ -0,0 +1,343 @@
+package quickstart
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/agent"
+	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/entry"
+	"github.com/snipereach/snipereach/fake"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/operators"
+	"github.com/snipereach/snipereach/transport"
+)
+
+// ErrPart is returned for a part that isn't there or is in the wrong state.
+var ErrPart = merry.Sentinel("no such part, or not in this state")
+
+// Role is what a part is.
+type Role int
+
+// Roles.
+const (
+	RoleEntry Role = iota
+	RoleAgent
+	RoleControl
+)
+
+// part is one process's worth of the system: what to start it with, again and
+// again, and the daemon while it runs.
+type part struct {
+	name, domain string
+	role         Role
+	folder       string
+	start        func(ctx context.Context) (kernel.Daemon, error)
+	daemon       kernel.Daemon
+	upstream     *fake.Server
+}
+
+// maxReplicas is how many entries hold control replicas.
+const maxReplicas = 3
+
+func (s *System) add(ctx context.Context, p *part) error {
+	s.mu.Lock()
+	s.parts[p.name] = p
+	s.order = append(s.order, p.name)
+	s.mu.Unlock()
+	return s.StartPart(ctx, p.name)
+}
+
+// Names lists all parts, whether they run or not, in the order of their start.
+func (s *System) Names() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.order...)
+}
+
+// Layout returns the layout that the system was started with.
+func (s *System) Layout() Layout { return s.layout }
+
+// PartInfo describes a part.
+type PartInfo struct {
+	Name, FailureDomain string
+	Role                Role
+	Running             bool
+	// Upstream is the fake upstream beside an agent.
+	Upstream *fake.Server
+}
+
+// Part describes a part; false if there is none by this name.
+func (s *System) Part(name string) (PartInfo, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.parts[name]
+	if p == nil {
+		return PartInfo{}, false
+	}
+	return PartInfo{Name: p.name, FailureDomain: p.domain, Role: p.role, Running: p.daemon != nil, Upstream: p.upstream}, true
+}
+
+// Entry returns a running entry, or nil.
+func (s *System) Entry(name string) *entry.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.parts[name]; p != nil {
+		e, _ := p.daemon.(*entry.Entry)
+		return e
+	}
+	return nil
+}
+
+// StartPart starts a part that doesn't run: a new process on the same host.
+func (s *System) StartPart(ctx context.Context, name string) error {
+	s.mu.Lock()
+	p := s.parts[name]
+	down := p != nil && p.daemon == nil
+	s.mu.Unlock()
+	if !down {
+		return merry.Prependf(ErrPart, "start %s", name)
+	}
+	d, err := p.start(ctx)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.daemon = d
+	return nil
+}
+
+// take removes a part's daemon; nil if it doesn't run.
+func (s *System) take(name string) kernel.Daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.parts[name]
+	if p == nil {
+		return nil
+	}
+	d := p.daemon
+	p.daemon = nil
+	return d
+}
+
+// Kill ends a part at once. It returns how many requests were cut.
+func (s *System) Kill(name string) int {
+	d := s.take(name)
+	if d == nil {
+		return 0
+	}
+	return d.Stop()
+}
+
+// Drain stops a part as SIGTERM does. It returns how many requests were cut.
+func (s *System) Drain(ctx context.Context, name string) (int, error) {
+	s.mu.Lock()
+	var d kernel.Daemon
+	if p := s.parts[name]; p != nil {
+		d = p.daemon
+	}
+	s.mu.Unlock()
+	if d == nil {
+		return 0, merry.Prependf(ErrPart, "drain %s", name)
+	}
+	err := d.Drain(ctx)
+	return s.Kill(name), err
+}
+
+// LoseDisk removes the data folder of a part that doesn't run.
+func (s *System) LoseDisk(name string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.parts[name]
+	if p == nil || p.daemon != nil || p.folder == "" {
+		return merry.Prependf(ErrPart, "lose the disk of %s", name)
+	}
+	return os.RemoveAll(p.folder)
+}
+
+func (s *System) dialer(name string) transport.DialFunc {
+	if s.opts.Network == nil {
+		return nil
+	}
+	return s.opts.Network.Dialer(name)
+}
+
+func (s *System) named(address, name string) {
+	if s.opts.Network != nil {
+		s.opts.Network.Name(address, name)
+	}
+}
+
+// reserve takes free loopback ports and returns their listeners.
+func reserve(n int) ([]net.Listener, error) {
+	var list []net.Listener
+	for range n {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, lis)
+	}
+	return list, nil
+}
+
+// startControls starts control replicas on hosts of their own.
+func (s *System) startControls(ctx context.Context) error {
+	listeners, err := reserve(s.opts.Controls)
+	if err != nil {
+		return err
+	}
+	for i, lis := range listeners {
+		s.members = append(s.members, lis.Addr().String())
+		s.named(s.members[i], fmt.Sprintf("control-%d", i+1))
+		_ = lis.Close()
+	}
+	for i := range listeners {
+		if err := s.startControl(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) startControl(ctx context.Context, i int) error {
+	p := &part{name: fmt.Sprintf("control-%d", i+1), domain: s.layout.domain(i), role: RoleControl}
+	p.folder = filepath.Join(s.dir, p.name)
+	p.start = func(ctx context.Context) (kernel.Daemon, error) {
+		set := control.DefaultDaemonSettings()
+		set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, secret
+		set.Listen = s.members[i]
+		set.Control = s.controlSettings(p.folder)
+		set.Dial = s.dialer(p.name)
+		d, err := control.NewDaemon(set, s.opts.Log)
+		return started(ctx, d, err)
+	}
+	return s.add(ctx, p)
+}
+
+// started starts a daemon that was made, and ends it if it can't be.
+func started(ctx context.Context, d kernel.Daemon, err error) (kernel.Daemon, error) {
+	if err != nil {
+		return nil, err
+	}
+	if err := d.Start(ctx); err != nil {
+		d.Stop()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (s *System) controlSettings(folder string) control.Settings {
+	set := control.DefaultSettings()
+	set.DataDir = folder
+	set.Members = s.members
+	set.FormCluster = true
+	return set
+}
+
+// startEntries starts the entries, with control replicas unless those have
+// hosts of their own.
+func (s *System) startEntries(ctx context.Context) error {
+	listeners, err := reserve(s.opts.Entries)
+	if err != nil {
+		return err
+	}
+	for i, lis := range listeners {
+		s.named(lis.Addr().String(), fmt.Sprintf("entry-%d", i+1))
+		if s.opts.Controls == 0 && i < maxReplicas {
+			s.members = append(s.members, lis.Addr().String())
+		}
+	}
+	s.Entries = make([]*entry.Entry, s.opts.Entries)
+	for i, lis := range listeners {
+		if err := s.startEntry(ctx, i, lis); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) startEntry(ctx context.Context, i int, lis net.Listener) error {
+	p := &part{name: fmt.Sprintf("entry-%d", i+1), domain: s.layout.domain(i), role: RoleEntry}
+	replica := s.opts.Controls == 0 && i < maxReplicas
+	if replica {
+		p.folder = filepath.Join(s.dir, p.name)
+	}
+	internal, callers, operators := lis.Addr().String(), "127.0.0.1:0", "127.0.0.1:0"
+	if i == 0 && s.opts.CallersPort != 0 {
+		callers = fmt.Sprintf("127.0.0.1:%d", s.opts.CallersPort)
+	}
+	p.start = func(ctx context.Context) (kernel.Daemon, error) {
+		set := s.entrySettings(p, replica)
+		set.Callers, set.Operators, set.Internal, set.InternalListener = callers, operators, internal, lis
+		e, err := entry.New(set, s.opts.Log)
+		d, err := started(ctx, e, err)
+		if err != nil {
+			return nil, err
+		}
+		// The next life has the same addresses.
+		lis, callers, operators = nil, e.CallerAddress(), e.OperatorAddress()
+		s.named(callers, p.name)
+		s.named(operators, p.name)
+		s.mu.Lock()
+		s.Entries[i] = e
+		s.mu.Unlock()
+		return d, nil
+	}
+	return s.add(ctx, p)
+}
+
+func (s *System) entrySettings(p *part, replica bool) *entry.Settings {
+	set := entry.DefaultSettings()
+	set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, secret
+	digest := sha256.Sum256([]byte(OperatorKey))
+	set.Operator = []operators.Operator{{Name: "quickstart", KeySHA256: hex.EncodeToString(digest[:])}}
+	set.Dial = s.dialer(p.name)
+	set.ControlReplicas = s.members
+	if replica {
+		ctl := s.controlSettings(p.folder)
+		set.Control = &ctl
+	}
+	if s.opts.Keep > 0 {
+		set.Keep = kernel.Duration(s.opts.Keep)
+	}
+	return set
+}
+
+func (s *System) startAgent(ctx context.Context, kind, pool, url string, i int, up *fake.Server) error {
+	p := &part{
+		name: fmt.Sprintf("%s-%d", pool, i+1), domain: s.layout.domain(i),
+		role: RoleAgent, upstream: up,
+	}
+	at, listen := len(s.Agents), "127.0.0.1:0"
+	s.Agents = append(s.Agents, nil)
+	p.start = func(ctx context.Context) (kernel.Daemon, error) {
+		set := agent.DefaultSettings()
+		set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, secret
+		set.Kind, set.Pools, set.Upstream = kind, []string{pool}, map[string]any{"url": url}
+		set.AnnounceTo, set.Listen, set.Dial = s.members, listen, s.dialer(p.name)
+		if kind == "plain" {
+			set.Slots = up.Slots
+		}
+		a, err := agent.New(set, s.opts.Log)
+		d, err := started(ctx, a, err)
+		if err != nil {
+			return nil, err
+		}
+		listen = a.Address()
+		s.named(listen, p.name)
+		s.mu.Lock()
+		s.Agents[at] = a
+		s.mu.Unlock()
+		return d, nil
+	}
+	return s.add(ctx, p)
+}
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -5,14 +5,11 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"io"
-	"net"
 	"os"
-	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -22,8 +19,6 @@
 	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/entry"
 	"github.com/snipereach/snipereach/fake"
-	"github.com/snipereach/snipereach/kernel"
-	"github.com/snipereach/snipereach/operators"
 	"github.com/snipereach/snipereach/table"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
@@ -49,11 +44,20 @@
 	Rows string
 	// Engines and Plains are how many upstreams there are; 3 and 1 if zero.
 	Engines, Plains int
+	// Entries is how many entries there are, and Controls how many control
+	// replicas on hosts of their own; 3 and 0 if zero. Without the latter the
+	// first three entries hold the replicas.
+	Entries, Controls int
+	// Layout names failure domains and services; Idukki's if empty.
+	Layout Layout
+	// Network carries what the parts say to each other if set.
+	Network *fake.Network
 	// Keep is how long callers may keep the list of entries; 10 s if zero.
 	Keep time.Duration
 }
 
-// System is a running quickstart.
+// System is a running quickstart. Entries and Agents hold the running ones in
+// their places; a part that was killed keeps its place.
 type System struct {
 	Entries []*entry.Entry
 	Agents  []*agent.Agent
@@ -61,26 +65,19 @@
 	Plains  []*fake.Plain
 
 	opts    Options
+	layout  Layout
 	dir     string
 	members []string
 	pool    *transport.Pool
-}
 
-var domains = []string{"hall-a", "hall-b", "hall-c"}
+	mu    sync.Mutex
+	parts map[string]*part
+	order []string
+}
 
 // Rows returns the built-in rows: one team, an engine service and an urgent
 // plain service.
-func Rows() string {
-	digest := sha256.Sum256([]byte(TeamKey))
-	return strings.Join([]string{
-		"pool\tlm\tslots=8",
-		"pool\tclock\tslots=32",
-		"service\tpushpa-lm\tkind=engine\tpool=lm\tidempotent=yes",
-		"service\tclock-core\tkind=plain\tpool=clock\tpriority=urgent\ttimeout_ms=2000",
-		"team\tgrowers\tkey_sha256=" + hex.EncodeToString(digest[:]) + "\tmax_priority=urgent",
-		"",
-	}, "\n")
-}
+func Rows() string { return Idukki().Rows() }
 
 // Start brings a system up.
 func Start(ctx context.Context, opts Options) (*System, error) {
@@ -90,14 +87,20 @@
 	if opts.Plains == 0 {
 		opts.Plains = 1
 	}
+	if opts.Entries == 0 {
+		opts.Entries = 3
+	}
+	if len(opts.Layout.Domains) == 0 {
+		opts.Layout = Idukki()
+	}
 	if opts.Rows == "" {
-		opts.Rows = Rows()
+		opts.Rows = opts.Layout.Rows()
 	}
 	dir, err := os.MkdirTemp("", "snipereach-quickstart-")
 	if err != nil {
 		return nil, err
 	}
-	s := &System{opts: opts, dir: dir}
+	s := &System{opts: opts, layout: opts.Layout, dir: dir, parts: map[string]*part{}}
 	if err := s.start(ctx); err != nil {
 		s.Stop()
 		return nil, err
@@ -106,6 +109,9 @@
 }
 
 func (s *System) start(ctx context.Context) error {
+	if err := s.startControls(ctx); err != nil {
+		return err
+	}
 	if err := s.startEntries(ctx); err != nil {
 		return err
 	}
@@ -118,7 +124,7 @@
 			return err
 		}
 		s.Engines = append(s.Engines, e)
-		if err := s.startAgent(ctx, fmt.Sprintf("lm-%d", i+1), "engine", "lm", e.URL(), i); err != nil {
+		if err := s.startAgent(ctx, "engine", s.layout.ModelPool, e.URL(), i, &e.Server); err != nil {
 			return err
 		}
 	}
@@ -128,60 +134,13 @@
 			return err
 		}
 		s.Plains = append(s.Plains, p)
-		if err := s.startAgent(ctx, fmt.Sprintf("clock-%d", i+1), "plain", "clock", p.URL(), i); err != nil {
+		if err := s.startAgent(ctx, "plain", s.layout.PlainPool, p.URL(), i, &p.Server); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// startEntries starts three entries, each with a control replica.
-func (s *System) startEntries(ctx context.Context) error {
-	var listeners []net.Listener
-	for range domains {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		listeners = append(listeners, lis)
-		s.members = append(s.members, lis.Addr().String())
-	}
-	for i, lis := range listeners {
-		e, err := entry.New(s.entrySettings(i, lis), s.opts.Log)
-		if err != nil {
-			return err
-		}
-		s.Entries = append(s.Entries, e)
-		if err := e.Start(ctx); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (s *System) entrySettings(i int, lis net.Listener) *entry.Settings {
-	set := entry.DefaultSettings()
-	set.ID = fmt.Sprintf("entry-%d", i+1)
-	set.FailureDomain = domains[i]
-	set.ClusterSecret = secret
-	set.Operators = "127.0.0.1:0"
-	digest := sha256.Sum256([]byte(OperatorKey))
-	set.Operator = []operators.Operator{{Name: "quickstart", KeySHA256: hex.EncodeToString(digest[:])}}
-	set.InternalListener = lis
-	ctl := control.DefaultSettings()
-	ctl.DataDir = filepath.Join(s.dir, set.ID)
-	ctl.Members = s.members
-	ctl.FormCluster = true
-	set.Control = &ctl
-	if s.opts.Keep > 0 {
-		set.Keep = kernel.Duration(s.opts.Keep)
-	}
-	if i == 0 && s.opts.CallersPort != 0 {
-		set.Callers = fmt.Sprintf("127.0.0.1:%d", s.opts.CallersPort)
-	}
-	return set
-}
-
 // putRows makes the first edit, as an operator would.
 func (s *System) putRows(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
@@ -212,29 +171,6 @@
 	}
 }
 
-func (s *System) startAgent(ctx context.Context, id, kind, pool, url string, i int) error {
-	set := agent.DefaultSettings()
-	set.ID = id
-	set.FailureDomain = domains[i%len(domains)]
-	set.ClusterSecret = secret
-	set.Kind = kind
-	set.Pools = []string{pool}
-	set.Upstream = map[string]any{"url": url}
-	if kind == "plain" {
-		set.Slots = 32
-	}
-	set.AnnounceTo = s.members
-	a, err := agent.New(set, s.opts.Log)
-	if err != nil {
-		return err
-	}
-	if err := a.Start(ctx); err != nil {
-		return err
-	}
-	s.Agents = append(s.Agents, a)
-	return nil
-}
-
 // readyTimeout bounds WaitReady.
 const readyTimeout = 15 * time.Second
 
@@ -256,7 +192,7 @@
 
 func (s *System) ready(ctx context.Context, e *entry.Entry) bool {
 	pools := e.Upstreams()
-	return pools["lm"] == s.opts.Engines && pools["clock"] == s.opts.Plains && e.Ready() && e.ClaimsReady() && ctx.Err() == nil
+	return pools[s.layout.ModelPool] == s.opts.Engines && pools[s.layout.PlainPool] == s.opts.Plains && e.Ready() && e.ClaimsReady() && ctx.Err() == nil
 }
 
 // Describe prints addresses and commands that work as printed.
@@ -280,11 +216,8 @@
 
 // Stop ends everything at once and removes the folder.
 func (s *System) Stop() {
-	for _, e := range s.Entries {
-		e.Stop()
-	}
-	for _, a := range s.Agents {
-		a.Stop()
+	for _, name := range s.Names() {
+		s.Kill(name)
 	}
 	for _, e := range s.Engines {
 		e.Close()
--- /dev/null
+++ b/scenario/audit.go
@@ -0,0 +1,98 @@
+package scenario
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// audit checks after a script what must hold in all of them, whatever failed:
+// every call has ended; an answer is whole and the caller's own; what may run
+// once ran at most once; "not run" is true; accepted rows stand.
+func (w *world) audit(t testscript.T) {
+	if w.sys == nil {
+		return
+	}
+	w.net.HealAll()
+	w.mu.Lock()
+	calls := append([]*call(nil), w.order...)
+	w.mu.Unlock()
+	for _, c := range calls {
+		<-c.done
+	}
+	var faults []string
+	for _, c := range calls {
+		if fault := w.auditCall(c, calls); fault != "" {
+			faults = append(faults, fault)
+		}
+	}
+	faults = append(faults, w.auditRows()...)
+	for _, f := range faults {
+		t.Log("audit: " + f)
+	}
+	if len(faults) > 0 {
+		t.FailNow()
+	}
+}
+
+func (w *world) auditCall(c *call, all []*call) string {
+	runs := w.runs(c.runKey)
+	if c.status == http.StatusOK {
+		if fault := c.whole(c.tokens); fault != "" && c.err == nil {
+			return "the answer " + fault + ": " + c.String()
+		}
+		if runs == 0 {
+			return "answered and never ran: " + c.String()
+		}
+	}
+	if !c.model && runs > 1 {
+		return fmt.Sprintf("ran %d times: %s", runs, c)
+	}
+	if c.problem.Outcome != "not-run" {
+		return ""
+	}
+	if c.runsBefore > 0 && c.problem.Reason != "bad-request" {
+		return "told \"not run\" though an earlier sending had run: " + c.String()
+	}
+	for _, other := range all {
+		if other.runKey == c.runKey && other.problem.Outcome != "not-run" {
+			return ""
+		}
+	}
+	if runs > 0 {
+		return fmt.Sprintf("told \"not run\", ran %d times: %s", runs, c)
+	}
+	return ""
+}
+
+// auditRows reads every row that was edited. The version that was accepted last,
+// or a later one, must stand.
+func (w *world) auditRows() []string {
+	type rowKey struct{ kind, key string }
+	last := map[rowKey]*edit{}
+	for _, ed := range w.edits {
+		<-ed.done
+		if ed.status != http.StatusOK || len(ed.answer.Rows) == 0 {
+			continue
+		}
+		k := rowKey{ed.kind, ed.key}
+		if old := last[k]; old == nil || old.answer.Rows[0].Version < ed.answer.Rows[0].Version {
+			last[k] = ed
+		}
+	}
+	var faults []string
+	for k, ed := range last {
+		row, err := w.readRow("", k.kind, k.key)
+		want := ed.answer.Rows[0]
+		switch {
+		case err != nil:
+			faults = append(faults, fmt.Sprintf("row %s %s can't be read: %v", k.kind, k.key, err))
+		case row.Version < want.Version:
+			faults = append(faults, fmt.Sprintf("row %s %s went back from %+v to %+v", k.kind, k.key, want, row))
+		case row.Version == want.Version && fmt.Sprint(row.Columns) != fmt.Sprint(want.Columns):
+			faults = append(faults, fmt.Sprintf("row %s %s changed without an edit from %+v to %+v", k.kind, k.key, want, row))
+		}
+	}
+	return faults
+}
--- /dev/null
+++ b/scenario/scenario.go
@@ -0,0 +1,80 @@
+// Package scenario is a small test language: scripts that start a user's system
+// in process, break parts of it and the links between them, call it as callers
+// and operators do, and say what must come of it. docs/design/scenario.md lists
+// the commands.
+//
+// It stands on rogpeppe/go-internal/testscript. After the last line of each
+// script the promises are checked for every call that it made; see audit.
+package scenario
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// maxSystems bounds how many systems run side by side. More of them starve each
+// other on a small machine, and elections follow.
+const maxSystems = 4
+
+// patience bounds every wait for something that must come true. It is far over
+// what any of it takes: it ends a run that hangs and asserts no duration.
+const patience = 45 * time.Second
+
+// poll is how often a wait looks.
+const poll = 20 * time.Millisecond
+
+// Run runs every script of a folder as a parallel subtest.
+func Run(t *testing.T, dir string) {
+	scripts, err := filepath.Glob(filepath.Join(dir, "*.txt"))
+	if err != nil || len(scripts) == 0 {
+		t.Fatalf("no scripts in %s: %v", dir, err)
+	}
+	for _, s := range scripts {
+		refuseForeign(t, s)
+	}
+	slots := make(chan struct{}, maxSystems)
+	testscript.Run(t, testscript.Params{
+		Dir:  dir,
+		Cmds: commands(),
+		Setup: func(env *testscript.Env) error {
+			slots <- struct{}{}
+			w := newWorld()
+			env.Values[worldKey{}] = w
+			env.Defer(func() { <-slots })
+			env.Defer(w.stop)
+			env.Defer(func() { w.audit(env.T()) })
+			return nil
+		},
+	})
+}
+
+// foreign are testscript's own commands that would end a script early with a
+// pass, or start a process.
+var foreign = map[string]bool{"stop": true, "skip": true, "kill": true, "wait": true, "exec": true}
+
+func refuseForeign(t *testing.T, path string) {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		for _, word := range strings.Fields(line) {
+			if strings.HasPrefix(word, "#") {
+				break
+			}
+			if strings.HasPrefix(word, "[") || word == "!" {
+				continue
+			}
+			if foreign[word] {
+				t.Fatalf("%s: %q belongs to testscript and is not used here: %s", path, word, line)
+			}
+			break
+		}
+	}
+}
--- /dev/null
+++ b/scenario/scenario_test.go
@@ -0,0 +1,5 @@
+package scenario
+
+import "testing"
+
+func TestScripts(t *testing.T) { Run(t, "testdata") }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -143,16 +143,21 @@
 	}
 }
 
+// DialFunc opens a network connection; net.Dialer.DialContext is one.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Pool dials peers and keeps idle connections.
 type Pool struct {
-	sec  Security
-	pool *drpcpool.Pool[string, drpcpool.Conn]
+	sec     Security
+	pool    *drpcpool.Pool[string, drpcpool.Conn]
+	dialNet DialFunc
 }
 
 // NewPool makes a pool.
 func NewPool(sec Security) *Pool {
 	return &Pool{
-		sec: sec,
+		sec:     sec,
+		dialNet: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleExpiry,
 			Capacity:    poolCapacity,
@@ -161,6 +166,14 @@
 	}
 }
 
+// SetDial makes the pool open its connections with f, if f is not nil: who
+// embeds a process may want a network of its own. It is called before first use.
+func (p *Pool) SetDial(f DialFunc) {
+	if f != nil {
+		p.dialNet = f
+	}
+}
+
 // Conn returns a connection to an address that dials when a call needs one.
 func (p *Pool) Conn(ctx context.Context, addr string) drpc.Conn {
 	return p.pool.Get(ctx, addr, p.dial)
@@ -176,8 +189,7 @@
 
 // Dial opens one connection and proves who we are.
 func (p *Pool) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", addr)
+	conn, err := p.dialNet(ctx, "tcp", addr)
 	if err != nil {
 		return nil, merry.Prepend(ErrDial, err.Error())
 	}
