Don't say "not run" of a key that is not held

Cause: a request refused before its idempotency key was claimed (an entry that has no rows yet, a bearer key or a service row changed meanwhile, a priority no longer allowed) was told "not run", though an earlier sending through another entry may have run. The caller would take a new key and run it twice. Found by: scenario resend_after_entry_died (entry killed mid-bid, restarted, resend through it), which fails before and passes after. Change: such refusals say "unknown", unless the request is malformed or may be repeated.

--- a/entry/request.go
+++ b/entry/request.go
@@ -66,6 +66,8 @@
 	tokens  int
 	prefix  []uint64
 	path    string
+	// claimed says that the request holds its idempotency key.
+	claimed bool
 }
 
 func (e *Entry) begin(w http.ResponseWriter, r *http.Request) (*request, *wire.Refusal) {
@@ -103,6 +105,7 @@
 		ref = q.serve()
 	}
 	if ref != nil {
+		doubt(r, q, ref)
 		e.writeRefusal(w, q, ref)
 	}
 }
@@ -116,10 +119,26 @@
 		ref = q.serve()
 	}
 	if ref != nil {
+		doubt(r, q, ref)
 		e.writeRefusal(w, q, ref)
 	}
 }
 
+// doubt keeps a refusal of a request that doesn't hold its idempotency key from
+// saying "not run". An earlier sending, through another entry or before a row
+// changed, may have run; the caller would take a new key and run it twice. A
+// malformed request is left alone: no earlier sending was the same.
+func doubt(r *http.Request, q *request, ref *wire.Refusal) {
+	if r.Header.Get(headerKey) == "" || ref.Outcome != wire.Outcome_OUTCOME_NOT_RUN || ref.Reason == wire.Reason_REASON_BAD_REQUEST {
+		return
+	}
+	if q != nil && (q.claimed || q.service != nil && q.idempotent()) {
+		return
+	}
+	ref.Outcome = wire.Outcome_OUTCOME_UNKNOWN
+	ref.Detail += "; an earlier sending with this key may have run"
+}
+
 func (e *Entry) writeRefusal(w http.ResponseWriter, q *request, ref *wire.Refusal) {
 	if q != nil {
 		ref.RequestId = q.id
@@ -241,7 +260,8 @@
 	if done || ref != nil {
 		return ref
 	}
-	sink := &httpSink{w: q.w, id: q.id, keep: hold != nil}
+	q.claimed = hold != nil
+	sink := &httpSink{w: q.w, id: q.id, keep: q.claimed}
 	res := forward.Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN}
 	defer func() { q.settle(hold, res, sink) }()
 	ref = q.admitted(prio, deadline, func(c *forward.Call) *wire.Refusal {
