--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -44,6 +44,7 @@
 		"leave":      withID(func(w *world, id string, _ options) error { return w.leave(id) }),
 		"expect":     withID((*world).cmdExpect),
 		"expect-all": withID((*world).cmdExpectAll),
+		"exactly":    (*world).cmdExactly,
 		"explain":    withID((*world).explain),
 		"runs":       (*world).cmdRuns,
 		"idle":       each((*world).idle),
@@ -300,6 +301,27 @@
 	return nil
 }
 
+// cmdExactly checks of how many calls or edits something holds.
+func (w *world) cmdExactly(_ bool, args []string) error {
+	o := parse(args)
+	if len(o.rest) < 3 || len(o.values) != 1 {
+		return merry.Prepend(ErrScript, "exactly N name=value ID ID...")
+	}
+	n, held := o.rest[0], 0
+	var last error
+	for _, id := range o.rest[1:] {
+		if err := w.cmdExpect(id, options{values: o.values}); err != nil {
+			last = err
+			continue
+		}
+		held++
+	}
+	if strconv.Itoa(held) != n {
+		return merry.Prependf(errOther, "holds of %d: %v", held, last)
+	}
+	return nil
+}
+
 // cmdRuns waits until a request has run N times, and fails at once over that.
 func (w *world) cmdRuns(_ bool, args []string) error {
 	if len(args) != 2 {
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -15,11 +15,13 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/snipereach/snipereach/quickstart"
 )
 
 // maxSystems bounds how many systems run side by side. More of them starve each
 // other on a small machine, and elections follow.
-const maxSystems = 4
+const maxSystems = 6
 
 // patience bounds every wait for something that must come true. It is far over
 // what any of it takes: it ends a run that hangs and asserts no duration.
@@ -28,7 +30,16 @@
 // poll is how often a wait looks.
 const poll = 20 * time.Millisecond
 
-// Run runs every script of a folder as a parallel subtest.
+// variables are what scripts call the parts of a user's layout by.
+func variables(l quickstart.Layout) []string {
+	return []string{
+		"MODEL=" + l.ModelPool, "PLAIN=" + l.PlainPool,
+		"MODEL_SERVICE=" + l.ModelService, "SERVICE=" + l.PlainService, "TEAM=" + l.Team,
+		"HALL_A=" + l.Domains[0], "HALL_B=" + l.Domains[1], "HALL_C=" + l.Domains[2],
+	}
+}
+
+// Run runs every script of a folder, for each user, as parallel subtests.
 func Run(t *testing.T, dir string) {
 	scripts, err := filepath.Glob(filepath.Join(dir, "*.txt"))
 	if err != nil || len(scripts) == 0 {
@@ -38,19 +49,26 @@
 		refuseForeign(t, s)
 	}
 	slots := make(chan struct{}, maxSystems)
-	testscript.Run(t, testscript.Params{
-		Dir:  dir,
-		Cmds: commands(),
-		Setup: func(env *testscript.Env) error {
-			slots <- struct{}{}
-			w := newWorld()
-			env.Values[worldKey{}] = w
-			env.Defer(func() { <-slots })
-			env.Defer(w.stop)
-			env.Defer(func() { w.audit(env.T()) })
-			return nil
-		},
-	})
+	for user, layout := range map[string]quickstart.Layout{"idukki": quickstart.Idukki(), "karaganda": quickstart.Karaganda()} {
+		t.Run(user, func(t *testing.T) {
+			t.Parallel()
+			testscript.Run(t, testscript.Params{Dir: dir, Cmds: commands(), Setup: setup(layout, slots)})
+		})
+	}
+}
+
+// setup makes a script's world, once fewer than maxSystems run.
+func setup(layout quickstart.Layout, slots chan struct{}) func(*testscript.Env) error {
+	return func(env *testscript.Env) error {
+		slots <- struct{}{}
+		w := newWorld(layout)
+		env.Values[worldKey{}] = w
+		env.Vars = append(env.Vars, variables(layout)...)
+		env.Defer(func() { <-slots })
+		env.Defer(w.stop)
+		env.Defer(func() { w.audit(env.T()) })
+		return nil
+	}
 }
 
 // foreign are testscript's own commands that would end a script early with a
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -27,6 +27,7 @@
 
 // world is what one script works on.
 type world struct {
+	layout quickstart.Layout
 	sys    *quickstart.System
 	net    *fake.Network
 	client *http.Client
@@ -45,9 +46,9 @@
 	err error
 }
 
-func newWorld() *world {
+func newWorld(l quickstart.Layout) *world {
 	w := &world{
-		net: fake.NewNetwork(), calls: map[string]*call{}, edits: map[string]*edit{},
+		layout: l, net: fake.NewNetwork(), calls: map[string]*call{}, edits: map[string]*edit{},
 		aliases: map[string]string{}, drains: map[string]chan drained{},
 	}
 	// Without kept connections net/http never sends a request again by itself.
@@ -95,17 +96,11 @@
 }
 
 func (w *world) start(o options) error {
-	if w.sys != nil || len(o.rest) != 1 {
-		return merry.Prepend(ErrScript, "system idukki|karaganda, once")
-	}
-	layout, ok := map[string]quickstart.Layout{
-		"idukki": quickstart.Idukki(), "karaganda": quickstart.Karaganda(),
-	}[o.rest[0]]
-	if !ok {
-		return merry.Prependf(ErrScript, "no user %q", o.rest[0])
+	if w.sys != nil || len(o.rest) > 0 {
+		return merry.Prepend(ErrScript, "system [entries=N] [controls=N] [engines=N] [plains=N], once")
 	}
 	opts := quickstart.Options{
-		Log: log.NewNopLogger(), Layout: layout, Network: w.net, Keep: time.Second,
+		Log: log.NewNopLogger(), Layout: w.layout, Network: w.net, Keep: time.Second,
 		Engines: o.number("engines", 3), Plains: o.number("plains", 3),
 		Entries: o.number("entries", 3), Controls: o.number("controls", 0),
 	}
