Keep upstreams that report to an entry when control is out of reach

Cause: an entry learns of upstreams only from control replicas. Cut off from all of them, it took every upstream for gone one lease (3 s) later and refused with "no-upstream", though it still held a report stream to each agent. Change: a report renews the lease of the life it comes from, at this process only. It brings nothing back and changes no phase; a silent upstream is gone as before. Ruled out: longer leases, which keep frozen upstreams in the pool too.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -69,6 +69,15 @@
 	settled   bool
 	// known is how many instances were known before the start.
 	known int
+	// direct is until when an instance counts as up for having been heard from
+	// directly. It stands apart from the instances, so that it isn't passed on.
+	direct map[string]contact
+}
+
+// contact is a life of an instance, and until when its lease is renewed.
+type contact struct {
+	incarnation uint64
+	expires     time.Time
 }
 
 // New makes a directory at a process's start. known is the number of instances
@@ -77,6 +86,7 @@
 	return &State{
 		settings:  settings,
 		instances: map[string]*Instance{},
+		direct:    map[string]contact{},
 		started:   now,
 		settled:   settings.SettleTime == 0,
 		known:     known,
@@ -129,6 +139,27 @@
 	return true
 }
 
+// Heard renews the lease of an instance that was heard from directly, in the
+// life that is known here. It brings nothing back and changes no phase.
+//
+// A process that is cut off from every control replica gets no renewals. Without
+// this it would take all upstreams for gone, a lease later, and refuse requests
+// that it could serve: it still talks to each of them.
+func (s *State) Heard(now time.Time, id string, incarnation uint64) {
+	old := s.instances[id]
+	if old == nil || old.Incarnation != incarnation || old.Phase == wire.Phase_PHASE_GONE {
+		return
+	}
+	s.direct[id] = contact{incarnation, now.Add(s.lease(old.Announcement))}
+}
+
+// expired says whether an instance's lease has run out, also by what was heard
+// from it directly.
+func (s *State) expired(now time.Time, inst *Instance) bool {
+	c := s.direct[inst.Id]
+	return now.After(inst.Expires) && (c.incarnation != inst.Incarnation || now.After(c.expires))
+}
+
 func (s *State) lease(a *wire.Announcement) time.Duration {
 	d := time.Duration(a.LeaseMs) * time.Millisecond
 	if d <= 0 {
@@ -166,7 +197,7 @@
 	}
 	var changed []*Instance
 	for id, inst := range s.instances {
-		if inst.Phase != wire.Phase_PHASE_GONE && now.After(inst.Expires) {
+		if inst.Phase != wire.Phase_PHASE_GONE && s.expired(now, inst) {
 			gone := s.gone(inst, now)
 			s.instances[id] = gone
 			changed = append(changed, gone)
@@ -174,6 +205,7 @@
 		}
 		if inst.Phase == wire.Phase_PHASE_GONE && now.Sub(inst.Heard) > s.settings.Tombstone {
 			delete(s.instances, id)
+			delete(s.direct, id)
 		}
 	}
 	return changed
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -83,3 +83,32 @@
 	s.Tick(epoch.Add(time.Minute + set.Tombstone + time.Second))
 	assert.Assert(t, s.Get("u") == nil)
 }
+
+// A process is cut off from every control replica and hears nothing of renewed
+// leases, but an upstream itself goes on reporting to it. That upstream stays up,
+// as it is; one that says nothing, or whose reports are of an earlier life, is
+// gone when its lease has run out.
+func TestDirectContactKeepsAnUpstreamUp(t *testing.T) {
+	s := New(unsettled(), epoch, 0)
+	s.Announce(epoch, up("heard", 2, 1), 0, false)
+	s.Announce(epoch, up("silent", 2, 1), 0, false)
+	s.Announce(epoch, up("earlier", 2, 1), 0, false)
+	s.Announce(epoch, leaving("leaving", 2, 1), 0, false)
+	now := epoch
+	for range 20 {
+		now = now.Add(time.Second)
+		s.Heard(now, "heard", 2)
+		s.Heard(now, "earlier", 1)
+		s.Heard(now, "leaving", 2)
+		s.Heard(now, "unknown", 1)
+		s.Tick(now)
+	}
+	assert.Assert(t, s.Get("heard").Up())
+	assert.Equal(t, s.Get("silent").Phase, wire.Phase_PHASE_GONE)
+	assert.Equal(t, s.Get("earlier").Phase, wire.Phase_PHASE_GONE)
+	assert.Equal(t, s.Get("leaving").Phase, wire.Phase_PHASE_LEAVING)
+	s.Heard(now, "silent", 2)
+	s.Tick(now)
+	assert.Equal(t, s.Get("silent").Phase, wire.Phase_PHASE_GONE, "a late report brings nothing back")
+	assert.Assert(t, s.Get("unknown") == nil)
+}
--- a/directory/node.go
+++ b/directory/node.go
@@ -63,6 +63,13 @@
 	return &wire.AnnounceReply{LeaseMs: a.LeaseMs, Superseded: superseded}, nil
 }
 
+// Heard notes that an instance was heard from directly.
+func (n *Node) Heard(id string, incarnation uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.state.Heard(n.now(), id, incarnation)
+}
+
 func (n *Node) take(a *wire.Announcement, age time.Duration, local bool) (changed, superseded bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -91,6 +91,7 @@
 		if err != nil {
 			return
 		}
+		e.node.Heard(r.Upstream, r.Incarnation)
 		e.fwd.Report(r)
 	}
 }
