Get past a control replica that says nothing

Cause: a client tried replicas in turn from the one that answered last, with the caller's whole time for each, and began the next call with the same one. Change: an edit or read gives each replica 3 s (a replica asks its leader for 2 s, was 5 s), and a failure moves the client on to the next replica.

--- a/control/client.go
+++ b/control/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
@@ -11,6 +12,11 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
+// replicaTimeout is how long one replica may take with an edit or a read before
+// the next is asked. One that is cut off says nothing at all. It is longer than
+// forwardTimeout, so that a replica which asks a silent leader can still say so.
+const replicaTimeout = 3 * time.Second
+
 // Client calls whichever control replica answers.
 type Client struct {
 	pool  *transport.Pool
@@ -44,6 +50,9 @@
 			c.last.Store(uint32(n))
 			return nil
 		}
+		// A replica behind a silent cut eats the caller's whole time. The next
+		// call must not begin with it again, or the client never gets past it.
+		c.last.CompareAndSwap(uint32(n), uint32((n+1)%len(c.addrs)))
 		err = merry.Prependf(ErrUnavailable, "%s: %v", c.addrs[n], callErr)
 	}
 	return err
@@ -54,6 +63,8 @@
 func (c *Client) Edit(ctx context.Context, e *wire.TableEdit) (*wire.EditReply, error) {
 	var reply *wire.EditReply
 	err := c.Call(ctx, func(ctx context.Context, cc wire.DRPCControlClient) error {
+		ctx, cancel := context.WithTimeout(ctx, replicaTimeout)
+		defer cancel()
 		r, err := cc.Edit(ctx, e)
 		if err != nil {
 			return err
@@ -71,6 +82,8 @@
 func (c *Client) Read(ctx context.Context, req *wire.ReadRequest) (*wire.ReadReply, error) {
 	var reply *wire.ReadReply
 	err := c.Call(ctx, func(ctx context.Context, cc wire.DRPCControlClient) error {
+		ctx, cancel := context.WithTimeout(ctx, replicaTimeout)
+		defer cancel()
 		r, err := cc.Read(ctx, req)
 		reply = r
 		return err
--- a/control/service.go
+++ b/control/service.go
@@ -17,7 +17,7 @@
 	maxLease = 30 * time.Second
 	// confirmInterval is how often a watcher is told that its rows are current.
 	confirmInterval = time.Second
-	forwardTimeout  = 5 * time.Second
+	forwardTimeout  = 2 * time.Second
 	forwardedKey    = "forwarded"
 )
 
