--- a/control/control.go
+++ b/control/control.go
@@ -56,9 +56,12 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	fs, err := journal.OpenFolder(s.DataDir)
-	if err != nil {
-		return nil, err
+	fs := s.FS
+	if fs == nil {
+		var err error
+		if fs, err = journal.OpenFolder(s.DataDir); err != nil {
+			return nil, err
+		}
 	}
 	return &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, fs: fs}, nil
 }
--- a/control/settings.go
+++ b/control/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/snipereach/snipereach/journal"
 	"github.com/snipereach/snipereach/kernel"
 )
 
@@ -14,6 +15,9 @@
 type Settings struct {
 	// DataDir is the one folder for durable state.
 	DataDir string `toml:"data_dir"`
+	// FS is used in place of DataDir if set: who embeds a replica may bring a
+	// disk of its own.
+	FS journal.FS `toml:"-"`
 	// Members lists the drpc addresses of all control replicas, this one too.
 	Members []string `toml:"members"`
 	// FormCluster lets a new cluster be formed when all members are new. Turn it
@@ -48,7 +52,7 @@
 		return merry.Prependf(kernel.ErrSettings, "key \"control.%s\": %s", key, detail)
 	}
 	switch {
-	case s.DataDir == "":
+	case s.DataDir == "" && s.FS == nil:
 		return bad("data_dir", "must not be empty")
 	case len(s.Members) == 0:
 		return bad("members", "must name at least one control replica")
--- a/quickstart/parts.go
+++ b/quickstart/parts.go
@@ -39,9 +39,11 @@
 	name, domain string
 	role         Role
 	folder       string
-	start        func(ctx context.Context) (kernel.Daemon, error)
-	daemon       kernel.Daemon
-	upstream     *fake.Server
+	// disk stands in for the folder if set.
+	disk     *fake.Disk
+	start    func(ctx context.Context) (kernel.Daemon, error)
+	daemon   kernel.Daemon
+	upstream *fake.Server
 }
 
 // maxReplicas is how many entries hold control replicas.
@@ -134,7 +136,13 @@
 	if d == nil {
 		return 0
 	}
-	return d.Stop()
+	cut := d.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.parts[name]; p.disk != nil {
+		p.disk.Crash(0)
+	}
+	return cut
 }
 
 // Drain stops a part as SIGTERM does. It returns how many requests were cut.
@@ -160,9 +168,22 @@
 	if p == nil || p.daemon != nil || p.folder == "" {
 		return merry.Prependf(ErrPart, "lose the disk of %s", name)
 	}
+	if p.disk != nil {
+		p.disk = fake.NewDisk()
+		return nil
+	}
 	return os.RemoveAll(p.folder)
 }
 
+// giveDisk gives a part with a control replica its data folder, or a fake disk
+// that forgets what was not synced when the part is killed.
+func (s *System) giveDisk(p *part) {
+	p.folder = filepath.Join(s.dir, p.name)
+	if s.opts.FakeDisks {
+		p.disk = fake.NewDisk()
+	}
+}
+
 func (s *System) dialer(name string) transport.DialFunc {
 	if s.opts.Network == nil {
 		return nil
@@ -210,12 +231,12 @@
 
 func (s *System) startControl(ctx context.Context, i int) error {
 	p := &part{name: fmt.Sprintf("control-%d", i+1), domain: s.layout.domain(i), role: RoleControl}
-	p.folder = filepath.Join(s.dir, p.name)
+	s.giveDisk(p)
 	p.start = func(ctx context.Context) (kernel.Daemon, error) {
 		set := control.DefaultDaemonSettings()
 		set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, secret
 		set.Listen = s.members[i]
-		set.Control = s.controlSettings(p.folder)
+		set.Control = s.controlSettings(p)
 		set.Dial = s.dialer(p.name)
 		d, err := control.NewDaemon(set, s.opts.Log)
 		return started(ctx, d, err)
@@ -235,9 +256,12 @@
 	return d, nil
 }
 
-func (s *System) controlSettings(folder string) control.Settings {
+func (s *System) controlSettings(p *part) control.Settings {
 	set := control.DefaultSettings()
-	set.DataDir = folder
+	set.DataDir = p.folder
+	if p.disk != nil {
+		set.FS = p.disk
+	}
 	set.Members = s.members
 	set.FormCluster = true
 	return set
@@ -269,7 +293,7 @@
 	p := &part{name: fmt.Sprintf("entry-%d", i+1), domain: s.layout.domain(i), role: RoleEntry}
 	replica := s.opts.Controls == 0 && i < maxReplicas
 	if replica {
-		p.folder = filepath.Join(s.dir, p.name)
+		s.giveDisk(p)
 	}
 	internal, callers, operators := lis.Addr().String(), "127.0.0.1:0", "127.0.0.1:0"
 	if i == 0 && s.opts.CallersPort != 0 {
@@ -303,7 +327,7 @@
 	set.Dial = s.dialer(p.name)
 	set.ControlReplicas = s.members
 	if replica {
-		ctl := s.controlSettings(p.folder)
+		ctl := s.controlSettings(p)
 		set.Control = &ctl
 	}
 	if s.opts.Keep > 0 {
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -52,6 +52,9 @@
 	Layout Layout
 	// Network carries what the parts say to each other if set.
 	Network *fake.Network
+	// FakeDisks keeps the replicas' state in memory, as disks would: what was not
+	// synced is forgotten when a part is killed.
+	FakeDisks bool
 	// Keep is how long callers may keep the list of entries; 10 s if zero.
 	Keep time.Duration
 }
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -100,7 +100,7 @@
 		return merry.Prepend(ErrScript, "system [entries=N] [controls=N] [engines=N] [plains=N], once")
 	}
 	opts := quickstart.Options{
-		Log: log.NewNopLogger(), Layout: w.layout, Network: w.net, Keep: time.Second,
+		Log: log.NewNopLogger(), Layout: w.layout, Network: w.net, FakeDisks: true, Keep: time.Second,
 		Engines: o.number("engines", 3), Plains: o.number("plains", 3),
 		Entries: o.number("entries", 3), Controls: o.number("controls", 0),
 	}
