Fuzz every HTTP and drpc surface, and refuse a copy for nobody

The process must answer and its memory stay bounded; the seeds run as tests. Found: a claim copy without a sender ended the process by a nil pointer; it is now refused (entry.FuzzPeers fails before, passes after).

--- a/claim/node.go
+++ b/claim/node.go
@@ -5,11 +5,15 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"storj.io/drpc"
 
 	"github.com/snipereach/snipereach/wire"
 )
 
+// ErrMalformed is returned for a message that lacks what it must have.
+var ErrMalformed = merry.Sentinel("claim message is malformed")
+
 // Intervals and bounds of a Node.
 const (
 	copyInterval = 100 * time.Millisecond
@@ -88,6 +92,9 @@
 
 // Copy implements the Claim service.
 func (n *Node) Copy(q *wire.ClaimCopyRequest, stream wire.DRPCClaim_CopyStream) error {
+	if q.From == nil {
+		return merry.Prepend(ErrMalformed, "copy for nobody")
+	}
 	n.mu.Lock()
 	whole := n.reg.Copy(n.now(), q)
 	n.mu.Unlock()
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -56,7 +56,11 @@
 	Content string `json:"content"`
 }
 
-const defaultEngineTokens = 16
+const (
+	defaultEngineTokens = 16
+	// maxEngineTokens bounds one answer, like an engine's context.
+	maxEngineTokens = 1 << 17
+)
 
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -71,6 +75,7 @@
 	if c.MaxTokens <= 0 {
 		c.MaxTokens = defaultEngineTokens
 	}
+	c.MaxTokens = min(c.MaxTokens, maxEngineTokens)
 	r.Body = io.NopCloser(bytes.NewReader(nil))
 	e.answerWith(w, r, func(w http.ResponseWriter) {
 		if c.Stream {
--- /dev/null
+++ b/internal/surface/surface.go
@@ -0,0 +1,238 @@
+// Package surface sends malformed input to listening addresses, for fuzz targets:
+// raw bytes to an HTTP server, and raw bytes or malformed messages to a drpc
+// server behind its handshake. After a number of inputs it checks that the
+// process still answers and that its memory is bounded.
+package surface
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/reflect/protoregistry"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/snipereach/snipereach/transport"
+)
+
+const (
+	// checkEvery is how many inputs pass between two checks.
+	checkEvery = 2000
+	// maxHeap bounds live memory of a whole quickstart system under test.
+	maxHeap = 256 << 20
+	// answerLimit ends the wait for an answer that doesn't come.
+	answerLimit = 2 * time.Second
+	// glance is how long a drpc input is given to be handled. It asserts nothing.
+	glance = 3 * time.Millisecond
+)
+
+// Watch counts inputs and checks a process now and then.
+type Watch struct {
+	// Health is the URL that must answer with status 200.
+	Health string
+	inputs atomic.Int64
+}
+
+// Input counts one input, and checks after every so many of them.
+func (w *Watch) Input(t *testing.T) {
+	t.Helper()
+	if w.inputs.Add(1)%checkEvery == 1 {
+		w.Check(t)
+	}
+}
+
+// Check fails the test if the process doesn't answer or holds too much memory.
+func (w *Watch) Check(t *testing.T) {
+	t.Helper()
+	client := http.Client{Timeout: answerLimit, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get(w.Health)
+	if err != nil {
+		t.Fatalf("process doesn't answer: %v", err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("process answers with status %d", resp.StatusCode)
+	}
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	if m.HeapAlloc > maxHeap {
+		t.Fatalf("%d bytes are in use after %d inputs", m.HeapAlloc, w.inputs.Load())
+	}
+}
+
+// Raw writes bytes to an address and reads what comes until the end.
+func Raw(t *testing.T, address string, data []byte) []byte {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(answerLimit))
+	_, _ = conn.Write(data)
+	_ = conn.(*net.TCPConn).CloseWrite()
+	answer, _ := io.ReadAll(conn)
+	return answer
+}
+
+// Peers sends input to a drpc server as a peer that knows the cluster secret.
+type Peers struct {
+	Address string
+	pool    *transport.Pool
+	methods []string
+	seeds   [][]byte
+}
+
+// NewPeers makes a sender for the methods of some services.
+func NewPeers(address, secret string, services ...drpc.Description) *Peers {
+	p := &Peers{Address: address, pool: transport.NewPool(transport.Security{Secret: []byte(secret)})}
+	for _, s := range services {
+		for n := range s.NumMethods() {
+			name, _, _, _, _ := s.Method(n)
+			p.methods = append(p.methods, name)
+			p.seeds = append(p.seeds, seeds(name)...)
+		}
+	}
+	return p
+}
+
+// Seed adds the corpus: for each method an empty message, one with every field
+// set, and one with every number at its largest; and some raw bytes.
+func (p *Peers) Seed(f *testing.F) {
+	for n := range p.methods {
+		for _, msg := range p.seeds[3*n : 3*n+3] {
+			f.Add(uint8(n), msg, false)
+		}
+	}
+	for _, raw := range []string{"", "GET / HTTP/1.1\r\n\r\n", "\x00\x00\x00\x00", "\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff", "\x03\x01\x01\x02/x"} {
+		f.Add(uint8(0), []byte(raw), true)
+	}
+}
+
+// Send calls a method with a message of these bytes; with raw set the bytes
+// stand in for the whole exchange.
+func (p *Peers) Send(t *testing.T, method uint8, data []byte, raw bool) {
+	t.Helper()
+	conn, err := p.pool.Dial(context.Background(), p.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	out := data
+	if !raw {
+		out = p.exchange(int(method)%len(p.methods), data)
+	}
+	_ = conn.SetDeadline(time.Now().Add(glance))
+	_, _ = conn.Write(out)
+	_, _ = conn.Read(make([]byte, 512))
+}
+
+// exchange frames an invocation, one message and the end of sending.
+func (p *Peers) exchange(method int, data []byte) []byte {
+	var out []byte
+	for i, part := range []struct {
+		kind drpcwire.Kind
+		data []byte
+	}{
+		{drpcwire.KindInvoke, []byte(p.methods[method])},
+		{drpcwire.KindMessage, data},
+		{drpcwire.KindCloseSend, nil},
+	} {
+		out = drpcwire.AppendFrame(out, drpcwire.Frame{
+			Data: part.data, Kind: part.kind, Done: true,
+			ID: drpcwire.ID{Stream: 1, Message: uint64(i + 1)},
+		})
+	}
+	return out
+}
+
+// seeds makes three messages of a method's input type.
+func seeds(method string) [][]byte {
+	service, name := protoreflect.FullName(method[1:]), protoreflect.Name("")
+	for i := len(service) - 1; i >= 0; i-- {
+		if service[i] == '/' {
+			service, name = service[:i], protoreflect.Name(service[i+1:])
+			break
+		}
+	}
+	d, err := protoregistry.GlobalFiles.FindDescriptorByName(service)
+	if err != nil {
+		return [][]byte{nil, nil, nil}
+	}
+	input := d.(protoreflect.ServiceDescriptor).Methods().ByName(name).Input()
+	kind, err := protoregistry.GlobalTypes.FindMessageByName(input.FullName())
+	if err != nil {
+		return [][]byte{nil, nil, nil}
+	}
+	out := [][]byte{nil}
+	for _, largest := range []bool{false, true} {
+		m := kind.New()
+		fill(m, largest, 3)
+		b, _ := proto.Marshal(m.Interface())
+		out = append(out, b)
+	}
+	return out
+}
+
+// fill sets every field of a message, to a depth.
+func fill(m protoreflect.Message, largest bool, depth int) {
+	fields := m.Descriptor().Fields()
+	for i := range fields.Len() {
+		f := fields.Get(i)
+		switch {
+		case f.IsMap():
+		case f.IsList():
+			if f.Message() == nil || depth > 0 {
+				list := m.Mutable(f).List()
+				list.Append(value(list.NewElement(), f, largest, depth))
+			}
+		case f.Message() != nil && depth == 0:
+		default:
+			m.Set(f, value(m.NewField(f), f, largest, depth))
+		}
+	}
+}
+
+func value(zero protoreflect.Value, f protoreflect.FieldDescriptor, largest bool, depth int) protoreflect.Value {
+	if f.Message() != nil {
+		fill(zero.Message(), largest, depth-1)
+		return zero
+	}
+	switch f.Kind() {
+	case protoreflect.BoolKind:
+		return protoreflect.ValueOfBool(true)
+	case protoreflect.StringKind:
+		return protoreflect.ValueOfString("x")
+	case protoreflect.BytesKind:
+		return protoreflect.ValueOfBytes([]byte("x"))
+	case protoreflect.EnumKind:
+		return protoreflect.ValueOfEnum(number[protoreflect.EnumNumber](largest, 99))
+	case protoreflect.DoubleKind:
+		return protoreflect.ValueOfFloat64(number[float64](largest, 1e300))
+	case protoreflect.Uint32Kind:
+		return protoreflect.ValueOfUint32(number(largest, ^uint32(0)))
+	case protoreflect.Uint64Kind:
+		return protoreflect.ValueOfUint64(number(largest, ^uint64(0)))
+	case protoreflect.Int32Kind:
+		return protoreflect.ValueOfInt32(number[int32](largest, 1<<31-1))
+	case protoreflect.Int64Kind:
+		return protoreflect.ValueOfInt64(number[int64](largest, 1<<63-1))
+	}
+	return zero
+}
+
+func number[N protoreflect.EnumNumber | int32 | int64 | uint32 | uint64 | float64](largest bool, top N) N {
+	if largest {
+		return top
+	}
+	return 1
+}
--- a/quickstart/parts.go
+++ b/quickstart/parts.go
@@ -98,6 +98,20 @@
 	return nil
 }
 
+// Agent returns a running agent, or nil.
+func (s *System) Agent(name string) *agent.Agent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.parts[name]; p != nil {
+		a, _ := p.daemon.(*agent.Agent)
+		return a
+	}
+	return nil
+}
+
+// Members lists the drpc addresses of the control replicas.
+func (s *System) Members() []string { return append([]string(nil), s.members...) }
+
 // StartPart starts a part that doesn't run: a new process on the same host.
 func (s *System) StartPart(ctx context.Context, name string) error {
 	s.mu.Lock()
@@ -234,7 +248,7 @@
 	s.giveDisk(p)
 	p.start = func(ctx context.Context) (kernel.Daemon, error) {
 		set := control.DefaultDaemonSettings()
-		set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, secret
+		set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, Secret
 		set.Listen = s.members[i]
 		set.Control = s.controlSettings(p)
 		set.Dial = s.dialer(p.name)
@@ -321,7 +335,7 @@
 
 func (s *System) entrySettings(p *part, replica bool) *entry.Settings {
 	set := entry.DefaultSettings()
-	set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, secret
+	set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, Secret
 	digest := sha256.Sum256([]byte(OperatorKey))
 	set.Operator = []operators.Operator{{Name: "quickstart", KeySHA256: hex.EncodeToString(digest[:])}}
 	set.Dial = s.dialer(p.name)
@@ -345,7 +359,7 @@
 	s.Agents = append(s.Agents, nil)
 	p.start = func(ctx context.Context) (kernel.Daemon, error) {
 		set := agent.DefaultSettings()
-		set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, secret
+		set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, Secret
 		set.Kind, set.Pools, set.Upstream = kind, []string{pool}, map[string]any{"url": url}
 		set.AnnounceTo, set.Listen, set.Dial = s.members, listen, s.dialer(p.name)
 		if kind == "plain" {
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -33,7 +33,8 @@
 // OperatorKey is the bearer key of the operator that the quickstart makes.
 const OperatorKey = "quickstart-operator"
 
-const secret = "quickstart cluster secret"
+// Secret is the cluster secret of the quickstart.
+const Secret = "quickstart cluster secret"
 
 // Options of a quickstart.
 type Options struct {
@@ -156,7 +157,7 @@
 	for _, r := range rows {
 		edit.Rows = append(edit.Rows, &wire.RowEdit{Kind: r.Kind, Key: r.Key, Columns: r.Columns})
 	}
-	s.pool = transport.NewPool(transport.Security{Secret: []byte(secret)})
+	s.pool = transport.NewPool(transport.Security{Secret: []byte(Secret)})
 	client := control.NewClient(s.pool, s.members, "quickstart")
 	for {
 		reply, err := client.Edit(ctx, edit)
