--- a/agent/agent.go
+++ b/agent/agent.go
@@ -75,6 +75,10 @@
 	a.pool.SetDial(s.Dial)
 	a.orders = newOrders(control.NewClient(a.pool, s.AnnounceTo, s.ID))
 	a.dumps.Add("agent", a.dump)
+	a.registerGauges()
+	if err := a.dumps.Register(a.srv.Mux); err != nil {
+		return nil, err
+	}
 	return a, wire.DRPCRegisterAgent(a.srv.Mux, service{a})
 }
 
--- a/quickstart/parts.go
+++ b/quickstart/parts.go
@@ -278,6 +278,7 @@
 	}
 	set.Members = s.members
 	set.FormCluster = true
+	set.Groups.PlanPeriod = kernel.Duration(planPeriod)
 	return set
 }
 
@@ -365,6 +366,9 @@
 		if kind == "plain" {
 			set.Slots = up.Slots
 		}
+		if kind == "engine" && s.Group != nil {
+			set.Group, set.Rank = s.Group.Name, uint32(i)
+		}
 		a, err := agent.New(set, s.opts.Log)
 		d, err := started(ctx, a, err)
 		if err != nil {
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -33,6 +33,9 @@
 // OperatorKey is the bearer key of the operator that the quickstart makes.
 const OperatorKey = "quickstart-operator"
 
+// planPeriod is shorter than the default, for a laptop's patience.
+const planPeriod = 2 * time.Second
+
 // Secret is the cluster secret of the quickstart.
 const Secret = "quickstart cluster secret"
 
@@ -58,6 +61,9 @@
 	FakeDisks bool
 	// Keep is how long callers may keep the list of entries; 10 s if zero.
 	Keep time.Duration
+	// Planner makes the engines one lock-step group whose row names this
+	// placement plug-in; empty is no group.
+	Planner string
 }
 
 // System is a running quickstart. Entries and Agents hold the running ones in
@@ -67,8 +73,11 @@
 	Agents  []*agent.Agent
 	Engines []*fake.Engine
 	Plains  []*fake.Plain
+	// Group is the engines' group, or nil.
+	Group *fake.Group
 
 	opts    Options
+	cancel  context.CancelFunc
 	layout  Layout
 	dir     string
 	members []string
@@ -100,6 +109,9 @@
 	if opts.Rows == "" {
 		opts.Rows = opts.Layout.Rows()
 	}
+	if opts.Planner != "" {
+		opts.Rows += groupRow(opts)
+	}
 	dir, err := os.MkdirTemp("", "snipereach-quickstart-")
 	if err != nil {
 		return nil, err
@@ -122,8 +134,11 @@
 	if err := s.putRows(ctx); err != nil {
 		return err
 	}
+	var groupCtx context.Context
+	groupCtx, s.cancel = context.WithCancel(ctx)
+	s.startGroup(groupCtx)
 	for i := range s.opts.Engines {
-		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond}
+		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond, Group: s.Group, Rank: i}
 		if err := e.Start(); err != nil {
 			return err
 		}
@@ -214,12 +229,19 @@
   curl -s -X POST http://%[1]s/services/clock-core/lots/17/confirm -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: bid-17' -d '{}'
   curl -s http://%[1]s/v1/chat/completions -H 'Authorization: Bearer wrong' -d '{}'
 
+Operators' page: http://%[3]s/ with the key %[4]s, or
+  export SNIPEREACH_SERVER=http://%[3]s SNIPEREACH_KEY=%[4]s
+  go run ./cmd/snipereachctl status
+
 Stop with Ctrl-C.
-`, addr, TeamKey)
+`, addr, TeamKey, s.Entries[0].OperatorAddress(), OperatorKey)
 }
 
 // Stop ends everything at once and removes the folder.
 func (s *System) Stop() {
+	if s.cancel != nil {
+		s.cancel()
+	}
 	for _, name := range s.Names() {
 		s.Kill(name)
 	}
