Check in scenarios that no step of a group mixes two maps

A planner that changes the map at every opportunity meets leaders killed or cut off, ranks that die and agents that freeze; the audit after each script counts mixed steps.

--- a/scenario/audit.go
+++ b/scenario/audit.go
@@ -9,7 +9,8 @@
 
 // audit checks after a script what must hold in all of them, whatever failed:
 // every call has ended; an answer is whole and the caller's own; what may run
-// once ran at most once; "not run" is true; accepted rows stand.
+// once ran at most once; "not run" is true; accepted rows stand; no step of a
+// group mixed two expert maps.
 func (w *world) audit(t testscript.T) {
 	if w.sys == nil {
 		return
@@ -28,6 +29,9 @@
 		}
 	}
 	faults = append(faults, w.auditRows()...)
+	if fault := w.auditGroup(); fault != "" {
+		faults = append(faults, fault)
+	}
 	for _, f := range faults {
 		t.Log("audit: " + f)
 	}
--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -38,6 +38,10 @@
 		"delay":   (*world).cmdDelay,
 		"answers": (*world).cmdAnswers,
 		"release": each((*world).release),
+		// Groups.
+		"maps":         (*world).cmdMaps,
+		"steps":        (*world).cmdSteps,
+		"restart-rank": (*world).cmdRestartRank,
 		// Callers.
 		"call":       withID((*world).call),
 		"calls":      (*world).cmdCalls,
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -97,13 +97,16 @@
 
 func (w *world) start(o options) error {
 	if w.sys != nil || len(o.rest) > 0 {
-		return merry.Prepend(ErrScript, "system [entries=N] [controls=N] [engines=N] [plains=N], once")
+		return merry.Prepend(ErrScript, "system [entries=N] [controls=N] [engines=N] [plains=N] [groups=yes], once")
 	}
 	opts := quickstart.Options{
 		Log: log.NewNopLogger(), Layout: w.layout, Network: w.net, FakeDisks: true, Keep: time.Second,
 		Engines: o.number("engines", 3), Plains: o.number("plains", 3),
 		Entries: o.number("entries", 3), Controls: o.number("controls", 0),
 	}
+	if o.values["groups"] == "yes" {
+		opts.Planner = plannerRotate
+	}
 	var err error
 	if w.sys, err = quickstart.Start(context.Background(), opts); err != nil {
 		return err
