--- a/quickstart/parts.go
+++ b/quickstart/parts.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 
@@ -211,31 +210,32 @@
 	}
 }
 
-// reserve takes free loopback ports and returns their listeners.
-func reserve(n int) ([]net.Listener, error) {
-	var list []net.Listener
+// reserve holds free loopback ports until the system is stopped, so that a part
+// finds its address free when it is started again.
+func (s *System) reserve(n int) ([]string, error) {
+	var list []string
 	for range n {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		address, release, err := fake.HoldPort()
 		if err != nil {
 			return nil, err
 		}
-		list = append(list, lis)
+		s.ports = append(s.ports, release)
+		list = append(list, address)
 	}
 	return list, nil
 }
 
 // startControls starts control replicas on hosts of their own.
 func (s *System) startControls(ctx context.Context) error {
-	listeners, err := reserve(s.opts.Controls)
+	addresses, err := s.reserve(s.opts.Controls)
 	if err != nil {
 		return err
 	}
-	for i, lis := range listeners {
-		s.members = append(s.members, lis.Addr().String())
-		s.named(s.members[i], fmt.Sprintf("control-%d", i+1))
-		_ = lis.Close()
+	for i, address := range addresses {
+		s.members = append(s.members, address)
+		s.named(address, fmt.Sprintf("control-%d", i+1))
 	}
-	for i := range listeners {
+	for i := range addresses {
 		if err := s.startControl(ctx, i); err != nil {
 			return err
 		}
@@ -285,47 +285,49 @@
 // startEntries starts the entries, with control replicas unless those have
 // hosts of their own.
 func (s *System) startEntries(ctx context.Context) error {
-	listeners, err := reserve(s.opts.Entries)
+	internal, err := s.reserve(s.opts.Entries)
 	if err != nil {
 		return err
 	}
-	for i, lis := range listeners {
-		s.named(lis.Addr().String(), fmt.Sprintf("entry-%d", i+1))
+	for i, address := range internal {
+		s.named(address, fmt.Sprintf("entry-%d", i+1))
 		if s.opts.Controls == 0 && i < maxReplicas {
-			s.members = append(s.members, lis.Addr().String())
+			s.members = append(s.members, address)
 		}
 	}
 	s.Entries = make([]*entry.Entry, s.opts.Entries)
-	for i, lis := range listeners {
-		if err := s.startEntry(ctx, i, lis); err != nil {
+	for i, address := range internal {
+		if err := s.startEntry(ctx, i, address); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *System) startEntry(ctx context.Context, i int, lis net.Listener) error {
+func (s *System) startEntry(ctx context.Context, i int, internal string) error {
 	p := &part{name: fmt.Sprintf("entry-%d", i+1), domain: s.layout.domain(i), role: RoleEntry}
 	replica := s.opts.Controls == 0 && i < maxReplicas
 	if replica {
 		s.giveDisk(p)
 	}
-	internal, callers, operators := lis.Addr().String(), "127.0.0.1:0", "127.0.0.1:0"
+	outer, err := s.reserve(2)
+	if err != nil {
+		return err
+	}
+	callers, operators := outer[0], outer[1]
 	if i == 0 && s.opts.CallersPort != 0 {
 		callers = fmt.Sprintf("127.0.0.1:%d", s.opts.CallersPort)
 	}
+	s.named(callers, p.name)
+	s.named(operators, p.name)
 	p.start = func(ctx context.Context) (kernel.Daemon, error) {
 		set := s.entrySettings(p, replica)
-		set.Callers, set.Operators, set.Internal, set.InternalListener = callers, operators, internal, lis
+		set.Callers, set.Operators, set.Internal = callers, operators, internal
 		e, err := entry.New(set, s.opts.Log)
 		d, err := started(ctx, e, err)
 		if err != nil {
 			return nil, err
 		}
-		// The next life has the same addresses.
-		lis, callers, operators = nil, e.CallerAddress(), e.OperatorAddress()
-		s.named(callers, p.name)
-		s.named(operators, p.name)
 		s.mu.Lock()
 		s.Entries[i] = e
 		s.mu.Unlock()
@@ -356,13 +358,18 @@
 		name: fmt.Sprintf("%s-%d", pool, i+1), domain: s.layout.domain(i),
 		role: RoleAgent, upstream: up,
 	}
-	at, listen := len(s.Agents), "127.0.0.1:0"
+	listen, err := s.reserve(1)
+	if err != nil {
+		return err
+	}
+	s.named(listen[0], p.name)
+	at := len(s.Agents)
 	s.Agents = append(s.Agents, nil)
 	p.start = func(ctx context.Context) (kernel.Daemon, error) {
 		set := agent.DefaultSettings()
 		set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, Secret
 		set.Kind, set.Pools, set.Upstream = kind, []string{pool}, map[string]any{"url": url}
-		set.AnnounceTo, set.Listen, set.Dial = s.members, listen, s.dialer(p.name)
+		set.AnnounceTo, set.Listen, set.Dial = s.members, listen[0], s.dialer(p.name)
 		if kind == "plain" {
 			set.Slots = up.Slots
 		}
@@ -374,8 +381,6 @@
 		if err != nil {
 			return nil, err
 		}
-		listen = a.Address()
-		s.named(listen, p.name)
 		s.mu.Lock()
 		s.Agents[at] = a
 		s.mu.Unlock()
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -86,6 +86,8 @@
 	mu    sync.Mutex
 	parts map[string]*part
 	order []string
+	// ports are held for parts that are down.
+	ports []func()
 }
 
 // Rows returns the built-in rows: one team, an engine service and an urgent
@@ -254,5 +256,9 @@
 	if s.pool != nil {
 		s.pool.Close()
 	}
+	for _, release := range s.ports {
+		release()
+	}
+	s.ports = nil
 	_ = os.RemoveAll(s.dir)
 }
--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -45,6 +45,7 @@
 		// Callers.
 		"call":       withID((*world).call),
 		"calls":      (*world).cmdCalls,
+		"insist":     withID((*world).insist),
 		"leave":      withID(func(w *world, id string, _ options) error { return w.leave(id) }),
 		"expect":     withID((*world).cmdExpect),
 		"expect-all": withID((*world).cmdExpectAll),
@@ -262,6 +263,26 @@
 	return nil
 }
 
+// insist sends a request anew, as PREFIX-1, PREFIX-2 and so on, while it is told
+// "not run" and when to come back, until it is answered whole.
+func (w *world) insist(prefix string, o options) error {
+	end := time.Now().Add(patience)
+	for n := 1; ; n++ {
+		id := fmt.Sprintf("%s-%d", prefix, n)
+		if err := w.call(id, o); err != nil {
+			return err
+		}
+		c, err := w.answered(id)
+		if err != nil || c.answer() == "whole" {
+			return err
+		}
+		if c.problem.Outcome != "not-run" || c.seen("retry-after") != "yes" || time.Now().After(end) {
+			return merry.Prependf(errOther, "not answered: %s", c)
+		}
+		time.Sleep(poll)
+	}
+}
+
 // leave closes the caller's connection.
 func (w *world) leave(id string) error {
 	w.mu.Lock()
