--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -455,8 +455,10 @@
 // cmdEdits makes N edits of one row, one after the other: the column's value
 // counts up to N. The last one has the ID PREFIX.
 func (w *world) cmdEdits(_ bool, args []string) error {
+	given := parse(args)
+	args = given.rest
 	if len(args) != 5 {
-		return merry.Prepend(ErrScript, "edits PREFIX N KIND KEY COLUMN")
+		return merry.Prepend(ErrScript, "edits ID N KIND KEY COLUMN [via=ENTRY]")
 	}
 	n, err := strconv.Atoi(args[1])
 	if err != nil {
@@ -468,6 +470,9 @@
 			id = fmt.Sprintf("%s-%d", args[0], i)
 		}
 		o := parse([]string{args[2], args[3], args[4] + "=" + strconv.Itoa(i), "resend=yes"})
+		if via := given.values["via"]; via != "" {
+			o.values["via"] = via
+		}
 		if err := w.edit(id, o); err != nil {
 			return err
 		}
--- a/scenario/edit.go
+++ b/scenario/edit.go
@@ -62,9 +62,13 @@
 func (w *world) readRow(via, kind, key string) (operators.Row, error) {
 	var row operators.Row
 	err := eventually(func() string {
-		name := via
-		if name == "" {
-			name, _ = w.entry(options{})
+		o := options{values: map[string]string{}}
+		if via != "" {
+			o.values["via"] = via
+		}
+		name, err := w.entry(o)
+		if err != nil {
+			return err.Error()
 		}
 		status, body, err := w.operatorCall(name, http.MethodGet, "/v1/table/"+kind+"/"+key, nil, nil)
 		switch {
@@ -104,7 +108,7 @@
 	}
 	base := o.values["base"]
 	if base == "" {
-		row, err := w.readRow("", ed.kind, ed.key)
+		row, err := w.readRow(o.values["via"], ed.kind, ed.key)
 		if err != nil {
 			return err
 		}
