--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -53,6 +54,7 @@
 		"explain":    withID((*world).explain),
 		"runs":       (*world).cmdRuns,
 		"idle":       each((*world).idle),
+		"closed":     each((*world).closed),
 		"listed":     (*world).cmdListed,
 		"upstreams":  (*world).cmdUpstreams,
 		// Operators.
@@ -378,6 +380,23 @@
 	})
 }
 
+// closed waits until an entry that drains takes no more connections of callers.
+func (w *world) closed(name string) error {
+	e := w.sys.Entry(name)
+	if e == nil {
+		return merry.Prependf(ErrScript, "%s doesn't run", name)
+	}
+	address := e.CallerAddress()
+	return eventually(func() string {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return ""
+		}
+		_ = conn.Close()
+		return name + " takes connections"
+	})
+}
+
 // cmdListed waits until an entry stands, or doesn't, in the list for callers.
 func (w *world) cmdListed(neg bool, args []string) error {
 	o := parse(args)
