--- a/control/daemon.go
+++ b/control/daemon.go
@@ -98,6 +98,7 @@
 	d.dumps.Add("control", d.control.Dump)
 	d.dumps.Add("directory", d.node.Dump)
 	d.control.SetEntries(d.node.RingMembers)
+	d.node.SetReplicas(d.control.DirectoryReplicas)
 	d.control.SetUpstreams(UpstreamsOf(d.node))
 	if err := d.control.Register(d.srv.Mux); err != nil {
 		return nil, err
@@ -105,7 +106,7 @@
 	if err := d.dumps.Register(d.srv.Mux); err != nil {
 		return nil, err
 	}
-	return d, wire.DRPCRegisterDirectory(d.srv.Mux, d.node)
+	return d, wire.DRPCRegisterDirectory(d.srv.Mux, NewDirectoryService(d.node, d.control))
 }
 
 // Start implements kernel.Daemon.
@@ -122,6 +123,7 @@
 	if err := d.control.Start(ctx, place); err != nil {
 		return err
 	}
+	d.node.FollowPeers(ctx, d.settings.Control.Members, d.address(), d.pool.Conn, d.settings.ID)
 	kernel.Info(d.log, "Listening.", "id", d.settings.ID, "addr", lis.Addr())
 	return d.startOperators()
 }
--- a/control/groups.go
+++ b/control/groups.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -23,7 +24,7 @@
 // Intervals of the loop that looks after groups.
 const (
 	groupTick     = 20 * time.Millisecond
-	groupIdleTick = 250 * time.Millisecond
+	groupIdleTick = 100 * time.Millisecond
 	// leaseHolder is the prefix of control replicas among holders of leases.
 	leaseHolder  = "control "
 	leaseTimeout = 2 * time.Second
@@ -88,7 +89,7 @@
 	}
 }
 
-// tick does what is due; it returns whether there is a group to lead.
+// tick does what is due; it returns whether a group is waiting for something.
 func (g *groupLeader) tick(ctx context.Context, r *Replica) bool {
 	n := r.groupsNow(ctx)
 	if !n.leads {
@@ -105,16 +106,19 @@
 	for name := range n.states {
 		names[name] = true
 	}
+	busy := false
 	for name := range names {
 		d := g.driver(ctx, r, name, n)
 		if d == nil {
+			busy = true
 			continue
 		}
 		g.mu.Lock()
 		d.tick(ctx, time.Now(), n.view.Groups[name], n.states[name], ranks[name])
+		busy = busy || d.coord == nil || !d.coord.Quiet()
 		g.mu.Unlock()
 	}
-	return len(names) > 0
+	return busy
 }
 
 // groupsNow reads the groups' state in the replica's loop.
@@ -138,20 +142,30 @@
 	return n
 }
 
-// ranksOf sorts the ranks that are up by group. Of two upstreams that claim one
-// rank the first by ID is taken.
-func ranksOf(list []*wire.Announcement) map[string]map[int]*wire.Announcement {
-	groups := map[string]map[int]*wire.Announcement{}
+// groupRanks are the upstreams that announce the ranks of one group.
+type groupRanks struct {
+	byRank map[int]*wire.Announcement
+	// conflict names two upstreams that claim one rank.
+	conflict string
+}
+
+// ranksOf sorts the ranks that are up by group.
+func ranksOf(list []*wire.Announcement) map[string]groupRanks {
+	groups := map[string]groupRanks{}
 	for _, a := range list {
 		if a.Group == "" {
 			continue
 		}
-		if groups[a.Group] == nil {
-			groups[a.Group] = map[int]*wire.Announcement{}
+		g, ok := groups[a.Group]
+		if !ok {
+			g.byRank = map[int]*wire.Announcement{}
 		}
-		if groups[a.Group][int(a.Rank)] == nil {
-			groups[a.Group][int(a.Rank)] = a
+		if other := g.byRank[int(a.Rank)]; other != nil {
+			g.conflict = fmt.Sprintf("upstreams %s and %s both announce rank %d", other.Id, a.Id, a.Rank)
+		} else {
+			g.byRank[int(a.Rank)] = a
 		}
+		groups[a.Group] = g
 	}
 	return groups
 }
--- a/ctl/system_test.go
+++ b/ctl/system_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/snipereach/snipereach/ctl"
 	"github.com/snipereach/snipereach/quickstart"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
 )
 
 // refusedCall asks for a priority that the team's row doesn't allow: it is made
@@ -110,13 +112,14 @@
 }
 
 // An operator drains an entry while it answers. It leaves the list of entries
-// at once, the answer in progress is whole, a caller that still holds the list
-// is served, and the process can be asked for its state afterwards.
+// at once, a caller that still holds the list is served, the answer that is in
+// progress when the entry closes its door (after keep and a second) is whole, and
+// the process can be asked for its state afterwards.
 func TestDrainOfAnEntryCutsNothing(t *testing.T) {
 	s := start(t, quickstart.Options{Keep: time.Second})
 	got := make(chan error, 4)
 	for range 4 {
-		go func() { _, err := call(s, longCall); got <- err }()
+		go func() { _, err := call(s, strings.Replace(longCall, "150", "800", 1)); got <- err }()
 	}
 	waitFor(t, func() bool { return running(s) == 4 })
 	code, out := command(s, 2, "drain", "entry-1")
@@ -135,3 +138,25 @@
 	assert.Equal(t, code, 0, out)
 	assert.Assert(t, strings.Contains(out, `"draining": true`), out)
 }
+
+// A stranger on the network who doesn't know the cluster's secret gets no
+// process's state and drains nothing.
+func TestStrangersGetNoStateAndDrainNothing(t *testing.T) {
+	s := start(t, quickstart.Options{})
+	pool := transport.NewPool(transport.Security{Secret: []byte("another cluster's secret")})
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for _, address := range []string{s.Entries[0].InternalAddress(), s.Agents[0].Address()} {
+		conn := pool.Conn(ctx, address)
+		_, err := wire.NewDRPCProcessClient(conn).Dump(ctx, &wire.DumpRequest{})
+		assert.Assert(t, err != nil, address)
+		_, err = wire.NewDRPCEntryClient(conn).Drain(ctx, &wire.DrainRequest{By: "stranger"})
+		assert.Assert(t, err != nil, address)
+		_, err = wire.NewDRPCAgentClient(conn).Drain(ctx, &wire.DrainRequest{By: "stranger"})
+		assert.Assert(t, err != nil, address)
+	}
+	_, out := command(s, 0, "status", "-o", "tsv")
+	assert.Assert(t, strings.Contains(out, "entry-1\tup\ttrue"), out)
+	assert.Assert(t, strings.Contains(out, "lm-1\tup"), out)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,7 +14,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
-	"storj.io/drpc"
 
 	"github.com/snipereach/snipereach/admit"
 	"github.com/snipereach/snipereach/claim"
@@ -33,6 +32,10 @@
 // ErrStart is returned when the entry can't come up.
 var ErrStart = merry.Sentinel("entry can't start")
 
+// operatorsTimeout bounds one call of an operator; a body that trickles in would
+// otherwise hold its connection for ever.
+const operatorsTimeout = 30 * time.Second
+
 // Entry implements kernel.Daemon.
 type Entry struct {
 	settings                 *Settings
@@ -62,11 +65,15 @@
 	watches                      *watches
 	cancel                       context.CancelFunc
 
+	// targets orders the control replicas that this entry uses.
+	targets   *directory.Targets
+	announcer *directory.Announcer
 	claims    *claim.Node
 	control   *control.Control
 	client    *control.Client
 	ops       *operators.Handler
 	limits    *limits
+	answers   metrics.Counter
 	confirmed atomic.Int64
 	// announceNow is sent to when others should hear of a change at once.
 	announceNow chan struct{}
@@ -93,10 +100,11 @@
 		leaving:     make(chan struct{}),
 		drained:     make(chan struct{}),
 		runner: admit.NewRunner(admit.Settings{
-			Slots: s.Slots, Reserved: s.Slots * s.UrgentPercent / 100, MaxQueue: s.MaxQueue,
+			Slots: s.Slots, Reserved: admit.ReservedSlots(s.Slots, s.UrgentPercent), MaxQueue: s.MaxQueue,
 		}, time.Now),
 	}
 	e.pool.SetDial(s.Dial)
+	e.answers = metrics.GetOrRegisterCounter("entry.answers", e.metrics)
 	if certs != nil {
 		e.certs = append(e.certs, certs)
 	}
@@ -109,6 +117,8 @@
 	place := route.Place{Entry: s.ID, FailureDomain: s.FailureDomain, Seed: xxhash.Sum64String(s.ID)}
 	e.fwd = forward.New(e.pool, place, time.Now)
 	e.node = directory.NewNode(directory.DefaultSettings(), time.Now, e.refresh)
+	e.targets = directory.NewTargets(s.ID, s.FailureDomain, s.replicas())
+	e.announcer = directory.NewAnnouncer(e.targets, e.pool.Conn, time.Now)
 	e.watches = newWatches(e)
 	e.limits = newLimits(e)
 	e.claims = claim.NewNode(claim.DefaultRegisterSettings(), e.life(), e.pool.Conn, time.Now)
@@ -117,8 +127,10 @@
 		return nil, err
 	}
 	e.dumps.Add("entry", e.dump)
+	e.dumps.Add("limits", e.limits.dump)
 	e.registerGauges()
 	e.dumps.Add("directory", e.node.Dump)
+	e.dumps.Add("route", e.fwd.Dump)
 	e.client = control.NewClient(e.pool, s.replicas(), s.ID)
 	if e.ops, err = operators.New(s.Operator, e.client, process{e}, e.metrics, l); err != nil {
 		return nil, err
@@ -132,6 +144,9 @@
 	if err := wire.DRPCRegisterEntry(e.srv.Mux, drainService{e}); err != nil {
 		return nil, err
 	}
+	if e.control != nil {
+		return e, wire.DRPCRegisterDirectory(e.srv.Mux, control.NewDirectoryService(e.node, e.control))
+	}
 	return e, wire.DRPCRegisterDirectory(e.srv.Mux, e.node)
 }
 
@@ -158,6 +173,7 @@
 	}
 	e.control = c
 	c.SetEntries(e.ringMembers)
+	e.node.SetReplicas(c.DirectoryReplicas)
 	c.SetUpstreams(control.UpstreamsOf(e.node))
 	e.dumps.Add("control", c.Dump)
 	return c.Register(e.srv.Mux)
@@ -230,14 +246,14 @@
 	go e.drainCallers(ctx)
 	go e.node.Run(ctx)
 	go e.announceLoop(ctx)
-	for _, addr := range e.settings.replicas() {
-		go e.node.Follow(ctx, func(ctx context.Context) drpc.Conn { return e.pool.Conn(ctx, addr) },
-			&wire.DirectoryWatchRequest{Watcher: e.settings.ID, LocalOnly: true})
-	}
+	e.followDirectory(ctx)
 	e.callersHTTP = &http.Server{Handler: e.callerRoutes(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}
 	go func() { _ = e.callersHTTP.Serve(e.callers) }()
 	if e.operators != nil {
-		e.operatorsHTTP = &http.Server{Handler: e.operatorRoutes(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}
+		e.operatorsHTTP = &http.Server{
+			Handler: e.operatorRoutes(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10,
+			ReadTimeout: operatorsTimeout, WriteTimeout: operatorsTimeout, IdleTimeout: 2 * operatorsTimeout,
+		}
 		go func() { _ = e.operatorsHTTP.Serve(e.operators) }()
 	}
 	kernel.Info(e.log, "Listening.", "id", e.settings.ID, "callers", e.callers.Addr(), "internal", e.internal.Addr())
@@ -350,15 +366,6 @@
 	return d
 }
 
-// Revision returns the revision of the rows in force at this entry; 0 while it
-// has none.
-func (e *Entry) Revision() uint64 {
-	if v := e.view.Load(); v != nil {
-		return v.Revision
-	}
-	return 0
-}
-
 // Upstreams returns how many upstreams are up in each pool, as this entry knows it.
 func (e *Entry) Upstreams() map[string]int {
 	n := map[string]int{}
--- a/entry/request.go
+++ b/entry/request.go
@@ -187,7 +187,7 @@
 	}
 	prompt := string(c.Prompt) + string(c.Messages)
 	q.tokens = len(prompt)/charsPerToken + output
-	q.prefix = prefixHashes(q.team.Name+"\x00"+c.Model, prompt)
+	q.prefix = prefixHashes(c.Model, prompt)
 	q.path = q.r.URL.Path
 	return nil
 }
@@ -286,16 +286,17 @@
 	release, err := e.runner.Enter(q.r.Context(), &admit.Work{
 		Team: q.team.Name, Weight: weight, Priority: prio,
 		Cost: float64(max(q.tokens, 1)), Deadline: deadline,
+		Queue: q.service.Name, MaxQueue: q.service.MaxQueue,
 	})
 	if err != nil {
-		return e.refuse(admitReason(err), err.Error())
+		return q.notAdmitted(err)
 	}
 	defer release()
 	return run(&forward.Call{
 		Head: &wire.RunHead{
 			RequestId: q.id, Team: q.team.Name, Service: q.service.Name, Priority: prio,
 			Weight: uint32(weight), Idempotent: q.idempotent(), Method: q.r.Method,
-			Path: q.path, Headers: q.headers(), Tokens: uint32(q.tokens),
+			Path: q.path, Headers: upstream.PassedHeaders(q.r.Header, headerKey), Tokens: uint32(q.tokens),
 		},
 		Body: q.body, Pool: q.view.Pools[q.service.Pool], Deadline: deadline,
 		Route:     &route.Request{Priority: prio, Tokens: q.tokens, Prefix: q.prefix},
@@ -303,9 +304,20 @@
 	})
 }
 
+// notAdmitted says why the request did not get its turn, and by which row if one
+// decided.
+func (q *request) notAdmitted(err error) *wire.Refusal {
+	ref := q.entry.refuse(admitReason(err), err.Error())
+	if errors.Is(err, admit.ErrPartFull) {
+		ref.RowKind, ref.RowKey, ref.RowVersion = q.service.Source.Kind, q.service.Key, q.service.Version
+		ref.Observed = []*wire.Observed{{Name: "limit_max_queue", Value: float64(q.service.MaxQueue)}}
+	}
+	return ref
+}
+
 func admitReason(err error) wire.Reason {
 	switch {
-	case errors.Is(err, admit.ErrQueueFull):
+	case errors.Is(err, admit.ErrQueueFull), errors.Is(err, admit.ErrPartFull):
 		return wire.Reason_REASON_QUEUE_FULL
 	case errors.Is(err, admit.ErrClosed):
 		return wire.Reason_REASON_DRAINING
@@ -313,23 +325,10 @@
 	return wire.Reason_REASON_DEADLINE
 }
 
-func (q *request) headers() []*wire.Header {
-	var list []*wire.Header
-	for name, values := range q.r.Header {
-		if !upstream.PassHeader(name) || name == headerKey {
-			continue
-		}
-		for _, v := range values {
-			list = append(list, &wire.Header{Name: name, Value: v})
-		}
-	}
-	return list
-}
-
 // finish answers the caller of a request that was not answered whole.
 func (q *request) finish(res forward.Result, sink *httpSink) *wire.Refusal {
 	if res.Reason == 0 {
-		metrics.GetOrRegisterCounter("entry.answers", q.entry.metrics).Inc(1)
+		q.entry.answers.Inc(1)
 		return nil
 	}
 	if res.Begun || sink.begun {
--- a/fake/server.go
+++ b/fake/server.go
@@ -49,6 +49,8 @@
 	Slots int
 	// CutAfter is where FaultCutShort cuts; set it while nothing runs.
 	CutAfter int
+	// Listen is the address; a free loopback port if empty.
+	Listen string
 
 	mu      sync.Mutex
 	faults  func(r *http.Request) Fault
@@ -61,9 +63,12 @@
 	held    chan struct{}
 }
 
-// Listen serves a handler on a free loopback port.
+// listen serves a handler.
 func (s *Server) listen(h http.Handler) error {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if s.Listen == "" {
+		s.Listen = "127.0.0.1:0"
+	}
+	lis, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return err
 	}
--- a/quickstart/parts.go
+++ b/quickstart/parts.go
@@ -347,6 +347,9 @@
 		ctl := s.controlSettings(p)
 		set.Control = &ctl
 	}
+	if s.opts.EntrySlots > 0 {
+		set.Slots = s.opts.EntrySlots
+	}
 	if s.opts.Keep > 0 {
 		set.Keep = kernel.Duration(s.opts.Keep)
 	}
@@ -372,6 +375,7 @@
 		set.AnnounceTo, set.Listen, set.Dial = s.members, listen[0], s.dialer(p.name)
 		if kind == "plain" {
 			set.Slots = up.Slots
+			set.MaxQueue = max(set.MaxQueue, set.Slots)
 		}
 		if kind == "engine" && s.Group != nil {
 			set.Group, set.Rank = s.Group.Name, uint32(i)
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -61,9 +61,18 @@
 	FakeDisks bool
 	// Keep is how long callers may keep the list of entries; 10 s if zero.
 	Keep time.Duration
+	// EntrySlots is how many requests an entry carries at once; the default of
+	// an entry's settings if zero.
+	EntrySlots int
 	// Planner makes the engines one lock-step group whose row names this
 	// placement plug-in; empty is no group.
 	Planner string
+	// PlainSlots is how many requests a plain service and its agent run at
+	// once; 32 if zero. At least as many again may wait at the agent.
+	PlainSlots int
+	// PlainWork is the time of one request at a plain service; 1 ms if zero,
+	// none if negative.
+	PlainWork time.Duration
 }
 
 // System is a running quickstart. Entries and Agents hold the running ones in
@@ -90,6 +99,8 @@
 	ports []func()
 }
 
+const defaultPlainSlots = 32
+
 // Rows returns the built-in rows: one team, an engine service and an urgent
 // plain service.
 func Rows() string { return Idukki().Rows() }
@@ -108,6 +119,12 @@
 	if len(opts.Layout.Domains) == 0 {
 		opts.Layout = Idukki()
 	}
+	if opts.PlainSlots == 0 {
+		opts.PlainSlots = defaultPlainSlots
+	}
+	if opts.PlainWork == 0 {
+		opts.PlainWork = time.Millisecond
+	}
 	if opts.Rows == "" {
 		opts.Rows = opts.Layout.Rows()
 	}
@@ -140,7 +157,7 @@
 	groupCtx, s.cancel = context.WithCancel(ctx)
 	s.startGroup(groupCtx)
 	for i := range s.opts.Engines {
-		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond, Group: s.Group, Rank: i}
+		e := &fake.Engine{Server: fake.Server{Slots: 8}, Step: 5 * time.Millisecond, Group: s.Group, Rank: i, CacheBlocks: 1024}
 		if err := e.Start(); err != nil {
 			return err
 		}
@@ -150,7 +167,7 @@
 		}
 	}
 	for i := range s.opts.Plains {
-		p := &fake.Plain{Server: fake.Server{Slots: 32}, Work: time.Millisecond}
+		p := &fake.Plain{Server: fake.Server{Slots: s.opts.PlainSlots}, Work: max(s.opts.PlainWork, 0)}
 		if err := p.Start(); err != nil {
 			return err
 		}
--- a/route/roundrobin.go
+++ b/route/roundrobin.go
@@ -31,16 +31,16 @@
 func (b *RoundRobin) Cache(time.Time, string, uint64, []*wire.CacheEvent) {}
 
 // Done implements Balancer.
-func (b *RoundRobin) Done(time.Time, string, *Request, Result) {}
+func (b *RoundRobin) Done(time.Time, Upstream, *Request, Result) {}
 
 // Pick implements Balancer.
-func (b *RoundRobin) Pick(_ time.Time, r *Request) (Upstream, bool) {
+func (b *RoundRobin) Pick(_ time.Time, r *Request) (Choice, bool) {
 	for range b.ups {
 		u := b.ups[b.next%len(b.ups)]
 		b.next++
 		if !r.Exclude[u.ID] {
-			return u, true
+			return Choice{Upstream: u}, true
 		}
 	}
-	return Upstream{}, false
+	return Choice{}, false
 }
--- a/route/route.go
+++ b/route/route.go
@@ -41,6 +41,18 @@
 	Load    *wire.Load
 	// Elapsed is the time from Pick to the end.
 	Elapsed time.Duration
+	// CallerGone says that the caller left first: the end tells nothing of the
+	// upstream.
+	CallerGone bool
+}
+
+// Choice is the upstream for an attempt.
+type Choice struct {
+	Upstream
+	// RefuseAt is how many requests make the upstream a worse choice than the
+	// next best: with so many waiting and running, its agent is to refuse the
+	// attempt, which then goes elsewhere. 0 is no bound.
+	RefuseAt int
 }
 
 // Balancer chooses among the upstreams of one pool, at one entry. It is pure:
@@ -53,9 +65,9 @@
 	// Cache takes cache events of one incarnation.
 	Cache(now time.Time, id string, incarnation uint64, events []*wire.CacheEvent)
 	// Pick chooses; the attempt counts as in flight until Done.
-	Pick(now time.Time, r *Request) (Upstream, bool)
+	Pick(now time.Time, r *Request) (Choice, bool)
 	// Done ends an attempt that Pick chose.
-	Done(now time.Time, id string, r *Request, res Result)
+	Done(now time.Time, up Upstream, r *Request, res Result)
 }
 
 // Place says where an entry stands, for plug-ins that prefer what is near.
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -76,19 +77,22 @@
 // with an Idempotency-Key header, whose body is nil. For a call that must run
 // at most once that is a second run. A body that is not nil and has no GetBody
 // is never replayed once a byte was written.
-type onceBody struct{ io.Reader }
-
-func (onceBody) Close() error { return nil }
+//
+// A bytes.Reader under io.NopCloser is known to net/http as held in memory: head
+// and body then go out in one write, and no timer waits for a first byte.
+func onceBody(body []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(body)) }
 
 // Do implements Upstream.
-func (h *HTTP) Do(ctx context.Context, head *wire.RunHead, body io.Reader) (*Answer, error) {
+func (h *HTTP) Do(ctx context.Context, head *wire.RunHead, body []byte) (*Answer, error) {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	req, err := h.request(httptrace.WithClientTrace(ctx, trace), head, body)
 	if err != nil {
 		return nil, merry.Prepend(ErrNotSent, err.Error())
 	}
-	resp, err := h.client.Do(req)
+	// The transport is called straight: what http.Client adds (redirects,
+	// cookies, copies of the head for them) has no place here.
+	resp, err := h.client.Transport.RoundTrip(req)
 	if err != nil {
 		// Without a connection not one byte can have reached the upstream;
 		// after one was had, nobody here can tell.
@@ -103,13 +107,13 @@
 	}
 	return &Answer{
 		Status:    resp.StatusCode,
-		Headers:   answerHeaders(resp.Header),
+		Headers:   PassedHeaders(resp.Header, ""),
 		Streaming: strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"),
 		Body:      resp.Body,
 	}, nil
 }
 
-func (h *HTTP) request(ctx context.Context, head *wire.RunHead, body io.Reader) (*http.Request, error) {
+func (h *HTTP) request(ctx context.Context, head *wire.RunHead, body []byte) (*http.Request, error) {
 	ref, err := url.Parse(head.Path)
 	if err != nil {
 		return nil, err
@@ -118,23 +122,36 @@
 	u.Path = strings.TrimSuffix(u.Path, "/") + ref.Path
 	u.RawPath = ""
 	u.RawQuery = ref.RawQuery
-	req, err := http.NewRequestWithContext(ctx, head.Method, u.String(), nil)
-	if err != nil {
-		return nil, err
+	req := (&http.Request{
+		Method: head.Method, URL: &u, Host: u.Host, Body: onceBody(body),
+		Header: make(http.Header, len(head.Headers)+ownHeaders),
+	}).WithContext(ctx)
+	// Length 0 would mean "unknown" beside a body that is not nil.
+	req.ContentLength = unknownLength
+	if len(body) > 0 {
+		req.ContentLength = int64(len(body))
 	}
-	req.Body = onceBody{body}
-	req.ContentLength = -1
 	for _, f := range head.Headers {
 		if f.Name == "Content-Length" {
 			continue
 		}
 		req.Header.Add(f.Name, f.Value)
 	}
+	if u.User != nil {
+		password, _ := u.User.Password()
+		req.SetBasicAuth(u.User.Username(), password)
+	}
 	req.Header.Set(HeaderRequestID, head.RequestId)
 	req.Header.Set(HeaderPriority, priorityWord(head.Priority))
 	return req, nil
 }
 
+// ownHeaders is how many fields request adds.
+const ownHeaders = 2
+
+// unknownLength is net/http's word for a body whose length is not said.
+const unknownLength = -1
+
 func priorityWord(p wire.Priority) string {
 	return strings.ToLower(strings.TrimPrefix(p.String(), "PRIORITY_"))
 }
@@ -149,14 +166,23 @@
 // PassHeader says whether a header field is passed on to the next hop.
 func PassHeader(name string) bool { return !hopHeaders[http.CanonicalHeaderKey(name)] }
 
-func answerHeaders(h http.Header) []*wire.Header {
-	var list []*wire.Header
+// PassedHeaders lists the fields of h that are passed on, but for those that skip
+// names.
+func PassedHeaders(h http.Header, skip string) []*wire.Header {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	// One allocation holds all fields of a head.
+	fields := make([]wire.Header, 0, n)
+	list := make([]*wire.Header, 0, n)
 	for name, values := range h {
-		if !PassHeader(name) {
+		if name == skip || !PassHeader(name) {
 			continue
 		}
 		for _, v := range values {
-			list = append(list, &wire.Header{Name: name, Value: v})
+			fields = append(fields, wire.Header{Name: name, Value: v})
+			list = append(list, &fields[len(fields)-1])
 		}
 	}
 	return list
@@ -170,14 +196,15 @@
 func (h *HTTP) callJSON(ctx context.Context, method, path string, body io.Reader, header http.Header, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, h.ControlTimeout.D())
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, h.base.JoinPath(path).String(), body)
+	file, query, _ := strings.Cut(path, "?")
+	target := h.base.JoinPath(file)
+	target.RawQuery = query
+	// JoinPath leaves the path without its first slash when the base has none;
+	// only String puts it back. Sent as it is, every server refuses the request.
+	req, err := http.NewRequestWithContext(ctx, method, target.String(), body)
 	if err != nil {
 		return merry.Prepend(ErrFailed, err.Error())
 	}
-	if path, query, ok := strings.Cut(path, "?"); ok {
-		req.URL = h.base.JoinPath(path)
-		req.URL.RawQuery = query
-	}
 	for name, values := range header {
 		req.Header[name] = values
 	}
