--- a/agent/agent.go
+++ b/agent/agent.go
@@ -81,6 +81,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		attempts:    newAttempts(),
 	}
+	a.pool.SetDial(s.Dial)
 	a.announcer = directory.NewAnnouncer(directory.NewTargets(s.ID, s.FailureDomain, s.AnnounceTo), a.pool.Conn, time.Now)
 	a.queue.current = startSettings(s)
 	a.done = metrics.GetOrRegisterCounter("agent.attempts."+refusal.OutcomeWord(wire.Outcome_OUTCOME_DONE), a.metrics)
--- a/control/control.go
+++ b/control/control.go
@@ -82,7 +82,7 @@
 func (c *Control) Start(ctx context.Context, p Place) error {
 	c.place = p
 	ctx, c.cancel = context.WithCancel(ctx)
-	fs, err := journal.OpenFolder(c.settings.DataDir)
+	fs, err := c.disk()
 	if err != nil {
 		return err
 	}
@@ -106,6 +106,14 @@
 	return nil
 }
 
+// disk returns the disk of the settings, or else the data folder.
+func (c *Control) disk() (journal.FS, error) {
+	if c.settings.FS != nil {
+		return c.settings.FS, nil
+	}
+	return journal.OpenFolder(c.settings.DataDir)
+}
+
 func (c *Control) setIdentity(id *wire.Identity) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -103,6 +103,7 @@
 			Slots: s.Slots, Reserved: admit.ReservedSlots(s.Slots, s.UrgentPercent), MaxQueue: s.MaxQueue,
 		}, time.Now),
 	}
+	e.pool.SetDial(s.Dial)
 	e.answers = metrics.GetOrRegisterCounter("entry.answers", e.metrics)
 	if certs != nil {
 		e.certs = append(e.certs, certs)
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -109,6 +109,7 @@
 		if err != nil {
 			return
 		}
+		e.node.Heard(r.Upstream, r.Incarnation)
 		o.load.Store(r.Load)
 		e.fwd.Report(r)
 	}
--- a/quickstart/group.go
+++ b/quickstart/group.go
@@ -23,8 +23,8 @@
 )
 
 func groupRow(o Options) string {
-	return fmt.Sprintf("group\t%s\tpool=lm\tranks=%d\texperts=%d\tlayers=%d\tspare_slots=1\tplanner=%s\n",
-		GroupName, o.Engines, groupExpertsPerRank*o.Engines, groupLayers, o.Planner)
+	return fmt.Sprintf("group\t%s\tpool=%s\tranks=%d\texperts=%d\tlayers=%d\tspare_slots=1\tplanner=%s\n",
+		GroupName, o.Layout.ModelPool, o.Engines, groupExpertsPerRank*o.Engines, groupLayers, o.Planner)
 }
 
 // startGroup makes the engines one lock-step group, whose busiest expert changes
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -164,11 +164,15 @@
 	}
 }
 
+// DialFunc opens a network connection; net.Dialer.DialContext is one.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Pool dials peers and keeps idle connections.
 type Pool struct {
-	sec   Security
-	pool  *drpcpool.Pool[string, drpcpool.Conn]
-	calls *drpcpool.Pool[string, drpcpool.Conn]
+	sec     Security
+	pool    *drpcpool.Pool[string, drpcpool.Conn]
+	calls   *drpcpool.Pool[string, drpcpool.Conn]
+	dialNet DialFunc
 }
 
 // NewPool makes a pool.
@@ -179,9 +183,18 @@
 		KeyCapacity: poolPerAddress,
 	}
 	return &Pool{
-		sec:   sec,
-		pool:  drpcpool.New[string, drpcpool.Conn](opts),
-		calls: drpcpool.New[string, drpcpool.Conn](opts),
+		sec:     sec,
+		dialNet: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		pool:    drpcpool.New[string, drpcpool.Conn](opts),
+		calls:   drpcpool.New[string, drpcpool.Conn](opts),
+	}
+}
+
+// SetDial makes the pool open its connections with f, if f is not nil: who
+// embeds a process may want a network of its own. It is called before first use.
+func (p *Pool) SetDial(f DialFunc) {
+	if f != nil {
+		p.dialNet = f
 	}
 }
 
@@ -229,8 +242,7 @@
 
 // Dial opens one connection and proves who we are.
 func (p *Pool) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", addr)
+	conn, err := p.dialNet(ctx, "tcp", addr)
 	if err != nil {
 		return nil, merry.Prepend(ErrDial, err.Error())
 	}
