--- a/admit/share_test.go
+++ b/admit/share_test.go
@@ -4,14 +4,13 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"runtime"
 	"slices"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/snipereach/snipereach/internal/schedule"
 )
 
 // sim is one schedule in virtual time: entries and homes with clocks of their
@@ -407,23 +406,8 @@
 
 // simulateAll runs schedules until one breaks a promise.
 func simulateAll(seeds uint64, unsafe func(*Home)) string {
-	var next atomic.Uint64
-	var found atomic.Pointer[string]
-	var wg sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		wg.Go(func() {
-			for seed := next.Add(1); seed <= seeds && found.Load() == nil; seed = next.Add(1) {
-				if broken := simulate(seed, unsafe); broken != "" {
-					found.CompareAndSwap(nil, &broken)
-				}
-			}
-		})
-	}
-	wg.Wait()
-	if broken := found.Load(); broken != nil {
-		return *broken
-	}
-	return ""
+	_, broken := schedule.Search(seeds, func(seed uint64) string { return simulate(seed, unsafe) })
+	return broken
 }
 
 // Entries are cut off and restarted, homes replace each other, messages come
--- a/claim/sim_test.go
+++ b/claim/sim_test.go
@@ -4,16 +4,14 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"runtime"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/snipereach/snipereach/internal/schedule"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -469,29 +467,7 @@
 }
 
 func searchSchedules(off safeguards) (uint64, string) {
-	var next atomic.Uint64
-	var mu sync.Mutex
-	var worst uint64
-	var text string
-	var wg sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for seed := next.Add(1); seed <= schedules; seed = next.Add(1) {
-				if v := runSchedule(seed, off); v != "" {
-					mu.Lock()
-					if text == "" || seed < worst {
-						worst, text = seed, v
-					}
-					mu.Unlock()
-					next.Store(schedules)
-				}
-			}
-		}()
-	}
-	wg.Wait()
-	return worst, text
+	return schedule.Search(schedules, func(seed uint64) string { return runSchedule(seed, off) })
 }
 
 // Callers send one request several times through any entries, while entries
--- a/consensus/property_test.go
+++ b/consensus/property_test.go
@@ -4,17 +4,15 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"runtime"
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/snipereach/snipereach/internal/schedule"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -136,34 +134,8 @@
 	}
 }
 
-// searchSchedules runs seeds in parallel and returns the lowest that violates.
-func searchSchedules(from, n uint64, off simSwitches) (uint64, string) {
-	var next atomic.Uint64
-	var mu sync.Mutex
-	worst, text := uint64(0), ""
-	var wg sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for {
-				seed := from + next.Add(1) - 1
-				if seed >= from+n {
-					return
-				}
-				if v := runSchedule(seed, off); v != "" {
-					mu.Lock()
-					if text == "" || seed < worst {
-						worst, text = seed, v
-					}
-					mu.Unlock()
-					next.Store(n)
-				}
-			}
-		}()
-	}
-	wg.Wait()
-	return worst, text
+func searchSchedules(off simSwitches) (uint64, string) {
+	return schedule.Search(schedules, func(seed uint64) string { return runSchedule(seed, off) })
 }
 
 // Operators edit while links drop, delay, double and reorder messages, replicas
@@ -178,7 +150,7 @@
 		return
 	}
 	began := time.Now()
-	seed, text := searchSchedules(1, schedules, simSwitches{})
+	seed, text := searchSchedules(simSwitches{})
 	assert.Equal(t, text, "", "seed %d", seed)
 	t.Logf("%d schedules in %v", schedules, time.Since(began).Round(time.Millisecond))
 }
@@ -196,7 +168,7 @@
 		{"empty folder votes", simSwitches{newIdentity: true}, []string{twoLeaders, changedEntry, lostEntry, lostAck}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			seed, text := searchSchedules(1, schedules, c.off)
+			seed, text := searchSchedules(c.off)
 			caught := slices.ContainsFunc(c.finds, func(kind string) bool { return strings.Contains(text, kind) })
 			assert.Assert(t, caught, "schedule %d found: %s", seed, text)
 			t.Logf("found by schedule %d: %.120s", seed, fmt.Sprintf("%q", text))
--- a/rollout/property_test.go
+++ b/rollout/property_test.go
@@ -1,13 +1,12 @@
 package rollout_test
 
 import (
-	"runtime"
 	"sync"
-	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/snipereach/snipereach/internal/schedule"
 	"github.com/snipereach/snipereach/rollout"
 )
 
@@ -16,36 +15,18 @@
 // runSchedules plays seeds until one fails; it returns that seed and what went
 // wrong, and sums of what the schedules did.
 func runSchedules(n int, off simSwitches) (seed uint64, failure string, switches, restarts, steps, resolved int64) {
-	var next atomic.Uint64
 	var mu sync.Mutex
-	var wg sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for {
-				i := next.Add(1)
-				mu.Lock()
-				stop := failure != ""
-				mu.Unlock()
-				if stop || i > uint64(n) {
-					return
-				}
-				s := newSim(i, off)
-				bad := s.run()
-				mu.Lock()
-				switches += int64(len(s.switches))
-				restarts += int64(s.restarts)
-				steps += int64(s.executed)
-				resolved += int64(s.resolved)
-				if bad != "" && (failure == "" || i < seed) {
-					seed, failure = i, bad
-				}
-				mu.Unlock()
-			}
-		}()
-	}
-	wg.Wait()
+	seed, failure = schedule.Search(uint64(n), func(i uint64) string {
+		s := newSim(i, off)
+		bad := s.run()
+		mu.Lock()
+		defer mu.Unlock()
+		switches += int64(len(s.switches))
+		restarts += int64(s.restarts)
+		steps += int64(s.executed)
+		resolved += int64(s.resolved)
+		return bad
+	})
 	return seed, failure, switches, restarts, steps, resolved
 }
 
