Keep the connection of an attempt that the agent ended in order

Cause: every attempt that was not answered whole cancelled its call, and with it the pooled connection. The next call could begin on a connection going down and was refused as not run, although the agent was well; a retry and, after five, an ejection. Found by the race detector's timing in the test of a full outage. Change: a call whose end came is not cancelled; a call that can't be begun is begun once more.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -230,6 +230,8 @@
 	begun   bool
 	// final says that another attempt can't help.
 	final bool
+	// ended says that the agent ended the attempt in order: nothing follows.
+	ended bool
 	// move says that the upstream was busier than expected.
 	move bool
 	load *wire.Load
@@ -311,7 +313,7 @@
 func (f *Forwarder) exchange(ctx context.Context, up route.Upstream, head *wire.RunHead, c *Call, sink Sink) ending {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	stream, err := wire.NewDRPCAgentClient(f.pool.CallConn(ctx, up.Address)).Run(ctx)
+	stream, err := f.open(ctx, up.Address)
 	if err != nil {
 		return notRun(wire.Reason_REASON_UPSTREAM_FAILED, err)
 	}
@@ -324,7 +326,7 @@
 	}
 	rd := &reader{stream: stream, head: head, sink: sink, max: c.MaxAnswer}
 	e := rd.read(ctx)
-	if e.reason != 0 {
+	if e.reason != 0 && !e.ended {
 		// The rest of an answer that is no longer wanted must not reach the
 		// next call on the connection: the call is cancelled with it.
 		cancel()
@@ -332,6 +334,17 @@
 	return e
 }
 
+// open begins a call. A pooled connection may be on its way down, because the
+// call before it was cancelled; beginning a call there fails although the agent
+// is well. Nothing has been sent then, so that another connection can be taken.
+func (f *Forwarder) open(ctx context.Context, addr string) (wire.DRPCAgent_RunClient, error) {
+	stream, err := wire.NewDRPCAgentClient(f.pool.CallConn(ctx, addr)).Run(ctx)
+	if err != nil && ctx.Err() == nil {
+		return wire.NewDRPCAgentClient(f.pool.CallConn(ctx, addr)).Run(ctx)
+	}
+	return stream, err
+}
+
 // send hands the request over, and the end of sending with it. handed is true once
 // the last frame may have left: the agent runs nothing before it.
 func send(stream wire.DRPCAgent_RunClient, head *wire.RunHead, body []byte) (handed bool, err error) {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -142,7 +142,7 @@
 			for range requests {
 				res, c := r.call(true)
 				assert.Equal(t, res.Reason, wire.Reason_REASON_UPSTREAM_FAILED)
-				assert.Equal(t, res.Outcome, o)
+				assert.Equal(t, res.Outcome, o, "%s", res.Detail)
 				assert.Equal(t, c.writes, 0)
 			}
 			got := r.attempts()
--- a/forward/reader.go
+++ b/forward/reader.go
@@ -45,7 +45,10 @@
 		case err != nil:
 			return ending{outcome: wire.Outcome_OUTCOME_UNKNOWN, reason: wire.Reason_REASON_ANSWER_INVALID, detail: err.Error(), begun: r.begun}
 		case end != nil:
-			return r.finish(end)
+			e := r.finish(end)
+			// A call whose answer does not add up is cancelled all the same.
+			e.ended = e.reason != wire.Reason_REASON_ANSWER_INVALID
+			return e
 		}
 	}
 }
