--- a/directory/directory.go
+++ b/directory/directory.go
@@ -104,6 +104,15 @@
 	// their summaries for both kinds of view.
 	revisions uint64
 	sums      map[bool]revisionSummary
+	// direct is until when an instance counts as up for having been heard from
+	// directly. It stands apart from the instances, so that it isn't passed on.
+	direct map[string]contact
+}
+
+// contact is a life of an instance, and until when its lease is renewed.
+type contact struct {
+	incarnation uint64
+	expires     time.Time
 }
 
 // New makes a directory at a process's start. known is the number of instances
@@ -112,6 +121,7 @@
 	return &State{
 		settings:  settings,
 		instances: map[string]*Instance{},
+		direct:    map[string]contact{},
 		started:   now,
 		settled:   settings.SettleTime == 0,
 		known:     known,
@@ -184,6 +194,26 @@
 	return c
 }
 
+// Heard renews the lease of an instance that was heard from directly, in the
+// life that is known here. It brings nothing back and changes no phase.
+//
+// A process that is cut off from every control replica gets no renewals. Without
+// this it would take all upstreams for gone, a lease later, and refuse requests
+// that it could serve: it still talks to each of them.
+func (s *State) Heard(now time.Time, id string, incarnation uint64) {
+	old := s.instances[id]
+	if old == nil || old.Incarnation != incarnation || old.Phase == wire.Phase_PHASE_GONE {
+		return
+	}
+	s.direct[id] = contact{incarnation, now.Add(s.lease(old.Announcement))}
+}
+
+// inContact says whether an instance was heard from directly, lately.
+func (s *State) inContact(now time.Time, inst *Instance) bool {
+	c := s.direct[inst.Id]
+	return c.incarnation == inst.Incarnation && !now.After(c.expires)
+}
+
 func (s *State) lease(a *wire.Announcement) time.Duration {
 	d := time.Duration(a.LeaseMs) * time.Millisecond
 	if d <= 0 {
@@ -228,6 +258,9 @@
 			end = src.until
 		}
 	}
+	if c := s.direct[i.Id]; c.incarnation == i.Incarnation && c.expires.After(end) {
+		end = c.expires
+	}
 	if !i.localUntil.IsZero() && i.localUntil.Before(end) {
 		end = i.localUntil
 	}
@@ -262,11 +295,12 @@
 		if inst.Phase == wire.Phase_PHASE_GONE {
 			if now.Sub(inst.Heard) > s.settings.Tombstone {
 				delete(s.instances, id)
+				delete(s.direct, id)
 				s.changes.forget(id)
 			}
 			continue
 		}
-		if !inst.alive(now) {
+		if !inst.alive(now) && !s.inContact(now, inst) {
 			// An instance that announced here and stopped has gone, also before
 			// this process has settled. Of one that others spoke for, a process
 			// that has not settled can't say so: it may only not hear them yet.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -216,6 +216,12 @@
 	if e.outcome != wire.Outcome_OUTCOME_NOT_RUN && !c.Head.Idempotent {
 		return false
 	}
+	// The budget keeps retries from multiplying the load on upstreams that are
+	// left. An attempt that put no load on any doesn't count: it would have calls
+	// refused for a dead or leaving agent, although others are up.
+	if e.free() {
+		return true
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b := f.balancers[c.Pool.Name]
@@ -232,11 +238,23 @@
 	final bool
 	// ended says that the agent ended the attempt in order: nothing follows.
 	ended bool
+	// unreached says that no agent got any of the request.
+	unreached bool
 	// move says that the upstream was busier than expected.
 	move bool
 	load *wire.Load
 }
 
+// free says whether the attempt put no load on any upstream: no agent was
+// reached, or one refused at the door because it is leaving or has a new life.
+func (e ending) free() bool {
+	if e.unreached {
+		return true
+	}
+	atDoor := e.reason == wire.Reason_REASON_UPSTREAM_LEAVING || e.reason == wire.Reason_REASON_NO_UPSTREAM
+	return atDoor && e.outcome == wire.Outcome_OUTCOME_NOT_RUN
+}
+
 func (f *Forwarder) attempt(ctx context.Context, c *Call, sink Sink, n int) (route.Upstream, ending) {
 	choice, err := f.pick(c, n)
 	up := choice.Upstream
@@ -315,7 +333,9 @@
 	defer cancel()
 	stream, err := f.open(ctx, up.Address)
 	if err != nil {
-		return notRun(wire.Reason_REASON_UPSTREAM_FAILED, err)
+		e := notRun(wire.Reason_REASON_UPSTREAM_FAILED, err)
+		e.unreached = true
+		return e
 	}
 	defer stream.Close()
 	if handed, err := send(stream, head, c.Body); err != nil {
--- a/placement/search.go
+++ b/placement/search.go
@@ -12,6 +12,8 @@
 type Limits struct {
 	// Horizon is for how long a gain is expected to last.
 	Horizon time.Duration
+	// Horizons, if given, replace Horizon layer by layer.
+	Horizons []time.Duration
 	// Margin is by how much a gain must exceed its price: 1 is break-even.
 	Margin float64
 	// MinGain is the least skew that one move must save in its layer; it holds back
@@ -27,9 +29,15 @@
 const (
 	// maxSteps bounds the search in one layer and so the time of a plan.
 	maxSteps = 16
+	// planSteps bounds the search of one plan over all layers; the least even layers
+	// come first, and the others' turn comes with the next plans.
+	planSteps = 192
 	// exchangeRanks is how many of the emptiest ranks are looked at for exchanges
 	// of two experts, the costly part of the search.
 	exchangeRanks = 7
+	// maxPartners is how many experts of such a rank are tried for each one of the
+	// busy rank.
+	maxPartners = 2
 )
 
 // Improve looks for the few moves that lower the forecast skew most, and keeps
@@ -41,27 +49,29 @@
 		lim.Slow = slices.Repeat([]float64{1}, s.Ranks)
 	}
 	search := &search{s: s, lim: lim}
-	search.value = c.SkewWeight * lim.Horizon.Seconds() / float64(s.Layers)
+	search.weight = c.SkewWeight / float64(s.Layers)
 	search.price = c.Price(s, 1)
 	var found []layerPlan
-	before, after := 0.0, 0.0
-	for layer := range s.Layers {
-		p := search.layer(m, layer, load)
-		before += p.skews[0]
-		after += p.skews[0]
+	states, before := search.states(m, load)
+	left := planSteps
+	for _, st := range states {
+		p := search.plan(st, min(left, maxSteps))
+		left -= len(p.steps)
 		if p.best > 0 {
 			found = append(found, p)
 		}
 	}
-	chosen, gain := search.choose(found)
-	after -= gain
-	d := Decision{SkewBefore: before / float64(s.Layers), SkewAfter: after / float64(s.Layers)}
+	chosen := search.choose(found)
+	gain := 0.0
+	d := Decision{SkewBefore: before}
 	for _, p := range chosen {
+		gain += p.gain(p.best)
+		d.Gain += p.value * p.gain(p.best)
 		for _, st := range p.steps[:p.best] {
 			d.Moves = append(d.Moves, st.moves[:st.n]...)
 		}
 	}
-	d.Gain = search.value * gain
+	d.SkewAfter = before - gain/float64(s.Layers)
 	d.Price = search.price * float64(len(d.Moves))
 	if len(d.Moves) == 0 {
 		d.Why = fmt.Sprintf("skew %.3f, no move pays", d.SkewBefore)
@@ -72,8 +82,8 @@
 		return Decision{Why: err.Error()}
 	}
 	d.Next = next
-	d.Why = fmt.Sprintf("%d moves in %d layers, skew %.3f to %.3f, gain %.3g s over %v for a price of %.3g s",
-		len(d.Moves), len(chosen), d.SkewBefore, d.SkewAfter, d.Gain, lim.Horizon, d.Price)
+	d.Why = fmt.Sprintf("%d moves in %d layers, skew %.3f to %.3f, gain %.3g s for a price of %.3g s",
+		len(d.Moves), len(chosen), d.SkewBefore, d.SkewAfter, d.Gain, d.Price)
 	return d
 }
 
@@ -81,13 +91,23 @@
 type search struct {
 	s   Shape
 	lim Limits
-	// value is what 1 of skew saved in one layer is worth; price what a move costs.
-	value, price float64
+	// weight is what 1 of skew saved in one layer is worth for a second; price what a
+	// move costs.
+	weight, price float64
+}
+
+// value is what 1 of skew saved in a layer is worth over its horizon.
+func (sr *search) value(layer int) float64 {
+	if sr.lim.Horizons != nil {
+		return sr.weight * sr.lim.Horizons[layer].Seconds()
+	}
+	return sr.weight * sr.lim.Horizon.Seconds()
 }
 
 // layerPlan is the steps found for one layer; the first best of them are worth
 // their price. skews and moves hold what follows after each number of steps.
 type layerPlan struct {
+	value float64
 	steps []step
 	skews []float64
 	moves []int
@@ -97,23 +117,36 @@
 func (p *layerPlan) gain(steps int) float64 { return p.skews[0] - p.skews[steps] }
 
 func (sr *search) net(p *layerPlan, steps int) float64 {
-	return sr.value*p.gain(steps) - sr.price*float64(p.moves[steps])
+	return p.value*p.gain(steps) - sr.price*float64(p.moves[steps])
 }
 
 // pays says whether the first steps are worth their price.
 func (sr *search) pays(p *layerPlan, steps int) bool {
 	moves := float64(p.moves[steps])
 	gain := p.gain(steps)
-	return gain > sr.lim.MinGain*moves && sr.value*gain > sr.lim.Margin*sr.price*moves
+	return gain > sr.lim.MinGain*moves && p.value*gain > sr.lim.Margin*sr.price*moves
 }
 
-func (sr *search) layer(m *Map, layer int, load Load) layerPlan {
+// states makes the layers' states, the least even layer first, and gives their mean
+// skew.
+func (sr *search) states(m *Map, load Load) ([]*layerState, float64) {
 	size := sr.s.Ranks * sr.s.Slots
-	share := load[layer*sr.s.Experts : (layer+1)*sr.s.Experts]
-	st := newLayerState(sr.s, m.Slots[layer*size:(layer+1)*size], share, sr.lim.Slow)
-	p := layerPlan{skews: []float64{st.skew()}, moves: []int{0}}
-	for len(p.steps) < maxSteps && sr.mayPay(st, share) {
-		found, ok := st.bestStep(layer)
+	states := make([]*layerState, sr.s.Layers)
+	sum := 0.0
+	for layer := range states {
+		share := load[layer*sr.s.Experts : (layer+1)*sr.s.Experts]
+		states[layer] = newLayerState(sr.s, layer, m.Slots[layer*size:(layer+1)*size], share, sr.lim.Slow)
+		sum += states[layer].skew()
+	}
+	slices.SortStableFunc(states, func(a, b *layerState) int { return cmp.Compare(b.skew(), a.skew()) })
+	return states, sum / float64(sr.s.Layers)
+}
+
+// plan searches one layer.
+func (sr *search) plan(st *layerState, steps int) layerPlan {
+	p := layerPlan{value: sr.value(st.layer), skews: []float64{st.skew()}, moves: []int{0}}
+	for len(p.steps) < steps && sr.mayPay(st) {
+		found, ok := st.bestStep()
 		if !ok {
 			break
 		}
@@ -126,13 +159,13 @@
 }
 
 // mayPay says whether reaching the lower bound would pay for one more move.
-func (sr *search) mayPay(st *layerState, share []float64) bool {
-	room := st.skew() - 1
-	if room <= sr.lim.MinGain || sr.value*room <= sr.lim.Margin*sr.price {
+func (sr *search) mayPay(st *layerState) bool {
+	room, value := st.skew()-1, sr.value(st.layer)
+	if room <= sr.lim.MinGain || value*room <= sr.lim.Margin*sr.price {
 		return false
 	}
-	room = st.skew() - boundOf(sr.s, share)
-	return room > sr.lim.MinGain && sr.value*room > sr.lim.Margin*sr.price
+	room = st.skew() - boundOf(sr.s, st.share)
+	return room > sr.lim.MinGain && value*room > sr.lim.Margin*sr.price
 }
 
 func (sr *search) bestPrefix(p *layerPlan, maxMoves int) int {
@@ -146,7 +179,7 @@
 }
 
 // choose fills the bound on moves with the layers that gain most per move.
-func (sr *search) choose(found []layerPlan) (chosen []layerPlan, gain float64) {
+func (sr *search) choose(found []layerPlan) (chosen []layerPlan) {
 	slices.SortStableFunc(found, func(a, b layerPlan) int {
 		return cmp.Compare(sr.net(&b, b.best)/float64(b.moves[b.best]), sr.net(&a, a.best)/float64(a.moves[a.best]))
 	})
@@ -160,10 +193,9 @@
 			continue
 		}
 		left -= p.moves[p.best]
-		gain += p.gain(p.best)
 		chosen = append(chosen, p)
 	}
-	return chosen, gain
+	return chosen
 }
 
 // candidate is a step that is being compared, by the fall of the peak per move.
@@ -184,27 +216,27 @@
 }
 
 // bestStep finds the best change that relieves the busiest rank and makes it.
-func (st *layerState) bestStep(layer int) (step, bool) {
+func (st *layerState) bestStep() (step, bool) {
 	busy := st.busiest()
 	best := &candidate{fall: st.peak * 1e-6}
-	st.offerCopies(layer, busy, best)
-	st.offerDrops(layer, busy, best)
+	st.offerCopies(busy, best)
+	st.offerDrops(busy, best)
 	for _, rank := range st.emptiest(busy) {
-		st.offerExchanges(layer, busy, rank, best)
+		st.offerExchanges(busy, rank, best)
 	}
 	if best.step.n == 0 {
 		return step{}, false
 	}
 	skew := st.skew()
 	for i, mv := range best.step.moves[:best.step.n] {
-		best.step.moves[i] = st.put(layer, mv.Rank, mv.Slot, mv.To)
+		best.step.moves[i] = st.put(mv.Rank, mv.Slot, mv.To)
 	}
 	st.settle()
 	return best.step, st.skew() < skew
 }
 
 // offerCopies looks at copying an expert of the busy rank to a spare slot.
-func (st *layerState) offerCopies(layer, busy int, best *candidate) {
+func (st *layerState) offerCopies(busy int, best *candidate) {
 	for rank := range st.s.Ranks {
 		if rank == busy {
 			continue
@@ -215,7 +247,7 @@
 			}
 			for _, e := range st.rankSlots(busy) {
 				if e != c && !st.holds(rank, e) {
-					best.offer(st.peak-st.try(rank, slot, e), Move{layer, rank, slot, c, e})
+					best.offer(st.peak-st.try(rank, slot, e), Move{st.layer, rank, slot, c, e})
 				}
 			}
 		}
@@ -223,7 +255,7 @@
 }
 
 // offerDrops looks at overwriting a spare copy on the busy rank by a lighter expert.
-func (st *layerState) offerDrops(layer, busy int, best *candidate) {
+func (st *layerState) offerDrops(busy int, best *candidate) {
 	for slot, c := range st.rankSlots(busy) {
 		if !st.spare(c) {
 			continue
@@ -233,7 +265,7 @@
 			if st.share[e]/float64(len(st.holders[e])+1) >= dropped || st.holds(busy, e) {
 				continue
 			}
-			best.offer(st.peak-st.try(busy, slot, e), Move{layer, busy, slot, c, e})
+			best.offer(st.peak-st.try(busy, slot, e), Move{st.layer, busy, slot, c, e})
 		}
 	}
 }
@@ -241,66 +273,97 @@
 // offerExchanges looks at moving an expert of the busy rank to another one, and at
 // exchanging two experts. A slot with a spare copy on either rank is used to pass
 // through, so no expert is without a rank in between.
-func (st *layerState) offerExchanges(layer, busy, rank int, best *candidate) {
-	peak := st.peak
+func (st *layerState) offerExchanges(busy, rank int, best *candidate) {
 	for from, e := range st.rankSlots(busy) {
 		if st.holds(rank, e) {
 			continue
 		}
+		st.partners = st.partnersOf(busy, rank, e, st.partners[:0])
 		for slot, c := range st.rankSlots(rank) {
-			if !st.spare(c) {
-				continue
+			if st.spare(c) {
+				st.offerThroughOther(busy, from, rank, slot, best)
 			}
-			first := st.put(layer, rank, slot, e)
-			st.offerReturns(layer, busy, from, rank, first, peak, best)
-			st.take(first)
-			st.peak = peak
 		}
 		for slot, c := range st.rankSlots(busy) {
 			if slot != from && st.spare(c) {
-				st.offerThroughBusy(layer, busy, from, rank, slot, best)
+				st.offerThroughBusy(busy, from, rank, slot, best)
 			}
 		}
 	}
 }
 
-// offerReturns completes an exchange whose first move copied e to the other rank:
-// the old slot of e gets the expert that was overwritten or one of the other rank's,
-// and in the latter case the overwritten one may come back.
-func (st *layerState) offerReturns(layer, busy, from, rank int, first Move, peak float64, best *candidate) {
-	e, base := first.To, st.peak
-	if !st.holds(busy, first.From) {
-		second := Move{layer, busy, from, e, first.From}
-		best.offer(peak-st.try(busy, from, first.From), first, second)
-	}
+// partnersOf lists the slots of a rank whose expert may be exchanged for e of the
+// busy rank, at most maxPartners. What passes over must be less than the difference of
+// the ranks, otherwise the other one becomes as busy; half of it evens them best.
+// This spares the search most trials.
+func (st *layerState) partnersOf(busy, rank int, e int32, slots []int) []int {
+	gap := st.load[busy] - st.load[rank]
+	given := st.share[e] / float64(len(st.holders[e]))
+	var off [maxPartners]float64
 	for slot, x := range st.rankSlots(rank) {
-		if x == e || st.share[x] >= st.share[e] || st.holds(busy, x) {
+		passed := given - st.share[x]/float64(len(st.holders[x]))
+		if passed <= 0 || passed >= gap || st.holds(busy, x) {
 			continue
 		}
-		second := st.put(layer, busy, from, x)
-		best.offer(peak-st.peak, first, second)
-		if c := first.From; !st.holds(rank, c) {
-			best.offer(peak-st.try(rank, slot, c), first, second, Move{layer, rank, slot, x, c})
+		d := math.Abs(passed - gap/2)
+		at := len(slots)
+		if at < maxPartners {
+			slots = append(slots, slot)
+		} else if at--; d >= off[at] {
+			continue
+		}
+		for at > 0 && d < off[at-1] {
+			slots[at], off[at] = slots[at-1], off[at-1]
+			at--
 		}
+		slots[at], off[at] = slot, d
+	}
+	return slots
+}
+
+// offerThroughOther copies e over a spare copy c of the other rank; the old slot of e
+// then gets c or a partner, and in the latter case c may come back.
+func (st *layerState) offerThroughOther(busy, from, rank, spareSlot int, best *candidate) {
+	e, c := st.rankSlots(busy)[from], st.rankSlots(rank)[spareSlot]
+	restored := !st.holds(busy, c)
+	if !restored && len(st.partners) == 0 {
+		return
+	}
+	peak := st.peak
+	first := st.put(rank, spareSlot, e)
+	base := st.peak
+	if restored {
+		best.offer(peak-st.try(busy, from, c), first, Move{st.layer, busy, from, e, c})
+	}
+	for _, slot := range st.partners {
+		if slot == spareSlot {
+			continue
+		}
+		x := st.rankSlots(rank)[slot]
+		second := st.put(busy, from, x)
+		best.offer(peak-st.peak, first, second)
+		best.offer(peak-st.try(rank, slot, c), first, second, Move{st.layer, rank, slot, x, c})
 		st.take(second)
 		st.peak = base
 	}
+	st.take(first)
+	st.peak = peak
 }
 
-// offerThroughBusy looks at exchanges that pass through the busy rank's own spare
-// copy: an expert x comes over it, e takes the slot of x, and the spare copy comes
-// back in the slot of e.
-func (st *layerState) offerThroughBusy(layer, busy, from, rank, spareSlot int, best *candidate) {
+// offerThroughBusy passes through the busy rank's own spare copy: a partner comes
+// over it, e takes the partner's slot, and the spare copy comes back in the slot of e.
+func (st *layerState) offerThroughBusy(busy, from, rank, spareSlot int, best *candidate) {
 	peak := st.peak
 	e, c := st.rankSlots(busy)[from], st.rankSlots(busy)[spareSlot]
-	for slot, x := range st.rankSlots(rank) {
-		if st.share[x] >= st.share[e] || x == c || st.holds(busy, x) {
+	for _, slot := range st.partners {
+		x := st.rankSlots(rank)[slot]
+		if x == c {
 			continue
 		}
-		first := st.put(layer, busy, spareSlot, x)
-		second := st.put(layer, rank, slot, e)
+		first := st.put(busy, spareSlot, x)
+		second := st.put(rank, slot, e)
 		best.offer(peak-st.peak, first, second)
-		best.offer(peak-st.try(busy, from, c), first, second, Move{layer, busy, from, e, c})
+		best.offer(peak-st.try(busy, from, c), first, second, Move{st.layer, busy, from, e, c})
 		st.take(second)
 		st.take(first)
 		st.peak = peak
@@ -308,7 +371,7 @@
 }
 
 // take reverses a move that was the last one made.
-func (st *layerState) take(mv Move) { st.put(mv.Layer, mv.Rank, mv.Slot, mv.From) }
+func (st *layerState) take(mv Move) { st.put(mv.Rank, mv.Slot, mv.From) }
 
 func (st *layerState) emptiest(except int) []int {
 	ranks := make([]int, 0, st.s.Ranks)
--- /dev/null
+++ b/quickstart/parts.go
@@ -0,0 +1,394 @@
+package quickstart
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/agent"
+	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/entry"
+	"github.com/snipereach/snipereach/fake"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/operators"
+	"github.com/snipereach/snipereach/transport"
+)
+
+// ErrPart is returned for a part that isn't there or is in the wrong state.
+var ErrPart = merry.Sentinel("no such part, or not in this state")
+
+// Role is what a part is.
+type Role int
+
+// Roles.
+const (
+	RoleEntry Role = iota
+	RoleAgent
+	RoleControl
+)
+
+// part is one process's worth of the system: what to start it with, again and
+// again, and the daemon while it runs.
+type part struct {
+	name, domain string
+	role         Role
+	folder       string
+	// disk stands in for the folder if set.
+	disk     *fake.Disk
+	start    func(ctx context.Context) (kernel.Daemon, error)
+	daemon   kernel.Daemon
+	upstream *fake.Server
+}
+
+// maxReplicas is how many entries hold control replicas.
+const maxReplicas = 3
+
+func (s *System) add(ctx context.Context, p *part) error {
+	s.mu.Lock()
+	s.parts[p.name] = p
+	s.order = append(s.order, p.name)
+	s.mu.Unlock()
+	return s.StartPart(ctx, p.name)
+}
+
+// Names lists all parts, whether they run or not, in the order of their start.
+func (s *System) Names() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.order...)
+}
+
+// Layout returns the layout that the system was started with.
+func (s *System) Layout() Layout { return s.layout }
+
+// PartInfo describes a part.
+type PartInfo struct {
+	Name, FailureDomain string
+	Role                Role
+	Running             bool
+	// Upstream is the fake upstream beside an agent.
+	Upstream *fake.Server
+}
+
+// Part describes a part; false if there is none by this name.
+func (s *System) Part(name string) (PartInfo, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.parts[name]
+	if p == nil {
+		return PartInfo{}, false
+	}
+	return PartInfo{Name: p.name, FailureDomain: p.domain, Role: p.role, Running: p.daemon != nil, Upstream: p.upstream}, true
+}
+
+// Entry returns a running entry, or nil.
+func (s *System) Entry(name string) *entry.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.parts[name]; p != nil {
+		e, _ := p.daemon.(*entry.Entry)
+		return e
+	}
+	return nil
+}
+
+// Agent returns a running agent, or nil.
+func (s *System) Agent(name string) *agent.Agent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.parts[name]; p != nil {
+		a, _ := p.daemon.(*agent.Agent)
+		return a
+	}
+	return nil
+}
+
+// Members lists the drpc addresses of the control replicas.
+func (s *System) Members() []string { return append([]string(nil), s.members...) }
+
+// StartPart starts a part that doesn't run: a new process on the same host.
+func (s *System) StartPart(ctx context.Context, name string) error {
+	s.mu.Lock()
+	p := s.parts[name]
+	down := p != nil && p.daemon == nil
+	s.mu.Unlock()
+	if !down {
+		return merry.Prependf(ErrPart, "start %s", name)
+	}
+	d, err := p.start(ctx)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.daemon = d
+	return nil
+}
+
+// take removes a part's daemon; nil if it doesn't run.
+func (s *System) take(name string) kernel.Daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.parts[name]
+	if p == nil {
+		return nil
+	}
+	d := p.daemon
+	p.daemon = nil
+	return d
+}
+
+// Kill ends a part at once. It returns how many requests were cut.
+func (s *System) Kill(name string) int {
+	d := s.take(name)
+	if d == nil {
+		return 0
+	}
+	cut := d.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.parts[name]; p.disk != nil {
+		p.disk.Crash(0)
+	}
+	return cut
+}
+
+// Drain stops a part as SIGTERM does. It returns how many requests were cut.
+func (s *System) Drain(ctx context.Context, name string) (int, error) {
+	s.mu.Lock()
+	var d kernel.Daemon
+	if p := s.parts[name]; p != nil {
+		d = p.daemon
+	}
+	s.mu.Unlock()
+	if d == nil {
+		return 0, merry.Prependf(ErrPart, "drain %s", name)
+	}
+	err := d.Drain(ctx)
+	return s.Kill(name), err
+}
+
+// LoseDisk removes the data folder of a part that doesn't run.
+func (s *System) LoseDisk(name string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.parts[name]
+	if p == nil || p.daemon != nil || p.folder == "" {
+		return merry.Prependf(ErrPart, "lose the disk of %s", name)
+	}
+	if p.disk != nil {
+		p.disk = fake.NewDisk()
+		return nil
+	}
+	return os.RemoveAll(p.folder)
+}
+
+// giveDisk gives a part with a control replica its data folder, or a fake disk
+// that forgets what was not synced when the part is killed.
+func (s *System) giveDisk(p *part) {
+	p.folder = filepath.Join(s.dir, p.name)
+	if s.opts.FakeDisks {
+		p.disk = fake.NewDisk()
+	}
+}
+
+func (s *System) dialer(name string) transport.DialFunc {
+	if s.opts.Network == nil {
+		return nil
+	}
+	return s.opts.Network.Dialer(name)
+}
+
+func (s *System) named(address, name string) {
+	if s.opts.Network != nil {
+		s.opts.Network.Name(address, name)
+	}
+}
+
+// reserve holds free loopback ports until the system is stopped, so that a part
+// finds its address free when it is started again.
+func (s *System) reserve(n int) ([]string, error) {
+	var list []string
+	for range n {
+		address, release, err := fake.HoldPort()
+		if err != nil {
+			return nil, err
+		}
+		s.ports = append(s.ports, release)
+		list = append(list, address)
+	}
+	return list, nil
+}
+
+// startControls starts control replicas on hosts of their own.
+func (s *System) startControls(ctx context.Context) error {
+	addresses, err := s.reserve(s.opts.Controls)
+	if err != nil {
+		return err
+	}
+	for i, address := range addresses {
+		s.members = append(s.members, address)
+		s.named(address, fmt.Sprintf("control-%d", i+1))
+	}
+	for i := range addresses {
+		if err := s.startControl(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) startControl(ctx context.Context, i int) error {
+	p := &part{name: fmt.Sprintf("control-%d", i+1), domain: s.layout.domain(i), role: RoleControl}
+	s.giveDisk(p)
+	p.start = func(ctx context.Context) (kernel.Daemon, error) {
+		set := control.DefaultDaemonSettings()
+		set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, Secret
+		set.Listen = s.members[i]
+		set.Control = s.controlSettings(p)
+		set.Dial = s.dialer(p.name)
+		d, err := control.NewDaemon(set, s.opts.Log)
+		return started(ctx, d, err)
+	}
+	return s.add(ctx, p)
+}
+
+// started starts a daemon that was made, and ends it if it can't be.
+func started(ctx context.Context, d kernel.Daemon, err error) (kernel.Daemon, error) {
+	if err != nil {
+		return nil, err
+	}
+	if err := d.Start(ctx); err != nil {
+		d.Stop()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (s *System) controlSettings(p *part) control.Settings {
+	set := control.DefaultSettings()
+	set.DataDir = p.folder
+	if p.disk != nil {
+		set.FS = p.disk
+	}
+	set.Members = s.members
+	set.FormCluster = true
+	set.Groups.PlanPeriod = kernel.Duration(planPeriod)
+	return set
+}
+
+// startEntries starts the entries, with control replicas unless those have
+// hosts of their own.
+func (s *System) startEntries(ctx context.Context) error {
+	internal, err := s.reserve(s.opts.Entries)
+	if err != nil {
+		return err
+	}
+	for i, address := range internal {
+		s.named(address, fmt.Sprintf("entry-%d", i+1))
+		if s.opts.Controls == 0 && i < maxReplicas {
+			s.members = append(s.members, address)
+		}
+	}
+	s.Entries = make([]*entry.Entry, s.opts.Entries)
+	for i, address := range internal {
+		if err := s.startEntry(ctx, i, address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) startEntry(ctx context.Context, i int, internal string) error {
+	p := &part{name: fmt.Sprintf("entry-%d", i+1), domain: s.layout.domain(i), role: RoleEntry}
+	replica := s.opts.Controls == 0 && i < maxReplicas
+	if replica {
+		s.giveDisk(p)
+	}
+	outer, err := s.reserve(2)
+	if err != nil {
+		return err
+	}
+	callers, operators := outer[0], outer[1]
+	if i == 0 && s.opts.CallersPort != 0 {
+		callers = fmt.Sprintf("127.0.0.1:%d", s.opts.CallersPort)
+	}
+	s.named(callers, p.name)
+	s.named(operators, p.name)
+	p.start = func(ctx context.Context) (kernel.Daemon, error) {
+		set := s.entrySettings(p, replica)
+		set.Callers, set.Operators, set.Internal = callers, operators, internal
+		e, err := entry.New(set, s.opts.Log)
+		d, err := started(ctx, e, err)
+		if err != nil {
+			return nil, err
+		}
+		s.mu.Lock()
+		s.Entries[i] = e
+		s.mu.Unlock()
+		return d, nil
+	}
+	return s.add(ctx, p)
+}
+
+func (s *System) entrySettings(p *part, replica bool) *entry.Settings {
+	set := entry.DefaultSettings()
+	set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, Secret
+	digest := sha256.Sum256([]byte(OperatorKey))
+	set.Operator = []operators.Operator{{Name: "quickstart", KeySHA256: hex.EncodeToString(digest[:])}}
+	set.Dial = s.dialer(p.name)
+	set.ControlReplicas = s.members
+	if replica {
+		ctl := s.controlSettings(p)
+		set.Control = &ctl
+	}
+	if s.opts.EntrySlots > 0 {
+		set.Slots = s.opts.EntrySlots
+	}
+	if s.opts.Keep > 0 {
+		set.Keep = kernel.Duration(s.opts.Keep)
+	}
+	return set
+}
+
+func (s *System) startAgent(ctx context.Context, kind, pool, url string, i int, up *fake.Server) error {
+	p := &part{
+		name: fmt.Sprintf("%s-%d", pool, i+1), domain: s.layout.domain(i),
+		role: RoleAgent, upstream: up,
+	}
+	listen, err := s.reserve(1)
+	if err != nil {
+		return err
+	}
+	s.named(listen[0], p.name)
+	at := len(s.Agents)
+	s.Agents = append(s.Agents, nil)
+	p.start = func(ctx context.Context) (kernel.Daemon, error) {
+		set := agent.DefaultSettings()
+		set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, Secret
+		set.Kind, set.Pools, set.Upstream = kind, []string{pool}, map[string]any{"url": url}
+		set.AnnounceTo, set.Listen, set.Dial = s.members, listen[0], s.dialer(p.name)
+		if kind == "plain" {
+			set.Slots = up.Slots
+			set.MaxQueue = max(set.MaxQueue, set.Slots)
+		}
+		if kind == "engine" && s.Group != nil {
+			set.Group, set.Rank = s.Group.Name, uint32(i)
+		}
+		a, err := agent.New(set, s.opts.Log)
+		d, err := started(ctx, a, err)
+		if err != nil {
+			return nil, err
+		}
+		s.mu.Lock()
+		s.Agents[at] = a
+		s.mu.Unlock()
+		return d, nil
+	}
+	return s.add(ctx, p)
+}
