Run every seed below a failing one; count waiting work once

Cause: the search dropped a seed that was handed out just before another failed, so the lowest one was found by chance (its own test failed once). Work that waits inside an engine was reported twice: as running at the agent and as waiting at the engine.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -63,8 +63,9 @@
 	}
 }
 
-// currentLoad joins the agent's own queue, which is exact, with the upstream's
-// report, which lags.
+// currentLoad joins the agent's own queue, which is exact, with what only the
+// upstream knows, which lags. What waits inside the upstream was handed to it by
+// this agent and stands in Running already.
 func (a *Agent) currentLoad() *wire.Load {
 	running, waiting := a.runner.Counts()
 	l := &wire.Load{
@@ -74,7 +75,6 @@
 		Slots:   uint32(a.queue.get().Slots),
 	}
 	if r := a.load.Load(); r != nil {
-		l.Waiting += r.Waiting
 		l.PendingTokens = r.PendingTokens
 		l.CachePermille = r.CachePermille
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -14,10 +14,12 @@
 	var next atomic.Uint64
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	failed := func() bool {
+	// A seed that was handed out below a failing one must still run: which of the
+	// two comes first is chance.
+	needed := func(s uint64) bool {
 		mu.Lock()
 		defer mu.Unlock()
-		return failure != ""
+		return failure == "" || s < seed
 	}
 	note := func(s uint64, text string) {
 		mu.Lock()
@@ -28,7 +30,7 @@
 	}
 	for range runtime.GOMAXPROCS(0) {
 		wg.Go(func() {
-			for s := next.Add(1); s <= n && !failed(); s = next.Add(1) {
+			for s := next.Add(1); s <= n && needed(s); s = next.Add(1) {
 				if text := run(s); text != "" {
 					note(s, text)
 				}
