--- a/upstream/http.go
+++ b/upstream/http.go
@@ -119,8 +119,10 @@
 		return nil, err
 	}
 	u := *h.base
+	// Both forms are kept: a slash that the caller escaped is part of a name, and
+	// would become a separator.
+	u.RawPath = strings.TrimSuffix(u.EscapedPath(), "/") + ref.EscapedPath()
 	u.Path = strings.TrimSuffix(u.Path, "/") + ref.Path
-	u.RawPath = ""
 	u.RawQuery = ref.RawQuery
 	req := (&http.Request{
 		Method: head.Method, URL: &u, Host: u.Host, Body: onceBody(body),
--- a/upstream/http_test.go
+++ b/upstream/http_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -76,3 +78,19 @@
 		assert.Equal(t, <-bodies, c.body)
 	}
 }
+
+// A caller escapes a slash in the name of a lot. The upstream sees it escaped.
+func TestEscapedPathReachesTheUpstream(t *testing.T) {
+	got := make(chan string, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got <- r.URL.EscapedPath() + "?" + r.URL.RawQuery }))
+	defer srv.Close()
+	for _, base := range []string{"", "/", "/behind/"} {
+		up, err := New("plain", map[string]any{"url": srv.URL + base})
+		assert.NilError(t, err)
+		defer up.Close()
+		answer, err := up.Do(context.Background(), &wire.RunHead{RequestId: "q", Method: http.MethodGet, Path: "/lots/17%2Fb/confirm?x=%20"}, nil)
+		assert.NilError(t, err)
+		_ = answer.Body.Close()
+		assert.Equal(t, <-got, strings.TrimSuffix(base, "/")+"/lots/17%2Fb/confirm?x=%20")
+	}
+}
