Tell a caller at once when a key's registers are lost; measure claims

Cause: a claim that found no majority was tried again until the request's deadline, so callers were held for two seconds only to be told "unknown".

Change: four rounds without a majority are enough; a key that another request holds is still waited for. measure/claim gives what a key adds and what hosts' losses cost.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -119,3 +119,37 @@
 		}
 	})
 }
+
+// Two of a key's registers are lost. The caller is told "unknown" after a few
+// rounds, long before its deadline, so that it can come back; while another
+// request holds the key it is worth waiting for that one's answer.
+func TestLostRegistersAreToldAtOnce(t *testing.T) {
+	ring := ringOf(3)
+	req := Request{Key: claimBy("q").Key, ID: "q", Digest: []byte("d"), TTL: time.Minute, Deadline: epoch.Add(time.Hour)}
+	alive := func(*wire.Incarnation) bool { return false }
+	half := func(d time.Duration) time.Duration { return d / 2 }
+	play := func(reply func(id string) *wire.ClaimReply) (Choice, time.Duration) {
+		f := NewFlow(req, alive, half)
+		now := epoch
+		for now.Before(epoch.Add(time.Minute)) {
+			a := f.Step(now, RingState{Ring: ring, Confirmed: true})
+			if a.Choice != Wait {
+				return a.Choice, now.Sub(epoch)
+			}
+			if a.Claim != nil {
+				for _, m := range a.Targets {
+					f.Reply(f.Holder(), m.Id, reply(m.Id))
+				}
+				continue
+			}
+			now = a.Wake
+		}
+		return Wait, now.Sub(epoch)
+	}
+	choice, took := play(func(string) *wire.ClaimReply { return nil })
+	assert.Equal(t, choice, Unknown)
+	assert.Assert(t, took < time.Second, "%v", took)
+	held := &wire.ClaimRecord{Holder: "other", State: wire.ClaimState_CLAIM_STATE_HELD, Digest: []byte("d")}
+	choice, _ = play(func(string) *wire.ClaimReply { return &wire.ClaimReply{RingEpoch: 1, Record: held} })
+	assert.Equal(t, choice, Wait)
+}
--- a/claim/flow.go
+++ b/claim/flow.go
@@ -14,6 +14,11 @@
 	// MinBackoff and MaxBackoff bound the time between two rounds.
 	MinBackoff = 10 * time.Millisecond
 	MaxBackoff = 100 * time.Millisecond
+	// LostRounds is how many rounds in a row may find no majority. Registers that
+	// are copying after a restart, or a ring that changes, take a few; ones that
+	// are lost take minutes, and the caller is better told at once when to come
+	// back than held until its deadline.
+	LostRounds = 4
 )
 
 // JointPeriod is how long after a ring change a claim needs majorities of both
@@ -92,7 +97,9 @@
 	ends     time.Time
 	next     time.Time
 	backoff  time.Duration
-	off      safeguards
+	// lost counts rounds in a row that found no majority and no holder.
+	lost int
+	off  safeguards
 }
 
 // NewFlow starts a flow.
@@ -174,7 +181,13 @@
 		return Actions{Wake: f.ends}, false
 	}
 	a = f.release()
+	f.lost++
+	if v == Held {
+		f.lost = 0
+	}
 	switch {
+	case f.lost >= LostRounds:
+		a.Choice = Unknown
 	case v == Held && !SameRequest(rec, f.req.Digest):
 		a.Choice, a.Record = Mismatch, rec
 	case v == Held && f.gone(rec.Entry), !now.Before(f.req.Deadline):
--- /dev/null
+++ b/measure/claim/main.go
@@ -0,0 +1,185 @@
+// Command claim measures what claiming an idempotency key adds to a call, and
+// what keyed calls are answered with while hosts are lost. It runs seven entries
+// in three failure domains in one process on loopback.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-kit/log"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/snipereach/snipereach/entry"
+	"github.com/snipereach/snipereach/quickstart"
+)
+
+type options struct {
+	Seconds float64 `long:"seconds" default:"3" description:"time of each measurement"`
+}
+
+// entries are today's size: seven, dealt to three failure domains in turn.
+const entries = 7
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	if err := run(time.Duration(o.Seconds * float64(time.Second))); err != nil {
+		fmt.Fprintln(os.Stderr, "claim:", err)
+		os.Exit(1)
+	}
+}
+
+func run(d time.Duration) error {
+	ctx := context.Background()
+	sys, err := quickstart.Start(ctx, quickstart.Options{
+		Log: log.NewNopLogger(), Entries: entries, Controls: 3, PlainSlots: 512, PlainWork: -1,
+	})
+	if err != nil {
+		return err
+	}
+	defer sys.Stop()
+	if err := sys.WaitReady(ctx); err != nil {
+		return err
+	}
+	b := &bench{sys: sys, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+	defer b.client.CloseIdleConnections()
+	latency(b, d)
+	return losses(ctx, b, d)
+}
+
+// bench sends calls through the entries that run, in turn.
+type bench struct {
+	sys    *quickstart.System
+	client *http.Client
+	next   atomic.Uint64
+}
+
+// call sends one request and returns what it was answered with.
+func (b *bench) call(through []*entry.Entry, keyed bool) string {
+	n := b.next.Add(1)
+	e := through[n%uint64(len(through))]
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.CallerAddress()+"/services/clock-core/confirm", strings.NewReader("{}"))
+	if err != nil {
+		return err.Error()
+	}
+	req.Header.Set("Authorization", "Bearer "+quickstart.TeamKey)
+	if keyed {
+		req.Header.Set("Idempotency-Key", fmt.Sprint("bid-", n))
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return "cut"
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode == http.StatusOK {
+		return answered
+	}
+	var p struct{ Reason, Outcome string }
+	_ = json.Unmarshal(text, &p)
+	return p.Reason + " " + p.Outcome
+}
+
+const answered = "answered"
+
+// latency compares calls with and without a key, in turns.
+func latency(b *bench, d time.Duration) {
+	fmt.Printf("%-8s %11s %10s %10s %12s\n", "key", "concurrency", "p50", "p99", "requests/s")
+	for _, concurrency := range []int{1, 32} {
+		for _, keyed := range []bool{false, true} {
+			h, _ := b.load(b.sys.Entries, concurrency, keyed, d)
+			fmt.Printf("%-8v %11d %8dµs %8dµs %12.0f\n", keyed, concurrency,
+				h.ValueAtQuantile(50), h.ValueAtQuantile(99), float64(h.TotalCount())/d.Seconds())
+		}
+	}
+}
+
+// load sends calls for a time and counts their answers.
+func (b *bench) load(through []*entry.Entry, concurrency int, keyed bool, d time.Duration) (*hdrhistogram.Histogram, map[string]int) {
+	total, answers := hdrhistogram.New(1, 60_000_000, 3), map[string]int{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	end := time.Now().Add(d)
+	for range concurrency {
+		wg.Go(func() {
+			for time.Now().Before(end) {
+				began := time.Now()
+				answer := b.call(through, keyed)
+				mu.Lock()
+				answers[answer]++
+				_ = total.RecordValue(time.Since(began).Microseconds())
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return total, answers
+}
+
+// losses kills and restarts entries, and shows what keyed calls through those
+// that are up are answered with.
+func losses(ctx context.Context, b *bench, d time.Duration) error {
+	name := func(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+	show := func(what string, down ...int) {
+		var through []*entry.Entry
+		for i, e := range b.sys.Entries {
+			if !contains(down, i) {
+				through = append(through, e)
+			}
+		}
+		_, answers := b.load(through, 8, true, d)
+		fmt.Printf("%-44s %s\n", what, summary(answers))
+	}
+	fmt.Println()
+	show("all seven entries up")
+	b.sys.Kill(name(6))
+	show("one entry lost", 6)
+	// Entries 1, 4 and 7 stand in the first failure domain.
+	b.sys.Kill(name(0))
+	b.sys.Kill(name(3))
+	show("a whole failure domain lost (three entries)", 0, 3, 6)
+	b.sys.Kill(name(1))
+	if err := b.sys.StartPart(ctx, name(1)); err != nil {
+		return err
+	}
+	show("and one entry of another domain restarted", 0, 3, 6)
+	return nil
+}
+
+func contains(list []int, n int) bool {
+	for _, v := range list {
+		if v == n {
+			return true
+		}
+	}
+	return false
+}
+
+// summary writes the answers' parts, most frequent first.
+func summary(answers map[string]int) string {
+	total := 0
+	var kinds []string
+	for k, n := range answers {
+		total += n
+		kinds = append(kinds, k)
+	}
+	sort.Slice(kinds, func(i, j int) bool { return answers[kinds[i]] > answers[kinds[j]] })
+	var parts []string
+	for _, k := range kinds {
+		parts = append(parts, fmt.Sprintf("%s %.1f%%", k, 100*float64(answers[k])/float64(total)))
+	}
+	return fmt.Sprintf("%6d calls: %s", total, strings.Join(parts, ", "))
+}
