--- a/quickstart/layout.go
+++ b/quickstart/layout.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"strings"
 )
 
@@ -38,11 +39,15 @@
 
 // Rows returns the layout's rows: one team, an engine service and an urgent
 // plain service.
-func (l Layout) Rows() string {
+func (l Layout) Rows() string { return l.rows(defaultPlainSlots) }
+
+// rows is Rows with as many slots at a plain service, and at least as many
+// requests that may wait.
+func (l Layout) rows(plainSlots int) string {
 	digest := sha256.Sum256([]byte(TeamKey))
 	return strings.Join([]string{
 		"pool\t" + l.ModelPool + "\tslots=8",
-		"pool\t" + l.PlainPool + "\tslots=32",
+		fmt.Sprintf("pool\t%s\tslots=%d\tmax_queue=%d", l.PlainPool, plainSlots, max(plainSlots, minPlainQueue)),
 		"service\t" + l.ModelService + "\tkind=engine\tpool=" + l.ModelPool + "\tidempotent=yes",
 		"service\t" + l.PlainService + "\tkind=plain\tpool=" + l.PlainPool + "\tpriority=urgent\ttimeout_ms=2000",
 		"team\t" + l.Team + "\tkey_sha256=" + hex.EncodeToString(digest[:]) + "\tmax_priority=urgent",
@@ -50,5 +55,9 @@
 	}, "\n")
 }
 
+// minPlainQueue is the least number of requests that may wait at a plain
+// service: what the column's default would be.
+const minPlainQueue = 64
+
 // domain returns the failure domain of the i-th part of a kind.
 func (l Layout) domain(i int) string { return l.Domains[i%len(l.Domains)] }
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -126,7 +126,7 @@
 		opts.PlainWork = time.Millisecond
 	}
 	if opts.Rows == "" {
-		opts.Rows = opts.Layout.Rows()
+		opts.Rows = opts.Layout.rows(opts.PlainSlots)
 	}
 	if opts.Planner != "" {
 		opts.Rows += groupRow(opts)
