Refuse a group row that no expert map fits

Cause: spare_slots could give a rank more slots than there are experts; the row was accepted and its planner then refused for ever.

Measured: the edit is refused and names the column.

--- a/table/machine_test.go
+++ b/table/machine_test.go
@@ -64,6 +64,7 @@
 		{"same key twice", "", "growers", edit("x", row(KindTeam, "t", 0, "key_sha256="+digest))},
 		{"same model twice", "", "pushpa-lm", edit("x", row(KindService, "s", 0, "kind=engine", "pool=lm", "models=a,pushpa-lm"))},
 		{"time to live", "claim_ttl_ms", "twice timeout_ms", edit("x", row(KindService, "s", 0, "kind=plain", "pool=lm", "timeout_ms=9000", "claim_ttl_ms=10000"))},
+		{"more slots than experts", "spare_slots", "more slots", edit("x", row(KindGroup, "g", 0, "pool=lm", "ranks=4", "experts=8", "layers=1", "spare_slots=7"))},
 		{"row twice", "", "twice", edit("x", row(KindPool, "p", 0), row(KindPool, "p", 0))},
 		{"kind", "", "unknown row kind", edit("x", row("poll", "p", 0))},
 		{"key", "", "TEAM/SERVICE", edit("x", row(KindWeight, "growers", 0))},
--- a/table/schema.go
+++ b/table/schema.go
@@ -193,12 +193,29 @@
 			return &ColumnError{Kind: kind, Key: key, Column: name, Detail: "no such column"}
 		}
 	}
-	if kind == KindService {
-		return checkClaimTTL(key, cells{&wire.Row{Kind: kind, Columns: columns}})
+	c := cells{&wire.Row{Kind: kind, Columns: columns}}
+	switch kind {
+	case KindService:
+		return checkClaimTTL(key, c)
+	case KindGroup:
+		return checkSlots(key, c)
 	}
 	return nil
 }
 
+// checkSlots: a rank holds an expert once in a layer, so it can't have more slots
+// than there are experts; no map would fit such a group.
+func checkSlots(key string, c cells) error {
+	ranks, experts := c.int("ranks"), c.int("experts")
+	if (experts+ranks-1)/ranks+c.int("spare_slots") <= experts {
+		return nil
+	}
+	return &ColumnError{
+		Kind: KindGroup, Key: key, Column: "spare_slots",
+		Detail: "a rank would have more slots than there are experts",
+	}
+}
+
 // checkClaimTTL: registers must remember a key for at least twice as long as a
 // request may run, or a resend could run beside the first sending.
 func checkClaimTTL(key string, c cells) error {
