Give control replicas metrics

Cause: a control host had a state dump and no metrics; who leads, lags or has failed could not be watched.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"github.com/snipereach/snipereach/control"
@@ -298,3 +299,29 @@
 	assert.Assert(t, reply.Detail != "")
 	c.accept(poolEdit("b", "lm", "9", 1))
 }
+
+// A replica's gauges say who leads, and that one which has stopped tells nothing.
+func TestGaugesTellWhoLeads(t *testing.T) {
+	c := newCluster(t, 3)
+	c.accept(poolEdit("a", "lm", "8", 0))
+	c.waitHealth(control.HealthOK)
+	registries := make([]metrics.Registry, 3)
+	for i, r := range c.running {
+		registries[i] = metrics.NewRegistry()
+		r.ctl.RegisterMetrics(registries[i])
+	}
+	gauge := func(i int, name string) int64 { return registries[i].Get(name).(metrics.Gauge).Value() }
+	leader := -1
+	for end := time.Now().Add(patience); leader < 0 && time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
+		for i := range registries {
+			if gauge(i, "control.leader") == 1 {
+				leader = i
+			}
+		}
+	}
+	assert.Assert(t, leader >= 0, "no replica says that it leads")
+	assert.Assert(t, gauge(leader, "control.revision") > 0)
+	assert.Equal(t, gauge(leader, "control.failed"), int64(0))
+	c.stop(leader)
+	assert.Equal(t, gauge(leader, "control.leader"), int64(-1))
+}
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -8,6 +8,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
@@ -145,6 +146,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/debug/state", &d.dumps)
+	registry := metrics.NewRegistry()
+	d.control.RegisterMetrics(registry)
+	mux.Handle("/metrics", kernel.MetricsHandler(registry))
 	d.ops = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = d.ops.Serve(lis) }()
 	return nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -172,6 +172,7 @@
 		return err
 	}
 	e.control = c
+	c.RegisterMetrics(e.metrics)
 	c.SetEntries(e.ringMembers)
 	e.node.SetReplicas(c.DirectoryReplicas)
 	c.SetUpstreams(control.UpstreamsOf(e.node))
