Ask one function whether a ring has a member

Cause: control had a copy of claim's search through a ring's members.

Change: claim.Contains is public and serves both. Behaviour is the same.

--- a/claim/claimant.go
+++ b/claim/claimant.go
@@ -50,7 +50,7 @@
 	var list []*wire.RingMember
 	for _, set := range c.sets {
 		for _, m := range set {
-			if !contains(list, m.Id) {
+			if !Contains(list, m.Id) {
 				list = append(list, m)
 			}
 		}
--- a/claim/register.go
+++ b/claim/register.go
@@ -89,7 +89,7 @@
 	}
 	var list []*wire.RingMember
 	for _, m := range append(r.ring.Members[:len(r.ring.Members):len(r.ring.Members)], r.ring.Previous...) {
-		if m.Id != r.self.Id && !r.copied[m.Id] && !contains(list, m.Id) {
+		if m.Id != r.self.Id && !r.copied[m.Id] && !Contains(list, m.Id) {
 			list = append(list, m)
 		}
 	}
@@ -123,7 +123,7 @@
 		return false
 	}
 	for _, set := range sets(r.ring, key) {
-		if !contains(set, r.self.Id) {
+		if !Contains(set, r.self.Id) {
 			continue
 		}
 		for _, m := range set {
@@ -296,7 +296,7 @@
 	for _, text := range texts {
 		rec := r.records[text]
 		for _, set := range sets(r.ring, rec.Key) {
-			if contains(set, from.Id) {
+			if Contains(set, from.Id) {
 				reply.Records = append(reply.Records, r.view(now, rec))
 				break
 			}
--- a/claim/ring.go
+++ b/claim/ring.go
@@ -43,7 +43,7 @@
 		for len(chosen) < Copies {
 			best := -1
 			for i, m := range members {
-				if contains(chosen, m.Id) || distinct && hasDomain(chosen, m.FailureDomain) {
+				if Contains(chosen, m.Id) || distinct && hasDomain(chosen, m.FailureDomain) {
 					continue
 				}
 				if best < 0 || scores[i] > scores[best] {
@@ -77,7 +77,8 @@
 	return list
 }
 
-func contains(list []*wire.RingMember, id string) bool {
+// Contains says whether a list of members has one with this ID.
+func Contains(list []*wire.RingMember, id string) bool {
 	for _, m := range list {
 		if m.Id == id {
 			return true
--- a/claim/sim_test.go
+++ b/claim/sim_test.go
@@ -416,7 +416,7 @@
 	next.Members = append(next.Members, s.ring.Members[:out]...)
 	next.Members = append(next.Members, s.ring.Members[out+1:]...)
 	for _, e := range s.entries {
-		if e.up && !contains(s.ring.Members, id(e.n)) {
+		if e.up && !Contains(s.ring.Members, id(e.n)) {
 			next.Members = append(next.Members, s.member(e))
 			break
 		}
--- a/control/ring.go
+++ b/control/ring.go
@@ -73,7 +73,7 @@
 	members := c.kept(ring, leadingSince, now)
 	changed := len(members) != len(ring.Members)
 	for _, m := range up {
-		if !inRing(members, m.Id) && now.Sub(c.since[m.Id]) >= joinRingAfter {
+		if !claim.Contains(members, m.Id) && now.Sub(c.since[m.Id]) >= joinRingAfter {
 			members = append(members, m)
 			changed = true
 		}
@@ -99,15 +99,6 @@
 	return members
 }
 
-func inRing(list []*wire.RingMember, id string) bool {
-	for _, m := range list {
-		if m.Id == id {
-			return true
-		}
-	}
-	return false
-}
-
 func sorted(list []*wire.RingMember) []*wire.RingMember {
 	out := append([]*wire.RingMember(nil), list...)
 	sort.Slice(out, func(i, j int) bool { return out[i].Id < out[j].Id })
