Let a gate refuse work that is not to wait, and hold tickets

A ticket is work that waits at several gates and is started at one. It is no load and delays nothing in the estimate of the wait, which stays a lower bound.

--- a/admit/class.go
+++ b/admit/class.go
@@ -12,7 +12,9 @@
 	flows map[string]*flow
 	heap  flowHeap
 	// total is how much work waits.
-	total   int
+	total int
+	// tickets is how many of them are tickets.
+	tickets int
 	running int
 	// weights is the sum over the teams that wait.
 	weights float64
@@ -52,6 +54,9 @@
 	f.tail = w
 	f.n++
 	c.total++
+	if w.Ticket {
+		c.tickets++
+	}
 	if f.n == 1 {
 		// A team that was idle begins now: it gets no credit for the past.
 		f.start = max(c.vtime, f.finish)
@@ -77,6 +82,9 @@
 	w.prev, w.next, w.flow = nil, nil, nil
 	f.n--
 	c.total--
+	if w.Ticket {
+		c.tickets--
+	}
 	switch {
 	case f.n == 0:
 		heap.Remove(&c.heap, f.index)
@@ -105,15 +113,22 @@
 	} else {
 		weights += float64(w.Weight)
 	}
-	return min(own*weights/float64(w.Weight), float64(c.total))
+	return min(own*weights/float64(w.Weight), float64(c.untilStarted()))
 }
 
-func (c *class) ended(ran time.Duration) {
+// untilStarted is how much of what waits stays until it is started here.
+func (c *class) untilStarted() int { return c.total - c.tickets }
+
+// ended counts the end of a run. A slot that was given back unused says nothing
+// of how long runs take.
+func (c *class) ended(ran time.Duration, unused bool) {
 	c.running--
-	if c.mean == 0 {
-		c.mean = ran.Seconds()
+	if !unused {
+		if c.mean == 0 {
+			c.mean = ran.Seconds()
+		}
+		c.mean += meanPart * (ran.Seconds() - c.mean)
 	}
-	c.mean += meanPart * (ran.Seconds() - c.mean)
 	c.forget()
 }
 
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -21,6 +21,8 @@
 	ErrPartFull = merry.Sentinel("queue of the service is full")
 	ErrDeadline = merry.Sentinel("deadline passes before the work can start")
 	ErrClosed   = merry.Sentinel("no new work is taken")
+	// ErrBusy refuses work that is not to wait.
+	ErrBusy = merry.Sentinel("no slot is free")
 )
 
 // Settings of a Gate.
@@ -53,6 +55,13 @@
 	// name is no such bound.
 	Queue    string
 	MaxQueue int
+	// NoWait has the work refused unless it starts at once.
+	NoWait bool
+	// Ticket marks work that waits at several gates and is started at one. The
+	// others see it go: it is no load, and delays nothing that waits.
+	Ticket bool
+	// Unused is set before Done if the slot was given back without a run.
+	Unused bool
 	// Value is the caller's.
 	Value any
 
@@ -127,6 +136,9 @@
 		w.Cost = 1
 	}
 	class := classOf(w.Priority)
+	if w.NoWait && !g.startsAtOnce(class) {
+		return ErrBusy
+	}
 	if !w.Deadline.IsZero() && !now.Add(g.wait(class, w)).Before(w.Deadline) {
 		return ErrDeadline
 	}
@@ -168,7 +180,8 @@
 // wait estimates from below how long work would wait: what goes before it, by
 // the mean time that each class was seen to run, over the slots that it may use.
 // Work that can't make its deadline by this is refused at once, and its caller
-// can go elsewhere while there is time. What arrives later isn't counted.
+// can go elsewhere while there is time. What arrives later isn't counted, nor are
+// tickets: most of them go before their turn.
 func (g *Gate) wait(class int, w *Work) time.Duration {
 	if g.startsAtOnce(class) {
 		return 0
@@ -179,7 +192,7 @@
 	}
 	ahead := 0.0
 	for i := range class {
-		ahead += float64(g.classes[i].total) * g.classes[i].mean
+		ahead += float64(g.classes[i].untilStarted()) * g.classes[i].mean
 	}
 	c := &g.classes[class]
 	ahead += c.ahead(w) * c.mean
@@ -303,7 +316,7 @@
 	case stateRunning:
 		class := classOf(w.Priority)
 		g.running--
-		g.classes[class].ended(now.Sub(w.began))
+		g.classes[class].ended(now.Sub(w.began), w.Unused)
 		if class == urgentClass {
 			g.urgent--
 		}
@@ -314,11 +327,11 @@
 // Running returns how much work runs.
 func (g *Gate) Running() int { return g.running }
 
-// Waiting returns how much work waits.
+// Waiting returns how much work waits, but for tickets.
 func (g *Gate) Waiting() int {
 	n := 0
 	for i := range g.classes {
-		n += g.classes[i].total
+		n += g.classes[i].untilStarted()
 	}
 	return n
 }
--- a/measure/route/engine.go
+++ b/measure/route/engine.go
@@ -70,6 +70,11 @@
 	ended  func(wire.Outcome, wire.Reason, *wire.Load)
 	finish float64
 	index  int
+	// ticket marks a place in the queue without a request: when its turn comes,
+	// the slot is held and granted is called.
+	ticket  bool
+	granted func()
+	holds   bool
 }
 
 type jobs []*job
@@ -126,9 +131,15 @@
 	slow  float64
 	seq   uint64
 	cache blockCache
+	// held slots are offered to the entries of tickets and not used yet.
+	held int
+	// tickets is how many of those that wait are tickets.
+	tickets int
+	// countTickets has tickets count in the load.
+	countTickets bool
 }
 
-func (e *engine) full() bool { return len(e.running) >= e.spec.slots }
+func (e *engine) full() bool { return len(e.running)+e.held >= e.spec.slots }
 
 func (e *engine) stepTime() float64 {
 	share := float64(len(e.running)) / float64(e.spec.slots)
@@ -146,20 +157,27 @@
 // load is what the agent reports.
 func (e *engine) load() *wire.Load {
 	e.seq++
+	waiting := e.waiting
+	if !e.countTickets {
+		waiting -= e.tickets
+	}
 	return &wire.Load{
-		Seq: e.seq, Running: uint32(len(e.running)), Waiting: uint32(e.waiting), Slots: uint32(e.spec.slots),
+		Seq: e.seq, Running: uint32(len(e.running) + e.held), Waiting: uint32(waiting), Slots: uint32(e.spec.slots),
 	}
 }
 
 // offer queues a job or refuses it.
 func (e *engine) offer(j *job) {
-	busy := j.refuseAt > 0 && len(e.running)+e.waiting >= j.refuseAt
+	busy := j.refuseAt > 0 && len(e.running)+e.held+e.waiting >= j.refuseAt
 	if busy || e.full() && e.waiting >= e.spec.maxQueue {
 		j.ended(wire.Outcome_OUTCOME_NOT_RUN, wire.Reason_REASON_QUEUE_FULL, e.load())
 		return
 	}
 	e.queue[j.class] = append(e.queue[j.class], j)
 	e.waiting++
+	if j.ticket {
+		e.tickets++
+	}
 	e.fill()
 }
 
@@ -170,6 +188,9 @@
 			j := e.queue[class][0]
 			e.queue[class] = e.queue[class][1:]
 			e.waiting--
+			if j.ticket {
+				e.tickets--
+			}
 			if e.clock.now < j.deadline {
 				return j
 			}
@@ -185,10 +206,43 @@
 		if j == nil {
 			break
 		}
+		if j.ticket {
+			e.hold(j)
+			continue
+		}
 		e.start(j)
 	}
 }
 
+// hold keeps a slot for the entry of a ticket, for a bounded time.
+func (e *engine) hold(j *job) {
+	e.held++
+	j.holds = true
+	j.granted()
+	e.clock.after(holdTime, func() { e.release(j) })
+}
+
+// release gives back a slot that was held.
+func (e *engine) release(j *job) {
+	if !j.holds || e.dead {
+		return
+	}
+	j.holds = false
+	e.held--
+	e.fill()
+}
+
+// startHeld starts a request in the slot that is held for its ticket.
+func (e *engine) startHeld(ticket, j *job) {
+	if e.dead || !ticket.holds {
+		j.ended(wire.Outcome_OUTCOME_NOT_RUN, wire.Reason_REASON_QUEUE_FULL, e.load())
+		return
+	}
+	ticket.holds = false
+	e.held--
+	e.start(j)
+}
+
 func (e *engine) start(j *job) {
 	e.advance()
 	j.hit = e.cache.use(j.prefix)
@@ -227,9 +281,16 @@
 		if w == j {
 			e.queue[j.class] = slices.Delete(e.queue[j.class], i, i+1)
 			e.waiting--
+			if j.ticket {
+				e.tickets--
+			}
 			return
 		}
 	}
+	if j.ticket {
+		e.release(j)
+		return
+	}
 	if j.index < len(e.running) && e.running[j.index] == j {
 		e.advance()
 		heap.Remove(&e.running, j.index)
@@ -265,6 +326,7 @@
 		}
 	}
 	e.running, e.queue, e.waiting = nil, [4][]*job{}, 0
+	e.tickets, e.held = 0, 0
 }
 
 // blockCache is an engine's prefix cache: least recently used blocks go first.
--- a/measure/route/main.go
+++ b/measure/route/main.go
@@ -42,7 +42,7 @@
 	runtime.GOMAXPROCS(o.Workers)
 	tables := map[string]func(*bench){
 		"choices": choices, "wait": wait, "classes": classes, "clock": clockPool,
-		"days": days, "faults": faults, "prefix": prefix, "worth": worth, "hedge": hedge,
+		"days": days, "faults": faults, "prefix": prefix, "worth": worth, "hedge": hedge, "tickets": tickets, "ptick": ptick,
 	}
 	if len(o.Tables) == 0 {
 		o.Tables = []string{"choices", "wait", "classes", "clock", "days", "faults", "prefix", "worth", "hedge"}
@@ -74,6 +74,9 @@
 	moves  int
 	prefix *route.PrefixSettings
 	hedge  time.Duration
+	// tickets is at how many upstreams a request waits that found no free slot.
+	tickets int
+	count   bool
 }
 
 func (b *bench) run(v variant, seed uint64) *outcome {
@@ -91,6 +94,7 @@
 	return newSystem(setup{
 		spec: v.spec, policy: v.policy, lag: v.lag, fault: v.fault, until: until,
 		list: list, choices: v.choices, moves: v.moves, prefix: v.prefix, hedge: v.hedge,
+		tickets: v.tickets, count: v.count,
 	}).run()
 }
 
@@ -130,6 +134,7 @@
 		sum.blocks += o.blocks
 		sum.offered += o.offered
 		sum.attempt += o.attempt
+		sum.tickets += o.tickets
 	}
 	return sum
 }
@@ -341,3 +346,44 @@
 		}
 	}
 }
+
+// tickets compares at how many upstreams a request waits that found no free slot.
+func tickets(b *bench) {
+	fmt.Println("\nWait in ms by tickets")
+	for _, load := range []float64{0.95, 1.5} {
+		list := []variant{{spec: engines, policy: "global", load: load}, {spec: engines, policy: "least-loaded", load: load, lag: time.Second}}
+		for _, moves := range []int{1, 2} {
+			for _, n := range []int{1, 2, 3, 4, 8, 16} {
+				for _, count := range []bool{false, true} {
+					list = append(list, variant{spec: engines, policy: "least-loaded", load: load, lag: time.Second, moves: moves, tickets: n, count: count})
+				}
+			}
+		}
+		outs := b.all(list)
+		for i, o := range outs {
+			fmt.Printf("%-13s %4.0f%% moves %d tickets %d count %5v %s %9.2f %8s attempts %.2f tickets %.2f urgent %s\n", list[i].policy, load*100, list[i].moves, list[i].tickets, list[i].count, millis(o.all),
+				o.all.Mean()/outs[0].all.Mean(), share(o.refused, o.offered), o.attempts(), float64(o.tickets)/float64(o.offered), millis(o.wait[1]))
+		}
+	}
+}
+
+func ptick(b *bench) {
+	for _, load := range []float64{0.7, 0.95} {
+		list := []variant{{spec: cached(), policy: "perfect", load: load, lag: time.Second}}
+		for _, lag := range lags {
+			list = append(list, variant{spec: cached(), policy: "prefix", load: load, lag: lag})
+		}
+		for _, n := range []int{2, 4, 8} {
+			for _, lag := range lags[:2] {
+				list = append(list, variant{spec: cached(), policy: "prefix", load: load, lag: lag, moves: 1, tickets: n})
+			}
+		}
+		list = append(list, variant{spec: engines, policy: "prefix", load: load, lag: time.Second, moves: 1, tickets: 4})
+		outs := b.all(list)
+		rate := func(o *outcome) float64 { return float64(o.hits) / float64(max(o.blocks, 1)) }
+		for i, o := range outs {
+			fmt.Printf("%-13s %4.0f%% %6v t%d %7.1f%% %9.1f%% %s att %.2f tick %.2f\n", list[i].policy, load*100, list[i].lag, list[i].tickets,
+				100*rate(o), 100*rate(o)/rate(outs[0]), millis(o.all), o.attempts(), float64(o.tickets)/float64(o.offered))
+		}
+	}
+}
--- a/measure/route/system.go
+++ b/measure/route/system.go
@@ -59,6 +59,10 @@
 	// hedge is the time after which a second attempt goes to another upstream if
 	// the first isn't answered; 0 is never.
 	hedge time.Duration
+	// tickets is at how many upstreams a request waits; 0 is as before.
+	tickets int
+	// count has tickets count in the load.
+	count bool
 }
 
 // outcome is what a run measured, after a tenth of warming up.
@@ -70,6 +74,7 @@
 	refused, lost    int
 	hits, blocks     int
 	offered, attempt int
+	tickets          int
 }
 
 type entryNode struct {
@@ -106,6 +111,7 @@
 	for i := range s.spec.servers {
 		m.engines = append(m.engines, &engine{
 			clock: &m.clock, spec: s.spec, domain: domains[i%len(domains)], cache: newBlockCache(s.spec.cache),
+			countTickets: s.count,
 		})
 	}
 	m.seqs = make([]uint64, s.spec.servers)
@@ -259,6 +265,10 @@
 		}
 		n.balancer.Done(m.time(), up, &r.Request, route.Result{Outcome: o, Reason: reason, Load: l, Elapsed: m.clock.now - began})
 		if reason != 0 {
+			if reason == wire.Reason_REASON_QUEUE_FULL && m.tickets > 0 && attempt >= max(m.moves, 1) && r.waits < maxWaits {
+				m.waitAt(a, r, attempt+1)
+				return
+			}
 			if reason == wire.Reason_REASON_QUEUE_FULL && attempt <= m.moves {
 				m.try(a, r, attempt+1)
 				return
@@ -274,7 +284,7 @@
 	way := m.way(n, e)
 	j = m.newJob(a)
 	r.jobs[j] = e
-	if attempt <= m.moves {
+	if attempt <= m.moves || m.tickets > 0 {
 		j.refuseAt = choice.RefuseAt
 	}
 	j.ended = func(o wire.Outcome, reason wire.Reason, l *wire.Load) {
@@ -287,12 +297,111 @@
 	}
 }
 
+const (
+	maxWaits = 3
+	holdTime = 100 * time.Millisecond
+)
+
+// waitAt takes tickets at several upstreams; the first that has a free slot gets
+// the request.
+func (m *system) waitAt(a *arrival, r *request, attempt int) {
+	n := m.entries[a.entry]
+	w, ok := n.balancer.(route.Waiter)
+	if !ok {
+		m.try(a, r, attempt)
+		return
+	}
+	r.waits++
+	places := w.Places(m.time(), &r.Request, m.tickets)
+	won, left := false, len(places)
+	list := make([]*job, len(places))
+	over := func() {
+		if left--; left == 0 && !won {
+			m.refuse(a)
+		}
+	}
+	for i, up := range places {
+		if m.measured(a) {
+			m.out.tickets++
+		}
+		e := m.engines[upstreamIndex(up.ID)]
+		way := m.way(n, e)
+		t := &job{class: a.class, deadline: a.at + m.spec.timeout, ticket: true, started: func() {}}
+		list[i] = t
+		t.ended = func(wire.Outcome, wire.Reason, *wire.Load) { m.clock.after(way, over) }
+		t.granted = func() {
+			m.clock.after(way, func() {
+				if won || !w.Take(m.time(), up, &r.Request) {
+					m.clock.after(way, func() { e.release(t) })
+					return
+				}
+				won = true
+				for k, o := range list {
+					if k != i {
+						other := m.engines[upstreamIndex(places[k].ID)]
+						m.clock.after(m.way(n, other), func() { other.cancel(o) })
+					}
+				}
+				m.runHeld(a, r, up, t, attempt)
+			})
+		}
+		if e.dead {
+			m.clock.after(dialTimeout, over)
+			continue
+		}
+		m.clock.after(way, func() { e.offer(t) })
+	}
+	if len(places) == 0 {
+		m.refuse(a)
+	}
+}
+
+// runHeld sends a request to the slot that its ticket won.
+func (m *system) runHeld(a *arrival, r *request, up route.Upstream, t *job, attempt int) {
+	n := m.entries[a.entry]
+	e := m.engines[upstreamIndex(up.ID)]
+	way := m.way(n, e)
+	began := m.clock.now
+	if m.measured(a) {
+		m.out.attempt++
+	}
+	j := m.newJob(a)
+	r.jobs[j] = e
+	over := false
+	end := func(o wire.Outcome, reason wire.Reason, l *wire.Load) {
+		if over {
+			return
+		}
+		over = true
+		if reason == 0 {
+			m.answered(a, r, j)
+		}
+		n.balancer.Done(m.time(), up, &r.Request, route.Result{Outcome: o, Reason: reason, Load: l, Elapsed: m.clock.now - began})
+		switch {
+		case reason == wire.Reason_REASON_QUEUE_FULL && r.waits < maxWaits:
+			m.waitAt(a, r, attempt+1)
+		case reason != 0:
+			r.Exclude[up.ID] = true
+			m.again(a, r, n, attempt, o)
+		}
+	}
+	j.ended = func(o wire.Outcome, reason wire.Reason, l *wire.Load) {
+		m.clock.after(way, func() { end(o, reason, l) })
+	}
+	m.clock.after(way, func() { e.startHeld(t, j) })
+	if m.fault == stalledUpstream {
+		m.clock.after(a.at+m.spec.timeout-m.clock.now, func() { end(wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_DEADLINE, nil) })
+	}
+}
+
 // request is a request with its attempts.
 type request struct {
 	route.Request
 	jobs   map[*job]*engine
 	hedged bool
 	done   bool
+	// waits is how often it took tickets.
+	waits int
 }
 
 // answered takes the first whole answer and cancels the other attempts.
