Wait for a slot at several upstreams, with late binding

Cause: a request that found no free slot in three tries queued at one agent, and stayed there while slots became free at others.

An attempt is now refused at once by an agent without a free slot.

A cached prompt is worth half of the slots instead of a quarter.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -45,6 +45,7 @@
 	runner      *admit.Runner
 	queue       queueSettings
 	attempts    *attempts
+	tickets     *tickets
 	orders      *orders
 	incarnation uint64
 	seq         atomic.Uint64
@@ -81,6 +82,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		attempts:    newAttempts(),
 	}
+	a.tickets = newTickets(a.runner, time.AfterFunc)
 	a.pool.SetDial(s.Dial)
 	a.announcer = directory.NewAnnouncer(directory.NewTargets(s.ID, s.FailureDomain, s.AnnounceTo), a.pool.Conn, time.Now)
 	a.queue.current = startSettings(s)
@@ -142,6 +144,7 @@
 	if a.attempts.close() {
 		kernel.Info(a.log, "Leaving. No new work is taken.")
 	}
+	a.tickets.close()
 	a.announceAll(ctx, wire.Phase_PHASE_LEAVING)
 }
 
@@ -197,6 +200,9 @@
 	Running     int    `json:"running"`
 	Waiting     int    `json:"waiting"`
 	Remembered  int    `json:"remembered_attempts"`
+	// Tickets wait here and elsewhere; Held slots were offered and not taken yet.
+	Tickets int `json:"tickets"`
+	Held    int `json:"held_slots"`
 	// Queue is what is in force, from the pool's row once one was heard.
 	Queue poolQueue  `json:"queue"`
 	Load  *wire.Load `json:"load"`
@@ -204,7 +210,9 @@
 
 func (a *Agent) dump() any {
 	running, waiting := a.runner.Counts()
+	tickets, held := a.tickets.counts()
 	return agentDump{
+		Tickets: tickets, Held: held,
 		ID: a.settings.ID, Incarnation: a.incarnation, Leaving: a.attempts.isClosed(),
 		Running: running, Waiting: waiting, Remembered: a.attempts.size(), Queue: a.queue.get(), Load: a.load.Load(),
 	}
--- a/agent/run.go
+++ b/agent/run.go
@@ -60,20 +60,9 @@
 		return at.end(wire.Outcome_OUTCOME_NOT_RUN, wire.Reason_REASON_UPSTREAM_LEAVING, "upstream is leaving")
 	}
 	defer a.attempts.end()
-	if at.busier() {
-		return at.end(wire.Outcome_OUTCOME_NOT_RUN, wire.Reason_REASON_QUEUE_FULL, "busier than the entry expected")
-	}
 	return at.run()
 }
 
-// busier says whether the attempt was meant for a less busy upstream. Entries
-// know the load of a moment ago; without this check they would all queue where
-// it was lowest then.
-func (at *attempt) busier() bool {
-	running, waiting := at.agent.runner.Counts()
-	return at.head.RefuseAt > 0 && running+waiting >= int(at.head.RefuseAt)
-}
-
 func (a *Agent) receive(stream wire.DRPCAgent_RunStream, now time.Time) (*attempt, error) {
 	frame, err := stream.Recv()
 	if err != nil {
@@ -106,10 +95,7 @@
 	ctx, cancel := context.WithDeadline(at.stream.Context(), at.deadline)
 	defer cancel()
 	began := time.Now()
-	release, err := at.agent.runner.Enter(ctx, &admit.Work{
-		Team: at.head.Team, Weight: int(at.head.Weight), Priority: at.head.Priority,
-		Cost: float64(max(at.head.Tokens, 1)), Deadline: at.deadline,
-	})
+	release, err := at.enter(ctx)
 	at.queued = time.Since(began)
 	if err != nil {
 		return at.end(wire.Outcome_OUTCOME_NOT_RUN, queueReason(err), err.Error())
@@ -125,7 +111,7 @@
 
 func queueReason(err error) wire.Reason {
 	switch {
-	case errors.Is(err, admit.ErrQueueFull):
+	case errors.Is(err, admit.ErrQueueFull), errors.Is(err, admit.ErrBusy), errors.Is(err, ErrNoSlot):
 		return wire.Reason_REASON_QUEUE_FULL
 	case errors.Is(err, admit.ErrClosed):
 		return wire.Reason_REASON_UPSTREAM_LEAVING
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -29,8 +29,8 @@
 const (
 	// maxAttempts bounds the attempts of one request, whatever the budget.
 	maxAttempts = 4
-	// maxMoves bounds how often a request moves on because an upstream is busier
-	// than expected. A move is no retry: nothing failed, and nothing ran.
+	// maxMoves bounds how often a request moves on because an upstream had no free
+	// slot after all. A move is no retry: nothing failed, and nothing ran.
 	maxMoves = 3
 )
 
@@ -44,8 +44,10 @@
 	// MaxAnswer bounds an unstreamed answer, in bytes.
 	MaxAnswer int64
 
-	// mayMove lets an agent refuse the next attempt if it is busier than expected.
+	// mayMove lets an agent refuse the next attempt if it has no free slot.
 	mayMove bool
+	// slot is held for the next attempt; nil if none is.
+	slot *slot
 }
 
 // Sink takes an answer. An unstreamed answer reaches it whole, in one Write.
@@ -172,8 +174,18 @@
 				Upstream: up.ID, Outcome: end.outcome, Reason: end.reason, Detail: end.detail,
 			})
 		}
-		if end.move && f.inTime(ctx, c) {
+		if end.move && c.mayMove && f.inTime(ctx, c) {
 			moves++
+			if !f.wait(ctx, c, n) {
+				// No queue has a place. What is left is to ask once more, where the
+				// agent refuses for the row's bound and says so.
+				moves = maxMoves
+			}
+			if !f.inTime(ctx, c) {
+				res.Reason, res.Detail = wire.Reason_REASON_DEADLINE, "no slot became free in time"
+				res.Outcome = worst(res)
+				return res
+			}
 			continue
 		}
 		c.exclude(up.ID)
@@ -240,7 +252,7 @@
 	ended bool
 	// unreached says that no agent got any of the request.
 	unreached bool
-	// move says that the upstream was busier than expected.
+	// move says that the upstream had no free slot after all.
 	move bool
 	load *wire.Load
 }
@@ -256,7 +268,7 @@
 }
 
 func (f *Forwarder) attempt(ctx context.Context, c *Call, sink Sink, n int) (route.Upstream, ending) {
-	choice, err := f.pick(c, n)
+	choice, held, err := f.choose(c, n)
 	up := choice.Upstream
 	if err != nil {
 		return up, ending{
@@ -266,18 +278,20 @@
 	}
 	began := f.now()
 	head := headFor(c, choice, n, began)
+	head.Ticket = held
 	e := f.exchange(ctx, up, head, c, sink)
 	e.move = movedOn(head, e)
 	f.done(ctx, c, up, e, began)
 	return up, e
 }
 
-// movedOn says whether an agent refused because it is busier than expected.
+// movedOn says whether an agent refused because it had no free slot, or held the
+// attempt's no longer.
 func movedOn(h *wire.RunHead, e ending) bool {
-	if e.reason != wire.Reason_REASON_QUEUE_FULL || e.outcome != wire.Outcome_OUTCOME_NOT_RUN || e.load == nil {
+	if e.reason != wire.Reason_REASON_QUEUE_FULL || e.outcome != wire.Outcome_OUTCOME_NOT_RUN {
 		return false
 	}
-	return h.RefuseAt > 0 && e.load.Running+e.load.Waiting >= h.RefuseAt
+	return h.NoWait || h.Ticket != ""
 }
 
 // headFor makes the head of one attempt.
@@ -290,14 +304,23 @@
 		Method: h.Method, Path: h.Path, Headers: h.Headers, Tokens: h.Tokens,
 		Incarnation: up.Incarnation,
 	}
-	if c.mayMove {
-		head.RefuseAt = uint32(up.RefuseAt)
-	}
+	head.NoWait = up.NoWait && c.mayMove
 	return head
 }
 
 var errNoUpstream = merry.Sentinel("no upstream is up")
 
+// choose takes the slot that is held for the call, if there is one, or else picks
+// an upstream.
+func (f *Forwarder) choose(c *Call, n int) (choice route.Choice, ticket string, err error) {
+	if held := c.slot; held != nil {
+		c.slot = nil
+		return route.Choice{Upstream: held.up}, held.ticket, nil
+	}
+	choice, err = f.pick(c, n)
+	return choice, "", err
+}
+
 func (f *Forwarder) pick(c *Call, n int) (route.Choice, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/route/leastloaded.go
+++ b/route/leastloaded.go
@@ -43,9 +43,10 @@
 // Pick implements Balancer.
 func (b *LeastLoaded) Pick(now time.Time, r *Request) (Choice, bool) {
 	list := b.sample(now, r, b.choices)
-	c := contest{usual: usual(list)}
+	usual := usual(list)
+	var c contest
 	for _, s := range list {
-		c.enter(s, b.busy(now, s, c.usual), 0)
+		c.enter(s, b.busy(now, s, usual))
 	}
 	return b.choose(now, r, &c)
 }
--- a/route/pool.go
+++ b/route/pool.go
@@ -220,29 +220,25 @@
 // one each: tokens are an estimate, and part of them is done already.
 const ownWorkWeight = 0.5
 
-// contest finds the best of several candidates, and the next best.
+// contest finds the best of several candidates.
 type contest struct {
-	best        *state
-	least, next float64
-	hasNext     bool
-	// usual is the mean load of the candidates, per slot.
-	usual float64
-	// worth is how much busier the best may be for what it holds of the prompt,
-	// in shares of its slots.
-	worth float64
+	best  *state
+	least float64
+	// others says that there is another candidate.
+	others bool
 }
 
-func (c *contest) enter(s *state, score, worth float64) {
+func (c *contest) enter(s *state, score float64) {
 	switch {
 	case s == c.best:
+		return
 	case c.best == nil:
-		c.best, c.least, c.worth = s, score, worth
+		c.best, c.least = s, score
+		return
 	case score < c.least:
-		c.next, c.hasNext = c.least, true
-		c.best, c.least, c.worth = s, score, worth
-	case !c.hasNext || score < c.next:
-		c.next, c.hasNext = score, true
+		c.best, c.least = s, score
 	}
+	c.others = true
 }
 
 // choose starts an attempt at a contest's best, or at the last resort.
@@ -253,30 +249,10 @@
 	if c.best == nil {
 		return Choice{}, false
 	}
-	choice := Choice{Upstream: c.best.Upstream}
-	if c.hasNext {
-		choice.RefuseAt = refuseAt(now, c)
-	}
 	p.start(now, c.best, r)
-	return choice, true
+	return Choice{Upstream: c.best.Upstream, NoWait: c.others}, true
 }
 
-// refuseAt is the number of requests at which another upstream is likely the
-// better choice. While the pool has about as many slots as requests, some have a
-// free slot, and a full one is not worth waiting at. Beyond that it is the
-// number at which the best would score as the next best.
-func refuseAt(now time.Time, c *contest) int {
-	s := c.best
-	if c.usual < crowded {
-		return s.width() + int(c.worth*float64(s.width()))
-	}
-	more := (c.next - c.least) * float64(s.width()) * s.share(now)
-	return max(s.requests()+int(more)+1, s.width())
-}
-
-// crowded is the load per slot above which free slots are too rare to look for.
-const crowded = 1.1
-
 // start counts an attempt.
 func (p *pool) start(now time.Time, s *state, r *Request) {
 	s.estimate.sent(now)
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -32,7 +32,7 @@
 
 // DefaultPrefixSettings are those of a pool row that names the plug-in.
 func DefaultPrefixSettings() PrefixSettings {
-	return PrefixSettings{Choices: defaultChoices, MaxHolders: 4, MaxBlocks: 1 << 17, Worth: 0.25}
+	return PrefixSettings{Choices: defaultChoices, MaxHolders: 4, MaxBlocks: 1 << 17, Worth: 0.5}
 }
 
 // Prefix routes to where a prompt's beginning is cached, unless work waits there.
@@ -105,14 +105,13 @@
 func (b *Prefix) Pick(now time.Time, r *Request) (Choice, bool) {
 	held := b.match(r.Prefix)
 	list := b.sample(now, r, b.settings.Choices)
-	c := contest{usual: usual(list)}
+	usual := usual(list)
+	var c contest
 	for _, s := range list {
-		worth := b.worth(r, s, held)
-		c.enter(s, b.busy(now, s, c.usual)-worth, worth)
+		c.enter(s, b.busy(now, s, usual)-b.worth(r, s, held))
 	}
 	for _, s := range b.longest(now, r, held) {
-		worth := b.worth(r, s, held)
-		c.enter(s, b.busy(now, s, c.usual)-worth, worth)
+		c.enter(s, b.busy(now, s, usual)-b.worth(r, s, held))
 	}
 	choice, ok := b.choose(now, r, &c)
 	if !ok {
--- a/route/route.go
+++ b/route/route.go
@@ -49,10 +49,9 @@
 // Choice is the upstream for an attempt.
 type Choice struct {
 	Upstream
-	// RefuseAt is how many requests make the upstream a worse choice than the
-	// next best: with so many waiting and running, its agent is to refuse the
-	// attempt, which then goes elsewhere. 0 is no bound.
-	RefuseAt int
+	// NoWait says that another upstream may have a free slot if this one has none:
+	// its agent is to refuse the attempt at once rather than queue it.
+	NoWait bool
 }
 
 // Balancer chooses among the upstreams of one pool, at one entry. It is pure:
