--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -21,11 +22,16 @@
 	wire.DRPCAgentUnimplementedServer
 	id  string
 	end func(id string, h *wire.RunHead) *wire.RunEnd
+	// queue answers tickets; nil is an agent that knows none.
+	queue *busyAgents
 
 	mu    sync.Mutex
 	heads []*wire.RunHead
 }
 
+// errDead cuts the stream of an agent that dies.
+var errDead = errors.New("agent is dead")
+
 func (a *fakeAgent) Run(stream wire.DRPCAgent_RunStream) error {
 	f, err := stream.Recv()
 	if err != nil {
@@ -35,6 +41,9 @@
 	a.heads = append(a.heads, f.Head)
 	a.mu.Unlock()
 	e := a.end(a.id, f.Head)
+	if e == nil {
+		return errDead
+	}
 	e.RequestId, e.AttemptId = f.Head.RequestId, f.Head.AttemptId
 	if e.Outcome == wire.Outcome_OUTCOME_DONE {
 		head := &wire.RunReplyHead{RequestId: f.Head.RequestId, AttemptId: f.Head.AttemptId, Status: 200}
@@ -45,6 +54,20 @@
 	return stream.Send(&wire.RunReply{End: e})
 }
 
+func (a *fakeAgent) Wait(ctx context.Context, t *wire.Ticket) (*wire.Slot, error) {
+	if a.queue == nil {
+		return a.DRPCAgentUnimplementedServer.Wait(ctx, t)
+	}
+	return a.queue.wait(ctx, a.id, t)
+}
+
+func (a *fakeAgent) Withdraw(_ context.Context, req *wire.WithdrawRequest) (*wire.WithdrawReply, error) {
+	if a.queue != nil {
+		a.queue.withdraw(req.Ticket)
+	}
+	return &wire.WithdrawReply{}, nil
+}
+
 func (a *fakeAgent) attempts() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/forward/wait_test.go
+++ b/forward/wait_test.go
@@ -18,17 +18,23 @@
 	tickets   map[string]string
 	ran       []string
 	withdrawn map[string]bool
+	// held is whose turn each held slot was.
+	held map[string]string
 	// turn yields the agents that get a free slot, in order.
 	turn chan string
+	// then gets a free slot once the first Run with a ticket has come.
+	then string
 	// lost agents refuse the Run of a slot that they held.
 	lost map[string]bool
+	// dies is the agent that dies with a Run in its hands.
+	dies string
 	// full agents refuse tickets.
 	full bool
 }
 
 func newBusyAgents() *busyAgents {
 	return &busyAgents{
-		tickets: map[string]string{}, withdrawn: map[string]bool{}, lost: map[string]bool{}, turn: make(chan string, 8),
+		tickets: map[string]string{}, withdrawn: map[string]bool{}, held: map[string]string{}, lost: map[string]bool{}, turn: make(chan string, 32),
 	}
 }
 
@@ -39,9 +45,16 @@
 func (b *busyAgents) end(id string, h *wire.RunHead) *wire.RunEnd {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if h.Ticket != "" && b.then != "" {
+		b.turn <- b.then
+		b.then = ""
+	}
 	if h.Ticket == "" || b.tickets[h.Ticket] != id || b.lost[id] {
 		return notNow()
 	}
+	if b.dies == id {
+		return nil
+	}
 	b.ran = append(b.ran, id)
 	return done()
 }
@@ -61,6 +74,7 @@
 			return nil, ctx.Err()
 		case next := <-b.turn:
 			if next == id || next == "any" {
+				b.hold(t.Id, next)
 				return &wire.Slot{Held: true}, nil
 			}
 			b.turn <- next
@@ -75,14 +89,25 @@
 	}
 }
 
+func (b *busyAgents) hold(ticket, turn string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.held[ticket] = turn
+}
+
+// withdraw gives the turn of a held slot to the next ticket.
 func (b *busyAgents) withdraw(ticket string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.withdrawn[ticket] = true
+	if turn := b.held[ticket]; turn != "" {
+		delete(b.held, ticket)
+		b.turn <- turn
+	}
 }
 
-func newBusyRig(t *testing.T, b *busyAgents, agents int) *rig {
-	r := newRig(t, "least-loaded", 0, agents, b.end)
+func newBusyRig(t *testing.T, b *busyAgents, retryPercent, agents int) *rig {
+	r := newRig(t, "least-loaded", retryPercent, agents, b.end)
 	for _, a := range r.agents {
 		a.queue = b
 	}
@@ -94,7 +119,7 @@
 // it would hold a slot for nobody.
 func TestFirstFreeSlotWins(t *testing.T) {
 	b := newBusyAgents()
-	r := newBusyRig(t, b, 4)
+	r := newBusyRig(t, b, 0, 4)
 	b.turn <- "up-2"
 	res, _ := r.call(false)
 	assert.Equal(t, res.Reason, wire.Reason(0), "%s", res.Detail)
@@ -117,39 +142,40 @@
 func TestLostSlotIsWaitedForAgain(t *testing.T) {
 	b := newBusyAgents()
 	b.lost["up-1"] = true
-	r := newBusyRig(t, b, 3)
+	r := newBusyRig(t, b, 0, 3)
 	b.turn <- "up-1"
-	b.turn <- "up-0"
+	b.then = "up-0"
 	res, _ := r.call(false)
 	assert.Equal(t, res.Reason, wire.Reason(0), "%s", res.Detail)
 	assert.DeepEqual(t, b.ran, []string{"up-0"})
 }
 
-// The agent that promised a slot dies before the Run reaches it. Nothing was sent,
-// so the request goes to another upstream without a retry from the budget, which
-// is empty.
+// The agent that promised a slot dies with the Run in its hands. It may have run:
+// a request that may run once ends in doubt and is asked of nobody else, and one
+// that may be repeated waits for no second slot either, but takes a retry.
 func TestAgentDiesAfterItsPromise(t *testing.T) {
-	b := newBusyAgents()
-	r := newBusyRig(t, b, 3)
-	for _, a := range r.agents {
-		a.afterWait = func(id string) {
-			if id == "up-1" {
-				r.stop(id)
-			}
+	for _, idempotent := range []bool{false, true} {
+		b := newBusyAgents()
+		b.dies = "up-1"
+		r := newBusyRig(t, b, 100, 3)
+		b.turn <- "up-1"
+		b.then = "up-2"
+		res, _ := r.call(idempotent)
+		if !idempotent {
+			assert.Equal(t, res.Outcome, wire.Outcome_OUTCOME_UNKNOWN)
+			assert.Equal(t, r.attempts(), 2)
+			continue
 		}
+		assert.Equal(t, res.Reason, wire.Reason(0), "%s", res.Detail)
+		assert.DeepEqual(t, b.ran, []string{"up-2"})
 	}
-	b.turn <- "up-1"
-	b.turn <- "up-2"
-	res, _ := r.call(false)
-	assert.Equal(t, res.Reason, wire.Reason(0), "%s", res.Detail)
-	assert.DeepEqual(t, b.ran, []string{"up-2"})
 }
 
 // Every agent promises slots and refuses every Run. The request may not go round
 // for ever: it ends as not run after a bounded number of messages.
 func TestBrokenPromisesAreBounded(t *testing.T) {
 	b := newBusyAgents()
-	r := newBusyRig(t, b, 2)
+	r := newBusyRig(t, b, 0, 2)
 	for range 8 {
 		b.turn <- "any"
 	}
@@ -165,7 +191,7 @@
 func TestFullQueuesRefuseAtOnce(t *testing.T) {
 	b := newBusyAgents()
 	b.full = true
-	r := newBusyRig(t, b, 4)
+	r := newBusyRig(t, b, 0, 4)
 	res, _ := r.call(true)
 	assert.Equal(t, res.Outcome, wire.Outcome_OUTCOME_NOT_RUN)
 	assert.Equal(t, res.Reason, wire.Reason_REASON_QUEUE_FULL)
