--- a/admit/class.go
+++ b/admit/class.go
@@ -13,8 +13,10 @@
 	heap  flowHeap
 	// total is how much work waits.
 	total int
-	// tickets is how many of them are tickets.
+	// tickets is how many of them wait elsewhere too.
 	tickets int
+	// places is how much of the queue they take, in parts of a place.
+	places  int
 	running int
 	// weights is the sum over the teams that wait.
 	weights float64
@@ -53,10 +55,7 @@
 	}
 	f.tail = w
 	f.n++
-	c.total++
-	if w.Ticket {
-		c.tickets++
-	}
+	c.count(w, 1)
 	if f.n == 1 {
 		// A team that was idle begins now: it gets no credit for the past.
 		f.start = max(c.vtime, f.finish)
@@ -66,6 +65,18 @@
 	}
 }
 
+// placeUnit is a place in a queue. It divides evenly by up to 8 tickets.
+const placeUnit = 840
+
+// count adds work that waits, or takes it off.
+func (c *class) count(w *Work, n int) {
+	c.total += n
+	c.places += n * placeUnit / max(w.Tickets, 1)
+	if w.Tickets > 0 {
+		c.tickets += n
+	}
+}
+
 func (c *class) remove(w *Work) {
 	f := w.flow
 	wasHead := f.head == w
@@ -81,10 +92,7 @@
 	}
 	w.prev, w.next, w.flow = nil, nil, nil
 	f.n--
-	c.total--
-	if w.Ticket {
-		c.tickets--
-	}
+	c.count(w, -1)
 	switch {
 	case f.n == 0:
 		heap.Remove(&c.heap, f.index)
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -57,9 +57,10 @@
 	MaxQueue int
 	// NoWait has the work refused unless it starts at once.
 	NoWait bool
-	// Ticket marks work that waits at several gates and is started at one. The
-	// others see it go: it is no load, and delays nothing that waits.
-	Ticket bool
+	// Tickets is at how many gates the work waits, to be started at one; 0 is here
+	// alone. The others see it go: it is no load, delays nothing that waits, and
+	// takes its part of a place in the queue.
+	Tickets int
 	// Unused is set before Done if the slot was given back without a run.
 	Unused bool
 	// Value is the caller's.
@@ -207,7 +208,7 @@
 		return ErrPartFull
 	}
 	c := &g.classes[class]
-	if c.total < g.settings.MaxQueue {
+	if c.places < g.settings.MaxQueue*placeUnit {
 		return nil
 	}
 	victim := c.giveWay(w, g.settings.MaxQueue)
--- a/agent/tickets.go
+++ b/agent/tickets.go
@@ -29,6 +29,10 @@
 // or was cut off, is one slot for this long.
 const holdTime = 100 * time.Millisecond
 
+// maxTickets bounds at how many agents a request may say that it waits: it takes
+// so small a part of a place in the queue.
+const maxTickets = 16
+
 // stopper is a timer that can be stopped.
 type stopper interface{ Stop() bool }
 
@@ -74,7 +78,6 @@
 	if err := s.add(id, t); err != nil {
 		return err
 	}
-	w.Ticket = true
 	release, err := s.runner.Enter(ctx, w)
 	if err != nil && s.remove(id, t) {
 		return err
@@ -226,6 +229,7 @@
 	err := s.tickets.wait(ctx, t.Id, &admit.Work{
 		Team: t.Team, Weight: int(t.Weight), Priority: t.Priority,
 		Cost: float64(max(t.Tokens, 1)), Deadline: time.Now().Add(timeout),
+		Tickets: int(min(max(t.Tickets, 1), maxTickets)),
 	})
 	switch {
 	case errors.Is(err, ErrTicketTwice):
--- a/forward/wait.go
+++ b/forward/wait.go
@@ -31,6 +31,8 @@
 type slot struct {
 	up     route.Upstream
 	ticket string
+	// of is how many tickets the call has.
+	of int
 }
 
 // answer is what became of one ticket.
@@ -90,7 +92,7 @@
 	ups := waiter.Places(f.now(), c.Route, Tickets(c.Head.Priority))
 	slots := make([]slot, len(ups))
 	for i, up := range ups {
-		slots[i] = slot{up, c.Head.RequestId + ".w" + strconv.Itoa(n) + "." + strconv.Itoa(i)}
+		slots[i] = slot{up: up, ticket: c.Head.RequestId + ".w" + strconv.Itoa(n) + "." + strconv.Itoa(i), of: len(ups)}
 	}
 	return waiter, slots
 }
@@ -108,7 +110,7 @@
 	h := c.Head
 	got, err := wire.NewDRPCAgentClient(f.pool.Conn(ctx, s.up.Address)).Wait(ctx, &wire.Ticket{
 		Id: s.ticket, Team: h.Team, Weight: h.Weight, Priority: h.Priority, Tokens: h.Tokens,
-		TimeoutUs: c.Deadline.Sub(f.now()).Microseconds(), Incarnation: s.up.Incarnation,
+		TimeoutUs: c.Deadline.Sub(f.now()).Microseconds(), Incarnation: s.up.Incarnation, Tickets: uint32(s.of),
 	})
 	if err != nil {
 		return answer{slot: s}
--- a/measure/admit/queues.go
+++ b/measure/admit/queues.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -58,16 +59,22 @@
 	name string
 	// global puts all work into one queue before all engines.
 	global bool
-	make   func(admit.Settings) admit.Queue
+	// tickets has requests wait at several engines, as the forwarder does.
+	tickets bool
+	// blind has engines chosen at random.
+	blind bool
+	make  func(admit.Settings) admit.Queue
 }
 
 func gate(s admit.Settings) admit.Queue { return admit.NewGate(s) }
 func fifo(s admit.Settings) admit.Queue { return admit.NewFIFO(s) }
 
 var policies = []policy{
-	{"fifo", false, fifo},
-	{"gate", false, gate},
-	{"single queue", true, gate},
+	{name: "fifo", make: fifo},
+	{name: "gate", make: gate},
+	{name: "gate, tickets", tickets: true, make: gate},
+	{name: "blind tickets", tickets: true, blind: true, make: gate},
+	{name: "single queue", global: true, make: gate},
 }
 
 // request is one caller's request in the model.
@@ -80,6 +87,11 @@
 	work    *admit.Work
 	entry   int
 	engine  int
+	// bound says that a slot was found.
+	bound bool
+	// places are the request's tickets; left of them have not ended.
+	places []*place
+	left   int
 }
 
 // model is one run.
@@ -251,16 +263,31 @@
 	}
 }
 
-// toEngine sends a request to the engine with the least work, by load that is known
-// at once: the choice of an upstream is not what is measured here.
-func (m *model) toEngine(r *request) {
+func (m *model) choose() int {
+	if m.policy.blind {
+		return m.rng.IntN(len(m.load))
+	}
+	least := 0
 	for i := range m.load {
-		if m.load[i] < m.load[r.engine] {
-			r.engine = i
+		if m.load[i] < m.load[least] {
+			least = i
 		}
 	}
+	return least
+}
+
+// toEngine sends a request to the engine with the least work, by load that is known
+// at once: the choice of an upstream is not what is measured here.
+func (m *model) toEngine(r *request) {
+	r.engine = m.choose()
 	r.work = m.newWork(r)
-	if m.engine[r.engine].Offer(m.now, r.work) != nil {
+	r.work.NoWait = m.policy.tickets
+	err := m.engine[r.engine].Offer(m.now, r.work)
+	if errors.Is(err, admit.ErrBusy) {
+		m.after(2*hop, func() { m.queue(r) })
+		return
+	}
+	if err != nil {
 		m.refused[r.class]++
 		m.leave(r)
 		return
@@ -272,11 +299,19 @@
 func (m *model) pumpEngine(i int) {
 	start, refused := m.engine[i].Start(m.now)
 	for _, x := range refused {
+		if p, ok := x.Work.Value.(*place); ok {
+			m.lost(p)
+			continue
+		}
 		m.load[i]--
 		m.refused[x.Work.Value.(*request).class]++
 		m.leave(x.Work.Value.(*request))
 	}
 	for _, w := range start {
+		if p, ok := w.Value.(*place); ok {
+			m.hold(p)
+			continue
+		}
 		m.begin(w.Value.(*request))
 	}
 }
--- a/measure/route/engine.go
+++ b/measure/route/engine.go
@@ -72,7 +72,9 @@
 	index  int
 	// ticket marks a place in the queue without a request: when its turn comes,
 	// the slot is held and granted is called.
-	ticket  bool
+	ticket bool
+	// of is how many tickets the request has.
+	of      int
 	granted func()
 	holds   bool
 }
@@ -133,8 +135,10 @@
 	cache blockCache
 	// held slots are offered to the entries of tickets and not used yet.
 	held int
-	// tickets is how many of those that wait are tickets.
+	// tickets is how many of those that wait are tickets; they take so much of the
+	// places in the queue.
 	tickets int
+	places  float64
 }
 
 func (e *engine) full() bool { return len(e.running)+e.held >= e.spec.slots }
@@ -162,16 +166,22 @@
 
 // offer queues a job or refuses it.
 func (e *engine) offer(j *job) {
-	if e.full() && (j.noWait || e.waiting >= e.spec.maxQueue) {
+	if e.full() && (j.noWait || e.places >= float64(e.spec.maxQueue)) {
 		j.ended(wire.Outcome_OUTCOME_NOT_RUN, wire.Reason_REASON_QUEUE_FULL, e.load())
 		return
 	}
 	e.queue[j.class] = append(e.queue[j.class], j)
-	e.waiting++
+	e.count(j, 1)
+	e.fill()
+}
+
+// count adds a job that waits, or takes it off.
+func (e *engine) count(j *job, n int) {
+	e.waiting += n
 	if j.ticket {
-		e.tickets++
+		e.tickets += n
 	}
-	e.fill()
+	e.places += float64(n) / float64(max(j.of, 1))
 }
 
 // next takes the first job of the most urgent class.
@@ -180,10 +190,7 @@
 		for len(e.queue[class]) > 0 {
 			j := e.queue[class][0]
 			e.queue[class] = e.queue[class][1:]
-			e.waiting--
-			if j.ticket {
-				e.tickets--
-			}
+			e.count(j, -1)
 			if e.clock.now < j.deadline {
 				return j
 			}
@@ -273,10 +280,7 @@
 	for i, w := range e.queue[j.class] {
 		if w == j {
 			e.queue[j.class] = slices.Delete(e.queue[j.class], i, i+1)
-			e.waiting--
-			if j.ticket {
-				e.tickets--
-			}
+			e.count(j, -1)
 			return
 		}
 	}
@@ -319,7 +323,7 @@
 		}
 	}
 	e.running, e.queue, e.waiting = nil, [4][]*job{}, 0
-	e.tickets, e.held = 0, 0
+	e.tickets, e.held, e.places = 0, 0, 0
 }
 
 // blockCache is an engine's prefix cache: least recently used blocks go first.
--- a/measure/route/system.go
+++ b/measure/route/system.go
@@ -352,7 +352,7 @@
 		m.out.tickets++
 	}
 	e, way := q.at(i)
-	t := &job{class: q.a.class, deadline: q.a.at + m.spec.timeout, ticket: true}
+	t := &job{class: q.a.class, deadline: q.a.at + m.spec.timeout, ticket: true, of: len(q.places)}
 	t.ended = func(_ wire.Outcome, reason wire.Reason, _ *wire.Load) {
 		m.clock.after(way, func() { q.over(reason == wire.Reason_REASON_QUEUE_FULL) })
 	}
