Hand leadership of the log over to a chosen voter

Cause: a leader that stops as planned left the others to time out.

Change: Node.Transfer takes no more proposals, brings a live voter up to date, gives up the lease, and tells it to campaign; vote requests of such a campaign pass the time in which voters withhold votes. A target that doesn't take over is given up after the election timeout; a leader that had told it comes back in a new term, since the lease of the old one could be broken by a late campaign.

--- a/consensus/doc.go
+++ b/consensus/doc.go
@@ -20,4 +20,7 @@
 //   - A follower grants no vote within the election timeout after it heard a
 //     leader, or after its own start. A leader's lease is shorter than that by
 //     the bound on clock rates, so it ends before another leader can be elected.
+//   - A leader that hands over gives up its lease before its target may campaign,
+//     and has none again in that term. Voters that grant the target's votes within
+//     the election timeout would otherwise leave two replicas that answer reads.
 package consensus
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -106,7 +106,8 @@
 
 // campaign asks for votes, or first whether votes would be granted. Pre-votes
 // keep a replica that can't win from pushing the term up and deposing a leader.
-func (n *Node) campaign(role Role) {
+// transfer says that the leader of this term has given up its lease.
+func (n *Node) campaign(role Role, transfer bool) {
 	n.becomeFollower(n.term, "")
 	n.role = role
 	kind := wire.RaftKind_RAFT_KIND_PRE_VOTE
@@ -126,7 +127,7 @@
 		}
 		n.send(&wire.RaftMessage{
 			Kind: kind, To: id, Term: term,
-			PrevIndex: n.log.lastIndex(), PrevTerm: n.log.lastTerm(),
+			PrevIndex: n.log.lastIndex(), PrevTerm: n.log.lastTerm(), Transfer: transfer,
 		})
 	}
 }
@@ -141,7 +142,8 @@
 	if pre {
 		free = m.Term > n.term
 	}
-	grant := free && !n.hearsLeader() && n.upToDate(m)
+	withhold := n.hearsLeader() && !m.Transfer
+	grant := free && !withhold && n.upToDate(m)
 	reply := &wire.RaftMessage{Kind: kind, To: m.From, Reject: !grant}
 	if grant && pre {
 		reply.Term = m.Term
@@ -182,7 +184,7 @@
 		return false
 	}
 	if n.role == PreCandidate {
-		n.campaign(Candidate)
+		n.campaign(Candidate, false)
 		return true
 	}
 	n.becomeLeader()
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -62,7 +62,11 @@
 func (n *Node) tickLeader() {
 	// A leader that hears no majority can commit nothing and its lease is over;
 	// stepping down lets callers look elsewhere.
-	if n.now >= n.sinceLead+2*n.cfg.ElectionTimeout && !n.leaseLive() && !n.cfg.off.lease {
+	if n.transfer != nil && n.now >= n.transfer.deadline {
+		n.giveUpTransfer()
+		return
+	}
+	if n.now >= n.sinceLead+2*n.cfg.ElectionTimeout && !n.quorumHeard() && !n.cfg.off.lease {
 		n.becomeFollower(n.term, "")
 		return
 	}
@@ -83,6 +87,7 @@
 	if n.onlyVoter() {
 		n.confirmReads()
 	}
+	n.tellTarget()
 }
 
 // peerIDs lists the other peers, sorted, so that a run is repeatable.
@@ -194,6 +199,9 @@
 		n.advanceCommit()
 	}
 	p.next = max(p.next, p.match+1)
+	if !n.yielded {
+		n.tellTarget()
+	}
 	if p.next <= n.log.lastIndex() {
 		n.sendAppend(m.From, false)
 	}
@@ -260,7 +268,19 @@
 // grants no vote for ElectionTimeout, by its own clocks, after it heard an
 // append; the lease runs from before that append left, and is shorter by the
 // bound on clock rates.
+//
+// A leader that has told another to campaign has no lease any more: the voters
+// are free to grant their votes from that moment.
 func (n *Node) leaseLive() bool {
+	if n.yielded && !n.cfg.off.transfer {
+		return false
+	}
+	return n.quorumHeard()
+}
+
+// quorumHeard says whether a majority acknowledged an append that left within
+// the length of a lease.
+func (n *Node) quorumHeard() bool {
 	start, ok := n.leaseStart()
 	length := time.Duration(float64(n.cfg.ElectionTimeout) / n.cfg.ClockRatio)
 	return ok && n.now < start+length
@@ -273,6 +293,9 @@
 	if n.role != Leader {
 		return 0, 0, ErrNotLeader
 	}
+	if n.transfer != nil {
+		return 0, 0, ErrTransferring
+	}
 	if n.log.lastIndex()-n.log.committed >= uint64(n.cfg.MaxPending) {
 		return 0, 0, ErrTooManyPending
 	}
--- a/consensus/members.go
+++ b/consensus/members.go
@@ -95,6 +95,9 @@
 	if n.role != Leader {
 		return ErrNotLeader
 	}
+	if n.transfer != nil {
+		return ErrTransferring
+	}
 	if n.log.configIndex() > n.log.committed {
 		return ErrConfigPending
 	}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -21,6 +21,8 @@
 	ErrNotCaughtUp    = merry.Sentinel("replica has not caught up")
 	ErrRolledBack     = merry.Sentinel("data folder is older than what this replica has acknowledged")
 	ErrTooManyPending = merry.Sentinel("too many proposals are in progress")
+	ErrTransferring   = merry.Sentinel("leadership is being transferred")
+	ErrNoTarget       = merry.Sentinel("no other voter is live")
 )
 
 // Time is monotonic time since any fixed moment of one process.
@@ -56,6 +58,8 @@
 	lease bool
 	// identity lets a replica vote before its peers have told what they saw.
 	identity bool
+	// transfer lets a leader keep its lease after it told another to campaign.
+	transfer bool
 }
 
 // DefaultConfig suits links of a few milliseconds.
@@ -157,6 +161,10 @@
 	nextBeat  Time
 	reads     []pendingRead
 	sinceLead Time
+	// transfer is in progress unless nil. yielded: the lease of this term is given
+	// up for good.
+	transfer *transfer
+	yielded  bool
 
 	verified bool
 	failed   error
@@ -240,7 +248,7 @@
 		return
 	}
 	if n.now >= n.deadline && n.isVoter(n.cfg.ID) {
-		n.campaign(PreCandidate)
+		n.campaign(PreCandidate, false)
 	}
 }
 
@@ -285,7 +293,7 @@
 	case wire.RaftKind_RAFT_KIND_VOTE:
 		// A replica that returns from a cut must not depose a leader that the
 		// others hear, and a vote within the lease would let two leaders answer.
-		if n.hearsLeader() {
+		if n.hearsLeader() && !m.Transfer {
 			return false
 		}
 	}
@@ -329,6 +337,8 @@
 		n.takeSnapshot(m)
 	case wire.RaftKind_RAFT_KIND_APPEND_REPLY:
 		n.takeAppendReply(m)
+	case wire.RaftKind_RAFT_KIND_TIMEOUT_NOW:
+		n.takeTimeoutNow()
 	}
 }
 
@@ -350,6 +360,7 @@
 	n.leader = leader
 	n.votes = nil
 	n.progress = nil
+	n.transfer, n.yielded = nil, false
 	n.resetDeadline()
 }
 
@@ -407,15 +418,21 @@
 	First    uint64 `json:"first"`
 	Verified bool   `json:"verified"`
 	Lease    bool   `json:"lease"`
+	// Transfer is the voter that leadership is being handed to, or "".
+	Transfer string `json:"transfer,omitempty"`
 }
 
 // Status returns the replica's state for dumps.
 func (n *Node) Status() Status {
-	return Status{
+	s := Status{
 		ID: n.cfg.ID, Role: n.role.String(), Leader: n.leader, Term: n.term,
 		Commit: n.log.committed, Applied: n.log.applied, Last: n.log.lastIndex(),
 		First: n.log.firstIndex(), Verified: n.verified, Lease: n.role == Leader && n.leaseLive(),
 	}
+	if n.transfer != nil {
+		s.Transfer = n.transfer.target
+	}
+	return s
 }
 
 // IsLeader says whether the replica leads and holds a live lease.
--- a/consensus/property_test.go
+++ b/consensus/property_test.go
@@ -71,6 +71,30 @@
 		if s.mayLose(r) {
 			s.loseDisk(r)
 		}
+	case 8:
+		if l := s.leader(); l != nil {
+			s.transfer(l, rnd)
+		}
+	}
+}
+
+// transfer lets a leader hand over; the target may die of it, or the leader be
+// cut off before it hears of the next one.
+func (s *sim) transfer(l *simReplica, rnd *rand.Rand) {
+	target, err := l.node.Transfer(s.clock(l))
+	if err != nil {
+		return
+	}
+	s.note("%s hands over to %s", l.id, target)
+	s.drain(l)
+	switch rnd.IntN(3) {
+	case 0:
+		if r := s.replicas[target]; r.up {
+			s.note("%s crashes", target)
+			s.crash(r)
+		}
+	case 1:
+		s.isolate(l, rnd)
 	}
 }
 
@@ -165,6 +189,7 @@
 	}{
 		{"sync before answer", simSwitches{sync: true}, []string{twoLeaders, changedEntry, lostEntry, lostAck}},
 		{"lease end", simSwitches{node: safeguards{lease: true}}, []string{staleRead}},
+		{"lease given up in a transfer", simSwitches{node: safeguards{transfer: true}}, []string{staleRead}},
 		{"empty folder votes", simSwitches{newIdentity: true}, []string{twoLeaders, changedEntry, lostEntry, lostAck}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
