Hand over before a planned stop of the leading control replica

Cause: a planned stop of the leader, dedicated or in an entry, left edits without a leader until the others timed out.

Change: Control.Drain transfers leadership, tries again if the target dies, and waits until what was proposed here is answered, for three election timeouts at most. Calls that find no leader wait 100 ms for one, so that they don't sit out the client's pause between two rounds.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -438,6 +438,9 @@
 // IsLeader says whether the replica leads and holds a live lease.
 func (n *Node) IsLeader() bool { return n.role == Leader && n.leaseLive() }
 
+// Role returns what the replica is now. A Leader may lack a live lease.
+func (n *Node) Role() Role { return n.role }
+
 // Leader returns the ID of the leader that this replica follows, or "".
 func (n *Node) Leader() string { return n.leader }
 
--- a/consensus/transfer.go
+++ b/consensus/transfer.go
@@ -43,6 +43,9 @@
 	return heir.Id, nil
 }
 
+// Transferring says whether leadership is being handed over.
+func (n *Node) Transferring() bool { return n.transfer != nil }
+
 // heir returns the live voter that is to lead next, or nil. A stop often comes
 // with work on the whole failure domain, so one in another failure domain goes
 // before, unless it lags.
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -154,9 +154,11 @@
 	return nil
 }
 
-// Drain implements kernel.Daemon: a replica has nothing of its own in progress;
-// the others elect a leader when it is gone.
-func (d *Daemon) Drain(context.Context) error { return nil }
+// Drain implements kernel.Daemon: a replica that leads hands over.
+func (d *Daemon) Drain(ctx context.Context) error {
+	d.control.Drain(ctx)
+	return nil
+}
 
 // Stop implements kernel.Daemon.
 func (d *Daemon) Stop() int {
--- a/control/replica.go
+++ b/control/replica.go
@@ -59,6 +59,7 @@
 	sinceCut int
 	lastCare time.Time
 	leads    leaseClock
+	leader   leaderWatch
 	rings    ringClock
 	shares   shareHome
 	// pools is read by announcements, outside the loop.
@@ -102,8 +103,9 @@
 		reads:   map[uint64]chan<- error{},
 		queued:  map[uint64][]uint64{},
 		hard:    st.Hard, watchers: map[chan struct{}]struct{}{},
-		leads: leaseClock{expires: map[string]time.Time{}},
-		rings: ringClock{changed: time.Now()},
+		leads:  leaseClock{expires: map[string]time.Time{}},
+		leader: leaderWatch{changed: make(chan struct{})},
+		rings:  ringClock{changed: time.Now()},
 	}
 	r.feed.reset(m.table.Revision(), m.ring, r.rings.changed)
 	return r, nil
@@ -147,6 +149,7 @@
 		}
 		r.node.Flush()
 		r.process()
+		r.followLeader()
 	}
 }
 
--- a/control/service.go
+++ b/control/service.go
@@ -32,9 +32,8 @@
 	if r == nil {
 		return reply, true, merry.Prepend(ErrUnavailable, "replica belongs to no cluster yet")
 	}
-	var leads bool
-	var addr string
-	if err := r.do(ctx, func() { leads, addr = r.node.IsLeader(), r.leaderAddress() }); err != nil {
+	leads, addr, err := r.findLeader(ctx)
+	if err != nil {
 		return reply, true, err
 	}
 	if leads {
@@ -50,16 +49,6 @@
 	return reply, true, err
 }
 
-func (r *Replica) leaderAddress() string {
-	leader := r.node.Leader()
-	for _, p := range r.node.Peers() {
-		if p.Id == leader && p.Id != idOf(r.identity) {
-			return p.Address
-		}
-	}
-	return ""
-}
-
 func unavailable(err error) *wire.EditReply {
 	return &wire.EditReply{Status: wire.EditStatus_EDIT_STATUS_UNAVAILABLE, Detail: err.Error()}
 }
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -51,6 +51,9 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-e.drained:
-		return nil
 	}
+	if e.control != nil {
+		e.control.Drain(ctx)
+	}
+	return nil
 }
--- a/measure/control/failover.go
+++ b/measure/control/failover.go
@@ -13,8 +13,31 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
-// measureFailover kills the leader and waits until the next edit is accepted.
+// leaderEnd is a way in which a leader ends.
+type leaderEnd struct {
+	name string
+	end  func(ctx context.Context, c *cluster, i int)
+}
+
+// measureFailover ends the leader, in rounds, while an operator edits one row
+// after another: the longest time between two accepted edits.
 func measureFailover(ctx context.Context, o options) error {
+	fmt.Printf("%-30s %7s %8s %8s %8s\n", "longest time without an edit", "rounds", "p50", "p90", "max")
+	for _, e := range []leaderEnd{
+		{"killed, or no transfer", func(_ context.Context, c *cluster, i int) { c.stop(i) }},
+		{"planned stop, transfer", func(ctx context.Context, c *cluster, i int) {
+			c.replicas[i].ctl.Drain(ctx)
+			c.stop(i)
+		}},
+	} {
+		if err := failovers(ctx, o, e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func failovers(ctx context.Context, o options, e leaderEnd) error {
 	c, err := newCluster(ctx, filepath.Join(o.Dir, "failover"), 3, nil)
 	if err != nil {
 		return err
@@ -22,41 +45,67 @@
 	defer c.close()
 	h := hdrhistogram.New(1, longest, 3)
 	for round := range o.Rounds {
-		d, err := c.failover(ctx, fmt.Sprintf("team-%04d", round))
+		d, err := c.failover(ctx, fmt.Sprintf("team-%04d", round), e)
 		if err != nil {
 			return err
 		}
 		_ = h.RecordValue(d.Milliseconds())
 	}
-	fmt.Printf("rounds %d: from the leader's end to the next accepted edit p50 %dms, p90 %dms, max %dms\n",
-		o.Rounds, h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.Max())
+	fmt.Printf("%-30s %7d %6dms %6dms %6dms\n", e.name, o.Rounds, h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.Max())
 	return nil
 }
 
-func (c *cluster) failover(ctx context.Context, key string) (time.Duration, error) {
+// failover ends the leader under a writer, and starts it again.
+func (c *cluster) failover(ctx context.Context, key string, e leaderEnd) (time.Duration, error) {
 	leader, err := c.leader(ctx)
 	if err != nil {
 		return 0, err
 	}
-	c.stop(leader)
-	began := time.Now()
-	if err := c.sendUntilDecided(ctx, c.newEdit(key, 0)); err != nil {
+	version := uint64(0)
+	// write returns when the edit was accepted.
+	write := func() (time.Time, error) {
+		reply, err := c.sendUntilDecided(ctx, c.newEdit(key, version))
+		if err == nil {
+			version = reply.Rows[0].Version
+		}
+		return time.Now(), err
+	}
+	last, err := write()
+	if err != nil {
 		return 0, err
 	}
-	took := time.Since(began)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		e.end(ctx, c, leader)
+	}()
+	var longest time.Duration
+	for after := false; !after; {
+		select {
+		case <-ended:
+			after = true
+		default:
+		}
+		at, err := write()
+		if err != nil {
+			return 0, err
+		}
+		longest = max(longest, at.Sub(last))
+		last = at
+	}
 	if _, err := c.start(ctx, leader, nil); err != nil {
 		return 0, err
 	}
-	return took, c.waitWhole(ctx)
+	return longest, c.waitWhole(ctx)
 }
 
-func (c *cluster) sendUntilDecided(ctx context.Context, e *wire.TableEdit) error {
+func (c *cluster) sendUntilDecided(ctx context.Context, e *wire.TableEdit) (*wire.EditReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	for {
-		_, err := c.send(ctx, e)
+		reply, err := c.send(ctx, e)
 		if err == nil || ctx.Err() != nil {
-			return err
+			return reply, err
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
