--- a/control/control_test.go
+++ b/control/control_test.go
@@ -30,6 +30,8 @@
 	running []*runningReplica
 	pool    *transport.Pool
 	client  *control.Client
+	// change adapts the settings of replicas, if set.
+	change func(*control.Settings)
 }
 
 type runningReplica struct {
@@ -41,8 +43,10 @@
 	unfollow context.CancelFunc
 }
 
-func newCluster(t *testing.T, n int) *cluster {
-	c := &cluster{t: t, dir: t.TempDir(), pool: transport.NewPool(sec), running: make([]*runningReplica, n)}
+func newCluster(t *testing.T, n int) *cluster { return newClusterWith(t, n, nil) }
+
+func newClusterWith(t *testing.T, n int, change func(*control.Settings)) *cluster {
+	c := &cluster{t: t, dir: t.TempDir(), pool: transport.NewPool(sec), running: make([]*runningReplica, n), change: change}
 	var lis []net.Listener
 	for range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -83,6 +87,9 @@
 	r := &runningReplica{srv: transport.NewServer(sec), pool: transport.NewPool(sec), lis: lis}
 	s.Groups.CounterPeriod = kernel.Duration(60 * time.Millisecond)
 	s.Groups.PlanPeriod = kernel.Duration(200 * time.Millisecond)
+	if c.change != nil {
+		c.change(&s)
+	}
 	r.ctl, err = control.New(s, log.NewNopLogger(), r.pool)
 	assert.NilError(c.t, err)
 	node := directory.NewNode(directory.DefaultSettings(), time.Now, nil)
