Count a follower's rows as confirmed since it asked, not since it heard

Cause: a heartbeat that was long under way counted as heard now, so a follower called its rows current for as long as the way had taken. A new leader's heartbeats did the same before it knew what was committed, and a replica that had just started passed for as young as its process.

Change: append replies carry the follower's clock, and a leader with a live lease and a committed entry of its term echoes the latest one; a follower's confirmation counts from there. The schedules check it at every step.

--- a/consensus/follower.go
+++ b/consensus/follower.go
@@ -16,9 +16,10 @@
 
 func (n *Node) takeAppend(m *wire.RaftMessage) {
 	n.follow(m)
-	reply := &wire.RaftMessage{Kind: wire.RaftKind_RAFT_KIND_APPEND_REPLY, To: m.From, Round: m.Round}
+	reply := n.replyTo(m)
 	if m.PrevIndex < n.log.committed {
 		// Committed entries equal the leader's; only what comes after can differ.
+		n.confirm(m)
 		reply.Index = n.log.committed
 		n.send(reply)
 		return
@@ -32,13 +33,32 @@
 	n.take(m.Entries)
 	last := m.PrevIndex + uint64(len(m.Entries))
 	n.log.commitTo(min(m.Commit, last))
-	if n.log.committed >= m.Commit {
-		n.confirmed = n.now
-	}
+	n.confirm(m)
 	reply.Index = last
 	n.send(reply)
 }
 
+func (n *Node) replyTo(m *wire.RaftMessage) *wire.RaftMessage {
+	return &wire.RaftMessage{
+		Kind: wire.RaftKind_RAFT_KIND_APPEND_REPLY, To: m.From, Round: m.Round,
+		Boot: n.boot, AskedNs: int64(n.now),
+	}
+}
+
+// confirm notes since when this replica's state was current: not since an append
+// came, which may have been long under way, but since this replica sent the
+// reply that the leader had got before it sent the append.
+func (n *Node) confirm(m *wire.RaftMessage) {
+	// The times of an earlier process are of another clock.
+	if m.Boot != n.boot || n.log.committed < m.Commit {
+		return
+	}
+	n.confirmed = max(n.confirmed, Time(m.AskedNs))
+	if n.cfg.off.echo {
+		n.confirmed = n.now
+	}
+}
+
 // conflictHint is the last index that may still match: the one before the
 // conflicting term, so that a long conflict takes one round a term, not an entry.
 func (n *Node) conflictHint(m *wire.RaftMessage) uint64 {
@@ -69,7 +89,7 @@
 
 func (n *Node) takeSnapshot(m *wire.RaftMessage) {
 	n.follow(m)
-	reply := &wire.RaftMessage{Kind: wire.RaftKind_RAFT_KIND_APPEND_REPLY, To: m.From, Round: m.Round}
+	reply := n.replyTo(m)
 	s := m.Snapshot
 	if s == nil || s.Index <= n.log.committed {
 		reply.Index = n.log.committed
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -18,6 +18,9 @@
 	probing bool
 	// snapshotUntil holds appends back while a snapshot is on its way.
 	snapshotUntil Time
+	// boot and askedNs are echoed; see wire.RaftMessage.
+	boot    uint64
+	askedNs int64
 }
 
 func (n *Node) becomeLeader() {
@@ -132,10 +135,14 @@
 	if len(entries) == 0 && !beat {
 		return
 	}
-	n.sendEarly(&wire.RaftMessage{
+	m := &wire.RaftMessage{
 		Kind: wire.RaftKind_RAFT_KIND_APPEND, To: id, PrevIndex: prev, PrevTerm: prevTerm,
 		Entries: entries, Commit: n.log.committed, Round: n.round, Witness: n.witness(),
-	})
+	}
+	if n.ready() && n.leaseLive() {
+		m.Boot, m.AskedNs = p.boot, p.askedNs
+	}
+	n.sendEarly(m)
 	if !p.probing {
 		p.next += uint64(len(entries))
 	}
@@ -182,6 +189,7 @@
 		return
 	}
 	p.acked = max(p.acked, m.Round)
+	p.boot, p.askedNs = m.Boot, m.AskedNs
 	n.confirmReads()
 	if m.Reject {
 		// The peer's log differs or is shorter. Its hint is never trusted below
@@ -286,6 +294,13 @@
 	return ok && n.now < start+length
 }
 
+// ready says whether an entry of this leader's term is committed. Before that, a
+// new leader doesn't know which earlier entries are.
+func (n *Node) ready() bool {
+	term, ok := n.log.term(n.log.committed)
+	return ok && term == n.term
+}
+
 // Propose appends a command. It is accepted when the entry of this index and
 // term is in a Ready's Apply.
 func (n *Node) Propose(now Time, data []byte) (index, term uint64, err error) {
@@ -319,9 +334,7 @@
 	if n.role != Leader {
 		return ErrNotLeader
 	}
-	// Before an entry of its own term is committed, a new leader doesn't know
-	// which earlier entries are.
-	if term, ok := n.log.term(n.log.committed); !ok || term != n.term {
+	if !n.ready() {
 		return ErrNotReady
 	}
 	if n.leaseLive() || n.cfg.off.lease {
--- a/consensus/members.go
+++ b/consensus/members.go
@@ -101,7 +101,7 @@
 	if n.log.configIndex() > n.log.committed {
 		return ErrConfigPending
 	}
-	if term, ok := n.log.term(n.log.committed); !ok || term != n.term {
+	if !n.ready() {
 		return ErrNotReady
 	}
 	next := proto.Clone(n.log.config()).(*wire.Configuration)
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -25,6 +25,9 @@
 	ErrNoTarget       = merry.Sentinel("no other voter is live")
 )
 
+// neverConfirmed is the age of a state that was not confirmed since the start.
+const neverConfirmed = 24 * time.Hour
+
 // Time is monotonic time since any fixed moment of one process.
 type Time = time.Duration
 
@@ -60,6 +63,8 @@
 	identity bool
 	// transfer lets a leader keep its lease after it told another to campaign.
 	transfer bool
+	// echo lets a follower take an append as sent when it came.
+	echo bool
 }
 
 // DefaultConfig suits links of a few milliseconds.
@@ -150,8 +155,11 @@
 	// heard is when a leader was last heard; votes are withheld after it.
 	heard    Time
 	deadline Time
-	// confirmed is when a leader's append last left nothing to be fetched.
+	// confirmed is when the applied state was last known to be current, while
+	// another led.
 	confirmed Time
+	// boot tells this process from earlier ones of the same replica.
+	boot uint64
 
 	votes    map[string]bool
 	progress map[string]*progress
@@ -193,6 +201,8 @@
 		now:       now,
 		log:       newLog(r.Snapshot, r.Entries),
 		heard:     now,
+		confirmed: now - neverConfirmed,
+		boot:      cfg.Rand.Uint64() | 1,
 		hellos:    map[string]bool{},
 		witnessed: map[string]uint64{},
 		verified:  r.Fresh || cfg.off.identity,
@@ -319,7 +329,10 @@
 func (n *Node) answerOldTerm(m *wire.RaftMessage) {
 	switch m.Kind {
 	case wire.RaftKind_RAFT_KIND_APPEND, wire.RaftKind_RAFT_KIND_SNAPSHOT:
-		n.send(&wire.RaftMessage{Kind: wire.RaftKind_RAFT_KIND_APPEND_REPLY, To: m.From, Reject: true, Round: m.Round, Index: n.log.lastIndex()})
+		reply := n.replyTo(m)
+		reply.Reject = true
+		reply.Index = n.log.lastIndex()
+		n.send(reply)
 	case wire.RaftKind_RAFT_KIND_PRE_VOTE:
 		n.send(&wire.RaftMessage{Kind: wire.RaftKind_RAFT_KIND_PRE_VOTE_REPLY, To: m.From, Reject: true})
 	}
@@ -356,6 +369,7 @@
 		n.vote = ""
 	}
 	n.failReads()
+	n.confirmed = n.now - n.ConfirmedAge(n.now)
 	n.role = Follower
 	n.leader = leader
 	n.votes = nil
@@ -451,19 +465,15 @@
 }
 
 // ConfirmedAge is how long ago this replica's applied state was known to hold
-// all that was committed: for a leader since its lease began, for a follower
-// since it heard a leader's append with all applied.
+// all that was accepted: for a leader when the latest append left that a majority
+// acknowledged, for a follower when it asked a leader with a live lease.
 func (n *Node) ConfirmedAge(now Time) time.Duration {
 	now = max(n.now, now)
-	if n.role == Leader {
-		at, ok := n.leaseStart()
-		if !ok {
-			at = n.sinceLead
+	at := n.confirmed
+	if n.role == Leader && n.ready() {
+		if start, ok := n.leaseStart(); ok {
+			at = max(at, start)
 		}
-		return now - at
-	}
-	if n.leader == "" && n.confirmed == 0 {
-		return now + n.cfg.ElectionTimeout
 	}
-	return now - n.confirmed
+	return now - at
 }
--- a/consensus/property_test.go
+++ b/consensus/property_test.go
@@ -189,7 +189,8 @@
 	}{
 		{"sync before answer", simSwitches{sync: true}, []string{twoLeaders, changedEntry, lostEntry, lostAck}},
 		{"lease end", simSwitches{node: safeguards{lease: true}}, []string{staleRead}},
-		{"lease given up in a transfer", simSwitches{node: safeguards{transfer: true}}, []string{staleRead}},
+		{"lease given up in a transfer", simSwitches{node: safeguards{transfer: true}}, []string{staleRead, staleRows}},
+		{"confirmed since asked", simSwitches{node: safeguards{echo: true}}, []string{staleRows}},
 		{"empty folder votes", simSwitches{newIdentity: true}, []string{twoLeaders, changedEntry, lostEntry, lostAck}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -31,6 +31,8 @@
 	leaders   map[uint64]string
 	committed map[uint64]uint64
 	accepted  map[uint64]string
+	// acceptances holds the highest accepted index by time.
+	acceptances []acceptance
 
 	history  []porcupine.Operation
 	pending  map[string]*simOp
@@ -80,6 +82,11 @@
 	done   bool
 }
 
+type acceptance struct {
+	at    time.Duration
+	index uint64
+}
+
 type simMessage struct {
 	at  time.Duration
 	seq int
@@ -110,6 +117,7 @@
 	lostEntry    = "accepted entry lost"
 	lostAck      = "acknowledged record lost"
 	staleRead    = "reads are not linearizable"
+	staleRows    = "rows are older than said"
 )
 
 func (s *sim) fail(format string, args ...any) {
@@ -272,6 +280,28 @@
 		}
 		s.leaders[r.node.term] = r.id
 	}
+	if r.up {
+		s.checkConfirmed(r)
+	}
+}
+
+// checkConfirmed: a replica has applied all that was accepted before the time at
+// which it says its state was current.
+func (s *sim) checkConfirmed(r *simReplica) {
+	age := time.Duration(float64(r.node.ConfirmedAge(s.clock(r))) / r.rate)
+	// The clock rate makes for rounding errors.
+	at := s.now - age - time.Microsecond
+	n := sort.Search(len(s.acceptances), func(i int) bool { return s.acceptances[i].at >= at })
+	if n > 0 && s.acceptances[n-1].index > r.at {
+		s.fail(staleRows+": %s at %d says that it was current at %v, when %d was accepted", r.id, r.at, at, s.acceptances[n-1].index)
+	}
+}
+
+func (s *sim) noteAccepted(index uint64) {
+	if n := len(s.acceptances); n > 0 {
+		index = max(index, s.acceptances[n-1].index)
+	}
+	s.acceptances = append(s.acceptances, acceptance{s.now, index})
 }
 
 func (s *sim) sendAll(list []*wire.RaftMessage) {
@@ -372,6 +402,7 @@
 	}
 	op.done = true
 	s.accepted[e.Index] = op.write
+	s.noteAccepted(e.Index)
 	s.history = append(s.history, porcupine.Operation{
 		ClientId: op.client, Input: op.write, Call: int64(op.call), Output: "", Return: int64(s.now) + 1,
 	})
--- a/control/replica.go
+++ b/control/replica.go
@@ -108,9 +108,18 @@
 		rings:  ringClock{changed: time.Now()},
 	}
 	r.feed.reset(m.table.Revision(), m.ring, r.rings.changed)
+	r.confirm()
 	return r, nil
 }
 
+// confirm tells watchers since when the rows are current. A failed replica goes
+// on hearing of commits that it doesn't apply.
+func (r *Replica) confirm() {
+	if r.failed == nil {
+		r.feed.confirm(r.now() - r.node.ConfirmedAge(r.now()))
+	}
+}
+
 func (r *Replica) start(ctx context.Context) {
 	ctx, r.stop = context.WithCancel(ctx)
 	r.peers.start(ctx)
@@ -142,7 +151,7 @@
 		case <-tick.C:
 			r.node.Tick(r.now())
 			r.care()
-			r.feed.confirm(r.now() - r.node.ConfirmedAge(r.now()))
+			r.confirm()
 		case f := <-r.calls:
 			f()
 			r.runQueued()
