Keep what was seen of peers without waiting for the next record

Cause: what peers saw after their last record was in memory only. If all restarted, a folder that lacked only its last records passed; on a quiet table the gap lasted until the next edit.

Change: a changed view is made durable at the next tick, at most once a heartbeat.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -181,6 +181,10 @@
 	newest indexedConfig
 	// witnessed is the highest index that each peer was seen to hold.
 	witnessed map[string]uint64
+	// nextWitness is when it may next be made durable without other records, and
+	// saveWitness that it is to be now.
+	nextWitness Time
+	saveWitness bool
 
 	early, messages []*wire.RaftMessage
 	readStates      []ReadState
@@ -253,6 +257,7 @@
 		n.sayHello()
 		return
 	}
+	n.keepWitness()
 	if n.role == Leader {
 		n.tickLeader()
 		return
@@ -262,6 +267,17 @@
 	}
 }
 
+// keepWitness makes what was seen of the peers durable soon after it was seen. It
+// goes with other records while there are any; what was seen after the last would
+// be lost if all restart, and a folder without its last records would pass.
+func (n *Node) keepWitness() {
+	if n.now < n.nextWitness || maps.Equal(n.witnessed, n.persisted.Witness) {
+		return
+	}
+	n.nextWitness = n.now + n.cfg.Heartbeat
+	n.saveWitness = true
+}
+
 // Step takes a message.
 func (n *Node) Step(now Time, m *wire.RaftMessage) {
 	n.now = max(n.now, now)
@@ -384,7 +400,7 @@
 	r.Entries = n.log.takeUnstable()
 	r.Apply = n.log.takeCommitted()
 	hard := &wire.HardState{Term: n.term, Vote: n.vote, Commit: n.log.committed}
-	if hard.Term != n.persisted.Term || hard.Vote != n.persisted.Vote || (r.Durable() && hard.Commit != n.persisted.Commit) {
+	if hard.Term != n.persisted.Term || hard.Vote != n.persisted.Vote || n.saveWitness || (r.Durable() && hard.Commit != n.persisted.Commit) {
 		// Appends of a term that a crash could undo must wait for its sync: a
 		// sole voter would otherwise lead the same term twice, with other entries.
 		if hard.Term != n.persisted.Term {
@@ -394,6 +410,7 @@
 		hard.Witness = maps.Clone(n.witnessed)
 		r.Hard = hard
 		n.persisted = hard
+		n.saveWitness = false
 	}
 	n.early, n.messages, n.readStates, n.installed = nil, nil, nil, nil
 	return r
--- a/consensus/property_test.go
+++ b/consensus/property_test.go
@@ -234,6 +234,34 @@
 	}
 }
 
+// A folder lacks only its last record: the last edit of the day, accepted some
+// time before all hosts lose power. No later record carried what the peers saw, so
+// they must have kept it by themselves.
+func TestFolderWithoutItsLastRecordStopsTheReplica(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(seed, 3, simSwitches{})
+		l := s.waitLeader(t, nil)
+		for range 50 {
+			s.step()
+		}
+		r := s.replicas[s.order[seed%3]]
+		older := r.disk
+		older.log = append([]*wire.LogEntry(nil), r.disk.log...)
+		assert.Assert(t, s.grant(l, time.Second) > 0)
+		for range 2 * DefaultConfig("").Heartbeat / (20 * time.Millisecond) {
+			s.step()
+		}
+		for _, id := range s.order {
+			s.crash(s.replicas[id])
+		}
+		r.disk = older
+		for _, id := range s.order {
+			s.boot(s.replicas[id])
+		}
+		assert.ErrorIs(t, stopped(t, s, r), ErrRolledBack, "seed %d", seed)
+	}
+}
+
 // stopped steps until a replica stops, and returns why.
 func stopped(t *testing.T, s *sim, r *simReplica) (why error) {
 	t.Helper()
