--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -19,7 +19,7 @@
 	// snapshotUntil holds appends back while a snapshot is on its way.
 	snapshotUntil Time
 	// boot and askedNs are echoed; see wire.RaftMessage.
-	boot    uint64
+	boot    uint32
 	askedNs int64
 }
 
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -159,7 +159,7 @@
 	// another led.
 	confirmed Time
 	// boot tells this process from earlier ones of the same replica.
-	boot uint64
+	boot uint32
 
 	votes    map[string]bool
 	progress map[string]*progress
@@ -206,7 +206,7 @@
 		log:       newLog(r.Snapshot, r.Entries),
 		heard:     now,
 		confirmed: now - neverConfirmed,
-		boot:      cfg.Rand.Uint64() | 1,
+		boot:      cfg.Rand.Uint32() | 1,
 		hellos:    map[string]bool{},
 		witnessed: map[string]uint64{},
 		verified:  r.Fresh || cfg.off.identity,
