Compare what was seen of a replica by term and index

Cause: a follower that acknowledged entries of a deposed leader and lost them to fewer of the next has a shorter log, rightly. After a restart its peers told it that its folder was older, and it stopped for good. Three voters don't show it: there an acknowledged entry has a majority.

Change: what is seen of a peer is a position, compared as logs are in a vote; one schedule in ten has five voters.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -48,9 +48,9 @@
 // sayHello asks the voters what they saw of this replica.
 //
 // A folder restored from an older copy, or one that lost acknowledged records,
-// would vote twice in a term or elect a leader without accepted entries. Any
-// majority that this replica could help to form holds a peer that saw what was
-// acknowledged, so asking a majority is enough.
+// would vote twice in a term or elect a leader without accepted entries. A
+// majority is asked, and not all: a replica must be able to start while another
+// one is lost. What it leaves open stands in docs/design/consensus.md.
 func (n *Node) sayHello() {
 	n.hellos[n.cfg.ID] = true
 	if n.checkVerified() || n.now < n.nextBeat {
@@ -80,8 +80,10 @@
 }
 
 func (n *Node) answerHello(m *wire.RaftMessage) {
+	seen := n.witnessed[m.From]
 	n.send(&wire.RaftMessage{
-		Kind: wire.RaftKind_RAFT_KIND_HELLO_REPLY, To: m.From, Index: n.witnessed[m.From],
+		Kind: wire.RaftKind_RAFT_KIND_HELLO_REPLY, To: m.From,
+		PrevIndex: seen.index, PrevTerm: seen.term,
 		Snapshot: &wire.LogSnapshot{Index: n.log.configIndex(), Config: n.log.config()},
 	})
 }
@@ -90,9 +92,11 @@
 	if n.verified {
 		return
 	}
-	if m.Index > n.log.lastIndex() {
+	own := position{n.log.lastTerm(), n.log.lastIndex()}
+	if own.before(position{m.PrevTerm, m.PrevIndex}) {
 		n.failed = merry.Prependf(ErrRolledBack,
-			"%s was seen to hold index %d, its folder ends at %d", n.cfg.ID, m.Index, n.log.lastIndex())
+			"%s was seen to hold index %d of term %d, its folder ends at %d of term %d",
+			n.cfg.ID, m.PrevIndex, m.PrevTerm, own.index, own.term)
 		return
 	}
 	// The membership may have changed while this replica was down; the voters of
--- a/consensus/follower.go
+++ b/consensus/follower.go
@@ -9,9 +9,7 @@
 	n.leader = m.From
 	n.heard = n.now
 	n.resetDeadline()
-	for id, index := range m.Witness {
-		n.witnessed[id] = max(n.witnessed[id], index)
-	}
+	n.takeWitness(m.Witness)
 }
 
 func (n *Node) takeAppend(m *wire.RaftMessage) {
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -173,16 +173,6 @@
 	})
 }
 
-// witness tells every peer what the others hold, so that any of them can tell a
-// replica that its folder is an older copy.
-func (n *Node) witness() map[string]uint64 {
-	w := make(map[string]uint64, len(n.progress))
-	for id, p := range n.progress {
-		w[id] = p.match
-	}
-	return w
-}
-
 func (n *Node) takeAppendReply(m *wire.RaftMessage) {
 	p := n.progress[m.From]
 	if n.role != Leader || p == nil {
@@ -203,7 +193,7 @@
 	p.snapshotUntil = 0
 	if m.Index > p.match {
 		p.match = m.Index
-		n.witnessed[m.From] = max(n.witnessed[m.From], m.Index)
+		n.seeMatch(m.From, m.Index)
 		n.advanceCommit()
 	}
 	p.next = max(p.next, p.match+1)
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -179,8 +179,9 @@
 	hellos   map[string]bool
 	// newest is the latest membership heard of while not verified.
 	newest indexedConfig
-	// witnessed is the highest index that each peer was seen to hold.
-	witnessed map[string]uint64
+	// witnessed is what each peer was seen to hold, savedWitness what of it is
+	// durable.
+	witnessed, savedWitness map[string]position
 	// nextWitness is when it may next be made durable without other records, and
 	// saveWitness that it is to be now.
 	nextWitness Time
@@ -208,7 +209,7 @@
 		confirmed: now - neverConfirmed,
 		boot:      cfg.Rand.Uint32() | 1,
 		hellos:    map[string]bool{},
-		witnessed: map[string]uint64{},
+		witnessed: map[string]position{},
 		verified:  r.Fresh || cfg.off.identity,
 		sentAt:    map[uint64]Time{},
 	}
@@ -217,7 +218,8 @@
 		n.term, n.vote = r.Hard.Term, r.Hard.Vote
 		// Kept over a restart: a host whose folder is an older copy would otherwise
 		// pass unseen when its peers restart with it.
-		maps.Copy(n.witnessed, r.Hard.Witness)
+		n.takeWitness(r.Hard.Witness)
+		n.savedWitness = maps.Clone(n.witnessed)
 		n.log.commitTo(min(r.Hard.Commit, n.log.lastIndex()))
 		n.persisted = proto.Clone(r.Hard).(*wire.HardState)
 	} else {
@@ -267,17 +269,6 @@
 	}
 }
 
-// keepWitness makes what was seen of the peers durable soon after it was seen. It
-// goes with other records while there are any; what was seen after the last would
-// be lost if all restart, and a folder without its last records would pass.
-func (n *Node) keepWitness() {
-	if n.now < n.nextWitness || maps.Equal(n.witnessed, n.persisted.Witness) {
-		return
-	}
-	n.nextWitness = n.now + n.cfg.Heartbeat
-	n.saveWitness = true
-}
-
 // Step takes a message.
 func (n *Node) Step(now Time, m *wire.RaftMessage) {
 	n.now = max(n.now, now)
@@ -407,10 +398,9 @@
 			r.Messages = append(r.Early, r.Messages...)
 			r.Early = nil
 		}
-		hard.Witness = maps.Clone(n.witnessed)
+		n.recordWitness(hard)
 		r.Hard = hard
 		n.persisted = hard
-		n.saveWitness = false
 	}
 	n.early, n.messages, n.readStates, n.installed = nil, nil, nil, nil
 	return r
@@ -425,6 +415,7 @@
 	}
 	if p := n.progress[n.cfg.ID]; p != nil {
 		p.match = min(n.log.stable, n.log.lastIndex())
+		n.seeMatch(n.cfg.ID, p.match)
 		n.advanceCommit()
 	}
 }
--- a/consensus/property_test.go
+++ b/consensus/property_test.go
@@ -25,7 +25,11 @@
 			found = v.text
 		}
 	}()
-	s := newSim(seed, 3, off)
+	voters := 3
+	if seed%10 == 0 {
+		voters = 5
+	}
+	s := newSim(seed, voters, off)
 	s.lossy = seed%4 != 0
 	rnd := rand.New(rand.NewPCG(seed, 3))
 	// Some schedules hold each fault for long, others change quickly.
@@ -276,3 +280,44 @@
 	}
 	return nil
 }
+
+// A follower acknowledged entries that never got a majority, and a later leader
+// replaced them by fewer. Both it and the leader that saw them restart. Its folder
+// is not older, only shorter: it must take part again.
+func TestReplacedEntriesAreNoOlderFolder(t *testing.T) {
+	s := newSim(15, 5, simSwitches{})
+	old := s.waitLeader(t, nil)
+	for range 50 {
+		s.step()
+	}
+	f := s.replicas[old.node.heir().Id]
+	for _, a := range []string{old.id, f.id} {
+		for _, b := range s.order {
+			s.cut[[2]string{a, b}] = b != old.id && b != f.id
+			s.cut[[2]string{b, a}] = s.cut[[2]string{a, b}]
+		}
+	}
+	for range 8 {
+		s.write(old)
+		s.step()
+	}
+	for range 15 {
+		s.step()
+	}
+	seen := f.node.log.lastIndex()
+	s.crash(old)
+	next := s.waitLeader(t, old)
+	clear(s.cut)
+	for f.node.Leader() != next.id || f.node.log.committed != next.node.log.committed {
+		s.step()
+	}
+	assert.Assert(t, f.node.log.lastIndex() < seen)
+	s.crash(f)
+	s.boot(f)
+	s.boot(old)
+	for range 100 {
+		s.step()
+	}
+	assert.Assert(t, f.node.Status().Verified)
+	assert.NilError(t, f.node.Err())
+}
