--- a/control/handover.go
+++ b/control/handover.go
@@ -27,49 +27,57 @@
 	ctx, cancel := context.WithTimeout(ctx, handoverAttempts*c.settings.ElectionTimeout.D())
 	defer cancel()
 	began := time.Now()
-	led := r.handOver(ctx)
-	if !led {
-		return
+	led, next := r.handOver(ctx)
+	switch took := time.Since(began); {
+	case led && next != "":
+		kernel.Info(r.log, "Handed leadership over.", "next", next, "took", took)
+	case led:
+		kernel.Warn(r.log, "Leadership could not be handed over. The others will elect a leader.", "after", took)
 	}
-	_ = r.do(ctx, func() {
-		kernel.Info(r.log, "Planned stop of the leader.", "next", r.node.Leader(), "took", time.Since(began))
-	})
 }
 
 // handOver hands leadership over and waits until another leads and what was
-// proposed here is answered. It returns whether this replica led.
-func (r *Replica) handOver(ctx context.Context) (led bool) {
+// proposed here is answered. It returns whether this replica led, and who leads
+// now if another does.
+func (r *Replica) handOver(ctx context.Context) (led bool, next string) {
 	tick := time.NewTicker(handoverPoll)
 	defer tick.Stop()
 	for {
-		done := true
-		if err := r.do(ctx, func() { done = r.handOverStep(&led) }); err != nil || done {
-			return led
+		var h handover
+		err := r.do(ctx, func() { h = r.handOverStep(led) })
+		led = led || h.leads
+		if err != nil || h.done {
+			return led, h.next
 		}
 		select {
 		case <-ctx.Done():
-			return led
+			return led, h.next
 		case <-tick.C:
 		}
 	}
 }
 
+// handover is how a handover stands.
+type handover struct {
+	leads bool
+	next  string
+	done  bool
+}
+
 // handOverStep is one look at a handover in the replica's loop. A transfer that
 // was given up is tried again, maybe with another target.
-func (r *Replica) handOverStep(led *bool) (done bool) {
+func (r *Replica) handOverStep(led bool) handover {
 	if r.failed != nil {
-		return true
+		return handover{done: true}
 	}
 	if r.node.Role() != consensus.Leader {
 		// Without a leader, one that led may still be elected again.
-		settled := r.node.Leader() != "" && len(r.waiting)+len(r.reads) == 0
-		return !*led || settled
+		next := r.node.Leader()
+		settled := next != "" && len(r.waiting)+len(r.reads) == 0
+		return handover{next: next, done: !led || settled}
 	}
 	_, err := r.node.Transfer(r.now())
 	// Just after it was elected again, a leader hasn't heard from anyone yet.
-	if errors.Is(err, consensus.ErrNoTarget) && !*led {
-		return true
-	}
-	*led = true
-	return false
+	alone := errors.Is(err, consensus.ErrNoTarget) && !led
+	return handover{leads: !alone, done: alone}
 }
--- a/control/handover_test.go
+++ b/control/handover_test.go
@@ -69,3 +69,24 @@
 	assert.NilError(t, ctx.Err())
 	alone.accept(poolEdit("b", "lm", "9", 1))
 }
+
+// The leader is stopped as planned just after another replica died, which it may
+// still take for live and choose. The stop ends all the same, and edits go on.
+func TestPlannedStopEndsWhenTheTargetIsDead(t *testing.T) {
+	c := newCluster(t, 3)
+	c.accept(poolEdit("a", "lm", "8", 0))
+	c.waitHealth(control.HealthOK)
+	leader := c.leader()
+	for i := range 2 {
+		dead := (leader + 1 + i) % 3
+		c.stop(dead)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		c.running[leader].ctl.Drain(ctx)
+		assert.NilError(t, ctx.Err())
+		cancel()
+		c.accept(poolEdit(fmt.Sprint("b", i), "lm", "9", uint64(i+1)))
+		c.start(dead, nil)
+		c.waitHealth(control.HealthOK)
+		leader = c.leader()
+	}
+}
