Keep lives in order when a host's clock was set back; time rows by the monotonic clock

Cause, found by reading: (1) the number that orders the lives of one ID is the wall clock's. The agent's comment said that a host whose clock was set back 'takes a higher number'; nothing did so. Its announcements were refused until the earlier life's tombstone ended (10 min), and a claim register that restarted with the lower number could copy from its peers without requests being told: a grant of the earlier life would then still count beside one of the new life, and a bid run twice. (2) An entry compared wall clock readings to say how old its rows are. With the time of day set back, an entry that is cut off stays on the list of entries; set forward, it leaves the list for nothing.

Change: directory.Life numbers a run. Whoever knows a later life names its number in the refusal (AnnounceReply, ClaimCopy) and the process takes the number after it, once; a register copies anew under it. An entry keeps the confirmation as a time with its monotonic reading.

Measured: the new unit tests need the new messages, so they don't build before the change. Not tested: (2), a test can't make the two clocks of the runtime differ.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -33,28 +33,28 @@
 
 // Agent implements kernel.Daemon.
 type Agent struct {
-	settings    *Settings
-	log         log.Logger
-	up          upstream.Upstream
-	sec         transport.Security
-	certs       *transport.Certificates
-	srv         *transport.Server
-	pool        *transport.Pool
-	lis         net.Listener
-	ops         *http.Server
-	runner      *admit.Runner
-	queue       queueSettings
-	attempts    *attempts
-	orders      *orders
-	incarnation uint64
-	seq         atomic.Uint64
-	metrics     metrics.Registry
-	done        metrics.Counter
-	dumps       kernel.Dumps
-	cancel      context.CancelFunc
-	announcer   *directory.Announcer
-	load        atomic.Pointer[wire.Load]
-	loadSeq     atomic.Uint64
+	settings  *Settings
+	log       log.Logger
+	up        upstream.Upstream
+	sec       transport.Security
+	certs     *transport.Certificates
+	srv       *transport.Server
+	pool      *transport.Pool
+	lis       net.Listener
+	ops       *http.Server
+	runner    *admit.Runner
+	queue     queueSettings
+	attempts  *attempts
+	orders    *orders
+	life      *directory.Life
+	seq       atomic.Uint64
+	metrics   metrics.Registry
+	done      metrics.Counter
+	dumps     kernel.Dumps
+	cancel    context.CancelFunc
+	announcer *directory.Announcer
+	load      atomic.Pointer[wire.Load]
+	loadSeq   atomic.Uint64
 }
 
 // New makes an agent from checked settings.
@@ -72,14 +72,12 @@
 	}
 	a := &Agent{
 		settings: s, log: kernel.PartLog(l, "agent"), up: up, sec: sec, certs: certs,
-		pool:    transport.NewPool(sec),
-		srv:     transport.NewServer(sec),
-		runner:  admit.NewRunner(startSettings(s).gate(), time.Now),
-		metrics: metrics.NewRegistry(),
-		// The clock orders the lives of one agent; a host whose clock was set
-		// back is told so by its first announcement and takes a higher number.
-		incarnation: uint64(time.Now().UnixNano()),
-		attempts:    newAttempts(),
+		pool:     transport.NewPool(sec),
+		srv:      transport.NewServer(sec),
+		runner:   admit.NewRunner(startSettings(s).gate(), time.Now),
+		metrics:  metrics.NewRegistry(),
+		life:     directory.NewLife(s.ID, time.Now()),
+		attempts: newAttempts(),
 	}
 	a.pool.SetDial(s.Dial)
 	a.announcer = directory.NewAnnouncer(directory.NewTargets(s.ID, s.FailureDomain, s.AnnounceTo), a.pool.Conn, time.Now)
@@ -205,7 +203,7 @@
 func (a *Agent) dump() any {
 	running, waiting := a.runner.Counts()
 	return agentDump{
-		ID: a.settings.ID, Incarnation: a.incarnation, Leaving: a.attempts.isClosed(),
+		ID: a.settings.ID, Incarnation: a.life.Number(), Leaving: a.attempts.isClosed(),
 		Running: running, Waiting: waiting, Remembered: a.attempts.size(), Queue: a.queue.get(), Load: a.load.Load(),
 	}
 }
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -30,15 +30,20 @@
 func (a *Agent) announceAll(ctx context.Context, phase wire.Phase) {
 	for addr, reply := range a.announcer.Announce(ctx, a.announcement(phase)) {
 		a.followPools(reply.Pools)
-		if reply.Superseded {
-			kernel.Warn(a.log, "A later life of this ID is known. Is the ID used twice?", "id", a.settings.ID, "told_by", addr)
+		if !reply.Superseded {
+			continue
 		}
+		if a.life.Supersede(reply.KnownIncarnation) {
+			kernel.Warn(a.log, "This host's clock is behind that of an earlier life. Took a higher incarnation.", "id", a.settings.ID, "incarnation", a.life.Number(), "told_by", addr)
+			continue
+		}
+		kernel.Warn(a.log, "A later life of this ID is known. Is the ID used twice?", "id", a.settings.ID, "told_by", addr)
 	}
 }
 
 func (a *Agent) announcement(phase wire.Phase) *wire.Announcement {
 	return &wire.Announcement{
-		Id: a.settings.ID, Incarnation: a.incarnation, Seq: a.seq.Add(1),
+		Id: a.settings.ID, Incarnation: a.life.Number(), Seq: a.seq.Add(1),
 		Role: wire.Role_ROLE_UPSTREAM, Phase: phase,
 		FailureDomain: a.settings.FailureDomain, Address: a.Address(),
 		Pools: a.settings.Pools, Kind: a.up.Kind(), Load: a.currentLoad(),
--- a/agent/run.go
+++ b/agent/run.go
@@ -48,7 +48,7 @@
 	}
 	// An attempt that was sent to an earlier life may have been run by it, and
 	// this life's memory of attempts is empty: it must not run again.
-	if h := at.head; h.Incarnation != 0 && h.Incarnation != a.incarnation {
+	if h := at.head; h.Incarnation != 0 && h.Incarnation != a.life.Number() {
 		return at.end(wire.Outcome_OUTCOME_NOT_RUN, wire.Reason_REASON_NO_UPSTREAM, "meant for another incarnation of the agent")
 	}
 	switch a.attempts.begin(now, at.head.AttemptId, at.deadline) {
--- a/agent/services.go
+++ b/agent/services.go
@@ -34,7 +34,7 @@
 	var after uint64
 	for {
 		r := &wire.Report{
-			Upstream: a.settings.ID, Incarnation: a.incarnation,
+			Upstream: a.settings.ID, Incarnation: a.life.Number(),
 			Load: a.currentLoad(), Leaving: a.attempts.isClosed(),
 		}
 		if events, err := a.up.Cache(stream.Context(), after); err == nil && len(events) > 0 {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -61,6 +61,44 @@
 	assert.Equal(t, v, Won, "without the safeguard both would run")
 }
 
+// The same bid as above, but the clock of the register's host is set back before
+// its restart, so that the new life has the lower number. Its peers know the
+// earlier life, from the ring or from its last copy: they let it copy only under a
+// number above that, and the forgotten grant counts for nothing again.
+func TestClockSetBackBeforeARestart(t *testing.T) {
+	ring := ringOf(3)
+	ring.Members[0].Incarnation = 7
+	r0, r1, r2 := newRegister(0, 7, ring), newRegister(1, 1, ring), newRegister(2, 1, ring)
+	first := NewClaimant(ring, claimBy("first").Key, false)
+	first.Take(id(0), r0.Grant(epoch, claimBy("first")))
+
+	r0 = newRegister(0, 3, ring)
+	for _, peer := range []struct {
+		id  string
+		reg *Register
+	}{{id(1), r1}, {id(2), r2}} {
+		c := peer.reg.Copy(epoch, &wire.ClaimCopyRequest{From: r0.self, RingEpoch: 1})
+		assert.Equal(t, c.SupersededBy, uint64(7))
+		r0.TakeCopy(epoch, peer.id, c)
+	}
+	assert.Equal(t, len(r0.Missing(epoch)), 2, "nothing was copied under the lower number")
+	assert.Assert(t, r0.Grant(epoch, claimBy("resent")).Forgetful)
+
+	r0.Renumber(8)
+	r0.TakeCopy(epoch, id(1), r1.Copy(epoch, &wire.ClaimCopyRequest{From: r0.self, RingEpoch: 1}))
+	r0.TakeCopy(epoch, id(2), r2.Copy(epoch, &wire.ClaimCopyRequest{From: r0.self, RingEpoch: 1}))
+	resent := NewClaimant(ring, claimBy("resent").Key, false)
+	resent.Take(id(0), r0.Grant(epoch, claimBy("resent")))
+	resent.Take(id(2), r2.Grant(epoch, claimBy("resent")))
+	v, _ := resent.Verdict()
+	assert.Equal(t, v, Won)
+
+	first.Take(id(1), r1.Grant(epoch, claimBy("first")))
+	first.Fail(id(2))
+	v, _ = first.Verdict()
+	assert.Equal(t, v, Lost)
+}
+
 // A register is at its bound. It says so and grants nothing; keys that it holds
 // are still answered, and an expired key makes room.
 func TestFullRegisterRefusesClearly(t *testing.T) {
--- a/claim/node.go
+++ b/claim/node.go
@@ -22,11 +22,21 @@
 	copyBatch = 500
 )
 
+// Life numbers the process's run; Supersede gives it a number above that of a
+// later life, and says whether it did.
+type Life interface {
+	Wire() *wire.Incarnation
+	Supersede(known uint64) bool
+}
+
 // Node drives a register for goroutines: it answers other entries, and copies
 // from the register's peers after a restart.
 type Node struct {
 	dial func(ctx context.Context, address string) drpc.Conn
 	now  func() time.Time
+	life Life
+	// renumbered is sent to when the register must copy again.
+	renumbered chan struct{}
 
 	mu   sync.Mutex
 	reg  *Register
@@ -37,8 +47,22 @@
 }
 
 // NewNode makes the node of a process that has just started.
-func NewNode(s RegisterSettings, self *wire.Incarnation, dial func(context.Context, string) drpc.Conn, now func() time.Time) *Node {
-	return &Node{dial: dial, now: now, reg: NewRegister(s, self, now()), ring: &wire.Ring{}}
+func NewNode(s RegisterSettings, life Life, dial func(context.Context, string) drpc.Conn, now func() time.Time) *Node {
+	return &Node{
+		dial: dial, now: now, life: life, renumbered: make(chan struct{}, 1),
+		reg: NewRegister(s, life.Wire(), now()), ring: &wire.Ring{},
+	}
+}
+
+// Renumber takes up the number of the process's life after it has been raised.
+func (n *Node) Renumber() {
+	n.mu.Lock()
+	n.reg.Renumber(n.life.Wire().Number)
+	n.mu.Unlock()
+	select {
+	case n.renumbered <- struct{}{}:
+	default:
+	}
 }
 
 // SetRing takes the ring that a control replica names: changed at most age ago,
@@ -112,14 +136,25 @@
 	}
 }
 
-// Run copies what a restart has lost until nothing is missing.
+// Run copies what a restart has lost, until the context is done.
 func (n *Node) Run(ctx context.Context) {
+	for n.catchUp(ctx) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.renumbered:
+		}
+	}
+}
+
+// catchUp copies until nothing is missing; it returns false if the context ended.
+func (n *Node) catchUp(ctx context.Context) bool {
 	tick := time.NewTicker(copyInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-tick.C:
 		}
 		n.mu.Lock()
@@ -127,7 +162,7 @@
 		missing := n.reg.Missing(n.now())
 		n.mu.Unlock()
 		if epoch > 0 && len(missing) == 0 {
-			return
+			return true
 		}
 		n.copyFrom(ctx, epoch, missing)
 	}
@@ -148,7 +183,9 @@
 func (n *Node) copyOne(ctx context.Context, epoch uint64, m *wire.RingMember) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
+	n.mu.Lock()
 	q := &wire.ClaimCopyRequest{From: n.reg.self, RingEpoch: epoch}
+	n.mu.Unlock()
 	stream, err := wire.NewDRPCClaimClient(n.dial(ctx, m.Address)).Copy(ctx, q)
 	if err != nil {
 		return
@@ -159,15 +196,26 @@
 		if err != nil {
 			return
 		}
-		n.mu.Lock()
-		n.reg.TakeCopy(n.now(), m.Id, part)
-		n.mu.Unlock()
-		if part.Last {
+		if n.take(q, m.Id, part); part.Last {
 			return
 		}
 	}
 }
 
+// take hands a part of a copy to the register, unless the register has taken a
+// higher number since it asked: the peer knows it by the lower one.
+func (n *Node) take(q *wire.ClaimCopyRequest, peer string, part *wire.ClaimCopy) {
+	if part.SupersededBy != 0 && n.life.Supersede(part.SupersededBy) {
+		n.Renumber()
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.reg.self.Number == q.From.Number {
+		n.reg.TakeCopy(n.now(), peer, part)
+	}
+}
+
 // Dump returns the register's state for a dump.
 func (n *Node) Dump() any {
 	n.mu.Lock()
--- a/claim/register.go
+++ b/claim/register.go
@@ -274,15 +274,47 @@
 	return c
 }
 
+// laterLife returns the number of a life of a peer that counts as later than the
+// one that asks, or 0.
+//
+// The asking life runs now and the other one doesn't: its host's clock was set
+// back in between. If it copied under that number, requests would not be told of it: a grant
+// that its earlier life gave, and that it has forgotten, would still count.
+func (r *Register) laterLife(from *wire.Incarnation) uint64 {
+	later := r.lives[from.Id]
+	for _, members := range [][]*wire.RingMember{r.ring.Members, r.ring.Previous} {
+		for _, m := range members {
+			if m.Id == from.Id {
+				later = max(later, m.Incarnation)
+			}
+		}
+	}
+	if later > from.Number {
+		return later
+	}
+	return 0
+}
+
+// Renumber gives the register's life a higher number. What it copied under the
+// lower one is copied again, so that its peers know the life by the new number.
+func (r *Register) Renumber(number uint64) {
+	if number <= r.self.Number {
+		return
+	}
+	r.self = &wire.Incarnation{Id: r.self.Id, Number: number}
+	clear(r.copied)
+}
+
 // Copy returns the records that a peer shares with this register, for a life of
 // the peer that has just begun. From here on this register tells every request
 // of that life.
 func (r *Register) Copy(now time.Time, q *wire.ClaimCopyRequest) *wire.ClaimCopy {
 	r.expire(now)
 	from := q.From
-	if from.Number > r.lives[from.Id] {
-		r.lives[from.Id] = from.Number
+	if later := r.laterLife(from); later != 0 {
+		return &wire.ClaimCopy{Last: true, Forgetful: true, SupersededBy: later}
 	}
+	r.lives[from.Id] = from.Number
 	reply := &wire.ClaimCopy{Last: true, Forgetful: q.RingEpoch != r.ring.Epoch}
 	// Of what this register has itself forgotten it can't tell.
 	if len(r.Missing(now)) > 0 {
--- a/claim/sim_test.go
+++ b/claim/sim_test.go
@@ -23,7 +23,10 @@
 
 // sim runs entries with registers, and callers that resend, in virtual time.
 type sim struct {
-	rnd     *rand.Rand
+	rnd *rand.Rand
+	// clocks draws apart from rnd, so that clocks set back leave the rest of a
+	// schedule as it is.
+	clocks  *rand.Rand
 	now     time.Time
 	queue   simQueue
 	seq     int
@@ -38,14 +41,21 @@
 }
 
 type simEntry struct {
-	n     int
-	up    bool
-	life  uint64
-	reg   *Register
-	ring  *wire.Ring
-	heard time.Time
+	n    int
+	up   bool
+	life uint64
+	// number is the incarnation number of the life: lower than that of an earlier
+	// one if the host's clock was set back in between.
+	number uint64
+	reg    *Register
+	ring   *wire.Ring
+	heard  time.Time
 }
 
+// lifeSpan is what an incarnation number grows by between two lives, if the
+// host's clock isn't set back.
+const lifeSpan = 1000
+
 // simKey is one caller's request with its resends.
 type simKey struct {
 	key     *wire.ClaimKey
@@ -104,7 +114,7 @@
 
 func newSim(seed uint64, n int, off safeguards) *sim {
 	s := &sim{
-		rnd: rand.New(rand.NewPCG(seed, 9)), now: time.Unix(1000, 0),
+		rnd: rand.New(rand.NewPCG(seed, 9)), clocks: rand.New(rand.NewPCG(seed, 10)), now: time.Unix(1000, 0),
 		cut: map[[2]int]bool{}, off: off, keys: map[string]*simKey{}, ring: &wire.Ring{Epoch: 1},
 	}
 	for i := range n {
@@ -126,7 +136,7 @@
 func number(id string) int { return int(id[1] - '0') }
 
 func (s *sim) member(e *simEntry) *wire.RingMember {
-	return &wire.RingMember{Id: id(e.n), FailureDomain: fmt.Sprintf("hall-%d", e.n%3), Incarnation: e.life}
+	return &wire.RingMember{Id: id(e.n), FailureDomain: fmt.Sprintf("hall-%d", e.n%3), Incarnation: e.number}
 }
 
 func (s *sim) boot(e *simEntry) {
@@ -135,7 +145,13 @@
 	set.off = s.off
 	e.up = true
 	e.life++
-	e.reg = NewRegister(set, &wire.Incarnation{Id: id(e.n), Number: e.life}, s.now)
+	e.number = (e.life + 3) * lifeSpan
+	if e.life > 1 && s.clocks.IntN(4) == 0 {
+		// Never the number of another life.
+		e.number -= uint64(s.clocks.IntN(3)*lifeSpan+lifeSpan/2) + 10*e.life
+		s.note("%s starts with its clock set back", id(e.n))
+	}
+	e.reg = NewRegister(set, &wire.Incarnation{Id: id(e.n), Number: e.number}, s.now)
 	e.ring = &wire.Ring{}
 	s.copyLoop(e, e.life, 0)
 }
@@ -194,16 +210,20 @@
 		for _, m := range missing {
 			n := number(m.Id)
 			peer := s.entries[n]
-			q := &wire.ClaimCopyRequest{From: &wire.Incarnation{Id: id(e.n), Number: life}, RingEpoch: e.reg.Epoch()}
+			q := &wire.ClaimCopyRequest{From: e.reg.self, RingEpoch: e.reg.Epoch()}
 			s.deliver(e.n, n, func() {
 				if !peer.up {
 					return
 				}
 				c := peer.reg.Copy(s.now, q)
 				s.deliver(n, e.n, func() {
-					if e.up && e.life == life {
-						e.reg.TakeCopy(s.now, m.Id, c)
+					if !e.up || e.life != life || e.reg.self != q.From {
+						return
+					}
+					if c.SupersededBy != 0 {
+						e.reg.Renumber(c.SupersededBy + 1)
 					}
+					e.reg.TakeCopy(s.now, m.Id, c)
 				})
 			})
 		}
--- a/directory/node.go
+++ b/directory/node.go
@@ -67,12 +67,24 @@
 		n.onChange()
 	}
 	reply := &wire.AnnounceReply{LeaseMs: a.LeaseMs, Superseded: superseded}
+	if superseded {
+		reply.KnownIncarnation = n.incarnation(a.Id)
+	}
 	if a.AskReplicas && n.replicas != nil {
 		reply.Replicas = n.replicas(ctx)
 	}
 	return reply, nil
 }
 
+func (n *Node) incarnation(id string) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if i := n.state.Get(id); i != nil {
+		return i.Incarnation
+	}
+	return 0
+}
+
 // Heard notes that an instance was heard from directly.
 func (n *Node) Heard(id string, incarnation uint64) {
 	n.mu.Lock()
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -29,8 +30,26 @@
 // that it uses; they tell the others.
 func (e *Entry) announceAll(ctx context.Context, phase wire.Phase) {
 	msg := e.announcement(phase)
-	_, _ = e.node.Announce(ctx, msg)
-	e.announcer.Announce(ctx, msg)
+	if reply, err := e.node.Announce(ctx, msg); err == nil {
+		e.announced(reply)
+	}
+	for _, reply := range e.announcer.Announce(ctx, msg) {
+		e.announced(reply)
+	}
+}
+
+// announced takes up a higher incarnation if the clock of this host was set back
+// since an earlier life.
+func (e *Entry) announced(reply *wire.AnnounceReply) {
+	if !reply.Superseded {
+		return
+	}
+	if !e.life.Supersede(reply.KnownIncarnation) {
+		kernel.Warn(e.log, "A later life of this ID is known. Is the ID used twice?", "id", e.settings.ID)
+		return
+	}
+	e.claims.Renumber()
+	kernel.Warn(e.log, "This host's clock is behind that of an earlier life. Took a higher incarnation.", "id", e.settings.ID, "incarnation", e.life.Number())
 }
 
 // followDirectory keeps the entry's directory up to date. A control replica
@@ -45,7 +64,7 @@
 
 func (e *Entry) announcement(phase wire.Phase) *wire.Announcement {
 	a := &wire.Announcement{
-		Id: e.settings.ID, Incarnation: e.incarnation, Seq: e.seq.Add(1),
+		Id: e.settings.ID, Incarnation: e.life.Number(), Seq: e.seq.Add(1),
 		Role: wire.Role_ROLE_ENTRY, Phase: phase,
 		FailureDomain: e.settings.FailureDomain,
 		Address:       e.InternalAddress(), CallerAddress: e.CallerAddress(),
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -19,11 +19,6 @@
 // maxKey bounds an idempotency key.
 const maxKey = 256
 
-// life names this entry's run of the process.
-func (e *Entry) life() *wire.Incarnation {
-	return &wire.Incarnation{Id: e.settings.ID, Number: e.incarnation}
-}
-
 // ringMembers lists the entries that may hold claim registers.
 func (e *Entry) ringMembers() []*wire.RingMember { return e.node.RingMembers() }
 
@@ -50,7 +45,7 @@
 	began := time.Now()
 	out := q.entry.claims.Claim(q.r.Context(), claim.Request{
 		Key: &wire.ClaimKey{Team: q.team.Name, Service: q.service.Name, Key: key},
-		ID:  q.id, Entry: q.entry.life(), Digest: q.digest(),
+		ID:  q.id, Entry: q.entry.life.Wire(), Digest: q.digest(),
 		TTL: q.service.ClaimTTL, Deadline: deadline,
 	}, q.entry.node.Gone)
 	metrics.GetOrRegisterTimer("entry.claims", q.entry.metrics).UpdateSince(began)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,7 +56,7 @@
 	leaving                  chan struct{}
 	drained                  chan struct{}
 	requests                 atomic.Int64
-	incarnation              uint64
+	life                     *directory.Life
 	seq                      atomic.Uint64
 	started                  time.Time
 
@@ -74,7 +74,9 @@
 	ops       *operators.Handler
 	limits    *limits
 	answers   metrics.Counter
-	confirmed atomic.Int64
+	// confirmed is when the rows in force were last known to be current; nil if
+	// they never were.
+	confirmed atomic.Pointer[time.Time]
 	// announceNow is sent to when others should hear of a change at once.
 	announceNow chan struct{}
 }
@@ -94,7 +96,7 @@
 		pool:        transport.NewPool(sec),
 		sealer:      refusal.NewSealer(sec.Secret),
 		metrics:     metrics.NewRegistry(),
-		incarnation: uint64(time.Now().UnixNano()),
+		life:        directory.NewLife(s.ID, time.Now()),
 		started:     time.Now(),
 		announceNow: make(chan struct{}, 1),
 		leaving:     make(chan struct{}),
@@ -121,7 +123,7 @@
 	e.announcer = directory.NewAnnouncer(e.targets, e.pool.Conn, time.Now)
 	e.watches = newWatches(e)
 	e.limits = newLimits(e)
-	e.claims = claim.NewNode(claim.DefaultRegisterSettings(), e.life(), e.pool.Conn, time.Now)
+	e.claims = claim.NewNode(claim.DefaultRegisterSettings(), e.life, e.pool.Conn, time.Now)
 	e.dumps.Add("claims", e.claims.Dump)
 	if err := wire.DRPCRegisterClaim(e.srv.Mux, e.claims); err != nil {
 		return nil, err
@@ -364,7 +366,7 @@
 func (e *Entry) dump() any {
 	_, waiting := e.runner.Counts()
 	d := entryDump{
-		ID: e.settings.ID, Incarnation: e.incarnation, Draining: e.draining.Load(),
+		ID: e.settings.ID, Incarnation: e.life.Number(), Draining: e.draining.Load(),
 		Requests: e.requests.Load(), Waiting: waiting,
 	}
 	if v := e.view.Load(); v != nil {
--- a/entry/gauges.go
+++ b/entry/gauges.go
@@ -14,7 +14,7 @@
 		"entry.requests":    e.requests.Load,
 		"entry.waiting":     e.waiting,
 		"entry.revision":    e.revision,
-		"entry.rows.age_ms": e.rowsAge,
+		"entry.rows.age_ms": e.rowsAgeMS,
 		"entry.listed":      e.listed,
 		"entry.upstreams":   e.upstreamsUp,
 	} {
@@ -34,14 +34,13 @@
 	return 0
 }
 
-// rowsAge is how long ago the rows in force were known to be current, in
-// milliseconds; -1 if they never were.
-func (e *Entry) rowsAge() int64 {
-	at := e.confirmed.Load()
-	if at == 0 {
+// rowsAgeMS is rowsAge in milliseconds; -1 if they never were known to be current.
+func (e *Entry) rowsAgeMS() int64 {
+	age, ok := e.rowsAge(time.Now())
+	if !ok {
 		return -1
 	}
-	return (time.Now().UnixNano() - at) / int64(time.Millisecond)
+	return age.Milliseconds()
 }
 
 func (e *Entry) listed() int64 {
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -166,7 +166,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, demands := l.lim.Report(now)
-	req := &wire.ShareRequest{Entry: l.entry.settings.ID, Incarnation: l.entry.incarnation, Seq: r.Seq, Home: r.Home}
+	req := &wire.ShareRequest{Entry: l.entry.settings.ID, Incarnation: l.entry.life.Number(), Seq: r.Seq, Home: r.Home}
 	subjects := map[admit.Subject]admit.Subject{}
 	for s, d := range demands {
 		service := l.services[s]
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -82,7 +82,8 @@
 		if v != nil {
 			e.SetView(v)
 		}
-		e.confirmed.Store(f.Confirmed().UnixNano())
+		at := f.Confirmed()
+		e.confirmed.Store(&at)
 		e.claims.SetRing(u.Ring, time.Duration(u.RingAgeMs)*time.Millisecond, f.Confirmed())
 		if age := time.Duration(u.ConfirmedAgeMs) * time.Millisecond; age > silentWatch {
 			return merry.Prependf(errStaleReplica, "%v", age)
@@ -94,5 +95,17 @@
 // the configuration lease. An entry that can't say so leaves the list that
 // callers get and goes on serving those that come.
 func (e *Entry) rowsConfirmed() bool {
-	return time.Now().UnixNano()-e.confirmed.Load() < e.settings.ConfigLease.D().Nanoseconds()
+	age, ok := e.rowsAge(time.Now())
+	return ok && age < e.settings.ConfigLease.D()
+}
+
+// rowsAge is how long ago the rows in force were known to be current; ok is false
+// if they never were. Both times hold a reading of the monotonic clock, so that a
+// time of day that is set back while the entry is cut off doesn't keep it listed.
+func (e *Entry) rowsAge(now time.Time) (age time.Duration, ok bool) {
+	at := e.confirmed.Load()
+	if at == nil || at.IsZero() {
+		return 0, false
+	}
+	return now.Sub(*at), true
 }
