Cut long texts in refusals, so that each can be explained

Cause, found by reading: a refusal's detail quotes what the caller sent, for example a model name. One of a megabyte made an answer of several, with a token longer than any entry looks at: the refusal could not be explained. A detail that is not UTF-8 left only reason and outcome in the token.

--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -49,14 +49,13 @@
 	return m.Sum(nil)
 }
 
-// Seal makes a token.
-func (s *Sealer) Seal(r *wire.Refusal) string {
-	body, err := proto.Marshal(r)
-	if err != nil {
-		// Only text that is not UTF-8 can't be encoded; the reason and the
-		// outcome are never dropped for it.
-		body, _ = proto.Marshal(&wire.Refusal{RequestId: r.RequestId, Reason: r.Reason, Outcome: r.Outcome, AtUnixMs: r.AtUnixMs})
-	}
+// Seal makes a token. Long texts are cut.
+func (s *Sealer) Seal(r *wire.Refusal) string { return s.seal(bounded(r)) }
+
+// seal makes a token of a bounded refusal.
+func (s *Sealer) seal(r *wire.Refusal) string {
+	// It can't fail: only text that is not UTF-8 can't be encoded.
+	body, _ := proto.Marshal(r)
 	return base64.RawURLEncoding.EncodeToString(append(s.mac(body), body...))
 }
 
@@ -179,7 +178,8 @@
 	if !ok {
 		c = class{http.StatusInternalServerError, "The request was refused."}
 	}
-	token := s.Seal(r)
+	r = bounded(r)
+	token := s.seal(r)
 	p := &Problem{
 		Type:      "urn:snipereach:refusal:" + ReasonWord(r.Reason),
 		Title:     c.title,
--- a/refusal/refusal_test.go
+++ b/refusal/refusal_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -26,6 +28,30 @@
 	assert.Assert(t, proto.Equal(got, sample()))
 }
 
+// A caller names a model of a megabyte, in bytes that are no text, and attempts fail
+// with details as long. What the caller is told stays small, and any entry can still
+// explain it: reason, outcome, rows and figures are whole, only details are cut.
+func TestLongTextsAreCutAndStillExplained(t *testing.T) {
+	s := NewSealer([]byte("secret"))
+	long := strings.Repeat("\xff\u00e9", 1<<19)
+	r := sample()
+	r.Detail, r.Team, r.Service = long, long, long
+	for range maxAttempts + 1 {
+		r.Attempts = append(r.Attempts, &wire.RefusedAttempt{Upstream: long, Detail: long, Outcome: wire.Outcome_OUTCOME_UNKNOWN})
+	}
+	p := s.ProblemOf(r)
+	assert.Assert(t, len(p.Token) <= maxToken && len(p.Detail) <= maxText, "%d %d", len(p.Token), len(p.Detail))
+	got, err := s.Open(p.Token)
+	assert.NilError(t, err)
+	assert.Assert(t, utf8.ValidString(got.Detail) && strings.HasSuffix(got.Detail, cutMark))
+	assert.Equal(t, len(got.Attempts), maxAttempts)
+	assert.Equal(t, got.Attempts[0].Outcome, wire.Outcome_OUTCOME_UNKNOWN)
+	want := sample()
+	want.Detail, want.Team, want.Service, want.Attempts = got.Detail, got.Team, got.Service, got.Attempts
+	assert.Assert(t, proto.Equal(got, want))
+	assert.Equal(t, len(r.Detail), len(long), "the caller's refusal is left as it is")
+}
+
 // A token that is cut anywhere, changed anywhere, or made under another secret
 // is refused, and never read as another refusal.
 func TestForgedTokensAreRefused(t *testing.T) {
