Bound the memory and the time of callers' bodies at an entry

Cause, found by reading: a body is read before its request is admitted, up to 64 MiB while a model call's service is unknown, with no bound on all of them and none on the time. A few hundred callers with a team's key could end an entry, and with it each request that it carried.

Change: bodies count against max_body_memory (64 MiB) as their bytes come, of which urgent_percent is kept for urgent requests; beyond it the refusal is queue-full, not run. A body has body_timeout (30 s) to come. A model call is bounded by the largest engine service's max_body_bytes. One function serves both kinds of calls.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -73,6 +73,7 @@
 	client    *control.Client
 	ops       *operators.Handler
 	limits    *limits
+	bodies    *bodies
 	answers   metrics.Counter
 	// confirmed is when the rows in force were last known to be current; nil if
 	// they never were.
@@ -123,6 +124,7 @@
 	e.announcer = directory.NewAnnouncer(e.targets, e.pool.Conn, time.Now)
 	e.watches = newWatches(e)
 	e.limits = newLimits(e)
+	e.bodies = newBodies(s.MaxBodyMemory, s.UrgentPercent)
 	e.claims = claim.NewNode(claim.DefaultRegisterSettings(), e.life, e.pool.Conn, time.Now)
 	e.dumps.Add("claims", e.claims.Dump)
 	if err := wire.DRPCRegisterClaim(e.srv.Mux, e.claims); err != nil {
--- a/entry/gauges.go
+++ b/entry/gauges.go
@@ -13,6 +13,7 @@
 	for name, value := range map[string]func() int64{
 		"entry.requests":    e.requests.Load,
 		"entry.waiting":     e.waiting,
+		"entry.bodies":      e.bodies.held.Load,
 		"entry.revision":    e.revision,
 		"entry.rows.age_ms": e.rowsAgeMS,
 		"entry.listed":      e.listed,
--- a/entry/request.go
+++ b/entry/request.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,9 +30,6 @@
 	headerTimeout    = "X-Timeout-Ms"
 )
 
-// maxModelBody bounds a model call until its service is known.
-const maxModelBody = 64 << 20
-
 // charsPerToken estimates prompt tokens from text.
 const charsPerToken = 4
 
@@ -97,23 +93,19 @@
 }
 
 func (e *Entry) serveModel(w http.ResponseWriter, r *http.Request) {
-	q, ref := e.begin(w, r)
-	if ref == nil {
-		ref = q.readModel()
-	}
-	if ref == nil {
-		ref = q.serve()
-	}
-	if ref != nil {
-		doubt(r, q, ref)
-		e.writeRefusal(w, q, ref)
-	}
+	e.serveCall(w, r, (*request).readModel)
 }
 
 func (e *Entry) servePlain(w http.ResponseWriter, r *http.Request) {
+	e.serveCall(w, r, (*request).readPlain)
+}
+
+// serveCall serves a request; read finds its service and reads its body.
+func (e *Entry) serveCall(w http.ResponseWriter, r *http.Request, read func(*request) *wire.Refusal) {
 	q, ref := e.begin(w, r)
 	if ref == nil {
-		ref = q.readPlain()
+		defer func() { e.bodies.free(q.body) }()
+		ref = read(q)
 	}
 	if ref == nil {
 		ref = q.serve()
@@ -154,20 +146,48 @@
 }
 
 func (q *request) readBody(limit int64) *wire.Refusal {
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	e := q.entry
+	if q.r.Body == http.NoBody {
+		return nil
+	}
+	var err error
+	q.body, err = e.bodies.readTimely(q.w, http.MaxBytesReader(q.w, q.r.Body, limit), e.settings.BodyTimeout.D(), q.urgent())
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return q.entry.refuse(wire.Reason_REASON_BODY_TOO_LARGE, "body is over "+strconv.FormatInt(limit, 10)+" bytes")
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &tooLarge):
+		return e.refuse(wire.Reason_REASON_BODY_TOO_LARGE, "body is over "+strconv.FormatInt(limit, 10)+" bytes")
+	case errors.Is(err, errBodiesFull):
+		return e.refuse(wire.Reason_REASON_QUEUE_FULL, err.Error())
+	case late(err):
+		return e.refuse(wire.Reason_REASON_DEADLINE, "body did not come within "+e.settings.BodyTimeout.D().String())
+	}
+	return e.refuse(wire.Reason_REASON_BAD_REQUEST, "body can't be read: "+err.Error())
+}
+
+// urgent says whether the request is known to be urgent before its body is read.
+func (q *request) urgent() bool {
+	if q.service == nil {
+		return false
 	}
-	if err != nil {
-		return q.entry.refuse(wire.Reason_REASON_BAD_REQUEST, "body can't be read: "+err.Error())
+	p, ref := q.priority()
+	return ref == nil && p == wire.Priority_PRIORITY_URGENT
+}
+
+// maxModelBody bounds a model call until its service is known.
+func (q *request) maxModelBody() int64 {
+	most := int64(0)
+	for _, s := range q.view.Services {
+		if s.Kind != "plain" {
+			most = max(most, s.MaxBody)
+		}
 	}
-	q.body = body
-	return nil
+	return most
 }
 
 func (q *request) readModel() *wire.Refusal {
-	if ref := q.readBody(maxModelBody); ref != nil {
+	if ref := q.readBody(q.maxModelBody()); ref != nil {
 		return ref
 	}
 	var c modelCall
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -51,6 +51,10 @@
 	Slots         int `toml:"slots"`
 	UrgentPercent int `toml:"urgent_percent"`
 	MaxQueue      int `toml:"max_queue"`
+	// MaxBodyMemory bounds the memory of all requests' bodies, in bytes, and
+	// BodyTimeout the time that one body may take.
+	MaxBodyMemory int64           `toml:"max_body_memory"`
+	BodyTimeout   kernel.Duration `toml:"body_timeout"`
 	// StopLimit bounds a planned stop.
 	StopLimit kernel.Duration `toml:"stop_limit"`
 	// Lease and AnnounceInterval are those of the entry's own announcement.
@@ -67,6 +71,8 @@
 		Slots:            4096,
 		UrgentPercent:    10,
 		MaxQueue:         4096,
+		MaxBodyMemory:    64 << 20,
+		BodyTimeout:      kernel.Duration(30 * time.Second),
 		StopLimit:        kernel.Duration(5 * time.Minute),
 		Lease:            kernel.Duration(3 * time.Second),
 		AnnounceInterval: kernel.Duration(500 * time.Millisecond),
@@ -95,6 +101,10 @@
 		return bad("slots", "must be at least 1")
 	case s.UrgentPercent < 0 || s.UrgentPercent > 90:
 		return bad("urgent_percent", "must be from 0 to 90")
+	case s.MaxBodyMemory < 1<<20:
+		return bad("max_body_memory", "must be at least 1048576")
+	case s.BodyTimeout < kernel.Duration(time.Second):
+		return bad("body_timeout", "must be at least 1s")
 	case s.Keep < kernel.Duration(time.Second):
 		return bad("keep", "must be at least 1s")
 	case len(s.ControlReplicas) == 0 && s.Control == nil:
