Begin each explanation token with a letter

Cause: a token is base64url of a MAC, and one in 64 began with a dash. Ruled out: load on the machine; the message names the flag.

Change: tokens begin with 'r'.

--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -29,6 +29,10 @@
 	ErrForeignToken   = merry.Sentinel("explanation token was not made by this cluster")
 )
 
+// tokenPrefix begins each token. A base64url text may begin with a dash, and a
+// command line would take the token for a flag.
+const tokenPrefix = "r"
+
 // maxToken bounds what Open looks at.
 const maxToken = 16 << 10
 
@@ -56,7 +60,7 @@
 func (s *Sealer) seal(r *wire.Refusal) string {
 	// It can't fail: only text that is not UTF-8 can't be encoded.
 	body, _ := proto.Marshal(r)
-	return base64.RawURLEncoding.EncodeToString(append(s.mac(body), body...))
+	return tokenPrefix + base64.RawURLEncoding.EncodeToString(append(s.mac(body), body...))
 }
 
 // Open checks a token and returns the refusal.
@@ -64,7 +68,11 @@
 	if len(token) > maxToken {
 		return nil, merry.Prependf(ErrMalformedToken, "longer than %d characters", maxToken)
 	}
-	raw, err := base64.RawURLEncoding.Strict().DecodeString(token)
+	encoded, ok := strings.CutPrefix(token, tokenPrefix)
+	if !ok {
+		return nil, merry.Prependf(ErrMalformedToken, "does not begin with %q", tokenPrefix)
+	}
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(encoded)
 	if err != nil {
 		return nil, merry.Prepend(ErrMalformedToken, err.Error())
 	}
--- a/refusal/refusal_test.go
+++ b/refusal/refusal_test.go
@@ -21,6 +21,17 @@
 	}
 }
 
+// An operator gives a token to snipereachctl. One in 64 began with a dash and was
+// taken for a flag: "unknown flag".
+func TestNoTokenLooksLikeAFlag(t *testing.T) {
+	r := sample()
+	for n := range 500 {
+		r.RowVersion = uint64(n)
+		token := NewSealer([]byte("secret")).Seal(r)
+		assert.Assert(t, token[0] != '-', token)
+	}
+}
+
 func TestTokenHoldsTheWholeRefusal(t *testing.T) {
 	s := NewSealer([]byte("secret"))
 	got, err := s.Open(s.Seal(sample()))
