Decide each committed command alike in all releases, or stop

Cause, found by reading: columns were checked again when an edit was applied. Releases differ in what they check, so during an upgrade two replicas could decide one edit differently, and a replica that read its own log after an upgrade could refuse what it had accepted: an accepted row would revert.

The test of bad edits goes through the check and then the machine, as an edit does; it asks for the same columns and details.

--- a/control/calls.go
+++ b/control/calls.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/ansel1/merry/v2"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/snipereach/snipereach/consensus"
 	"github.com/snipereach/snipereach/wire"
@@ -100,7 +99,7 @@
 
 // propose puts a command on the log and waits for its result.
 func (r *Replica) propose(ctx context.Context, c *wire.Command) (any, error) {
-	data, err := proto.Marshal(c)
+	data, err := encode(c)
 	if err != nil {
 		return nil, merry.Prepend(ErrUnavailable, err.Error())
 	}
--- a/control/care.go
+++ b/control/care.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -52,7 +50,7 @@
 }
 
 func (r *Replica) proposeFormed() {
-	data, err := proto.Marshal(&wire.Command{Command: &wire.Command_Formed{Formed: &wire.Formed{}}})
+	data, err := encode(&wire.Command{Command: &wire.Command_Formed{Formed: &wire.Formed{}}})
 	if err == nil {
 		_, _, _ = r.node.Propose(r.now(), data)
 	}
--- a/control/machine.go
+++ b/control/machine.go
@@ -13,8 +13,19 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
-// ErrMachine is returned for state that can't be read back.
-var ErrMachine = merry.Sentinel("replicated state can't be read")
+// Errors of the state machines.
+var (
+	// ErrMachine is returned for state that can't be read back.
+	ErrMachine = merry.Sentinel("replicated state can't be read")
+	// ErrCommand is returned for a committed command that this release can't apply.
+	ErrCommand = merry.Sentinel("committed command is not known to this release")
+)
+
+// rules numbers the way in which committed commands are applied. It goes up with
+// each change by which one log would lead to another state: a new kind of command, a
+// reference or a value that must be unique. A release that brings new rules knows the
+// old ones, too, and proposes by them until all replicas run it.
+const rules = 1
 
 // machine joins the state machines on one log.
 type machine struct {
@@ -29,20 +40,33 @@
 	return &machine{table: table.NewMachine(), fence: fence.NewMachine(), ring: &wire.Ring{}, groups: rollout.NewMachine()}
 }
 
+// encode makes the log entry of a command.
+func encode(c *wire.Command) ([]byte, error) {
+	c.Rules = rules
+	return proto.Marshal(c)
+}
+
 // apply carries out a committed command. The result is a *wire.EditReply, a
 // *wire.Lease, a rollout.Result or nil.
-func (m *machine) apply(index uint64, data []byte) any {
+//
+// A replica of an older release that passed over a command of a newer one would go on
+// with another state than the others: the row that it serves, or the snapshot that it
+// sends, would lack what was accepted. It stops instead, and goes on once upgraded.
+func (m *machine) apply(index uint64, data []byte) (any, error) {
 	c := &wire.Command{}
 	if err := proto.Unmarshal(data, c); err != nil {
-		return nil
+		return nil, merry.Prependf(ErrCommand, "entry %d: %v", index, err)
+	}
+	if c.Rules > rules {
+		return nil, merry.Prependf(ErrCommand, "entry %d: rules %d, this release knows %d", index, c.Rules, rules)
 	}
 	switch {
 	case c.GetEdit() != nil:
-		return m.table.Apply(index, c.GetEdit())
+		return m.table.Apply(index, c.GetEdit()), nil
 	case c.GetLease() != nil:
-		return m.fence.Apply(index, c.GetLease())
+		return m.fence.Apply(index, c.GetLease()), nil
 	case c.GetGroup() != nil:
-		return m.groups.Apply(index, c.GetGroup(), m.fence.Token(c.GetGroup().Group))
+		return m.groups.Apply(index, c.GetGroup(), m.fence.Token(c.GetGroup().Group)), nil
 	case c.GetFormed() != nil:
 		m.formed = true
 	case c.GetRing() != nil:
@@ -50,13 +74,15 @@
 		if r := c.GetRing(); r.Epoch == m.ring.Epoch+1 {
 			m.ring = r
 		}
+	default:
+		return nil, merry.Prependf(ErrCommand, "entry %d: no known kind", index)
 	}
-	return nil
+	return nil, nil
 }
 
 func (m *machine) snapshot() ([]byte, error) {
 	return proto.Marshal(&wire.MachineSnapshot{
-		Table: m.table.Snapshot(), Fence: m.fence.Snapshot(), Formed: m.formed, Ring: m.ring,
+		Rules: rules, Table: m.table.Snapshot(), Fence: m.fence.Snapshot(), Formed: m.formed, Ring: m.ring,
 		Groups: m.groups.Snapshot(),
 	})
 }
@@ -66,6 +92,9 @@
 	if err := proto.Unmarshal(data, s); err != nil {
 		return merry.Prepend(ErrMachine, err.Error())
 	}
+	if s.Rules > rules {
+		return merry.Prependf(ErrMachine, "snapshot by rules %d, this release knows %d", s.Rules, rules)
+	}
 	m.table.Restore(s.Table)
 	m.fence.Restore(s.Fence)
 	m.groups.Restore(s.Groups)
--- a/control/replica.go
+++ b/control/replica.go
@@ -213,7 +213,10 @@
 	for _, e := range rd.Apply {
 		var v any
 		if e.Type == wire.EntryType_ENTRY_TYPE_COMMAND {
-			v = r.machine.apply(e.Index, e.Data)
+			var err error
+			if v, err = r.machine.apply(e.Index, e.Data); err != nil {
+				return err
+			}
 		}
 		if reply, ok := v.(*wire.EditReply); ok && reply.Status == wire.EditStatus_EDIT_STATUS_ACCEPTED && !reply.Replayed {
 			changed = append(changed, reply.Rows...)
--- a/control/ring.go
+++ b/control/ring.go
@@ -4,8 +4,6 @@
 	"sort"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/snipereach/snipereach/claim"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/wire"
@@ -117,7 +115,7 @@
 	if next == nil || r.ringPending(next.Epoch) {
 		return
 	}
-	data, err := proto.Marshal(&wire.Command{Command: &wire.Command_Ring{Ring: next}})
+	data, err := encode(&wire.Command{Command: &wire.Command_Ring{Ring: next}})
 	if err != nil {
 		return
 	}
--- a/table/machine.go
+++ b/table/machine.go
@@ -56,6 +56,22 @@
 // Check says what is wrong with an edit on its own: kinds, keys and columns. It
 // is made before an edit is proposed, so that a bad one never reaches the log.
 func Check(e *wire.TableEdit) *wire.EditReply {
+	if r := checkShape(e); r != nil {
+		return r
+	}
+	for _, r := range e.Rows {
+		if r.Delete {
+			continue
+		}
+		if err := CheckRow(r.Kind, r.Key, r.Columns); err != nil {
+			return invalidErr(rowID{r.Kind, r.Key}, err)
+		}
+	}
+	return nil
+}
+
+// checkShape says what is wrong with an edit whatever the columns are.
+func checkShape(e *wire.TableEdit) *wire.EditReply {
 	if e.EditId == "" || len(e.EditId) > 128 {
 		return invalid("", "edit_id", "1 to 128 characters are needed")
 	}
@@ -69,12 +85,6 @@
 			return invalid(id.String(), "", "the row stands twice in the edit")
 		}
 		seen[id] = true
-		if r.Delete {
-			continue
-		}
-		if err := CheckRow(r.Kind, r.Key, r.Columns); err != nil {
-			return invalidErr(id, err)
-		}
 	}
 	return nil
 }
@@ -109,12 +119,15 @@
 	return r
 }
 
-// Apply decides an edit at a log index.
+// Apply decides an edit at a log index. Columns are not checked again: they passed
+// Check before the edit was proposed. Releases differ in what they check, and a replica
+// that judged anew would refuse what another one accepted, or, reading its own log
+// after an upgrade, what it had accepted itself: an accepted row would revert.
 func (m *Machine) Apply(index uint64, e *wire.TableEdit) *wire.EditReply {
 	if r := m.Stored(e); r != nil {
 		return r
 	}
-	if r := Check(e); r != nil {
+	if r := checkShape(e); r != nil {
 		return r
 	}
 	if r := m.conflicts(e); r != nil {
--- a/table/machine_test.go
+++ b/table/machine_test.go
@@ -47,6 +47,27 @@
 	return m
 }
 
+// decide is what becomes of an operator's edit: it is checked where it comes in, and
+// then applied.
+func decide(m *Machine, index uint64, e *wire.TableEdit) *wire.EditReply {
+	if r := Check(e); r != nil {
+		return r
+	}
+	return m.Apply(index, e)
+}
+
+// An operator's edit is accepted, and the host is upgraded to a release that would
+// refuse such a column. When the replica reads its log the edit is accepted again: the
+// row stays in force.
+func TestAcceptedEditOutlivesItsColumnCheck(t *testing.T) {
+	m := filled(t)
+	e := edit("before", row(KindPool, "old", 0, "slots=0", "column_of_old=1"))
+	assert.Assert(t, Check(e) != nil, "this release would refuse it")
+	r := m.Apply(9, e)
+	assert.Equal(t, r.Status, accepted, r.Detail)
+	assert.Equal(t, m.Get(KindPool, "old").Columns["column_of_old"], "1")
+}
+
 // A bad edit is refused with the column and what is wrong with it, and changes
 // nothing.
 func TestBadEditsNameTheirColumn(t *testing.T) {
@@ -72,7 +93,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m := filled(t)
-			r := m.Apply(9, c.edit)
+			r := decide(m, 9, c.edit)
 			assert.Equal(t, r.Status, wire.EditStatus_EDIT_STATUS_INVALID)
 			assert.Equal(t, r.Column, c.column)
 			assert.Assert(t, strings.Contains(r.Detail+r.Row, c.detail), "%s: %s", r.Row, r.Detail)
