--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/snipereach/snipereach/placement"
@@ -52,9 +51,6 @@
 	}
 }
 
-// leadMargin covers orders and syncs slower than those measured.
-const leadMargin = 2
-
 // Target is a map to switch to, and why.
 type Target struct {
 	// Base is the epoch that the map was planned on.
@@ -201,185 +197,6 @@
 	return e
 }
 
-func (c *Coordinator) tickRank(now time.Time, i int) (Outgoing, bool) {
-	r := &c.ranks[i]
-	verb, o := c.orderFor(r)
-	again := c.again(verb, r)
-	if !r.sentAt.IsZero() && verb == r.verb && o.Epoch == r.epoch && now.Sub(r.sentAt) < again {
-		return Outgoing{}, false
-	}
-	r.verb, r.epoch, r.sentAt, r.sent = verb, o.Epoch, now, true
-	o.Group, o.Rank, o.Incarnation = c.cfg.Group, i, r.status.Incarnation
-	return Outgoing{Rank: i, Verb: verb, Order: o}, true
-}
-
-// again is the time after which an order is given once more.
-func (c *Coordinator) again(verb string, r *rankState) time.Duration {
-	switch verb {
-	case VerbArm, VerbCommit, VerbAbort, VerbAdopt:
-		return c.cfg.Urgent
-	case VerbStatus:
-		if r.heard && c.quiet(r) {
-			return c.cfg.IdlePoll
-		}
-	}
-	return c.cfg.Resend
-}
-
-// quiet says whether nothing is expected to change at a rank.
-func (c *Coordinator) quiet(r *rankState) bool {
-	return c.Idle() && !r.status.Blank
-}
-
-// orderFor chooses the order that a rank needs now.
-func (c *Coordinator) orderFor(r *rankState) (string, Order) {
-	if !r.heard || c.state == nil {
-		return VerbStatus, Order{}
-	}
-	if r.status.Blank {
-		return c.orderForBlank()
-	}
-	if verb, o, ok := Settle(c.state, r.status); ok {
-		return verb, o
-	}
-	sw := c.state.Switch
-	switch {
-	case !Undecided(sw):
-	case sw.Phase == wire.SwitchPhase_SWITCH_PHASE_STAGING && r.status.Staged != sw.Map.Epoch && r.status.Loading != sw.Map.Epoch:
-		return VerbStage, Order{Epoch: sw.Map.Epoch, Base: c.state.Map.Epoch, Map: orderMap(sw.Map)}
-	case sw.Phase == wire.SwitchPhase_SWITCH_PHASE_ARMING && r.status.Armed != sw.Map.Epoch:
-		return VerbArm, Order{Epoch: sw.Map.Epoch, Step: sw.Step}
-	case c.cfg.off.log && c.allArmed():
-		return VerbCommit, Order{Epoch: sw.Map.Epoch, Step: sw.Step}
-	}
-	return VerbStatus, Order{}
-}
-
-// orderForBlank gives a restarted rank the map in force. While a switch is
-// undecided it waits: the old life of the rank may have been armed, the decision
-// to switch may be under way, and the map that is in force now would be the
-// wrong one from that step on.
-func (c *Coordinator) orderForBlank() (string, Order) {
-	if Undecided(c.state.Switch) && !c.cfg.off.blank {
-		return VerbStatus, Order{}
-	}
-	m := c.state.Map
-	return VerbAdopt, Order{Epoch: m.Epoch, Step: m.FromStep, Map: orderMap(m)}
-}
-
-// Settle chooses the order that tells a rank the end of a switch that it still has
-// open, if the state says one. The state may be an old one: what it says of a switch
-// that has ended stays true.
-func Settle(state *wire.GroupState, s Status) (verb string, o Order, ok bool) {
-	inForce := state.GetMap().GetEpoch()
-	settled := state.GetSettled()
-	switch {
-	case s.Armed == inForce && s.Armed != 0 && !s.Decided:
-		return VerbCommit, Order{Epoch: inForce, Step: state.Map.FromStep}, true
-	case s.Armed != 0 && s.Armed != inForce && s.Armed <= settled:
-		return VerbAbort, Order{Epoch: s.Armed}, true
-	case s.Staged != 0 && s.Staged != inForce && s.Staged <= settled:
-		return VerbAbort, Order{Epoch: s.Staged}, true
-	}
-	return "", Order{}, false
-}
-
-// tickLog returns the command that the log needs now, unless it was proposed a
-// moment ago.
-func (c *Coordinator) tickLog(now time.Time) *wire.GroupCommand {
-	cmd := c.command(now)
-	if cmd == nil {
-		return nil
-	}
-	as := fmt.Sprintf("%T", cmd.Command)
-	if as != c.proposedAs {
-		c.proposed = now
-	} else if now.Sub(c.sentAt) < c.cfg.Resend {
-		return nil
-	}
-	c.proposedAs, c.sentAt = as, now
-	cmd.Group, cmd.Token = c.cfg.Group, c.cfg.Token
-	return cmd
-}
-
-func (c *Coordinator) command(now time.Time) *wire.GroupCommand {
-	if c.state == nil {
-		first := FromMap(c.cfg.Shape, placement.Contiguous(c.cfg.Shape))
-		return &wire.GroupCommand{Command: &wire.GroupCommand_Install{Install: first}}
-	}
-	sw := c.state.Switch
-	if sw == nil {
-		return c.beginWanted()
-	}
-	epoch := sw.Map.Epoch
-	if sw.Phase == wire.SwitchPhase_SWITCH_PHASE_COMMITTED {
-		if c.allUse(epoch) {
-			return &wire.GroupCommand{Command: &wire.GroupCommand_Confirm{Confirm: &wire.ConfirmSwitch{Epoch: epoch}}}
-		}
-		return nil
-	}
-	if why := c.whyAbort(now, sw); why != "" {
-		return decision(epoch, false, why)
-	}
-	switch {
-	case sw.Phase == wire.SwitchPhase_SWITCH_PHASE_ARMING && c.allArmed():
-		return decision(epoch, true, "")
-	case sw.Phase == wire.SwitchPhase_SWITCH_PHASE_STAGING && c.allStaged(epoch):
-		return &wire.GroupCommand{Command: &wire.GroupCommand_Arm{Arm: &wire.ArmSwitch{Epoch: epoch, Step: c.chooseStep(now)}}}
-	}
-	return nil
-}
-
-func decision(epoch uint64, commit bool, why string) *wire.GroupCommand {
-	return &wire.GroupCommand{Command: &wire.GroupCommand_Decide{
-		Decide: &wire.DecideSwitch{Epoch: epoch, Commit: commit, Detail: why},
-	}}
-}
-
-func (c *Coordinator) beginWanted() *wire.GroupCommand {
-	if c.want == nil || !c.allUse(c.state.Map.Epoch) {
-		return nil
-	}
-	return &wire.GroupCommand{Command: &wire.GroupCommand_Begin{
-		Begin: &wire.BeginSwitch{Base: c.want.Base, Map: c.want.Map, Reason: c.want.Reason},
-	}}
-}
-
-// whyAbort says why an undecided switch is to be cancelled, or "".
-func (c *Coordinator) whyAbort(now time.Time, sw *wire.Switch) string {
-	if c.cancel != "" {
-		return c.cancel
-	}
-	arming := sw.Phase == wire.SwitchPhase_SWITCH_PHASE_ARMING
-	for i, r := range c.ranks {
-		s := r.status
-		switch {
-		case !r.heard:
-		case s.Blank || arming && s.Staged != sw.Map.Epoch && s.Armed != sw.Map.Epoch:
-			return fmt.Sprintf("rank %d restarted", i)
-		case arming && s.Armed != sw.Map.Epoch && s.NextStep > sw.Step:
-			c.late(sw.Map.Epoch)
-			return fmt.Sprintf("rank %d was armed too late", i)
-		}
-	}
-	limit := c.cfg.StageTimeout
-	if arming {
-		limit = c.cfg.ArmTimeout
-	}
-	if now.Sub(c.since) >= limit {
-		return fmt.Sprintf("ranks were not ready within %v", limit)
-	}
-	return ""
-}
-
-// late doubles the lead once for each switch that was armed too late.
-func (c *Coordinator) late(epoch uint64) {
-	if c.lateEpoch != epoch {
-		c.lateEpoch = epoch
-		c.lead = 2 * c.leadTime()
-	}
-}
-
 func (c *Coordinator) all(ok func(s Status) bool) bool {
 	for _, r := range c.ranks {
 		if !r.heard || r.status.Blank || !ok(r.status) {
@@ -401,23 +218,3 @@
 	sw := c.state.Switch
 	return c.all(func(s Status) bool { return s.Armed == sw.Map.Epoch && s.ArmedStep == sw.Step })
 }
-
-// leadTime is how long it takes to arm, decide and tell: two writes to the log
-// and two rounds of orders, by what was measured, with a margin.
-func (c *Coordinator) leadTime() time.Duration {
-	return min(max(c.lead, leadMargin*(2*c.logTime+2*c.orderTime)), c.cfg.MaxLead)
-}
-
-// chooseStep puts the switch so far ahead that in the ordinary case every rank
-// knows the decision before it would have to stop.
-func (c *Coordinator) chooseStep(now time.Time) uint64 {
-	lead := c.leadTime()
-	var step uint64
-	for _, r := range c.ranks {
-		per := max(time.Duration(r.status.StepMicros)*time.Microsecond, c.cfg.MinStep)
-		since := min(now.Sub(r.heardAt), c.cfg.MaxLead)
-		ahead := (lead+since)/per + 2
-		step = max(step, r.status.NextStep+uint64(ahead))
-	}
-	return step
-}
--- a/table/machine.go
+++ b/table/machine.go
@@ -219,49 +219,6 @@
 	m.editOrder = append(m.editOrder, e.EditId)
 }
 
-// trim keeps the bounds; every replica trims alike.
-func (m *Machine) trim() {
-	for len(m.editOrder) > MaxEdits {
-		delete(m.edits, m.editOrder[0])
-		m.editOrder = m.editOrder[1:]
-	}
-	m.trimHistory()
-	for len(m.deleted) > MaxTombstones {
-		id := m.deleted[0]
-		m.deleted = m.deleted[1:]
-		if r := m.rows[id]; r != nil && r.Deleted {
-			m.floor = max(m.floor, r.Revision)
-			delete(m.rows, id)
-		}
-	}
-}
-
-// trimHistory drops versions beyond the bounds once a tenth more has gathered,
-// so that the cost is spread over many edits.
-func (m *Machine) trimHistory() {
-	if len(m.history) < MaxHistory+MaxHistory/10 && !m.overVersions() {
-		return
-	}
-	drop := len(m.history) - MaxHistory
-	kept := make([]pastRow, 0, min(len(m.history), MaxHistory+MaxHistory/10))
-	for i, r := range m.history {
-		if i < drop || m.versions[r.id] > MaxVersions {
-			m.versions[r.id]--
-			continue
-		}
-		kept = append(kept, r)
-	}
-	m.history = kept
-}
-
-func (m *Machine) overVersions() bool {
-	if len(m.history) == 0 {
-		return false
-	}
-	last := m.history[len(m.history)-1]
-	return m.versions[last.id] > 2*MaxVersions
-}
-
 // Get returns the row in force, or nil.
 func (m *Machine) Get(kind, key string) *wire.Row {
 	r := m.rows[rowID{kind, key}]
@@ -293,29 +250,6 @@
 	})
 }
 
-// History returns the versions of a row that are kept, newest first, the one in
-// force included; only the one in force at a revision if it isn't 0.
-func (m *Machine) History(kind, key string, at uint64) []*wire.Row {
-	var list []*wire.Row
-	if r := m.rows[rowID{kind, key}]; r != nil {
-		list = append(list, r)
-	}
-	for i := len(m.history) - 1; i >= 0; i-- {
-		if h := m.history[i]; h.id == (rowID{kind, key}) {
-			list = append(list, h.decode())
-		}
-	}
-	if at == 0 {
-		return list
-	}
-	for _, r := range list {
-		if r.Revision <= at {
-			return []*wire.Row{r}
-		}
-	}
-	return nil
-}
-
 // Since returns what changed after a revision, deleted rows included, or the
 // whole table when that is no longer known.
 func (m *Machine) Since(revision uint64) (rows []*wire.Row, snapshot bool) {
@@ -330,50 +264,3 @@
 	sortRows(rows)
 	return rows, false
 }
-
-// Snapshot returns the whole state.
-func (m *Machine) Snapshot() *wire.TableSnapshot {
-	s := &wire.TableSnapshot{Revision: m.revision, Floor: m.floor}
-	for _, r := range m.history {
-		s.History = append(s.History, r.encoded)
-	}
-	for _, r := range m.rows {
-		s.Rows = append(s.Rows, r)
-	}
-	sortRows(s.Rows)
-	for _, id := range m.editOrder {
-		e := m.edits[id]
-		s.Edits = append(s.Edits, &wire.StoredEdit{EditId: id, Digest: e.digest[:], Reply: e.reply})
-	}
-	return s
-}
-
-// Restore replaces the whole state.
-func (m *Machine) Restore(s *wire.TableSnapshot) {
-	*m = Machine{
-		revision: s.GetRevision(), floor: s.GetFloor(),
-		rows: map[rowID]*wire.Row{}, edits: make(map[string]storedEdit, len(s.GetEdits())), versions: map[rowID]int{},
-		referenced: map[rowID]int{}, unique: map[string]rowID{},
-	}
-	for _, r := range s.GetRows() {
-		id := rowID{r.Kind, r.Key}
-		m.rows[id] = r
-		m.index(r, 1)
-		if r.Deleted {
-			m.deleted = append(m.deleted, id)
-		}
-	}
-	sort.Slice(m.deleted, func(i, j int) bool { return m.rows[m.deleted[i]].Revision < m.rows[m.deleted[j]].Revision })
-	known := map[rowID]rowID{}
-	for _, b := range s.GetHistory() {
-		r := pastRow{readRowID(b, known), b}
-		m.history = append(m.history, r)
-		m.versions[r.id]++
-	}
-	for _, e := range s.GetEdits() {
-		kept := storedEdit{reply: e.Reply}
-		copy(kept.digest[:], e.Digest)
-		m.edits[e.EditId] = kept
-		m.editOrder = append(m.editOrder, e.EditId)
-	}
-}
