Send callers of a leaving entry to others before it closes their connections

Cause, found by reading and shown by a trial: an entry that was stopped as planned went on with kept connections until its end, and closed those that were idle at that moment.

Change: while the entry leaves, each answer carries 'Connection: close'. Besides, a caller's idle connection is closed after idle_timeout (2 min); it was kept for ever.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -258,7 +258,10 @@
 	go e.node.Run(ctx)
 	go e.announceLoop(ctx)
 	e.followDirectory(ctx)
-	e.callersHTTP = &http.Server{Handler: e.callerRoutes(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}
+	e.callersHTTP = &http.Server{
+		Handler: e.callerRoutes(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10,
+		IdleTimeout: e.settings.IdleTimeout.D(),
+	}
 	go func() { _ = e.callersHTTP.Serve(e.callers) }()
 	if e.operators != nil {
 		e.operatorsHTTP = &http.Server{
--- a/entry/request.go
+++ b/entry/request.go
@@ -142,6 +142,7 @@
 	}
 	name := "entry.refusals." + refusal.ReasonWord(ref.Reason) + "." + refusal.OutcomeWord(ref.Outcome)
 	metrics.GetOrRegisterCounter(name, e.metrics).Inc(1)
+	e.markLeaving(w.Header())
 	e.sealer.Write(w, ref)
 }
 
@@ -281,7 +282,7 @@
 		return ref
 	}
 	q.claimed = hold != nil
-	sink := &httpSink{w: q.w, id: q.id, keep: q.claimed}
+	sink := &httpSink{w: q.w, id: q.id, mark: e.markLeaving, keep: q.claimed}
 	res := forward.Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN}
 	defer func() { q.settle(hold, res, sink) }()
 	ref = q.admitted(prio, deadline, func(c *forward.Call) *wire.Refusal {
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -11,6 +11,7 @@
 
 func (e *Entry) callerRoutes() http.Handler {
 	r := mux.NewRouter().UseEncodedPath()
+	r.Use(e.closeWhenLeaving)
 	r.HandleFunc("/v1/entries", e.serveEntries).Methods(http.MethodGet)
 	r.HandleFunc("/v1/refusals/{token}", e.serveRefusal).Methods(http.MethodGet)
 	r.HandleFunc("/v1/chat/completions", e.serveModel).Methods(http.MethodPost)
@@ -21,6 +22,24 @@
 	return r
 }
 
+// closeWhenLeaving marks answers of an entry that leaves.
+func (e *Entry) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.markLeaving(w.Header())
+		next.ServeHTTP(w, r)
+	})
+}
+
+// markLeaving tells the caller to use its connection no more if the entry leaves. A
+// caller that sends one request after another on a kept connection would otherwise
+// stay until the stop, which closes idle connections: the next request may be on its
+// way then, and its caller sees it cut.
+func (e *Entry) markLeaving(h http.Header) {
+	if e.draining.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 func (e *Entry) operatorRoutes() http.Handler {
 	r := mux.NewRouter()
 	r.Handle("/debug/state", e.ops.Authenticated(&e.dumps)).Methods(http.MethodGet)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -55,6 +55,8 @@
 	// BodyTimeout the time that one body may take.
 	MaxBodyMemory int64           `toml:"max_body_memory"`
 	BodyTimeout   kernel.Duration `toml:"body_timeout"`
+	// IdleTimeout is how long a caller's connection is kept without a request.
+	IdleTimeout kernel.Duration `toml:"idle_timeout"`
 	// StopLimit bounds a planned stop.
 	StopLimit kernel.Duration `toml:"stop_limit"`
 	// Lease and AnnounceInterval are those of the entry's own announcement.
@@ -73,6 +75,7 @@
 		MaxQueue:         4096,
 		MaxBodyMemory:    64 << 20,
 		BodyTimeout:      kernel.Duration(30 * time.Second),
+		IdleTimeout:      kernel.Duration(2 * time.Minute),
 		StopLimit:        kernel.Duration(5 * time.Minute),
 		Lease:            kernel.Duration(3 * time.Second),
 		AnnounceInterval: kernel.Duration(500 * time.Millisecond),
@@ -105,6 +108,8 @@
 		return bad("max_body_memory", "must be at least 1048576")
 	case s.BodyTimeout < kernel.Duration(time.Second):
 		return bad("body_timeout", "must be at least 1s")
+	case s.IdleTimeout < kernel.Duration(time.Second):
+		return bad("idle_timeout", "must be at least 1s")
 	case s.Keep < kernel.Duration(time.Second):
 		return bad("keep", "must be at least 1s")
 	case len(s.ControlReplicas) == 0 && s.Control == nil:
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -13,8 +13,10 @@
 // httpSink writes an answer to the caller, and keeps a copy of a small one for
 // callers that send the request again.
 type httpSink struct {
-	w     http.ResponseWriter
-	id    string
+	w  http.ResponseWriter
+	id string
+	// mark adds what is known of the connection when the answer begins.
+	mark  func(http.Header)
 	begun bool
 	flush bool
 	keep  bool
@@ -32,6 +34,7 @@
 		s.w.Header().Add(f.Name, f.Value)
 	}
 	s.w.Header().Set(upstream.HeaderRequestID, s.id)
+	s.mark(s.w.Header())
 	s.w.WriteHeader(int(h.Status))
 	return nil
 }
--- /dev/null
+++ b/quickstart/drain_test.go
@@ -0,0 +1,65 @@
+package quickstart
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+)
+
+// Callers send one ping after another, each on a connection that it keeps, while the
+// entry is stopped as planned. Every ping is answered whole: the answers tell the
+// callers to connect anew, and they take another entry before connections are closed.
+func TestPlannedStopCutsNoRequestOfAKeptConnection(t *testing.T) {
+	s, err := Start(context.Background(), Options{Log: log.NewNopLogger(), FakeDisks: true, Keep: time.Second})
+	assert.NilError(t, err)
+	t.Cleanup(s.Stop)
+	assert.NilError(t, s.WaitReady(context.Background()))
+	leaving := s.Entries[0]
+	const callers = 20
+	var wg sync.WaitGroup
+	errs := make(chan error, callers)
+	for range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			errs <- pingUntilTold("http://" + leaving.CallerAddress())
+		}()
+	}
+	assert.NilError(t, leaving.Drain(context.Background()))
+	wg.Wait()
+	for range callers {
+		assert.NilError(t, <-errs)
+	}
+}
+
+// pingUntilTold pings on one connection until an answer says that it is closed.
+func pingUntilTold(base string) error {
+	conn := &http.Transport{MaxConnsPerHost: 1}
+	defer conn.CloseIdleConnections()
+	for {
+		// A body that can't be sent again keeps net/http from hiding a cut.
+		body := io.NopCloser(strings.NewReader("{}"))
+		req, err := http.NewRequest(http.MethodPost, base+"/services/clock-core/confirm", body)
+		if err != nil {
+			return err
+		}
+		req.Header.Set("Authorization", "Bearer "+TeamKey)
+		resp, err := conn.RoundTrip(req)
+		if err != nil {
+			return err
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return err
+		}
+		if err := resp.Body.Close(); err != nil || resp.Close {
+			return err
+		}
+	}
+}
