--- a/agent/agent.go
+++ b/agent/agent.go
@@ -33,29 +33,29 @@
 
 // Agent implements kernel.Daemon.
 type Agent struct {
-	settings    *Settings
-	log         log.Logger
-	up          upstream.Upstream
-	sec         transport.Security
-	certs       *transport.Certificates
-	srv         *transport.Server
-	pool        *transport.Pool
-	lis         net.Listener
-	ops         *http.Server
-	runner      *admit.Runner
-	queue       queueSettings
-	attempts    *attempts
-	tickets     *tickets
-	orders      *orders
-	incarnation uint64
-	seq         atomic.Uint64
-	metrics     metrics.Registry
-	done        metrics.Counter
-	dumps       kernel.Dumps
-	cancel      context.CancelFunc
-	announcer   *directory.Announcer
-	load        atomic.Pointer[wire.Load]
-	loadSeq     atomic.Uint64
+	settings  *Settings
+	log       log.Logger
+	up        upstream.Upstream
+	sec       transport.Security
+	certs     *transport.Certificates
+	srv       *transport.Server
+	pool      *transport.Pool
+	lis       net.Listener
+	ops       *http.Server
+	runner    *admit.Runner
+	queue     queueSettings
+	attempts  *attempts
+	tickets   *tickets
+	orders    *orders
+	life      *directory.Life
+	seq       atomic.Uint64
+	metrics   metrics.Registry
+	done      metrics.Counter
+	dumps     kernel.Dumps
+	cancel    context.CancelFunc
+	announcer *directory.Announcer
+	load      atomic.Pointer[wire.Load]
+	loadSeq   atomic.Uint64
 }
 
 // New makes an agent from checked settings.
@@ -73,14 +73,12 @@
 	}
 	a := &Agent{
 		settings: s, log: kernel.PartLog(l, "agent"), up: up, sec: sec, certs: certs,
-		pool:    transport.NewPool(sec),
-		srv:     transport.NewServer(sec),
-		runner:  admit.NewRunner(startSettings(s).gate(), time.Now),
-		metrics: metrics.NewRegistry(),
-		// The clock orders the lives of one agent; a host whose clock was set
-		// back is told so by its first announcement and takes a higher number.
-		incarnation: uint64(time.Now().UnixNano()),
-		attempts:    newAttempts(),
+		pool:     transport.NewPool(sec),
+		srv:      transport.NewServer(sec),
+		runner:   admit.NewRunner(startSettings(s).gate(), time.Now),
+		metrics:  metrics.NewRegistry(),
+		life:     directory.NewLife(s.ID, time.Now()),
+		attempts: newAttempts(),
 	}
 	a.tickets = newTickets(a.runner, time.AfterFunc)
 	a.pool.SetDial(s.Dial)
@@ -213,7 +211,7 @@
 	tickets, held := a.tickets.counts()
 	return agentDump{
 		Tickets: tickets, Held: held,
-		ID: a.settings.ID, Incarnation: a.incarnation, Leaving: a.attempts.isClosed(),
+		ID: a.settings.ID, Incarnation: a.life.Number(), Leaving: a.attempts.isClosed(),
 		Running: running, Waiting: waiting, Remembered: a.attempts.size(), Queue: a.queue.get(), Load: a.load.Load(),
 	}
 }
--- a/agent/tickets.go
+++ b/agent/tickets.go
@@ -222,7 +222,7 @@
 
 // Wait implements the Agent service.
 func (s service) Wait(ctx context.Context, t *wire.Ticket) (*wire.Slot, error) {
-	if t.Incarnation != 0 && t.Incarnation != s.incarnation {
+	if t.Incarnation != 0 && t.Incarnation != s.life.Number() {
 		return s.noSlot(wire.Reason_REASON_NO_UPSTREAM), nil
 	}
 	timeout := min(time.Duration(t.TimeoutUs)*time.Microsecond, maxTimeout)
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -21,8 +21,13 @@
 	ErrNotCaughtUp    = merry.Sentinel("replica has not caught up")
 	ErrRolledBack     = merry.Sentinel("data folder is older than what this replica has acknowledged")
 	ErrTooManyPending = merry.Sentinel("too many proposals are in progress")
+	ErrTransferring   = merry.Sentinel("leadership is being transferred")
+	ErrNoTarget       = merry.Sentinel("no other voter is live")
 )
 
+// neverConfirmed is the age of a state that was not confirmed since the start.
+const neverConfirmed = 24 * time.Hour
+
 // Time is monotonic time since any fixed moment of one process.
 type Time = time.Duration
 
@@ -56,6 +61,10 @@
 	lease bool
 	// identity lets a replica vote before its peers have told what they saw.
 	identity bool
+	// transfer lets a leader keep its lease after it told another to campaign.
+	transfer bool
+	// echo lets a follower take an append as sent when it came.
+	echo bool
 }
 
 // DefaultConfig suits links of a few milliseconds.
@@ -146,8 +155,11 @@
 	// heard is when a leader was last heard; votes are withheld after it.
 	heard    Time
 	deadline Time
-	// confirmed is when a leader's append last left nothing to be fetched.
+	// confirmed is when the applied state was last known to be current, while
+	// another led.
 	confirmed Time
+	// boot tells this process from earlier ones of the same replica.
+	boot uint32
 
 	votes    map[string]bool
 	progress map[string]*progress
@@ -157,14 +169,23 @@
 	nextBeat  Time
 	reads     []pendingRead
 	sinceLead Time
+	// transfer is in progress unless nil. yielded: the lease of this term is given
+	// up for good.
+	transfer *transfer
+	yielded  bool
 
 	verified bool
 	failed   error
 	hellos   map[string]bool
 	// newest is the latest membership heard of while not verified.
 	newest indexedConfig
-	// witnessed is the highest index that each peer was seen to hold.
-	witnessed map[string]uint64
+	// witnessed is what each peer was seen to hold, savedWitness what of it is
+	// durable.
+	witnessed, savedWitness map[string]position
+	// nextWitness is when it may next be made durable without other records, and
+	// saveWitness that it is to be now.
+	nextWitness Time
+	saveWitness bool
 
 	early, messages []*wire.RaftMessage
 	readStates      []ReadState
@@ -185,8 +206,10 @@
 		now:       now,
 		log:       newLog(r.Snapshot, r.Entries),
 		heard:     now,
+		confirmed: now - neverConfirmed,
+		boot:      cfg.Rand.Uint32() | 1,
 		hellos:    map[string]bool{},
-		witnessed: map[string]uint64{},
+		witnessed: map[string]position{},
 		verified:  r.Fresh || cfg.off.identity,
 		sentAt:    map[uint64]Time{},
 	}
@@ -195,7 +218,8 @@
 		n.term, n.vote = r.Hard.Term, r.Hard.Vote
 		// Kept over a restart: a host whose folder is an older copy would otherwise
 		// pass unseen when its peers restart with it.
-		maps.Copy(n.witnessed, r.Hard.Witness)
+		n.takeWitness(r.Hard.Witness)
+		n.savedWitness = maps.Clone(n.witnessed)
 		n.log.commitTo(min(r.Hard.Commit, n.log.lastIndex()))
 		n.persisted = proto.Clone(r.Hard).(*wire.HardState)
 	} else {
@@ -235,12 +259,13 @@
 		n.sayHello()
 		return
 	}
+	n.keepWitness()
 	if n.role == Leader {
 		n.tickLeader()
 		return
 	}
 	if n.now >= n.deadline && n.isVoter(n.cfg.ID) {
-		n.campaign(PreCandidate)
+		n.campaign(PreCandidate, false)
 	}
 }
 
@@ -285,7 +310,7 @@
 	case wire.RaftKind_RAFT_KIND_VOTE:
 		// A replica that returns from a cut must not depose a leader that the
 		// others hear, and a vote within the lease would let two leaders answer.
-		if n.hearsLeader() {
+		if n.hearsLeader() && !m.Transfer {
 			return false
 		}
 	}
@@ -311,7 +336,10 @@
 func (n *Node) answerOldTerm(m *wire.RaftMessage) {
 	switch m.Kind {
 	case wire.RaftKind_RAFT_KIND_APPEND, wire.RaftKind_RAFT_KIND_SNAPSHOT:
-		n.send(&wire.RaftMessage{Kind: wire.RaftKind_RAFT_KIND_APPEND_REPLY, To: m.From, Reject: true, Round: m.Round, Index: n.log.lastIndex()})
+		reply := n.replyTo(m)
+		reply.Reject = true
+		reply.Index = n.log.lastIndex()
+		n.send(reply)
 	case wire.RaftKind_RAFT_KIND_PRE_VOTE:
 		n.send(&wire.RaftMessage{Kind: wire.RaftKind_RAFT_KIND_PRE_VOTE_REPLY, To: m.From, Reject: true})
 	}
@@ -329,6 +357,8 @@
 		n.takeSnapshot(m)
 	case wire.RaftKind_RAFT_KIND_APPEND_REPLY:
 		n.takeAppendReply(m)
+	case wire.RaftKind_RAFT_KIND_TIMEOUT_NOW:
+		n.takeTimeoutNow()
 	}
 }
 
@@ -346,10 +376,12 @@
 		n.vote = ""
 	}
 	n.failReads()
+	n.confirmed = n.now - n.ConfirmedAge(n.now)
 	n.role = Follower
 	n.leader = leader
 	n.votes = nil
 	n.progress = nil
+	n.transfer, n.yielded = nil, false
 	n.resetDeadline()
 }
 
@@ -359,14 +391,14 @@
 	r.Entries = n.log.takeUnstable()
 	r.Apply = n.log.takeCommitted()
 	hard := &wire.HardState{Term: n.term, Vote: n.vote, Commit: n.log.committed}
-	if hard.Term != n.persisted.Term || hard.Vote != n.persisted.Vote || (r.Durable() && hard.Commit != n.persisted.Commit) {
+	if hard.Term != n.persisted.Term || hard.Vote != n.persisted.Vote || n.saveWitness || (r.Durable() && hard.Commit != n.persisted.Commit) {
 		// Appends of a term that a crash could undo must wait for its sync: a
 		// sole voter would otherwise lead the same term twice, with other entries.
 		if hard.Term != n.persisted.Term {
 			r.Messages = append(r.Early, r.Messages...)
 			r.Early = nil
 		}
-		hard.Witness = maps.Clone(n.witnessed)
+		n.recordWitness(hard)
 		r.Hard = hard
 		n.persisted = hard
 	}
@@ -383,6 +415,7 @@
 	}
 	if p := n.progress[n.cfg.ID]; p != nil {
 		p.match = min(n.log.stable, n.log.lastIndex())
+		n.seeMatch(n.cfg.ID, p.match)
 		n.advanceCommit()
 	}
 }
@@ -407,20 +440,29 @@
 	First    uint64 `json:"first"`
 	Verified bool   `json:"verified"`
 	Lease    bool   `json:"lease"`
+	// Transfer is the voter that leadership is being handed to, or "".
+	Transfer string `json:"transfer,omitempty"`
 }
 
 // Status returns the replica's state for dumps.
 func (n *Node) Status() Status {
-	return Status{
+	s := Status{
 		ID: n.cfg.ID, Role: n.role.String(), Leader: n.leader, Term: n.term,
 		Commit: n.log.committed, Applied: n.log.applied, Last: n.log.lastIndex(),
 		First: n.log.firstIndex(), Verified: n.verified, Lease: n.role == Leader && n.leaseLive(),
 	}
+	if n.transfer != nil {
+		s.Transfer = n.transfer.target
+	}
+	return s
 }
 
 // IsLeader says whether the replica leads and holds a live lease.
 func (n *Node) IsLeader() bool { return n.role == Leader && n.leaseLive() }
 
+// Role returns what the replica is now. A Leader may lack a live lease.
+func (n *Node) Role() Role { return n.role }
+
 // Leader returns the ID of the leader that this replica follows, or "".
 func (n *Node) Leader() string { return n.leader }
 
@@ -431,19 +473,15 @@
 }
 
 // ConfirmedAge is how long ago this replica's applied state was known to hold
-// all that was committed: for a leader since its lease began, for a follower
-// since it heard a leader's append with all applied.
+// all that was accepted: for a leader when the latest append left that a majority
+// acknowledged, for a follower when it asked a leader with a live lease.
 func (n *Node) ConfirmedAge(now Time) time.Duration {
 	now = max(n.now, now)
-	if n.role == Leader {
-		at, ok := n.leaseStart()
-		if !ok {
-			at = n.sinceLead
+	at := n.confirmed
+	if n.role == Leader && n.ready() {
+		if start, ok := n.leaseStart(); ok {
+			at = max(at, start)
 		}
-		return now - at
-	}
-	if n.leader == "" && n.confirmed == 0 {
-		return now + n.cfg.ElectionTimeout
 	}
-	return now - n.confirmed
+	return now - at
 }
--- a/control/replica.go
+++ b/control/replica.go
@@ -59,6 +59,7 @@
 	sinceCut int
 	lastCare time.Time
 	leads    leaseClock
+	leader   leaderWatch
 	rings    ringClock
 	shares   shareHome
 	// pools is read by announcements, outside the loop.
@@ -102,13 +103,23 @@
 		reads:   map[uint64]chan<- error{},
 		queued:  map[uint64][]uint64{},
 		hard:    st.Hard, watchers: map[chan struct{}]struct{}{},
-		leads: leaseClock{expires: map[string]time.Time{}},
-		rings: ringClock{changed: time.Now()},
+		leads:  leaseClock{expires: map[string]time.Time{}},
+		leader: leaderWatch{changed: make(chan struct{})},
+		rings:  ringClock{changed: time.Now()},
 	}
 	r.feed.reset(m.table.Revision(), m.ring, r.rings.changed)
+	r.confirm()
 	return r, nil
 }
 
+// confirm tells watchers since when the rows are current. A failed replica goes
+// on hearing of commits that it doesn't apply.
+func (r *Replica) confirm() {
+	if r.failed == nil {
+		r.feed.confirm(r.now() - r.node.ConfirmedAge(r.now()))
+	}
+}
+
 func (r *Replica) start(ctx context.Context) {
 	ctx, r.stop = context.WithCancel(ctx)
 	r.peers.start(ctx)
@@ -140,13 +151,14 @@
 		case <-tick.C:
 			r.node.Tick(r.now())
 			r.care()
-			r.feed.confirm(r.now() - r.node.ConfirmedAge(r.now()))
+			r.confirm()
 		case f := <-r.calls:
 			f()
 			r.runQueued()
 		}
 		r.node.Flush()
 		r.process()
+		r.followLeader()
 	}
 }
 
@@ -213,7 +225,10 @@
 	for _, e := range rd.Apply {
 		var v any
 		if e.Type == wire.EntryType_ENTRY_TYPE_COMMAND {
-			v = r.machine.apply(e.Index, e.Data)
+			var err error
+			if v, err = r.machine.apply(e.Index, e.Data); err != nil {
+				return err
+			}
 		}
 		if reply, ok := v.(*wire.EditReply); ok && reply.Status == wire.EditStatus_EDIT_STATUS_ACCEPTED && !reply.Replayed {
 			changed = append(changed, reply.Rows...)
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -29,6 +29,10 @@
 	ErrForeignToken   = merry.Sentinel("explanation token was not made by this cluster")
 )
 
+// tokenPrefix begins each token. A base64url text may begin with a dash, and a
+// command line would take the token for a flag.
+const tokenPrefix = "r"
+
 // maxToken bounds what Open looks at.
 const maxToken = 16 << 10
 
@@ -49,15 +53,14 @@
 	return m.Sum(nil)
 }
 
-// Seal makes a token.
-func (s *Sealer) Seal(r *wire.Refusal) string {
-	body, err := proto.Marshal(r)
-	if err != nil {
-		// Only text that is not UTF-8 can't be encoded; the reason and the
-		// outcome are never dropped for it.
-		body, _ = proto.Marshal(&wire.Refusal{RequestId: r.RequestId, Reason: r.Reason, Outcome: r.Outcome, AtUnixMs: r.AtUnixMs})
-	}
-	return base64.RawURLEncoding.EncodeToString(append(s.mac(body), body...))
+// Seal makes a token. Long texts are cut.
+func (s *Sealer) Seal(r *wire.Refusal) string { return s.seal(bounded(r)) }
+
+// seal makes a token of a bounded refusal.
+func (s *Sealer) seal(r *wire.Refusal) string {
+	// It can't fail: only text that is not UTF-8 can't be encoded.
+	body, _ := proto.Marshal(r)
+	return tokenPrefix + base64.RawURLEncoding.EncodeToString(append(s.mac(body), body...))
 }
 
 // Open checks a token and returns the refusal.
@@ -65,7 +68,11 @@
 	if len(token) > maxToken {
 		return nil, merry.Prependf(ErrMalformedToken, "longer than %d characters", maxToken)
 	}
-	raw, err := base64.RawURLEncoding.Strict().DecodeString(token)
+	encoded, ok := strings.CutPrefix(token, tokenPrefix)
+	if !ok {
+		return nil, merry.Prependf(ErrMalformedToken, "does not begin with %q", tokenPrefix)
+	}
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(encoded)
 	if err != nil {
 		return nil, merry.Prepend(ErrMalformedToken, err.Error())
 	}
@@ -179,7 +186,8 @@
 	if !ok {
 		c = class{http.StatusInternalServerError, "The request was refused."}
 	}
-	token := s.Seal(r)
+	r = bounded(r)
+	token := s.seal(r)
 	p := &Problem{
 		Type:      "urn:snipereach:refusal:" + ReasonWord(r.Reason),
 		Title:     c.title,
