--- a/forward/forward.go
+++ b/forward/forward.go
@@ -46,6 +46,8 @@
 
 	// mayMove lets an agent refuse the next attempt if it has no free slot.
 	mayMove bool
+	// mustQueue says that no queue had a place for a ticket.
+	mustQueue bool
 	// slot is held for the next attempt; nil if none is.
 	slot *slot
 }
@@ -163,7 +165,7 @@
 	var res Result
 	moves := 0
 	for n := 1; ; n++ {
-		c.mayMove = moves < maxMoves && len(c.Body) <= transport.BodyFrame
+		c.mayMove = moves < maxMoves && !c.mustQueue && len(c.Body) <= transport.BodyFrame
 		up, end := f.attempt(ctx, c, sink, n)
 		res.Outcome, res.Reason, res.Detail, res.Begun = end.outcome, end.reason, end.detail, end.begun
 		if end.reason == 0 {
@@ -176,17 +178,15 @@
 		}
 		if end.move && c.mayMove && f.inTime(ctx, c) {
 			moves++
-			if !f.wait(ctx, c, n) {
-				// No queue has a place. What is left is to ask once more, where the
-				// agent refuses for the row's bound and says so.
-				moves = maxMoves
+			// Where all queues are full, what is left is to ask one upstream once
+			// more: it refuses by its row's bound and says so.
+			c.mustQueue = !f.wait(ctx, c, n)
+			if f.inTime(ctx, c) {
+				continue
 			}
-			if !f.inTime(ctx, c) {
-				res.Reason, res.Detail = wire.Reason_REASON_DEADLINE, "no slot became free in time"
-				res.Outcome = worst(res)
-				return res
-			}
-			continue
+			res.Reason, res.Detail = wire.Reason_REASON_DEADLINE, "no slot became free in time"
+			res.Outcome = worst(res)
+			return res
 		}
 		c.exclude(up.ID)
 		if !f.again(ctx, c, end, n-moves) {
--- a/forward/wait.go
+++ b/forward/wait.go
@@ -74,7 +74,7 @@
 		}
 	}
 	stop()
-	return full == 0 || full < len(slots)
+	return len(slots) == 0 || full < len(slots)
 }
 
 // places says where a call waits; nowhere if its plug-in can't tell.
--- a/forward/wait_test.go
+++ b/forward/wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -30,6 +31,8 @@
 	dies string
 	// full agents refuse tickets.
 	full bool
+	// late lets the deadlines of tickets pass.
+	late func()
 }
 
 func newBusyAgents() *busyAgents {
@@ -65,6 +68,10 @@
 	b.tickets[t.Id] = id
 	full := b.full
 	b.mu.Unlock()
+	if b.late != nil {
+		b.late()
+		return &wire.Slot{Reason: wire.Reason_REASON_DEADLINE}, nil
+	}
 	if full {
 		return &wire.Slot{Reason: wire.Reason_REASON_QUEUE_FULL}, nil
 	}
@@ -89,6 +96,19 @@
 	}
 }
 
+// taken is how many tickets there were.
+func (b *busyAgents) taken() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.tickets)
+}
+
+func (b *busyAgents) runs() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.ran)
+}
+
 func (b *busyAgents) hold(ticket, turn string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -123,7 +143,7 @@
 	b.turn <- "up-2"
 	res, _ := r.call(false)
 	assert.Equal(t, res.Reason, wire.Reason(0), "%s", res.Detail)
-	assert.DeepEqual(t, b.ran, []string{"up-2"})
+	assert.DeepEqual(t, b.runs(), []string{"up-2"})
 	assert.Equal(t, r.attempts(), 2)
 	for {
 		b.mu.Lock()
@@ -147,7 +167,7 @@
 	b.then = "up-0"
 	res, _ := r.call(false)
 	assert.Equal(t, res.Reason, wire.Reason(0), "%s", res.Detail)
-	assert.DeepEqual(t, b.ran, []string{"up-0"})
+	assert.DeepEqual(t, b.runs(), []string{"up-0"})
 }
 
 // The agent that promised a slot dies with the Run in its hands. It may have run:
@@ -167,7 +187,7 @@
 			continue
 		}
 		assert.Equal(t, res.Reason, wire.Reason(0), "%s", res.Detail)
-		assert.DeepEqual(t, b.ran, []string{"up-2"})
+		assert.DeepEqual(t, b.runs(), []string{"up-2"})
 	}
 }
 
@@ -184,7 +204,7 @@
 	assert.Equal(t, res.Outcome, wire.Outcome_OUTCOME_NOT_RUN)
 	assert.Equal(t, res.Reason, wire.Reason_REASON_QUEUE_FULL)
 	assert.Assert(t, r.attempts() <= 1+maxMoves, "%d attempts", r.attempts())
-	assert.Assert(t, len(b.tickets) <= maxMoves*maxTickets, "%d tickets", len(b.tickets))
+	assert.Assert(t, b.taken() <= maxMoves*maxTickets, "%d tickets", b.taken())
 }
 
 // All queues are full. The caller is refused after one round of tickets, not three.
@@ -196,5 +216,17 @@
 	assert.Equal(t, res.Outcome, wire.Outcome_OUTCOME_NOT_RUN)
 	assert.Equal(t, res.Reason, wire.Reason_REASON_QUEUE_FULL)
 	assert.Equal(t, r.attempts(), 2)
-	assert.Equal(t, len(b.tickets), maxTickets)
+	assert.Equal(t, b.taken(), maxTickets)
+}
+
+// No slot becomes free before the deadline. The caller is told so, and that nothing
+// was run: no attempt was ever in an agent's hands.
+func TestDeadlinePassesWhileWaiting(t *testing.T) {
+	b := newBusyAgents()
+	r := newBusyRig(t, b, 0, 2)
+	b.late = func() { r.advance(2 * time.Minute) }
+	res, _ := r.call(true)
+	assert.Equal(t, res.Outcome, wire.Outcome_OUTCOME_NOT_RUN)
+	assert.Equal(t, res.Reason, wire.Reason_REASON_DEADLINE, "%s", res.Detail)
+	assert.Equal(t, len(b.runs()), 0)
 }
