Keep the sums of a limit's division instead of adding them up

Cause: for each question the home went through all entries that ask for the team, and through all names of the ring. Change: a tree of sums over numbered slots and a queue of the accounts that change by time; a question costs the logarithm of the entries. The number of entries that have not told a new home is counted; the ring's names are taken in when it changes. Whole parts are cut by running sums, since the fractions of all others can't be summed without looking at each. Demands that are no numbers no longer reach the sums.

--- a/admit/account.go
+++ b/admit/account.go
@@ -17,6 +17,11 @@
 	had float64
 	// held is how long its requests in progress may go on.
 	held time.Time
+	// slot is its place in the sums, next when its part of them changes by time, and
+	// dueIndex its place in the queue of these changes.
+	slot     int
+	next     time.Time
+	dueIndex int
 }
 
 type grant struct {
@@ -87,3 +92,28 @@
 func (acc *account) asking(now time.Time) bool {
 	return acc.demand != Amounts{} && now.Before(acc.grants[len(acc.grants)-1].expires)
 }
+
+// sums are the account's part of its subject's.
+func (acc *account) sums(now time.Time) sums {
+	s := sums{used: acc.live(now)}
+	if acc.asking(now) {
+		s.wanted, s.asking = acc.demand, 1
+	}
+	return s
+}
+
+// nextChange is when the sums change next if nothing is heard, if they do.
+func (acc *account) nextChange(now time.Time) (next time.Time, ok bool) {
+	ends := func(t time.Time) {
+		if now.Before(t) && (!ok || t.Before(next)) {
+			next, ok = t, true
+		}
+	}
+	for _, g := range acc.grants {
+		ends(g.expires)
+		ends(g.held)
+	}
+	ends(acc.ended.held)
+	ends(acc.held)
+	return next, ok
+}
--- a/admit/amounts.go
+++ b/admit/amounts.go
@@ -21,6 +21,21 @@
 func tokensOf(a Amounts) float64     { return a.Tokens }
 func concurrentOf(a Amounts) float64 { return a.Concurrent }
 
+// maxDemand is more than any limit.
+const maxDemand = 1e15
+
+// sane keeps what is no amount out of the sums that are divided by.
+func (a Amounts) sane() Amounts {
+	return Amounts{saneAmount(a.Requests), saneAmount(a.Tokens), saneAmount(a.Concurrent)}
+}
+
+func saneAmount(v float64) float64 {
+	if v > 0 {
+		return min(v, maxDemand)
+	}
+	return 0
+}
+
 // Floor is what each entry of a ring of n may use without a grant.
 func Floor(limit Amounts, n int) Amounts {
 	if n < 1 {
--- a/admit/divide.go
+++ b/admit/divide.go
@@ -5,30 +5,27 @@
 	"time"
 )
 
-// others is what the other entries of a subject have and want.
+// others is what the other entries of a subject have and want: those in the slots
+// before an entry's own and after it.
 type others struct {
-	used    Amounts
-	demands []Amounts
-	// rank is the entry's place among those that ask, by ID.
-	rank, turn int
+	before, after sums
+	turn          int
 }
 
-func othersOf(now time.Time, byEntry map[string]*account, entry string) *others {
-	o := &others{}
-	for id, acc := range byEntry {
-		if id == entry {
-			continue
-		}
-		o.used = o.used.add(acc.live(now))
-		if !acc.asking(now) {
-			continue
-		}
-		o.demands = append(o.demands, acc.demand)
-		if id < entry {
-			o.rank++
-		}
+// used is what the others may be using.
+func (o *others) used() Amounts { return o.before.used.add(o.after.used) }
+
+// entries is how many ask, with the entry itself.
+func (o *others) entries() int { return o.before.asking + 1 + o.after.asking }
+
+// portions are an entry's parts of a limit.
+func (o *others) portions(limit Amounts, d Demand) Amounts {
+	p, used := pool(limit), o.used()
+	return Amounts{
+		Requests:   o.portion(p.Requests, used.Requests, requestUnit(limit.Requests), false, d, requestsOf),
+		Tokens:     o.portion(p.Tokens, used.Tokens, 0, false, d, tokensOf),
+		Concurrent: o.portion(p.Concurrent, used.Concurrent, 1, true, d, concurrentOf),
 	}
-	return o
 }
 
 // portion is an entry's part of one measure, within what the others leave free.
@@ -53,29 +50,32 @@
 
 // fair divides a pool by demand, above a base that each entry gets that asks.
 func (o *others) fair(pool, unit float64, whole bool, demand float64, measure func(Amounts) float64) float64 {
-	n := float64(len(o.demands) + 1)
+	n := float64(o.entries())
 	if units := math.Floor(pool / max(unit, math.SmallestNonzeroFloat32)); units < n {
 		return o.inTurn(pool, max(units, 1))
 	}
 	base := min(max(unit, pool/n*minGrantPart), pool/n)
-	total := demand
-	for _, other := range o.demands {
-		total += measure(other)
-	}
-	part := func(demand float64) float64 { return base + (pool-base*n)*demand/total }
+	before := measure(o.before.wanted)
+	rest := (pool - base*n) / (before + demand + measure(o.after.wanted))
+	part := base + rest*demand
 	if !whole {
-		return part(demand)
-	}
-	left := pool - math.Floor(part(demand))
-	for _, other := range o.demands {
-		left -= math.Floor(part(measure(other)))
+		return part
 	}
-	if float64(o.place()) < left {
-		return math.Floor(part(demand)) + 1
-	}
-	return math.Floor(part(demand))
+	return o.wholePart(base*float64(o.before.asking)+rest*before, part)
+}
+
+// wholePart is an entry's part in whole units. The parts stand one behind the other
+// from zero to the pool, and each has the units that begin in it; the units' grid
+// moves with the turns, so that a part gets its fraction in that part of the turns.
+// They sum to the pool, and none needs to know the others' fractions.
+func (o *others) wholePart(start, part float64) float64 {
+	shift := float64(o.turn%o.entries()) / float64(o.entries())
+	return wholeUnits(start+part+shift) - wholeUnits(start+shift)
 }
 
+// wholeUnits rounds down what is not a whole number but for rounding errors.
+func wholeUnits(v float64) float64 { return math.Floor(v + rounding*max(v, 1)) }
+
 // inTurn gives the units of a limit that has too few for all that ask to some of
 // them, and to others later. Parts smaller than a unit would serve nobody.
 func (o *others) inTurn(pool, units float64) float64 {
@@ -85,8 +85,8 @@
 	return pool / units
 }
 
-// place is the entry's rank, which moves on with the turns.
-func (o *others) place() int { return (o.rank + o.turn) % (len(o.demands) + 1) }
+// place is the entry's rank among those that ask, which moves on with the turns.
+func (o *others) place() int { return (o.before.asking + o.turn) % o.entries() }
 
 // turnAt counts the turns since the home began. The whole of a limit below one
 // request a second is held for two requests at least: what was saved up towards
--- a/admit/home.go
+++ b/admit/home.go
@@ -5,29 +5,16 @@
 	"time"
 )
 
-// Fleet is the ring of entries on the log.
-type Fleet struct {
-	Members []string
-	// Previous are the members before the last change.
-	Previous []string
-	// Unchanged is for how long the ring is known to have been the same, MostOnce
-	// the time in which it changes once at most.
-	Unchanged, MostOnce time.Duration
-}
-
 // Home grants shares. It is pure and not safe for use by several goroutines.
 type Home struct {
 	name string
 	// open is when this home may begin to grant.
 	open     time.Time
-	subjects map[Subject]map[string]*account
+	subjects map[Subject]*accounts
 	lives    map[string]life
-	members  map[string]bool
-	fleet    Fleet
+	ring     ring
 	swept    time.Time
 	epoch    uint64
-	// settledFor is the longest hold that this home was found settled for.
-	settledFor time.Duration
 	// skipWait and skipEarlier switch off a safeguard each, for tests that show
 	// that it is needed.
 	skipWait, skipEarlier bool
@@ -47,8 +34,8 @@
 // other home.
 func NewHome(now time.Time, name string) *Home {
 	return &Home{
-		name: name, open: now.Add(homeTTL), subjects: map[Subject]map[string]*account{},
-		lives: map[string]life{}, members: map[string]bool{},
+		name: name, open: now.Add(homeTTL), subjects: map[Subject]*accounts{},
+		lives: map[string]life{},
 	}
 }
 
@@ -66,15 +53,6 @@
 
 func (h *Home) isOpen(now time.Time) bool { return h.skipWait || !now.Before(h.open) }
 
-// SetFleet tells which entries the ring on the log has.
-func (h *Home) SetFleet(f Fleet) {
-	h.fleet = f
-	clear(h.members)
-	for _, id := range f.Members {
-		h.members[id] = true
-	}
-}
-
 // Hear takes the head of an entry's demands. It returns false if they must not be
 // answered: this home may not grant yet, or the report is not the entry's latest.
 // A late one would count fewer requests in progress than there are.
@@ -87,62 +65,31 @@
 		return false
 	}
 	acks := r.Home == h.name
+	if acks && !last.told {
+		h.ring.tell(r.Entry)
+	}
 	h.lives[r.Entry] = life{r.Incarnation, r.Seq, last.told || acks, acks}
 	h.sweep(now)
 	return true
 }
 
-// settled says whether this home knows of all requests that were admitted under
-// another home's grants: every entry of the ring has told, or they have ended. An
-// entry that left the ring lately may still run some.
-func (h *Home) settled(now time.Time, hold time.Duration) bool {
-	counted := time.Duration(float64(hold) * clockRatio)
-	if h.skipWait || !now.Before(h.open.Add(counted)) || hold <= h.settledFor {
-		return true
-	}
-	if len(h.fleet.Members) == 0 || !h.told(h.fleet.Members) {
-		return false
-	}
-	if h.fleet.Unchanged < counted && (counted > h.fleet.MostOnce || !h.told(h.fleet.Previous)) {
-		return false
-	}
-	h.settledFor = hold
-	return true
-}
-
-func (h *Home) told(entries []string) bool {
-	for _, id := range entries {
-		if !h.lives[id].told {
-			return false
-		}
-	}
-	return true
-}
-
 // Grant answers one demand of a report that Hear has taken. hold is the longest
 // time that a request of the subject may run; see Holds.
 func (h *Home) Grant(now time.Time, entry string, s Subject, limit Amounts, d Demand, hold time.Duration) Share {
-	byEntry := h.subjects[s]
-	if byEntry == nil {
-		byEntry = map[string]*account{}
-		h.subjects[s] = byEntry
+	d.Wanted, d.Running = d.Wanted.sane(), saneAmount(d.Running)
+	all := h.subjects[s]
+	if all == nil {
+		all = newAccounts()
+		h.subjects[s] = all
 	}
 	if !h.lives[entry].acks {
 		d.Ack = 0
 	}
-	o := othersOf(now, byEntry, entry)
-	p := pool(limit)
+	all.settle(now)
+	acc := all.of(entry)
+	o := all.others(acc)
 	o.turn = turnAt(now.Sub(h.open), limit.Requests)
-	a := Amounts{
-		Requests:   o.portion(p.Requests, o.used.Requests, requestUnit(limit.Requests), false, d, requestsOf),
-		Tokens:     o.portion(p.Tokens, o.used.Tokens, 0, false, d, tokensOf),
-		Concurrent: o.portion(p.Concurrent, o.used.Concurrent, 1, true, d, concurrentOf),
-	}
-	acc := byEntry[entry]
-	if acc == nil {
-		acc = &account{}
-		byEntry[entry] = acc
-	}
+	a := o.portions(limit, d)
 	if !math.IsInf(limit.Concurrent, 1) {
 		a.Concurrent = min(a.Concurrent, h.concurrentBound(now, entry, acc, d, hold))
 	}
@@ -151,6 +98,7 @@
 		acc.grants = nil
 	}
 	acc.take(now, d, grant{epoch: h.epoch, amounts: a, expires: now.Add(homeTTL)}, hold)
+	all.update(now, acc)
 	return Share{Amounts: a, Epoch: h.epoch, Burst: burst(limit.Requests, a.Requests), Hold: hold}
 }
 
@@ -161,7 +109,7 @@
 // home would know that it must wait for it.
 func (h *Home) concurrentBound(now time.Time, entry string, acc *account, d Demand, hold time.Duration) float64 {
 	switch {
-	case !h.members[entry]:
+	case !h.ring.has(entry):
 		return 0
 	case h.settled(now, hold):
 		return math.Inf(1)
@@ -174,18 +122,15 @@
 	return acc.had
 }
 
+// sweep drops what doesn't count any more.
 func (h *Home) sweep(now time.Time) {
 	if now.Sub(h.swept) < homeTTL {
 		return
 	}
 	h.swept = now
-	for s, byEntry := range h.subjects {
-		for id, acc := range byEntry {
-			if !now.Before(acc.held) {
-				delete(byEntry, id)
-			}
-		}
-		if len(byEntry) == 0 {
+	for s, all := range h.subjects {
+		all.sweep(now)
+		if len(all.byEntry) == 0 {
 			delete(h.subjects, s)
 		}
 	}
--- a/admit/homedump.go
+++ b/admit/homedump.go
@@ -7,11 +7,12 @@
 
 // Live returns the sum of what all entries may use of a subject now.
 func (h *Home) Live(now time.Time, s Subject) Amounts {
-	var sum Amounts
-	for _, acc := range h.subjects[s] {
-		sum = sum.add(acc.live(now))
+	all := h.subjects[s]
+	if all == nil {
+		return Amounts{}
 	}
-	return sum
+	all.settle(now)
+	return all.sums.total().used
 }
 
 // SubjectState is one subject in a dump.
@@ -27,10 +28,10 @@
 // Dump lists the subjects that are granted now.
 func (h *Home) Dump(now time.Time) []SubjectState {
 	var list []SubjectState
-	for s, byEntry := range h.subjects {
+	for s, all := range h.subjects {
 		live := h.Live(now, s)
 		list = append(list, SubjectState{
-			Team: s.Team, Service: s.Service, Entries: len(byEntry),
+			Team: s.Team, Service: s.Service, Entries: len(all.byEntry),
 			Requests: finite(live.Requests), Tokens: finite(live.Tokens), Concurrent: finite(live.Concurrent),
 		})
 	}
--- a/control/share.go
+++ b/control/share.go
@@ -21,6 +21,8 @@
 	term uint64
 	// homes counts the homes of this process.
 	homes int
+	// ring is the one that the home was told of.
+	ring *wire.Ring
 	// view is the table's typed view at a revision.
 	view *table.View
 	// holds is followed by every replica, and not only by a leader: the next
@@ -43,6 +45,7 @@
 		r.shares.homes++
 		r.shares.home = admit.NewHome(time.Now(), fmt.Sprintf("%s@%d.%d", st.ID, st.Term, r.shares.homes))
 		r.shares.term = st.Term
+		r.shares.ring = nil
 	}
 }
 
@@ -103,17 +106,29 @@
 	return nil
 }
 
-// followRing tells the home which entries the ring on the log has.
+// followRing tells the home which entries the ring on the log has. The names are
+// gone through only when the ring has changed: there is a question for each entry
+// each second or so.
 func (r *Replica) followRing(now time.Time) {
-	ring := r.machine.ring
-	fleet := admit.Fleet{Unchanged: now.Sub(r.rings.changed), MostOnce: claim.JointPeriod(claim.DefaultRegisterSettings().MaxTTL)}
-	for _, m := range ring.GetMembers() {
-		fleet.Members = append(fleet.Members, m.Id)
+	ring, home := r.machine.ring, r.shares.home
+	unchanged := now.Sub(r.rings.changed)
+	if r.shares.ring == ring {
+		home.SetUnchanged(unchanged)
+		return
 	}
-	for _, m := range ring.GetPrevious() {
-		fleet.Previous = append(fleet.Previous, m.Id)
+	r.shares.ring = ring
+	home.SetFleet(admit.Fleet{
+		Members: idsOf(ring.GetMembers()), Previous: idsOf(ring.GetPrevious()),
+		Unchanged: unchanged, MostOnce: claim.JointPeriod(claim.DefaultRegisterSettings().MaxTTL),
+	})
+}
+
+func idsOf(members []*wire.RingMember) []string {
+	ids := make([]string, len(members))
+	for i, m := range members {
+		ids[i] = m.Id
 	}
-	r.shares.home.SetFleet(fleet)
+	return ids
 }
 
 func grantOf(d *wire.ShareDemand, s admit.Share) *wire.ShareGrant {
