Ask for shares only when something changed or a grant is about to end

Cause: an entry asked for every team each 0.5 s and at each refusal, so a team that wanted more than its limit asked as often as it was refused. Change: a question when the grant is about to end, when the home said so (others hold some of the part; a turn ends), when the demand changed by more than a quarter and chance, when the row did, and at once when a grant is smaller than the one before, since the home counts that one until it is told. An entry without requests for a while gives its grant up and then says so, by naming the epoch after it: no grant has that one. Reports that leave subjects out say that they are partial; a new home is told all first.

--- a/admit/divide.go
+++ b/admit/divide.go
@@ -10,6 +10,9 @@
 type others struct {
 	before, after sums
 	turn          int
+	// short is set when others hold some of a part that the entry could use, inTurns
+	// when its part comes and goes with the turns.
+	short, inTurns bool
 }
 
 // used is what the others may be using.
@@ -39,6 +42,9 @@
 	}
 	fair := o.fair(pool, unit, whole, measure(d.Wanted), measure)
 	got := min(max(pool-used, 0), fair)
+	if got < enoughPart*min(fair, measure(d.Wanted)) {
+		o.short = true
+	}
 	if whole {
 		got = math.Floor(got)
 	}
@@ -48,6 +54,24 @@
 	return got
 }
 
+// enoughPart of what an entry could use is enough: measured demands move by as much,
+// and the rest comes with the next question.
+const enoughPart = 0.8
+
+// again is when the entry should ask again: soon if others hold some of its part, and
+// when a turn ends.
+func (o *others) again(since time.Duration, limit float64) time.Duration {
+	again := renewAfter
+	if o.short {
+		again = shortAfter
+	}
+	if o.inTurns {
+		length := turnLength(limit)
+		again = min(again, length-since%length)
+	}
+	return max(again, ShareCheck)
+}
+
 // fair divides a pool by demand, above a base that each entry gets that asks.
 func (o *others) fair(pool, unit float64, whole bool, demand float64, measure func(Amounts) float64) float64 {
 	n := float64(o.entries())
@@ -79,6 +103,7 @@
 // inTurn gives the units of a limit that has too few for all that ask to some of
 // them, and to others later. Parts smaller than a unit would serve nobody.
 func (o *others) inTurn(pool, units float64) float64 {
+	o.inTurns = true
 	if float64(o.place()) >= units {
 		return 0
 	}
@@ -88,10 +113,12 @@
 // place is the entry's rank among those that ask, which moves on with the turns.
 func (o *others) place() int { return (o.before.asking + o.turn) % o.entries() }
 
-// turnAt counts the turns since the home began. The whole of a limit below one
+// turnAt counts the turns since the home began.
+func turnAt(since time.Duration, limit float64) int { return int(since / turnLength(limit)) }
+
+// turnLength is how long an entry keeps a unit. The whole of a limit below one
 // request a second is held for two requests at least: what was saved up towards
 // one is lost with the share.
-func turnAt(since time.Duration, limit float64) int {
-	length := max(turnTime.Seconds(), 2/limit)
-	return int(since.Seconds() / length)
+func turnLength(limit float64) time.Duration {
+	return max(turnTime, time.Duration(2/limit*float64(time.Second)))
 }
--- a/admit/home.go
+++ b/admit/home.go
@@ -65,10 +65,12 @@
 		return false
 	}
 	acks := r.Home == h.name
-	if acks && !last.told {
+	// A partial report leaves out requests in progress, so it doesn't tell of all.
+	tells := acks && !r.Partial && !last.told
+	if tells {
 		h.ring.tell(r.Entry)
 	}
-	h.lives[r.Entry] = life{r.Incarnation, r.Seq, last.told || acks, acks}
+	h.lives[r.Entry] = life{r.Incarnation, r.Seq, last.told || tells, acks}
 	h.sweep(now)
 	return true
 }
@@ -88,18 +90,22 @@
 	all.settle(now)
 	acc := all.of(entry)
 	o := all.others(acc)
-	o.turn = turnAt(now.Sub(h.open), limit.Requests)
+	since := now.Sub(h.open)
+	o.turn = turnAt(since, limit.Requests)
 	a := o.portions(limit, d)
-	if !math.IsInf(limit.Concurrent, 1) {
-		a.Concurrent = min(a.Concurrent, h.concurrentBound(now, entry, acc, d, hold))
+	again := o.again(since, limit.Requests)
+	if bound := h.concurrentBound(now, entry, acc, d, hold); bound < a.Concurrent && !math.IsInf(limit.Concurrent, 1) {
+		a.Concurrent = bound
+		again = min(again, ShareInterval)
 	}
-	h.epoch++
+	// An entry that gives a grant up names the epoch after it, so that is no grant's.
+	h.epoch += 2
 	if h.skipEarlier {
 		acc.grants = nil
 	}
 	acc.take(now, d, grant{epoch: h.epoch, amounts: a, expires: now.Add(homeTTL)}, hold)
 	all.update(now, acc)
-	return Share{Amounts: a, Epoch: h.epoch, Burst: burst(limit.Requests, a.Requests), Hold: hold}
+	return Share{Amounts: a, Epoch: h.epoch, Burst: burst(limit.Requests, a.Requests), Hold: hold, Again: again}
 }
 
 // concurrentBound is what an entry may be granted to have in progress. Until this
--- a/admit/limiter.go
+++ b/admit/limiter.go
@@ -27,9 +27,10 @@
 type Limiter struct {
 	entries  int
 	subjects map[Subject]*local
-	// home is the one that answered last.
-	home string
-	seq  uint64
+	// home is the one that answered last, and told the one that has answered a
+	// report of all that is in progress.
+	home, told string
+	seq        uint64
 }
 
 // local is an entry's part of one subject.
@@ -50,6 +51,7 @@
 	running          int
 	seen             time.Time
 	asked            meter
+	question         question
 }
 
 // NewLimiter makes a limiter that holds no share.
@@ -74,6 +76,7 @@
 	loc.asked.add(now, 1, a.Tokens)
 	share := loc.share(now)
 	if most := loc.concurrent(now, a.Timeout); float64(loc.running)+1 > most {
+		loc.question.stale = loc.question.stale || a.Timeout > loc.hold
 		return &Refused{MeasureConcurrent, limit.Concurrent, most, noShareWait}
 	}
 	if !math.IsInf(share.Tokens, 1) {
@@ -107,6 +110,7 @@
 	}
 	loc.settle(now)
 	if loc.limit != limit || loc.entries != l.entries {
+		loc.question.stale = loc.question.stale || loc.limit != limit
 		loc.limit, loc.entries = limit, l.entries
 		loc.refill(now, now)
 	}
@@ -186,6 +190,9 @@
 	return loc != nil && now.Before(loc.until)
 }
 
+// Knows says whether anything is kept of a subject.
+func (l *Limiter) Knows(s Subject) bool { return l.subjects[s] != nil }
+
 // LocalState is one subject of an entry in a dump. -1 is no limit.
 type LocalState struct {
 	Team       string  `json:"team"`
@@ -219,57 +226,6 @@
 	return list
 }
 
-// idleRate is the rate of requests below which a subject asks for no share.
-const idleRate = 0.05
-
-// Report returns what to ask the home for: each subject that was lately asked for
-// or has requests in progress. The caller adds who it is.
-func (l *Limiter) Report(now time.Time) (Report, map[Subject]Demand) {
-	list := map[Subject]Demand{}
-	for s, loc := range l.subjects {
-		if now.Sub(loc.seen) > idleAfter && loc.running == 0 {
-			delete(l.subjects, s)
-			continue
-		}
-		list[s] = l.demand(now, loc)
-	}
-	l.seq++
-	return Report{Seq: l.seq, Home: l.home}, list
-}
-
-// demand of a subject that has gone idle is nothing: it says so until the home
-// has taken the grant back, so that others need not wait for its end.
-func (l *Limiter) demand(now time.Time, loc *local) Demand {
-	d := Demand{Running: max(float64(loc.running)-Floor(loc.limit, loc.entries).Concurrent, 0)}
-	if loc.home == l.home {
-		d.Ack = loc.epoch
-	}
-	requests, tokens := loc.asked.rates(now)
-	if requests < idleRate && loc.running == 0 {
-		return d
-	}
-	d.Wanted = Amounts{
-		Requests: requests, Tokens: tokens,
-		Concurrent: float64(loc.running) + math.Ceil(requests*meterWindow.Seconds()) + 1,
-	}
-	return d
-}
-
-// idleAfter is when a subject without requests is forgotten. A bucket that is
-// made anew starts empty, so nothing is gained by it.
-const idleAfter = 10 * time.Second
-
-// Answered notes the home that answered last, or nothing if it may not grant yet.
-// It returns true for another home than before, which waits to be told what is in
-// progress here.
-func (l *Limiter) Answered(home string) (changed bool) {
-	if home == "" || home == l.home {
-		return false
-	}
-	l.home = home
-	return true
-}
-
 // Apply takes a grant. sent is when the demand left: the grant is used from
 // there, so that it ends here before it ends at the home.
 func (l *Limiter) Apply(now, sent time.Time, s Subject, home string, g Share) {
@@ -282,46 +238,18 @@
 		return
 	}
 	loc.settle(now)
+	loc.question.answered(sent, g, loc.grant(now))
 	loc.home, loc.epoch = home, g.Epoch
 	loc.granted, loc.burst, loc.hold = g.Amounts, g.Burst, g.Hold
 	loc.sent, loc.until = sent, sent.Add(ShareTTL)
 	loc.refill(now, now)
 }
 
-// meter measures how much was asked for lately.
-type meter struct {
-	window           time.Time
-	requests, tokens float64
-	// rate holds the averages up to the last window.
-	rateRequests, rateTokens float64
-}
-
-const meterWindow = 500 * time.Millisecond
-
-func (m *meter) add(now time.Time, requests, tokens float64) {
-	m.roll(now)
-	m.requests += requests
-	m.tokens += tokens
-}
-
-func (m *meter) roll(now time.Time) {
-	if m.window.IsZero() {
-		m.window = now
-	}
-	d := now.Sub(m.window)
-	if d < meterWindow {
-		return
-	}
-	const old = 0.3
-	m.rateRequests = old*m.rateRequests + (1-old)*m.requests/d.Seconds()
-	m.rateTokens = old*m.rateTokens + (1-old)*m.tokens/d.Seconds()
-	m.requests, m.tokens = 0, 0
-	m.window = now
-}
-
-// rates returns requests and tokens per second, counting the open window.
-func (m *meter) rates(now time.Time) (requests, tokens float64) {
-	m.roll(now)
-	w := meterWindow.Seconds()
-	return max(m.rateRequests, m.requests/w), max(m.rateTokens, m.tokens/w)
+// release gives the grant up before its end.
+func (loc *local) release(now time.Time) {
+	loc.settle(now)
+	loc.granted, loc.burst = Amounts{}, 0
+	loc.until = now
+	loc.epoch++
+	loc.refill(now, now)
 }
--- a/admit/limiter_test.go
+++ b/admit/limiter_test.go
@@ -43,6 +43,7 @@
 func (p *pair) settle() {
 	for range 3 {
 		p.round()
+		p.now = p.now.Add(ShareInterval)
 	}
 }
 
@@ -52,7 +53,7 @@
 	if !p.home.Hear(p.now, r) {
 		return
 	}
-	l.Answered(p.home.Name(p.now))
+	l.Answered(r, p.home.Name(p.now))
 	for s, d := range demands {
 		l.Apply(p.now, p.now, s, p.home.Name(p.now), p.home.Grant(p.now, r.Entry, s, p.limit, d, p.hold))
 	}
@@ -125,7 +126,10 @@
 	begin := func() *pair {
 		p := newPair(2, Amounts{100, math.Inf(1), math.Inf(1)})
 		p.run(3*time.Second, 0)
-		p.round()
+		for p.lims[0].subjects[simSubject].sent != p.now {
+			p.run(ShareCheck, 0)
+			p.round()
+		}
 		return p
 	}
 	floor := int(floorBurst(100, 2))
--- a/admit/share.go
+++ b/admit/share.go
@@ -21,8 +21,16 @@
 const (
 	// ShareTTL is how long an entry uses a grant, from before it asked.
 	ShareTTL = 2 * time.Second
-	// ShareInterval is how often an entry asks.
+	// ShareInterval is when an entry asks again that had no answer.
 	ShareInterval = 500 * time.Millisecond
+	// ShareCheck is how often an entry looks for what it has to ask.
+	ShareCheck = 100 * time.Millisecond
+	// renewAfter is when an entry asks again that wants no more than before. It
+	// leaves time for one more question before the grant's end.
+	renewAfter = 1500 * time.Millisecond
+	// shortAfter is when an entry asks again of whose part others hold some. They
+	// tell within moments that they have less to do, or that they took less.
+	shortAfter = 250 * time.Millisecond
 	// FloorPart of each limit is divided into floors.
 	FloorPart = 0.04
 	// FloorBurst is the part of a limit's burst that is divided into floors. It
@@ -53,6 +61,9 @@
 	// Home is the last home that the entry had an answer from; its epochs are
 	// the ones acknowledged.
 	Home string
+	// Partial leaves out subjects for which there is nothing to ask, with what
+	// they have in progress.
+	Partial bool
 }
 
 // Demand is what an entry asks for.
@@ -61,7 +72,8 @@
 	Wanted Amounts
 	// Running is how many requests it has in progress above its floor.
 	Running float64
-	// Ack is the epoch of the grant that it uses; it uses no earlier one.
+	// Ack is the epoch of the grant that it uses; it uses no earlier one. An entry
+	// that gave its grant up names the epoch after it.
 	Ack uint64
 }
 
@@ -73,4 +85,6 @@
 	Burst float64
 	// Hold bounds the timeout of a request that uses the concurrent part.
 	Hold time.Duration
+	// Again is when to ask again at the latest, from when the question was sent.
+	Again time.Duration
 }
--- a/admit/share_test.go
+++ b/admit/share_test.go
@@ -272,7 +272,7 @@
 }
 
 func (s *sim) apply(m *message) {
-	m.entry.lim.Answered(m.home)
+	m.entry.lim.Answered(m.report, m.home)
 	if m.listed {
 		m.entry.lim.Apply(s.clock(m.entry.rate), m.sent, simSubject, m.home, m.share)
 	}
--- a/control/share.go
+++ b/control/share.go
@@ -87,7 +87,8 @@
 	now := time.Now()
 	r.followRing(now)
 	home := r.shares.home
-	if !home.Hear(now, admit.Report{Entry: req.Entry, Incarnation: req.Incarnation, Seq: req.Seq, Home: req.Home}) {
+	report := admit.Report{Entry: req.Entry, Incarnation: req.Incarnation, Seq: req.Seq, Home: req.Home, Partial: req.Partial}
+	if !home.Hear(now, report) {
 		return nil
 	}
 	reply.Home = home.Name(now)
@@ -107,8 +108,7 @@
 }
 
 // followRing tells the home which entries the ring on the log has. The names are
-// gone through only when the ring has changed: there is a question for each entry
-// each second or so.
+// gone through only when the ring has changed: each entry asks every second or so.
 func (r *Replica) followRing(now time.Time) {
 	ring, home := r.machine.ring, r.shares.home
 	unchanged := now.Sub(r.rings.changed)
@@ -137,6 +137,7 @@
 		RequestsPerSecond: s.Requests, TokensPerSecond: s.Tokens,
 		Concurrent: uint32(min(s.Concurrent, math.MaxUint32)),
 		HoldMs:     uint32(s.Hold.Milliseconds()),
+		AgainMs:    uint32(s.Again.Milliseconds()),
 	}
 }
 
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -73,7 +73,7 @@
 	l.lim.SetEntries(len(l.entry.claims.Ring().Ring.GetMembers()))
 	l.services[s] = q.service.Name
 	refused := l.lim.Take(now, s, admit.LimitOf(row), admit.Ask{Tokens: float64(q.tokens), Timeout: q.service.Timeout})
-	if refused != nil {
+	if refused != nil && l.lim.DueFor(now, s) {
 		// The share may follow a demand that has just grown; asking at once is
 		// what makes a first request wait for a round trip and not for a round.
 		l.askSoon()
@@ -128,7 +128,7 @@
 
 // run asks the home for shares until the context is done.
 func (l *limits) run(ctx context.Context) {
-	tick := time.NewTicker(admit.ShareInterval)
+	tick := time.NewTicker(admit.ShareCheck)
 	defer tick.Stop()
 	for {
 		select {
@@ -143,10 +143,10 @@
 
 func (l *limits) round(ctx context.Context) {
 	sent := time.Now()
-	req, subjects := l.report(sent)
-	if len(req.Demands) == 0 && sent.Sub(l.reported) < idleReport {
+	if !l.due(sent) && sent.Sub(l.reported) < idleReport {
 		return
 	}
+	head, req, subjects := l.report(sent)
 	l.reported = sent
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
@@ -159,14 +159,22 @@
 		kernel.Debug(l.entry.log, "No share of limits was granted.", "err", err)
 		return
 	}
-	l.apply(sent, reply, subjects)
+	l.apply(sent, head, reply, subjects)
 }
 
-func (l *limits) report(now time.Time) (*wire.ShareRequest, map[admit.Subject]admit.Subject) {
+func (l *limits) due(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lim.Due(now)
+}
+
+func (l *limits) report(now time.Time) (admit.Report, *wire.ShareRequest, map[admit.Subject]admit.Subject) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, demands := l.lim.Report(now)
-	req := &wire.ShareRequest{Entry: l.entry.settings.ID, Incarnation: l.entry.incarnation, Seq: r.Seq, Home: r.Home}
+	req := &wire.ShareRequest{
+		Entry: l.entry.settings.ID, Incarnation: l.entry.incarnation, Seq: r.Seq, Home: r.Home, Partial: r.Partial,
+	}
 	subjects := map[admit.Subject]admit.Subject{}
 	for s, d := range demands {
 		service := l.services[s]
@@ -176,27 +184,32 @@
 			Concurrent: uint32(d.Wanted.Concurrent), Running: uint32(d.Running), Ack: d.Ack,
 		})
 	}
-	l.forget(demands)
-	return req, subjects
+	l.forget()
+	return r, req, subjects
 }
 
 // forget drops the services of subjects that the limiter has forgotten.
-func (l *limits) forget(live map[admit.Subject]admit.Demand) {
+func (l *limits) forget() {
 	for s := range l.services {
-		if _, ok := live[s]; !ok {
+		if !l.lim.Knows(s) {
 			delete(l.services, s)
 		}
 	}
 }
 
-func (l *limits) apply(sent time.Time, reply *wire.ShareReply, subjects map[admit.Subject]admit.Subject) {
+func (l *limits) apply(sent time.Time, head admit.Report, reply *wire.ShareReply, subjects map[admit.Subject]admit.Subject) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.lim.Answered(reply.Home) {
+	if l.lim.Answered(head, reply.Home) {
 		l.reported = time.Time{}
 		l.askSoon()
 	}
 	now := time.Now()
+	defer func() {
+		if l.lim.Due(now) {
+			l.askSoon()
+		}
+	}()
 	for _, g := range reply.Grants {
 		s, ok := subjects[admit.Subject{Team: g.Team, Service: g.Service}]
 		if !ok {
@@ -207,6 +220,7 @@
 				Requests: g.RequestsPerSecond, Tokens: g.TokensPerSecond, Concurrent: concurrent(g.Concurrent),
 			},
 			Epoch: g.Epoch, Burst: g.RequestBurst, Hold: time.Duration(g.HoldMs) * time.Millisecond,
+			Again: time.Duration(g.AgainMs) * time.Millisecond,
 		})
 	}
 }
--- a/measure/admit/limits.go
+++ b/measure/admit/limits.go
@@ -5,58 +5,15 @@
 	"math"
 	"math/rand/v2"
 	"time"
-
-	"google.golang.org/protobuf/proto"
-
-	"github.com/snipereach/snipereach/admit"
-	"github.com/snipereach/snipereach/wire"
 )
 
 // limiter admits at one entry.
 type limiter interface {
 	take(entry int, now time.Time) bool
-	round(now time.Time)
-}
-
-// shares is what runs: a home, and a limiter at each entry.
-type shares struct {
-	limit admit.Amounts
-	home  *admit.Home
-	lims  []*admit.Limiter
-}
-
-var subject = admit.Subject{Team: "growers", Service: "pushpa-lm"}
-
-func newShares(rate float64, now time.Time) limiter {
-	s := &shares{limit: admit.Amounts{Requests: rate, Tokens: math.Inf(1), Concurrent: math.Inf(1)}, home: admit.NewHome(now.Add(-time.Hour), "home")}
-	for range entries {
-		l := admit.NewLimiter()
-		l.SetEntries(entries)
-		s.lims = append(s.lims, l)
-	}
-	return s
-}
-
-func (s *shares) take(entry int, now time.Time) bool {
-	if s.lims[entry].Take(now, subject, s.limit, admit.Ask{}) != nil {
-		return false
-	}
-	s.lims[entry].Done(subject)
-	return true
-}
-
-func (s *shares) round(now time.Time) {
-	for i, l := range s.lims {
-		r, demands := l.Report(now)
-		r.Entry, r.Incarnation = fmt.Sprint(i), 1
-		if !s.home.Hear(now, r) {
-			continue
-		}
-		l.Answered(s.home.Name(now))
-		for sub, d := range demands {
-			l.Apply(now, now, sub, s.home.Name(now), s.home.Grant(now, r.Entry, sub, s.limit, d, time.Second))
-		}
-	}
+	// until does what falls due before a time.
+	until(now time.Time)
+	// asked is how many questions for a team and calls with questions were made.
+	asked() (questions, calls float64)
 }
 
 // buckets are independent token buckets, one at each entry: the naive ways give
@@ -85,84 +42,92 @@
 	return true
 }
 
-func (b *buckets) round(time.Time) {}
+func (b *buckets) until(time.Time) {}
+
+func (b *buckets) asked() (questions, calls float64) { return 0, 0 }
 
 // central is the bound: one bucket that every entry asks, without delay.
 type central struct{ *buckets }
 
 func (c central) take(_ int, now time.Time) bool { return c.buckets.take(0, now) }
 
-// limits drives each way with the same callers: they ask for twice the limit, use
-// one to three entries at a time and move on every few seconds.
+// callers are how a team's callers come.
+type callers struct {
+	name string
+	// load is what they ask for, of the limit.
+	load float64
+	// stay says for how long they use the same entries; nil is for ever.
+	stay func(*rand.Rand) time.Duration
+}
+
+var someCallers = []callers{
+	{"steady, half the limit", 0.5, nil},
+	{"steady, twice the limit", 2, nil},
+	{"moving, half the limit", 0.5, stayAWhile},
+	{"moving, twice the limit", 2, stayAWhile},
+}
+
+func stayAWhile(rng *rand.Rand) time.Duration { return time.Duration(2+rng.IntN(11)) * time.Second }
+
+// limits drives each way with the same callers. They use one to three entries at a
+// time; those that move go to others after 2 to 12 s.
 func limits(o options) {
-	fmt.Println("Limits: callers ask for twice the limit and move between entries every 2 to 12 s.")
-	fmt.Printf("%-10s %-20s %10s %22s\n", "limit/s", "way", "admitted", "most above l*(w+1s)")
-	for _, rate := range []float64{5, 20, 100, 1000} {
-		ways := []struct {
-			name string
-			make func(float64, time.Time) limiter
-		}{
-			{"whole at each entry", newBuckets},
-			{"fixed part", func(r float64, t time.Time) limiter { return newBuckets(r/entries, t) }},
-			{"shares", newShares},
-			{"central, no delay", func(r float64, t time.Time) limiter { return central{newBuckets(r, t).(*buckets)} }},
-		}
-		for _, w := range ways {
-			admitted, over := drive(o, rate, w.make)
-			fmt.Printf("%-10g %-20s %9.1f%% %22.0f\n", rate, w.name, 100*admitted, over)
+	for _, c := range someCallers {
+		fmt.Printf("Limits: callers %s.\n", c.name)
+		fmt.Printf("%-10s %-20s %12s %12s %14s %10s\n", "limit/s", "way", "admitted", "over l*(w+1s)", "questions/s", "calls/s")
+		for _, rate := range []float64{5, 20, 100, 1000} {
+			ways := []struct {
+				name string
+				make func(float64, time.Time) limiter
+			}{
+				{"whole at each entry", newBuckets},
+				{"fixed part", func(r float64, t time.Time) limiter { return newBuckets(r/entries, t) }},
+				{"shares", newShares},
+				{"central, no delay", func(r float64, t time.Time) limiter { return central{newBuckets(r, t).(*buckets)} }},
+			}
+			for _, w := range ways {
+				r := drive(o, c, rate, w.make)
+				fmt.Printf("%-10g %-20s %11.1f%% %12.0f %14.2f %10.2f\n", rate, w.name, 100*r.admitted, r.over, r.questions, r.calls)
+			}
 		}
 	}
 }
 
-// drive returns what was admitted of the limit, and the most requests in any
-// window above it.
-func drive(o options, rate float64, way func(float64, time.Time) limiter) (admitted, over float64) {
+type driven struct {
+	// admitted is of what was asked for, and of the limit if that is less.
+	admitted float64
+	// over is the most requests in any window above the limit.
+	over float64
+	// questions and calls are per second and active entry.
+	questions, calls float64
+}
+
+func drive(o options, c callers, rate float64, way func(float64, time.Time) limiter) driven {
 	rng := rand.New(rand.NewPCG(o.Seed, 2))
 	now := time.Unix(1_000_000, 0)
 	l := way(rate, now)
-	begin, moved, asked, last := now, now, now, now
+	begin, moved, last := now, now, now
 	var used []int
-	level, count := max(rate, 1), 0.0
+	level, count, active := max(rate, 1), 0.0, 0.0
+	var over float64
 	for now.Sub(begin).Seconds() < o.Seconds {
-		if !now.Before(moved) {
+		if used == nil || c.stay != nil && !now.Before(moved) {
 			used = rng.Perm(entries)[:1+rng.IntN(3)]
-			moved = now.Add(time.Duration(2+rng.IntN(11)) * time.Second)
-		}
-		if !now.Before(asked) {
-			l.round(now)
-			asked = now.Add(admit.ShareInterval)
+			if c.stay != nil {
+				moved = now.Add(c.stay(rng))
+			}
 		}
+		l.until(now)
 		level = min(level+rate*now.Sub(last).Seconds(), max(rate, 1))
+		active += float64(len(used)) * now.Sub(last).Seconds()
 		last = now
 		if l.take(used[rng.IntN(len(used))], now) {
 			level--
 			count++
 		}
 		over = max(over, -level)
-		now = now.Add(time.Duration(rng.ExpFloat64() / (2 * rate) * float64(time.Second)))
-	}
-	return count / (rate * o.Seconds), math.Round(over)
-}
-
-// shareBytes prints what an active pair of team and entry costs on the wire.
-func shareBytes() {
-	size := func(pairs int) (req, reply int) {
-		q := &wire.ShareRequest{Entry: "entry-1", Incarnation: 1 << 60, Seq: 1 << 20, Home: "entry-2/ABCDEFGHIJKLMNOP@17"}
-		a := &wire.ShareReply{Home: q.Home}
-		for i := range pairs {
-			team := fmt.Sprintf("team-%04d", i)
-			q.Demands = append(q.Demands, &wire.ShareDemand{Team: team, Service: "pushpa-lm", Requests: 12.3, Tokens: 4567.8, Concurrent: 20, Running: 12, Ack: 1 << 24})
-			a.Grants = append(a.Grants, &wire.ShareGrant{
-				Team: team, Service: "pushpa-lm", RequestsPerSecond: 12.3, TokensPerSecond: 4567.8,
-				Concurrent: 20, Epoch: 1 << 24, HoldMs: 30_000, RequestBurst: 12.3,
-			})
-		}
-		return proto.Size(q), proto.Size(a)
+		now = now.Add(time.Duration(rng.ExpFloat64() / (c.load * rate) * float64(time.Second)))
 	}
-	perSecond := float64(time.Second / admit.ShareInterval)
-	q1, a1 := size(1)
-	q, a := size(101)
-	fmt.Printf("Shares on the wire: %.0f bytes/s for each active pair of team and entry (%.0f asked, %.0f granted), %.0f bytes/s for an entry besides.\n",
-		float64(q-q1+a-a1)/100*perSecond, float64(q-q1)/100*perSecond, float64(a-a1)/100*perSecond,
-		(float64(q1+a1)-float64(q-q1+a-a1)/100)*perSecond)
+	questions, calls := l.asked()
+	return driven{count / (min(c.load, 1) * rate * o.Seconds), math.Round(over), questions / active, calls / active}
 }
--- a/measure/admit/main.go
+++ b/measure/admit/main.go
@@ -7,13 +7,15 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 
 	"github.com/jessevdk/go-flags"
 )
 
 type options struct {
-	Seconds float64 `long:"seconds" default:"600" description:"virtual length of a day"`
-	Seed    uint64  `long:"seed" default:"1" description:"seed of the arrivals"`
+	Seconds float64  `long:"seconds" default:"600" description:"virtual length of a day"`
+	Parts   []string `long:"part" description:"waits, limits or bytes; all if none is named"`
+	Seed    uint64   `long:"seed" default:"1" description:"seed of the arrivals"`
 }
 
 func main() {
@@ -21,9 +23,14 @@
 	if _, err := flags.Parse(&o); err != nil {
 		os.Exit(2)
 	}
-	waits(o)
-	fmt.Println()
-	limits(o)
-	fmt.Println()
-	shareBytes()
+	for _, p := range []struct {
+		name string
+		run  func(options)
+	}{{"waits", waits}, {"limits", limits}, {"bytes", shareBytes}} {
+		if len(o.Parts) > 0 && !slices.Contains(o.Parts, p.name) {
+			continue
+		}
+		p.run(o)
+		fmt.Println()
+	}
 }
--- /dev/null
+++ b/measure/admit/shares.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/snipereach/snipereach/admit"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// shares is what runs: a home, and at each entry a limiter and the loop that asks.
+type shares struct {
+	limit            admit.Amounts
+	home             *admit.Home
+	lims             []*admit.Limiter
+	next             []time.Time
+	questions, calls float64
+}
+
+var subject = admit.Subject{Team: "growers", Service: "pushpa-lm"}
+
+func newShares(rate float64, now time.Time) limiter {
+	s := &shares{limit: admit.Amounts{Requests: rate, Tokens: math.Inf(1), Concurrent: math.Inf(1)}, home: admit.NewHome(now.Add(-time.Hour), "home")}
+	for i := range entries {
+		l := admit.NewLimiter()
+		l.SetEntries(entries)
+		s.lims = append(s.lims, l)
+		s.next = append(s.next, now.Add(admit.ShareCheck*time.Duration(i)/entries))
+	}
+	return s
+}
+
+func (s *shares) take(entry int, now time.Time) bool {
+	l := s.lims[entry]
+	if l.Take(now, subject, s.limit, admit.Ask{}) == nil {
+		l.Done(subject)
+		return true
+	}
+	if l.DueFor(now, subject) {
+		s.ask(entry, now)
+	}
+	return false
+}
+
+// until lets the entries look for what is due, in the order of time.
+func (s *shares) until(now time.Time) {
+	for {
+		first := 0
+		for i := range s.next {
+			if s.next[i].Before(s.next[first]) {
+				first = i
+			}
+		}
+		at := s.next[first]
+		if at.After(now) {
+			return
+		}
+		if s.lims[first].Due(at) {
+			s.ask(first, at)
+		}
+		s.next[first] = at.Add(admit.ShareCheck)
+	}
+}
+
+// ask asks the home until nothing more is due; an answer takes no time.
+func (s *shares) ask(entry int, now time.Time) {
+	l := s.lims[entry]
+	for again := true; again; again = l.Due(now) {
+		r, demands := l.Report(now)
+		r.Entry, r.Incarnation = fmt.Sprint(entry), 1
+		s.calls++
+		s.questions += float64(len(demands))
+		if !s.home.Hear(now, r) {
+			return
+		}
+		l.Answered(r, s.home.Name(now))
+		for sub, d := range demands {
+			l.Apply(now, now, sub, s.home.Name(now), s.home.Grant(now, r.Entry, sub, s.limit, d, time.Second))
+		}
+	}
+}
+
+func (s *shares) asked() (questions, calls float64) { return s.questions, s.calls }
+
+// shareBytes prints what questions and grants cost on the wire.
+func shareBytes(options) {
+	size := func(pairs int) (req, reply int) {
+		q := &wire.ShareRequest{Entry: "entry-1", Incarnation: 1 << 60, Seq: 1 << 20, Home: "entry-2/ABCDEFGHIJKLMNOP@17", Partial: true}
+		a := &wire.ShareReply{Home: q.Home}
+		for i := range pairs {
+			team := fmt.Sprintf("team-%04d", i)
+			q.Demands = append(q.Demands, &wire.ShareDemand{Team: team, Service: "pushpa-lm", Requests: 12.3, Tokens: 4567.8, Concurrent: 20, Running: 12, Ack: 1 << 24})
+			a.Grants = append(a.Grants, &wire.ShareGrant{
+				Team: team, Service: "pushpa-lm", RequestsPerSecond: 12.3, TokensPerSecond: 4567.8,
+				Concurrent: 20, Epoch: 1 << 24, HoldMs: 30_000, RequestBurst: 12.3, AgainMs: 1500,
+			})
+		}
+		return proto.Size(q), proto.Size(a)
+	}
+	q1, a1 := size(1)
+	q, a := size(101)
+	asked, granted := float64(q-q1)/100, float64(a-a1)/100
+	fmt.Printf("Shares on the wire: %.0f bytes for a question (%.0f asked, %.0f granted), %.0f bytes for a call besides.\n",
+		asked+granted, asked, granted, float64(q1+a1)-asked-granted)
+}
