--- a/measure/admit/main.go
+++ b/measure/admit/main.go
@@ -14,7 +14,7 @@
 
 type options struct {
 	Seconds float64  `long:"seconds" default:"600" description:"virtual length of a day"`
-	Parts   []string `long:"part" description:"waits, limits or bytes; all if none is named"`
+	Parts   []string `long:"part" description:"waits, limits, teams or bytes; all if none is named"`
 	Seed    uint64   `long:"seed" default:"1" description:"seed of the arrivals"`
 }
 
@@ -26,7 +26,7 @@
 	for _, p := range []struct {
 		name string
 		run  func(options)
-	}{{"waits", waits}, {"limits", limits}, {"bytes", shareBytes}} {
+	}{{"waits", waits}, {"limits", limits}, {"teams", teamsAsked}, {"bytes", shareBytes}} {
 		if len(o.Parts) > 0 && !slices.Contains(o.Parts, p.name) {
 			continue
 		}
--- a/measure/admit/shares.go
+++ b/measure/admit/shares.go
@@ -22,18 +22,22 @@
 
 var subject = admit.Subject{Team: "growers", Service: "pushpa-lm"}
 
-func newShares(rate float64, now time.Time) limiter {
+func newShares(rate float64, now time.Time) limiter { return sharesOf(entries, rate, now) }
+
+func sharesOf(n int, rate float64, now time.Time) *shares {
 	s := &shares{limit: admit.Amounts{Requests: rate, Tokens: math.Inf(1), Concurrent: math.Inf(1)}, home: admit.NewHome(now.Add(-time.Hour), "home")}
-	for i := range entries {
+	for i := range n {
 		l := admit.NewLimiter()
-		l.SetEntries(entries)
+		l.SetEntries(n)
 		s.lims = append(s.lims, l)
-		s.next = append(s.next, now.Add(admit.ShareCheck*time.Duration(i)/entries))
+		s.next = append(s.next, now.Add(admit.ShareCheck*time.Duration(i)/time.Duration(n)))
 	}
 	return s
 }
 
-func (s *shares) take(entry int, now time.Time) bool {
+func (s *shares) take(entry int, now time.Time) bool { return s.takeOf(entry, subject, now) }
+
+func (s *shares) takeOf(entry int, subject admit.Subject, now time.Time) bool {
 	l := s.lims[entry]
 	if l.Take(now, subject, s.limit, admit.Ask{}) == nil {
 		l.Done(subject)
