--- a/admit/asking.go
+++ b/admit/asking.go
@@ -23,8 +23,10 @@
 	// made anew starts empty, so nothing is gained by it.
 	idleAfter = 10 * time.Second
 	// A share is given up when quietRequests would have come by the latest rate and
-	// none did, but not before quietLeast and not after quietMost.
+	// none did, and after quietPauses of the longest pause that callers lately came
+	// back from, but not before quietLeast and not after quietMost.
 	quietRequests = 8
+	quietPauses   = 2
 	quietLeast    = 200 * time.Millisecond
 	quietMost     = 2 * time.Second
 )
@@ -109,11 +111,35 @@
 	requests, _ := loc.asked.rates(now)
 	after := quietMost
 	if requests > 0 {
-		after = min(after, time.Duration(quietRequests/requests*float64(time.Second)))
+		byRate := time.Duration(quietRequests / requests * float64(time.Second))
+		after = min(after, max(byRate, quietPauses*loc.pauses.longest()))
 	}
 	return now.Sub(loc.seen) >= max(after, quietLeast)
 }
 
+// pauses knows the longest pause between requests of one or two pauseWindows. Callers
+// that come in pulses would lose what they may save up with a share that is given up
+// between two of them.
+type pauses struct {
+	window       time.Time
+	now, earlier time.Duration
+}
+
+const pauseWindow = 10 * time.Second
+
+func (p *pauses) longest() time.Duration { return max(p.now, p.earlier) }
+
+// add notes a pause that has ended. A longer one than quietMost is not one between
+// pulses: the share was given up in it.
+func (p *pauses) add(now time.Time, pause time.Duration) {
+	if now.Sub(p.window) >= pauseWindow {
+		p.window, p.earlier, p.now = now, p.now, 0
+	}
+	if pause < quietMost {
+		p.now = max(p.now, pause)
+	}
+}
+
 // Due says whether the home is to be asked for anything now.
 func (l *Limiter) Due(now time.Time) bool {
 	for _, loc := range l.subjects {
--- a/admit/asking_test.go
+++ b/admit/asking_test.go
@@ -33,6 +33,28 @@
 	assert.Assert(t, p.questions-before <= 3*60, "%d questions of 3 entries in 60 s", p.questions-before)
 }
 
+// Callers send sixty requests at once, every second and a half, of a limit of a hundred
+// a second. Between two pulses the entry keeps its share, and what was saved up in it:
+// once it has seen a few, none of the sixty is refused.
+func TestPulsesKeepWhatTheySavedUp(t *testing.T) {
+	p := newPair(7, Amounts{100, math.Inf(1), math.Inf(1)})
+	p.look = true
+	for pulse := range 20 {
+		admitted := 0
+		for range 60 {
+			if p.take(0) {
+				admitted++
+				p.lims[0].Done(simSubject)
+			}
+		}
+		assert.Assert(t, pulse < 5 || admitted == 60, "%d in pulse %d", admitted, pulse)
+		for range 15 {
+			p.round()
+			p.now = p.now.Add(ShareCheck)
+		}
+	}
+}
+
 // An entry gives its grant up, but the answer to an earlier question is still under
 // way. When that comes, it is used only if the home counts it.
 func TestAnswerThatComesAfterTheGrantWasGivenUp(t *testing.T) {
--- a/admit/limiter.go
+++ b/admit/limiter.go
@@ -51,6 +51,7 @@
 	running          int
 	seen             time.Time
 	asked            meter
+	pauses           pauses
 	question         question
 }
 
@@ -114,6 +115,9 @@
 		loc.limit, loc.entries = limit, l.entries
 		loc.refill(now, now)
 	}
+	if !loc.seen.IsZero() {
+		loc.pauses.add(now, now.Sub(loc.seen))
+	}
 	loc.seen = now
 	return loc
 }
