--- a/entry/limits.go
+++ b/entry/limits.go
@@ -173,7 +173,7 @@
 	defer l.mu.Unlock()
 	r, demands := l.lim.Report(now)
 	req := &wire.ShareRequest{
-		Entry: l.entry.settings.ID, Incarnation: l.entry.incarnation, Seq: r.Seq, Home: r.Home, Partial: r.Partial,
+		Entry: l.entry.settings.ID, Incarnation: l.entry.life.Number(), Seq: r.Seq, Home: r.Home, Partial: r.Partial,
 	}
 	subjects := map[admit.Subject]admit.Subject{}
 	for s, d := range demands {
