--- a/admit/asking.go
+++ b/admit/asking.go
@@ -48,7 +48,12 @@
 
 func (q *question) answered(sent time.Time, g Share, before Amounts) {
 	q.answer = sent
-	q.again = sent.Add(g.Again)
+	again := g.Again
+	if again <= 0 {
+		// A home of an earlier release doesn't say when.
+		again = ShareInterval
+	}
+	q.again = sent.Add(again)
 	q.smaller = muchLess(g.Amounts, before)
 }
 
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -205,11 +205,6 @@
 		l.askSoon()
 	}
 	now := time.Now()
-	defer func() {
-		if l.lim.Due(now) {
-			l.askSoon()
-		}
-	}()
 	for _, g := range reply.Grants {
 		s, ok := subjects[admit.Subject{Team: g.Team, Service: g.Service}]
 		if !ok {
@@ -223,6 +218,10 @@
 			Again: time.Duration(g.AgainMs) * time.Millisecond,
 		})
 	}
+	if l.lim.Due(now) {
+		// A smaller share counts as the larger one until the home has heard of it.
+		l.askSoon()
+	}
 }
 
 func (l *limits) dump() any {
