--- /dev/null
+++ b/scenario/links.go
@@ -0,0 +1,78 @@
+package scenario
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/fake"
+)
+
+// cmdCut cuts both ways, or with "A -> B" what A sends to B.
+func (w *world) cmdCut(_ bool, args []string) error {
+	switch {
+	case len(args) == 2:
+		return w.between(args[0], args[1], func(x, y string) { w.net.Cut(x, y); w.net.Cut(y, x) })
+	case len(args) == 3 && args[1] == "->":
+		return w.between(args[0], args[2], w.net.Cut)
+	}
+	return merry.Prepend(ErrScript, "cut A B, or cut A -> B")
+}
+
+func (w *world) cmdHeal(_ bool, args []string) error {
+	if len(args) == 0 {
+		w.net.HealAll()
+		return nil
+	}
+	if len(args) != 2 {
+		return merry.Prepend(ErrScript, "heal, or heal A B")
+	}
+	return w.between(args[0], args[1], func(x, y string) { w.net.Heal(x, y); w.net.Heal(y, x) })
+}
+
+func (w *world) cmdDelay(_ bool, args []string) error {
+	if len(args) != 3 {
+		return merry.Prepend(ErrScript, "delay A B DURATION")
+	}
+	d, err := time.ParseDuration(args[2])
+	if err != nil {
+		return err
+	}
+	return w.between(args[0], args[1], func(x, y string) { w.net.Delay(x, y, d); w.net.Delay(y, x, d) })
+}
+
+var faults = map[string]fake.Fault{
+	"well": fake.FaultNone, "die-before": fake.FaultDieBefore, "die-after-run": fake.FaultDieAfterRun,
+	"cut": fake.FaultCut, "crossed": fake.FaultCrossed, "never": fake.FaultStall,
+	"held": fake.FaultHeld, "oversized": fake.FaultOversized, "cut-short": fake.FaultCutShort,
+}
+
+func (w *world) cmdAnswers(_ bool, args []string) error {
+	if len(args) < 2 {
+		return merry.Prepend(ErrScript, "answers PART... FAULT")
+	}
+	fault, ok := faults[args[len(args)-1]]
+	if !ok {
+		return merry.Prependf(ErrScript, "no fault %q", args[len(args)-1])
+	}
+	parts, err := w.expand(args[:len(args)-1]...)
+	if err != nil {
+		return err
+	}
+	for _, name := range parts {
+		if p, _ := w.sys.Part(name); p.Upstream != nil {
+			p.Upstream.SetFault(func(*http.Request) fake.Fault { return fault })
+		}
+	}
+	return nil
+}
+
+func (w *world) release(name string) error {
+	p, _ := w.sys.Part(name)
+	if p.Upstream != nil {
+		p.Upstream.SetFault(nil)
+		p.Upstream.Release()
+	}
+	return nil
+}
--- /dev/null
+++ b/scenario/listing.go
@@ -0,0 +1,102 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// closed waits until an entry that drains takes no more connections of callers.
+func (w *world) closed(name string) error {
+	e := w.sys.Entry(name)
+	if e == nil {
+		return merry.Prependf(ErrScript, "%s doesn't run", name)
+	}
+	address := e.CallerAddress()
+	return eventually(func() string {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return ""
+		}
+		_ = conn.Close()
+		return name + " takes connections"
+	})
+}
+
+// cmdListed waits until an entry stands, or doesn't, in the list for callers.
+func (w *world) cmdListed(neg bool, args []string) error {
+	o := parse(args)
+	names, err := w.expand(o.rest...)
+	if err != nil {
+		return err
+	}
+	return eventually(func() string {
+		via, err := w.entry(o)
+		if err != nil {
+			return err.Error()
+		}
+		listed, err := w.list(via)
+		if err != nil {
+			return err.Error()
+		}
+		for _, name := range names {
+			if slices.Contains(listed, name) == neg {
+				return fmt.Sprintf("%s lists %v", via, listed)
+			}
+		}
+		return ""
+	})
+}
+
+func (w *world) list(via string) ([]string, error) {
+	e := w.sys.Entry(via)
+	if e == nil {
+		return nil, merry.Prependf(ErrScript, "%s doesn't run", via)
+	}
+	resp, err := w.client.Get("http://" + e.CallerAddress() + "/v1/entries")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var list struct {
+		Entries []struct {
+			ID string `json:"id"`
+		} `json:"entries"`
+	}
+	err = json.NewDecoder(resp.Body).Decode(&list)
+	var ids []string
+	for _, x := range list.Entries {
+		ids = append(ids, x.ID)
+	}
+	return ids, err
+}
+
+// cmdUpstreams waits until every running entry, or one, sees N upstreams of a pool.
+func (w *world) cmdUpstreams(_ bool, args []string) error {
+	o := parse(args)
+	if len(o.rest) != 2 {
+		return merry.Prepend(ErrScript, "upstreams POOL N [via=ENTRY]")
+	}
+	n, err := strconv.Atoi(o.rest[1])
+	if err != nil {
+		return err
+	}
+	return eventually(func() string {
+		names := w.runningEntries()
+		if via := o.values["via"]; via != "" {
+			if names, err = w.expand(via); err != nil {
+				return err.Error()
+			}
+		}
+		for _, name := range names {
+			if e := w.sys.Entry(name); e != nil && e.Upstreams()[o.rest[0]] != n {
+				return fmt.Sprintf("%s sees %v", name, e.Upstreams())
+			}
+		}
+		return ""
+	})
+}
