Ask the next replica for the fencing token when one is silent

Cause: an agent that just started asks the control replicas for the token in force. When it asks for its own look at the rank there is no caller who gives up, and one replica's call was not bounded. A replica that froze with the connection open never answers; the agent holds every order back meanwhile, the new leader's too, for as long as the host is frozen. Found while the restart safeguard was tried without its memory: a group took no new map for 45 s after its leader froze.

Change: one replica has 1 s to tell the token; then the next one is asked.

--- a/agent/orders.go
+++ b/agent/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
@@ -15,6 +16,9 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
+// tokenTimeout is how long one replica may take to tell the token in force.
+const tokenTimeout = time.Second
+
 // orders lets orders through to the upstream under the guard of their fencing
 // tokens. Engines that ignore tokens have no other guard.
 type orders struct {
@@ -37,6 +41,10 @@
 		guard: fence.NewGuard(),
 		tokens: func(ctx context.Context, group string) (token uint64, err error) {
 			err = client.Call(ctx, func(ctx context.Context, c wire.DRPCControlClient) error {
+				// A frozen replica keeps its connections and says nothing. Every
+				// order waits for the answer; another replica has it too.
+				ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
+				defer cancel()
 				r, err := c.Token(ctx, &wire.TokenRequest{Group: group})
 				if err == nil {
 					token = r.Token
