Let a fake's held answer go when it is released before it waits

Cause: a request to a fake server counted as run before it chose the release to wait for. A test that released it as soon as it ran could be faster; the answer was then held for a release that never came, until the caller's deadline.

Change: the release is taken together with the fault, before the request counts. The fake server also learns to hold a stream half-way, and to answer late with the whole answer of the request held before, for scripts to come.

--- a/fake/server.go
+++ b/fake/server.go
@@ -34,6 +34,12 @@
 	// FaultHeld runs the request and answers after Release, or when the caller
 	// gives up.
 	FaultHeld
+	// FaultHeldCrossed is FaultHeld with the whole answer of the request that was
+	// held before it on this server.
+	FaultHeldCrossed
+	// FaultHeldMidway sends the first heldAfter parts of a stream at once, and the
+	// rest after Release.
+	FaultHeldMidway
 	// FaultOversized answers with Oversize bytes more than it should.
 	FaultOversized
 	// FaultCutShort cuts the answer after CutAfter bytes of its body.
@@ -61,6 +67,8 @@
 	http    *http.Server
 	slots   chan struct{}
 	held    chan struct{}
+	// crossed is the head of the request that was held last to be crossed.
+	crossed http.Header
 }
 
 // listen serves a handler.
@@ -166,11 +174,9 @@
 	return s.running
 }
 
-// hold waits for Release; false if the caller left first.
-func (s *Server) hold(r *http.Request) bool {
-	s.mu.Lock()
-	held := s.held
-	s.mu.Unlock()
+// hold waits for the Release of what was held when the request came; false if the
+// caller left first.
+func hold(r *http.Request, held <-chan struct{}) bool {
 	select {
 	case <-held:
 		return true
@@ -179,14 +185,31 @@
 	}
 }
 
-func (s *Server) fault(r *http.Request) Fault {
+// cross keeps a request's head for the next one, and returns that of the one before;
+// the first gets one that nobody sent.
+func (s *Server) cross(r *http.Request) http.Header {
 	s.mu.Lock()
-	f := s.faults
+	defer s.mu.Unlock()
+	other := s.crossed
+	if other == nil {
+		other = http.Header{"X-Request-Id": {"another-request"}, HeaderRunKey: {"another-request"}}
+	}
+	s.crossed = r.Header
+	return other
+}
+
+// fault chooses what goes wrong with a request, and the Release that it would wait
+// for. Both are taken before the request counts as run: whoever saw it run may
+// release it at once, and a request that began to wait only then would wait for a
+// Release that never comes.
+func (s *Server) fault(r *http.Request) (Fault, <-chan struct{}) {
+	s.mu.Lock()
+	f, held := s.faults, s.held
 	s.mu.Unlock()
 	if f == nil {
-		return FaultNone
+		return FaultNone, held
 	}
-	return f(r)
+	return f(r), held
 }
 
 func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
@@ -203,7 +226,7 @@
 
 // answerWith runs a request under its fault; run writes the answer.
 func (s *Server) answerWith(w http.ResponseWriter, r *http.Request, run func(w http.ResponseWriter)) {
-	fault := s.fault(r)
+	fault, held := s.fault(r)
 	if fault == FaultDieBefore {
 		panic(http.ErrAbortHandler)
 	}
@@ -221,10 +244,20 @@
 		<-r.Context().Done()
 		return
 	case FaultHeld:
-		if !s.hold(r) {
+		if !hold(r, held) {
+			return
+		}
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	case FaultHeldCrossed:
+		other := s.cross(r)
+		if !hold(r, held) {
 			return
 		}
+		r.Header = other
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	case FaultHeldMidway:
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w = &heldWriter{ResponseWriter: w, hold: func() bool { return hold(r, held) }}
 	case FaultOversized:
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		run(w)
@@ -246,6 +279,27 @@
 	run(w)
 }
 
+// heldAfter is how many parts of a stream FaultHeldMidway lets through.
+const heldAfter = 2
+
+// heldWriter holds an answer after its first parts.
+type heldWriter struct {
+	http.ResponseWriter
+	parts int
+	hold  func() bool
+}
+
+func (h *heldWriter) Write(b []byte) (int, error) {
+	if h.parts == heldAfter && !h.hold() {
+		return 0, http.ErrAbortHandler
+	}
+	h.parts++
+	return h.ResponseWriter.Write(b)
+}
+
+// Unwrap lets http.ResponseController flush.
+func (h *heldWriter) Unwrap() http.ResponseWriter { return h.ResponseWriter }
+
 // cutShort announces the whole answer and sends the first CutAfter bytes of it.
 func (s *Server) cutShort(w http.ResponseWriter, r *http.Request, run func(http.ResponseWriter)) {
 	whole := httptest.NewRecorder()
