Freeze a part's time in scenarios, and script what was missing

freeze stopped a part's links only: its timers went on, so that a frozen leader had stepped down long before it woke. Entries, agents and control replicas take their clock from their settings now, as they take their dialler; time.Now by default. The clock of a scenario makes whoever asks for the time wait until the thaw, when all timers have passed at once. The network freezes a part beside the cuts of its links, so that a part can wake cut off.

The audit checks two things more: no order of an old leader is carried out after a new leader's first (by engines that ignore tokens), and no version of a row is accepted twice.

Scripts that hung on the machine's speed: 'runs X-6 1' waited for one of six calls and then broke things; runs-all waits for all. Streams of 200 and 400 tokens had to outlive what the script did meanwhile; they are held half-way until it lets them go.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -74,15 +74,15 @@
 		settings: s, log: kernel.PartLog(l, "agent"), up: up, sec: sec, certs: certs,
 		pool:    transport.NewPool(sec),
 		srv:     transport.NewServer(sec),
-		runner:  admit.NewRunner(startSettings(s).gate(), time.Now),
+		runner:  admit.NewRunner(startSettings(s).gate(), s.Now),
 		metrics: metrics.NewRegistry(),
 		// The clock orders the lives of one agent; a host whose clock was set
 		// back is told so by its first announcement and takes a higher number.
-		incarnation: uint64(time.Now().UnixNano()),
+		incarnation: uint64(s.Now().UnixNano()),
 		attempts:    newAttempts(),
 	}
 	a.pool.SetDial(s.Dial)
-	a.announcer = directory.NewAnnouncer(directory.NewTargets(s.ID, s.FailureDomain, s.AnnounceTo), a.pool.Conn, time.Now)
+	a.announcer = directory.NewAnnouncer(directory.NewTargets(s.ID, s.FailureDomain, s.AnnounceTo), a.pool.Conn, s.Now)
 	a.queue.current = startSettings(s)
 	a.done = metrics.GetOrRegisterCounter("agent.attempts."+refusal.OutcomeWord(wire.Outcome_OUTCOME_DONE), a.metrics)
 	a.orders = newOrders(control.NewClient(a.pool, s.AnnounceTo, s.ID))
--- a/agent/run.go
+++ b/agent/run.go
@@ -41,7 +41,7 @@
 
 // Run implements the Agent service.
 func (a *Agent) Run(stream wire.DRPCAgent_RunStream) error {
-	now := time.Now()
+	now := a.settings.Now()
 	at, err := a.receive(stream, now)
 	if err != nil {
 		return err
@@ -105,12 +105,12 @@
 func (at *attempt) run() error {
 	ctx, cancel := context.WithDeadline(at.stream.Context(), at.deadline)
 	defer cancel()
-	began := time.Now()
+	began := at.agent.settings.Now()
 	release, err := at.agent.runner.Enter(ctx, &admit.Work{
 		Team: at.head.Team, Weight: int(at.head.Weight), Priority: at.head.Priority,
 		Cost: float64(max(at.head.Tokens, 1)), Deadline: at.deadline,
 	})
-	at.queued = time.Since(began)
+	at.queued = at.agent.settings.Now().Sub(began)
 	if err != nil {
 		return at.end(wire.Outcome_OUTCOME_NOT_RUN, queueReason(err), err.Error())
 	}
@@ -140,7 +140,7 @@
 		outcome = wire.Outcome_OUTCOME_NOT_RUN
 	case errors.Is(err, upstream.ErrCrossed):
 		reason = wire.Reason_REASON_ANSWER_INVALID
-	case errors.Is(err, context.DeadlineExceeded) || time.Now().After(at.deadline):
+	case errors.Is(err, context.DeadlineExceeded) || at.agent.settings.Now().After(at.deadline):
 		reason = wire.Reason_REASON_DEADLINE
 	}
 	return at.end(outcome, reason, err.Error())
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -45,11 +45,15 @@
 	// Dial opens connections to other processes if set: who embeds an agent may
 	// want a network of its own.
 	Dial transport.DialFunc `toml:"-"`
+	// Now is the clock, time.Now by default: who embeds an agent may want to hold
+	// its time, as that of a host that is frozen.
+	Now func() time.Time `toml:"-"`
 }
 
 // DefaultSettings returns the defaults.
 func DefaultSettings() *Settings {
 	return &Settings{
+		Now:              time.Now,
 		Listen:           "127.0.0.1:0",
 		Kind:             "engine",
 		AnnounceInterval: kernel.Duration(500 * time.Millisecond),
--- a/control/care.go
+++ b/control/care.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"time"
-
 	"google.golang.org/protobuf/proto"
 
 	"github.com/snipereach/snipereach/kernel"
@@ -11,12 +9,12 @@
 
 // care lets a leader look after the membership.
 func (r *Replica) care() {
-	r.leads.follow(r.node.IsLeader(), time.Now())
+	r.leads.follow(r.node.IsLeader(), r.clock())
 	r.followHome()
-	if !r.node.IsLeader() || time.Since(r.lastCare) < careInterval {
+	if !r.node.IsLeader() || r.clock().Sub(r.lastCare) < careInterval {
 		return
 	}
-	r.lastCare = time.Now()
+	r.lastCare = r.clock()
 	members := r.memberList()
 	voters := 0
 	for _, m := range members {
@@ -45,10 +43,10 @@
 
 func (r *Replica) alive(id string) bool {
 	if r.node.Live(id) {
-		r.leads.heard(id, time.Now())
+		r.leads.heard(id, r.clock())
 		return true
 	}
-	return !r.leads.silentFor(id, time.Now(), r.settings.ReplaceAfter.D())
+	return !r.leads.silentFor(id, r.clock(), r.settings.ReplaceAfter.D())
 }
 
 func (r *Replica) proposeFormed() {
--- a/control/control.go
+++ b/control/control.go
@@ -56,8 +56,9 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
+	s.Now = s.clock()
 	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool}
-	c.groups = newGroupLeader(s.Groups, kernel.PartLog(l, "groups"), pool)
+	c.groups = newGroupLeader(s, kernel.PartLog(l, "groups"), pool)
 	return c, nil
 }
 
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -90,7 +90,7 @@
 	d := &Daemon{
 		settings: s, log: kernel.PartLog(l, "control"), certs: certs,
 		pool: transport.NewPool(sec), srv: transport.NewServer(sec),
-		node: directory.NewNode(directory.DefaultSettings(), time.Now, nil),
+		node: directory.NewNode(directory.DefaultSettings(), s.Control.clock(), nil),
 	}
 	d.pool.SetDial(s.Dial)
 	if d.control, err = New(s.Control, l, d.pool); err != nil {
--- a/control/groupdriver.go
+++ b/control/groupdriver.go
@@ -83,7 +83,7 @@
 
 func newGroupDriver(g *groupLeader, r *Replica, name string, token uint64) *groupDriver {
 	return &groupDriver{
-		groupLeader: g, replica: r, name: name, token: token, planned: time.Now(),
+		groupLeader: g, replica: r, name: name, token: token, planned: g.clock(),
 		orders: map[int]*rankOrders{}, details: map[int]string{},
 	}
 }
@@ -181,7 +181,7 @@
 	}
 	d.coord.Roll(&rollout.Target{Base: s.Map.Epoch, Map: m, Reason: &wire.MapReason{
 		By: s.PinnedBy, Why: fmt.Sprintf("%s pinned map %d", s.PinnedBy, s.Pinned), Repeats: s.Pinned,
-		Moves: countMoves(s.Map, m), AtMs: time.Now().UnixMilli(),
+		Moves: countMoves(s.Map, m), AtMs: d.clock().UnixMilli(),
 	}})
 }
 
@@ -237,7 +237,7 @@
 		decision := p.Plan(now, rollout.ToMap(current))
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.planning, d.planned = false, time.Now()
+		d.planning, d.planned = false, d.clock()
 		if ctx.Err() == nil {
 			d.follow(name, current, decision)
 		}
@@ -249,7 +249,7 @@
 	d.last = &wire.MapReason{
 		By: "planner " + planner, Why: p.Why, Moves: uint32(len(p.Moves)),
 		SkewBefore: p.SkewBefore, SkewAfter: p.SkewAfter, Gain: p.Gain, Price: p.Price,
-		AtMs: time.Now().UnixMilli(),
+		AtMs: d.clock().UnixMilli(),
 	}
 	if p.Next == nil || d.row == nil || d.row.Paused || d.state.Pinned != 0 {
 		return
@@ -316,7 +316,7 @@
 		if next != nil {
 			d.order(ctx, *next)
 		}
-		d.act(ctx, time.Now())
+		d.act(ctx, d.clock())
 	}()
 }
 
@@ -335,7 +335,7 @@
 		return
 	}
 	d.details[o.Rank] = s.Refused
-	d.coord.Heard(time.Now(), o.Rank, s)
+	d.coord.Heard(d.clock(), o.Rank, s)
 }
 
 // timeoutOf bounds an order. Those that carry no map are answered at once, and a
@@ -454,7 +454,7 @@
 	}
 	d.windows++
 	d.skew = meanSkew(d.shape, d.state.Map, w.load)
-	o := observed{at: time.Now(), load: w.load}
+	o := observed{at: d.clock(), load: w.load}
 	if !w.mixed && !slices.Contains(w.times, 0) && d.state.Map.Epoch == w.epoch {
 		o.times, o.under = w.times, rollout.ToMap(d.state.Map)
 	}
--- a/control/groups.go
+++ b/control/groups.go
@@ -44,6 +44,7 @@
 // groupLeader looks after the expert maps of all groups while its replica leads.
 type groupLeader struct {
 	settings  GroupSettings
+	clock     func() time.Time
 	log       log.Logger
 	pool      *transport.Pool
 	upstreams func() []*wire.Announcement
@@ -53,8 +54,8 @@
 	drivers map[string]*groupDriver
 }
 
-func newGroupLeader(s GroupSettings, l log.Logger, pool *transport.Pool) *groupLeader {
-	return &groupLeader{settings: s, log: l, pool: pool, drivers: map[string]*groupDriver{}}
+func newGroupLeader(s Settings, l log.Logger, pool *transport.Pool) *groupLeader {
+	return &groupLeader{settings: s.Groups, clock: s.Now, log: l, pool: pool, drivers: map[string]*groupDriver{}}
 }
 
 // groupsNow is what the log and the table say of groups at one moment.
@@ -114,7 +115,7 @@
 			continue
 		}
 		g.mu.Lock()
-		d.tick(ctx, time.Now(), n.view.Groups[name], n.states[name], ranks[name])
+		d.tick(ctx, g.clock(), n.view.Groups[name], n.states[name], ranks[name])
 		busy = busy || d.coord == nil || !d.coord.Quiet()
 		g.mu.Unlock()
 	}
@@ -211,7 +212,7 @@
 	var over bool
 	if err := r.do(ctx, func() {
 		held = r.machine.fence.Get(group)
-		over = held.Token == 0 || r.leads.over(group, time.Now())
+		over = held.Token == 0 || r.leads.over(group, r.clock())
 	}); err != nil {
 		return 0, err
 	}
@@ -244,7 +245,7 @@
 
 // proposeGroup puts a group command on the log.
 func (r *Replica) proposeGroup(ctx context.Context, c *wire.GroupCommand) (rollout.Result, error) {
-	c.AtMs = time.Now().UnixMilli()
+	c.AtMs = r.clock().UnixMilli()
 	v, err := r.propose(ctx, &wire.Command{Command: &wire.Command_Group{Group: c}})
 	if err != nil {
 		return rollout.Result{}, err
--- a/control/members.go
+++ b/control/members.go
@@ -112,7 +112,7 @@
 		Failed   string `json:"failed,omitempty"`
 		// Shares are the parts of limits that a leader has granted.
 		Shares []admit.SubjectState `json:"shares,omitempty"`
-	}{r.node.Status(), r.machine.formed, r.machine.table.Revision(), errText(r.failed), r.shares.dump()}
+	}{r.node.Status(), r.machine.formed, r.machine.table.Revision(), errText(r.failed), r.shares.dump(r.clock())}
 }
 
 func errText(err error) string {
--- a/control/replica.go
+++ b/control/replica.go
@@ -46,6 +46,7 @@
 	machine  *machine
 	peers    *peers
 	started  time.Time
+	clock    func() time.Time
 
 	calls chan func()
 	done  chan struct{}
@@ -95,7 +96,7 @@
 		settings: s, log: l, identity: id, journal: j, machine: m,
 		node:    consensus.New(cfg, st, 0),
 		peers:   newPeers(pool, id.Address),
-		started: time.Now(),
+		started: s.Now(), clock: s.Now,
 		calls:   make(chan func(), callQueue),
 		done:    make(chan struct{}),
 		waiting: map[uint64]waiter{},
@@ -103,7 +104,7 @@
 		queued:  map[uint64][]uint64{},
 		hard:    st.Hard, watchers: map[chan struct{}]struct{}{},
 		leads: leaseClock{expires: map[string]time.Time{}},
-		rings: ringClock{changed: time.Now()},
+		rings: ringClock{changed: s.Now()},
 	}
 	r.feed.reset(m.table.Revision(), m.ring, r.rings.changed)
 	return r, nil
@@ -124,7 +125,7 @@
 }
 
 // now is the replica's monotonic time.
-func (r *Replica) now() consensus.Time { return time.Since(r.started) }
+func (r *Replica) now() consensus.Time { return r.clock().Sub(r.started) }
 
 // loop runs calls in batches: what gathers while one batch is synced shares the
 // next sync.
@@ -219,10 +220,10 @@
 			changed = append(changed, reply.Rows...)
 		}
 		r.answer(e, v)
-		r.rings.follow(r.machine.ring.Epoch, time.Now())
+		r.rings.follow(r.machine.ring.Epoch, r.clock())
 		r.sinceCut++
 	}
-	r.followRows(time.Now())
+	r.followRows(r.clock())
 	if len(rd.Apply) > 0 {
 		r.feed.add(r.machine.table.Revision(), changed, r.machine.ring, r.rings.changed)
 		r.wake()
--- a/control/ring.go
+++ b/control/ring.go
@@ -110,7 +110,7 @@
 	if r.entries == nil || !r.machine.formed {
 		return
 	}
-	now := time.Now()
+	now := r.clock()
 	up := r.entries()
 	r.rings.observe(up, now)
 	next := r.rings.nextRing(r.machine.ring, up, r.leads.since, now)
@@ -129,9 +129,9 @@
 // ringPending says whether this epoch was proposed within the last second, so
 // that one change is not proposed at every look.
 func (r *Replica) ringPending(epoch uint64) bool {
-	if r.proposedEpoch == epoch && time.Since(r.proposedAt) < time.Second {
+	if r.proposedEpoch == epoch && r.clock().Sub(r.proposedAt) < time.Second {
 		return true
 	}
-	r.proposedEpoch, r.proposedAt = epoch, time.Now()
+	r.proposedEpoch, r.proposedAt = epoch, r.clock()
 	return false
 }
--- a/control/service.go
+++ b/control/service.go
@@ -81,7 +81,7 @@
 	if !s.Formed(ctx) {
 		return unavailable(merry.Prepend(ErrUnavailable, "the cluster is being formed")), nil
 	}
-	e.AtMs = time.Now().UnixMilli()
+	e.AtMs = s.current().clock().UnixMilli()
 	v, err := s.current().propose(ctx, &wire.Command{Command: &wire.Command_Edit{Edit: e}})
 	if err != nil {
 		return unavailable(err), nil
@@ -172,7 +172,7 @@
 	st := r.feed.state.Load()
 	u := &wire.TableUpdate{
 		Cluster: s.currentIdentity().Cluster, Revision: st.revision, Ring: st.ring,
-		RingAgeMs:      millis(time.Since(st.ringAt)),
+		RingAgeMs:      millis(s.current().clock().Sub(st.ringAt)),
 		ConfirmedAgeMs: millis(r.feed.age(r.now())),
 	}
 	if rows, ok := st.since(from); ok {
@@ -221,7 +221,7 @@
 	l := v.(*wire.Lease)
 	reply.Holder, reply.Token = l.Holder, l.Token
 	reply.Granted = l.Holder == req.Holder
-	err = r.do(ctx, func() { r.leads.renew(req.Group, time.Now(), ttl) })
+	err = r.do(ctx, func() { r.leads.renew(req.Group, r.clock(), ttl) })
 	return reply, err
 }
 
@@ -230,7 +230,7 @@
 func (r *Replica) renew(req *wire.LeaseRequest, ttl time.Duration, reply *wire.LeaseReply) (replaces uint64, settled bool) {
 	l := r.machine.fence.Get(req.Group)
 	reply.Holder, reply.Token = l.Holder, l.Token
-	now := time.Now()
+	now := r.clock()
 	over := l.Token == 0 || r.leads.over(req.Group, now)
 	switch {
 	case l.Holder != req.Holder:
--- a/control/settings.go
+++ b/control/settings.go
@@ -19,6 +19,9 @@
 	// FS is used in place of DataDir if set: who embeds a replica may bring a
 	// disk of its own.
 	FS journal.FS `toml:"-"`
+	// Now is the clock in place of time.Now if set: who embeds a replica may want to
+	// hold its time, as that of a host that is frozen.
+	Now func() time.Time `toml:"-"`
 	// Members lists the drpc addresses of all control replicas, this one too.
 	Members []string `toml:"members"`
 	// FormCluster lets a new cluster be formed when all members are new. Turn it
@@ -75,6 +78,14 @@
 	}
 }
 
+// clock returns the clock that the settings name.
+func (s *Settings) clock() func() time.Time {
+	if s.Now == nil {
+		return time.Now
+	}
+	return s.Now
+}
+
 // SetDefaults fills in what a section leaves out.
 func (s *Settings) SetDefaults() {
 	d := DefaultSettings()
--- a/control/share.go
+++ b/control/share.go
@@ -41,16 +41,16 @@
 	// name of the first, its epochs would be taken for those of the first.
 	if st := r.node.Status(); r.shares.home == nil || r.shares.term != st.Term {
 		r.shares.homes++
-		r.shares.home = admit.NewHome(time.Now(), fmt.Sprintf("%s@%d.%d", st.ID, st.Term, r.shares.homes))
+		r.shares.home = admit.NewHome(r.clock(), fmt.Sprintf("%s@%d.%d", st.ID, st.Term, r.shares.homes))
 		r.shares.term = st.Term
 	}
 }
 
-func (s *shareHome) dump() []admit.SubjectState {
+func (s *shareHome) dump(now time.Time) []admit.SubjectState {
 	if s.home == nil {
 		return nil
 	}
-	return s.home.Dump(time.Now())
+	return s.home.Dump(now)
 }
 
 // Share implements the Control service. Only a leader with a live lease grants:
@@ -81,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	now := time.Now()
+	now := r.clock()
 	r.followRing(now)
 	home := r.shares.home
 	if !home.Hear(now, admit.Report{Entry: req.Entry, Incarnation: req.Incarnation, Seq: req.Seq, Home: req.Home}) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -94,14 +94,14 @@
 		pool:        transport.NewPool(sec),
 		sealer:      refusal.NewSealer(sec.Secret),
 		metrics:     metrics.NewRegistry(),
-		incarnation: uint64(time.Now().UnixNano()),
-		started:     time.Now(),
+		incarnation: uint64(s.Now().UnixNano()),
+		started:     s.Now(),
 		announceNow: make(chan struct{}, 1),
 		leaving:     make(chan struct{}),
 		drained:     make(chan struct{}),
 		runner: admit.NewRunner(admit.Settings{
 			Slots: s.Slots, Reserved: admit.ReservedSlots(s.Slots, s.UrgentPercent), MaxQueue: s.MaxQueue,
-		}, time.Now),
+		}, s.Now),
 	}
 	e.pool.SetDial(s.Dial)
 	e.answers = metrics.GetOrRegisterCounter("entry.answers", e.metrics)
@@ -115,13 +115,13 @@
 		return nil, err
 	}
 	place := route.Place{Entry: s.ID, FailureDomain: s.FailureDomain, Seed: xxhash.Sum64String(s.ID)}
-	e.fwd = forward.New(e.pool, place, time.Now)
-	e.node = directory.NewNode(directory.DefaultSettings(), time.Now, e.refresh)
+	e.fwd = forward.New(e.pool, place, s.Now)
+	e.node = directory.NewNode(directory.DefaultSettings(), s.Now, e.refresh)
 	e.targets = directory.NewTargets(s.ID, s.FailureDomain, s.replicas())
-	e.announcer = directory.NewAnnouncer(e.targets, e.pool.Conn, time.Now)
+	e.announcer = directory.NewAnnouncer(e.targets, e.pool.Conn, s.Now)
 	e.watches = newWatches(e)
 	e.limits = newLimits(e)
-	e.claims = claim.NewNode(claim.DefaultRegisterSettings(), e.life(), e.pool.Conn, time.Now)
+	e.claims = claim.NewNode(claim.DefaultRegisterSettings(), e.life(), e.pool.Conn, s.Now)
 	e.dumps.Add("claims", e.claims.Dump)
 	if err := wire.DRPCRegisterClaim(e.srv.Mux, e.claims); err != nil {
 		return nil, err
--- a/entry/gauges.go
+++ b/entry/gauges.go
@@ -41,7 +41,7 @@
 	if at == 0 {
 		return -1
 	}
-	return (time.Now().UnixNano() - at) / int64(time.Millisecond)
+	return (e.settings.Now().UnixNano() - at) / int64(time.Millisecond)
 }
 
 func (e *Entry) listed() int64 {
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -47,14 +47,14 @@
 		return func() {}, nil
 	}
 	s := admit.SubjectOf(row, q.team.Name, q.service.Name)
-	end := time.Now().Add(maxShareWait)
+	end := l.entry.settings.Now().Add(maxShareWait)
 	for {
 		refused := l.try(s, row, q)
 		if refused == nil {
 			return func() { l.done(s) }, nil
 		}
 		wait := max(refused.Wait, time.Millisecond)
-		now := time.Now()
+		now := l.entry.settings.Now()
 		if now.Add(wait).After(end) && l.granted(s) || !now.Before(end) || !now.Before(deadline) {
 			return nil, l.refusal(q, row, refused)
 		}
@@ -69,7 +69,7 @@
 func (l *limits) try(s admit.Subject, row *table.Limit, q *request) *admit.Refused {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
+	now := l.entry.settings.Now()
 	l.lim.SetEntries(len(l.entry.claims.Ring().Ring.GetMembers()))
 	l.services[s] = q.service.Name
 	refused := l.lim.Take(now, s, admit.LimitOf(row), admit.Ask{Tokens: float64(q.tokens), Timeout: q.service.Timeout})
@@ -92,7 +92,7 @@
 func (l *limits) granted(s admit.Subject) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.lim.Granted(time.Now(), s)
+	return l.lim.Granted(l.entry.settings.Now(), s)
 }
 
 func (l *limits) done(s admit.Subject) {
@@ -142,7 +142,7 @@
 }
 
 func (l *limits) round(ctx context.Context) {
-	sent := time.Now()
+	sent := l.entry.settings.Now()
 	req, subjects := l.report(sent)
 	if len(req.Demands) == 0 && sent.Sub(l.reported) < idleReport {
 		return
@@ -196,7 +196,7 @@
 		l.reported = time.Time{}
 		l.askSoon()
 	}
-	now := time.Now()
+	now := l.entry.settings.Now()
 	for _, g := range reply.Grants {
 		s, ok := subjects[admit.Subject{Team: g.Team, Service: g.Service}]
 		if !ok {
@@ -214,7 +214,7 @@
 func (l *limits) dump() any {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.lim.Dump(time.Now())
+	return l.lim.Dump(l.entry.settings.Now())
 }
 
 func concurrent(n uint32) float64 {
--- a/entry/request.go
+++ b/entry/request.go
@@ -44,7 +44,7 @@
 func (e *Entry) refuse(reason wire.Reason, detail string) *wire.Refusal {
 	r := &wire.Refusal{
 		RequestId: rand.Text(), Reason: reason, Outcome: wire.Outcome_OUTCOME_NOT_RUN,
-		Detail: detail, Entry: e.settings.ID, AtUnixMs: time.Now().UnixMilli(),
+		Detail: detail, Entry: e.settings.ID, AtUnixMs: e.settings.Now().UnixMilli(),
 		RetryAfterMs: uint32(refusal.RetryAfter(reason).Milliseconds()),
 	}
 	if v := e.view.Load(); v != nil {
@@ -252,7 +252,7 @@
 	if ref != nil {
 		return ref
 	}
-	deadline, ref := q.deadline(time.Now())
+	deadline, ref := q.deadline(q.entry.settings.Now())
 	if ref != nil {
 		return ref
 	}
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -74,7 +74,7 @@
 			return err
 		}
 		silence.Reset(silentWatch)
-		v, err := f.Apply(time.Now(), u)
+		v, err := f.Apply(e.settings.Now(), u)
 		if err != nil {
 			kernel.Warn(e.log, "Rows are refused.", "err", err)
 			return err
@@ -94,5 +94,5 @@
 // the configuration lease. An entry that can't say so leaves the list that
 // callers get and goes on serving those that come.
 func (e *Entry) rowsConfirmed() bool {
-	return time.Now().UnixNano()-e.confirmed.Load() < e.settings.ConfigLease.D().Nanoseconds()
+	return e.settings.Now().UnixNano()-e.confirmed.Load() < e.settings.ConfigLease.D().Nanoseconds()
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -34,6 +34,9 @@
 	InternalListener net.Listener `toml:"-"`
 	// Dial opens connections to other processes if set.
 	Dial transport.DialFunc `toml:"-"`
+	// Now is the clock, time.Now by default: who embeds an entry may want to hold
+	// its time, as that of a host that is frozen.
+	Now func() time.Time `toml:"-"`
 	// CallersTLS, OperatorsTLS and TLS (between processes) turn TLS on.
 	CallersTLS   transport.TLSSettings `toml:"callers_tls"`
 	OperatorsTLS transport.TLSSettings `toml:"operators_tls"`
@@ -61,6 +64,7 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() *Settings {
 	return &Settings{
+		Now:              time.Now,
 		Callers:          "127.0.0.1:0",
 		Internal:         "127.0.0.1:0",
 		Keep:             kernel.Duration(10 * time.Second),
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -32,9 +32,10 @@
 
 	cache prefixCache
 
-	orderMu sync.Mutex
-	highest uint64
-	orders  []GivenOrder
+	orderMu   sync.Mutex
+	highest   uint64
+	orders    []GivenOrder
+	overtaken int
 }
 
 // GivenOrder is an order that the engine carried out.
@@ -154,6 +155,9 @@
 		writeJSON(w, map[string]any{"accepted": false, "detail": "fencing token is old"})
 		return
 	}
+	if token < e.highest {
+		e.overtaken++
+	}
 	e.highest = max(e.highest, token)
 	if e.Group != nil {
 		e.serveRankOrder(w, r.PathValue("verb"), body)
@@ -181,6 +185,14 @@
 	writeJSON(w, e.Group.Counters(e.Rank))
 }
 
+// Overtaken counts the orders that the engine carried out after one with a higher
+// token: an old leader's after a new leader's first.
+func (e *Engine) Overtaken() int {
+	e.orderMu.Lock()
+	defer e.orderMu.Unlock()
+	return e.overtaken
+}
+
 // Orders returns the orders that the engine carried out, in their order.
 func (e *Engine) Orders() []GivenOrder {
 	e.orderMu.Lock()
--- a/fake/network.go
+++ b/fake/network.go
@@ -24,6 +24,8 @@
 	mu    sync.Mutex
 	names map[string]string
 	links map[link]*linkState
+	// frozen are the hosts that neither send nor receive.
+	frozen map[string]bool
 }
 
 // link is one direction between two parts.
@@ -31,14 +33,17 @@
 
 type linkState struct {
 	// open is closed while the link carries bytes.
-	open  chan struct{}
-	cut   bool
-	delay time.Duration
+	open   chan struct{}
+	closed bool
+	cut    bool
+	delay  time.Duration
+	// dialling is how many dials wait for the link.
+	dialling int
 }
 
 // NewNetwork returns a network on which nothing is cut.
 func NewNetwork() *Network {
-	return &Network{names: map[string]string{}, links: map[link]*linkState{}}
+	return &Network{names: map[string]string{}, links: map[link]*linkState{}, frozen: map[string]bool{}}
 }
 
 // Name says which part listens on an address.
@@ -52,35 +57,70 @@
 func (n *Network) Cut(from, to string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	s := n.state(link{from, to})
-	if !s.cut {
-		s.cut = true
-		s.open = make(chan struct{})
-	}
+	l := link{from, to}
+	n.state(l).cut = true
+	n.settle(l)
 }
 
 // Heal lets what one part sends to another arrive again.
 func (n *Network) Heal(from, to string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	s := n.state(link{from, to})
-	if s.cut {
-		s.cut = false
-		close(s.open)
-	}
+	l := link{from, to}
+	n.state(l).cut = false
+	n.settle(l)
 }
 
-// HealAll heals every link and takes its delay away.
+// HealAll heals every link and takes its delay away. Frozen parts stay frozen.
 func (n *Network) HealAll() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, s := range n.links {
-		s.delay = 0
-		if s.cut {
-			s.cut = false
-			close(s.open)
-		}
+	for l, s := range n.links {
+		s.delay, s.cut = 0, false
+		n.settle(l)
+	}
+}
+
+// Freeze stops all that goes to and from a part, beside the cuts of its links.
+func (n *Network) Freeze(part string) { n.setFrozen(part, true) }
+
+// Thaw ends Freeze. Links that are cut stay so.
+func (n *Network) Thaw(part string) { n.setFrozen(part, false) }
+
+func (n *Network) setFrozen(part string, frozen bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.frozen[part] = frozen
+	for l := range n.links {
+		n.settle(l)
+	}
+}
+
+// Dialling returns how many dials from one part to another are under way. Over a
+// link that carries nothing they wait.
+func (n *Network) Dialling(from, to string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state(link{from, to}).dialling
+}
+
+func (n *Network) dials(l link, change int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.state(l).dialling += change
+}
+
+// settle opens or closes a link as its cut and its ends demand; the caller holds mu.
+func (n *Network) settle(l link) {
+	s := n.links[l]
+	closed := s.cut || n.frozen[l.from] || n.frozen[l.to]
+	switch {
+	case closed && !s.closed:
+		s.open = make(chan struct{})
+	case !closed && s.closed:
+		close(s.open)
 	}
+	s.closed = closed
 }
 
 // Delay makes what one part sends to another take longer.
@@ -97,6 +137,7 @@
 		s = &linkState{open: make(chan struct{})}
 		close(s.open)
 		n.links[l] = s
+		n.settle(l)
 	}
 	return s
 }
@@ -133,6 +174,8 @@
 func (n *Network) passDial(ctx context.Context, dirs ...link) error {
 	limit := time.NewTimer(dialLimit)
 	defer limit.Stop()
+	n.dials(dirs[0], 1)
+	defer n.dials(dirs[0], -1)
 	for _, l := range dirs {
 		open, delay := n.look(l)
 		select {
--- a/quickstart/parts.go
+++ b/quickstart/parts.go
@@ -37,12 +37,15 @@
 type part struct {
 	name, domain string
 	role         Role
-	folder       string
+	// operators is the address of its operators' HTTP.
+	operators string
+	folder    string
 	// disk stands in for the folder if set.
 	disk     *fake.Disk
 	start    func(ctx context.Context) (kernel.Daemon, error)
 	daemon   kernel.Daemon
 	upstream *fake.Server
+	clock    fake.Clock
 }
 
 // maxReplicas is how many entries hold control replicas.
@@ -108,6 +111,17 @@
 	return nil
 }
 
+// OperatorAddress returns the address of a part's operators' HTTP, whether it runs
+// or not; empty if there is no such part.
+func (s *System) OperatorAddress(name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.parts[name]; p != nil {
+		return p.operators
+	}
+	return ""
+}
+
 // Members lists the drpc addresses of the control replicas.
 func (s *System) Members() []string { return append([]string(nil), s.members...) }
 
@@ -143,12 +157,28 @@
 	return d
 }
 
+// Freeze stops the clock of a part, and Thaw lets it go on; see fake.Clock.
+func (s *System) Freeze(name string) { s.clock(name, (*fake.Clock).Freeze) }
+
+// Thaw ends Freeze.
+func (s *System) Thaw(name string) { s.clock(name, (*fake.Clock).Thaw) }
+
+func (s *System) clock(name string, change func(*fake.Clock)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.parts[name]; p != nil {
+		change(&p.clock)
+	}
+}
+
 // Kill ends a part at once. It returns how many requests were cut.
 func (s *System) Kill(name string) int {
 	d := s.take(name)
 	if d == nil {
 		return 0
 	}
+	// What waits for a frozen clock could not be ended.
+	s.Thaw(name)
 	cut := d.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -231,25 +261,33 @@
 	if err != nil {
 		return err
 	}
+	operators, err := s.reserve(s.opts.Controls)
+	if err != nil {
+		return err
+	}
 	for i, address := range addresses {
 		s.members = append(s.members, address)
 		s.named(address, fmt.Sprintf("control-%d", i+1))
 	}
 	for i := range addresses {
-		if err := s.startControl(ctx, i); err != nil {
+		if err := s.startControl(ctx, i, operators[i]); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *System) startControl(ctx context.Context, i int) error {
-	p := &part{name: fmt.Sprintf("control-%d", i+1), domain: s.layout.domain(i), role: RoleControl}
+func (s *System) startControl(ctx context.Context, i int, operators string) error {
+	p := &part{
+		name: fmt.Sprintf("control-%d", i+1), domain: s.layout.domain(i),
+		role: RoleControl, operators: operators,
+	}
+	s.named(operators, p.name)
 	s.giveDisk(p)
 	p.start = func(ctx context.Context) (kernel.Daemon, error) {
 		set := control.DefaultDaemonSettings()
 		set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, Secret
-		set.Listen = s.members[i]
+		set.Listen, set.Operators = s.members[i], operators
 		set.Control = s.controlSettings(p)
 		set.Dial = s.dialer(p.name)
 		d, err := control.NewDaemon(set, s.opts.Log)
@@ -273,6 +311,7 @@
 func (s *System) controlSettings(p *part) control.Settings {
 	set := control.DefaultSettings()
 	set.DataDir = p.folder
+	set.Now = p.clock.Now
 	if p.disk != nil {
 		set.FS = p.disk
 	}
@@ -320,6 +359,7 @@
 	}
 	s.named(callers, p.name)
 	s.named(operators, p.name)
+	p.operators = operators
 	p.start = func(ctx context.Context) (kernel.Daemon, error) {
 		set := s.entrySettings(p, replica)
 		set.Callers, set.Operators, set.Internal = callers, operators, internal
@@ -341,7 +381,7 @@
 	set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, Secret
 	digest := sha256.Sum256([]byte(OperatorKey))
 	set.Operator = []operators.Operator{{Name: "quickstart", KeySHA256: hex.EncodeToString(digest[:])}}
-	set.Dial = s.dialer(p.name)
+	set.Dial, set.Now = s.dialer(p.name), p.clock.Now
 	set.ControlReplicas = s.members
 	if replica {
 		ctl := s.controlSettings(p)
@@ -361,18 +401,22 @@
 		name: fmt.Sprintf("%s-%d", pool, i+1), domain: s.layout.domain(i),
 		role: RoleAgent, upstream: up,
 	}
-	listen, err := s.reserve(1)
+	reserved, err := s.reserve(2)
 	if err != nil {
 		return err
 	}
-	s.named(listen[0], p.name)
+	listen, operators := reserved[0], reserved[1]
+	s.named(listen, p.name)
+	s.named(operators, p.name)
+	p.operators = operators
 	at := len(s.Agents)
 	s.Agents = append(s.Agents, nil)
 	p.start = func(ctx context.Context) (kernel.Daemon, error) {
 		set := agent.DefaultSettings()
 		set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, Secret
 		set.Kind, set.Pools, set.Upstream = kind, []string{pool}, map[string]any{"url": url}
-		set.AnnounceTo, set.Listen, set.Dial = s.members, listen[0], s.dialer(p.name)
+		set.AnnounceTo, set.Dial, set.Now = s.members, s.dialer(p.name), p.clock.Now
+		set.Listen, set.Operators = listen, operators
 		if kind == "plain" {
 			set.Slots = up.Slots
 			set.MaxQueue = max(set.MaxQueue, set.Slots)
--- a/scenario/audit.go
+++ b/scenario/audit.go
@@ -10,12 +10,12 @@
 // audit checks after a script what must hold in all of them, whatever failed:
 // every call has ended; an answer is whole and the caller's own; what may run
 // once ran at most once; "not run" is true; accepted rows stand; no step of a
-// group mixed two expert maps.
+// group mixed two expert maps; no order of an old leader overtook a new one's.
 func (w *world) audit(t testscript.T) {
 	if w.sys == nil {
 		return
 	}
-	w.net.HealAll()
+	w.thawAll()
 	w.mu.Lock()
 	calls := append([]*call(nil), w.order...)
 	w.mu.Unlock()
@@ -75,17 +75,24 @@
 func (w *world) auditRows() []string {
 	type rowKey struct{ kind, key string }
 	last := map[rowKey]*edit{}
+	var faults []string
+	accepted := map[string]string{}
 	for _, ed := range w.edits {
 		<-ed.done
 		if ed.status != http.StatusOK || len(ed.answer.Rows) == 0 {
 			continue
 		}
 		k := rowKey{ed.kind, ed.key}
+		at := fmt.Sprintf("%s %s version %d", ed.kind, ed.key, ed.answer.Rows[0].Version)
+		columns := fmt.Sprint(ed.answer.Rows[0].Columns)
+		if other, ok := accepted[at]; ok && other != columns {
+			faults = append(faults, fmt.Sprintf("two edits were accepted as %s: %s and %s", at, columns, other))
+		}
+		accepted[at] = columns
 		if old := last[k]; old == nil || old.answer.Rows[0].Version < ed.answer.Rows[0].Version {
 			last[k] = ed
 		}
 	}
-	var faults []string
 	for k, ed := range last {
 		row, err := w.readRow("", k.kind, k.key)
 		want := ed.answer.Rows[0]
--- a/scenario/callers.go
+++ b/scenario/callers.go
@@ -69,17 +69,26 @@
 	return w.expect(id, o)
 }
 
-func (w *world) cmdExpectAll(prefix string, o options) error {
+// all lists the calls of a prefix.
+func (w *world) all(prefix string) ([]string, error) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	var ids []string
 	for _, c := range w.order {
 		if strings.HasPrefix(c.id, prefix+"-") {
 			ids = append(ids, c.id)
 		}
 	}
-	w.mu.Unlock()
 	if len(ids) == 0 {
-		return merry.Prependf(ErrScript, "no calls %s-*", prefix)
+		return nil, merry.Prependf(ErrScript, "no calls %s-*", prefix)
+	}
+	return ids, nil
+}
+
+func (w *world) cmdExpectAll(prefix string, o options) error {
+	ids, err := w.all(prefix)
+	if err != nil {
+		return err
 	}
 	for _, id := range ids {
 		if err := w.expect(id, o); err != nil {
@@ -89,6 +98,24 @@
 	return nil
 }
 
+// cmdRunsAll waits until every call of a prefix has run N times: calls at once
+// arrive in any order, and the last one to arrive may be the first of the script.
+func (w *world) cmdRunsAll(_ bool, args []string) error {
+	if len(args) != 2 {
+		return merry.Prepend(ErrScript, "runs-all PREFIX N")
+	}
+	ids, err := w.all(args[0])
+	if err != nil {
+		return err
+	}
+	for _, id := range ids {
+		if err := w.cmdRuns(false, []string{id, args[1]}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // cmdExactly checks of how many calls or edits something holds.
 func (w *world) cmdExactly(_ bool, args []string) error {
 	o := parse(args)
--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -19,20 +19,22 @@
 		"start":     each((*world).startPart),
 		"drain":     each((*world).drain),
 		"drained":   each((*world).drained),
-		"freeze":    each(func(w *world, p string) error { return w.freeze(p, w.net.Cut) }),
-		"thaw":      each(func(w *world, p string) error { return w.freeze(p, w.net.Heal) }),
+		"freeze":    each((*world).freeze),
+		"thaw":      each((*world).thaw),
 		"lose-disk": each(func(w *world, p string) error { return w.sys.LoseDisk(p) }),
 		"name":      (*world).cmdName,
 		// Links and upstreams.
 		"cut":     (*world).cmdCut,
 		"heal":    (*world).cmdHeal,
 		"delay":   (*world).cmdDelay,
+		"dials":   (*world).cmdDials,
 		"answers": (*world).cmdAnswers,
 		"release": each((*world).release),
 		// Groups.
 		"maps":         (*world).cmdMaps,
 		"steps":        (*world).cmdSteps,
 		"restart-rank": (*world).cmdRestartRank,
+		"judged":       (*world).cmdJudged,
 		// Callers.
 		"call":       withID((*world).call),
 		"calls":      (*world).cmdCalls,
@@ -43,6 +45,7 @@
 		"exactly":    (*world).cmdExactly,
 		"explain":    withID((*world).explain),
 		"runs":       (*world).cmdRuns,
+		"runs-all":   (*world).cmdRunsAll,
 		"idle":       each((*world).idle),
 		"closed":     each((*world).closed),
 		"listed":     (*world).cmdListed,
@@ -76,7 +79,7 @@
 	return out
 }
 
-var mayNegate = map[string]bool{"listed": true, "leader": true}
+var mayNegate = map[string]bool{"listed": true, "leader": true, "row": true}
 
 // each makes a command that does one thing to each part that it names.
 func each(f func(*world, string) error) command {
--- a/scenario/group.go
+++ b/scenario/group.go
@@ -1,7 +1,9 @@
 package scenario
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -89,11 +91,54 @@
 	return nil
 }
 
-// auditGroup says whether a step mixed two maps.
+// judgement bounds the wait for an order that may have timed out on its way.
+const judgement = 5 * time.Second
+
+// cmdJudged waits until one of these agents has refused an order, or an engine has
+// carried out one that it should not have. It gives up after a while and goes on:
+// on a machine so busy that the order's own timeout passed there is none to judge.
+func (w *world) cmdJudged(_ bool, args []string) error {
+	names, err := w.expand(args...)
+	if err != nil {
+		return err
+	}
+	for end := time.Now().Add(judgement); time.Now().Before(end); time.Sleep(poll) {
+		for _, name := range names {
+			if w.refusedOrders(name) > 0 || w.auditGroup() != "" {
+				return nil
+			}
+		}
+	}
+	return nil
+}
+
+// refusedOrders is how many orders an agent has refused in its present life.
+func (w *world) refusedOrders(name string) int64 {
+	resp, err := http.Get("http://" + w.sys.OperatorAddress(name) + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var m struct {
+		Refused struct {
+			Count int64 `json:"count"`
+		} `json:"agent.orders.refused"`
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&m)
+	return m.Refused.Count
+}
+
+// auditGroup says whether a step mixed two maps, or an engine carried out an old
+// leader's order after a new leader's first. The engines ignore tokens.
 func (w *world) auditGroup() string {
 	if w.sys.Group == nil {
 		return ""
 	}
+	for i, e := range w.sys.Engines {
+		if n := e.Overtaken(); n > 0 {
+			return fmt.Sprintf("rank %d carried out %d orders of an old leader after those of a new one", i+1, n)
+		}
+	}
 	if h := w.sys.Group.History(); h.Mixed > 0 {
 		return fmt.Sprintf("%d of %d steps mixed maps", h.Mixed, h.Steps)
 	}
--- a/scenario/links.go
+++ b/scenario/links.go
@@ -42,10 +42,29 @@
 	return w.between(args[0], args[1], func(x, y string) { w.net.Delay(x, y, d); w.net.Delay(y, x, d) })
 }
 
+// cmdDials waits until A dials B over a link that carries nothing: whatever
+// connection it had has been given up.
+func (w *world) cmdDials(_ bool, args []string) error {
+	if len(args) != 2 {
+		return merry.Prepend(ErrScript, "dials A B")
+	}
+	return eventually(func() string {
+		n := 0
+		if err := w.between(args[0], args[1], func(x, y string) { n += w.net.Dialling(x, y) }); err != nil {
+			return err.Error()
+		}
+		if n == 0 {
+			return "nothing is dialled"
+		}
+		return ""
+	})
+}
+
 var faults = map[string]fake.Fault{
 	"well": fake.FaultNone, "die-before": fake.FaultDieBefore, "die-after-run": fake.FaultDieAfterRun,
 	"cut": fake.FaultCut, "crossed": fake.FaultCrossed, "never": fake.FaultStall,
-	"held": fake.FaultHeld, "oversized": fake.FaultOversized, "cut-short": fake.FaultCutShort,
+	"held": fake.FaultHeld, "held-crossed": fake.FaultHeldCrossed, "held-midway": fake.FaultHeldMidway,
+	"oversized": fake.FaultOversized, "cut-short": fake.FaultCutShort,
 }
 
 func (w *world) cmdAnswers(_ bool, args []string) error {
--- a/scenario/operators.go
+++ b/scenario/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strconv"
 
@@ -39,11 +40,14 @@
 	return nil
 }
 
-// cmdRow compares a row as it stands.
-func (w *world) cmdRow(_ bool, args []string) error {
+// cmdRow compares a row as it stands; negated, an entry must not tell any.
+func (w *world) cmdRow(neg bool, args []string) error {
 	o := parse(args)
-	if len(o.rest) != 2 {
-		return merry.Prepend(ErrScript, "row KIND KEY [via=ENTRY] column=value ...")
+	if len(o.rest) != 2 || neg && o.values["via"] == "" {
+		return merry.Prepend(ErrScript, "row KIND KEY [via=ENTRY] column=value ..., or ! row KIND KEY via=ENTRY")
+	}
+	if neg {
+		return w.untold(o)
 	}
 	via := ""
 	if o.values["via"] != "" {
@@ -65,6 +69,19 @@
 	return nil
 }
 
+// untold asks an entry for a row once. It must not tell one.
+func (w *world) untold(o options) error {
+	via, err := w.entry(o)
+	if err != nil {
+		return err
+	}
+	status, body, err := w.operatorCall(via, http.MethodGet, "/v1/table/"+o.rest[0]+"/"+o.rest[1], nil, nil)
+	if err == nil && status == http.StatusOK {
+		return merry.Prependf(errOther, "%s told %s", via, body)
+	}
+	return nil
+}
+
 // cmdHealth waits until the replicated log is in a state.
 func (w *world) cmdHealth(_ bool, args []string) error {
 	if len(args) != 1 {
--- a/scenario/parts.go
+++ b/scenario/parts.go
@@ -45,14 +45,17 @@
 	return nil
 }
 
-// freeze stops, or lets go on, every link of a part without a word.
-func (w *world) freeze(name string, change func(from, to string)) error {
-	for _, other := range append(w.sys.Names(), callerName) {
-		if other != name {
-			change(name, other)
-			change(other, name)
-		}
-	}
+// freeze holds a host: its links without a word, and the time of its part.
+func (w *world) freeze(name string) error {
+	w.sys.Freeze(name)
+	w.net.Freeze(name)
+	return nil
+}
+
+// thaw wakes a host. It finds its links whole and all its timers passed.
+func (w *world) thaw(name string) error {
+	w.net.Thaw(name)
+	w.sys.Thaw(name)
 	return nil
 }
 
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -62,11 +62,20 @@
 
 func (w *world) stop() {
 	if w.sys != nil {
-		w.net.HealAll()
+		w.thawAll()
 		w.sys.Stop()
 	}
 }
 
+// thawAll wakes every part and heals every link.
+func (w *world) thawAll() {
+	w.net.HealAll()
+	for _, name := range w.sys.Names() {
+		w.net.Thaw(name)
+		w.sys.Thaw(name)
+	}
+}
+
 // options are the name=value words of a line; the others stay in rest.
 type options struct {
 	values map[string]string
