--- a/agent/fuzz_test.go
+++ b/agent/fuzz_test.go
@@ -11,9 +11,12 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
-// A peer that knows the cluster secret sends malformed messages to an agent. It
-// goes on answering, and its memory stays bounded.
-func FuzzPeers(f *testing.F) {
+// upstream is the agent under test.
+const upstream = "lm-1"
+
+// start brings up a system for a fuzz target.
+func start(f *testing.F) *quickstart.System {
+	f.Helper()
 	sys, err := quickstart.Start(context.Background(), quickstart.Options{Log: log.NewNopLogger(), FakeDisks: true})
 	if err != nil {
 		f.Fatal(err)
@@ -22,7 +25,14 @@
 	if err := sys.WaitReady(context.Background()); err != nil {
 		f.Fatal(err)
 	}
-	peers := surface.NewPeers(sys.Agent("lm-1").Address(), quickstart.Secret, wire.DRPCAgentDescription{})
+	return sys
+}
+
+// A peer that knows the cluster secret sends malformed messages to an agent. It
+// goes on answering, and its memory stays bounded.
+func FuzzPeers(f *testing.F) {
+	sys := start(f)
+	peers := surface.NewPeers(sys.Agent(upstream).Address(), quickstart.Secret, wire.DRPCAgentDescription{})
 	peers.Seed(f)
 	watch := &surface.Watch{Health: "http://" + sys.Entries[0].CallerAddress() + "/healthz"}
 	f.Fuzz(func(t *testing.T, method uint8, data []byte, raw bool) {
@@ -30,3 +40,17 @@
 		watch.Input(t)
 	})
 }
+
+// Whoever reaches an agent's port for the state dump and the metrics sends
+// whatever it likes. The agent goes on answering there, and its memory stays bounded.
+func FuzzOperators(f *testing.F) {
+	address := start(f).OperatorAddress(upstream)
+	for _, r := range surface.Dumps() {
+		f.Add([]byte(r))
+	}
+	watch := &surface.Watch{Health: "http://" + address + "/debug/state"}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		surface.Raw(t, address, data)
+		watch.Input(t)
+	})
+}
--- a/control/fuzz_test.go
+++ b/control/fuzz_test.go
@@ -11,9 +11,9 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
-// A peer that knows the cluster secret sends malformed messages to a control
-// replica. It goes on answering, and its memory stays bounded.
-func FuzzPeers(f *testing.F) {
+// start brings up a system with control hosts for a fuzz target.
+func start(f *testing.F) *quickstart.System {
+	f.Helper()
 	sys, err := quickstart.Start(context.Background(), quickstart.Options{Log: log.NewNopLogger(), FakeDisks: true, Controls: 3})
 	if err != nil {
 		f.Fatal(err)
@@ -22,6 +22,13 @@
 	if err := sys.WaitReady(context.Background()); err != nil {
 		f.Fatal(err)
 	}
+	return sys
+}
+
+// A peer that knows the cluster secret sends malformed messages to a control
+// replica. It goes on answering, and its memory stays bounded.
+func FuzzPeers(f *testing.F) {
+	sys := start(f)
 	peers := surface.NewPeers(sys.Members()[0], quickstart.Secret,
 		wire.DRPCControlDescription{}, wire.DRPCRaftDescription{}, wire.DRPCDirectoryDescription{})
 	peers.Seed(f)
@@ -31,3 +38,17 @@
 		watch.Input(t)
 	})
 }
+
+// Whoever reaches a control host's port for the state dump and the metrics sends
+// whatever it likes. The host goes on answering there, and its memory stays bounded.
+func FuzzOperators(f *testing.F) {
+	address := start(f).OperatorAddress("control-1")
+	for _, r := range surface.Dumps() {
+		f.Add([]byte(r))
+	}
+	watch := &surface.Watch{Health: "http://" + address + "/debug/state"}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		surface.Raw(t, address, data)
+		watch.Input(t)
+	})
+}
--- a/internal/surface/surface.go
+++ b/internal/surface/surface.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -84,6 +85,29 @@
 	return answer
 }
 
+// Dumps lists requests to a part whose operators' HTTP has the state dump and the
+// metrics only: good ones, ones of other parts, and malformed ones.
+func Dumps() []string {
+	return []string{
+		"GET /debug/state HTTP/1.1\r\nHost: a\r\n\r\n",
+		"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n",
+		"GET /debug/state HTTP/1.0\r\n\r\nGET /metrics HTTP/1.1\r\n\r\n",
+		strings.Repeat("GET /debug/state HTTP/1.1\r\nHost: a\r\n\r\n", 20),
+		"POST /debug/state HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}",
+		"POST /debug/state HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999999999999\r\n\r\n",
+		"POST /metrics HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nffffffffff\r\n{}",
+		"GET /debug/../metrics?x=%zz HTTP/1.1\r\nHost: a\r\n\r\n",
+		"GET /debug/state HTTP/1.1\r\nHost: a\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n",
+		"HEAD /metrics HTTP/1.1\r\nHost: a\r\nRange: bytes=0-,9-1\r\n\r\n",
+		"CONNECT /metrics HTTP/1.1\r\nHost: a\r\n\r\n", "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n",
+		"PUT /v1/table/limit/a/b HTTP/1.1\r\nHost: a\r\nContent-Length: 14\r\n\r\n{\"columns\":{}}",
+		"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
+		"GET /metrics HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("X: y\r\n", 2000) + "\r\n",
+		"GET /" + strings.Repeat("a", 1<<16) + " HTTP/1.1\r\n",
+		"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", "\x16\x03\x01\x00\x01", "\x00", "",
+	}
+}
+
 // Peers sends input to a drpc server as a peer that knows the cluster secret.
 type Peers struct {
 	Address string
