Build an entry's view of the table out of the one before

Each edit built the typed view anew from all rows: a third of an entry's processor time for control at 3,800 teams. The follower now hands the changed rows to the last view, which copies only the maps they touch; the balancers are given the upstreams again only when a pool's row changed.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -183,8 +184,9 @@
 // SetView puts rows in force. A lower revision than the one in force is
 // ignored: it would bring an old row back.
 func (e *Entry) SetView(v *table.View) {
+	var old *table.View
 	for {
-		old := e.view.Load()
+		old = e.view.Load()
 		if old != nil && old.Revision >= v.Revision {
 			return
 		}
@@ -192,7 +194,11 @@
 			break
 		}
 	}
-	e.refresh()
+	// Balancers and watches follow the pools' rows only. At each edit of a team's
+	// limit they would look at thousands of upstreams for nothing.
+	if old == nil || !maps.Equal(old.Pools, v.Pools) {
+		e.refresh()
+	}
 	select {
 	case e.announceNow <- struct{}{}:
 	default:
--- a/measure/capacity/memory.go
+++ b/measure/capacity/memory.go
@@ -86,8 +86,8 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("%-32s %8d %14.0f  typed view in %.1f ms\n", "team with limit and weight", n,
-			float64(meter.Heap()-before)/float64(n), viewTime(rows)/1000)
+		fmt.Printf("%-32s %8d %14.0f  typed view of all rows in %.1f ms, after one changed row in %.2f ms\n", "team with limit and weight", n,
+			float64(meter.Heap()-before)/float64(n), viewTime(rows)/1000, changeTime(v, rows)/1000)
 		runtime.KeepAlive(v)
 		runtime.KeepAlive(rows)
 	}
@@ -105,6 +105,18 @@
 	return meter.Micros(meter.ProcessorTime()-began) / views
 }
 
+// changeTime is the mean processor time of a view after one changed row, a team,
+// a limit and a weight in turn, in microseconds.
+func changeTime(v *table.View, rows []*wire.Row) float64 {
+	const views = 300
+	began := meter.ProcessorTime()
+	for i := range uint64(views) {
+		row := rows[len(rows)-1-int(i%3)]
+		v, _ = v.With(2+i, []*wire.Row{row})
+	}
+	return meter.Micros(meter.ProcessorTime()-began) / views
+}
+
 func teamRows(n int) []*wire.Row {
 	rows := []*wire.Row{
 		{Kind: table.KindPool, Key: "lm", Columns: map[string]string{}, Version: 1, Revision: 1},
--- a/table/follower.go
+++ b/table/follower.go
@@ -22,6 +22,10 @@
 	floor     uint64
 	floored   bool
 	confirmed time.Time
+	// view is the last one that was built, nil if none holds; pending are the
+	// rows taken since.
+	view    *View
+	pending []*wire.Row
 }
 
 // NewFollower makes a follower of an entry that has just started.
@@ -70,12 +74,26 @@
 	if !changed {
 		return nil, nil
 	}
-	return NewView(f.revision, f.list())
+	return f.build()
+}
+
+// build makes the view of the rows held, out of the last one where it can: a
+// full build looks at all rows for each edit of one.
+func (f *Follower) build() (v *View, err error) {
+	if f.view == nil {
+		v, err = NewView(f.revision, f.list())
+	} else {
+		v, err = f.view.With(f.revision, f.pending)
+	}
+	// After an error v is nil, and the next view is built from all rows.
+	f.view, f.pending = v, nil
+	return v, err
 }
 
 func (f *Follower) take(u *wire.TableUpdate) {
 	if u.Snapshot {
 		f.rows = map[rowID]*wire.Row{}
+		f.view, f.pending = nil, nil
 	}
 	for _, r := range u.Rows {
 		id := rowID{r.Kind, r.Key}
@@ -86,6 +104,9 @@
 		if r.Deleted {
 			delete(f.rows, id)
 		}
+		if f.view != nil {
+			f.pending = append(f.pending, r)
+		}
 	}
 	f.revision = u.Revision
 }
--- a/table/view.go
+++ b/table/view.go
@@ -109,13 +109,9 @@
 		byKey:    map[[sha256.Size]byte]*Team{},
 	}
 	for _, r := range rows {
-		if r.Deleted {
-			continue
-		}
-		if err := CheckRow(r.Kind, r.Key, r.Columns); err != nil {
+		if err := v.checkAndAdd(r); err != nil {
 			return nil, err
 		}
-		v.add(r)
 	}
 	if err := v.checkReferences(); err != nil {
 		return nil, err
@@ -123,6 +119,17 @@
 	return v, nil
 }
 
+func (v *View) checkAndAdd(r *wire.Row) error {
+	if r.Deleted {
+		return nil
+	}
+	if err := CheckRow(r.Kind, r.Key, r.Columns); err != nil {
+		return err
+	}
+	v.add(r)
+	return nil
+}
+
 // cells reads the checked text of one row; a cell that was checked can't fail
 // to parse.
 type cells struct{ row *wire.Row }
@@ -237,13 +244,13 @@
 
 func (v *View) checkReferences() error {
 	for _, s := range v.Services {
-		if v.Pools[s.Pool] == nil {
-			return v.missing(s.Source, "pool", "no pool "+strconv.Quote(s.Pool))
+		if err := v.checkPool(s.Source, s.Pool); err != nil {
+			return err
 		}
 	}
 	for _, g := range v.Groups {
-		if v.Pools[g.Pool] == nil {
-			return v.missing(g.Source, "pool", "no pool "+strconv.Quote(g.Pool))
+		if err := v.checkPool(g.Source, g.Pool); err != nil {
+			return err
 		}
 	}
 	for key, l := range v.limits {
@@ -259,6 +266,13 @@
 	return nil
 }
 
+func (v *View) checkPool(src Source, pool string) error {
+	if v.Pools[pool] == nil {
+		return v.missing(src, "pool", "no pool "+strconv.Quote(pool))
+	}
+	return nil
+}
+
 func (v *View) checkPair(src Source, key string) error {
 	team, service, _ := strings.Cut(key, "/")
 	if v.Teams[team] == nil {
