Report an upstream's load when it has changed much, or after 10 s

It now asks for a keep-alive of 10 s; between these an agent reports when the number of requests has changed by its slots, when slots or leaving change, and cache events at once as before. An entry that names no keep-alive (an earlier version) is told at each interval as before.

A report also renewed an upstream's lease at an entry that is cut off from all control replicas, which a slow keep-alive can't. The directory now asks an upstream that it has heard itself before it takes it for gone (AskTime, 1 s), and the entry answers that by a new stream, which begins with a report. A watch that says nothing for 30 s is opened again.

--- a/agent/services.go
+++ b/agent/services.go
@@ -31,8 +31,10 @@
 	interval := max(time.Duration(req.IntervalMs)*time.Millisecond, minReportInterval)
 	tick := time.NewTicker(interval)
 	defer tick.Stop()
+	reports := Reports{Rule: reportRule(req)}
 	var after uint64
 	for {
+		now := time.Now()
 		r := &wire.Report{
 			Upstream: a.settings.ID, Incarnation: a.incarnation,
 			Load: a.currentLoad(), Leaving: a.attempts.isClosed(),
@@ -41,8 +43,11 @@
 			r.Cache = events
 			after = events[len(events)-1].Seq
 		}
-		if err := stream.Send(r); err != nil {
-			return err
+		if reports.Due(now, r) {
+			if err := stream.Send(r); err != nil {
+				return err
+			}
+			reports.Sent(now, r)
 		}
 		select {
 		case <-stream.Context().Done():
@@ -52,6 +57,12 @@
 	}
 }
 
+// reportRule is what a watcher asked for. An entry of an earlier version names no
+// keep-alive and takes silence for death: it is told at each interval.
+func reportRule(req *wire.WatchRequest) ReportRule {
+	return ReportRule{Change: reportChange, KeepAlive: time.Duration(req.KeepAliveMs) * time.Millisecond}
+}
+
 // service is the agent as its peers call it.
 type service struct{ *Agent }
 
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -38,6 +38,9 @@
 	// at all, declares nothing gone after the last one's word has ended. All
 	// replicas may be starting again, while the upstreams are up.
 	SilentHold time.Duration
+	// AskTime is how long an instance that this process itself has heard stays up
+	// when nothing speaks for it any more, while it is asked.
+	AskTime time.Duration
 }
 
 // DefaultSettings are those of a daemon with no [directory] section.
@@ -50,6 +53,7 @@
 		SettleShare:  0.9,
 		VouchLease:   3 * time.Second,
 		SilentHold:   15 * time.Second,
+		AskTime:      time.Second,
 	}
 }
 
@@ -107,12 +111,16 @@
 	// direct is until when an instance counts as up for having been heard from
 	// directly. It stands apart from the instances, so that it isn't passed on.
 	direct map[string]contact
+	// asks are the instances to ask, until TakeAsks.
+	asks []*Instance
 }
 
 // contact is a life of an instance, and until when its lease is renewed.
 type contact struct {
 	incarnation uint64
 	expires     time.Time
+	// asked is when it was asked for a sign of life; zero if it wasn't since.
+	asked time.Time
 }
 
 // New makes a directory at a process's start. known is the number of instances
@@ -205,7 +213,31 @@
 	if old == nil || old.Incarnation != incarnation || old.Phase == wire.Phase_PHASE_GONE {
 		return
 	}
-	s.direct[id] = contact{incarnation, now.Add(s.lease(old.Announcement))}
+	s.direct[id] = contact{incarnation: incarnation, expires: now.Add(s.lease(old.Announcement))}
+}
+
+// mayAnswer says whether an instance for which nothing speaks any more may be up
+// all the same. Upstreams report seldom while little changes, so the word of a
+// lost replica may end between two reports: one that was heard before is asked,
+// and taken for gone only if it doesn't answer.
+func (s *State) mayAnswer(now time.Time, inst *Instance) bool {
+	c := s.direct[inst.Id]
+	if c.incarnation != inst.Incarnation {
+		return false
+	}
+	if c.asked.IsZero() {
+		c.asked = now
+		s.direct[inst.Id] = c
+		s.asks = append(s.asks, inst)
+	}
+	return now.Sub(c.asked) <= s.settings.AskTime
+}
+
+// TakeAsks returns the instances to ask for a sign of life. Heard takes it.
+func (s *State) TakeAsks() []*Instance {
+	asks := s.asks
+	s.asks = nil
+	return asks
 }
 
 // inContact says whether an instance was heard from directly, lately.
@@ -307,6 +339,9 @@
 			if !settled && inst.localUntil.IsZero() {
 				continue
 			}
+			if s.mayAnswer(now, inst) {
+				continue
+			}
 			gone := s.gone(inst, now)
 			s.instances[id] = gone
 			s.changes.touch(id)
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -131,3 +131,29 @@
 	assert.Equal(t, s.Get("silent").Phase, wire.Phase_PHASE_GONE, "a late report brings nothing back")
 	assert.Assert(t, s.Get("unknown") == nil)
 }
+
+// A process that hears nothing of an upstream from the control replicas any more
+// had a report of it long ago: while little changes there are few. The upstream is
+// asked before it is taken for gone. One that answers is up, and is asked again a
+// lease later; one that is dead is gone a second after the replicas' word ended.
+func TestQuietUpstreamIsAskedBeforeItIsGone(t *testing.T) {
+	s := New(unsettled(), epoch, 0)
+	s.Announce(epoch, up("lives", 1, 1), 0, false)
+	s.Announce(epoch, up("dead", 1, 1), 0, false)
+	s.Heard(epoch, "lives", 1)
+	s.Heard(epoch, "dead", 1)
+	lease, asked := DefaultSettings().DefaultLease, map[string]int{}
+	for now := epoch; now.Before(epoch.Add(20 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		s.Tick(now)
+		for _, i := range s.TakeAsks() {
+			asked[i.Id]++
+			if i.Id == "lives" {
+				s.Heard(now, i.Id, i.Incarnation)
+			}
+		}
+		assert.Assert(t, s.Get("lives").Up())
+		gone := now.Sub(epoch) > lease+s.settings.AskTime+100*time.Millisecond
+		assert.Equal(t, s.Get("dead").Phase == wire.Phase_PHASE_GONE, gone, "%v", now.Sub(epoch))
+	}
+	assert.DeepEqual(t, asked, map[string]int{"lives": 6, "dead": 1})
+}
--- a/directory/node.go
+++ b/directory/node.go
@@ -26,6 +26,8 @@
 	onChange func()
 	// replicas lists the control replicas that take announcements; it may be nil.
 	replicas func(context.Context) []*wire.DirectoryReplica
+	// ask asks an instance for a sign of life; it may be nil.
+	ask func(*Instance)
 }
 
 // NewNode makes a node. onChange is called, outside any lock, after a change;
@@ -41,6 +43,10 @@
 // domains, for those that announce to it. It is called before the node serves.
 func (n *Node) SetReplicas(f func(context.Context) []*wire.DirectoryReplica) { n.replicas = f }
 
+// SetAsk tells how the node asks an instance for a sign of life, without waiting
+// for the answer. It is called before the node runs.
+func (n *Node) SetAsk(f func(*Instance)) { n.ask = f }
+
 // Run ends leases until the context is done.
 func (n *Node) Run(ctx context.Context) {
 	tick := time.NewTicker(tickInterval)
@@ -53,13 +59,24 @@
 		}
 		n.mu.Lock()
 		changed := n.state.Tick(n.now())
+		asks := n.state.TakeAsks()
 		n.mu.Unlock()
+		n.askAll(asks)
 		if len(changed) > 0 {
 			n.onChange()
 		}
 	}
 }
 
+func (n *Node) askAll(list []*Instance) {
+	if n.ask == nil {
+		return
+	}
+	for _, i := range list {
+		n.ask(i)
+	}
+}
+
 // Announce implements the Directory service.
 func (n *Node) Announce(ctx context.Context, a *wire.Announcement) (*wire.AnnounceReply, error) {
 	changed, superseded := n.take(a, 0, true)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -121,6 +121,7 @@
 	e.targets = directory.NewTargets(s.ID, s.FailureDomain, s.replicas())
 	e.announcer = directory.NewAnnouncer(e.targets, e.pool.Conn, time.Now)
 	e.watches = newWatches(e)
+	e.node.SetAsk(e.watches.ask)
 	e.limits = newLimits(e)
 	e.claims = claim.NewNode(claim.DefaultRegisterSettings(), e.life(), e.pool.Conn, time.Now)
 	e.dumps.Add("claims", e.claims.Dump)
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -11,8 +11,17 @@
 )
 
 const (
+	// reportInterval is the shortest time between two reports of an upstream.
 	reportInterval = 500 * time.Millisecond
-	rewatchDelay   = 500 * time.Millisecond
+	// reportKeepAlive is the longest time between two. Load comes back on every
+	// answer too, and one that speaks for the upstream is the directory.
+	reportKeepAlive = 10 * time.Second
+	// silentReports is how long a watch may say nothing before it is opened again:
+	// a connection that a host or a firewall forgot breaks for nobody.
+	silentReports = 3 * reportKeepAlive
+	rewatchDelay  = 500 * time.Millisecond
+	// askTimeout bounds one ask; the directory itself waits for less.
+	askTimeout = 5 * time.Second
 )
 
 // watches keeps one report stream open to each upstream's agent.
@@ -20,7 +29,7 @@
 	entry *Entry
 	mu    sync.Mutex
 	ctx   context.Context
-	open  map[string]*openWatch
+	byID  map[string]*openWatch
 }
 
 type openWatch struct {
@@ -32,7 +41,7 @@
 }
 
 func newWatches(e *Entry) *watches {
-	return &watches{entry: e, open: map[string]*openWatch{}}
+	return &watches{entry: e, byID: map[string]*openWatch{}}
 }
 
 func (w *watches) start(ctx context.Context) {
@@ -51,7 +60,7 @@
 	}
 	live := map[string]bool{}
 	for _, i := range insts {
-		old := w.open[i.Id]
+		old := w.byID[i.Id]
 		if !routed[i.Id] && (old == nil || i.Phase != wire.Phase_PHASE_LEAVING) {
 			continue
 		}
@@ -64,13 +73,13 @@
 		}
 		ctx, cancel := context.WithCancel(w.ctx)
 		o := &openWatch{incarnation: i.Incarnation, address: i.Address, cancel: cancel}
-		w.open[i.Id] = o
+		w.byID[i.Id] = o
 		go w.follow(ctx, o)
 	}
-	for id, old := range w.open {
+	for id, old := range w.byID {
 		if !live[id] {
 			old.cancel()
-			delete(w.open, id)
+			delete(w.byID, id)
 		}
 	}
 }
@@ -79,7 +88,7 @@
 func (w *watches) load(i *directory.Instance) *wire.Load {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if o := w.open[i.Id]; o != nil && o.incarnation == i.Incarnation && o.load.Load() != nil {
+	if o := w.byID[i.Id]; o != nil && o.incarnation == i.Incarnation && o.load.Load() != nil {
 		return o.load.Load()
 	}
 	return i.Load
@@ -96,10 +105,11 @@
 }
 
 func (w *watches) once(ctx context.Context, o *openWatch) {
-	e := w.entry
-	stream, err := wire.NewDRPCAgentClient(e.pool.Conn(ctx, o.address)).Watch(ctx, &wire.WatchRequest{
-		Entry: e.settings.ID, IntervalMs: uint32(reportInterval.Milliseconds()),
-	})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(silentReports, cancel)
+	defer silence.Stop()
+	stream, err := w.open(ctx, o)
 	if err != nil {
 		return
 	}
@@ -109,8 +119,47 @@
 		if err != nil {
 			return
 		}
-		e.node.Heard(r.Upstream, r.Incarnation)
-		o.load.Store(r.Load)
-		e.fwd.Report(r)
+		silence.Reset(silentReports)
+		w.take(o, r)
+	}
+}
+
+func (w *watches) open(ctx context.Context, o *openWatch) (wire.DRPCAgent_WatchClient, error) {
+	return wire.NewDRPCAgentClient(w.entry.pool.Conn(ctx, o.address)).Watch(ctx, &wire.WatchRequest{
+		Entry:       w.entry.settings.ID,
+		IntervalMs:  uint32(reportInterval.Milliseconds()),
+		KeepAliveMs: uint32(reportKeepAlive.Milliseconds()),
+	})
+}
+
+func (w *watches) take(o *openWatch, r *wire.Report) {
+	w.entry.node.Heard(r.Upstream, r.Incarnation)
+	o.load.Store(r.Load)
+	w.entry.fwd.Report(r)
+}
+
+// ask gets a report from an upstream for which no control replica speaks any
+// more: a new stream begins with one. The stream that stands may say nothing for
+// reportKeepAlive, and behind a cut for longer.
+func (w *watches) ask(i *directory.Instance) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o := w.byID[i.Id]
+	if o == nil || o.incarnation != i.Incarnation || w.ctx == nil {
+		return
+	}
+	go w.askOnce(w.ctx, o)
+}
+
+func (w *watches) askOnce(ctx context.Context, o *openWatch) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	stream, err := w.open(ctx, o)
+	if err != nil {
+		return
+	}
+	defer stream.Close()
+	if r, err := stream.Recv(); err == nil {
+		w.take(o, r)
 	}
 }
--- a/measure/capacity/reports.go
+++ b/measure/capacity/reports.go
@@ -13,8 +13,12 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
-// reportInterval is that of an entry's watch of an upstream.
-const reportInterval = 500 * time.Millisecond
+// Times of an entry's watch of an upstream; without a keep-alive a report comes at
+// each interval, as to an entry of an earlier version.
+const (
+	reportInterval  = 500 * time.Millisecond
+	reportKeepAlive = 10 * time.Second
+)
 
 // measureReports takes what one entry's watch of one idle agent costs, over a
 // relay that counts the bytes; its copying is in the processor time.
@@ -34,40 +38,44 @@
 		return err
 	}
 	defer list[0].Stop()
-	fmt.Printf("%8s %14s %16s\n", "watches", "B/s, each", "CPU µs/s, each")
-	for _, n := range []int{10, 50, 200} {
-		if err := reportsOnce(o, list[0].Address(), n); err != nil {
-			return err
+	fmt.Printf("%10s %8s %14s %16s\n", "keep-alive", "watches", "B/s, each", "CPU µs/s, each")
+	for _, keepAlive := range []time.Duration{0, reportKeepAlive} {
+		for _, n := range []int{10, 50, 200} {
+			if err := reportsOnce(o, list[0].Address(), n, keepAlive); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
 }
 
-func reportsOnce(o options, agent string, n int) error {
+// reportsOnce measures for at least two keep-alives.
+func reportsOnce(o options, agent string, n int, keepAlive time.Duration) error {
+	took := max(o.time(), 2*keepAlive)
 	lis, err := meter.Listen()
 	if err != nil {
 		return err
 	}
 	defer lis.Close()
 	go relay(lis, agent)
-	none := meter.Spend(lis, func() { time.Sleep(o.time()) })
+	none := meter.Spend(lis, func() { time.Sleep(took) })
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for i := range n {
 		pool := transport.NewPool(security)
 		defer pool.Close()
-		go watchReports(ctx, pool, lis.Addr().String(), i)
+		go watchReports(ctx, pool, lis.Addr().String(), i, keepAlive)
 	}
 	time.Sleep(settleDown)
-	spent := meter.Spend(lis, func() { time.Sleep(o.time()) })
+	spent := meter.Spend(lis, func() { time.Sleep(took) })
 	share := float64(n) * spent.Took.Seconds()
-	fmt.Printf("%8d %14.0f %16.0f\n", n, float64(spent.Sent)/share, (meter.Micros(spent.CPU)-meter.Micros(none.CPU))/share)
+	fmt.Printf("%10v %8d %14.0f %16.0f\n", keepAlive, n, float64(spent.Sent)/share, (meter.Micros(spent.CPU)-meter.Micros(none.CPU))/share)
 	return nil
 }
 
-func watchReports(ctx context.Context, pool *transport.Pool, addr string, i int) {
+func watchReports(ctx context.Context, pool *transport.Pool, addr string, i int, keepAlive time.Duration) {
 	stream, err := wire.NewDRPCAgentClient(pool.Conn(ctx, addr)).Watch(ctx, &wire.WatchRequest{
-		Entry: fmt.Sprint("entry-", i), IntervalMs: uint32(reportInterval.Milliseconds()),
+		Entry: fmt.Sprint("entry-", i), IntervalMs: uint32(reportInterval.Milliseconds()), KeepAliveMs: uint32(keepAlive.Milliseconds()),
 	})
 	if err != nil {
 		return
--- a/measure/route/main.go
+++ b/measure/route/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"runtime"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/jessevdk/go-flags"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/snipereach/snipereach/agent"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -20,7 +22,7 @@
 type options struct {
 	Seconds int      `long:"seconds" default:"900" description:"virtual time of a run"`
 	Seeds   []uint64 `long:"seed" default:"1" default:"2" default:"3" description:"seeds; figures are over all"`
-	Tables  []string `long:"table" description:"tables: choices, wait, classes, clock, days, faults, prefix, worth, hedge; all if none"`
+	Tables  []string `long:"table" description:"tables: choices, wait, classes, clock, days, faults, prefix, worth, hedge, reports, reportfaults; all if none"`
 	Workers int      `long:"workers" default:"4" description:"runs at once"`
 }
 
@@ -42,10 +44,10 @@
 	runtime.GOMAXPROCS(o.Workers)
 	tables := map[string]func(*bench){
 		"choices": choices, "wait": wait, "classes": classes, "clock": clockPool,
-		"days": days, "faults": faults, "prefix": prefix, "worth": worth, "hedge": hedge,
+		"days": days, "faults": faults, "prefix": prefix, "worth": worth, "hedge": hedge, "reports": reports, "reportfaults": reportFaults,
 	}
 	if len(o.Tables) == 0 {
-		o.Tables = []string{"choices", "wait", "classes", "clock", "days", "faults", "prefix", "worth", "hedge"}
+		o.Tables = []string{"choices", "wait", "classes", "clock", "days", "faults", "prefix", "worth", "hedge", "reports", "reportfaults"}
 	}
 	for _, name := range o.Tables {
 		table, ok := tables[name]
@@ -74,6 +76,9 @@
 	moves  int
 	prefix *route.PrefixSettings
 	hedge  time.Duration
+	rule   *agent.ReportRule
+	// entries before the engines; 0 is as many as a user has today.
+	entries int
 }
 
 func (b *bench) run(v variant, seed uint64) *outcome {
@@ -84,13 +89,18 @@
 	probe := newGenerator(seed, v.plain).arrivals(100*time.Second, 50, steady)
 	steps := meanSteps(probe, v.spec.prefill)
 	capacity := float64(v.spec.servers*v.spec.slots) / (steps * v.spec.step.Seconds())
-	list := newGenerator(seed, v.plain).arrivals(until, v.load*capacity, v.shape)
+	if v.entries == 0 {
+		v.entries = entries
+	}
+	g := newGenerator(seed, v.plain)
+	g.entries = v.entries
+	list := g.arrivals(until, v.load*capacity, v.shape)
 	if v.moves == 0 {
 		v.moves = maxMoves
 	}
 	return newSystem(setup{
 		spec: v.spec, policy: v.policy, lag: v.lag, fault: v.fault, until: until,
-		list: list, choices: v.choices, moves: v.moves, prefix: v.prefix, hedge: v.hedge,
+		list: list, choices: v.choices, moves: v.moves, prefix: v.prefix, hedge: v.hedge, rule: v.rule, entries: v.entries,
 	}).run()
 }
 
@@ -130,6 +140,8 @@
 		sum.blocks += o.blocks
 		sum.offered += o.offered
 		sum.attempt += o.attempt
+		sum.reports += o.reports
+		sum.loads += o.loads
 	}
 	return sum
 }
@@ -341,3 +353,73 @@
 		}
 	}
 }
+
+// manyEntries make answers as rare for each entry and engine as at the target:
+// one in ten seconds.
+const manyEntries = 70
+
+// reports compares rules by which agents leave load reports out.
+func reports(b *bench) {
+	fmt.Println("\nWait in ms by the rule of load reports (change in shares of the slots, keep-alive), at most 2 reports a second, up to 1 s old, 16 engines")
+	fmt.Printf("%-13s %7s %5s %7s %10s %s %9s %8s %10s\n", "policy", "entries", "load", "change", "keep-alive", waitHead, "attempts", "refused", "reports/s")
+	rules := []*agent.ReportRule{nil}
+	for _, change := range []float64{0.25, 0.5, 1, math.Inf(1)} {
+		rules = append(rules, &agent.ReportRule{Change: change, KeepAlive: 10 * time.Second})
+	}
+	rules = append(rules, &agent.ReportRule{Change: 0.5, KeepAlive: 2 * time.Second})
+	for _, policy := range []string{"least-loaded", "prefix"} {
+		for _, n := range []int{entries, manyEntries} {
+			for _, load := range []float64{0.1, 0.7, 0.95} {
+				var list []variant
+				for _, r := range rules {
+					list = append(list, variant{spec: engines, policy: policy, load: load, lag: time.Second, rule: r, entries: n})
+				}
+				for i, o := range b.all(list) {
+					printReports(list[i], o)
+				}
+			}
+		}
+	}
+}
+
+// reportFaults compares the agents' rule with reports of all loads where loads
+// change quickly or caches decide.
+func reportFaults(b *bench) {
+	fmt.Println("\nWait in ms with reports of all loads and with the agents' rule, lag 1 s")
+	fmt.Printf("%-40s %-9s %s %8s %8s %7s %10s\n", "case", "reports", waitHead, "lost", "refused", "hits", "reports/s")
+	for _, c := range []struct {
+		name string
+		v    variant
+	}{
+		{"3 plain servers, 95%", variant{spec: clocks, policy: "least-loaded", load: 0.95, plain: true}},
+		{"3 plain servers, 95%, 70 entries", variant{spec: clocks, policy: "least-loaded", load: 0.95, plain: true, entries: manyEntries}},
+		{"one stalled, 95%", variant{spec: engines, policy: "least-loaded", load: 0.95, fault: stalledUpstream}},
+		{"one stalled, 95%, 70 entries", variant{spec: engines, policy: "least-loaded", load: 0.95, fault: stalledUpstream, entries: manyEntries}},
+		{"domain lost, 60%", variant{spec: engines, policy: "least-loaded", load: 0.6, fault: lostDomain}},
+		{"growers' day, peak 110%", variant{spec: engines, policy: "least-loaded", load: 1.1, shape: growersDay}},
+		{"prefix caches, 95%", variant{spec: cached(), policy: "prefix", load: 0.95}},
+	} {
+		all, some := c.v, c.v
+		all.lag, some.lag = time.Second, time.Second
+		some.rule = &agent.ReportRule{Change: 1, KeepAlive: 10 * time.Second}
+		short := *b
+		if c.v.plain {
+			short.Seconds = min(b.Seconds, 60)
+		}
+		for i, o := range short.all([]variant{all, some}) {
+			rate := float64(time.Second) / float64(all.lag/2) * float64(o.reports) / float64(o.loads)
+			fmt.Printf("%-40s %-9s %s %8d %8s %6.1f%% %10.2f\n", c.name, []string{"all", "by rule"}[i], millis(o.all),
+				o.lost, share(o.refused, o.offered), 100*float64(o.hits)/float64(max(o.blocks, 1)), rate)
+		}
+	}
+}
+
+func printReports(v variant, o *outcome) {
+	r := agent.ReportRule{}
+	if v.rule != nil {
+		r = *v.rule
+	}
+	rate := float64(time.Second) / float64(v.lag/2) * float64(o.reports) / float64(o.loads)
+	fmt.Printf("%-13s %7d %4.0f%% %7.2f %10v %s %9.2f %8s %10.2f\n", v.policy, v.entries, v.load*100, r.Change, r.KeepAlive,
+		millis(o.all), o.attempts(), share(o.refused, o.offered), rate)
+}
--- a/measure/route/system.go
+++ b/measure/route/system.go
@@ -8,6 +8,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/snipereach/snipereach/agent"
 	"github.com/snipereach/snipereach/forward"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/wire"
@@ -51,6 +52,8 @@
 	fault  fault
 	until  time.Duration
 	list   []arrival
+	// entries before the engines.
+	entries int
 	// choices overrides how many candidates least-loaded compares.
 	choices int
 	// moves is how often a request may move on from a busier upstream than expected.
@@ -59,6 +62,8 @@
 	// hedge is the time after which a second attempt goes to another upstream if
 	// the first isn't answered; 0 is never.
 	hedge time.Duration
+	// rule says which loads agents report; nil is all.
+	rule *agent.ReportRule
 }
 
 // outcome is what a run measured, after a tenth of warming up.
@@ -70,6 +75,9 @@
 	refused, lost    int
 	hits, blocks     int
 	offered, attempt int
+	// reports counts what each entry got of each engine; loads is what was due at
+	// the shortest interval.
+	reports, loads int
 }
 
 type entryNode struct {
@@ -94,6 +102,8 @@
 	// seqs and told are the number and the time of each engine's last cache event.
 	seqs []uint64
 	told []time.Duration
+	// reported is what entries were told of each engine's load.
+	reported []agent.Reports
 }
 
 func newSystem(s setup) *system {
@@ -110,10 +120,11 @@
 	}
 	m.seqs = make([]uint64, s.spec.servers)
 	m.told = make([]time.Duration, s.spec.servers)
+	m.reported = make([]agent.Reports, s.spec.servers)
 	if s.policy == "global" {
 		return m
 	}
-	for i := range entries {
+	for i := range s.entries {
 		m.entries = append(m.entries, m.newEntry(i))
 	}
 	m.update()
@@ -370,6 +381,11 @@
 		cache = append(cache, &wire.CacheEvent{Seq: m.seqs[i], Added: e.cache.added, Removed: e.cache.removed})
 		e.cache.added, e.cache.removed = nil, nil
 	}
+	m.out.loads++
+	if !m.due(i, &wire.Report{Load: load, Cache: cache}) {
+		return
+	}
+	m.out.reports++
 	for _, n := range m.entries {
 		lost := m.rnd.Float64() < lostEvents
 		m.clock.after(m.lag/2, func() {
@@ -381,6 +397,20 @@
 	}
 }
 
+// due applies the agents' rule to a report.
+func (m *system) due(i int, next *wire.Report) bool {
+	r := &m.reported[i]
+	if m.rule == nil {
+		return true
+	}
+	r.Rule = *m.rule
+	if !r.Due(m.time(), next) {
+		return false
+	}
+	r.Sent(m.time(), next)
+	return true
+}
+
 func (m *system) breakLater() {
 	switch m.fault {
 	case stalledUpstream:
--- a/measure/route/work.go
+++ b/measure/route/work.go
@@ -74,10 +74,11 @@
 	sessions [teams][]*session
 	weights  [teams]float64
 	plain    bool
+	entries  int
 }
 
 func newGenerator(seed uint64, plain bool) *generator {
-	g := &generator{rnd: rand.New(rand.NewPCG(seed, 7)), plain: plain}
+	g := &generator{rnd: rand.New(rand.NewPCG(seed, 7)), plain: plain, entries: entries}
 	total := 0.0
 	for t := range teams {
 		g.template[t] = g.blocks(nil, 4+g.rnd.IntN(9))
@@ -130,12 +131,12 @@
 
 func (g *generator) arrival(at time.Duration) arrival {
 	if g.plain {
-		return arrival{at: at, entry: g.rnd.IntN(entries), class: wire.Priority_PRIORITY_URGENT, output: 1 + int(g.rnd.ExpFloat64()*4)}
+		return arrival{at: at, entry: g.rnd.IntN(g.entries), class: wire.Priority_PRIORITY_URGENT, output: 1 + int(g.rnd.ExpFloat64()*4)}
 	}
 	s := g.session(g.team())
 	a := arrival{at: at, entry: s.entry, class: g.class(), output: g.output(), prefix: s.prefix}
 	if g.rnd.Float64() > stickyShare {
-		a.entry = g.rnd.IntN(entries)
+		a.entry = g.rnd.IntN(g.entries)
 	}
 	// Callers bound the output generously.
 	a.tokens = len(a.prefix)*blockTokens + int(float64(a.output)*(1+g.rnd.Float64()))
@@ -149,7 +150,7 @@
 		s.prefix = g.blocks(s.prefix, 2+g.rnd.IntN(5))
 		return &session{s.entry, s.prefix}
 	}
-	s := &session{entry: g.rnd.IntN(entries), prefix: g.blocks(g.template[t], 2+g.rnd.IntN(5))}
+	s := &session{entry: g.rnd.IntN(g.entries), prefix: g.blocks(g.template[t], 2+g.rnd.IntN(5))}
 	if len(list) == activeSessions {
 		list = list[1:]
 	}
