Let announcements slow down as the instances grow

Announcements took a third of a core of each control host at the target. A replica's answer now asks for an interval of 200 us for each instance that it knows; the sender keeps to its own interval at least (nothing changes up to 2,500 instances) and to a third of its lease at most, so that two lost announcements in a row take nobody for gone. Leaving, gone and new rows in force are announced at once as before.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -9,18 +9,18 @@
 )
 
 func (a *Agent) announceLoop(ctx context.Context) {
-	tick := time.NewTicker(a.settings.AnnounceInterval.D())
-	defer tick.Stop()
 	for {
+		began := time.Now()
 		phase := wire.Phase_PHASE_UP
 		if a.attempts.isClosed() {
 			phase = wire.Phase_PHASE_LEAVING
 		}
 		a.announceAll(ctx, phase)
+		next := a.announcer.Interval(a.settings.AnnounceInterval.D(), a.settings.Lease.D())
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-time.After(time.Until(began.Add(next))):
 		}
 	}
 }
--- a/directory/announcer.go
+++ b/directory/announcer.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -31,6 +32,8 @@
 	dial    Dial
 	now     func() time.Time
 	targets *Targets
+	// asked is the interval that the replicas asked for last.
+	asked atomic.Int64
 }
 
 // NewAnnouncer makes an announcer over the replicas in targets.
@@ -51,9 +54,27 @@
 		tried = append(tried, next...)
 		a.send(ctx, next, msg, replies)
 	}
+	a.note(replies)
 	return replies
 }
 
+func (a *Announcer) note(replies map[string]*wire.AnnounceReply) {
+	var asked time.Duration
+	for _, r := range replies {
+		asked = max(asked, time.Duration(r.IntervalMs)*time.Millisecond)
+	}
+	if len(replies) > 0 {
+		a.asked.Store(int64(asked))
+	}
+}
+
+// Interval is how long to wait between two announcements that bring nothing new,
+// for a process whose settings name an interval and a lease. What is new, that it
+// leaves above all, is announced at once.
+func (a *Announcer) Interval(own, lease time.Duration) time.Duration {
+	return pace(own, lease, time.Duration(a.asked.Load()))
+}
+
 // pick returns up to n replicas that this announcement was not offered to.
 func (a *Announcer) pick(tried []string, n int) []string {
 	list := a.targets.Pick(a.now(), len(tried)+n)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -390,6 +390,9 @@
 	return list
 }
 
+// Len returns how many instances are known, gone ones too.
+func (s *State) Len() int { return len(s.instances) }
+
 // All returns every instance, gone ones too, sorted by ID.
 func (s *State) All() []*Instance {
 	list := make([]*Instance, 0, len(s.instances))
--- a/directory/node.go
+++ b/directory/node.go
@@ -79,11 +79,14 @@
 
 // Announce implements the Directory service.
 func (n *Node) Announce(ctx context.Context, a *wire.Announcement) (*wire.AnnounceReply, error) {
-	changed, superseded := n.take(a, 0, true)
+	changed, superseded, known := n.take(a, 0, true)
 	if changed {
 		n.onChange()
 	}
-	reply := &wire.AnnounceReply{LeaseMs: a.LeaseMs, Superseded: superseded}
+	reply := &wire.AnnounceReply{
+		LeaseMs: a.LeaseMs, Superseded: superseded,
+		IntervalMs: uint32(askedInterval(known).Milliseconds()),
+	}
 	if a.AskReplicas && n.replicas != nil {
 		reply.Replicas = n.replicas(ctx)
 	}
@@ -97,10 +100,12 @@
 	n.state.Heard(n.now(), id, incarnation)
 }
 
-func (n *Node) take(a *wire.Announcement, age time.Duration, local bool) (changed, superseded bool) {
+// take returns also how many instances are known.
+func (n *Node) take(a *wire.Announcement, age time.Duration, local bool) (changed, superseded bool, known int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.state.Announce(n.now(), a, age, local)
+	changed, superseded = n.state.Announce(n.now(), a, age, local)
+	return changed, superseded, n.state.Len()
 }
 
 // Instances returns the instances of a role that are not gone.
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -28,6 +28,8 @@
 	// cut holds pairs that are silently cut from each other.
 	cut      map[[2]string]bool
 	settings Settings
+	// every is the agents' interval between announcements, in steps.
+	every int
 	// faultAt is when the latest fault began.
 	faultAt time.Time
 }
@@ -59,7 +61,7 @@
 }
 
 func newRelay(t *testing.T, settings Settings, agents, entries int) *relay {
-	s := &relay{t: t, now: epoch, cut: map[[2]string]bool{}, settings: settings}
+	s := &relay{t: t, now: epoch, cut: map[[2]string]bool{}, settings: settings, every: 5}
 	var addrs []string
 	var known []*wire.DirectoryReplica
 	for i := range 3 {
@@ -96,7 +98,7 @@
 	for end := s.now.Add(d); s.now.Before(end); {
 		s.now = s.now.Add(simStep)
 		for i, a := range s.agents {
-			if !a.dead && (int(s.now.Sub(epoch)/simStep)+i)%5 == 0 {
+			if !a.dead && (int(s.now.Sub(epoch)/simStep)+i)%s.every == 0 {
 				s.announce(a)
 			}
 		}
@@ -208,23 +210,33 @@
 // entry takes an upstream that is up for gone; an upstream that leaves is known
 // as leaving everywhere within 2 s, and one that dies is gone within its lease
 // and 2 s. Only a replica that falls silent after the upstream died, and before
-// its lease ended, adds its word: the lease once more and half a second.
+// its lease ended, adds its word: the lease once more and half a second. All this
+// also at the longest interval of announcements that a replica can ask for.
 func TestRelayThroughFaultsOfOneReplica(t *testing.T) {
-	for seed := range uint64(100) {
-		rng := rand.New(rand.NewPCG(seed, 1))
-		s := newRelay(t, DefaultSettings(), 12, 5)
-		s.run(12*time.Second, func() {})
-		faulty := s.replicas[rng.IntN(3)]
-		for range 8 {
-			s.faultOf(rng, faulty)
-			s.changeAgents(rng)
-			s.run(time.Duration(500+rng.IntN(7000))*time.Millisecond, func() { s.check(seed) })
-			faulty.heals(s)
-			s.run(time.Duration(500+rng.IntN(7000))*time.Millisecond, func() { s.check(seed) })
+	longest := int(pace(0, simLease, askedInterval(1_000_000)) / simStep)
+	assert.Equal(t, longest, 10)
+	for _, every := range []int{5, longest} {
+		for seed := range uint64(100) {
+			throughFaults(t, seed, every)
 		}
 	}
 }
 
+func throughFaults(t *testing.T, seed uint64, every int) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	s := newRelay(t, DefaultSettings(), 12, 5)
+	s.every = every
+	s.run(12*time.Second, func() {})
+	faulty := s.replicas[rng.IntN(3)]
+	for range 8 {
+		s.faultOf(rng, faulty)
+		s.changeAgents(rng)
+		s.run(time.Duration(500+rng.IntN(7000))*time.Millisecond, func() { s.check(seed) })
+		faulty.heals(s)
+		s.run(time.Duration(500+rng.IntN(7000))*time.Millisecond, func() { s.check(seed) })
+	}
+}
+
 func (s *relay) faultOf(rng *rand.Rand, r *simNode) {
 	s.faultAt = s.now
 	if rng.IntN(2) == 0 {
@@ -284,7 +296,7 @@
 				wrong = "leaves and is taken for up"
 			}
 			if wrong != "" {
-				s.t.Fatalf("seed %d, %v: %s at %s %s", seed, s.now.Sub(epoch), a.name, e.name, wrong)
+				s.t.Fatalf("seed %d, every %d, %v: %s at %s %s", seed, s.every, s.now.Sub(epoch), a.name, e.name, wrong)
 			}
 		}
 	}
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -8,19 +8,19 @@
 )
 
 func (e *Entry) announceLoop(ctx context.Context) {
-	tick := time.NewTicker(e.settings.AnnounceInterval.D())
-	defer tick.Stop()
 	for {
+		began := time.Now()
 		phase := wire.Phase_PHASE_UP
 		if e.draining.Load() {
 			phase = wire.Phase_PHASE_LEAVING
 		}
 		e.announceAll(ctx, phase)
+		next := e.announcer.Interval(e.settings.AnnounceInterval.D(), e.settings.Lease.D())
 		select {
 		case <-ctx.Done():
 			return
 		case <-e.announceNow:
-		case <-tick.C:
+		case <-time.After(time.Until(began.Add(next))):
 		}
 	}
 }
--- a/measure/capacity/directory.go
+++ b/measure/capacity/directory.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -19,6 +21,7 @@
 
 const (
 	announceInterval = 500 * time.Millisecond
+	announceLease    = 3 * time.Second
 	// settleDown is how long a measurement waits for connections to stand.
 	settleDown = 1500 * time.Millisecond
 	patience   = 20 * time.Second
@@ -75,43 +78,52 @@
 }
 
 // measureAnnounce lets agents announce to one directory, each over a connection
-// of its own.
+// of its own; the directory knows only them, or as many instances as at the target.
 func measureAnnounce(o options) error {
-	fmt.Printf("%7s %16s %18s %20s\n", "agents", "B/s in, each", "B/s back, each", "CPU µs/announcement")
-	for _, n := range o.Agents {
-		if err := announceOnce(o, n); err != nil {
-			return err
+	fmt.Printf("%9s %7s %14s %16s %18s %20s %16s\n", "instances", "agents", "calls/s, each", "B/s in, each", "B/s back, each", "CPU µs/announcement", "CPU µs/s, each")
+	for _, others := range []int{0, slices.Max(o.Instances)} {
+		for _, n := range o.Agents {
+			if err := announceOnce(o, others, n); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
 }
 
-func announceOnce(o options, n int) error {
+func announceOnce(o options, others, n int) error {
 	s, err := serve()
 	if err != nil {
 		return err
 	}
 	defer s.close()
+	for i := range others {
+		_, _ = s.node.Announce(s.ctx, withLease(announcement(wire.Role_ROLE_ENTRY, i, 1), 30_000))
+	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
+	var calls atomic.Int64
 	for i := range n {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			announceLoop(ctx, s.address(), i, n)
+			announceLoop(ctx, s.address(), i, n, &calls)
 		}()
 	}
 	time.Sleep(settleDown)
+	before := calls.Load()
 	spent := meter.Spend(s.lis, func() { time.Sleep(o.time()) })
 	share := float64(n) * spent.Took.Seconds()
-	calls := share / announceInterval.Seconds()
-	fmt.Printf("%7d %16.0f %18.0f %20.1f\n", n, float64(spent.Received)/share, float64(spent.Sent)/share, meter.Micros(spent.CPU)/calls)
+	made := float64(calls.Load() - before)
+	cpu := meter.Micros(spent.CPU)
+	fmt.Printf("%9d %7d %14.2f %16.0f %18.0f %20.1f %16.0f\n", others, n, made/share,
+		float64(spent.Received)/share, float64(spent.Sent)/share, cpu/made, cpu/share)
 	return nil
 }
 
-func announceLoop(ctx context.Context, addr string, i, n int) {
+func announceLoop(ctx context.Context, addr string, i, n int, calls *atomic.Int64) {
 	pool := transport.NewPool(security)
 	defer pool.Close()
 	targets := directory.NewTargets(fmt.Sprint(i), "hall-00", []string{addr})
@@ -125,7 +137,8 @@
 		case <-time.After(wait):
 		}
 		a.Announce(ctx, announcement(wire.Role_ROLE_UPSTREAM, i, seq))
-		wait = announceInterval
+		calls.Add(1)
+		wait = a.Interval(announceInterval, announceLease)
 	}
 }
 
