Send cache events only to entries that route by them, and ask in time

An agent asks its engine for cache events once for each stream and interval, also for entries whose pools are routed without them. Those now say so (no_cache_events); when a pool's route changes, its streams are opened again and bring the events from the first one on.

--- a/agent/services.go
+++ b/agent/services.go
@@ -39,9 +39,11 @@
 			Upstream: a.settings.ID, Incarnation: a.incarnation,
 			Load: a.currentLoad(), Leaving: a.attempts.isClosed(),
 		}
-		if events, err := a.up.Cache(stream.Context(), after); err == nil && len(events) > 0 {
-			r.Cache = events
-			after = events[len(events)-1].Seq
+		if !req.NoCacheEvents {
+			r.Cache = a.cacheEvents(stream.Context(), after)
+		}
+		if n := len(r.Cache); n > 0 {
+			after = r.Cache[n-1].Seq
 		}
 		if reports.Due(now, r) {
 			if err := stream.Send(r); err != nil {
@@ -57,6 +59,15 @@
 	}
 }
 
+// cacheEvents asks the upstream for its cache events after a number.
+func (a *Agent) cacheEvents(ctx context.Context, after uint64) []*wire.CacheEvent {
+	events, err := a.up.Cache(ctx, after)
+	if err != nil {
+		return nil
+	}
+	return events
+}
+
 // reportRule is what a watcher asked for. An entry of an earlier version names no
 // keep-alive and takes silence for death: it is told at each interval.
 func reportRule(req *wire.WatchRequest) ReportRule {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -39,7 +39,8 @@
 	// replicas may be starting again, while the upstreams are up.
 	SilentHold time.Duration
 	// AskTime is how long an instance that this process itself has heard stays up
-	// when nothing speaks for it any more, while it is asked.
+	// when nothing speaks for it any more, while it is asked. Where this process
+	// hears no other directory any more it asks cutOffAsks times.
 	AskTime time.Duration
 }
 
@@ -53,7 +54,7 @@
 		SettleShare:  0.9,
 		VouchLease:   3 * time.Second,
 		SilentHold:   15 * time.Second,
-		AskTime:      time.Second,
+		AskTime:      500 * time.Millisecond,
 	}
 }
 
@@ -100,7 +101,9 @@
 	// known is how many instances were known before the start.
 	known   int
 	sources []*Source
-	changes changeLog
+	// followed says that there ever was a source.
+	followed bool
+	changes  changeLog
 	// due is the earliest time at which a lease can end. A look at thousands of
 	// instances at each tick would take more than one percent of a core.
 	due time.Time
@@ -119,8 +122,9 @@
 type contact struct {
 	incarnation uint64
 	expires     time.Time
-	// asked is when it was asked for a sign of life; zero if it wasn't since.
+	// asked is when it was first asked for a sign of life since, and asks how often.
 	asked time.Time
+	asks  int
 }
 
 // New makes a directory at a process's start. known is the number of instances
@@ -225,12 +229,30 @@
 	if c.incarnation != inst.Incarnation {
 		return false
 	}
-	if c.asked.IsZero() {
+	if c.asks == 0 {
 		c.asked = now
-		s.direct[inst.Id] = c
+	}
+	asks := 1
+	if s.cutOff(now) {
+		asks = cutOffAsks
+	}
+	waited := now.Sub(c.asked)
+	if c.asks < asks && waited >= time.Duration(c.asks)*s.settings.AskTime {
+		c.asks++
 		s.asks = append(s.asks, inst)
 	}
-	return now.Sub(c.asked) <= s.settings.AskTime
+	s.direct[inst.Id] = c
+	return waited <= time.Duration(asks)*s.settings.AskTime
+}
+
+// cutOffAsks is how often an instance is asked by a process that hears no other
+// directory: there is nobody else to bring it back if one answer comes late. With
+// the lease it still is gone within five seconds.
+const cutOffAsks = 3
+
+// cutOff says whether this directory followed others and hears none of them.
+func (s *State) cutOff(now time.Time) bool {
+	return s.followed && !slices.ContainsFunc(s.sources, func(src *Source) bool { return src.valid(now) })
 }
 
 // TakeAsks returns the instances to ask for a sign of life. Heard takes it.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -157,3 +157,28 @@
 	}
 	assert.DeepEqual(t, asked, map[string]int{"lives": 6, "dead": 1})
 }
+
+// The same, at a process that followed a replica and hears none any more. Nobody
+// else could bring an upstream back whose answer came late, so it is asked three
+// times; one that is dead is gone within five seconds of its last word all the same.
+func TestCutOffProcessAsksMoreThanOnce(t *testing.T) {
+	set := unsettled()
+	set.SilentHold = 0
+	s := New(set, epoch, 0)
+	s.Apply(epoch, &Source{Whole: true}, entries(up("slow", 1, 1), up("dead", 1, 1)))
+	s.Heard(epoch, "slow", 1)
+	s.Heard(epoch, "dead", 1)
+	asks := map[string]int{}
+	now := epoch
+	for ; s.Get("dead").Up(); now = now.Add(100 * time.Millisecond) {
+		s.Tick(now)
+		for _, i := range s.TakeAsks() {
+			if asks[i.Id]++; i.Id == "slow" && asks[i.Id] == 3 {
+				s.Heard(now, i.Id, 1)
+			}
+		}
+	}
+	assert.Assert(t, now.Sub(epoch) <= 5*time.Second, "%v", now.Sub(epoch))
+	assert.Assert(t, s.Get("slow").Up())
+	assert.DeepEqual(t, asks, map[string]int{"slow": 3, "dead": 3})
+}
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -112,12 +112,14 @@
 				}
 			}
 		}
-		for _, e := range s.entries {
+		for i, e := range s.entries {
 			s.followOne(e)
+			s.hearReports(e, i)
 		}
 		for _, n := range slices.Concat(s.replicas, s.entries) {
 			if !n.dead {
 				n.state.Tick(s.now)
+				s.answer(n)
 			}
 		}
 		check()
@@ -188,6 +190,29 @@
 	}
 }
 
+// simReports is the steps between two reports of an upstream whose load hardly
+// changes.
+const simReports = 100
+
+func (s *relay) hearReports(e *simNode, i int) {
+	for j, a := range s.agents {
+		if !a.dead && s.reach(a.name, e.name) && (int(s.now.Sub(epoch)/simStep)+7*j+i)%simReports == 0 {
+			e.state.Heard(s.now, a.name, a.incarnation)
+		}
+	}
+}
+
+// answer lets the agents that a node asks answer, if they live.
+func (s *relay) answer(n *simNode) {
+	for _, i := range n.state.TakeAsks() {
+		for _, a := range s.agents {
+			if a.name == i.Id && !a.dead && s.reach(a.name, n.name) {
+				n.state.Heard(s.now, a.name, a.incarnation)
+			}
+		}
+	}
+}
+
 func (s *relay) cutOff(name string) {
 	for _, n := range slices.Concat(s.replicas, s.entries) {
 		s.cut[[2]string{name, n.name}] = true
--- a/directory/source.go
+++ b/directory/source.go
@@ -39,6 +39,7 @@
 	}
 	if !slices.Contains(s.sources, src) {
 		s.sources = append(s.sources, src)
+		s.followed = true
 	}
 	changed := false
 	for _, e := range u.Entries {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -226,12 +226,12 @@
 			byPool[p] = append(byPool[p], up)
 		}
 	}
-	routed := map[string]bool{}
+	routed := watched{}
 	for name, p := range v.Pools {
 		// Of a large pool the entry uses, and watches, a part.
 		ups := route.Subset(e.settings.ID, byPool[name], route.MaxCandidates)
 		for _, u := range ups {
-			routed[u.ID] = true
+			routed.add(u.ID, p)
 		}
 		if err := e.fwd.Update(p, ups); err != nil {
 			kernel.Warn(e.log, "Pool can't be routed.", "pool", name, "err", err)
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/table"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -35,7 +36,9 @@
 type openWatch struct {
 	incarnation uint64
 	address     string
-	cancel      context.CancelFunc
+	// cache says that the stream brings cache events.
+	cache  bool
+	cancel context.CancelFunc
 	// load is the last report's.
 	load atomic.Pointer[wire.Load]
 }
@@ -50,9 +53,22 @@
 	w.ctx = ctx
 }
 
+// watched says of each upstream that requests are routed to whether its cache
+// events are of use.
+type watched map[string]bool
+
+// add notes that a pool's requests are routed to an upstream.
+func (w watched) add(id string, p *table.Pool) { w[id] = w[id] || !ignoresCache[p.Route] }
+
+// ignoresCache names the routing plug-ins that make nothing of cache events. For
+// the others, also one that an embedder brings, they are asked for. An agent asks
+// its engine for events once for each stream and interval: at the target that
+// would be hundreds of calls a second for nothing.
+var ignoresCache = map[string]bool{"least-loaded": true, "round-robin": true}
+
 // update opens a stream to each instance that requests are routed to and closes
 // those to others. One that is leaving is followed to its end.
-func (w *watches) update(insts []*directory.Instance, routed map[string]bool) {
+func (w *watches) update(insts []*directory.Instance, routed watched) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.ctx == nil || w.ctx.Err() != nil {
@@ -61,18 +77,19 @@
 	live := map[string]bool{}
 	for _, i := range insts {
 		old := w.byID[i.Id]
-		if !routed[i.Id] && (old == nil || i.Phase != wire.Phase_PHASE_LEAVING) {
+		cache, used := routed[i.Id]
+		if !used && (old == nil || i.Phase != wire.Phase_PHASE_LEAVING) {
 			continue
 		}
 		live[i.Id] = true
-		if old != nil && old.incarnation == i.Incarnation && old.address == i.Address {
+		if old != nil && old.incarnation == i.Incarnation && old.address == i.Address && (!used || old.cache == cache) {
 			continue
 		}
 		if old != nil {
 			old.cancel()
 		}
 		ctx, cancel := context.WithCancel(w.ctx)
-		o := &openWatch{incarnation: i.Incarnation, address: i.Address, cancel: cancel}
+		o := &openWatch{incarnation: i.Incarnation, address: i.Address, cache: cache, cancel: cancel}
 		w.byID[i.Id] = o
 		go w.follow(ctx, o)
 	}
@@ -109,7 +126,7 @@
 	defer cancel()
 	silence := time.AfterFunc(silentReports, cancel)
 	defer silence.Stop()
-	stream, err := w.open(ctx, o)
+	stream, err := w.open(ctx, o, o.cache)
 	if err != nil {
 		return
 	}
@@ -124,11 +141,12 @@
 	}
 }
 
-func (w *watches) open(ctx context.Context, o *openWatch) (wire.DRPCAgent_WatchClient, error) {
+func (w *watches) open(ctx context.Context, o *openWatch, cache bool) (wire.DRPCAgent_WatchClient, error) {
 	return wire.NewDRPCAgentClient(w.entry.pool.Conn(ctx, o.address)).Watch(ctx, &wire.WatchRequest{
-		Entry:       w.entry.settings.ID,
-		IntervalMs:  uint32(reportInterval.Milliseconds()),
-		KeepAliveMs: uint32(reportKeepAlive.Milliseconds()),
+		Entry:         w.entry.settings.ID,
+		IntervalMs:    uint32(reportInterval.Milliseconds()),
+		KeepAliveMs:   uint32(reportKeepAlive.Milliseconds()),
+		NoCacheEvents: !cache,
 	})
 }
 
@@ -154,7 +172,7 @@
 func (w *watches) askOnce(ctx context.Context, o *openWatch) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	stream, err := w.open(ctx, o)
+	stream, err := w.open(ctx, o, false)
 	if err != nil {
 		return
 	}
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/table"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -21,9 +22,12 @@
 	wire.DRPCAgentUnimplementedServer
 	watches atomic.Int32
 	frozen  atomic.Bool
+	// cache says that the last watch asked for cache events.
+	cache atomic.Bool
 }
 
-func (a *quietAgent) Watch(_ *wire.WatchRequest, stream wire.DRPCAgent_WatchStream) error {
+func (a *quietAgent) Watch(req *wire.WatchRequest, stream wire.DRPCAgent_WatchStream) error {
+	a.cache.Store(!req.NoCacheEvents)
 	a.watches.Add(1)
 	if !a.frozen.Load() {
 		_ = stream.Send(&wire.Report{Upstream: "up", Incarnation: 1, Load: &wire.Load{Seq: uint64(a.watches.Load())}})
@@ -32,6 +36,49 @@
 	return nil
 }
 
+// serveAgent lets an agent answer on loopback for an entry's watches.
+func serveAgent(ctx context.Context, t *testing.T, e *Entry, a *quietAgent) string {
+	srv := transport.NewServer(e.sec)
+	assert.NilError(t, wire.DRPCRegisterAgent(srv.Mux, a))
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(srv.Close)
+	t.Cleanup(func() { _ = lis.Close() })
+	go srv.Serve(ctx, lis)
+	return lis.Addr().String()
+}
+
+// An operator routes a pool by prefix. Watches of its upstreams, which brought no
+// cache events while nothing was made of them, are opened again with events from
+// the first one on; otherwise no hint would ever come.
+func TestRoutingByPrefixBringsCacheEvents(t *testing.T) {
+	a := &quietAgent{}
+	e, err := New(valid(), log.NewNopLogger())
+	assert.NilError(t, err)
+	t.Cleanup(func() { e.Stop() })
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	up := &directory.Instance{Announcement: &wire.Announcement{
+		Id: "up", Incarnation: 1, Phase: wire.Phase_PHASE_UP, Address: serveAgent(ctx, t, e, a),
+	}}
+	e.watches.start(ctx)
+	for _, routes := range [][]string{{"least-loaded"}, {"least-loaded", "prefix", "round-robin"}, {"round-robin"}} {
+		watches, routed := a.watches.Load(), watched{}
+		for _, r := range routes {
+			routed.add("up", &table.Pool{Route: r})
+		}
+		for range 2 {
+			e.watches.update([]*directory.Instance{up}, routed)
+		}
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if a.watches.Load() > watches && a.cache.Load() == (len(routes) > 1) {
+				return poll.Success()
+			}
+			return poll.Continue("no watch as wanted for %v", routes)
+		})
+	}
+}
+
 // An entry is cut off from all control replicas, and an upstream's load doesn't
 // change, so that no report comes for longer than its lease. The entry asks it and
 // goes on sending it work. When the upstream freezes it doesn't answer, and is gone.
@@ -40,15 +87,9 @@
 	e, err := New(valid(), log.NewNopLogger())
 	assert.NilError(t, err)
 	t.Cleanup(func() { e.Stop() })
-	srv := transport.NewServer(e.sec)
-	assert.NilError(t, wire.DRPCRegisterAgent(srv.Mux, a))
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(srv.Close)
-	t.Cleanup(func() { _ = lis.Close() })
 	t.Cleanup(cancel)
-	go srv.Serve(ctx, lis)
+	address := serveAgent(ctx, t, e, a)
 
 	// The directory's clock stands still but for steps, so a busy machine can't
 	// make an answer late.
@@ -60,12 +101,12 @@
 	e.node.SetAsk(e.watches.ask)
 	go e.node.Run(ctx)
 	_, err = e.node.Announce(ctx, &wire.Announcement{
-		Id: "up", Incarnation: 1, Seq: 1, Role: wire.Role_ROLE_UPSTREAM, Phase: wire.Phase_PHASE_UP, Address: lis.Addr().String(),
+		Id: "up", Incarnation: 1, Seq: 1, Role: wire.Role_ROLE_UPSTREAM, Phase: wire.Phase_PHASE_UP, Address: address,
 	})
 	assert.NilError(t, err)
 	instances := func() []*directory.Instance { return e.node.Instances(wire.Role_ROLE_UPSTREAM) }
 	e.watches.start(ctx)
-	e.watches.update(instances(), map[string]bool{"up": true})
+	e.watches.update(instances(), watched{"up": true})
 	reported := func(seq uint64) poll.Check {
 		return func(poll.LogT) poll.Result {
 			if l := e.watches.load(&directory.Instance{Announcement: &wire.Announcement{Id: "up", Incarnation: 1}}); l.GetSeq() >= seq {
--- a/measure/capacity/memory.go
+++ b/measure/capacity/memory.go
@@ -149,7 +149,7 @@
 			return err
 		}
 		before, routines := meter.Heap(), runtime.NumGoroutine()
-		list, err := startAgents(s, up.URL(), n)
+		list, err := startAgents(s, "plain", up.URL(), n)
 		if err != nil {
 			return err
 		}
@@ -164,13 +164,13 @@
 	return nil
 }
 
-func startAgents(s *served, url string, n int) ([]*agent.Agent, error) {
+func startAgents(s *served, kind, url string, n int) ([]*agent.Agent, error) {
 	var list []*agent.Agent
 	for i := range n {
 		set := agent.DefaultSettings()
 		set.ID, set.FailureDomain = fmt.Sprint("upstream-", i), "hall-00"
 		set.ClusterSecret = string(security.Secret)
-		set.Kind, set.Pools = "plain", []string{"clock"}
+		set.Kind, set.Pools = kind, []string{"clock"}
 		set.Upstream = map[string]any{"url": url}
 		set.AnnounceTo = []string{s.address()}
 		a, err := agent.New(set, log.NewNopLogger())
--- a/measure/capacity/reports.go
+++ b/measure/capacity/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -23,25 +24,38 @@
 // measureReports takes what one entry's watch of one idle agent costs, over a
 // relay that counts the bytes; its copying is in the processor time.
 func measureReports(o options) error {
-	up := &fake.Plain{}
-	if err := up.Start(); err != nil {
+	plain, engine := &fake.Plain{}, &fake.Engine{}
+	if err := errors.Join(plain.Start(), engine.Start()); err != nil {
 		return err
 	}
-	defer up.Close()
+	defer plain.Close()
+	defer engine.Close()
+	fmt.Printf("%-8s %10s %12s %8s %14s %16s\n", "kind", "keep-alive", "cache events", "watches", "B/s, each", "CPU µs/s, each")
+	if err := reportsOf(o, "plain", plain.URL()); err != nil {
+		return err
+	}
+	return reportsOf(o, "engine", engine.URL())
+}
+
+func reportsOf(o options, kind, url string) error {
 	s, err := serve()
 	if err != nil {
 		return err
 	}
 	defer s.close()
-	list, err := startAgents(s, up.URL(), 1)
+	list, err := startAgents(s, kind, url, 1)
 	if err != nil {
 		return err
 	}
 	defer list[0].Stop()
-	fmt.Printf("%10s %8s %14s %16s\n", "keep-alive", "watches", "B/s, each", "CPU µs/s, each")
-	for _, keepAlive := range []time.Duration{0, reportKeepAlive} {
+	for _, w := range []*wire.WatchRequest{
+		{},
+		{KeepAliveMs: uint32(reportKeepAlive.Milliseconds())},
+		{KeepAliveMs: uint32(reportKeepAlive.Milliseconds()), NoCacheEvents: true},
+	} {
 		for _, n := range []int{10, 50, 200} {
-			if err := reportsOnce(o, list[0].Address(), n, keepAlive); err != nil {
+			fmt.Printf("%-8s %9ds %12t ", kind, w.KeepAliveMs/1000, !w.NoCacheEvents)
+			if err := reportsOnce(o, list[0].Address(), n, w); err != nil {
 				return err
 			}
 		}
@@ -50,32 +64,34 @@
 }
 
 // reportsOnce measures for at least two keep-alives.
-func reportsOnce(o options, agent string, n int, keepAlive time.Duration) error {
-	took := max(o.time(), 2*keepAlive)
+func reportsOnce(o options, agent string, n int, req *wire.WatchRequest) error {
+	took := max(o.time(), 2*time.Duration(req.KeepAliveMs)*time.Millisecond)
 	lis, err := meter.Listen()
 	if err != nil {
 		return err
 	}
 	defer lis.Close()
 	go relay(lis, agent)
-	none := meter.Spend(lis, func() { time.Sleep(took) })
+	none := meter.Spend(lis, func() { time.Sleep(o.time()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for i := range n {
 		pool := transport.NewPool(security)
 		defer pool.Close()
-		go watchReports(ctx, pool, lis.Addr().String(), i, keepAlive)
+		go watchReports(ctx, pool, lis.Addr().String(), i, req)
 	}
 	time.Sleep(settleDown)
 	spent := meter.Spend(lis, func() { time.Sleep(took) })
 	share := float64(n) * spent.Took.Seconds()
-	fmt.Printf("%10v %8d %14.0f %16.0f\n", keepAlive, n, float64(spent.Sent)/share, (meter.Micros(spent.CPU)-meter.Micros(none.CPU))/share)
+	idle := meter.Micros(none.CPU) / none.Took.Seconds()
+	fmt.Printf("%8d %14.0f %16.0f\n", n, float64(spent.Sent)/share, (meter.Micros(spent.CPU)-idle*spent.Took.Seconds())/share)
 	return nil
 }
 
-func watchReports(ctx context.Context, pool *transport.Pool, addr string, i int, keepAlive time.Duration) {
+func watchReports(ctx context.Context, pool *transport.Pool, addr string, i int, req *wire.WatchRequest) {
 	stream, err := wire.NewDRPCAgentClient(pool.Conn(ctx, addr)).Watch(ctx, &wire.WatchRequest{
-		Entry: fmt.Sprint("entry-", i), IntervalMs: uint32(reportInterval.Milliseconds()), KeepAliveMs: uint32(keepAlive.Milliseconds()),
+		Entry: fmt.Sprint("entry-", i), IntervalMs: uint32(reportInterval.Milliseconds()),
+		KeepAliveMs: req.KeepAliveMs, NoCacheEvents: req.NoCacheEvents,
 	})
 	if err != nil {
 		return
