Take a load's number and its counts together, and keep alive at 30 s

An agent took its counts and then the number of the load. Two answers at once could give the older counts the higher number; entries then kept them until the next answer or report. Reports are rarer now, so this would have lasted longer: both are taken under one lock.

Since the directory asks quiet upstreams, the keep-alive needn't be below a lease: it is 30 s, and a watch that says nothing for 90 s is opened again.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,7 +55,8 @@
 	cancel      context.CancelFunc
 	announcer   *directory.Announcer
 	load        atomic.Pointer[wire.Load]
-	loadSeq     atomic.Uint64
+	loadMu      sync.Mutex
+	loadSeq     uint64
 }
 
 // New makes an agent from checked settings.
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -66,10 +66,17 @@
 // currentLoad joins the agent's own queue, which is exact, with what only the
 // upstream knows, which lags. What waits inside the upstream was handed to it by
 // this agent and stands in Running already.
+//
+// The number and the counts are taken together. If one call took its counts first
+// and its number last, entries would keep the older counts for the later ones, and
+// nothing puts that right before the next answer or the next report.
 func (a *Agent) currentLoad() *wire.Load {
+	a.loadMu.Lock()
+	defer a.loadMu.Unlock()
 	running, waiting := a.runner.Counts()
+	a.loadSeq++
 	l := &wire.Load{
-		Seq:     a.loadSeq.Add(1),
+		Seq:     a.loadSeq,
 		Running: uint32(running),
 		Waiting: uint32(waiting),
 		Slots:   uint32(a.queue.get().Slots),
--- a/agent/report_test.go
+++ b/agent/report_test.go
@@ -1,12 +1,17 @@
 package agent
 
 import (
+	"cmp"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/snipereach/snipereach/admit"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -67,3 +72,45 @@
 	r.Sent(now, report(1, 0, 8))
 	assert.Assert(t, r.Due(now.Add(500*time.Millisecond), report(1, 0, 8)))
 }
+
+// Answers and reports take the agent's load at the same moment, and an entry keeps
+// the one with the higher number. That one must not hold older counts: the entry
+// would send work by them until the next report, half a minute later.
+func TestLoadsWithHigherNumbersAreLater(t *testing.T) {
+	const works, readers = 500, 4
+	set := DefaultSettings()
+	set.ID, set.FailureDomain, set.ClusterSecret = "up-1", "hall-a", "a secret of the tests"
+	set.Kind, set.Pools, set.AnnounceTo = "plain", []string{"p"}, []string{"127.0.0.1:1"}
+	set.Upstream = map[string]any{"url": "http://127.0.0.1:1"}
+	set.Slots = works
+	a, err := New(set, log.NewNopLogger())
+	assert.NilError(t, err)
+	t.Cleanup(func() { a.Stop() })
+	loads := make([][]*wire.Load, readers)
+	var wg sync.WaitGroup
+	done := make(chan struct{})
+	for i := range readers {
+		wg.Go(func() {
+			for over := false; !over; {
+				select {
+				case <-done:
+					over = true
+				default:
+				}
+				loads[i] = append(loads[i], a.currentLoad())
+			}
+		})
+	}
+	// Requests only come, so the counts only grow.
+	for range works {
+		_, err := a.runner.Enter(t.Context(), &admit.Work{Team: "t", Weight: 1, Priority: wire.Priority_PRIORITY_URGENT, Cost: 1})
+		assert.NilError(t, err)
+	}
+	close(done)
+	wg.Wait()
+	all := slices.Concat(loads...)
+	slices.SortFunc(all, func(x, y *wire.Load) int { return cmp.Compare(x.Seq, y.Seq) })
+	for i := 1; i < len(all); i++ {
+		assert.Assert(t, all[i].Running >= all[i-1].Running, "number %d", all[i].Seq)
+	}
+}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -15,8 +15,8 @@
 	// reportInterval is the shortest time between two reports of an upstream.
 	reportInterval = 500 * time.Millisecond
 	// reportKeepAlive is the longest time between two. Load comes back on every
-	// answer too, and one that speaks for the upstream is the directory.
-	reportKeepAlive = 10 * time.Second
+	// answer too, and that an upstream lives is known from the directory.
+	reportKeepAlive = 30 * time.Second
 	// silentReports is how long a watch may say nothing before it is opened again:
 	// a connection that a host or a firewall forgot breaks for nobody.
 	silentReports = 3 * reportKeepAlive
