Resume the copy of the directory at another replica

An entry that changed its replica, or lost its connection, copied the whole directory again. A watch now says what is known already by 256 hashes of parts, 2 KB; the replica vouches for the parts that it knows alike and sends the others. A first copy at an entry's start stays as long as it was.

The relay's schedules in virtual time resume at each change of a replica; a property test compares with an entry that copies everything, and fails when later changes of a kept part aren't sent, when a kept instance isn't held, or when one whose lease ran out isn't revived.

The keep-alive of reports grows with the upstreams watched, from 5 to 30 s, so that few upstreams are as well known as they can be for nothing.

--- a/directory/changes.go
+++ b/directory/changes.go
@@ -60,9 +60,14 @@
 type View struct {
 	// LocalOnly leaves out what did not announce to this process itself.
 	LocalOnly bool
-	version   uint64
-	synced    bool
-	sum       revisionSummary
+	// Known are the hashes of what the watcher knew before, if it said so.
+	Known   []uint64
+	version uint64
+	// kept are the parts that it knew alike at the version keptAt.
+	kept   parts
+	keptAt uint64
+	synced bool
+	sum    revisionSummary
 }
 
 // maxEntries bounds the entries of one update.
@@ -76,13 +81,20 @@
 func (s *State) Update(now time.Time, v *View) (u *wire.DirectoryUpdate, more bool) {
 	u = &wire.DirectoryUpdate{Settling: !s.Settled(now)}
 	from := v.version
+	if from == 0 && !v.synced && v.kept == nil {
+		s.compare(v)
+		u.Kept = v.kept
+	}
 	s.changes.since(from, func(id string) {
 		if len(u.Entries)+len(u.Withdrawn) >= maxEntries {
 			more = true
 			return
 		}
-		s.addChange(u, s.instances[id], now, v.LocalOnly, from == 0)
-		v.version = s.changes.last[id]
+		version := s.changes.last[id]
+		if !v.keeps(s.instances[id], version) {
+			s.addChange(u, s.instances[id], now, v.LocalOnly, from == 0)
+		}
+		v.version = version
 	})
 	if more {
 		return u, true
--- /dev/null
+++ b/directory/digest_test.go
@@ -0,0 +1,159 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// copyAll carries what a watcher lacks of a replica, and returns its bytes.
+func copyAll(now time.Time, from, to *State, v *View, src *Source) (bytes int) {
+	for more := true; more; {
+		var u *wire.DirectoryUpdate
+		u, more = from.Update(now, v)
+		bytes += proto.Size(u)
+		to.Apply(now, src, u)
+	}
+	return bytes
+}
+
+// An entry loses its replica and follows another, which knows much the same: some
+// upstreams have left, died, started again or moved meanwhile, some of their leases
+// ran out at the entry, and some change while the copy is on its way. If a part of
+// the directory were taken for known that isn't, the entry would send work to who
+// is gone, or none to who is up. The oracle is an entry that copies everything.
+func TestResumedCopyIsTheWholeCopy(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := epoch
+		first, second := New(unsettled(), now, 0), New(unsettled(), now, 0)
+		const count = 40
+		lives := [count]*wire.Announcement{}
+		announce := func(to ...*State) {
+			i := rapid.IntRange(0, count-1).Draw(t, "instance")
+			a := proto.Clone(lives[i]).(*wire.Announcement)
+			a.Seq++
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				a.Phase = wire.Phase_PHASE_LEAVING
+			case 1:
+				a.Phase = wire.Phase_PHASE_GONE
+			case 2:
+				a.Incarnation, a.Phase = a.Incarnation+1, wire.Phase_PHASE_UP
+			case 3:
+				a.Address = fmt.Sprint("10.0.0.1:", a.Seq)
+			}
+			lives[i] = a
+			for _, s := range to {
+				s.Announce(now, a, 0, true)
+			}
+		}
+		for i := range lives {
+			lives[i] = up(fmt.Sprint("u", i), 1, 1)
+			// Some never end, so that the entry's own time can't decide all.
+			lives[i].LeaseMs = rapid.SampledFrom([]uint32{1000, 30_000}).Draw(t, "lease")
+			first.Announce(now, lives[i], 0, true)
+			if rapid.IntRange(0, 9).Draw(t, "heard") > 0 {
+				second.Announce(now, lives[i], 0, true)
+			}
+		}
+		hasty := unsettled()
+		hasty.SilentHold = 0
+		watchers := []*State{New(hasty, now, 0), New(hasty, now, 0)}
+		views := []*View{{}, {}}
+		var sources []*Source
+		for _, w := range watchers {
+			src := &Source{Whole: true}
+			copyAll(now, first, w, &View{}, src)
+			sources = append(sources, &Source{Whole: true, Replaces: src})
+		}
+		for range rapid.IntRange(0, 4).Draw(t, "changes") {
+			announce(second)
+		}
+		views[0].Known = watchers[0].Remember(sources[0])
+		dead := map[int]bool{}
+		for i := range lives {
+			dead[i] = rapid.IntRange(0, 9).Draw(t, "dead") == 0
+		}
+		renew := func() {
+			for i, a := range lives {
+				if !dead[i] && a.Phase != wire.Phase_PHASE_GONE {
+					lives[i] = proto.Clone(a).(*wire.Announcement)
+					lives[i].Seq++
+					second.Announce(now, lives[i], 0, true)
+				}
+			}
+		}
+		now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "silence")) * time.Millisecond)
+		renew()
+		for _, s := range []*State{second, watchers[0], watchers[1]} {
+			s.Tick(now)
+		}
+		for range rapid.IntRange(0, 2).Draw(t, "changes") {
+			announce(second)
+		}
+		for range 6 {
+			for i, w := range watchers {
+				copyAll(now, second, w, views[i], sources[i])
+				w.Tick(now)
+			}
+			for i := range lives {
+				got, want := watchers[0].Get(fmt.Sprint("u", i)), watchers[1].Get(fmt.Sprint("u", i))
+				assert.Equal(t, got.Incarnation, want.Incarnation)
+				assert.Equal(t, got.Phase, want.Phase, "u%d", i)
+				assert.Equal(t, got.Address, want.Address)
+			}
+			now = now.Add(time.Second)
+			renew()
+			second.Tick(now)
+			announce(second)
+		}
+	})
+}
+
+// An entry of the target size changes its replica after some upstreams have
+// changed: it copies a few parts, not the directory.
+func TestResumedCopyIsShort(t *testing.T) {
+	first, second, entry := New(unsettled(), epoch, 0), New(unsettled(), epoch, 0), New(unsettled(), epoch, 0)
+	for i := range 7500 {
+		a := up(fmt.Sprint("upstream-", i), 1, 1)
+		first.Announce(epoch, a, 0, true)
+		second.Announce(epoch, a, 0, true)
+	}
+	src := &Source{Whole: true}
+	whole := copyAll(epoch, first, entry, &View{}, src)
+	for i := range 3 {
+		second.Announce(epoch, leaving(fmt.Sprint("upstream-", i), 1, 2), 0, true)
+	}
+	next := &Source{Whole: true, Replaces: src}
+	short := copyAll(epoch, second, entry, &View{Known: entry.Remember(next)}, next)
+	assert.Assert(t, short < whole/50, "%d bytes of %d", short, whole)
+	now := epoch.Add(entry.settings.VouchLease)
+	entry.Tick(now)
+	assert.Equal(t, len(entry.Instances(wire.Role_ROLE_UPSTREAM)), 7500)
+	assert.Equal(t, entry.Get("upstream-1").Phase, wire.Phase_PHASE_LEAVING)
+}
+
+// A field that watchers are told of and the hash leaves out would stay old at every
+// entry that changes its replica.
+func TestHashHasAllThatWatchersAreTold(t *testing.T) {
+	full := &wire.Announcement{
+		Id: "u", Incarnation: 1, Role: wire.Role_ROLE_UPSTREAM, Phase: wire.Phase_PHASE_UP, FailureDomain: "hall-a",
+		Address: "a", CallerAddress: "c", Pools: []string{"p", "q"}, Kind: "engine", Group: "g", Rank: 1, LeaseMs: 1, Listed: true,
+		Seq: 1, Revision: 1, AskReplicas: true, Load: &wire.Load{Seq: 1},
+	}
+	fields := full.ProtoReflect().Descriptor().Fields()
+	for i := range fields.Len() {
+		other := proto.Clone(full).(*wire.Announcement)
+		other.ProtoReflect().Clear(fields.Get(i))
+		assert.Equal(t, hashOf(full) == hashOf(other), sameButForLoad(full, other), "%s", fields.Get(i).Name())
+	}
+	pools := proto.Clone(full).(*wire.Announcement)
+	pools.Pools = []string{"pq"}
+	assert.Assert(t, hashOf(pools) != hashOf(full))
+}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -68,12 +68,12 @@
 	defer cancel()
 	silence := time.AfterFunc(silentWatch, cancel)
 	defer silence.Stop()
-	stream, err := wire.NewDRPCDirectoryClient(conn).Watch(ctx, req)
+	src := &Source{Replaces: last, Whole: !req.LocalOnly}
+	stream, err := wire.NewDRPCDirectoryClient(conn).Watch(ctx, n.resume(src, req))
 	if err != nil {
 		return last
 	}
 	defer stream.Close()
-	src := &Source{Replaces: last, Whole: !req.LocalOnly}
 	for {
 		u, err := stream.Recv()
 		if err != nil {
@@ -90,6 +90,18 @@
 	}
 }
 
+// resume says in a request what is known already, where that is shorter than a
+// copy of the directory. Without it each change of the replica, and each lost
+// connection, would bring the whole directory again.
+func (n *Node) resume(src *Source, req *wire.DirectoryWatchRequest) *wire.DirectoryWatchRequest {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !src.Whole || n.state.Len() < digestParts {
+		return req
+	}
+	return &wire.DirectoryWatchRequest{Watcher: req.Watcher, Known: n.state.Remember(src)}
+}
+
 func (n *Node) apply(src *Source, u *wire.DirectoryUpdate) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/directory/node.go
+++ b/directory/node.go
@@ -151,7 +151,7 @@
 func (n *Node) Watch(req *wire.DirectoryWatchRequest, stream wire.DRPCDirectory_WatchStream) error {
 	tick := time.NewTicker(watchInterval)
 	defer tick.Stop()
-	view := &View{LocalOnly: req.LocalOnly}
+	view := &View{LocalOnly: req.LocalOnly, Known: req.Known}
 	var sent time.Time
 	for {
 		u, more := n.update(view)
@@ -174,7 +174,7 @@
 }
 
 func worthSending(u *wire.DirectoryUpdate) bool {
-	return u.Synced || len(u.Entries)+len(u.Withdrawn) > 0 || u.Revision != 0
+	return u.Synced || len(u.Kept) > 0 || len(u.Entries)+len(u.Withdrawn) > 0 || u.Revision != 0
 }
 
 func (n *Node) update(v *View) (u *wire.DirectoryUpdate, more bool) {
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -155,6 +155,9 @@
 	w := to.watches[from.name]
 	if w == nil {
 		w = &simWatch{view: &View{LocalOnly: localOnly}, src: &Source{Replaces: to.last, Whole: !localOnly}, heard: s.now}
+		if !localOnly {
+			w.view.Known = to.state.Remember(w.src)
+		}
 		to.watches[from.name] = w
 	}
 	if from.dead || !s.reach(to.name, from.name) {
--- a/directory/source.go
+++ b/directory/source.go
@@ -22,6 +22,8 @@
 	// synced, the earlier one's word ends: what it vouched for may have gone in
 	// between.
 	Replaces *Source
+	// known is what was known before its first update, by parts, until it is synced.
+	known map[int][]*wire.Announcement
 	// dropped says that its instances are no longer held on its word.
 	dropped bool
 }
@@ -41,7 +43,7 @@
 		s.sources = append(s.sources, src)
 		s.followed = true
 	}
-	changed := false
+	changed := s.keepParts(now, src, u.Kept)
 	for _, e := range u.Entries {
 		c, _ := s.take(now, e.Announcement, time.Duration(e.AgeMs)*time.Millisecond, false, src)
 		changed = changed || c
@@ -51,6 +53,9 @@
 	}
 	changed = s.vouch(now, src, u.Settling) || changed
 	s.raiseRevisions(src, u)
+	if u.Synced {
+		src.known = nil
+	}
 	if u.Synced && !u.Settling && src.Replaces != nil {
 		src.Replaces.until = time.Time{}
 		s.due = time.Time{}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -14,13 +14,17 @@
 const (
 	// reportInterval is the shortest time between two reports of an upstream.
 	reportInterval = 500 * time.Millisecond
-	// reportKeepAlive is the longest time between two. Load comes back on every
+	// minKeepAlive and maxKeepAlive bound the longest time between two, and
+	// keepAlivePerWatch makes it grow with the upstreams watched: keep-alives are
+	// 13 a second at most, until it is half a minute. Load comes back on every
 	// answer too, and that an upstream lives is known from the directory.
-	reportKeepAlive = 30 * time.Second
-	// silentReports is how long a watch may say nothing before it is opened again:
-	// a connection that a host or a firewall forgot breaks for nobody.
-	silentReports = 3 * reportKeepAlive
-	rewatchDelay  = 500 * time.Millisecond
+	minKeepAlive      = 5 * time.Second
+	maxKeepAlive      = 30 * time.Second
+	keepAlivePerWatch = 80 * time.Millisecond
+	// silentKeepAlives is after how many keep-alives a watch that says nothing is
+	// opened again: a connection that a host or a firewall forgot breaks for nobody.
+	silentKeepAlives = 3
+	rewatchDelay     = 500 * time.Millisecond
 	// askTimeout bounds one ask; the directory itself waits for less.
 	askTimeout = 5 * time.Second
 )
@@ -124,9 +128,10 @@
 func (w *watches) once(ctx context.Context, o *openWatch) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(silentReports, cancel)
+	keepAlive := w.keepAlive()
+	silence := time.AfterFunc(silentKeepAlives*keepAlive, cancel)
 	defer silence.Stop()
-	stream, err := w.open(ctx, o, o.cache)
+	stream, err := w.open(ctx, o, keepAlive, o.cache)
 	if err != nil {
 		return
 	}
@@ -136,16 +141,24 @@
 		if err != nil {
 			return
 		}
-		silence.Reset(silentReports)
+		silence.Reset(silentKeepAlives * keepAlive)
 		w.take(o, r)
 	}
 }
 
-func (w *watches) open(ctx context.Context, o *openWatch, cache bool) (wire.DRPCAgent_WatchClient, error) {
+// keepAlive is the longest time between two reports that a stream opened now asks
+// for.
+func (w *watches) keepAlive() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return min(max(time.Duration(len(w.byID))*keepAlivePerWatch, minKeepAlive), maxKeepAlive)
+}
+
+func (w *watches) open(ctx context.Context, o *openWatch, keepAlive time.Duration, cache bool) (wire.DRPCAgent_WatchClient, error) {
 	return wire.NewDRPCAgentClient(w.entry.pool.Conn(ctx, o.address)).Watch(ctx, &wire.WatchRequest{
 		Entry:         w.entry.settings.ID,
 		IntervalMs:    uint32(reportInterval.Milliseconds()),
-		KeepAliveMs:   uint32(reportKeepAlive.Milliseconds()),
+		KeepAliveMs:   uint32(keepAlive.Milliseconds()),
 		NoCacheEvents: !cache,
 	})
 }
@@ -158,7 +171,7 @@
 
 // ask gets a report from an upstream for which no control replica speaks any
 // more: a new stream begins with one. The stream that stands may say nothing for
-// reportKeepAlive, and behind a cut for longer.
+// its keep-alive, and behind a cut for longer.
 func (w *watches) ask(i *directory.Instance) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -172,7 +185,7 @@
 func (w *watches) askOnce(ctx context.Context, o *openWatch) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	stream, err := w.open(ctx, o, false)
+	stream, err := w.open(ctx, o, maxKeepAlive, false)
 	if err != nil {
 		return
 	}
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -128,3 +129,18 @@
 	}
 	assert.Equal(t, len(instances()), 0)
 }
+
+// Keep-alives must not grow with the upstreams that an entry watches, nor be so
+// rare that a lost report is never healed.
+func TestKeepAliveGrowsWithTheWatches(t *testing.T) {
+	w := newWatches(&Entry{})
+	for _, c := range []struct {
+		watches int
+		want    time.Duration
+	}{{0, minKeepAlive}, {19, minKeepAlive}, {200, 16 * time.Second}, {384, maxKeepAlive}, {5500, maxKeepAlive}} {
+		for i := len(w.byID); i < c.watches; i++ {
+			w.byID[strconv.Itoa(i)] = &openWatch{}
+		}
+		assert.Equal(t, w.keepAlive(), c.want)
+	}
+}
--- a/measure/capacity/memory.go
+++ b/measure/capacity/memory.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/snipereach/snipereach/agent"
 	"github.com/snipereach/snipereach/directory"
@@ -18,41 +19,60 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
-// measureFollow takes what an entry spends on its own directory, with one watch.
+// changedMeanwhile is how many instances change while an entry changes its replica.
+const changedMeanwhile = 10
+
+// measureFollow takes what an entry spends on its own directory with one watch, on
+// its first copy, and on the copy from another replica that knows much the same.
 func measureFollow(o options) error {
-	fmt.Printf("%10s %26s %22s\n", "instances", "CPU µs/s of an idle entry", "CPU ms of first copy")
+	fmt.Printf("%10s %26s %14s %8s %16s %8s\n", "instances", "CPU µs/s of an idle entry", "first copy, B", "CPU ms", "resumed copy, B", "CPU ms")
 	for _, n := range o.Instances {
 		settings := directory.DefaultSettings()
 		settings.SettleTime = 0
 		node := directory.NewNode(settings, time.Now, nil)
-		src := &directory.Source{}
-		state := directory.New(settings, time.Now(), 0)
+		one, other := directory.New(settings, time.Now(), 0), directory.New(settings, time.Now(), 0)
 		for i := range n {
-			state.Announce(time.Now(), announcement(wire.Role_ROLE_UPSTREAM, i, 1), 0, true)
+			one.Announce(time.Now(), announcement(wire.Role_ROLE_UPSTREAM, i, 1), 0, true)
+			other.Announce(time.Now(), announcement(wire.Role_ROLE_UPSTREAM, i, 1), 0, true)
+			_, _ = node.Announce(context.Background(), withLease(announcement(wire.Role_ROLE_UPSTREAM, i, 1), 30_000))
 		}
-		view := &directory.View{}
-		began := meter.ProcessorTime()
-		target := directory.New(settings, time.Now(), 0)
-		for more := true; more; {
-			var u *wire.DirectoryUpdate
-			u, more = state.Update(time.Now(), view)
-			target.Apply(time.Now(), src, u)
+		for i := range changedMeanwhile {
+			a := announcement(wire.Role_ROLE_UPSTREAM, i, 2)
+			a.Phase = wire.Phase_PHASE_LEAVING
+			other.Announce(time.Now(), a, 0, true)
 		}
+		entry, src := directory.New(settings, time.Now(), 0), &directory.Source{Whole: true}
+		began := meter.ProcessorTime()
+		firstBytes := copyBytes(one, entry, &directory.View{}, src)
 		first := meter.ProcessorTime() - began
-		for i := range n {
-			_, _ = node.Announce(context.Background(), withLease(announcement(wire.Role_ROLE_UPSTREAM, i, 1), 30_000))
-		}
+		src = &directory.Source{Whole: true, Replaces: src}
+		began = meter.ProcessorTime()
+		req := &wire.DirectoryWatchRequest{Known: entry.Remember(src)}
+		resumedBytes := proto.Size(req) + copyBytes(other, entry, &directory.View{Known: req.Known}, src)
+		resumed := meter.ProcessorTime() - began
 		ctx, cancel := context.WithCancel(context.Background())
 		go node.Run(ctx)
 		began = meter.ProcessorTime()
 		time.Sleep(o.time())
 		idle := meter.ProcessorTime() - began
 		cancel()
-		fmt.Printf("%10d %26.0f %22.1f\n", n, meter.Micros(idle)/o.Seconds, meter.Micros(first)/1000)
+		fmt.Printf("%10d %26.0f %14d %8.1f %16d %8.1f\n", n, meter.Micros(idle)/o.Seconds,
+			firstBytes, meter.Micros(first)/1000, resumedBytes, meter.Micros(resumed)/1000)
 	}
 	return nil
 }
 
+// copyBytes carries what a watcher lacks, and returns how many bytes that took.
+func copyBytes(from, to *directory.State, v *directory.View, src *directory.Source) (bytes int) {
+	for more := true; more; {
+		var u *wire.DirectoryUpdate
+		u, more = from.Update(time.Now(), v)
+		bytes += proto.Size(u)
+		to.Apply(time.Now(), src, u)
+	}
+	return bytes
+}
+
 func withLease(a *wire.Announcement, ms uint32) *wire.Announcement {
 	a.LeaseMs = ms
 	return a
--- a/measure/route/main.go
+++ b/measure/route/main.go
@@ -366,7 +366,9 @@
 	for _, change := range []float64{0.25, 0.5, 1, math.Inf(1)} {
 		rules = append(rules, &agent.ReportRule{Change: change, KeepAlive: 10 * time.Second})
 	}
-	rules = append(rules, &agent.ReportRule{Change: 1, KeepAlive: 30 * time.Second})
+	for _, keepAlive := range []time.Duration{5 * time.Second, 30 * time.Second} {
+		rules = append(rules, &agent.ReportRule{Change: 1, KeepAlive: keepAlive})
+	}
 	for _, policy := range []string{"least-loaded", "prefix"} {
 		for _, n := range []int{entries, manyEntries} {
 			for _, load := range []float64{0.1, 0.7, 0.95} {
@@ -383,7 +385,7 @@
 }
 
 // reportFaults compares the agents' rule with reports of all loads where loads
-// change quickly or caches decide.
+// change quickly or caches decide; with the longest keep-alive for many entries.
 func reportFaults(b *bench) {
 	fmt.Println("\nWait in ms with reports of all loads and with the agents' rule, lag 1 s")
 	fmt.Printf("%-40s %-9s %s %8s %8s %7s %10s\n", "case", "reports", waitHead, "lost", "refused", "hits", "reports/s")
@@ -401,7 +403,10 @@
 	} {
 		all, some := c.v, c.v
 		all.lag, some.lag = time.Second, time.Second
-		some.rule = &agent.ReportRule{Change: 1, KeepAlive: 30 * time.Second}
+		some.rule = &agent.ReportRule{Change: 1, KeepAlive: 5 * time.Second}
+		if c.v.entries > 0 {
+			some.rule.KeepAlive = 30 * time.Second
+		}
 		short := *b
 		if c.v.plain {
 			short.Seconds = min(b.Seconds, 60)
