--- a/agent/services.go
+++ b/agent/services.go
@@ -36,7 +36,7 @@
 	for {
 		now := time.Now()
 		r := &wire.Report{
-			Upstream: a.settings.ID, Incarnation: a.incarnation,
+			Upstream: a.settings.ID, Incarnation: a.life.Number(),
 			Load: a.currentLoad(), Leaving: a.attempts.isClosed(),
 		}
 		if !req.NoCacheEvents {
