Forecast by trends and regimes, and search on from where it is stuck

Cause: the forecast lagged behind the auction's steady drift, the median of three cost a window at each snap, moves chased noise below the forecast's own error, and the search couldn't relieve an expert that fills a rank alone.

Change: smoothers with a trend; single counters are clipped in place of the median; a window that errs fourfold in the middle layer ends a regime, and a remembered one is recognised by its direction; the least gain of a move follows the forecast's standard error; a stuck search copies the heaviest expert and goes on.

--- a/measure/placement/tune.go
+++ b/measure/placement/tune.go
@@ -12,7 +12,7 @@
 // setting is one choice of the incremental planner's settings.
 type setting struct {
 	half, life, horizon, margin, minGain float64
-	median                               bool
+	robust                               bool
 }
 
 // grid lists the settings that are tried.
@@ -21,7 +21,7 @@
 	for _, half := range []float64{30, 60} {
 		for _, life := range []float64{300, 900} {
 			for _, factor := range []float64{3, 5} {
-				out = append(out, setting{half: half, life: life, horizon: factor, margin: 1, minGain: 0.002, median: true})
+				out = append(out, setting{half: half, life: life, horizon: factor, margin: 1, minGain: 0.002, robust: true})
 			}
 		}
 	}
@@ -31,7 +31,7 @@
 func (s setting) planner() *placement.Incremental {
 	p := placement.NewIncremental()
 	p.HalfLifeSeconds, p.ErrorLifeSeconds, p.HorizonFactor = s.half, s.life, s.horizon
-	p.Margin, p.MinGain, p.Median = s.margin, s.minGain, s.median
+	p.Margin, p.MinGain, p.Robust = s.margin, s.minGain, s.robust
 	return p
 }
 
@@ -67,7 +67,7 @@
 			least[i] = min(least[i], j)
 		}
 	}
-	fmt.Printf("half-life error-life horizon-factor margin min-gain median | mean | J and its ratio by trace\n")
+	fmt.Printf("half-life error-life horizon-factor margin min-gain robust | mean | J and its ratio by trace\n")
 	for k, s := range settings {
 		sum, worst, each := 0.0, 0.0, ""
 		for i := range users {
@@ -77,7 +77,7 @@
 			each += fmt.Sprintf(" %.0f/%.2f", js[i][k], ratio)
 		}
 		fmt.Printf("%4.0f %5.0f %5.0f %4.1f %6.3f %5v | %.3f | worst %.2f |%s\n",
-			s.half, s.life, s.horizon, s.margin, s.minGain, s.median, sum/float64(len(users)), worst, each)
+			s.half, s.life, s.horizon, s.margin, s.minGain, s.robust, sum/float64(len(users)), worst, each)
 	}
 	return nil
 }
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -14,41 +14,42 @@
 // missing: a window's weight depends on its end alone. Shares are smoothed, not
 // tokens, so a busy hour doesn't outweigh the quiet one that follows it.
 //
-// Several half-lives run side by side; each layer is forecast by the one that has
-// lately erred least about the next window. So noise is smoothed away where the load
-// stands still, and a sudden change is followed quickly.
+// Several half-lives run side by side, with and without a trend; each layer is
+// forecast by the one that has lately erred least about the next window. So noise is
+// smoothed away where the load stands still or drifts steadily. A sudden change ends
+// a regime, see regimes: what came before it counts no more.
 type Forecast struct {
 	// HalfLives are the ages at which a window counts half.
 	HalfLives []time.Duration
+	// Trends are the half-lives of the smoothers with a trend.
+	Trends []time.Duration
+	// Ahead is for how long after the newest window a trend is followed.
+	Ahead time.Duration
 	// ErrorHalfLife is the age at which an error about a window counts half.
 	ErrorHalfLife time.Duration
-	// Median takes each expert's median of the last three windows first, so that
-	// one wrong counter can't start a move.
-	Median bool
+	// Robust clips single wrong counters, so that none can start a move, and tells
+	// sudden changes from them.
+	Robust bool
 
 	shape     Shape
 	smoothers []smoother
 	ref       time.Time
 	seen      []time.Time
-	recent    []Load
-}
-
-// smoother is one half-life's weighted sum of windows, and its recent squared error
-// in each layer.
-type smoother struct {
-	half   time.Duration
-	sum    []float64
-	weight float64
-	errors []float64
+	noise     noise
+	regimes   regimes
 }
 
 // Reset forgets all windows.
 func (f *Forecast) Reset(s Shape) {
-	*f = Forecast{HalfLives: f.HalfLives, ErrorHalfLife: f.ErrorHalfLife, Median: f.Median, shape: s}
+	*f = Forecast{
+		HalfLives: f.HalfLives, Trends: f.Trends, Ahead: f.Ahead,
+		ErrorHalfLife: f.ErrorHalfLife, Robust: f.Robust, shape: s,
+	}
 	for _, half := range f.HalfLives {
-		f.smoothers = append(f.smoothers, smoother{
-			half: half, sum: make([]float64, s.Layers*s.Experts), errors: make([]float64, s.Layers),
-		})
+		f.smoothers = append(f.smoothers, newSmoother(half, false, s))
+	}
+	for _, half := range f.Trends {
+		f.smoothers = append(f.smoothers, newSmoother(half, true, s))
 	}
 }
 
@@ -61,8 +62,10 @@
 	if len(f.seen) > seenWindows {
 		f.seen = slices.Delete(f.seen, 0, 1)
 	}
-	raw := f.shares(load)
-	f.add(at, raw, f.filtered(raw))
+	if at.Before(f.regimes.since) {
+		return false
+	}
+	f.add(at, f.shares(load))
 	return true
 }
 
@@ -75,25 +78,60 @@
 	if f.ref.IsZero() {
 		return nil
 	}
-	out := make(Load, 0, f.shape.Layers*f.shape.Experts)
+	return f.after(f.Ahead)
+}
+
+// after is the forecast for a time after the newest window.
+func (f *Forecast) after(by time.Duration) Load {
+	lines := make([]line, len(f.smoothers))
+	for i := range f.smoothers {
+		lines[i] = f.smoothers[i].ahead(by)
+	}
+	out := make(Load, f.shape.Layers*f.shape.Experts)
+	trend := false
 	for layer := range f.shape.Layers {
-		sm := f.best(layer)
-		for _, v := range sm.sum[layer*f.shape.Experts : (layer+1)*f.shape.Experts] {
-			out = append(out, v/sm.weight)
+		k := f.best(layer)
+		trend = trend || f.smoothers[k].trend
+		for i := layer * f.shape.Experts; i < (layer+1)*f.shape.Experts; i++ {
+			out[i] = f.smoothers[k].at(i, lines[k])
 		}
 	}
+	if trend {
+		return f.shares(out) // a line may have been cut at zero
+	}
 	return out
 }
 
+// trendLife is the share of a trend's half-life for which a gain is trusted like that
+// of a smoother without: the drift that it follows goes on.
+const trendLife = 0.2
+
 // HalfLife is the half-life by which a layer is forecast now: short after a sudden
 // change, long where the load stands still.
-func (f *Forecast) HalfLife(layer int) time.Duration { return f.best(layer).half }
+func (f *Forecast) HalfLife(layer int) time.Duration {
+	sm := &f.smoothers[f.best(layer)]
+	if sm.trend {
+		return time.Duration(trendLife * float64(sm.half))
+	}
+	return sm.half
+}
 
-func (f *Forecast) best(layer int) *smoother {
-	best := &f.smoothers[0]
+// Error is the standard error of the forecast load of a rank, by the counters' noise,
+// where the mean rank has load 1.
+func (f *Forecast) Error(layer int) float64 {
+	if f.noise.squares == nil {
+		return 0
+	}
+	variance := f.smoothers[f.best(layer)].ahead(f.Ahead).variance
+	return math.Sqrt(f.noise.of(layer) * variance / float64(f.shape.Ranks))
+}
+
+// best is the number of the smoother by which a layer is forecast.
+func (f *Forecast) best(layer int) int {
+	best := 0
 	for i := range f.smoothers {
-		if f.smoothers[i].errors[layer] < best.errors[layer] {
-			best = &f.smoothers[i]
+		if f.smoothers[i].errors[layer] < f.smoothers[best].errors[layer] {
+			best = i
 		}
 	}
 	return best
@@ -119,75 +157,55 @@
 	return out
 }
 
-func (f *Forecast) filtered(load Load) Load {
-	if !f.Median {
-		return load
-	}
-	f.recent = append(f.recent, load)
-	if len(f.recent) > 3 {
-		f.recent = slices.Delete(f.recent, 0, 1)
-	}
-	if len(f.recent) < 3 {
-		return load
-	}
-	out := make(Load, len(load))
-	for i := range out {
-		a, b, c := f.recent[0][i], f.recent[1][i], f.recent[2][i]
-		out[i] = max(min(a, b), min(max(a, b), c))
-	}
-	return f.shares(out)
-}
-
-// add takes a window into all smoothers. They are judged by the raw window: medians
-// of overlapping windows resemble each other, which would favour the quickest one.
-func (f *Forecast) add(at time.Time, raw, load Load) {
-	first := f.ref.IsZero()
-	if first {
+// add takes a window into all smoothers. They are judged by the raw window: clipped
+// ones resemble the forecast.
+func (f *Forecast) add(at time.Time, raw Load) {
+	if f.ref.IsZero() {
 		f.ref = at
 	}
 	age := f.ref.Sub(at)
-	for i := range f.smoothers {
-		sm := &f.smoothers[i]
-		if age < 0 {
-			sm.judge(raw, fade(-age, f.ErrorHalfLife))
-			sm.decay(fade(-age, sm.half))
-		}
-		sm.add(load, fade(max(age, 0), sm.half))
-	}
+	load := raw
 	if age < 0 {
-		f.ref = at
+		load = f.newest(at, -age, raw)
+	} else if f.Robust && f.noise.squares != nil {
+		load = f.noise.clip(raw, f.after(-age))
+	}
+	if load == nil {
+		return
+	}
+	for i := range f.smoothers {
+		f.smoothers[i].add(load, max(age, 0), 1)
 	}
 }
 
-// judge adds the error about a window that is the newest so far.
-func (sm *smoother) judge(load Load, by float64) {
-	experts := len(load) / len(sm.errors)
-	for layer := range sm.errors {
-		sum := 0.0
-		for i := layer * experts; i < (layer+1)*experts; i++ {
-			d := load[i] - sm.sum[i]/sm.weight
-			sum += d * d
+// newest takes the newest window so far, and gives what the smoothers are to add; nil
+// if they have been set anew.
+func (f *Forecast) newest(at time.Time, after time.Duration, raw Load) Load {
+	load := raw
+	if f.Robust {
+		expected := f.after(after)
+		if f.noise.squares != nil && f.noise.jump(f.shape, raw, expected) {
+			f.turn(at, raw)
+			return nil
 		}
-		sm.errors[layer] = sm.errors[layer]*by + sum
+		load = f.noise.clip(raw, expected)
+		f.noise.learn(f.shape, load, expected, fade(after, f.ErrorHalfLife))
 	}
-}
-
-func (sm *smoother) add(load Load, w float64) {
-	for i, v := range load {
-		sm.sum[i] += w * v
+	for i := range f.smoothers {
+		f.smoothers[i].judge(raw, after, fade(after, f.ErrorHalfLife))
+		f.smoothers[i].pass(after)
 	}
-	sm.weight += w
+	f.ref = at
+	f.regimes.windows++
+	return load
 }
 
-// minWeight keeps sums from vanishing over a long gap: only their ratio counts.
-const minWeight = 1e-9
-
-func (sm *smoother) decay(by float64) {
-	by = max(by, minWeight/sm.weight)
-	for i := range sm.sum {
-		sm.sum[i] *= by
+// turn begins a regime at a window.
+func (f *Forecast) turn(at time.Time, raw Load) {
+	start, weight := f.regimes.next(f.after(0), raw, f.noise.total())
+	for i := range f.smoothers {
+		f.smoothers[i].forget()
+		f.smoothers[i].add(start, 0, weight)
 	}
-	sm.weight *= by
+	f.ref, f.regimes.since = at, at
 }
-
-func fade(age, half time.Duration) float64 { return math.Exp2(-float64(age) / float64(half)) }
--- a/placement/incremental.go
+++ b/placement/incremental.go
@@ -22,7 +22,7 @@
 	// halfLifeSteps half-lives run side by side, each halfLifeFactor times longer.
 	halfLifeSteps        = 3
 	halfLifeFactor       = 5
-	defaultErrorLife     = 5 * time.Minute
+	defaultErrorLife     = 15 * time.Minute
 	defaultHorizonFactor = 5.0
 	defaultMargin        = 1.0
 	defaultMinGain       = 0.002
@@ -47,7 +47,15 @@
 	MinGain       float64 `toml:"min_gain"`
 	PaceSeconds   float64 `toml:"pace_seconds"`
 	StaleSeconds  float64 `toml:"stale_seconds"`
-	Median        bool    `toml:"median"`
+	// Robust clips single wrong counters and tells sudden changes from them.
+	Robust bool `toml:"robust"`
+	// TrendSeconds are the half-lives of the forecasts with a trend, AheadSeconds the
+	// time after the newest window for which it is followed.
+	TrendSeconds []float64 `toml:"trend_seconds"`
+	AheadSeconds float64   `toml:"ahead_seconds"`
+	// NoiseGain times the standard error of a rank's forecast load is the least skew
+	// that a move must save; the larger of it and MinGain counts.
+	NoiseGain float64 `toml:"noise_gain"`
 	// Lighten gives a rank that is slow for other reasons than its experts less load.
 	Lighten bool `toml:"lighten"`
 
@@ -68,7 +76,10 @@
 		MinGain:          defaultMinGain,
 		PaceSeconds:      defaultPace.Seconds(),
 		StaleSeconds:     defaultStale.Seconds(),
-		Median:           true,
+		Robust:           true,
+		TrendSeconds:     []float64{400, 1200, 3600},
+		AheadSeconds:     120,
+		NoiseGain:        0.6,
 		Lighten:          true,
 	}
 }
@@ -83,7 +94,10 @@
 
 // NewForecast makes a forecast with the planner's settings.
 func (p *Incremental) NewForecast() Forecast {
-	f := Forecast{Median: p.Median, ErrorHalfLife: seconds(p.ErrorLifeSeconds)}
+	f := Forecast{Robust: p.Robust, ErrorHalfLife: seconds(p.ErrorLifeSeconds), Ahead: seconds(p.AheadSeconds)}
+	for _, half := range p.TrendSeconds {
+		f.Trends = append(f.Trends, seconds(half))
+	}
 	half := p.HalfLifeSeconds
 	for range halfLifeSteps {
 		f.HalfLives = append(f.HalfLives, seconds(half))
@@ -144,6 +158,7 @@
 	for layer := range p.shape.Layers {
 		horizon := p.HorizonFactor * float64(p.forecast.HalfLife(layer))
 		lim.Horizons = append(lim.Horizons, time.Duration(horizon))
+		lim.MinGains = append(lim.MinGains, max(p.MinGain, p.NoiseGain*p.forecast.Error(layer)))
 	}
 	if p.Lighten {
 		lim.Slow = p.watch.lasting()
--- a/placement/search.go
+++ b/placement/search.go
@@ -19,6 +19,8 @@
 	// MinGain is the least skew that one move must save in its layer; it holds back
 	// moves for gains that are smaller than the forecast's error.
 	MinGain float64
+	// MinGains, if given, replace MinGain layer by layer.
+	MinGains []float64
 	// MaxMoves bounds the moves of the plan, 0 is no bound.
 	MaxMoves int
 	// Slow is the time that a rank takes over what its load explains; nil if all
@@ -38,6 +40,14 @@
 	// maxPartners is how many experts of such a rank are tried for each one of the
 	// busy rank.
 	maxPartners = 2
+	// kickSkew is the skew above which a search that is stuck goes on from a worse map,
+	// maxKicks how often.
+	kickSkew = 1.03
+	maxKicks = 1
+	// maxSideways is the number of steps in a row that may bring less than progress, as
+	// where several ranks are equally busy.
+	maxSideways = 3
+	progress    = 0.002
 )
 
 // Improve looks for the few moves that lower the forecast skew most, and keeps
@@ -104,14 +114,22 @@
 	return sr.weight * sr.lim.Horizon.Seconds()
 }
 
+// minGain is the least skew that one move must save in a layer.
+func (sr *search) minGain(layer int) float64 {
+	if sr.lim.MinGains != nil {
+		return sr.lim.MinGains[layer]
+	}
+	return sr.lim.MinGain
+}
+
 // layerPlan is the steps found for one layer; the first best of them are worth
 // their price. skews and moves hold what follows after each number of steps.
 type layerPlan struct {
-	value float64
-	steps []step
-	skews []float64
-	moves []int
-	best  int
+	value, minGain float64
+	steps          []step
+	skews          []float64
+	moves          []int
+	best           int
 }
 
 func (p *layerPlan) gain(steps int) float64 { return p.skews[0] - p.skews[steps] }
@@ -124,7 +142,7 @@
 func (sr *search) pays(p *layerPlan, steps int) bool {
 	moves := float64(p.moves[steps])
 	gain := p.gain(steps)
-	return gain > sr.lim.MinGain*moves && p.value*gain > sr.lim.Margin*sr.price*moves
+	return gain > p.minGain*moves && p.value*gain > sr.lim.Margin*sr.price*moves
 }
 
 // states makes the layers' states, the least even layer first, and gives their mean
@@ -144,12 +162,25 @@
 
 // plan searches one layer.
 func (sr *search) plan(st *layerState, steps int) layerPlan {
-	p := layerPlan{value: sr.value(st.layer), skews: []float64{st.skew()}, moves: []int{0}}
+	p := layerPlan{value: sr.value(st.layer), minGain: sr.minGain(st.layer), skews: []float64{st.skew()}, moves: []int{0}}
+	mark, sideways, kicks := st.skew(), 0, 0
 	for len(p.steps) < steps && sr.mayPay(st) {
-		found, ok := st.bestStep()
-		if !ok {
+		found := step{}
+		if sideways < maxSideways {
+			found = st.bestStep()
+		}
+		if found.n == 0 && kicks < maxKicks && st.skew() > kickSkew {
+			found = st.kick()
+			kicks++
+			mark, sideways = st.skew(), -1
+		}
+		if found.n == 0 {
 			break
 		}
+		sideways++
+		if st.skew() < mark-progress {
+			mark, sideways = st.skew(), 0
+		}
 		p.steps = append(p.steps, found)
 		p.skews = append(p.skews, st.skew())
 		p.moves = append(p.moves, p.moves[len(p.moves)-1]+found.n)
@@ -160,12 +191,12 @@
 
 // mayPay says whether reaching the lower bound would pay for one more move.
 func (sr *search) mayPay(st *layerState) bool {
-	room, value := st.skew()-1, sr.value(st.layer)
-	if room <= sr.lim.MinGain || value*room <= sr.lim.Margin*sr.price {
+	room, value, least := st.skew()-1, sr.value(st.layer), sr.minGain(st.layer)
+	if room <= least || value*room <= sr.lim.Margin*sr.price {
 		return false
 	}
 	room = st.skew() - boundOf(sr.s, st.share)
-	return room > sr.lim.MinGain && value*room > sr.lim.Margin*sr.price
+	return room > least && value*room > sr.lim.Margin*sr.price
 }
 
 func (sr *search) bestPrefix(p *layerPlan, maxMoves int) int {
@@ -216,7 +247,7 @@
 }
 
 // bestStep finds the best change that relieves the busiest rank and makes it.
-func (st *layerState) bestStep() (step, bool) {
+func (st *layerState) bestStep() step {
 	busy := st.busiest()
 	best := &candidate{fall: st.peak * 1e-6}
 	st.offerCopies(busy, best)
@@ -224,15 +255,44 @@
 	for _, rank := range st.emptiest(busy) {
 		st.offerExchanges(busy, rank, best)
 	}
-	if best.step.n == 0 {
-		return step{}, false
-	}
-	skew := st.skew()
 	for i, mv := range best.step.moves[:best.step.n] {
 		best.step.moves[i] = st.put(mv.Rank, mv.Slot, mv.To)
 	}
 	st.settle()
-	return best.step, st.skew() < skew
+	return best.step
+}
+
+// kick copies the heaviest expert of the busiest rank to the rank that has least with
+// it, even if that one becomes the busiest. An expert with a rank's whole load ends up
+// alone among spare copies of light ones; no single step relieves it, as each other
+// rank has to be unloaded next. What follows counts only if it pays as a whole.
+func (st *layerState) kick() step {
+	busy := st.busiest()
+	heaviest := st.rankSlots(busy)[0]
+	for _, e := range st.rankSlots(busy) {
+		if st.each(e) > st.each(heaviest) {
+			heaviest = e
+		}
+	}
+	rank, slot := -1, -1
+	least := math.Inf(1)
+	for r := range st.s.Ranks {
+		if st.holds(r, heaviest) {
+			continue
+		}
+		for i, c := range st.rankSlots(r) {
+			if with := st.load[r] - st.each(c)*st.slow[r]; st.spare(c) && with < least {
+				rank, slot, least = r, i, with
+			}
+		}
+	}
+	found := step{}
+	if rank >= 0 {
+		found.add(st.put(rank, slot, heaviest))
+		st.kicked = heaviest
+		st.settle()
+	}
+	return found
 }
 
 // offerCopies looks at copying an expert of the busy rank to a spare slot.
@@ -242,7 +302,7 @@
 			continue
 		}
 		for slot, c := range st.rankSlots(rank) {
-			if !st.spare(c) {
+			if !st.free(c) {
 				continue
 			}
 			for _, e := range st.rankSlots(busy) {
@@ -257,7 +317,7 @@
 // offerDrops looks at overwriting a spare copy on the busy rank by a lighter expert.
 func (st *layerState) offerDrops(busy int, best *candidate) {
 	for slot, c := range st.rankSlots(busy) {
-		if !st.spare(c) {
+		if !st.free(c) {
 			continue
 		}
 		dropped := st.share[c] / float64(len(st.holders[c]))
@@ -275,17 +335,17 @@
 // through, so no expert is without a rank in between.
 func (st *layerState) offerExchanges(busy, rank int, best *candidate) {
 	for from, e := range st.rankSlots(busy) {
-		if st.holds(rank, e) {
+		if e == st.kicked || st.holds(rank, e) {
 			continue
 		}
 		st.partners = st.partnersOf(busy, rank, e, st.partners[:0])
 		for slot, c := range st.rankSlots(rank) {
-			if st.spare(c) {
+			if st.free(c) {
 				st.offerThroughOther(busy, from, rank, slot, best)
 			}
 		}
 		for slot, c := range st.rankSlots(busy) {
-			if slot != from && st.spare(c) {
+			if slot != from && st.free(c) {
 				st.offerThroughBusy(busy, from, rank, slot, best)
 			}
 		}
@@ -302,7 +362,7 @@
 	var off [maxPartners]float64
 	for slot, x := range st.rankSlots(rank) {
 		passed := given - st.share[x]/float64(len(st.holders[x]))
-		if passed <= 0 || passed >= gap || st.holds(busy, x) {
+		if passed <= 0 || passed >= gap || x == st.kicked || st.holds(busy, x) {
 			continue
 		}
 		d := math.Abs(passed - gap/2)
--- a/placement/state.go
+++ b/placement/state.go
@@ -17,6 +17,9 @@
 	// ones.
 	peak  float64
 	steep bool
+	// kicked is the expert that the search copied against its own measure, -1 if none: its
+	// copies stay, else the next step would take the change back.
+	kicked int32
 	// undo holds what a trial has overwritten.
 	undo []savedLoad
 	// partners is scratch space of the search.
@@ -61,7 +64,7 @@
 
 func newLayerState(s Shape, layer int, slots []int32, share, slow []float64) *layerState {
 	st := &layerState{
-		s: s, layer: layer, share: share, slow: slow, slots: slices.Clone(slots),
+		s: s, layer: layer, kicked: -1, share: share, slow: slow, slots: slices.Clone(slots),
 		holders: make([][]int32, s.Experts), load: make([]float64, s.Ranks),
 	}
 	backing := make([]int32, 0, len(slots)+4*s.Experts)
@@ -103,6 +106,12 @@
 	return st.slots[rank*st.s.Slots : (rank+1)*st.s.Slots]
 }
 
+// free says whether the search may overwrite a copy of an expert.
+func (st *layerState) free(e int32) bool { return st.spare(e) && e != st.kicked }
+
+// each is the load of one copy of an expert.
+func (st *layerState) each(e int32) float64 { return st.share[e] / float64(len(st.holders[e])) }
+
 func (st *layerState) spare(e int32) bool { return len(st.holders[e]) > 1 }
 
 func (st *layerState) busiest() int {
