Price moves in a regime by how long regimes last

Cause: after a snap of the lift service the forecast starts anew, and a gain was expected to last five of the shortest half-lives; moves that even the new hot set didn't pay, and the group stayed at a skew of 1.13 for the whole snap.

Change: once sudden changes have been seen, a gain is expected to last for a share of the regimes' mean length. A change that is recognised but doesn't fit is followed by the raw window. The least gain that follows noise is bounded.

--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -116,6 +116,9 @@
 	return sm.half
 }
 
+// Lasting is for how long regimes have lasted on average; zero if none has ended.
+func (f *Forecast) Lasting() time.Duration { return f.regimes.mean() }
+
 // Error is the standard error of the forecast load of a rank, by the counters' noise,
 // where the mean rank has load 1.
 func (f *Forecast) Error(layer int) float64 {
@@ -202,10 +205,10 @@
 
 // turn begins a regime at a window.
 func (f *Forecast) turn(at time.Time, raw Load) {
-	start, weight := f.regimes.next(f.after(0), raw, f.noise.total())
+	start, weight := f.regimes.next(at, f.after(0), raw, f.noise.total())
 	for i := range f.smoothers {
 		f.smoothers[i].forget()
 		f.smoothers[i].add(start, 0, weight)
 	}
-	f.ref, f.regimes.since = at, at
+	f.ref = at
 }
--- a/placement/incremental.go
+++ b/placement/incremental.go
@@ -26,6 +26,12 @@
 	defaultHorizonFactor = 5.0
 	defaultMargin        = 1.0
 	defaultMinGain       = 0.002
+	defaultNoiseGain     = 0.8
+	defaultRegimeShare   = 0.3
+	defaultAhead         = 2 * time.Minute
+	// maxNoiseGain bounds the least gain that follows from noise: with poor counters a
+	// higher one leaves more uneven than it saves in moves.
+	maxNoiseGain = 0.01
 	// defaultPace is the time that the weight store may be kept busy by one plan.
 	defaultPace = 60 * time.Second
 	// defaultStale is the age of the counters above which nothing is moved.
@@ -56,6 +62,9 @@
 	// NoiseGain times the standard error of a rank's forecast load is the least skew
 	// that a move must save; the larger of it and MinGain counts.
 	NoiseGain float64 `toml:"noise_gain"`
+	// RegimeShare is the share of a regime's usual length for which a gain is expected
+	// to last.
+	RegimeShare float64 `toml:"regime_share"`
 	// Lighten gives a rank that is slow for other reasons than its experts less load.
 	Lighten bool `toml:"lighten"`
 
@@ -78,8 +87,9 @@
 		StaleSeconds:     defaultStale.Seconds(),
 		Robust:           true,
 		TrendSeconds:     []float64{400, 1200, 3600},
-		AheadSeconds:     120,
-		NoiseGain:        0.6,
+		AheadSeconds:     defaultAhead.Seconds(),
+		NoiseGain:        defaultNoiseGain,
+		RegimeShare:      defaultRegimeShare,
 		Lighten:          true,
 	}
 }
@@ -157,8 +167,12 @@
 	lim := Limits{Margin: p.Margin, MinGain: p.MinGain}
 	for layer := range p.shape.Layers {
 		horizon := p.HorizonFactor * float64(p.forecast.HalfLife(layer))
+		if regime := p.RegimeShare * float64(p.forecast.Lasting()); regime > 0 {
+			horizon = regime
+		}
 		lim.Horizons = append(lim.Horizons, time.Duration(horizon))
-		lim.MinGains = append(lim.MinGains, max(p.MinGain, p.NoiseGain*p.forecast.Error(layer)))
+		noise := min(p.NoiseGain*p.forecast.Error(layer), maxNoiseGain)
+		lim.MinGains = append(lim.MinGains, max(p.MinGain, noise))
 	}
 	if p.Lighten {
 		lim.Slow = p.watch.lasting()
--- a/placement/regimes.go
+++ b/placement/regimes.go
@@ -37,16 +37,32 @@
 	patterns []Load
 	// part is how far the change had come in the last window.
 	part float64
+	// lasted is how long regimes lasted in all, ended their number.
+	lasted time.Duration
+	ended  int
+}
+
+// mean is for how long a regime lasts; zero if none has ended.
+func (g *regimes) mean() time.Duration {
+	if g.ended == 0 {
+		return 0
+	}
+	return g.lasted / time.Duration(g.ended)
 }
 
 // next ends the regime in force, whose last forecast is given, and says with what, and
 // as how many windows, the next one begins.
-func (g *regimes) next(last, raw Load, noise float64) (Load, float64) {
+func (g *regimes) next(at time.Time, last, raw Load, noise float64) (Load, float64) {
 	if g.windows >= minRegime || g.base == nil {
 		g.remember(last, distance(last, raw))
 		g.base, g.part = last, 0
+		if !g.since.IsZero() {
+			g.lasted += at.Sub(g.since)
+			g.ended++
+		}
 	}
-	g.windows = 0
+	again := g.windows == 0
+	g.windows, g.since = 0, at
 	p, part := g.recognise(raw, noise)
 	if p == nil {
 		g.part = 0
@@ -54,10 +70,14 @@
 	}
 	rising := part > g.part+risingBy && part < 1
 	g.part = part
-	if rising {
-		part = 1
+	switch {
+	case rising:
+		return between(g.base, p, 1), knownWeight
+	case again:
+		// What is remembered doesn't fit this time.
+		return raw, 1
 	}
-	return between(g.base, p, part), knownWeight
+	return between(between(g.base, p, part), raw, 0.5), knownWeight
 }
 
 // recognise finds the remembered regime in whose direction the load has gone, and how
