Stop leading a group whose row is deleted

Cause: a driver went on for good when its group's row was deleted. It asked the ranks, renewed the lease and kept out whoever was to run the group next.

Change: the driver ends an undecided switch, brings the ranks to the map in force (for at most arm_timeout), then stops and frees the lease. A later row is led again under a new token. The fake engine records the orders to a rank, too.

--- a/control/groupdriver.go
+++ b/control/groupdriver.go
@@ -35,7 +35,9 @@
 	orders    map[int]*rankOrders
 	proposing bool
 	renewed   time.Time
-	details   map[int]string
+	// rowGone is when the group's row was first missed; zero while there is one.
+	rowGone time.Time
+	details map[int]string
 
 	window   counterWindow
 	turn     int
@@ -96,15 +98,51 @@
 		d.renewed = now
 		_ = d.replica.do(ctx, func() { d.replica.leads.renew(d.name, now, maxLease) })
 	}
-	if !d.prepare() {
+	d.watchRow(now)
+	if !d.prepare() || row == nil && state == nil {
 		return
 	}
 	d.coord.Applied(now, state)
 	d.err = d.steer(ctx, now)
-	d.collect(ctx, now)
+	if row != nil {
+		d.collect(ctx, now)
+	}
 	d.act(ctx, now)
 }
 
+func (d *groupDriver) watchRow(now time.Time) {
+	switch {
+	case d.row != nil:
+		d.rowGone = time.Time{}
+	case d.rowGone.IsZero():
+		d.rowGone = now
+	}
+}
+
+// over says whether nothing is left to do for a group whose row is gone: no switch is
+// undecided, and either every rank uses the map in force and nothing is on its way, or
+// the time for that is over. A rank that is down may never answer; one that still has a
+// decided switch open is told the end by its own agent.
+func (d *groupDriver) over(now time.Time) bool {
+	if d.row != nil || rollout.Undecided(d.state.GetSwitch()) {
+		return false
+	}
+	if now.Sub(d.rowGone) > d.settings.ArmTimeout.D() {
+		return true
+	}
+	return !d.proposing && !d.ordering() && (d.state == nil || d.coord == nil || d.coord.Quiet())
+}
+
+// ordering says whether an order is on its way to a rank.
+func (d *groupDriver) ordering() bool {
+	for _, q := range d.orders {
+		if q.busy {
+			return true
+		}
+	}
+	return d.window.waiting > 0
+}
+
 // prepare makes the coordinator once the group's shape is known. The shape of the
 // map in force wins over the row's: ranks that restart must come back on it.
 func (d *groupDriver) prepare() bool {
--- a/control/groups.go
+++ b/control/groups.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -91,7 +93,7 @@
 
 // tick does what is due; it returns whether a group is waiting for something.
 func (g *groupLeader) tick(ctx context.Context, r *Replica) bool {
-	n := r.groupsNow(ctx)
+	n := r.groupsNow(ctx, g.led())
 	if !n.leads {
 		g.drop()
 		return false
@@ -103,11 +105,17 @@
 	}
 	// A group whose row is gone may still have a switch in doubt, with ranks
 	// that have stopped for its decision.
-	for name := range n.states {
+	for name, s := range n.states {
+		names[name] = names[name] || rollout.Undecided(s.Switch)
+	}
+	for _, name := range g.led() {
 		names[name] = true
 	}
 	busy := false
-	for name := range names {
+	for name, due := range names {
+		if !due {
+			continue
+		}
 		d := g.driver(ctx, r, name, n)
 		if d == nil {
 			busy = true
@@ -116,13 +124,40 @@
 		g.mu.Lock()
 		d.tick(ctx, time.Now(), n.view.Groups[name], n.states[name], ranks[name])
 		busy = busy || d.coord == nil || !d.coord.Quiet()
+		over := d.over(time.Now())
 		g.mu.Unlock()
+		if over {
+			g.release(ctx, r, d)
+		}
 	}
 	return busy
 }
 
-// groupsNow reads the groups' state in the replica's loop.
-func (r *Replica) groupsNow(ctx context.Context) groupsNow {
+// led lists the groups that have a driver.
+func (g *groupLeader) led() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Collect(maps.Keys(g.drivers))
+}
+
+// release stops a group's driver and frees its lease. A driver left running would go
+// on giving orders under a lease that it renews, and keep out whoever is to run the
+// group next.
+func (g *groupLeader) release(ctx context.Context, r *Replica, d *groupDriver) {
+	g.mu.Lock()
+	delete(g.drivers, d.name)
+	g.mu.Unlock()
+	err := r.do(ctx, func() {
+		if r.machine.fence.Token(d.name) == d.token {
+			r.leads.renew(d.name, time.Now(), 0)
+		}
+	})
+	kernel.Info(g.log, "Leads a group no more: its row is gone.", "group", d.name, "token", d.token, "err", err)
+}
+
+// groupsNow reads the groups' state in the replica's loop, also of those led that are
+// neither on the log nor in the table any more.
+func (r *Replica) groupsNow(ctx context.Context, led []string) groupsNow {
 	n := groupsNow{states: map[string]*wire.GroupState{}, tokens: map[string]uint64{}}
 	err := r.do(ctx, func() {
 		v, err := r.shareView()
@@ -134,7 +169,7 @@
 			n.states[name] = r.machine.groups.Get(name)
 			n.tokens[name] = r.machine.fence.Token(name)
 		}
-		for name := range v.Groups {
+		for _, name := range slices.AppendSeq(led, maps.Keys(v.Groups)) {
 			n.tokens[name] = r.machine.fence.Token(name)
 		}
 	})
--- a/control/groups_test.go
+++ b/control/groups_test.go
@@ -59,8 +59,9 @@
 // ranks runs a fake group with an agent beside each rank.
 type ranks struct {
 	*cluster
-	group  *fake.Group
-	agents []*agent.Agent
+	group   *fake.Group
+	engines []*fake.Engine
+	agents  []*agent.Agent
 }
 
 func fakeLoad(uint64) placement.Load { return placement.Load{80, 8, 8, 8, 8, 8, 8, 8} }
@@ -79,6 +80,7 @@
 		e := &fake.Engine{Group: r.group, Rank: i, Fencing: i%2 == 0}
 		assert.NilError(t, e.Start())
 		t.Cleanup(e.Close)
+		r.engines = append(r.engines, e)
 		r.startAgent(i, e.URL())
 	}
 	r.accept(&wire.TableEdit{EditId: "rows", By: "tester", Rows: []*wire.RowEdit{
@@ -302,3 +304,62 @@
 		})
 	}
 }
+
+// An operator deletes the group's row while a switch is in progress. The leader ends the
+// switch, lets every rank go on with the map in force, and stops: it gives up the lease,
+// so that another holder can have it at once, and no order comes after. Otherwise its
+// orders would compete with those of whoever runs the group next. A new row for the
+// group is led again, under a new token.
+func TestADeletedRowEndsOrdersAndFreesTheLease(t *testing.T) {
+	r := startGroup(t, "test-rotate")
+	v := r.waitFor("a switch in progress", func(v *wire.GroupView) bool { return rollout.Undecided(v.GetState().GetSwitch()) })
+	r.deleteRow()
+	r.waitFor("nobody leads the group", func(v *wire.GroupView) bool { return v.Group == "" })
+	lease := r.lease(&wire.LeaseRequest{Group: "g", Holder: "other", TtlMs: 1000})
+	assert.Assert(t, lease.Granted && lease.Token > v.Token, "%v", lease)
+	given := r.ordersGiven()
+	r.waitForSteps(200)
+	assert.Equal(t, r.ordersGiven(), given)
+	assert.Assert(t, r.lease(&wire.LeaseRequest{Group: "g", Holder: "other", Release: true}).Token == lease.Token)
+	r.accept(&wire.TableEdit{EditId: "again", By: "tester", Rows: []*wire.RowEdit{
+		{Kind: "group", Key: "g", Columns: groupColumns("test-rotate", "no")},
+	}})
+	r.waitFor("a switch under a new token", func(now *wire.GroupView) bool {
+		return now.Token > lease.Token && now.GetState().GetMap().GetEpoch() > v.State.Map.Epoch
+	})
+	r.checkHistory()
+}
+
+func (r *ranks) deleteRow() {
+	r.t.Helper()
+	rows, err := r.client.Read(context.Background(), &wire.ReadRequest{Kind: "group", Key: "g", Linearizable: true})
+	assert.NilError(r.t, err)
+	r.accept(&wire.TableEdit{EditId: "delete", By: "tester", Rows: []*wire.RowEdit{
+		{Kind: "group", Key: "g", Delete: true, BaseVersion: rows.Rows[0].Version},
+	}})
+}
+
+func (r *ranks) lease(req *wire.LeaseRequest) (reply *wire.LeaseReply) {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	assert.NilError(r.t, r.client.Call(ctx, func(ctx context.Context, c wire.DRPCControlClient) (err error) {
+		reply, err = c.Acquire(ctx, req)
+		return err
+	}))
+	return reply
+}
+
+// ordersGiven counts the leader's orders. An agent asks its own rank for its status, too:
+// without an incarnation, as the leader does of a rank that it hasn't heard yet.
+func (r *ranks) ordersGiven() int {
+	n := 0
+	for _, e := range r.engines {
+		for _, o := range e.Orders() {
+			if o.Verb != rollout.VerbStatus || !strings.Contains(o.Body, `"incarnation":0,`) {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -155,11 +155,11 @@
 		return
 	}
 	e.highest = max(e.highest, token)
+	e.orders = append(e.orders, GivenOrder{Verb: r.PathValue("verb"), Token: token, Body: string(body)})
 	if e.Group != nil {
 		e.serveRankOrder(w, r.PathValue("verb"), body)
 		return
 	}
-	e.orders = append(e.orders, GivenOrder{Verb: r.PathValue("verb"), Token: token, Body: string(body)})
 	writeJSON(w, map[string]any{"accepted": true})
 }
 
