Let the least gain of a move follow what noise alone can gain in a group

Change: the error of a rank lifts the busiest of n by e x sqrt(2 ln n), which takes about n moves to even out; the least gain is 2.5 times that per move. Until half-lives differ the longest counts.

--- a/placement/incremental.go
+++ b/placement/incremental.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/snipereach/snipereach/kernel"
@@ -26,8 +28,8 @@
 	defaultHorizonFactor = 5.0
 	defaultMargin        = 1.0
 	defaultMinGain       = 0.002
-	defaultNoiseGain     = 0.8
-	defaultRegimeShare   = 0.3
+	defaultNoiseGain     = 2.5
+	defaultRegimeShare   = 0.25
 	defaultAhead         = 2 * time.Minute
 	// maxNoiseGain bounds the least gain that follows from noise: with poor counters a
 	// higher one leaves more uneven than it saves in moves.
@@ -59,8 +61,8 @@
 	// time after the newest window for which it is followed.
 	TrendSeconds []float64 `toml:"trend_seconds"`
 	AheadSeconds float64   `toml:"ahead_seconds"`
-	// NoiseGain times the standard error of a rank's forecast load is the least skew
-	// that a move must save; the larger of it and MinGain counts.
+	// NoiseGain times what one move can gain on noise alone is the least skew that it
+	// must save; the larger of it and MinGain counts.
 	NoiseGain float64 `toml:"noise_gain"`
 	// RegimeShare is the share of a regime's usual length for which a gain is expected
 	// to last.
@@ -113,6 +115,9 @@
 		f.HalfLives = append(f.HalfLives, seconds(half))
 		half *= halfLifeFactor
 	}
+	// Until they differ the longest counts: a load that has just been met for the first
+	// time is taken to last.
+	slices.Reverse(f.HalfLives)
 	return f
 }
 
@@ -171,8 +176,7 @@
 			horizon = regime
 		}
 		lim.Horizons = append(lim.Horizons, time.Duration(horizon))
-		noise := min(p.NoiseGain*p.forecast.Error(layer), maxNoiseGain)
-		lim.MinGains = append(lim.MinGains, max(p.MinGain, noise))
+		lim.MinGains = append(lim.MinGains, max(p.MinGain, p.noiseGain(layer)))
 	}
 	if p.Lighten {
 		lim.Slow = p.watch.lasting()
@@ -183,4 +187,13 @@
 	return lim
 }
 
+// noiseGain is the least gain by the forecast's error. An error of each rank's load by e
+// lifts the busiest of n even ranks by about e x sqrt(2 ln n), and to even that out takes
+// about a move for each rank.
+func (p *Incremental) noiseGain(layer int) float64 {
+	ranks := float64(p.shape.Ranks)
+	each := p.forecast.Error(layer) * math.Sqrt(2*math.Log(ranks)) / ranks
+	return min(p.NoiseGain*each, maxNoiseGain)
+}
+
 func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
