--- /dev/null
+++ b/placement/regimes_test.go
@@ -0,0 +1,148 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// feed gives a forecast windows with 5% noise, half a minute apart.
+type feed struct {
+	f   Forecast
+	rnd *rand.Rand
+	at  time.Time
+}
+
+var feedShape = Shape{Ranks: 4, Experts: 32, Layers: 4, Slots: 9}
+
+func newFeed() *feed {
+	fd := &feed{f: NewIncremental().NewForecast(), rnd: rand.New(rand.NewPCG(1, 1)), at: epoch0}
+	fd.f.Reset(feedShape)
+	return fd
+}
+
+func (fd *feed) windows(n int, load Load) {
+	for range n {
+		noisy := slices.Clone(load)
+		for i := range noisy {
+			noisy[i] *= 1 + 0.05*fd.rnd.NormFloat64()
+		}
+		fd.at = fd.at.Add(30 * time.Second)
+		fd.f.Observe(fd.at, noisy)
+	}
+}
+
+// off is the forecast's squared distance from a load, as a share of that of another one.
+func (fd *feed) off(load, other Load) float64 {
+	want := fd.f.shares(load)
+	return distance(fd.f.Load(), want) / distance(fd.f.shares(other), want)
+}
+
+func evenLoad() Load { return slices.Repeat([]float64{100}, feedShape.Layers*feedShape.Experts) }
+
+// hotLoad has two hot experts in each layer.
+func hotLoad(first int, by float64) Load {
+	l := evenLoad()
+	for layer := range feedShape.Layers {
+		l[layer*feedShape.Experts+first] *= by
+		l[layer*feedShape.Experts+first+7] *= by
+	}
+	return l
+}
+
+// A hot set that came before comes again. The first window shows a part of the rise;
+// without a memory the map would follow the rise step by step, always too late.
+func TestAKnownHotSetIsRecognisedByItsFirstWindow(t *testing.T) {
+	fd := newFeed()
+	calm, hot, other := evenLoad(), hotLoad(3, 8), hotLoad(11, 8)
+	for _, l := range []Load{calm, hot, calm, other, calm} {
+		fd.windows(12, l)
+	}
+	assert.Equal(t, len(fd.f.regimes.patterns), 3)
+	fd.windows(1, hotLoad(3, 3))
+	assert.Assert(t, fd.off(hot, calm) < 0.02, "%v", fd.off(hot, calm))
+	// This time it is weaker: the forecast follows what is seen.
+	fd.windows(3, hotLoad(3, 4))
+	assert.Assert(t, fd.off(hotLoad(3, 4), calm) < 0.05, "%v", fd.off(hotLoad(3, 4), calm))
+	fd.windows(1, calm)
+	assert.Assert(t, fd.off(calm, hot) < 0.02, "%v", fd.off(calm, hot))
+}
+
+// Other experts become hot in all layers: the next plan must know, after one window.
+// A window of the time before that comes late changes nothing.
+func TestASuddenChangeIsFollowedAtOnce(t *testing.T) {
+	fd := newFeed()
+	fd.windows(12, evenLoad())
+	fd.windows(1, hotLoad(5, 8))
+	assert.Assert(t, fd.off(hotLoad(5, 8), evenLoad()) < 0.02)
+	before := fd.f.Load()
+	assert.Assert(t, !fd.f.Observe(fd.at.Add(-15*time.Second), evenLoad()))
+	assert.DeepEqual(t, fd.f.Load(), before)
+}
+
+// One counter is ten times too high, in one window. Moves made for it would be paid
+// for twice. If the next window says the same, it is no wrong counter.
+func TestASingleWrongCounterIsClipped(t *testing.T) {
+	fd := newFeed()
+	fd.windows(12, evenLoad())
+	wrong := evenLoad()
+	wrong[9] *= 10
+	fd.windows(1, wrong)
+	assert.Assert(t, fd.f.Load()[9] < 1.1*fd.f.Load()[10])
+	fd.windows(3, wrong)
+	assert.Assert(t, fd.f.Load()[9] > 2*fd.f.Load()[10])
+}
+
+// The load drifts steadily, as the auction's does. A mean of windows lags behind by
+// as long as it needs to smooth the noise; maps made by it are always of yesterday.
+func TestASteadyDriftIsFollowed(t *testing.T) {
+	trend, level := newFeed(), newFeed()
+	level.f.Trends = nil
+	level.f.Reset(feedShape)
+	var now Load
+	for i := range 80 {
+		now = hotLoad(3, 1+0.1*float64(i))
+		trend.windows(1, now)
+		level.windows(1, now)
+	}
+	coming := hotLoad(3, 1+0.1*(79+trend.f.Ahead.Seconds()/30))
+	assert.Assert(t, trend.off(coming, now) < level.off(coming, now)/2, "%v, %v", trend.off(coming, now), level.off(coming, now))
+}
+
+// Ever new hot sets must not make the memory grow.
+func TestFewRegimesAreRemembered(t *testing.T) {
+	fd := newFeed()
+	for first := range 20 {
+		fd.windows(6, hotLoad(first, 8))
+	}
+	assert.Equal(t, len(fd.f.regimes.patterns), maxPatterns)
+}
+
+// An expert grows until it fills a rank alone, among spare copies of light experts. Each
+// single step makes another rank the busiest; the plan must go through that.
+func TestAnExpertThatFillsARankIsCopied(t *testing.T) {
+	s := Shape{Ranks: 4, Experts: 16, Layers: 1, Slots: 5}
+	load := Load{
+		4.8, 0.1, 0.1, 0.1, 0.1,
+		1, 1, 1, 0.9,
+		1, 1, 1, 1,
+		1, 1, 0.9,
+	}
+	m := &Map{Epoch: 1, Slots: []int32{
+		0, 1, 2, 3, 4,
+		5, 6, 7, 8, 1,
+		9, 10, 11, 12, 2,
+		13, 14, 15, 3, 4,
+	}}
+	assert.NilError(t, m.Check(s))
+	f := Forecast{HalfLives: []time.Duration{time.Minute}, ErrorHalfLife: time.Minute}
+	f.Reset(s)
+	f.Observe(epoch0, load)
+	d := Improve(s, testCost(4, 1), m, f.Load(), Limits{Horizon: time.Hour, Margin: 1})
+	assert.Assert(t, d.Next != nil, d.Why)
+	assert.Assert(t, d.SkewAfter < 1.08, d.Why)
+	checkPrefixes(t, s, m, d.Moves, d.Next)
+}
