--- a/measure/placement/tune.go
+++ b/measure/placement/tune.go
@@ -11,27 +11,42 @@
 
 // setting is one choice of the incremental planner's settings.
 type setting struct {
-	half, life, horizon, margin, minGain float64
-	robust                               bool
+	life, noise, regime float64
+	trends              []float64
+	robust              bool
 }
 
-// grid lists the settings that are tried.
+// chosen are the planner's defaults.
+func chosen() setting {
+	p := placement.NewIncremental()
+	return setting{p.ErrorLifeSeconds, p.NoiseGain, p.RegimeShare, p.TrendSeconds, p.Robust}
+}
+
+// grid lists the settings that are tried: the defaults, and each of them changed alone.
 func grid() []setting {
-	var out []setting
-	for _, half := range []float64{30, 60} {
-		for _, life := range []float64{300, 900} {
-			for _, factor := range []float64{3, 5} {
-				out = append(out, setting{half: half, life: life, horizon: factor, margin: 1, minGain: 0.002, robust: true})
-			}
-		}
+	out := []setting{chosen()}
+	for _, change := range []func(*setting){
+		func(s *setting) { s.life = 300 },
+		func(s *setting) { s.noise = 0 },
+		func(s *setting) { s.noise = 1.5 },
+		func(s *setting) { s.noise = 4 },
+		func(s *setting) { s.regime = 0 },
+		func(s *setting) { s.regime = 0.5 },
+		func(s *setting) { s.trends = nil },
+		func(s *setting) { s.trends = []float64{750} },
+		func(s *setting) { s.robust = false },
+	} {
+		s := chosen()
+		change(&s)
+		out = append(out, s)
 	}
 	return out
 }
 
 func (s setting) planner() *placement.Incremental {
 	p := placement.NewIncremental()
-	p.HalfLifeSeconds, p.ErrorLifeSeconds, p.HorizonFactor = s.half, s.life, s.horizon
-	p.Margin, p.MinGain, p.Robust = s.margin, s.minGain, s.robust
+	p.ErrorLifeSeconds, p.NoiseGain, p.RegimeShare = s.life, s.noise, s.regime
+	p.TrendSeconds, p.Robust = s.trends, s.robust
 	return p
 }
 
@@ -67,7 +82,7 @@
 			least[i] = min(least[i], j)
 		}
 	}
-	fmt.Printf("half-life error-life horizon-factor margin min-gain robust | mean | J and its ratio by trace\n")
+	fmt.Printf("error-life noise-gain regime-share trends robust | mean | J and its ratio by trace\n")
 	for k, s := range settings {
 		sum, worst, each := 0.0, 0.0, ""
 		for i := range users {
@@ -76,8 +91,8 @@
 			worst = max(worst, ratio)
 			each += fmt.Sprintf(" %.0f/%.2f", js[i][k], ratio)
 		}
-		fmt.Printf("%4.0f %5.0f %5.0f %4.1f %6.3f %5v | %.3f | worst %.2f |%s\n",
-			s.half, s.life, s.horizon, s.margin, s.minGain, s.robust, sum/float64(len(users)), worst, each)
+		fmt.Printf("%5.0f %4.1f %5.2f %v %5v | %.3f | worst %.2f |%s\n",
+			s.life, s.noise, s.regime, s.trends, s.robust, sum/float64(len(users)), worst, each)
 	}
 	return nil
 }
--- /dev/null
+++ b/measure/zscratch/report.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/snipereach/snipereach/placement"
+)
+
+// total adds up one planner's results over the seeds: counts and times are summed,
+// percentiles are the worst of the seeds.
+func total(all [][]result, i int) result {
+	sum := all[0][i]
+	for _, results := range all[1:] {
+		r := results[i]
+		sum.p50, sum.p95 = max(sum.p50, r.p50), max(sum.p95, r.p95)
+		sum.obj = add(sum.obj, r.obj)
+		sum.j += r.j
+		sum.slowest = max(sum.slowest, r.slowest)
+	}
+	return sum
+}
+
+func add(a, b placement.Objective) placement.Objective {
+	a.Lost += b.Lost
+	a.Moves += b.Moves
+	a.Bytes += b.Bytes
+	a.CapacityLost += b.CapacityLost
+	return a
+}
+
+func totals(all [][]result) []result {
+	var out []result
+	for i := range all[0] {
+		out = append(out, total(all, i))
+	}
+	return out
+}
+
+// best is the result with the least J among those whose name begins so.
+func best(results []result, prefix string) result {
+	var found *result
+	for i := range results {
+		if strings.HasPrefix(results[i].name, prefix) && (found == nil || results[i].j < found.j) {
+			found = &results[i]
+		}
+	}
+	return *found
+}
+
+// table prints all results of one kind of trace.
+func table(u user, seeds int, results []result) {
+	fmt.Printf("\n%s (skew weight %g, move weight %g; %d seeds: sums, worst percentiles)\n", u.name, u.skew, u.move, seeds)
+	fmt.Printf("%-16s %7s %7s %9s %8s %9s %9s %10s %9s\n",
+		"planner", "p50", "p95", "lost", "moves", "GB", "cap.lost", "J", "plan")
+	for _, r := range results {
+		fmt.Printf("%-16s %7.3f %7.3f %8.0fs %8d %9.1f %8.1fs %10.0f %9v\n", r.name, r.p50, r.p95,
+			r.obj.Lost.Seconds(), r.obj.Moves, r.obj.Bytes/1e9, r.obj.CapacityLost.Seconds(), r.j, r.slowest.Round(10*time.Microsecond))
+	}
+}
+
+// ratios prints the results against the goals: J, and moves at what time lost.
+func xratios(results []result) {
+	ours, repack, static := results[2], best(results, "repack"), best(results, "static")
+	naive, fewer := best(results, "repack 30m"), results[3]
+	base := repack
+	if static.j < base.j {
+		base = static
+	}
+	off := best(results, "offline")
+	fmt.Printf("J: ours / better baseline (%s) %.2f; ours / offline (%s) %.2f\n", base.name, ours.j/base.j, off.name, ours.j/off.j)
+	for _, r := range []result{ours, fewer} {
+		fmt.Printf("moves: repack 30m / %s %.1f, time lost %.2f of repack's\n", r.name,
+			float64(naive.obj.Moves)/float64(max(r.obj.Moves, 1)), r.obj.Lost.Seconds()/naive.obj.Lost.Seconds())
+	}
+}
