Follow a trend only through windows that span enough time

Cause: with counters of a second, a line through half a minute of windows was followed for two minutes ahead.

Change: the ages of a line's windows must scatter by 40 s.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -40,3 +40,20 @@
 		p.Plan(now, current)
 	}
 }
+
+// BenchmarkObserve times what one window costs the forecast at the large size.
+func BenchmarkObserve(b *testing.B) {
+	s := Shape{32, 256, 58, 9}
+	rnd := rand.New(rand.NewPCG(1, 1))
+	load := make(Load, s.Layers*s.Experts)
+	for i := range load {
+		load[i] = 100 * rnd.ExpFloat64()
+	}
+	p := NewIncremental()
+	p.Reset(s, Cost{})
+	now := time.Unix(0, 0)
+	for b.Loop() {
+		now = now.Add(time.Second)
+		p.Observe(now, load)
+	}
+}
--- a/placement/regimes_test.go
+++ b/placement/regimes_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -112,6 +113,21 @@
 	assert.Assert(t, trend.off(coming, now) < level.off(coming, now)/2, "%v, %v", trend.off(coming, now), level.off(coming, now))
 }
 
+// Windows are of a second, as the control leader takes them. After a minute there are
+// sixty, but a trend through them, followed for two minutes, is mostly noise: plans would
+// chase a load that never comes.
+func TestShortWindowsMakeNoWildTrend(t *testing.T) {
+	fd := newFeed()
+	for range 60 {
+		fd.at = fd.at.Add(-29 * time.Second)
+		fd.windows(1, evenLoad())
+	}
+	assert.Assert(t, fd.f.Load()[0] > 0)
+	for i, v := range fd.f.Load() {
+		assert.Assert(t, math.Abs(v*8-1) < 0.05, "expert %d: %v", i, v*8)
+	}
+}
+
 // Ever new hot sets must not make the memory grow.
 func TestFewRegimesAreRemembered(t *testing.T) {
 	fd := newFeed()
--- a/placement/smoother.go
+++ b/placement/smoother.go
@@ -36,12 +36,17 @@
 // would be mostly noise.
 const minTrendWindows = 6
 
+// minTrendSpread is the standard deviation of the windows' ages below which a line isn't
+// followed: counters of a second each are soon many, but a line through half a minute of
+// them, followed for two minutes, leads anywhere.
+const minTrendSpread = 40 * time.Second
+
 // ahead is the forecast for a time after the newest window.
 func (sm *smoother) ahead(by time.Duration) line {
 	l := line{sum: 1 / sm.weight, variance: sm.squares / (sm.weight * sm.weight)}
 	mean := sm.age / sm.weight
 	spread := sm.age2/sm.weight - mean*mean
-	if !sm.trend || l.variance*minTrendWindows > 1 || spread <= 0 {
+	if !sm.trend || l.variance*minTrendWindows > 1 || spread < minTrendSpread.Seconds()*minTrendSpread.Seconds() {
 		return l
 	}
 	off := -by.Seconds() - mean
