--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,28 +34,30 @@
 
 // Agent implements kernel.Daemon.
 type Agent struct {
-	settings    *Settings
-	log         log.Logger
-	up          upstream.Upstream
-	sec         transport.Security
-	certs       *transport.Certificates
-	srv         *transport.Server
-	pool        *transport.Pool
-	lis         net.Listener
-	ops         *http.Server
-	runner      *admit.Runner
-	queue       queueSettings
-	attempts    *attempts
-	orders      *orders
-	incarnation uint64
-	seq         atomic.Uint64
-	metrics     metrics.Registry
-	done        metrics.Counter
-	dumps       kernel.Dumps
-	cancel      context.CancelFunc
-	announcer   *directory.Announcer
-	load        atomic.Pointer[wire.Load]
-	loadSeq     atomic.Uint64
+	settings  *Settings
+	log       log.Logger
+	up        upstream.Upstream
+	sec       transport.Security
+	certs     *transport.Certificates
+	srv       *transport.Server
+	pool      *transport.Pool
+	lis       net.Listener
+	ops       *http.Server
+	runner    *admit.Runner
+	queue     queueSettings
+	attempts  *attempts
+	tickets   *tickets
+	orders    *orders
+	life      *directory.Life
+	seq       atomic.Uint64
+	metrics   metrics.Registry
+	done      metrics.Counter
+	dumps     kernel.Dumps
+	cancel    context.CancelFunc
+	announcer *directory.Announcer
+	load      atomic.Pointer[wire.Load]
+	loadMu    sync.Mutex
+	loadSeq   uint64
 }
 
 // New makes an agent from checked settings.
@@ -72,17 +75,16 @@
 	}
 	a := &Agent{
 		settings: s, log: kernel.PartLog(l, "agent"), up: up, sec: sec, certs: certs,
-		pool:    transport.NewPool(sec),
-		srv:     transport.NewServer(sec),
-		runner:  admit.NewRunner(startSettings(s).gate(), time.Now),
-		metrics: metrics.NewRegistry(),
-		// The clock orders the lives of one agent; a host whose clock was set
-		// back is told so by its first announcement and takes a higher number.
-		incarnation: uint64(time.Now().UnixNano()),
-		attempts:    newAttempts(),
-	}
+		pool:     transport.NewPool(sec),
+		srv:      transport.NewServer(sec),
+		runner:   admit.NewRunner(startSettings(s).gate(), s.Now),
+		metrics:  metrics.NewRegistry(),
+		life:     directory.NewLife(s.ID, s.Now()),
+		attempts: newAttempts(),
+	}
+	a.tickets = newTickets(a.runner, time.AfterFunc)
 	a.pool.SetDial(s.Dial)
-	a.announcer = directory.NewAnnouncer(directory.NewTargets(s.ID, s.FailureDomain, s.AnnounceTo), a.pool.Conn, time.Now)
+	a.announcer = directory.NewAnnouncer(directory.NewTargets(s.ID, s.FailureDomain, s.AnnounceTo), a.pool.Conn, s.Now)
 	a.queue.current = startSettings(s)
 	a.done = metrics.GetOrRegisterCounter("agent.attempts."+refusal.OutcomeWord(wire.Outcome_OUTCOME_DONE), a.metrics)
 	a.orders = newOrders(control.NewClient(a.pool, s.AnnounceTo, s.ID))
@@ -142,6 +144,7 @@
 	if a.attempts.close() {
 		kernel.Info(a.log, "Leaving. No new work is taken.")
 	}
+	a.tickets.close()
 	a.announceAll(ctx, wire.Phase_PHASE_LEAVING)
 }
 
@@ -197,6 +200,9 @@
 	Running     int    `json:"running"`
 	Waiting     int    `json:"waiting"`
 	Remembered  int    `json:"remembered_attempts"`
+	// Tickets wait here and elsewhere; Held slots were offered and not taken yet.
+	Tickets int `json:"tickets"`
+	Held    int `json:"held_slots"`
 	// Queue is what is in force, from the pool's row once one was heard.
 	Queue poolQueue  `json:"queue"`
 	Load  *wire.Load `json:"load"`
@@ -204,8 +210,10 @@
 
 func (a *Agent) dump() any {
 	running, waiting := a.runner.Counts()
+	tickets, held := a.tickets.counts()
 	return agentDump{
-		ID: a.settings.ID, Incarnation: a.incarnation, Leaving: a.attempts.isClosed(),
+		Tickets: tickets, Held: held,
+		ID: a.settings.ID, Incarnation: a.life.Number(), Leaving: a.attempts.isClosed(),
 		Running: running, Waiting: waiting, Remembered: a.attempts.size(), Queue: a.queue.get(), Load: a.load.Load(),
 	}
 }
--- a/control/replica.go
+++ b/control/replica.go
@@ -46,6 +46,7 @@
 	machine  *machine
 	peers    *peers
 	started  time.Time
+	clock    func() time.Time
 
 	calls chan func()
 	done  chan struct{}
@@ -59,6 +60,7 @@
 	sinceCut int
 	lastCare time.Time
 	leads    leaseClock
+	leader   leaderWatch
 	rings    ringClock
 	shares   shareHome
 	// pools is read by announcements, outside the loop.
@@ -95,20 +97,30 @@
 		settings: s, log: l, identity: id, journal: j, machine: m,
 		node:    consensus.New(cfg, st, 0),
 		peers:   newPeers(pool, id.Address),
-		started: time.Now(),
+		started: s.Now(), clock: s.Now,
 		calls:   make(chan func(), callQueue),
 		done:    make(chan struct{}),
 		waiting: map[uint64]waiter{},
 		reads:   map[uint64]chan<- error{},
 		queued:  map[uint64][]uint64{},
 		hard:    st.Hard, watchers: map[chan struct{}]struct{}{},
-		leads: leaseClock{expires: map[string]time.Time{}},
-		rings: ringClock{changed: time.Now()},
+		leads:  leaseClock{expires: map[string]time.Time{}},
+		leader: leaderWatch{changed: make(chan struct{})},
+		rings:  ringClock{changed: s.Now()},
 	}
 	r.feed.reset(m.table.Revision(), m.ring, r.rings.changed)
+	r.confirm()
 	return r, nil
 }
 
+// confirm tells watchers since when the rows are current. A failed replica goes
+// on hearing of commits that it doesn't apply.
+func (r *Replica) confirm() {
+	if r.failed == nil {
+		r.feed.confirm(r.now() - r.node.ConfirmedAge(r.now()))
+	}
+}
+
 func (r *Replica) start(ctx context.Context) {
 	ctx, r.stop = context.WithCancel(ctx)
 	r.peers.start(ctx)
@@ -124,7 +136,7 @@
 }
 
 // now is the replica's monotonic time.
-func (r *Replica) now() consensus.Time { return time.Since(r.started) }
+func (r *Replica) now() consensus.Time { return r.clock().Sub(r.started) }
 
 // loop runs calls in batches: what gathers while one batch is synced shares the
 // next sync.
@@ -140,13 +152,14 @@
 		case <-tick.C:
 			r.node.Tick(r.now())
 			r.care()
-			r.feed.confirm(r.now() - r.node.ConfirmedAge(r.now()))
+			r.confirm()
 		case f := <-r.calls:
 			f()
 			r.runQueued()
 		}
 		r.node.Flush()
 		r.process()
+		r.followLeader()
 	}
 }
 
@@ -213,16 +226,19 @@
 	for _, e := range rd.Apply {
 		var v any
 		if e.Type == wire.EntryType_ENTRY_TYPE_COMMAND {
-			v = r.machine.apply(e.Index, e.Data)
+			var err error
+			if v, err = r.machine.apply(e.Index, e.Data); err != nil {
+				return err
+			}
 		}
 		if reply, ok := v.(*wire.EditReply); ok && reply.Status == wire.EditStatus_EDIT_STATUS_ACCEPTED && !reply.Replayed {
 			changed = append(changed, reply.Rows...)
 		}
 		r.answer(e, v)
-		r.rings.follow(r.machine.ring.Epoch, time.Now())
+		r.rings.follow(r.machine.ring.Epoch, r.clock())
 		r.sinceCut++
 	}
-	r.followRows(time.Now())
+	r.followRows(r.clock())
 	if len(rd.Apply) > 0 {
 		r.feed.add(r.machine.table.Revision(), changed, r.machine.ring, r.rings.changed)
 		r.wake()
--- a/control/ring.go
+++ b/control/ring.go
@@ -4,8 +4,6 @@
 	"sort"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/snipereach/snipereach/claim"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/wire"
@@ -110,14 +108,14 @@
 	if r.entries == nil || !r.machine.formed {
 		return
 	}
-	now := time.Now()
+	now := r.clock()
 	up := r.entries()
 	r.rings.observe(up, now)
 	next := r.rings.nextRing(r.machine.ring, up, r.leads.since, now)
 	if next == nil || r.ringPending(next.Epoch) {
 		return
 	}
-	data, err := proto.Marshal(&wire.Command{Command: &wire.Command_Ring{Ring: next}})
+	data, err := encode(&wire.Command{Command: &wire.Command_Ring{Ring: next}})
 	if err != nil {
 		return
 	}
@@ -129,9 +127,9 @@
 // ringPending says whether this epoch was proposed within the last second, so
 // that one change is not proposed at every look.
 func (r *Replica) ringPending(epoch uint64) bool {
-	if r.proposedEpoch == epoch && time.Since(r.proposedAt) < time.Second {
+	if r.proposedEpoch == epoch && r.clock().Sub(r.proposedAt) < time.Second {
 		return true
 	}
-	r.proposedEpoch, r.proposedAt = epoch, time.Now()
+	r.proposedEpoch, r.proposedAt = epoch, r.clock()
 	return false
 }
--- a/control/service.go
+++ b/control/service.go
@@ -32,9 +32,8 @@
 	if r == nil {
 		return reply, true, merry.Prepend(ErrUnavailable, "replica belongs to no cluster yet")
 	}
-	var leads bool
-	var addr string
-	if err := r.do(ctx, func() { leads, addr = r.node.IsLeader(), r.leaderAddress() }); err != nil {
+	leads, addr, err := r.findLeader(ctx)
+	if err != nil {
 		return reply, true, err
 	}
 	if leads {
@@ -50,16 +49,6 @@
 	return reply, true, err
 }
 
-func (r *Replica) leaderAddress() string {
-	leader := r.node.Leader()
-	for _, p := range r.node.Peers() {
-		if p.Id == leader && p.Id != idOf(r.identity) {
-			return p.Address
-		}
-	}
-	return ""
-}
-
 func unavailable(err error) *wire.EditReply {
 	return &wire.EditReply{Status: wire.EditStatus_EDIT_STATUS_UNAVAILABLE, Detail: err.Error()}
 }
@@ -81,7 +70,7 @@
 	if !s.Formed(ctx) {
 		return unavailable(merry.Prepend(ErrUnavailable, "the cluster is being formed")), nil
 	}
-	e.AtMs = time.Now().UnixMilli()
+	e.AtMs = s.current().clock().UnixMilli()
 	v, err := s.current().propose(ctx, &wire.Command{Command: &wire.Command_Edit{Edit: e}})
 	if err != nil {
 		return unavailable(err), nil
@@ -172,7 +161,7 @@
 	st := r.feed.state.Load()
 	u := &wire.TableUpdate{
 		Cluster: s.currentIdentity().Cluster, Revision: st.revision, Ring: st.ring,
-		RingAgeMs:      millis(time.Since(st.ringAt)),
+		RingAgeMs:      millis(s.current().clock().Sub(st.ringAt)),
 		ConfirmedAgeMs: millis(r.feed.age(r.now())),
 	}
 	if rows, ok := st.since(from); ok {
@@ -221,7 +210,7 @@
 	l := v.(*wire.Lease)
 	reply.Holder, reply.Token = l.Holder, l.Token
 	reply.Granted = l.Holder == req.Holder
-	err = r.do(ctx, func() { r.leads.renew(req.Group, time.Now(), ttl) })
+	err = r.do(ctx, func() { r.leads.renew(req.Group, r.clock(), ttl) })
 	return reply, err
 }
 
@@ -230,7 +219,7 @@
 func (r *Replica) renew(req *wire.LeaseRequest, ttl time.Duration, reply *wire.LeaseReply) (replaces uint64, settled bool) {
 	l := r.machine.fence.Get(req.Group)
 	reply.Holder, reply.Token = l.Holder, l.Token
-	now := time.Now()
+	now := r.clock()
 	over := l.Token == 0 || r.leads.over(req.Group, now)
 	switch {
 	case l.Holder != req.Holder:
--- a/measure/route/system.go
+++ b/measure/route/system.go
@@ -8,6 +8,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/snipereach/snipereach/agent"
 	"github.com/snipereach/snipereach/forward"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/wire"
@@ -51,14 +52,19 @@
 	fault  fault
 	until  time.Duration
 	list   []arrival
+	// entries before the engines.
+	entries int
 	// choices overrides how many candidates least-loaded compares.
 	choices int
-	// moves is how often a request may move on from a busier upstream than expected.
-	moves  int
-	prefix *route.PrefixSettings
+	// tickets is at how many upstreams a request waits; 0 is as the forwarder does,
+	// -1 is in the queue of one agent.
+	tickets int
+	prefix  *route.PrefixSettings
 	// hedge is the time after which a second attempt goes to another upstream if
 	// the first isn't answered; 0 is never.
 	hedge time.Duration
+	// rule says which loads agents report; nil is all.
+	rule *agent.ReportRule
 }
 
 // outcome is what a run measured, after a tenth of warming up.
@@ -70,6 +76,12 @@
 	refused, lost    int
 	hits, blocks     int
 	offered, attempt int
+	// reports counts what each entry got of each engine; loads is what was due at
+	// the shortest interval.
+	reports, loads int
+	tickets        int
+	// unused slots were held for a ticket that another had won.
+	unused int
 }
 
 type entryNode struct {
@@ -94,6 +106,8 @@
 	// seqs and told are the number and the time of each engine's last cache event.
 	seqs []uint64
 	told []time.Duration
+	// reported is what entries were told of each engine's load.
+	reported []agent.Reports
 }
 
 func newSystem(s setup) *system {
@@ -110,10 +124,11 @@
 	}
 	m.seqs = make([]uint64, s.spec.servers)
 	m.told = make([]time.Duration, s.spec.servers)
+	m.reported = make([]agent.Reports, s.spec.servers)
 	if s.policy == "global" {
 		return m
 	}
-	for i := range entries {
+	for i := range s.entries {
 		m.entries = append(m.entries, m.newEntry(i))
 	}
 	m.update()
@@ -237,18 +252,25 @@
 func (m *system) try(a *arrival, r *request, attempt int) {
 	n := m.entries[a.entry]
 	choice, ok := n.balancer.Pick(m.time(), &r.Request)
-	up := choice.Upstream
 	if !ok {
 		m.refuse(a)
 		return
 	}
+	m.attempt(a, r, attempt, choice, nil)
+}
+
+// attempt makes an attempt in the slot that a ticket holds, or without one.
+func (m *system) attempt(a *arrival, r *request, attempt int, choice route.Choice, ticket *job) {
+	n, up := m.entries[a.entry], choice.Upstream
 	if m.measured(a) {
 		m.out.attempt++
 	}
 	began := m.clock.now
 	e := m.engines[upstreamIndex(up.ID)]
 	over := false
-	var j *job
+	j := m.newJob(a)
+	j.noWait = ticket == nil && choice.NoWait && m.tickets >= 0 && r.moves < maxMoves
+	moving := r.moves < maxMoves && (j.noWait || ticket != nil)
 	end := func(o wire.Outcome, reason wire.Reason, l *wire.Load) {
 		if over {
 			return
@@ -258,11 +280,11 @@
 			m.answered(a, r, j)
 		}
 		n.balancer.Done(m.time(), up, &r.Request, route.Result{Outcome: o, Reason: reason, Load: l, Elapsed: m.clock.now - began})
-		if reason != 0 {
-			if reason == wire.Reason_REASON_QUEUE_FULL && attempt <= m.moves {
-				m.try(a, r, attempt+1)
-				return
-			}
+		switch {
+		case reason == wire.Reason_REASON_QUEUE_FULL && moving:
+			r.moves++
+			m.waitAt(a, r, attempt+1)
+		case reason != 0:
 			r.Exclude[up.ID] = true
 			m.again(a, r, n, attempt, o)
 		}
@@ -272,27 +294,140 @@
 		return
 	}
 	way := m.way(n, e)
-	j = m.newJob(a)
 	r.jobs[j] = e
-	if attempt <= m.moves {
-		j.refuseAt = choice.RefuseAt
-	}
 	j.ended = func(o wire.Outcome, reason wire.Reason, l *wire.Load) {
 		m.clock.after(way, func() { end(o, reason, l) })
 	}
-	m.clock.after(way, func() { e.offer(j) })
+	m.clock.after(way, func() {
+		if ticket != nil {
+			e.startHeld(ticket, j)
+			return
+		}
+		e.offer(j)
+	})
 	m.hedgeLater(a, r, up, attempt)
 	if m.fault == stalledUpstream {
 		m.clock.after(a.at+m.spec.timeout-m.clock.now, func() { end(wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_DEADLINE, nil) })
 	}
 }
 
+// holdTime is as in the agent.
+const holdTime = 100 * time.Millisecond
+
+// ticketsFor is at how many upstreams a request waits.
+func (m *system) ticketsFor(a *arrival) int {
+	if m.tickets > 0 {
+		return m.tickets
+	}
+	return forward.Tickets(a.class)
+}
+
+// queueing is a request that waits at several upstreams.
+type queueing struct {
+	system  *system
+	a       *arrival
+	r       *request
+	attempt int
+	waiter  route.Waiter
+	places  []route.Upstream
+	tickets []*job
+	won     bool
+	// left tickets have not ended; full is how many found a full queue.
+	left, full int
+}
+
+// waitAt takes tickets at several upstreams, by the forwarder's rules: the first
+// that has a free slot gets the request.
+func (m *system) waitAt(a *arrival, r *request, attempt int) {
+	w := m.entries[a.entry].balancer.(route.Waiter)
+	q := &queueing{system: m, a: a, r: r, attempt: attempt, waiter: w, places: w.Places(m.time(), &r.Request, m.ticketsFor(a))}
+	q.left = len(q.places)
+	if q.left == 0 {
+		m.try(a, r, attempt)
+		return
+	}
+	for i := range q.places {
+		q.tickets = append(q.tickets, q.ticket(i))
+	}
+}
+
+func (q *queueing) at(i int) (*engine, time.Duration) {
+	m := q.system
+	e := m.engines[upstreamIndex(q.places[i].ID)]
+	return e, m.way(m.entries[q.a.entry], e)
+}
+
+func (q *queueing) ticket(i int) *job {
+	m := q.system
+	if m.measured(q.a) {
+		m.out.tickets++
+	}
+	e, way := q.at(i)
+	t := &job{class: q.a.class, deadline: q.a.at + m.spec.timeout, ticket: true, of: len(q.places)}
+	t.ended = func(_ wire.Outcome, reason wire.Reason, _ *wire.Load) {
+		m.clock.after(way, func() { q.over(reason == wire.Reason_REASON_QUEUE_FULL) })
+	}
+	t.granted = func() {
+		m.clock.after(way, func() { q.granted(i) })
+	}
+	if e.dead {
+		m.clock.after(dialTimeout, func() { q.over(false) })
+		return t
+	}
+	m.clock.after(way, func() { e.offer(t) })
+	return t
+}
+
+// over ends a ticket that holds no slot.
+func (q *queueing) over(full bool) {
+	q.left--
+	if full {
+		q.full++
+	}
+	if q.left > 0 || q.won || q.r.done {
+		return
+	}
+	if q.full == len(q.places) {
+		q.r.moves = maxMoves
+	}
+	if q.system.clock.now >= q.a.at+q.system.spec.timeout {
+		q.system.refuse(q.a)
+		return
+	}
+	q.system.try(q.a, q.r, q.attempt)
+}
+
+// granted takes the first slot and gives back the others.
+func (q *queueing) granted(i int) {
+	m := q.system
+	if q.won || q.r.done || !q.waiter.Take(m.time(), q.places[i], &q.r.Request) {
+		m.out.unused++
+		q.withdraw(i)
+		q.over(false)
+		return
+	}
+	q.won = true
+	for other := range q.places {
+		if other != i {
+			q.withdraw(other)
+		}
+	}
+	m.attempt(q.a, q.r, q.attempt, route.Choice{Upstream: q.places[i]}, q.tickets[i])
+}
+
+func (q *queueing) withdraw(i int) {
+	e, way := q.at(i)
+	q.system.clock.after(way, func() { e.cancel(q.tickets[i]) })
+}
+
 // request is a request with its attempts.
 type request struct {
 	route.Request
 	jobs   map[*job]*engine
 	hedged bool
 	done   bool
+	// moves is how often it found no free slot.
+	moves int
 }
 
 // answered takes the first whole answer and cancels the other attempts.
@@ -331,7 +466,7 @@
 		return
 	}
 	late := m.clock.now >= a.at+m.spec.timeout
-	if late || attempt >= maxAttempts+m.moves || !n.budget.Take() {
+	if late || attempt-r.moves >= maxAttempts || !n.budget.Take() {
 		if o == wire.Outcome_OUTCOME_NOT_RUN {
 			m.refuse(a)
 		} else if m.measured(a) {
@@ -370,6 +505,11 @@
 		cache = append(cache, &wire.CacheEvent{Seq: m.seqs[i], Added: e.cache.added, Removed: e.cache.removed})
 		e.cache.added, e.cache.removed = nil, nil
 	}
+	m.out.loads++
+	if !m.due(i, &wire.Report{Load: load, Cache: cache}) {
+		return
+	}
+	m.out.reports++
 	for _, n := range m.entries {
 		lost := m.rnd.Float64() < lostEvents
 		m.clock.after(m.lag/2, func() {
@@ -381,6 +521,20 @@
 	}
 }
 
+// due applies the agents' rule to a report.
+func (m *system) due(i int, next *wire.Report) bool {
+	r := &m.reported[i]
+	if m.rule == nil {
+		return true
+	}
+	r.Rule = *m.rule
+	if !r.Due(m.time(), next) {
+		return false
+	}
+	r.Sent(m.time(), next)
+	return true
+}
+
 func (m *system) breakLater() {
 	switch m.fault {
 	case stalledUpstream:
