--- a/control/groups_test.go
+++ b/control/groups_test.go
@@ -310,7 +310,7 @@
 // so that another holder can have it at once, and no order comes after. Otherwise its
 // orders would compete with those of whoever runs the group next. A new row for the
 // group is led again, under a new token.
-func TestADeletedRowEndsOrdersAndFreesTheLease(t *testing.T) {
+func TestADeletedGroupRowEndsOrdersAndFreesTheLease(t *testing.T) {
 	r := startGroup(t, "test-rotate")
 	v := r.waitFor("a switch in progress", func(v *wire.GroupView) bool { return rollout.Undecided(v.GetState().GetSwitch()) })
 	r.deleteRow()
--- a/placement/regimes_test.go
+++ b/placement/regimes_test.go
@@ -118,6 +118,8 @@
 // chase a load that never comes.
 func TestShortWindowsMakeNoWildTrend(t *testing.T) {
 	fd := newFeed()
+	fd.f.HalfLives = nil
+	fd.f.Reset(feedShape)
 	for range 60 {
 		fd.at = fd.at.Add(-29 * time.Second)
 		fd.windows(1, evenLoad())
