--- a/consensus/property_test.go
+++ b/consensus/property_test.go
@@ -25,7 +25,11 @@
 			found = v.text
 		}
 	}()
-	s := newSim(seed, 3, off)
+	voters := 3
+	if seed%10 == 0 {
+		voters = 5
+	}
+	s := newSim(seed, voters, off)
 	s.lossy = seed%4 != 0
 	rnd := rand.New(rand.NewPCG(seed, 3))
 	// Some schedules hold each fault for long, others change quickly.
@@ -71,6 +75,30 @@
 		if s.mayLose(r) {
 			s.loseDisk(r)
 		}
+	case 8:
+		if l := s.leader(); l != nil {
+			s.transfer(l, rnd)
+		}
+	}
+}
+
+// transfer lets a leader hand over; the target may die of it, or the leader be
+// cut off before it hears of the next one.
+func (s *sim) transfer(l *simReplica, rnd *rand.Rand) {
+	target, err := l.node.Transfer(s.clock(l))
+	if err != nil {
+		return
+	}
+	s.note("%s hands over to %s", l.id, target)
+	s.drain(l)
+	switch rnd.IntN(3) {
+	case 0:
+		if r := s.replicas[target]; r.up {
+			s.note("%s crashes", target)
+			s.crash(r)
+		}
+	case 1:
+		s.isolate(l, rnd)
 	}
 }
 
@@ -165,6 +193,8 @@
 	}{
 		{"sync before answer", simSwitches{sync: true}, []string{twoLeaders, changedEntry, lostEntry, lostAck}},
 		{"lease end", simSwitches{node: safeguards{lease: true}}, []string{staleRead}},
+		{"lease given up in a transfer", simSwitches{node: safeguards{transfer: true}}, []string{staleRead, staleRows}},
+		{"confirmed since asked", simSwitches{node: safeguards{echo: true}}, []string{staleRows}},
 		{"empty folder votes", simSwitches{newIdentity: true}, []string{twoLeaders, changedEntry, lostEntry, lostAck}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -208,6 +238,34 @@
 	}
 }
 
+// A folder lacks only its last record: the last edit of the day, accepted some
+// time before all hosts lose power. No later record carried what the peers saw, so
+// they must have kept it by themselves.
+func TestFolderWithoutItsLastRecordStopsTheReplica(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(seed, 3, simSwitches{})
+		l := s.waitLeader(t, nil)
+		for range 50 {
+			s.step()
+		}
+		r := s.replicas[s.order[seed%3]]
+		older := r.disk
+		older.log = append([]*wire.LogEntry(nil), r.disk.log...)
+		assert.Assert(t, s.grant(l, time.Second) > 0)
+		for range 2 * DefaultConfig("").Heartbeat / (20 * time.Millisecond) {
+			s.step()
+		}
+		for _, id := range s.order {
+			s.crash(s.replicas[id])
+		}
+		r.disk = older
+		for _, id := range s.order {
+			s.boot(s.replicas[id])
+		}
+		assert.ErrorIs(t, stopped(t, s, r), ErrRolledBack, "seed %d", seed)
+	}
+}
+
 // stopped steps until a replica stops, and returns why.
 func stopped(t *testing.T, s *sim, r *simReplica) (why error) {
 	t.Helper()
@@ -222,3 +280,44 @@
 	}
 	return nil
 }
+
+// A follower acknowledged entries that never got a majority, and a later leader
+// replaced them by fewer. Both it and the leader that saw them restart. Its folder
+// is not older, only shorter: it must take part again.
+func TestReplacedEntriesAreNoOlderFolder(t *testing.T) {
+	s := newSim(15, 5, simSwitches{})
+	old := s.waitLeader(t, nil)
+	for range 50 {
+		s.step()
+	}
+	f := s.replicas[old.node.heir().Id]
+	for _, a := range []string{old.id, f.id} {
+		for _, b := range s.order {
+			s.cut[[2]string{a, b}] = b != old.id && b != f.id
+			s.cut[[2]string{b, a}] = s.cut[[2]string{a, b}]
+		}
+	}
+	for range 8 {
+		s.write(old)
+		s.step()
+	}
+	for range 15 {
+		s.step()
+	}
+	seen := f.node.log.lastIndex()
+	s.crash(old)
+	next := s.waitLeader(t, old)
+	clear(s.cut)
+	for f.node.Leader() != next.id || f.node.log.committed != next.node.log.committed {
+		s.step()
+	}
+	assert.Assert(t, f.node.log.lastIndex() < seen)
+	s.crash(f)
+	s.boot(f)
+	s.boot(old)
+	for range 100 {
+		s.step()
+	}
+	assert.Assert(t, f.node.Status().Verified)
+	assert.NilError(t, f.node.Err())
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -56,7 +57,7 @@
 	leaving                  chan struct{}
 	drained                  chan struct{}
 	requests                 atomic.Int64
-	incarnation              uint64
+	life                     *directory.Life
 	seq                      atomic.Uint64
 	started                  time.Time
 
@@ -73,8 +74,11 @@
 	client    *control.Client
 	ops       *operators.Handler
 	limits    *limits
+	bodies    *bodies
 	answers   metrics.Counter
-	confirmed atomic.Int64
+	// confirmed is when the rows in force were last known to be current; nil if
+	// they never were.
+	confirmed atomic.Pointer[time.Time]
 	// announceNow is sent to when others should hear of a change at once.
 	announceNow chan struct{}
 }
@@ -94,7 +98,7 @@
 		pool:        transport.NewPool(sec),
 		sealer:      refusal.NewSealer(sec.Secret),
 		metrics:     metrics.NewRegistry(),
-		incarnation: uint64(s.Now().UnixNano()),
+		life:        directory.NewLife(s.ID, s.Now()),
 		started:     s.Now(),
 		announceNow: make(chan struct{}, 1),
 		leaving:     make(chan struct{}),
@@ -120,8 +124,10 @@
 	e.targets = directory.NewTargets(s.ID, s.FailureDomain, s.replicas())
 	e.announcer = directory.NewAnnouncer(e.targets, e.pool.Conn, s.Now)
 	e.watches = newWatches(e)
+	e.node.SetAsk(e.watches.ask)
 	e.limits = newLimits(e)
-	e.claims = claim.NewNode(claim.DefaultRegisterSettings(), e.life(), e.pool.Conn, s.Now)
+	e.bodies = newBodies(s.MaxBodyMemory, s.UrgentPercent)
+	e.claims = claim.NewNode(claim.DefaultRegisterSettings(), e.life, e.pool.Conn, s.Now)
 	e.dumps.Add("claims", e.claims.Dump)
 	if err := wire.DRPCRegisterClaim(e.srv.Mux, e.claims); err != nil {
 		return nil, err
@@ -183,8 +189,9 @@
 // SetView puts rows in force. A lower revision than the one in force is
 // ignored: it would bring an old row back.
 func (e *Entry) SetView(v *table.View) {
+	var old *table.View
 	for {
-		old := e.view.Load()
+		old = e.view.Load()
 		if old != nil && old.Revision >= v.Revision {
 			return
 		}
@@ -192,7 +199,11 @@
 			break
 		}
 	}
-	e.refresh()
+	// Balancers and watches follow the pools' rows only. At each edit of a team's
+	// limit they would look at thousands of upstreams for nothing.
+	if old == nil || !maps.Equal(old.Pools, v.Pools) {
+		e.refresh()
+	}
 	select {
 	case e.announceNow <- struct{}{}:
 	default:
@@ -219,12 +230,12 @@
 			byPool[p] = append(byPool[p], up)
 		}
 	}
-	routed := map[string]bool{}
+	routed := watched{}
 	for name, p := range v.Pools {
 		// Of a large pool the entry uses, and watches, a part.
 		ups := route.Subset(e.settings.ID, byPool[name], route.MaxCandidates)
 		for _, u := range ups {
-			routed[u.ID] = true
+			routed.add(u.ID, p)
 		}
 		if err := e.fwd.Update(p, ups); err != nil {
 			kernel.Warn(e.log, "Pool can't be routed.", "pool", name, "err", err)
@@ -254,7 +265,10 @@
 	go e.node.Run(ctx)
 	go e.announceLoop(ctx)
 	e.followDirectory(ctx)
-	e.callersHTTP = &http.Server{Handler: e.callerRoutes(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}
+	e.callersHTTP = &http.Server{
+		Handler: e.callerRoutes(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10,
+		IdleTimeout: e.settings.IdleTimeout.D(),
+	}
 	go func() { _ = e.callersHTTP.Serve(e.callers) }()
 	if e.operators != nil {
 		e.operatorsHTTP = &http.Server{
@@ -364,7 +378,7 @@
 func (e *Entry) dump() any {
 	_, waiting := e.runner.Counts()
 	d := entryDump{
-		ID: e.settings.ID, Incarnation: e.incarnation, Draining: e.draining.Load(),
+		ID: e.settings.ID, Incarnation: e.life.Number(), Draining: e.draining.Load(),
 		Requests: e.requests.Load(), Waiting: waiting,
 	}
 	if v := e.view.Load(); v != nil {
