--- /dev/null
+++ b/agent/report_test.go
@@ -0,0 +1,121 @@
+package agent
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/snipereach/snipereach/admit"
+	"github.com/snipereach/snipereach/wire"
+)
+
+func report(running, waiting, slots uint32) *wire.Report {
+	return &wire.Report{Load: &wire.Load{Running: running, Waiting: waiting, Slots: slots}}
+}
+
+// An entry watches an upstream whose load goes up and down, and reports get lost.
+// What the entry then knows is wrong until the next report: with each report that
+// arrives it is off by less than its slots, and one comes at the latest
+// when the keep-alive has run out. Cache events never wait, nor does any
+// change of an upstream that is leaving.
+func TestReportsLeaveOutOnlySmallChanges(t *testing.T) {
+	const step, keepAlive = 500 * time.Millisecond, 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		r := Reports{Rule: ReportRule{Change: reportChange, KeepAlive: keepAlive}}
+		now := time.Unix(1000, 0)
+		known, heard := (*wire.Report)(nil), now
+		for range 60 {
+			next := report(rapid.Uint32Range(0, 8).Draw(t, "running"), rapid.Uint32Range(0, 20).Draw(t, "waiting"), 8)
+			next.Leaving = known != nil && known.Leaving || rapid.IntRange(0, 19).Draw(t, "leaving") == 0
+			if rapid.IntRange(0, 9).Draw(t, "cache") == 0 {
+				next.Cache = []*wire.CacheEvent{{Seq: 1}}
+			}
+			lost := false
+			if r.Due(now, next) {
+				r.Sent(now, next)
+				if lost = rapid.IntRange(0, 9).Draw(t, "lost") == 0; !lost {
+					known, heard = next, now
+				}
+			} else {
+				assert.Assert(t, len(next.Cache) == 0, "cache events wait")
+			}
+			if r.sent == known {
+				off := int(next.Load.Running+next.Load.Waiting) - int(known.Load.Running+known.Load.Waiting)
+				least := 8
+				if next.Leaving {
+					least = 1
+				}
+				assert.Assert(t, max(off, -off) < least && next.Leaving == known.Leaving, "off by %d", off)
+				assert.Assert(t, now.Sub(heard) < keepAlive)
+			}
+			now = now.Add(step)
+		}
+	})
+}
+
+// A report is lost and the load doesn't change again. The next one comes with the
+// keep-alive and heals it.
+func TestKeepAliveHealsALostReport(t *testing.T) {
+	r := Reports{Rule: reportRule(&wire.WatchRequest{KeepAliveMs: 10_000})}
+	now := time.Unix(1000, 0)
+	r.Sent(now, report(8, 3, 8))
+	assert.Assert(t, !r.Due(now.Add(9999*time.Millisecond), report(8, 3, 8)))
+	assert.Assert(t, r.Due(now.Add(10*time.Second), report(8, 3, 8)))
+}
+
+// An entry of an earlier version asks without a keep-alive, and takes an upstream
+// that says nothing for a lease as gone. It is told at each interval, as ever.
+func TestEarlierEntriesAreToldAtEachInterval(t *testing.T) {
+	r := Reports{Rule: reportRule(&wire.WatchRequest{IntervalMs: 500})}
+	now := time.Unix(1000, 0)
+	r.Sent(now, report(1, 0, 8))
+	assert.Assert(t, r.Due(now.Add(500*time.Millisecond), report(1, 0, 8)))
+}
+
+// Answers and reports take the agent's load at the same moment, and an entry keeps
+// the one with the higher number. That one must not hold older counts: the entry
+// would send work by them until the next report, half a minute later.
+func TestLoadsWithHigherNumbersAreLater(t *testing.T) {
+	const works, readers = 500, 4
+	set := DefaultSettings()
+	set.ID, set.FailureDomain, set.ClusterSecret = "up-1", "hall-a", "a secret of the tests"
+	set.Kind, set.Pools, set.AnnounceTo = "plain", []string{"p"}, []string{"127.0.0.1:1"}
+	set.Upstream = map[string]any{"url": "http://127.0.0.1:1"}
+	set.Slots = works
+	a, err := New(set, log.NewNopLogger())
+	assert.NilError(t, err)
+	t.Cleanup(func() { a.Stop() })
+	loads := make([][]*wire.Load, readers)
+	var wg sync.WaitGroup
+	done := make(chan struct{})
+	for i := range readers {
+		wg.Go(func() {
+			for over := false; !over; {
+				select {
+				case <-done:
+					over = true
+				default:
+				}
+				loads[i] = append(loads[i], a.currentLoad())
+			}
+		})
+	}
+	// Requests only come, so the counts only grow.
+	for range works {
+		_, err := a.runner.Enter(t.Context(), &admit.Work{Team: "t", Weight: 1, Priority: wire.Priority_PRIORITY_URGENT, Cost: 1})
+		assert.NilError(t, err)
+	}
+	close(done)
+	wg.Wait()
+	all := slices.Concat(loads...)
+	slices.SortFunc(all, func(x, y *wire.Load) int { return cmp.Compare(x.Seq, y.Seq) })
+	for i := 1; i < len(all); i++ {
+		assert.Assert(t, all[i].Running >= all[i-1].Running, "number %d", all[i].Seq)
+	}
+}
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -90,7 +90,7 @@
 	d := &Daemon{
 		settings: s, log: kernel.PartLog(l, "control"), certs: certs,
 		pool: transport.NewPool(sec), srv: transport.NewServer(sec),
-		node: directory.NewNode(directory.DefaultSettings(), time.Now, nil),
+		node: directory.NewNode(directory.DefaultSettings(), s.Control.clock(), nil),
 	}
 	d.pool.SetDial(s.Dial)
 	if d.control, err = New(s.Control, l, d.pool); err != nil {
@@ -154,9 +154,11 @@
 	return nil
 }
 
-// Drain implements kernel.Daemon: a replica has nothing of its own in progress;
-// the others elect a leader when it is gone.
-func (d *Daemon) Drain(context.Context) error { return nil }
+// Drain implements kernel.Daemon: a replica that leads hands over.
+func (d *Daemon) Drain(ctx context.Context) error {
+	d.control.Drain(ctx)
+	return nil
+}
 
 // Stop implements kernel.Daemon.
 func (d *Daemon) Stop() int {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -38,6 +38,10 @@
 	// at all, declares nothing gone after the last one's word has ended. All
 	// replicas may be starting again, while the upstreams are up.
 	SilentHold time.Duration
+	// AskTime is how long an instance that this process itself has heard stays up
+	// when nothing speaks for it any more, while it is asked. Where this process
+	// hears no other directory any more it asks cutOffAsks times.
+	AskTime time.Duration
 }
 
 // DefaultSettings are those of a daemon with no [directory] section.
@@ -50,6 +54,7 @@
 		SettleShare:  0.9,
 		VouchLease:   3 * time.Second,
 		SilentHold:   15 * time.Second,
+		AskTime:      500 * time.Millisecond,
 	}
 }
 
@@ -96,7 +101,9 @@
 	// known is how many instances were known before the start.
 	known   int
 	sources []*Source
-	changes changeLog
+	// followed says that there ever was a source.
+	followed bool
+	changes  changeLog
 	// due is the earliest time at which a lease can end. A look at thousands of
 	// instances at each tick would take more than one percent of a core.
 	due time.Time
@@ -107,12 +114,17 @@
 	// direct is until when an instance counts as up for having been heard from
 	// directly. It stands apart from the instances, so that it isn't passed on.
 	direct map[string]contact
+	// asks are the instances to ask, until TakeAsks.
+	asks []*Instance
 }
 
 // contact is a life of an instance, and until when its lease is renewed.
 type contact struct {
 	incarnation uint64
 	expires     time.Time
+	// asked is when it was first asked for a sign of life since, and asks how often.
+	asked time.Time
+	asks  int
 }
 
 // New makes a directory at a process's start. known is the number of instances
@@ -205,7 +217,49 @@
 	if old == nil || old.Incarnation != incarnation || old.Phase == wire.Phase_PHASE_GONE {
 		return
 	}
-	s.direct[id] = contact{incarnation, now.Add(s.lease(old.Announcement))}
+	s.direct[id] = contact{incarnation: incarnation, expires: now.Add(s.lease(old.Announcement))}
+}
+
+// mayAnswer says whether an instance for which nothing speaks any more may be up
+// all the same. Upstreams report seldom while little changes, so the word of a
+// lost replica may end between two reports: one that was heard before is asked,
+// and taken for gone only if it doesn't answer.
+func (s *State) mayAnswer(now time.Time, inst *Instance) bool {
+	c := s.direct[inst.Id]
+	if c.incarnation != inst.Incarnation {
+		return false
+	}
+	if c.asks == 0 {
+		c.asked = now
+	}
+	asks := 1
+	if s.cutOff(now) {
+		asks = cutOffAsks
+	}
+	waited := now.Sub(c.asked)
+	if c.asks < asks && waited >= time.Duration(c.asks)*s.settings.AskTime {
+		c.asks++
+		s.asks = append(s.asks, inst)
+	}
+	s.direct[inst.Id] = c
+	return waited <= time.Duration(asks)*s.settings.AskTime
+}
+
+// cutOffAsks is how often an instance is asked by a process that hears no other
+// directory: there is nobody else to bring it back if one answer comes late. With
+// the lease it still is gone within five seconds.
+const cutOffAsks = 3
+
+// cutOff says whether this directory followed others and hears none of them.
+func (s *State) cutOff(now time.Time) bool {
+	return s.followed && !slices.ContainsFunc(s.sources, func(src *Source) bool { return src.valid(now) })
+}
+
+// TakeAsks returns the instances to ask for a sign of life. Heard takes it.
+func (s *State) TakeAsks() []*Instance {
+	asks := s.asks
+	s.asks = nil
+	return asks
 }
 
 // inContact says whether an instance was heard from directly, lately.
@@ -307,6 +361,9 @@
 			if !settled && inst.localUntil.IsZero() {
 				continue
 			}
+			if s.mayAnswer(now, inst) {
+				continue
+			}
 			gone := s.gone(inst, now)
 			s.instances[id] = gone
 			s.changes.touch(id)
@@ -355,6 +412,9 @@
 	return list
 }
 
+// Len returns how many instances are known, gone ones too.
+func (s *State) Len() int { return len(s.instances) }
+
 // All returns every instance, gone ones too, sorted by ID.
 func (s *State) All() []*Instance {
 	list := make([]*Instance, 0, len(s.instances))
--- a/entry/gauges.go
+++ b/entry/gauges.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"time"
-
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/snipereach/snipereach/wire"
@@ -37,7 +35,7 @@
 
 // rowsAgeMS is rowsAge in milliseconds; -1 if they never were known to be current.
 func (e *Entry) rowsAgeMS() int64 {
-	age, ok := e.rowsAge(time.Now())
+	age, ok := e.rowsAge(e.settings.Now())
 	if !ok {
 		return -1
 	}
