--- a/agent/agent.go
+++ b/agent/agent.go
@@ -77,14 +77,14 @@
 		settings: s, log: kernel.PartLog(l, "agent"), up: up, sec: sec, certs: certs,
 		pool:     transport.NewPool(sec),
 		srv:      transport.NewServer(sec),
-		runner:   admit.NewRunner(startSettings(s).gate(), time.Now),
+		runner:   admit.NewRunner(startSettings(s).gate(), s.Now),
 		metrics:  metrics.NewRegistry(),
-		life:     directory.NewLife(s.ID, time.Now()),
+		life:     directory.NewLife(s.ID, s.Now()),
 		attempts: newAttempts(),
 	}
 	a.pool.SetDial(s.Dial)
 	a.cache.ask = up.Cache
-	a.announcer = directory.NewAnnouncer(directory.NewTargets(s.ID, s.FailureDomain, s.AnnounceTo), a.pool.Conn, time.Now)
+	a.announcer = directory.NewAnnouncer(directory.NewTargets(s.ID, s.FailureDomain, s.AnnounceTo), a.pool.Conn, s.Now)
 	a.queue.current = startSettings(s)
 	a.done = metrics.GetOrRegisterCounter("agent.attempts."+refusal.OutcomeWord(wire.Outcome_OUTCOME_DONE), a.metrics)
 	a.orders = newOrders(control.NewClient(a.pool, s.AnnounceTo, s.ID))
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -74,7 +74,7 @@
 			return err
 		}
 		silence.Reset(silentWatch)
-		v, err := f.Apply(time.Now(), u)
+		v, err := f.Apply(e.settings.Now(), u)
 		if err != nil {
 			kernel.Warn(e.log, "Rows are refused.", "err", err)
 			return err
@@ -95,7 +95,7 @@
 // the configuration lease. An entry that can't say so leaves the list that
 // callers get and goes on serving those that come.
 func (e *Entry) rowsConfirmed() bool {
-	age, ok := e.rowsAge(time.Now())
+	age, ok := e.rowsAge(e.settings.Now())
 	return ok && age < e.settings.ConfigLease.D()
 }
 
