--- a/agent/agent.go
+++ b/agent/agent.go
@@ -56,6 +56,7 @@
 	cancel    context.CancelFunc
 	announcer *directory.Announcer
 	load      atomic.Pointer[wire.Load]
+	cache     cacheEvents
 	loadMu    sync.Mutex
 	loadSeq   uint64
 }
@@ -84,6 +85,7 @@
 	}
 	a.tickets = newTickets(a.runner, time.AfterFunc)
 	a.pool.SetDial(s.Dial)
+	a.cache.ask = up.Cache
 	a.announcer = directory.NewAnnouncer(directory.NewTargets(s.ID, s.FailureDomain, s.AnnounceTo), a.pool.Conn, s.Now)
 	a.queue.current = startSettings(s)
 	a.done = metrics.GetOrRegisterCounter("agent.attempts."+refusal.OutcomeWord(wire.Outcome_OUTCOME_DONE), a.metrics)
