Keep a claim register's records in a data folder

A register that restarts has forgotten what it granted, and grants nothing until it has copied from both peers or ten minutes have passed. With a data folder it writes each record and syncs it, with others, before the grant leaves, so that a restart is no more than a pause. A lost, damaged or older folder begins a new life, which has forgotten as before.

--- a/claim/client.go
+++ b/claim/client.go
@@ -95,10 +95,18 @@
 }
 
 func (n *Node) call(ctx context.Context, m *wire.RingMember, q *wire.ClaimRequest) (*wire.ClaimReply, error) {
-	if m.Id == n.reg.self.Id {
+	if m.Id == n.id {
 		return n.Grant(ctx, q)
 	}
-	return wire.NewDRPCClaimClient(n.dial(ctx, m.Address)).Grant(ctx, q)
+	r, err := wire.NewDRPCClaimClient(n.dial(ctx, m.Address)).Grant(ctx, q)
+	if err == nil {
+		// Before the grant can count: the register may come back on an older copy
+		// of its folder, and must hear of it.
+		n.mu.Lock()
+		n.seen.Note(r)
+		n.mu.Unlock()
+	}
+	return r, err
 }
 
 // settle sends a settlement in the background.
@@ -107,8 +115,8 @@
 		return
 	}
 	for _, m := range targets {
-		if m.Id == n.reg.self.Id {
-			_, _ = n.Settle(context.Background(), s)
+		if m.Id == n.id {
+			n.settleHere(s)
 			continue
 		}
 		go n.settleOne(m, s)
--- a/claim/node.go
+++ b/claim/node.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 	"storj.io/drpc"
 
+	"github.com/snipereach/snipereach/journal"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -38,26 +39,116 @@
 	// renumbered is sent to when the register must copy again.
 	renumbered chan struct{}
 
+	id string
+	// events reports what becomes of the data folder.
+	events Events
+
 	mu   sync.Mutex
 	reg  *Register
 	ring *wire.Ring
+	// store keeps the register's records; nil if they are in memory only.
+	store *store
+	// folder is the size of the data folder.
+	folder int64
+	seen   Seen
 	// changedBy is the latest time at which the ring may have changed.
 	changed   time.Time
 	confirmed time.Time
 }
 
+// Events are called when something becomes of a register's data folder.
+type Events struct {
+	// Forgot: the folder held nothing that can be trusted, for this cause.
+	Forgot func(cause error)
+	// Failed: a record couldn't be made durable, and the register grants nothing
+	// more.
+	Failed func(cause error)
+}
+
+// ErrOlder is the cause when a folder is an older copy.
+var ErrOlder = merry.Sentinel("data folder of claims is older than what other entries have seen")
+
 // NewNode makes the node of a process that has just started.
 func NewNode(s RegisterSettings, life Life, dial func(context.Context, string) drpc.Conn, now func() time.Time) *Node {
 	return &Node{
 		dial: dial, now: now, life: life, renumbered: make(chan struct{}, 1),
-		reg: NewRegister(s, life.Wire(), now()), ring: &wire.Ring{},
+		id: life.Wire().Id, reg: NewRegister(s, life.Wire(), now()), ring: &wire.Ring{}, seen: Seen{},
+	}
+}
+
+// Open keeps the register's records in a data folder from here on, and takes what
+// it holds. It comes before any other call.
+func (n *Node) Open(fs journal.FS, ev Events) error {
+	log, st, damaged, err := openStore(fs)
+	if err != nil {
+		return err
+	}
+	n.events = ev
+	if damaged != nil {
+		ev.Forgot(damaged)
+	}
+	settings := n.reg.settings
+	n.reg = NewDurableRegister(settings, n.life.Wire(), st, n.now())
+	n.store, err = newStore(log, n.reg.TakeWrites(), settings.MaxTTL, n.now)
+	n.store.synced = n.synced
+	if err != nil {
+		n.synced(err, 0)
+	}
+	go n.store.run()
+	return nil
+}
+
+// Close releases the data folder.
+func (n *Node) Close() {
+	if n.store != nil {
+		n.store.close()
 	}
 }
 
-// Renumber takes up the number of the process's life after it has been raised.
+// synced takes the result of one sync.
+func (n *Node) synced(err error, bytes int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.folder = bytes
+	n.reg.full = bytes >= MaxFolderBytes
+	if err != nil && !n.reg.failed {
+		n.reg.Fail()
+		n.events.Failed(err)
+	}
+}
+
+// collect hands the register's records to the store, and returns what a reply
+// must wait for; nil is nothing. The caller holds the lock, so the records keep
+// their order.
+func (n *Node) collect() *batch {
+	if n.store == nil {
+		return nil
+	}
+	return n.store.add(n.reg.TakeWrites())
+}
+
+// Register returns what others must know of the register.
+func (n *Node) Register() *wire.ClaimRegister {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.reg.Life()
+}
+
+// Failed says whether a record couldn't be made durable.
+func (n *Node) Failed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.reg.failed
+}
+
+// Renumber takes up the number of the process's life after it has been raised,
+// unless the register's life is older than the process.
 func (n *Node) Renumber() {
 	n.mu.Lock()
-	n.reg.Renumber(n.life.Wire().Number)
+	if !n.reg.resumed {
+		n.reg.Renumber(n.life.Wire().Number)
+		n.collect()
+	}
 	n.mu.Unlock()
 	select {
 	case n.renumbered <- struct{}{}:
@@ -100,28 +191,56 @@
 	}
 }
 
-// Grant implements the Claim service.
+// Grant implements the Claim service. A grant leaves when its record is durable:
+// after a crash the register would otherwise give the key to another request.
 func (n *Node) Grant(_ context.Context, q *wire.ClaimRequest) (*wire.ClaimReply, error) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.reg.Grant(n.now(), q), nil
+	reply := n.reg.Grant(n.now(), q)
+	b := n.collect()
+	n.mu.Unlock()
+	if reply.Granted && b.wait() != nil {
+		return &wire.ClaimReply{RingEpoch: reply.RingEpoch, Self: reply.Self, Full: true, Forgetful: true}, nil
+	}
+	return reply, nil
 }
 
 // Settle implements the Claim service.
 func (n *Node) Settle(_ context.Context, s *wire.ClaimSettle) (*wire.ClaimReply, error) {
+	reply, b := n.settleHere(s)
+	if b.wait() != nil {
+		reply.Granted = false
+	}
+	return reply, nil
+}
+
+// settleHere settles without waiting for the sync.
+func (n *Node) settleHere(s *wire.ClaimSettle) (*wire.ClaimReply, *batch) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.reg.Settle(n.now(), s), nil
+	reply := n.reg.Settle(n.now(), s)
+	return reply, n.collect()
 }
 
-// Copy implements the Claim service.
+// Seen implements the Claim service.
+func (n *Node) Seen(_ context.Context, q *wire.ClaimSeenRequest) (*wire.ClaimSeen, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.seen.Of(q.Id), nil
+}
+
+// Copy implements the Claim service. It waits for the sync too: a restart must
+// not forget which life has copied.
 func (n *Node) Copy(q *wire.ClaimCopyRequest, stream wire.DRPCClaim_CopyStream) error {
 	if q.From == nil {
 		return merry.Prepend(ErrMalformed, "copy for nobody")
 	}
 	n.mu.Lock()
 	whole := n.reg.Copy(n.now(), q)
+	b := n.collect()
 	n.mu.Unlock()
+	if b.wait() != nil {
+		whole.Forgetful = true
+	}
 	for {
 		k := min(len(whole.Records), copyBatch)
 		part := &wire.ClaimCopy{Records: whole.Records[:k], Forgetful: whole.Forgetful}
@@ -160,26 +279,45 @@
 		n.mu.Lock()
 		epoch := n.reg.Epoch()
 		missing := n.reg.Missing(n.now())
+		unheard := n.reg.Unheard(n.now())
 		n.mu.Unlock()
-		if epoch > 0 && len(missing) == 0 {
+		if epoch > 0 && len(missing)+len(unheard) == 0 {
 			return true
 		}
-		n.copyFrom(ctx, epoch, missing)
+		askAll(unheard, func(m *wire.RingMember) { n.askSeen(ctx, m) })
+		askAll(missing, func(m *wire.RingMember) { n.copyOne(ctx, epoch, m) })
 	}
 }
 
-func (n *Node) copyFrom(ctx context.Context, epoch uint64, peers []*wire.RingMember) {
+// askAll asks members side by side and returns when all are done.
+func askAll(members []*wire.RingMember, ask func(*wire.RingMember)) {
 	var wg sync.WaitGroup
-	for _, m := range peers {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			n.copyOne(ctx, epoch, m)
-		}()
+	for _, m := range members {
+		wg.Go(func() { ask(m) })
 	}
 	wg.Wait()
 }
 
+// askSeen asks a peer how far it has seen this register grant.
+func (n *Node) askSeen(ctx context.Context, m *wire.RingMember) {
+	ctx, cancel := context.WithTimeout(ctx, RoundTimeout)
+	defer cancel()
+	seen, err := wire.NewDRPCClaimClient(n.dial(ctx, m.Address)).Seen(ctx, &wire.ClaimSeenRequest{Id: n.id})
+	if err == nil {
+		n.takeSeen(m.Id, seen)
+	}
+}
+
+func (n *Node) takeSeen(peer string, seen *wire.ClaimSeen) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.reg.TakeSeen(n.now(), peer, seen, n.life.Wire().Number) {
+		return
+	}
+	n.collect()
+	n.events.Forgot(ErrOlder)
+}
+
 func (n *Node) copyOne(ctx context.Context, epoch uint64, m *wire.RingMember) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
@@ -205,7 +343,14 @@
 // take hands a part of a copy to the register, unless the register has taken a
 // higher number since it asked: the peer knows it by the lower one.
 func (n *Node) take(q *wire.ClaimCopyRequest, peer string, part *wire.ClaimCopy) {
-	if part.SupersededBy != 0 && n.life.Supersede(part.SupersededBy) {
+	n.mu.Lock()
+	resumed := n.reg.resumed
+	n.mu.Unlock()
+	switch {
+	case part.SupersededBy != 0 && resumed:
+		n.takeSeen(peer, &wire.ClaimSeen{Life: &wire.Incarnation{Id: n.id, Number: part.SupersededBy}})
+		return
+	case part.SupersededBy != 0 && n.life.Supersede(part.SupersededBy):
 		n.Renumber()
 		return
 	}
@@ -213,6 +358,7 @@
 	defer n.mu.Unlock()
 	if n.reg.self.Number == q.From.Number {
 		n.reg.TakeCopy(n.now(), peer, part)
+		n.collect()
 	}
 }
 
@@ -225,10 +371,19 @@
 		missing = append(missing, m.Id)
 	}
 	return struct {
-		Epoch   uint64   `json:"ring_epoch"`
-		Members int      `json:"ring_members"`
-		Records int      `json:"records"`
-		Bytes   int64    `json:"answer_bytes"`
-		Missing []string `json:"copies_missing"`
-	}{n.ring.Epoch, len(n.ring.Members), n.reg.Len(), n.reg.held, missing}
+		Epoch     uint64   `json:"ring_epoch"`
+		Members   int      `json:"ring_members"`
+		Records   int      `json:"records"`
+		Bytes     int64    `json:"answer_bytes"`
+		Missing   []string `json:"copies_missing"`
+		Life      uint64   `json:"life"`
+		Durable   bool     `json:"durable"`
+		Failed    bool     `json:"folder_failed"`
+		Folder    int64    `json:"folder_bytes"`
+		Sequence  uint64   `json:"grants"`
+		Unchecked bool     `json:"folder_unchecked"`
+	}{
+		n.ring.Epoch, len(n.ring.Members), n.reg.Len(), n.reg.held, missing,
+		n.reg.self.Number, n.reg.on, n.reg.failed, n.folder, n.reg.sequence, n.reg.unchecked(n.now()),
+	}
 }
--- a/claim/register.go
+++ b/claim/register.go
@@ -31,6 +31,10 @@
 	forget bool
 	// lives lets a request count grants of a register's earlier life.
 	lives bool
+	// early lets a durable register's replies leave before their records are synced.
+	early bool
+	// rollback lets a register trust an older copy of its folder.
+	rollback bool
 }
 
 // DefaultRegisterSettings are those of an entry.
@@ -52,6 +56,7 @@
 	copied map[string]bool
 	// lives holds the latest life of each peer that copied from this register.
 	lives map[string]uint64
+	durable
 }
 
 type record struct {
@@ -95,26 +100,41 @@
 		// Even a holder that a peer's copy names gets no grant yet: another peer's
 		// copy may name one that has run.
 		reply.Granted = own && !reply.Forgetful
+		if reply.Granted {
+			reply.Sequence = r.seen()
+		}
 		if !own {
 			reply.Record = r.view(now, old)
 		}
 		return reply
 	}
 	if reply.Forgetful {
+		reply.Full = r.failed
 		return reply
 	}
-	if old == nil && len(r.records) >= r.settings.MaxRecords {
+	if r.full || old == nil && len(r.records) >= r.settings.MaxRecords {
 		reply.Full = true
 		return reply
 	}
-	r.put(text, &wire.ClaimRecord{
+	r.sequence++
+	r.put(now, text, &wire.ClaimRecord{
 		Key: q.Key, Holder: q.RequestId, Entry: q.Entry,
 		State: wire.ClaimState_CLAIM_STATE_HELD, Digest: q.Digest,
 	}, now.Add(r.ttl(q.TtlMs)))
 	reply.Granted = true
+	reply.Sequence = r.seen()
 	return reply
 }
 
+// seen is the sequence that a grant shows; a register without a folder shows
+// none, since its grants can't go back.
+func (r *Register) seen() uint64 {
+	if !r.on {
+		return 0
+	}
+	return r.sequence
+}
+
 // reusable says whether a request may take over a record. A released record
 // goes to another request, never back to the one that released it: a late copy
 // of its claim would hold the register for a request that is over.
@@ -155,12 +175,12 @@
 	if old == nil && s.State == wire.ClaimState_CLAIM_STATE_RELEASED && len(r.records) < r.settings.MaxRecords {
 		// The release overtook its own claim, which would otherwise come late and
 		// hold the register for a request that is over.
-		r.put(text, &wire.ClaimRecord{Key: s.Key, Holder: s.RequestId, State: s.State}, now.Add(r.settings.MaxTTL))
+		r.put(now, text, &wire.ClaimRecord{Key: s.Key, Holder: s.RequestId, State: s.State}, now.Add(r.settings.MaxTTL))
 	}
 	if old == nil || old.Holder != s.RequestId && !settlesDisputed(old.ClaimRecord, s) {
 		return reply
 	}
-	reply.Granted = true
+	reply.Granted = !r.failed
 	if old.State != wire.ClaimState_CLAIM_STATE_HELD {
 		return reply
 	}
@@ -169,7 +189,7 @@
 	if s.State == wire.ClaimState_CLAIM_STATE_ANSWERED {
 		next.Answer = r.keep(s.Answer)
 	}
-	r.put(old.text, next, old.expires)
+	r.put(now, old.text, next, old.expires)
 	return reply
 }
 
@@ -191,7 +211,7 @@
 	return a
 }
 
-func (r *Register) put(text string, c *wire.ClaimRecord, expires time.Time) {
+func (r *Register) put(now time.Time, text string, c *wire.ClaimRecord, expires time.Time) {
 	if old := r.records[text]; old != nil {
 		r.held -= int64(len(old.Answer.GetBody()))
 		old.ClaimRecord = c
@@ -203,9 +223,11 @@
 		heap.Push(&r.expiry, rec)
 	}
 	r.held += int64(len(c.Answer.GetBody()))
+	r.write(now, r.records[text])
 }
 
 func (r *Register) expire(now time.Time) {
+	r.advance(now)
 	for len(r.expiry) > 0 && !now.Before(r.expiry[0].expires) {
 		rec := heap.Pop(&r.expiry).(*record)
 		r.held -= int64(len(rec.Answer.GetBody()))
--- a/claim/register_copy.go
+++ b/claim/register_copy.go
@@ -16,8 +16,24 @@
 		return nil
 	}
 	var list []*wire.RingMember
-	for _, m := range append(r.ring.Members[:len(r.ring.Members):len(r.ring.Members)], r.ring.Previous...) {
-		if m.Id != r.self.Id && !r.copied[m.Id] && !Contains(list, m.Id) {
+	for _, m := range r.peers() {
+		if !r.copied[m.Id] {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// members lists those of the ring and of the one before it.
+func (r *Register) members() []*wire.RingMember {
+	return append(r.ring.Members[:len(r.ring.Members):len(r.ring.Members)], r.ring.Previous...)
+}
+
+// peers lists the other members of the ring and of the one before it, once each.
+func (r *Register) peers() []*wire.RingMember {
+	var list []*wire.RingMember
+	for _, m := range r.members() {
+		if m.Id != r.self.Id && !Contains(list, m.Id) {
 			list = append(list, m)
 		}
 	}
@@ -27,11 +43,11 @@
 // clean says whether no grant of an earlier life can still count: this life was
 // there when the ring took the host in, or the longest time to live has passed.
 func (r *Register) clean(now time.Time) bool {
-	if now.Sub(r.started) >= r.settings.MaxTTL {
+	if r.whole || now.Sub(r.started) >= r.settings.MaxTTL {
 		return true
 	}
 	in := false
-	for _, m := range append(r.ring.Members[:len(r.ring.Members):len(r.ring.Members)], r.ring.Previous...) {
+	for _, m := range r.members() {
 		if m.Id != r.self.Id {
 			continue
 		}
@@ -47,6 +63,9 @@
 // unknown to this register. A peer's copy holds only what that peer granted, so
 // the copies of all the key's other registers are needed.
 func (r *Register) forgetful(now time.Time, key *wire.ClaimKey) bool {
+	if r.failed || r.unchecked(now) {
+		return true
+	}
 	if r.settings.off.forget || r.clean(now) {
 		return false
 	}
@@ -92,6 +111,7 @@
 	}
 	r.self = &wire.Incarnation{Id: r.self.Id, Number: number}
 	clear(r.copied)
+	r.writeHead(false)
 }
 
 // Copy returns the records that a peer shares with this register, for a life of
@@ -103,10 +123,13 @@
 	if later := r.laterLife(from); later != 0 {
 		return &wire.ClaimCopy{Last: true, Forgetful: true, SupersededBy: later}
 	}
-	r.lives[from.Id] = from.Number
+	if r.lives[from.Id] != from.Number {
+		r.lives[from.Id] = from.Number
+		r.writeHead(false)
+	}
 	reply := &wire.ClaimCopy{Last: true, Forgetful: q.RingEpoch != r.ring.Epoch}
 	// Of what this register has itself forgotten it can't tell.
-	if len(r.Missing(now)) > 0 {
+	if r.failed || r.unchecked(now) || len(r.Missing(now)) > 0 {
 		reply.Forgetful = true
 	}
 	var texts []string
@@ -134,10 +157,11 @@
 		if old := r.records[text]; old != nil {
 			rec = merge(old.ClaimRecord, rec)
 		}
-		r.put(text, rec, now.Add(r.ttl(rec.TtlLeftMs)))
+		r.put(now, text, rec, now.Add(r.ttl(rec.TtlLeftMs)))
 	}
-	if c.Last && !c.Forgetful {
+	if c.Last && !c.Forgetful && !r.copied[peer] {
 		r.copied[peer] = true
+		r.writeHead(false)
 	}
 }
 
--- a/claim/sim_test.go
+++ b/claim/sim_test.go
@@ -26,7 +26,9 @@
 	rnd *rand.Rand
 	// clocks draws apart from rnd, so that clocks set back leave the rest of a
 	// schedule as it is.
-	clocks  *rand.Rand
+	clocks *rand.Rand
+	// disks draws what happens to data folders; nil if no entry has one.
+	disks   *rand.Rand
 	now     time.Time
 	queue   simQueue
 	seq     int
@@ -50,6 +52,8 @@
 	reg    *Register
 	ring   *wire.Ring
 	heard  time.Time
+	disk   *simDisk
+	seen   Seen
 }
 
 // lifeSpan is what an incarnation number grows by between two lives, if the
@@ -112,13 +116,13 @@
 	return lo + time.Duration(s.rnd.Int64N(int64(hi-lo)))
 }
 
-func newSim(seed uint64, n int, off safeguards) *sim {
+func newSim(seed uint64, n int, off safeguards, disks *rand.Rand) *sim {
 	s := &sim{
 		rnd: rand.New(rand.NewPCG(seed, 9)), clocks: rand.New(rand.NewPCG(seed, 10)), now: time.Unix(1000, 0),
-		cut: map[[2]int]bool{}, off: off, keys: map[string]*simKey{}, ring: &wire.Ring{Epoch: 1},
+		disks: disks, cut: map[[2]int]bool{}, off: off, keys: map[string]*simKey{}, ring: &wire.Ring{Epoch: 1},
 	}
 	for i := range n {
-		e := &simEntry{n: i}
+		e := &simEntry{n: i, disk: s.giveDisk()}
 		s.entries = append(s.entries, e)
 		s.boot(e)
 		if i < 4 {
@@ -136,7 +140,7 @@
 func number(id string) int { return int(id[1] - '0') }
 
 func (s *sim) member(e *simEntry) *wire.RingMember {
-	return &wire.RingMember{Id: id(e.n), FailureDomain: fmt.Sprintf("hall-%d", e.n%3), Incarnation: e.number}
+	return &wire.RingMember{Id: id(e.n), FailureDomain: fmt.Sprintf("hall-%d", e.n%3), Incarnation: e.reg.Life().Life}
 }
 
 func (s *sim) boot(e *simEntry) {
@@ -151,8 +155,14 @@
 		e.number -= uint64(s.clocks.IntN(3)*lifeSpan+lifeSpan/2) + 10*e.life
 		s.note("%s starts with its clock set back", id(e.n))
 	}
-	e.reg = NewRegister(set, &wire.Incarnation{Id: id(e.n), Number: e.number}, s.now)
+	process := &wire.Incarnation{Id: id(e.n), Number: e.number}
+	e.seen = Seen{}
 	e.ring = &wire.Ring{}
+	if e.disk == nil {
+		e.reg = NewRegister(set, process, s.now)
+	} else {
+		s.bootFromDisk(e, set, process)
+	}
 	s.copyLoop(e, e.life, 0)
 }
 
@@ -203,10 +213,11 @@
 		if !e.up || e.life != life {
 			return
 		}
-		missing := e.reg.Missing(s.now)
-		if len(missing) == 0 && e.reg.Epoch() > 0 {
+		missing, unheard := e.reg.Missing(s.now), e.reg.Unheard(s.now)
+		if len(missing)+len(unheard) == 0 && e.reg.Epoch() > 0 {
 			return
 		}
+		s.askSeen(e, life, unheard)
 		for _, m := range missing {
 			n := number(m.Id)
 			peer := s.entries[n]
@@ -216,14 +227,19 @@
 					return
 				}
 				c := peer.reg.Copy(s.now, q)
-				s.deliver(n, e.n, func() {
-					if !e.up || e.life != life || e.reg.self != q.From {
-						return
-					}
-					if c.SupersededBy != 0 {
-						e.reg.Renumber(c.SupersededBy + 1)
-					}
-					e.reg.TakeCopy(s.now, m.Id, c)
+				s.synced(peer, func() {
+					s.deliver(n, e.n, func() {
+						if !e.up || e.life != life || e.reg.self != q.From {
+							return
+						}
+						if c.SupersededBy != 0 && !s.older(e, m.Id, &wire.ClaimSeen{Life: &wire.Incarnation{Number: c.SupersededBy}}) {
+							e.reg.Renumber(c.SupersededBy + 1)
+						}
+						if e.reg.self == q.From {
+							e.reg.TakeCopy(s.now, m.Id, c)
+						}
+						s.synced(e, func() {})
+					})
 				})
 			})
 		}
@@ -320,11 +336,16 @@
 				return
 			}
 			reply := peer.reg.Grant(s.now, a.Claim)
-			s.deliver(n, r.e.n, func() {
-				if r.alive() {
-					r.flow.Reply(holder, m.Id, reply)
-					r.step()
-				}
+			s.synced(peer, func() {
+				s.deliver(n, r.e.n, func() {
+					if r.e.up && r.e.life == r.life {
+						r.e.seen.Note(reply)
+					}
+					if r.alive() {
+						r.flow.Reply(holder, m.Id, reply)
+						r.step()
+					}
+				})
 			})
 		})
 	}
@@ -337,6 +358,7 @@
 		r.s.deliver(r.e.n, n, func() {
 			if peer.up {
 				peer.reg.Settle(r.s.now, c)
+				r.s.synced(peer, func() {})
 			}
 		})
 	}
@@ -402,6 +424,7 @@
 }
 
 func (s *sim) fault() {
+	s.copyDisks()
 	e := s.entries[s.rnd.IntN(len(s.entries))]
 	switch s.rnd.IntN(8) {
 	case 0, 1, 2:
@@ -463,13 +486,13 @@
 	s.after(100*time.Millisecond, s.confirm)
 }
 
-func runSchedule(seed uint64, off safeguards) (found string) {
+func runSchedule(seed uint64, off safeguards, disks *rand.Rand) (found string) {
 	defer func() {
 		if v, ok := recover().(violation); ok {
 			found = v.text
 		}
 	}()
-	s := newSim(seed, 5, off)
+	s := newSim(seed, 5, off, disks)
 	s.confirm()
 	end := s.now.Add(12 * time.Second)
 	for n := range 8 {
@@ -487,7 +510,7 @@
 }
 
 func searchSchedules(off safeguards) (uint64, string) {
-	return schedule.Search(schedules, func(seed uint64) string { return runSchedule(seed, off) })
+	return schedule.Search(schedules, func(seed uint64) string { return runSchedule(seed, off, nil) })
 }
 
 // Callers send one request several times through any entries, while entries
@@ -518,7 +541,7 @@
 
 // Without faults a first sending always gets its key, and resends get its answer.
 func TestFaultFreeClaimsAreGranted(t *testing.T) {
-	s := newSim(1, 5, safeguards{})
+	s := newSim(1, 5, safeguards{}, nil)
 	s.confirm()
 	for n := range 50 {
 		s.start(n)
--- /dev/null
+++ b/claim/store.go
@@ -0,0 +1,231 @@
+package claim
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/snipereach/snipereach/journal"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// ErrStore is returned when a register's data folder can't be used.
+var ErrStore = merry.Sentinel("data folder of claims can't be used")
+
+const (
+	// filesPerTTL is how many files the records of one time to live go to. A file
+	// is dropped when a time to live has passed since its last record.
+	filesPerTTL = 4
+	// MaxFolderBytes bounds a register's folder: beyond it, it grants nothing.
+	MaxFolderBytes = 512 << 20
+)
+
+// batch is a set of records that one sync makes durable.
+type batch struct {
+	recs []proto.Message
+	done chan struct{}
+	err  error
+}
+
+// wait returns once the records are durable, or can't be.
+func (b *batch) wait() error {
+	if b == nil {
+		return nil
+	}
+	<-b.done
+	return b.err
+}
+
+// store writes a register's records to its folder: all that come while one sync
+// runs share the next one.
+type store struct {
+	log *journal.Log
+	now func() time.Time
+	ttl time.Duration
+	// synced is told after each batch, with the size of the folder.
+	synced func(err error, bytes int64)
+
+	// head is the last one written. Only the writing goroutine uses it, the files'
+	// times and the log.
+	head    *wire.ClaimStored
+	started time.Time
+	// closed holds when each file but the last had its last record.
+	closed map[uint64]time.Time
+
+	mu      sync.Mutex
+	next    *batch
+	syncing *batch
+	stopped bool
+	wake    chan struct{}
+	ended   chan struct{}
+}
+
+// openStore reads a folder. damaged is what was wrong with it, or nil; the
+// records can't be trusted then, and st is nil as for an empty folder.
+func openStore(fs journal.FS) (l *journal.Log, st *Stored, damaged error, err error) {
+	st = &Stored{}
+	l, err = journal.OpenLog(fs, func(payload []byte) error {
+		rec := &wire.ClaimStored{}
+		if err := proto.Unmarshal(payload, rec); err != nil {
+			return merry.Prepend(journal.ErrCorrupt, err.Error())
+		}
+		st.Add(rec)
+		return nil
+	})
+	switch {
+	case errors.Is(err, journal.ErrCorrupt):
+		return l, nil, err, nil
+	case err != nil:
+		return nil, nil, nil, merry.Prepend(ErrStore, err.Error())
+	case l.Number() == 0:
+		return l, nil, nil, nil
+	case st.head == nil || l.First() > st.oldest:
+		return l, nil, merry.Prepend(journal.ErrCorrupt, "the first file is missing"), nil
+	}
+	return l, st, nil, nil
+}
+
+// newStore begins a new file with all that a register holds, in place of the
+// folder's earlier ones.
+func newStore(l *journal.Log, recs []*wire.ClaimStored, ttl time.Duration, now func() time.Time) (*store, error) {
+	s := &store{
+		log: l, now: now, ttl: ttl, started: now(), closed: map[uint64]time.Time{},
+		wake: make(chan struct{}, 1), ended: make(chan struct{}),
+	}
+	first := l.Number() + 1
+	var msgs []proto.Message
+	for _, rec := range recs {
+		if h := rec.GetHead(); h != nil {
+			h.Oldest = first
+			s.head = rec
+		}
+		msgs = append(msgs, rec)
+	}
+	if err := l.Start(msgs...); err != nil {
+		return s, err
+	}
+	return s, l.DropBefore(first)
+}
+
+// stoppedBatch is what a call gets that came while the process stopped.
+func stoppedBatch() *batch {
+	b := &batch{done: make(chan struct{}), err: merry.Prepend(ErrStore, "the process stops")}
+	close(b.done)
+	return b
+}
+
+// add takes records for the next sync. It returns the batch after which all
+// records so far are durable; nil if they are.
+func (s *store) add(recs []*wire.ClaimStored) *batch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(recs) == 0 {
+		if s.next != nil {
+			return s.next
+		}
+		return s.syncing
+	}
+	if s.stopped {
+		return stoppedBatch()
+	}
+	if s.next == nil {
+		s.next = &batch{done: make(chan struct{})}
+	}
+	for _, rec := range recs {
+		s.next.recs = append(s.next.recs, rec)
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	return s.next
+}
+
+// run writes batches until the store is closed.
+func (s *store) run() {
+	defer close(s.ended)
+	for range s.wake {
+		// Looked at before the last batch is taken: what was added before the stop
+		// is still written, and nothing is added after it.
+		s.mu.Lock()
+		stopped := s.stopped
+		s.mu.Unlock()
+		for b := s.begin(); b != nil; b = s.begin() {
+			b.err = s.write(b.recs)
+			s.synced(b.err, s.log.Bytes())
+			close(b.done)
+		}
+		if stopped {
+			return
+		}
+	}
+}
+
+func (s *store) begin() *batch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.syncing, s.next = s.next, nil
+	return s.syncing
+}
+
+func (s *store) write(recs []proto.Message) error {
+	if err := s.log.Append(recs...); err != nil {
+		return err
+	}
+	for _, rec := range recs {
+		if c := rec.(*wire.ClaimStored); c.GetHead() != nil {
+			s.head = c
+		} else {
+			s.head.Sequence = max(s.head.Sequence, c.Sequence)
+		}
+	}
+	if s.now().Sub(s.started) < s.ttl/filesPerTTL {
+		return nil
+	}
+	return s.rotate()
+}
+
+// rotate begins a file and drops those whose records have all expired. A record
+// lives for at most a time to live after it was written.
+func (s *store) rotate() error {
+	now := s.now()
+	s.closed[s.log.Number()] = now
+	oldest := s.log.Number() + 1
+	for n, at := range s.closed {
+		if now.Sub(at) < s.ttl {
+			oldest = min(oldest, n)
+			continue
+		}
+		delete(s.closed, n)
+	}
+	// The head is that of the records written so far: one made now might speak of
+	// records that are still to be written.
+	head := proto.Clone(s.head).(*wire.ClaimStored)
+	head.GetHead().Oldest = oldest
+	head.GetHead().Forgot = false
+	s.started = now
+	if err := s.log.Start(head); err != nil {
+		return err
+	}
+	return s.log.DropBefore(oldest)
+}
+
+// close ends the writing after what has been taken, and releases the folder.
+func (s *store) close() {
+	s.mu.Lock()
+	already := s.stopped
+	s.stopped = true
+	s.mu.Unlock()
+	if already {
+		return
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	<-s.ended
+	s.log.Close()
+}
--- a/journal/frame.go
+++ b/journal/frame.go
@@ -26,7 +26,7 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-func appendFrame(buf []byte, rec *wire.JournalRecord) ([]byte, error) {
+func appendFrame(buf []byte, rec proto.Message) ([]byte, error) {
 	start := len(buf)
 	buf = append(buf, make([]byte, headerLen)...)
 	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, rec)
@@ -41,10 +41,21 @@
 	return buf, nil
 }
 
-// readFrames decodes records until the end of the data. good is where the last
+// readFrames decodes a journal's records until the end of the data.
+func readFrames(data []byte, last bool, visit func(*wire.JournalRecord) error) (good int, err error) {
+	return readPayloads(data, last, func(payload []byte) error {
+		rec := &wire.JournalRecord{}
+		if err := proto.Unmarshal(payload, rec); err != nil {
+			return merry.Prepend(ErrCorrupt, err.Error())
+		}
+		return visit(rec)
+	})
+}
+
+// readPayloads visits records until the end of the data. good is where the last
 // whole record ends. A tail that a torn write explains ends the reading; any
 // other damage is ErrCorrupt.
-func readFrames(data []byte, last bool, visit func(*wire.JournalRecord) error) (good int, err error) {
+func readPayloads(data []byte, last bool, visit func(payload []byte) error) (good int, err error) {
 	for good < len(data) {
 		n, err := checkFrame(data[good:])
 		if err != nil {
@@ -53,12 +64,8 @@
 			}
 			return good, merry.Prependf(err, "at byte %d", good)
 		}
-		rec := &wire.JournalRecord{}
-		if err := proto.Unmarshal(data[good+headerLen:good+n], rec); err != nil {
-			return good, merry.Prependf(ErrCorrupt, "at byte %d: %v", good, err)
-		}
-		if err := visit(rec); err != nil {
-			return good, err
+		if err := visit(data[good+headerLen : good+n]); err != nil {
+			return good, merry.Prependf(err, "at byte %d", good)
 		}
 		good += n
 	}
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -237,17 +237,22 @@
 			return err
 		}
 	}
-	f, err := j.fs.Create(name + tempSuffix)
+	return writeWholeFile(j.fs, name, buf)
+}
+
+// writeWholeFile writes a file that is either whole or not there.
+func writeWholeFile(fs FS, name string, data []byte) error {
+	f, err := fs.Create(name + tempSuffix)
 	if err != nil {
 		return err
 	}
-	if err := writeAndSync(f, buf); err != nil {
+	if err := writeAndSync(f, data); err != nil {
 		return err
 	}
-	if err := j.fs.Rename(name+tempSuffix, name); err != nil {
+	if err := fs.Rename(name+tempSuffix, name); err != nil {
 		return err
 	}
-	return j.fs.SyncDir()
+	return fs.SyncDir()
 }
 
 func writeAndSync(f File, buf []byte) error {
