Give entries with a disk a folder for their claims, and prefer them in the ring

The register's life is announced, since it may be older than the process, and whether it has a folder. Where such entries cover three failure domains the ring is made of them, so that a restart elsewhere after a lost hall forgets nothing; one that stays away is waited for an hour while too few domains are left.

--- a/claim/node.go
+++ b/claim/node.go
@@ -134,6 +134,16 @@
 	return n.reg.Life()
 }
 
+// Granting says whether the register may grant any key: it has forgotten nothing
+// that can still count, and its records can be kept.
+func (n *Node) Granting() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	known := n.reg.Epoch() > 0 && len(n.reg.Missing(now)) == 0
+	return known && !n.reg.failed && !n.reg.unchecked(now)
+}
+
 // Failed says whether a record couldn't be made durable.
 func (n *Node) Failed() bool {
 	n.mu.Lock()
--- a/control/ring.go
+++ b/control/ring.go
@@ -4,6 +4,8 @@
 	"sort"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/snipereach/snipereach/claim"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/wire"
@@ -16,6 +18,9 @@
 	// joinRingAfter and leaveRingAfter keep a restart from changing the ring.
 	joinRingAfter  = 10 * time.Second
 	leaveRingAfter = time.Minute
+	// leaveDurableAfter is for members with a data folder, while without them too
+	// few failure domains have one.
+	leaveDurableAfter = time.Hour
 )
 
 // ringClock is a replica's soft knowledge about the ring: since when it knows
@@ -62,39 +67,84 @@
 		if now.Sub(leadingSince) < firstRingAfter || len(up) < claim.Majority {
 			return nil
 		}
-		return &wire.Ring{Epoch: ring.Epoch + 1, Members: sorted(up)}
+		first, _ := durableFirst(up)
+		return &wire.Ring{Epoch: ring.Epoch + 1, Members: sorted(first)}
 	}
 	maxTTL := claim.DefaultRegisterSettings().MaxTTL
 	if now.Sub(c.changed) < claim.JointPeriod(maxTTL) {
 		return nil
 	}
-	members := c.kept(ring, leadingSince, now)
-	changed := len(members) != len(ring.Members)
-	for _, m := range up {
-		if !claim.Contains(members, m.Id) && now.Sub(c.since[m.Id]) >= joinRingAfter {
-			members = append(members, m)
-			changed = true
+	members, durable := durableFirst(c.candidates(ring, up, leadingSince, now, leaveRingAfter))
+	if !durable {
+		// Better two of three registers that forget nothing than more that do. A
+		// host that stays away for longer is left out all the same.
+		if waited, ok := durableFirst(c.candidates(ring, up, leadingSince, now, leaveDurableAfter)); ok {
+			members = waited
 		}
 	}
-	if !changed || len(members) < claim.Majority {
+	if sameMembers(members, ring.Members) || len(members) < claim.Majority {
 		return nil
 	}
 	return &wire.Ring{Epoch: ring.Epoch + 1, Members: sorted(members), Previous: ring.Members}
 }
 
-// kept lists the members that were up lately, as far as this leader can tell.
-func (c *ringClock) kept(ring *wire.Ring, leadingSince, now time.Time) []*wire.RingMember {
-	var members []*wire.RingMember
+// durableFirst returns the members with a data folder, if those cover as many
+// failure domains as a key has registers; else all.
+func durableFirst(members []*wire.RingMember) (chosen []*wire.RingMember, durable bool) {
+	domains := map[string]bool{}
+	for _, m := range members {
+		if m.Durable {
+			chosen = append(chosen, m)
+			domains[m.FailureDomain] = true
+		}
+	}
+	if len(domains) >= claim.Copies {
+		return chosen, true
+	}
+	return members, false
+}
+
+func sameMembers(a, b []*wire.RingMember) bool {
+	for _, m := range a {
+		if !claim.Contains(b, m.Id) {
+			return false
+		}
+	}
+	return len(a) == len(b)
+}
+
+// candidates lists the members that were up lately, as far as this leader can
+// tell, and those that have been up for long enough to join.
+func (c *ringClock) candidates(ring *wire.Ring, up []*wire.RingMember, leadingSince, now time.Time, patience time.Duration) []*wire.RingMember {
+	var list []*wire.RingMember
 	for _, m := range ring.Members {
 		last := leadingSince
 		if at, ok := c.seen[m.Id]; ok && at.After(last) {
 			last = at
 		}
-		if now.Sub(last) < leaveRingAfter {
-			members = append(members, m)
+		if now.Sub(last) < patience {
+			list = append(list, asAnnounced(m, up))
+		}
+	}
+	for _, m := range up {
+		if !claim.Contains(list, m.Id) && now.Sub(c.since[m.Id]) >= joinRingAfter {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// asAnnounced returns a member of the ring with what it says of its data folder
+// now. Its life stays the one that the ring took in: a later one has forgotten.
+func asAnnounced(m *wire.RingMember, up []*wire.RingMember) *wire.RingMember {
+	for _, u := range up {
+		if u.Id == m.Id && u.Durable != m.Durable {
+			c := proto.Clone(m).(*wire.RingMember)
+			c.Durable = u.Durable
+			return c
 		}
 	}
-	return members
+	return m
 }
 
 func sorted(list []*wire.RingMember) []*wire.RingMember {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -228,7 +228,8 @@
 	return a.Id == b.Id && a.Incarnation == b.Incarnation && a.Role == b.Role && a.Phase == b.Phase &&
 		a.FailureDomain == b.FailureDomain && a.Address == b.Address && a.CallerAddress == b.CallerAddress &&
 		slices.Equal(a.Pools, b.Pools) && a.Kind == b.Kind && a.Group == b.Group && a.Rank == b.Rank &&
-		a.LeaseMs == b.LeaseMs && a.Listed == b.Listed
+		a.LeaseMs == b.LeaseMs && a.Listed == b.Listed &&
+		a.ClaimRegister.GetLife() == b.ClaimRegister.GetLife() && a.ClaimRegister.GetDurable() == b.ClaimRegister.GetDurable()
 }
 
 // Settled says whether the directory may declare instances gone.
--- a/directory/node.go
+++ b/directory/node.go
@@ -112,13 +112,23 @@
 	for _, i := range n.Instances(wire.Role_ROLE_ENTRY) {
 		if i.Up() {
 			list = append(list, &wire.RingMember{
-				Id: i.Id, Address: i.Address, FailureDomain: i.FailureDomain, Incarnation: i.Incarnation,
+				Id: i.Id, Address: i.Address, FailureDomain: i.FailureDomain,
+				Incarnation: registerLife(i.Announcement), Durable: i.ClaimRegister.GetDurable(),
 			})
 		}
 	}
 	return list
 }
 
+// registerLife is the life of an entry's register; that of the process, for an
+// entry of a release that announces none.
+func registerLife(a *wire.Announcement) uint64 {
+	if r := a.ClaimRegister; r != nil {
+		return r.Life
+	}
+	return a.Incarnation
+}
+
 // Gone says whether a life of an instance has ended: it is known as gone, or a
 // later life is known. An instance that is not known at all may be new here.
 func (n *Node) Gone(life *wire.Incarnation) bool {
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -68,7 +68,8 @@
 		Role: wire.Role_ROLE_ENTRY, Phase: phase,
 		FailureDomain: e.settings.FailureDomain,
 		Address:       e.InternalAddress(), CallerAddress: e.CallerAddress(),
-		LeaseMs: uint32(e.settings.Lease.D().Milliseconds()),
+		LeaseMs:       uint32(e.settings.Lease.D().Milliseconds()),
+		ClaimRegister: e.claims.Register(),
 	}
 	if v := e.view.Load(); v != nil {
 		a.Revision = v.Revision
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -9,6 +9,7 @@
 
 	"github.com/snipereach/snipereach/claim"
 	"github.com/snipereach/snipereach/forward"
+	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/upstream"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -22,12 +23,31 @@
 // ringMembers lists the entries that may hold claim registers.
 func (e *Entry) ringMembers() []*wire.RingMember { return e.node.RingMembers() }
 
+// openClaims gives the claim register its data folder, if it has one.
+func (e *Entry) openClaims() error {
+	fs, err := e.settings.claimsFolder()
+	if err != nil || fs == nil {
+		return err
+	}
+	return e.claims.Open(fs, claim.Events{
+		Forgot: func(cause error) {
+			kernel.Warn(e.log, "Claims in the data folder can't be used. The register has forgotten.", "err", cause)
+		},
+		Failed: func(cause error) {
+			kernel.Warn(e.log, "A claim can't be made durable. The register grants nothing until a restart.", "err", cause)
+		},
+	})
+}
+
 // ClaimsReady says whether the entry knows the ring of claim registers.
 func (e *Entry) ClaimsReady() bool {
 	r := e.claims.Ring()
 	return r.Confirmed && len(r.Ring.GetMembers()) >= claim.Majority
 }
 
+// ClaimsGranting says whether the entry's claim register may grant any key.
+func (e *Entry) ClaimsGranting() bool { return e.claims.Granting() }
+
 // claim takes the request's key, if it has one and may not be repeated. done is
 // true when the caller has been answered from an earlier sending.
 //
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -244,6 +244,9 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
+	if err := e.openClaims(); err != nil {
+		return err
+	}
 	go e.srv.Serve(ctx, e.internal)
 	if e.control != nil {
 		place := control.Place{Name: e.settings.ID, Address: e.InternalAddress(), FailureDomain: e.settings.FailureDomain}
@@ -343,6 +346,7 @@
 	}
 	e.srv.Close()
 	e.pool.Close()
+	e.claims.Close()
 	return cut
 }
 
--- a/entry/gauges.go
+++ b/entry/gauges.go
@@ -18,6 +18,8 @@
 		"entry.rows.age_ms": e.rowsAgeMS,
 		"entry.listed":      e.listed,
 		"entry.upstreams":   e.upstreamsUp,
+
+		"entry.claims.folder_failed": e.claimsFailed,
 	} {
 		metrics.NewRegisteredFunctionalGauge(name, e.metrics, value)
 	}
@@ -60,3 +62,12 @@
 	}
 	return n
 }
+
+// claimsFailed is 1 when the claim register grants nothing because a record
+// couldn't be made durable.
+func (e *Entry) claimsFailed() int64 {
+	if e.claims.Failed() {
+		return 1
+	}
+	return 0
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -2,11 +2,13 @@
 
 import (
 	"net"
+	"path/filepath"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/journal"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/operators"
 	"github.com/snipereach/snipereach/transport"
@@ -42,6 +44,11 @@
 	ControlReplicas []string `toml:"control_replicas"`
 	// Control makes this entry a control replica too.
 	Control *control.Settings `toml:"control"`
+	// ClaimsDataDir is the folder for the records of claims: empty is memory only,
+	// ClaimsDirAuto the folder ClaimsDirName of a control replica.
+	ClaimsDataDir string `toml:"claims_data_dir"`
+	// ClaimsFS is used in place of ClaimsDataDir if set.
+	ClaimsFS journal.FS `toml:"-"`
 	// ConfigLease is how long the entry stays listed without having its rows
 	// confirmed as current.
 	ConfigLease kernel.Duration `toml:"config_lease"`
@@ -62,11 +69,18 @@
 	AnnounceInterval kernel.Duration `toml:"announce_interval"`
 }
 
+// Values of ClaimsDataDir.
+const (
+	ClaimsDirAuto = "auto"
+	ClaimsDirName = "claims"
+)
+
 // DefaultSettings returns the defaults.
 func DefaultSettings() *Settings {
 	return &Settings{
 		Callers:          "127.0.0.1:0",
 		Internal:         "127.0.0.1:0",
+		ClaimsDataDir:    ClaimsDirAuto,
 		Keep:             kernel.Duration(10 * time.Second),
 		Slots:            4096,
 		UrgentPercent:    10,
@@ -109,6 +123,8 @@
 		return bad("keep", "must be at least 1s")
 	case len(s.ControlReplicas) == 0 && s.Control == nil:
 		return bad("control_replicas", "must name at least one control replica")
+	case s.ClaimsDataDir != "" && s.Control != nil && filepath.Clean(s.ClaimsDataDir) == filepath.Clean(s.Control.DataDir):
+		return bad("claims_data_dir", "must not be control.data_dir itself")
 	case s.ConfigLease < kernel.Duration(3*time.Second):
 		return bad("config_lease", "must be at least 3s")
 	case s.CallersTLS.CA != "":
@@ -150,6 +166,24 @@
 	return nil
 }
 
+// claimsFolder opens the folder for the records of claims; nil is memory only.
+func (s *Settings) claimsFolder() (journal.FS, error) {
+	dir := s.ClaimsDataDir
+	if s.ClaimsFS != nil {
+		return s.ClaimsFS, nil
+	}
+	if dir == ClaimsDirAuto {
+		if s.Control == nil || s.Control.FS != nil {
+			return nil, nil
+		}
+		dir = filepath.Join(s.Control.DataDir, ClaimsDirName)
+	}
+	if dir == "" {
+		return nil, nil
+	}
+	return journal.OpenFolder(dir)
+}
+
 // replicas lists the control replicas to follow.
 func (s *Settings) replicas() []string {
 	if len(s.ControlReplicas) == 0 {
--- a/quickstart/parts.go
+++ b/quickstart/parts.go
@@ -39,7 +39,9 @@
 	role         Role
 	folder       string
 	// disk stands in for the folder if set.
-	disk     *fake.Disk
+	disk *fake.Disk
+	// claims stands in for the folder of an entry's claims if disk is set.
+	claims   *fake.Disk
 	start    func(ctx context.Context) (kernel.Daemon, error)
 	daemon   kernel.Daemon
 	upstream *fake.Server
@@ -154,6 +156,7 @@
 	defer s.mu.Unlock()
 	if p := s.parts[name]; p.disk != nil {
 		p.disk.Crash(0)
+		p.claims.Crash(0)
 	}
 	return cut
 }
@@ -182,7 +185,7 @@
 		return merry.Prependf(ErrPart, "lose the disk of %s", name)
 	}
 	if p.disk != nil {
-		p.disk = fake.NewDisk()
+		p.disk, p.claims = fake.NewDisk(), fake.NewDisk()
 		return nil
 	}
 	return os.RemoveAll(p.folder)
@@ -193,7 +196,7 @@
 func (s *System) giveDisk(p *part) {
 	p.folder = filepath.Join(s.dir, p.name)
 	if s.opts.FakeDisks {
-		p.disk = fake.NewDisk()
+		p.disk, p.claims = fake.NewDisk(), fake.NewDisk()
 	}
 }
 
@@ -307,7 +310,8 @@
 func (s *System) startEntry(ctx context.Context, i int, internal string) error {
 	p := &part{name: fmt.Sprintf("entry-%d", i+1), domain: s.layout.domain(i), role: RoleEntry}
 	replica := s.opts.Controls == 0 && i < maxReplicas
-	if replica {
+	durable := replica && s.opts.ClaimFolders == 0 || i < s.opts.ClaimFolders
+	if replica || durable {
 		s.giveDisk(p)
 	}
 	outer, err := s.reserve(2)
@@ -323,6 +327,7 @@
 	p.start = func(ctx context.Context) (kernel.Daemon, error) {
 		set := s.entrySettings(p, replica)
 		set.Callers, set.Operators, set.Internal = callers, operators, internal
+		s.claimSettings(set, p, durable)
 		e, err := entry.New(set, s.opts.Log)
 		d, err := started(ctx, e, err)
 		if err != nil {
@@ -336,6 +341,17 @@
 	return s.add(ctx, p)
 }
 
+// claimSettings says where an entry keeps its claims.
+func (s *System) claimSettings(set *entry.Settings, p *part, durable bool) {
+	set.ClaimsDataDir = ""
+	switch {
+	case durable && p.claims != nil:
+		set.ClaimsFS = p.claims
+	case durable:
+		set.ClaimsDataDir = filepath.Join(p.folder, entry.ClaimsDirName)
+	}
+}
+
 func (s *System) entrySettings(p *part, replica bool) *entry.Settings {
 	set := entry.DefaultSettings()
 	set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, Secret
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -59,6 +59,9 @@
 	// FakeDisks keeps the replicas' state in memory, as disks would: what was not
 	// synced is forgotten when a part is killed.
 	FakeDisks bool
+	// ClaimFolders is how many entries keep their claims in data folders: those
+	// with control replicas if zero, none if negative.
+	ClaimFolders int
 	// Keep is how long callers may keep the list of entries; 10 s if zero.
 	Keep time.Duration
 	// EntrySlots is how many requests an entry carries at once; the default of
--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -57,6 +57,7 @@
 		"closed":     each((*world).closed),
 		"listed":     (*world).cmdListed,
 		"upstreams":  (*world).cmdUpstreams,
+		"granting":   each((*world).granting),
 		// Operators.
 		"edit":     withID((*world).edit),
 		"edits":    (*world).cmdEdits,
@@ -422,6 +423,16 @@
 	})
 }
 
+// granting waits until an entry's claim register may grant any key.
+func (w *world) granting(name string) error {
+	return eventually(func() string {
+		if e := w.sys.Entry(name); e == nil || !e.ClaimsGranting() {
+			return name + " grants no claims yet"
+		}
+		return ""
+	})
+}
+
 func (w *world) list(via string) ([]string, error) {
 	e := w.sys.Entry(via)
 	if e == nil {
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -103,7 +103,7 @@
 
 func (w *world) start(o options) error {
 	if w.sys != nil || len(o.rest) > 0 {
-		return merry.Prepend(ErrScript, "system [entries=N] [controls=N] [engines=N] [plains=N] [groups=yes], once")
+		return merry.Prepend(ErrScript, "system [entries=N] [controls=N] [engines=N] [plains=N] [groups=yes] [claims=memory], once")
 	}
 	opts := quickstart.Options{
 		Log: log.NewNopLogger(), Layout: w.layout, Network: w.net, FakeDisks: true, Keep: time.Second,
@@ -111,6 +111,9 @@
 		Entries: o.number("entries", 3), Controls: o.number("controls", 0),
 		PlainTimeout: plainTimeout,
 	}
+	if o.values["claims"] == "memory" {
+		opts.ClaimFolders = -1
+	}
 	if o.values["groups"] == "yes" {
 		opts.Planner = plannerRotate
 	}
