--- a/claim/register.go
+++ b/claim/register.go
@@ -95,6 +95,7 @@
 	text := keyText(q.Key)
 	old := r.records[text]
 	reply.Forgetful = r.forgetful(now, q.Key)
+	reply.Full = r.failed
 	if old != nil && !r.reusable(old, q) {
 		own := old.Holder == q.RequestId && old.State == wire.ClaimState_CLAIM_STATE_HELD
 		// Even a holder that a peer's copy names gets no grant yet: another peer's
@@ -109,7 +110,6 @@
 		return reply
 	}
 	if reply.Forgetful {
-		reply.Full = r.failed
 		return reply
 	}
 	if r.full || old == nil && len(r.records) >= r.settings.MaxRecords {
--- a/measure/claim/main.go
+++ b/measure/claim/main.go
@@ -26,6 +26,7 @@
 
 type options struct {
 	Seconds float64 `long:"seconds" default:"3" description:"time of each measurement"`
+	Durable int     `long:"durable" description:"first entries that keep their claims in a data folder" default:"-1"`
 }
 
 // entries are today's size: seven, dealt to three failure domains in turn.
@@ -36,16 +37,16 @@
 	if _, err := flags.Parse(&o); err != nil {
 		os.Exit(2)
 	}
-	if err := run(time.Duration(o.Seconds * float64(time.Second))); err != nil {
+	if err := run(time.Duration(o.Seconds*float64(time.Second)), o.Durable); err != nil {
 		fmt.Fprintln(os.Stderr, "claim:", err)
 		os.Exit(1)
 	}
 }
 
-func run(d time.Duration) error {
+func run(d time.Duration, durable int) error {
 	ctx := context.Background()
 	sys, err := quickstart.Start(ctx, quickstart.Options{
-		Log: log.NewNopLogger(), Entries: entries, Controls: 3, PlainSlots: 512, PlainWork: -1,
+		Log: log.NewNopLogger(), Entries: entries, Controls: 3, PlainSlots: 512, PlainWork: -1, ClaimFolders: durable,
 	})
 	if err != nil {
 		return err
@@ -57,7 +58,10 @@
 	b := &bench{sys: sys, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
 	defer b.client.CloseIdleConnections()
 	latency(b, d)
-	return losses(ctx, b, d)
+	if err := losses(ctx, b, d); err != nil {
+		return err
+	}
+	return restartAll(ctx, b, d)
 }
 
 // bench sends calls through the entries that run, in turn.
@@ -132,7 +136,6 @@
 // losses kills and restarts entries, and shows what keyed calls through those
 // that are up are answered with.
 func losses(ctx context.Context, b *bench, d time.Duration) error {
-	name := func(i int) string { return fmt.Sprintf("entry-%d", i+1) }
 	show := func(what string, down ...int) {
 		var through []*entry.Entry
 		for i, e := range b.sys.Entries {
@@ -145,20 +148,44 @@
 	}
 	fmt.Println()
 	show("all seven entries up")
-	b.sys.Kill(name(6))
+	b.sys.Kill(entryName(6))
 	show("one entry lost", 6)
 	// Entries 1, 4 and 7 stand in the first failure domain.
-	b.sys.Kill(name(0))
-	b.sys.Kill(name(3))
+	b.sys.Kill(entryName(0))
+	b.sys.Kill(entryName(3))
 	show("a whole failure domain lost (three entries)", 0, 3, 6)
-	b.sys.Kill(name(1))
-	if err := b.sys.StartPart(ctx, name(1)); err != nil {
+	b.sys.Kill(entryName(1))
+	if err := b.sys.StartPart(ctx, entryName(1)); err != nil {
 		return err
 	}
 	show("and one entry of another domain restarted", 0, 3, 6)
+	show("the same, one measurement later", 0, 3, 6)
 	return nil
 }
 
+// restartAll kills all entries and starts them again, and shows what keyed calls
+// are answered with as soon as all take calls.
+func restartAll(ctx context.Context, b *bench, d time.Duration) error {
+	for i := range b.sys.Entries {
+		b.sys.Kill(entryName(i))
+	}
+	for i := range b.sys.Entries {
+		if err := b.sys.StartPart(ctx, entryName(i)); err != nil {
+			return err
+		}
+	}
+	if err := b.sys.WaitReady(ctx); err != nil {
+		return err
+	}
+	for _, what := range []string{"all entries restarted together", "the same, one measurement later"} {
+		_, answers := b.load(b.sys.Entries, 8, true, d)
+		fmt.Printf("%-44s %s\n", what, summary(answers))
+	}
+	return nil
+}
+
+func entryName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
 func contains(list []int, n int) bool {
 	for _, v := range list {
 		if v == n {
