--- a/claim/claimant.go
+++ b/claim/claimant.go
@@ -65,8 +65,9 @@
 func (c *Claimant) Fail(id string) { c.failed[id] = true }
 
 // Verdict judges the replies so far, and names the record that decided, if any.
+// A record with Pending decides once no more replies are waited for.
 func (c *Claimant) Verdict() (Verdict, *wire.ClaimRecord) {
-	var held *wire.ClaimRecord
+	var held, ran *wire.ClaimRecord
 	for _, m := range c.Targets() {
 		r := c.replies[m.Id]
 		if r == nil {
@@ -76,12 +77,24 @@
 			return Outdated, nil
 		}
 		if rec := r.Record; rec != nil {
-			if rec.State == wire.ClaimState_CLAIM_STATE_ANSWERED || rec.State == wire.ClaimState_CLAIM_STATE_UNKNOWN {
+			switch {
+			case rec.State == wire.ClaimState_CLAIM_STATE_ANSWERED && rec.Answer.GetDropped():
+				ran = rec
+			case rec.State == wire.ClaimState_CLAIM_STATE_ANSWERED, rec.State == wire.ClaimState_CLAIM_STATE_UNKNOWN:
 				return Settled, rec
+			default:
+				held = rec
 			}
-			held = rec
 		}
 	}
+	if ran != nil {
+		// A register that restarted on its folder has lost the answer's body;
+		// another one may have it.
+		if c.complete() {
+			return Settled, ran
+		}
+		return Pending, ran
+	}
 	if c.won() {
 		return Won, nil
 	}
--- a/claim/durable.go
+++ b/claim/durable.go
@@ -213,6 +213,17 @@
 	return false
 }
 
+// SeenOf returns what an entry knows of another one's register: what it has seen
+// it grant, or a later life, which its own register was told of. A folder that was
+// put aside while the register ran in memory is older than that life.
+func (r *Register) SeenOf(id string, seen Seen) *wire.ClaimSeen {
+	s := seen.Of(id)
+	if later := r.laterLife(&wire.Incarnation{Id: id, Number: s.GetLife().GetNumber()}); later != 0 {
+		return &wire.ClaimSeen{Life: &wire.Incarnation{Id: id, Number: later}}
+	}
+	return s
+}
+
 // forget begins a life that knows nothing, as on an empty folder.
 func (r *Register) forget(now time.Time, number uint64) {
 	r.self = &wire.Incarnation{Id: r.self.Id, Number: number}
--- a/claim/flow.go
+++ b/claim/flow.go
@@ -175,7 +175,7 @@
 	switch {
 	case v == Won && now.Before(f.req.Deadline):
 		return Actions{Choice: Run, Targets: f.claimant.Targets()}, true
-	case v == Settled:
+	case v == Settled, v == Pending && late && rec != nil:
 		return f.settled(rec), true
 	case v == Pending && !late:
 		return Actions{Wake: f.ends}, false
--- a/claim/node.go
+++ b/claim/node.go
@@ -235,7 +235,7 @@
 func (n *Node) Seen(_ context.Context, q *wire.ClaimSeenRequest) (*wire.ClaimSeen, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.seen.Of(q.Id), nil
+	return n.reg.SeenOf(q.Id, n.seen), nil
 }
 
 // Copy implements the Claim service. It waits for the sync too: a restart must
--- a/claim/sim_disk_test.go
+++ b/claim/sim_disk_test.go
@@ -143,7 +143,7 @@
 			if !s.entries[n].up {
 				return
 			}
-			seen := s.entries[n].seen.Of(id(e.n))
+			seen := s.entries[n].reg.SeenOf(id(e.n), s.entries[n].seen)
 			s.deliver(n, e.n, func() {
 				if e.up && e.life == life {
 					s.older(e, m.Id, seen)
--- a/claim/store.go
+++ b/claim/store.go
@@ -144,10 +144,18 @@
 	return s.next
 }
 
-// run writes batches until the store is closed.
+// run writes batches until the store is closed. The ticks drop old files where
+// no records come: a folder at its bound would otherwise stay there.
 func (s *store) run() {
 	defer close(s.ended)
-	for range s.wake {
+	tick := time.NewTicker(s.ttl / filesPerTTL)
+	defer tick.Stop()
+	for {
+		select {
+		case <-s.wake:
+		case <-tick.C:
+			s.synced(s.rotateIfDue(), s.log.Bytes())
+		}
 		// Looked at before the last batch is taken: what was added before the stop
 		// is still written, and nothing is added after it.
 		s.mu.Lock()
@@ -182,6 +190,10 @@
 			s.head.Sequence = max(s.head.Sequence, c.Sequence)
 		}
 	}
+	return s.rotateIfDue()
+}
+
+func (s *store) rotateIfDue() error {
 	if s.now().Sub(s.started) < s.ttl/filesPerTTL {
 		return nil
 	}
--- a/claim/store_test.go
+++ b/claim/store_test.go
@@ -250,3 +250,21 @@
 	assert.Equal(t, len(names), 1, strings.Join(names, " "))
 	h.node.Close()
 }
+
+// A bid was answered, and one of its registers has restarted on its folder, which
+// keeps no bodies. A resend gets the answer from another register, whichever of
+// them replies first.
+func TestResendGetsTheAnswerThatAnotherRegisterKept(t *testing.T) {
+	ring := ringOf(Copies)
+	c := NewClaimant(ring, claimBy("resent").Key, false)
+	rec := func(a *wire.StoredAnswer) *wire.ClaimReply {
+		return &wire.ClaimReply{RingEpoch: 1, Record: &wire.ClaimRecord{State: wire.ClaimState_CLAIM_STATE_ANSWERED, Answer: a}}
+	}
+	c.Take(id(0), rec(&wire.StoredAnswer{Dropped: true}))
+	v, _ := c.Verdict()
+	assert.Equal(t, v, Pending)
+	c.Take(id(1), rec(&wire.StoredAnswer{Body: []byte("sold")}))
+	v, got := c.Verdict()
+	assert.Equal(t, v, Settled)
+	assert.Equal(t, string(got.Answer.Body), "sold")
+}
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -38,13 +38,16 @@
 func TestSettingsNameTheWrongKey(t *testing.T) {
 	assert.NilError(t, valid().Check())
 	for want, spoil := range map[string]func(*Settings){
-		`"id"`:                    func(s *Settings) { s.ID = "" },
-		`"callers_tls.ca"`:        func(s *Settings) { s.CallersTLS.CA = "ca.pem" },
-		`"operators_tls.ca"`:      func(s *Settings) { s.OperatorsTLS.CA = "ca.pem" },
-		`"operators_listen"`:      func(s *Settings) { s.Operators = "8081" },
-		`"operator.name"`:         func(s *Settings) { s.Operator = []operators.Operator{{}} },
-		`"operator.key_sha256"`:   func(s *Settings) { s.Operator = []operators.Operator{{Name: "asha", KeySHA256: "12"}} },
-		`"control.data_dir"`:      func(s *Settings) { s.Control = &control.Settings{} },
+		`"id"`:                  func(s *Settings) { s.ID = "" },
+		`"callers_tls.ca"`:      func(s *Settings) { s.CallersTLS.CA = "ca.pem" },
+		`"operators_tls.ca"`:    func(s *Settings) { s.OperatorsTLS.CA = "ca.pem" },
+		`"operators_listen"`:    func(s *Settings) { s.Operators = "8081" },
+		`"operator.name"`:       func(s *Settings) { s.Operator = []operators.Operator{{}} },
+		`"operator.key_sha256"`: func(s *Settings) { s.Operator = []operators.Operator{{Name: "asha", KeySHA256: "12"}} },
+		`"control.data_dir"`:    func(s *Settings) { s.Control = &control.Settings{} },
+		`"claims_data_dir"`: func(s *Settings) {
+			s.ClaimsDataDir, s.Control = "/data/", &control.Settings{DataDir: "/data"}
+		},
 		`"control_replicas"`:      func(s *Settings) { s.ControlReplicas = nil },
 		`"lease": must be at lea`: func(s *Settings) { s.Lease = s.AnnounceInterval },
 	} {
@@ -109,3 +112,30 @@
 	code, out = dump("--server", "https://"+e.OperatorAddress(), "--ca", s.OperatorsTLS.Key)
 	assert.Equal(t, code, 2, out)
 }
+
+// Claims are kept beside a control replica's state, in a folder that is named, or
+// in memory only.
+func TestFolderOfClaims(t *testing.T) {
+	dir := t.TempDir()
+	replica := &control.Settings{DataDir: dir}
+	for _, c := range []struct {
+		set     string
+		control *control.Settings
+		want    string
+	}{
+		{ClaimsDirAuto, nil, ""},
+		{"", replica, ""},
+		{ClaimsDirAuto, replica, filepath.Join(dir, ClaimsDirName)},
+		{filepath.Join(dir, "other"), nil, filepath.Join(dir, "other")},
+	} {
+		s := valid()
+		s.ClaimsDataDir, s.Control = c.set, c.control
+		fs, err := s.claimsFolder()
+		assert.NilError(t, err)
+		assert.Equal(t, fs != nil, c.want != "")
+		if c.want != "" {
+			_, err := os.Stat(c.want)
+			assert.NilError(t, err)
+		}
+	}
+}
