--- a/claim/sim_disk_test.go
+++ b/claim/sim_disk_test.go
@@ -39,7 +39,7 @@
 	life := e.life
 	same := func() bool { return e.up && e.life == life }
 	if recs := e.reg.TakeWrites(); len(recs) > 0 {
-		end := s.now.Add(time.Duration(s.disks.Int64N(int64(20 * time.Millisecond))))
+		end := s.now.Add(s.syncTime())
 		if end.After(e.disk.busy) {
 			e.disk.busy = end
 		}
@@ -60,6 +60,15 @@
 	})
 }
 
+// syncTime is that of a disk that is slow now and then.
+func (s *sim) syncTime() time.Duration {
+	most := 20 * time.Millisecond
+	if s.disks.IntN(4) == 0 {
+		most = 500 * time.Millisecond
+	}
+	return time.Duration(s.disks.Int64N(int64(most)))
+}
+
 func (s *sim) copyDisks() {
 	for _, e := range s.entries {
 		if e.disk != nil && s.disks.IntN(3) == 0 {
