--- a/claim/doc.go
+++ b/claim/doc.go
@@ -17,6 +17,13 @@
 // the copy, would have a majority that the copy doesn't know of; so a peer names
 // the lives it has copied to, and a grant of an earlier life counts for nothing.
 //
+// A register with a data folder syncs each record before the grant leaves (Node,
+// store), so that a restart is for it no more than a pause: its life goes on, with
+// its records, the peers that it copied from and the lives that copied from it.
+// Before it grants, its peers say how far they have seen it grant: a folder that
+// holds less is an older copy. That one, an empty one and a damaged one begin a
+// new life, which has forgotten.
+//
 // "Not run" may be said of a key only by a request that holds a majority and
 // will not run, because nobody else can be running then. Everything less is
 // "unknown": registers that are silent or held may belong to an earlier sending
--- a/claim/store_test.go
+++ b/claim/store_test.go
@@ -268,3 +268,20 @@
 	assert.Equal(t, v, Settled)
 	assert.Equal(t, string(got.Answer.Body), "sold")
 }
+
+// A peer lost its disk, copied from this register and so has a new life. Then this
+// register restarts. A claimant that holds a grant of the peer's earlier life must
+// still hear that it counts for nothing, or its bid runs beside a resend.
+func TestRestartRemembersWhoCopied(t *testing.T) {
+	h := newHost(t, fake.NewDisk())
+	assert.Assert(t, h.grant("bid-1", "a").Granted)
+	h.node.reg.Copy(h.now, &wire.ClaimCopyRequest{From: &wire.Incarnation{Id: "e1", Number: 77}, RingEpoch: 1})
+	assert.NilError(t, h.node.collect().wait())
+	h.restart()
+	h.peersSaw(&wire.ClaimSeen{})
+	reply := h.grant("bid-2", "a")
+	assert.Assert(t, reply.Granted)
+	assert.Equal(t, len(reply.Known), 1)
+	assert.Equal(t, reply.Known[0].Number, uint64(77))
+	h.node.Close()
+}
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -97,7 +97,7 @@
 		reason, detail = wire.Reason_REASON_CLAIM_HELD, "an earlier sending may be running"
 		switch {
 		case rec.State == wire.ClaimState_CLAIM_STATE_ANSWERED:
-			detail = "an earlier sending ran and was answered; its answer was too large to keep"
+			detail = "an earlier sending ran and was answered; its answer was not kept"
 		case rec.State == wire.ClaimState_CLAIM_STATE_UNKNOWN:
 			detail = "an earlier sending may have run"
 		}
