Let settlements share a grant's sync

A request's settlements were synced at once, and the next grant waited for that sync and its own. Nobody waits for a settlement: it is now left for 5 ms.

--- a/claim/node.go
+++ b/claim/node.go
@@ -118,13 +118,13 @@
 }
 
 // collect hands the register's records to the store, and returns what a reply
-// must wait for; nil is nothing. The caller holds the lock, so the records keep
+// must wait for; nil is nothing. urgent says that a reply does wait. The caller holds the lock, so the records keep
 // their order.
-func (n *Node) collect() *batch {
+func (n *Node) collect(urgent bool) *batch {
 	if n.store == nil {
 		return nil
 	}
-	return n.store.add(n.reg.TakeWrites())
+	return n.store.add(n.reg.TakeWrites(), urgent)
 }
 
 // Register returns what others must know of the register.
@@ -157,7 +157,7 @@
 	n.mu.Lock()
 	if !n.reg.resumed {
 		n.reg.Renumber(n.life.Wire().Number)
-		n.collect()
+		n.collect(true)
 	}
 	n.mu.Unlock()
 	select {
@@ -206,7 +206,7 @@
 func (n *Node) Grant(_ context.Context, q *wire.ClaimRequest) (*wire.ClaimReply, error) {
 	n.mu.Lock()
 	reply := n.reg.Grant(n.now(), q)
-	b := n.collect()
+	b := n.collect(reply.Granted)
 	n.mu.Unlock()
 	if reply.Granted && b.wait() != nil {
 		return &wire.ClaimReply{RingEpoch: reply.RingEpoch, Self: reply.Self, Full: true, Forgetful: true}, nil
@@ -228,7 +228,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	reply := n.reg.Settle(n.now(), s)
-	return reply, n.collect()
+	return reply, n.collect(false)
 }
 
 // Seen implements the Claim service.
@@ -246,7 +246,7 @@
 	}
 	n.mu.Lock()
 	whole := n.reg.Copy(n.now(), q)
-	b := n.collect()
+	b := n.collect(true)
 	n.mu.Unlock()
 	if b.wait() != nil {
 		whole.Forgetful = true
@@ -324,7 +324,7 @@
 	if !n.reg.TakeSeen(n.now(), peer, seen, n.life.Wire().Number) {
 		return
 	}
-	n.collect()
+	n.collect(true)
 	n.events.Forgot(ErrOlder)
 }
 
@@ -368,7 +368,7 @@
 	defer n.mu.Unlock()
 	if n.reg.self.Number == q.From.Number {
 		n.reg.TakeCopy(n.now(), peer, part)
-		n.collect()
+		n.collect(true)
 	}
 }
 
--- a/claim/store.go
+++ b/claim/store.go
@@ -19,6 +19,8 @@
 	// filesPerTTL is how many files the records of one time to live go to. A file
 	// is dropped when a time to live has passed since its last record.
 	filesPerTTL = 4
+	// maxSyncDelay is how long a settlement may wait for a grant to share its sync.
+	maxSyncDelay = 5 * time.Millisecond
 	// MaxFolderBytes bounds a register's folder: beyond it, it grants nothing.
 	MaxFolderBytes = 512 << 20
 )
@@ -118,30 +120,38 @@
 }
 
 // add takes records for the next sync. It returns the batch after which all
-// records so far are durable; nil if they are.
-func (s *store) add(recs []*wire.ClaimStored) *batch {
+// records so far are durable; nil if they are. Records that nobody waits for are
+// not urgent: they are left for the next grant's sync, for a short while.
+func (s *store) add(recs []*wire.ClaimStored, urgent bool) *batch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(recs) == 0 {
-		if s.next != nil {
-			return s.next
-		}
-		return s.syncing
-	}
 	if s.stopped {
 		return stoppedBatch()
 	}
-	if s.next == nil {
+	if len(recs) > 0 && s.next == nil {
 		s.next = &batch{done: make(chan struct{})}
+		if !urgent {
+			time.AfterFunc(maxSyncDelay, s.rouse)
+		}
 	}
 	for _, rec := range recs {
 		s.next.recs = append(s.next.recs, rec)
 	}
+	if s.next == nil {
+		return s.syncing
+	}
+	if urgent {
+		s.rouse()
+	}
+	return s.next
+}
+
+// rouse lets the store write what it has.
+func (s *store) rouse() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
 	}
-	return s.next
 }
 
 // run writes batches until the store is closed. The ticks drop old files where
@@ -234,10 +244,7 @@
 	if already {
 		return
 	}
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
+	s.rouse()
 	<-s.ended
 	s.log.Close()
 }
--- a/claim/store_test.go
+++ b/claim/store_test.go
@@ -276,7 +276,7 @@
 	h := newHost(t, fake.NewDisk())
 	assert.Assert(t, h.grant("bid-1", "a").Granted)
 	h.node.reg.Copy(h.now, &wire.ClaimCopyRequest{From: &wire.Incarnation{Id: "e1", Number: 77}, RingEpoch: 1})
-	assert.NilError(t, h.node.collect().wait())
+	assert.NilError(t, h.node.collect(true).wait())
 	h.restart()
 	h.peersSaw(&wire.ClaimSeen{})
 	reply := h.grant("bid-2", "a")
