--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,7 @@
 	runner    *admit.Runner
 	queue     queueSettings
 	attempts  *attempts
+	tickets   *tickets
 	orders    *orders
 	life      *directory.Life
 	seq       atomic.Uint64
@@ -54,7 +56,8 @@
 	cancel    context.CancelFunc
 	announcer *directory.Announcer
 	load      atomic.Pointer[wire.Load]
-	loadSeq   atomic.Uint64
+	loadMu    sync.Mutex
+	loadSeq   uint64
 }
 
 // New makes an agent from checked settings.
@@ -74,13 +77,14 @@
 		settings: s, log: kernel.PartLog(l, "agent"), up: up, sec: sec, certs: certs,
 		pool:     transport.NewPool(sec),
 		srv:      transport.NewServer(sec),
-		runner:   admit.NewRunner(startSettings(s).gate(), time.Now),
+		runner:   admit.NewRunner(startSettings(s).gate(), s.Now),
 		metrics:  metrics.NewRegistry(),
-		life:     directory.NewLife(s.ID, time.Now()),
+		life:     directory.NewLife(s.ID, s.Now()),
 		attempts: newAttempts(),
 	}
+	a.tickets = newTickets(a.runner, time.AfterFunc)
 	a.pool.SetDial(s.Dial)
-	a.announcer = directory.NewAnnouncer(directory.NewTargets(s.ID, s.FailureDomain, s.AnnounceTo), a.pool.Conn, time.Now)
+	a.announcer = directory.NewAnnouncer(directory.NewTargets(s.ID, s.FailureDomain, s.AnnounceTo), a.pool.Conn, s.Now)
 	a.queue.current = startSettings(s)
 	a.done = metrics.GetOrRegisterCounter("agent.attempts."+refusal.OutcomeWord(wire.Outcome_OUTCOME_DONE), a.metrics)
 	a.orders = newOrders(control.NewClient(a.pool, s.AnnounceTo, s.ID))
@@ -140,6 +144,7 @@
 	if a.attempts.close() {
 		kernel.Info(a.log, "Leaving. No new work is taken.")
 	}
+	a.tickets.close()
 	a.announceAll(ctx, wire.Phase_PHASE_LEAVING)
 }
 
@@ -195,6 +200,9 @@
 	Running     int    `json:"running"`
 	Waiting     int    `json:"waiting"`
 	Remembered  int    `json:"remembered_attempts"`
+	// Tickets wait here and elsewhere; Held slots were offered and not taken yet.
+	Tickets int `json:"tickets"`
+	Held    int `json:"held_slots"`
 	// Queue is what is in force, from the pool's row once one was heard.
 	Queue poolQueue  `json:"queue"`
 	Load  *wire.Load `json:"load"`
@@ -202,7 +210,9 @@
 
 func (a *Agent) dump() any {
 	running, waiting := a.runner.Counts()
+	tickets, held := a.tickets.counts()
 	return agentDump{
+		Tickets: tickets, Held: held,
 		ID: a.settings.ID, Incarnation: a.life.Number(), Leaving: a.attempts.isClosed(),
 		Running: running, Waiting: waiting, Remembered: a.attempts.size(), Queue: a.queue.get(), Load: a.load.Load(),
 	}
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -18,6 +18,9 @@
 	probing bool
 	// snapshotUntil holds appends back while a snapshot is on its way.
 	snapshotUntil Time
+	// boot and askedNs are echoed; see wire.RaftMessage.
+	boot    uint32
+	askedNs int64
 }
 
 func (n *Node) becomeLeader() {
@@ -62,7 +65,11 @@
 func (n *Node) tickLeader() {
 	// A leader that hears no majority can commit nothing and its lease is over;
 	// stepping down lets callers look elsewhere.
-	if n.now >= n.sinceLead+2*n.cfg.ElectionTimeout && !n.leaseLive() && !n.cfg.off.lease {
+	if n.transfer != nil && n.now >= n.transfer.deadline {
+		n.giveUpTransfer()
+		return
+	}
+	if n.now >= n.sinceLead+2*n.cfg.ElectionTimeout && !n.quorumHeard() && !n.cfg.off.lease {
 		n.becomeFollower(n.term, "")
 		return
 	}
@@ -83,6 +90,7 @@
 	if n.onlyVoter() {
 		n.confirmReads()
 	}
+	n.tellTarget()
 }
 
 // peerIDs lists the other peers, sorted, so that a run is repeatable.
@@ -127,10 +135,14 @@
 	if len(entries) == 0 && !beat {
 		return
 	}
-	n.sendEarly(&wire.RaftMessage{
+	m := &wire.RaftMessage{
 		Kind: wire.RaftKind_RAFT_KIND_APPEND, To: id, PrevIndex: prev, PrevTerm: prevTerm,
 		Entries: entries, Commit: n.log.committed, Round: n.round, Witness: n.witness(),
-	})
+	}
+	if n.ready() && n.leaseLive() {
+		m.Boot, m.AskedNs = p.boot, p.askedNs
+	}
+	n.sendEarly(m)
 	if !p.probing {
 		p.next += uint64(len(entries))
 	}
@@ -161,22 +173,13 @@
 	})
 }
 
-// witness tells every peer what the others hold, so that any of them can tell a
-// replica that its folder is an older copy.
-func (n *Node) witness() map[string]uint64 {
-	w := make(map[string]uint64, len(n.progress))
-	for id, p := range n.progress {
-		w[id] = p.match
-	}
-	return w
-}
-
 func (n *Node) takeAppendReply(m *wire.RaftMessage) {
 	p := n.progress[m.From]
 	if n.role != Leader || p == nil {
 		return
 	}
 	p.acked = max(p.acked, m.Round)
+	p.boot, p.askedNs = m.Boot, m.AskedNs
 	n.confirmReads()
 	if m.Reject {
 		// The peer's log differs or is shorter. Its hint is never trusted below
@@ -190,10 +193,13 @@
 	p.snapshotUntil = 0
 	if m.Index > p.match {
 		p.match = m.Index
-		n.witnessed[m.From] = max(n.witnessed[m.From], m.Index)
+		n.seeMatch(m.From, m.Index)
 		n.advanceCommit()
 	}
 	p.next = max(p.next, p.match+1)
+	if !n.yielded {
+		n.tellTarget()
+	}
 	if p.next <= n.log.lastIndex() {
 		n.sendAppend(m.From, false)
 	}
@@ -260,12 +266,31 @@
 // grants no vote for ElectionTimeout, by its own clocks, after it heard an
 // append; the lease runs from before that append left, and is shorter by the
 // bound on clock rates.
+//
+// A leader that has told another to campaign has no lease any more: the voters
+// are free to grant their votes from that moment.
 func (n *Node) leaseLive() bool {
+	if n.yielded && !n.cfg.off.transfer {
+		return false
+	}
+	return n.quorumHeard()
+}
+
+// quorumHeard says whether a majority acknowledged an append that left within
+// the length of a lease.
+func (n *Node) quorumHeard() bool {
 	start, ok := n.leaseStart()
 	length := time.Duration(float64(n.cfg.ElectionTimeout) / n.cfg.ClockRatio)
 	return ok && n.now < start+length
 }
 
+// ready says whether an entry of this leader's term is committed. Before that, a
+// new leader doesn't know which earlier entries are.
+func (n *Node) ready() bool {
+	term, ok := n.log.term(n.log.committed)
+	return ok && term == n.term
+}
+
 // Propose appends a command. It is accepted when the entry of this index and
 // term is in a Ready's Apply.
 func (n *Node) Propose(now Time, data []byte) (index, term uint64, err error) {
@@ -273,6 +298,9 @@
 	if n.role != Leader {
 		return 0, 0, ErrNotLeader
 	}
+	if n.transfer != nil {
+		return 0, 0, ErrTransferring
+	}
 	if n.log.lastIndex()-n.log.committed >= uint64(n.cfg.MaxPending) {
 		return 0, 0, ErrTooManyPending
 	}
@@ -296,9 +324,7 @@
 	if n.role != Leader {
 		return ErrNotLeader
 	}
-	// Before an entry of its own term is committed, a new leader doesn't know
-	// which earlier entries are.
-	if term, ok := n.log.term(n.log.committed); !ok || term != n.term {
+	if !n.ready() {
 		return ErrNotReady
 	}
 	if n.leaseLive() || n.cfg.off.lease {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -131,3 +131,54 @@
 	assert.Equal(t, s.Get("silent").Phase, wire.Phase_PHASE_GONE, "a late report brings nothing back")
 	assert.Assert(t, s.Get("unknown") == nil)
 }
+
+// A process that hears nothing of an upstream from the control replicas any more
+// had a report of it long ago: while little changes there are few. The upstream is
+// asked before it is taken for gone. One that answers is up, and is asked again a
+// lease later; one that is dead is gone a second after the replicas' word ended.
+func TestQuietUpstreamIsAskedBeforeItIsGone(t *testing.T) {
+	s := New(unsettled(), epoch, 0)
+	s.Announce(epoch, up("lives", 1, 1), 0, false)
+	s.Announce(epoch, up("dead", 1, 1), 0, false)
+	s.Heard(epoch, "lives", 1)
+	s.Heard(epoch, "dead", 1)
+	lease, asked := DefaultSettings().DefaultLease, map[string]int{}
+	for now := epoch; now.Before(epoch.Add(20 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		s.Tick(now)
+		for _, i := range s.TakeAsks() {
+			asked[i.Id]++
+			if i.Id == "lives" {
+				s.Heard(now, i.Id, i.Incarnation)
+			}
+		}
+		assert.Assert(t, s.Get("lives").Up())
+		gone := now.Sub(epoch) > lease+s.settings.AskTime+100*time.Millisecond
+		assert.Equal(t, s.Get("dead").Phase == wire.Phase_PHASE_GONE, gone, "%v", now.Sub(epoch))
+	}
+	assert.DeepEqual(t, asked, map[string]int{"lives": 6, "dead": 1})
+}
+
+// The same, at a process that followed a replica and hears none any more. Nobody
+// else could bring an upstream back whose answer came late, so it is asked three
+// times; one that is dead is gone within five seconds of its last word all the same.
+func TestCutOffProcessAsksMoreThanOnce(t *testing.T) {
+	set := unsettled()
+	set.SilentHold = 0
+	s := New(set, epoch, 0)
+	s.Apply(epoch, &Source{Whole: true}, entries(up("slow", 1, 1), up("dead", 1, 1)))
+	s.Heard(epoch, "slow", 1)
+	s.Heard(epoch, "dead", 1)
+	asks := map[string]int{}
+	now := epoch
+	for ; s.Get("dead").Up(); now = now.Add(100 * time.Millisecond) {
+		s.Tick(now)
+		for _, i := range s.TakeAsks() {
+			if asks[i.Id]++; i.Id == "slow" && asks[i.Id] == 3 {
+				s.Heard(now, i.Id, 1)
+			}
+		}
+	}
+	assert.Assert(t, now.Sub(epoch) <= 5*time.Second, "%v", now.Sub(epoch))
+	assert.Assert(t, s.Get("slow").Up())
+	assert.DeepEqual(t, asks, map[string]int{"slow": 3, "dead": 3})
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -36,6 +36,9 @@
 	InternalListener net.Listener `toml:"-"`
 	// Dial opens connections to other processes if set.
 	Dial transport.DialFunc `toml:"-"`
+	// Now is the clock, time.Now by default: who embeds an entry may want to hold
+	// its time, as that of a host that is frozen.
+	Now func() time.Time `toml:"-"`
 	// CallersTLS, OperatorsTLS and TLS (between processes) turn TLS on.
 	CallersTLS   transport.TLSSettings `toml:"callers_tls"`
 	OperatorsTLS transport.TLSSettings `toml:"operators_tls"`
@@ -62,6 +65,8 @@
 	// BodyTimeout the time that one body may take.
 	MaxBodyMemory int64           `toml:"max_body_memory"`
 	BodyTimeout   kernel.Duration `toml:"body_timeout"`
+	// IdleTimeout is how long a caller's connection is kept without a request.
+	IdleTimeout kernel.Duration `toml:"idle_timeout"`
 	// StopLimit bounds a planned stop.
 	StopLimit kernel.Duration `toml:"stop_limit"`
 	// Lease and AnnounceInterval are those of the entry's own announcement.
@@ -78,6 +83,7 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() *Settings {
 	return &Settings{
+		Now:              time.Now,
 		Callers:          "127.0.0.1:0",
 		Internal:         "127.0.0.1:0",
 		ClaimsDataDir:    ClaimsDirAuto,
@@ -87,6 +93,7 @@
 		MaxQueue:         4096,
 		MaxBodyMemory:    64 << 20,
 		BodyTimeout:      kernel.Duration(30 * time.Second),
+		IdleTimeout:      kernel.Duration(2 * time.Minute),
 		StopLimit:        kernel.Duration(5 * time.Minute),
 		Lease:            kernel.Duration(3 * time.Second),
 		AnnounceInterval: kernel.Duration(500 * time.Millisecond),
@@ -119,6 +126,8 @@
 		return bad("max_body_memory", "must be at least 1048576")
 	case s.BodyTimeout < kernel.Duration(time.Second):
 		return bad("body_timeout", "must be at least 1s")
+	case s.IdleTimeout < kernel.Duration(time.Second):
+		return bad("idle_timeout", "must be at least 1s")
 	case s.Keep < kernel.Duration(time.Second):
 		return bad("keep", "must be at least 1s")
 	case len(s.ControlReplicas) == 0 && s.Control == nil:
