--- a/directory/digest.go
+++ b/directory/digest.go
@@ -40,16 +40,23 @@
 		b = binary.AppendUvarint(b, uint64(len(t)))
 		b = append(b, t...)
 	}
-	listed := uint64(0)
-	if a.Listed {
-		listed = 1
+	numbers := []uint64{
+		a.Incarnation, uint64(a.Role), uint64(a.Phase), uint64(a.Rank), uint64(a.LeaseMs), bit(a.Listed),
+		a.ClaimRegister.GetLife(), bit(a.ClaimRegister.GetDurable()),
 	}
-	for _, n := range []uint64{a.Incarnation, uint64(a.Role), uint64(a.Phase), uint64(a.Rank), uint64(a.LeaseMs), listed} {
+	for _, n := range numbers {
 		b = binary.AppendUvarint(b, n)
 	}
 	return xxhash.Sum64(b)
 }
 
+func bit(set bool) uint64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
 // Remember prepares a new source of the whole directory: it returns the hashes of
 // what is known now, and keeps what they stand for until the source is synced.
 func (s *State) Remember(src *Source) []uint64 {
--- a/directory/digest_test.go
+++ b/directory/digest_test.go
@@ -146,6 +146,7 @@
 		Id: "u", Incarnation: 1, Role: wire.Role_ROLE_UPSTREAM, Phase: wire.Phase_PHASE_UP, FailureDomain: "hall-a",
 		Address: "a", CallerAddress: "c", Pools: []string{"p", "q"}, Kind: "engine", Group: "g", Rank: 1, LeaseMs: 1, Listed: true,
 		Seq: 1, Revision: 1, AskReplicas: true, Load: &wire.Load{Seq: 1},
+		ClaimRegister: &wire.ClaimRegister{Life: 1, Durable: true},
 	}
 	fields := full.ProtoReflect().Descriptor().Fields()
 	for i := range fields.Len() {
