--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -50,6 +50,7 @@
 		"closed":     each((*world).closed),
 		"listed":     (*world).cmdListed,
 		"upstreams":  (*world).cmdUpstreams,
+		"granting":   each((*world).granting),
 		// Operators.
 		"edit":     withID((*world).edit),
 		"edits":    (*world).cmdEdits,
