--- a/agent/gauges.go
+++ b/agent/gauges.go
@@ -10,8 +10,8 @@
 	gauge("agent.running", func() int64 { running, _ := a.runner.Counts(); return int64(running) })
 	gauge("agent.waiting", func() int64 { _, waiting := a.runner.Counts(); return int64(waiting) })
 	gauge("agent.tickets", func() int64 { waiting, _ := a.tickets.counts(); return int64(waiting) })
-	gauge("agent.held-slots", func() int64 { _, held := a.tickets.counts(); return int64(held) })
-	_ = a.metrics.Register("agent.held-slots.expired", a.tickets.expired)
+	gauge("agent.slots.held", func() int64 { _, held := a.tickets.counts(); return int64(held) })
+	_ = a.metrics.Register("agent.slots.expired", a.tickets.expired)
 	gauge("agent.leaving", func() int64 {
 		if a.attempts.isClosed() {
 			return 1
