--- a/measure/path/ways.go
+++ b/measure/path/ways.go
@@ -90,13 +90,20 @@
 			printFigures(w.name, c, total[i])
 		}
 		direct, full := total[0], total[len(total)-1]
-		fmt.Printf("%-8s %11d %11.0f%% %8dµs %8dµs %8dµs  added by the full path\n", "", c,
+		fmt.Printf("%-8s %11d %11.0f%% %8dµs %8dµs %8dµs  added by the full path; direct/full by processor time %.0f%%, naive/full %.0f%%\n", "", c,
 			100*full.rate()/direct.rate(), full.p50()-direct.p50(), full.p99()-direct.p99(),
-			(full.cpuPerCall() - direct.cpuPerCall()).Microseconds())
+			(full.cpuPerCall() - direct.cpuPerCall()).Microseconds(),
+			share(direct, full), share(total[1], full))
 	}
 	return nil
 }
 
+// share is what one way costs as a percentage of another. Unlike the rates' ratio
+// it stays the same when the machine does other work.
+func share(part, whole *figures) float64 {
+	return 100 * float64(part.cpuPerCall()) / float64(whole.cpuPerCall())
+}
+
 // naive forwards each request as it comes: the baseline that does nothing else.
 type naive struct {
 	url    string
