Let a leaving agent refuse work until every entry knows that it leaves

Cause: an agent that was idle ended its planned stop at once, and its connections were closed some milliseconds after it had begun to leave.

Change: a planned stop lasts for leave_margin (2 s, within which leaving is known at all entries) at least, and what comes until then is refused as not run.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -150,14 +150,19 @@
 	a.announceAll(ctx, wire.Phase_PHASE_LEAVING)
 }
 
-// Drain implements kernel.Daemon: it finishes what runs and waits.
+// Drain implements kernel.Daemon: it finishes what runs and waits, and refuses what
+// still comes for as long as an entry may not know that the upstream leaves. A request
+// on its way to a connection that is closed ends in doubt, and a bid must not be sent
+// again then; refused, it goes elsewhere.
 func (a *Agent) Drain(ctx context.Context) error {
 	a.Leave(ctx)
+	began := time.Now()
 	tick := time.NewTicker(20 * time.Millisecond)
 	defer tick.Stop()
 	for {
 		running, waiting := a.runner.Counts()
-		if running+waiting == 0 && a.attempts.active() == 0 {
+		idle := running+waiting == 0 && a.attempts.active() == 0
+		if idle && time.Since(began) >= a.settings.LeaveMargin.D() {
 			a.announceAll(ctx, wire.Phase_PHASE_GONE)
 			return nil
 		}
--- a/agent/relay_test.go
+++ b/agent/relay_test.go
@@ -27,12 +27,19 @@
 
 // relay is a forwarder, an agent and an upstream.
 type relay struct {
+	agent   *agent.Agent
+	conns   *transport.Pool
 	fwd     *forward.Forwarder
 	pool    *table.Pool
 	address string
 }
 
 func newRelay(t *testing.T, upstream http.HandlerFunc) *relay {
+	t.Helper()
+	return newRelayWith(t, upstream, func(*agent.Settings) {})
+}
+
+func newRelayWith(t *testing.T, upstream http.HandlerFunc, change func(*agent.Settings)) *relay {
 	t.Helper()
 	srv := httptest.NewServer(upstream)
 	t.Cleanup(srv.Close)
@@ -40,6 +47,7 @@
 	set.ID, set.FailureDomain, set.ClusterSecret = "up-1", "hall-a", testSecret
 	set.Kind, set.Pools, set.AnnounceTo = "plain", []string{"p"}, []string{"127.0.0.1:1"}
 	set.Upstream = map[string]any{"url": srv.URL}
+	change(set)
 	a, err := agent.New(set, log.NewNopLogger())
 	assert.NilError(t, err)
 	assert.NilError(t, a.Start(context.Background()))
@@ -47,13 +55,20 @@
 	conns := transport.NewPool(transport.Security{Secret: []byte(testSecret)})
 	t.Cleanup(conns.Close)
 	r := &relay{
-		fwd:  forward.New(conns, route.Place{Entry: "e", FailureDomain: "hall-a"}, time.Now),
+		agent: a, conns: conns,
 		pool: &table.Pool{Name: "p", Route: "least-loaded"}, address: a.Address(),
 	}
-	r.set(t, route.Upstream{ID: "up-1", Address: a.Address(), FailureDomain: "hall-a"})
+	r.forget(t)
 	return r
 }
 
+// forget takes a new forwarder, which knows nothing of earlier answers.
+func (r *relay) forget(t *testing.T) {
+	t.Helper()
+	r.fwd = forward.New(r.conns, route.Place{Entry: "e", FailureDomain: "hall-a"}, time.Now)
+	r.set(t, route.Upstream{ID: "up-1", Address: r.address, FailureDomain: "hall-a"})
+}
+
 func (r *relay) set(t *testing.T, ups ...route.Upstream) {
 	t.Helper()
 	assert.NilError(t, r.fwd.Update(r.pool, ups))
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -37,6 +37,9 @@
 	MaxBody       int64 `toml:"max_body_bytes"`
 	// StopLimit bounds a planned stop.
 	StopLimit kernel.Duration `toml:"stop_limit"`
+	// LeaveMargin is how long a planned stop goes on refusing work at least. Entries
+	// know within two seconds that an upstream leaves (docs/design/directory.md).
+	LeaveMargin kernel.Duration `toml:"leave_margin"`
 	// Group and Rank, for engines of an expert-parallel group.
 	Group string `toml:"group"`
 	Rank  uint32 `toml:"rank"`
@@ -63,6 +66,7 @@
 		UrgentPercent:    10,
 		MaxBody:          4 << 20,
 		StopLimit:        kernel.Duration(5 * time.Minute),
+		LeaveMargin:      kernel.Duration(2 * time.Second),
 	}
 }
 
@@ -84,6 +88,8 @@
 		return bad("slots", "must be at least 1")
 	case s.UrgentPercent < 0 || s.UrgentPercent > 90:
 		return bad("urgent_percent", "must be from 0 to 90")
+	case s.LeaveMargin < 0:
+		return bad("leave_margin", "must not be negative")
 	case s.Lease < 2*s.AnnounceInterval:
 		return bad("lease", "must be at least twice announce_interval")
 	}
