Ask a woken replica by the present time whether it leads; give up calls to a stalled one

Cause, noticed by reading: a replica judged its lease by the time of its last step. One that was frozen and woke could divide limits, or answer a join, before its first tick, beside the leader that was elected meanwhile. And a call that was queued for the replica's loop waited for as long as a sync of a stalled disk takes, whatever its deadline.

Change: IsLeader takes the time. A call to the loop is given up at its deadline, and what was given up doesn't run later.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -457,8 +457,13 @@
 	return s
 }
 
-// IsLeader says whether the replica leads and holds a live lease.
-func (n *Node) IsLeader() bool { return n.role == Leader && n.leaseLive() }
+// IsLeader says whether the replica leads and holds a live lease now. A process that
+// was frozen would still hold one by the time of its last step, and act as the leader
+// beside the one that was elected meanwhile.
+func (n *Node) IsLeader(now Time) bool {
+	n.now = max(n.now, now)
+	return n.role == Leader && n.leaseLive()
+}
 
 // Role returns what the replica is now. A Leader may lack a live lease.
 func (n *Node) Role() Role { return n.role }
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -519,7 +519,7 @@
 
 func (s *sim) leader() *simReplica {
 	for _, id := range s.order {
-		if r := s.replicas[id]; r.up && r.node.IsLeader() {
+		if r := s.replicas[id]; r.up && r.node.IsLeader(s.clock(r)) {
 			return r
 		}
 	}
--- a/consensus/transfer_test.go
+++ b/consensus/transfer_test.go
@@ -44,7 +44,7 @@
 	assert.ErrorIs(t, err, ErrTransferring)
 	assert.ErrorIs(t, old.node.AddLearner(s.clock(old), &wire.Peer{Id: "r9"}), ErrTransferring)
 	s.drain(old)
-	assert.Assert(t, !old.node.IsLeader(), "the lease ends before the target may campaign")
+	assert.Assert(t, !old.node.IsLeader(s.clock(old)), "the lease ends before the target may campaign")
 	began := s.now
 	next := s.waitLeader(t, old)
 	assert.Equal(t, next, target)
@@ -73,7 +73,7 @@
 		for end := s.now + 2*DefaultConfig("").ElectionTimeout; s.now < end; {
 			s.step()
 		}
-		assert.Assert(t, old.node.IsLeader())
+		assert.Assert(t, old.node.IsLeader(s.clock(old)))
 		assert.Equal(t, old.node.term > term, told, "a lease that was given up comes back in a new term only")
 		assert.Assert(t, s.grant(old, time.Second) > 0)
 	}
@@ -92,7 +92,7 @@
 		s.cut[[2]string{id, target.id}] = true
 		s.cut[[2]string{target.id, id}] = true
 	}
-	for !old.node.IsLeader() {
+	for !old.node.IsLeader(s.clock(old)) {
 		s.step()
 	}
 	clear(s.cut)
@@ -101,7 +101,7 @@
 	assert.Equal(t, target.node.role, Candidate)
 	for range 100 {
 		s.step()
-		assert.Assert(t, old.node.IsLeader())
+		assert.Assert(t, old.node.IsLeader(s.clock(old)))
 		assert.Assert(t, target.node.role != Leader)
 	}
 }
@@ -144,7 +144,7 @@
 		assert.Equal(t, s.replicas[id].node.term, term, id)
 		assert.Equal(t, s.replicas[id].node.Leader(), last.id, id)
 	}
-	assert.Assert(t, last.node.IsLeader())
+	assert.Assert(t, last.node.IsLeader(s.clock(last)))
 }
 
 // A failure domain is stopped for work, host by host. Leadership leaves it with
--- a/control/calls.go
+++ b/control/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/ansel1/merry/v2"
 
@@ -67,17 +68,43 @@
 	}
 }
 
-// do runs a function in the loop.
+// States of a call to do.
+const (
+	callWaits = iota
+	callRuns
+	callGivenUp
+)
+
+// do runs a function in the loop. With an error the function has not run and won't:
+// the loop may stand in a sync of a stalled disk for long, and a caller that gave up
+// must not find its variables written to later.
 func (r *Replica) do(ctx context.Context, f func()) error {
 	ran := make(chan struct{})
+	var state atomic.Int32
+	call := func() {
+		if state.CompareAndSwap(callWaits, callRuns) {
+			f()
+			close(ran)
+		}
+	}
 	select {
-	case r.calls <- func() { f(); close(ran) }:
+	case r.calls <- call:
 	case <-ctx.Done():
 		return merry.Prepend(ErrUnavailable, ctx.Err().Error())
 	case <-r.done:
 		return ErrStopped
 	}
 	select {
+	case <-ran:
+		return nil
+	case <-r.done:
+		return ErrStopped
+	case <-ctx.Done():
+		if state.CompareAndSwap(callWaits, callGivenUp) {
+			return merry.Prepend(ErrUnavailable, ctx.Err().Error())
+		}
+	}
+	select {
 	case <-ran:
 		return nil
 	case <-r.done:
--- a/control/care.go
+++ b/control/care.go
@@ -7,9 +7,9 @@
 
 // care lets a leader look after the membership.
 func (r *Replica) care() {
-	r.leads.follow(r.node.IsLeader(), r.clock())
+	r.leads.follow(r.node.IsLeader(r.now()), r.clock())
 	r.followHome()
-	if !r.node.IsLeader() || r.clock().Sub(r.lastCare) < careInterval {
+	if !r.node.IsLeader(r.now()) || r.clock().Sub(r.lastCare) < careInterval {
 		return
 	}
 	r.lastCare = r.clock()
--- a/control/groups.go
+++ b/control/groups.go
@@ -162,7 +162,7 @@
 	n := groupsNow{states: map[string]*wire.GroupState{}, tokens: map[string]uint64{}}
 	err := r.do(ctx, func() {
 		v, err := r.shareView()
-		if err != nil || !r.node.IsLeader() || r.failed != nil {
+		if err != nil || !r.node.IsLeader(r.now()) || r.failed != nil {
 			return
 		}
 		n.leads, n.view = true, v
--- a/control/leader.go
+++ b/control/leader.go
@@ -27,7 +27,7 @@
 }
 
 // takesCalls says whether this replica leads, and isn't about to hand over.
-func (r *Replica) takesCalls() bool { return r.node.IsLeader() && !r.node.Transferring() }
+func (r *Replica) takesCalls() bool { return r.node.IsLeader(r.now()) && !r.node.Transferring() }
 
 func (r *Replica) leaderAddress() string {
 	leader := r.node.Leader()
--- a/control/raftservice.go
+++ b/control/raftservice.go
@@ -49,7 +49,7 @@
 }
 
 func (r *Replica) join(id *wire.Identity, reply *wire.JoinReply) {
-	if !r.node.IsLeader() {
+	if !r.node.IsLeader(r.now()) {
 		reply.Detail = "not the leader"
 		return
 	}
--- a/control/share.go
+++ b/control/share.go
@@ -77,7 +77,7 @@
 
 func (r *Replica) grantShares(req *wire.ShareRequest, reply *wire.ShareReply) error {
 	r.followHome()
-	if !r.node.IsLeader() || r.shares.home == nil {
+	if !r.node.IsLeader(r.now()) || r.shares.home == nil {
 		return merry.Prepend(ErrUnavailable, "not the leader")
 	}
 	v, err := r.shareView()
