--- a/placement/incremental.go
+++ b/placement/incremental.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/snipereach/snipereach/kernel"
@@ -22,10 +24,16 @@
 	// halfLifeSteps half-lives run side by side, each halfLifeFactor times longer.
 	halfLifeSteps        = 3
 	halfLifeFactor       = 5
-	defaultErrorLife     = 5 * time.Minute
+	defaultErrorLife     = 15 * time.Minute
 	defaultHorizonFactor = 5.0
 	defaultMargin        = 1.0
 	defaultMinGain       = 0.002
+	defaultNoiseGain     = 2.5
+	defaultRegimeShare   = 0.25
+	defaultAhead         = 2 * time.Minute
+	// maxNoiseGain bounds the least gain that follows from noise: with poor counters a
+	// higher one leaves more uneven than it saves in moves.
+	maxNoiseGain = 0.01
 	// defaultPace is the time that the weight store may be kept busy by one plan.
 	defaultPace = 60 * time.Second
 	// defaultStale is the age of the counters above which nothing is moved.
@@ -47,7 +55,18 @@
 	MinGain       float64 `toml:"min_gain"`
 	PaceSeconds   float64 `toml:"pace_seconds"`
 	StaleSeconds  float64 `toml:"stale_seconds"`
-	Median        bool    `toml:"median"`
+	// Robust clips single wrong counters and tells sudden changes from them.
+	Robust bool `toml:"robust"`
+	// TrendSeconds are the half-lives of the forecasts with a trend, AheadSeconds the
+	// time after the newest window for which it is followed.
+	TrendSeconds []float64 `toml:"trend_seconds"`
+	AheadSeconds float64   `toml:"ahead_seconds"`
+	// NoiseGain times what one move can gain on noise alone is the least skew that it
+	// must save; the larger of it and MinGain counts.
+	NoiseGain float64 `toml:"noise_gain"`
+	// RegimeShare is the share of a regime's usual length for which a gain is expected
+	// to last.
+	RegimeShare float64 `toml:"regime_share"`
 	// Lighten gives a rank that is slow for other reasons than its experts less load.
 	Lighten bool `toml:"lighten"`
 
@@ -68,7 +87,11 @@
 		MinGain:          defaultMinGain,
 		PaceSeconds:      defaultPace.Seconds(),
 		StaleSeconds:     defaultStale.Seconds(),
-		Median:           true,
+		Robust:           true,
+		TrendSeconds:     []float64{400, 1200, 3600},
+		AheadSeconds:     defaultAhead.Seconds(),
+		NoiseGain:        defaultNoiseGain,
+		RegimeShare:      defaultRegimeShare,
 		Lighten:          true,
 	}
 }
@@ -83,12 +106,18 @@
 
 // NewForecast makes a forecast with the planner's settings.
 func (p *Incremental) NewForecast() Forecast {
-	f := Forecast{Median: p.Median, ErrorHalfLife: seconds(p.ErrorLifeSeconds)}
+	f := Forecast{Robust: p.Robust, ErrorHalfLife: seconds(p.ErrorLifeSeconds), Ahead: seconds(p.AheadSeconds)}
+	for _, half := range p.TrendSeconds {
+		f.Trends = append(f.Trends, seconds(half))
+	}
 	half := p.HalfLifeSeconds
 	for range halfLifeSteps {
 		f.HalfLives = append(f.HalfLives, seconds(half))
 		half *= halfLifeFactor
 	}
+	// Until they differ the longest counts: a load that has just been met for the first
+	// time is taken to last.
+	slices.Reverse(f.HalfLives)
 	return f
 }
 
@@ -143,7 +172,11 @@
 	lim := Limits{Margin: p.Margin, MinGain: p.MinGain}
 	for layer := range p.shape.Layers {
 		horizon := p.HorizonFactor * float64(p.forecast.HalfLife(layer))
+		if regime := p.RegimeShare * float64(p.forecast.Lasting()); regime > 0 {
+			horizon = regime
+		}
 		lim.Horizons = append(lim.Horizons, time.Duration(horizon))
+		lim.MinGains = append(lim.MinGains, max(p.MinGain, p.noiseGain(layer)))
 	}
 	if p.Lighten {
 		lim.Slow = p.watch.lasting()
@@ -154,4 +187,13 @@
 	return lim
 }
 
+// noiseGain is the least gain by the forecast's error. An error of each rank's load by e
+// lifts the busiest of n even ranks by about e x sqrt(2 ln n), and to even that out takes
+// about a move for each rank.
+func (p *Incremental) noiseGain(layer int) float64 {
+	ranks := float64(p.shape.Ranks)
+	each := p.forecast.Error(layer) * math.Sqrt(2*math.Log(ranks)) / ranks
+	return min(p.NoiseGain*each, maxNoiseGain)
+}
+
 func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
