Say what callers were told when a script waits for a run in vain

Of ten suites side by side one ended with 'bid ran 0 times', and nothing told why: thirty more runs of the script beside busy loops did not show it again. The cause is not established; the message will name it.

--- a/scenario/callers.go
+++ b/scenario/callers.go
@@ -148,12 +148,32 @@
 	}
 	return eventually(func() string {
 		if got := w.runs(args[0]); got != n {
-			return fmt.Sprintf("%s ran %d times", args[0], got)
+			return fmt.Sprintf("%s ran %d times; %s", args[0], got, w.told(args[0]))
 		}
 		return ""
 	})
 }
 
+// told lists what callers of a request were told so far.
+func (w *world) told(key string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []string
+	for _, c := range w.order {
+		select {
+		case <-c.done:
+			if c.runKey == key {
+				list = append(list, c.String())
+			}
+		default:
+		}
+	}
+	if list == nil {
+		return "no caller was answered"
+	}
+	return strings.Join(list, "; ")
+}
+
 // idle waits until nothing runs at the upstream beside an agent.
 func (w *world) idle(name string) error {
 	p, _ := w.sys.Part(name)
