Copy from a new peer when the ring changes after a restart

Cause, found by reading: a register that has forgotten stopped copying once it had its peers' copies. If the ring took in another entry within a time to live, keys that it shared with that one were refused ('unknown') until the time to live had passed.

Change: a new ring lets the register look again for what is to be copied.

--- a/claim/node.go
+++ b/claim/node.go
@@ -36,8 +36,8 @@
 	dial func(ctx context.Context, address string) drpc.Conn
 	now  func() time.Time
 	life Life
-	// renumbered is sent to when the register must copy again.
-	renumbered chan struct{}
+	// changes is sent to when there may be something to copy again.
+	changes chan struct{}
 
 	id string
 	// events reports what becomes of the data folder.
@@ -71,7 +71,7 @@
 // NewNode makes the node of a process that has just started.
 func NewNode(s RegisterSettings, life Life, dial func(context.Context, string) drpc.Conn, now func() time.Time) *Node {
 	return &Node{
-		dial: dial, now: now, life: life, renumbered: make(chan struct{}, 1),
+		dial: dial, now: now, life: life, changes: make(chan struct{}, 1),
 		id: life.Wire().Id, reg: NewRegister(s, life.Wire(), now()), ring: &wire.Ring{}, seen: Seen{},
 	}
 }
@@ -118,8 +118,8 @@
 }
 
 // collect hands the register's records to the store, and returns what a reply
-// must wait for; nil is nothing. urgent says that a reply does wait. The caller holds the lock, so the records keep
-// their order.
+// must wait for; nil is nothing. urgent says that a reply does wait. The caller holds
+// the lock, so the records keep their order.
 func (n *Node) collect(urgent bool) *batch {
 	if n.store == nil {
 		return nil
@@ -160,8 +160,13 @@
 		n.collect(true)
 	}
 	n.mu.Unlock()
+	n.rouse()
+}
+
+// rouse lets Run look again for what is to be copied.
+func (n *Node) rouse() {
 	select {
-	case n.renumbered <- struct{}{}:
+	case n.changes <- struct{}{}:
 	default:
 	}
 }
@@ -178,6 +183,10 @@
 		n.ring = ring
 		n.changed = n.now().Add(-age)
 		n.reg.SetRing(ring)
+		// A register that has forgotten may lack the copy of a new peer. It would
+		// refuse the keys that it shares with that one until a time to live after
+		// its restart.
+		n.rouse()
 	}
 	// Another replica may have known the ring for longer.
 	if at := n.now().Add(-age); at.Before(n.changed) {
@@ -271,7 +280,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-n.renumbered:
+		case <-n.changes:
 		}
 	}
 }
