Build the leader's view of the table out of the one before

Cause: the leader, and each look at the groups, built the whole typed view again at each edit, as entries did before they kept theirs up by changed rows.

Change: the same way at the leader. What a view built out of another one is, is held by the property test of package table.

Packages control, claim, entry, table and operators pass.

--- a/control/share.go
+++ b/control/share.go
@@ -143,9 +143,8 @@
 
 // shareView is the table's typed view, made anew when the revision has changed.
 func (r *Replica) shareView() (*table.View, error) {
-	rev := r.machine.table.Revision()
-	if r.shares.view == nil || r.shares.view.Revision != rev {
-		v, err := table.NewView(rev, r.machine.table.Rows(""))
+	if r.shares.view == nil || r.shares.view.Revision != r.machine.table.Revision() {
+		v, err := r.nextView(r.shares.view)
 		if err != nil {
 			return nil, merry.Prepend(ErrUnavailable, err.Error())
 		}
@@ -154,6 +153,18 @@
 	return r.shares.view, nil
 }
 
+// nextView builds the view of the rows in force out of an earlier one, or anew if
+// there is none or what changed since is not known any more.
+func (r *Replica) nextView(old *table.View) (*table.View, error) {
+	t := r.machine.table
+	if old != nil {
+		if rows, whole := t.Since(old.Revision); !whole {
+			return old.With(t.Revision(), rows)
+		}
+	}
+	return table.NewView(t.Revision(), t.Rows(""))
+}
+
 // followRows takes in the service and pool rows that have changed: of services the
 // timeouts of every version in turn, of pools the queue settings. After a start,
 // all versions that are kept count as changed now.
