--- a/claim/node.go
+++ b/claim/node.go
@@ -8,7 +8,7 @@
 	"github.com/ansel1/merry/v2"
 	"storj.io/drpc"
 
-	"github.com/snipereach/snipereach/journal"
+	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -78,7 +78,7 @@
 
 // Open keeps the register's records in a data folder from here on, and takes what
 // it holds. It comes before any other call.
-func (n *Node) Open(fs journal.FS, ev Events) error {
+func (n *Node) Open(fs wal.FS, ev Events) error {
 	log, st, damaged, err := openStore(fs)
 	if err != nil {
 		return err
--- a/claim/store.go
+++ b/claim/store.go
@@ -8,7 +8,7 @@
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/snipereach/snipereach/journal"
+	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -44,7 +44,7 @@
 // store writes a register's records to its folder: all that come while one sync
 // runs share the next one.
 type store struct {
-	log *journal.Log
+	log *wal.Log
 	now func() time.Time
 	ttl time.Duration
 	// synced is told after each batch, with the size of the folder.
@@ -67,32 +67,32 @@
 
 // openStore reads a folder. damaged is what was wrong with it, or nil; the
 // records can't be trusted then, and st is nil as for an empty folder.
-func openStore(fs journal.FS) (l *journal.Log, st *Stored, damaged error, err error) {
+func openStore(fs wal.FS) (l *wal.Log, st *Stored, damaged error, err error) {
 	st = &Stored{}
-	l, err = journal.OpenLog(fs, func(payload []byte) error {
+	l, err = wal.OpenLog(fs, func(payload []byte) error {
 		rec := &wire.ClaimStored{}
 		if err := proto.Unmarshal(payload, rec); err != nil {
-			return merry.Prepend(journal.ErrCorrupt, err.Error())
+			return merry.Prepend(wal.ErrCorrupt, err.Error())
 		}
 		st.Add(rec)
 		return nil
 	})
 	switch {
-	case errors.Is(err, journal.ErrCorrupt):
+	case errors.Is(err, wal.ErrCorrupt):
 		return l, nil, err, nil
 	case err != nil:
 		return nil, nil, nil, merry.Prepend(ErrStore, err.Error())
 	case l.Number() == 0:
 		return l, nil, nil, nil
 	case st.head == nil || l.First() > st.oldest:
-		return l, nil, merry.Prepend(journal.ErrCorrupt, "the first file is missing"), nil
+		return l, nil, merry.Prepend(wal.ErrCorrupt, "the first file is missing"), nil
 	}
 	return l, st, nil, nil
 }
 
 // newStore begins a new file with all that a register holds, in place of the
 // folder's earlier ones.
-func newStore(l *journal.Log, recs []*wire.ClaimStored, ttl time.Duration, now func() time.Time) (*store, error) {
+func newStore(l *wal.Log, recs []*wire.ClaimStored, ttl time.Duration, now func() time.Time) (*store, error) {
 	s := &store{
 		log: l, now: now, ttl: ttl, started: now(), closed: map[uint64]time.Time{},
 		wake: make(chan struct{}, 1), ended: make(chan struct{}),
--- a/claim/store_test.go
+++ b/claim/store_test.go
@@ -12,7 +12,7 @@
 	"storj.io/drpc"
 
 	"github.com/snipereach/snipereach/fake"
-	"github.com/snipereach/snipereach/journal"
+	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -24,7 +24,7 @@
 // host is an entry host with a disk, on which one node at a time runs.
 type host struct {
 	t      *testing.T
-	fs     journal.FS
+	fs     wal.FS
 	now    time.Time
 	life   uint64
 	ring   *wire.Ring
@@ -33,7 +33,7 @@
 	failed error
 }
 
-func newHost(t *testing.T, fs journal.FS) *host {
+func newHost(t *testing.T, fs wal.FS) *host {
 	h := &host{t: t, fs: fs, now: time.Unix(1000, 0)}
 	h.start()
 	h.ring = &wire.Ring{Epoch: 1}
@@ -89,7 +89,7 @@
 // bid to a resend as soon as its peers have said that the folder is no older
 // copy, and grants others.
 func TestRestartOnItsFolderForgetsNothing(t *testing.T) {
-	for name, fs := range map[string]journal.FS{"fake": fake.NewDisk(), "real": realFolder(t)} {
+	for name, fs := range map[string]wal.FS{"fake": fake.NewDisk(), "real": realFolder(t)} {
 		t.Run(name, func(t *testing.T) {
 			h := newHost(t, fs)
 			first := h.grant("bid", "a")
@@ -106,8 +106,8 @@
 	}
 }
 
-func realFolder(t *testing.T) journal.FS {
-	fs, err := journal.OpenFolder(t.TempDir())
+func realFolder(t *testing.T) wal.FS {
+	fs, err := wal.OpenFolder(t.TempDir())
 	assert.NilError(t, err)
 	return fs
 }
@@ -171,7 +171,7 @@
 		damaged.Flip(names[0], bit)
 		h.fs = damaged
 		h.start()
-		assert.ErrorIs(t, h.forgot, journal.ErrCorrupt)
+		assert.ErrorIs(t, h.forgot, wal.ErrCorrupt)
 		assert.Assert(t, h.grant("bid-1", "b").Forgetful)
 		h.node.Close()
 		left, err := damaged.List()
@@ -227,7 +227,7 @@
 	h := newHost(t, fs)
 	defer h.node.Close()
 	second := NewNode(DefaultRegisterSettings(), fixedLife(5), nil, time.Now)
-	assert.ErrorContains(t, second.Open(fs, Events{}), journal.ErrLocked.Error())
+	assert.ErrorContains(t, second.Open(fs, Events{}), wal.ErrLocked.Error())
 }
 
 // Bids come for hours. The folder holds those of a time to live and a quarter.
--- a/control/control.go
+++ b/control/control.go
@@ -13,7 +13,7 @@
 	"storj.io/drpc"
 
 	"github.com/snipereach/snipereach/consensus"
-	"github.com/snipereach/snipereach/journal"
+	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
@@ -87,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	j, st, err := journal.Open(fs)
+	j, st, err := wal.Open(fs)
 	if err != nil {
 		return err
 	}
@@ -108,11 +108,11 @@
 }
 
 // disk returns the disk of the settings, or else the data folder.
-func (c *Control) disk() (journal.FS, error) {
+func (c *Control) disk() (wal.FS, error) {
 	if c.settings.FS != nil {
 		return c.settings.FS, nil
 	}
-	return journal.OpenFolder(c.settings.DataDir)
+	return wal.OpenFolder(c.settings.DataDir)
 }
 
 func (c *Control) setIdentity(id *wire.Identity) {
@@ -135,7 +135,7 @@
 }
 
 // run starts the replica over an open journal.
-func (c *Control) run(ctx context.Context, j *journal.Journal, st *journal.State) error {
+func (c *Control) run(ctx context.Context, j *wal.Journal, st *wal.State) error {
 	id := c.currentIdentity()
 	restored := consensus.Restored{Hard: st.Hard, Snapshot: st.Snapshot, Entries: st.Entries}
 	restored.Fresh = st.Hard == nil && st.Snapshot == nil && len(st.Entries) == 0
@@ -166,7 +166,7 @@
 }
 
 // enter finds the cluster that the members belong to, or forms one.
-func (c *Control) enter(ctx context.Context, j *journal.Journal, st *journal.State) {
+func (c *Control) enter(ctx context.Context, j *wal.Journal, st *wal.State) {
 	for {
 		id, ok := c.choose(ctx)
 		if ok {
--- a/control/replica.go
+++ b/control/replica.go
@@ -12,7 +12,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/snipereach/snipereach/consensus"
-	"github.com/snipereach/snipereach/journal"
+	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
@@ -41,7 +41,7 @@
 	settings Settings
 	log      log.Logger
 	identity *wire.Identity
-	journal  *journal.Journal
+	journal  *wal.Journal
 	node     *consensus.Node
 	machine  *machine
 	peers    *peers
@@ -82,7 +82,7 @@
 func idOf(i *wire.Identity) string { return i.Name + "/" + i.Incarnation }
 
 // newReplica makes a replica over an open journal.
-func newReplica(s Settings, l log.Logger, id *wire.Identity, j *journal.Journal, st consensus.Restored, pool *transport.Pool) (*Replica, error) {
+func newReplica(s Settings, l log.Logger, id *wire.Identity, j *wal.Journal, st consensus.Restored, pool *transport.Pool) (*Replica, error) {
 	m := newMachine()
 	if st.Snapshot != nil && len(st.Snapshot.Data) > 0 {
 		if err := m.restore(st.Snapshot.Data); err != nil {
--- a/control/settings.go
+++ b/control/settings.go
@@ -7,7 +7,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/snipereach/snipereach/journal"
+	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/kernel"
 )
 
@@ -18,7 +18,7 @@
 	DataDir string `toml:"data_dir"`
 	// FS is used in place of DataDir if set: who embeds a replica may bring a
 	// disk of its own.
-	FS journal.FS `toml:"-"`
+	FS wal.FS `toml:"-"`
 	// Now is the clock in place of time.Now if set: who embeds a replica may want to
 	// hold its time, as that of a host that is frozen.
 	Now func() time.Time `toml:"-"`
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -9,7 +9,7 @@
 
 	"github.com/snipereach/snipereach/claim"
 	"github.com/snipereach/snipereach/control"
-	"github.com/snipereach/snipereach/journal"
+	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/operators"
 	"github.com/snipereach/snipereach/transport"
@@ -52,7 +52,7 @@
 	// ClaimsDirAuto the folder ClaimsDirName of a control replica.
 	ClaimsDataDir string `toml:"claims_data_dir"`
 	// ClaimsFS is used in place of ClaimsDataDir if set.
-	ClaimsFS journal.FS `toml:"-"`
+	ClaimsFS wal.FS `toml:"-"`
 	// ConfigLease is how long the entry stays listed without having its rows
 	// confirmed as current.
 	ConfigLease kernel.Duration `toml:"config_lease"`
@@ -183,7 +183,7 @@
 }
 
 // claimsFolder opens the folder for the records of claims; nil is memory only.
-func (s *Settings) claimsFolder() (journal.FS, error) {
+func (s *Settings) claimsFolder() (wal.FS, error) {
 	dir := s.ClaimsDataDir
 	if s.ClaimsFS != nil {
 		return s.ClaimsFS, nil
@@ -197,7 +197,7 @@
 	if dir == "" {
 		return nil, nil
 	}
-	return journal.OpenFolder(dir)
+	return wal.OpenFolder(dir)
 }
 
 // replicas lists the control replicas to follow.
--- a/fake/disk.go
+++ b/fake/disk.go
@@ -6,7 +6,7 @@
 	"sort"
 	"sync"
 
-	"github.com/snipereach/snipereach/journal"
+	"github.com/snipereach/snipereach/wal"
 )
 
 // Errors of a faulty disk.
@@ -16,7 +16,7 @@
 )
 
 // Disk is a data folder in memory that forgets what was not synced. It
-// implements journal.FS. Files and names are durable separately: a file under a
+// implements wal.FS. Files and names are durable separately: a file under a
 // name that was not synced is gone after a crash.
 type Disk struct {
 	mu    sync.Mutex
@@ -92,8 +92,8 @@
 	return c
 }
 
-// Create implements journal.FS.
-func (d *Disk) Create(name string) (journal.File, error) {
+// Create implements wal.FS.
+func (d *Disk) Create(name string) (wal.File, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	f := &diskFile{}
@@ -101,8 +101,8 @@
 	return &diskHandle{d, f}, nil
 }
 
-// Append implements journal.FS.
-func (d *Disk) Append(name string) (journal.File, error) {
+// Append implements wal.FS.
+func (d *Disk) Append(name string) (wal.File, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	f := d.files[name]
@@ -112,7 +112,7 @@
 	return &diskHandle{d, f}, nil
 }
 
-// ReadFile implements journal.FS.
+// ReadFile implements wal.FS.
 func (d *Disk) ReadFile(name string) ([]byte, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -123,7 +123,7 @@
 	return append([]byte(nil), f.data...), nil
 }
 
-// Rename implements journal.FS.
+// Rename implements wal.FS.
 func (d *Disk) Rename(from, to string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -136,7 +136,7 @@
 	return nil
 }
 
-// Remove implements journal.FS.
+// Remove implements wal.FS.
 func (d *Disk) Remove(name string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -144,7 +144,7 @@
 	return nil
 }
 
-// Truncate implements journal.FS.
+// Truncate implements wal.FS.
 func (d *Disk) Truncate(name string, size int64) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -154,7 +154,7 @@
 	return nil
 }
 
-// List implements journal.FS.
+// List implements wal.FS.
 func (d *Disk) List() ([]string, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -166,7 +166,7 @@
 	return names, nil
 }
 
-// SyncDir implements journal.FS.
+// SyncDir implements wal.FS.
 func (d *Disk) SyncDir() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -178,12 +178,12 @@
 	return nil
 }
 
-// Lock implements journal.FS.
+// Lock implements wal.FS.
 func (d *Disk) Lock() (func(), error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.locked {
-		return nil, journal.ErrLocked
+		return nil, wal.ErrLocked
 	}
 	d.locked = true
 	return func() {
--- a/journal/fuzz_test.go
+++ b/wal/fuzz_test.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"testing"
--- a/journal/log_test.go
+++ b/wal/log_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package wal_test
 
 import (
 	"errors"
@@ -9,17 +9,17 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipereach/snipereach/fake"
-	"github.com/snipereach/snipereach/journal"
+	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/wire"
 )
 
 func named(name string) proto.Message { return &wire.Identity{Name: name} }
 
 // readLog opens a log and returns the names of its records.
-func readLog(t *testing.T, fs journal.FS) (*journal.Log, []string, error) {
+func readLog(t *testing.T, fs wal.FS) (*wal.Log, []string, error) {
 	t.Helper()
 	var list []string
-	l, err := journal.OpenLog(fs, func(payload []byte) error {
+	l, err := wal.OpenLog(fs, func(payload []byte) error {
 		rec := &wire.Identity{}
 		assert.NilError(t, proto.Unmarshal(payload, rec))
 		list = append(list, rec.Name)
@@ -28,7 +28,7 @@
 	return l, list, err
 }
 
-func fillLog(t *testing.T, fs journal.FS) *journal.Log {
+func fillLog(t *testing.T, fs wal.FS) *wal.Log {
 	l, list, err := readLog(t, fs)
 	assert.NilError(t, err)
 	assert.Equal(t, len(list), 0)
@@ -57,7 +57,7 @@
 		d := fake.NewDisk()
 		l := fillLog(t, d)
 		d.FailSync = true
-		assert.ErrorIs(t, l.Append(named("lost")), journal.ErrWrite)
+		assert.ErrorIs(t, l.Append(named("lost")), wal.ErrWrite)
 		d.Crash(keep)
 		l, before, err := readLog(t, d)
 		assert.NilError(t, err)
@@ -89,7 +89,7 @@
 	damaged["gap"] = gap
 	for what, d := range damaged {
 		l, _, err := readLog(t, d)
-		assert.ErrorIs(t, err, journal.ErrCorrupt, what)
+		assert.ErrorIs(t, err, wal.ErrCorrupt, what)
 		assert.NilError(t, l.Start(named("new")))
 		assert.NilError(t, l.DropBefore(l.Number()))
 		d.Crash(0)
@@ -104,8 +104,8 @@
 	d := fake.NewDisk()
 	l := fillLog(t, d)
 	d.FailSync = true
-	assert.ErrorIs(t, l.Append(named("lost")), journal.ErrWrite)
+	assert.ErrorIs(t, l.Append(named("lost")), wal.ErrWrite)
 	for _, err := range []error{l.Append(named("x")), l.Start(named("x")), l.DropBefore(2)} {
-		assert.Assert(t, errors.Is(err, journal.ErrFailed))
+		assert.Assert(t, errors.Is(err, wal.ErrFailed))
 	}
 }
--- a/journal/journal.go
+++ b/wal/wal.go
@@ -1,4 +1,4 @@
-// Package journal keeps a replica's records and snapshots durably under one
+// Package wal keeps a replica's records and snapshots durably under one
 // data folder: an identity, segments of records, and snapshots.
 //
 // Files: "identity" (one record), "snapshot-INDEX" (one record), "log-NUMBER"
@@ -10,7 +10,7 @@
 // journal: the kernel may have dropped the dirty pages and answer a second sync
 // with success, so trying again would acknowledge what is not there (Rebello et
 // al.: Can Applications Recover from fsync Failures?, 2020).
-package journal
+package wal
 
 import (
 	"fmt"
--- a/journal/journal_test.go
+++ b/wal/wal_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package wal_test
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipereach/snipereach/fake"
-	"github.com/snipereach/snipereach/journal"
+	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -20,14 +20,14 @@
 	return list
 }
 
-func open(t *testing.T, fs journal.FS) (*journal.Journal, *journal.State) {
+func open(t *testing.T, fs wal.FS) (*wal.Journal, *wal.State) {
 	t.Helper()
-	j, st, err := journal.Open(fs)
+	j, st, err := wal.Open(fs)
 	assert.NilError(t, err)
 	return j, st
 }
 
-func fill(t *testing.T, d *fake.Disk) *journal.Journal {
+func fill(t *testing.T, d *fake.Disk) *wal.Journal {
 	t.Helper()
 	j, st := open(t, d)
 	assert.Assert(t, st.Identity == nil)
@@ -58,7 +58,7 @@
 		j := fill(t, d)
 		before := d.Size(logFile(t, d))
 		d.FailSync = true
-		assert.ErrorIs(t, j.Append(nil, entries(9, 11, 1)), journal.ErrWrite)
+		assert.ErrorIs(t, j.Append(nil, entries(9, 11, 1)), wal.ErrWrite)
 		written := d.Size(logFile(t, d)) - before
 		d.Crash(keep)
 		j2, st := open(t, d)
@@ -86,8 +86,8 @@
 		for bit := range d.Size(name) * 8 {
 			c := d.Clone()
 			c.Flip(name, bit)
-			_, _, err := journal.Open(c)
-			assert.ErrorIs(t, err, journal.ErrCorrupt, "%s bit %d", name, bit)
+			_, _, err := wal.Open(c)
+			assert.ErrorIs(t, err, wal.ErrCorrupt, "%s bit %d", name, bit)
 		}
 	}
 }
@@ -98,9 +98,9 @@
 	d := fake.NewDisk()
 	j := fill(t, d)
 	d.FailSync = true
-	assert.ErrorIs(t, j.Append(nil, entries(9, 9, 1)), journal.ErrWrite)
-	assert.ErrorIs(t, j.Append(nil, entries(10, 10, 1)), journal.ErrFailed)
-	assert.ErrorIs(t, j.Compact(&wire.LogSnapshot{Index: 4}, nil, nil), journal.ErrFailed)
+	assert.ErrorIs(t, j.Append(nil, entries(9, 9, 1)), wal.ErrWrite)
+	assert.ErrorIs(t, j.Append(nil, entries(10, 10, 1)), wal.ErrFailed)
+	assert.ErrorIs(t, j.Compact(&wire.LogSnapshot{Index: 4}, nil, nil), wal.ErrFailed)
 	d.Crash(0)
 	_, st := open(t, d)
 	assert.Equal(t, len(st.Entries), 8)
@@ -110,9 +110,9 @@
 	d := fake.NewDisk()
 	j := fill(t, d)
 	d.Full = true
-	assert.ErrorIs(t, j.Append(nil, entries(9, 9, 1)), journal.ErrWrite)
+	assert.ErrorIs(t, j.Append(nil, entries(9, 9, 1)), wal.ErrWrite)
 	d.Full = false
-	assert.ErrorIs(t, j.Append(nil, entries(9, 9, 1)), journal.ErrFailed)
+	assert.ErrorIs(t, j.Append(nil, entries(9, 9, 1)), wal.ErrFailed)
 	d.Crash(1000)
 	_, st := open(t, d)
 	assert.Equal(t, len(st.Entries), 8)
@@ -150,11 +150,11 @@
 }
 
 func TestSecondProcessIsRefused(t *testing.T) {
-	fs, err := journal.OpenFolder(t.TempDir())
+	fs, err := wal.OpenFolder(t.TempDir())
 	assert.NilError(t, err)
 	j, _ := open(t, fs)
-	_, _, err = journal.Open(fs)
-	assert.ErrorIs(t, err, journal.ErrLocked)
+	_, _, err = wal.Open(fs)
+	assert.ErrorIs(t, err, wal.ErrLocked)
 	j.Close()
 	j, _ = open(t, fs)
 	j.Close()
@@ -162,7 +162,7 @@
 
 func TestRealFolderKeepsRecords(t *testing.T) {
 	dir := t.TempDir()
-	fs, err := journal.OpenFolder(dir)
+	fs, err := wal.OpenFolder(dir)
 	assert.NilError(t, err)
 	j, _ := open(t, fs)
 	assert.NilError(t, j.WriteIdentity(&wire.Identity{Name: "c1"}))
@@ -203,13 +203,13 @@
 	return c.Disk.SyncDir()
 }
 
-func (c *crashingDisk) Create(name string) (journal.File, error) {
+func (c *crashingDisk) Create(name string) (wal.File, error) {
 	f, err := c.Disk.Create(name)
 	return &crashingFile{f, c}, err
 }
 
 type crashingFile struct {
-	journal.File
+	wal.File
 	disk *crashingDisk
 }
 
