Control replicas take a whole routing configuration and registrations by HTTP

A control replica takes a whole configuration as one versioned command of the log, reads it back after a round to a quorum, takes registrations of upstreams without an agent and tells callers which entries to use.

Voters come from what is to be tolerated; a voter that is gone is made up for by a learner of another name, one that came back on an empty disk at its old address counts again without a wait, and a replica whose disk refused a write opens its folder again. Leases run on CLOCK_BOOTTIME, which counts a freeze.

Commands say the lowest rules that carry them out: rules 2 know the routing configuration. The test of unknown rules names the new number.

--- /dev/null
+++ b/control/api.go
@@ -0,0 +1,318 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-kit/log"
+	"github.com/gorilla/mux"
+
+	"github.com/snipereach/snipereach/dialect"
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/routing"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// APISettings are the [api] section of snipereach-control: what it answers by HTTP
+// to operators, upstreams without an agent and callers that look for an entry.
+type APISettings struct {
+	// Listen is the address for operators and upstreams.
+	Listen string `toml:"listen"`
+	// Discovery is the address for callers; it may be that of Listen.
+	Discovery string `toml:"discovery_listen"`
+	// Dialect names the plug-in that knows their names and formats.
+	Dialect string `toml:"dialect"`
+	// Keep is how long a caller may keep the list of entries.
+	Keep kernel.Duration `toml:"keep"`
+	// Lease is how long a registration lasts without another one.
+	Lease kernel.Duration `toml:"registration_lease"`
+}
+
+// Bounds of the API.
+const (
+	// maxDocument bounds a configuration, in bytes.
+	maxDocument = 8 << 20
+	// maxRegistration bounds a registration, in bytes.
+	maxRegistration = 64 << 10
+	// decideTimeout is how long a configuration or a read may take. Operators ask
+	// another replica after a second; an answer later than that is lost.
+	decideTimeout = 900 * time.Millisecond
+	// spreadTimeout is how long the word that an upstream leaves may take to reach
+	// the other replicas before its sender is answered.
+	spreadTimeout = 400 * time.Millisecond
+	// maxEntriesListed bounds the entries that a caller is told.
+	maxEntriesListed = 64
+	// apiHeaderTimeout bounds the reading of a request's head.
+	apiHeaderTimeout = 5 * time.Second
+	// apiIdleTimeout closes connections that nobody uses.
+	apiIdleTimeout = 30 * time.Second
+	// onlyLife is the incarnation of upstreams that take a new ID at each start.
+	onlyLife = 1
+)
+
+// Check names the first key that is wrong.
+func (s *APISettings) Check() error {
+	bad := func(key, detail string) error {
+		return merry.Prependf(kernel.ErrSettings, "key \"api.%s\": %s", key, detail)
+	}
+	for key, addr := range map[string]string{"listen": s.Listen, "discovery_listen": s.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return bad(key, err.Error())
+		}
+	}
+	switch {
+	case s.Dialect == "":
+		return bad("dialect", "must not be empty")
+	case s.Keep <= 0:
+		return bad("keep", "must be positive")
+	case s.Lease <= 0:
+		return bad("registration_lease", "must be positive")
+	}
+	return nil
+}
+
+// api answers HTTP for a control replica.
+type api struct {
+	settings APISettings
+	dialect  dialect.Dialect
+	control  *Control
+	node     *directory.Node
+	pool     *transport.Pool
+	log      log.Logger
+	servers  []*http.Server
+}
+
+func newAPI(s APISettings, c *Control, n *directory.Node, l log.Logger) (*api, error) {
+	d, err := dialect.Named(s.Dialect)
+	if err != nil {
+		return nil, err
+	}
+	return &api{settings: s, dialect: d, control: c, node: n, pool: c.pool, log: kernel.PartLog(l, "api")}, nil
+}
+
+// start listens at the API's addresses.
+func (a *api) start() error {
+	if err := a.serve(a.settings.Listen, a.handler()); err != nil {
+		return err
+	}
+	if a.settings.Discovery == a.settings.Listen {
+		return nil
+	}
+	return a.serve(a.settings.Discovery, a.discoveryHandler())
+}
+
+func (a *api) serve(addr string, h http.Handler) error {
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return merry.Prepend(ErrStart, err.Error())
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: apiHeaderTimeout, IdleTimeout: apiIdleTimeout}
+	a.servers = append(a.servers, srv)
+	go func() {
+		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+			kernel.Warn(a.log, "No longer listening.", "addr", addr, "err", err)
+		}
+	}()
+	return nil
+}
+
+func (a *api) stop() {
+	for _, s := range a.servers {
+		_ = s.Close()
+	}
+}
+
+func (a *api) discoveryHandler() http.Handler {
+	r := mux.NewRouter()
+	calls := a.dialect.Calls()
+	r.HandleFunc(calls.Resolve.Path, a.resolve).Methods(calls.Resolve.Method)
+	return r
+}
+
+func (a *api) handler() http.Handler {
+	r := mux.NewRouter()
+	calls := a.dialect.Calls()
+	for _, c := range []struct {
+		call   dialect.Call
+		handle http.HandlerFunc
+	}{
+		{calls.Resolve, a.resolve},
+		{calls.Register, a.register},
+		{calls.Deregister, a.deregister},
+		{calls.PutRouting, a.putRouting},
+		{calls.GetRouting, a.getRouting},
+	} {
+		r.HandleFunc(c.call.Path, c.handle).Methods(c.call.Method)
+	}
+	return r
+}
+
+func (a *api) write(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+func (a *api) refuse(w http.ResponseWriter, status int, detail string) {
+	a.write(w, status, a.dialect.EncodeError(detail))
+}
+
+// readBody reads a whole body, or answers why it can't.
+func (a *api) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		return body, true
+	}
+	status := http.StatusBadRequest
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	a.refuse(w, status, err.Error())
+	return nil, false
+}
+
+// putRouting takes a whole configuration. It is acknowledged once it is durable,
+// and also if a higher version is; it is refused only if no replica would take it.
+func (a *api) putRouting(w http.ResponseWriter, r *http.Request) {
+	body, ok := a.readBody(w, r, maxDocument)
+	if !ok {
+		return
+	}
+	c, err := a.dialect.DecodeRouting(body)
+	if err == nil {
+		err = routing.Check(c)
+	}
+	if err != nil {
+		kernel.Info(a.log, "Routing configuration refused.", "version", c.GetVersion(), "err", err)
+		a.refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), decideTimeout)
+	defer cancel()
+	reply, err := routingService{&service{a.control}}.Put(ctx, &wire.PutRoutingRequest{Config: c})
+	if err != nil {
+		a.refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if reply.Status == wire.PutRoutingStatus_PUT_ROUTING_STATUS_UNAVAILABLE {
+		a.refuse(w, http.StatusServiceUnavailable, reply.Detail)
+		return
+	}
+	a.write(w, http.StatusOK, []byte("{}"))
+}
+
+// getRouting answers with the newest configuration for sure, or 503.
+func (a *api) getRouting(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), decideTimeout)
+	defer cancel()
+	c, err := routingService{&service{a.control}}.Get(ctx, &wire.GetRoutingRequest{})
+	switch {
+	case err != nil:
+		a.refuse(w, http.StatusServiceUnavailable, err.Error())
+	case c.Version == 0:
+		a.refuse(w, http.StatusNotFound, "there is no configuration yet")
+	default:
+		a.write(w, http.StatusOK, c.Source)
+	}
+}
+
+func (a *api) register(w http.ResponseWriter, r *http.Request) {
+	body, ok := a.readBody(w, r, maxRegistration)
+	if !ok {
+		return
+	}
+	msg, err := a.dialect.DecodeRegistration(mux.Vars(r)[a.dialect.Calls().InstanceID], body)
+	if err != nil {
+		a.refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	msg.LeaseMs = uint32(a.settings.Lease.D().Milliseconds())
+	a.announce(w, r, msg)
+}
+
+func (a *api) deregister(w http.ResponseWriter, r *http.Request) {
+	a.announce(w, r, &wire.Announcement{
+		Id: mux.Vars(r)[a.dialect.Calls().InstanceID], Role: wire.Role_ROLE_UPSTREAM,
+		Phase: wire.Phase_PHASE_GONE, Seq: math.MaxUint64,
+	})
+}
+
+// announce takes what an upstream says of itself.
+//
+// That it leaves is told to the other replicas before it is acknowledged: from
+// then on the upstream counts the seconds until it stops, and this replica may
+// be lost before the entries have heard of it.
+func (a *api) announce(w http.ResponseWriter, r *http.Request, msg *wire.Announcement) {
+	msg.Incarnation = onlyLife
+	if _, err := a.node.Announce(r.Context(), msg); err != nil {
+		a.refuse(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	if msg.Phase != wire.Phase_PHASE_UP {
+		told, others := a.spread(r.Context(), msg)
+		kernel.Info(a.log, "An upstream leaves.", "upstream", msg.Id, "addr", msg.Address, "phase", msg.Phase, "seq", msg.Seq, "told", told, "others", others)
+		if others > 0 && told == 0 {
+			a.refuse(w, http.StatusServiceUnavailable, "no other replica has heard of it")
+			return
+		}
+	}
+	a.write(w, http.StatusOK, a.dialect.EncodeRegistered())
+}
+
+// spread tells the other replicas of an announcement and returns how many have
+// taken it.
+func (a *api) spread(ctx context.Context, msg *wire.Announcement) (told, others int) {
+	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, addr := range a.control.knownPeers(ctx) {
+		others++
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, err := wire.NewDRPCDirectoryClient(a.pool.Conn(ctx, addr)).Announce(ctx, msg)
+			if err != nil {
+				kernel.Debug(a.log, "A replica did not hear that an upstream leaves.", "replica", addr, "upstream", msg.Id, "err", err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			told++
+		}()
+	}
+	wg.Wait()
+	return told, others
+}
+
+// resolve tells a caller which entries to connect to.
+func (a *api) resolve(w http.ResponseWriter, _ *http.Request) {
+	list := a.entries()
+	if len(list) == 0 {
+		a.refuse(w, http.StatusServiceUnavailable, "no entry is known to be ready")
+		return
+	}
+	a.write(w, http.StatusOK, a.dialect.EncodeEntries(list, a.settings.Keep.D()))
+}
+
+func (a *api) entries() []string {
+	var list []string
+	for _, i := range a.node.Instances(wire.Role_ROLE_ENTRY) {
+		if i.Up() && i.Listed {
+			list = append(list, i.CallerAddress)
+		}
+	}
+	sort.Strings(list)
+	return list[:min(len(list), maxEntriesListed)]
+}
--- a/control/care.go
+++ b/control/care.go
@@ -40,7 +40,7 @@
 }
 
 func (r *Replica) alive(id string) bool {
-	if r.node.Live(id) {
+	if r.node.Live(id) && !r.leads.ended[id] {
 		r.leads.heard(id, r.clock())
 		return true
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,14 @@
 const (
 	joinInterval    = 300 * time.Millisecond
 	identifyTimeout = time.Second
+	// standingInterval is how often a member looks whether it still hears a leader.
+	standingInterval = time.Second
+	// rejoinAfter is how long a member hears no leader before it asks to be taken
+	// in again; longer than any election.
+	rejoinAfter = 3 * time.Second
+	// reopenInterval is the time between two tries to open the folder again after
+	// its disk has failed.
+	reopenInterval = 500 * time.Millisecond
 )
 
 // Place says who and where a control replica is.
@@ -75,6 +84,9 @@
 	if err := wire.DRPCRegisterRaft(mux, raftService{c}); err != nil {
 		return err
 	}
+	if err := wire.DRPCRegisterRouting(mux, routingService{&service{c}}); err != nil {
+		return err
+	}
 	return wire.DRPCRegisterControl(mux, &service{c})
 }
 
@@ -162,9 +174,51 @@
 	c.replica = r
 	go c.keepJoined(ctx, r)
 	go c.groups.run(ctx, r)
+	go c.reopenOnFailure(ctx, r)
 	return nil
 }
 
+// reopenOnFailure starts the replica again from what its disk holds after a write
+// or a sync has failed. A full disk refuses every write and is emptied later: a
+// replica that stayed out until its process is restarted would leave the others
+// without one voter for good.
+func (c *Control) reopenOnFailure(ctx context.Context, r *Replica) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-r.broken:
+	}
+	r.close()
+	c.mu.Lock()
+	c.replica = nil
+	c.mu.Unlock()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(reopenInterval):
+		}
+		err := c.reopen(ctx)
+		if err == nil || errors.Is(err, ErrStopped) {
+			kernel.Info(c.log, "Replica runs again.", "err", err)
+			return
+		}
+		kernel.Debug(c.log, "Folder can't be opened again yet.", "err", err)
+	}
+}
+
+func (c *Control) reopen(ctx context.Context) error {
+	fs, err := c.disk()
+	if err != nil {
+		return err
+	}
+	j, st, err := wal.Open(fs)
+	if err != nil {
+		return err
+	}
+	return c.run(ctx, j, st)
+}
+
 // enter finds the cluster that the members belong to, or forms one.
 func (c *Control) enter(ctx context.Context, j *wal.Journal, st *wal.State) {
 	for {
@@ -215,6 +269,10 @@
 	if !c.settings.FormCluster || !lowest || answers < len(c.others()) {
 		return nil, false
 	}
+	if !slices.Contains(c.settings.Members, c.place.Address) {
+		// Two that are both no member could each find itself the lowest.
+		return nil, false
+	}
 	own.Cluster = rand.Text()
 	own.Founder = true
 	return own, true
@@ -240,22 +298,45 @@
 	return id, nil
 }
 
-// keepJoined asks to be taken in until the membership names this replica.
+// keepJoined asks to be taken in while the membership doesn't name this replica,
+// or no leader is heard: one that was replaced while it was cut off still finds
+// itself named in its own log.
 func (c *Control) keepJoined(ctx context.Context, r *Replica) {
+	var leaderless time.Time
 	for ctx.Err() == nil {
-		if r.isMember(ctx) {
-			return
+		now := c.settings.Now()
+		member, led := r.standing(ctx)
+		if led {
+			leaderless = now
 		}
-		for _, addr := range c.others() {
-			c.askToJoin(ctx, addr)
+		wait := standingInterval
+		if !member || now.Sub(leaderless) > rejoinAfter {
+			for _, addr := range c.knownPeers(ctx) {
+				c.askToJoin(ctx, addr)
+			}
+			wait = joinInterval
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(joinInterval):
+		case <-r.done:
+			return
+		case <-time.After(wait):
 		}
 	}
 }
 
+// knownPeers are the addresses of the members in the settings and of those in the
+// log; either may be out of date.
+func (c *Control) knownPeers(ctx context.Context) []string {
+	list := c.others()
+	for _, p := range c.DirectoryReplicas(ctx) {
+		if p.Address != c.place.Address && !slices.Contains(list, p.Address) {
+			list = append(list, p.Address)
+		}
+	}
+	return list
+}
+
 func (c *Control) askToJoin(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -16,6 +17,16 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
+// Defaults of the [api] section.
+const (
+	// defaultKeep lets a caller come back to a list that has changed within a few
+	// seconds, and costs one small answer a caller in that time.
+	defaultKeep = 2 * time.Second
+	// defaultRegistrationLease outlives two heartbeats of about a second that come
+	// late.
+	defaultRegistrationLease = 4 * time.Second
+)
+
 // ErrStart is returned when the daemon can't come up.
 var ErrStart = merry.Sentinel("control can't start")
 
@@ -29,7 +40,9 @@
 	Listen    string `toml:"listen"`
 	Advertise string `toml:"advertise"`
 	// Operators is the HTTP address of metrics and the state dump; empty is off.
-	Operators string          `toml:"operators_listen"`
+	Operators string `toml:"operators_listen"`
+	// API is what the replica answers by HTTP; it is off if the section isn't there.
+	API       *APISettings    `toml:"api"`
 	Control   Settings        `toml:"control"`
 	StopLimit kernel.Duration `toml:"stop_limit"`
 	// Dial opens connections to other processes if set: who embeds a replica may
@@ -60,9 +73,23 @@
 	if _, _, err := net.SplitHostPort(s.Listen); err != nil {
 		return bad("listen", err.Error())
 	}
+	if s.API != nil {
+		if err := s.API.Check(); err != nil {
+			return err
+		}
+	}
 	return s.Control.Check()
 }
 
+// SetDefaults implements kernel.Defaulter.
+func (s *DaemonSettings) SetDefaults() {
+	s.Control.SetDefaults()
+	if s.API != nil {
+		s.API.Keep = cmp.Or(s.API.Keep, kernel.Duration(defaultKeep))
+		s.API.Lease = cmp.Or(s.API.Lease, kernel.Duration(defaultRegistrationLease))
+	}
+}
+
 // Daemon is a control replica on a host of its own. It implements kernel.Daemon.
 type Daemon struct {
 	settings *DaemonSettings
@@ -75,6 +102,7 @@
 	dumps    kernel.Dumps
 	lis      net.Listener
 	ops      *http.Server
+	api      *api
 	cancel   context.CancelFunc
 }
 
@@ -98,7 +126,12 @@
 	}
 	d.dumps.Add("control", d.control.Dump)
 	d.dumps.Add("directory", d.node.Dump)
-	d.control.SetEntries(d.node.RingMembers)
+	if s.API == nil {
+		// Entries without agents make no claims, so there is no ring of registers.
+		d.control.SetEntries(d.node.RingMembers)
+	} else if d.api, err = newAPI(*s.API, d.control, d.node, l); err != nil {
+		return nil, err
+	}
 	d.node.SetReplicas(d.control.DirectoryReplicas)
 	d.control.SetUpstreams(UpstreamsOf(d.node))
 	if err := d.control.Register(d.srv.Mux); err != nil {
@@ -124,7 +157,13 @@
 	if err := d.control.Start(ctx, place); err != nil {
 		return err
 	}
-	d.node.FollowPeers(ctx, d.settings.Control.Members, d.address(), d.pool.Conn, d.settings.ID)
+	peers := func() []string { return d.control.knownPeers(ctx) }
+	d.node.FollowEach(ctx, peers, d.pool.Conn, &wire.DirectoryWatchRequest{Watcher: d.settings.ID, LocalOnly: true}, false)
+	if d.api != nil {
+		if err := d.api.start(); err != nil {
+			return err
+		}
+	}
 	kernel.Info(d.log, "Listening.", "id", d.settings.ID, "addr", lis.Addr())
 	return d.startOperators()
 }
@@ -172,6 +211,9 @@
 	if d.ops != nil {
 		_ = d.ops.Close()
 	}
+	if d.api != nil {
+		d.api.stop()
+	}
 	d.srv.Close()
 	d.pool.Close()
 	return 0
--- a/control/leaseclock.go
+++ b/control/leaseclock.go
@@ -10,6 +10,8 @@
 	leading bool
 	since   time.Time
 	last    map[string]time.Time
+	// ended are replicas that another process has replaced at their address.
+	ended   map[string]bool
 	expires map[string]time.Time
 }
 
@@ -17,6 +19,7 @@
 	if leads && !c.leading {
 		c.since = now
 		c.last = map[string]time.Time{}
+		c.ended = map[string]bool{}
 		c.expires = map[string]time.Time{}
 	}
 	c.leading = leads
@@ -28,7 +31,17 @@
 	}
 }
 
+// end notes that a replica has ended for good, without a wait for its silence.
+func (c *leaseClock) end(id string) {
+	if c.ended != nil {
+		c.ended[id] = true
+	}
+}
+
 func (c *leaseClock) silentFor(id string, now time.Time, d time.Duration) bool {
+	if c.ended[id] {
+		return true
+	}
 	last, ok := c.last[id]
 	if !ok {
 		last = c.since
--- a/control/machine.go
+++ b/control/machine.go
@@ -9,6 +9,7 @@
 
 	"github.com/snipereach/snipereach/fence"
 	"github.com/snipereach/snipereach/rollout"
+	"github.com/snipereach/snipereach/routing"
 	"github.com/snipereach/snipereach/table"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -25,7 +26,20 @@
 // each change by which one log would lead to another state: a new kind of command, a
 // reference or a value that must be unique. A release that brings new rules knows the
 // old ones, too, and proposes by them until all replicas run it.
-const rules = 1
+const rules = 2
+
+// firstRules are those of all commands but the ones below. A command says the
+// lowest rules that carry it out, so that replicas of an older release go on as
+// long as nothing new is used.
+const firstRules = 1
+
+// rulesOf returns the rules that a command needs.
+func rulesOf(c *wire.Command) uint32 {
+	if c.GetRouting() != nil {
+		return 2
+	}
+	return firstRules
+}
 
 // machine joins the state machines on one log.
 type machine struct {
@@ -34,6 +48,8 @@
 	formed bool
 	ring   *wire.Ring
 	groups *rollout.Machine
+	// routing holds the routing configuration.
+	routing routing.Machine
 }
 
 func newMachine() *machine {
@@ -42,12 +58,12 @@
 
 // encode makes the log entry of a command.
 func encode(c *wire.Command) ([]byte, error) {
-	c.Rules = rules
+	c.Rules = rulesOf(c)
 	return proto.Marshal(c)
 }
 
 // apply carries out a committed command. The result is a *wire.EditReply, a
-// *wire.Lease, a rollout.Result or nil.
+// *wire.Lease, a rollout.Result, a routingResult or nil.
 //
 // A replica of an older release that passed over a command of a newer one would go on
 // with another state than the others: the row that it serves, or the snapshot that it
@@ -67,6 +83,9 @@
 		return m.fence.Apply(index, c.GetLease()), nil
 	case c.GetGroup() != nil:
 		return m.groups.Apply(index, c.GetGroup(), m.fence.Token(c.GetGroup().Group)), nil
+	case c.GetRouting() != nil:
+		accepted := m.routing.Apply(c.GetRouting())
+		return routingResult{accepted: accepted, version: m.routing.Current().Version}, nil
 	case c.GetFormed() != nil:
 		m.formed = true
 	case c.GetRing() != nil:
@@ -81,9 +100,13 @@
 }
 
 func (m *machine) snapshot() ([]byte, error) {
+	needs := uint32(firstRules)
+	if m.routing.Current() != nil {
+		needs = rules
+	}
 	return proto.Marshal(&wire.MachineSnapshot{
-		Rules: rules, Table: m.table.Snapshot(), Fence: m.fence.Snapshot(), Formed: m.formed, Ring: m.ring,
-		Groups: m.groups.Snapshot(),
+		Rules: needs, Table: m.table.Snapshot(), Fence: m.fence.Snapshot(), Formed: m.formed, Ring: m.ring,
+		Groups: m.groups.Snapshot(), Routing: m.routing.Current(),
 	})
 }
 
@@ -98,6 +121,7 @@
 	m.table.Restore(s.Table)
 	m.fence.Restore(s.Fence)
 	m.groups.Restore(s.Groups)
+	m.routing.Restore(s.Routing)
 	m.formed = s.Formed
 	m.ring = s.Ring
 	if m.ring == nil {
--- a/control/machine_test.go
+++ b/control/machine_test.go
@@ -22,7 +22,7 @@
 	byNewRules := append(later[:len(later):len(later)], 6<<3, rules+1)
 	newKind := []byte{15<<3 | 2, 0}
 	for name, data := range map[string][]byte{
-		"rules 2, this release knows 1": byNewRules,
+		"rules 3, this release knows 2": byNewRules,
 		"no known kind":                 newKind,
 		"entry 8":                       {0xff},
 	} {
--- a/control/membership.go
+++ b/control/membership.go
@@ -31,9 +31,15 @@
 //  1. A dead replica whose name a live, caught-up one has taken gives way to it:
 //     the newcomer is promoted first, so that the number of voters that hold
 //     everything never falls, and then the dead one is removed.
-//  2. While there are fewer voters than wanted, the learner is promoted whose
+//  2. While there are fewer live voters than wanted, the learner is promoted whose
 //     failure domain has the fewest voters, if no failure domain would then
-//     hold a majority that another choice avoids.
+//     hold a majority that another choice avoids. So a host that is gone for good
+//     is made up for by one of another name.
+//  3. While there are more voters than wanted, a dead one is removed.
+//
+// A host that is only cut off can't be told from one that is gone. The harm of a
+// wrong guess is small: one change at a time, the newcomer holds everything
+// before it counts, and the one that comes back joins again as a learner.
 func nextStep(members []member, target int) step {
 	for _, dead := range members {
 		heir := heirOf(members, dead)
@@ -45,16 +51,20 @@
 		}
 		return step{promote: heir.Id}
 	}
-	voters := 0
+	voters, live := 0, 0
 	domains := map[string]int{}
 	for _, m := range members {
-		if !m.Learner {
-			voters++
+		if m.Learner {
+			continue
+		}
+		voters++
+		if m.live {
+			live++
 			domains[m.FailureDomain]++
 		}
 	}
-	if voters >= target {
-		return step{}
+	if live >= target || voters > target {
+		return removeDead(members, voters, target)
 	}
 	var best *member
 	for i, m := range members {
@@ -71,6 +81,19 @@
 	return step{promote: best.Id}
 }
 
+// removeDead removes a dead voter where there are more than wanted.
+func removeDead(members []member, voters, target int) step {
+	if voters <= target {
+		return step{}
+	}
+	for _, m := range members {
+		if !m.Learner && !m.live {
+			return step{remove: m.Id}
+		}
+	}
+	return step{}
+}
+
 // replaceStep chooses the next step of replacing a lost replica on an operator's
 // order, or says why the order is refused. The heir is the replica that took the
 // lost one's name, else a learner that has caught up, one in the lost one's
--- a/control/raftservice.go
+++ b/control/raftservice.go
@@ -54,7 +54,15 @@
 		return
 	}
 	for _, p := range r.node.Peers() {
-		if NameOf(p.Id) == id.Name && p.Id != idOf(id) && r.alive(p.Id) {
+		if NameOf(p.Id) != id.Name || p.Id == idOf(id) {
+			continue
+		}
+		if p.Address == id.Address {
+			// Only one process listens at an address: the earlier one has ended.
+			r.leads.end(p.Id)
+			continue
+		}
+		if r.alive(p.Id) {
 			// Two hosts that use one name would otherwise take turns in throwing
 			// each other out.
 			reply.Detail = "the name is in use by a live replica: " + p.Id
@@ -70,13 +78,14 @@
 	kernel.Info(r.log, "Took in a replica as a learner.", "replica", idOf(id), "addr", id.Address)
 }
 
-// isMember says whether the membership names this replica.
-func (r *Replica) isMember(ctx context.Context) bool {
-	named := false
+// standing says whether the membership names this replica, and whether it follows
+// a leader or is one.
+func (r *Replica) standing(ctx context.Context) (member, led bool) {
 	_ = r.do(ctx, func() {
 		for _, p := range r.node.Peers() {
-			named = named || p.Id == idOf(r.identity)
+			member = member || p.Id == idOf(r.identity)
 		}
+		led = r.node.Leader() != ""
 	})
-	return named
+	return member, led
 }
--- a/control/replica.go
+++ b/control/replica.go
@@ -65,11 +65,16 @@
 	shares   shareHome
 	// pools is read by announcements, outside the loop.
 	pools atomic.Pointer[poolSettings]
+	// routingVersion is that of the configuration applied here; watchers read it
+	// outside the loop.
+	routingVersion atomic.Uint64
 	feed  feed
 	// proposedEpoch is the ring epoch that was proposed last, and when.
 	proposedEpoch uint64
 	proposedAt    time.Time
 	failed        error
+	// broken is closed once the replica has failed.
+	broken chan struct{}
 
 	// entries lists the entries that are up, for the ring of claim registers.
 	entries func() []*wire.RingMember
@@ -100,6 +105,7 @@
 		started: s.Now(), clock: s.Now,
 		calls:   make(chan func(), callQueue),
 		done:    make(chan struct{}),
+		broken:  make(chan struct{}),
 		waiting: map[uint64]waiter{},
 		reads:   map[uint64]chan<- error{},
 		queued:  map[uint64][]uint64{},
@@ -109,6 +115,7 @@
 		rings:  ringClock{changed: s.Now()},
 	}
 	r.feed.reset(m.table.Revision(), m.ring, r.rings.changed)
+	r.routingVersion.Store(m.routing.Current().GetVersion())
 	r.confirm()
 	return r, nil
 }
@@ -219,6 +226,7 @@
 			return err
 		}
 		r.feed.reset(r.machine.table.Revision(), r.machine.ring, r.rings.changed)
+		r.routingVersion.Store(r.machine.routing.Current().GetVersion())
 		r.forgetWaiting(rd.Snapshot.Index)
 		r.wake()
 	}
@@ -239,6 +247,7 @@
 		r.sinceCut++
 	}
 	r.followRows(r.clock())
+	r.routingVersion.Store(r.machine.routing.Current().GetVersion())
 	if len(rd.Apply) > 0 {
 		r.feed.add(r.machine.table.Revision(), changed, r.machine.ring, r.rings.changed)
 		r.wake()
@@ -272,6 +281,7 @@
 // is durable.
 func (r *Replica) fail(err error) {
 	r.failed = err
+	close(r.broken)
 	kernel.Warn(r.log, "Replica has failed and takes part no more.", "err", err)
 	r.failAll(merry.Prepend(ErrStopped, err.Error()))
 }
--- a/control/service.go
+++ b/control/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmetadata"
 
 	"github.com/snipereach/snipereach/table"
@@ -28,6 +29,11 @@
 // passOn calls the leader if this replica isn't it. done is true when the reply
 // or the error is final.
 func passOn[R any](ctx context.Context, s *service, call func(context.Context, wire.DRPCControlClient) (R, error)) (reply R, done bool, err error) {
+	return passOnBy(ctx, s, wire.NewDRPCControlClient, call)
+}
+
+// passOnBy is passOn for any of the leader's services.
+func passOnBy[R, C any](ctx context.Context, s *service, client func(drpc.Conn) C, call func(context.Context, C) (R, error)) (reply R, done bool, err error) {
 	r := s.current()
 	if r == nil {
 		return reply, true, merry.Prepend(ErrUnavailable, "replica belongs to no cluster yet")
@@ -45,7 +51,7 @@
 	}
 	ctx, cancel := context.WithTimeout(drpcmetadata.Add(ctx, forwardedKey, "1"), forwardTimeout)
 	defer cancel()
-	reply, err = call(ctx, wire.NewDRPCControlClient(s.pool.Conn(ctx, addr)))
+	reply, err = call(ctx, client(s.pool.Conn(ctx, addr)))
 	return reply, true, err
 }
 
--- a/control/settings.go
+++ b/control/settings.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -19,7 +20,7 @@
 	// FS is used in place of DataDir if set: who embeds a replica may bring a
 	// disk of its own.
 	FS wal.FS `toml:"-"`
-	// Now is the clock in place of time.Now if set: who embeds a replica may want to
+	// Now is the clock in place of kernel.BootClock if set: who embeds a replica may want to
 	// hold its time, as that of a host that is frozen.
 	Now func() time.Time `toml:"-"`
 	// Members lists the drpc addresses of all control replicas, this one too.
@@ -27,8 +28,14 @@
 	// FormCluster lets a new cluster be formed when all members are new. Turn it
 	// off once the cluster stands.
 	FormCluster bool `toml:"form_cluster"`
+	// PeerPort replaces the port of each member if set, where the members are
+	// known by another address of the same hosts.
+	PeerPort int `toml:"peer_port"`
 	// Voters is how many members vote at most; the others are learners.
 	Voters int `toml:"voters"`
+	// Tolerate sets the number of voters by what may be lost at once. Members are
+	// then only those to ask first: more may join.
+	Tolerate *Tolerance `toml:"tolerate"`
 	// ElectionTimeout and Heartbeat of the replicated log.
 	ElectionTimeout kernel.Duration `toml:"election_timeout"`
 	Heartbeat       kernel.Duration `toml:"heartbeat"`
@@ -43,6 +50,18 @@
 	Groups GroupSettings `toml:"groups"`
 }
 
+// Tolerance is the [control.tolerate] section: how much may be lost at the same
+// time with everything accepted kept and edits still taken.
+type Tolerance struct {
+	// Hosts and Domains are numbers of hosts and of whole failure domains.
+	Hosts   int `toml:"hosts"`
+	Domains int `toml:"domains"`
+}
+
+// voters returns how many voters outlive the loss: a majority of 2f+1 is left
+// after f, if no failure domain holds more voters than another by two.
+func (t Tolerance) voters() int { return 2*max(t.Hosts, t.Domains) + 1 }
+
 // GroupSettings is the [control.groups] section.
 type GroupSettings struct {
 	// CounterPeriod is the time between two windows of expert counters.
@@ -81,7 +100,7 @@
 // clock returns the clock that the settings name.
 func (s *Settings) clock() func() time.Time {
 	if s.Now == nil {
-		return time.Now
+		return kernel.BootClock()
 	}
 	return s.Now
 }
@@ -95,6 +114,10 @@
 	s.MaxBatch = cmp.Or(s.MaxBatch, d.MaxBatch)
 	s.SnapshotEvery = cmp.Or(s.SnapshotEvery, d.SnapshotEvery)
 	s.ReplaceAfter = cmp.Or(s.ReplaceAfter, d.ReplaceAfter)
+	s.usePeerPort()
+	if s.Tolerate != nil {
+		s.Voters = s.Tolerate.voters()
+	}
 	g := &s.Groups
 	g.CounterPeriod = cmp.Or(g.CounterPeriod, d.Groups.CounterPeriod)
 	g.PlanPeriod = cmp.Or(g.PlanPeriod, d.Groups.PlanPeriod)
@@ -103,6 +126,18 @@
 	g.OrderTimeout = cmp.Or(g.OrderTimeout, d.Groups.OrderTimeout)
 }
 
+// usePeerPort puts the peers' port in place of the members' own.
+func (s *Settings) usePeerPort() {
+	if s.PeerPort == 0 {
+		return
+	}
+	for i, m := range s.Members {
+		if host, _, err := net.SplitHostPort(m); err == nil {
+			s.Members[i] = net.JoinHostPort(host, strconv.Itoa(s.PeerPort))
+		}
+	}
+}
+
 // Check names the first key that is wrong.
 func (s *Settings) Check() error {
 	bad := func(key, detail string) error {
@@ -117,6 +152,10 @@
 		return bad("voters", "must be an odd number from 1 to 9")
 	case s.Heartbeat <= 0 || s.ElectionTimeout < 3*s.Heartbeat:
 		return bad("election_timeout", "must be at least three times heartbeat")
+	case s.PeerPort < 0 || s.PeerPort > 65535:
+		return bad("peer_port", "must be a port")
+	case s.Tolerate != nil && (s.Tolerate.Hosts < 0 || s.Tolerate.Domains < 0):
+		return bad("tolerate", "must not be negative")
 	case s.MaxBatch < 1:
 		return bad("max_batch", "must be at least 1")
 	case s.SnapshotEvery < 10:
@@ -157,6 +196,9 @@
 
 // voterTarget is how many voters the cluster should have.
 func (s *Settings) voterTarget() int {
+	if s.Tolerate != nil {
+		return s.Voters
+	}
 	n := min(s.Voters, len(s.Members))
 	if n%2 == 0 {
 		n--
--- a/directory/digest.go
+++ b/directory/digest.go
@@ -43,6 +43,7 @@
 	numbers := []uint64{
 		a.Incarnation, uint64(a.Role), uint64(a.Phase), uint64(a.Rank), uint64(a.LeaseMs), bit(a.Listed),
 		a.ClaimRegister.GetLife(), bit(a.ClaimRegister.GetDurable()),
+		uint64(a.Direct.GetSlots()), a.Direct.GetGroupEpoch(), bit(a.Direct.GetGroupBroken()), uint64(a.Direct.GetGroupSize()),
 	}
 	for _, n := range numbers {
 		b = binary.AppendUvarint(b, n)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -282,10 +282,15 @@
 	return a.Id == b.Id && a.Incarnation == b.Incarnation && a.Role == b.Role && a.Phase == b.Phase &&
 		a.FailureDomain == b.FailureDomain && a.Address == b.Address && a.CallerAddress == b.CallerAddress &&
 		slices.Equal(a.Pools, b.Pools) && a.Kind == b.Kind && a.Group == b.Group && a.Rank == b.Rank &&
-		a.LeaseMs == b.LeaseMs && a.Listed == b.Listed &&
+		a.LeaseMs == b.LeaseMs && a.Listed == b.Listed && sameDirect(a.Direct, b.Direct) &&
 		a.ClaimRegister.GetLife() == b.ClaimRegister.GetLife() && a.ClaimRegister.GetDurable() == b.ClaimRegister.GetDurable()
 }
 
+func sameDirect(a, b *wire.DirectUpstream) bool {
+	return a.GetSlots() == b.GetSlots() && a.GetGroupEpoch() == b.GetGroupEpoch() &&
+		a.GetGroupBroken() == b.GetGroupBroken() && a.GetGroupSize() == b.GetGroupSize()
+}
+
 // Settled says whether the directory may declare instances gone.
 //
 // A process that just started knows only who has announced to it so far. If it
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"storj.io/drpc"
@@ -20,9 +21,13 @@
 // Follow copies what announces to another node until the context is done. Nodes
 // of control replicas follow each other so.
 func (n *Node) Follow(ctx context.Context, conn func(context.Context) drpc.Conn, req *wire.DirectoryWatchRequest) {
+	n.follow(ctx, conn, req, false)
+}
+
+func (n *Node) follow(ctx context.Context, conn func(context.Context) drpc.Conn, req *wire.DirectoryWatchRequest, hold bool) {
 	var last *Source
 	for ctx.Err() == nil {
-		last = n.followOnce(ctx, conn(ctx), req, last, nil)
+		last = n.followOnce(ctx, conn(ctx), req, last, hold, nil)
 		select {
 		case <-ctx.Done():
 		case <-time.After(redialDelay):
@@ -42,6 +47,51 @@
 	}
 }
 
+// peersInterval is how often a follower of each replica looks whether there are
+// others.
+const peersInterval = 500 * time.Millisecond
+
+// FollowEach follows each of the replicas that peers lists, in the background,
+// and goes along with changes of the list. hold says that nothing is declared
+// gone while none of them is heard.
+func (n *Node) FollowEach(ctx context.Context, peers func() []string, dial Dial, req *wire.DirectoryWatchRequest, hold bool) {
+	go n.followList(ctx, peers, func(ctx context.Context, addr string) {
+		n.follow(ctx, func(ctx context.Context) drpc.Conn { return dial(ctx, addr) }, req, hold)
+	})
+}
+
+// followList keeps one follower for each address of a list.
+func (n *Node) followList(ctx context.Context, list func() []string, follow func(context.Context, string)) {
+	cancels := map[string]context.CancelFunc{}
+	tick := time.NewTicker(peersInterval)
+	defer tick.Stop()
+	for {
+		now := list()
+		for _, addr := range now {
+			if cancels[addr] != nil {
+				continue
+			}
+			var one context.Context
+			one, cancels[addr] = context.WithCancel(ctx)
+			go follow(one, addr)
+		}
+		for addr, cancel := range cancels {
+			if !slices.Contains(now, addr) {
+				cancel()
+				delete(cancels, addr)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			for _, cancel := range cancels {
+				cancel()
+			}
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 // FollowOne copies the whole directory of one of the replicas until the context
 // is done, and goes to another one when that falls silent or has just started.
 // What the earlier one vouched for is held meanwhile, for Settings.VouchLease.
@@ -50,7 +100,7 @@
 	var last *Source
 	for ctx.Err() == nil {
 		addr := targets.Pick(n.now(), 1)[0]
-		last = n.followOnce(ctx, dial(ctx, addr), req, last, func(u *wire.DirectoryUpdate) bool {
+		last = n.followOnce(ctx, dial(ctx, addr), req, last, false, func(u *wire.DirectoryUpdate) bool {
 			return u.Settling && targets.Others(addr, n.now())
 		})
 		targets.Failed(addr, n.now())
@@ -63,12 +113,12 @@
 
 // followOnce follows one watch until it ends or leave says so. It returns the
 // watch that spoke last.
-func (n *Node) followOnce(ctx context.Context, conn drpc.Conn, req *wire.DirectoryWatchRequest, last *Source, leave func(*wire.DirectoryUpdate) bool) *Source {
+func (n *Node) followOnce(ctx context.Context, conn drpc.Conn, req *wire.DirectoryWatchRequest, last *Source, hold bool, leave func(*wire.DirectoryUpdate) bool) *Source {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(silentWatch, cancel)
 	defer silence.Stop()
-	src := &Source{Replaces: last, Whole: !req.LocalOnly}
+	src := &Source{Replaces: last, Whole: !req.LocalOnly, Hold: hold}
 	stream, err := wire.NewDRPCDirectoryClient(conn).Watch(ctx, n.resume(src, req))
 	if err != nil {
 		return last
--- a/directory/targets.go
+++ b/directory/targets.go
@@ -19,11 +19,13 @@
 // Ravishankar, 1998), so that many processes spread evenly and a replica that
 // is lost leaves its share to all others.
 type Targets struct {
+	id     string
 	domain string
 
 	mu      sync.Mutex
 	list    []*target
 	learned bool
+	grow    bool
 }
 
 type target struct {
@@ -36,14 +38,18 @@
 
 // NewTargets makes the order for a process of a failure domain.
 func NewTargets(id, failureDomain string, addresses []string) *Targets {
-	t := &Targets{domain: failureDomain}
+	t := &Targets{id: id, domain: failureDomain}
 	for _, a := range addresses {
-		t.list = append(t.list, &target{address: a, score: xxhash.Sum64String(id + "\x00" + a)})
+		t.list = append(t.list, newTarget(id, a))
 	}
 	t.sort()
 	return t
 }
 
+func newTarget(id, address string) *target {
+	return &target{address: address, score: xxhash.Sum64String(id + "\x00" + address)}
+}
+
 func (t *Targets) sort() {
 	slices.SortStableFunc(t.list, func(a, b *target) int {
 		return cmp.Or(-cmp.Compare(t.near(a), t.near(b)), -cmp.Compare(a.score, b.score))
@@ -64,21 +70,45 @@
 	return t.learned
 }
 
-// Learn takes the replicas' failure domains.
+// Learn takes the replicas' failure domains, and replicas that were not known.
 func (t *Targets) Learn(replicas []*wire.DirectoryReplica) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range replicas {
-		for _, x := range t.list {
-			if x.address == r.Address {
-				x.domain = r.FailureDomain
-				t.learned = true
+		i := slices.IndexFunc(t.list, func(x *target) bool { return x.address == r.Address })
+		if i < 0 {
+			if !t.grow {
+				continue
 			}
+			t.list = append(t.list, newTarget(t.id, r.Address))
+			i = len(t.list) - 1
 		}
+		t.list[i].domain = r.FailureDomain
+		t.learned = true
 	}
 	t.sort()
 }
 
+// Grow lets the order take up replicas that the settings don't name. They may be
+// replaced by others at new addresses while a process runs.
+func (t *Targets) Grow() *Targets {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.grow = true
+	return t
+}
+
+// Addresses lists the replicas.
+func (t *Targets) Addresses() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []string
+	for _, x := range t.list {
+		list = append(list, x.address)
+	}
+	return list
+}
+
 // Pick returns n addresses to use now. Replicas that did not answer lately come
 // last. The second is of another failure domain than the first, where there is
 // one: both would be lost with it.
