A gateway for callers that name a service by host and path; the thin path runs

snipereach-gateway answers callers by HTTP and calls upstreams directly: the longest prefix of the host, the team of the key, the deadline that is left, the instance that is meant; whole answers or visible failures, streams event by event, going on at another upstream after the last event.

--- a/cmd/snipereach-control/main.go
+++ b/cmd/snipereach-control/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/kernel"
+	_ "github.com/snipereach/snipereach/platform"
 )
 
 func main() {
--- a/control/api.go
+++ b/control/api.go
@@ -112,7 +112,7 @@
 }
 
 func (a *api) serve(addr string, h http.Handler) error {
-	lis, err := net.Listen("tcp", addr)
+	lis, err := transport.Listen(context.Background(), addr)
 	if err != nil {
 		return merry.Prepend(ErrStart, err.Error())
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -14,9 +14,9 @@
 	"storj.io/drpc"
 
 	"github.com/snipereach/snipereach/consensus"
-	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/wire"
 )
 
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -145,7 +145,7 @@
 
 // Start implements kernel.Daemon.
 func (d *Daemon) Start(ctx context.Context) error {
-	lis, err := net.Listen("tcp", d.settings.Listen)
+	lis, err := transport.Listen(ctx, d.settings.Listen)
 	if err != nil {
 		return merry.Prepend(ErrStart, err.Error())
 	}
--- a/control/replica.go
+++ b/control/replica.go
@@ -12,9 +12,9 @@
 	"github.com/go-kit/log"
 
 	"github.com/snipereach/snipereach/consensus"
-	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -68,7 +68,7 @@
 	// routingVersion is that of the configuration applied here; watchers read it
 	// outside the loop.
 	routingVersion atomic.Uint64
-	feed  feed
+	feed           feed
 	// proposedEpoch is the ring epoch that was proposed last, and when.
 	proposedEpoch uint64
 	proposedAt    time.Time
--- a/control/settings.go
+++ b/control/settings.go
@@ -8,8 +8,8 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/wal"
 )
 
 // Settings of a control replica: the [control] section of an entry's file, or
--- /dev/null
+++ b/direct/conn.go
@@ -0,0 +1,50 @@
+package direct
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// conn is one connection to an upstream, for one call at a time.
+type conn struct {
+	net.Conn
+	br *bufio.Reader
+	// used says that an earlier call went well on it.
+	used bool
+	// idleUntil is when the upstream may close it for being idle; zero if unknown.
+	idleUntil time.Time
+	since     time.Time
+}
+
+// quiet says whether an idle connection is still open and has nothing to read.
+//
+// Bytes that come between two calls belong to no request: a faulty upstream sends
+// an answer twice, or says 408 before it closes. Taken for the next call's answer
+// they would go to another caller. A connection that has ended would leave the
+// next call in doubt.
+func (c *conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	var one [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, rerr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		silent = errors.Is(rerr, unix.EAGAIN)
+		return true
+	})
+	return err == nil && silent
+}
--- a/directory/announcer.go
+++ b/directory/announcer.go
@@ -104,7 +104,7 @@
 func (a *Announcer) sendOne(ctx context.Context, addr string, msg *wire.Announcement) *wire.AnnounceReply {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	if !a.targets.Learned() {
+	if a.targets.wants() {
 		msg = proto.Clone(msg).(*wire.Announcement)
 		msg.AskReplicas = true
 	}
--- a/directory/targets.go
+++ b/directory/targets.go
@@ -70,6 +70,13 @@
 	return t.learned
 }
 
+// wants says whether the replicas are to be asked for.
+func (t *Targets) wants() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.grow || !t.learned
+}
+
 // Learn takes the replicas' failure domains, and replicas that were not known.
 func (t *Targets) Learn(replicas []*wire.DirectoryReplica) {
 	t.mu.Lock()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -9,10 +9,10 @@
 
 	"github.com/snipereach/snipereach/claim"
 	"github.com/snipereach/snipereach/control"
-	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/operators"
 	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wal"
 )
 
 // Settings of an entry, as its TOML file gives them.
--- /dev/null
+++ b/gateway/announce.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// announceLoop makes the gateway known to the control replicas.
+func (g *Gateway) announceLoop(ctx context.Context) {
+	announcer := directory.NewAnnouncer(g.targets, g.pool.Conn, g.now)
+	for {
+		for _, reply := range announcer.Announce(ctx, g.announcement()) {
+			g.announced(reply)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.announceNow:
+		case <-time.After(announcer.Interval(g.settings.AnnounceInterval.D(), g.settings.Lease.D())):
+		}
+	}
+}
+
+// wakeAnnouncer makes news known at once.
+func (g *Gateway) wakeAnnouncer() {
+	select {
+	case g.announceNow <- struct{}{}:
+	default:
+	}
+}
+
+func (g *Gateway) announced(reply *wire.AnnounceReply) {
+	if reply.Superseded && g.life.Supersede(reply.KnownIncarnation) {
+		kernel.Warn(g.log, "This host's clock is behind that of an earlier life. Took a higher incarnation.", "incarnation", g.life.Number())
+		g.wakeAnnouncer()
+	}
+}
+
+func (g *Gateway) announcement() *wire.Announcement {
+	phase := wire.Phase_PHASE_UP
+	if g.draining.Load() {
+		phase = wire.Phase_PHASE_LEAVING
+	}
+	return &wire.Announcement{
+		Id: g.settings.ID, Incarnation: g.life.Number(), Seq: g.seq.Add(1),
+		Role: wire.Role_ROLE_ENTRY, Phase: phase, FailureDomain: g.settings.FailureDomain,
+		Address: g.CallerAddress(), CallerAddress: g.CallerAddress(),
+		LeaseMs: uint32(g.settings.Lease.D().Milliseconds()), Listed: g.ready(),
+	}
+}
--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,251 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/snipereach/snipereach/dialect"
+	"github.com/snipereach/snipereach/direct"
+	"github.com/snipereach/snipereach/route"
+	"github.com/snipereach/snipereach/routing"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// maxAnswer bounds a whole answer that is held before it is passed on.
+const maxAnswer = 16 << 20
+
+// call is one request of a caller on its way.
+type call struct {
+	*Gateway
+	w http.ResponseWriter
+	r *http.Request
+	// ctx ends when the caller leaves or the time is over.
+	ctx      context.Context
+	route    *wire.Route
+	service  string
+	team     *wire.KeyedTeam
+	asked    dialect.Request
+	body     []byte
+	began    time.Time
+	deadline time.Time
+	history  history
+	tried    map[string]bool
+	last     outcome
+	reason   string
+	attempts []attemptNote
+	// firstEvent is the time to the first event of a stream.
+	firstEvent time.Duration
+}
+
+// attemptNote is what a log line says of one attempt.
+type attemptNote struct {
+	upstream string
+	outcome  outcome
+	status   int
+	took     time.Duration
+}
+
+// answer is a whole answer of an upstream.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	up    route.Upstream
+	req   *route.Request
+	began time.Time
+	// head is what the answer's header said, once there was one.
+	head   dialect.Answer
+	status int
+}
+
+// begin chooses an upstream for the next attempt; nil if there is none.
+func (c *call) begin() *attempt {
+	req := &route.Request{Exclude: c.tried, Tokens: c.asked.PromptTokens + c.asked.MaxTokens}
+	now := time.Now()
+	up, ok := c.fleet.pick(now, c.service, req)
+	if !ok {
+		return nil
+	}
+	return &attempt{up: up, req: req, began: now}
+}
+
+// end notes the outcome of an attempt.
+func (c *call) end(a *attempt, o outcome) {
+	now := time.Now()
+	c.fleet.done(now, c.service, a.up, a.req, a.result(o, now), a.head.Load)
+	c.history.note(o)
+	c.last = o
+	if c.tried == nil {
+		c.tried = map[string]bool{}
+	}
+	c.tried[a.up.ID] = true
+	c.attempts = append(c.attempts, attemptNote{upstream: a.up.ID, outcome: o, status: a.status, took: now.Sub(a.began)})
+}
+
+// result tells the balancer how an attempt ended.
+func (a *attempt) result(o outcome, now time.Time) route.Result {
+	res := route.Result{Elapsed: now.Sub(a.began)}
+	switch o {
+	case outcomeAnswered:
+		res.Outcome = wire.Outcome_OUTCOME_DONE
+		if a.status >= http.StatusInternalServerError {
+			res.Outcome, res.Reason = wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_UPSTREAM_FAILED
+		}
+	case outcomeNotRun:
+		res.Outcome, res.Reason = wire.Outcome_OUTCOME_NOT_RUN, wire.Reason_REASON_QUEUE_FULL
+	case outcomeMisdirected:
+		res.Outcome, res.Reason = wire.Outcome_OUTCOME_NOT_RUN, wire.Reason_REASON_UPSTREAM_LEAVING
+	case outcomeNotSent, outcomeInDoubt:
+		res.Reason = wire.Reason_REASON_UPSTREAM_FAILED
+	case outcomeCallerGone:
+		res.CallerGone = true
+	}
+	return res
+}
+
+// send calls the attempt's upstream and reads the head of its answer.
+func (c *call) send(a *attempt, lastEventID string) (*direct.Response, error) {
+	header := forwardHeader(c.r.Header)
+	c.dialect.SetSend(header, dialect.Send{
+		Left: time.Until(c.deadline), Instance: a.up.ID, Team: c.team.GetName(), LastEventID: lastEventID,
+	})
+	req := &direct.Request{Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body}
+	resp, err := c.client.Do(c.ctx, a.up.Address, req, func(status int, h http.Header) bool {
+		return c.belongs(status, h)
+	})
+	if err != nil {
+		return nil, err
+	}
+	a.head, a.status = c.dialect.ReadAnswer(resp.Status, resp.Header), resp.Status
+	return resp, nil
+}
+
+// belongs says whether an answer is one to this request.
+func (c *call) belongs(status int, h http.Header) bool {
+	return c.dialect.ReadAnswer(status, h).ID == c.asked.ID
+}
+
+// failed classifies an attempt that brought no head, or whose body broke off.
+func (c *call) failed(err error) outcome {
+	switch {
+	case errors.Is(err, direct.ErrNotSent) && c.ctx.Err() == nil:
+		return outcomeNotSent
+	case c.r.Context().Err() != nil:
+		return outcomeCallerGone
+	case c.ctx.Err() != nil:
+		return outcomeExpired
+	default:
+		return outcomeInDoubt
+	}
+}
+
+// classify says what an answer's head means for the request.
+func (a *attempt) classify(h http.Header) outcome {
+	switch {
+	case a.status == http.StatusMisdirectedRequest:
+		return outcomeMisdirected
+	case a.head.NotRun:
+		return outcomeNotRun
+	case !a.head.Signed || h.Get("Content-Encoding") != "":
+		// Not the answer of the upstream's program, or not as it gave it.
+		return outcomeInDoubt
+	default:
+		return outcomeAnswered
+	}
+}
+
+// exchange makes one attempt and reads its answer whole.
+func (c *call) exchange(a *attempt) (*answer, outcome) {
+	resp, err := c.send(a, c.asked.LastEventID)
+	if err != nil {
+		return nil, c.failed(err)
+	}
+	defer resp.Body.Close()
+	return c.readWhole(a, resp)
+}
+
+// readWhole reads an answer to its end. Half of one must never look complete, and a
+// request whose answer broke off may still be tried elsewhere.
+func (c *call) readWhole(a *attempt, resp *direct.Response) (*answer, outcome) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil || len(body) > maxAnswer {
+		if a.classify(resp.Header).ranNothing() {
+			return nil, a.classify(resp.Header)
+		}
+		return nil, c.failed(err)
+	}
+	return &answer{status: resp.Status, header: resp.Header, body: body}, a.classify(resp.Header)
+}
+
+// servePlain answers a request that has one whole answer.
+func (c *call) servePlain() {
+	var held *answer
+	for {
+		a := c.begin()
+		if a == nil {
+			c.reason = reasonNoUpstream
+			break
+		}
+		ans, o := c.exchange(a)
+		c.end(a, o)
+		if o == outcomeAnswered {
+			held = ans
+			if ans.status < http.StatusInternalServerError || !routing.Repeatable(c.route) {
+				break
+			}
+		}
+		if o == outcomeCallerGone || o == outcomeExpired || !c.retry() {
+			break
+		}
+	}
+	if held != nil {
+		c.deliver(held)
+		return
+	}
+	c.fail()
+}
+
+// retry says whether another attempt is made.
+func (c *call) retry() bool {
+	c.reason = reasonBusy
+	if !c.history.mayTry(c.route) || time.Until(c.deadline) <= 0 {
+		return false
+	}
+	// An attempt that never left is no arrival at an upstream.
+	if c.last == outcomeNotSent {
+		return true
+	}
+	if !c.budgets.take(c.service) {
+		c.reason = reasonRetryBudget
+		return false
+	}
+	return true
+}
+
+// deliver passes a whole answer on unchanged.
+func (c *call) deliver(a *answer) {
+	copyAnswerHeader(c.w.Header(), a.header)
+	c.closeIfLeaving()
+	c.w.Header().Set("Content-Length", itoa(len(a.body)))
+	c.w.WriteHeader(a.status)
+	_, err := c.w.Write(a.body)
+	c.done(a.status, "", err)
+}
+
+// fail ends a request that was not answered.
+func (c *call) fail() {
+	if c.last == outcomeCallerGone {
+		c.done(0, "caller-gone", nil)
+		return
+	}
+	f := c.history.failure(c.last, c.reason)
+	c.refuse(c.w, f)
+	c.done(f.status, f.reason, nil)
+}
--- /dev/null
+++ b/gateway/follow.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/routing"
+	"github.com/snipereach/snipereach/wire"
+)
+
+const (
+	// followPoll is how often the list of replicas is looked at.
+	followPoll = 500 * time.Millisecond
+	// rewatch is the pause before a watch that has ended is opened again.
+	rewatch = 150 * time.Millisecond
+	// silentRouting is how long a watch may say nothing: a replica speaks every half
+	// second, and behind a silent cut a connection doesn't break.
+	silentRouting = 2 * time.Second
+	// fetchTimeout bounds one fetch of a configuration.
+	fetchTimeout = 1500 * time.Millisecond
+	// staleReplica is the age beyond which a replica's word isn't enough for a
+	// gateway that has just started: a newer version may be in force.
+	staleReplica = 1500 * time.Millisecond
+	// firstPatience is how long such a gateway waits for a replica that is current
+	// before it serves what an older one knows.
+	firstPatience = 3 * time.Second
+)
+
+// followRouting watches the version at each replica, and fetches a configuration
+// from the first that has a higher one. A replica on the far side of a partition
+// knows no news, so one watch is not enough.
+func (g *Gateway) followRouting(ctx context.Context) {
+	started := g.now()
+	cancels := map[string]context.CancelFunc{}
+	for ctx.Err() == nil {
+		now := g.targets.Addresses()
+		for _, addr := range now {
+			if cancels[addr] != nil {
+				continue
+			}
+			var one context.Context
+			one, cancels[addr] = context.WithCancel(ctx)
+			go g.watchRouting(one, addr, started)
+		}
+		for addr, cancel := range cancels {
+			if !slices.Contains(now, addr) {
+				cancel()
+				delete(cancels, addr)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(followPoll):
+		}
+	}
+	for _, cancel := range cancels {
+		cancel()
+	}
+}
+
+func (g *Gateway) watchRouting(ctx context.Context, addr string, started time.Time) {
+	for ctx.Err() == nil {
+		if err := g.watchRoutingOnce(ctx, addr, started); err != nil && ctx.Err() == nil {
+			kernel.Debug(g.log, "Routing watch ended.", "replica", addr, "err", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(rewatch):
+		}
+	}
+}
+
+func (g *Gateway) watchRoutingOnce(ctx context.Context, addr string, started time.Time) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(silentRouting, cancel)
+	defer silence.Stop()
+	client := wire.NewDRPCRoutingClient(g.pool.Conn(ctx, addr))
+	stream, err := client.Watch(ctx, &wire.WatchRoutingRequest{Watcher: g.settings.ID})
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		v, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		silence.Reset(silentRouting)
+		if !g.wantsVersion(v, started) {
+			continue
+		}
+		if err := g.fetchRouting(ctx, addr); err != nil {
+			return err
+		}
+	}
+}
+
+// wantsVersion says whether a replica's configuration is to be fetched. The first
+// one must be current: an entry that has just started would otherwise bring back
+// what others have long replaced.
+func (g *Gateway) wantsVersion(v *wire.RoutingVersion, started time.Time) bool {
+	if t := g.table.Load(); t != nil {
+		return v.Version > t.Config.Version
+	}
+	if v.Version == 0 {
+		return false
+	}
+	current := time.Duration(v.ConfirmedAgeMs)*time.Millisecond < staleReplica
+	return current || g.now().Sub(started) > firstPatience
+}
+
+func (g *Gateway) fetchRouting(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	c, err := wire.NewDRPCRoutingClient(g.pool.Conn(ctx, addr)).Fetch(ctx, &wire.GetRoutingRequest{})
+	if err != nil {
+		return err
+	}
+	g.takeRouting(c, addr)
+	return nil
+}
+
+// takeRouting brings a configuration into force unless a higher one is.
+func (g *Gateway) takeRouting(c *wire.RoutingConfig, from string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old := g.table.Load()
+	if old != nil && old.Config.Version >= c.Version {
+		return
+	}
+	g.table.Store(routing.NewTable(c))
+	kernel.Info(g.log, "Routing configuration in force.", "version", c.Version, "from", from, "routes", len(c.Routes), "teams", len(c.Teams))
+	if old == nil {
+		g.wakeAnnouncer()
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,328 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-kit/log"
+
+	"github.com/snipereach/snipereach/dialect"
+	"github.com/snipereach/snipereach/direct"
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/routing"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
+)
+
+const (
+	// dialUpstream bounds the opening of a connection to an upstream, beside the
+	// request's own time: one in the same region answers in milliseconds, and a
+	// lost packet is sent again after a second.
+	dialUpstream = 1200 * time.Millisecond
+	// headTimeout and idleTimeout bound a caller's connection. Callers keep idle
+	// connections for up to the configuration's limit, which is shorter.
+	headTimeout = 10 * time.Second
+	idleTimeout = 30 * time.Second
+	// defaultHeaderBytes and defaultBodyBytes hold until a configuration says more.
+	defaultHeaderBytes = 64 << 10
+	defaultBodyBytes   = 4 << 20
+	// retryNoConfig is what a caller is told to wait that comes before the first
+	// configuration.
+	retryNoConfig = 300 * time.Millisecond
+	// retryBusy is what a caller is told to wait when no upstream can take its
+	// request.
+	retryBusy = 500 * time.Millisecond
+)
+
+// Gateway answers callers. It implements kernel.Daemon.
+type Gateway struct {
+	settings *Settings
+	log      log.Logger
+	dialect  dialect.Dialect
+	now      func() time.Time
+	certs    *transport.Certificates
+	pool     *transport.Pool
+	client   *direct.Client
+	node     *directory.Node
+	targets  *directory.Targets
+	life     *directory.Life
+	fleet    *fleet
+	budgets  *budgets
+	requests *requestLog
+	dumps    kernel.Dumps
+
+	table    atomic.Pointer[routing.Table]
+	draining atomic.Bool
+	active   atomic.Int64
+	// lastCame is when the last request came, in nanoseconds of now.
+	lastCame    atomic.Int64
+	announceNow chan struct{}
+	seq         atomic.Uint64
+
+	mu      sync.Mutex
+	callers net.Listener
+	servers []*http.Server
+	cancel  context.CancelFunc
+}
+
+// New makes a gateway from checked settings.
+func New(s *Settings, l log.Logger) (*Gateway, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	d, err := dialect.Named(s.Dialect)
+	if err != nil {
+		return nil, err
+	}
+	sec, certs, err := transport.NewSecurity(s.ClusterSecret, s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	now := kernel.BootClock()
+	g := &Gateway{
+		settings: s, log: kernel.PartLog(l, "gateway"), dialect: d, now: now, certs: certs,
+		pool:   transport.NewPool(sec),
+		client: direct.NewClient(transport.NewDialer(dialUpstream).DialContext),
+		life:   directory.NewLife(s.ID, now()), fleet: newFleet(s),
+		targets:     directory.NewTargets(s.ID, s.FailureDomain, s.Replicas).Grow(),
+		announceNow: make(chan struct{}, 1),
+	}
+	g.requests = newRequestLog(g.log, now)
+	g.node = directory.NewNode(directorySettings(), now, g.directoryChanged)
+	g.budgets = newBudgets(s.Retries, g.entries, now)
+	g.dumps.Add("directory", g.node.Dump)
+	g.dumps.Add("gateway", g.dump)
+	return g, nil
+}
+
+// directorySettings lets a gateway go on with the upstreams that it knows while
+// no control replica is heard.
+func directorySettings() directory.Settings {
+	s := directory.DefaultSettings()
+	s.SilentHold = 10 * time.Minute
+	return s
+}
+
+// Start implements kernel.Daemon.
+func (g *Gateway) Start(ctx context.Context) error {
+	ctx, g.cancel = context.WithCancel(ctx)
+	var err error
+	if g.callers, err = transport.Listen(ctx, g.settings.Listen); err != nil {
+		return merry.Prepend(ErrStart, err.Error())
+	}
+	ready, err := transport.Listen(ctx, g.settings.Ready)
+	if err != nil {
+		return merry.Prepend(ErrStart, err.Error())
+	}
+	g.serve(g.callers, g)
+	g.serve(ready, g.readiness())
+	if err := g.startMetrics(ctx); err != nil {
+		return err
+	}
+	go g.node.Run(ctx)
+	g.node.FollowEach(ctx, g.targets.Addresses, g.pool.Conn, &wire.DirectoryWatchRequest{Watcher: g.settings.ID, LocalOnly: true}, true)
+	go g.followRouting(ctx)
+	go g.announceLoop(ctx)
+	kernel.Info(g.log, "Started.", "id", g.settings.ID, "failure_domain", g.settings.FailureDomain, "addr", g.callers.Addr(), "version", kernel.Version)
+	return nil
+}
+
+func (g *Gateway) serve(lis net.Listener, h http.Handler) {
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: defaultHeaderBytes, ErrorLog: nil,
+	}
+	g.mu.Lock()
+	g.servers = append(g.servers, srv)
+	g.mu.Unlock()
+	go func() {
+		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+			kernel.Warn(g.log, "No longer listening.", "addr", lis.Addr(), "err", err)
+		}
+	}()
+}
+
+// CallerAddress is where callers connect.
+func (g *Gateway) CallerAddress() string { return g.callers.Addr().String() }
+
+// ready says whether callers may come.
+func (g *Gateway) ready() bool { return g.table.Load() != nil && !g.draining.Load() }
+
+func (g *Gateway) readiness() http.Handler {
+	call := g.dialect.Calls().Ready
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path != call.Path || r.Method != call.Method:
+			w.WriteHeader(http.StatusNotFound)
+		case !g.ready():
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			w.WriteHeader(http.StatusOK)
+		}
+	})
+}
+
+// entries is how many entries are up, this one too.
+func (g *Gateway) entries() int {
+	return max(len(g.node.Instances(wire.Role_ROLE_ENTRY)), 1)
+}
+
+// directoryChanged takes what the directory knows of upstreams.
+func (g *Gateway) directoryChanged() {
+	if err := g.fleet.update(time.Now(), g.node.Instances(wire.Role_ROLE_UPSTREAM)); err != nil {
+		kernel.Warn(g.log, "Upstreams can't be taken up.", "err", err)
+	}
+	g.client.Forget(g.fleet.addresses())
+}
+
+// ServeHTTP answers one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	began := time.Now()
+	g.lastCame.Store(int64(g.now().UnixNano()))
+	c, f := g.admit(w, r, began)
+	if f != nil {
+		g.refuse(w, *f)
+		c.done(f.status, f.reason, nil)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	g.budgets.offer(c.service)
+	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
+		c.serveStream()
+		return
+	}
+	c.servePlain()
+}
+
+// admit finds the route and the team of a request and reads its body.
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, began time.Time) (*call, *refusal) {
+	c := &call{Gateway: g, w: w, r: r, began: began}
+	t := g.table.Load()
+	if t == nil {
+		return c, &refusal{status: http.StatusServiceUnavailable, reason: reasonNoConfig}
+	}
+	var err error
+	if c.asked, err = g.dialect.ReadRequest(r.Header); err != nil || !strings.HasPrefix(r.RequestURI, "/") {
+		return c, &refusal{status: http.StatusBadRequest, reason: reasonBadRequest}
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if c.route = t.Match(r.Host, path); c.route == nil {
+		return c, &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
+	}
+	if t.NeedsKey(c.route) {
+		if c.team = t.TeamOf(c.asked.Key); c.team == nil {
+			return c, &refusal{status: http.StatusUnauthorized, reason: reasonKey}
+		}
+	}
+	c.service = routing.Choose(c.route, rand.Float64())
+	c.deadline = began.Add(time.Duration(c.route.TimeoutMs) * time.Millisecond)
+	if c.asked.Deadline > 0 && began.Add(c.asked.Deadline).Before(c.deadline) {
+		c.deadline = began.Add(c.asked.Deadline)
+	}
+	return c, c.readBody(t)
+}
+
+// readBody reads the body whole, so that a request may be sent a second time and
+// no upstream waits for a slow caller.
+func (c *call) readBody(t *routing.Table) *refusal {
+	limit := int64(t.Config.Limits.GetBodyBytes())
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
+	case err != nil:
+		return &refusal{status: http.StatusBadRequest, reason: reasonBadRequest, detail: err.Error()}
+	}
+	c.body = body
+	return nil
+}
+
+// refuse answers for the gateway itself.
+func (g *Gateway) refuse(w http.ResponseWriter, f refusal) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if f.status == http.StatusServiceUnavailable {
+		wait := retryBusy
+		if f.reason == reasonNoConfig {
+			wait = retryNoConfig
+		}
+		h.Set("Retry-After", seconds(wait))
+	}
+	if g.draining.Load() {
+		h.Set("Connection", "close")
+	}
+	w.WriteHeader(f.status)
+	// A caller that doesn't read the refusal has left; there is nothing else to do.
+	_, _ = w.Write(g.dialect.EncodeError(f.reason))
+}
+
+// closeIfLeaving tells the caller to open its next connection elsewhere.
+func (c *call) closeIfLeaving() {
+	if c.draining.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
+// startMetrics serves metrics and the state dump.
+func (g *Gateway) startMetrics(ctx context.Context) error {
+	if g.settings.Metrics == "" {
+		return nil
+	}
+	lis, err := transport.Listen(ctx, g.settings.Metrics)
+	if err != nil {
+		return merry.Prepend(ErrStart, err.Error())
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/debug/state", &g.dumps)
+	g.serve(lis, mux)
+	return nil
+}
+
+func (g *Gateway) dump() any {
+	version := uint64(0)
+	if t := g.table.Load(); t != nil {
+		version = t.Config.Version
+	}
+	return struct {
+		Ready    bool     `json:"ready"`
+		Draining bool     `json:"draining"`
+		Version  uint64   `json:"routing_version"`
+		Active   int64    `json:"active"`
+		Opened   uint64   `json:"connections_opened"`
+		Replicas []string `json:"replicas"`
+	}{g.ready(), g.draining.Load(), version, g.active.Load(), g.client.Opened(), g.targets.Addresses()}
+}
+
+// Stop implements kernel.Daemon.
+func (g *Gateway) Stop() int {
+	if g.cancel != nil {
+		g.cancel()
+	}
+	cut := int(g.active.Load())
+	g.mu.Lock()
+	for _, s := range g.servers {
+		_ = s.Close()
+	}
+	g.mu.Unlock()
+	g.client.Close()
+	g.pool.Close()
+	return cut
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/transport"
+)
+
+// Errors of this layer.
+var (
+	// ErrStart is returned when the daemon can't come up.
+	ErrStart = merry.Sentinel("gateway can't start")
+)
+
+// Settings are those of snipereach-gateway.
+type Settings struct {
+	ID            string                `toml:"id"`
+	FailureDomain string                `toml:"failure_domain"`
+	ClusterSecret string                `toml:"cluster_secret"`
+	TLS           transport.TLSSettings `toml:"tls"`
+	// Listen is the address for callers; Ready answers whether they may come.
+	Listen string `toml:"listen"`
+	Ready  string `toml:"ready_listen"`
+	// Metrics is the address of metrics and the state dump; empty is off.
+	Metrics string `toml:"metrics_listen"`
+	// Dialect names the plug-in that knows the callers' and upstreams' names.
+	Dialect string `toml:"dialect"`
+	// Replicas are control replicas to ask first, by any address of their hosts if
+	// PeerPort is set.
+	Replicas []string `toml:"replicas"`
+	PeerPort int      `toml:"peer_port"`
+	// AnnounceInterval and Lease are how the gateway makes itself known.
+	AnnounceInterval kernel.Duration `toml:"announce_interval"`
+	Lease            kernel.Duration `toml:"lease"`
+	// Keep is how long callers may keep the list of entries.
+	Keep kernel.Duration `toml:"keep"`
+	// StopLimit is the time between the signal to stop and the end by force.
+	StopLimit kernel.Duration `toml:"stop_limit"`
+	Retries   RetrySettings   `toml:"retries"`
+}
+
+// RetrySettings is the [retries] section: how many second attempts all entries
+// together may make at one service.
+type RetrySettings struct {
+	// Ratio is second attempts for each request.
+	Ratio float64 `toml:"ratio"`
+	// Slack is how many more there may be in one window, over all entries.
+	Slack  float64         `toml:"slack"`
+	Window kernel.Duration `toml:"window"`
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() *Settings {
+	return &Settings{
+		Listen:           "127.0.0.1:0",
+		Ready:            "127.0.0.1:0",
+		AnnounceInterval: kernel.Duration(time.Second),
+		Lease:            kernel.Duration(3 * time.Second),
+		Keep:             kernel.Duration(2 * time.Second),
+		StopLimit:        kernel.Duration(8 * time.Second),
+		Retries:          RetrySettings{Ratio: 0.1, Slack: 10, Window: kernel.Duration(10 * time.Second)},
+	}
+}
+
+// SetDefaults implements kernel.Defaulter.
+func (s *Settings) SetDefaults() {
+	if s.PeerPort == 0 {
+		return
+	}
+	for i, r := range s.Replicas {
+		if host, _, err := net.SplitHostPort(r); err == nil {
+			s.Replicas[i] = net.JoinHostPort(host, strconv.Itoa(s.PeerPort))
+		}
+	}
+}
+
+// Check names the first key that is wrong.
+func (s *Settings) Check() error {
+	bad := func(key, detail string) error {
+		return merry.Prependf(kernel.ErrSettings, "key %q: %s", key, detail)
+	}
+	switch {
+	case s.ID == "":
+		return bad("id", "must not be empty")
+	case s.FailureDomain == "":
+		return bad("failure_domain", "must not be empty")
+	case s.Dialect == "":
+		return bad("dialect", "must not be empty")
+	case len(s.Replicas) == 0:
+		return bad("replicas", "must name at least one control replica")
+	case s.PeerPort < 0 || s.PeerPort > 65535:
+		return bad("peer_port", "must be a port")
+	case s.AnnounceInterval <= 0 || s.Lease < 2*s.AnnounceInterval:
+		return bad("lease", "must be at least twice announce_interval")
+	case s.StopLimit <= 0:
+		return bad("stop_limit", "must be positive")
+	case s.Retries.Ratio < 0 || s.Retries.Slack < 0 || s.Retries.Window <= 0:
+		return bad("retries", "must not be negative, and the window must be positive")
+	}
+	for key, addr := range map[string]string{"listen": s.Listen, "ready_listen": s.Ready} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return bad(key, err.Error())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/snipereach/snipereach/direct"
+)
+
+// stream is the state of one answer that is passed on event by event.
+type stream struct {
+	*call
+	// started says that the head of the answer has left.
+	started bool
+	// lastID is the ID of the last event that has left, or where the caller wants
+	// to go on.
+	lastID string
+	events int
+}
+
+// serveStream answers a request with a stream of events. It may go on at another
+// upstream inside one answer, after the last event that was passed on.
+func (c *call) serveStream() {
+	s := &stream{call: c, lastID: c.asked.LastEventID}
+	for {
+		a := c.begin()
+		if a == nil {
+			c.reason = reasonNoUpstream
+			break
+		}
+		held, o := s.run(a)
+		c.end(a, o)
+		if o == outcomeAnswered {
+			s.finish(held)
+			return
+		}
+		if o == outcomeCallerGone || o == outcomeExpired || !c.retry() {
+			break
+		}
+	}
+	if s.started {
+		s.breakOff()
+		return
+	}
+	c.fail()
+}
+
+// run makes one attempt. An answer that is no stream is returned whole.
+func (s *stream) run(a *attempt) (*answer, outcome) {
+	resp, err := s.send(a, s.lastID)
+	if err != nil {
+		return nil, s.failed(err)
+	}
+	defer resp.Body.Close()
+	if o := a.classify(resp.Header); o != outcomeAnswered {
+		return nil, o
+	}
+	if resp.Status != http.StatusOK {
+		ans, o := s.readWhole(a, resp)
+		if s.started && o == outcomeAnswered {
+			// The head of a stream has left; a failure can't follow it.
+			return nil, outcomeInDoubt
+		}
+		return ans, o
+	}
+	return nil, s.forward(resp)
+}
+
+// forward passes on events as they come. It returns outcomeAnswered only if the
+// stream came to its own end.
+func (s *stream) forward(resp *direct.Response) outcome {
+	events := direct.NewEvents(resp.Body)
+	for {
+		ev, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			if !s.started {
+				s.start(resp)
+			}
+			return outcomeAnswered
+		}
+		if err != nil {
+			return s.failed(err)
+		}
+		if !s.follows(ev) {
+			return outcomeInDoubt
+		}
+		if !s.started {
+			s.start(resp)
+		}
+		if !s.pass(ev) {
+			return outcomeCallerGone
+		}
+	}
+}
+
+// follows says whether an event may come after the last one that was passed on.
+// IDs grow by one where they are numbers: after a resumption an upstream that
+// began again, or further on, would double or drop a piece.
+func (s *stream) follows(ev direct.Event) bool {
+	if ev.ID == "" || s.lastID == "" {
+		return true
+	}
+	id, err := strconv.ParseInt(ev.ID, 10, 64)
+	last, lastErr := strconv.ParseInt(s.lastID, 10, 64)
+	if err != nil || lastErr != nil {
+		return true
+	}
+	return id == last+1
+}
+
+// start sends the head of the first upstream's answer.
+func (s *stream) start(resp *direct.Response) {
+	copyAnswerHeader(s.w.Header(), resp.Header)
+	s.closeIfLeaving()
+	// The length isn't known: another upstream may go on with the stream.
+	s.w.Header().Del("Content-Length")
+	s.w.WriteHeader(resp.Status)
+	s.started = true
+	s.firstEvent = time.Since(s.began)
+}
+
+func (s *stream) pass(ev direct.Event) bool {
+	if _, err := s.w.Write(ev.Raw); err != nil {
+		return false
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		return false
+	}
+	if ev.ID != "" {
+		s.lastID = ev.ID
+	}
+	s.events++
+	return true
+}
+
+// finish ends an answer that is complete.
+func (s *stream) finish(held *answer) {
+	if held != nil {
+		s.deliver(held)
+		return
+	}
+	s.done(http.StatusOK, "", nil)
+}
+
+// breakOff ends an answer that is not complete so that the caller sees it: the
+// connection is closed before the body's end.
+func (s *stream) breakOff() {
+	if s.last == outcomeCallerGone {
+		s.done(http.StatusOK, "caller-gone", nil)
+	} else {
+		s.done(http.StatusOK, reasonBrokenOff, nil)
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/kernel/run.go
+++ b/kernel/run.go
@@ -81,7 +81,7 @@
 		fmt.Fprintln(stderr, p.Name+": "+err.Error())
 		return ExitSettings
 	}
-	l := NewLog(stderr, opts.Log)
+	l := NewLog(stdout, opts.Log)
 	d, stopLimit, err := p.Build(settings, l)
 	if err != nil {
 		fmt.Fprintln(stderr, p.Name+": "+opts.Config+": "+err.Error())
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -184,7 +184,7 @@
 	}
 	return &Pool{
 		sec:     sec,
-		dialNet: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		dialNet: NewDialer(dialTimeout).DialContext,
 		pool:    drpcpool.New[string, drpcpool.Conn](opts),
 		calls:   drpcpool.New[string, drpcpool.Conn](opts),
 	}
