Expert maps of groups in lock-step follow what requests choose

Package lockstep estimates demand from the ranks' counters, plans a better map by local search and switches the group: prepare, hold, arm, release, so that no step begins with two maps though orders are lost, late or doubled. The leader drives it through a sidecar beside each rank, where counts and orders are free.

--- a/control/control.go
+++ b/control/control.go
@@ -50,8 +50,9 @@
 	log      log.Logger
 	pool     *transport.Pool
 
-	entries func() []*wire.RingMember
-	groups  *groupLeader
+	entries  func() []*wire.RingMember
+	groups   *groupLeader
+	lockstep *lockstepLeader
 
 	mu       sync.Mutex
 	identity *wire.Identity
@@ -68,7 +69,9 @@
 	s.Now = s.clock()
 	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool}
 	c.groups = newGroupLeader(s, kernel.PartLog(l, "groups"), pool)
-	return c, nil
+	var err error
+	c.lockstep, err = newLockstepLeader(s, l, pool)
+	return c, err
 }
 
 // SetEntries tells where a leader learns which entries are up. It is called
@@ -77,7 +80,12 @@
 
 // SetUpstreams tells where a leader learns which ranks of groups are up. It is
 // called before Start; without it no group is looked after.
-func (c *Control) SetUpstreams(f func() []*wire.Announcement) { c.groups.upstreams = f }
+func (c *Control) SetUpstreams(f func() []*wire.Announcement) {
+	c.groups.upstreams = f
+	if c.lockstep != nil {
+		c.lockstep.upstreams = f
+	}
+}
 
 // Register adds the Raft and Control services to a server.
 func (c *Control) Register(mux drpc.Mux) error {
@@ -174,6 +182,9 @@
 	c.replica = r
 	go c.keepJoined(ctx, r)
 	go c.groups.run(ctx, r)
+	if c.lockstep != nil {
+		go c.lockstep.run(ctx, r)
+	}
 	go c.reopenOnFailure(ctx, r)
 	return nil
 }
--- /dev/null
+++ b/control/lockstep.go
@@ -0,0 +1,189 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/snipereach/snipereach/dialect"
+	"github.com/snipereach/snipereach/direct"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
+)
+
+const (
+	// lockstepTick is how often the leader looks after its groups, and
+	// lockstepIdleTick how often another replica looks whether it leads.
+	lockstepTick     = 25 * time.Millisecond
+	lockstepIdleTick = 200 * time.Millisecond
+	// lockstepLease is the prefix of these groups among leases.
+	lockstepLease = "lockstep/"
+	// dialRank bounds the opening of a connection to a rank.
+	dialRank = 500 * time.Millisecond
+)
+
+// lockstepLeader looks after the groups whose ranks are called directly, while its
+// replica leads.
+type lockstepLeader struct {
+	settings  *LockstepSettings
+	clock     func() time.Time
+	log       log.Logger
+	pool      *transport.Pool
+	ranks     dialect.Ranks
+	client    *direct.Client
+	upstreams func() []*wire.Announcement
+
+	mu     sync.Mutex
+	groups map[string]*lockstepGroup
+}
+
+func newLockstepLeader(s Settings, l log.Logger, pool *transport.Pool) (*lockstepLeader, error) {
+	if s.Lockstep == nil {
+		return nil, nil
+	}
+	d, err := dialect.Named(s.Lockstep.Dialect)
+	if err != nil {
+		return nil, err
+	}
+	return &lockstepLeader{
+		settings: s.Lockstep, clock: s.Now, log: kernel.PartLog(l, "lockstep"), pool: pool, ranks: d,
+		client: direct.NewClient(transport.NewDialer(dialRank).DialContext), groups: map[string]*lockstepGroup{},
+	}, nil
+}
+
+// lockstepNow is what the log says at one moment.
+type lockstepNow struct {
+	leads  bool
+	config *wire.RoutingConfig
+	tokens map[string]uint64
+}
+
+func (r *Replica) lockstepNow(ctx context.Context, groups []string) lockstepNow {
+	n := lockstepNow{tokens: map[string]uint64{}}
+	_ = r.do(ctx, func() {
+		n.leads = r.failed == nil && r.takesCalls()
+		n.config = r.machine.routing.Current()
+		for _, name := range groups {
+			n.tokens[name] = r.machine.fence.Token(lockstepLease + name)
+		}
+	})
+	return n
+}
+
+// run looks after the groups until the replica stops.
+func (l *lockstepLeader) run(ctx context.Context, r *Replica) {
+	for {
+		wait := lockstepIdleTick
+		if l.tick(ctx, r) {
+			wait = lockstepTick
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.done:
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+// tick does what is due; it returns whether this replica leads.
+func (l *lockstepLeader) tick(ctx context.Context, r *Replica) bool {
+	found := directGroups(l.upstreams())
+	names := make([]string, 0, len(found))
+	for name := range found {
+		names = append(names, name)
+	}
+	n := r.lockstepNow(ctx, names)
+	if !n.leads {
+		l.drop()
+		return false
+	}
+	for name, g := range found {
+		l.tickGroup(ctx, r, name, g, n)
+	}
+	return true
+}
+
+func (l *lockstepLeader) tickGroup(ctx context.Context, r *Replica, name string, found directGroup, n lockstepNow) {
+	profile := profileOf(n.config, found.service)
+	if profile.GetSets() == 0 {
+		return
+	}
+	l.mu.Lock()
+	g := l.groups[name]
+	l.mu.Unlock()
+	if g == nil || g.token != n.tokens[name] {
+		token, err := r.takeLease(ctx, lockstepLease+name)
+		if err != nil {
+			kernel.Debug(l.log, "Group can't be led yet.", "group", name, "err", err)
+			return
+		}
+		g = newLockstepGroup(l, name, token)
+		l.mu.Lock()
+		l.groups[name] = g
+		l.mu.Unlock()
+		kernel.Info(l.log, "Leads a group.", "group", name, "token", token)
+	}
+	g.tick(ctx, l.clock(), found, profile)
+}
+
+// drop forgets all groups: this replica doesn't lead. Orders that are on their way
+// carry a fencing token that the next leader's replaces.
+func (l *lockstepLeader) drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.groups)
+}
+
+// directGroup is a group as its ranks have registered.
+type directGroup struct {
+	service string
+	epoch   uint64
+	size    int
+	broken  bool
+	ranks   map[int]*wire.Announcement
+}
+
+// directGroups sorts the ranks that are called directly by group. What the latest
+// epoch says holds.
+func directGroups(list []*wire.Announcement) map[string]directGroup {
+	groups := map[string]directGroup{}
+	for _, a := range list {
+		if a.Group == "" || a.Direct == nil || len(a.Pools) == 0 {
+			continue
+		}
+		g, ok := groups[a.Group]
+		if !ok {
+			g = directGroup{service: a.Pools[0], ranks: map[int]*wire.Announcement{}}
+		}
+		if a.Direct.GroupEpoch > g.epoch {
+			g.epoch, g.broken = a.Direct.GroupEpoch, false
+		}
+		if a.Direct.GroupEpoch == g.epoch {
+			g.broken = g.broken || a.Direct.GroupBroken
+		}
+		g.size = max(g.size, int(a.Direct.GroupSize))
+		if old := g.ranks[int(a.Rank)]; old == nil || a.Direct.GroupEpoch >= old.Direct.GroupEpoch {
+			g.ranks[int(a.Rank)] = a
+		}
+		groups[a.Group] = g
+	}
+	return groups
+}
+
+// whole says whether every rank is known.
+func (g *directGroup) whole() bool { return g.size > 0 && len(g.ranks) == g.size }
+
+func profileOf(c *wire.RoutingConfig, service string) *wire.EngineProfile {
+	for _, s := range c.GetServices() {
+		if s.Name == service {
+			return s.Engine
+		}
+	}
+	return nil
+}
+
--- /dev/null
+++ b/control/lockstepgroup.go
@@ -0,0 +1,274 @@
+package control
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/lockstep"
+	"github.com/snipereach/snipereach/sidecar"
+	"github.com/snipereach/snipereach/wire"
+)
+
+const (
+	// readTimeout and orderTimeout bound one call to a rank.
+	readTimeout  = 400 * time.Millisecond
+	orderTimeout = 250 * time.Millisecond
+	// busyReadPeriod is the time between two readings of a rank's state during a
+	// switch: a group may be held meanwhile.
+	busyReadPeriod = 60 * time.Millisecond
+	// sidecarRest is how long a sidecar that did not answer isn't called; the rank is
+	// called directly meanwhile.
+	sidecarRest = 2 * time.Second
+	// replanPeriod is the least time between two plans.
+	replanPeriod = 300 * time.Millisecond
+)
+
+// lockstepGroup leads one group under one fencing token: it gives a Switcher sockets
+// and a clock, and plans from what the ranks counted.
+type lockstepGroup struct {
+	*lockstepLeader
+	name  string
+	token uint64
+
+	mu       sync.Mutex
+	epoch    uint64
+	shape    lockstep.Shape
+	links    []*rankLink
+	switcher *lockstep.Switcher
+	demand   *lockstep.Demand
+	planned  time.Time
+	planning bool
+	phase    lockstep.Phase
+	proposal lockstep.Proposal
+	began    time.Time
+}
+
+// rankLink is the way to one rank.
+type rankLink struct {
+	instance string
+	address  string
+	reading  bool
+	readAt   time.Time
+	// restUntil is when its sidecar is called again.
+	restUntil time.Time
+	held      []*wire.ExpertList
+	heldMap   uint64
+}
+
+func newLockstepGroup(l *lockstepLeader, name string, token uint64) *lockstepGroup {
+	return &lockstepGroup{lockstepLeader: l, name: name, token: token}
+}
+
+// tick takes what the directory says and does what is due.
+func (g *lockstepGroup) tick(ctx context.Context, now time.Time, found directGroup, profile *wire.EngineProfile) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !found.whole() || found.broken {
+		return
+	}
+	shape := lockstep.ShapeOf(profile, found.size)
+	if !shape.Valid() {
+		return
+	}
+	g.follow(found, shape)
+	g.read(ctx, now)
+	for _, o := range g.switcher.Tick(now) {
+		g.send(ctx, o)
+	}
+	g.logPhase(now)
+	g.plan(ctx, now)
+}
+
+// follow begins anew when the group has formed again or has another shape, and goes
+// along with ranks that have started again.
+func (g *lockstepGroup) follow(found directGroup, shape lockstep.Shape) {
+	if g.switcher == nil || found.epoch > g.epoch || shape != g.shape {
+		g.reset(found.epoch, shape)
+	}
+	for i, link := range g.links {
+		a := found.ranks[i]
+		if a == nil {
+			continue
+		}
+		if link.instance != a.Id {
+			*link = rankLink{instance: a.Id, address: a.Address}
+		}
+		link.address = a.Address
+	}
+}
+
+func (g *lockstepGroup) reset(epoch uint64, shape lockstep.Shape) {
+	g.epoch, g.shape = epoch, shape
+	g.switcher = lockstep.New(lockstep.DefaultConfig(shape.Ranks, g.token, epoch))
+	if g.demand == nil || len(g.links) != shape.Ranks {
+		// Demand outlives a group that forms again: callers ask for the same.
+		g.demand = lockstep.NewDemand(lockstep.DefaultDemandSettings(), shape)
+	}
+	g.links = make([]*rankLink, shape.Ranks)
+	for i := range g.links {
+		g.links[i] = &rankLink{}
+	}
+	g.phase = lockstep.Idle
+	kernel.Info(g.log, "Group formed.", "group", g.name, "epoch", epoch, "ranks", shape.Ranks, "token", g.token)
+}
+
+// read asks the ranks that are due.
+func (g *lockstepGroup) read(ctx context.Context, now time.Time) {
+	busy := g.switcher.Phase() != lockstep.Idle
+	period := g.settings.ReadPeriod.D()
+	if busy {
+		period = busyReadPeriod
+	}
+	for i, link := range g.links {
+		if link.instance == "" || link.reading || now.Sub(link.readAt) < period {
+			continue
+		}
+		link.reading, link.readAt = true, now
+		req := &wire.ReadRankRequest{Instance: link.instance, Counts: !busy, HeldExperts: g.switcher.Current() == nil}
+		go g.readOne(ctx, i, link, req, g.epoch)
+	}
+}
+
+func (g *lockstepGroup) readOne(ctx context.Context, i int, link *rankLink, req *wire.ReadRankRequest, epoch uint64) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	at := g.clock()
+	reading, err := callRank(g, link, func(c wire.DRPCSidecarClient) (*wire.RankReading, error) { return c.Read(ctx, req) },
+		func(r *sidecar.Rank) (*wire.RankReading, error) {
+			// From another host counts cost the group a pause.
+			return r.Read(ctx, &wire.ReadRankRequest{Instance: req.Instance, HeldExperts: req.HeldExperts})
+		})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	link.reading = false
+	if err != nil || g.epoch != epoch || link.instance != req.Instance {
+		return
+	}
+	g.take(at, i, link, req, reading)
+}
+
+func (g *lockstepGroup) take(at time.Time, i int, link *rankLink, req *wire.ReadRankRequest, reading *wire.RankReading) {
+	if reading.Epoch != 0 && reading.Epoch != g.epoch {
+		// The group has formed again; the directory will say so soon.
+		return
+	}
+	g.switcher.Heard(at, i, link.instance, reading.Report)
+	if reading.Counts != nil {
+		g.demand.Observe(g.clock(), i, link.instance, reading.Counts)
+	}
+	if req.HeldExperts && reading.Held != nil {
+		link.held, link.heldMap = reading.Held, reading.Report.Map
+		g.joinHeld()
+	}
+}
+
+// joinHeld makes the map in force out of what all ranks hold.
+func (g *lockstepGroup) joinHeld() {
+	if g.switcher.Current() != nil {
+		return
+	}
+	m := make(lockstep.Map, g.shape.Sets)
+	for _, link := range g.links {
+		if len(link.held) != g.shape.Sets || link.heldMap != g.links[0].heldMap {
+			return
+		}
+		for set, list := range link.held {
+			m[set] = append(m[set], list.Experts)
+		}
+	}
+	if err := m.Check(g.shape); err != nil {
+		kernel.Warn(g.log, "The ranks' map can't be read.", "group", g.name, "err", err)
+		return
+	}
+	g.switcher.SetCurrent(m)
+}
+
+// send gives an order and tells the switcher its answer.
+func (g *lockstepGroup) send(ctx context.Context, o lockstep.Order) {
+	link, switcher := g.links[o.Rank], g.switcher
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		reply, err := callRank(g, link, func(c wire.DRPCSidecarClient) (*wire.RankOrderReply, error) { return c.Order(ctx, o.RankOrder) },
+			func(r *sidecar.Rank) (*wire.RankOrderReply, error) { return r.Order(ctx, o.RankOrder) })
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if err != nil {
+			reply = nil
+		}
+		kernel.Debug(g.log, "Order answered.", "group", g.name, "rank", o.Rank, "order", o.Kind, "version", o.Version, "step", o.Step,
+			"expect", o.ExpectSequence, "status", reply.GetStatus(), "after", reply.GetAfter(), "err", err)
+		switcher.Replied(g.clock(), o.Rank, o.RankOrder, reply)
+	}()
+}
+
+// callRank calls a rank through the sidecar beside it, or directly while that doesn't
+// answer.
+func callRank[R any](g *lockstepGroup, link *rankLink, near func(wire.DRPCSidecarClient) (R, error), far func(*sidecar.Rank) (R, error)) (R, error) {
+	g.mu.Lock()
+	address, rest := link.address, link.restUntil
+	g.mu.Unlock()
+	host, _, err := net.SplitHostPort(address)
+	if err == nil && g.settings.SidecarPort != 0 && g.clock().After(rest) {
+		addr := net.JoinHostPort(host, strconv.Itoa(g.settings.SidecarPort))
+		reply, err := near(wire.NewDRPCSidecarClient(g.pool.Conn(context.Background(), addr)))
+		if err == nil {
+			return reply, nil
+		}
+		g.mu.Lock()
+		link.restUntil = g.clock().Add(sidecarRest)
+		g.mu.Unlock()
+		return reply, err
+	}
+	return far(sidecar.NewRank(g.client, g.ranks, address))
+}
+
+// plan looks for a better map and begins the switch to it.
+func (g *lockstepGroup) plan(ctx context.Context, now time.Time) {
+	if g.planning || now.Sub(g.planned) < replanPeriod || !g.switcher.Ready(now) || g.demand.Load() == nil {
+		return
+	}
+	g.planned, g.planning = now, true
+	shape, current, switcher := g.shape, g.switcher.Current(), g.switcher
+	load := cloneLoad(g.demand.Load())
+	go func() {
+		p, ok := lockstep.Plan(shape, lockstep.DefaultPlanSettings(), current, load)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.planning = false
+		if !ok || ctx.Err() != nil || g.switcher != switcher || !switcher.Ready(g.clock()) {
+			return
+		}
+		g.proposal, g.began = p, g.clock()
+		switcher.Begin(g.clock(), p.Map)
+	}()
+}
+
+func cloneLoad(load [][]float64) [][]float64 {
+	out := make([][]float64, len(load))
+	for i := range load {
+		out[i] = append([]float64(nil), load[i]...)
+	}
+	return out
+}
+
+// logPhase tells of a switch's steps.
+func (g *lockstepGroup) logPhase(now time.Time) {
+	phase := g.switcher.Phase()
+	if phase == g.phase {
+		return
+	}
+	kv := []any{"group", g.name, "epoch", g.epoch, "version", g.switcher.Version(), "phase", phase, "after", now.Sub(g.began).Round(time.Millisecond)}
+	if phase == lockstep.Preparing {
+		kv = append(kv, "copies", g.proposal.Copies, "skew", g.proposal.Before, "skew_after", g.proposal.After, "windows", g.demand.Windows())
+	}
+	if phase == lockstep.Idle || phase == lockstep.Cleaning {
+		kv = append(kv, "outcome", g.switcher.Outcome())
+	}
+	kernel.Info(g.log, "Switch of expert maps.", kv...)
+	g.phase = phase
+}
--- a/control/settings.go
+++ b/control/settings.go
@@ -48,6 +48,35 @@
 	ReplaceAfter kernel.Duration `toml:"replace_after"`
 	// Groups is how a leader looks after the expert maps of groups.
 	Groups GroupSettings `toml:"groups"`
+	// Lockstep is the same for groups whose ranks are called directly; off if the
+	// section isn't there.
+	Lockstep *LockstepSettings `toml:"lockstep"`
+}
+
+// LockstepSettings is the [control.lockstep] section.
+type LockstepSettings struct {
+	// Dialect names the plug-in that knows the ranks' names.
+	Dialect string `toml:"dialect"`
+	// SidecarPort is where the process beside each rank listens; 0 if there is none.
+	SidecarPort int `toml:"sidecar_port"`
+	// ReadPeriod is the time between two readings of one rank's counters.
+	ReadPeriod kernel.Duration `toml:"read_period"`
+}
+
+// defaultReadPeriod is below the window of an estimate of demand, so that each window
+// has a reading of every rank.
+const defaultReadPeriod = 350 * time.Millisecond
+
+func (s *LockstepSettings) check(bad func(key, detail string) error) error {
+	switch {
+	case s.Dialect == "":
+		return bad("lockstep.dialect", "must not be empty")
+	case s.SidecarPort < 0 || s.SidecarPort > 65535:
+		return bad("lockstep.sidecar_port", "must be a port")
+	case s.ReadPeriod <= 0:
+		return bad("lockstep.read_period", "must be positive")
+	}
+	return nil
 }
 
 // Tolerance is the [control.tolerate] section: how much may be lost at the same
@@ -118,6 +147,9 @@
 	if s.Tolerate != nil {
 		s.Voters = s.Tolerate.voters()
 	}
+	if s.Lockstep != nil {
+		s.Lockstep.ReadPeriod = cmp.Or(s.Lockstep.ReadPeriod, kernel.Duration(defaultReadPeriod))
+	}
 	g := &s.Groups
 	g.CounterPeriod = cmp.Or(g.CounterPeriod, d.Groups.CounterPeriod)
 	g.PlanPeriod = cmp.Or(g.PlanPeriod, d.Groups.PlanPeriod)
@@ -167,6 +199,11 @@
 	if key := s.Groups.notPositive(); key != "" {
 		return bad("groups."+key, "must be positive")
 	}
+	if s.Lockstep != nil {
+		if err := s.Lockstep.check(bad); err != nil {
+			return err
+		}
+	}
 	for _, m := range s.Members {
 		if _, _, err := net.SplitHostPort(m); err != nil {
 			return bad("members", err.Error())
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -115,11 +115,33 @@
 	EncodeError(detail string) []byte
 }
 
+// Ranks translates what ranks of groups are asked and told by HTTP.
+type Ranks interface {
+	// RankCalls are the paths of the calls below.
+	RankCalls() RankCalls
+	// SetInstance says in a call's header which instance is meant.
+	SetInstance(h http.Header, instance string)
+	DecodeReport(body []byte) (*wire.RankReport, error)
+	// DecodeCounts reads how often experts were chosen, and the group's epoch.
+	DecodeCounts(body []byte) (epoch uint64, counts []uint64, err error)
+	// DecodeHeld reads the experts that a rank holds, set by set.
+	DecodeHeld(body []byte) ([]*wire.ExpertList, error)
+	EncodeOrder(o *wire.RankOrder) []byte
+	// OrderStatus says what a status code means for an order.
+	OrderStatus(status int) wire.RankOrderStatus
+}
+
+// RankCalls are the calls that ranks answer.
+type RankCalls struct {
+	Report, Counts, Held, Order Call
+}
+
 // Dialect is one site's manner of speaking.
 type Dialect interface {
 	Calls() Calls
 	Callers
 	Operators
+	Ranks
 }
 
 // Namespace is that of dialects among plug-ins.
--- /dev/null
+++ b/lockstep/demand.go
@@ -0,0 +1,149 @@
+package lockstep
+
+import (
+	"math"
+	"time"
+)
+
+// DemandSettings say how fast an estimate follows.
+type DemandSettings struct {
+	// Window is the time whose choices make one observation.
+	Window time.Duration
+	// Weight is that of the newest window in the smoothed load.
+	Weight float64
+	// Shift is the distance between two windows' shares, 0 to 1, above which other
+	// experts are in demand and the past counts no more.
+	Shift float64
+}
+
+// DefaultDemandSettings follow a shift within a second: a window of half a second
+// holds some forty requests, whose mix of subjects moves the shares by a tenth.
+func DefaultDemandSettings() DemandSettings {
+	return DemandSettings{Window: 400 * time.Millisecond, Weight: 0.4, Shift: 0.2}
+}
+
+// Demand estimates how often each expert is chosen, from counters that only grow
+// while a rank runs. Ranks may be read at different times and be missing.
+type Demand struct {
+	settings DemandSettings
+	shape    Shape
+	last     map[int]counters
+	window   [][]float64
+	began    time.Time
+	load     [][]float64
+	shifted  time.Time
+	// windows counts those observed since the last shift.
+	windows int
+}
+
+// counters are what a rank said last.
+type counters struct {
+	instance string
+	counts   []uint64
+}
+
+// NewDemand makes an estimate without observations.
+func NewDemand(settings DemandSettings, s Shape) *Demand {
+	d := &Demand{settings: settings, shape: s, last: map[int]counters{}}
+	d.window = zeros(s)
+	return d
+}
+
+func zeros(s Shape) [][]float64 {
+	out := make([][]float64, s.Sets)
+	for i := range out {
+		out[i] = make([]float64, s.Experts)
+	}
+	return out
+}
+
+// Observe takes a rank's counters. The first ones of an instance tell nothing: they
+// count since its start. It returns whether a window has been closed.
+func (d *Demand) Observe(now time.Time, rank int, instance string, counts []uint64) bool {
+	if len(counts) != d.shape.Sets*d.shape.Experts {
+		return false
+	}
+	old := d.last[rank]
+	d.last[rank] = counters{instance: instance, counts: counts}
+	if old.instance == instance {
+		d.add(old.counts, counts)
+	}
+	if d.began.IsZero() {
+		d.began = now
+	}
+	if now.Sub(d.began) < d.settings.Window {
+		return false
+	}
+	return d.close(now)
+}
+
+func (d *Demand) add(old, counts []uint64) {
+	for i, n := range counts {
+		if n > old[i] {
+			d.window[i/d.shape.Experts][i%d.shape.Experts] += float64(n - old[i])
+		}
+	}
+}
+
+// close ends a window. One without any choice is no observation.
+func (d *Demand) close(now time.Time) bool {
+	d.began = now
+	shares := normalize(d.window)
+	if shares == nil {
+		return false
+	}
+	d.window = zeros(d.shape)
+	if d.load == nil {
+		d.load, d.windows = shares, 1
+		return true
+	}
+	weight := d.settings.Weight
+	if distance(d.load, shares) > d.settings.Shift {
+		weight = 1
+		d.shifted, d.windows = now, 0
+	}
+	d.windows++
+	for set := range d.load {
+		for e := range d.load[set] {
+			d.load[set][e] += weight * (shares[set][e] - d.load[set][e])
+		}
+	}
+	return true
+}
+
+// normalize gives each expert's share of its set, or nil if a set has none.
+func normalize(window [][]float64) [][]float64 {
+	out := make([][]float64, len(window))
+	for set, counts := range window {
+		total := 0.0
+		for _, v := range counts {
+			total += v
+		}
+		if total == 0 {
+			return nil
+		}
+		out[set] = make([]float64, len(counts))
+		for e, v := range counts {
+			out[set][e] = v / total
+		}
+	}
+	return out
+}
+
+// distance is half the sum of differences, averaged over the sets: the part of the
+// choices that goes elsewhere.
+func distance(a, b [][]float64) float64 {
+	sum := 0.0
+	for set := range a {
+		for e := range a[set] {
+			sum += math.Abs(a[set][e] - b[set][e])
+		}
+	}
+	return sum / 2 / float64(len(a))
+}
+
+// Load is the estimated share of each expert in its set; nil before the first window.
+func (d *Demand) Load() [][]float64 { return d.load }
+
+// Windows is how many windows were observed since the last shift.
+func (d *Demand) Windows() int { return d.windows }
--- /dev/null
+++ b/lockstep/expertmap.go
@@ -0,0 +1,130 @@
+package lockstep
+
+import (
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// ErrMap is returned for a map that doesn't fit its group.
+var ErrMap = merry.Sentinel("expert map doesn't fit the group")
+
+// Shape is the size of a group.
+type Shape struct {
+	Ranks, Sets, Experts int
+	// Places is how many experts a rank holds in one set at most, Spare how many of
+	// them one switch may bring.
+	Places, Spare int
+}
+
+// ShapeOf is the shape of a service's groups.
+func ShapeOf(p *wire.EngineProfile, ranks int) Shape {
+	return Shape{
+		Ranks: ranks, Sets: int(p.GetSets()), Experts: int(p.GetExperts()),
+		Places: int(p.GetPlaces()), Spare: int(p.GetSpare()),
+	}
+}
+
+// Valid says whether a group of this shape can have a map.
+func (s Shape) Valid() bool {
+	return s.Ranks > 0 && s.Sets > 0 && s.Experts > 0 && s.Places > 0 && s.Ranks*s.Places >= s.Experts
+}
+
+// Map says which experts each rank holds: set by set, rank by rank. The ranks that
+// hold an expert share its work evenly.
+type Map [][][]uint32
+
+// Clone copies a map.
+func (m Map) Clone() Map {
+	out := make(Map, len(m))
+	for set, ranks := range m {
+		out[set] = make([][]uint32, len(ranks))
+		for r, experts := range ranks {
+			out[set][r] = slices.Clone(experts)
+		}
+	}
+	return out
+}
+
+// Check says whether a map fits a shape: each expert of each set on a rank, and no
+// rank with more experts than places.
+func (m Map) Check(s Shape) error {
+	if len(m) != s.Sets {
+		return merry.Prependf(ErrMap, "%d sets, not %d", len(m), s.Sets)
+	}
+	for set, ranks := range m {
+		if len(ranks) != s.Ranks {
+			return merry.Prependf(ErrMap, "set %d: %d ranks, not %d", set, len(ranks), s.Ranks)
+		}
+		if err := checkSet(s, ranks); err != nil {
+			return merry.Prependf(err, "set %d", set)
+		}
+	}
+	return nil
+}
+
+func checkSet(s Shape, ranks [][]uint32) error {
+	held := make([]bool, s.Experts)
+	for r, experts := range ranks {
+		if len(experts) > s.Places {
+			return merry.Prependf(ErrMap, "rank %d holds %d experts in %d places", r, len(experts), s.Places)
+		}
+		for i, e := range experts {
+			if int(e) >= s.Experts || slices.Contains(experts[:i], e) {
+				return merry.Prependf(ErrMap, "rank %d: expert %d", r, e)
+			}
+			held[e] = true
+		}
+	}
+	if e := slices.Index(held, false); e >= 0 {
+		return merry.Prependf(ErrMap, "no rank holds expert %d", e)
+	}
+	return nil
+}
+
+// Skew is the busiest rank's load over the mean, averaged over the sets.
+func (m Map) Skew(load [][]float64) float64 {
+	sum := 0.0
+	for set, ranks := range m {
+		busiest, total := 0.0, 0.0
+		for _, v := range rankLoads(ranks, load[set]) {
+			busiest = max(busiest, v)
+			total += v
+		}
+		if total == 0 {
+			sum++
+			continue
+		}
+		sum += busiest * float64(len(ranks)) / total
+	}
+	return sum / float64(len(m))
+}
+
+func rankLoads(ranks [][]uint32, load []float64) []float64 {
+	copies := make([]int, len(load))
+	for _, experts := range ranks {
+		for _, e := range experts {
+			copies[e]++
+		}
+	}
+	out := make([]float64, len(ranks))
+	for r, experts := range ranks {
+		for _, e := range experts {
+			out[r] += load[e] / float64(copies[e])
+		}
+	}
+	return out
+}
+
+// lists is a map as orders carry it.
+func (m Map) lists() []*wire.ExpertList {
+	var out []*wire.ExpertList
+	for _, ranks := range m {
+		for _, experts := range ranks {
+			out = append(out, &wire.ExpertList{Experts: experts})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/lockstep/plan.go
@@ -0,0 +1,281 @@
+package lockstep
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// PlanSettings bound a plan.
+type PlanSettings struct {
+	// MinGain is the least skew that an expert which is copied must save in its
+	// set: less is within the error of the estimate, and each copy slows the
+	// passes while it is made.
+	MinGain float64
+	// MinTotal is the least skew, averaged over the sets, that a switch must save.
+	MinTotal float64
+}
+
+// DefaultPlanSettings are those of a control replica. MinGain keeps nine tenths of
+// the gain for half of the copies on the shifts of expert demand that were played.
+func DefaultPlanSettings() PlanSettings { return PlanSettings{MinGain: 0.012, MinTotal: 0.05} }
+
+const (
+	// peakPower makes a sum of powers stand for the maximum, but also tell apart two
+	// maps that differ only in the next busiest rank.
+	peakPower = 16
+	// partners is how many of the emptiest ranks are tried for each change.
+	partners = 16
+	// stepsPerRank bounds the search in one set.
+	stepsPerRank = 3
+)
+
+// Proposal is a better map.
+type Proposal struct {
+	Map Map
+	// Copies is how many experts ranks must copy.
+	Copies int
+	// Before and After are the skews by the estimate.
+	Before, After float64
+}
+
+// Plan looks for a better map than the one in force, by the load of each expert; ok
+// is false if none is worth its copies.
+func Plan(s Shape, settings PlanSettings, current Map, load [][]float64) (p Proposal, ok bool) {
+	p.Before = current.Skew(load)
+	p.Map = current.Clone()
+	for set := range p.Map {
+		st := newSetState(s, settings, p.Map[set], load[set])
+		if st == nil {
+			continue
+		}
+		st.search()
+		p.Copies += st.copied
+		p.Map[set] = st.hold
+	}
+	p.After = p.Map.Skew(load)
+	return p, p.Before-p.After >= settings.MinTotal && p.Copies > 0
+}
+
+// setState is one set of a map while it is searched. Loads are scaled so that the
+// mean rank has 1.
+type setState struct {
+	s        Shape
+	settings PlanSettings
+	load     []float64
+	hold     [][]uint32
+	// base is what each rank held before the search; taking one of these back is
+	// no copy.
+	base    [][]uint32
+	holders [][]int
+	ranks   []float64
+	copied  int
+}
+
+// newSetState returns nil for a set without any load.
+func newSetState(s Shape, settings PlanSettings, hold [][]uint32, load []float64) *setState {
+	total := 0.0
+	for _, v := range load {
+		total += v
+	}
+	if total <= 0 {
+		return nil
+	}
+	st := &setState{s: s, settings: settings, load: make([]float64, len(load)), hold: hold, holders: make([][]int, len(load)), ranks: make([]float64, len(hold))}
+	for e, v := range load {
+		st.load[e] = v * float64(s.Ranks) / total
+	}
+	for r, experts := range hold {
+		st.base = append(st.base, slices.Clone(experts))
+		for _, e := range experts {
+			st.holders[e] = append(st.holders[e], r)
+		}
+	}
+	for r, experts := range hold {
+		for _, e := range experts {
+			st.ranks[r] += st.each(e)
+		}
+	}
+	return st
+}
+
+func (st *setState) each(e uint32) float64 { return st.load[e] / float64(len(st.holders[e])) }
+
+// change puts expert in onto a rank, in place of expert out if that is not none. A
+// swap also puts out onto the busy rank in place of in.
+type change struct {
+	rank, busy int
+	in, out    uint32
+	replaces   bool
+	swap       bool
+	copies     int
+	gain       float64
+}
+
+// search makes the change that relieves the busiest rank most for each copy, until
+// none gains enough.
+func (st *setState) search() {
+	for range stepsPerRank * st.s.Ranks {
+		best, ok := st.best()
+		if !ok {
+			return
+		}
+		st.apply(best)
+		st.copied += best.copies
+	}
+}
+
+func (st *setState) best() (best change, ok bool) {
+	busy := st.busiest()
+	// Trials change the lists and change them back, in another order.
+	held := slices.Clone(st.hold[busy])
+	for _, r := range st.emptiest(busy) {
+		for _, e := range held {
+			if !slices.Contains(st.hold[r], e) {
+				st.offer(busy, r, e, &best)
+			}
+		}
+	}
+	return best, best.gain > 0
+}
+
+// offer tries all ways of taking work for an expert of the busy rank to another.
+func (st *setState) offer(busy, r int, e uint32, best *change) {
+	if len(st.hold[r]) < st.s.Places {
+		st.try(change{rank: r, busy: busy, in: e}, best)
+	}
+	for _, x := range slices.Clone(st.hold[r]) {
+		if len(st.holders[x]) > 1 {
+			st.try(change{rank: r, busy: busy, in: e, out: x, replaces: true}, best)
+		}
+		if !slices.Contains(st.hold[busy], x) && st.each(x) < st.each(e) {
+			st.try(change{rank: r, busy: busy, in: e, out: x, replaces: true, swap: true}, best)
+		}
+	}
+}
+
+// try keeps a change if it is allowed and gains more for its copies than the best.
+func (st *setState) try(c change, best *change) {
+	c.copies = st.cost(c.rank, c.in)
+	if c.swap {
+		c.copies += st.cost(c.busy, c.out)
+	}
+	if st.over(c.rank, c.in) || c.swap && st.over(c.busy, c.out) {
+		return
+	}
+	before := st.peak()
+	st.apply(c)
+	after := st.peak()
+	st.undo(c)
+	gain := before - after
+	if gain < st.settings.MinGain*float64(max(c.copies, 1)) {
+		return
+	}
+	c.gain = gain / float64(max(c.copies, 1))
+	if c.gain > best.gain {
+		*best = c
+	}
+}
+
+// cost is 1 if a rank would have to copy an expert.
+func (st *setState) cost(r int, e uint32) int {
+	if slices.Contains(st.base[r], e) {
+		return 0
+	}
+	return 1
+}
+
+// over says whether another new expert is more than a rank may copy in one switch.
+func (st *setState) over(r int, e uint32) bool {
+	if st.cost(r, e) == 0 {
+		return false
+	}
+	fresh := 0
+	for _, x := range st.hold[r] {
+		fresh += st.cost(r, x)
+	}
+	return fresh >= st.s.Spare
+}
+
+// peak is close to the busiest rank's load.
+func (st *setState) peak() float64 {
+	sum := 0.0
+	for _, v := range st.ranks {
+		p := v * v
+		p *= p
+		p *= p
+		sum += p * p
+	}
+	return math.Pow(sum, 1.0/peakPower)
+}
+
+func (st *setState) apply(c change) {
+	if c.swap {
+		st.drop(c.busy, c.in)
+		st.add(c.busy, c.out)
+	}
+	if c.replaces {
+		st.drop(c.rank, c.out)
+	}
+	st.add(c.rank, c.in)
+}
+
+func (st *setState) undo(c change) {
+	st.drop(c.rank, c.in)
+	if c.replaces {
+		st.add(c.rank, c.out)
+	}
+	if c.swap {
+		st.drop(c.busy, c.out)
+		st.add(c.busy, c.in)
+	}
+}
+
+// add and drop change who holds an expert. An expert may have no holder between the
+// two halves of a swap.
+func (st *setState) add(r int, e uint32) {
+	st.share(e, -1)
+	st.hold[r] = append(st.hold[r], e)
+	st.holders[e] = append(st.holders[e], r)
+	st.share(e, 1)
+}
+
+func (st *setState) drop(r int, e uint32) {
+	st.share(e, -1)
+	st.hold[r] = remove(st.hold[r], e)
+	st.holders[e] = remove(st.holders[e], r)
+	st.share(e, 1)
+}
+
+// share adds an expert's load to its holders, or takes it off them.
+func (st *setState) share(e uint32, sign float64) {
+	for _, r := range st.holders[e] {
+		st.ranks[r] += sign * st.each(e)
+	}
+}
+
+func remove[T comparable](list []T, v T) []T {
+	i := slices.Index(list, v)
+	return slices.Delete(list, i, i+1)
+}
+
+func (st *setState) busiest() int {
+	best := 0
+	for r, v := range st.ranks {
+		if v > st.ranks[best] {
+			best = r
+		}
+	}
+	return best
+}
+
+func (st *setState) emptiest(except int) []int {
+	var list []int
+	for r := range st.ranks {
+		if r != except {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b int) int { return cmp.Compare(st.ranks[a], st.ranks[b]) })
+	return list[:min(partners, len(list))]
+}
--- /dev/null
+++ b/lockstep/switchersteps.go
@@ -0,0 +1,286 @@
+package lockstep
+
+import (
+	"time"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// Tick moves the switch on and returns the orders to give now. Each is to be answered
+// by Replied, also when nothing came back.
+func (s *Switcher) Tick(now time.Time) []Order {
+	if s.Fenced() || !s.known() {
+		return nil
+	}
+	switch s.phase {
+	case Preparing:
+		return s.prepare(now)
+	case Holding:
+		return s.hold(now)
+	case Arming:
+		return s.arm(now)
+	case Releasing:
+		return s.release(now)
+	case Cleaning:
+		return s.clean(now)
+	default:
+		return s.idle(now)
+	}
+}
+
+func (s *Switcher) known() bool {
+	for i := range s.ranks {
+		if s.ranks[i].report == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// order makes an order to a rank, unless one is on its way or has just been sent.
+func (s *Switcher) order(now time.Time, i int, o *wire.RankOrder) []Order {
+	r := &s.ranks[i]
+	if r.pending != nil || !r.sent.IsZero() && now.Sub(r.sent) < s.cfg.Resend {
+		return nil
+	}
+	o.Instance, o.FencingToken, o.Epoch = r.instance, s.cfg.Token, s.cfg.Epoch
+	o.ExpectSequence = r.report.Sequence
+	r.pending, r.sent = o, now
+	return []Order{{i, o}}
+}
+
+// prepare has each rank copy what is new to it. Nothing is armed or held yet, so a
+// switch that is given up here leaves nothing behind.
+func (s *Switcher) prepare(now time.Time) []Order {
+	var out []Order
+	done := true
+	for i := range s.ranks {
+		r := &s.ranks[i]
+		if r.report.Prepared == s.version {
+			continue
+		}
+		done = false
+		if r.accepted != s.version {
+			out = append(out, s.order(now, i, &wire.RankOrder{
+				Kind: wire.RankOrderKind_RANK_ORDER_KIND_PREPARE, Version: s.version,
+				Map: s.target.lists(), Ranks: uint32(s.cfg.Ranks),
+			})...)
+		}
+	}
+	switch {
+	case done:
+		s.enter(now, Holding)
+	case now.Sub(s.since) > s.cfg.PrepareLimit:
+		s.outcome = "given up: ranks did not prepare in time"
+		s.enter(now, Idle)
+		return nil
+	}
+	return out
+}
+
+// pickStep chooses the step of the switch, far enough ahead for the hold to come
+// before it.
+func (s *Switcher) pickStep(now time.Time) {
+	pass := s.passTime()
+	ahead := uint64(s.cfg.Lead/pass) + leadPasses
+	begun := s.seenStep
+	if !s.seenAt.IsZero() && now.After(s.seenAt) {
+		begun += uint64(min(now.Sub(s.seenAt), s.cfg.Lead) / pass)
+	}
+	s.step = begun + ahead
+	s.holder = (s.holder + 1) % s.cfg.Ranks
+	s.holds++
+}
+
+// hold keeps the group from the step of the switch. A rank that doesn't confirm it
+// may hold all the same, later: it is remembered, and released with the others.
+func (s *Switcher) hold(now time.Time) []Order {
+	r := &s.ranks[s.holder]
+	if r.report.Held == s.step {
+		s.enter(now, Arming)
+		return s.arm(now)
+	}
+	if r.pending != nil {
+		return nil
+	}
+	if !r.sent.IsZero() {
+		if s.holds >= maxHolds {
+			s.giveUp(now, "no rank confirmed the hold")
+			return nil
+		}
+		s.pickStep(now)
+		r = &s.ranks[s.holder]
+		r.sent = time.Time{}
+	}
+	r.mayHold = s.step
+	return s.order(now, s.holder, &wire.RankOrder{Kind: wire.RankOrderKind_RANK_ORDER_KIND_HOLD, Step: s.step})
+}
+
+// arm tells each rank the step. The group is held before it, so that time does no
+// harm but to callers who wait.
+func (s *Switcher) arm(now time.Time) []Order {
+	var out []Order
+	done := true
+	for i := range s.ranks {
+		if s.ranks[i].report.Armed == s.version {
+			continue
+		}
+		done = false
+		out = append(out, s.order(now, i, &wire.RankOrder{
+			Kind: wire.RankOrderKind_RANK_ORDER_KIND_ARM, Version: s.version, Step: s.step,
+		})...)
+	}
+	switch {
+	case done:
+		s.enter(now, Releasing)
+		return s.release(now)
+	case s.ranks[s.holder].report.Held != s.step:
+		s.giveUp(now, "the hold is gone")
+		return nil
+	case now.Sub(s.since) > s.cfg.HoldLimit:
+		s.giveUp(now, "not all ranks could be armed in time")
+		return nil
+	}
+	return out
+}
+
+// release lets the group go on. All ranks switch as the step begins.
+func (s *Switcher) release(now time.Time) []Order {
+	out, free := s.letGo(now)
+	if free {
+		s.current, s.outcome = s.target, "in force"
+		s.enter(now, Idle)
+	}
+	return out
+}
+
+// letGo orders each rank that holds, or may, to go on. free says that none holds and
+// none may yet.
+func (s *Switcher) letGo(now time.Time) (out []Order, free bool) {
+	free = true
+	for i := range s.ranks {
+		r := &s.ranks[i]
+		if r.report.Held == 0 && r.mayHold != 0 && (!r.doubt || r.report.Step >= r.mayHold) {
+			r.mayHold = 0
+		}
+		if r.report.Held == 0 {
+			// A hold in doubt that comes after this is void once its step has begun;
+			// idle looks for one that came before.
+			continue
+		}
+		free = false
+		out = append(out, s.order(now, i, &wire.RankOrder{Kind: wire.RankOrderKind_RANK_ORDER_KIND_GO, Step: r.report.Held})...)
+	}
+	return out, free
+}
+
+// clean disarms every rank and makes sure that no order is left that could arm one,
+// and only then lets the group go on.
+//
+// An order without an answer may be carried out seconds later. It names the sequence
+// that it follows, so any order which the rank accepts before makes it void: where
+// nothing is to be disarmed, the rank prepares the map in force once more.
+func (s *Switcher) clean(now time.Time) []Order {
+	holders := s.unfencedHolders()
+	if len(holders) > 0 {
+		// The others wait: until a rank that holds the group obeys this leader only,
+		// an earlier one may still let the group go.
+		return s.cleanRanks(now, holders)
+	}
+	all := make([]int, len(s.ranks))
+	for i := range all {
+		all[i] = i
+	}
+	if out := s.cleanRanks(now, all); out != nil || !s.cleaned() {
+		return out
+	}
+	out, free := s.letGo(now)
+	if free {
+		s.enter(now, Idle)
+	}
+	return out
+}
+
+// unfencedHolders are the ranks that hold the group and have not yet obeyed this
+// leader.
+func (s *Switcher) unfencedHolders() []int {
+	var list []int
+	for i := range s.ranks {
+		if s.ranks[i].report.Held != 0 && !s.ranks[i].fenced {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+func (s *Switcher) cleanRanks(now time.Time, list []int) []Order {
+	var out []Order
+	for _, i := range list {
+		switch {
+		case s.ranks[i].report.Armed != 0:
+			out = append(out, s.order(now, i, &wire.RankOrder{
+				Kind: wire.RankOrderKind_RANK_ORDER_KIND_DISARM, Version: s.ranks[i].report.Armed,
+			})...)
+		case !s.ranks[i].clean():
+			out = append(out, s.settle(now, i)...)
+		}
+	}
+	return out
+}
+
+// cleaned says whether no rank is armed or can still become so by an order of this
+// leader or an earlier one.
+func (s *Switcher) cleaned() bool {
+	for i := range s.ranks {
+		if !s.ranks[i].clean() {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *rank) clean() bool {
+	return r.report.Armed == 0 && !r.doubt && r.pending == nil && r.fenced
+}
+
+// settle gives a rank an order that changes nothing and makes earlier ones void.
+func (s *Switcher) settle(now time.Time, i int) []Order {
+	s.used++
+	return s.order(now, i, &wire.RankOrder{
+		Kind: wire.RankOrderKind_RANK_ORDER_KIND_PREPARE, Version: s.used, Map: s.current.lists(), Ranks: uint32(s.cfg.Ranks),
+	})
+}
+
+// idle looks for what an earlier leader, or a late order, has left: a held group.
+//
+// What an earlier leader began is given some time to come to its end, and undone
+// then: a group that is held while its leader lives is let go within a few passes.
+// Ranks that are armed while nothing holds the group are left alone: the leader that
+// armed them has let the group go, so all are.
+func (s *Switcher) idle(now time.Time) []Order {
+	held, fenced, armed := false, true, 0
+	for i := range s.ranks {
+		held = held || s.ranks[i].report.Held != 0
+		fenced = fenced && s.ranks[i].fenced
+		if s.ranks[i].report.Armed != 0 {
+			armed++
+		}
+	}
+	switch {
+	case !held:
+		s.heldSince = time.Time{}
+		return nil
+	case s.heldSince.IsZero():
+		s.heldSince = now
+	}
+	if fenced && armed == 0 {
+		// A hold of this leader's own that came late.
+		out, _ := s.letGo(now)
+		return out
+	}
+	if now.Sub(s.heldSince) < s.cfg.TakeoverGrace {
+		return nil
+	}
+	s.giveUp(now, "an earlier leader left the group held")
+	return nil
+}
--- /dev/null
+++ b/sidecar/daemon.go
@@ -0,0 +1,121 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-kit/log"
+
+	"github.com/snipereach/snipereach/dialect"
+	"github.com/snipereach/snipereach/direct"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// ErrStart is returned when the daemon can't come up.
+var ErrStart = merry.Sentinel("sidecar can't start")
+
+// dialRank bounds the opening of a connection to the rank on the same host.
+const dialRank = 500 * time.Millisecond
+
+// Settings are those of snipereach-sidecar.
+type Settings struct {
+	ID            string                `toml:"id"`
+	ClusterSecret string                `toml:"cluster_secret"`
+	TLS           transport.TLSSettings `toml:"tls"`
+	// Listen is the drpc address for control replicas.
+	Listen string `toml:"listen"`
+	// Rank is the HTTP address of the rank beside this process.
+	Rank string `toml:"rank"`
+	// Dialect names the plug-in that knows the rank's names.
+	Dialect   string          `toml:"dialect"`
+	StopLimit kernel.Duration `toml:"stop_limit"`
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() *Settings {
+	return &Settings{Listen: "127.0.0.1:0", StopLimit: kernel.Duration(5 * time.Second)}
+}
+
+// Check names the first key that is wrong.
+func (s *Settings) Check() error {
+	bad := func(key, detail string) error {
+		return merry.Prependf(kernel.ErrSettings, "key %q: %s", key, detail)
+	}
+	if s.ID == "" {
+		return bad("id", "must not be empty")
+	}
+	if s.Dialect == "" {
+		return bad("dialect", "must not be empty")
+	}
+	for key, addr := range map[string]string{"listen": s.Listen, "rank": s.Rank} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return bad(key, err.Error())
+		}
+	}
+	return nil
+}
+
+// Daemon relays readings and orders to the rank beside it. It implements
+// kernel.Daemon and keeps no state: what may be ordered is decided by who holds the
+// group's fencing token.
+type Daemon struct {
+	settings *Settings
+	log      log.Logger
+	srv      *transport.Server
+	client   *direct.Client
+	lis      net.Listener
+	cancel   context.CancelFunc
+}
+
+// New makes a daemon from checked settings.
+func New(s *Settings, l log.Logger) (*Daemon, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	dia, err := dialect.Named(s.Dialect)
+	if err != nil {
+		return nil, err
+	}
+	sec, _, err := transport.NewSecurity(s.ClusterSecret, s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		settings: s, log: kernel.PartLog(l, "sidecar"), srv: transport.NewServer(sec),
+		client: direct.NewClient(transport.NewDialer(dialRank).DialContext),
+	}
+	return d, wire.DRPCRegisterSidecar(d.srv.Mux, NewRank(d.client, dia, s.Rank))
+}
+
+// Start implements kernel.Daemon.
+func (d *Daemon) Start(ctx context.Context) error {
+	ctx, d.cancel = context.WithCancel(ctx)
+	lis, err := transport.Listen(ctx, d.settings.Listen)
+	if err != nil {
+		return merry.Prepend(ErrStart, err.Error())
+	}
+	d.lis = lis
+	go d.srv.Serve(ctx, lis)
+	kernel.Info(d.log, "Started.", "id", d.settings.ID, "addr", lis.Addr(), "rank", d.settings.Rank, "version", kernel.Version)
+	return nil
+}
+
+// Drain implements kernel.Daemon: nothing is in progress for longer than a call.
+func (d *Daemon) Drain(context.Context) error { return nil }
+
+// Stop implements kernel.Daemon.
+func (d *Daemon) Stop() int {
+	if d.cancel != nil {
+		d.cancel()
+	}
+	if d.lis != nil {
+		_ = d.lis.Close()
+	}
+	d.srv.Close()
+	d.client.Close()
+	return 0
+}
--- /dev/null
+++ b/sidecar/rank.go
@@ -0,0 +1,103 @@
+// Package sidecar reads and orders a rank of a group in lock-step, by HTTP: from
+// the process beside the rank, where that is free and fresh, or from another host.
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/dialect"
+	"github.com/snipereach/snipereach/direct"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// ErrRead is returned when a rank's state can't be read.
+var ErrRead = merry.Sentinel("rank can't be read")
+
+// maxReading bounds one answer of a rank: a hundred thousand numbers.
+const maxReading = 4 << 20
+
+// Rank is a rank at an HTTP address.
+type Rank struct {
+	client  *direct.Client
+	dialect dialect.Ranks
+	addr    string
+}
+
+// NewRank makes a rank that is called through a client.
+func NewRank(client *direct.Client, d dialect.Ranks, addr string) *Rank {
+	return &Rank{client: client, dialect: d, addr: addr}
+}
+
+// Read returns the rank's state.
+func (r *Rank) Read(ctx context.Context, req *wire.ReadRankRequest) (*wire.RankReading, error) {
+	calls := r.dialect.RankCalls()
+	out := &wire.RankReading{}
+	var err error
+	if out.Report, err = get(ctx, r, calls.Report, req.Instance, r.dialect.DecodeReport); err != nil {
+		return nil, err
+	}
+	if req.Counts {
+		_, err = get(ctx, r, calls.Counts, req.Instance, func(body []byte) (none struct{}, err error) {
+			out.Epoch, out.Counts, err = r.dialect.DecodeCounts(body)
+			return none, err
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	if req.HeldExperts {
+		if out.Held, err = get(ctx, r, calls.Held, req.Instance, r.dialect.DecodeHeld); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+// Order gives an order. Its status is unknown if the answer doesn't come.
+func (r *Rank) Order(ctx context.Context, o *wire.RankOrder) (*wire.RankOrderReply, error) {
+	reply := &wire.RankOrderReply{}
+	status, _, err := r.call(ctx, r.dialect.RankCalls().Order, o.Instance, r.dialect.EncodeOrder(o))
+	if err == nil {
+		reply.Status = r.dialect.OrderStatus(status)
+	}
+	after, err := r.Read(ctx, &wire.ReadRankRequest{Instance: o.Instance})
+	if err == nil {
+		reply.After = after.Report
+	}
+	return reply, nil
+}
+
+func get[T any](ctx context.Context, r *Rank, c dialect.Call, instance string, decode func([]byte) (T, error)) (T, error) {
+	var none T
+	status, body, err := r.call(ctx, c, instance, nil)
+	if err != nil {
+		return none, err
+	}
+	if status != http.StatusOK {
+		return none, merry.Prependf(ErrRead, "status %d", status)
+	}
+	return decode(body)
+}
+
+func (r *Rank) call(ctx context.Context, c dialect.Call, instance string, body []byte) (int, []byte, error) {
+	h := http.Header{}
+	r.dialect.SetInstance(h, instance)
+	if body != nil {
+		h.Set("Content-Type", "application/json")
+	}
+	req := &direct.Request{Method: c.Method, URI: c.Path, Host: r.addr, Header: h, Body: body}
+	resp, err := r.client.Do(ctx, r.addr, req, func(int, http.Header) bool { return true })
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReading))
+	if err != nil {
+		return 0, nil, merry.Prepend(ErrRead, err.Error())
+	}
+	return resp.Status, data, nil
+}
