--- a/control/lockstepgroup.go
+++ b/control/lockstepgroup.go
@@ -145,6 +145,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	link.reading = false
+	if err != nil {
+		kernel.Debug(g.log, "Rank can't be read.", "group", g.name, "rank", i, "upstream", req.Instance, "err", err)
+	}
 	if err != nil || g.epoch != epoch || link.instance != req.Instance {
 		return
 	}
--- a/lockstep/switcher.go
+++ b/lockstep/switcher.go
@@ -57,7 +57,7 @@
 		Ranks: ranks, Token: token, Epoch: epoch,
 		Lead: 120 * time.Millisecond, PrepareLimit: 4 * time.Second, HoldLimit: 1200 * time.Millisecond,
 		TakeoverGrace: 300 * time.Millisecond,
-		Resend: 80 * time.Millisecond, UsualPass: 50 * time.Millisecond,
+		Resend:        80 * time.Millisecond, UsualPass: 50 * time.Millisecond,
 	}
 }
 
@@ -85,8 +85,12 @@
 // Invariant: no rank begins a step with another map than the others. A rank is armed
 // only while the group is held at that step, and the hold ends only when every rank
 // is known to be armed, or every rank is known not to be and no order is left that
-// could still arm one. Each order names the sequence that it follows: any order that
-// a rank accepts makes all earlier ones void, so a late copy does nothing.
+// could still arm one.
+//
+// An order without an answer may be carried out seconds later. A late copy does
+// nothing once what it names is over: each switch has a version of its own, and a
+// rank arms only a version that it has prepared and a step that has not begun. So an
+// arm order is void as soon as the rank has prepared another version.
 //
 // What breaks without it: one rank that is armed late, or not at all, begins a step
 // with another map, and tokens go to ranks that don't hold their experts.
@@ -121,13 +125,10 @@
 	// pending is the order that is on its way; sent is when the last one left.
 	pending *wire.RankOrder
 	sent    time.Time
-	// doubt says that an order which follows sequence doubtAt may be carried out yet.
-	doubt   bool
-	doubtAt uint64
+	// armDoubt is a version that an order without an answer may arm yet; 0 is none.
+	armDoubt uint64
 	// accepted is the version that the rank has begun to prepare.
 	accepted uint64
-	// mayHold is a step that the rank was told to hold.
-	mayHold uint64
 	// fenced says that the rank has carried out an order of this leader.
 	fenced bool
 }
@@ -171,6 +172,10 @@
 func (s *Switcher) Begin(now time.Time, m Map) {
 	s.used++
 	s.version, s.target = s.used, m
+	for i := range s.ranks {
+		// Each rank prepares another version now.
+		s.ranks[i].armDoubt = 0
+	}
 	s.enter(now, Preparing)
 }
 
@@ -201,13 +206,10 @@
 		// A new start of the rank: its sequence begins anew, and the group forms again.
 		*r = rank{instance: instance}
 	}
-	if r.report != nil && (at.Before(r.at) || report.Sequence < r.report.Sequence) {
+	if r.report != nil && at.Before(r.at) {
 		return
 	}
 	r.report, r.at = report, at
-	if r.doubt && report.Sequence > r.doubtAt {
-		r.doubt = false
-	}
 	s.time(at, report.Step)
 }
 
@@ -244,7 +246,9 @@
 	r.pending = nil
 	switch reply.GetStatus() {
 	case wire.RankOrderStatus_RANK_ORDER_STATUS_UNKNOWN:
-		r.doubt, r.doubtAt = true, max(o.ExpectSequence, r.doubtAt)
+		if o.Kind == wire.RankOrderKind_RANK_ORDER_KIND_ARM {
+			r.armDoubt = o.Version
+		}
 	case wire.RankOrderStatus_RANK_ORDER_STATUS_BEGUN, wire.RankOrderStatus_RANK_ORDER_STATUS_DONE:
 		r.fenced = true
 		if o.Kind == wire.RankOrderKind_RANK_ORDER_KIND_PREPARE {
@@ -253,7 +257,9 @@
 	case wire.RankOrderStatus_RANK_ORDER_STATUS_FENCED:
 		s.outcome = "another leader has a higher fencing token"
 	}
-	s.Heard(at, i, o.Instance, reply.GetAfter())
+	if reply.GetAfter() != nil {
+		s.Heard(at, i, o.Instance, reply.After)
+	}
 }
 
 // Fenced says whether a rank has refused this leader for a higher token. It must
--- a/lockstep/switchersteps.go
+++ b/lockstep/switchersteps.go
@@ -112,7 +112,6 @@
 		r = &s.ranks[s.holder]
 		r.sent = time.Time{}
 	}
-	r.mayHold = s.step
 	return s.order(now, s.holder, &wire.RankOrder{Kind: wire.RankOrderKind_RANK_ORDER_KIND_HOLD, Step: s.step})
 }
 
@@ -160,9 +159,6 @@
 	free = true
 	for i := range s.ranks {
 		r := &s.ranks[i]
-		if r.report.Held == 0 && r.mayHold != 0 && (!r.doubt || r.report.Step >= r.mayHold) {
-			r.mayHold = 0
-		}
 		if r.report.Held == 0 {
 			// A hold in doubt that comes after this is void once its step has begun;
 			// idle looks for one that came before.
@@ -177,9 +173,8 @@
 // clean disarms every rank and makes sure that no order is left that could arm one,
 // and only then lets the group go on.
 //
-// An order without an answer may be carried out seconds later. It names the sequence
-// that it follows, so any order which the rank accepts before makes it void: where
-// nothing is to be disarmed, the rank prepares the map in force once more.
+// Where an order without an answer might arm the rank later, the rank prepares the
+// map in force under a new version: what is no longer prepared can't be armed.
 func (s *Switcher) clean(now time.Time) []Order {
 	holders := s.unfencedHolders()
 	if len(holders) > 0 {
@@ -240,7 +235,8 @@
 }
 
 func (r *rank) clean() bool {
-	return r.report.Armed == 0 && !r.doubt && r.pending == nil && r.fenced
+	settled := r.armDoubt == 0 || r.report.Prepared != r.armDoubt
+	return r.report.Armed == 0 && settled && r.pending == nil && r.fenced
 }
 
 // settle gives a rank an order that changes nothing and makes earlier ones void.
