Refuse at once what a service's slots can't take, by what answers tell

Each entry now keeps to its part of the slots, and cuts that by a tenth whenever first events or pauses come later than the route is content with; a group that says it is down gets a request now and then to see whether it is back. Loads are taken from the head of an answer, not from the end of its stream.

--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -65,6 +65,8 @@
 	Signed bool
 	// NotRun certifies that the request has not run and will not.
 	NotRun bool
+	// GroupDown says that the upstream refused because its group runs nothing now.
+	GroupDown bool
 	// Instance is the upstream that answered, where it says so.
 	Instance string
 	// Load is the upstream's at the time of the answer; nil if it doesn't say.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -79,7 +79,7 @@
 // end notes the outcome of an attempt.
 func (c *call) end(a *attempt, o outcome) {
 	now := time.Now()
-	c.fleet.done(now, c.service, a.up, a.req, a.result(o, now), a.head.Load)
+	c.fleet.done(now, c.service, a.up, a.req, a.result(o, now))
 	c.history.note(o)
 	c.last = o
 	if c.tried == nil {
@@ -124,6 +124,11 @@
 		return nil, err
 	}
 	a.head, a.status = c.dialect.ReadAnswer(resp.Status, resp.Header), resp.Status
+	now := time.Now()
+	c.fleet.answered(now, c.service, a.up, a.head.Load, now.Sub(a.began), resp.Status == http.StatusOK)
+	if a.head.GroupDown {
+		c.fleet.refusedByGroup(now, c.service)
+	}
 	return resp, nil
 }
 
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -31,6 +31,7 @@
 type servicePool struct {
 	balancer route.Balancer
 	ups      map[string]*directory.Instance
+	gate     gate
 }
 
 func newFleet(s *Settings) *fleet {
@@ -59,7 +60,7 @@
 			if err != nil {
 				return err
 			}
-			f.services[name] = &servicePool{balancer: b}
+			f.services[name] = &servicePool{balancer: b, gate: newGate()}
 		}
 	}
 	for name, p := range f.services {
@@ -79,6 +80,48 @@
 		})
 	}
 	p.balancer.Update(now, ups)
+	p.gate.formed(now, insts)
+}
+
+// occupied takes the load that an upstream told.
+func (p *servicePool) occupied(now time.Time, l *dialect.Load) { p.gate.occupied(now, l) }
+
+// enter says whether a request may go to a service now; leave must follow if so.
+func (f *fleet) enter(now time.Time, service string, entries int) (wait time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.services[service]
+	if p == nil {
+		return retryBusy, false
+	}
+	return p.gate.enter(now, entries)
+}
+
+func (f *fleet) leave(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.services[service].gate.leave()
+}
+
+// began takes the time to the first event of a stream.
+func (f *fleet) began(now time.Time, service string, after, content time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.services[service].gate.began(now, after, content)
+}
+
+// paused takes a pause in a stream that was too long.
+func (f *fleet) paused(now time.Time, service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.services[service].gate.paused(now)
+}
+
+// refusedByGroup notes that a rank refused a request because its group is down.
+func (f *fleet) refusedByGroup(now time.Time, service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.services[service].gate.broke(now)
 }
 
 // pick chooses an upstream of a service; done must be called with the result.
@@ -94,16 +137,32 @@
 }
 
 // done ends an attempt that pick chose.
-func (f *fleet) done(now time.Time, service string, up route.Upstream, r *route.Request, res route.Result, load *dialect.Load) {
+func (f *fleet) done(now time.Time, service string, up route.Upstream, r *route.Request, res route.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.services[service].balancer.Done(now, up, r, res)
+}
+
+// answered takes the head of an answer: a sign of life, and the upstream's load. ran
+// says that the request was begun.
+func (f *fleet) answered(now time.Time, service string, up route.Upstream, load *dialect.Load, after time.Duration, ran bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	p := f.services[service]
+	var l *wire.Load
 	if load != nil {
 		f.loads++
-		res.Load = &wire.Load{
+		l = &wire.Load{
 			Seq: f.loads, Running: uint32(load.Running), Waiting: uint32(load.Waiting), Slots: uint32(load.Slots),
 		}
+		p.occupied(now, load)
+	}
+	if ran {
+		p.gate.back()
+	}
+	if b, ok := p.balancer.(route.Answered); ok {
+		b.Answered(now, up, l, after)
 	}
-	f.services[service].balancer.Done(now, up, r, res)
 }
 
 // size is how many upstreams of a service are up.
--- /dev/null
+++ b/gateway/gate.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/snipereach/snipereach/dialect"
+	"github.com/snipereach/snipereach/directory"
+)
+
+const (
+	// shareMargin is how much more than its even part of a service's slots one
+	// entry may use: callers don't spread evenly over the entries.
+	shareMargin = 1.15
+	// roomy is the part of a service's slots in use below which an entry may go
+	// beyond its share, up to roomyFactor times. Loads come with answers and tell
+	// the mean over all upstreams well, and each single one late.
+	roomy       = 0.75
+	roomyFactor = 2.0
+	// occupancyWeight is that of one upstream's load in the estimate, and
+	// occupancyLife the age at which the estimate tells nothing any more.
+	occupancyWeight = 0.1
+	occupancyLife   = 500 * time.Millisecond
+	// When answers come late, an entry takes cutFactor of its limit, at most once in
+	// cutInterval: the effect of one cut shows in answers that begin after it. Each
+	// answer in time gives growth back. leastPart bounds how far a limit falls.
+	cutFactor   = 0.9
+	cutInterval = 80 * time.Millisecond
+	growth      = 0.012
+	leastPart   = 0.2
+	// inTime is the part of the time to a first event that callers are content with
+	// below which an answer counts as quick.
+	inTime = 0.75
+	// plainQueue is how many requests for each slot a plain service may have: its
+	// requests are short, and its upstreams queue a few.
+	plainQueue = 3
+	// probeInterval is the time between two requests that are let through to a group
+	// that is down, to see whether it is back before its ranks have said so.
+	probeInterval = 200 * time.Millisecond
+	// downWait and fullWait are when a refused caller may come back: a group forms
+	// again in about a second once its rank is there; a full service has free slots
+	// all the time, and what is asked of it changes within seconds.
+	downWait = 1500 * time.Millisecond
+	fullWait = 1200 * time.Millisecond
+)
+
+// gate decides whether a request may go to a service now, or is refused at once.
+//
+// The load that it answers: more requests than the upstreams have slots for, from a
+// burst, from passes that have become slow, or from a group that stood still for
+// seconds. What waits in their queues then makes all that follow late too, as the
+// service is near its capacity at the best of times; what is refused at once has
+// lost nothing but its own turn. Entries don't see each other's requests, so each
+// keeps to its part of the slots.
+type gate struct {
+	inflight int
+	slots    int
+	// grouped says that the upstreams run in lock-step.
+	grouped bool
+	// epoch is that of the latest forming of the group, down says that it runs
+	// nothing, downAt since when; probed is when a request was let through last.
+	epoch  uint64
+	down   bool
+	downAt time.Time
+	probed time.Time
+	// occupancy is the estimated part of the slots in use, as of told.
+	occupancy float64
+	told      time.Time
+	// part is what answers have left of the limit; cutAt is when it was cut last.
+	part  float64
+	cutAt time.Time
+}
+
+func newGate() gate { return gate{part: 1} }
+
+// formed takes what the upstreams that are up have registered.
+func (g *gate) formed(now time.Time, insts []*directory.Instance) {
+	g.slots, g.grouped = 0, false
+	epoch, broken := uint64(0), false
+	for _, i := range insts {
+		g.slots += int(i.Direct.Slots)
+		g.grouped = g.grouped || i.Group != ""
+		if i.Direct.GroupEpoch > epoch {
+			epoch, broken = i.Direct.GroupEpoch, false
+		}
+		if i.Direct.GroupEpoch == epoch {
+			broken = broken || i.Direct.GroupBroken
+		}
+	}
+	switch {
+	case epoch > g.epoch:
+		g.epoch, g.down = epoch, broken
+	case broken && !g.down && epoch == g.epoch:
+		g.broke(now)
+	}
+}
+
+// broke notes that the group runs nothing.
+func (g *gate) broke(now time.Time) {
+	if !g.down {
+		g.down, g.downAt = true, now
+	}
+	g.probed = now
+}
+
+// occupied takes the load that came with an answer. A group that answers is back.
+func (g *gate) occupied(now time.Time, l *dialect.Load) {
+	if l.Slots <= 0 {
+		return
+	}
+	used := float64(l.Running+l.Waiting) / float64(l.Slots)
+	if now.Sub(g.told) > occupancyLife {
+		g.occupancy = used
+	}
+	g.occupancy += occupancyWeight * (used - g.occupancy)
+	g.told = now
+}
+
+// began takes the time to the first event of an answer, and what callers are content
+// with. The fewer requests a group runs the shorter are its passes: where the map is
+// uneven and passes take twice as long, a full batch has all answers late, and two
+// thirds of one has most of them in time.
+func (g *gate) began(now time.Time, after, content time.Duration) {
+	switch {
+	case content <= 0:
+	case after > content:
+		g.cut(now)
+	case float64(after) < inTime*float64(content):
+		g.part = min(g.part+growth, 1)
+	}
+}
+
+// paused takes a pause between two events that is longer than callers are content
+// with.
+func (g *gate) paused(now time.Time) { g.cut(now) }
+
+func (g *gate) cut(now time.Time) {
+	if now.Sub(g.cutAt) < cutInterval {
+		return
+	}
+	g.cutAt = now
+	g.part = max(g.part*cutFactor, leastPart)
+}
+
+// enter says whether a request may go, and otherwise when its caller may come back.
+func (g *gate) enter(now time.Time, entries int) (wait time.Duration, ok bool) {
+	if g.down {
+		if now.Sub(g.probed) < probeInterval {
+			return downWait, false
+		}
+		g.probed = now
+	}
+	if g.inflight >= g.limit(now, entries) {
+		return fullWait, false
+	}
+	g.inflight++
+	return 0, true
+}
+
+// limit is how many requests this entry may have at the service.
+func (g *gate) limit(now time.Time, entries int) int {
+	slots := float64(g.slots)
+	if !g.grouped {
+		slots *= plainQueue
+	}
+	share := shareMargin * slots / float64(max(entries, 1))
+	if g.grouped && now.Sub(g.told) < occupancyLife && g.occupancy < roomy {
+		share *= roomyFactor
+	}
+	if g.grouped {
+		share *= g.part
+	}
+	return max(int(share), 1)
+}
+
+func (g *gate) leave() { g.inflight-- }
+
+// back notes that the group has answered a request in order.
+func (g *gate) back() { g.down = false }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -200,6 +201,14 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
+	wait, ok := g.fleet.enter(time.Now(), c.service, g.entries())
+	if !ok {
+		f := refusal{status: http.StatusServiceUnavailable, reason: reasonBusy, wait: wait}
+		g.refuse(w, f)
+		c.done(f.status, f.reason, nil)
+		return
+	}
+	defer g.fleet.leave(c.service)
 	g.budgets.offer(c.service)
 	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
 		c.serveStream()
@@ -260,7 +269,7 @@
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	if f.status == http.StatusServiceUnavailable {
-		wait := retryBusy
+		wait := cmp.Or(f.wait, retryBusy)
 		if f.reason == reasonNoConfig {
 			wait = retryNoConfig
 		}
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/snipereach/snipereach/routing"
 	"github.com/snipereach/snipereach/wire"
@@ -75,6 +76,8 @@
 	// reason is one of the constants below.
 	reason string
 	detail string
+	// wait is when the caller may come back; 0 is the default.
+	wait time.Duration
 }
 
 // Reasons of refusals, as logs and metrics name them.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -19,6 +19,8 @@
 	// to go on.
 	lastID string
 	events int
+	// sentAt is when the last event left.
+	sentAt time.Time
 }
 
 // serveStream answers a request with a stream of events. It may go on at another
@@ -120,6 +122,8 @@
 	s.w.WriteHeader(resp.Status)
 	s.started = true
 	s.firstEvent = time.Since(s.began)
+	content := time.Duration(s.route.TargetLatencyMs) * time.Millisecond
+	s.fleet.began(time.Now(), s.service, s.firstEvent, content)
 }
 
 func (s *stream) pass(ev direct.Event) bool {
@@ -132,7 +136,13 @@
 	if ev.ID != "" {
 		s.lastID = ev.ID
 	}
+	now := time.Now()
+	pause := time.Duration(s.route.TargetGapMs) * time.Millisecond
+	if s.events > 0 && pause > 0 && now.Sub(s.sentAt) > pause {
+		s.fleet.paused(now, s.service)
+	}
 	s.events++
+	s.sentAt = now
 	return true
 }
 
--- a/route/health.go
+++ b/route/health.go
@@ -122,10 +122,27 @@
 	}
 }
 
+// Answered implements Answered.
+func (p *pool) Answered(now time.Time, up Upstream, l *wire.Load, after time.Duration) {
+	s := p.byID[up.ID]
+	if s == nil || s.Incarnation != up.Incarnation {
+		return
+	}
+	s.answer(now, l)
+	s.heard(now)
+	if p.head == 0 {
+		p.head = after.Seconds()
+	}
+	p.head += paceElapsed * (after.Seconds() - p.head)
+}
+
 // patience is how long an upstream may leave requests unanswered. Until a first
 // answer shows what is usual here, it is long: a pool whose answers take seconds
 // would lose half its upstreams as soon as the entry starts.
 func (p *pool) patience() time.Duration {
+	if p.head > 0 {
+		return max(minStall, time.Duration(stallFactor*p.head*float64(time.Second)))
+	}
 	if p.elapsed == 0 {
 		return firstPatience
 	}
--- a/route/pool.go
+++ b/route/pool.go
@@ -36,6 +36,8 @@
 	ejected int
 	// elapsed is the smoothed time of an answer, in seconds.
 	elapsed float64
+	// head is the same for the head of an answer, where that is heard of by itself.
+	head float64
 	// work is the smoothed tokens of a request; 0 for plain services.
 	work float64
 	// order is a permutation of the list that sample draws from.
--- a/route/route.go
+++ b/route/route.go
@@ -95,3 +95,9 @@
 	}
 	return b, nil
 }
+
+// Answered is a balancer that hears of the head of an answer before its end: of a
+// stream that is a sign of life, and a load, seconds earlier.
+type Answered interface {
+	Answered(now time.Time, up Upstream, l *wire.Load, after time.Duration)
+}
