--- a/control/lockstep.go
+++ b/control/lockstep.go
@@ -186,4 +186,3 @@
 	}
 	return nil
 }
-
--- a/control/lockstepgroup.go
+++ b/control/lockstepgroup.go
@@ -23,6 +23,8 @@
 	// sidecarRest is how long a sidecar that did not answer isn't called; the rank is
 	// called directly meanwhile.
 	sidecarRest = 2 * time.Second
+	// reportLagFactor covers a report that is a little older than the service says.
+	reportLagFactor = 2
 	// replanPeriod is the least time between two plans.
 	replanPeriod = 300 * time.Millisecond
 )
@@ -45,6 +47,8 @@
 	phase    lockstep.Phase
 	proposal lockstep.Proposal
 	began    time.Time
+	// reportLag is how old a report is at most that a rank gives to another host.
+	reportLag time.Duration
 }
 
 // rankLink is the way to one rank.
@@ -74,6 +78,7 @@
 	if !shape.Valid() {
 		return
 	}
+	g.reportLag = reportLagFactor * time.Duration(profile.GetReportLagMs()*float64(time.Millisecond))
 	g.follow(found, shape)
 	g.read(ctx, now)
 	for _, o := range g.switcher.Tick(now) {
@@ -140,7 +145,8 @@
 	reading, err := callRank(g, link, func(c wire.DRPCSidecarClient) (*wire.RankReading, error) { return c.Read(ctx, req) },
 		func(r *sidecar.Rank) (*wire.RankReading, error) {
 			// From another host counts cost the group a pause.
-			return r.Read(ctx, &wire.ReadRankRequest{Instance: req.Instance, HeldExperts: req.HeldExperts})
+			reading, err := r.Read(ctx, &wire.ReadRankRequest{Instance: req.Instance, HeldExperts: req.HeldExperts})
+			return g.aged(reading), err
 		})
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -197,7 +203,11 @@
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		reply, err := callRank(g, link, func(c wire.DRPCSidecarClient) (*wire.RankOrderReply, error) { return c.Order(ctx, o.RankOrder) },
-			func(r *sidecar.Rank) (*wire.RankOrderReply, error) { return r.Order(ctx, o.RankOrder) })
+			func(r *sidecar.Rank) (*wire.RankOrderReply, error) {
+				reply, err := r.Order(ctx, o.RankOrder)
+				g.age(reply.GetAfter())
+				return reply, err
+			})
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if err != nil {
@@ -230,6 +240,20 @@
 	return far(sidecar.NewRank(g.client, g.ranks, address))
 }
 
+// aged marks what was read from another host as old: a rank tells others how it was
+// some time ago. Taken for fresh, a report from before a hold would say that the
+// group isn't held.
+func (g *lockstepGroup) aged(reading *wire.RankReading) *wire.RankReading {
+	g.age(reading.GetReport())
+	return reading
+}
+
+func (g *lockstepGroup) age(report *wire.RankReport) {
+	if report != nil {
+		report.AgeMs = uint32(g.reportLag.Milliseconds())
+	}
+}
+
 // plan looks for a better map and begins the switch to it.
 func (g *lockstepGroup) plan(ctx context.Context, now time.Time) {
 	if g.planning || now.Sub(g.planned) < replanPeriod || !g.switcher.Ready(now) || g.demand.Load() == nil {
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/wire"
 )
 
 const (
@@ -16,17 +17,40 @@
 	// keepFactor covers callers that keep the list of entries longer than they
 	// were told.
 	keepFactor = 2
+	// streamTime is how long a stream is expected to take at most: a long answer of
+	// some sixty events at passes of eighty milliseconds.
+	streamTime = 5 * time.Second
+	// plainTime is the same for a whole answer, unless its caller waits for less.
+	plainTime = 1200 * time.Millisecond
+	// drainWait is when a caller may come back that is refused for the stop: at once,
+	// as another entry takes it.
+	drainWait = 50 * time.Millisecond
 )
 
+// endsInTime says whether a request that comes now can end before a gateway that
+// leaves is stopped by force. One that can't is refused as not run, and its caller
+// goes elsewhere; taken, it would be cut in the middle of its answer.
+func (g *Gateway) endsInTime(c *call) bool {
+	if !g.draining.Load() {
+		return true
+	}
+	left := g.settings.StopLimit.D() - drainMargin - g.now().Sub(*g.drainBegan.Load())
+	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
+		return left >= streamTime
+	}
+	return left >= min(plainTime, time.Until(c.deadline))
+}
+
 // Drain implements kernel.Daemon. The gateway leaves the list of entries at once
 // and goes on answering: callers keep the list for a while, and come here until
 // they ask again.
 func (g *Gateway) Drain(ctx context.Context) error {
+	began := g.now()
+	g.drainBegan.CompareAndSwap(nil, &began)
 	if g.draining.CompareAndSwap(false, true) {
 		kernel.Info(g.log, "Leaving the list of entries.", "active", g.active.Load())
 	}
 	g.wakeAnnouncer()
-	began := g.now()
 	linger := keepFactor * g.settings.Keep.D()
 	limit := g.settings.StopLimit.D() - drainMargin
 	tick := time.NewTicker(drainPoll)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,7 +64,9 @@
 
 	table    atomic.Pointer[routing.Table]
 	draining atomic.Bool
-	active   atomic.Int64
+	// drainBegan is when the gateway began to leave.
+	drainBegan atomic.Pointer[time.Time]
+	active     atomic.Int64
 	// lastCame is when the last request came, in nanoseconds of now.
 	lastCame    atomic.Int64
 	announceNow chan struct{}
@@ -242,6 +244,9 @@
 	if c.asked.Deadline > 0 && began.Add(c.asked.Deadline).Before(c.deadline) {
 		c.deadline = began.Add(c.asked.Deadline)
 	}
+	if !g.endsInTime(c) {
+		return c, &refusal{status: http.StatusServiceUnavailable, reason: reasonDraining, wait: drainWait}
+	}
 	return c, c.readBody(t)
 }
 
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -89,6 +89,7 @@
 	reasonBodyTooLarge = "body-too-large"
 	reasonNoUpstream   = "no-upstream"
 	reasonBusy         = "upstreams-busy"
+	reasonDraining     = "draining"
 	reasonRetryBudget  = "retry-budget"
 	reasonInDoubt      = "in-doubt"
 	reasonTimeout      = "timeout"
--- /dev/null
+++ b/lockstep/sim_test.go
@@ -0,0 +1,368 @@
+package lockstep
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// simRank carries out orders as the ranks of a group in lock-step do.
+type simRank struct {
+	instance  string
+	inUse     uint64
+	prepared  uint64
+	copying   uint64
+	copiedAt  time.Duration
+	armed     uint64
+	armedStep uint64
+	held      uint64
+	highest   uint64
+	token     uint64
+	// away is until when the rank's host answers nothing.
+	away time.Duration
+}
+
+// event happens at a time of the simulation.
+type event struct {
+	at time.Duration
+	do func()
+}
+
+// sim is a group, its leaders and the network between them.
+type sim struct {
+	rnd     *rand.Rand
+	now     time.Duration
+	events  []event
+	ranks   []*simRank
+	step    uint64
+	nextRun time.Duration
+	epoch   uint64
+	leaders []*simLeader
+	token   uint64
+	shape   Shape
+	maps    map[uint64]Map
+	off     safeguards
+	// calm says that no more faults happen.
+	calm bool
+	// late is the share of orders without an answer that are carried out seconds later.
+	late, lost float64
+	broken     string
+	heldSince  time.Duration
+	finished   int
+	log        []string
+}
+
+// simLeader drives a Switcher as a control replica does.
+type simLeader struct {
+	switcher *Switcher
+	epoch    uint64
+	until    time.Duration
+	reading  []bool
+	planned  time.Duration
+}
+
+func newSim(seed uint64, off safeguards) *sim {
+	s := &sim{
+		rnd: rand.New(rand.NewPCG(seed, 1)), shape: Shape{Ranks: 4, Sets: 1, Experts: 4, Places: 2, Spare: 2},
+		maps: map[uint64]Map{}, off: off, epoch: 1,
+	}
+	s.late, s.lost = 0.5*s.rnd.Float64(), 0.1*s.rnd.Float64()
+	for i := range s.shape.Ranks {
+		s.ranks = append(s.ranks, &simRank{instance: fmt.Sprint("r", i)})
+	}
+	s.maps[0] = Map{{{0, 1}, {1, 2}, {2, 3}, {3, 0}}}
+	s.elect()
+	return s
+}
+
+func (s *sim) time() time.Time { return time.Unix(0, 0).Add(s.now) }
+
+func (s *sim) note(format string, args ...any) {
+	s.log = append(s.log, fmt.Sprintf("%8v ", s.now)+fmt.Sprintf(format, args...))
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	e := event{s.now + d, do}
+	i, _ := slices.BinarySearchFunc(s.events, e, func(a, b event) int {
+		if a.at <= b.at {
+			return -1
+		}
+		return 1
+	})
+	s.events = slices.Insert(s.events, i, e)
+}
+
+func (s *sim) ms(from, to int) time.Duration {
+	return time.Duration(from+s.rnd.IntN(to-from+1)) * time.Millisecond
+}
+
+// elect brings up a leader with a new token. An earlier one may go on for a while
+// without knowing that it is replaced.
+func (s *sim) elect() {
+	for _, l := range s.leaders {
+		l.until = min(l.until, s.now+s.ms(0, 250))
+	}
+	s.token++
+	s.leaders = append(s.leaders, s.newLeader())
+}
+
+func (s *sim) newLeader() *simLeader {
+	cfg := DefaultConfig(s.shape.Ranks, s.token, s.epoch)
+	cfg.off = s.off
+	return &simLeader{switcher: New(cfg), epoch: s.epoch, until: time.Hour, reading: make([]bool, s.shape.Ranks)}
+}
+
+// run plays until a time.
+func (s *sim) run(until time.Duration) {
+	const tick = 25 * time.Millisecond
+	for s.now < until && s.broken == "" {
+		next := s.now + tick
+		for len(s.events) > 0 && s.events[0].at <= next {
+			e := s.events[0]
+			s.events = s.events[1:]
+			s.now = max(s.now, e.at)
+			e.do()
+		}
+		s.now = next
+		s.pass()
+		s.faults()
+		for _, l := range s.leaders {
+			if s.now < l.until {
+				s.lead(l)
+			}
+		}
+		s.leaders = slices.DeleteFunc(s.leaders, func(l *simLeader) bool { return s.now >= l.until })
+	}
+}
+
+// pass begins the next pass unless a rank holds it.
+func (s *sim) pass() {
+	if s.now < s.nextRun {
+		return
+	}
+	for _, r := range s.ranks {
+		if r.held == s.step+1 {
+			return
+		}
+	}
+	s.nextRun = s.now + s.ms(25, 75)
+	s.step++
+	for _, r := range s.ranks {
+		if r.armed != 0 && r.armedStep == s.step {
+			r.inUse, r.armed, r.prepared = r.armed, 0, 0
+		}
+	}
+	for _, r := range s.ranks[1:] {
+		if r.inUse != s.ranks[0].inUse {
+			s.broken = fmt.Sprintf("step %d begins with maps %d and %d", s.step, s.ranks[0].inUse, r.inUse)
+		}
+	}
+}
+
+// faults strike at random: hosts that answer nothing, new leaders, a group that forms
+// again.
+func (s *sim) faults() {
+	if s.calm {
+		return
+	}
+	if s.rnd.Float64() < 0.01 {
+		r := s.ranks[s.rnd.IntN(len(s.ranks))]
+		r.away = s.now + s.ms(200, 4000)
+		s.note("%s answers nothing until %v", r.instance, r.away)
+	}
+	if s.rnd.Float64() < 0.006 {
+		s.elect()
+		s.note("leader with token %d", s.token)
+	}
+	if s.rnd.Float64() < 0.002 {
+		s.formAgain()
+	}
+}
+
+func (s *sim) formAgain() {
+	s.epoch++
+	s.note("epoch %d", s.epoch)
+	for i, r := range s.ranks {
+		*r = simRank{instance: r.instance, away: r.away}
+		if i == 0 {
+			r.instance = fmt.Sprint("r0-", s.epoch)
+		}
+	}
+	epoch := s.epoch
+	s.after(s.ms(0, 1500), func() {
+		if s.epoch != epoch || len(s.leaders) == 0 {
+			return
+		}
+		l := s.leaders[len(s.leaders)-1]
+		*l = *s.newLeader()
+		l.switcher.cfg.Token = s.token
+	})
+}
+
+// lead is one look of a leader.
+func (s *sim) lead(l *simLeader) {
+	period := 14
+	if l.switcher.Phase() != Idle {
+		period = 2
+	}
+	for i := range s.ranks {
+		if s.rnd.IntN(period) == 0 {
+			s.read(l, i)
+		}
+	}
+	if l.switcher.Current() == nil {
+		s.learn(l)
+	}
+	if l.switcher.Ready(s.time()) && s.now-l.planned > 300*time.Millisecond {
+		l.planned = s.now
+		next := s.maps[0].Clone()
+		a, b := s.rnd.IntN(4), s.rnd.IntN(4)
+		next[0][a], next[0][b] = next[0][b], next[0][a]
+		l.switcher.Begin(s.time(), next)
+		s.maps[l.switcher.Version()] = next
+	}
+	before := l.switcher.Phase()
+	for _, o := range l.switcher.Tick(s.time()) {
+		s.send(l, o)
+	}
+	if after := l.switcher.Phase(); after != before {
+		s.note("token %d: %v, version %d, %s", l.switcher.cfg.Token, after, l.switcher.Version(), l.switcher.Outcome())
+		if after == Idle && l.switcher.Outcome() == "in force" {
+			s.finished++
+		}
+	}
+}
+
+// state shows what a leader knows of the ranks, for a test that fails.
+func (s *sim) state() string {
+	text := ""
+	for i, r := range s.ranks {
+		text += fmt.Sprintf("rank %d: %+v\n", i, *r)
+	}
+	for _, l := range s.leaders {
+		for i := range l.switcher.ranks {
+			text += fmt.Sprintf("token %d rank %d: %+v\n", l.switcher.cfg.Token, i, l.switcher.ranks[i])
+		}
+	}
+	return text
+}
+
+// learn reads the map in force from the ranks.
+func (s *sim) learn(l *simLeader) {
+	for _, r := range s.ranks {
+		if r.inUse != s.ranks[0].inUse || s.now < r.away {
+			return
+		}
+	}
+	if m := s.maps[s.ranks[0].inUse]; m != nil && l.epoch == s.epoch {
+		l.switcher.SetCurrent(m)
+	}
+}
+
+func (s *sim) report(i int) (string, *wire.RankReport) {
+	r := s.ranks[i]
+	if r.copying != 0 && s.now >= r.copiedAt {
+		r.prepared, r.copying = r.copying, 0
+	}
+	return r.instance, &wire.RankReport{Step: s.step, Map: r.inUse, Prepared: r.prepared, Armed: r.armed, ArmedStep: r.armedStep, Held: r.held}
+}
+
+func (s *sim) read(l *simLeader, i int) {
+	if s.now < s.ranks[i].away || l.epoch != s.epoch {
+		return
+	}
+	at := s.time()
+	instance, rep := s.report(i)
+	s.after(s.ms(1, 20), func() { l.switcher.Heard(at, i, instance, rep) })
+}
+
+// send carries an order to its rank, or loses it, or carries it out much later.
+func (s *sim) send(l *simLeader, o Order) {
+	answered := false
+	answer := func(reply *wire.RankOrderReply) {
+		if !answered {
+			answered = true
+			l.switcher.Replied(s.time(), o.Rank, o.RankOrder, reply)
+		}
+	}
+	s.after(250*time.Millisecond, func() { answer(nil) })
+	draw := s.rnd.Float64()
+	late, lost := s.late, s.lost
+	if s.calm {
+		late, lost = 0, 0
+	}
+	if s.now < s.ranks[o.Rank].away {
+		// It arrives when the host answers again, or never.
+		if s.rnd.IntN(2) == 0 {
+			s.after(s.ranks[o.Rank].away-s.now+s.ms(0, 50), func() { s.carryOut(o) })
+		}
+		return
+	}
+	switch {
+	case draw < lost:
+	case draw < lost+late:
+		s.after(s.ms(2000, 12000), func() { s.carryOut(o) })
+	default:
+		s.after(s.ms(1, 8), func() {
+			status := s.carryOut(o)
+			at := s.time()
+			_, rep := s.report(o.Rank)
+			if s.rnd.Float64() < lost {
+				return
+			}
+			s.after(s.ms(1, 8), func() { _ = at; answer(&wire.RankOrderReply{Status: status, After: rep}) })
+		})
+	}
+}
+
+// carryOut is what the platform's pages say of each order.
+func (s *sim) carryOut(o Order) wire.RankOrderStatus {
+	const conflict = wire.RankOrderStatus_RANK_ORDER_STATUS_CONFLICT
+	const done = wire.RankOrderStatus_RANK_ORDER_STATUS_DONE
+	r := s.ranks[o.Rank]
+	if r.instance != o.Instance {
+		return wire.RankOrderStatus_RANK_ORDER_STATUS_REFUSED
+	}
+	if o.FencingToken < r.token {
+		return wire.RankOrderStatus_RANK_ORDER_STATUS_FENCED
+	}
+	r.token = o.FencingToken
+	if o.Epoch != s.epoch {
+		return conflict
+	}
+	s.report(o.Rank)
+	switch o.Kind {
+	case wire.RankOrderKind_RANK_ORDER_KIND_PREPARE:
+		if o.Version <= r.highest || r.armed != 0 {
+			return conflict
+		}
+		r.highest, r.copying, r.copiedAt = o.Version, o.Version, s.now+s.ms(0, 400)
+		return wire.RankOrderStatus_RANK_ORDER_STATUS_BEGUN
+	case wire.RankOrderKind_RANK_ORDER_KIND_ARM:
+		if o.Version != r.prepared || o.Step <= s.step || r.armed != 0 && r.armed != o.Version {
+			return conflict
+		}
+		r.armed, r.armedStep = o.Version, o.Step
+	case wire.RankOrderKind_RANK_ORDER_KIND_DISARM:
+		if o.Version == r.inUse {
+			return conflict
+		}
+		if r.armed == o.Version {
+			r.armed = 0
+		}
+	case wire.RankOrderKind_RANK_ORDER_KIND_HOLD:
+		if o.Step <= s.step || r.held != 0 && r.held != o.Step {
+			return conflict
+		}
+		r.held = o.Step
+	case wire.RankOrderKind_RANK_ORDER_KIND_GO:
+		if r.held != o.Step {
+			return conflict
+		}
+		r.held = 0
+	}
+	return done
+}
--- a/lockstep/switcher.go
+++ b/lockstep/switcher.go
@@ -49,6 +49,17 @@
 	Resend time.Duration
 	// UsualPass is taken for a pass's time until two readings tell it.
 	UsualPass time.Duration
+
+	// off turns safeguards off, to show that tests catch what they prevent.
+	off safeguards
+}
+
+// safeguards of a Switcher.
+type safeguards struct {
+	// settle: a rank that a late order may arm doesn't count as clean.
+	settle bool
+	// hold: the group is held before any rank is armed.
+	hold bool
 }
 
 // DefaultConfig suits passes of some tens of milliseconds and orders that take a few.
@@ -201,6 +212,7 @@
 	if i < 0 || i >= len(s.ranks) || report == nil {
 		return
 	}
+	at = at.Add(-time.Duration(report.AgeMs) * time.Millisecond)
 	r := &s.ranks[i]
 	if r.instance != instance {
 		// A new start of the rank: its sequence begins anew, and the group forms again.
--- a/lockstep/switchersteps.go
+++ b/lockstep/switchersteps.go
@@ -52,6 +52,11 @@
 // prepare has each rank copy what is new to it. Nothing is armed or held yet, so a
 // switch that is given up here leaves nothing behind.
 func (s *Switcher) prepare(now time.Time) []Order {
+	if now.Sub(s.since) > s.cfg.PrepareLimit {
+		s.outcome = "given up: ranks did not prepare in time"
+		s.enter(now, Idle)
+		return nil
+	}
 	var out []Order
 	done := true
 	for i := range s.ranks {
@@ -67,13 +72,8 @@
 			})...)
 		}
 	}
-	switch {
-	case done:
+	if done {
 		s.enter(now, Holding)
-	case now.Sub(s.since) > s.cfg.PrepareLimit:
-		s.outcome = "given up: ranks did not prepare in time"
-		s.enter(now, Idle)
-		return nil
 	}
 	return out
 }
@@ -96,7 +96,7 @@
 // may hold all the same, later: it is remembered, and released with the others.
 func (s *Switcher) hold(now time.Time) []Order {
 	r := &s.ranks[s.holder]
-	if r.report.Held == s.step {
+	if r.report.Held == s.step || s.cfg.off.hold {
 		s.enter(now, Arming)
 		return s.arm(now)
 	}
@@ -118,6 +118,14 @@
 // arm tells each rank the step. The group is held before it, so that time does no
 // harm but to callers who wait.
 func (s *Switcher) arm(now time.Time) []Order {
+	switch {
+	case s.ranks[s.holder].report.Held != s.step && !s.cfg.off.hold:
+		s.giveUp(now, "the hold is gone")
+		return nil
+	case now.Sub(s.since) > s.cfg.HoldLimit:
+		s.giveUp(now, "not all ranks could be armed in time")
+		return nil
+	}
 	var out []Order
 	done := true
 	for i := range s.ranks {
@@ -129,16 +137,9 @@
 			Kind: wire.RankOrderKind_RANK_ORDER_KIND_ARM, Version: s.version, Step: s.step,
 		})...)
 	}
-	switch {
-	case done:
+	if done {
 		s.enter(now, Releasing)
 		return s.release(now)
-	case s.ranks[s.holder].report.Held != s.step:
-		s.giveUp(now, "the hold is gone")
-		return nil
-	case now.Sub(s.since) > s.cfg.HoldLimit:
-		s.giveUp(now, "not all ranks could be armed in time")
-		return nil
 	}
 	return out
 }
@@ -176,17 +177,16 @@
 // Where an order without an answer might arm the rank later, the rank prepares the
 // map in force under a new version: what is no longer prepared can't be armed.
 func (s *Switcher) clean(now time.Time) []Order {
-	holders := s.unfencedHolders()
-	if len(holders) > 0 {
-		// The others wait: until a rank that holds the group obeys this leader only,
-		// an earlier one may still let the group go.
-		return s.cleanRanks(now, holders)
+	out, fencing := s.fenceHolders(now)
+	if fencing {
+		return out
 	}
-	all := make([]int, len(s.ranks))
-	for i := range all {
-		all[i] = i
+	if !s.held() && s.anyArmed() {
+		// An earlier leader has let the group go, so every rank is armed.
+		s.enter(now, Idle)
+		return nil
 	}
-	if out := s.cleanRanks(now, all); out != nil || !s.cleaned() {
+	if out := s.cleanRanks(now); out != nil || !s.cleaned() {
 		return out
 	}
 	out, free := s.letGo(now)
@@ -196,27 +196,50 @@
 	return out
 }
 
-// unfencedHolders are the ranks that hold the group and have not yet obeyed this
-// leader.
-func (s *Switcher) unfencedHolders() []int {
-	var list []int
+// fenceHolders makes the ranks that hold the group obey this leader only. The others
+// wait meanwhile: an earlier leader may still let the group go, and a rank that was
+// disarmed between that and the next pass would be the only one without the map. The
+// order is to hold the same step once more: it changes nothing, or takes the hold back.
+func (s *Switcher) fenceHolders(now time.Time) (out []Order, fencing bool) {
 	for i := range s.ranks {
-		if s.ranks[i].report.Held != 0 && !s.ranks[i].fenced {
-			list = append(list, i)
+		r := &s.ranks[i]
+		if r.report.Held == 0 || r.fenced {
+			continue
 		}
+		out = append(out, s.order(now, i, &wire.RankOrder{Kind: wire.RankOrderKind_RANK_ORDER_KIND_HOLD, Step: r.report.Held})...)
+		fencing = true
 	}
-	return list
+	return out, fencing
 }
 
-func (s *Switcher) cleanRanks(now time.Time, list []int) []Order {
+// held says whether a rank holds the group that obeys this leader only.
+func (s *Switcher) held() bool {
+	for i := range s.ranks {
+		if s.ranks[i].report.Held != 0 && s.ranks[i].fenced {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Switcher) anyArmed() bool {
+	for i := range s.ranks {
+		if s.ranks[i].report.Armed != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Switcher) cleanRanks(now time.Time) []Order {
 	var out []Order
-	for _, i := range list {
+	for i := range s.ranks {
 		switch {
 		case s.ranks[i].report.Armed != 0:
 			out = append(out, s.order(now, i, &wire.RankOrder{
 				Kind: wire.RankOrderKind_RANK_ORDER_KIND_DISARM, Version: s.ranks[i].report.Armed,
 			})...)
-		case !s.ranks[i].clean():
+		case !s.isClean(i):
 			out = append(out, s.settle(now, i)...)
 		}
 	}
@@ -227,15 +250,17 @@
 // leader or an earlier one.
 func (s *Switcher) cleaned() bool {
 	for i := range s.ranks {
-		if !s.ranks[i].clean() {
+		if !s.isClean(i) {
 			return false
 		}
 	}
 	return true
 }
 
-func (r *rank) clean() bool {
-	settled := r.armDoubt == 0 || r.report.Prepared != r.armDoubt
+// isClean says whether a rank is not armed and can't become so.
+func (s *Switcher) isClean(i int) bool {
+	r := &s.ranks[i]
+	settled := r.armDoubt == 0 || r.report.Prepared != r.armDoubt || s.cfg.off.settle
 	return r.report.Armed == 0 && settled && r.pending == nil && r.fenced
 }
 
