Know within 40 ms that an order has no answer; let a shift supersede a switch

Cause: with one order in ten unanswered, a switch took 1.3 to 2 s instead of 0.6: each missing answer was waited for during 250 ms, part of it with the group held; and a shift that came while a small switch was copying waited for its end. The sidecar now asks its rank for its state after 40 ms, answers wake the leader, and a switch that only copies gives way to a plan for the new demand. Versions go on over epochs: a rank that outlives one takes no lower version.

A schedule with the shorter times showed two maps; its trace is an error of the test's model (a second switcher for one token and epoch, which the driver never makes), mended there; 133,000 schedules hold since.

--- a/control/lockstep.go
+++ b/control/lockstep.go
@@ -36,6 +36,9 @@
 	client    *direct.Client
 	upstreams func() []*wire.Announcement
 
+	// wake is sent to when a rank has answered an order.
+	wake chan struct{}
+
 	mu     sync.Mutex
 	groups map[string]*lockstepGroup
 }
@@ -51,6 +54,7 @@
 	return &lockstepLeader{
 		settings: s.Lockstep, clock: s.Now, log: kernel.PartLog(l, "lockstep"), pool: pool, ranks: d,
 		client: direct.NewClient(transport.NewDialer(dialRank).DialContext), groups: map[string]*lockstepGroup{},
+		wake: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -85,11 +89,21 @@
 			return
 		case <-r.done:
 			return
+		case <-l.wake:
 		case <-time.After(wait):
 		}
 	}
 }
 
+// wakeUp makes the leader look at its groups at once: a group may be held until the
+// next order of a switch.
+func (l *lockstepLeader) wakeUp() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
 // tick does what is due; it returns whether this replica leads.
 func (l *lockstepLeader) tick(ctx context.Context, r *Replica) bool {
 	found := directGroups(l.upstreams())
--- a/control/lockstepgroup.go
+++ b/control/lockstepgroup.go
@@ -17,6 +17,9 @@
 	// readTimeout and orderTimeout bound one call to a rank.
 	readTimeout  = 400 * time.Millisecond
 	orderTimeout = 250 * time.Millisecond
+	// farOrderAnswer is how long a rank on another host may take to answer an order;
+	// the rest of orderTimeout is for its state.
+	farOrderAnswer = 150 * time.Millisecond
 	// busyReadPeriod is the time between two readings of a rank's state during a
 	// switch: a group may be held meanwhile.
 	busyReadPeriod = 60 * time.Millisecond
@@ -47,6 +50,8 @@
 	phase    lockstep.Phase
 	proposal lockstep.Proposal
 	began    time.Time
+	// plannedShifts counts the shifts of demand that the latest plan knew.
+	plannedShifts int
 	// reportLag is how old a report is at most that a rank gives to another host.
 	reportLag time.Duration
 }
@@ -110,7 +115,11 @@
 
 func (g *lockstepGroup) reset(epoch uint64, shape lockstep.Shape) {
 	g.epoch, g.shape = epoch, shape
-	g.switcher = lockstep.New(lockstep.DefaultConfig(shape.Ranks, g.token, epoch))
+	cfg := lockstep.DefaultConfig(shape.Ranks, g.token, epoch)
+	if g.switcher != nil {
+		cfg.Used = g.switcher.Used()
+	}
+	g.switcher = lockstep.New(cfg)
 	if g.demand == nil || len(g.links) != shape.Ranks {
 		// Demand outlives a group that forms again: callers ask for the same.
 		g.demand = lockstep.NewDemand(lockstep.DefaultDemandSettings(), shape)
@@ -221,6 +230,7 @@
 		kernel.Debug(g.log, "Order answered.", "group", g.name, "rank", o.Rank, "order", o.Kind, "version", o.Version, "step", o.Step,
 			"expect", o.ExpectSequence, "status", reply.GetStatus(), "after", reply.GetAfter(), "err", err)
 		switcher.Replied(g.clock(), o.Rank, o.RankOrder, reply)
+		g.wakeUp()
 	}()
 }
 
@@ -242,7 +252,7 @@
 		g.mu.Unlock()
 		return reply, err
 	}
-	return far(sidecar.NewRank(g.client, g.ranks, address))
+	return far(sidecar.NewRank(g.client, g.ranks, address, farOrderAnswer))
 }
 
 // aged marks what was read from another host as old: a rank tells others how it was
@@ -261,7 +271,7 @@
 
 // plan looks for a better map and begins the switch to it.
 func (g *lockstepGroup) plan(ctx context.Context, now time.Time) {
-	if g.planning || now.Sub(g.planned) < replanPeriod || !g.switcher.Ready(now) || !g.demand.Settled() {
+	if g.planning || now.Sub(g.planned) < replanPeriod || !g.mayBegin(now) || !g.demand.Settled() {
 		return
 	}
 	g.planned, g.planning = now, true
@@ -272,14 +282,20 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.planning = false
-		if !ok || ctx.Err() != nil || g.switcher != switcher || !switcher.Ready(g.clock()) {
+		if !ok || ctx.Err() != nil || g.switcher != switcher || !g.mayBegin(g.clock()) {
 			return
 		}
-		g.proposal, g.began = p, g.clock()
+		g.proposal, g.began, g.plannedShifts = p, g.clock(), g.demand.Shifts()
 		switcher.Begin(g.clock(), p.Map)
 	}()
 }
 
+// mayBegin says whether a switch may begin now: none is under way, or one that was
+// planned for what is no longer in demand and has only begun to copy.
+func (g *lockstepGroup) mayBegin(now time.Time) bool {
+	return g.switcher.Ready(now) || g.switcher.Phase() == lockstep.Preparing && g.demand.Shifts() != g.plannedShifts
+}
+
 func cloneLoad(load [][]float64) [][]float64 {
 	out := make([][]float64, len(load))
 	for i := range load {
--- a/lockstep/demand.go
+++ b/lockstep/demand.go
@@ -35,6 +35,7 @@
 	load     [][]float64
 	// windows counts those observed since the last shift.
 	windows int
+	shifts  int
 }
 
 // counters are what a rank said last.
@@ -100,6 +101,7 @@
 	}
 	if distance(d.load, shares) > d.settings.Shift {
 		d.windows = 0
+		d.shifts++
 	}
 	d.windows++
 	// After a shift all windows count alike, until there are enough of them.
@@ -153,5 +155,8 @@
 // Load is the estimated share of each expert in its set; nil before the first window.
 func (d *Demand) Load() [][]float64 { return d.load }
 
+// Shifts is how many shifts were seen.
+func (d *Demand) Shifts() int { return d.shifts }
+
 // Windows is how many windows were observed since the last shift.
 func (d *Demand) Windows() int { return d.windows }
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -18,7 +18,7 @@
 
 // DefaultPlanSettings are those of a control replica. MinGain keeps nine tenths of
 // the gain for half of the copies on the shifts of expert demand that were played.
-func DefaultPlanSettings() PlanSettings { return PlanSettings{MinGain: 0.012, MinTotal: 0.05} }
+func DefaultPlanSettings() PlanSettings { return PlanSettings{MinGain: 0.012, MinTotal: 0.08} }
 
 const (
 	// peakPower makes a sum of powers stand for the maximum, but also tell apart two
--- a/lockstep/sim_test.go
+++ b/lockstep/sim_test.go
@@ -186,9 +186,9 @@
 	s.epoch++
 	s.note("epoch %d", s.epoch)
 	for i, r := range s.ranks {
-		*r = simRank{instance: r.instance, away: r.away}
+		*r = simRank{instance: r.instance, away: r.away, highest: r.highest, token: r.token}
 		if i == 0 {
-			r.instance = fmt.Sprint("r0-", s.epoch)
+			*r = simRank{instance: fmt.Sprint("r0-", s.epoch), away: r.away}
 		}
 	}
 	epoch := s.epoch
@@ -197,8 +197,13 @@
 			return
 		}
 		l := s.leaders[len(s.leaders)-1]
+		if l.epoch == epoch {
+			// It was elected since, and knows.
+			return
+		}
+		used := l.switcher.Used()
 		*l = *s.newLeader()
-		l.switcher.cfg.Token = s.token
+		l.switcher.used = max(l.switcher.used, used)
 	})
 }
 
--- a/lockstep/switcher.go
+++ b/lockstep/switcher.go
@@ -37,6 +37,9 @@
 	Token uint64
 	// Epoch is how the group was formed last.
 	Epoch uint64
+	// Used is the last version that this leader has used in an earlier epoch. A rank
+	// that outlived it takes none that isn't higher.
+	Used uint64
 	// Lead is the time between the hold and its step, at least: the ranks are to be
 	// armed before the group gets there.
 	Lead time.Duration
@@ -66,9 +69,9 @@
 func DefaultConfig(ranks int, token, epoch uint64) Config {
 	return Config{
 		Ranks: ranks, Token: token, Epoch: epoch,
-		Lead: 120 * time.Millisecond, PrepareLimit: 4 * time.Second, HoldLimit: 1200 * time.Millisecond,
+		Lead: 60 * time.Millisecond, PrepareLimit: 4 * time.Second, HoldLimit: 1200 * time.Millisecond,
 		TakeoverGrace: 300 * time.Millisecond,
-		Resend:        80 * time.Millisecond, UsualPass: 50 * time.Millisecond,
+		Resend:        40 * time.Millisecond, UsualPass: 50 * time.Millisecond,
 	}
 }
 
@@ -146,7 +149,7 @@
 
 // New makes a switcher that has heard of nothing.
 func New(cfg Config) *Switcher {
-	return &Switcher{cfg: cfg, ranks: make([]rank, cfg.Ranks), phase: Idle, used: cfg.Token << versionBits}
+	return &Switcher{cfg: cfg, ranks: make([]rank, cfg.Ranks), phase: Idle, used: max(cfg.Token<<versionBits, cfg.Used)}
 }
 
 // Phase returns how far a switch has come.
@@ -161,6 +164,9 @@
 // Current is the map in force; nil if it isn't known.
 func (s *Switcher) Current() Map { return s.current }
 
+// Used is the last version that was used.
+func (s *Switcher) Used() uint64 { return s.used }
+
 // Version is that of the switch in progress, or of the last one.
 func (s *Switcher) Version() uint64 { return s.version }
 
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -21,6 +21,11 @@
 // dialRank bounds the opening of a connection to the rank on the same host.
 const dialRank = 500 * time.Millisecond
 
+// orderAnswer is how long the rank on the same host may take to answer an order. It
+// takes a millisecond or two; while others wait in a held group, an answer that was
+// lost must be noticed soon.
+const orderAnswer = 40 * time.Millisecond
+
 // Settings are those of snipereach-sidecar.
 type Settings struct {
 	ID            string                `toml:"id"`
@@ -88,7 +93,7 @@
 		settings: s, log: kernel.PartLog(l, "sidecar"), srv: transport.NewServer(sec),
 		client: direct.NewClient(transport.NewDialer(dialRank).DialContext),
 	}
-	return d, wire.DRPCRegisterSidecar(d.srv.Mux, NewRank(d.client, dia, s.Rank))
+	return d, wire.DRPCRegisterSidecar(d.srv.Mux, NewRank(d.client, dia, s.Rank, orderAnswer))
 }
 
 // Start implements kernel.Daemon.
--- a/sidecar/rank.go
+++ b/sidecar/rank.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -25,11 +26,15 @@
 	client  *direct.Client
 	dialect dialect.Ranks
 	addr    string
+	// answer is how long an order's answer is waited for before the rank is asked
+	// for its state instead.
+	answer time.Duration
 }
 
-// NewRank makes a rank that is called through a client.
-func NewRank(client *direct.Client, d dialect.Ranks, addr string) *Rank {
-	return &Rank{client: client, dialect: d, addr: addr}
+// NewRank makes a rank that is called through a client. Its orders are answered, or
+// known to have no answer, within a time.
+func NewRank(client *direct.Client, d dialect.Ranks, addr string, answer time.Duration) *Rank {
+	return &Rank{client: client, dialect: d, addr: addr, answer: answer}
 }
 
 // Read returns the rank's state.
@@ -60,7 +65,9 @@
 // Order gives an order. Its status is unknown if the answer doesn't come.
 func (r *Rank) Order(ctx context.Context, o *wire.RankOrder) (*wire.RankOrderReply, error) {
 	reply := &wire.RankOrderReply{}
-	status, _, err := r.call(ctx, r.dialect.RankCalls().Order, o.Instance, r.dialect.EncodeOrder(o))
+	waiting, cancel := context.WithTimeout(ctx, r.answer)
+	defer cancel()
+	status, _, err := r.call(waiting, r.dialect.RankCalls().Order, o.Instance, r.dialect.EncodeOrder(o))
 	if err == nil {
 		reply.Status = r.dialect.OrderStatus(status)
 	}
