--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -10,7 +10,7 @@
 const (
 	// shareMargin is how much more than its even part of a service's slots one
 	// entry may use: callers don't spread evenly over the entries.
-	shareMargin = 1.15
+	shareMargin = 1.5
 	// roomy is the part of a service's slots in use below which an entry may go
 	// beyond its share, up to roomyFactor times. Loads come with answers and tell
 	// the mean over all upstreams well, and each single one late.
@@ -23,10 +23,10 @@
 	// When answers come late, an entry takes cutFactor of its limit, at most once in
 	// cutInterval: the effect of one cut shows in answers that begin after it. Each
 	// answer in time gives growth back. leastPart bounds how far a limit falls.
-	cutFactor   = 0.9
+	cutFactor = 0.9
 	cutInterval = 80 * time.Millisecond
 	growth      = 0.012
-	leastPart   = 0.2
+	leastPart = 0.35
 	// inTime is the part of the time to a first event that callers are content with
 	// below which an answer counts as quick.
 	inTime = 0.75
@@ -40,7 +40,7 @@
 	// again in about a second once its rank is there; a full service has free slots
 	// all the time, and what is asked of it changes within seconds.
 	downWait = 1500 * time.Millisecond
-	fullWait = 1200 * time.Millisecond
+	fullWait = 600 * time.Millisecond
 )
 
 // gate decides whether a request may go to a service now, or is refused at once.
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -16,9 +16,10 @@
 	MinTotal float64
 }
 
-// DefaultPlanSettings are those of a control replica. MinGain keeps nine tenths of
-// the gain for half of the copies on the shifts of expert demand that were played.
-func DefaultPlanSettings() PlanSettings { return PlanSettings{MinGain: 0.012, MinTotal: 0.08} }
+// DefaultPlanSettings are those of a control replica: with half the least gain a third
+// more copies are made, with twice of it passes stay longer; on the played days of both
+// users neither served callers better.
+func DefaultPlanSettings() PlanSettings { return PlanSettings{MinGain: 0.025, MinTotal: 0.15} }
 
 const (
 	// peakPower makes a sum of powers stand for the maximum, but also tell apart two
