--- /dev/null
+++ b/gateway/gate_test.go
@@ -0,0 +1,219 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/snipereach/snipereach/dialect"
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// ranks registers a group of n ranks with 12 slots each.
+func ranks(n int, epoch uint64, broken bool) []*directory.Instance {
+	var list []*directory.Instance
+	for i := range n {
+		list = append(list, &directory.Instance{Announcement: &wire.Announcement{
+			Group: "g", Rank: uint32(i), Direct: &wire.DirectUpstream{Slots: 12, GroupEpoch: epoch, GroupBroken: broken && i == 0},
+		}})
+	}
+	return list
+}
+
+var start = time.Unix(1000, 0)
+
+// slotsOf is a part of an entry's even share of 16 ranks with 12 slots, of six entries.
+func slotsOf(part float64) int { return int(part * 192 / 6) }
+
+// fill lets requests in until one is refused.
+func fill(g *gate, now time.Time, entries int) int {
+	n := 0
+	for n < 10_000 {
+		if _, ok := g.enter(now, entries); !ok {
+			return n
+		}
+		n++
+	}
+	return n
+}
+
+// The load: a group of 16 ranks stands still for seconds while six entries go on to
+// get requests. Each entry takes its part of the 192 slots and some more, because
+// callers don't spread evenly, and refuses the rest at once: nothing is left in the
+// upstreams' queues that makes all that follow late.
+func TestStandstillFillsNoMoreThanTheSlots(t *testing.T) {
+	g := newGate()
+	g.formed(start, ranks(16, 1, false))
+	n := fill(&g, start, 6)
+	assert.Equal(t, n, slotsOf(shareMargin))
+	wait, ok := g.enter(start, 6)
+	assert.Assert(t, !ok && wait == fullWait)
+	g.leave()
+	_, ok = g.enter(start, 6)
+	assert.Assert(t, ok)
+}
+
+// The load: all callers use one entry while the group has room. That entry may go
+// beyond its part as long as answers tell of free slots.
+func TestOneBusyEntryUsesFreeSlots(t *testing.T) {
+	g := newGate()
+	g.formed(start, ranks(16, 1, false))
+	g.occupied(start, &dialect.Load{Running: 3, Slots: 12})
+	assert.Equal(t, fill(&g, start, 6), slotsOf(roomyFactor*shareMargin))
+	old := newGate()
+	old.formed(start, ranks(16, 1, false))
+	old.occupied(start, &dialect.Load{Running: 3, Slots: 12})
+	assert.Equal(t, fill(&old, start.Add(occupancyLife), 6), slotsOf(shareMargin), "an old load tells nothing")
+}
+
+// The load: passes take twice as long, because other experts are in demand than the
+// map was made for. First events come late; the limit falls, by steps and not below
+// leastPart, and grows back once answers are quick.
+func TestLateAnswersLowerTheLimit(t *testing.T) {
+	const content = 400 * time.Millisecond
+	g := newGate()
+	g.formed(start, ranks(16, 1, false))
+	full := g.limit(start, 6)
+	now := start
+	for range 100 {
+		now = now.Add(cutInterval)
+		g.began(now, 2*content, content)
+		g.began(now, 2*content, content)
+	}
+	assert.Equal(t, g.part, leastPart)
+	assert.Equal(t, g.limit(now, 6), slotsOf(leastPart*shareMargin))
+	for range 100 {
+		g.began(now, content/2, content)
+	}
+	assert.Equal(t, g.limit(now, 6), full)
+	g.paused(now.Add(time.Second))
+	assert.Assert(t, g.limit(now, 6) < full, "a long pause counts too")
+}
+
+// The load: a rank has crashed, and the group refuses everything until it forms again.
+// Callers are refused at once; a request now and then finds out that it is back, and
+// its answer, or a registration of the next epoch, opens the gate for all.
+func TestGroupThatIsDownIsProbed(t *testing.T) {
+	g := newGate()
+	g.formed(start, ranks(16, 1, false))
+	g.broke(start)
+	through := 0
+	for now := start; now.Before(start.Add(2 * time.Second)); now = now.Add(20 * time.Millisecond) {
+		wait, ok := g.enter(now, 6)
+		if ok {
+			through++
+			g.leave()
+			continue
+		}
+		assert.Equal(t, wait, downWait)
+	}
+	assert.Assert(t, through >= 8 && through <= 10, "%d requests went through", through)
+	g.back()
+	assert.Assert(t, fill(&g, start.Add(2*time.Second), 6) > 10)
+
+	g = newGate()
+	g.formed(start, ranks(16, 1, true))
+	assert.Assert(t, g.down, "a rank says that the group is broken")
+	g.formed(start, ranks(16, 2, false))
+	assert.Assert(t, !g.down)
+	g.formed(start, ranks(16, 1, true))
+	assert.Assert(t, !g.down, "an old registration doesn't close the gate again")
+}
+
+// All entries together stay within the allowance of second attempts, in any window,
+// whatever requests come.
+func TestRetryBudgetOfAllEntries(t *testing.T) {
+	s := RetrySettings{Ratio: 0.2, Slack: 88}
+	s.Window = durationOf(10 * time.Second)
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(1, 40).Draw(t, "entries")
+		now := start
+		var all []*budgets
+		for range entries {
+			all = append(all, newBudgets(s, func() int { return entries }, func() time.Time { return now }))
+		}
+		type tick struct{ requests, retries int }
+		var ticks []tick
+		for range 25 {
+			offered := rapid.IntRange(0, 200).Draw(t, "requests")
+			k := tick{requests: offered}
+			for i := range offered {
+				b := all[i%entries]
+				b.offer("pool")
+				for b.take("pool") {
+					k.retries++
+				}
+			}
+			ticks = append(ticks, k)
+			now = now.Add(time.Second)
+		}
+		for from := 0; from+10 <= len(ticks); from++ {
+			requests, retries := 0, 0
+			for _, k := range ticks[from : from+10] {
+				requests += k.requests
+				retries += k.retries
+			}
+			if float64(retries) > s.Ratio*float64(requests)+s.Slack {
+				t.Fatalf("%d retries of %d requests from second %d on", retries, requests, from)
+			}
+		}
+	})
+}
+
+// An unsafe request goes to another upstream only while it has certainly not run, and
+// 503 is said only of one that has run nowhere.
+func TestWhatBecomesOfARequest(t *testing.T) {
+	once := &wire.Route{Kind: wire.RouteKind_ROUTE_KIND_UNSAFE, MaxAttempts: 2}
+	often := &wire.Route{Kind: wire.RouteKind_ROUTE_KIND_SAFE, MaxAttempts: 2}
+	for _, c := range []struct {
+		route    *wire.Route
+		outcomes []outcome
+		may      bool
+		status   int
+	}{
+		{once, []outcome{outcomeNotSent}, true, 503},
+		{once, []outcome{outcomeNotRun}, true, 503},
+		{once, []outcome{outcomeMisdirected}, true, 503},
+		{once, []outcome{outcomeInDoubt}, false, 502},
+		{once, []outcome{outcomeNotRun, outcomeInDoubt}, false, 502},
+		{once, []outcome{outcomeExpired}, false, 504},
+		{once, []outcome{outcomeNotRun, outcomeNotRun}, false, 503},
+		{once, []outcome{outcomeNotSent, outcomeNotSent, outcomeNotSent}, false, 503},
+		{often, []outcome{outcomeInDoubt}, true, 502},
+		{often, []outcome{outcomeInDoubt, outcomeNotRun}, false, 502},
+		{often, nil, true, 503},
+	} {
+		var h history
+		last := outcomeNotRun
+		for _, o := range c.outcomes {
+			h.note(o)
+			last = o
+		}
+		assert.Equal(t, h.mayTry(c.route), c.may, "%v", c.outcomes)
+		assert.Equal(t, h.failure(last, reasonBusy).status, c.status, "%v", c.outcomes)
+	}
+}
+
+// A burst of failures fills its own allowance of lines and no other's; what is left
+// out is counted on the next line.
+func TestRequestLogIsBounded(t *testing.T) {
+	now := start
+	l := newRequestLog(nil, func() time.Time { return now })
+	written := 0
+	for range 1000 {
+		if ok, _ := l.allows(true); ok {
+			written++
+		}
+	}
+	assert.Equal(t, written, failedLines)
+	ok, dropped := l.allows(false)
+	assert.Assert(t, ok, "answered requests have an allowance of their own")
+	assert.Equal(t, dropped, 1000-failedLines, "the next line, whichever it is, tells the count")
+	now = now.Add(time.Second)
+	ok, dropped = l.allows(true)
+	assert.Assert(t, ok)
+	assert.Equal(t, dropped, 0)
+}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,160 @@
+package routing_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/snipereach/snipereach/routing"
+	"github.com/snipereach/snipereach/wire"
+)
+
+func valid() *wire.RoutingConfig {
+	return &wire.RoutingConfig{
+		Version:  3,
+		Services: []*wire.RoutedService{{Name: "pool"}, {Name: "clock"}},
+		Routes: []*wire.Route{
+			{Name: "a", Host: "x.example", PathPrefix: "/", Kind: wire.RouteKind_ROUTE_KIND_SAFE, TimeoutMs: 100, Split: split("pool", 1)},
+			{Name: "b", Host: "x.example", PathPrefix: "/b/", Kind: wire.RouteKind_ROUTE_KIND_UNSAFE, TimeoutMs: 100, Split: split("clock", 2)},
+		},
+		Teams: []*wire.KeyedTeam{
+			{Name: "t1", KeyHashes: [][]byte{routing.HashKey("k1"), routing.HashKey("k2")}},
+			{Name: "t2", KeyHashes: [][]byte{routing.HashKey("k3")}},
+		},
+	}
+}
+
+func split(service string, weight uint32) []*wire.WeightedService {
+	return []*wire.WeightedService{{Service: service, Weight: weight}}
+}
+
+// An operator sends what can't be carried out. It is refused with what is wrong, also
+// if its version is old: nothing of it may ever be in force.
+func TestInvalidConfigurationsAreRefused(t *testing.T) {
+	assert.NilError(t, routing.Check(valid()))
+	for name, c := range map[string]struct {
+		spoil func(*wire.RoutingConfig)
+		says  string
+	}{
+		"no version":      {func(c *wire.RoutingConfig) { c.Version = 0 }, "version"},
+		"unknown service": {func(c *wire.RoutingConfig) { c.Routes[0].Split = split("gone", 1) }, `"gone" is not known`},
+		"same place": {func(c *wire.RoutingConfig) {
+			c.Routes[1].PathPrefix = "/"
+			c.Routes[1].Host = "X.example"
+		}, "host and prefix"},
+		"no weight":     {func(c *wire.RoutingConfig) { c.Routes[0].Split = split("pool", 0) }, "weights"},
+		"no split":      {func(c *wire.RoutingConfig) { c.Routes[0].Split = nil }, "weights"},
+		"no timeout":    {func(c *wire.RoutingConfig) { c.Routes[1].TimeoutMs = 0 }, "timeout"},
+		"no kind":       {func(c *wire.RoutingConfig) { c.Routes[1].Kind = 0 }, "kind"},
+		"no host":       {func(c *wire.RoutingConfig) { c.Routes[1].Host = "" }, "host"},
+		"open prefix":   {func(c *wire.RoutingConfig) { c.Routes[1].PathPrefix = "/b" }, "slash"},
+		"shared key":    {func(c *wire.RoutingConfig) { c.Teams[1].KeyHashes = c.Teams[0].KeyHashes[:1] }, "shares a key"},
+		"team twice":    {func(c *wire.RoutingConfig) { c.Teams[1].Name = "t1" }, "named twice"},
+		"service twice": {func(c *wire.RoutingConfig) { c.Services[1].Name = "pool" }, "named twice"},
+		"no team name":  {func(c *wire.RoutingConfig) { c.Teams[1].Name = "" }, "name is empty"},
+		"no name":       {func(c *wire.RoutingConfig) { c.Services[1].Name = "" }, "name is empty"},
+	} {
+		cfg := valid()
+		c.spoil(cfg)
+		err := routing.Check(cfg)
+		assert.ErrorIs(t, err, routing.ErrInvalid, name)
+		assert.ErrorContains(t, err, c.says, name)
+	}
+}
+
+// Two operators send at once, and lost answers make them send again: whatever the
+// order, the highest version is in force, and none goes back.
+func TestHighestVersionIsInForce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var m routing.Machine
+		highest := uint64(0)
+		for _, v := range rapid.SliceOf(rapid.Uint64Range(1, 8)).Draw(t, "versions") {
+			c := &wire.RoutingConfig{Version: v, Source: []byte(fmt.Sprint(v, " ", highest))}
+			before := m.Current()
+			accepted := m.Apply(c)
+			if accepted != (v > highest) {
+				t.Fatalf("version %d over %d: accepted %v", v, highest, accepted)
+			}
+			if !accepted && m.Current() != before {
+				t.Fatal("what isn't accepted has changed what is in force")
+			}
+			highest = max(highest, v)
+		}
+		if m.Current().GetVersion() != highest {
+			t.Fatalf("in force: %d, not %d", m.Current().GetVersion(), highest)
+		}
+	})
+}
+
+// naive looks at every route.
+func naive(c *wire.RoutingConfig, host, path string) *wire.Route {
+	var best *wire.Route
+	for _, r := range c.Routes {
+		if strings.EqualFold(r.Host, host) && strings.HasPrefix(path, r.PathPrefix) && (best == nil || len(r.PathPrefix) > len(best.PathPrefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+func TestMatchIsTheLongestPrefixOfTheHost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &wire.RoutingConfig{Version: 1}
+		seen := map[string]bool{}
+		for range rapid.IntRange(0, 12).Draw(t, "routes") {
+			host := rapid.SampledFrom([]string{"a.example", "B.example"}).Draw(t, "host")
+			prefix := rapid.StringMatching(`/([ab]/){0,3}`).Draw(t, "prefix")
+			if seen[host+prefix] {
+				continue
+			}
+			seen[host+prefix] = true
+			c.Routes = append(c.Routes, &wire.Route{Host: host, PathPrefix: prefix})
+		}
+		table := routing.NewTable(c)
+		host := rapid.SampledFrom([]string{"a.example", "b.example", "c.example"}).Draw(t, "asked")
+		path := rapid.StringMatching(`/([ab]{1,2}/){0,4}[ab]?`).Draw(t, "path")
+		if table.Match(host, path) != naive(c, host, path) || table.Match(host+":80", path) != naive(c, host, path) {
+			t.Fatalf("%s%s", host, path)
+		}
+	})
+}
+
+func TestKeysBelongToTeams(t *testing.T) {
+	table := routing.NewTable(valid())
+	assert.Equal(t, table.TeamOf("k2").Name, "t1")
+	assert.Assert(t, table.TeamOf("k4") == nil)
+	assert.Assert(t, table.TeamOf("") == nil)
+	assert.Assert(t, table.NeedsKey(&wire.Route{}))
+	assert.Assert(t, !table.NeedsKey(&wire.Route{Anonymous: true}))
+	without := valid()
+	without.Teams = nil
+	assert.Assert(t, !routing.NewTable(without).NeedsKey(&wire.Route{}))
+}
+
+func TestSplitFollowsItsWeights(t *testing.T) {
+	r := &wire.Route{Split: []*wire.WeightedService{{Service: "a", Weight: 90}, {Service: "none"}, {Service: "b", Weight: 10}}}
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[routing.Choose(r, float64(i)/1000)]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"a": 900, "b": 100})
+}
+
+func TestKindsThatMayRunTwice(t *testing.T) {
+	for _, c := range []struct {
+		route *wire.Route
+		may   bool
+	}{
+		{&wire.Route{Kind: wire.RouteKind_ROUTE_KIND_SAFE}, true},
+		{&wire.Route{Kind: wire.RouteKind_ROUTE_KIND_UNSAFE, Resume: true}, false},
+		{&wire.Route{Kind: wire.RouteKind_ROUTE_KIND_STREAMING}, false},
+		{&wire.Route{Kind: wire.RouteKind_ROUTE_KIND_STREAMING, Resume: true}, true},
+	} {
+		assert.Equal(t, routing.Repeatable(c.route), c.may, "%v", c.route)
+	}
+	assert.Equal(t, routing.Urgency(&wire.Route{Priority: 4}, nil), uint32(4))
+	assert.Equal(t, routing.Urgency(&wire.Route{Priority: 4}, &wire.KeyedTeam{HasPriority: true}), uint32(0))
+}
