Send only probes to a group that stands still

After 0.4 s without any event to any stream of an entry, requests are refused but for a probe each 0.2 s.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -110,6 +110,13 @@
 	f.services[service].gate.began(now, after, content)
 }
 
+// alive takes an event of a stream.
+func (f *fleet) alive(now time.Time, service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.services[service].gate.alive(now)
+}
+
 // paused takes a pause in a stream that was too long.
 func (f *fleet) paused(now time.Time, service string) {
 	f.mu.Lock()
@@ -159,6 +166,7 @@
 	}
 	if ran {
 		p.gate.back()
+		p.gate.alive(now)
 	}
 	if b, ok := p.balancer.(route.Answered); ok {
 		b.Answered(now, up, l, after)
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -23,10 +23,10 @@
 	// When answers come late, an entry takes cutFactor of its limit, at most once in
 	// cutInterval: the effect of one cut shows in answers that begin after it. Each
 	// answer in time gives growth back. leastPart bounds how far a limit falls.
-	cutFactor = 0.9
+	cutFactor   = 0.9
 	cutInterval = 80 * time.Millisecond
 	growth      = 0.012
-	leastPart = 0.35
+	leastPart   = 0.35
 	// inTime is the part of the time to a first event that callers are content with
 	// below which an answer counts as quick.
 	inTime = 0.75
@@ -36,6 +36,12 @@
 	// probeInterval is the time between two requests that are let through to a group
 	// that is down, to see whether it is back before its ranks have said so.
 	probeInterval = 200 * time.Millisecond
+	// standstill is how long a group may give no event to any stream of this entry
+	// before it counts as standing still: a pass takes a tenth of that, a slow one a
+	// third. standstillStreams requests must be waiting, so that it isn't one slow
+	// answer.
+	standstill        = 400 * time.Millisecond
+	standstillStreams = 3
 	// downWait and fullWait are when a refused caller may come back: a group forms
 	// again in about a second once its rank is there; a full service has free slots
 	// all the time, and what is asked of it changes within seconds.
@@ -65,6 +71,9 @@
 	// occupancy is the estimated part of the slots in use, as of told.
 	occupancy float64
 	told      time.Time
+	// sign is when the group last gave a sign of life, or the first of the requests
+	// that wait for one was sent.
+	sign time.Time
 	// part is what answers have left of the limit; cutAt is when it was cut last.
 	part  float64
 	cutAt time.Time
@@ -143,7 +152,10 @@
 
 // enter says whether a request may go, and otherwise when its caller may come back.
 func (g *gate) enter(now time.Time, entries int) (wait time.Duration, ok bool) {
-	if g.down {
+	if g.inflight == 0 {
+		g.sign = now
+	}
+	if g.down || g.standsStill(now) {
 		if now.Sub(g.probed) < probeInterval {
 			return downWait, false
 		}
@@ -156,6 +168,16 @@
 	return 0, true
 }
 
+// alive notes an event or the head of an answer.
+func (g *gate) alive(now time.Time) { g.sign = now }
+
+// standsStill says whether no stream of the group gets events, as while it is held
+// for a rank that doesn't answer. What is sent then waits until its caller has left,
+// and at a host that is frozen it would run later, for nobody.
+func (g *gate) standsStill(now time.Time) bool {
+	return g.grouped && g.inflight >= standstillStreams && now.Sub(g.sign) > standstill
+}
+
 // limit is how many requests this entry may have at the service.
 func (g *gate) limit(now time.Time, entries int) int {
 	slots := float64(g.slots)
--- a/gateway/gate_test.go
+++ b/gateway/gate_test.go
@@ -40,11 +40,10 @@
 	return n
 }
 
-// The load: a group of 16 ranks stands still for seconds while six entries go on to
-// get requests. Each entry takes its part of the 192 slots and some more, because
+// The load: a group of 16 ranks is slow while six entries go on to get requests. Each entry takes its part of the 192 slots and some more, because
 // callers don't spread evenly, and refuses the rest at once: nothing is left in the
 // upstreams' queues that makes all that follow late.
-func TestStandstillFillsNoMoreThanTheSlots(t *testing.T) {
+func TestFullGroupGetsNoMoreThanTheSlots(t *testing.T) {
 	g := newGate()
 	g.formed(start, ranks(16, 1, false))
 	n := fill(&g, start, 6)
@@ -123,6 +122,32 @@
 	assert.Assert(t, !g.down, "an old registration doesn't close the gate again")
 }
 
+// The load: a group is held for seconds because one rank's host is frozen. After some
+// tenths of a second without any event, requests are refused at once but for a probe;
+// the first event opens the gate again. One slow answer alone doesn't close it.
+func TestGroupThatStandsStillGetsProbesOnly(t *testing.T) {
+	g := newGate()
+	g.formed(start, ranks(16, 1, false))
+	_, ok := g.enter(start, 6)
+	assert.Assert(t, ok)
+	later := start.Add(10 * time.Second)
+	assert.Assert(t, !g.standsStill(later), "one request may be slow")
+	for range standstillStreams {
+		_, _ = g.enter(start, 6)
+	}
+	g.alive(later)
+	assert.Assert(t, !g.standsStill(later.Add(standstill)))
+	still := later.Add(standstill + time.Millisecond)
+	assert.Assert(t, g.standsStill(still))
+	_, ok = g.enter(still, 6)
+	assert.Assert(t, ok, "a probe")
+	wait, ok := g.enter(still, 6)
+	assert.Assert(t, !ok && wait == downWait)
+	g.alive(still)
+	_, ok = g.enter(still, 6)
+	assert.Assert(t, ok)
+}
+
 // All entries together stay within the allowance of second attempts, in any window,
 // whatever requests come.
 func TestRetryBudgetOfAllEntries(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -137,6 +137,7 @@
 		s.lastID = ev.ID
 	}
 	now := time.Now()
+	s.fleet.alive(now, s.service)
 	pause := time.Duration(s.route.TargetGapMs) * time.Millisecond
 	if s.events > 0 && pause > 0 && now.Sub(s.sentAt) > pause {
 		s.fleet.paused(now, s.service)
