Decision lines, bounded logs, metrics as text, and the pages for operators

Lines about requests, upstreams, gates, replicas and switches, each within an allowance; standard output is written in the background and never blocks. Counters and histograms of the gateway and of groups in lock-step.

--- a/control/control.go
+++ b/control/control.go
@@ -53,6 +53,7 @@
 	entries  func() []*wire.RingMember
 	groups   *groupLeader
 	lockstep *lockstepLeader
+	metrics  *kernel.Metrics
 
 	mu       sync.Mutex
 	identity *wire.Identity
@@ -67,10 +68,10 @@
 		return nil, err
 	}
 	s.Now = s.clock()
-	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool}
+	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, metrics: kernel.NewMetrics()}
 	c.groups = newGroupLeader(s, kernel.PartLog(l, "groups"), pool)
 	var err error
-	c.lockstep, err = newLockstepLeader(s, l, pool)
+	c.lockstep, err = newLockstepLeader(s, l, pool, c.metrics)
 	return c, err
 }
 
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -9,7 +9,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/go-kit/log"
-	"github.com/rcrowley/go-metrics"
 
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
@@ -185,9 +184,10 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/debug/state", &d.dumps)
-	registry := metrics.NewRegistry()
-	d.control.RegisterMetrics(registry)
-	mux.Handle("/metrics", kernel.MetricsHandler(registry))
+	m := d.control.metrics
+	d.control.RegisterMetrics(m.Registry)
+	mux.Handle("/metrics", kernel.MetricsHandler(m.Registry))
+	mux.Handle("/metrics.txt", m)
 	d.ops = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = d.ops.Serve(lis) }()
 	return nil
--- a/control/lockstep.go
+++ b/control/lockstep.go
@@ -36,6 +36,7 @@
 	client    *direct.Client
 	upstreams func() []*wire.Announcement
 
+	metrics *kernel.Metrics
 	// wake is sent to when a rank has answered an order.
 	wake chan struct{}
 
@@ -43,7 +44,7 @@
 	groups map[string]*lockstepGroup
 }
 
-func newLockstepLeader(s Settings, l log.Logger, pool *transport.Pool) (*lockstepLeader, error) {
+func newLockstepLeader(s Settings, l log.Logger, pool *transport.Pool, m *kernel.Metrics) (*lockstepLeader, error) {
 	if s.Lockstep == nil {
 		return nil, nil
 	}
@@ -54,7 +55,7 @@
 	return &lockstepLeader{
 		settings: s.Lockstep, clock: s.Now, log: kernel.PartLog(l, "lockstep"), pool: pool, ranks: d,
 		client: direct.NewClient(transport.NewDialer(dialRank).DialContext), groups: map[string]*lockstepGroup{},
-		wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), metrics: m,
 	}, nil
 }
 
--- a/control/lockstepgroup.go
+++ b/control/lockstepgroup.go
@@ -50,6 +50,8 @@
 	phase    lockstep.Phase
 	proposal lockstep.Proposal
 	began    time.Time
+	// heldFrom is when the hold of the switch in progress was ordered.
+	heldFrom time.Time
 	// plannedShifts counts the shifts of demand that the latest plan knew.
 	plannedShifts int
 	// reportLag is how old a report is at most that a rank gives to another host.
@@ -227,6 +229,10 @@
 		if err != nil {
 			reply = nil
 		}
+		g.metrics.Count("lockstep.orders")
+		if reply.GetStatus() == wire.RankOrderStatus_RANK_ORDER_STATUS_UNKNOWN {
+			g.metrics.Count("lockstep.orders.unanswered")
+		}
 		kernel.Debug(g.log, "Order answered.", "group", g.name, "rank", o.Rank, "order", o.Kind, "version", o.Version, "step", o.Step,
 			"expect", o.ExpectSequence, "status", reply.GetStatus(), "after", reply.GetAfter(), "err", err)
 		switcher.Replied(g.clock(), o.Rank, o.RankOrder, reply)
@@ -304,12 +310,34 @@
 	return out
 }
 
+// count counts switches, and how long the group was held for one.
+func (g *lockstepGroup) count(now time.Time, phase lockstep.Phase) {
+	switch phase {
+	case lockstep.Preparing:
+		g.metrics.Count("lockstep.switches.begun")
+	case lockstep.Holding:
+		g.heldFrom = now
+	case lockstep.Cleaning:
+		g.metrics.Count("lockstep.switches.given_up")
+	case lockstep.Idle:
+		if g.phase == lockstep.Releasing {
+			g.metrics.Count("lockstep.switches.in_force")
+			g.metrics.Latency("lockstep.switch_seconds").Record(now.Sub(g.began))
+		}
+		if !g.heldFrom.IsZero() {
+			g.metrics.Latency("lockstep.hold_seconds").Record(now.Sub(g.heldFrom))
+			g.heldFrom = time.Time{}
+		}
+	}
+}
+
 // logPhase tells of a switch's steps.
 func (g *lockstepGroup) logPhase(now time.Time) {
 	phase := g.switcher.Phase()
 	if phase == g.phase {
 		return
 	}
+	g.count(now, phase)
 	kv := []any{"group", g.name, "epoch", g.epoch, "version", g.switcher.Version(), "phase", phase, "after", now.Sub(g.began).Round(time.Millisecond)}
 	if phase == lockstep.Preparing {
 		kv = append(kv, "copies", g.proposal.Copies, "skew", g.proposal.Before, "skew_after", g.proposal.After, "windows", g.demand.Windows())
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -12,8 +12,10 @@
 	"github.com/snipereach/snipereach/agent"
 	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/entry"
+	"github.com/snipereach/snipereach/gateway"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/load"
+	"github.com/snipereach/snipereach/sidecar"
 )
 
 type settings interface{ Check() error }
@@ -26,6 +28,10 @@
 		return agent.DefaultSettings()
 	case "control.toml":
 		return control.DefaultDaemonSettings()
+	case "gateway.toml":
+		return gateway.DefaultSettings()
+	case "sidecar.toml":
+		return sidecar.DefaultSettings()
 	case "load-auction.toml", "load-lift.toml":
 		return load.DefaultSettings()
 	}
@@ -33,7 +39,7 @@
 }
 
 var (
-	daemons   = []string{"entry.toml", "agent.toml", "control.toml"}
+	daemons   = []string{"entry.toml", "agent.toml", "control.toml", "gateway.toml", "sidecar.toml"}
 	workloads = []string{"load-auction.toml", "load-lift.toml"}
 )
 
--- /dev/null
+++ b/gateway/beliefs.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"strings"
+
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/kernel"
+)
+
+// beliefLines bounds the lines about upstreams, gates and replicas, a second.
+const beliefLines = 20
+
+// believe writes a line about what the gateway believes of others.
+func (g *Gateway) believe(msg string, kv ...any) {
+	ok, leftOut := g.beliefs.Take()
+	if !ok {
+		return
+	}
+	if leftOut > 0 {
+		kv = append(kv, "lines_left_out", leftOut)
+	}
+	kernel.Info(g.log, msg, kv...)
+}
+
+// tellUpstreams tells which upstreams came, changed or are gone.
+func (g *Gateway) tellUpstreams(now []*directory.Instance) {
+	g.mu.Lock()
+	before := g.known
+	g.known = map[string]*directory.Instance{}
+	for _, i := range now {
+		g.known[i.Id] = i
+	}
+	known := g.known
+	g.mu.Unlock()
+	for id, i := range known {
+		old := before[id]
+		if old != nil && old.Phase == i.Phase && old.Direct.GetGroupEpoch() == i.Direct.GetGroupEpoch() && old.Direct.GetGroupBroken() == i.Direct.GetGroupBroken() {
+			continue
+		}
+		g.believe("Upstream.", "upstream", id, "phase", i.Phase, "pools", strings.Join(i.Pools, ","), "addr", i.Address, "failure_domain", i.FailureDomain,
+			"seq", i.Seq, "group", i.Group, "rank", i.Rank, "epoch", i.Direct.GetGroupEpoch(), "broken", i.Direct.GetGroupBroken())
+	}
+	for id, old := range before {
+		if known[id] == nil {
+			g.believe("Upstream is gone.", "upstream", id, "pools", strings.Join(old.Pools, ","), "addr", old.Address, "last_phase", old.Phase, "seq", old.Seq)
+		}
+	}
+}
+
+// tellGate tells that a service's gate has changed.
+func (g *Gateway) tellGate(service string, before, after gateState, inputs string) {
+	g.believe("Service.", "service", service, "before", before, "now", after, "why", inputs)
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -35,6 +35,8 @@
 	tried    map[string]bool
 	last     outcome
 	reason   string
+	// why are the inputs of a decision to refuse.
+	why      string
 	attempts []attemptNote
 	// firstEvent is the time to the first event of a stream.
 	firstEvent time.Duration
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -26,12 +26,16 @@
 	// loads counts the loads that came with answers: the order in which they came
 	// is all that is known of their age.
 	loads uint64
+	// told is called, without the lock, when a service's gate has changed.
+	told func(service string, before, after gateState, inputs string)
 }
 
 type servicePool struct {
 	balancer route.Balancer
 	ups      map[string]*directory.Instance
 	gate     gate
+	// state is the gate's when a request came last.
+	state gateState
 }
 
 func newFleet(s *Settings) *fleet {
@@ -87,14 +91,25 @@
 func (p *servicePool) occupied(now time.Time, l *dialect.Load) { p.gate.occupied(now, l) }
 
 // enter says whether a request may go to a service now; leave must follow if so.
-func (f *fleet) enter(now time.Time, service string, entries int) (wait time.Duration, ok bool) {
+// why names the inputs of a refusal.
+func (f *fleet) enter(now time.Time, service string, entries int) (wait time.Duration, why string, ok bool) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	p := f.services[service]
 	if p == nil {
-		return retryBusy, false
+		f.mu.Unlock()
+		return retryBusy, "no upstream of the service is known", false
+	}
+	before, after := p.state, p.gate.state(now)
+	p.state = after
+	wait, ok = p.gate.enter(now, entries)
+	if !ok || before != after {
+		why = p.gate.inputs(now, entries)
+	}
+	f.mu.Unlock()
+	if before != after && f.told != nil {
+		f.told(service, before, after, why)
 	}
-	return p.gate.enter(now, entries)
+	return wait, why, ok
 }
 
 func (f *fleet) leave(service string) {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -61,10 +61,9 @@
 }
 
 func (g *Gateway) watchRouting(ctx context.Context, addr string, started time.Time) {
+	w := &routingWatch{Gateway: g, addr: addr, started: started}
 	for ctx.Err() == nil {
-		if err := g.watchRoutingOnce(ctx, addr, started); err != nil && ctx.Err() == nil {
-			kernel.Debug(g.log, "Routing watch ended.", "replica", addr, "err", err)
-		}
+		w.ended(ctx, w.once(ctx))
 		select {
 		case <-ctx.Done():
 		case <-time.After(rewatch):
@@ -72,13 +71,38 @@
 	}
 }
 
-func (g *Gateway) watchRoutingOnce(ctx context.Context, addr string, started time.Time) error {
+// routingWatch is the watch of one replica.
+type routingWatch struct {
+	*Gateway
+	addr    string
+	started time.Time
+	// hears says that the replica has spoken since the watch was lost last.
+	hears bool
+}
+
+// heard notes that the replica speaks.
+func (w *routingWatch) heard(v *wire.RoutingVersion) {
+	if !w.hears {
+		w.believe("Control replica is heard.", "replica", w.addr, "version", v.Version, "confirmed_age_ms", v.ConfirmedAgeMs)
+	}
+	w.hears = true
+}
+
+// ended notes the end of a watch.
+func (w *routingWatch) ended(ctx context.Context, err error) {
+	if w.hears && ctx.Err() == nil {
+		w.believe("Control replica is lost.", "replica", w.addr, "err", err)
+	}
+	w.hears = false
+}
+
+func (w *routingWatch) once(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(silentRouting, cancel)
 	defer silence.Stop()
-	client := wire.NewDRPCRoutingClient(g.pool.Conn(ctx, addr))
-	stream, err := client.Watch(ctx, &wire.WatchRoutingRequest{Watcher: g.settings.ID})
+	client := wire.NewDRPCRoutingClient(w.pool.Conn(ctx, w.addr))
+	stream, err := client.Watch(ctx, &wire.WatchRoutingRequest{Watcher: w.settings.ID})
 	if err != nil {
 		return err
 	}
@@ -89,10 +113,11 @@
 			return err
 		}
 		silence.Reset(silentRouting)
-		if !g.wantsVersion(v, started) {
+		w.heard(v)
+		if !w.wantsVersion(v, w.started) {
 			continue
 		}
-		if err := g.fetchRouting(ctx, addr); err != nil {
+		if err := w.fetchRouting(ctx, w.addr); err != nil {
 			return err
 		}
 	}
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/snipereach/snipereach/dialect"
@@ -178,6 +179,39 @@
 	return g.grouped && g.inflight >= standstillStreams && now.Sub(g.sign) > standstill
 }
 
+// gateState is what a gate believes of its service.
+type gateState int
+
+const (
+	gateOpen gateState = iota
+	// gateDown: the group says that it runs nothing.
+	gateDown
+	// gateStill: no stream gets events.
+	gateStill
+)
+
+var gateStates = [...]string{"open", "down", "standing-still"}
+
+// String returns the state as logs show it.
+func (s gateState) String() string { return gateStates[s] }
+
+func (g *gate) state(now time.Time) gateState {
+	switch {
+	case g.down:
+		return gateDown
+	case g.standsStill(now):
+		return gateStill
+	}
+	return gateOpen
+}
+
+// inputs are what a decision depends on, with their age, for logs.
+func (g *gate) inputs(now time.Time, entries int) string {
+	return fmt.Sprintf("%s: %d in flight of %d, part %.2f, %d slots, %d entries, epoch %d, last sign %d ms ago, occupancy %.2f told %d ms ago",
+		g.state(now), g.inflight, g.limit(now, entries), g.part, g.slots, entries, g.epoch,
+		now.Sub(g.sign).Milliseconds(), g.occupancy, now.Sub(g.told).Milliseconds())
+}
+
 // limit is how many requests this entry may have at the service.
 func (g *gate) limit(now time.Time, entries int) int {
 	slots := float64(g.slots)
--- a/gateway/gate_test.go
+++ b/gateway/gate_test.go
@@ -221,24 +221,3 @@
 		assert.Equal(t, h.failure(last, reasonBusy).status, c.status, "%v", c.outcomes)
 	}
 }
-
-// A burst of failures fills its own allowance of lines and no other's; what is left
-// out is counted on the next line.
-func TestRequestLogIsBounded(t *testing.T) {
-	now := start
-	l := newRequestLog(nil, func() time.Time { return now })
-	written := 0
-	for range 1000 {
-		if ok, _ := l.allows(true); ok {
-			written++
-		}
-	}
-	assert.Equal(t, written, failedLines)
-	ok, dropped := l.allows(false)
-	assert.Assert(t, ok, "answered requests have an allowance of their own")
-	assert.Equal(t, dropped, 1000-failedLines, "the next line, whichever it is, tells the count")
-	now = now.Add(time.Second)
-	ok, dropped = l.allows(true)
-	assert.Assert(t, ok)
-	assert.Equal(t, dropped, 0)
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,7 +60,10 @@
 	fleet    *fleet
 	budgets  *budgets
 	requests *requestLog
-	dumps    kernel.Dumps
+	metrics  *gatewayMetrics
+	// beliefs bounds the lines about what the gateway believes of others.
+	beliefs *kernel.LineBudget
+	dumps   kernel.Dumps
 
 	table    atomic.Pointer[routing.Table]
 	draining atomic.Bool
@@ -76,6 +79,8 @@
 	callers net.Listener
 	servers []*http.Server
 	cancel  context.CancelFunc
+	// known are the upstreams that were told of last.
+	known map[string]*directory.Instance
 }
 
 // New makes a gateway from checked settings.
@@ -100,7 +105,10 @@
 		targets:     directory.NewTargets(s.ID, s.FailureDomain, s.Replicas).Grow(),
 		announceNow: make(chan struct{}, 1),
 	}
-	g.requests = newRequestLog(g.log, now)
+	g.requests, g.metrics = newRequestLog(g.log, now), newGatewayMetrics()
+	g.beliefs = kernel.NewLineBudget(beliefLines, now)
+	g.fleet.told = g.tellGate
+	g.metrics.register(g)
 	g.node = directory.NewNode(directorySettings(), now, g.directoryChanged)
 	g.budgets = newBudgets(s.Retries, g.entries, now)
 	g.dumps.Add("directory", g.node.Dump)
@@ -182,6 +190,7 @@
 
 // directoryChanged takes what the directory knows of upstreams.
 func (g *Gateway) directoryChanged() {
+	g.tellUpstreams(g.node.Instances(wire.Role_ROLE_UPSTREAM))
 	if err := g.fleet.update(time.Now(), g.node.Instances(wire.Role_ROLE_UPSTREAM)); err != nil {
 		kernel.Warn(g.log, "Upstreams can't be taken up.", "err", err)
 	}
@@ -203,8 +212,9 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
-	wait, ok := g.fleet.enter(time.Now(), c.service, g.entries())
+	wait, why, ok := g.fleet.enter(time.Now(), c.service, g.entries())
 	if !ok {
+		c.why = why
 		f := refusal{status: http.StatusServiceUnavailable, reason: reasonBusy, wait: wait}
 		g.refuse(w, f)
 		c.done(f.status, f.reason, nil)
@@ -306,15 +316,21 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/debug/state", &g.dumps)
+	mux.Handle("/metrics", kernel.MetricsHandler(g.metrics.Registry))
+	mux.Handle("/metrics.txt", g.metrics)
 	g.serve(lis, mux)
 	return nil
 }
 
-func (g *Gateway) dump() any {
-	version := uint64(0)
+// routingVersion is that of the configuration in force, 0 before the first.
+func (g *Gateway) routingVersion() uint64 {
 	if t := g.table.Load(); t != nil {
-		version = t.Config.Version
+		return t.Config.Version
 	}
+	return 0
+}
+
+func (g *Gateway) dump() any {
 	return struct {
 		Ready    bool     `json:"ready"`
 		Draining bool     `json:"draining"`
@@ -322,7 +338,7 @@
 		Active   int64    `json:"active"`
 		Opened   uint64   `json:"connections_opened"`
 		Replicas []string `json:"replicas"`
-	}{g.ready(), g.draining.Load(), version, g.active.Load(), g.client.Opened(), g.targets.Addresses()}
+	}{g.ready(), g.draining.Load(), g.routingVersion(), g.active.Load(), g.client.Opened(), g.targets.Addresses()}
 }
 
 // Stop implements kernel.Daemon.
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// gatewayMetrics counts what became of requests.
+type gatewayMetrics struct {
+	*kernel.Metrics
+	answer, firstEvent, plain, pause *kernel.Latency
+}
+
+func newGatewayMetrics() *gatewayMetrics {
+	m := kernel.NewMetrics()
+	return &gatewayMetrics{
+		Metrics: m, answer: m.Latency("gateway.stream_seconds"), firstEvent: m.Latency("gateway.first_event_seconds"),
+		plain: m.Latency("gateway.answer_seconds"), pause: m.Latency("gateway.pause_seconds"),
+	}
+}
+
+// register adds what is read when the metrics are asked for.
+func (m *gatewayMetrics) register(g *Gateway) {
+	for name, value := range map[string]func() int64{
+		"gateway.active":             g.active.Load,
+		"gateway.ready":              func() int64 { return oneIf(g.ready()) },
+		"gateway.connections_opened": func() int64 { return int64(g.client.Opened()) },
+		"gateway.entries":            func() int64 { return int64(g.entries()) },
+		"gateway.upstreams":          func() int64 { return int64(len(g.node.Instances(wire.Role_ROLE_UPSTREAM))) },
+		"gateway.routing_version":    func() int64 { return int64(g.routingVersion()) },
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, m.Registry, value)
+	}
+}
+
+func oneIf(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// ended counts a request by its outcome.
+func (m *gatewayMetrics) ended(c *call, status int, reason string, err error) {
+	switch {
+	case reason != "" && status == http.StatusServiceUnavailable:
+		m.Count("gateway.refused." + reason)
+	case reason != "":
+		m.Count("gateway.failed." + reason)
+	case err != nil:
+		m.Count("gateway.failed.caller-gone")
+	default:
+		m.Count("gateway.answered")
+		m.time(c)
+	}
+	for i, a := range c.attempts {
+		m.Count("gateway.attempts." + a.outcome.String())
+		if i > 0 {
+			m.Count("gateway.retries")
+		}
+	}
+}
+
+func (m *gatewayMetrics) time(c *call) {
+	took := time.Since(c.began)
+	if c.firstEvent == 0 {
+		m.plain.Record(took)
+		return
+	}
+	m.firstEvent.Record(c.firstEvent)
+	m.answer.Record(took)
+}
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
+	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -10,8 +10,8 @@
 	"github.com/snipereach/snipereach/kernel"
 )
 
-// Bounds of the request log, in lines a second. A failed request is never left out
-// for an answered one: the two have an allowance each.
+// Bounds of the request log, in lines a second. A request that failed, or that needed
+// more than one attempt, is never left out for another: the two have an allowance each.
 const (
 	failedLines   = 40
 	answeredLines = 2
@@ -20,46 +20,25 @@
 // requestLog writes a line for each request that was not answered, and for a sample
 // of the others, within an allowance; what is left out is counted.
 type requestLog struct {
-	log log.Logger
-	now func() time.Time
-
-	mu       sync.Mutex
-	second   int64
-	failed   int
-	answered int
-	dropped  int
+	log      log.Logger
+	failed   *kernel.LineBudget
+	answered *kernel.LineBudget
 }
 
 func newRequestLog(l log.Logger, now func() time.Time) *requestLog {
-	return &requestLog{log: l, now: now}
-}
-
-// allows says whether a line may be written now, and how many were left out since
-// the last one.
-func (l *requestLog) allows(failed bool) (ok bool, dropped int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if s := l.now().Unix(); s != l.second {
-		l.second, l.failed, l.answered = s, 0, 0
-	}
-	used, limit := &l.answered, answeredLines
-	if failed {
-		used, limit = &l.failed, failedLines
+	return &requestLog{
+		log: l, failed: kernel.NewLineBudget(failedLines, now), answered: kernel.NewLineBudget(answeredLines, now),
 	}
-	if *used >= limit {
-		if failed {
-			l.dropped++
-		}
-		return false, 0
-	}
-	*used++
-	dropped, l.dropped = l.dropped, 0
-	return true, dropped
 }
 
-// done ends a request: it writes its line.
+// done ends a request: it writes its line and counts it.
 func (c *call) done(status int, reason string, err error) {
-	ok, dropped := c.requests.allows(reason != "" || err != nil)
+	c.metrics.ended(c, status, reason, err)
+	budget := c.requests.answered
+	if reason != "" || err != nil || status >= http.StatusInternalServerError || len(c.attempts) > 1 {
+		budget = c.requests.failed
+	}
+	ok, leftOut := budget.Take()
 	if !ok {
 		return
 	}
@@ -70,14 +49,20 @@
 	if t := c.table.Load(); t != nil {
 		kv = append(kv, "routing_version", t.Config.Version)
 	}
+	if !c.deadline.IsZero() {
+		kv = append(kv, "left_ms", time.Until(c.deadline).Milliseconds())
+	}
 	if c.firstEvent > 0 {
 		kv = append(kv, "first_event_ms", c.firstEvent.Milliseconds())
 	}
+	if c.why != "" {
+		kv = append(kv, "why", c.why)
+	}
 	if err != nil {
 		kv = append(kv, "err", err)
 	}
-	if dropped > 0 {
-		kv = append(kv, "lines_left_out", dropped)
+	if leftOut > 0 {
+		kv = append(kv, "lines_left_out", leftOut)
 	}
 	kernel.Info(c.requests.log, "Request ended.", kv...)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -138,6 +138,9 @@
 	}
 	now := time.Now()
 	s.fleet.alive(now, s.service)
+	if s.events > 0 {
+		s.metrics.pause.Record(now.Sub(s.sentAt))
+	}
 	pause := time.Duration(s.route.TargetGapMs) * time.Millisecond
 	if s.events > 0 && pause > 0 && now.Sub(s.sentAt) > pause {
 		s.fleet.paused(now, s.service)
@@ -162,6 +165,7 @@
 	if s.last == outcomeCallerGone {
 		s.done(http.StatusOK, "caller-gone", nil)
 	} else {
+		s.why = "not resumed: " + s.reason
 		s.done(http.StatusOK, reasonBrokenOff, nil)
 	}
 	panic(http.ErrAbortHandler)
--- a/internal/docscheck/docscheck_test.go
+++ b/internal/docscheck/docscheck_test.go
@@ -48,7 +48,7 @@
 var (
 	// metricLiteral is a metric's name in code, or the start of one that is put
 	// together from words.
-	metricLiteral = regexp.MustCompile(`"((?:entry|agent|operators|control|group)\.[a-z0-9_.]+)"`)
+	metricLiteral = regexp.MustCompile(`"((?:entry|agent|operators|control|group|gateway|lockstep)\.[a-z0-9_.]+)"`)
 	metricRow     = regexp.MustCompile("(?m)^\\| `([^`]+)` \\|")
 )
 
@@ -63,7 +63,7 @@
 	}
 	used := map[string]bool{}
 	files(t, ".go", func(path, text string) {
-		if strings.HasSuffix(path, "_test.go") || !strings.Contains(text, "rcrowley/go-metrics") && !strings.Contains(text, ".count(") {
+		if strings.HasSuffix(path, "_test.go") || !strings.Contains(text, "rcrowley/go-metrics") && !strings.Contains(text, ".count(") && !strings.Contains(text, ".Count(") {
 			return
 		}
 		for _, m := range metricLiteral.FindAllStringSubmatch(text, -1) {
--- a/internal/settingsdoc/keys.go
+++ b/internal/settingsdoc/keys.go
@@ -24,6 +24,10 @@
 		}
 		f := v.Field(i)
 		if f.Kind() == reflect.Pointer {
+			if f.IsNil() {
+				// A section that this program doesn't offer.
+				continue
+			}
 			f = f.Elem()
 		}
 		switch {
--- a/internal/settingsdoc/main.go
+++ b/internal/settingsdoc/main.go
@@ -10,6 +10,8 @@
 	"github.com/snipereach/snipereach/agent"
 	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/entry"
+	"github.com/snipereach/snipereach/gateway"
+	"github.com/snipereach/snipereach/sidecar"
 )
 
 //go:generate go run .
@@ -31,10 +33,18 @@
 	e := entry.DefaultSettings()
 	replica := control.DefaultSettings()
 	e.Control = &replica
+	c := control.DefaultDaemonSettings()
+	c.Control.Tolerate = &control.Tolerance{}
+	c.Control.Lockstep = &control.LockstepSettings{}
+	c.API = &control.APISettings{}
+	c.SetDefaults()
+	c.Control.Voters = replica.Voters
 	return []program{
 		{"snipereach-entry", "entry.toml", e},
 		{"snipereach-agent", "agent.toml", agent.DefaultSettings()},
-		{"snipereach-control", "control.toml", control.DefaultDaemonSettings()},
+		{"snipereach-control", "control.toml", c},
+		{"snipereach-gateway", "gateway.toml", gateway.DefaultSettings()},
+		{"snipereach-sidecar", "sidecar.toml", sidecar.DefaultSettings()},
 	}
 }
 
--- a/kernel/run.go
+++ b/kernel/run.go
@@ -81,7 +81,9 @@
 		fmt.Fprintln(stderr, p.Name+": "+err.Error())
 		return ExitSettings
 	}
-	l := NewLog(stdout, opts.Log)
+	records := NewAsyncWriter(stdout)
+	defer records.Close()
+	l := NewLog(records, opts.Log)
 	d, stopLimit, err := p.Build(settings, l)
 	if err != nil {
 		fmt.Fprintln(stderr, p.Name+": "+opts.Config+": "+err.Error())
