--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -188,16 +188,6 @@
 	}
 }
 
-// size is how many upstreams of a service are up.
-func (f *fleet) size(service string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if p := f.services[service]; p != nil {
-		return len(p.ups)
-	}
-	return 0
-}
-
 // addresses of all upstreams that are up.
 func (f *fleet) addresses() map[string]bool {
 	f.mu.Lock()
--- a/lockstep/sim_test.go
+++ b/lockstep/sim_test.go
@@ -50,7 +50,6 @@
 	// late is the share of orders without an answer that are carried out seconds later.
 	late, lost float64
 	broken     string
-	heldSince  time.Duration
 	finished   int
 	log        []string
 }
