Leave an upstream that falls silent while its service goes on

A call that is given up now resets its connection, so that bytes which the host has not taken are dropped; and an attempt that may run twice moves to another upstream when its own says nothing for six times the usual while the service as a whole answers.

--- a/direct/client.go
+++ b/direct/client.go
@@ -94,11 +94,11 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	stop := context.AfterFunc(ctx, cn.abort)
 	resp, err := c.exchange(cn, r, accept)
 	if err != nil {
 		stop()
-		_ = cn.Close()
+		cn.abort()
 		return nil, err
 	}
 	body := &Body{client: c, addr: addr, conn: cn, resp: resp, stop: stop}
@@ -283,7 +283,11 @@
 		return
 	}
 	b.closed = true
-	if !b.stop() || !b.whole || b.resp.Close || !framed(b.resp) || b.conn.br.Buffered() > 0 {
+	if !b.stop() || !b.whole {
+		b.conn.abort()
+		return
+	}
+	if b.resp.Close || !framed(b.resp) || b.conn.br.Buffered() > 0 {
 		_ = b.conn.Close()
 		return
 	}
--- a/direct/conn.go
+++ b/direct/conn.go
@@ -21,6 +21,17 @@
 	since     time.Time
 }
 
+// abort ends a connection in the middle of a call. It is reset: bytes that a frozen or
+// cut off upstream has not taken yet are dropped. After an orderly close they would
+// reach it seconds later, and run for a caller who has left.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// It fails only on a connection that has ended already.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Conn.Close()
+}
+
 // quiet says whether an idle connection is still open and has nothing to read.
 //
 // Bytes that come between two calls belong to no request: a faulty upstream sends
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/snipereach/snipereach/dialect"
@@ -32,9 +33,11 @@
 	began    time.Time
 	deadline time.Time
 	history  history
-	tried    map[string]bool
-	last     outcome
-	reason   string
+	// sent is history.sent for the watch of an attempt.
+	sent   atomic.Int64
+	tried  map[string]bool
+	last   outcome
+	reason string
 	// why are the inputs of a decision to refuse.
 	why      string
 	attempts []attemptNote
@@ -62,6 +65,10 @@
 	up    route.Upstream
 	req   *route.Request
 	began time.Time
+	// ctx ends with the request's, or when the attempt is given up.
+	ctx    context.Context
+	cancel context.CancelFunc
+	watch  *silenceWatch
 	// head is what the answer's header said, once there was one.
 	head   dialect.Answer
 	status int
@@ -75,14 +82,20 @@
 	if !ok {
 		return nil
 	}
-	return &attempt{up: up, req: req, began: now}
+	a := &attempt{up: up, req: req, began: now}
+	a.ctx, a.cancel = context.WithCancel(c.ctx)
+	a.watch = c.watchSilence(a.cancel)
+	return a
 }
 
 // end notes the outcome of an attempt.
 func (c *call) end(a *attempt, o outcome) {
+	a.watch.stop()
+	a.cancel()
 	now := time.Now()
 	c.fleet.done(now, c.service, a.up, a.req, a.result(o, now))
 	c.history.note(o)
+	c.sent.Store(int64(c.history.sent))
 	c.last = o
 	if c.tried == nil {
 		c.tried = map[string]bool{}
@@ -119,13 +132,14 @@
 		Left: time.Until(c.deadline), Instance: a.up.ID, Team: c.team.GetName(), LastEventID: lastEventID,
 	})
 	req := &direct.Request{Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body}
-	resp, err := c.client.Do(c.ctx, a.up.Address, req, func(status int, h http.Header) bool {
+	resp, err := c.client.Do(a.ctx, a.up.Address, req, func(status int, h http.Header) bool {
 		return c.belongs(status, h)
 	})
 	if err != nil {
 		return nil, err
 	}
 	a.head, a.status = c.dialect.ReadAnswer(resp.Status, resp.Header), resp.Status
+	a.watch.hear()
 	now := time.Now()
 	c.fleet.answered(now, c.service, a.up, a.head.Load, now.Sub(a.began), resp.Status == http.StatusOK)
 	if a.head.GroupDown {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -139,6 +139,20 @@
 	f.services[service].gate.paused(now)
 }
 
+// silence is how long an upstream of a service may say nothing.
+func (f *fleet) silence(service string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.services[service].gate.silence()
+}
+
+// goesOn says whether a service as a whole answers.
+func (f *fleet) goesOn(now time.Time, service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.services[service].gate.goesOn(now)
+}
+
 // refusedByGroup notes that a rank refused a request because its group is down.
 func (f *fleet) refusedByGroup(now time.Time, service string) {
 	f.mu.Lock()
@@ -182,6 +196,7 @@
 	if ran {
 		p.gate.back()
 		p.gate.alive(now)
+		p.gate.headAfter(after)
 	}
 	if b, ok := p.balancer.(route.Answered); ok {
 		b.Answered(now, up, l, after)
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -31,6 +31,8 @@
 	// inTime is the part of the time to a first event that callers are content with
 	// below which an answer counts as quick.
 	inTime = 0.75
+	// headWeight is that of one answer in the usual time to a head.
+	headWeight = 0.1
 	// plainQueue is how many requests for each slot a plain service may have: its
 	// requests are short, and its upstreams queue a few.
 	plainQueue = 3
@@ -75,6 +77,8 @@
 	// sign is when the group last gave a sign of life, or the first of the requests
 	// that wait for one was sent.
 	sign time.Time
+	// head is the usual time to the head of an answer, 0 before the first.
+	head time.Duration
 	// part is what answers have left of the limit; cutAt is when it was cut last.
 	part  float64
 	cutAt time.Time
@@ -212,6 +216,26 @@
 		now.Sub(g.sign).Milliseconds(), g.occupancy, now.Sub(g.told).Milliseconds())
 }
 
+// headAfter takes the time to an answer's head.
+func (g *gate) headAfter(d time.Duration) {
+	if g.head == 0 {
+		g.head = d
+	}
+	g.head += time.Duration(headWeight * float64(d-g.head))
+}
+
+// silence is how long one upstream may say nothing.
+func (g *gate) silence() time.Duration {
+	if g.head == 0 {
+		return mostSilence
+	}
+	return min(max(silenceFactor*g.head, leastSilence), mostSilence)
+}
+
+// goesOn says whether the service has answered lately: what waits then waits for its
+// own upstream only.
+func (g *gate) goesOn(now time.Time) bool { return !g.down && now.Sub(g.sign) < standstill }
+
 // limit is how many requests this entry may have at the service.
 func (g *gate) limit(now time.Time, entries int) int {
 	slots := float64(g.slots)
--- /dev/null
+++ b/gateway/silence.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/snipereach/snipereach/routing"
+)
+
+const (
+	// silenceFactor times the usual time to an answer's head is how long one upstream
+	// may say nothing before a request that may run twice goes elsewhere.
+	silenceFactor = 6
+	// leastSilence is above the slowest hundredth of short answers, mostSilence half
+	// of the time after which callers leave a stream.
+	leastSilence = 200 * time.Millisecond
+	mostSilence  = time.Second
+)
+
+// silenceWatch ends an attempt whose upstream has fallen silent while its service goes
+// on: a host that is frozen, or a connection that is dead without a word. Its caller
+// would wait until it leaves, and the upstream would work for nobody when it wakes.
+type silenceWatch struct {
+	call   *call
+	cancel context.CancelFunc
+	limit  time.Duration
+	timer  *time.Timer
+	// heard is when the upstream said something last, in nanoseconds since began.
+	heard atomic.Int64
+	began time.Time
+}
+
+// watchSilence begins to watch an attempt; nil if the request must not run twice.
+func (c *call) watchSilence(cancel context.CancelFunc) *silenceWatch {
+	if !routing.Repeatable(c.route) {
+		return nil
+	}
+	w := &silenceWatch{call: c, cancel: cancel, limit: c.fleet.silence(c.service), began: time.Now()}
+	w.timer = time.AfterFunc(w.limit, w.look)
+	return w
+}
+
+// hear notes a sign of life.
+func (w *silenceWatch) hear() {
+	if w != nil {
+		w.heard.Store(int64(time.Since(w.began)))
+	}
+}
+
+func (w *silenceWatch) stop() {
+	if w != nil {
+		w.timer.Stop()
+	}
+}
+
+// look ends the attempt if it has been silent for long, another one may follow, and it
+// isn't the whole service that stands still.
+func (w *silenceWatch) look() {
+	now := time.Now()
+	left := w.limit - now.Sub(w.began) + time.Duration(w.heard.Load())
+	switch {
+	case left > 0:
+		w.timer.Reset(left)
+	case w.call.mayMove(now):
+		w.cancel()
+	default:
+		w.timer.Reset(w.limit / 2)
+	}
+}
+
+// mayMove says whether a request that waits at one upstream may go to another.
+func (c *call) mayMove(now time.Time) bool {
+	another := c.sent.Load()+1 < int64(c.route.MaxAttempts)
+	return another && c.fleet.goesOn(now, c.service) && c.budgets.left(c.service) && c.deadline.Sub(now) > leastSilence
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -68,15 +68,16 @@
 		}
 		return ans, o
 	}
-	return nil, s.forward(resp)
+	return nil, s.forward(a, resp)
 }
 
 // forward passes on events as they come. It returns outcomeAnswered only if the
 // stream came to its own end.
-func (s *stream) forward(resp *direct.Response) outcome {
+func (s *stream) forward(a *attempt, resp *direct.Response) outcome {
 	events := direct.NewEvents(resp.Body)
 	for {
 		ev, err := events.Next()
+		a.watch.hear()
 		if errors.Is(err, io.EOF) {
 			if !s.started {
 				s.start(resp)
