Copy the whole directory of each replica to a gateway

They copied from each replica only what had announced to it; the replicas fell silent some tenths of a second apart, and what only the first ones had vouched for ended while the last one still spoke. Each replica now vouches for all that it knows.

--- a/control/daemon.go
+++ b/control/daemon.go
@@ -157,7 +157,7 @@
 		return err
 	}
 	peers := func() []string { return d.control.knownPeers(ctx) }
-	d.node.FollowEach(ctx, peers, d.pool.Conn, &wire.DirectoryWatchRequest{Watcher: d.settings.ID, LocalOnly: true}, false)
+	d.node.FollowEach(ctx, peers, d.pool.Conn, &wire.DirectoryWatchRequest{Watcher: d.settings.ID, LocalOnly: true})
 	if d.api != nil {
 		if err := d.api.start(); err != nil {
 			return err
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -21,13 +21,9 @@
 // Follow copies what announces to another node until the context is done. Nodes
 // of control replicas follow each other so.
 func (n *Node) Follow(ctx context.Context, conn func(context.Context) drpc.Conn, req *wire.DirectoryWatchRequest) {
-	n.follow(ctx, conn, req, false)
-}
-
-func (n *Node) follow(ctx context.Context, conn func(context.Context) drpc.Conn, req *wire.DirectoryWatchRequest, hold bool) {
 	var last *Source
 	for ctx.Err() == nil {
-		last = n.followOnce(ctx, conn(ctx), req, last, hold, nil)
+		last = n.followOnce(ctx, conn(ctx), req, last, nil)
 		select {
 		case <-ctx.Done():
 		case <-time.After(redialDelay):
@@ -52,11 +48,16 @@
 const peersInterval = 500 * time.Millisecond
 
 // FollowEach follows each of the replicas that peers lists, in the background,
-// and goes along with changes of the list. hold says that nothing is declared
-// gone while none of them is heard.
-func (n *Node) FollowEach(ctx context.Context, peers func() []string, dial Dial, req *wire.DirectoryWatchRequest, hold bool) {
+// and goes along with changes of the list.
+//
+// Replicas follow each other's own instances only (LocalOnly), or two would keep up
+// for each other what nobody hears. A process that isn't one copies the whole of each:
+// upstreams announce to one replica after the other, and when a cut silences all of
+// them some tenths of a second apart, what only the first ones vouched for would
+// count as gone while the last one still speaks.
+func (n *Node) FollowEach(ctx context.Context, peers func() []string, dial Dial, req *wire.DirectoryWatchRequest) {
 	go n.followList(ctx, peers, func(ctx context.Context, addr string) {
-		n.follow(ctx, func(ctx context.Context) drpc.Conn { return dial(ctx, addr) }, req, hold)
+		n.Follow(ctx, func(ctx context.Context) drpc.Conn { return dial(ctx, addr) }, req)
 	})
 }
 
@@ -100,7 +101,7 @@
 	var last *Source
 	for ctx.Err() == nil {
 		addr := targets.Pick(n.now(), 1)[0]
-		last = n.followOnce(ctx, dial(ctx, addr), req, last, false, func(u *wire.DirectoryUpdate) bool {
+		last = n.followOnce(ctx, dial(ctx, addr), req, last, func(u *wire.DirectoryUpdate) bool {
 			return u.Settling && targets.Others(addr, n.now())
 		})
 		targets.Failed(addr, n.now())
@@ -113,12 +114,12 @@
 
 // followOnce follows one watch until it ends or leave says so. It returns the
 // watch that spoke last.
-func (n *Node) followOnce(ctx context.Context, conn drpc.Conn, req *wire.DirectoryWatchRequest, last *Source, hold bool, leave func(*wire.DirectoryUpdate) bool) *Source {
+func (n *Node) followOnce(ctx context.Context, conn drpc.Conn, req *wire.DirectoryWatchRequest, last *Source, leave func(*wire.DirectoryUpdate) bool) *Source {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(silentWatch, cancel)
 	defer silence.Stop()
-	src := &Source{Replaces: last, Whole: !req.LocalOnly, Hold: hold}
+	src := &Source{Replaces: last, Whole: !req.LocalOnly}
 	stream, err := wire.NewDRPCDirectoryClient(conn).Watch(ctx, n.resume(src, req))
 	if err != nil {
 		return last
--- a/directory/source.go
+++ b/directory/source.go
@@ -18,8 +18,6 @@
 	settling bool
 	// Whole says that it sends the whole directory, not only what announces to it.
 	Whole bool
-	// Hold says that its watcher declares nothing gone while it hears no replica.
-	Hold bool
 	// Replaces is the watch that this one takes over from. Once this one is
 	// synced, the earlier one's word ends: what it vouched for may have gone in
 	// between.
@@ -158,7 +156,7 @@
 func (s *State) holds(now time.Time) bool {
 	var last time.Time
 	for _, src := range s.sources {
-		if !src.Whole && !src.Hold {
+		if !src.Whole {
 			return false
 		}
 		if src.until.After(last) {
