Switch in steps of one copy a rank while the skew is steep

Cause: a plan for a shift copied up to eight experts at one rank, one after the other, and all ranks ran with the old map until the last was there: 0.5 to 0.7 s at two to three times the mean. A first switch with the copy that matters most at each rank is in force within 0.2 s, the next ones follow.

--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -12,6 +12,12 @@
 	// set: less is within the error of the estimate, and each copy slows the
 	// passes while it is made.
 	MinGain float64
+	// MaxPerRank is how many experts one rank may copy in a switch, over all sets,
+	// while the skew is above Steep; 0 is no bound. A rank copies one after the other,
+	// and until the last one is there all ranks run with the old map: a first switch
+	// with the few copies that matter most comes in force sooner.
+	MaxPerRank int
+	Steep      float64
 	// MinTotal is the least skew, averaged over the sets, that a switch must save.
 	MinTotal float64
 }
@@ -19,7 +25,9 @@
 // DefaultPlanSettings are those of a control replica: with half the least gain a third
 // more copies are made, with twice of it passes stay longer; on the played days of both
 // users neither served callers better.
-func DefaultPlanSettings() PlanSettings { return PlanSettings{MinGain: 0.025, MinTotal: 0.15} }
+func DefaultPlanSettings() PlanSettings {
+	return PlanSettings{MinGain: 0.025, MinTotal: 0.15, MaxPerRank: 1, Steep: 1.8}
+}
 
 const (
 	// peakPower makes a sum of powers stand for the maximum, but also tell apart two
@@ -45,19 +53,44 @@
 func Plan(s Shape, settings PlanSettings, current Map, load [][]float64) (p Proposal, ok bool) {
 	p.Before = current.Skew(load)
 	p.Map = current.Clone()
+	if p.Before < settings.Steep {
+		settings.MaxPerRank = 0
+	}
+	copies := make([]int, s.Ranks)
+	var sets []*setState
 	for set := range p.Map {
-		st := newSetState(s, settings, p.Map[set], load[set])
-		if st == nil {
-			continue
+		if st := newSetState(s, settings, p.Map[set], load[set]); st != nil {
+			st.set, st.perRank = set, copies
+			sets = append(sets, st)
 		}
-		st.search()
+	}
+	search(sets)
+	for _, st := range sets {
 		p.Copies += st.copied
-		p.Map[set] = st.hold
+		p.Map[st.set] = st.hold
 	}
 	p.After = p.Map.Skew(load)
 	return p, p.Before-p.After >= settings.MinTotal && p.Copies > 0
 }
 
+// search makes one change after the other, in the least even set first, so that ranks
+// copy first what matters most.
+func search(all []*setState) {
+	sets := slices.Clone(all)
+	for len(sets) > 0 {
+		worst := slices.MaxFunc(sets, func(a, b *setState) int {
+			return cmp.Compare(a.ranks[a.busiest()], b.ranks[b.busiest()])
+		})
+		best, ok := worst.best()
+		worst.steps++
+		if !ok || worst.steps > stepsPerRank*worst.s.Ranks {
+			sets = slices.DeleteFunc(sets, func(st *setState) bool { return st == worst })
+			continue
+		}
+		worst.keep(best)
+	}
+}
+
 // setState is one set of a map while it is searched. Loads are scaled so that the
 // mean rank has 1.
 type setState struct {
@@ -71,6 +104,10 @@
 	holders [][]int
 	ranks   []float64
 	copied  int
+	set     int
+	steps   int
+	// perRank counts the copies of each rank over all sets.
+	perRank []int
 }
 
 // newSetState returns nil for a set without any load.
@@ -113,19 +150,18 @@
 	gain       float64
 }
 
-// search makes the change that relieves the busiest rank most for each copy, until
-// none gains enough.
-func (st *setState) search() {
-	for range stepsPerRank * st.s.Ranks {
-		best, ok := st.best()
-		if !ok {
-			return
-		}
-		st.apply(best)
-		st.copied += best.copies
+// keep makes a change for good.
+func (st *setState) keep(c change) {
+	st.perRank[c.rank] += st.cost(c.rank, c.in)
+	if c.swap {
+		st.perRank[c.busy] += st.cost(c.busy, c.out)
 	}
+	st.apply(c)
+	st.copied += c.copies
 }
 
+// best is the change that relieves the busiest rank most for each copy, if any gains
+// enough.
 func (st *setState) best() (best change, ok bool) {
 	busy := st.busiest()
 	// Trials change the lists and change them back, in another order.
@@ -191,6 +227,9 @@
 	if st.cost(r, e) == 0 {
 		return false
 	}
+	if m := st.settings.MaxPerRank; m > 0 && st.perRank[r] >= m {
+		return true
+	}
 	fresh := 0
 	for _, x := range st.hold[r] {
 		fresh += st.cost(r, x)
--- /dev/null
+++ b/lockstep/plan_test.go
@@ -0,0 +1,186 @@
+package lockstep
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var small = Shape{Ranks: 16, Sets: 4, Experts: 64, Places: 5, Spare: 2}
+
+// inTurn is the map that a group starts with: experts in turn, spare places empty.
+func inTurn(s Shape) Map {
+	m := make(Map, s.Sets)
+	for set := range m {
+		m[set] = make([][]uint32, s.Ranks)
+		for e := range s.Experts {
+			r := e % s.Ranks
+			m[set][r] = append(m[set][r], uint32(e))
+		}
+	}
+	return m
+}
+
+// zipf is a demand in which few experts get most: their order is turned by shift.
+func zipf(s Shape, skew float64, shift int) [][]float64 {
+	load := zeros(s)
+	for set := range load {
+		for e := range load[set] {
+			load[set][(e*7+shift+set)%s.Experts] = math.Pow(float64(e+1), -skew)
+		}
+	}
+	return load
+}
+
+// copied counts what each rank must copy for a map, by set and over all.
+func copied(from, to Map) (perSet, perRank int) {
+	ranks := make([]int, len(from[0]))
+	for set := range from {
+		for r := range from[set] {
+			n := 0
+			for _, e := range to[set][r] {
+				if !slices.Contains(from[set][r], e) {
+					n++
+				}
+			}
+			perSet = max(perSet, n)
+			ranks[r] += n
+		}
+	}
+	return perSet, slices.Max(ranks)
+}
+
+// The load: a group has just formed, or other experts are suddenly in demand, so that
+// the busiest rank has three times the mean and passes take twice as long. Switches of
+// one copy a rank each, which are in force within a fifth of a second, bring it below
+// one and a half times the mean, and then nothing more is worth a copy.
+func TestSteepSkewFallsByQuickSwitches(t *testing.T) {
+	current := inTurn(small)
+	load := zipf(small, 1.1, 3)
+	assert.Assert(t, current.Skew(load) > 2.5, "skew %f", current.Skew(load))
+	switches := 0
+	for ; switches < 20; switches++ {
+		p, ok := Plan(small, DefaultPlanSettings(), current, load)
+		if !ok {
+			break
+		}
+		assert.NilError(t, p.Map.Check(small))
+		perSet, perRank := copied(current, p.Map)
+		assert.Assert(t, perSet <= small.Spare)
+		if p.Before >= DefaultPlanSettings().Steep {
+			assert.Assert(t, perRank <= 1, "%d copies at one rank while the skew is %f", perRank, p.Before)
+		}
+		assert.Assert(t, p.After < p.Before)
+		current = p.Map
+	}
+	assert.Assert(t, current.Skew(load) < 1.5, "skew %f after %d switches", current.Skew(load), switches)
+	assert.Assert(t, switches < 8, "%d switches", switches)
+}
+
+// The load: demand that moves a little. No copy is worth it.
+func TestEvenGroupIsLeftAlone(t *testing.T) {
+	load := zeros(small)
+	for set := range load {
+		for e := range load[set] {
+			load[set][e] = 1 + 0.05*float64(e%3)
+		}
+	}
+	_, ok := Plan(small, DefaultPlanSettings(), inTurn(small), load)
+	assert.Assert(t, !ok)
+}
+
+// Whatever the demand, a plan is a map that fits the group, within what one switch may
+// bring, and never worse; what was given to it stays as it was.
+func TestPlansFitTheGroup(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Shape{
+			Ranks: rapid.IntRange(1, 8).Draw(t, "ranks"), Sets: rapid.IntRange(1, 3).Draw(t, "sets"),
+			Experts: rapid.IntRange(1, 12).Draw(t, "experts"), Spare: rapid.IntRange(0, 3).Draw(t, "spare"),
+		}
+		s.Places = (s.Experts+s.Ranks-1)/s.Ranks + rapid.IntRange(0, 2).Draw(t, "more places")
+		load := zeros(s)
+		for set := range load {
+			for e := range load[set] {
+				load[set][e] = rapid.Float64Range(0, 100).Draw(t, "load")
+			}
+		}
+		current := inTurn(s)
+		before := current.Clone()
+		settings := PlanSettings{MinGain: rapid.Float64Range(0, 0.1).Draw(t, "gain"), MaxPerRank: rapid.IntRange(0, 2).Draw(t, "per rank"), Steep: 1.2}
+		p, ok := Plan(s, settings, current, load)
+		assert.DeepEqual(t, current, before)
+		if !ok {
+			return
+		}
+		if err := p.Map.Check(s); err != nil {
+			t.Fatal(err)
+		}
+		if perSet, _ := copied(current, p.Map); perSet > s.Spare {
+			t.Fatalf("%d copies in one set of a rank", perSet)
+		}
+		if p.After > p.Before+1e-9 {
+			t.Fatalf("skew %f, %f before", p.After, p.Before)
+		}
+	})
+}
+
+// count adds choices to the counters of each rank.
+func count(counts [][]uint64, load [][]float64, n float64) {
+	for r := range counts {
+		for set := range load {
+			total := 0.0
+			for _, v := range load[set] {
+				total += v
+			}
+			for e, v := range load[set] {
+				counts[r][set*len(load[set])+e] += uint64(n * v / total)
+			}
+		}
+	}
+}
+
+// The load: demand shifts to other experts at once. The window in which it falls is read
+// before most ranks have counted it; after two more the estimate is that of the new
+// demand alone. A rank that starts again, and so counts from nothing, is no shift.
+func TestShiftIsSeenInTwoWindows(t *testing.T) {
+	settings := DefaultDemandSettings()
+	d := NewDemand(settings, small)
+	counts := make([][]uint64, small.Ranks)
+	for r := range counts {
+		counts[r] = make([]uint64, small.Sets*small.Experts)
+	}
+	now := time.Unix(1000, 0)
+	window := func(load [][]float64) {
+		now = now.Add(settings.Window)
+		count(counts, load, 10_000)
+		for r := range counts {
+			d.Observe(now, r, "i", slices.Clone(counts[r]))
+		}
+	}
+	before, after := zipf(small, 1.1, 0), zipf(small, 1.1, 29)
+	for range 20 {
+		window(before)
+	}
+	assert.Assert(t, d.Settled())
+	assert.Equal(t, d.Shifts(), 0)
+	assert.Assert(t, distance(d.Load(), normalize(before)) < 0.01)
+	window(after)
+	window(after)
+	assert.Equal(t, d.Shifts(), 1)
+	assert.Assert(t, !d.Settled(), "the first window may hold choices from before")
+	window(after)
+	assert.Assert(t, d.Settled())
+	assert.Assert(t, distance(d.Load(), normalize(after)) < 0.05, "%f", distance(d.Load(), normalize(after)))
+
+	shifts := d.Shifts()
+	clear(counts[3])
+	d.Observe(now, 3, "j", slices.Clone(counts[3]))
+	for range 5 {
+		window(after)
+	}
+	assert.Equal(t, d.Shifts(), shifts)
+}
