--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -48,8 +48,13 @@
 	// downWait and fullWait are when a refused caller may come back: a group forms
 	// again in about a second once its rank is there; a full service has free slots
 	// all the time, and what is asked of it changes within seconds.
-	downWait = 1500 * time.Millisecond
-	fullWait = 600 * time.Millisecond
+	// crowdWait is fullWait where nearly all are refused; callers wait a third of their
+	// time at most, which is a little more.
+	// refusedWeight is that of one request in the part that is refused.
+	crowdWait     = 2500 * time.Millisecond
+	refusedWeight = 0.05
+	downWait      = 1500 * time.Millisecond
+	fullWait      = 600 * time.Millisecond
 )
 
 // gate decides whether a request may go to a service now, or is refused at once.
@@ -79,6 +84,8 @@
 	sign time.Time
 	// head is the usual time to the head of an answer, 0 before the first.
 	head time.Duration
+	// refused is the smoothed part of the requests that found no slot.
+	refused float64
 	// part is what answers have left of the limit; cutAt is when it was cut last.
 	part  float64
 	cutAt time.Time
@@ -167,12 +174,20 @@
 		g.probed = now
 	}
 	if g.inflight >= g.limit(now, entries) {
-		return fullWait, false
+		g.refused += refusedWeight * (1 - g.refused)
+		return g.comeBack(), false
 	}
+	g.refused -= refusedWeight * g.refused
 	g.inflight++
 	return 0, true
 }
 
+// comeBack is when a caller that finds no slot may come back. The more are refused
+// the longer: one that comes back into the same crowd is refused once more.
+func (g *gate) comeBack() time.Duration {
+	return fullWait + time.Duration(g.refused*float64(crowdWait-fullWait))
+}
+
 // alive notes an event or the head of an answer.
 func (g *gate) alive(now time.Time) { g.sign = now }
 
