--- a/control/control.go
+++ b/control/control.go
@@ -104,11 +104,7 @@
 func (c *Control) Start(ctx context.Context, p Place) error {
 	c.place = p
 	ctx, c.cancel = context.WithCancel(ctx)
-	fs, err := c.disk()
-	if err != nil {
-		return err
-	}
-	j, st, err := wal.Open(fs)
+	j, st, err := c.openFolder()
 	if err != nil {
 		return err
 	}
@@ -128,12 +124,16 @@
 	return nil
 }
 
-// disk returns the disk of the settings, or else the data folder.
-func (c *Control) disk() (wal.FS, error) {
-	if c.settings.FS != nil {
-		return c.settings.FS, nil
+// openFolder opens the disk of the settings, or else the data folder.
+func (c *Control) openFolder() (*wal.Journal, *wal.State, error) {
+	fs := c.settings.FS
+	if fs == nil {
+		var err error
+		if fs, err = wal.OpenFolder(c.settings.DataDir); err != nil {
+			return nil, nil, err
+		}
 	}
-	return wal.OpenFolder(c.settings.DataDir)
+	return wal.Open(fs)
 }
 
 func (c *Control) setIdentity(id *wire.Identity) {
@@ -220,11 +220,7 @@
 }
 
 func (c *Control) reopen(ctx context.Context) error {
-	fs, err := c.disk()
-	if err != nil {
-		return err
-	}
-	j, st, err := wal.Open(fs)
+	j, st, err := c.openFolder()
 	if err != nil {
 		return err
 	}
--- a/control/settings.go
+++ b/control/settings.go
@@ -3,12 +3,12 @@
 import (
 	"cmp"
 	"net"
-	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wal"
 )
 
@@ -143,7 +143,7 @@
 	s.MaxBatch = cmp.Or(s.MaxBatch, d.MaxBatch)
 	s.SnapshotEvery = cmp.Or(s.SnapshotEvery, d.SnapshotEvery)
 	s.ReplaceAfter = cmp.Or(s.ReplaceAfter, d.ReplaceAfter)
-	s.usePeerPort()
+	s.Members = transport.WithPort(s.Members, s.PeerPort)
 	if s.Tolerate != nil {
 		s.Voters = s.Tolerate.voters()
 	}
@@ -158,18 +158,6 @@
 	g.OrderTimeout = cmp.Or(g.OrderTimeout, d.Groups.OrderTimeout)
 }
 
-// usePeerPort puts the peers' port in place of the members' own.
-func (s *Settings) usePeerPort() {
-	if s.PeerPort == 0 {
-		return
-	}
-	for i, m := range s.Members {
-		if host, _, err := net.SplitHostPort(m); err == nil {
-			s.Members[i] = net.JoinHostPort(host, strconv.Itoa(s.PeerPort))
-		}
-	}
-}
-
 // Check names the first key that is wrong.
 func (s *Settings) Check() error {
 	bad := func(key, detail string) error {
--- a/direct/client.go
+++ b/direct/client.go
@@ -68,9 +68,10 @@
 type Client struct {
 	dial transport.DialFunc
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// idle connections by address, the one used last at the end.
 	idle map[string][]*conn
-	// Opened counts new connections.
+	// opened counts new connections.
 	opened uint64
 }
 
@@ -124,7 +125,7 @@
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), since: time.Now()}, nil
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer)}, nil
 }
 
 // take returns the connection that was used last.
@@ -291,7 +292,6 @@
 		_ = b.conn.Close()
 		return
 	}
-	b.conn.used = true
 	b.conn.idleUntil = time.Now().Add(idleTime(b.resp.Header))
 	b.client.put(b.addr, b.conn)
 }
--- a/direct/conn.go
+++ b/direct/conn.go
@@ -14,11 +14,8 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
-	// used says that an earlier call went well on it.
-	used bool
 	// idleUntil is when the upstream may close it for being idle; zero if unknown.
 	idleUntil time.Time
-	since     time.Time
 }
 
 // abort ends a connection in the middle of a call. It is reset: bytes that a frozen or
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -56,13 +56,14 @@
 // them some tenths of a second apart, what only the first ones vouched for would
 // count as gone while the last one still speaks.
 func (n *Node) FollowEach(ctx context.Context, peers func() []string, dial Dial, req *wire.DirectoryWatchRequest) {
-	go n.followList(ctx, peers, func(ctx context.Context, addr string) {
+	go FollowList(ctx, peers, func(ctx context.Context, addr string) {
 		n.Follow(ctx, func(ctx context.Context) drpc.Conn { return dial(ctx, addr) }, req)
 	})
 }
 
-// followList keeps one follower for each address of a list.
-func (n *Node) followList(ctx context.Context, list func() []string, follow func(context.Context, string)) {
+// FollowList keeps one follower for each address of a list, and goes along with its
+// changes, until the context is done. follow returns when its own context is.
+func FollowList(ctx context.Context, list func() []string, follow func(context.Context, string)) {
 	cancels := map[string]context.CancelFunc{}
 	tick := time.NewTicker(peersInterval)
 	defer tick.Stop()
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -2,17 +2,15 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
+	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/routing"
 	"github.com/snipereach/snipereach/wire"
 )
 
 const (
-	// followPoll is how often the list of replicas is looked at.
-	followPoll = 500 * time.Millisecond
 	// rewatch is the pause before a watch that has ended is opened again.
 	rewatch = 150 * time.Millisecond
 	// silentRouting is how long a watch may say nothing: a replica speaks every half
@@ -33,31 +31,9 @@
 // knows no news, so one watch is not enough.
 func (g *Gateway) followRouting(ctx context.Context) {
 	started := g.now()
-	cancels := map[string]context.CancelFunc{}
-	for ctx.Err() == nil {
-		now := g.targets.Addresses()
-		for _, addr := range now {
-			if cancels[addr] != nil {
-				continue
-			}
-			var one context.Context
-			one, cancels[addr] = context.WithCancel(ctx)
-			go g.watchRouting(one, addr, started)
-		}
-		for addr, cancel := range cancels {
-			if !slices.Contains(now, addr) {
-				cancel()
-				delete(cancels, addr)
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(followPoll):
-		}
-	}
-	for _, cancel := range cancels {
-		cancel()
-	}
+	directory.FollowList(ctx, g.targets.Addresses, func(ctx context.Context, addr string) {
+		g.watchRouting(ctx, addr, started)
+	})
 }
 
 func (g *Gateway) watchRouting(ctx context.Context, addr string, started time.Time) {
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -45,16 +45,17 @@
 	// answer.
 	standstill        = 400 * time.Millisecond
 	standstillStreams = 3
-	// downWait and fullWait are when a refused caller may come back: a group forms
-	// again in about a second once its rank is there; a full service has free slots
-	// all the time, and what is asked of it changes within seconds.
-	// crowdWait is fullWait where nearly all are refused; callers wait a third of their
-	// time at most, which is a little more.
-	// refusedWeight is that of one request in the part that is refused.
-	crowdWait     = 2500 * time.Millisecond
+	// downWait is when a caller may come back whose group is down: one forms again in
+	// about a second once its rank is there.
+	downWait = 1500 * time.Millisecond
+	// fullWait is the same for a full service, which has free slots all the time, and
+	// crowdWait where nearly all are refused: callers of the longest requests wait a
+	// little more than that at most.
+	fullWait  = 600 * time.Millisecond
+	crowdWait = 2500 * time.Millisecond
+	// refusedWeight is that of one request in the part that is refused: some twenty
+	// requests, two seconds of one entry, make the estimate.
 	refusedWeight = 0.05
-	downWait      = 1500 * time.Millisecond
-	fullWait      = 600 * time.Millisecond
 )
 
 // gate decides whether a request may go to a service now, or is refused at once.
@@ -71,10 +72,9 @@
 	// grouped says that the upstreams run in lock-step.
 	grouped bool
 	// epoch is that of the latest forming of the group, down says that it runs
-	// nothing, downAt since when; probed is when a request was let through last.
+	// nothing; probed is when a request was let through last.
 	epoch  uint64
 	down   bool
-	downAt time.Time
 	probed time.Time
 	// occupancy is the estimated part of the slots in use, as of told.
 	occupancy float64
@@ -117,9 +117,7 @@
 
 // broke notes that the group runs nothing.
 func (g *gate) broke(now time.Time) {
-	if !g.down {
-		g.down, g.downAt = true, now
-	}
+	g.down = true
 	g.probed = now
 }
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -68,16 +67,7 @@
 }
 
 // SetDefaults implements kernel.Defaulter.
-func (s *Settings) SetDefaults() {
-	if s.PeerPort == 0 {
-		return
-	}
-	for i, r := range s.Replicas {
-		if host, _, err := net.SplitHostPort(r); err == nil {
-			s.Replicas[i] = net.JoinHostPort(host, strconv.Itoa(s.PeerPort))
-		}
-	}
-}
+func (s *Settings) SetDefaults() { s.Replicas = transport.WithPort(s.Replicas, s.PeerPort) }
 
 // Check names the first key that is wrong.
 func (s *Settings) Check() error {
--- a/transport/dial.go
+++ b/transport/dial.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -47,6 +48,21 @@
 	return net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probes}
 }
 
+// WithPort returns addresses with another port, where hosts are known by an address
+// of another service; 0 leaves them as they are.
+func WithPort(addresses []string, port int) []string {
+	out := append([]string(nil), addresses...)
+	if port == 0 {
+		return out
+	}
+	for i, addr := range out {
+		if host, _, err := net.SplitHostPort(addr); err == nil {
+			out[i] = net.JoinHostPort(host, strconv.Itoa(port))
+		}
+	}
+	return out
+}
+
 // setUserTimeout is best effort: a socket that isn't TCP doesn't take the option.
 func setUserTimeout(raw syscall.RawConn) error {
 	return raw.Control(func(fd uintptr) {
