--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -46,3 +46,23 @@
 		assert.Assert(t, strings.Contains(refused, c.refused), refused)
 	}
 }
+
+// A host is gone for good and another one comes under another name. It holds everything
+// before it counts, the dead voter goes after it, and at no step are there fewer live
+// voters than before.
+func TestNextStepMakesUpForLostVoters(t *testing.T) {
+	for _, c := range []struct{ what, members, promote, remove string }{
+		{"nothing to do", "a/1 x vlc;b/1 y vlc;c/1 z vlc", "", ""},
+		{"a learner more", "a/1 x vlc;b/1 y vlc;c/1 z vlc;d/1 z lc", "", ""},
+		{"no heir", "a/1 x vlc;b/1 y vlc;c/1 z v", "", ""},
+		{"heir not caught up", "a/1 x vlc;b/1 y vlc;c/1 z v;d/1 z l", "", ""},
+		{"heir of another name", "a/1 x vlc;b/1 y vlc;c/1 z v;d/1 z lc", "d/1", ""},
+		{"the dead one goes after it", "a/1 x vlc;b/1 y vlc;c/1 z v;d/1 z vlc", "", "c/1"},
+		{"the one that was only cut off came back meanwhile", "a/1 x vlc;b/1 y vlc;c/1 z vlc;d/1 z vlc", "", ""},
+		{"heir of the same name goes first", "a/1 x vlc;b/1 y vlc;c/1 z v;d/1 x lc;c/2 z lc", "c/2", ""},
+		{"the emptiest failure domain", "a/1 x vlc;b/1 y vlc;c/1 z v;d/1 x lc;e/1 z lc", "e/1", ""},
+		{"a dead learner stays", "a/1 x vlc;b/1 y vlc;c/1 z vlc;d/1 z ", "", ""},
+	} {
+		assert.Equal(t, nextStep(parse(c.members), 3), step{promote: c.promote, remove: c.remove}, c.what)
+	}
+}
--- a/control/settings.go
+++ b/control/settings.go
@@ -144,9 +144,6 @@
 	s.SnapshotEvery = cmp.Or(s.SnapshotEvery, d.SnapshotEvery)
 	s.ReplaceAfter = cmp.Or(s.ReplaceAfter, d.ReplaceAfter)
 	s.Members = transport.WithPort(s.Members, s.PeerPort)
-	if s.Tolerate != nil {
-		s.Voters = s.Tolerate.voters()
-	}
 	if s.Lockstep != nil {
 		s.Lockstep.ReadPeriod = cmp.Or(s.Lockstep.ReadPeriod, kernel.Duration(defaultReadPeriod))
 	}
@@ -222,7 +219,7 @@
 // voterTarget is how many voters the cluster should have.
 func (s *Settings) voterTarget() int {
 	if s.Tolerate != nil {
-		return s.Voters
+		return s.Tolerate.voters()
 	}
 	n := min(s.Voters, len(s.Members))
 	if n%2 == 0 {
--- a/internal/settingsdoc/main.go
+++ b/internal/settingsdoc/main.go
@@ -38,7 +38,6 @@
 	c.Control.Lockstep = &control.LockstepSettings{}
 	c.API = &control.APISettings{}
 	c.SetDefaults()
-	c.Control.Voters = replica.Voters
 	return []program{
 		{"snipereach-entry", "entry.toml", e},
 		{"snipereach-agent", "agent.toml", agent.DefaultSettings()},
