--- a/control/lockstepgroup.go
+++ b/control/lockstepgroup.go
@@ -80,7 +80,10 @@
 func (g *lockstepGroup) tick(ctx context.Context, now time.Time, found directGroup, profile *wire.EngineProfile) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !found.whole() || found.broken {
+	// A switch that has begun goes on also while a registration is missing: the group
+	// may be held, and the ranks are still where they were.
+	begun := g.switcher != nil && g.switcher.Phase() != lockstep.Idle
+	if (!found.whole() || found.broken) && !begun {
 		return
 	}
 	shape := lockstep.ShapeOf(profile, found.size)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,7 +151,7 @@
 func (g *Gateway) serve(lis net.Listener, h http.Handler) {
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: defaultHeaderBytes, ErrorLog: nil,
+		MaxHeaderBytes: defaultHeaderBytes,
 	}
 	g.mu.Lock()
 	g.servers = append(g.servers, srv)
