--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -33,3 +33,30 @@
 	assert.Assert(t, !ok, "of another history")
 	assert.Assert(t, len(st.changes) <= keptChanges*5/4+2)
 }
+
+// sentVersions keeps what a watch of the configuration sends.
+type sentVersions struct {
+	wire.DRPCRouting_WatchStream
+	sent []*wire.RoutingVersion
+}
+
+func (s *sentVersions) Send(v *wire.RoutingVersion) error {
+	s.sent = append(s.sent, v)
+	return nil
+}
+
+// A gateway starts beside a replica that has been alone for longer than the
+// message's field counts. It must not take the replica's configuration for the
+// current one, so the age stays large: it doesn't begin again at zero.
+func TestAgeOfALonelyReplicaStaysLarge(t *testing.T) {
+	started := time.Now()
+	for _, alone := range []time.Duration{time.Hour, 49 * 24 * time.Hour, 50 * 24 * time.Hour, 400 * 24 * time.Hour} {
+		r := &Replica{started: started}
+		r.clock = func() time.Time { return started.Add(alone) }
+		r.feed.reset(1, &wire.Ring{}, started)
+		var stream sentVersions
+		assert.NilError(t, routingService{}.sendVersion(&stream, r, 1))
+		age := time.Duration(stream.sent[0].ConfirmedAgeMs) * time.Millisecond
+		assert.Assert(t, age >= min(alone, 24*24*time.Hour), "%s after %s", age, alone)
+	}
+}
--- a/control/routing.go
+++ b/control/routing.go
@@ -170,8 +170,7 @@
 }
 
 func (s routingService) sendVersion(stream wire.DRPCRouting_WatchStream, r *Replica, version uint64) error {
-	age := r.feed.age(r.clock().Sub(r.started))
-	err := stream.Send(&wire.RoutingVersion{Version: version, ConfirmedAgeMs: uint32(age.Milliseconds())})
+	err := stream.Send(&wire.RoutingVersion{Version: version, ConfirmedAgeMs: millis(r.feed.age(r.now()))})
 	if err != nil {
 		return fmt.Errorf("routing watch: %w", err)
 	}
--- a/control/service.go
+++ b/control/service.go
@@ -181,7 +181,10 @@
 	return u, err
 }
 
-func millis(d time.Duration) uint32 { return uint32(min(d.Milliseconds(), 1<<31)) }
+// millis is d in the messages' unit, within what the field holds. Cut off at its
+// width instead, the age of a replica that is alone for seven weeks would begin
+// again at zero, and its followers would take it for current.
+func millis(d time.Duration) uint32 { return uint32(min(max(0, d.Milliseconds()), 1<<31)) }
 
 // Acquire implements the Control service.
 func (s *service) Acquire(ctx context.Context, req *wire.LeaseRequest) (*wire.LeaseReply, error) {
