Apply the configuration's limits of heads and idle connections

Cause: a gateway closed idle connections after 30 s and refused heads over 64 KiB whatever the configuration said; where callers may stay idle for longer, they would have sent into connections that were just closed. Change: each limit is read from the configuration in force when the server sets it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,13 +30,6 @@
 	// request's own time: one in the same region answers in milliseconds, and a
 	// lost packet is sent again after a second.
 	dialUpstream = 1200 * time.Millisecond
-	// headTimeout and idleTimeout bound a caller's connection. Callers keep idle
-	// connections for up to the configuration's limit, which is shorter.
-	headTimeout = 10 * time.Second
-	idleTimeout = 30 * time.Second
-	// defaultHeaderBytes and defaultBodyBytes hold until a configuration says more.
-	defaultHeaderBytes = 64 << 10
-	defaultBodyBytes   = 4 << 20
 	// retryNoConfig is what a caller is told to wait that comes before the first
 	// configuration.
 	retryNoConfig = 300 * time.Millisecond
@@ -150,9 +143,10 @@
 
 func (g *Gateway) serve(lis net.Listener, h http.Handler) {
 	srv := &http.Server{
-		Handler: h, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: defaultHeaderBytes,
+		Handler: h, ReadHeaderTimeout: headMark, IdleTimeout: idleMark,
+		MaxHeaderBytes: mostHeaderBytes,
 	}
+	lis = limitedListener{Listener: lis, limits: g.limits}
 	g.mu.Lock()
 	g.servers = append(g.servers, srv)
 	g.mu.Unlock()
@@ -236,6 +230,9 @@
 	if t == nil {
 		return c, &refusal{status: http.StatusServiceUnavailable, reason: reasonNoConfig}
 	}
+	if headerSize(r) > g.limits().headerBytes {
+		return c, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeaderTooLarge}
+	}
 	var err error
 	if c.asked, err = g.dialect.ReadRequest(r.Header); err != nil || !strings.HasPrefix(r.RequestURI, "/") {
 		return c, &refusal{status: http.StatusBadRequest, reason: reasonBadRequest}
@@ -257,16 +254,12 @@
 	if !g.endsInTime(c) {
 		return c, &refusal{status: http.StatusServiceUnavailable, reason: reasonDraining, wait: drainWait}
 	}
-	return c, c.readBody(t)
+	return c, c.readBody(g.limits().bodyBytes)
 }
 
 // readBody reads the body whole, so that a request may be sent a second time and
 // no upstream waits for a slow caller.
-func (c *call) readBody(t *routing.Table) *refusal {
-	limit := int64(t.Config.Limits.GetBodyBytes())
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
+func (c *call) readBody(limit int64) *refusal {
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -82,18 +82,19 @@
 
 // Reasons of refusals, as logs and metrics name them.
 const (
-	reasonNoConfig     = "no-configuration"
-	reasonNoRoute      = "no-route"
-	reasonKey          = "unknown-key"
-	reasonBadRequest   = "bad-request"
-	reasonBodyTooLarge = "body-too-large"
-	reasonNoUpstream   = "no-upstream"
-	reasonBusy         = "upstreams-busy"
-	reasonDraining     = "draining"
-	reasonRetryBudget  = "retry-budget"
-	reasonInDoubt      = "in-doubt"
-	reasonTimeout      = "timeout"
-	reasonBrokenOff    = "stream-broken-off"
+	reasonNoConfig       = "no-configuration"
+	reasonNoRoute        = "no-route"
+	reasonKey            = "unknown-key"
+	reasonBadRequest     = "bad-request"
+	reasonHeaderTooLarge = "header-too-large"
+	reasonBodyTooLarge   = "body-too-large"
+	reasonNoUpstream     = "no-upstream"
+	reasonBusy           = "upstreams-busy"
+	reasonDraining       = "draining"
+	reasonRetryBudget    = "retry-budget"
+	reasonInDoubt        = "in-doubt"
+	reasonTimeout        = "timeout"
+	reasonBrokenOff      = "stream-broken-off"
 )
 
 // failure is the answer to a request for which nothing more is tried. Only a
