--- a/agent/settings.go
+++ b/agent/settings.go
@@ -1,11 +1,8 @@
 package agent
 
 import (
-	"net"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/transport"
 )
@@ -72,9 +69,7 @@
 
 // Check names the first key that is wrong.
 func (s *Settings) Check() error {
-	bad := func(key, detail string) error {
-		return merry.Prependf(kernel.ErrSettings, "key %q: %s", key, detail)
-	}
+	bad := kernel.BadKey
 	switch {
 	case s.ID == "":
 		return bad("id", "must not be empty")
@@ -93,10 +88,5 @@
 	case s.Lease < 2*s.AnnounceInterval:
 		return bad("lease", "must be at least twice announce_interval")
 	}
-	for _, a := range append([]string{s.Listen}, s.AnnounceTo...) {
-		if _, _, err := net.SplitHostPort(a); err != nil {
-			return bad("listen or announce_to", err.Error())
-		}
-	}
-	return nil
+	return kernel.CheckAddress("listen or announce_to", append([]string{s.Listen}, s.AnnounceTo...)...)
 }
--- a/control/api.go
+++ b/control/api.go
@@ -1,11 +1,11 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"sort"
 	"sync"
@@ -62,23 +62,15 @@
 
 // Check names the first key that is wrong.
 func (s *APISettings) Check() error {
-	bad := func(key, detail string) error {
-		return merry.Prependf(kernel.ErrSettings, "key \"api.%s\": %s", key, detail)
-	}
-	for key, addr := range map[string]string{"listen": s.Listen, "discovery_listen": s.Discovery} {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return bad(key, err.Error())
-		}
-	}
 	switch {
 	case s.Dialect == "":
-		return bad("dialect", "must not be empty")
+		return kernel.BadKey("api.dialect", "must not be empty")
 	case s.Keep <= 0:
-		return bad("keep", "must be positive")
+		return kernel.BadKey("api.keep", "must be positive")
 	case s.Lease <= 0:
-		return bad("registration_lease", "must be positive")
+		return kernel.BadKey("api.registration_lease", "must be positive")
 	}
-	return nil
+	return cmp.Or(kernel.CheckAddress("api.listen", s.Listen), kernel.CheckAddress("api.discovery_listen", s.Discovery))
 }
 
 // api answers HTTP for a control replica.
@@ -118,11 +110,7 @@
 	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: apiHeaderTimeout, IdleTimeout: apiIdleTimeout}
 	a.servers = append(a.servers, srv)
-	go func() {
-		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
-			kernel.Warn(a.log, "No longer listening.", "addr", addr, "err", err)
-		}
-	}()
+	go kernel.ServeHTTP(a.log, srv, lis)
 	return nil
 }
 
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -60,17 +60,15 @@
 
 // Check names the first key that is wrong.
 func (s *DaemonSettings) Check() error {
-	bad := func(key, detail string) error {
-		return merry.Prependf(kernel.ErrSettings, "key %q: %s", key, detail)
-	}
+	bad := kernel.BadKey
 	switch {
 	case s.ID == "":
 		return bad("id", "must not be empty")
 	case s.FailureDomain == "":
 		return bad("failure_domain", "must not be empty")
 	}
-	if _, _, err := net.SplitHostPort(s.Listen); err != nil {
-		return bad("listen", err.Error())
+	if err := kernel.CheckAddress("listen", s.Listen); err != nil {
+		return err
 	}
 	if s.API != nil {
 		if err := s.API.Check(); err != nil {
--- a/control/gauges.go
+++ b/control/gauges.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/snipereach/snipereach/consensus"
+	"github.com/snipereach/snipereach/kernel"
 )
 
 // gaugeTimeout bounds a look at the replica; a loop that is stuck must not hold
@@ -16,7 +17,7 @@
 // RegisterMetrics adds the replica's gauges, read when the metrics are asked for.
 func (c *Control) RegisterMetrics(r metrics.Registry) {
 	for name, value := range map[string]func(*Replica, consensus.Status) int64{
-		"control.leader":   func(_ *Replica, s consensus.Status) int64 { return oneIf(s.Lease) },
+		"control.leader":   func(_ *Replica, s consensus.Status) int64 { return kernel.OneIf(s.Lease) },
 		"control.term":     func(_ *Replica, s consensus.Status) int64 { return int64(s.Term) },
 		"control.applied":  func(_ *Replica, s consensus.Status) int64 { return int64(s.Applied) },
 		"control.behind":   func(_ *Replica, s consensus.Status) int64 { return int64(s.Commit - s.Applied) },
@@ -24,7 +25,7 @@
 		"control.rows.age_ms": func(r *Replica, _ consensus.Status) int64 {
 			return r.node.ConfirmedAge(r.now()).Milliseconds()
 		},
-		"control.failed": func(r *Replica, _ consensus.Status) int64 { return oneIf(r.failed != nil) },
+		"control.failed": func(r *Replica, _ consensus.Status) int64 { return kernel.OneIf(r.failed != nil) },
 	} {
 		metrics.NewRegisteredFunctionalGauge(name, r, func() int64 { return c.look(value) })
 	}
@@ -52,10 +53,3 @@
 		return -1
 	}
 }
-
-func oneIf(b bool) int64 {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/control/lockstep.go
+++ b/control/lockstep.go
@@ -9,6 +9,7 @@
 
 	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/direct"
+	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
@@ -157,9 +158,8 @@
 // directGroup is a group as its ranks have registered.
 type directGroup struct {
 	service string
-	epoch   uint64
+	latest  directory.GroupEpoch
 	size    int
-	broken  bool
 	ranks   map[int]*wire.Announcement
 }
 
@@ -175,12 +175,7 @@
 		if !ok {
 			g = directGroup{service: a.Pools[0], ranks: map[int]*wire.Announcement{}}
 		}
-		if a.Direct.GroupEpoch > g.epoch {
-			g.epoch, g.broken = a.Direct.GroupEpoch, false
-		}
-		if a.Direct.GroupEpoch == g.epoch {
-			g.broken = g.broken || a.Direct.GroupBroken
-		}
+		g.latest.Take(a.Direct)
 		g.size = max(g.size, int(a.Direct.GroupSize))
 		if old := g.ranks[int(a.Rank)]; old == nil || a.Direct.GroupEpoch >= old.Direct.GroupEpoch {
 			g.ranks[int(a.Rank)] = a
--- a/control/lockstepgroup.go
+++ b/control/lockstepgroup.go
@@ -83,7 +83,7 @@
 	// A switch that has begun goes on also while a registration is missing: the group
 	// may be held, and the ranks are still where they were.
 	begun := g.switcher != nil && g.switcher.Phase() != lockstep.Idle
-	if (!found.whole() || found.broken) && !begun {
+	if (!found.whole() || found.latest.Broken) && !begun {
 		return
 	}
 	shape := lockstep.ShapeOf(profile, found.size)
@@ -103,8 +103,8 @@
 // follow begins anew when the group has formed again or has another shape, and goes
 // along with ranks that have started again.
 func (g *lockstepGroup) follow(found directGroup, shape lockstep.Shape) {
-	if g.switcher == nil || found.epoch > g.epoch || shape != g.shape {
-		g.reset(found.epoch, shape)
+	if g.switcher == nil || found.latest.Epoch > g.epoch || shape != g.shape {
+		g.reset(found.latest.Epoch, shape)
 	}
 	for i, link := range g.links {
 		a := found.ranks[i]
--- a/control/settings.go
+++ b/control/settings.go
@@ -2,11 +2,8 @@
 
 import (
 	"cmp"
-	"net"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wal"
@@ -157,9 +154,7 @@
 
 // Check names the first key that is wrong.
 func (s *Settings) Check() error {
-	bad := func(key, detail string) error {
-		return merry.Prependf(kernel.ErrSettings, "key \"control.%s\": %s", key, detail)
-	}
+	bad := func(key, detail string) error { return kernel.BadKey("control."+key, detail) }
 	switch {
 	case s.DataDir == "" && s.FS == nil:
 		return bad("data_dir", "must not be empty")
@@ -189,12 +184,7 @@
 			return err
 		}
 	}
-	for _, m := range s.Members {
-		if _, _, err := net.SplitHostPort(m); err != nil {
-			return bad("members", err.Error())
-		}
-	}
-	return nil
+	return kernel.CheckAddress("control.members", s.Members...)
 }
 
 // notPositive names the first time that isn't, or "".
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"net"
 	"path/filepath"
 	"time"
@@ -115,9 +116,7 @@
 
 // Check names the first key that is wrong.
 func (s *Settings) Check() error {
-	bad := func(key, detail string) error {
-		return merry.Prependf(kernel.ErrSettings, "key %q: %s", key, detail)
-	}
+	bad := kernel.BadKey
 	switch {
 	case s.ID == "":
 		return bad("id", "must not be empty")
@@ -150,17 +149,11 @@
 	case s.Lease < 2*s.AnnounceInterval:
 		return bad("lease", "must be at least twice announce_interval")
 	}
-	for key, addr := range map[string]string{"callers_listen": s.Callers, "internal_listen": s.Internal} {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return bad(key, err.Error())
-		}
-	}
-	for _, addr := range s.ControlReplicas {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return bad("control_replicas", err.Error())
-		}
-	}
-	if err := s.checkOperators(); err != nil {
+	err := cmp.Or(
+		kernel.CheckAddress("callers_listen", s.Callers), kernel.CheckAddress("internal_listen", s.Internal),
+		kernel.CheckAddress("control_replicas", s.ControlReplicas...), s.checkOperators(),
+	)
+	if err != nil {
 		return err
 	}
 	if s.Control != nil {
@@ -176,10 +169,7 @@
 	if s.Operators == "" {
 		return nil
 	}
-	if _, _, err := net.SplitHostPort(s.Operators); err != nil {
-		return merry.Prependf(kernel.ErrSettings, "key \"operators_listen\": %v", err)
-	}
-	return nil
+	return kernel.CheckAddress("operators_listen", s.Operators)
 }
 
 // claimsFolder opens the folder for the records of claims; nil is memory only.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -196,36 +197,47 @@
 // request whose answer broke off may still be tried elsewhere.
 func (c *call) readWhole(a *attempt, resp *direct.Response) (*answer, outcome) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-	if err != nil || len(body) > maxAnswer {
-		if a.classify(resp.Header).ranNothing() {
-			return nil, a.classify(resp.Header)
-		}
-		return nil, c.failed(err)
+	o := a.classify(resp.Header)
+	if err == nil && len(body) <= maxAnswer {
+		return &answer{status: resp.Status, header: resp.Header, body: body}, o
 	}
-	return &answer{status: resp.Status, header: resp.Header, body: body}, a.classify(resp.Header)
+	if o.ranNothing() {
+		return nil, o
+	}
+	return nil, c.failed(err)
 }
 
-// servePlain answers a request that has one whole answer.
-func (c *call) servePlain() {
-	var held *answer
+// eachAttempt makes one attempt after the other until one has served the request, or
+// none may follow; it says whether one has.
+func (c *call) eachAttempt(once func(*attempt) (o outcome, served bool)) bool {
 	for {
 		a := c.begin()
 		if a == nil {
 			c.reason = reasonNoUpstream
-			break
+			return false
 		}
-		ans, o := c.exchange(a)
+		o, served := once(a)
 		c.end(a, o)
-		if o == outcomeAnswered {
-			held = ans
-			if ans.status < http.StatusInternalServerError || !routing.Repeatable(c.route) {
-				break
-			}
+		if served {
+			return true
 		}
 		if o == outcomeCallerGone || o == outcomeExpired || !c.retry() {
-			break
+			return false
 		}
 	}
+}
+
+// servePlain answers a request that has one whole answer.
+func (c *call) servePlain() {
+	var held *answer
+	c.eachAttempt(func(a *attempt) (outcome, bool) {
+		ans, o := c.exchange(a)
+		if o != outcomeAnswered {
+			return o, false
+		}
+		held = ans
+		return o, ans.status < http.StatusInternalServerError || !routing.Repeatable(c.route)
+	})
 	if held != nil {
 		c.deliver(held)
 		return
@@ -254,7 +266,7 @@
 func (c *call) deliver(a *answer) {
 	copyAnswerHeader(c.w.Header(), a.header)
 	c.closeIfLeaving()
-	c.w.Header().Set("Content-Length", itoa(len(a.body)))
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	c.w.WriteHeader(a.status)
 	_, err := c.w.Write(a.body)
 	c.done(a.status, "", err)
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -87,9 +87,6 @@
 	p.gate.formed(now, insts)
 }
 
-// occupied takes the load that an upstream told.
-func (p *servicePool) occupied(now time.Time, l *dialect.Load) { p.gate.occupied(now, l) }
-
 // enter says whether a request may go to a service now; leave must follow if so.
 // why names the inputs of a refusal.
 func (f *fleet) enter(now time.Time, service string, entries int) (wait time.Duration, why string, ok bool) {
@@ -191,7 +188,7 @@
 		l = &wire.Load{
 			Seq: f.loads, Running: uint32(load.Running), Waiting: uint32(load.Waiting), Slots: uint32(load.Slots),
 		}
-		p.occupied(now, load)
+		p.gate.occupied(now, load)
 	}
 	if ran {
 		p.gate.back()
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -96,21 +96,16 @@
 // formed takes what the upstreams that are up have registered.
 func (g *gate) formed(now time.Time, insts []*directory.Instance) {
 	g.slots, g.grouped = 0, false
-	epoch, broken := uint64(0), false
+	var said directory.GroupEpoch
 	for _, i := range insts {
 		g.slots += int(i.Direct.Slots)
 		g.grouped = g.grouped || i.Group != ""
-		if i.Direct.GroupEpoch > epoch {
-			epoch, broken = i.Direct.GroupEpoch, false
-		}
-		if i.Direct.GroupEpoch == epoch {
-			broken = broken || i.Direct.GroupBroken
-		}
+		said.Take(i.Direct)
 	}
 	switch {
-	case epoch > g.epoch:
-		g.epoch, g.down = epoch, broken
-	case broken && !g.down && epoch == g.epoch:
+	case said.Epoch > g.epoch:
+		g.epoch, g.down = said.Epoch, said.Broken
+	case said.Broken && !g.down && said.Epoch == g.epoch:
 		g.broke(now)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,11 +150,7 @@
 	g.mu.Lock()
 	g.servers = append(g.servers, srv)
 	g.mu.Unlock()
-	go func() {
-		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
-			kernel.Warn(g.log, "No longer listening.", "addr", lis.Addr(), "err", err)
-		}
-	}()
+	go kernel.ServeHTTP(g.log, srv, lis)
 }
 
 // CallerAddress is where callers connect.
@@ -184,8 +180,9 @@
 
 // directoryChanged takes what the directory knows of upstreams.
 func (g *Gateway) directoryChanged() {
-	g.tellUpstreams(g.node.Instances(wire.Role_ROLE_UPSTREAM))
-	if err := g.fleet.update(time.Now(), g.node.Instances(wire.Role_ROLE_UPSTREAM)); err != nil {
+	known := g.node.Instances(wire.Role_ROLE_UPSTREAM)
+	g.tellUpstreams(known)
+	if err := g.fleet.update(time.Now(), known); err != nil {
 		kernel.Warn(g.log, "Upstreams can't be taken up.", "err", err)
 	}
 	g.client.Forget(g.fleet.addresses())
@@ -230,7 +227,8 @@
 	if t == nil {
 		return c, &refusal{status: http.StatusServiceUnavailable, reason: reasonNoConfig}
 	}
-	if headerSize(r) > g.limits().headerBytes {
+	limits := limitsOf(t)
+	if headerSize(r) > limits.headerBytes {
 		return c, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeaderTooLarge}
 	}
 	var err error
@@ -254,7 +252,7 @@
 	if !g.endsInTime(c) {
 		return c, &refusal{status: http.StatusServiceUnavailable, reason: reasonDraining, wait: drainWait}
 	}
-	return c, c.readBody(g.limits().bodyBytes)
+	return c, c.readBody(limits.bodyBytes)
 }
 
 // readBody reads the body whole, so that a request may be sent a second time and
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -5,14 +5,9 @@
 	"strconv"
 	"strings"
 	"time"
-)
 
-// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
-// Content-Length is written anew on each connection.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
-}
+	"github.com/snipereach/snipereach/transport"
+)
 
 // forwardHeader copies what is passed on to an upstream.
 func forwardHeader(h http.Header) http.Header {
@@ -21,14 +16,19 @@
 	return out
 }
 
+// removeHopByHop takes out what concerns one connection only, also what it names
+// itself. Content-Length is written anew on each connection, and an upstream is sent
+// the whole body without being asked whether it expects it.
 func removeHopByHop(h http.Header) {
 	for _, list := range h["Connection"] {
 		for _, name := range strings.Split(list, ",") {
 			h.Del(strings.TrimSpace(name))
 		}
 	}
-	for _, name := range hopByHop {
-		h.Del(name)
+	for name := range h {
+		if transport.HopByHop(name) || name == "Expect" || name == "Content-Length" {
+			delete(h, name)
+		}
 	}
 }
 
@@ -44,8 +44,6 @@
 	}
 }
 
-func itoa(n int) string { return strconv.Itoa(n) }
-
 // seconds is a duration as Retry-After takes it.
 func seconds(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', -1, 64)
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/snipereach/snipereach/routing"
 )
 
 const (
@@ -31,13 +33,16 @@
 	headerBytes, bodyBytes int64
 }
 
-// limits are those of the configuration in force; what it leaves out has a default.
-func (g *Gateway) limits() callerLimits {
+// limits are those of the configuration in force now.
+func (g *Gateway) limits() callerLimits { return limitsOf(g.table.Load()) }
+
+// limitsOf are a configuration's; what it leaves out, or all if there is none yet, has
+// a default.
+func limitsOf(t *routing.Table) callerLimits {
 	l := callerLimits{
 		header: defaultHeadTimeout, idle: defaultIdleTimeout,
 		headerBytes: defaultHeaderBytes, bodyBytes: defaultBodyBytes,
 	}
-	t := g.table.Load()
 	if t == nil {
 		return l
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -28,7 +28,7 @@
 func (m *gatewayMetrics) register(g *Gateway) {
 	for name, value := range map[string]func() int64{
 		"gateway.active":             g.active.Load,
-		"gateway.ready":              func() int64 { return oneIf(g.ready()) },
+		"gateway.ready":              func() int64 { return kernel.OneIf(g.ready()) },
 		"gateway.connections_opened": func() int64 { return int64(g.client.Opened()) },
 		"gateway.entries":            func() int64 { return int64(g.entries()) },
 		"gateway.upstreams":          func() int64 { return int64(len(g.node.Instances(wire.Role_ROLE_UPSTREAM))) },
@@ -38,13 +38,6 @@
 	}
 }
 
-func oneIf(b bool) int64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // ended counts a request by its outcome.
 func (m *gatewayMetrics) ended(c *call, status int, reason string, err error) {
 	switch {
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -71,7 +72,7 @@
 func (c *call) attemptText() string {
 	var parts []string
 	for _, a := range c.attempts {
-		parts = append(parts, a.upstream+":"+a.outcome.String()+":"+itoa(a.status)+":"+itoa(int(a.took.Milliseconds())))
+		parts = append(parts, a.upstream+":"+a.outcome.String()+":"+strconv.Itoa(a.status)+":"+strconv.FormatInt(a.took.Milliseconds(), 10))
 	}
 	return strings.Join(parts, ",")
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"net"
+	"cmp"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -71,9 +71,7 @@
 
 // Check names the first key that is wrong.
 func (s *Settings) Check() error {
-	bad := func(key, detail string) error {
-		return merry.Prependf(kernel.ErrSettings, "key %q: %s", key, detail)
-	}
+	bad := kernel.BadKey
 	switch {
 	case s.ID == "":
 		return bad("id", "must not be empty")
@@ -92,10 +90,5 @@
 	case s.Retries.Ratio < 0 || s.Retries.Slack < 0 || s.Retries.Window <= 0:
 		return bad("retries", "must not be negative, and the window must be positive")
 	}
-	for key, addr := range map[string]string{"listen": s.Listen, "ready_listen": s.Ready} {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return bad(key, err.Error())
-		}
-	}
-	return nil
+	return cmp.Or(kernel.CheckAddress("listen", s.Listen), kernel.CheckAddress("ready_listen", s.Ready))
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -27,27 +27,19 @@
 // upstream inside one answer, after the last event that was passed on.
 func (c *call) serveStream() {
 	s := &stream{call: c, lastID: c.asked.LastEventID}
-	for {
-		a := c.begin()
-		if a == nil {
-			c.reason = reasonNoUpstream
-			break
-		}
-		held, o := s.run(a)
-		c.end(a, o)
-		if o == outcomeAnswered {
-			s.finish(held)
-			return
-		}
-		if o == outcomeCallerGone || o == outcomeExpired || !c.retry() {
-			break
-		}
-	}
-	if s.started {
+	var held *answer
+	served := c.eachAttempt(func(a *attempt) (o outcome, served bool) {
+		held, o = s.run(a)
+		return o, o == outcomeAnswered
+	})
+	switch {
+	case served:
+		s.finish(held)
+	case s.started:
 		s.breakOff()
-		return
+	default:
+		c.fail()
 	}
-	c.fail()
 }
 
 // run makes one attempt. An answer that is no stream is returned whole.
--- a/kernel/textmetrics.go
+++ b/kernel/textmetrics.go
@@ -74,6 +74,14 @@
 	return l
 }
 
+// OneIf is a gauge's value for what is so or not.
+func OneIf(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // ServeHTTP writes one line for each value: the name, a space and the number.
 // Histograms are in seconds, with a count and quantiles.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
--- a/load/settings.go
+++ b/load/settings.go
@@ -134,35 +134,29 @@
 
 const defaultTimeout = 30 * time.Second
 
-func bad(key, detail string) error {
-	return merry.Prependf(kernel.ErrSettings, "key %q: %s", key, detail)
-}
-
 // Check names the first key that is wrong, and fills in the defaults of classes.
 func (s *Settings) Check() error {
 	switch {
 	case len(s.Entries) == 0:
-		return bad("entries", "must name at least one entry")
+		return kernel.BadKey("entries", "must name at least one entry")
 	case s.Duration <= 0 || s.Duration.D() > maxDuration:
-		return bad("duration", "must be over 0 and at most 24h")
+		return kernel.BadKey("duration", "must be over 0 and at most 24h")
 	case s.Drain < 0 || s.Drain.D() > time.Hour:
-		return bad("drain", "must be from 0 to 1h")
+		return kernel.BadKey("drain", "must be from 0 to 1h")
 	case s.MaxInFlight < 1:
-		return bad("max_in_flight", "must be at least 1")
+		return kernel.BadKey("max_in_flight", "must be at least 1")
 	case len(s.Team) == 0:
-		return bad("team", "at least one is needed")
+		return kernel.BadKey("team", "at least one is needed")
 	case len(s.Class) == 0:
-		return bad("class", "at least one is needed")
+		return kernel.BadKey("class", "at least one is needed")
 	}
 	for _, f := range append(append([]FakeServer(nil), s.Fakes.Engine...), s.Fakes.Plain...) {
 		if err := CheckLoopback(f.Listen); err != nil {
-			return bad("fakes.listen", err.Error())
+			return kernel.BadKey("fakes.listen", err.Error())
 		}
 	}
-	for _, a := range s.Entries {
-		if _, _, err := net.SplitHostPort(a); err != nil {
-			return bad("entries", err.Error())
-		}
+	if err := kernel.CheckAddress("entries", s.Entries...); err != nil {
+		return err
 	}
 	if err := s.checkDay(); err != nil {
 		return err
@@ -174,10 +168,10 @@
 	last := 0.0
 	for _, p := range s.Day {
 		if p.At < last || p.At > 1 {
-			return bad("day.at", "must rise from 0 to 1")
+			return kernel.BadKey("day.at", "must rise from 0 to 1")
 		}
 		if p.Factor < 0 {
-			return bad("day.factor", "must not be negative")
+			return kernel.BadKey("day.factor", "must not be negative")
 		}
 		last = p.At
 	}
@@ -188,7 +182,7 @@
 	teams := map[string]bool{}
 	for _, t := range s.Team {
 		if t.Name == "" || t.Key == "" || teams[t.Name] {
-			return bad("team", "each needs a key and a name of its own")
+			return kernel.BadKey("team", "each needs a key and a name of its own")
 		}
 		teams[t.Name] = true
 	}
@@ -196,12 +190,12 @@
 	for i := range s.Class {
 		c := &s.Class[i]
 		if c.Name == "" || names[c.Name] {
-			return bad("class.name", "each class needs a name of its own")
+			return kernel.BadKey("class.name", "each class needs a name of its own")
 		}
 		names[c.Name] = true
 		for _, t := range c.Teams {
 			if !teams[t] {
-				return bad("class.teams", "class "+c.Name+": no team "+t)
+				return kernel.BadKey("class.teams", "class "+c.Name+": no team "+t)
 			}
 		}
 		if err := c.check(); err != nil {
@@ -222,22 +216,22 @@
 	c.MaxTokens = max(c.MaxTokens, c.MinTokens)
 	switch {
 	case c.Kind != KindEngine && c.Kind != KindPlain:
-		return bad("class.kind", "must be engine or plain")
+		return kernel.BadKey("class.kind", "must be engine or plain")
 	case c.Target == "":
-		return bad("class.target", "must name a model or a service")
+		return kernel.BadKey("class.target", "must name a model or a service")
 	case c.Kind == KindPlain && !strings.HasPrefix(c.Path, "/"):
-		return bad("class.path", "must begin with /")
+		return kernel.BadKey("class.path", "must begin with /")
 	case c.Rate <= 0 || c.Rate > maxRate:
-		return bad("class.rate", "must be over 0 and at most 100000")
+		return kernel.BadKey("class.rate", "must be over 0 and at most 100000")
 	case c.Check != checkEchoWord && c.Check != checkNone:
-		return bad("class.check", "must be echo or none")
+		return kernel.BadKey("class.check", "must be echo or none")
 	case c.Resends < 0 || c.Resends > 20:
-		return bad("class.resends", "must be from 0 to 20")
+		return kernel.BadKey("class.resends", "must be from 0 to 20")
 	case c.Resends > 0 && !c.Idempotent && !c.Keys:
 		// Without a key a resend of a request that may have run runs it again.
-		return bad("class.resends", "needs keys or idempotent")
+		return kernel.BadKey("class.resends", "needs keys or idempotent")
 	case c.Timeout < 0:
-		return bad("class.timeout", "must not be negative")
+		return kernel.BadKey("class.timeout", "must not be negative")
 	}
 	return nil
 }
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -47,21 +48,14 @@
 
 // Check names the first key that is wrong.
 func (s *Settings) Check() error {
-	bad := func(key, detail string) error {
-		return merry.Prependf(kernel.ErrSettings, "key %q: %s", key, detail)
-	}
+	bad := kernel.BadKey
 	if s.ID == "" {
 		return bad("id", "must not be empty")
 	}
 	if s.Dialect == "" {
 		return bad("dialect", "must not be empty")
 	}
-	for key, addr := range map[string]string{"listen": s.Listen, "rank": s.Rank} {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return bad(key, err.Error())
-		}
-	}
-	return nil
+	return cmp.Or(kernel.CheckAddress("listen", s.Listen), kernel.CheckAddress("rank", s.Rank))
 }
 
 // Daemon relays readings and orders to the rank beside it. It implements
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -17,6 +17,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -158,16 +159,12 @@
 	return strings.ToLower(strings.TrimPrefix(p.String(), "PRIORITY_"))
 }
 
-// hopHeaders belong to one connection (RFC 9110, 7.6.1) and are not passed on.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Authorization": true,
+// PassHeader says whether a header field is passed on to the next hop. A caller's
+// credentials are for the product and are not.
+func PassHeader(name string) bool {
+	return !transport.HopByHop(name) && http.CanonicalHeaderKey(name) != "Authorization"
 }
 
-// PassHeader says whether a header field is passed on to the next hop.
-func PassHeader(name string) bool { return !hopHeaders[http.CanonicalHeaderKey(name)] }
-
 // PassedHeaders lists the fields of h that are passed on, but for those that skip
 // names.
 func PassedHeaders(h http.Header, skip string) []*wire.Header {
