Relieve a slow rank: of experts, of new requests, and of those that run

Cause, from the leader's new line on the state of a group: with one rank at a pace of 5 a pass took 170 to 200 ms instead of 55, and callers' pauses were over their aim of 120 ms for as long as one stream ran there. The plan of copies counted tokens only; entries didn't know of the pace. Change: (1) the plan weighs a rank's load by its pace, and a slow rank may drop an expert that others hold; (2) the leader tells entries with their watch every 0.2 s how busy and how slow the ranks are (survey), and a new balancer spreads requests by it (water-filling over stale loads) and leaves slow ranks out; (3) running streams that may be resumed leave a slow rank, each for a second attempt that is taken from the budget first. Ruled out: the map alone (the rank's own part stays, whatever it holds).

--- a/control/lockstep.go
+++ b/control/lockstep.go
@@ -22,6 +22,9 @@
 	lockstepIdleTick = 200 * time.Millisecond
 	// lockstepLease is the prefix of these groups among leases.
 	lockstepLease = "lockstep/"
+	// surveyPeriod is how often entries are told the states of the ranks: requests run
+	// for two seconds, and what 72 ranks report takes 1.5 kB for each entry.
+	surveyPeriod = 200 * time.Millisecond
 	// dialRank bounds the opening of a connection to a rank.
 	dialRank = 500 * time.Millisecond
 )
@@ -43,6 +46,8 @@
 
 	mu     sync.Mutex
 	groups map[string]*lockstepGroup
+	// surveyed is when entries were told the states of the ranks last.
+	surveyed time.Time
 }
 
 func newLockstepLeader(s Settings, l log.Logger, pool *transport.Pool, m *kernel.Metrics) (*lockstepLeader, error) {
@@ -121,9 +126,37 @@
 	for name, g := range found {
 		l.tickGroup(ctx, r, name, g, n)
 	}
+	l.survey(r)
 	return true
 }
 
+// rankStates is a survey of all groups that a replica leads.
+type rankStates struct {
+	ranks []*wire.RankState
+	// at is when it was made.
+	at time.Time
+}
+
+// survey makes the states of the ranks known to the watchers of this replica.
+func (l *lockstepLeader) survey(r *Replica) {
+	now := l.clock()
+	if now.Sub(l.surveyed) < surveyPeriod {
+		return
+	}
+	l.surveyed = now
+	s := &rankStates{at: now}
+	l.mu.Lock()
+	for _, g := range l.groups {
+		s.ranks = append(s.ranks, g.states(now)...)
+	}
+	l.mu.Unlock()
+	if len(s.ranks) == 0 {
+		return
+	}
+	r.rankStates.Store(s)
+	r.wake()
+}
+
 func (l *lockstepLeader) tickGroup(ctx context.Context, r *Replica, name string, found directGroup, n lockstepNow) {
 	profile := profileOf(n.config, found.service)
 	if profile.GetSets() == 0 {
--- a/control/lockstepgroup.go
+++ b/control/lockstepgroup.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -54,6 +56,8 @@
 	began    time.Time
 	// heldFrom is when the hold of the switch in progress was ordered.
 	heldFrom time.Time
+	// stateLogged is when the group's state was logged last.
+	stateLogged time.Time
 	// plannedShifts counts the shifts of demand that the latest plan knew.
 	plannedShifts int
 	// reportLag is how old a report is at most that a rank gives to another host.
@@ -72,6 +76,11 @@
 	restUntil time.Time
 	held      []*wire.ExpertList
 	heldMap   uint64
+	// pace is how many times as long as usual the rank took for its work lately.
+	pace float64
+	// running and waiting are its requests as of stateAt; zero if never read.
+	running, waiting uint32
+	stateAt          time.Time
 }
 
 func newLockstepGroup(l *lockstepLeader, name string, token uint64) *lockstepGroup {
@@ -99,6 +108,7 @@
 		g.send(ctx, o)
 	}
 	g.logPhase(now)
+	g.logState(now)
 	g.plan(ctx, now)
 }
 
@@ -194,7 +204,11 @@
 	}
 	// The wait at the rank's host is no part of the report's age: an order that was
 	// answered meanwhile has told an older state.
-	g.switcher.Heard(at.Add(time.Duration(reading.WaitedMs)*time.Millisecond), i, link.instance, reading.Report)
+	at = at.Add(time.Duration(reading.WaitedMs) * time.Millisecond)
+	g.believePace(i, link, reading.Report.Pace)
+	link.running, link.waiting = reading.Report.Running, reading.Report.Waiting
+	link.stateAt = at.Add(-time.Duration(reading.Report.AgeMs) * time.Millisecond)
+	g.switcher.Heard(at, i, link.instance, reading.Report)
 	if req.AwaitPrepared != 0 && reading.Report.Prepared == req.AwaitPrepared {
 		g.wakeUp()
 	}
@@ -207,6 +221,14 @@
 	}
 }
 
+// believePace notes the pace of a rank, and tells when it becomes slow or usual again.
+func (g *lockstepGroup) believePace(i int, link *rankLink, pace float64) {
+	if (pace < slowPace) != (link.pace < slowPace) {
+		kernel.Info(g.log, "Rank's pace.", "group", g.name, "rank", i, "upstream", link.instance, "pace", pace, "before", link.pace)
+	}
+	link.pace = pace
+}
+
 // joinHeld makes the map in force out of what all ranks hold.
 func (g *lockstepGroup) joinHeld() {
 	if g.switcher.Current() != nil {
@@ -298,9 +320,9 @@
 	}
 	g.planned, g.planning = now, true
 	shape, current, switcher := g.shape, g.switcher.Current(), g.switcher
-	load := cloneLoad(g.demand.Load())
+	load, pace := cloneLoad(g.demand.Load()), g.pace()
 	go func() {
-		p, ok := lockstep.Plan(shape, lockstep.DefaultPlanSettings(), current, load)
+		p, ok := lockstep.Plan(shape, lockstep.DefaultPlanSettings(), current, load, pace)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.planning = false
@@ -312,6 +334,71 @@
 	}()
 }
 
+// surveyAge is how old a rank's state may be that entries are told: later than that its
+// requests have ended and others have come.
+const surveyAge = 600 * time.Millisecond
+
+// states are what entries are told of the ranks.
+func (g *lockstepGroup) states(now time.Time) (list []*wire.RankState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, link := range g.links {
+		age := now.Sub(link.stateAt)
+		if link.stateAt.IsZero() || age > surveyAge {
+			continue
+		}
+		list = append(list, &wire.RankState{
+			Upstream: link.instance, Running: link.running, Waiting: link.waiting,
+			PacePercent: uint32(100 * link.pace), AgeMs: uint32(max(age, 0).Milliseconds()),
+		})
+	}
+	return list
+}
+
+// statePeriod is how often the state of a group is logged: a stall or a slow pass lasts
+// for some seconds.
+const statePeriod = time.Second
+
+// logState tells how the group goes: on it depends whether callers are served in time.
+func (g *lockstepGroup) logState(now time.Time) {
+	if now.Sub(g.stateLogged) < statePeriod || g.switcher.Current() == nil {
+		return
+	}
+	g.stateLogged = now
+	running, waiting, busiest, oldest := uint32(0), uint32(0), uint32(0), time.Duration(0)
+	for _, link := range g.links {
+		running += link.running
+		waiting += link.waiting
+		busiest = max(busiest, link.running+link.waiting)
+		oldest = max(oldest, now.Sub(link.stateAt))
+	}
+	skew := 0.0
+	if load := g.demand.Load(); load != nil {
+		skew = g.switcher.Current().Skew(load, g.pace())
+	}
+	kernel.Info(g.log, "Group's state.", "group", g.name, "epoch", g.epoch, "pass", g.switcher.PassTime().Round(time.Millisecond), "skew", math.Round(100*skew)/100,
+		"running", running, "waiting", waiting, "busiest", busiest, "oldest_ms", oldest.Milliseconds(), "phase", g.switcher.Phase(), "windows", g.demand.Windows())
+}
+
+// slowPace is the pace from which on a rank is slow: below it its part differs by less
+// than the estimate of the load.
+const slowPace = 1.2
+
+// pace returns how slow the ranks say that they are; nil if none is slow.
+func (g *lockstepGroup) pace() lockstep.Pace {
+	var pace lockstep.Pace
+	for i, link := range g.links {
+		if link.pace < slowPace {
+			continue
+		}
+		if pace == nil {
+			pace = slices.Repeat(lockstep.Pace{1}, len(g.links))
+		}
+		pace[i] = link.pace
+	}
+	return pace
+}
+
 // mayBegin says whether a switch may begin now: none is under way, or one that was
 // planned for what is no longer in demand and has only begun to copy.
 func (g *lockstepGroup) mayBegin(now time.Time) bool {
--- a/control/replica.go
+++ b/control/replica.go
@@ -68,7 +68,9 @@
 	// routingVersion is that of the configuration applied here; watchers read it
 	// outside the loop.
 	routingVersion atomic.Uint64
-	feed           feed
+	// rankStates are those of the ranks that this replica leads; nil before the first.
+	rankStates atomic.Pointer[rankStates]
+	feed       feed
 	// proposedEpoch is the ring epoch that was proposed last, and when.
 	proposedEpoch uint64
 	proposedAt    time.Time
--- a/control/routing.go
+++ b/control/routing.go
@@ -149,13 +149,14 @@
 	defer tick.Stop()
 	sent := uint64(0)
 	first := true
+	told := r.rankStates.Load()
 	for {
-		version := r.routingVersion.Load()
-		if first || version != sent {
-			if err := s.sendVersion(stream, r, version); err != nil {
+		version, states := r.routingVersion.Load(), r.rankStates.Load()
+		if first || version != sent || states != told {
+			if err := s.sendVersion(stream, r, version, news(told, states)); err != nil {
 				return err
 			}
-			first, sent = false, version
+			first, sent, told = false, version, states
 		}
 		select {
 		case <-stream.Context().Done():
@@ -169,8 +170,16 @@
 	}
 }
 
-func (s routingService) sendVersion(stream wire.DRPCRouting_WatchStream, r *Replica, version uint64) error {
-	err := stream.Send(&wire.RoutingVersion{Version: version, ConfirmedAgeMs: millis(r.feed.age(r.now()))})
+// news are the states that a watcher has not been told yet.
+func news(told, states *rankStates) []*wire.RankState {
+	if states == nil || states == told {
+		return nil
+	}
+	return states.ranks
+}
+
+func (s routingService) sendVersion(stream wire.DRPCRouting_WatchStream, r *Replica, version uint64, ranks []*wire.RankState) error {
+	err := stream.Send(&wire.RoutingVersion{Version: version, ConfirmedAgeMs: millis(r.feed.age(r.now())), Ranks: ranks})
 	if err != nil {
 		return fmt.Errorf("routing watch: %w", err)
 	}
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -71,13 +71,6 @@
 	k.tokens = min(k.tokens+budgetMargin*b.settings.Ratio, depth)
 }
 
-// left says whether a second attempt is left.
-func (b *budgets) left(service string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.bucket(service).tokens >= 1
-}
-
 // take takes one second attempt, or says that none is left.
 func (b *budgets) take(service string) bool {
 	b.mu.Lock()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -35,7 +35,10 @@
 	deadline time.Time
 	history  history
 	// sent is history.sent for the watch of an attempt.
-	sent   atomic.Int64
+	sent atomic.Int64
+	// paid says that the next attempt was taken from the budget when the one before
+	// was given up.
+	paid   atomic.Bool
 	tried  map[string]bool
 	last   outcome
 	reason string
@@ -85,7 +88,7 @@
 	}
 	a := &attempt{up: up, req: req, began: now}
 	a.ctx, a.cancel = context.WithCancel(c.ctx)
-	a.watch = c.watchSilence(a.cancel)
+	a.watch = c.watchSilence(up.ID, a.cancel)
 	return a
 }
 
@@ -252,7 +255,7 @@
 		return false
 	}
 	// An attempt that never left is no arrival at an upstream.
-	if c.last == outcomeNotSent {
+	if c.last == outcomeNotSent || c.paid.Swap(false) {
 		return true
 	}
 	if !c.budgets.take(c.service) {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -11,8 +11,9 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
-// balancerName is the routing plug-in: upstreams tell their load with each answer.
-const balancerName = "least-loaded"
+// balancerName is the routing plug-in: upstreams tell their load with each answer, and
+// the leader of a group in lock-step tells that of its ranks.
+const balancerName = "load-interpretation"
 
 // firstLoad numbers the load of an upstream that has answered nothing yet.
 const firstLoad = 1
@@ -87,6 +88,35 @@
 	p.gate.formed(now, insts)
 }
 
+// survey takes the states of ranks that the leader of their groups has read. It returns
+// the upstreams that are to be left because they are slow.
+func (f *fleet) survey(now time.Time, ranks []*wire.RankState, entries int) (slow []string) {
+	if len(ranks) == 0 {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loads++
+	for _, p := range f.services {
+		v := &route.Survey{Entries: entries, Seq: f.loads}
+		for _, r := range ranks {
+			if p.ups[r.Upstream] == nil {
+				continue
+			}
+			v.Loads = append(v.Loads, route.SurveyedLoad{
+				ID: r.Upstream, Requests: int(r.Running + r.Waiting),
+				Pace: float64(r.PacePercent) / 100, Age: time.Duration(r.AgeMs) * time.Millisecond,
+			})
+		}
+		if b, ok := p.balancer.(route.Surveyed); ok && len(v.Loads) > 0 {
+			b.Survey(now, v)
+			p.gate.surveyed(now, v, p.ups)
+			slow = append(slow, toLeave(v.Loads)...)
+		}
+	}
+	return slow
+}
+
 // enter says whether a request may go to a service now; leave must follow if so.
 // why names the inputs of a refusal.
 func (f *fleet) enter(now time.Time, service string, entries int) (wait time.Duration, why string, ok bool) {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -90,6 +90,7 @@
 		}
 		silence.Reset(silentRouting)
 		w.heard(v)
+		w.takeSurvey(v.Ranks)
 		if !w.wantsVersion(v, w.started) {
 			continue
 		}
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -6,6 +6,7 @@
 
 	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/route"
 )
 
 const (
@@ -79,6 +80,8 @@
 	// occupancy is the estimated part of the slots in use, as of told.
 	occupancy float64
 	told      time.Time
+	// surveyAt is when a survey told it last.
+	surveyAt time.Time
 	// sign is when the group last gave a sign of life, or the first of the requests
 	// that wait for one was sent.
 	sign time.Time
@@ -116,9 +119,24 @@
 	g.probed = now
 }
 
+// surveyed takes the load of the upstreams as their leader has read them: better than
+// those of the few upstreams that answer this entry.
+func (g *gate) surveyed(now time.Time, v *route.Survey, ups map[string]*directory.Instance) {
+	requests, slots := 0, 0
+	for _, l := range v.Loads {
+		requests += l.Requests
+		slots += int(ups[l.ID].Direct.Slots)
+	}
+	if slots == 0 {
+		return
+	}
+	g.occupancy = float64(requests) / float64(slots)
+	g.told, g.surveyAt = now, now
+}
+
 // occupied takes the load that came with an answer. A group that answers is back.
 func (g *gate) occupied(now time.Time, l *dialect.Load) {
-	if l.Slots <= 0 {
+	if l.Slots <= 0 || now.Sub(g.surveyAt) < occupancyLife {
 		return
 	}
 	used := float64(l.Running+l.Waiting) / float64(l.Slots)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,7 @@
 	targets  *directory.Targets
 	life     *directory.Life
 	fleet    *fleet
+	movable  *movable
 	budgets  *budgets
 	requests *requestLog
 	metrics  *gatewayMetrics
@@ -94,7 +95,7 @@
 		settings: s, log: kernel.PartLog(l, "gateway"), dialect: d, now: now, certs: certs,
 		pool:   transport.NewPool(sec),
 		client: direct.NewClient(transport.NewDialer(dialUpstream).DialContext),
-		life:   directory.NewLife(s.ID, now()), fleet: newFleet(s),
+		life:   directory.NewLife(s.ID, now()), fleet: newFleet(s), movable: newMovable(),
 		targets:     directory.NewTargets(s.ID, s.FailureDomain, s.Replicas).Grow(),
 		announceNow: make(chan struct{}, 1),
 	}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -22,22 +22,25 @@
 // on: a host that is frozen, or a connection that is dead without a word. Its caller
 // would wait until it leaves, and the upstream would work for nobody when it wakes.
 type silenceWatch struct {
-	call   *call
-	cancel context.CancelFunc
-	limit  time.Duration
-	timer  *time.Timer
+	call     *call
+	upstream string
+	cancel   context.CancelFunc
+	limit    time.Duration
+	timer    *time.Timer
 	// heard is when the upstream said something last, in nanoseconds since began.
 	heard atomic.Int64
 	began time.Time
 }
 
-// watchSilence begins to watch an attempt; nil if the request must not run twice.
-func (c *call) watchSilence(cancel context.CancelFunc) *silenceWatch {
+// watchSilence begins to watch an attempt at an upstream; nil if the request must not
+// run twice.
+func (c *call) watchSilence(upstream string, cancel context.CancelFunc) *silenceWatch {
 	if !routing.Repeatable(c.route) {
 		return nil
 	}
-	w := &silenceWatch{call: c, cancel: cancel, limit: c.fleet.silence(c.service), began: time.Now()}
+	w := &silenceWatch{call: c, upstream: upstream, cancel: cancel, limit: c.fleet.silence(c.service), began: time.Now()}
 	w.timer = time.AfterFunc(w.limit, w.look)
+	c.movable.add(w)
 	return w
 }
 
@@ -51,6 +54,7 @@
 func (w *silenceWatch) stop() {
 	if w != nil {
 		w.timer.Stop()
+		w.call.movable.remove(w)
 	}
 }
 
@@ -62,15 +66,22 @@
 	switch {
 	case left > 0:
 		w.timer.Reset(left)
-	case w.call.mayMove(now):
+	case w.call.takeMove(now):
 		w.cancel()
 	default:
 		w.timer.Reset(w.limit / 2)
 	}
 }
 
-// mayMove says whether a request that waits at one upstream may go to another.
-func (c *call) mayMove(now time.Time) bool {
+// takeMove says whether a request that waits at one upstream may go to another, and if
+// so takes the second attempt from the budget. Were it taken only when the first one
+// has ended, several requests would give up their upstreams for the same one, and all
+// but one would be broken off.
+func (c *call) takeMove(now time.Time) bool {
 	another := c.sent.Load()+1 < int64(c.route.MaxAttempts)
-	return another && c.fleet.goesOn(now, c.service) && c.budgets.left(c.service) && c.deadline.Sub(now) > leastSilence
+	if !another || !c.fleet.goesOn(now, c.service) || c.deadline.Sub(now) <= leastSilence || !c.budgets.take(c.service) {
+		return false
+	}
+	c.paid.Store(true)
+	return true
 }
--- /dev/null
+++ b/gateway/slowrank_test.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/snipereach/snipereach/dialect"
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/route"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// slowCase is a gateway that knows six ranks, with streams that run at rank r2.
+type slowCase struct {
+	*Gateway
+	left []int
+}
+
+// newSlowCase gives the service some second attempts.
+func newSlowCase(t *testing.T, streams int, attempts float64) *slowCase {
+	set := DefaultSettings()
+	set.ID = "entry-1"
+	now := time.Now()
+	c := &slowCase{Gateway: &Gateway{
+		settings: set, movable: newMovable(), metrics: newGatewayMetrics(), log: log.NewNopLogger(),
+		beliefs: kernel.NewLineBudget(beliefLines, time.Now), fleet: newFleet(set), node: directory.NewNode(directory.DefaultSettings(), time.Now, nil),
+	}}
+	retries := RetrySettings{Slack: attempts / budgetMargin / budgetDepthShare, Window: durationOf(10 * time.Second)}
+	c.budgets = newBudgets(retries, func() int { return 1 }, func() time.Time { return now })
+	var ranks []*directory.Instance
+	for _, id := range []string{"r0", "r1", "r2", "r3", "r4", "r5"} {
+		ranks = append(ranks, &directory.Instance{Announcement: &wire.Announcement{
+			Id: id, Group: "g", Pools: []string{"llm"}, Phase: wire.Phase_PHASE_UP, Direct: &wire.DirectUpstream{Slots: 12},
+		}})
+	}
+	assert.NilError(t, c.fleet.update(now, ranks))
+	c.fleet.alive(now, "llm")
+	for i := range streams {
+		s := &call{
+			Gateway: c.Gateway, service: "llm", asked: dialect.Request{ID: "a"}, deadline: now.Add(time.Minute),
+			route: &wire.Route{Kind: wire.RouteKind_ROUTE_KIND_STREAMING, Resume: true, MaxAttempts: 2},
+		}
+		w := s.watchSilence("r2", func() { c.left = append(c.left, i) })
+		t.Cleanup(w.stop)
+	}
+	return c
+}
+
+func survey(pace ...uint32) (list []*wire.RankState) {
+	for i, p := range pace {
+		list = append(list, &wire.RankState{Upstream: "r" + string(rune('0'+i)), Running: 6, PacePercent: p})
+	}
+	return list
+}
+
+// One rank turns slow while streams run there. What all callers of the group see is
+// that each event takes three times as long, until the last of these streams is over.
+// They go on at other ranks instead, as far as second attempts are left; the others
+// stay where they are and aren't broken off.
+func TestStreamsLeaveASlowRankWithinTheBudget(t *testing.T) {
+	c := newSlowCase(t, 5, 3)
+	c.takeSurvey(survey(100, 100, 100, 100, 100, 100))
+	assert.Equal(t, len(c.left), 0)
+	c.takeSurvey(survey(100, 100, 500, 100, 100, 100))
+	assert.Equal(t, len(c.left), 3)
+	assert.Assert(t, !c.budgets.take("llm"), "a second attempt was given twice")
+}
+
+// A stream that has used its attempts stays: leaving would end it.
+func TestStreamWithoutAnotherAttemptStays(t *testing.T) {
+	c := newSlowCase(t, 1, 3)
+	for _, w := range c.movable.at("r2") {
+		w.call.sent.Store(1)
+	}
+	c.takeSurvey(survey(100, 100, 500, 100, 100, 100))
+	assert.Equal(t, len(c.left), 0)
+}
+
+// Where a good part of the ranks is slow the others have no room for what they run.
+func TestSlowGroupIsNotLeft(t *testing.T) {
+	c := newSlowCase(t, 2, 3)
+	c.takeSurvey(survey(500, 100, 500, 100, 100, 100))
+	assert.Equal(t, len(c.left), 0)
+	assert.Equal(t, len(toLeave([]route.SurveyedLoad{{ID: "r0", Pace: 5}})), 0)
+}
+
+// An attempt that has ended is no longer known, and nor is its upstream.
+func TestEndedAttemptsAreForgotten(t *testing.T) {
+	c := newSlowCase(t, 1, 3)
+	ws := c.movable.at("r2")
+	assert.Equal(t, len(ws), 1)
+	ws[0].stop()
+	assert.Equal(t, len(c.movable.byUpstream), 0)
+}
--- a/lockstep/bench_test.go
+++ b/lockstep/bench_test.go
@@ -14,7 +14,7 @@
 func BenchmarkPlanLarge(b *testing.B) {
 	m, load := inTurn(large), zipf(large, 1.1, 0)
 	for b.Loop() {
-		Plan(large, DefaultPlanSettings(), m, load)
+		Plan(large, DefaultPlanSettings(), m, load, nil)
 	}
 }
 
--- a/lockstep/expertmap.go
+++ b/lockstep/expertmap.go
@@ -84,20 +84,32 @@
 	return nil
 }
 
-// Skew is the busiest rank's load over the mean, averaged over the sets.
-func (m Map) Skew(load [][]float64) float64 {
+// Pace is how many times as long as usual each rank takes for the same work; nil says
+// that none is slow.
+type Pace []float64
+
+func (p Pace) of(rank int) float64 {
+	if p == nil {
+		return 1
+	}
+	return p[rank]
+}
+
+// Skew is the part of the rank that takes longest over that of the mean rank at the
+// usual pace, averaged over the sets.
+func (m Map) Skew(load [][]float64, pace Pace) float64 {
 	sum := 0.0
 	for set, ranks := range m {
-		busiest, total := 0.0, 0.0
-		for _, v := range rankLoads(ranks, load[set]) {
-			busiest = max(busiest, v)
+		longest, total := 0.0, 0.0
+		for r, v := range rankLoads(ranks, load[set]) {
+			longest = max(longest, v*pace.of(r))
 			total += v
 		}
 		if total == 0 {
 			sum++
 			continue
 		}
-		sum += busiest * float64(len(ranks)) / total
+		sum += longest * float64(len(ranks)) / total
 	}
 	return sum / float64(len(m))
 }
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -48,10 +48,10 @@
 	Before, After float64
 }
 
-// Plan looks for a better map than the one in force, by the load of each expert; ok
-// is false if none is worth its copies.
-func Plan(s Shape, settings PlanSettings, current Map, load [][]float64) (p Proposal, ok bool) {
-	p.Before = current.Skew(load)
+// Plan looks for a better map than the one in force, by the load of each expert and
+// the pace of each rank; ok is false if none is worth its copies.
+func Plan(s Shape, settings PlanSettings, current Map, load [][]float64, pace Pace) (p Proposal, ok bool) {
+	p.Before = current.Skew(load, pace)
 	p.Map = current.Clone()
 	if p.Before < settings.Steep {
 		settings.MaxPerRank = 0
@@ -59,7 +59,7 @@
 	copies := make([]int, s.Ranks)
 	var sets []*setState
 	for set := range p.Map {
-		if st := newSetState(s, settings, p.Map[set], load[set]); st != nil {
+		if st := newSetState(s, settings, p.Map[set], load[set], pace); st != nil {
 			st.set, st.perRank = set, copies
 			sets = append(sets, st)
 		}
@@ -69,7 +69,7 @@
 		p.Copies += st.copied
 		p.Map[st.set] = st.hold
 	}
-	p.After = p.Map.Skew(load)
+	p.After = p.Map.Skew(load, pace)
 	return p, p.Before-p.After >= settings.MinTotal && p.Copies > 0
 }
 
@@ -92,10 +92,11 @@
 }
 
 // setState is one set of a map while it is searched. Loads are scaled so that the
-// mean rank has 1.
+// mean rank has 1; that of a slow rank counts as many times as it takes longer.
 type setState struct {
 	s        Shape
 	settings PlanSettings
+	pace     Pace
 	load     []float64
 	hold     [][]uint32
 	// base is what each rank held before the search; taking one of these back is
@@ -111,7 +112,7 @@
 }
 
 // newSetState returns nil for a set without any load.
-func newSetState(s Shape, settings PlanSettings, hold [][]uint32, load []float64) *setState {
+func newSetState(s Shape, settings PlanSettings, hold [][]uint32, load []float64, pace Pace) *setState {
 	total := 0.0
 	for _, v := range load {
 		total += v
@@ -119,7 +120,7 @@
 	if total <= 0 {
 		return nil
 	}
-	st := &setState{s: s, settings: settings, load: make([]float64, len(load)), hold: hold, holders: make([][]int, len(load)), ranks: make([]float64, len(hold))}
+	st := &setState{s: s, settings: settings, pace: pace, load: make([]float64, len(load)), hold: hold, holders: make([][]int, len(load)), ranks: make([]float64, len(hold))}
 	for e, v := range load {
 		st.load[e] = v * float64(s.Ranks) / total
 	}
@@ -131,7 +132,7 @@
 	}
 	for r, experts := range hold {
 		for _, e := range experts {
-			st.ranks[r] += st.each(e)
+			st.ranks[r] += st.each(e) * pace.of(r)
 		}
 	}
 	return st
@@ -139,20 +140,27 @@
 
 func (st *setState) each(e uint32) float64 { return st.load[e] / float64(len(st.holders[e])) }
 
+// nobody is the rank of a change that puts nothing anywhere.
+const nobody = -1
+
 // change puts expert in onto a rank, in place of expert out if that is not none. A
-// swap also puts out onto the busy rank in place of in.
+// swap also puts out onto the busy rank in place of in; with leaves the busy rank
+// drops in and gets nothing for it.
 type change struct {
 	rank, busy int
 	in, out    uint32
 	replaces   bool
 	swap       bool
+	leaves     bool
 	copies     int
 	gain       float64
 }
 
 // keep makes a change for good.
 func (st *setState) keep(c change) {
-	st.perRank[c.rank] += st.cost(c.rank, c.in)
+	if c.rank != nobody {
+		st.perRank[c.rank] += st.cost(c.rank, c.in)
+	}
 	if c.swap {
 		st.perRank[c.busy] += st.cost(c.busy, c.out)
 	}
@@ -166,39 +174,58 @@
 	busy := st.busiest()
 	// Trials change the lists and change them back, in another order.
 	held := slices.Clone(st.hold[busy])
+	slow := st.pace.of(busy) > 1
+	for _, e := range held {
+		if slow && len(st.holders[e]) > 1 {
+			st.try(change{rank: nobody, busy: busy, in: e, leaves: true}, &best)
+		}
+	}
 	for _, r := range st.emptiest(busy) {
 		for _, e := range held {
 			if !slices.Contains(st.hold[r], e) {
-				st.offer(busy, r, e, &best)
+				st.offer(change{rank: r, busy: busy, in: e}, &best)
+				if slow {
+					st.offer(change{rank: r, busy: busy, in: e, leaves: true}, &best)
+				}
 			}
 		}
 	}
 	return best, best.gain > 0
 }
 
-// offer tries all ways of taking work for an expert of the busy rank to another.
-func (st *setState) offer(busy, r int, e uint32, best *change) {
-	if len(st.hold[r]) < st.s.Places {
-		st.try(change{rank: r, busy: busy, in: e}, best)
+// offer tries all ways of making a change that takes work for an expert of the busy
+// rank to another.
+func (st *setState) offer(c change, best *change) {
+	if len(st.hold[c.rank]) < st.s.Places {
+		st.try(c, best)
 	}
-	for _, x := range slices.Clone(st.hold[r]) {
+	c.replaces = true
+	for _, x := range slices.Clone(st.hold[c.rank]) {
+		c.out = x
 		if len(st.holders[x]) > 1 {
-			st.try(change{rank: r, busy: busy, in: e, out: x, replaces: true}, best)
+			st.try(c, best)
 		}
-		if !slices.Contains(st.hold[busy], x) && st.each(x) < st.each(e) {
-			st.try(change{rank: r, busy: busy, in: e, out: x, replaces: true, swap: true}, best)
+		if !c.leaves && !slices.Contains(st.hold[c.busy], x) && st.each(x) < st.each(c.in) {
+			swap := c
+			swap.swap = true
+			st.try(swap, best)
 		}
 	}
 }
 
 // try keeps a change if it is allowed and gains more for its copies than the best.
 func (st *setState) try(c change, best *change) {
-	c.copies = st.cost(c.rank, c.in)
+	if c.rank != nobody {
+		c.copies = st.cost(c.rank, c.in)
+		if st.over(c.rank, c.in) {
+			return
+		}
+	}
 	if c.swap {
 		c.copies += st.cost(c.busy, c.out)
-	}
-	if st.over(c.rank, c.in) || c.swap && st.over(c.busy, c.out) {
-		return
+		if st.over(c.busy, c.out) {
+			return
+		}
 	}
 	before := st.peak()
 	st.apply(c)
@@ -257,11 +284,21 @@
 	if c.replaces {
 		st.drop(c.rank, c.out)
 	}
-	st.add(c.rank, c.in)
+	if c.rank != nobody {
+		st.add(c.rank, c.in)
+	}
+	if c.leaves {
+		st.drop(c.busy, c.in)
+	}
 }
 
 func (st *setState) undo(c change) {
-	st.drop(c.rank, c.in)
+	if c.leaves {
+		st.add(c.busy, c.in)
+	}
+	if c.rank != nobody {
+		st.drop(c.rank, c.in)
+	}
 	if c.replaces {
 		st.add(c.rank, c.out)
 	}
@@ -290,7 +327,7 @@
 // share adds an expert's load to its holders, or takes it off them.
 func (st *setState) share(e uint32, sign float64) {
 	for _, r := range st.holders[e] {
-		st.ranks[r] += sign * st.each(e)
+		st.ranks[r] += sign * st.each(e) * st.pace.of(r)
 	}
 }
 
--- a/lockstep/plan_test.go
+++ b/lockstep/plan_test.go
@@ -61,10 +61,10 @@
 func TestSteepSkewFallsByQuickSwitches(t *testing.T) {
 	current := inTurn(small)
 	load := zipf(small, 1.1, 3)
-	assert.Assert(t, current.Skew(load) > 2.5, "skew %f", current.Skew(load))
+	assert.Assert(t, current.Skew(load, nil) > 2.5, "skew %f", current.Skew(load, nil))
 	switches := 0
 	for ; switches < 20; switches++ {
-		p, ok := Plan(small, DefaultPlanSettings(), current, load)
+		p, ok := Plan(small, DefaultPlanSettings(), current, load, nil)
 		if !ok {
 			break
 		}
@@ -77,7 +77,7 @@
 		assert.Assert(t, p.After < p.Before)
 		current = p.Map
 	}
-	assert.Assert(t, current.Skew(load) < 1.5, "skew %f after %d switches", current.Skew(load), switches)
+	assert.Assert(t, current.Skew(load, nil) < 1.5, "skew %f after %d switches", current.Skew(load, nil), switches)
 	assert.Assert(t, switches < 8, "%d switches", switches)
 }
 
@@ -89,7 +89,7 @@
 			load[set][e] = 1 + 0.05*float64(e%3)
 		}
 	}
-	_, ok := Plan(small, DefaultPlanSettings(), inTurn(small), load)
+	_, ok := Plan(small, DefaultPlanSettings(), inTurn(small), load, nil)
 	assert.Assert(t, !ok)
 }
 
@@ -110,8 +110,14 @@
 		}
 		current := inTurn(s)
 		before := current.Clone()
+		var pace Pace
+		if rapid.Bool().Draw(t, "some slow") {
+			for range s.Ranks {
+				pace = append(pace, rapid.SampledFrom([]float64{1, 1, 1.5, 5}).Draw(t, "pace"))
+			}
+		}
 		settings := PlanSettings{MinGain: rapid.Float64Range(0, 0.1).Draw(t, "gain"), MaxPerRank: rapid.IntRange(0, 2).Draw(t, "per rank"), Steep: 1.2}
-		p, ok := Plan(s, settings, current, load)
+		p, ok := Plan(s, settings, current, load, pace)
 		assert.DeepEqual(t, current, before)
 		if !ok {
 			return
@@ -184,3 +190,34 @@
 	}
 	assert.Equal(t, d.Shifts(), shifts)
 }
+
+// The load: one rank's host takes five times as long for the same work, so that all
+// ranks wait for it in each pass. Its experts are copied to others within a few
+// switches, and it is left with none that counts; once it is well again, it gets work
+// as others do.
+func TestSlowRankIsRelieved(t *testing.T) {
+	for name, shape := range map[string]Shape{"small": small, "large": large} {
+		t.Run(name, func(t *testing.T) {
+			const slow = 3
+			load := zipf(shape, 0.5, 0)
+			current := inTurn(shape)
+			pace := slices.Repeat(Pace{1}, shape.Ranks)
+			pace[slow] = 5
+			assert.Assert(t, current.Skew(load, pace) > 4, "%f", current.Skew(load, pace))
+			switches := 0
+			for ; switches < 8; switches++ {
+				p, ok := Plan(shape, DefaultPlanSettings(), current, load, pace)
+				if !ok {
+					break
+				}
+				assert.NilError(t, p.Map.Check(shape))
+				perSet, _ := copied(current, p.Map)
+				assert.Assert(t, perSet <= shape.Spare)
+				current = p.Map
+			}
+			assert.Assert(t, switches <= 6, "%d switches", switches)
+			assert.Assert(t, current.Skew(load, pace) < 1.6, "%f after %d switches", current.Skew(load, pace), switches)
+			assert.Assert(t, current.Skew(load, nil) < 1.6, "%f for the others", current.Skew(load, nil))
+		})
+	}
+}
--- a/lockstep/switcher.go
+++ b/lockstep/switcher.go
@@ -273,8 +273,8 @@
 	s.seenStep, s.seenAt = step, at
 }
 
-// passTime is the estimated time of a pass.
-func (s *Switcher) passTime() time.Duration {
+// PassTime is the estimated time of a pass.
+func (s *Switcher) PassTime() time.Duration {
 	if s.pass == 0 {
 		return s.cfg.UsualPass
 	}
--- a/lockstep/switchersteps.go
+++ b/lockstep/switchersteps.go
@@ -87,7 +87,7 @@
 // pickStep chooses the step of the switch, far enough ahead for the hold to come
 // before it.
 func (s *Switcher) pickStep(now time.Time) {
-	pass := s.passTime()
+	pass := s.PassTime()
 	ahead := uint64(s.cfg.Lead/pass) + leadPasses
 	begun := s.seenStep
 	if !s.seenAt.IsZero() && now.After(s.seenAt) {
--- a/route/estimate.go
+++ b/route/estimate.go
@@ -93,6 +93,19 @@
 	e.forget(now, later(e.answered, now.Add(-maxReportAge)))
 }
 
+// survey takes a load that was true at a known time.
+func (e *estimate) survey(made, now time.Time, requests int, seq uint64) {
+	if e.made.After(made) {
+		// An answer has told a later one.
+		return
+	}
+	if !e.take(&wire.Load{Seq: seq, Running: uint32(requests), Slots: uint32(e.slots), RunUs: uint32(e.run.Microseconds())}) {
+		return
+	}
+	e.made = made
+	e.forget(now, made)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/route/pool.go
+++ b/route/pool.go
@@ -21,6 +21,9 @@
 	near bool
 	// tokens of own work in flight.
 	tokens int
+	// slowness is how many times as long as usual the upstream takes for its work, by
+	// the last survey; 0 if none told.
+	slowness float64
 }
 
 // pool is what the plug-ins share: the candidates, their estimated load and
