Tell a replica that asks to be taken in whom else to ask

A replica that came back on an empty disk asked these three only; none of them led, and each answered no more than that. It stayed out for six seconds, the next two disks were lost, and no majority was left: the log stood still, and entries fell back to an older configuration. At three replicas all are named, so the smaller deployments never showed it. Change: who doesn't lead answers with the members that it knows, and these are asked in the same round. Test: five replicas, three named, the leader another; it fails without the answer's members (the empty replica is out for ever).

--- a/control/care.go
+++ b/control/care.go
@@ -34,8 +34,20 @@
 	default:
 		return
 	}
-	if err == nil {
+	r.tellStep(s, err)
+}
+
+// tellStep tells of a membership change that has begun, and once of one that can't.
+func (r *Replica) tellStep(s step, err error) {
+	switch {
+	case err == nil:
 		kernel.Info(r.log, "Membership changes.", "promote", s.promote, "remove", s.remove)
+	case s != r.refusedStep:
+		kernel.Warn(r.log, "Membership can't be changed yet.", "promote", s.promote, "remove", s.remove, "err", err)
+	}
+	r.refusedStep = step{}
+	if err != nil {
+		r.refusedStep = s
 	}
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -319,9 +319,7 @@
 		}
 		wait := standingInterval
 		if !member || now.Sub(leaderless) > rejoinAfter {
-			for _, addr := range c.knownPeers(ctx) {
-				c.askToJoin(ctx, addr)
-			}
+			c.askAllToJoin(ctx)
 			wait = joinInterval
 		}
 		select {
@@ -345,13 +343,35 @@
 	return list
 }
 
-func (c *Control) askToJoin(ctx context.Context, addr string) {
+// askAllToJoin asks every replica that is known, and those that these know. The
+// settings name some of the members only, and on an empty folder the log names none: a
+// leader that the settings don't name would never be asked, and the next loss of a disk
+// would leave no quorum.
+func (c *Control) askAllToJoin(ctx context.Context) {
+	list := c.knownPeers(ctx)
+	for i := 0; i < len(list) && ctx.Err() == nil; i++ {
+		for _, addr := range c.askToJoin(ctx, list[i]) {
+			if addr != c.place.Address && !slices.Contains(list, addr) {
+				list = append(list, addr)
+			}
+		}
+	}
+}
+
+// askToJoin asks a replica to take this one in. One that can't returns the members that
+// it knows.
+func (c *Control) askToJoin(ctx context.Context, addr string) []string {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
 	reply, err := wire.NewDRPCRaftClient(c.pool.Conn(ctx, addr)).Join(ctx, &wire.JoinRequest{Identity: c.currentIdentity()})
-	if err == nil && !reply.Accepted && reply.Detail != "" {
+	if err != nil {
+		kernel.Debug(c.log, "Replica can't be asked to take this one in.", "addr", addr, "err", err)
+		return nil
+	}
+	if !reply.Accepted && reply.Detail != "" {
 		kernel.Debug(c.log, "Not taken in yet.", "by", addr, "detail", reply.Detail)
 	}
+	return reply.Members
 }
 
 // Stop ends the replica and releases the folder.
--- a/control/leader.go
+++ b/control/leader.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/snipereach/snipereach/kernel"
 )
 
 // leaderWait is how long a call waits for a leader to be known. A transfer takes
@@ -22,6 +24,9 @@
 	if leads == r.leader.leads && address == r.leader.address {
 		return
 	}
+	st := r.node.Status()
+	kernel.Info(r.log, "Leader changes.", "leads", leads, "leader", st.Leader, "term", st.Term, "role", st.Role,
+		"commit", st.Commit, "last", st.Last, "confirmed_age_ms", millis(r.feed.age(r.now())))
 	close(r.leader.changed)
 	r.leader = leaderWatch{leads: leads, address: address, changed: make(chan struct{})}
 }
--- a/control/raftservice.go
+++ b/control/raftservice.go
@@ -51,6 +51,9 @@
 func (r *Replica) join(id *wire.Identity, reply *wire.JoinReply) {
 	if !r.node.IsLeader(r.now()) {
 		reply.Detail = "not the leader"
+		for _, p := range r.node.Peers() {
+			reply.Members = append(reply.Members, p.Address)
+		}
 		return
 	}
 	for _, p := range r.node.Peers() {
--- a/control/repair_test.go
+++ b/control/repair_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -121,3 +123,54 @@
 		c.edited("after-" + name)
 	}
 }
+
+// Five replicas, of which the settings of each name three only. One of them leads that
+// isn't named, and another loses its disk. It comes back empty, knows nobody but the
+// three, and becomes a voter all the same: the two losses that are to be borne next
+// leave a quorum, and nothing that callers were told is lost.
+func TestEmptyReplicaFindsALeaderThatItsSettingsDontName(t *testing.T) {
+	c := newClusterWith(t, 5, func(s *control.Settings) {
+		s.Tolerate = &control.Tolerance{Hosts: 2}
+		s.Members = s.Members[:3]
+	})
+	c.edited("first")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if v := c.voters(c.addrs[0]); len(v) != 5 {
+			return poll.Continue("voters %v", v)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(20*time.Millisecond))
+	// Whoever leads and is named gives way until another leads.
+	for tries := 0; c.leader() < 3; tries++ {
+		assert.Assert(t, tries < 60, "no replica leads that the settings don't name")
+		named := c.leader()
+		c.stop(named)
+		c.edited(fmt.Sprint("lead-", tries))
+		c.start(named, nil)
+		c.waitHealth(control.HealthOK)
+	}
+	lost := 1
+	old := c.memberAt(lost)
+	c.stop(lost)
+	assert.NilError(t, os.RemoveAll(c.folder(lost)))
+	c.start(lost, nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		m := c.memberAt(lost)
+		if m != nil && m.Id != old.Id && !m.Learner && len(c.voters(c.addrs[3])) == 5 {
+			return poll.Success()
+		}
+		return poll.Continue("member %v, before %v", m, old)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(50*time.Millisecond))
+	assert.Assert(t, c.leader() >= 3, "another replica leads, which the settings name")
+}
+
+// memberAt is the member at a replica's address that is known longest; nil if none is.
+func (c *cluster) memberAt(i int) *wire.Member {
+	_, members := c.health()
+	for _, m := range members {
+		if m.Address == c.addrs[i] {
+			return m
+		}
+	}
+	return nil
+}
--- a/control/replica.go
+++ b/control/replica.go
@@ -58,11 +58,13 @@
 	readID   uint64
 	hard     *wire.HardState
 	sinceCut int
-	lastCare time.Time
-	leads    leaseClock
-	leader   leaderWatch
-	rings    ringClock
-	shares   shareHome
+	// refusedStep is the membership change that could not begin when it was tried last.
+	refusedStep step
+	lastCare    time.Time
+	leads       leaseClock
+	leader      leaderWatch
+	rings       ringClock
+	shares      shareHome
 	// pools is read by announcements, outside the loop.
 	pools atomic.Pointer[poolSettings]
 	// routingVersion is that of the configuration applied here; watchers read it
