Let callers wait for a gateway that starts

Callers whose streams had been cut came back with their last try and were lost a second before they could be served. Change: within 2.5 s of its start a gateway lets a request wait for the first configuration and for an upstream of its service, for a third of the time that the caller has left at most, a thousand requests at once. A gateway that has been up refuses at once, as before.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -33,7 +33,10 @@
 	body     []byte
 	began    time.Time
 	deadline time.Time
-	history  history
+	// warmUntil is how long it may wait for a gateway that starts, by the gateway's
+	// clock.
+	warmUntil time.Time
+	history   history
 	// sent is history.sent for the watch of an attempt.
 	sent atomic.Int64
 	// paid says that the next attempt was taken from the budget when the one before
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -161,5 +161,6 @@
 	kernel.Info(g.log, "Routing configuration in force.", "version", c.Version, "from", from, "routes", len(c.Routes), "teams", len(c.Teams))
 	if old == nil {
 		g.wakeAnnouncer()
+		g.warmup.learned()
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,7 @@
 	fleet    *fleet
 	movable  *movable
 	fetches  *fetches
+	warmup   *warmup
 	budgets  *budgets
 	requests *requestLog
 	metrics  *gatewayMetrics
@@ -96,7 +97,7 @@
 		settings: s, log: kernel.PartLog(l, "gateway"), dialect: d, now: now, certs: certs,
 		pool:   transport.NewPool(sec),
 		client: direct.NewClient(transport.NewDialer(dialUpstream).DialContext),
-		life:   directory.NewLife(s.ID, now()), fleet: newFleet(s), movable: newMovable(), fetches: newFetches(),
+		life:   directory.NewLife(s.ID, now()), fleet: newFleet(s), movable: newMovable(), fetches: newFetches(), warmup: newWarmup(now()),
 		targets:     directory.NewTargets(s.ID, s.FailureDomain, s.Replicas).Grow(),
 		announceNow: make(chan struct{}, 1),
 	}
@@ -188,6 +189,7 @@
 		kernel.Warn(g.log, "Upstreams can't be taken up.", "err", err)
 	}
 	g.client.Forget(g.fleet.addresses())
+	g.warmup.learned()
 }
 
 // ServeHTTP answers one request of a caller.
@@ -225,7 +227,9 @@
 // admit finds the route and the team of a request and reads its body.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, began time.Time) (*call, *refusal) {
 	c := &call{Gateway: g, w: w, r: r, began: began}
-	t := g.table.Load()
+	var err error
+	c.asked, err = g.dialect.ReadRequest(r.Header)
+	t := c.waitForTable(r.Context())
 	if t == nil {
 		return c, &refusal{status: http.StatusServiceUnavailable, reason: reasonNoConfig}
 	}
@@ -233,8 +237,7 @@
 	if headerSize(r) > limits.headerBytes {
 		return c, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeaderTooLarge}
 	}
-	var err error
-	if c.asked, err = g.dialect.ReadRequest(r.Header); err != nil || !strings.HasPrefix(r.RequestURI, "/") {
+	if err != nil || !strings.HasPrefix(r.RequestURI, "/") {
 		return c, &refusal{status: http.StatusBadRequest, reason: reasonBadRequest}
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
@@ -247,6 +250,7 @@
 		}
 	}
 	c.service = routing.Choose(c.route, rand.Float64())
+	c.waitForService(r.Context())
 	c.deadline = began.Add(time.Duration(c.route.TimeoutMs) * time.Millisecond)
 	if c.asked.Deadline > 0 && began.Add(c.asked.Deadline).Before(c.deadline) {
 		c.deadline = began.Add(c.asked.Deadline)
