Try an ejected rank again while surveys go on

Cause, found on reading the change again: the line of a survey left out ejected upstreams, and an ejection ends only when somebody asks whether the upstream is usable. Change: the line is drawn from the upstreams that are usable. Test: fails before (no request in seventeen seconds after the ejection), passes after.

--- a/route/interpret.go
+++ b/route/interpret.go
@@ -171,10 +171,11 @@
 }
 
 // drawLine says what each upstream is to get until the next survey. It goes by the
-// survey alone: an entry's own requests since are the next places on the line.
+// survey alone: an entry's own requests since are the next places on the line. To ask
+// whether an upstream is usable also ends its ejection when that is over.
 func (b *LoadInterpretation) drawLine(now time.Time) line {
 	list := slices.Clone(b.list)
-	list = quick(slices.DeleteFunc(list, func(s *state) bool { return s.leaving || s.ejected }))
+	list = quick(slices.DeleteFunc(list, func(s *state) bool { return !b.usable(now, s) }))
 	slices.SortFunc(list, func(a, b *state) int { return cmp.Compare(a.ID, b.ID) })
 	loads := make([]float64, len(list))
 	age, slots := 0.0, 0.0
--- a/route/interpret_test.go
+++ b/route/interpret_test.go
@@ -251,3 +251,37 @@
 		}
 	})
 }
+
+// A rank fails some requests in a row and is left by an entry. It is well again soon,
+// and surveys go on all the while: after the time of its ejection it is tried with one
+// request, and gets its part again once that was answered. Left out of the line for good
+// it would stand idle while callers wait for the others.
+func TestEjectedRankIsTriedAgainWhileSurveysGoOn(t *testing.T) {
+	b := &LoadInterpretation{LeastLoaded: LeastLoaded{pool: newPool(), choices: defaultChoices}}
+	b.SetPlace(Place{Entry: "entry-1", Seed: 1})
+	b.Update(start, upstreams(4))
+	const ill = "up-2"
+	now, seq, failures, after := start, uint64(10), 0, 0
+	for range 1000 {
+		now = now.Add(20 * time.Millisecond)
+		seq++
+		v := &Survey{Entries: 1, Seq: seq, Number: seq}
+		for i := range 4 {
+			v.Loads = append(v.Loads, SurveyedLoad{ID: fmt.Sprintf("up-%d", i), Requests: 2})
+		}
+		b.Survey(now, v)
+		c, ok := b.Pick(now, &Request{})
+		assert.Assert(t, ok)
+		switch {
+		case c.ID == ill && failures < failuresToEject:
+			failures++
+			b.Done(now, c.Upstream, &Request{}, broken)
+			continue
+		case c.ID == ill:
+			after++
+		}
+		b.Done(now, c.Upstream, &Request{}, whole(nil))
+	}
+	assert.Equal(t, failures, failuresToEject)
+	assert.Assert(t, after > 100, "it got %d requests in the seconds after its ejection", after)
+}
