Name the watch of an attempt for what it does now; list the entries once

No behaviour changes: the watch that ended silent attempts also ends those at slow ranks; the number of entries and the place among them come from one list.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -75,7 +75,7 @@
 	// ctx ends with the request's, or when the attempt is given up.
 	ctx    context.Context
 	cancel context.CancelFunc
-	watch  *silenceWatch
+	watch  *attemptWatch
 	// head is what the answer's header said, once there was one.
 	head   dialect.Answer
 	status int
@@ -91,7 +91,7 @@
 	}
 	a := &attempt{up: up, req: req, began: now}
 	a.ctx, a.cancel = context.WithCancel(c.ctx)
-	a.watch = c.watchSilence(up.ID, a.cancel)
+	a.watch = c.watchAttempt(up.ID, a.cancel)
 	return a
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -177,9 +177,7 @@
 }
 
 // entries is how many entries are up, this one too.
-func (g *Gateway) entries() int {
-	return max(len(g.node.Instances(wire.Role_ROLE_ENTRY)), 1)
-}
+func (g *Gateway) entries() int { return g.placeAmongEntries().entries }
 
 // entryPlace is this entry's place among those that are up, by their names.
 type entryPlace struct {
@@ -187,8 +185,9 @@
 }
 
 func (g *Gateway) placeAmongEntries() entryPlace {
-	p := entryPlace{entries: g.entries()}
-	for _, i := range g.node.Instances(wire.Role_ROLE_ENTRY) {
+	known := g.node.Instances(wire.Role_ROLE_ENTRY)
+	p := entryPlace{entries: max(len(known), 1)}
+	for _, i := range known {
 		if i.Id < g.settings.ID {
 			p.index++
 		}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -18,10 +18,11 @@
 	mostSilence  = time.Second
 )
 
-// silenceWatch ends an attempt whose upstream has fallen silent while its service goes
+// attemptWatch ends an attempt whose upstream has fallen silent while its service goes
 // on: a host that is frozen, or a connection that is dead without a word. Its caller
-// would wait until it leaves, and the upstream would work for nobody when it wakes.
-type silenceWatch struct {
+// would wait until it leaves, and the upstream would work for nobody when it wakes. An
+// attempt at an upstream that has turned slow is given up by the same means.
+type attemptWatch struct {
 	call     *call
 	upstream string
 	cancel   context.CancelFunc
@@ -32,26 +33,26 @@
 	began time.Time
 }
 
-// watchSilence begins to watch an attempt at an upstream; nil if the request must not
+// watchAttempt begins to watch an attempt at an upstream; nil if the request must not
 // run twice.
-func (c *call) watchSilence(upstream string, cancel context.CancelFunc) *silenceWatch {
+func (c *call) watchAttempt(upstream string, cancel context.CancelFunc) *attemptWatch {
 	if !routing.Repeatable(c.route) {
 		return nil
 	}
-	w := &silenceWatch{call: c, upstream: upstream, cancel: cancel, limit: c.fleet.silence(c.service), began: time.Now()}
+	w := &attemptWatch{call: c, upstream: upstream, cancel: cancel, limit: c.fleet.silence(c.service), began: time.Now()}
 	w.timer = time.AfterFunc(w.limit, w.look)
 	c.movable.add(w)
 	return w
 }
 
 // hear notes a sign of life.
-func (w *silenceWatch) hear() {
+func (w *attemptWatch) hear() {
 	if w != nil {
 		w.heard.Store(int64(time.Since(w.began)))
 	}
 }
 
-func (w *silenceWatch) stop() {
+func (w *attemptWatch) stop() {
 	if w != nil {
 		w.timer.Stop()
 		w.call.movable.remove(w)
@@ -60,7 +61,7 @@
 
 // look ends the attempt if it has been silent for long, another one may follow, and it
 // isn't the whole service that stands still.
-func (w *silenceWatch) look() {
+func (w *attemptWatch) look() {
 	now := time.Now()
 	left := w.limit - now.Sub(w.began) + time.Duration(w.heard.Load())
 	switch {
--- a/gateway/slowrank.go
+++ b/gateway/slowrank.go
@@ -38,21 +38,21 @@
 // movable holds the attempts that may be given up for another upstream.
 type movable struct {
 	mu         sync.Mutex
-	byUpstream map[string]map[*silenceWatch]struct{}
+	byUpstream map[string]map[*attemptWatch]struct{}
 }
 
-func newMovable() *movable { return &movable{byUpstream: map[string]map[*silenceWatch]struct{}{}} }
+func newMovable() *movable { return &movable{byUpstream: map[string]map[*attemptWatch]struct{}{}} }
 
-func (m *movable) add(w *silenceWatch) {
+func (m *movable) add(w *attemptWatch) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.byUpstream[w.upstream] == nil {
-		m.byUpstream[w.upstream] = map[*silenceWatch]struct{}{}
+		m.byUpstream[w.upstream] = map[*attemptWatch]struct{}{}
 	}
 	m.byUpstream[w.upstream][w] = struct{}{}
 }
 
-func (m *movable) remove(w *silenceWatch) {
+func (m *movable) remove(w *attemptWatch) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.byUpstream[w.upstream], w)
@@ -62,10 +62,10 @@
 }
 
 // at returns the attempts at an upstream.
-func (m *movable) at(upstream string) []*silenceWatch {
+func (m *movable) at(upstream string) []*attemptWatch {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var list []*silenceWatch
+	var list []*attemptWatch
 	for w := range m.byUpstream[upstream] {
 		list = append(list, w)
 	}
--- a/gateway/slowrank_test.go
+++ b/gateway/slowrank_test.go
@@ -43,7 +43,7 @@
 			Gateway: c.Gateway, service: "llm", asked: dialect.Request{ID: "a"}, deadline: now.Add(time.Minute),
 			route: &wire.Route{Kind: wire.RouteKind_ROUTE_KIND_STREAMING, Resume: true, MaxAttempts: 2},
 		}
-		w := s.watchSilence("r2", func() { c.left = append(c.left, i) })
+		w := s.watchAttempt("r2", func() { c.left = append(c.left, i) })
 		t.Cleanup(w.stop)
 	}
 	return c
