Tell runs of an upstream under one ID apart; refuse registrations of other writers

Cause: a server may start again under its ID with a sequence that begins anew, and anything may arrive as a heartbeat. The directory ordered announcements of upstreams by sequence alone, so a second run was ignored until its sequence was above the first's, and a body without slots, zone or sequence made a server.

Change: the start that a server tells is its incarnation, through the directory, its replicas, entries, the leader's readings and its counters.

With it: an entry logs and counts why a stream was late, its first event or a pause, and how long and when the longest pause was.

--- a/control/api.go
+++ b/control/api.go
@@ -5,10 +5,8 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"sort"
-	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -42,22 +40,15 @@
 const (
 	// maxDocument bounds a configuration, in bytes.
 	maxDocument = 8 << 20
-	// maxRegistration bounds a registration, in bytes.
-	maxRegistration = 64 << 10
 	// decideTimeout is how long a configuration or a read may take. Operators ask
 	// another replica after a second; an answer later than that is lost.
 	decideTimeout = 900 * time.Millisecond
-	// spreadTimeout is how long the word that an upstream leaves may take to reach
-	// the other replicas before its sender is answered.
-	spreadTimeout = 400 * time.Millisecond
 	// maxEntriesListed bounds the entries that a caller is told.
 	maxEntriesListed = 64
 	// apiHeaderTimeout bounds the reading of a request's head.
 	apiHeaderTimeout = 5 * time.Second
 	// apiIdleTimeout closes connections that nobody uses.
 	apiIdleTimeout = 30 * time.Second
-	// onlyLife is the incarnation of upstreams that take a new ID at each start.
-	onlyLife = 1
 )
 
 // Check names the first key that is wrong.
@@ -81,6 +72,8 @@
 	node     *directory.Node
 	pool     *transport.Pool
 	log      log.Logger
+	// refusals bounds the lines about registrations that were refused.
+	refusals *kernel.LineBudget
 	servers  []*http.Server
 }
 
@@ -89,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &api{settings: s, dialect: d, control: c, node: n, pool: c.pool, log: kernel.PartLog(l, "api")}, nil
+	return &api{settings: s, dialect: d, control: c, node: n, pool: c.pool, log: kernel.PartLog(l, "api"), refusals: kernel.NewLineBudget(refusedRegistrationLines, c.settings.Now)}, nil
 }
 
 // start listens at the API's addresses.
@@ -215,75 +208,6 @@
 	}
 }
 
-func (a *api) register(w http.ResponseWriter, r *http.Request) {
-	body, ok := a.readBody(w, r, maxRegistration)
-	if !ok {
-		return
-	}
-	msg, err := a.dialect.DecodeRegistration(mux.Vars(r)[a.dialect.Calls().InstanceID], body)
-	if err != nil {
-		a.refuse(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	msg.LeaseMs = uint32(a.settings.Lease.D().Milliseconds())
-	a.announce(w, r, msg)
-}
-
-func (a *api) deregister(w http.ResponseWriter, r *http.Request) {
-	a.announce(w, r, &wire.Announcement{
-		Id: mux.Vars(r)[a.dialect.Calls().InstanceID], Role: wire.Role_ROLE_UPSTREAM,
-		Phase: wire.Phase_PHASE_GONE, Seq: math.MaxUint64,
-	})
-}
-
-// announce takes what an upstream says of itself.
-//
-// That it leaves is told to the other replicas before it is acknowledged: from
-// then on the upstream counts the seconds until it stops, and this replica may
-// be lost before the entries have heard of it.
-func (a *api) announce(w http.ResponseWriter, r *http.Request, msg *wire.Announcement) {
-	msg.Incarnation = onlyLife
-	if _, err := a.node.Announce(r.Context(), msg); err != nil {
-		a.refuse(w, http.StatusServiceUnavailable, err.Error())
-		return
-	}
-	if msg.Phase != wire.Phase_PHASE_UP {
-		told, others := a.spread(r.Context(), msg)
-		kernel.Info(a.log, "An upstream leaves.", "upstream", msg.Id, "addr", msg.Address, "phase", msg.Phase, "seq", msg.Seq, "told", told, "others", others)
-		if others > 0 && told == 0 {
-			a.refuse(w, http.StatusServiceUnavailable, "no other replica has heard of it")
-			return
-		}
-	}
-	a.write(w, http.StatusOK, a.dialect.EncodeRegistered())
-}
-
-// spread tells the other replicas of an announcement and returns how many have
-// taken it.
-func (a *api) spread(ctx context.Context, msg *wire.Announcement) (told, others int) {
-	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
-	defer cancel()
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	for _, addr := range a.control.knownPeers(ctx) {
-		others++
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			_, err := wire.NewDRPCDirectoryClient(a.pool.Conn(ctx, addr)).Announce(ctx, msg)
-			if err != nil {
-				kernel.Debug(a.log, "A replica did not hear that an upstream leaves.", "replica", addr, "upstream", msg.Id, "err", err)
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			told++
-		}()
-	}
-	wg.Wait()
-	return told, others
-}
-
 // resolve tells a caller which entries to connect to.
 func (a *api) resolve(w http.ResponseWriter, _ *http.Request) {
 	list := a.entries()
--- a/control/lockstepgroup.go
+++ b/control/lockstepgroup.go
@@ -85,8 +85,8 @@
 		if a == nil {
 			continue
 		}
-		if link.instance != a.Id {
-			*link = rankLink{instance: a.Id, address: a.Address}
+		if link.instance != a.Id || link.incarnation != a.Incarnation {
+			*link = rankLink{instance: a.Id, incarnation: a.Incarnation, address: a.Address}
 		}
 		link.address = a.Address
 	}
--- a/control/lockstepranks.go
+++ b/control/lockstepranks.go
@@ -33,9 +33,12 @@
 // rankLink is the way to one rank.
 type rankLink struct {
 	instance string
-	address  string
-	reading  bool
-	readAt   time.Time
+	// incarnation tells apart two runs under one instance ID; onlyIncarnation if the rank
+	// doesn't tell.
+	incarnation uint64
+	address     string
+	reading     bool
+	readAt      time.Time
 	// countedAt is when its counters were read last.
 	countedAt time.Time
 	// restUntil is when its sidecar is called again.
@@ -49,6 +52,18 @@
 	stateAt          time.Time
 }
 
+// run names the run of the rank.
+func (l *rankLink) run() lockstep.Run {
+	return lockstep.Run{Instance: l.instance, Incarnation: l.incarnation}
+}
+
+// said says whether a report is one of the run that has registered. One that started
+// again under its ID holds nothing of what was ordered before, and the directory will say
+// soon that it did: until then its answers must not pass for those of the earlier run.
+func (l *rankLink) said(report *wire.RankReport) bool {
+	return report.GetIncarnation() == 0 || report.GetIncarnation() == l.incarnation
+}
+
 // read asks the ranks that are due. Those that a switch awaits are read more often, and
 // one that copies answers when it is done: 72 ranks that were all read each 60 ms took
 // the whole processor of a leader with 0.12 cores, and its followers elected another.
@@ -91,7 +106,7 @@
 	if err != nil {
 		kernel.Debug(g.log, "Rank can't be read.", "group", g.name, "rank", i, "upstream", req.Instance, "err", err)
 	}
-	if err != nil || g.epoch != epoch || link.instance != req.Instance {
+	if err != nil || g.epoch != epoch || link.instance != req.Instance || !link.said(reading.Report) {
 		return
 	}
 	g.take(at, i, link, req, reading)
@@ -113,7 +128,7 @@
 		g.wakeUp()
 	}
 	if reading.Counts != nil {
-		g.demand.Observe(g.clock(), i, link.instance, reading.Counts)
+		g.demand.Observe(g.clock(), i, link.run(), reading.Counts)
 	}
 	if req.HeldExperts && reading.Held != nil {
 		link.held, link.heldMap = reading.Held, reading.Report.Map
@@ -164,7 +179,7 @@
 			})
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if err != nil {
+		if err != nil || !link.said(reply.GetAfter()) {
 			reply = nil
 		}
 		g.metrics.Count("lockstep.orders")
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -106,8 +106,8 @@
 type Operators interface {
 	// DecodeRouting reads a whole configuration and keeps it as its source.
 	DecodeRouting(body []byte) (*wire.RoutingConfig, error)
-	// DecodeRegistration reads an upstream's registration. Lease and incarnation
-	// are the caller's to set.
+	// DecodeRegistration reads an upstream's registration. The lease is the caller's
+	// to set, and the incarnation where it is 0: the upstream tells none.
 	DecodeRegistration(id string, body []byte) (*wire.Announcement, error)
 	// EncodeRegistered is the answer to a registration.
 	EncodeRegistered() []byte
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -80,6 +80,14 @@
 // Up says whether the instance takes new work.
 func (i *Instance) Up() bool { return i.Phase == wire.Phase_PHASE_UP }
 
+// contradicts says whether an announcement names this incarnation of an upstream that is
+// called directly with another address or other pools. Neither changes while it runs: the
+// announcement was made by another writer, and would take the upstream from its pools.
+func (i *Instance) contradicts(a *wire.Announcement) bool {
+	return i.Incarnation == a.Incarnation && i.Direct != nil && i.Phase != wire.Phase_PHASE_GONE && a.Phase != wire.Phase_PHASE_GONE &&
+		(i.Address != a.Address || !slices.Equal(i.Pools, a.Pools))
+}
+
 // alive says whether anything speaks for the instance now.
 func (i *Instance) alive(now time.Time) bool {
 	if !now.After(i.Expires) {
@@ -160,6 +168,9 @@
 	if sameLife && old.Seq >= a.Seq {
 		return s.hold(now, old, a, src), false
 	}
+	if sameLife && old.contradicts(a) {
+		return false, false
+	}
 	heard := now.Add(-age)
 	inst := &Instance{Announcement: a, Heard: heard, Expires: heard.Add(s.lease(a))}
 	if local {
--- a/directory/node.go
+++ b/directory/node.go
@@ -88,7 +88,7 @@
 		IntervalMs: uint32(askedInterval(known).Milliseconds()),
 	}
 	if superseded {
-		reply.KnownIncarnation = n.incarnation(a.Id)
+		reply.KnownIncarnation = n.Incarnation(a.Id)
 	}
 	if a.AskReplicas && n.replicas != nil {
 		reply.Replicas = n.replicas(ctx)
@@ -96,7 +96,8 @@
 	return reply, nil
 }
 
-func (n *Node) incarnation(id string) uint64 {
+// Incarnation is the latest known of an ID; 0 if there is none.
+func (n *Node) Incarnation(id string) uint64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if i := n.state.Get(id); i != nil {
@@ -105,6 +106,14 @@
 	return 0
 }
 
+// Contradicts says whether an announcement can't be one of the incarnation that it names.
+func (n *Node) Contradicts(a *wire.Announcement) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	i := n.state.Get(a.Id)
+	return i != nil && i.contradicts(a)
+}
+
 // Heard notes that an instance was heard from directly.
 func (n *Node) Heard(id string, incarnation uint64) {
 	n.mu.Lock()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -50,6 +50,38 @@
 	attempts []attemptNote
 	// firstEvent is the time to the first event of a stream.
 	firstEvent time.Duration
+	// longestPause is the longest between two events of a stream, and pauseEnded when
+	// the later of the two left.
+	longestPause time.Duration
+	pauseEnded   time.Time
+}
+
+// contentFirst is the time to a first event, and contentPause the pause between two
+// events, that callers are content with; 0 if the route tells none.
+func (c *call) contentFirst() time.Duration {
+	return time.Duration(c.route.GetTargetLatencyMs()) * time.Millisecond
+}
+
+func (c *call) contentPause() time.Duration {
+	return time.Duration(c.route.GetTargetGapMs()) * time.Millisecond
+}
+
+// Why an answered stream was late.
+const (
+	lateFirstEvent = "first-event"
+	latePause      = "pause"
+)
+
+// late says why a stream that was answered came later than callers are content with;
+// empty if it didn't.
+func (c *call) late() string {
+	switch {
+	case c.contentFirst() > 0 && c.firstEvent > c.contentFirst():
+		return lateFirstEvent
+	case c.contentPause() > 0 && c.longestPause > c.contentPause():
+		return latePause
+	}
+	return ""
 }
 
 // attemptNote is what a log line says of one attempt.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -49,6 +49,9 @@
 		m.Count("gateway.failed.caller-gone")
 	default:
 		m.Count("gateway.answered")
+		if late := c.late(); late != "" {
+			m.Count("gateway.late." + late)
+		}
 		m.time(c)
 	}
 	for i, a := range c.attempts {
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -12,9 +12,11 @@
 )
 
 // Bounds of the request log, in lines a second. A request that failed, or that needed
-// more than one attempt, is never left out for another: the two have an allowance each.
+// more than one attempt, is never left out for another, and one that was late not for one
+// in time: each kind has an allowance.
 const (
 	failedLines   = 40
+	lateLines     = 10
 	answeredLines = 2
 )
 
@@ -23,19 +25,25 @@
 type requestLog struct {
 	log      log.Logger
 	failed   *kernel.LineBudget
+	late     *kernel.LineBudget
 	answered *kernel.LineBudget
 }
 
 func newRequestLog(l log.Logger, now func() time.Time) *requestLog {
 	return &requestLog{
-		log: l, failed: kernel.NewLineBudget(failedLines, now), answered: kernel.NewLineBudget(answeredLines, now),
+		log: l, failed: kernel.NewLineBudget(failedLines, now), late: kernel.NewLineBudget(lateLines, now),
+		answered: kernel.NewLineBudget(answeredLines, now),
 	}
 }
 
 // done ends a request: it writes its line and counts it.
 func (c *call) done(status int, reason string, err error) {
 	c.metrics.ended(c, status, reason, err)
+	late := c.late()
 	budget := c.requests.answered
+	if late != "" {
+		budget = c.requests.late
+	}
 	if reason != "" || err != nil || status >= http.StatusInternalServerError || len(c.attempts) > 1 {
 		budget = c.requests.failed
 	}
@@ -56,6 +64,12 @@
 	if c.firstEvent > 0 {
 		kv = append(kv, "first_event_ms", c.firstEvent.Milliseconds())
 	}
+	if c.longestPause > 0 {
+		kv = append(kv, "longest_pause_ms", c.longestPause.Milliseconds(), "pause_ended_ms_ago", time.Since(c.pauseEnded).Milliseconds())
+	}
+	if late != "" {
+		kv = append(kv, "late", late)
+	}
 	if c.why != "" {
 		kv = append(kv, "why", c.why)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -115,8 +115,7 @@
 	s.w.WriteHeader(resp.Status)
 	s.started = true
 	s.firstEvent = time.Since(s.began)
-	content := time.Duration(s.route.TargetLatencyMs) * time.Millisecond
-	s.fleet.began(time.Now(), s.service, s.firstEvent, content)
+	s.fleet.began(time.Now(), s.service, s.firstEvent, s.contentFirst())
 }
 
 func (s *stream) pass(ev direct.Event) bool {
@@ -132,17 +131,25 @@
 	now := time.Now()
 	s.fleet.alive(now, s.service)
 	if s.events > 0 {
-		s.metrics.pause.Record(now.Sub(s.sentAt))
-	}
-	pause := time.Duration(s.route.TargetGapMs) * time.Millisecond
-	if s.events > 0 && pause > 0 && now.Sub(s.sentAt) > pause {
-		s.fleet.paused(now, s.service)
+		s.paused(now)
 	}
 	s.events++
 	s.sentAt = now
 	return true
 }
 
+// paused takes the time between two events.
+func (s *stream) paused(now time.Time) {
+	pause := now.Sub(s.sentAt)
+	s.metrics.pause.Record(pause)
+	if pause > s.longestPause {
+		s.longestPause, s.pauseEnded = pause, now
+	}
+	if content := s.contentPause(); content > 0 && pause > content {
+		s.fleet.paused(now, s.service)
+	}
+}
+
 // finish ends an answer that is complete.
 func (s *stream) finish(held *answer) {
 	if held != nil {
--- a/lockstep/demand.go
+++ b/lockstep/demand.go
@@ -38,10 +38,17 @@
 	shifts  int
 }
 
+// Run is one run of a rank: an instance may start again under its ID, and its counters
+// begin anew.
+type Run struct {
+	Instance    string
+	Incarnation uint64
+}
+
 // counters are what a rank said last.
 type counters struct {
-	instance string
-	counts   []uint64
+	run    Run
+	counts []uint64
 }
 
 // NewDemand makes an estimate without observations.
@@ -59,15 +66,15 @@
 	return out
 }
 
-// Observe takes a rank's counters. The first ones of an instance tell nothing: they
+// Observe takes a rank's counters. The first ones of a run tell nothing: they
 // count since its start. It returns whether a window has been closed.
-func (d *Demand) Observe(now time.Time, rank int, instance string, counts []uint64) bool {
+func (d *Demand) Observe(now time.Time, rank int, run Run, counts []uint64) bool {
 	if len(counts) != d.shape.Sets*d.shape.Experts {
 		return false
 	}
 	old := d.last[rank]
-	d.last[rank] = counters{instance: instance, counts: counts}
-	if old.instance == instance {
+	d.last[rank] = counters{run: run, counts: counts}
+	if old.run == run {
 		d.add(old.counts, counts)
 	}
 	if d.began.IsZero() {
--- a/lockstep/plan_test.go
+++ b/lockstep/plan_test.go
@@ -164,7 +164,7 @@
 		now = now.Add(settings.Window)
 		count(counts, load, 10_000)
 		for r := range counts {
-			d.Observe(now, r, "i", slices.Clone(counts[r]))
+			d.Observe(now, r, Run{Instance: "i"}, slices.Clone(counts[r]))
 		}
 	}
 	before, after := zipf(small, 1.1, 0), zipf(small, 1.1, 29)
@@ -184,7 +184,7 @@
 
 	shifts := d.Shifts()
 	clear(counts[3])
-	d.Observe(now, 3, "j", slices.Clone(counts[3]))
+	d.Observe(now, 3, Run{Instance: "j"}, slices.Clone(counts[3]))
 	for range 5 {
 		window(after)
 	}
