Dial again where a peer says nothing

Cause: after a loss of power of all hosts, every entry heard of the control replicas 1.006 s after its own start, 0.4 s after these were there: its first packet was lost on a host that was still starting, and the kernel sends it again after a second.

Change: a connection is tried again after 0.2 s, then twice as long, within the old limit.

--- a/transport/dial.go
+++ b/transport/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"syscall"
@@ -25,14 +26,55 @@
 	probes     = 3
 )
 
-// NewDialer returns a dialer whose connections break within seconds when the peer
-// falls silent. timeout bounds the opening.
-func NewDialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{
-		Timeout:         timeout,
+const (
+	// firstTry is how long the first try to open a connection may take: a connection
+	// within a region opens in a few milliseconds, and to another one in some tens. The
+	// kernel sends a lost packet again after a second only, and so it does for a host that
+	// was still starting: after a loss of power all entries heard of the others a second
+	// after their start, 0.4 s later than the others were there.
+	firstTry = 200 * time.Millisecond
+	// tryGrowth is how much longer each further try may take, for a link whose round trip
+	// is longer.
+	tryGrowth = 2
+)
+
+// Dialer opens connections that break within seconds when the peer falls silent.
+type Dialer struct {
+	// open makes one try.
+	open DialFunc
+	// limit bounds the opening, over all tries.
+	limit time.Duration
+}
+
+// NewDialer returns a dialer. timeout bounds the opening.
+func NewDialer(timeout time.Duration) *Dialer {
+	d := &net.Dialer{
 		KeepAliveConfig: keepAlive(),
 		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw) },
 	}
+	return &Dialer{open: d.DialContext, limit: timeout}
+}
+
+// DialContext opens a connection; it tries again where the peer says nothing, and gives
+// up at once where it refuses.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.limit)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	for try := firstTry; ; try *= tryGrowth {
+		last := time.Until(deadline) <= try
+		conn, err := d.tryOnce(ctx, try, network, address)
+		var silent net.Error
+		if err == nil || last || ctx.Err() != nil || !errors.As(err, &silent) || !silent.Timeout() {
+			return conn, err
+		}
+	}
+}
+
+func (d *Dialer) tryOnce(ctx context.Context, limit time.Duration, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return d.open(ctx, network, address)
 }
 
 // Listen listens for connections that break as those of NewDialer do.
