Read ranks of small groups more often; tell watchers at once that a replica is current

Cause: a shift of demand shows whole in the first window after it (distance 0.28 to 0.47, noise 0.04 to 0.12), and was planned for 0.5 to 0.6 s after it. An entry that has just started took its first configuration up to half a second after its replica was current.

Change: windows and readings of 75 ms, longer where more than 480 ranks a second would be read; the threshold of a shift grows with the noise of shorter windows. A replica wakes its watchers when its rows become current.

--- a/control/feed.go
+++ b/control/feed.go
@@ -68,3 +68,10 @@
 func (f *feed) age(now time.Duration) time.Duration {
 	return max(now-time.Duration(f.confirmed.Load()), 0)
 }
+
+// currentAge is the age up to which a replica counts as current: a leader confirms it
+// with each heartbeat.
+const currentAge = time.Second
+
+// current says whether the rows were known to be current lately.
+func (f *feed) current(now time.Duration) bool { return f.age(now) < currentAge }
--- a/control/lockstep.go
+++ b/control/lockstep.go
@@ -49,6 +49,9 @@
 	// wake is sent to when a rank has answered an order.
 	wake chan struct{}
 
+	// readPeriod is the time between two readings of one rank.
+	readPeriod time.Duration
+
 	mu     sync.Mutex
 	groups map[string]*lockstepGroup
 	// surveyed is when entries were told the states of the ranks last.
@@ -149,9 +152,12 @@
 func (l *lockstepLeader) look(ctx context.Context, r *Replica) lockstepSeen {
 	s := lockstepSeen{groups: directGroups(l.upstreams())}
 	names := make([]string, 0, len(s.groups))
-	for name := range s.groups {
+	ranks := 0
+	for name, g := range s.groups {
 		names = append(names, name)
+		ranks += g.size
 	}
+	l.readPeriod = l.settings.readPeriodFor(ranks)
 	s.lockstepNow = r.lockstepNow(ctx, names)
 	return s
 }
--- a/control/lockstepgroup.go
+++ b/control/lockstepgroup.go
@@ -101,7 +101,7 @@
 	g.switcher = lockstep.New(cfg)
 	if g.demand == nil || len(g.links) != shape.Ranks {
 		// Demand outlives a group that forms again: callers ask for the same.
-		g.demand = lockstep.NewDemand(lockstep.DefaultDemandSettings(), shape)
+		g.demand = lockstep.NewDemand(lockstep.DemandSettingsFor(g.readPeriod), shape)
 	}
 	g.links = make([]*rankLink, shape.Ranks)
 	for i := range g.links {
--- a/control/lockstepranks.go
+++ b/control/lockstepranks.go
@@ -68,7 +68,7 @@
 // one that copies answers when it is done: 72 ranks that were all read each 60 ms took
 // the whole processor of a leader with 0.12 cores, and its followers elected another.
 func (g *lockstepGroup) read(ctx context.Context, now time.Time) {
-	usual := g.settings.ReadPeriod.D()
+	usual := g.readPeriod
 	for i, link := range g.links {
 		period, copying := usual, false
 		if g.switcher.Awaits(i) {
--- a/control/replica.go
+++ b/control/replica.go
@@ -126,9 +126,18 @@
 
 // confirm tells watchers since when the rows are current. A failed replica goes
 // on hearing of commits that it doesn't apply.
+//
+// Watchers are woken when the rows become current: an entry that has just started takes
+// its first configuration from a replica that is, and was told so up to half a second
+// later, while its callers waited.
 func (r *Replica) confirm() {
-	if r.failed == nil {
-		r.feed.confirm(r.now() - r.node.ConfirmedAge(r.now()))
+	if r.failed != nil {
+		return
+	}
+	before := r.feed.current(r.now())
+	r.feed.confirm(r.now() - r.node.ConfirmedAge(r.now()))
+	if !before && r.feed.current(r.now()) {
+		r.wake()
 	}
 }
 
--- a/control/routing.go
+++ b/control/routing.go
@@ -171,17 +171,18 @@
 	defer cancel()
 	tick := time.NewTicker(routingConfirmInterval)
 	defer tick.Stop()
-	sent := uint64(0)
+	sent, current := uint64(0), false
 	first := true
 	told := r.rankStates.Load()
 	for {
-		version, states := r.routingVersion.Load(), r.rankStates.Load()
-		if first || version != sent || states != told {
+		version, states, confirmed := r.routingVersion.Load(), r.rankStates.Load(), r.feed.current(r.now())
+		if first || version != sent || states != told || confirmed && !current {
 			if err := s.sendVersion(stream, r, version, news(told, states)); err != nil {
 				return err
 			}
 			first, sent, told = false, version, states
 		}
+		current = confirmed
 		select {
 		case <-stream.Context().Done():
 			return nil
--- a/control/settings.go
+++ b/control/settings.go
@@ -56,13 +56,26 @@
 	Dialect string `toml:"dialect"`
 	// SidecarPort is where the process beside each rank listens; 0 if there is none.
 	SidecarPort int `toml:"sidecar_port"`
-	// ReadPeriod is the time between two readings of one rank's counters.
+	// ReadPeriod is the least time between two readings of one rank's counters. It is
+	// longer where there are many ranks (mostReadings).
 	ReadPeriod kernel.Duration `toml:"read_period"`
 }
 
-// defaultReadPeriod is that of the windows of an estimate of demand, so that each one
-// has a reading of every rank.
-const defaultReadPeriod = 150 * time.Millisecond
+const (
+	// defaultReadPeriod is also that of the windows of an estimate of demand, so that each
+	// one has a reading of every rank. A shift of demand shows in the first whole window
+	// after it and is planned for after the second: with 150 ms that took 0.55 s, and until
+	// its copies are made all callers wait for the busiest rank.
+	defaultReadPeriod = 75 * time.Millisecond
+	// mostReadings bounds the readings of all ranks, a second: at 480, of 72 ranks, a
+	// leader spends 0.05 cores on them.
+	mostReadings = 480
+)
+
+// readPeriodFor is the time between two readings of one rank where there are so many.
+func (s *LockstepSettings) readPeriodFor(ranks int) time.Duration {
+	return max(s.ReadPeriod.D(), time.Duration(ranks)*time.Second/mostReadings)
+}
 
 func (s *LockstepSettings) check(bad func(key, detail string) error) error {
 	switch {
--- a/lockstep/demand.go
+++ b/lockstep/demand.go
@@ -16,14 +16,28 @@
 	Shift float64
 }
 
-// DefaultDemandSettings follow a shift within a third of a second. A window of 0.15 s
-// holds a dozen prompts; their mix of subjects moves the shares by 0.03 to 0.11, a
-// shift of half of the demand by 0.19 to 0.37 (measured on played days of 75 streams
-// a second on 16 ranks).
-func DefaultDemandSettings() DemandSettings {
-	return DemandSettings{Window: 150 * time.Millisecond, Weight: 0.2, Shift: 0.17}
+const (
+	// usualWindow is the window for which the figures below were measured: on played days
+	// of 75 streams a second it holds a dozen prompts, whose mix of subjects moves the
+	// shares by 0.03 to 0.12; a shift of half of the demand moves them by 0.19 to 0.47.
+	usualWindow = 150 * time.Millisecond
+	usualWeight = 0.2
+	// meanShift is the threshold without any noise, and noiseShift what the noise of a usual
+	// window adds: that of a shorter one is greater, as it holds fewer prompts.
+	meanShift  = 0.11
+	noiseShift = 0.06
+)
+
+// DemandSettingsFor suits windows of some length: their weight lets the estimate follow
+// as fast in time, and the threshold of a shift is above the noise of their prompts.
+func DemandSettingsFor(window time.Duration) DemandSettings {
+	part := window.Seconds() / usualWindow.Seconds()
+	return DemandSettings{Window: window, Weight: min(usualWeight*part, 1), Shift: meanShift + noiseShift/math.Sqrt(part)}
 }
 
+// DefaultDemandSettings are those of usual windows.
+func DefaultDemandSettings() DemandSettings { return DemandSettingsFor(usualWindow) }
+
 // Demand estimates how often each expert is chosen, from counters that only grow
 // while a rank runs. Ranks may be read at different times and be missing.
 type Demand struct {
