Let requests wait at an entry for a place: those in time first, at the pace that passes leave

All who come back are let in at once: 144 running and 63 waiting on 144 slots, passes of 154 ms at a skew of 1.5. Whoever comes for the next six seconds is late behind them. - A shift of demand makes the very next pass take 110 ms in place of 52, and the one after it 133 with what it reads of new prompts; over 120 ms all hundred streams that run are late. - A long pass cut the limit for six seconds afterwards (a part of 0.42), when the switch had long mended it; one busy entry refused callers at 0.75 of the slots in use.

Change: a request that finds no place waits. Those that can still be in time go first, of the late ones the one that must be refused first; a first try for which no place comes in sight is told at once when to come back, a later try (by the time it says is left) waits while there is time. Requests are let into a group at a pace that fills it in 0.9 s, times the room that the latest passes leave under the pause that callers are content with; a pass that goes on for long lets none in. The limit is what an entry holds and its part of the free slots that the survey tells.

TestLateAnswersLowerTheLimit and TestOneBusyEntryUsesFreeSlots tested those two; in their place stand tests of the free slots (with a property over all entries), the room of passes, the order of the line, the pace, and who is told at once.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -48,6 +48,9 @@
 	// why are the inputs of a decision to refuse.
 	why      string
 	attempts []attemptNote
+	// age is how long ago the caller sent the request first, and waited how long it
+	// waited here for its turn.
+	age, waited time.Duration
 	// firstEvent is the time to the first event of a stream.
 	firstEvent time.Duration
 	// longestPause is the longest between two events of a stream, and pauseEnded when
@@ -283,6 +286,35 @@
 	c.fail()
 }
 
+// waiter is how the request waits for its turn.
+func (c *call) waiter() *waiter {
+	head := c.fleet.head(c.service)
+	c.age = c.times.age(c.began, c.route, c.asked.Deadline)
+	w := &waiter{came: c.began, returned: c.age > 0, granted: make(chan struct{})}
+	w.until = c.deadline.Add(-head)
+	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
+		if leaves := c.began.Add(callerPatience - patienceMargin - head); leaves.Before(w.until) {
+			w.until = leaves
+		}
+	}
+	w.inTime = w.until
+	if content := c.contentFirst(); content > 0 {
+		w.inTime = c.began.Add(content - c.age - time.Duration(headSpread*float64(head)))
+	}
+	return w
+}
+
+// turnedAway answers a request that found no place.
+func (c *call) turnedAway(wait time.Duration) {
+	if c.r.Context().Err() != nil {
+		c.done(0, "caller-gone", nil)
+		return
+	}
+	f := refusal{status: http.StatusServiceUnavailable, reason: reasonBusy, wait: wait}
+	c.refuse(c.w, f)
+	c.done(f.status, f.reason, nil)
+}
+
 // retry says whether another attempt is made.
 func (c *call) retry() bool {
 	c.reason = reasonBusy
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -31,6 +31,8 @@
 	loads uint64
 	// told is called, without the lock, when a service's gate has changed.
 	told func(service string, before, after gateState, inputs string)
+	// entries counts the entries that are up; it is called without the lock.
+	entries func() int
 }
 
 type servicePool struct {
@@ -39,6 +41,12 @@
 	gate     gate
 	// state is the gate's when a request came last.
 	state gateState
+	pace  pacer
+	line  waitingLine
+	// entries is how many there were when it was asked last; ticking says that a look at
+	// those that wait is due.
+	entries int
+	ticking bool
 }
 
 func newFleet(s *Settings) *fleet {
@@ -67,7 +75,7 @@
 			if err != nil {
 				return err
 			}
-			f.services[name] = &servicePool{balancer: b, gate: newGate()}
+			f.services[name] = &servicePool{balancer: b}
 		}
 	}
 	for name, p := range f.services {
@@ -128,53 +136,30 @@
 // paceOf is how many times as long as usual a rank takes for its work.
 func paceOf(r *wire.RankState) float64 { return float64(r.PacePercent) / 100 }
 
-// enter says whether a request may go to a service now; leave must follow if so.
-// why names the inputs of a refusal.
-func (f *fleet) enter(now time.Time, service string, entries int) (wait time.Duration, why string, ok bool) {
-	f.mu.Lock()
-	p := f.services[service]
-	if p == nil {
-		f.mu.Unlock()
-		return retryBusy, "no upstream of the service is known", false
-	}
-	before, after := p.state, p.gate.state(now)
-	p.state = after
-	wait, ok = p.gate.enter(now, entries)
-	if !ok || before != after {
-		why = p.gate.inputs(now, entries)
-	}
-	f.mu.Unlock()
-	if before != after && f.told != nil {
-		f.told(service, before, after, why)
-	}
-	return wait, why, ok
-}
-
-func (f *fleet) leave(service string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.services[service].gate.leave()
-}
-
-// began takes the time to the first event of a stream.
-func (f *fleet) began(now time.Time, service string, after, content time.Duration) {
+// alive takes an event of a stream.
+func (f *fleet) alive(now time.Time, service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.services[service].gate.began(now, after, content)
+	f.services[service].gate.alive(now)
 }
 
-// alive takes an event of a stream.
-func (f *fleet) alive(now time.Time, service string) {
+// paused takes the pause between two events of a stream, and what its caller is content
+// with.
+func (f *fleet) paused(now time.Time, service string, pause, content time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.services[service].gate.alive(now)
+	p := f.services[service]
+	p.gate.brake.passed(now, pause, content)
 }
 
-// paused takes a pause in a stream that was too long.
-func (f *fleet) paused(now time.Time, service string) {
+// head is the usual time to the head of an answer of a service.
+func (f *fleet) head(service string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.services[service].gate.paused(now)
+	if p := f.services[service]; p != nil && p.gate.head > 0 {
+		return p.gate.head
+	}
+	return leastHead
 }
 
 // silence is how long an upstream of a service may say nothing.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -158,6 +158,7 @@
 		return
 	}
 	g.table.Store(routing.NewTable(c))
+	g.times.keep(c.Routes)
 	kernel.Info(g.log, "Routing configuration in force.", "version", c.Version, "from", from, "routes", len(c.Routes), "teams", len(c.Teams))
 	if old == nil {
 		g.wakeAnnouncer()
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/snipereach/snipereach/dialect"
@@ -10,28 +11,21 @@
 )
 
 const (
-	// shareMargin is how much more than its even part of a service's slots one
-	// entry may use: callers don't spread evenly over the entries.
-	shareMargin = 1.5
-	// roomy is the part of a service's slots in use below which an entry may go
-	// beyond its share, up to roomyFactor times. Loads come with answers and tell
-	// the mean over all upstreams well, and each single one late.
-	roomy       = 0.75
-	roomyFactor = 2.0
+	// shareMargin is how much more than its even part of a service's slots one entry may
+	// use while it doesn't know how many are taken: callers don't spread evenly over the
+	// entries. That of a plain service is larger, as its requests are short.
+	shareMargin      = 1.2
+	plainShareMargin = 1.5
+	// fillPart is the part of a group's slots that entries fill: a rank gets a request more
+	// or less than the others, and what waits at a full one is late.
+	fillPart = 0.95
+	// freeMargin is how much more than its even part of the free slots one entry may take
+	// until it is told again: what the others leave is lost for that time otherwise.
+	freeMargin = 1.5
 	// occupancyWeight is that of one upstream's load in the estimate, and
 	// occupancyLife the age at which the estimate tells nothing any more.
 	occupancyWeight = 0.1
 	occupancyLife   = 500 * time.Millisecond
-	// When answers come late, an entry takes cutFactor of its limit, at most once in
-	// cutInterval: the effect of one cut shows in answers that begin after it. Each
-	// answer in time gives growth back. leastPart bounds how far a limit falls.
-	cutFactor   = 0.9
-	cutInterval = 80 * time.Millisecond
-	growth      = 0.012
-	leastPart   = 0.35
-	// inTime is the part of the time to a first event that callers are content with
-	// below which an answer counts as quick.
-	inTime = 0.75
 	// headWeight is that of one answer in the usual time to a head.
 	headWeight = 0.1
 	// plainQueue is how many requests for each slot a plain service may have: its
@@ -77,25 +71,24 @@
 	epoch  uint64
 	down   bool
 	probed time.Time
-	// occupancy is the estimated part of the slots in use, as of told.
+	// occupancy is the estimated part of the slots in use, as of told; held is how many
+	// requests of this entry were among them.
 	occupancy float64
 	told      time.Time
+	held      int
 	// surveyAt is when a survey told it last.
 	surveyAt time.Time
 	// sign is when the group last gave a sign of life, or the first of the requests
 	// that wait for one was sent.
 	sign time.Time
-	// head is the usual time to the head of an answer, 0 before the first.
-	head time.Duration
+	// head is the usual time to the head of an answer, 0 before the first; stayed is how
+	// long requests usually keep their place.
+	head, stayed time.Duration
 	// refused is the smoothed part of the requests that found no slot.
 	refused float64
-	// part is what answers have left of the limit; cutAt is when it was cut last.
-	part  float64
-	cutAt time.Time
+	brake   brake
 }
 
-func newGate() gate { return gate{part: 1} }
-
 // formed takes what the upstreams that are up have registered.
 func (g *gate) formed(now time.Time, insts []*directory.Instance) {
 	g.slots, g.grouped = 0, false
@@ -131,7 +124,7 @@
 		return
 	}
 	g.occupancy = float64(requests) / float64(slots)
-	g.told, g.surveyAt = now, now
+	g.told, g.surveyAt, g.held = now, now, g.inflight
 }
 
 // occupied takes the load that came with an answer. A group that answers is back.
@@ -144,53 +137,37 @@
 		g.occupancy = used
 	}
 	g.occupancy += occupancyWeight * (used - g.occupancy)
-	g.told = now
-}
-
-// began takes the time to the first event of an answer, and what callers are content
-// with. The fewer requests a group runs the shorter are its passes: where the map is
-// uneven and passes take twice as long, a full batch has all answers late, and two
-// thirds of one has most of them in time.
-func (g *gate) began(now time.Time, after, content time.Duration) {
-	switch {
-	case content <= 0:
-	case after > content:
-		g.cut(now)
-	case float64(after) < inTime*float64(content):
-		g.part = min(g.part+growth, 1)
-	}
+	g.told, g.held = now, g.inflight
 }
 
-// paused takes a pause between two events that is longer than callers are content
-// with.
-func (g *gate) paused(now time.Time) { g.cut(now) }
+// opens says whether the service answers, as far as is known.
+func (g *gate) opens(now time.Time) bool { return !g.down && !g.standsStill(now) }
 
-func (g *gate) cut(now time.Time) {
-	if now.Sub(g.cutAt) < cutInterval {
-		return
-	}
-	g.cutAt = now
-	g.part = max(g.part*cutFactor, leastPart)
+// passes says whether a request may be sent: the service answers, or it is time to see
+// whether it does.
+func (g *gate) passes(now time.Time) bool {
+	return g.opens(now) || now.Sub(g.probed) >= probeInterval
 }
 
-// enter says whether a request may go, and otherwise when its caller may come back.
-func (g *gate) enter(now time.Time, entries int) (wait time.Duration, ok bool) {
+// admit counts a request that is sent.
+func (g *gate) admit(now time.Time) {
 	if g.inflight == 0 {
 		g.sign = now
 	}
-	if g.down || g.standsStill(now) {
-		if now.Sub(g.probed) < probeInterval {
-			return downWait, false
-		}
+	if !g.opens(now) {
 		g.probed = now
 	}
-	if g.inflight >= g.limit(now, entries) {
-		g.refused += refusedWeight * (1 - g.refused)
-		return g.comeBack(), false
-	}
 	g.refused -= refusedWeight * g.refused
 	g.inflight++
-	return 0, true
+}
+
+// turnAway is when a caller that is refused may come back.
+func (g *gate) turnAway(now time.Time) time.Duration {
+	if !g.opens(now) {
+		return downWait
+	}
+	g.refused += refusedWeight * (1 - g.refused)
+	return g.comeBack()
 }
 
 // comeBack is when a caller that finds no slot may come back. The more are refused
@@ -237,8 +214,8 @@
 
 // inputs are what a decision depends on, with their age, for logs.
 func (g *gate) inputs(now time.Time, entries int) string {
-	return fmt.Sprintf("%s: %d in flight of %d, part %.2f, %d slots, %d entries, epoch %d, last sign %d ms ago, occupancy %.2f told %d ms ago",
-		g.state(now), g.inflight, g.limit(now, entries), g.part, g.slots, entries, g.epoch,
+	return fmt.Sprintf("%s: %d in flight of %d, room %.2f, %d slots, %d entries, epoch %d, last sign %d ms ago, occupancy %.2f told %d ms ago",
+		g.state(now), g.inflight, g.limit(now, entries), g.brake.room(now), g.slots, entries, g.epoch,
 		now.Sub(g.sign).Milliseconds(), g.occupancy, now.Sub(g.told).Milliseconds())
 }
 
@@ -263,22 +240,34 @@
 func (g *gate) goesOn(now time.Time) bool { return !g.down && now.Sub(g.sign) < standstill }
 
 // limit is how many requests this entry may have at the service.
+//
+// Where it knows how many slots of a group are taken it keeps what it has and takes its
+// part of those that are free: by even parts of all, one entry would refuse callers while
+// others leave a quarter of the slots empty.
 func (g *gate) limit(now time.Time, entries int) int {
-	slots := float64(g.slots)
+	slots, n := float64(g.slots), float64(max(entries, 1))
 	if !g.grouped {
-		slots *= plainQueue
+		return max(int(plainShareMargin*plainQueue*slots/n), 1)
 	}
-	share := shareMargin * slots / float64(max(entries, 1))
-	if g.grouped && now.Sub(g.told) < occupancyLife && g.occupancy < roomy {
-		share *= roomyFactor
+	if now.Sub(g.told) >= occupancyLife {
+		return max(int(shareMargin*slots/n), 1)
 	}
-	if g.grouped {
-		share *= g.part
+	taken := g.occupancy * slots
+	if free := fillPart*slots - taken; free > 0 {
+		return max(g.held+int(math.Ceil(freeMargin*free/n)), int(slots/n), 1)
 	}
-	return max(int(share), 1)
+	return max(int(float64(g.held)*fillPart*slots/taken), 1)
 }
 
 func (g *gate) leave() { g.inflight-- }
 
+// stay takes how long a request has kept its place.
+func (g *gate) stay(d time.Duration) {
+	if g.stayed == 0 {
+		g.stayed = d
+	}
+	g.stayed += time.Duration(headWeight * float64(d-g.stayed))
+}
+
 // back notes that the group has answered a request in order.
 func (g *gate) back() { g.down = false }
--- a/gateway/gate_test.go
+++ b/gateway/gate_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -28,6 +29,15 @@
 // slotsOf is a part of an entry's even share of 16 ranks with 12 slots, of six entries.
 func slotsOf(part float64) int { return int(part * 192 / 6) }
 
+// enter lets a request in that doesn't wait, or says when its caller may come back.
+func (g *gate) enter(now time.Time, entries int) (wait time.Duration, ok bool) {
+	if g.inflight >= g.limit(now, entries) || !g.passes(now) {
+		return g.turnAway(now), false
+	}
+	g.admit(now)
+	return 0, true
+}
+
 // fill lets requests in until one is refused.
 func fill(g *gate, now time.Time, entries int) int {
 	n := 0
@@ -44,7 +54,7 @@
 // callers don't spread evenly, and refuses the rest at once: nothing is left in the
 // upstreams' queues that makes all that follow late.
 func TestFullGroupGetsNoMoreThanTheSlots(t *testing.T) {
-	g := newGate()
+	g := gate{}
 	g.formed(start, ranks(16, 1, false))
 	n := fill(&g, start, 6)
 	assert.Equal(t, n, slotsOf(shareMargin))
@@ -59,7 +69,7 @@
 // find none are told to come back later the more are refused, and again as before once
 // slots are free.
 func TestCrowdIsToldToComeBackLater(t *testing.T) {
-	g := newGate()
+	g := gate{}
 	g.formed(start, ranks(16, 1, false))
 	fill(&g, start, 6)
 	last := fullWait
@@ -77,48 +87,63 @@
 	assert.Assert(t, g.comeBack() < fullWait+50*time.Millisecond)
 }
 
-// The load: all callers use one entry while the group has room. That entry may go
-// beyond its part as long as answers tell of free slots.
-func TestOneBusyEntryUsesFreeSlots(t *testing.T) {
-	g := newGate()
-	g.formed(start, ranks(16, 1, false))
-	g.occupied(start, &dialect.Load{Running: 3, Slots: 12})
-	assert.Equal(t, fill(&g, start, 6), slotsOf(roomyFactor*shareMargin))
-	old := newGate()
-	old.formed(start, ranks(16, 1, false))
-	old.occupied(start, &dialect.Load{Running: 3, Slots: 12})
-	assert.Equal(t, fill(&old, start.Add(occupancyLife), 6), slotsOf(shareMargin), "an old load tells nothing")
+// The load: callers use some entries more than others, and one entry none at all. By even
+// parts the busy ones would refuse callers while a quarter of the slots is empty; told how
+// many are taken, each keeps what it has and takes its part of those that are free. Once
+// all are taken none adds to them, and an old load tells nothing.
+func TestBusyEntryTakesItsPartOfTheFreeSlots(t *testing.T) {
+	const entries = 6
+	taken := func(part float64, held int) gate {
+		g := gate{inflight: held}
+		g.formed(start, ranks(16, 1, false))
+		g.occupied(start, &dialect.Load{Running: int(part * 120), Slots: 120})
+		return g
+	}
+	busy := taken(0.75, 40)
+	free := (fillPart - 0.75) * 192
+	assert.Equal(t, busy.limit(start, entries), 40+int(math.Ceil(freeMargin*free/entries)))
+	idle := taken(0.75, 0)
+	assert.Equal(t, idle.limit(start, entries), slotsOf(1), "one that has none may come up to its part")
+	full := taken(1, 40)
+	assert.Equal(t, full.limit(start, entries), int(40*fillPart))
+	assert.Equal(t, busy.limit(start.Add(occupancyLife), entries), slotsOf(shareMargin))
 }
 
-// The load: passes take twice as long, because other experts are in demand than the
-// map was made for. First events come late; the limit falls, by steps and not below
-// leastPart, and grows back once answers are quick.
-func TestLateAnswersLowerTheLimit(t *testing.T) {
-	const content = 400 * time.Millisecond
-	g := newGate()
-	g.formed(start, ranks(16, 1, false))
-	full := g.limit(start, 6)
-	now := start
-	for range 100 {
-		now = now.Add(cutInterval)
-		g.began(now, 2*content, content)
-		g.began(now, 2*content, content)
-	}
-	assert.Equal(t, g.part, leastPart)
-	assert.Equal(t, g.limit(now, 6), slotsOf(leastPart*shareMargin))
-	for range 100 {
-		g.began(now, content/2, content)
-	}
-	assert.Equal(t, g.limit(now, 6), full)
-	g.paused(now.Add(time.Second))
-	assert.Assert(t, g.limit(now, 6) < full, "a long pause counts too")
+// All entries together, told the same load, leave no more requests than there are slots
+// but for what their margin of the free ones adds until they are told again.
+func TestEntriesTogetherStayWithinTheSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(1, 40).Draw(t, "entries")
+		held := make([]int, entries)
+		total := 0
+		for i := range held {
+			held[i] = rapid.IntRange(0, 400/entries).Draw(t, "held")
+			total += held[i]
+		}
+		sum := 0
+		for i := range held {
+			g := gate{inflight: held[i]}
+			g.formed(start, ranks(16, 1, false))
+			g.occupancy, g.told, g.held = float64(total)/192, start, held[i]
+			sum += max(g.limit(start, entries), held[i])
+		}
+		free := max(fillPart*192-float64(total), 0)
+		most := float64(total) + freeMargin*free + float64(entries)
+		if free > 0 {
+			// Each may also come up to its even part.
+			most = max(most, float64(total)+192)
+		}
+		if float64(sum) > most {
+			t.Fatalf("%d entries with %d requests may have %d, more than %.0f", entries, total, sum, most)
+		}
+	})
 }
 
 // The load: a rank has crashed, and the group refuses everything until it forms again.
 // Callers are refused at once; a request now and then finds out that it is back, and
 // its answer, or a registration of the next epoch, opens the gate for all.
 func TestGroupThatIsDownIsProbed(t *testing.T) {
-	g := newGate()
+	g := gate{}
 	g.formed(start, ranks(16, 1, false))
 	g.broke(start)
 	through := 0
@@ -135,7 +160,7 @@
 	g.back()
 	assert.Assert(t, fill(&g, start.Add(2*time.Second), 6) > 10)
 
-	g = newGate()
+	g = gate{}
 	g.formed(start, ranks(16, 1, true))
 	assert.Assert(t, g.down, "a rank says that the group is broken")
 	g.formed(start, ranks(16, 2, false))
@@ -148,7 +173,7 @@
 // tenths of a second without any event, requests are refused at once but for a probe;
 // the first event opens the gate again. One slow answer alone doesn't close it.
 func TestGroupThatStandsStillGetsProbesOnly(t *testing.T) {
-	g := newGate()
+	g := gate{}
 	g.formed(start, ranks(16, 1, false))
 	_, ok := g.enter(start, 6)
 	assert.Assert(t, ok)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,7 @@
 	movable  *movable
 	fetches  *fetches
 	warmup   *warmup
+	times    *callerTimes
 	budgets  *budgets
 	requests *requestLog
 	metrics  *gatewayMetrics
@@ -97,13 +98,13 @@
 		settings: s, log: kernel.PartLog(l, "gateway"), dialect: d, now: now, certs: certs,
 		pool:   transport.NewPool(sec),
 		client: direct.NewClient(transport.NewDialer(dialUpstream).DialContext),
-		life:   directory.NewLife(s.ID, now()), fleet: newFleet(s), movable: newMovable(), fetches: newFetches(), warmup: newWarmup(now()),
+		life:   directory.NewLife(s.ID, now()), fleet: newFleet(s), movable: newMovable(), fetches: newFetches(), warmup: newWarmup(now()), times: newCallerTimes(),
 		targets:     directory.NewTargets(s.ID, s.FailureDomain, s.Replicas).Grow(),
 		announceNow: make(chan struct{}, 1),
 	}
 	g.requests, g.metrics = newRequestLog(g.log, now), newGatewayMetrics()
 	g.beliefs = kernel.NewLineBudget(beliefLines, now)
-	g.fleet.told = g.tellGate
+	g.fleet.told, g.fleet.entries = g.tellGate, g.entries
 	g.metrics.register(g)
 	g.node = directory.NewNode(directorySettings(), now, g.directoryChanged)
 	g.budgets = newBudgets(s.Retries, g.entries, now)
@@ -223,15 +224,15 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
-	wait, why, ok := g.fleet.enter(time.Now(), c.service, g.entries())
-	if !ok {
-		c.why = why
-		f := refusal{status: http.StatusServiceUnavailable, reason: reasonBusy, wait: wait}
-		g.refuse(w, f)
-		c.done(f.status, f.reason, nil)
+	adm := g.fleet.enter(ctx, c.service, c.waiter())
+	c.waited = adm.waited
+	if !adm.ok {
+		c.why = adm.why
+		c.turnedAway(adm.wait)
 		return
 	}
-	defer g.fleet.leave(c.service)
+	entered := time.Now()
+	defer func() { g.fleet.leave(c.service, time.Since(entered)) }()
 	g.budgets.offer(c.service)
 	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
 		c.serveStream()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -13,7 +13,7 @@
 // gatewayMetrics counts what became of requests.
 type gatewayMetrics struct {
 	*kernel.Metrics
-	answer, firstEvent, plain, pause *kernel.Latency
+	answer, firstEvent, plain, pause, waited *kernel.Latency
 }
 
 func newGatewayMetrics() *gatewayMetrics {
@@ -21,6 +21,7 @@
 	return &gatewayMetrics{
 		Metrics: m, answer: m.Latency("gateway.stream_seconds"), firstEvent: m.Latency("gateway.first_event_seconds"),
 		plain: m.Latency("gateway.answer_seconds"), pause: m.Latency("gateway.pause_seconds"),
+		waited: m.Latency("gateway.waited_seconds"),
 	}
 }
 
@@ -40,6 +41,9 @@
 
 // ended counts a request by its outcome.
 func (m *gatewayMetrics) ended(c *call, status int, reason string, err error) {
+	if c.waited > 0 {
+		m.waited.Record(c.waited)
+	}
 	switch {
 	case reason != "" && status == http.StatusServiceUnavailable:
 		m.Count("gateway.refused." + reason)
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -67,6 +67,12 @@
 	if c.longestPause > 0 {
 		kv = append(kv, "longest_pause_ms", c.longestPause.Milliseconds(), "pause_ended_ms_ago", time.Since(c.pauseEnded).Milliseconds())
 	}
+	if c.age > 0 {
+		kv = append(kv, "age_ms", c.age.Milliseconds())
+	}
+	if c.waited > 0 {
+		kv = append(kv, "waited_ms", c.waited.Milliseconds())
+	}
 	if late != "" {
 		kv = append(kv, "late", late)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -115,7 +115,6 @@
 	s.w.WriteHeader(resp.Status)
 	s.started = true
 	s.firstEvent = time.Since(s.began)
-	s.fleet.began(time.Now(), s.service, s.firstEvent, s.contentFirst())
 }
 
 func (s *stream) pass(ev direct.Event) bool {
@@ -145,9 +144,7 @@
 	if pause > s.longestPause {
 		s.longestPause, s.pauseEnded = pause, now
 	}
-	if content := s.contentPause(); content > 0 && pause > content {
-		s.fleet.paused(now, s.service)
-	}
+	s.fleet.paused(now, s.service, pause, s.contentPause())
 }
 
 // finish ends an answer that is complete.
--- /dev/null
+++ b/gateway/turns.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"cmp"
+	"fmt"
+	"time"
+)
+
+// verdict is what is decided of a request that comes.
+type verdict int
+
+const (
+	letIn verdict = iota
+	letWait
+	turnAway
+)
+
+// ask decides on a request that comes: it is let in, waits, or is refused with the time
+// after which its caller may come back.
+//
+// A first try waits as long as it can be in time, or a place for it comes in sight; else
+// its caller is told at once when to come back. Of one that was tried before nobody knows
+// that it can't be served, and it would have no other try: it waits while there is time.
+func (p *servicePool) ask(now time.Time, entries int, w *waiter) (v verdict, wait time.Duration) {
+	if p.line.ahead(now, w.canBeInTime(now)) == 0 && p.admits(now, entries, !w.canBeInTime(now)) {
+		p.admit(now)
+		return letIn, 0
+	}
+	if len(p.line.list) >= mostWaiting || !now.Before(w.until) {
+		return turnAway, p.gate.turnAway(now)
+	}
+	if !w.returned && (!p.gate.opens(now) || !p.inSight(now, entries, w)) {
+		return turnAway, p.gate.turnAway(now)
+	}
+	p.line.add(w)
+	return letWait, 0
+}
+
+// inSight says whether a request that has to wait is expected to be let in before it must
+// be refused: at the pace of the group where slots are free, and then as others leave.
+func (p *servicePool) inSight(now time.Time, entries int, w *waiter) bool {
+	if w.canBeInTime(now) && p.expected(now, entries, p.line.ahead(now, true), 1) <= w.inTime.Sub(now) {
+		return true
+	}
+	return p.expected(now, entries, p.line.ahead(now, false), lateRate) <= w.until.Sub(now)
+}
+
+// expected is how long a request waits that has others ahead of it, if it gets some part
+// of the places which become free.
+func (p *servicePool) expected(now time.Time, entries, ahead int, part float64) time.Duration {
+	limit := p.gate.limit(now, entries)
+	wait := 0.0
+	if p.gate.grouped {
+		wait = float64(ahead+1) / max(p.share(entries), 1) * refillTime.Seconds()
+	}
+	if taken := ahead + 1 - max(limit-p.gate.inflight, 0); taken > 0 {
+		wait += float64(taken) * p.stay().Seconds() / (part * float64(limit))
+	}
+	return time.Duration(wait * float64(time.Second))
+}
+
+// share is the entry's even part of the slots.
+func (p *servicePool) share(entries int) float64 {
+	return float64(p.gate.slots) / float64(max(entries, 1))
+}
+
+// usualStay stands in for how long requests keep their place before the first has left.
+const usualStay = 2 * time.Second
+
+func (p *servicePool) stay() time.Duration { return cmp.Or(p.gate.stayed, usualStay) }
+
+// lateRate is the part of the places which become free that is left for late requests
+// while others come.
+const lateRate = 0.4
+
+// pressedRoom is the part of the pace at which requests are let in that would have to be
+// refused soon otherwise.
+const pressedRoom = 0.6
+
+// admits says whether a request may be let in now.
+func (p *servicePool) admits(now time.Time, entries int, late bool) bool {
+	limit := p.gate.limit(now, entries)
+	if late {
+		limit = max(int(lateShare*float64(limit)), 1)
+	}
+	if p.gate.inflight >= limit || !p.gate.passes(now) {
+		return false
+	}
+	if !p.gate.grouped {
+		return true
+	}
+	room := p.gate.brake.room(now)
+	if late && p.line.pressing(now) {
+		room = max(room, pressedRoom)
+	}
+	p.pace.refill(now, room*p.share(entries))
+	return room > 0 && p.pace.ready()
+}
+
+func (p *servicePool) admit(now time.Time) {
+	p.gate.admit(now)
+	p.pace.take()
+}
+
+// turns lets in those that wait, as far as there are places.
+func (p *servicePool) turns(now time.Time, entries int) {
+	for {
+		lateMayGo := p.admits(now, entries, true)
+		if !lateMayGo && !p.admits(now, entries, false) {
+			return
+		}
+		w := p.line.next(now, lateMayGo)
+		if w == nil {
+			return
+		}
+		p.admit(now)
+		p.line.remove(w)
+		close(w.granted)
+	}
+}
+
+// inputs are what a decision depends on, with their age, for logs.
+func (p *servicePool) inputs(now time.Time) string {
+	return fmt.Sprintf("%s; %d wait, pace %.1f, head %d ms, stay %d ms", p.gate.inputs(now, p.entries), len(p.line.list), p.pace.tokens,
+		p.gate.head.Milliseconds(), p.stay().Milliseconds())
+}
