Send nothing for a request whose caller left just as its turn came

Cause, by reading: a place may be granted in the moment at which the caller of a waiting request leaves. It was sent then, and its server worked for nobody. The place is given back at once now; a test with three waiting callers, one of which leaves.

--- a/gateway/entering.go
+++ b/gateway/entering.go
@@ -54,6 +54,12 @@
 		a.ok, a.wait = f.waitTurn(ctx, p, w)
 		a.waited = time.Since(now)
 	}
+	if a.ok && ctx.Err() != nil {
+		// Its caller left, or its time ended, just as its turn came: sent now, it would
+		// run for nobody.
+		f.leave(service, 0)
+		a.ok = false
+	}
 	return a
 }
 
@@ -104,6 +110,8 @@
 	defer f.mu.Unlock()
 	p := f.services[service]
 	p.gate.leave()
-	p.gate.stay(kept)
+	if kept > 0 {
+		p.gate.stay(kept)
+	}
 	p.turns(time.Now(), p.entries)
 }
--- /dev/null
+++ b/gateway/entering_test.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// fullFleet has one plain service with a single place, which is taken.
+func fullFleet(t *testing.T) *fleet {
+	f := newFleet(&Settings{ID: "e"})
+	f.entries = func() int { return 5 }
+	assert.NilError(t, f.update(time.Now(), []*directory.Instance{{Announcement: &wire.Announcement{
+		Id: "u", Address: "127.0.0.1:1", Pools: []string{"plain"}, Phase: wire.Phase_PHASE_UP, Direct: &wire.DirectUpstream{Slots: 1},
+	}}}))
+	assert.Assert(t, f.enter(context.Background(), "plain", soon()).ok)
+	return f
+}
+
+func soon() *waiter {
+	now := time.Now()
+	return &waiter{came: now, inTime: now.Add(10 * time.Second), until: now.Add(10 * time.Second), granted: make(chan struct{})}
+}
+
+func (f *fleet) waiting() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.services["plain"].line.list)
+}
+
+// Three callers wait for the only place of a service. One leaves, one's time ends, and the
+// third is let in as soon as the place is free. The place of a caller that leaves just as
+// its turn comes is given to the next one, and nothing is sent for it.
+func TestWaitingRequestsGetFreePlaces(t *testing.T) {
+	f := fullFleet(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	results := make(chan admission, 3)
+	go func() { results <- f.enter(ctx, "plain", soon()) }()
+	brief := soon()
+	brief.until = time.Now().Add(50 * time.Millisecond)
+	go func() { results <- f.enter(context.Background(), "plain", brief) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.waiting() == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("%d wait", f.waiting())
+	}, poll.WithDelay(time.Millisecond))
+	cancel()
+	for range 2 {
+		assert.Assert(t, !(<-results).ok)
+	}
+	assert.Equal(t, f.waiting(), 0)
+
+	go func() { results <- f.enter(context.Background(), "plain", soon()) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.waiting() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("%d wait", f.waiting())
+	}, poll.WithDelay(time.Millisecond))
+	f.leave("plain", time.Second)
+	a := <-results
+	assert.Assert(t, a.ok && a.waited > 0)
+	f.leave("plain", time.Second)
+
+	gone, leave := context.WithCancel(context.Background())
+	leave()
+	assert.Assert(t, !f.enter(gone, "plain", soon()).ok)
+	assert.Assert(t, f.enter(context.Background(), "plain", soon()).ok, "its place is free")
+}
