At a gateway that leaves, requests wait no longer than the stop allows

Cause, by reading: a stream is taken by a gateway that leaves if five seconds are left for it, and may wait for its turn now: let in 1.7 s later, the longest would be cut by the stop.

Change: it waits only as long as those five seconds are left after it, and one that is refused there may go to another entry at once.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -297,10 +297,18 @@
 			w.until = leaves
 		}
 	}
+	if c.draining.Load() {
+		if ends := time.Now().Add(c.mayWait()); ends.Before(w.until) {
+			w.until = ends
+		}
+	}
 	w.inTime = w.until
 	if content := c.contentFirst(); content > 0 {
 		w.inTime = c.began.Add(content - c.age - time.Duration(headSpread*float64(head)))
 	}
+	if w.until.Before(w.inTime) {
+		w.inTime = w.until
+	}
 	return w
 }
 
@@ -311,6 +319,9 @@
 		return
 	}
 	f := refusal{status: http.StatusServiceUnavailable, reason: reasonBusy, wait: wait}
+	if c.draining.Load() {
+		f = refusal{status: http.StatusServiceUnavailable, reason: reasonDraining, wait: drainWait}
+	}
 	c.refuse(c.w, f)
 	c.done(f.status, f.reason, nil)
 }
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -34,13 +34,26 @@
 	if !g.draining.Load() {
 		return true
 	}
-	left := g.settings.StopLimit.D() - drainMargin - g.now().Sub(*g.drainBegan.Load())
+	return g.drainLeft() >= c.expectedTime()
+}
+
+// drainLeft is how much time a gateway that leaves has for what is in progress.
+func (g *Gateway) drainLeft() time.Duration {
+	return g.settings.StopLimit.D() - drainMargin - g.now().Sub(*g.drainBegan.Load())
+}
+
+// expectedTime is how long an answer is expected to take at most.
+func (c *call) expectedTime() time.Duration {
 	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
-		return left >= streamTime
+		return streamTime
 	}
-	return left >= min(plainTime, time.Until(c.deadline))
+	return min(plainTime, time.Until(c.deadline))
 }
 
+// mayWait is how long a request may wait for its turn at a gateway that leaves: its answer
+// must end before the stop, or its caller sees it cut in the middle.
+func (c *call) mayWait() time.Duration { return max(c.drainLeft()-c.expectedTime(), 0) }
+
 // Drain implements kernel.Daemon. The gateway leaves the list of entries at once
 // and goes on answering: callers keep the list for a while, and come here until
 // they ask again.
