Leave room for new requests while passes are long but don't grow

Its passes take 85 to 100 ms minute after minute; by the room that such passes left, an entry let in five requests a second of eight that came, and all waited for half a second.

Change: passes leave all room up to 0.75 of the content pause and none from 0.95 on (0.5 and 0.9 before), and one that goes on is long only if it takes a quarter longer than the one before it.

--- a/gateway/brake.go
+++ b/gateway/brake.go
@@ -5,11 +5,12 @@
 const (
 	// easyPart is the part of the pause that callers are content with up to which passes
 	// leave room for prompts, and fullPart that from which they leave none.
-	easyPart = 0.5
-	fullPart = 0.9
-	// longPart is the part of that pause after which a pass that goes on counts as longer
-	// than the ones before it.
-	longPart = 0.62
+	easyPart = 0.75
+	fullPart = 0.95
+	// longPart is the part of that pause up to which a pass that goes on is never long, and
+	// longerFactor how many times as long as the latest one it must take.
+	longPart     = 0.62
+	longerFactor = 1.25
 	// mostBrake is how long requests are kept back at most: a shift of demand is answered
 	// by copies in 0.4 to 0.6 s, and passes that are still long after that are so for
 	// another reason, which fewer requests don't change.
@@ -77,7 +78,7 @@
 	case sofar > staleBrake:
 		// No stream of this entry runs, or the group stands still.
 		return 1
-	case float64(sofar) > longPart*float64(b.content):
+	case float64(sofar) > max(longPart*float64(b.content), longerFactor*float64(b.pass)):
 		return 0
 	}
 	return min(max((fullPart-b.fill())/(fullPart-easyPart), 0), 1)
