--- a/gateway/brake.go
+++ b/gateway/brake.go
@@ -59,11 +59,11 @@
 }
 
 // fill is the part of the content pause that the next pass is expected to take: it grows
-// as the last one did.
+// as the last one did, if that was more than passes differ by anyway.
 func (b *brake) fill() float64 {
 	next := b.pass
-	if b.before > 0 {
-		next += max(b.pass-b.before, 0)
+	if b.before > 0 && float64(b.pass) > longerFactor*float64(b.before) {
+		next += b.pass - b.before
 	}
 	return float64(next) / float64(b.content)
 }
--- a/gateway/line_test.go
+++ b/gateway/line_test.go
@@ -101,6 +101,9 @@
 	pass(88 * time.Millisecond)
 	assert.Equal(t, b.room(now), 1.0, "passes that are long but don't grow leave room")
 	assert.Equal(t, b.room(now.Add(100*time.Millisecond)), 1.0, "nor is the next one longer yet")
+	pass(72 * time.Millisecond)
+	pass(88 * time.Millisecond)
+	assert.Equal(t, b.room(now), 1.0, "passes differ by as much in a group that is well")
 	for began := now; now.Sub(began) <= mostBrake+300*time.Millisecond; {
 		pass(130 * time.Millisecond)
 	}
