--- a/gateway/call.go
+++ b/gateway/call.go
@@ -290,7 +290,7 @@
 func (c *call) waiter() *waiter {
 	head := c.fleet.head(c.service)
 	c.age = c.times.age(c.began, c.route, c.asked.Deadline)
-	w := &waiter{came: c.began, returned: c.age > 0, granted: make(chan struct{})}
+	w := &waiter{returned: c.age > 0, granted: make(chan struct{})}
 	w.until = c.deadline.Add(-head)
 	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
 		if leaves := c.began.Add(callerPatience - patienceMargin - head); leaves.Before(w.until) {
--- a/gateway/entering_test.go
+++ b/gateway/entering_test.go
@@ -25,7 +25,7 @@
 
 func soon() *waiter {
 	now := time.Now()
-	return &waiter{came: now, inTime: now.Add(10 * time.Second), until: now.Add(10 * time.Second), granted: make(chan struct{})}
+	return &waiter{inTime: now.Add(10 * time.Second), until: now.Add(10 * time.Second), granted: make(chan struct{})}
 }
 
 func (f *fleet) waiting() int {
--- a/gateway/line.go
+++ b/gateway/line.go
@@ -29,8 +29,6 @@
 
 // waiter is a request that waits at an entry until its service has a place for it.
 type waiter struct {
-	// came is when it came.
-	came time.Time
 	// inTime is the latest time at which it can be let in and be answered in time; until
 	// the latest at all, after which it is refused.
 	inTime, until time.Time
--- a/gateway/line_test.go
+++ b/gateway/line_test.go
@@ -13,7 +13,7 @@
 // after two seconds.
 func comes(at time.Time) *waiter {
 	return &waiter{
-		came: at, inTime: at.Add(400*time.Millisecond - leastHead), until: at.Add(callerPatience - patienceMargin - leastHead),
+		inTime: at.Add(400*time.Millisecond - leastHead), until: at.Add(callerPatience - patienceMargin - leastHead),
 		granted: make(chan struct{}),
 	}
 }
