Followers wait longer for a leader that they have seen late; it steps down no sooner than they campaign

Change: a follower adds to its election timeout what twice the longest gap lately exceeds it by, bounded by two election timeouts, forgotten within some ten seconds; a leader without a quorum steps down after two election timeouts. Votes and leases are as before.

--- a/consensus/follower.go
+++ b/consensus/follower.go
@@ -8,7 +8,9 @@
 	}
 	n.leader = m.From
 	n.heard = n.now
+	n.patience.heard(n.now, m.From)
 	n.resetDeadline()
+	n.deadline += n.patience.extra(n.cfg.ElectionTimeout)
 	n.takeWitness(m.Witness)
 }
 
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -63,13 +63,15 @@
 }
 
 func (n *Node) tickLeader() {
-	// A leader that hears no majority can commit nothing and its lease is over;
-	// stepping down lets callers look elsewhere.
+	// A leader that hears no majority can commit nothing and its lease is over; stepping
+	// down lets callers look elsewhere. It waits for as long as a follower does at least
+	// before it campaigns: one whose process stood still for longer than its lease finds
+	// the answers of the others right after it wakes, and goes on in its term.
 	if n.transfer != nil && n.now >= n.transfer.deadline {
 		n.giveUpTransfer()
 		return
 	}
-	if n.now >= n.sinceLead+2*n.cfg.ElectionTimeout && !n.quorumHeard() && !n.cfg.off.lease {
+	if n.now >= n.sinceLead+2*n.cfg.ElectionTimeout && !n.quorumHeardIn(2*n.cfg.ElectionTimeout) && !n.cfg.off.lease {
 		n.becomeFollower(n.term, "")
 		return
 	}
@@ -279,8 +281,11 @@
 // quorumHeard says whether a majority acknowledged an append that left within
 // the length of a lease.
 func (n *Node) quorumHeard() bool {
+	return n.quorumHeardIn(time.Duration(float64(n.cfg.ElectionTimeout) / n.cfg.ClockRatio))
+}
+
+func (n *Node) quorumHeardIn(length time.Duration) bool {
 	start, ok := n.leaseStart()
-	length := time.Duration(float64(n.cfg.ElectionTimeout) / n.cfg.ClockRatio)
 	return ok && n.now < start+length
 }
 
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -155,6 +155,7 @@
 	// heard is when a leader was last heard; votes are withheld after it.
 	heard    Time
 	deadline Time
+	patience patience
 	// confirmed is when the applied state was last known to be current, while
 	// another led.
 	confirmed Time
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -65,6 +65,8 @@
 	bootedAt time.Duration
 	// lost says that the folder is gone: this identity never comes back.
 	lost bool
+	// frozen is until when the process stands still; what comes meanwhile waits.
+	frozen time.Duration
 }
 
 // simDisk is what a folder durably holds.
@@ -342,15 +344,21 @@
 func (s *sim) step() {
 	s.now += 20 * time.Millisecond
 	for len(s.queue) > 0 && s.queue[0].at <= s.now {
-		m := heap.Pop(&s.queue).(simMessage).m
+		msg := heap.Pop(&s.queue).(simMessage)
+		m := msg.m
 		if r := s.replicas[m.To]; r != nil && r.up {
+			if r.frozen > s.now {
+				msg.at = r.frozen
+				heap.Push(&s.queue, msg)
+				continue
+			}
 			r.node.Step(s.clock(r), m)
 			s.drain(r)
 		}
 	}
 	for _, id := range s.order {
 		r := s.replicas[id]
-		if !r.up {
+		if !r.up || r.frozen > s.now {
 			continue
 		}
 		r.node.Tick(s.clock(r))
