--- a/control/control.go
+++ b/control/control.go
@@ -6,6 +6,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -46,7 +47,10 @@
 // folder, forms a cluster or joins one, and then runs a Replica.
 type Control struct {
 	// packed is the routing configuration as entries fetch it.
-	packed   packedRouting
+	packed packedRouting
+	// routingWatchers counts the watches of the routing version.
+	routingWatchers atomic.Int64
+
 	settings Settings
 	place    Place
 	log      log.Logger
@@ -55,6 +59,7 @@
 	entries  func() []*wire.RingMember
 	groups   *groupLeader
 	lockstep *lockstepLeader
+	surveys  *surveyFeed
 	metrics  *kernel.Metrics
 
 	mu       sync.Mutex
@@ -70,10 +75,10 @@
 		return nil, err
 	}
 	s.Now = s.clock()
-	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, metrics: kernel.NewMetrics()}
+	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, surveys: newSurveyFeed(), metrics: kernel.NewMetrics()}
 	c.groups = newGroupLeader(s, kernel.PartLog(l, "groups"), pool)
 	var err error
-	c.lockstep, err = newLockstepLeader(s, l, pool, c.metrics)
+	c.lockstep, err = newLockstepLeader(s, l, pool, c.metrics, c.surveys)
 	return c, err
 }
 
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -156,6 +156,9 @@
 	}
 	peers := func() []string { return d.control.knownPeers(ctx) }
 	d.node.FollowEach(ctx, peers, d.pool.Conn, &wire.DirectoryWatchRequest{Watcher: d.settings.ID, LocalOnly: true})
+	if d.settings.Control.Lockstep != nil {
+		go d.control.followSurveys(ctx, d.settings.ID, peers)
+	}
 	if d.api != nil {
 		if err := d.api.start(); err != nil {
 			return err
--- a/control/lockstep.go
+++ b/control/lockstep.go
@@ -28,7 +28,7 @@
 	// lockstepLease is the prefix of these groups among leases.
 	lockstepLease = "lockstep/"
 	// surveyPeriod is how often entries are told the states of the ranks: requests run
-	// for two seconds, and what 72 ranks report takes 1.5 kB for each entry.
+	// for two seconds, and what 192 ranks report takes 6 kB for each entry.
 	surveyPeriod = 200 * time.Millisecond
 	// dialRank bounds the opening of a connection to a rank.
 	dialRank = 500 * time.Millisecond
@@ -54,10 +54,14 @@
 
 	mu     sync.Mutex
 	groups map[string]*lockstepGroup
-	// surveyed is when entries were told the states of the ranks last.
+	// surveys tells the states of the ranks to entries; surveyed is when that was done
+	// last, numbered counts them.
+	surveys  *surveyFeed
 	surveyed time.Time
-	surveys  uint64
+	numbered uint64
 
+	// ledAt is when this replica led last.
+	ledAt time.Time
 	// seen is what the directory and the log said, as of seenAt. Looks that follow a
 	// rank's answer don't ask again.
 	seen   lockstepSeen
@@ -70,7 +74,7 @@
 	lockstepNow
 }
 
-func newLockstepLeader(s Settings, l log.Logger, pool *transport.Pool, m *kernel.Metrics) (*lockstepLeader, error) {
+func newLockstepLeader(s Settings, l log.Logger, pool *transport.Pool, m *kernel.Metrics, surveys *surveyFeed) (*lockstepLeader, error) {
 	if s.Lockstep == nil {
 		return nil, nil
 	}
@@ -81,7 +85,7 @@
 	return &lockstepLeader{
 		settings: s.Lockstep, clock: s.Now, log: kernel.PartLog(l, "lockstep"), pool: pool, ranks: d,
 		client: direct.NewClient(transport.NewDialer(dialRank).DialContext), groups: map[string]*lockstepGroup{},
-		wake: make(chan struct{}, 1), metrics: m,
+		wake: make(chan struct{}, 1), metrics: m, surveys: surveys,
 	}, nil
 }
 
@@ -138,13 +142,14 @@
 		l.seen, l.seenAt = l.look(ctx, r), now
 	}
 	if !l.seen.leads {
-		l.drop()
+		l.drop(l.clock())
 		return false
 	}
+	l.ledAt = l.clock()
 	for name, g := range l.seen.groups {
 		l.tickGroup(ctx, r, name, g, l.seen.lockstepNow)
 	}
-	l.survey(r)
+	l.survey()
 	return true
 }
 
@@ -152,42 +157,39 @@
 func (l *lockstepLeader) look(ctx context.Context, r *Replica) lockstepSeen {
 	s := lockstepSeen{groups: directGroups(l.upstreams())}
 	names := make([]string, 0, len(s.groups))
-	ranks := 0
+	sizes := make([]int, 0, len(s.groups))
 	for name, g := range s.groups {
 		names = append(names, name)
-		ranks += g.size
+		sizes = append(sizes, g.size)
 	}
-	l.readPeriod = l.settings.readPeriodFor(ranks)
+	l.readPeriod = l.settings.readPeriodFor(sizes)
 	s.lockstepNow = r.lockstepNow(ctx, names)
 	return s
 }
 
-// rankStates is a survey of all groups that a replica leads.
-type rankStates struct {
-	ranks []*wire.RankState
-	// number counts the surveys of this leader.
-	number uint64
-}
-
 // survey makes the states of the ranks known to the watchers of this replica.
-func (l *lockstepLeader) survey(r *Replica) {
+func (l *lockstepLeader) survey() {
 	now := l.clock()
 	if now.Sub(l.surveyed) < surveyPeriod {
 		return
 	}
 	l.surveyed = now
-	l.surveys++
-	s := &rankStates{number: l.surveys}
+	var ranks []*wire.RankState
 	l.mu.Lock()
 	for _, g := range l.groups {
-		s.ranks = append(s.ranks, g.states(now)...)
+		ranks = append(ranks, g.states(now)...)
 	}
 	l.mu.Unlock()
-	if len(s.ranks) == 0 {
+	if len(ranks) == 0 {
+		return
+	}
+	states, err := encodeStates(ranks)
+	if err != nil {
+		kernel.Warn(l.log, "States of ranks can't be encoded.", "err", err)
 		return
 	}
-	r.rankStates.Store(s)
-	r.wake()
+	l.numbered++
+	l.surveys.tell(&toldSurvey{number: l.numbered, states: states, at: now, own: true})
 }
 
 func (l *lockstepLeader) tickGroup(ctx context.Context, r *Replica, name string, found directGroup, n lockstepNow) {
@@ -214,12 +216,21 @@
 	g.tick(ctx, l.clock(), found, profile)
 }
 
-// drop forgets all groups: this replica doesn't lead. Orders that are on their way
-// carry a fencing token that the next leader's replaces.
-func (l *lockstepLeader) drop() {
+// keepGroups is how long groups are kept while this replica doesn't lead. One that was late
+// loses its lease for some tenths of a second; forming the group anew, with a reading of
+// all that its ranks hold, took it longer than it had been late.
+const keepGroups = 5 * time.Second
+
+// drop forgets all groups once this replica hasn't led for a while. Until then they stand
+// still: nothing is read or ordered. Orders that are on their way carry a fencing token that
+// the next leader's replaces; a group that another has led meanwhile has another token
+// in the log, and is led anew.
+func (l *lockstepLeader) drop(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	clear(l.groups)
+	if now.Sub(l.ledAt) > keepGroups {
+		clear(l.groups)
+	}
 }
 
 // directGroup is a group as its ranks have registered.
@@ -252,6 +263,15 @@
 	return groups
 }
 
+// domains are the failure domains of the ranks; empty for one that isn't known.
+func (g *directGroup) domains() []string {
+	list := make([]string, g.size)
+	for i := range list {
+		list[i] = g.ranks[i].GetFailureDomain()
+	}
+	return list
+}
+
 // whole says whether every rank is known.
 func (g *directGroup) whole() bool { return g.size > 0 && len(g.ranks) == g.size }
 
--- /dev/null
+++ b/control/lockstepcalls.go
@@ -0,0 +1,227 @@
+package control
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/lockstep"
+	"github.com/snipereach/snipereach/sidecar"
+	"github.com/snipereach/snipereach/wire"
+)
+
+const (
+	// relayReadLimit and relayOrderLimit are how long a relay waits for its ranks, beyond
+	// the time that a reading awaits a copy. A rank answers its sidecar within milliseconds;
+	// one whose host stands still delays the others of its part by this, once in
+	// sidecarRest.
+	relayReadLimit  = 150 * time.Millisecond
+	relayOrderLimit = 120 * time.Millisecond
+	// relaySlack is for the way to a relay and back. A round of orders to twenty ranks is
+	// 0.2 MB of maps, which take a sidecar's link of 6 Mbit/s as long again.
+	relaySlack = 150 * time.Millisecond
+)
+
+// partOf is the part of the group that a rank is called with now; noPart if it is called
+// alone, as one whose sidecar doesn't answer.
+func (g *lockstepGroup) partOf(now time.Time, rank int) int {
+	part, ok := g.relays.Part(rank)
+	if !ok || g.settings.SidecarPort == 0 || !now.After(g.links[rank].restUntil) {
+		return noPart
+	}
+	return part
+}
+
+// relayOf is the rank whose sidecar is to pass a call on to some ranks of a part. One rank
+// is called without a relay, which would only add a hop.
+func (g *lockstepGroup) relayOf(now time.Time, part int, ranks []int) (via int, ok bool) {
+	if part == noPart || len(ranks) < 2 {
+		return 0, false
+	}
+	return g.relays.Via(now, part)
+}
+
+// relayFailed notes that a sidecar did not answer as a relay.
+func (g *lockstepGroup) relayFailed(via int, err error) {
+	kernel.Info(g.log, "Relay doesn't answer.", "group", g.name, "rank", via, "upstream", g.links[via].instance, "err", err)
+	g.metrics.Count("lockstep.relays.failed")
+	g.relays.Failed(g.clock(), via)
+}
+
+// sidecarOf is the address of the process beside a rank; empty if there is none.
+func (g *lockstepGroup) sidecarOf(link *rankLink) string {
+	host, _, err := net.SplitHostPort(link.address)
+	if err != nil || g.settings.SidecarPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(g.settings.SidecarPort))
+}
+
+func (g *lockstepGroup) sidecarClient(address string) wire.DRPCSidecarClient {
+	return wire.NewDRPCSidecarClient(g.pool.Conn(context.Background(), address))
+}
+
+// readMany reads ranks of one part through a relay.
+func (g *lockstepGroup) readMany(ctx context.Context, via int, ranks []int, read *wire.ReadRankRequest) {
+	limit := relayReadLimit + time.Duration(read.AwaitMs)*time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, limit+relaySlack)
+	defer cancel()
+	req := &wire.ReadRanksRequest{Read: read, LimitMs: uint32(limit.Milliseconds())}
+	g.mu.Lock()
+	at, epoch, links, relay := g.clock(), g.epoch, g.links, g.sidecarOf(g.links[via])
+	for _, i := range ranks {
+		req.Ranks = append(req.Ranks, &wire.RankPlace{Instance: links[i].instance, Sidecar: g.sidecarOf(links[i])})
+	}
+	g.mu.Unlock()
+	reply, err := g.sidecarClient(relay).ReadRanks(ctx, req)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.metrics.Count("lockstep.relayed.readings")
+	if err != nil || len(reply.Readings) != len(ranks) {
+		for _, i := range ranks {
+			links[i].reading = false
+		}
+		if g.epoch == epoch {
+			g.relayFailed(via, err)
+		}
+		return
+	}
+	for n, i := range ranks {
+		reading := reply.Readings[n]
+		if reading.Report == nil {
+			links[i].reading = false
+			g.rest(links[i])
+			continue
+		}
+		one := proto.Clone(read).(*wire.ReadRankRequest)
+		one.Instance = req.Ranks[n].Instance
+		g.believeReading(at, i, links[i], one, epoch, reading, nil)
+	}
+	if g.epoch == epoch {
+		g.observe(reply.Chosen)
+	}
+}
+
+// rest leaves a sidecar that did not answer alone for a while: its rank is called from
+// here, and holds up no other ranks of its part.
+func (g *lockstepGroup) rest(link *rankLink) {
+	link.restUntil = g.clock().Add(sidecarRest)
+	kernel.Debug(g.log, "Sidecar doesn't answer.", "group", g.name, "upstream", link.instance)
+}
+
+// sendAll gives the orders of one round.
+func (g *lockstepGroup) sendAll(ctx context.Context, now time.Time, orders []lockstep.Order) {
+	byPart := map[int][]lockstep.Order{}
+	for _, o := range orders {
+		part := g.partOf(now, o.Rank)
+		byPart[part] = append(byPart[part], o)
+	}
+	for part, list := range byPart {
+		ranks := make([]int, len(list))
+		for n, o := range list {
+			ranks[n] = o.Rank
+		}
+		if via, ok := g.relayOf(now, part, ranks); ok {
+			g.sendMany(ctx, via, list)
+			continue
+		}
+		for _, o := range list {
+			g.send(ctx, o)
+		}
+	}
+}
+
+// sendMany gives orders through a relay. The orders of one round carry one map, or none.
+func (g *lockstepGroup) sendMany(ctx context.Context, via int, orders []lockstep.Order) {
+	req := &wire.OrderRanksRequest{Map: orders[0].Map, LimitMs: uint32(relayOrderLimit.Milliseconds())}
+	links, switcher, relay, epoch := g.links, g.switcher, g.sidecarOf(g.links[via]), g.epoch
+	for _, o := range orders {
+		req.Orders = append(req.Orders, &wire.PlacedOrder{Order: withoutMap(o.RankOrder), Sidecar: g.sidecarOf(links[o.Rank])})
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, relayOrderLimit+relaySlack)
+		defer cancel()
+		reply, err := g.sidecarClient(relay).OrderRanks(ctx, req)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.metrics.Count("lockstep.relayed.orders")
+		whole := err == nil && len(reply.Replies) == len(orders)
+		if !whole && g.epoch == epoch {
+			g.relayFailed(via, err)
+		}
+		for n, o := range orders {
+			var one *wire.RankOrderReply
+			if whole {
+				one = reply.Replies[n]
+				if one.After == nil {
+					g.rest(links[o.Rank])
+				}
+			}
+			g.answered(switcher, links[o.Rank], o, one, err)
+		}
+		g.wakeUp()
+	}()
+}
+
+// withoutMap copies an order but for its map, which the orders of a round share.
+func withoutMap(o *wire.RankOrder) *wire.RankOrder {
+	return &wire.RankOrder{
+		Kind: o.Kind, Instance: o.Instance, FencingToken: o.FencingToken, ExpectSequence: o.ExpectSequence,
+		Epoch: o.Epoch, Version: o.Version, Step: o.Step,
+	}
+}
+
+// send gives an order and tells the switcher its answer.
+func (g *lockstepGroup) send(ctx context.Context, o lockstep.Order) {
+	link, switcher := g.links[o.Rank], g.switcher
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		reply, err := callRank(g, link, func(c wire.DRPCSidecarClient) (*wire.RankOrderReply, error) { return c.Order(ctx, o.RankOrder) },
+			func(r *sidecar.Rank) (*wire.RankOrderReply, error) {
+				reply, err := r.Order(ctx, o.RankOrder)
+				g.age(reply.GetAfter())
+				return reply, err
+			})
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.answered(switcher, link, o, reply, err)
+		g.wakeUp()
+	}()
+}
+
+// answered takes the answer to an order; nil if none came.
+func (g *lockstepGroup) answered(switcher *lockstep.Switcher, link *rankLink, o lockstep.Order, reply *wire.RankOrderReply, err error) {
+	if err != nil || !link.said(reply.GetAfter()) {
+		reply = nil
+	}
+	g.metrics.Count("lockstep.orders")
+	if reply.GetStatus() == wire.RankOrderStatus_RANK_ORDER_STATUS_UNKNOWN {
+		g.metrics.Count("lockstep.orders.unanswered")
+	}
+	kernel.Debug(g.log, "Order answered.", "group", g.name, "rank", o.Rank, "order", o.Kind, "version", o.Version, "step", o.Step,
+		"expect", o.ExpectSequence, "status", reply.GetStatus(), "after", reply.GetAfter(), "err", err)
+	switcher.Replied(g.clock(), o.Rank, o.RankOrder, reply)
+}
+
+// callRank calls a rank through the sidecar beside it, or directly while that doesn't
+// answer.
+func callRank[R any](g *lockstepGroup, link *rankLink, near func(wire.DRPCSidecarClient) (R, error), far func(*sidecar.Rank) (R, error)) (R, error) {
+	g.mu.Lock()
+	address, beside, rest := link.address, g.sidecarOf(link), link.restUntil
+	g.mu.Unlock()
+	if beside == "" || !g.clock().After(rest) {
+		return far(sidecar.NewRank(g.client, g.ranks, address, farOrderAnswer))
+	}
+	reply, err := near(g.sidecarClient(beside))
+	if err != nil {
+		g.mu.Lock()
+		g.rest(link)
+		g.mu.Unlock()
+	}
+	return reply, err
+}
--- a/control/lockstepgroup.go
+++ b/control/lockstepgroup.go
@@ -10,12 +10,8 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
-const (
-	// reportLagFactor covers a report that is a little older than the service says.
-	reportLagFactor = 2
-	// replanPeriod is the least time between two plans.
-	replanPeriod = 300 * time.Millisecond
-)
+// reportLagFactor covers a report that is a little older than the service says.
+const reportLagFactor = 2
 
 // lockstepGroup leads one group under one fencing token: it gives a Switcher sockets
 // and a clock, and plans from what the ranks counted.
@@ -28,9 +24,10 @@
 	epoch    uint64
 	shape    lockstep.Shape
 	links    []*rankLink
+	relays   *lockstep.Relays
 	switcher *lockstep.Switcher
 	demand   *lockstep.Demand
-	planned  time.Time
+	replan   lockstep.Replan
 	planning bool
 	phase    lockstep.Phase
 	proposal lockstep.Proposal
@@ -66,9 +63,7 @@
 	g.reportLag = reportLagFactor * time.Duration(profile.GetReportLagMs()*float64(time.Millisecond))
 	g.follow(found, shape)
 	g.read(ctx, now)
-	for _, o := range g.switcher.Tick(now) {
-		g.send(ctx, o)
-	}
+	g.sendAll(ctx, now, g.switcher.Tick(now))
 	g.logPhase(now)
 	g.logState(now)
 	g.plan(ctx, now)
@@ -78,7 +73,7 @@
 // along with ranks that have started again.
 func (g *lockstepGroup) follow(found directGroup, shape lockstep.Shape) {
 	if g.switcher == nil || found.latest.Epoch > g.epoch || shape != g.shape {
-		g.reset(found.latest.Epoch, shape)
+		g.reset(found, shape)
 	}
 	for i, link := range g.links {
 		a := found.ranks[i]
@@ -92,8 +87,10 @@
 	}
 }
 
-func (g *lockstepGroup) reset(epoch uint64, shape lockstep.Shape) {
+func (g *lockstepGroup) reset(found directGroup, shape lockstep.Shape) {
+	epoch := found.latest.Epoch
 	g.epoch, g.shape = epoch, shape
+	g.relays = lockstep.NewRelays(found.domains())
 	cfg := lockstep.DefaultConfig(shape.Ranks, g.token, epoch)
 	if g.switcher != nil {
 		cfg.Used = g.switcher.Used()
@@ -108,22 +105,26 @@
 		g.links[i] = &rankLink{}
 	}
 	g.phase = lockstep.Idle
-	kernel.Info(g.log, "Group formed.", "group", g.name, "epoch", epoch, "ranks", shape.Ranks, "token", g.token)
+	kernel.Info(g.log, "Group formed.", "group", g.name, "epoch", epoch, "ranks", shape.Ranks, "calls", g.relays.Calls(), "read_ms", g.readPeriod.Milliseconds(), "token", g.token)
 }
 
 // plan looks for a better map and begins the switch to it.
 func (g *lockstepGroup) plan(ctx context.Context, now time.Time) {
-	if g.planning || now.Sub(g.planned) < replanPeriod || !g.mayBegin(now) || !g.demand.Settled() {
+	pace := g.pace()
+	if g.planning || !g.mayBegin(now) || !g.demand.Settled() || !g.replan.Due(now, g.demand.Shifts(), pace) {
 		return
 	}
-	g.planned, g.planning = now, true
+	g.planning = true
 	shape, current, switcher := g.shape, g.switcher.Current(), g.switcher
-	load, pace := cloneLoad(g.demand.Load()), g.pace()
+	load := cloneLoad(g.demand.Load())
 	go func() {
 		p, ok := lockstep.Plan(shape, lockstep.DefaultPlanSettings(), current, load, pace)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.planning = false
+		if !ok {
+			g.replan.FoundNothing()
+		}
 		if !ok || ctx.Err() != nil || g.switcher != switcher || !g.mayBegin(g.clock()) {
 			return
 		}
--- a/control/lockstepranks.go
+++ b/control/lockstepranks.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/snipereach/snipereach/kernel"
@@ -52,11 +50,6 @@
 	stateAt          time.Time
 }
 
-// run names the run of the rank.
-func (l *rankLink) run() lockstep.Run {
-	return lockstep.Run{Instance: l.instance, Incarnation: l.incarnation}
-}
-
 // said says whether a report is one of the run that has registered. One that started
 // again under its ID holds nothing of what was ordered before, and the directory will say
 // soon that it did: until then its answers must not pass for those of the earlier run.
@@ -68,26 +61,62 @@
 // one that copies answers when it is done: 72 ranks that were all read each 60 ms took
 // the whole processor of a leader with 0.12 cores, and its followers elected another.
 func (g *lockstepGroup) read(ctx context.Context, now time.Time) {
-	usual := g.readPeriod
+	due := map[readKey][]int{}
 	for i, link := range g.links {
-		period, copying := usual, false
-		if g.switcher.Awaits(i) {
-			period, copying = min(usual, busyReadPeriod), g.switcher.Phase() == lockstep.Preparing
-		}
-		if link.instance == "" || link.reading || now.Sub(link.readAt) < period {
+		key, ok := g.due(now, i, link)
+		if !ok {
 			continue
 		}
-		counts := copying || now.Sub(link.countedAt) >= usual
-		if counts {
+		link.reading, link.readAt = true, now
+		if key.counts {
 			link.countedAt = now
 		}
-		link.reading, link.readAt = true, now
-		req := &wire.ReadRankRequest{Instance: link.instance, Counts: counts, HeldExperts: g.switcher.Current() == nil}
-		if copying {
-			req.AwaitPrepared, req.AwaitMs = g.switcher.Version(), uint32(min(usual, mostAwait).Milliseconds())
+		due[key] = append(due[key], i)
+	}
+	for key, ranks := range due {
+		if via, ok := g.relayOf(now, key.part, ranks); ok {
+			go g.readMany(ctx, via, ranks, g.readRequest(key))
+			continue
 		}
-		go g.readOne(ctx, i, link, req, g.epoch)
+		for _, i := range ranks {
+			req := g.readRequest(key)
+			req.Instance = g.links[i].instance
+			go g.readOne(ctx, i, g.links[i], req, g.epoch)
+		}
+	}
+}
+
+// readKey is what readings have in common that one call may ask a relay for.
+type readKey struct {
+	part    int
+	counts  bool
+	copying bool
+}
+
+// noPart is that of ranks that are called without a relay.
+const noPart = -1
+
+// due says whether a rank is to be read now, and how.
+func (g *lockstepGroup) due(now time.Time, i int, link *rankLink) (key readKey, ok bool) {
+	usual := g.readPeriod
+	period := usual
+	if g.switcher.Awaits(i) {
+		period, key.copying = min(usual, busyReadPeriod), g.switcher.Phase() == lockstep.Preparing
+	}
+	if link.instance == "" || link.reading || now.Sub(link.readAt) < period {
+		return key, false
+	}
+	key.counts = key.copying || now.Sub(link.countedAt) >= usual
+	key.part = g.partOf(now, i)
+	return key, true
+}
+
+func (g *lockstepGroup) readRequest(key readKey) *wire.ReadRankRequest {
+	req := &wire.ReadRankRequest{Counts: key.counts, HeldExperts: g.switcher.Current() == nil, Reader: g.token}
+	if key.copying {
+		req.AwaitPrepared, req.AwaitMs = g.switcher.Version(), uint32(min(g.readPeriod, mostAwait).Milliseconds())
 	}
+	return req
 }
 
 func (g *lockstepGroup) readOne(ctx context.Context, i int, link *rankLink, req *wire.ReadRankRequest, epoch uint64) {
@@ -102,14 +131,30 @@
 		})
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.believeReading(at, i, link, req, epoch, reading, err) {
+		g.observe(reading.Chosen)
+	}
+}
+
+// believeReading takes a rank's reading, or that it can't be read; it returns whether the
+// reading is one of the run of the rank and of the epoch that were meant.
+func (g *lockstepGroup) believeReading(at time.Time, i int, link *rankLink, req *wire.ReadRankRequest, epoch uint64, reading *wire.RankReading, err error) bool {
 	link.reading = false
 	if err != nil {
 		kernel.Debug(g.log, "Rank can't be read.", "group", g.name, "rank", i, "upstream", req.Instance, "err", err)
 	}
 	if err != nil || g.epoch != epoch || link.instance != req.Instance || !link.said(reading.Report) {
-		return
+		return false
 	}
 	g.take(at, i, link, req, reading)
+	return true
+}
+
+// observe takes what was chosen at some ranks.
+func (g *lockstepGroup) observe(chosen []uint32) {
+	if len(chosen) > 0 {
+		g.demand.Observe(g.clock(), chosen)
+	}
 }
 
 func (g *lockstepGroup) take(at time.Time, i int, link *rankLink, req *wire.ReadRankRequest, reading *wire.RankReading) {
@@ -127,9 +172,6 @@
 	if req.AwaitPrepared != 0 && reading.Report.Prepared == req.AwaitPrepared {
 		g.wakeUp()
 	}
-	if reading.Counts != nil {
-		g.demand.Observe(g.clock(), i, link.run(), reading.Counts)
-	}
 	if req.HeldExperts && reading.Held != nil {
 		link.held, link.heldMap = reading.Held, reading.Report.Map
 		g.joinHeld()
@@ -165,55 +207,6 @@
 	g.switcher.SetCurrent(m)
 }
 
-// send gives an order and tells the switcher its answer.
-func (g *lockstepGroup) send(ctx context.Context, o lockstep.Order) {
-	link, switcher := g.links[o.Rank], g.switcher
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		reply, err := callRank(g, link, func(c wire.DRPCSidecarClient) (*wire.RankOrderReply, error) { return c.Order(ctx, o.RankOrder) },
-			func(r *sidecar.Rank) (*wire.RankOrderReply, error) {
-				reply, err := r.Order(ctx, o.RankOrder)
-				g.age(reply.GetAfter())
-				return reply, err
-			})
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		if err != nil || !link.said(reply.GetAfter()) {
-			reply = nil
-		}
-		g.metrics.Count("lockstep.orders")
-		if reply.GetStatus() == wire.RankOrderStatus_RANK_ORDER_STATUS_UNKNOWN {
-			g.metrics.Count("lockstep.orders.unanswered")
-		}
-		kernel.Debug(g.log, "Order answered.", "group", g.name, "rank", o.Rank, "order", o.Kind, "version", o.Version, "step", o.Step,
-			"expect", o.ExpectSequence, "status", reply.GetStatus(), "after", reply.GetAfter(), "err", err)
-		switcher.Replied(g.clock(), o.Rank, o.RankOrder, reply)
-		g.wakeUp()
-	}()
-}
-
-// callRank calls a rank through the sidecar beside it, or directly while that doesn't
-// answer.
-func callRank[R any](g *lockstepGroup, link *rankLink, near func(wire.DRPCSidecarClient) (R, error), far func(*sidecar.Rank) (R, error)) (R, error) {
-	g.mu.Lock()
-	address, rest := link.address, link.restUntil
-	g.mu.Unlock()
-	host, _, err := net.SplitHostPort(address)
-	if err == nil && g.settings.SidecarPort != 0 && g.clock().After(rest) {
-		addr := net.JoinHostPort(host, strconv.Itoa(g.settings.SidecarPort))
-		reply, err := near(wire.NewDRPCSidecarClient(g.pool.Conn(context.Background(), addr)))
-		if err == nil {
-			return reply, nil
-		}
-		g.mu.Lock()
-		link.restUntil = g.clock().Add(sidecarRest)
-		g.mu.Unlock()
-		return reply, err
-	}
-	return far(sidecar.NewRank(g.client, g.ranks, address, farOrderAnswer))
-}
-
 // aged marks what was read from another host as old: a rank tells others how it was
 // some time ago. Taken for fresh, a report from before a hold would say that the
 // group isn't held.
--- a/control/replica.go
+++ b/control/replica.go
@@ -63,6 +63,7 @@
 	lastCare    time.Time
 	leads       leaseClock
 	leader      leaderWatch
+	lateness    lateness
 	rings       ringClock
 	shares      shareHome
 	// pools is read by announcements, outside the loop.
@@ -70,9 +71,7 @@
 	// routingVersion is that of the configuration applied here; watchers read it
 	// outside the loop.
 	routingVersion atomic.Uint64
-	// rankStates are those of the ranks that this replica leads; nil before the first.
-	rankStates atomic.Pointer[rankStates]
-	feed       feed
+	feed           feed
 	// proposedEpoch is the ring epoch that was proposed last, and when.
 	proposedEpoch uint64
 	proposedAt    time.Time
@@ -170,6 +169,11 @@
 			r.failAll(ErrStopped)
 			return
 		case <-tick.C:
+			late := r.lateness.late(r.clock())
+			r.tellLate(late)
+			if r.lateness.postpone(late) {
+				continue
+			}
 			r.node.Tick(r.now())
 			r.care()
 			r.confirm()
--- a/control/routing.go
+++ b/control/routing.go
@@ -8,13 +8,15 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/routing"
 	"github.com/snipereach/snipereach/wire"
 )
 
 // routingConfirmInterval is how often a watcher of the routing version is told how
-// current the sender is, while nothing changes.
+// current the sender is, while nothing changes; more seldom where there are many watchers
+// (directory.SpeakInterval).
 const routingConfirmInterval = 500 * time.Millisecond
 
 // routingResult is the result of a committed routing configuration.
@@ -169,45 +171,36 @@
 	}
 	changed, cancel := r.subscribe()
 	defer cancel()
-	tick := time.NewTicker(routingConfirmInterval)
-	defer tick.Stop()
-	sent, current := uint64(0), false
-	first := true
-	told := r.rankStates.Load()
+	s.routingWatchers.Add(1)
+	defer s.routingWatchers.Add(-1)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	sent, current, due := uint64(0), false, true
 	for {
-		version, states, confirmed := r.routingVersion.Load(), r.rankStates.Load(), r.feed.current(r.now())
-		if first || version != sent || states != told || confirmed && !current {
-			if err := s.sendVersion(stream, r, version, news(told, states)); err != nil {
+		version, confirmed := r.routingVersion.Load(), r.feed.current(r.now())
+		if due || version != sent || confirmed && !current {
+			next := directory.SpeakInterval(routingConfirmInterval, int(s.routingWatchers.Load()))
+			if err := sendVersion(stream, r, version, next); err != nil {
 				return err
 			}
-			first, sent, told = false, version, states
+			sent = version
+			timer.Reset(next)
 		}
-		current = confirmed
+		current, due = confirmed, false
 		select {
 		case <-stream.Context().Done():
 			return nil
 		case <-r.done:
 			return ErrStopped
 		case <-changed:
-		case <-tick.C:
-			first = true
+		case <-timer.C:
+			due = true
 		}
 	}
 }
 
-// news are the states that a watcher has not been told yet; nil if there are none.
-func news(told, states *rankStates) *rankStates {
-	if states == told {
-		return nil
-	}
-	return states
-}
-
-func (s routingService) sendVersion(stream wire.DRPCRouting_WatchStream, r *Replica, version uint64, states *rankStates) error {
-	v := &wire.RoutingVersion{Version: version, ConfirmedAgeMs: millis(r.feed.age(r.now()))}
-	if states != nil {
-		v.Ranks, v.Survey = states.ranks, states.number
-	}
+func sendVersion(stream wire.DRPCRouting_WatchStream, r *Replica, version uint64, next time.Duration) error {
+	v := &wire.RoutingVersion{Version: version, ConfirmedAgeMs: millis(r.feed.age(r.now())), NextMs: millis(next)}
 	err := stream.Send(v)
 	if err != nil {
 		return fmt.Errorf("routing watch: %w", err)
--- a/control/settings.go
+++ b/control/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/lockstep"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wal"
 )
@@ -67,14 +68,25 @@
 	// after it and is planned for after the second: with 150 ms that took 0.55 s, and until
 	// its copies are made all callers wait for the busiest rank.
 	defaultReadPeriod = 75 * time.Millisecond
-	// mostReadings bounds the readings of all ranks, a second: at 480, of 72 ranks, a
-	// leader spends 0.05 cores on them.
+	// mostReadings bounds the readings of all ranks, a second: at 480, of 72 ranks that are
+	// read one by one, a leader spends 0.05 cores on them.
 	mostReadings = 480
+	// relayedReadings is how many readings a call to a relay counts as: it brings the states
+	// of a dozen ranks, and one sum of their counters.
+	relayedReadings = 5
 )
 
-// readPeriodFor is the time between two readings of one rank where there are so many.
-func (s *LockstepSettings) readPeriodFor(ranks int) time.Duration {
-	return max(s.ReadPeriod.D(), time.Duration(ranks)*time.Second/mostReadings)
+// readPeriodFor is the time between two readings of one rank, of groups of these sizes.
+func (s *LockstepSettings) readPeriodFor(groups []int) time.Duration {
+	readings := 0
+	for _, ranks := range groups {
+		if calls, relayed := lockstep.CallsFor(ranks); relayed {
+			readings += relayedReadings * calls
+		} else {
+			readings += calls
+		}
+	}
+	return max(s.ReadPeriod.D(), time.Duration(readings)*time.Second/mostReadings)
 }
 
 func (s *LockstepSettings) check(bad func(key, detail string) error) error {
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -12,12 +12,20 @@
 
 const (
 	redialDelay = 100 * time.Millisecond
-	// silentWatch is how long a watch may say nothing. A sender vouches every
-	// vouchInterval; behind a silent cut the connection doesn't break, and
-	// without a limit the watcher would wait until all leases have run out.
-	silentWatch = 3 * vouchInterval
+	// silentParts is how many of the intervals at which its sender speaks a watch may say
+	// nothing. Behind a silent cut the connection doesn't break, and without a limit the
+	// watcher would wait until all leases have run out.
+	silentParts = 3
+	// silentWatch is that limit until the sender has told its interval.
+	silentWatch = silentParts * vouchInterval
 )
 
+// silenceAfter is how long a sender may say nothing that said when it speaks again.
+func silenceAfter(nextMS uint32) time.Duration {
+	next := min(time.Duration(nextMS)*time.Millisecond, longestSpeak)
+	return silentParts * max(next, vouchInterval)
+}
+
 // Follow copies what announces to another node until the context is done. Nodes
 // of control replicas follow each other so.
 func (n *Node) Follow(ctx context.Context, conn func(context.Context) drpc.Conn, req *wire.DirectoryWatchRequest) {
@@ -132,7 +140,7 @@
 			return last
 		}
 		last = src
-		silence.Reset(silentWatch)
+		silence.Reset(silenceAfter(u.NextMs))
 		if n.apply(src, u) {
 			n.onChange()
 		}
@@ -157,5 +165,6 @@
 func (n *Node) apply(src *Source, u *wire.DirectoryUpdate) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	defer n.wakeWatchers()
 	return n.state.Apply(n.now(), src, u)
 }
--- a/directory/node.go
+++ b/directory/node.go
@@ -10,10 +10,11 @@
 
 // Intervals of a Node.
 const (
-	tickInterval  = 100 * time.Millisecond
+	tickInterval = 100 * time.Millisecond
+	// watchInterval is the least time between two updates of a watcher, so that changes
+	// which come together go together.
 	watchInterval = 200 * time.Millisecond
-	// vouchInterval is the longest time between two updates; a multiple of
-	// watchInterval.
+	// vouchInterval is the longest time between two updates, where watchers are few.
 	vouchInterval = 400 * time.Millisecond
 )
 
@@ -28,6 +29,14 @@
 	replicas func(context.Context) []*wire.DirectoryReplica
 	// ask asks an instance for a sign of life; it may be nil.
 	ask func(*Instance)
+	// watchers are woken by changes; told is how far they were.
+	watchers map[chan struct{}]struct{}
+	told     mark
+}
+
+// mark is how far a directory has come: what its watchers are sent depends on both.
+type mark struct {
+	changes, revisions uint64
 }
 
 // NewNode makes a node. onChange is called, outside any lock, after a change;
@@ -36,7 +45,7 @@
 	if onChange == nil {
 		onChange = func() {}
 	}
-	return &Node{state: New(s, now(), 0), now: now, onChange: onChange}
+	return &Node{state: New(s, now(), 0), now: now, onChange: onChange, watchers: map[chan struct{}]struct{}{}}
 }
 
 // SetReplicas tells where the node learns the control replicas and their failure
@@ -60,6 +69,7 @@
 		n.mu.Lock()
 		changed := n.state.Tick(n.now())
 		asks := n.state.TakeAsks()
+		n.wakeWatchers()
 		n.mu.Unlock()
 		n.askAll(asks)
 		if len(changed) > 0 {
@@ -125,6 +135,7 @@
 func (n *Node) take(a *wire.Announcement, age time.Duration, local bool) (changed, superseded bool, known int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	defer n.wakeWatchers()
 	changed, superseded = n.state.Announce(n.now(), a, age, local)
 	return changed, superseded, n.state.Len()
 }
@@ -177,29 +188,82 @@
 }
 
 // Watch implements the Directory service: it sends the whole directory, then
-// what changes, and at least every vouchInterval a message that vouches for all
-// that has not changed.
+// what changes, and at least every vouchInterval, or more seldom where there are
+// many watchers, a message that vouches for all that has not changed.
 func (n *Node) Watch(req *wire.DirectoryWatchRequest, stream wire.DRPCDirectory_WatchStream) error {
-	tick := time.NewTicker(watchInterval)
-	defer tick.Stop()
+	changed, cancel := n.subscribe()
+	defer cancel()
+	timer := time.NewTimer(watchInterval)
+	defer timer.Stop()
 	view := &View{LocalOnly: req.LocalOnly, Known: req.Known}
-	var sent time.Time
+	next, due := vouchInterval, time.Time{}
 	for {
 		u, more := n.update(view)
-		now := n.now()
-		if more || worthSending(u) || now.Sub(sent) > vouchInterval-watchInterval/2 {
+		if more || worthSending(u) || !n.now().Before(due) {
+			next = n.speakInterval(req)
+			u.NextMs = uint32(next.Milliseconds())
 			if err := stream.Send(u); err != nil {
 				return err
 			}
-			sent = now
+			due = n.now().Add(next)
 		}
 		if more {
 			continue
 		}
+		// Changes are looked for again no sooner than watchInterval.
 		select {
 		case <-stream.Context().Done():
 			return nil
-		case <-tick.C:
+		case <-after(timer, watchInterval):
+		}
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case <-changed:
+		case <-after(timer, due.Sub(n.now())):
+		}
+	}
+}
+
+func after(t *time.Timer, d time.Duration) <-chan time.Time {
+	t.Reset(max(d, 0))
+	return t.C
+}
+
+// speakInterval is the longest time between two updates of a watcher. Replicas hear of each
+// other as often as ever: the word of one that fell silent must run out soon.
+func (n *Node) speakInterval(req *wire.DirectoryWatchRequest) time.Duration {
+	if req.LocalOnly {
+		return vouchInterval
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return SpeakInterval(vouchInterval, len(n.watchers))
+}
+
+func (n *Node) subscribe() (changed chan struct{}, cancel func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	ch := make(chan struct{}, 1)
+	n.watchers[ch] = struct{}{}
+	return ch, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.watchers, ch)
+	}
+}
+
+// wakeWatchers wakes the watchers if they lack something. The lock is held.
+func (n *Node) wakeWatchers() {
+	now := mark{n.state.changes.version, n.state.revisions}
+	if now == n.told {
+		return
+	}
+	n.told = now
+	for ch := range n.watchers {
+		select {
+		case ch <- struct{}{}:
+		default:
 		}
 	}
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -100,17 +100,17 @@
 
 // survey takes the states of ranks that the leader of their groups has read. It returns
 // the upstreams that are to be left because they are slow.
-func (f *fleet) survey(now time.Time, told *wire.RoutingVersion, place entryPlace) (slow []string) {
+func (f *fleet) survey(now time.Time, number uint64, ranks []*wire.RankState, place entryPlace) (slow []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.loads++
 	for _, p := range f.services {
-		known := slices.DeleteFunc(slices.Clone(told.Ranks), func(r *wire.RankState) bool { return p.ups[r.Upstream] == nil })
+		known := slices.DeleteFunc(slices.Clone(ranks), func(r *wire.RankState) bool { return p.ups[r.Upstream] == nil })
 		if len(known) == 0 {
 			continue
 		}
 		v := &route.Survey{
-			Entries: place.entries, Index: place.index, Number: told.Survey,
+			Entries: place.entries, Index: place.index, Number: number,
 			Seq: f.loads, Loads: surveyedLoads(known),
 		}
 		if b, ok := p.balancer.(route.Surveyed); ok {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -14,9 +14,11 @@
 const (
 	// rewatch is the pause before a watch that has ended is opened again.
 	rewatch = 150 * time.Millisecond
-	// silentRouting is how long a watch may say nothing: a replica speaks every half
-	// second, and behind a silent cut a connection doesn't break.
+	// silentRouting is how long a watch may say nothing, as long as its sender doesn't say
+	// when it speaks again: behind a silent cut a connection doesn't break.
 	silentRouting = 2 * time.Second
+	// silentParts is how many of the times that the sender tells it may be silent.
+	silentParts = 4
 	// fetchSpread is the time within which a watch begins to fetch a new version. The
 	// leader tells of it first; were it fetched at once, all entries would get it from
 	// there, and the leader has the most to do.
@@ -93,9 +95,8 @@
 		if err != nil {
 			return err
 		}
-		silence.Reset(silentRouting)
+		silence.Reset(max(silentRouting, silentParts*time.Duration(v.NextMs)*time.Millisecond))
 		w.heard(v)
-		w.takeSurvey(v)
 		if err := w.fetchWanted(ctx, v); err != nil {
 			return err
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -140,6 +140,7 @@
 	go g.node.Run(ctx)
 	g.node.FollowEach(ctx, g.targets.Addresses, g.pool.Conn, &wire.DirectoryWatchRequest{Watcher: g.settings.ID})
 	go g.followRouting(ctx)
+	go g.followSurveys(ctx)
 	go g.announceLoop(ctx)
 	kernel.Info(g.log, "Started.", "id", g.settings.ID, "failure_domain", g.settings.FailureDomain, "addr", g.callers.Addr(), "version", kernel.Version)
 	return nil
--- a/gateway/slowrank.go
+++ b/gateway/slowrank.go
@@ -73,12 +73,12 @@
 }
 
 // takeSurvey takes the states of ranks, and has running requests leave the slow ones.
-func (g *Gateway) takeSurvey(v *wire.RoutingVersion) {
-	if len(v.Ranks) == 0 {
+func (g *Gateway) takeSurvey(number uint64, ranks []*wire.RankState) {
+	if len(ranks) == 0 {
 		return
 	}
 	now := time.Now()
-	for _, id := range g.fleet.survey(now, v, g.placeAmongEntries()) {
+	for _, id := range g.fleet.survey(now, number, ranks, g.placeAmongEntries()) {
 		for _, w := range g.movable.at(id) {
 			if w.call.takeMove(now) {
 				g.believe("Request leaves a slow upstream.", "request", w.call.asked.ID, "upstream", id)
--- a/gateway/slowrank_test.go
+++ b/gateway/slowrank_test.go
@@ -49,12 +49,11 @@
 	return c
 }
 
-func survey(pace ...uint32) *wire.RoutingVersion {
-	v := &wire.RoutingVersion{Survey: 1}
+func survey(pace ...uint32) (list []*wire.RankState) {
 	for i, p := range pace {
-		v.Ranks = append(v.Ranks, &wire.RankState{Upstream: "r" + string(rune('0'+i)), Running: 6, PacePercent: p})
+		list = append(list, &wire.RankState{Upstream: "r" + string(rune('0'+i)), Running: 6, PacePercent: p})
 	}
-	return v
+	return list
 }
 
 // One rank turns slow while streams run there. What all callers of the group see is
@@ -63,9 +62,9 @@
 // stay where they are and aren't broken off.
 func TestStreamsLeaveASlowRankWithinTheBudget(t *testing.T) {
 	c := newSlowCase(t, 5, 3)
-	c.takeSurvey(survey(100, 100, 100, 100, 100, 100))
+	c.takeSurvey(1, survey(100, 100, 100, 100, 100, 100))
 	assert.Equal(t, len(c.left), 0)
-	c.takeSurvey(survey(100, 100, 500, 100, 100, 100))
+	c.takeSurvey(1, survey(100, 100, 500, 100, 100, 100))
 	assert.Equal(t, len(c.left), 3)
 	assert.Assert(t, !c.budgets.take("llm"), "a second attempt was given twice")
 }
@@ -76,14 +75,14 @@
 	for _, w := range c.movable.at("r2") {
 		w.call.sent.Store(1)
 	}
-	c.takeSurvey(survey(100, 100, 500, 100, 100, 100))
+	c.takeSurvey(1, survey(100, 100, 500, 100, 100, 100))
 	assert.Equal(t, len(c.left), 0)
 }
 
 // Where a good part of the ranks is slow the others have no room for what they run.
 func TestSlowGroupIsNotLeft(t *testing.T) {
 	c := newSlowCase(t, 2, 3)
-	c.takeSurvey(survey(500, 100, 500, 100, 100, 100))
+	c.takeSurvey(1, survey(500, 100, 500, 100, 100, 100))
 	assert.Equal(t, len(c.left), 0)
 	assert.Equal(t, len(toLeave([]*wire.RankState{{Upstream: "r0", PacePercent: 500}})), 0)
 }
--- a/lockstep/demand.go
+++ b/lockstep/demand.go
@@ -38,12 +38,11 @@
 // DefaultDemandSettings are those of usual windows.
 func DefaultDemandSettings() DemandSettings { return DemandSettingsFor(usualWindow) }
 
-// Demand estimates how often each expert is chosen, from counters that only grow
-// while a rank runs. Ranks may be read at different times and be missing.
+// Demand estimates how often each expert is chosen, from what the ranks tell. They may be
+// read at different times, one by one or summed up, and be missing.
 type Demand struct {
 	settings DemandSettings
 	shape    Shape
-	last     map[int]counters
 	window   [][]float64
 	began    time.Time
 	load     [][]float64
@@ -52,24 +51,9 @@
 	shifts  int
 }
 
-// Run is one run of a rank: an instance may start again under its ID, and its counters
-// begin anew.
-type Run struct {
-	Instance    string
-	Incarnation uint64
-}
-
-// counters are what a rank said last.
-type counters struct {
-	run    Run
-	counts []uint64
-}
-
 // NewDemand makes an estimate without observations.
 func NewDemand(settings DemandSettings, s Shape) *Demand {
-	d := &Demand{settings: settings, shape: s, last: map[int]counters{}}
-	d.window = zeros(s)
-	return d
+	return &Demand{settings: settings, shape: s, window: zeros(s)}
 }
 
 func zeros(s Shape) [][]float64 {
@@ -80,16 +64,16 @@
 	return out
 }
 
-// Observe takes a rank's counters. The first ones of a run tell nothing: they
-// count since its start. It returns whether a window has been closed.
-func (d *Demand) Observe(now time.Time, rank int, run Run, counts []uint64) bool {
-	if len(counts) != d.shape.Sets*d.shape.Experts {
+// Observe takes what was chosen at some ranks, set by set, expert by expert. It returns
+// whether a window has been closed.
+func (d *Demand) Observe(now time.Time, chosen []uint32) bool {
+	if len(chosen) != d.shape.Sets*d.shape.Experts {
 		return false
 	}
-	old := d.last[rank]
-	d.last[rank] = counters{run: run, counts: counts}
-	if old.run == run {
-		d.add(old.counts, counts)
+	for set, counts := range d.window {
+		for e, n := range chosen[set*d.shape.Experts : (set+1)*d.shape.Experts] {
+			counts[e] += float64(n)
+		}
 	}
 	if d.began.IsZero() {
 		d.began = now
@@ -100,14 +84,6 @@
 	return d.close(now)
 }
 
-func (d *Demand) add(old, counts []uint64) {
-	for i, n := range counts {
-		if n > old[i] {
-			d.window[i/d.shape.Experts][i%d.shape.Experts] += float64(n - old[i])
-		}
-	}
-}
-
 // close ends a window. One without any choice is no observation.
 func (d *Demand) close(now time.Time) bool {
 	d.began = now
--- a/lockstep/plan_test.go
+++ b/lockstep/plan_test.go
@@ -159,12 +159,14 @@
 	for r := range counts {
 		counts[r] = make([]uint64, small.Sets*small.Experts)
 	}
+	choices := make([]Choices, small.Ranks)
+	incarnations := slices.Repeat([]uint64{1}, small.Ranks)
 	now := time.Unix(1000, 0)
 	window := func(load [][]float64) {
 		now = now.Add(settings.Window)
 		count(counts, load, 10_000)
 		for r := range counts {
-			d.Observe(now, r, Run{Instance: "i"}, slices.Clone(counts[r]))
+			d.Observe(now, choices[r].Since(1, incarnations[r], slices.Clone(counts[r])))
 		}
 	}
 	before, after := zipf(small, 1.1, 0), zipf(small, 1.1, 29)
@@ -184,7 +186,8 @@
 
 	shifts := d.Shifts()
 	clear(counts[3])
-	d.Observe(now, 3, Run{Instance: "j"}, slices.Clone(counts[3]))
+	incarnations[3] = 2
+	d.Observe(now, choices[3].Since(1, incarnations[3], slices.Clone(counts[3])))
 	for range 5 {
 		window(after)
 	}
--- /dev/null
+++ b/lockstep/relays_test.go
@@ -0,0 +1,70 @@
+package lockstep
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// The load: a leader on a small host has 192 ranks in five failure domains. It has calls
+// for about the root of them, and each rank is called through one of its own failure
+// domain.
+func TestRelaysStayInTheirFailureDomain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), directRanks+1, 400).Draw(t, "domains")
+		r := NewRelays(domains)
+		now := time.Unix(100, 0)
+		for rank, domain := range domains {
+			part, ok := r.Part(rank)
+			assert.Assert(t, ok)
+			via, ok := r.Via(now, part)
+			assert.Assert(t, ok)
+			assert.Equal(t, domains[via], domain)
+		}
+		assert.Assert(t, r.Calls()*r.Calls() <= 4*len(domains)+10*r.Calls(), "%d calls for %d ranks", r.Calls(), len(domains))
+	})
+}
+
+func TestRelaysOfAnEvenGroup(t *testing.T) {
+	var domains []string
+	for i := range 192 {
+		domains = append(domains, fmt.Sprint("d", i%5))
+	}
+	assert.Equal(t, NewRelays(domains).Calls(), 15)
+}
+
+func TestSmallGroupsAreCalledDirectly(t *testing.T) {
+	r := NewRelays(make([]string, directRanks))
+	_, ok := r.Part(3)
+	assert.Assert(t, !ok)
+	assert.Equal(t, r.Calls(), directRanks)
+}
+
+// The caller sees streams that pause until the leader of the group reads and orders again.
+// The host of a relay stands still: the next rank of the part takes its place at the next
+// call, and the part is called without a relay once none answers. A relay that is back is
+// used again after its rest.
+func TestLostRelayIsReplaced(t *testing.T) {
+	domains := make([]string, 25)
+	r := NewRelays(domains)
+	now := time.Unix(100, 0)
+	part, _ := r.Part(0)
+	first, _ := r.Via(now, part)
+	r.Failed(now, first)
+	second, ok := r.Via(now, part)
+	assert.Assert(t, ok)
+	assert.Assert(t, second != first)
+	for {
+		via, ok := r.Via(now, part)
+		if !ok {
+			break
+		}
+		r.Failed(now, via)
+	}
+	again, ok := r.Via(now.Add(relayRest), part)
+	assert.Assert(t, ok)
+	assert.Equal(t, again, first)
+}
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -58,13 +58,14 @@
 	return cmp.Or(kernel.CheckAddress("listen", s.Listen), kernel.CheckAddress("rank", s.Rank))
 }
 
-// Daemon relays readings and orders to the rank beside it. It implements
-// kernel.Daemon and keeps no state: what may be ordered is decided by who holds the
-// group's fencing token.
+// Daemon passes readings and orders on to the rank beside it, and as a relay to other
+// ranks. It implements kernel.Daemon and keeps no state but the counters that leaders were
+// told last: what may be ordered is decided by who holds the group's fencing token.
 type Daemon struct {
 	settings *Settings
 	log      log.Logger
 	srv      *transport.Server
+	pool     *transport.Pool
 	client   *direct.Client
 	lis      net.Listener
 	cancel   context.CancelFunc
@@ -84,10 +85,11 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings: s, log: kernel.PartLog(l, "sidecar"), srv: transport.NewServer(sec),
+		settings: s, log: kernel.PartLog(l, "sidecar"), srv: transport.NewServer(sec), pool: transport.NewPool(sec),
 		client: direct.NewClient(transport.NewDialer(dialRank).DialContext),
 	}
-	return d, wire.DRPCRegisterSidecar(d.srv.Mux, NewRank(d.client, dia, s.Rank, orderAnswer))
+	rank := NewRank(d.client, dia, s.Rank, orderAnswer)
+	return d, wire.DRPCRegisterSidecar(d.srv.Mux, NewService(rank, s.Listen, d.pool))
 }
 
 // Start implements kernel.Daemon.
@@ -115,6 +117,7 @@
 		_ = d.lis.Close()
 	}
 	d.srv.Close()
+	d.pool.Close()
 	d.client.Close()
 	return 0
 }
--- a/sidecar/rank.go
+++ b/sidecar/rank.go
@@ -34,6 +34,8 @@
 	// answer is how long an order's answer is waited for before the rank is asked
 	// for its state instead.
 	answer time.Duration
+	// choices are told to leaders as what has been added.
+	choices lockstep.Choices
 }
 
 // NewRank makes a rank that is called through a client. Its orders are answered, or
@@ -52,7 +54,10 @@
 	}
 	if req.Counts {
 		_, err = get(ctx, r, calls.Counts, req.Instance, func(body []byte) (none struct{}, err error) {
-			out.Epoch, out.Counts, err = r.dialect.DecodeCounts(body)
+			var counts []uint64
+			if out.Epoch, counts, err = r.dialect.DecodeCounts(body); err == nil {
+				out.Chosen = r.choices.Since(req.Reader, out.Report.Incarnation, counts)
+			}
 			return none, err
 		})
 		if err != nil {
