Maps are told as changes to the one in force, choices packed

Cause: the link of the host beside a rank carries 6 Mbit/s. Change: a map is told as the ranks and sets that differ from the one in force (by its version; from the map in turn for a new group), which sidecars know from the order before; one that has started since says so, and is told the whole (RANK_ORDER_STATUS_NO_BASE). Choices take the bits that suit most of them. The limit of a relay grows with the map.

--- a/control/lockstepcalls.go
+++ b/control/lockstepcalls.go
@@ -16,16 +16,23 @@
 
 const (
 	// relayReadLimit and relayOrderLimit are how long a relay waits for its ranks, beyond
-	// the time that a reading awaits a copy. A rank answers its sidecar within milliseconds;
-	// one whose host stands still delays the others of its part by this, once in
-	// sidecarRest.
-	relayReadLimit  = 150 * time.Millisecond
+	// the time that a reading awaits a copy. A rank answers its sidecar within milliseconds,
+	// and 13 answers with counters take 40 ms of a relay's link; a rank whose host stands
+	// still delays the others of its part by this, once in sidecarRest.
+	relayReadLimit  = 250 * time.Millisecond
 	relayOrderLimit = 120 * time.Millisecond
-	// relaySlack is for the way to a relay and back. A round of orders to twenty ranks is
-	// 0.2 MB of maps, which take a sidecar's link of 6 Mbit/s as long again.
-	relaySlack = 150 * time.Millisecond
+	// relayRate is what the link of a relay carries at least, in bytes a second: what maps
+	// take to go through it comes on top of relayOrderLimit.
+	relayRate = 500_000
+	// relaySlack is for the way to a relay and back.
+	relaySlack = 100 * time.Millisecond
 )
 
+// orderLimit is how long a relay may take for orders that carry a map of so many bytes each.
+func orderLimit(orders, mapBytes int) time.Duration {
+	return relayOrderLimit + time.Duration(orders*mapBytes)*time.Second/relayRate
+}
+
 // partOf is the part of the group that a rank is called with now; noPart if it is called
 // alone, as one whose sidecar doesn't answer.
 func (g *lockstepGroup) partOf(now time.Time, rank int) int {
@@ -113,19 +120,29 @@
 	kernel.Debug(g.log, "Sidecar doesn't answer.", "group", g.name, "upstream", link.instance)
 }
 
+// bundleKey is what orders have in common that one call may pass to a relay: the part of the
+// group, and the encoded map, which is made once for all that are told the same.
+type bundleKey struct {
+	part    int
+	experts *byte
+}
+
 // sendAll gives the orders of one round.
 func (g *lockstepGroup) sendAll(ctx context.Context, now time.Time, orders []lockstep.Order) {
-	byPart := map[int][]lockstep.Order{}
+	bundles := map[bundleKey][]lockstep.Order{}
 	for _, o := range orders {
-		part := g.partOf(now, o.Rank)
-		byPart[part] = append(byPart[part], o)
+		key := bundleKey{part: g.partOf(now, o.Rank)}
+		if len(o.Map) > 0 {
+			key.experts = &o.Map[0]
+		}
+		bundles[key] = append(bundles[key], o)
 	}
-	for part, list := range byPart {
+	for key, list := range bundles {
 		ranks := make([]int, len(list))
 		for n, o := range list {
 			ranks[n] = o.Rank
 		}
-		if via, ok := g.relayOf(now, part, ranks); ok {
+		if via, ok := g.relayOf(now, key.part, ranks); ok {
 			g.sendMany(ctx, via, list)
 			continue
 		}
@@ -135,15 +152,16 @@
 	}
 }
 
-// sendMany gives orders through a relay. The orders of one round carry one map, or none.
+// sendMany gives orders through a relay; all carry one map, or none.
 func (g *lockstepGroup) sendMany(ctx context.Context, via int, orders []lockstep.Order) {
-	req := &wire.OrderRanksRequest{Map: orders[0].Map, LimitMs: uint32(relayOrderLimit.Milliseconds())}
+	limit := orderLimit(len(orders), len(orders[0].Map))
+	req := &wire.OrderRanksRequest{Map: orders[0].Map, LimitMs: uint32(limit.Milliseconds())}
 	links, switcher, relay, epoch := g.links, g.switcher, g.sidecarOf(g.links[via]), g.epoch
 	for _, o := range orders {
 		req.Orders = append(req.Orders, &wire.PlacedOrder{Order: withoutMap(o.RankOrder), Sidecar: g.sidecarOf(links[o.Rank])})
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, relayOrderLimit+relaySlack)
+		ctx, cancel := context.WithTimeout(ctx, limit+relaySlack)
 		defer cancel()
 		reply, err := g.sidecarClient(relay).OrderRanks(ctx, req)
 		g.mu.Lock()
--- a/control/lockstepranks.go
+++ b/control/lockstepranks.go
@@ -151,7 +151,12 @@
 }
 
 // observe takes what was chosen at some ranks.
-func (g *lockstepGroup) observe(chosen []uint32) {
+func (g *lockstepGroup) observe(packed []byte) {
+	chosen, err := lockstep.UnpackChoices(packed)
+	if err != nil {
+		kernel.Warn(g.log, "Choices can't be read.", "group", g.name, "err", err)
+		return
+	}
 	if len(chosen) > 0 {
 		g.demand.Observe(g.clock(), chosen)
 	}
--- a/lockstep/expertmap.go
+++ b/lockstep/expertmap.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"github.com/ansel1/merry/v2"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/snipereach/snipereach/wire"
 )
@@ -134,45 +133,3 @@
 	}
 	return out
 }
-
-// encode is a map as orders carry it.
-func (m Map) encode() []byte {
-	out := &wire.ExpertMap{}
-	for _, ranks := range m {
-		out.Ranks = uint32(len(ranks))
-		for _, experts := range ranks {
-			out.Counts = append(out.Counts, uint32(len(experts)))
-			out.Experts = append(out.Experts, experts...)
-		}
-	}
-	data, err := proto.Marshal(out)
-	if err != nil {
-		// Numbers can always be encoded.
-		panic(err)
-	}
-	return data
-}
-
-// DecodeMap reads the map that an order carries; nil if it carries none.
-func DecodeMap(data []byte) (Map, error) {
-	if len(data) == 0 {
-		return nil, nil
-	}
-	in := &wire.ExpertMap{}
-	if err := proto.Unmarshal(data, in); err != nil {
-		return nil, merry.Prepend(ErrMap, err.Error())
-	}
-	ranks, experts := int(in.Ranks), in.Experts
-	if ranks == 0 || len(in.Counts)%ranks != 0 {
-		return nil, merry.Prependf(ErrMap, "%d counts for %d ranks", len(in.Counts), ranks)
-	}
-	m := make(Map, len(in.Counts)/ranks)
-	for i, n := range in.Counts {
-		if int(n) > len(experts) {
-			return nil, merry.Prependf(ErrMap, "%d experts are missing", int(n)-len(experts))
-		}
-		m[i/ranks] = append(m[i/ranks], experts[:n:n])
-		experts = experts[n:]
-	}
-	return m, nil
-}
--- /dev/null
+++ b/lockstep/mapcode.go
@@ -0,0 +1,170 @@
+package lockstep
+
+import (
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// ErrNoBase is returned for a map that is told as changes to one that isn't known.
+var ErrNoBase = merry.Sentinel("base of an expert map isn't known")
+
+// baseInTurn is the version that stands for the map in which experts go to ranks in turn.
+const baseInTurn = 0
+
+// mapInTurn is that map.
+func mapInTurn(ranks, sets, experts int) Map {
+	m := make(Map, sets)
+	for set := range m {
+		m[set] = make([][]uint32, ranks)
+		for e := range experts {
+			m[set][e%ranks] = append(m[set][e%ranks], uint32(e))
+		}
+	}
+	return m
+}
+
+// encode is a map as orders carry it: whole, or as changes to the map in turn if that is
+// shorter, as it is for a group that has formed lately.
+func (m Map) encode() []byte {
+	out := &wire.ExpertMap{}
+	for _, ranks := range m {
+		out.Ranks = uint32(len(ranks))
+		for _, experts := range ranks {
+			out.Counts = append(out.Counts, uint32(len(experts)))
+			out.Experts = append(out.Experts, experts...)
+		}
+	}
+	whole := marshalMap(out)
+	if changes := m.encodeChanges(mapInTurn(int(out.Ranks), len(m), m.experts()), baseInTurn); len(changes) < len(whole) {
+		return changes
+	}
+	return whole
+}
+
+// encodeChanges is a map as the ranks and sets in which it differs from a base. A switch changes some tens of them: 1 kB for each of 192 ranks and not
+// 10, which over a relay's link of 6 Mbit/s took longer than a rank takes to copy an expert.
+func (m Map) encodeChanges(base Map, version uint64) []byte {
+	changes := &wire.MapChanges{Base: version, Sets: uint32(len(m)), Experts: uint32(m.experts())}
+	out := &wire.ExpertMap{Changes: changes}
+	for set, ranks := range m {
+		out.Ranks = uint32(len(ranks))
+		for r, experts := range ranks {
+			if slices.Equal(experts, base[set][r]) {
+				continue
+			}
+			changes.Changed = append(changes.Changed, uint32(set*len(ranks)+r))
+			out.Counts = append(out.Counts, uint32(len(experts)))
+			out.Experts = append(out.Experts, experts...)
+		}
+	}
+	return marshalMap(out)
+}
+
+// experts is how many experts a set has: each is on some rank.
+func (m Map) experts() int {
+	n := 0
+	for _, ranks := range m {
+		for _, experts := range ranks {
+			for _, e := range experts {
+				n = max(n, int(e)+1)
+			}
+		}
+	}
+	return n
+}
+
+func marshalMap(m *wire.ExpertMap) []byte {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		// Numbers can always be encoded.
+		panic(err)
+	}
+	return data
+}
+
+// Bounds of a map that is read.
+const (
+	maxCells   = 1 << 20
+	maxExperts = 1 << 16
+)
+
+// DecodeMap reads the map that an order carries; nil if it carries none. base returns the
+// map of a version; nil if it isn't known.
+func DecodeMap(data []byte, base func(version uint64) Map) (Map, error) {
+	if len(data) == 0 {
+		return nil, nil
+	}
+	in := &wire.ExpertMap{}
+	if err := proto.Unmarshal(data, in); err != nil {
+		return nil, merry.Prepend(ErrMap, err.Error())
+	}
+	ranks := int(in.Ranks)
+	if ranks == 0 {
+		return nil, merry.Prepend(ErrMap, "no ranks")
+	}
+	if c := in.Changes; c != nil {
+		m, err := baseOf(c, ranks, base)
+		if err != nil {
+			return nil, err
+		}
+		return m, m.fill(in, c.Changed)
+	}
+	if len(in.Counts)%ranks != 0 {
+		return nil, merry.Prependf(ErrMap, "%d counts for %d ranks", len(in.Counts), ranks)
+	}
+	m := make(Map, len(in.Counts)/ranks)
+	cells := make([]uint32, len(in.Counts))
+	for i := range cells {
+		cells[i] = uint32(i)
+	}
+	for set := range m {
+		m[set] = make([][]uint32, ranks)
+	}
+	return m, m.fill(in, cells)
+}
+
+// baseOf is a copy of the map that changes are based on; its lists are shared.
+func baseOf(c *wire.MapChanges, ranks int, base func(version uint64) Map) (Map, error) {
+	if uint64(ranks)*uint64(c.Sets) > maxCells || c.Experts > maxExperts {
+		return nil, merry.Prependf(ErrMap, "%d ranks, %d sets of %d experts", ranks, c.Sets, c.Experts)
+	}
+	if c.Base == baseInTurn {
+		return mapInTurn(ranks, int(c.Sets), int(c.Experts)), nil
+	}
+	known := base(c.Base)
+	if known == nil {
+		return nil, merry.Prependf(ErrNoBase, "version %d", c.Base)
+	}
+	if len(known) != int(c.Sets) || len(known) == 0 || len(known[0]) != ranks {
+		return nil, merry.Prependf(ErrMap, "base %d has another shape", c.Base)
+	}
+	m := make(Map, len(known))
+	for set := range known {
+		m[set] = slices.Clone(known[set])
+	}
+	return m, nil
+}
+
+// fill sets the cells that a message tells of.
+func (m Map) fill(in *wire.ExpertMap, cells []uint32) error {
+	ranks, experts := int(in.Ranks), in.Experts
+	if len(cells) != len(in.Counts) {
+		return merry.Prependf(ErrMap, "%d counts for %d places", len(in.Counts), len(cells))
+	}
+	for i, n := range in.Counts {
+		if int(n) > len(experts) {
+			return merry.Prependf(ErrMap, "%d experts are missing", int(n)-len(experts))
+		}
+		set, rank := int(cells[i])/ranks, int(cells[i])%ranks
+		if set >= len(m) {
+			return merry.Prependf(ErrMap, "set %d of %d", set, len(m))
+		}
+		m[set][rank] = experts[:n:n]
+		experts = experts[n:]
+	}
+	return nil
+}
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -71,6 +71,7 @@
 	search(sets)
 	for _, st := range sets {
 		p.Copies += st.copied
+		st.restoreOrder()
 		p.Map[st.set] = st.hold
 	}
 	p.After = p.Map.Skew(load, pace)
@@ -251,6 +252,16 @@
 	}
 }
 
+// restoreOrder gives ranks that hold what they held before the search the same list: trials
+// change the order, and a map is told as what differs from the one before.
+func (st *setState) restoreOrder() {
+	for r, experts := range st.hold {
+		if len(experts) == len(st.base[r]) && !slices.ContainsFunc(experts, func(e uint32) bool { return st.cost(r, e) > 0 }) {
+			st.hold[r] = st.base[r]
+		}
+	}
+}
+
 // cost is 1 if a rank would have to copy an expert.
 func (st *setState) cost(r int, e uint32) int {
 	if slices.Contains(st.base[r], e) {
--- a/lockstep/plan_test.go
+++ b/lockstep/plan_test.go
@@ -237,7 +237,7 @@
 			}
 		}
 		data := m.encode()
-		back, err := DecodeMap(data)
+		back, err := DecodeMap(data, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -248,13 +248,13 @@
 				}
 			}
 		}
-		if cut, err := DecodeMap(data[:rapid.IntRange(0, len(data)-1).Draw(t, "cut")]); err == nil && len(cut) == len(m) && len(m) > 0 && !slices.EqualFunc(cut[0], m[0], slices.Equal[[]uint32]) {
+		if cut, err := DecodeMap(data[:rapid.IntRange(0, len(data)-1).Draw(t, "cut")], nil); err == nil && len(cut) == len(m) && len(m) > 0 && !slices.EqualFunc(cut[0], m[0], slices.Equal[[]uint32]) {
 			t.Fatalf("a cut map was read as %v, not %v", cut, m)
 		}
 	})
-	none, err := DecodeMap(nil)
+	none, err := DecodeMap(nil, nil)
 	assert.NilError(t, err)
 	assert.Assert(t, none == nil)
-	_, err = DecodeMap([]byte{0xff})
+	_, err = DecodeMap([]byte{0xff}, nil)
 	assert.ErrorIs(t, err, ErrMap)
 }
--- a/lockstep/switcher.go
+++ b/lockstep/switcher.go
@@ -123,6 +123,8 @@
 	// leader of 72 ranks 0.15 s of processor time a switch, in which it gave no sign of
 	// life to its followers.
 	targetEncoded []byte
+	// targetChanges is the target as changes to the map in force; nil if that has no version.
+	targetChanges []byte
 	step          uint64
 	// holder is the rank at which the group is held, holds how often it was tried.
 	holder, holds int
@@ -150,6 +152,17 @@
 	accepted uint64
 	// fenced says that the rank has carried out an order of this leader.
 	fenced bool
+	// lacksBase says that the process beside the rank didn't know the map in force when it
+	// was told of changes to it: it has started since. Whole maps are told until it has one.
+	lacksBase bool
+}
+
+// mapFor is the target as a rank is to be told of it.
+func (s *Switcher) mapFor(r *rank) []byte {
+	if r.lacksBase || s.targetChanges == nil || len(s.targetChanges) >= len(s.targetEncoded) {
+		return s.targetEncoded
+	}
+	return s.targetChanges
 }
 
 // New makes a switcher that has heard of nothing.
@@ -214,7 +227,10 @@
 // Begin starts a switch to another map.
 func (s *Switcher) Begin(now time.Time, m Map) {
 	s.used++
-	s.version, s.target, s.targetEncoded = s.used, m, m.encode()
+	s.version, s.target, s.targetEncoded, s.targetChanges = s.used, m, m.encode(), nil
+	if v := s.ranks[0].report.GetMap(); v != baseInTurn && s.current != nil {
+		s.targetChanges = m.encodeChanges(s.current, v)
+	}
 	for i := range s.ranks {
 		// Each rank prepares another version now.
 		s.ranks[i].armDoubt = 0
@@ -296,8 +312,10 @@
 	case wire.RankOrderStatus_RANK_ORDER_STATUS_BEGUN, wire.RankOrderStatus_RANK_ORDER_STATUS_DONE:
 		r.fenced = true
 		if o.Kind == wire.RankOrderKind_RANK_ORDER_KIND_PREPARE {
-			r.accepted = o.Version
+			r.accepted, r.lacksBase = o.Version, false
 		}
+	case wire.RankOrderStatus_RANK_ORDER_STATUS_NO_BASE:
+		r.lacksBase, r.sent = true, time.Time{}
 	case wire.RankOrderStatus_RANK_ORDER_STATUS_FENCED:
 		s.outcome = "another leader has a higher fencing token"
 	}
--- a/lockstep/switcher_test.go
+++ b/lockstep/switcher_test.go
@@ -147,3 +147,35 @@
 	assert.Equal(t, len(awaited()), 3)
 	assert.Assert(t, !s.Awaits(other) && s.Awaits(s.holder))
 }
+
+// The process beside a rank starts again between two switches, so that it doesn't know the map
+// in force. It is told the whole map at once, the others the changes; the group isn't held
+// meanwhile.
+func TestRankWithoutBaseIsToldTheWholeMap(t *testing.T) {
+	s := New(DefaultConfig(2, 1, 1))
+	now := time.Unix(100, 0)
+	for i := range 2 {
+		s.Heard(now, i, "r", &wire.RankReport{Step: 1, Map: 5})
+	}
+	current := mapInTurn(2, 40, 8)
+	s.SetCurrent(current)
+	next := current.Clone()
+	next[3][1] = append(next[3][1], 0)
+	s.Begin(now, next)
+	orders := s.Tick(now)
+	assert.Equal(t, len(orders), 2)
+	for _, o := range orders {
+		got, err := DecodeMap(o.Map, func(uint64) Map { return current })
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, next)
+	}
+	s.Replied(now, 0, orders[0].RankOrder, &wire.RankOrderReply{Status: wire.RankOrderStatus_RANK_ORDER_STATUS_BEGUN, After: &wire.RankReport{Step: 1, Map: 5}})
+	s.Replied(now, 1, orders[1].RankOrder, &wire.RankOrderReply{Status: wire.RankOrderStatus_RANK_ORDER_STATUS_NO_BASE, After: &wire.RankReport{Step: 1, Map: 5}})
+	again := s.Tick(now.Add(time.Millisecond))
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Rank, 1)
+	got, err := DecodeMap(again[0].Map, nil)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, next)
+	assert.Equal(t, s.Phase(), Preparing)
+}
--- a/lockstep/switchersteps.go
+++ b/lockstep/switchersteps.go
@@ -73,7 +73,7 @@
 		done = false
 		if r.accepted != s.version {
 			out = append(out, s.order(now, i, &wire.RankOrder{
-				Kind: wire.RankOrderKind_RANK_ORDER_KIND_PREPARE, Version: s.version, Map: s.targetEncoded,
+				Kind: wire.RankOrderKind_RANK_ORDER_KIND_PREPARE, Version: s.version, Map: s.mapFor(r),
 			})...)
 		}
 	}
--- a/sidecar/rank.go
+++ b/sidecar/rank.go
@@ -4,8 +4,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -36,6 +39,7 @@
 	answer time.Duration
 	// choices are told to leaders as what has been added.
 	choices lockstep.Choices
+	maps    knownMaps
 }
 
 // NewRank makes a rank that is called through a client. Its orders are answered, or
@@ -56,7 +60,7 @@
 		_, err = get(ctx, r, calls.Counts, req.Instance, func(body []byte) (none struct{}, err error) {
 			var counts []uint64
 			if out.Epoch, counts, err = r.dialect.DecodeCounts(body); err == nil {
-				out.Chosen = r.choices.Since(req.Reader, out.Report.Incarnation, counts)
+				out.Chosen = lockstep.PackChoices(r.choices.Since(req.Reader, out.Report.Incarnation, counts))
 			}
 			return none, err
 		})
@@ -94,15 +98,15 @@
 // Order gives an order. Its status is unknown if the answer doesn't come.
 func (r *Rank) Order(ctx context.Context, o *wire.RankOrder) (*wire.RankOrderReply, error) {
 	reply := &wire.RankOrderReply{}
-	experts, err := lockstep.DecodeMap(o.Map)
-	if err != nil {
+	experts, err := lockstep.DecodeMap(o.Map, r.maps.get)
+	switch {
+	case errors.Is(err, lockstep.ErrNoBase):
+		reply.Status = wire.RankOrderStatus_RANK_ORDER_STATUS_NO_BASE
+	case err != nil:
 		return nil, err
-	}
-	waiting, cancel := context.WithTimeout(ctx, r.answer)
-	defer cancel()
-	status, _, err := r.call(waiting, r.dialect.RankCalls().Order, o.Instance, r.dialect.EncodeOrder(o, experts))
-	if err == nil {
-		reply.Status = r.dialect.OrderStatus(status)
+	default:
+		r.maps.keep(o.Version, experts)
+		reply.Status = r.give(ctx, o, experts)
 	}
 	after, err := r.Read(ctx, &wire.ReadRankRequest{Instance: o.Instance})
 	if err == nil {
@@ -111,6 +115,57 @@
 	return reply, nil
 }
 
+// give sends an order to the rank; its status is unknown if no answer comes.
+func (r *Rank) give(ctx context.Context, o *wire.RankOrder, experts lockstep.Map) wire.RankOrderStatus {
+	ctx, cancel := context.WithTimeout(ctx, r.answer)
+	defer cancel()
+	status, _, err := r.call(ctx, r.dialect.RankCalls().Order, o.Instance, r.dialect.EncodeOrder(o, experts))
+	if err != nil {
+		return wire.RankOrderStatus_RANK_ORDER_STATUS_UNKNOWN
+	}
+	return r.dialect.OrderStatus(status)
+}
+
+// mostMaps is how many maps are kept: the one in force, one that is prepared, and those of a
+// switch or two that were given up.
+const mostMaps = 4
+
+// knownMaps are the latest maps that orders to this rank carried. A version has one content:
+// versions begin with the fencing token of the leader that made them.
+type knownMaps struct {
+	mu   sync.Mutex
+	list []versionedMap
+}
+
+type versionedMap struct {
+	version uint64
+	experts lockstep.Map
+}
+
+func (k *knownMaps) get(version uint64) lockstep.Map {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, m := range k.list {
+		if m.version == version {
+			return m.experts
+		}
+	}
+	return nil
+}
+
+func (k *knownMaps) keep(version uint64, experts lockstep.Map) {
+	if experts == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.list = slices.DeleteFunc(k.list, func(m versionedMap) bool { return m.version == version })
+	k.list = append(k.list, versionedMap{version, experts})
+	if len(k.list) > mostMaps {
+		k.list = slices.Delete(k.list, 0, 1)
+	}
+}
+
 func get[T any](ctx context.Context, r *Rank, c dialect.Call, instance string, decode func([]byte) (T, error)) (T, error) {
 	var none T
 	status, body, err := r.call(ctx, c, instance, nil)
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -65,15 +65,21 @@
 		return s.at(ctx, place.Sidecar).Read(ctx, read)
 	})
 	reply := &wire.ReadRanksReply{}
+	var sum []uint32
 	for _, a := range got {
 		reading := a.value
 		if reading == nil {
 			reading = &wire.RankReading{}
 		}
-		reply.Chosen = lockstep.AddChoices(reply.Chosen, reading.Chosen)
+		chosen, err := lockstep.UnpackChoices(reading.Chosen)
+		if err != nil {
+			return nil, err
+		}
+		sum = lockstep.AddChoices(sum, chosen)
 		reading.Chosen = nil
 		reply.Readings = append(reply.Readings, reading)
 	}
+	reply.Chosen = lockstep.PackChoices(sum)
 	return reply, nil
 }
 
