Fewer slots of a group are used while its passes are too long for its callers

Hypothesis: three quarters of the streams in shorter passes serve a tenth fewer, most of them in time. Change: an entry uses fewer slots, by a tenth a second and down to half, while over 12 in 100 of the time is spent in long passes, and more again, by a twentieth a second, below 4 in 100. Pauses of a held group are no passes.

--- a/gateway/brake.go
+++ b/gateway/brake.go
@@ -41,14 +41,17 @@
 // passed takes the pause between two events of a stream, and the one that its caller is
 // content with. All streams of a group have an event at the end of each pass; one that
 // moved between upstreams has a longer pause, so the shortest tells the pass.
-func (b *brake) passed(now time.Time, pause, content time.Duration) {
+//
+// It returns whether the pause begins another pass.
+func (b *brake) passed(now time.Time, pause, content time.Duration) (another bool) {
 	if content <= 0 {
-		return
+		return false
 	}
 	if now.Sub(b.at) < pause/2 {
 		b.pass = min(b.pass, pause)
 	} else {
 		b.before, b.pass, b.at, b.content = b.pass, pause, now, content
+		another = true
 	}
 	switch full := b.fill() >= fullPart; {
 	case !full:
@@ -56,6 +59,7 @@
 	case b.fullSince.IsZero():
 		b.fullSince = now
 	}
+	return another
 }
 
 // fill is the part of the content pause that the next pass is expected to take: it grows
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -149,7 +149,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.services[service]
-	p.gate.brake.passed(now, pause, content)
+	before := p.gate.brake.pass
+	if p.gate.brake.passed(now, pause, content) {
+		// The pass before is known in full now: all streams have told it.
+		p.gate.relief.passed(before, content)
+	}
 }
 
 // head is the usual time to the head of an answer of a service.
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -88,6 +88,7 @@
 	// refused is the smoothed part of the requests that found no slot.
 	refused float64
 	brake   brake
+	relief  relief
 }
 
 // formed takes what the upstreams that are up have registered.
@@ -253,11 +254,11 @@
 	if now.Sub(g.told) >= occupancyLife {
 		return max(int(shareMargin*slots/n), 1)
 	}
-	taken := g.occupancy * slots
-	if free := fillPart*slots - taken; free > 0 {
-		return max(g.held+int(math.Ceil(freeMargin*free/n)), int(slots/n), 1)
+	taken, usable := g.occupancy*slots, g.relief.part()*slots
+	if free := fillPart*usable - taken; free > 0 {
+		return max(g.held+int(math.Ceil(freeMargin*free/n)), int(usable/n), 1)
 	}
-	return max(int(float64(g.held)*fillPart*slots/taken), 1)
+	return max(int(float64(g.held)*fillPart*usable/taken), 1)
 }
 
 func (g *gate) leave() { g.inflight-- }
