Schedules with relays that fail, delay and double; an arm order that was answered may come again

10,000 schedules in which orders go through relays that are lost in the middle of a round, stand still and pass orders on seconds later, or pass each on twice, with hosts that answer nothing, overlapping leaders and groups that form again. Our own calls aren't doubled, nor do the ranks promise more than that an order without an answer may come late; the Switcher now doubts each arm order that was given, until the rank has prepared another version. It costs one order a rank where a switch is given up.

--- a/lockstep/sim_test.go
+++ b/lockstep/sim_test.go
@@ -49,9 +49,12 @@
 	calm bool
 	// late is the share of orders without an answer that are carried out seconds later.
 	late, lost float64
-	broken     string
-	finished   int
-	log        []string
+	// relays says that orders go through relays, unageing that these don't tell how long an
+	// answer has waited.
+	relays, unageing bool
+	broken           string
+	finished         int
+	log              []string
 }
 
 // simLeader drives a Switcher as a control replica does.
@@ -229,8 +232,13 @@
 		s.maps[l.switcher.Version()] = next
 	}
 	before := l.switcher.Phase()
-	for _, o := range l.switcher.Tick(s.time()) {
-		s.send(l, o)
+	orders := l.switcher.Tick(s.time())
+	if s.relays {
+		s.sendThroughRelays(l, orders)
+	} else {
+		for _, o := range orders {
+			s.send(l, o)
+		}
 	}
 	if after := l.switcher.Phase(); after != before {
 		s.note("token %d: %v, version %d, %s", l.switcher.cfg.Token, after, l.switcher.Version(), l.switcher.Outcome())
@@ -283,16 +291,27 @@
 	s.after(s.ms(1, 20), func() { l.switcher.Heard(at, i, instance, rep) })
 }
 
-// send carries an order to its rank, or loses it, or carries it out much later.
+// send gives an order and tells the leader the answer, or that none came.
 func (s *sim) send(l *simLeader, o Order) {
+	answer := s.once(func(reply *wire.RankOrderReply) { l.switcher.Replied(s.time(), o.Rank, o.RankOrder, reply) })
+	s.after(250*time.Millisecond, func() { answer(nil) })
+	s.deliver(o, func(reply *wire.RankOrderReply) { s.after(s.ms(1, 8), func() { answer(reply) }) })
+}
+
+// once lets the first answer through.
+func (s *sim) once(f func(*wire.RankOrderReply)) func(*wire.RankOrderReply) {
 	answered := false
-	answer := func(reply *wire.RankOrderReply) {
+	return func(reply *wire.RankOrderReply) {
 		if !answered {
 			answered = true
-			l.switcher.Replied(s.time(), o.Rank, o.RankOrder, reply)
+			f(reply)
 		}
 	}
-	s.after(250*time.Millisecond, func() { answer(nil) })
+}
+
+// deliver carries an order to its rank, or loses it, or carries it out much later. answer is
+// called with what the rank says, if it says something.
+func (s *sim) deliver(o Order, answer func(*wire.RankOrderReply)) {
 	draw := s.rnd.Float64()
 	late, lost := s.late, s.lost
 	if s.calm {
@@ -312,12 +331,11 @@
 	default:
 		s.after(s.ms(1, 8), func() {
 			status := s.carryOut(o)
-			at := s.time()
 			_, rep := s.report(o.Rank)
 			if s.rnd.Float64() < lost {
 				return
 			}
-			s.after(s.ms(1, 8), func() { _ = at; answer(&wire.RankOrderReply{Status: status, After: rep}) })
+			answer(&wire.RankOrderReply{Status: status, After: rep})
 		})
 	}
 }
--- a/lockstep/switcher.go
+++ b/lockstep/switcher.go
@@ -101,8 +101,8 @@
 // is known to be armed, or every rank is known not to be and no order is left that
 // could still arm one.
 //
-// An order without an answer may be carried out seconds later. A late copy does
-// nothing once what it names is over: each switch has a version of its own, and a
+// An order without an answer may be carried out seconds later, and one with an answer a
+// second time. A late copy does nothing once what it names is over: each switch has a version of its own, and a
 // rank arms only a version that it has prepared and a step that has not begun. So an
 // arm order is void as soon as the rank has prepared another version.
 //
@@ -146,7 +146,7 @@
 	// pending is the order that is on its way; sent is when the last one left.
 	pending *wire.RankOrder
 	sent    time.Time
-	// armDoubt is a version that an order without an answer may arm yet; 0 is none.
+	// armDoubt is a version that an order which was given may arm yet, or again; 0 is none.
 	armDoubt uint64
 	// accepted is the version that the rank has begun to prepare.
 	accepted uint64
@@ -305,10 +305,6 @@
 	}
 	r.pending = nil
 	switch reply.GetStatus() {
-	case wire.RankOrderStatus_RANK_ORDER_STATUS_UNKNOWN:
-		if o.Kind == wire.RankOrderKind_RANK_ORDER_KIND_ARM {
-			r.armDoubt = o.Version
-		}
 	case wire.RankOrderStatus_RANK_ORDER_STATUS_BEGUN, wire.RankOrderStatus_RANK_ORDER_STATUS_DONE:
 		r.fenced = true
 		if o.Kind == wire.RankOrderKind_RANK_ORDER_KIND_PREPARE {
--- a/lockstep/switchersteps.go
+++ b/lockstep/switchersteps.go
@@ -138,6 +138,9 @@
 			continue
 		}
 		done = false
+		// Also one that is answered may come once more: whoever passes it on may have done so
+		// twice, and a second copy that comes after the rank was disarmed arms it alone.
+		s.ranks[i].armDoubt = s.version
 		out = append(out, s.order(now, i, &wire.RankOrder{
 			Kind: wire.RankOrderKind_RANK_ORDER_KIND_ARM, Version: s.version, Step: s.step,
 		})...)
