Relief follows the passes of now: what is taken from the slots is given back as soon

Change: each pass over the content pause takes from the slots, each below 0.85 of it gives back, at a tenth a second both, and what lies between changes nothing. The tests of the load hold (the crowd's end within six seconds in place of twenty).

--- a/gateway/relief.go
+++ b/gateway/relief.go
@@ -3,19 +3,13 @@
 import "time"
 
 const (
-	// reliefMemory is the time over which the part of long passes is taken: some streams'
-	// length, so that one shift of demand, with two or three long passes, isn't enough.
-	reliefMemory = 4 * time.Second
-	// muchLong is the part of the time in long passes above which fewer requests run, and
-	// littleLong that below which more do. A stream of two seconds that runs while a tenth of
-	// the passes are long has one almost surely, and is late for it.
-	muchLong   = 0.12
-	littleLong = 0.04
-	// reliefDown and reliefUp are how fast the part of the slots in use changes, a second: down
-	// within the time that a few streams take, and up slowly, as a group that has just become
-	// quick has fewer streams than it can carry.
-	reliefDown = 0.10
-	reliefUp   = 0.05
+	// calmPart is the part of the content pause below which a pass leaves room for more
+	// requests; between that and the pause itself the part of the slots stays as it is.
+	calmPart = 0.85
+	// reliefRate is how fast the part of the slots in use changes, a second. A shift of demand,
+	// with two long passes each three seconds, changes it by a fiftieth, and a crowd that
+	// makes passes long for three seconds by a third, which is given back in as long.
+	reliefRate = 0.10
 	// leastRelief is the least part of the slots that are used: below it the time of a
 	// pass hardly depends on how many requests run.
 	leastRelief = 0.5
@@ -32,26 +26,18 @@
 // stream is late. Three quarters of the streams run in passes that are a fifth shorter: a tenth
 // fewer are served, and most of those in time.
 type relief struct {
-	cut  float64
-	long float64
+	// cut is the part of the slots that isn't used.
+	cut float64
 }
 
 // passed takes a pass and the pause that callers are content with.
 func (r *relief) passed(pass, content time.Duration) {
-	if content <= 0 || float64(pass) > heldPass*float64(content) {
-		return
-	}
-	weight := min(float64(pass)/float64(reliefMemory), 1)
-	if pass > content {
-		r.long += weight * (1 - r.long)
-	} else {
-		r.long -= weight * r.long
-	}
 	switch {
-	case r.long > muchLong:
-		r.cut = min(r.cut+reliefDown*pass.Seconds(), 1-leastRelief)
-	case r.long < littleLong:
-		r.cut = max(r.cut-reliefUp*pass.Seconds(), 0)
+	case content <= 0 || float64(pass) > heldPass*float64(content):
+	case pass > content:
+		r.cut = min(r.cut+reliefRate*pass.Seconds(), 1-leastRelief)
+	case float64(pass) < calmPart*float64(content):
+		r.cut = max(r.cut-reliefRate*pass.Seconds(), 0)
 	}
 }
 
