Sight: passes of each group at the gateways, the part of the slots in use, the newest window's skew

Two hypotheses of the incident differ in what entries see of long passes and what they make of them, and no line told either. One line a second and group at each gateway, within the allowance of belief lines.

--- a/control/lockstepgroup.go
+++ b/control/lockstepgroup.go
@@ -116,7 +116,7 @@
 	}
 	g.planning = true
 	shape, current, switcher := g.shape, g.switcher.Current(), g.switcher
-	load := cloneLoad(g.demand.Load())
+	load := lockstep.CloneShares(g.demand.Load())
 	go func() {
 		p, ok := lockstep.Plan(shape, lockstep.DefaultPlanSettings(), current, load, pace)
 		g.mu.Lock()
@@ -138,11 +138,3 @@
 func (g *lockstepGroup) mayBegin(now time.Time) bool {
 	return g.switcher.Ready(now) || g.switcher.Phase() == lockstep.Preparing && g.demand.Shifts() != g.plannedShifts
 }
-
-func cloneLoad(load [][]float64) [][]float64 {
-	out := make([][]float64, len(load))
-	for i := range load {
-		out[i] = append([]float64(nil), load[i]...)
-	}
-	return out
-}
--- a/control/locksteplog.go
+++ b/control/locksteplog.go
@@ -25,11 +25,12 @@
 		busiest = max(busiest, link.running+link.waiting)
 		oldest = max(oldest, now.Sub(link.stateAt))
 	}
-	skew := 0.0
+	skew, latest := 0.0, 0.0
 	if load := g.demand.Load(); load != nil {
 		skew = g.switcher.Current().Skew(load, g.pace())
+		latest = g.switcher.Current().Skew(g.demand.Latest(), g.pace())
 	}
-	kernel.Info(g.log, "Group's state.", "group", g.name, "epoch", g.epoch, "pass", g.switcher.PassTime().Round(time.Millisecond), "skew", math.Round(100*skew)/100,
+	kernel.Info(g.log, "Group's state.", "group", g.name, "epoch", g.epoch, "pass", g.switcher.PassTime().Round(time.Millisecond), "skew", math.Round(100*skew)/100, "latest_skew", math.Round(100*latest)/100,
 		"running", running, "waiting", waiting, "busiest", busiest, "oldest_ms", oldest.Milliseconds(), "phase", g.switcher.Phase(), "windows", g.demand.Windows())
 }
 
--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
@@ -51,3 +52,10 @@
 func (g *Gateway) tellGate(service string, before, after gateState, inputs string) {
 	g.believe("Service.", "service", service, "before", before, "now", after, "why", inputs)
 }
+
+// tellPasses tells how long the passes of a group were in the last second, and what the entry
+// made of them.
+func (g *Gateway) tellPasses(service, group string, seen passCount, inputs string) {
+	g.believe("Group's passes.", "service", service, "group", group, "passes", seen.n, "long", seen.long, "mean", seen.mean().Round(time.Millisecond),
+		"longest", seen.longest.Round(time.Millisecond), "content", seen.content, "gate", inputs)
+}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -31,6 +31,8 @@
 	loads uint64
 	// told is called, without the lock, when a service's gate has changed.
 	told func(service string, before, after gateState, inputs string)
+	// passes is called, without the lock, with what was seen of a group's passes in a second.
+	passes func(service, group string, seen passCount, inputs string)
 	// entries counts the entries that are up; it is called without the lock.
 	entries func() int
 }
@@ -47,6 +49,8 @@
 	// those that wait is due.
 	entries int
 	ticking bool
+	// seen counts the passes of each group, for logs.
+	seen map[string]*passCount
 }
 
 func newFleet(s *Settings) *fleet {
@@ -143,12 +147,43 @@
 	f.services[service].gate.alive(now)
 }
 
-// paused takes the pause between two events of a stream, and what its caller is content
-// with.
-func (f *fleet) paused(now time.Time, service string, pause, content time.Duration) {
+// paused takes the pause between two events of a stream of an upstream, and what its caller
+// is content with.
+func (f *fleet) paused(now time.Time, service, upstream string, pause, content time.Duration) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	p := f.services[service]
+	p.paused(now, pause, content)
+	group, told, ok := p.count(now, upstream, pause, content)
+	inputs := ""
+	if ok {
+		inputs = p.inputs(now)
+	}
+	f.mu.Unlock()
+	if ok && f.passes != nil {
+		f.passes(service, group, told, inputs)
+	}
+}
+
+// count counts the passes of an upstream's group; it returns what is to be logged.
+func (p *servicePool) count(now time.Time, upstream string, pause, content time.Duration) (group string, told passCount, ok bool) {
+	i := p.ups[upstream]
+	if i == nil || i.Group == "" || content <= 0 {
+		return "", passCount{}, false
+	}
+	if p.seen == nil {
+		p.seen = map[string]*passCount{}
+	}
+	c := p.seen[i.Group]
+	if c == nil {
+		c = &passCount{}
+		p.seen[i.Group] = c
+	}
+	c.passed(now, pause, content)
+	told, ok = c.due(now)
+	return i.Group, told, ok
+}
+
+func (p *servicePool) paused(now time.Time, pause, content time.Duration) {
 	before := p.gate.brake.pass
 	if p.gate.brake.passed(now, pause, content) {
 		// The pass before is known in full now: all streams have told it.
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -216,8 +216,8 @@
 
 // inputs are what a decision depends on, with their age, for logs.
 func (g *gate) inputs(now time.Time, entries int) string {
-	return fmt.Sprintf("%s: %d in flight of %d, room %.2f, %d slots, %d entries, epoch %d, last sign %d ms ago, occupancy %.2f told %d ms ago",
-		g.state(now), g.inflight, g.limit(now, entries), g.brake.room(now), g.slots, entries, g.epoch,
+	return fmt.Sprintf("%s: %d in flight of %d, room %.2f, part %.2f, %d slots, %d entries, epoch %d, last sign %d ms ago, occupancy %.2f told %d ms ago",
+		g.state(now), g.inflight, g.limit(now, entries), g.brake.room(now), g.relief.part(), g.slots, entries, g.epoch,
 		now.Sub(g.sign).Milliseconds(), g.occupancy, now.Sub(g.told).Milliseconds())
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,7 +104,7 @@
 	}
 	g.requests, g.metrics = newRequestLog(g.log, now), newGatewayMetrics()
 	g.beliefs = kernel.NewLineBudget(beliefLines, now)
-	g.fleet.told, g.fleet.entries = g.tellGate, g.entries
+	g.fleet.told, g.fleet.passes, g.fleet.entries = g.tellGate, g.tellPasses, g.entries
 	g.metrics.register(g)
 	g.node = directory.NewNode(directorySettings(), now, g.directoryChanged)
 	g.budgets = newBudgets(s.Retries, g.entries, now)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -85,7 +85,7 @@
 		if !s.started {
 			s.start(resp)
 		}
-		if !s.pass(ev) {
+		if !s.pass(a, ev) {
 			return outcomeCallerGone
 		}
 	}
@@ -117,7 +117,7 @@
 	s.firstEvent = time.Since(s.began)
 }
 
-func (s *stream) pass(ev direct.Event) bool {
+func (s *stream) pass(a *attempt, ev direct.Event) bool {
 	if _, err := s.w.Write(ev.Raw); err != nil {
 		return false
 	}
@@ -130,7 +130,7 @@
 	now := time.Now()
 	s.fleet.alive(now, s.service)
 	if s.events > 0 {
-		s.paused(now)
+		s.paused(now, a.up.ID)
 	}
 	s.events++
 	s.sentAt = now
@@ -138,13 +138,13 @@
 }
 
 // paused takes the time between two events.
-func (s *stream) paused(now time.Time) {
+func (s *stream) paused(now time.Time, upstream string) {
 	pause := now.Sub(s.sentAt)
 	s.metrics.pause.Record(pause)
 	if pause > s.longestPause {
 		s.longestPause, s.pauseEnded = pause, now
 	}
-	s.fleet.paused(now, s.service, pause, s.contentPause())
+	s.fleet.paused(now, s.service, upstream, pause, s.contentPause())
 }
 
 // finish ends an answer that is complete.
--- a/lockstep/demand.go
+++ b/lockstep/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -47,7 +48,9 @@
 	window   [][]float64
 	began    time.Time
 	load     [][]float64
-	noise    noise
+	// latest are the shares in the newest window alone.
+	latest [][]float64
+	noise  noise
 	// windows counts those observed since the last shift.
 	windows int
 	shifts  int
@@ -94,8 +97,9 @@
 		return false
 	}
 	d.window = zeros(d.shape)
+	d.latest = shares
 	if d.load == nil {
-		d.load, d.windows = shares, 1
+		d.load, d.windows = CloneShares(shares), 1
 		return true
 	}
 	apart := distance(d.load, shares)
@@ -182,6 +186,15 @@
 	return out
 }
 
+// CloneShares copies shares of experts, set by set.
+func CloneShares(shares [][]float64) [][]float64 {
+	out := make([][]float64, len(shares))
+	for set := range shares {
+		out[set] = slices.Clone(shares[set])
+	}
+	return out
+}
+
 // distance is half the sum of differences, averaged over the sets: the part of the
 // choices that goes elsewhere.
 func distance(a, b [][]float64) float64 {
@@ -204,6 +217,10 @@
 // Load is the estimated share of each expert in its set; nil before the first window.
 func (d *Demand) Load() [][]float64 { return d.load }
 
+// Latest is each expert's share in the newest window alone: what a few passes asked for, which
+// differs from the estimate by the few prompts that they read. nil before the first window.
+func (d *Demand) Latest() [][]float64 { return d.latest }
+
 // Shifts is how many shifts were seen.
 func (d *Demand) Shifts() int { return d.shifts }
 
