--- /dev/null
+++ b/gateway/groupsim_test.go
@@ -0,0 +1,320 @@
+package gateway
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/route"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// groupSim plays the entries of a service whose upstreams form several groups, in virtual time.
+// Entries are real; a group is a model of its passes: a fixed part, and one that grows with the
+// requests that run and the prompts that are read, of which the experts' part grows with the skew.
+type groupSim struct {
+	rnd     *rand.Rand
+	now     time.Time
+	groups  []*simGroup
+	entries []*simEntry
+	// skew is that of a group at a time since the start, and copies whether its ranks copy experts.
+	skew func(group int, at time.Duration) (skew float64, copies bool)
+	// perSecond is how many new callers come to all entries together.
+	perSecond float64
+	queue     []*simCaller
+
+	came, inTime, late, refused int
+	// lateFirst are those of the late ones whose first event was late.
+	lateFirst int
+}
+
+const (
+	simService = "pool"
+	simContent = 120 * time.Millisecond
+	simFirst   = 400 * time.Millisecond
+	simRanks   = 24
+	simSlots   = 10
+	// A step takes 4.84 ms and 0.435 ms for each request that runs; a pass has seven of them, and
+	// reads 74.8 tokens a millisecond of prompts of 800. A rank keeps 0.15 of that work, and
+	// experts have the rest.
+	simStride, simStep, simPerRequest = 7, 4.84, 0.435
+	simPrompt, simReadRate            = 800, 74.8
+	simExpertShare                    = 0.85
+	// The busiest rank has twice the requests and prompts of the mean one, and passes take 15 in 100
+	// longer while ranks copy experts.
+	simBusiest, simCopying = 2, 1.15
+	simUsualEvents         = 22.7
+	// simLateWorth is what a late answer is worth of one in time.
+	simLateWorth = 0.3
+)
+
+type simGroup struct {
+	running []*simCaller
+	waiting []*simCaller
+	ends    time.Time
+	passes  []time.Duration
+}
+
+// simCaller is one request, over both of its tries.
+type simCaller struct {
+	first     time.Time
+	came      time.Time
+	tries     int
+	entry     *simEntry
+	waiter    *waiter
+	up        route.Upstream
+	sentAt    time.Time
+	lastAt    time.Time
+	events    int
+	late      bool
+	lateFirst bool
+	at        simPlace
+}
+
+type simEntry struct {
+	fleet   *fleet
+	weight  float64
+	waiting []*simCaller
+}
+
+func newGroupSim(seed uint64, groups, entries int, perSecond float64) *groupSim {
+	s := &groupSim{rnd: rand.New(rand.NewPCG(seed, 7)), now: start, perSecond: perSecond}
+	var insts []*directory.Instance
+	for g := range groups {
+		s.groups = append(s.groups, &simGroup{ends: start.Add(time.Duration(g*29) * time.Millisecond)})
+		for r := range simRanks {
+			insts = append(insts, &directory.Instance{Announcement: &wire.Announcement{
+				Id: simUpstream(g, r), Group: fmt.Sprint("g", g), Rank: uint32(r), Incarnation: 1, Pools: []string{simService},
+				Phase: wire.Phase_PHASE_UP, Address: simUpstream(g, r), Direct: &wire.DirectUpstream{Slots: simSlots, GroupEpoch: 1, GroupSize: simRanks},
+			}})
+		}
+	}
+	sum := 0.0
+	for i := range entries {
+		f := newFleet(&Settings{ID: fmt.Sprint("entry-", i)})
+		f.place.Seed = seed*1000 + uint64(i)
+		f.entries = func() int { return entries }
+		if err := f.update(s.now, insts); err != nil {
+			panic(err)
+		}
+		e := &simEntry{fleet: f, weight: 0.6 + 0.8*s.rnd.Float64()}
+		sum += e.weight
+		s.entries = append(s.entries, e)
+	}
+	for _, e := range s.entries {
+		e.weight /= sum
+	}
+	return s
+}
+
+func simUpstream(group, rank int) string { return fmt.Sprintf("%d-%02d", group, rank) }
+
+func (s *groupSim) since() time.Duration { return s.now.Sub(start) }
+
+// run plays some time. What is due first comes first.
+func (s *groupSim) run(d time.Duration) {
+	end := s.now.Add(d)
+	arrival, survey, turn := s.now, s.now, s.now
+	number := uint64(0)
+	for s.now.Before(end) {
+		g := slices.MinFunc(s.groups, func(a, b *simGroup) int { return a.ends.Compare(b.ends) })
+		s.now = slices.MinFunc([]time.Time{g.ends, arrival, survey, turn}, time.Time.Compare)
+		switch {
+		case s.now.Equal(g.ends):
+			s.pass(slices.Index(s.groups, g))
+		case s.now.Equal(survey):
+			number++
+			s.survey(number)
+			survey = survey.Add(200 * time.Millisecond)
+		case s.now.Equal(turn):
+			s.turns()
+			turn = turn.Add(turnPeriod)
+		default:
+			s.arrive(&simCaller{first: s.now, entry: s.anyEntry()})
+			arrival = arrival.Add(time.Duration(s.rnd.ExpFloat64() / s.perSecond * float64(time.Second)))
+		}
+	}
+}
+
+func (s *groupSim) anyEntry() *simEntry {
+	x := s.rnd.Float64()
+	for _, e := range s.entries {
+		if x -= e.weight; x < 0 {
+			return e
+		}
+	}
+	return s.entries[0]
+}
+
+// arrive is a try of a caller.
+func (s *groupSim) arrive(c *simCaller) {
+	c.came = s.now
+	c.tries++
+	if c.tries == 1 {
+		s.came++
+	}
+	c.waiter = comes(s.now)
+	if c.tries > 1 {
+		c.waiter.returned, c.waiter.inTime = true, c.first.Add(simFirst-leastHead)
+	}
+	v, wait := c.entry.ask(s.now, c.waiter)
+	switch v {
+	case letIn:
+		s.send(c)
+	case letWait:
+		c.entry.waiting = append(c.entry.waiting, c)
+	case turnAway:
+		s.turnAway(c, wait)
+	}
+}
+
+func (s *groupSim) turnAway(c *simCaller, wait time.Duration) {
+	if c.tries > 1 {
+		s.refused++
+		return
+	}
+	c.sentAt = s.now.Add(wait)
+	s.queue = append(s.queue, c)
+}
+
+// send gives a request to the rank that its entry chooses.
+func (s *groupSim) send(c *simCaller) {
+	c.sentAt, c.up = s.now, c.entry.pick(s.now, c)
+	g := s.groups[c.up.ID[0]-'0']
+	g.waiting = append(g.waiting, c)
+}
+
+// turns looks after those that wait at entries, and those that come back.
+func (s *groupSim) turns() {
+	for _, e := range s.entries {
+		e.turns(s.now)
+		s.granted(e)
+	}
+	back := s.queue
+	s.queue = nil
+	for _, c := range back {
+		if s.now.Before(c.sentAt) {
+			s.queue = append(s.queue, c)
+			continue
+		}
+		c.entry = s.anyEntry()
+		s.arrive(c)
+	}
+}
+
+// granted sends what an entry has let in of those that waited there.
+func (s *groupSim) granted(e *simEntry) {
+	left := e.waiting
+	e.waiting = nil
+	for _, c := range left {
+		switch {
+		case granted(c.waiter):
+			s.send(c)
+		case s.now.After(c.waiter.until):
+			s.turnAway(c, e.giveUp(s.now, c.waiter))
+		default:
+			e.waiting = append(e.waiting, c)
+		}
+	}
+}
+
+func (s *groupSim) survey(number uint64) {
+	var states []*wire.RankState
+	for i, g := range s.groups {
+		perRank := make([]uint32, simRanks)
+		for _, c := range slices.Concat(g.running, g.waiting) {
+			r := 0
+			_, _ = fmt.Sscanf(c.up.ID[2:], "%d", &r)
+			perRank[r]++
+		}
+		for r, n := range perRank {
+			states = append(states, &wire.RankState{Upstream: simUpstream(i, r), Running: n, PacePercent: 100, AgeMs: 100})
+		}
+	}
+	for i, e := range s.entries {
+		e.fleet.survey(s.now, number, states, entryPlace{index: i, entries: len(s.entries)})
+	}
+}
+
+// pass ends a pass of a group and begins the next one.
+func (s *groupSim) pass(i int) {
+	g := s.groups[i]
+	for _, c := range slices.Clone(g.running) {
+		s.event(g, c)
+	}
+	// Those that came meanwhile are read in the next pass, and have their first event at its end.
+	read := 0
+	for len(g.waiting) > 0 && len(g.running) < simRanks*simSlots {
+		g.running = append(g.running, g.waiting[0])
+		g.waiting = g.waiting[1:]
+		read++
+	}
+	work := (simStride*simPerRequest*float64(len(g.running)) + simPrompt/simReadRate*float64(read)) / simRanks
+	skew, copies := s.skew(i, s.since())
+	ms := simStride*simStep + work*((1-simExpertShare)*simBusiest+simExpertShare*skew)
+	if copies {
+		ms *= simCopying
+	}
+	pass := time.Duration(ms * float64(time.Millisecond))
+	g.passes = append(g.passes, pass)
+	g.ends = s.now.Add(pass)
+}
+
+func (s *groupSim) event(g *simGroup, c *simCaller) {
+	c.events++
+	if c.events == 1 {
+		c.lateFirst = s.now.Sub(c.first) > simFirst
+		c.late = c.lateFirst
+		c.entry.head(s.now, c, s.now.Sub(c.sentAt))
+	} else {
+		pause := s.now.Sub(c.lastAt)
+		c.late = c.late || pause > simContent
+		c.entry.paused(s.now, c, pause)
+	}
+	c.lastAt = s.now
+	if s.rnd.Float64() > 1/simUsualEvents {
+		return
+	}
+	g.running = slices.DeleteFunc(g.running, func(o *simCaller) bool { return o == c })
+	if c.lateFirst {
+		s.lateFirst++
+	}
+	if c.late {
+		s.late++
+	} else {
+		s.inTime++
+	}
+	c.entry.leave(s.now, c)
+	s.granted(c.entry)
+}
+
+// forget begins to count anew: what came before the load was there tells nothing.
+func (s *groupSim) forget() {
+	s.came, s.inTime, s.late, s.lateFirst, s.refused = 0, 0, 0, 0, 0
+	for _, g := range s.groups {
+		g.passes = nil
+	}
+}
+
+// worth is what those that came got, of all that they wanted.
+func (s *groupSim) worth() float64 {
+	return (float64(s.inTime) + simLateWorth*float64(s.late)) / float64(s.inTime+s.late+s.refused)
+}
+
+// String tells what became of callers, for failures.
+func (s *groupSim) String() string {
+	var all []time.Duration
+	for _, g := range s.groups {
+		all = append(all, g.passes...)
+	}
+	slices.SortFunc(all, cmp.Compare[time.Duration])
+	at := func(q float64) int64 {
+		return all[int(math.Min(q*float64(len(all)), float64(len(all)-1)))].Milliseconds()
+	}
+	return fmt.Sprintf("%d came, %d in time, %d late (%d by their first event), %d refused; worth %.3f; passes p50 %d ms, p90 %d ms, p99 %d ms",
+		s.came, s.inTime, s.late, s.lateFirst, s.refused, s.worth(), at(0.5), at(0.9), at(0.99))
+}
