A service's groups are told apart: gate, brake, pace and relief are a group's own

Callers saw: streams late by passes that the entries took for short, and all of a service refused while one of its groups was down. Cause (class: state kept at a coarser grain than what it describes): an entry kept one gate for a service. Pauses of streams that follow each other within half a pass counted as one pass, the shorter for both, so with three groups whose passes end at different times long ones were not seen; one broken group closed the gate for all. Why this holds: what decides on a place (groupPool) is found through the group that the request is at, for each event, answer and end; the line, who comes back and the usual times stay the service's. A request moves to another group when its own doesn't answer. A group that is down is probed seldom while others answer, as each probe needs a second attempt.

--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -48,9 +48,9 @@
 	}
 }
 
-// tellGate tells that a service's gate has changed.
-func (g *Gateway) tellGate(service string, before, after gateState, inputs string) {
-	g.believe("Service.", "service", service, "before", before, "now", after, "why", inputs)
+// tellGate tells that the gate of a group of a service has changed.
+func (g *Gateway) tellGate(service string, c gateChange) {
+	g.believe("Service.", "service", service, "group", c.group, "before", c.before, "now", c.after, "why", c.inputs)
 }
 
 // tellPasses tells how long the passes of a group were in the last second, and what the entry
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -25,9 +25,11 @@
 	w http.ResponseWriter
 	r *http.Request
 	// ctx ends when the caller leaves or the time is over.
-	ctx      context.Context
-	route    *wire.Route
-	service  string
+	ctx     context.Context
+	route   *wire.Route
+	service string
+	// at is the group at which it has its place.
+	at       *groupPool
 	team     *wire.KeyedTeam
 	asked    dialect.Request
 	body     []byte
@@ -105,6 +107,7 @@
 // attempt is one send of a request.
 type attempt struct {
 	up    route.Upstream
+	at    *groupPool
 	req   *route.Request
 	began time.Time
 	// ctx ends with the request's, or when the attempt is given up.
@@ -120,11 +123,12 @@
 func (c *call) begin() *attempt {
 	req := &route.Request{Exclude: c.tried, Tokens: c.asked.PromptTokens + c.asked.MaxTokens}
 	now := time.Now()
-	up, ok := c.fleet.pick(now, c.service, req)
+	up, at, ok := c.fleet.pick(now, c.at, req)
 	if !ok {
 		return nil
 	}
-	a := &attempt{up: up, req: req, began: now}
+	c.at = at
+	a := &attempt{up: up, at: at, req: req, began: now}
 	a.ctx, a.cancel = context.WithCancel(c.ctx)
 	a.watch = c.watchAttempt(up.ID, a.cancel)
 	return a
@@ -135,7 +139,7 @@
 	a.watch.stop()
 	a.cancel()
 	now := time.Now()
-	c.fleet.done(now, c.service, a.up, a.req, a.result(o, now))
+	c.fleet.done(now, a.at, a.up, a.req, a.result(o, now))
 	c.history.note(o)
 	c.sent.Store(int64(c.history.sent))
 	c.last = o
@@ -183,9 +187,9 @@
 	a.head, a.status = c.dialect.ReadAnswer(resp.Status, resp.Header), resp.Status
 	a.watch.hear()
 	now := time.Now()
-	c.fleet.answered(now, c.service, a.up, a.head.Load, now.Sub(a.began), resp.Status == http.StatusOK)
+	c.fleet.answered(now, a.at, a.up, a.head.Load, now.Sub(a.began), resp.Status == http.StatusOK)
 	if a.head.GroupDown {
-		c.fleet.refusedByGroup(now, c.service)
+		c.fleet.refusedByGroup(now, a.at)
 	}
 	return resp, nil
 }
--- a/gateway/entering.go
+++ b/gateway/entering.go
@@ -12,6 +12,8 @@
 // admission is what became of a request that asked to go to a service.
 type admission struct {
 	ok bool
+	// at is the group that it may go to.
+	at *groupPool
 	// wait is when the caller of one that was refused may come back.
 	wait time.Duration
 	// waited is how long it waited at the entry.
@@ -31,19 +33,21 @@
 		f.mu.Unlock()
 		return admission{wait: retryBusy, why: "no upstream of the service is known"}
 	}
-	before, after := p.state, p.gate.state(now)
-	p.state, p.entries = after, entries
+	p.entries = entries
+	changes := p.changes(now)
 	a := admission{}
 	v, wait := p.ask(now, entries, w)
-	if v != letIn || before != after {
+	if v != letIn {
 		a.why = p.inputs(now)
 	}
 	if v == letWait {
 		f.keepTicking(service, p)
 	}
 	f.mu.Unlock()
-	if before != after && f.told != nil {
-		f.told(service, before, after, a.why)
+	if f.told != nil {
+		for _, c := range changes {
+			f.told(service, c)
+		}
 	}
 	switch v {
 	case letIn:
@@ -57,12 +61,31 @@
 	if a.ok && ctx.Err() != nil {
 		// Its caller left, or its time ended, just as its turn came: sent now, it would
 		// run for nobody.
-		f.leave(service, 0)
+		f.leave(w.at, 0)
 		a.ok = false
 	}
+	a.at = w.at
 	return a
 }
 
+// gateChange is that a group's gate is no longer in the state in which it was.
+type gateChange struct {
+	group         string
+	before, after gateState
+	inputs        string
+}
+
+// changes are those since the last request.
+func (p *servicePool) changes(now time.Time) (list []gateChange) {
+	for _, g := range p.order {
+		before, after := g.state, g.gate.state(now)
+		if g.state = after; before != after {
+			list = append(list, gateChange{group: g.name, before: before, after: after, inputs: g.gate.inputs(now, p.entries)})
+		}
+	}
+	return list
+}
+
 // waitTurn waits until a request is let in. One that isn't in its time is refused with
 // when its caller may come back.
 func (f *fleet) waitTurn(ctx context.Context, p *servicePool, w *waiter) (ok bool, wait time.Duration) {
@@ -82,7 +105,7 @@
 	default:
 	}
 	p.line.remove(w)
-	return false, p.gate.turnAway(time.Now())
+	return false, p.turnAway(time.Now())
 }
 
 // keepTicking looks after those that wait, until nobody does: places become free also with
@@ -105,13 +128,13 @@
 }
 
 // leave gives a place back, after a request has had it for a time.
-func (f *fleet) leave(service string, kept time.Duration) {
+func (f *fleet) leave(at *groupPool, kept time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.services[service]
-	p.gate.leave()
+	p := at.service
+	at.gate.leave()
 	if kept > 0 {
-		p.gate.stay(kept)
+		p.stayedFor(kept)
 	}
 	p.turns(time.Now(), p.entries)
 }
--- a/gateway/entering_test.go
+++ b/gateway/entering_test.go
@@ -23,6 +23,9 @@
 	return f
 }
 
+// free gives one place of the service back.
+func (f *fleet) free() { f.leave(f.services["plain"].order[0], time.Second) }
+
 func soon() *waiter {
 	now := time.Now()
 	return &waiter{inTime: now.Add(10 * time.Second), until: now.Add(10 * time.Second), granted: make(chan struct{})}
@@ -65,10 +68,10 @@
 		}
 		return poll.Continue("%d wait", f.waiting())
 	}, poll.WithDelay(time.Millisecond))
-	f.leave("plain", time.Second)
+	f.free()
 	a := <-results
 	assert.Assert(t, a.ok && a.waited > 0)
-	f.leave("plain", time.Second)
+	f.free()
 
 	gone, leave := context.WithCancel(context.Background())
 	leave()
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -20,7 +20,7 @@
 // firstLoad numbers the load of an upstream that has answered nothing yet.
 const firstLoad = 1
 
-// fleet holds a balancer for each service, over the upstreams that are up.
+// fleet holds what is known of each service, over the upstreams that are up.
 type fleet struct {
 	place route.Place
 
@@ -29,30 +29,14 @@
 	// loads counts the loads that came with answers: the order in which they came
 	// is all that is known of their age.
 	loads uint64
-	// told is called, without the lock, when a service's gate has changed.
-	told func(service string, before, after gateState, inputs string)
+	// told is called, without the lock, when a group's gate has changed.
+	told func(service string, c gateChange)
 	// passes is called, without the lock, with what was seen of a group's passes in a second.
 	passes func(service, group string, seen passCount, inputs string)
 	// entries counts the entries that are up; it is called without the lock.
 	entries func() int
 }
 
-type servicePool struct {
-	balancer route.Balancer
-	ups      map[string]*directory.Instance
-	gate     gate
-	// state is the gate's when a request came last.
-	state gateState
-	pace  pacer
-	line  waitingLine
-	// entries is how many there were when it was asked last; ticking says that a look at
-	// those that wait is due.
-	entries int
-	ticking bool
-	// seen counts the passes of each group, for logs.
-	seen map[string]*passCount
-}
-
 func newFleet(s *Settings) *fleet {
 	return &fleet{
 		place:    route.Place{Entry: s.ID, FailureDomain: s.FailureDomain, Seed: rand.Uint64()},
@@ -75,33 +59,17 @@
 	defer f.mu.Unlock()
 	for name := range byService {
 		if f.services[name] == nil {
-			b, err := route.New(balancerName, f.place)
-			if err != nil {
-				return err
-			}
-			f.services[name] = &servicePool{balancer: b}
+			f.services[name] = newServicePool(f.place)
 		}
 	}
 	for name, p := range f.services {
-		p.update(now, byService[name])
+		if err := p.update(now, f.place, byService[name]); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
-func (p *servicePool) update(now time.Time, insts []*directory.Instance) {
-	p.ups = map[string]*directory.Instance{}
-	var ups []route.Upstream
-	for _, i := range insts {
-		p.ups[i.Id] = i
-		ups = append(ups, route.Upstream{
-			ID: i.Id, Incarnation: i.Incarnation, Address: i.Address, FailureDomain: i.FailureDomain,
-			Load: &wire.Load{Seq: firstLoad, Slots: i.Direct.Slots},
-		})
-	}
-	p.balancer.Update(now, ups)
-	p.gate.formed(now, insts)
-}
-
 // survey takes the states of ranks that the leader of their groups has read. It returns
 // the upstreams that are to be left because they are slow.
 func (f *fleet) survey(now time.Time, number uint64, ranks []*wire.RankState, place entryPlace) (slow []string) {
@@ -109,19 +77,17 @@
 	defer f.mu.Unlock()
 	f.loads++
 	for _, p := range f.services {
-		known := slices.DeleteFunc(slices.Clone(ranks), func(r *wire.RankState) bool { return p.ups[r.Upstream] == nil })
-		if len(known) == 0 {
-			continue
-		}
-		v := &route.Survey{
-			Entries: place.entries, Index: place.index, Number: number,
-			Seq: f.loads, Loads: surveyedLoads(known),
-		}
-		if b, ok := p.balancer.(route.Surveyed); ok {
-			b.Survey(now, v)
+		for _, g := range p.order {
+			known := slices.DeleteFunc(slices.Clone(ranks), func(r *wire.RankState) bool { return g.ups[r.Upstream] == nil })
+			if len(known) == 0 {
+				continue
+			}
+			g.survey(now, &route.Survey{
+				Entries: place.entries, Index: place.index, Number: number,
+				Seq: f.loads, Loads: surveyedLoads(known),
+			})
+			slow = append(slow, toLeave(known)...)
 		}
-		p.gate.surveyed(now, v, p.ups)
-		slow = append(slow, toLeave(known)...)
 	}
 	return slow
 }
@@ -141,53 +107,26 @@
 func paceOf(r *wire.RankState) float64 { return float64(r.PacePercent) / 100 }
 
 // alive takes an event of a stream.
-func (f *fleet) alive(now time.Time, service string) {
+func (f *fleet) alive(now time.Time, at *groupPool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.services[service].gate.alive(now)
+	at.gate.alive(now)
 }
 
-// paused takes the pause between two events of a stream of an upstream, and what its caller
-// is content with.
-func (f *fleet) paused(now time.Time, service, upstream string, pause, content time.Duration) {
+// paused takes the pause between two events of a stream, and what its caller is content
+// with.
+func (f *fleet) paused(now time.Time, service string, at *groupPool, pause, content time.Duration) {
 	f.mu.Lock()
-	p := f.services[service]
-	p.paused(now, pause, content)
-	group, told, ok := p.count(now, upstream, pause, content)
+	at.gate.paused(now, pause, content)
+	at.seen.passed(now, pause, content)
+	told, ok := at.seen.due(now)
 	inputs := ""
 	if ok {
-		inputs = p.inputs(now)
+		inputs = at.gate.inputs(now, at.service.entries)
 	}
 	f.mu.Unlock()
 	if ok && f.passes != nil {
-		f.passes(service, group, told, inputs)
-	}
-}
-
-// count counts the passes of an upstream's group; it returns what is to be logged.
-func (p *servicePool) count(now time.Time, upstream string, pause, content time.Duration) (group string, told passCount, ok bool) {
-	i := p.ups[upstream]
-	if i == nil || i.Group == "" || content <= 0 {
-		return "", passCount{}, false
-	}
-	if p.seen == nil {
-		p.seen = map[string]*passCount{}
-	}
-	c := p.seen[i.Group]
-	if c == nil {
-		c = &passCount{}
-		p.seen[i.Group] = c
-	}
-	c.passed(now, pause, content)
-	told, ok = c.due(now)
-	return i.Group, told, ok
-}
-
-func (p *servicePool) paused(now time.Time, pause, content time.Duration) {
-	before := p.gate.brake.pass
-	if p.gate.brake.passed(now, pause, content) {
-		// The pass before is known in full now: all streams have told it.
-		p.gate.relief.passed(before, content)
+		f.passes(service, at.name, told, inputs)
 	}
 }
 
@@ -195,72 +134,91 @@
 func (f *fleet) head(service string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if p := f.services[service]; p != nil && p.gate.head > 0 {
-		return p.gate.head
+	if p := f.services[service]; p != nil && p.head > 0 {
+		return p.head
 	}
 	return leastHead
 }
 
-// silence is how long an upstream of a service may say nothing.
-func (f *fleet) silence(service string) time.Duration {
+// silence is how long an upstream of a group may say nothing.
+func (f *fleet) silence(at *groupPool) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.services[service].gate.silence()
+	return at.service.silence()
 }
 
-// goesOn says whether a service as a whole answers.
-func (f *fleet) goesOn(now time.Time, service string) bool {
+// goesOn says whether a group as a whole answers.
+func (f *fleet) goesOn(now time.Time, at *groupPool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.services[service].gate.goesOn(now)
+	return at.gate.goesOn(now)
 }
 
 // refusedByGroup notes that a rank refused a request because its group is down.
-func (f *fleet) refusedByGroup(now time.Time, service string) {
+func (f *fleet) refusedByGroup(now time.Time, at *groupPool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.services[service].gate.broke(now)
+	at.gate.broke(now)
 }
 
-// pick chooses an upstream of a service; done must be called with the result.
-func (f *fleet) pick(now time.Time, service string, r *route.Request) (route.Upstream, bool) {
+// pick chooses an upstream for a request that has its place at a group: there, or at
+// another group if that doesn't answer or has no upstream left, to which the place moves
+// then. done must be called with the result.
+func (f *fleet) pick(now time.Time, at *groupPool, r *route.Request) (up route.Upstream, where *groupPool, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.services[service]
-	if p == nil {
-		return route.Upstream{}, false
+	for _, g := range at.choices(now) {
+		c, ok := g.balancer.Pick(now, r)
+		if !ok {
+			continue
+		}
+		if g != at {
+			at.gate.leave()
+			g.gate.admit(now)
+		}
+		return c.Upstream, g, true
+	}
+	return route.Upstream{}, at, false
+}
+
+// choices are the groups at which an attempt may be made, the best first.
+func (g *groupPool) choices(now time.Time) []*groupPool {
+	other := g.service.elsewhere(now, g)
+	switch {
+	case other == nil:
+		return []*groupPool{g}
+	case g.gate.opens(now):
+		return []*groupPool{g, other}
 	}
-	c, ok := p.balancer.Pick(now, r)
-	return c.Upstream, ok
+	return []*groupPool{other, g}
 }
 
 // done ends an attempt that pick chose.
-func (f *fleet) done(now time.Time, service string, up route.Upstream, r *route.Request, res route.Result) {
+func (f *fleet) done(now time.Time, at *groupPool, up route.Upstream, r *route.Request, res route.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.services[service].balancer.Done(now, up, r, res)
+	at.balancer.Done(now, up, r, res)
 }
 
 // answered takes the head of an answer: a sign of life, and the upstream's load. ran
 // says that the request was begun.
-func (f *fleet) answered(now time.Time, service string, up route.Upstream, load *dialect.Load, after time.Duration, ran bool) {
+func (f *fleet) answered(now time.Time, at *groupPool, up route.Upstream, load *dialect.Load, after time.Duration, ran bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.services[service]
 	var l *wire.Load
 	if load != nil {
 		f.loads++
 		l = &wire.Load{
 			Seq: f.loads, Running: uint32(load.Running), Waiting: uint32(load.Waiting), Slots: uint32(load.Slots),
 		}
-		p.gate.occupied(now, load)
+		at.gate.occupied(now, load)
 	}
 	if ran {
-		p.gate.back()
-		p.gate.alive(now)
-		p.gate.headAfter(after)
+		at.gate.back()
+		at.gate.alive(now)
+		at.service.headAfter(after)
 	}
-	if b, ok := p.balancer.(route.Answered); ok {
+	if b, ok := at.balancer.(route.Answered); ok {
 		b.Answered(now, up, l, after)
 	}
 }
@@ -271,8 +229,10 @@
 	defer f.mu.Unlock()
 	list := map[string]bool{}
 	for _, p := range f.services {
-		for _, i := range p.ups {
-			list[i.Address] = true
+		for _, g := range p.order {
+			for _, i := range g.ups {
+				list[i.Address] = true
+			}
 		}
 	}
 	return list
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -34,27 +34,19 @@
 	// probeInterval is the time between two requests that are let through to a group
 	// that is down, to see whether it is back before its ranks have said so.
 	probeInterval = 200 * time.Millisecond
+	// seldomProbe is the same while other groups of the service answer: each such request needs
+	// a second attempt there, and those of 28 entries, five a second each, would be half of all requests.
+	// That a group has formed again its ranks say within the period of their registrations.
+	seldomProbe = 2 * time.Second
 	// standstill is how long a group may give no event to any stream of this entry
 	// before it counts as standing still: a pass takes a tenth of that, a slow one a
 	// third. standstillStreams requests must be waiting, so that it isn't one slow
 	// answer.
 	standstill        = 400 * time.Millisecond
 	standstillStreams = 3
-	// downWait is when a caller may come back whose group is down: one forms again in
-	// about a second once its rank is there.
-	downWait = 1500 * time.Millisecond
-	// fullWait is the same for a full service, which has free slots all the time, and
-	// crowdWait where nearly all are refused: callers of the longest requests wait a
-	// little more than that at most.
-	fullWait  = 600 * time.Millisecond
-	crowdWait = 2500 * time.Millisecond
-	// refusedWeight is that of one request in the part that is refused: some twenty
-	// requests, two seconds of one entry, make the estimate.
-	refusedWeight = 0.05
 )
 
-// gate says how many requests an entry may have at a service, and whether the service
-// answers.
+// gate says how many requests an entry may have at a group, and whether that answers.
 //
 // The load that it answers: more requests than the upstreams have slots for, from a
 // burst, from passes that have become slow, or from a group that stood still for
@@ -81,14 +73,9 @@
 	surveyAt time.Time
 	// sign is when the group last gave a sign of life, or the first of the requests
 	// that wait for one was sent.
-	sign time.Time
-	// head is the usual time to the head of an answer, 0 before the first; stayed is how
-	// long requests usually keep their place.
-	head, stayed time.Duration
-	// refused is the smoothed part of the requests that found no slot.
-	refused float64
-	brake   brake
-	relief  relief
+	sign   time.Time
+	brake  brake
+	relief relief
 }
 
 // formed takes what the upstreams that are up have registered.
@@ -103,6 +90,7 @@
 	switch {
 	case said.Epoch > g.epoch:
 		g.epoch, g.down = said.Epoch, said.Broken
+		g.probed = now
 	case said.Broken && !g.down && said.Epoch == g.epoch:
 		g.broke(now)
 	}
@@ -145,10 +133,14 @@
 // opens says whether the service answers, as far as is known.
 func (g *gate) opens(now time.Time) bool { return !g.down && !g.standsStill(now) }
 
-// passes says whether a request may be sent: the service answers, or it is time to see
-// whether it does.
-func (g *gate) passes(now time.Time) bool {
-	return g.opens(now) || now.Sub(g.probed) >= probeInterval
+// passes says whether a request may be sent: the group answers, or it is time to see
+// whether it does. others says that requests may go to another group.
+func (g *gate) passes(now time.Time, others bool) bool {
+	interval := probeInterval
+	if others {
+		interval = seldomProbe
+	}
+	return g.opens(now) || now.Sub(g.probed) >= interval
 }
 
 // admit counts a request that is sent.
@@ -159,28 +151,22 @@
 	if !g.opens(now) {
 		g.probed = now
 	}
-	g.refused -= refusedWeight * g.refused
 	g.inflight++
 }
 
-// turnAway is when a caller that is refused may come back.
-func (g *gate) turnAway(now time.Time) time.Duration {
-	if !g.opens(now) {
-		return downWait
-	}
-	g.refused += refusedWeight * (1 - g.refused)
-	return g.comeBack()
-}
-
-// comeBack is when a caller that finds no slot may come back. The more are refused
-// the longer: one that comes back into the same crowd is refused once more.
-func (g *gate) comeBack() time.Duration {
-	return fullWait + time.Duration(g.refused*float64(crowdWait-fullWait))
-}
-
 // alive notes an event or the head of an answer.
 func (g *gate) alive(now time.Time) { g.sign = now }
 
+// paused takes the pause between two events of a stream, and the one that its caller is
+// content with.
+func (g *gate) paused(now time.Time, pause, content time.Duration) {
+	before := g.brake.pass
+	if g.brake.passed(now, pause, content) {
+		// The pass before is known in full now: all streams have told it.
+		g.relief.passed(before, content)
+	}
+}
+
 // standsStill says whether no stream of the group gets events, as while it is held
 // for a rank that doesn't answer. What is sent then waits until its caller has left,
 // and at a host that is frozen it would run later, for nobody.
@@ -221,22 +207,6 @@
 		now.Sub(g.sign).Milliseconds(), g.occupancy, now.Sub(g.told).Milliseconds())
 }
 
-// headAfter takes the time to an answer's head.
-func (g *gate) headAfter(d time.Duration) {
-	if g.head == 0 {
-		g.head = d
-	}
-	g.head += time.Duration(headWeight * float64(d-g.head))
-}
-
-// silence is how long one upstream may say nothing.
-func (g *gate) silence() time.Duration {
-	if g.head == 0 {
-		return mostSilence
-	}
-	return min(max(silenceFactor*g.head, leastSilence), mostSilence)
-}
-
 // goesOn says whether the service has answered lately: what waits then waits for its
 // own upstream only.
 func (g *gate) goesOn(now time.Time) bool { return !g.down && now.Sub(g.sign) < standstill }
@@ -263,13 +233,5 @@
 
 func (g *gate) leave() { g.inflight-- }
 
-// stay takes how long a request has kept its place.
-func (g *gate) stay(d time.Duration) {
-	if g.stayed == 0 {
-		g.stayed = d
-	}
-	g.stayed += time.Duration(headWeight * float64(d-g.stayed))
-}
-
 // back notes that the group has answered a request in order.
 func (g *gate) back() { g.down = false }
--- a/gateway/gate_test.go
+++ b/gateway/gate_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -29,17 +30,27 @@
 // slotsOf is a part of an entry's even share of 16 ranks with 12 slots, of six entries.
 func slotsOf(part float64) int { return int(part * 192 / 6) }
 
+// onlyGroup is the pool of a service with one group, and that group's gate.
+func onlyGroup(insts []*directory.Instance) (*servicePool, *gate) {
+	p := newServicePool(route.Place{Entry: "e"})
+	if err := p.update(start, route.Place{Entry: "e"}, insts); err != nil {
+		panic(err)
+	}
+	return p, &p.order[0].gate
+}
+
 // enter lets a request in that doesn't wait, or says when its caller may come back.
-func (g *gate) enter(now time.Time, entries int) (wait time.Duration, ok bool) {
-	if g.inflight >= g.limit(now, entries) || !g.passes(now) {
-		return g.turnAway(now), false
+func (p *servicePool) enter(now time.Time, entries int) (wait time.Duration, ok bool) {
+	g := p.order[0]
+	if g.gate.inflight >= g.gate.limit(now, entries) || !g.gate.passes(now, false) {
+		return p.turnAway(now), false
 	}
-	g.admit(now)
+	p.admit(now, g, &waiter{})
 	return 0, true
 }
 
 // fill lets requests in until one is refused.
-func fill(g *gate, now time.Time, entries int) int {
+func fill(g *servicePool, now time.Time, entries int) int {
 	n := 0
 	for n < 10_000 {
 		if _, ok := g.enter(now, entries); !ok {
@@ -54,14 +65,13 @@
 // callers don't spread evenly, and refuses the rest at once: nothing is left in the
 // upstreams' queues that makes all that follow late.
 func TestFullGroupGetsNoMoreThanTheSlots(t *testing.T) {
-	g := gate{}
-	g.formed(start, ranks(16, 1, false))
-	n := fill(&g, start, 6)
+	p, g := onlyGroup(ranks(16, 1, false))
+	n := fill(p, start, 6)
 	assert.Equal(t, n, slotsOf(shareMargin))
-	wait, ok := g.enter(start, 6)
+	wait, ok := p.enter(start, 6)
 	assert.Assert(t, !ok && wait >= fullWait && wait < fullWait+200*time.Millisecond)
 	g.leave()
-	_, ok = g.enter(start, 6)
+	_, ok = p.enter(start, 6)
 	assert.Assert(t, ok)
 }
 
@@ -69,22 +79,21 @@
 // find none are told to come back later the more are refused, and again as before once
 // slots are free.
 func TestCrowdIsToldToComeBackLater(t *testing.T) {
-	g := gate{}
-	g.formed(start, ranks(16, 1, false))
-	fill(&g, start, 6)
+	p, g := onlyGroup(ranks(16, 1, false))
+	fill(p, start, 6)
 	last := fullWait
 	for range 100 {
-		wait, ok := g.enter(start, 6)
+		wait, ok := p.enter(start, 6)
 		assert.Assert(t, !ok && wait >= last && wait <= crowdWait)
 		last = wait
 	}
 	assert.Assert(t, last > crowdWait-50*time.Millisecond)
 	for range 100 {
 		g.leave()
-		_, ok := g.enter(start, 6)
+		_, ok := p.enter(start, 6)
 		assert.Assert(t, ok)
 	}
-	assert.Assert(t, g.comeBack() < fullWait+50*time.Millisecond)
+	assert.Assert(t, p.crowd.comeBack() < fullWait+50*time.Millisecond)
 }
 
 // The load: callers use some entries more than others, and one entry none at all. By even
@@ -143,12 +152,11 @@
 // Callers are refused at once; a request now and then finds out that it is back, and
 // its answer, or a registration of the next epoch, opens the gate for all.
 func TestGroupThatIsDownIsProbed(t *testing.T) {
-	g := gate{}
-	g.formed(start, ranks(16, 1, false))
+	p, g := onlyGroup(ranks(16, 1, false))
 	g.broke(start)
 	through := 0
 	for now := start; now.Before(start.Add(2 * time.Second)); now = now.Add(20 * time.Millisecond) {
-		wait, ok := g.enter(now, 6)
+		wait, ok := p.enter(now, 6)
 		if ok {
 			through++
 			g.leave()
@@ -158,9 +166,9 @@
 	}
 	assert.Assert(t, through >= 8 && through <= 10, "%d requests went through", through)
 	g.back()
-	assert.Assert(t, fill(&g, start.Add(2*time.Second), 6) > 10)
+	assert.Assert(t, fill(p, start.Add(2*time.Second), 6) > 10)
 
-	g = gate{}
+	g = &gate{}
 	g.formed(start, ranks(16, 1, true))
 	assert.Assert(t, g.down, "a rank says that the group is broken")
 	g.formed(start, ranks(16, 2, false))
@@ -173,25 +181,24 @@
 // tenths of a second without any event, requests are refused at once but for a probe;
 // the first event opens the gate again. One slow answer alone doesn't close it.
 func TestGroupThatStandsStillGetsProbesOnly(t *testing.T) {
-	g := gate{}
-	g.formed(start, ranks(16, 1, false))
-	_, ok := g.enter(start, 6)
+	p, g := onlyGroup(ranks(16, 1, false))
+	_, ok := p.enter(start, 6)
 	assert.Assert(t, ok)
 	later := start.Add(10 * time.Second)
 	assert.Assert(t, !g.standsStill(later), "one request may be slow")
 	for range standstillStreams {
-		_, _ = g.enter(start, 6)
+		_, _ = p.enter(start, 6)
 	}
 	g.alive(later)
 	assert.Assert(t, !g.standsStill(later.Add(standstill)))
 	still := later.Add(standstill + time.Millisecond)
 	assert.Assert(t, g.standsStill(still))
-	_, ok = g.enter(still, 6)
+	_, ok = p.enter(still, 6)
 	assert.Assert(t, ok, "a probe")
-	wait, ok := g.enter(still, 6)
+	wait, ok := p.enter(still, 6)
 	assert.Assert(t, !ok && wait == downWait)
 	g.alive(still)
-	_, ok = g.enter(still, 6)
+	_, ok = p.enter(still, 6)
 	assert.Assert(t, ok)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -233,7 +233,8 @@
 		return
 	}
 	entered := time.Now()
-	defer func() { g.fleet.leave(c.service, time.Since(entered)) }()
+	c.at = adm.at
+	defer func() { g.fleet.leave(c.at, time.Since(entered)) }()
 	g.budgets.offer(c.service)
 	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
 		c.serveStream()
--- a/gateway/groupsimentry_test.go
+++ b/gateway/groupsimentry_test.go
@@ -7,7 +7,7 @@
 )
 
 // simPlace is where a request has its place.
-type simPlace struct{}
+type simPlace = *groupPool
 
 func (e *simEntry) pool() *servicePool { return e.fleet.services[simService] }
 
@@ -19,30 +19,30 @@
 
 func (e *simEntry) giveUp(now time.Time, w *waiter) time.Duration {
 	e.pool().line.remove(w)
-	return e.pool().gate.turnAway(now)
+	return e.pool().turnAway(now)
 }
 
-func (e *simEntry) pick(now time.Time, _ *simCaller) route.Upstream {
-	up, ok := e.fleet.pick(now, simService, &route.Request{})
+func (e *simEntry) pick(now time.Time, c *simCaller) route.Upstream {
+	up, at, ok := e.fleet.pick(now, c.waiter.at, &route.Request{})
 	if !ok {
 		panic("no upstream")
 	}
+	c.at = at
 	return up
 }
 
 func (e *simEntry) head(now time.Time, c *simCaller, after time.Duration) {
-	e.fleet.answered(now, simService, c.up, nil, after, true)
+	e.fleet.answered(now, c.at, c.up, nil, after, true)
 }
 
 func (e *simEntry) paused(now time.Time, c *simCaller, pause time.Duration) {
-	e.fleet.alive(now, simService)
-	e.fleet.paused(now, simService, c.up.ID, pause, simContent)
+	e.fleet.alive(now, c.at)
+	e.fleet.paused(now, simService, c.at, pause, simContent)
 }
 
 func (e *simEntry) leave(now time.Time, c *simCaller) {
-	e.fleet.done(now, simService, c.up, &route.Request{}, route.Result{Elapsed: now.Sub(c.sentAt)})
-	p := e.pool()
-	p.gate.leave()
-	p.gate.stay(now.Sub(c.sentAt))
-	p.turns(now, e.fleet.entries())
+	e.fleet.done(now, c.at, c.up, &route.Request{}, route.Result{Elapsed: now.Sub(c.sentAt)})
+	c.at.gate.leave()
+	e.pool().stayedFor(now.Sub(c.sentAt))
+	e.pool().turns(now, e.fleet.entries())
 }
--- a/gateway/line.go
+++ b/gateway/line.go
@@ -34,8 +34,9 @@
 	inTime, until time.Time
 	// returned says that the request was tried before: its caller may have no try left.
 	returned bool
-	// granted is closed when it is let in.
+	// granted is closed when it is let in, and at is the group that it may go to then.
 	granted chan struct{}
+	at      *groupPool
 }
 
 // canBeInTime says whether it can still be answered in time.
--- a/gateway/line_test.go
+++ b/gateway/line_test.go
@@ -27,11 +27,7 @@
 	}
 }
 
-func groupPool(slots int) *servicePool {
-	p := &servicePool{}
-	p.gate.formed(start, ranks(slots/12, 1, false))
-	return p
-}
+func poolOf(slots int) (*servicePool, *gate) { return onlyGroup(ranks(slots/12, 1, false)) }
 
 // The load: the group stood still for two seconds, and the callers of that time wait when
 // it goes on. Those that come meanwhile and can be in time go first; of the late ones the
@@ -59,7 +55,7 @@
 // The load: sixty callers wait for an empty group of 12 ranks at one of eight entries. They
 // are let in at the pace at which all entries fill the slots in refillTime, and not at once.
 func TestEmptyGroupIsFilledAtAPace(t *testing.T) {
-	p := groupPool(144)
+	p, _ := poolOf(144)
 	for range 60 {
 		p.line.add(comes(start))
 	}
@@ -118,15 +114,15 @@
 // and callers have waited for more than a second. Whoever would have to be refused soon is
 // let in all the same, at a part of the pace.
 func TestPressingRequestsAreLetIn(t *testing.T) {
-	p := groupPool(144)
-	p.gate.brake.passed(start, 115*time.Millisecond, 120*time.Millisecond)
+	p, g := poolOf(144)
+	g.brake.passed(start, 115*time.Millisecond, 120*time.Millisecond)
 	first := comes(start.Add(-200 * time.Millisecond))
-	assert.Assert(t, !p.admits(start, 8, false))
+	assert.Assert(t, p.place(start, 8, false) == nil)
 	p.line.add(first)
 	p.turns(start, 8)
 	assert.Assert(t, !granted(first))
 	now := first.until.Add(-lastCall / 2)
-	p.gate.brake.passed(now, 115*time.Millisecond, 120*time.Millisecond)
+	g.brake.passed(now, 115*time.Millisecond, 120*time.Millisecond)
 	p.turns(now, 8)
 	assert.Assert(t, granted(first))
 }
@@ -135,8 +131,8 @@
 // in sight is told at once when to come back; one that was tried before waits, as it has no
 // other try, but not for a service that it would have to leave before it is let in.
 func TestFirstTryThatCanNotBeServedIsToldAtOnce(t *testing.T) {
-	p := groupPool(144)
-	p.gate.inflight = p.gate.limit(start, 8)
+	p, g := poolOf(144)
+	g.inflight = g.limit(start, 8)
 	for {
 		v, wait := p.ask(start, 8, comes(start))
 		if v == turnAway {
@@ -155,7 +151,7 @@
 	v, _ = p.ask(start, 8, late)
 	assert.Equal(t, v, turnAway)
 
-	p.gate.broke(start)
+	g.broke(start)
 	v, wait := p.ask(start, 8, comes(start))
 	assert.Assert(t, v == turnAway && wait == downWait)
 }
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -25,6 +25,7 @@
 type attemptWatch struct {
 	call     *call
 	upstream string
+	at       *groupPool
 	cancel   context.CancelFunc
 	limit    time.Duration
 	timer    *time.Timer
@@ -39,7 +40,7 @@
 	if !routing.Repeatable(c.route) {
 		return nil
 	}
-	w := &attemptWatch{call: c, upstream: upstream, cancel: cancel, limit: c.fleet.silence(c.service), began: time.Now()}
+	w := &attemptWatch{call: c, upstream: upstream, at: c.at, cancel: cancel, limit: c.fleet.silence(c.at), began: time.Now()}
 	w.timer = time.AfterFunc(w.limit, w.look)
 	c.movable.add(w)
 	return w
@@ -67,7 +68,7 @@
 	switch {
 	case left > 0:
 		w.timer.Reset(left)
-	case w.call.takeMove(now):
+	case w.call.takeMove(now, w.at):
 		w.cancel()
 	default:
 		w.timer.Reset(w.limit / 2)
@@ -78,9 +79,9 @@
 // so takes the second attempt from the budget. Were it taken only when the first one
 // has ended, several requests would give up their upstreams for the same one, and all
 // but one would be broken off.
-func (c *call) takeMove(now time.Time) bool {
+func (c *call) takeMove(now time.Time, at *groupPool) bool {
 	another := c.sent.Load()+1 < int64(c.route.MaxAttempts)
-	if !another || !c.fleet.goesOn(now, c.service) || c.deadline.Sub(now) <= leastSilence || !c.budgets.take(c.service) {
+	if !another || !c.fleet.goesOn(now, at) || c.deadline.Sub(now) <= leastSilence || !c.budgets.take(c.service) {
 		return false
 	}
 	c.paid.Store(true)
--- a/gateway/slowrank.go
+++ b/gateway/slowrank.go
@@ -80,7 +80,7 @@
 	now := time.Now()
 	for _, id := range g.fleet.survey(now, number, ranks, g.placeAmongEntries()) {
 		for _, w := range g.movable.at(id) {
-			if w.call.takeMove(now) {
+			if w.call.takeMove(now, w.at) {
 				g.believe("Request leaves a slow upstream.", "request", w.call.asked.ID, "upstream", id)
 				g.metrics.Count("gateway.left_slow")
 				w.cancel()
--- a/gateway/slowrank_test.go
+++ b/gateway/slowrank_test.go
@@ -37,10 +37,11 @@
 		}})
 	}
 	assert.NilError(t, c.fleet.update(now, ranks))
-	c.fleet.alive(now, "llm")
+	at := c.fleet.services["llm"].order[0]
+	c.fleet.alive(now, at)
 	for i := range streams {
 		s := &call{
-			Gateway: c.Gateway, service: "llm", asked: dialect.Request{ID: "a"}, deadline: now.Add(time.Minute),
+			Gateway: c.Gateway, service: "llm", at: at, asked: dialect.Request{ID: "a"}, deadline: now.Add(time.Minute),
 			route: &wire.Route{Kind: wire.RouteKind_ROUTE_KIND_STREAMING, Resume: true, MaxAttempts: 2},
 		}
 		w := s.watchAttempt("r2", func() { c.left = append(c.left, i) })
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -128,9 +128,9 @@
 		s.lastID = ev.ID
 	}
 	now := time.Now()
-	s.fleet.alive(now, s.service)
+	s.fleet.alive(now, a.at)
 	if s.events > 0 {
-		s.paused(now, a.up.ID)
+		s.paused(now, a.at)
 	}
 	s.events++
 	s.sentAt = now
@@ -138,13 +138,13 @@
 }
 
 // paused takes the time between two events.
-func (s *stream) paused(now time.Time, upstream string) {
+func (s *stream) paused(now time.Time, at *groupPool) {
 	pause := now.Sub(s.sentAt)
 	s.metrics.pause.Record(pause)
 	if pause > s.longestPause {
 		s.longestPause, s.pauseEnded = pause, now
 	}
-	s.fleet.paused(now, s.service, upstream, pause, s.contentPause())
+	s.fleet.paused(now, s.service, at, pause, s.contentPause())
 }
 
 // finish ends an answer that is complete.
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -1,10 +1,6 @@
 package gateway
 
-import (
-	"cmp"
-	"fmt"
-	"time"
-)
+import "time"
 
 const (
 	// usualStay stands in for how long requests keep their place before the first has left:
@@ -38,15 +34,17 @@
 // its caller is told at once when to come back. Of one that was tried before nobody knows
 // that it can't be served, and it would have no other try: it waits while there is time.
 func (p *servicePool) ask(now time.Time, entries int, w *waiter) (v verdict, wait time.Duration) {
-	if p.line.ahead(now, w.canBeInTime(now)) == 0 && p.admits(now, entries, !w.canBeInTime(now)) {
-		p.admit(now)
-		return letIn, 0
+	if p.line.ahead(now, w.canBeInTime(now)) == 0 {
+		if g := p.place(now, entries, !w.canBeInTime(now)); g != nil {
+			p.admit(now, g, w)
+			return letIn, 0
+		}
 	}
 	if len(p.line.list) >= mostWaiting || !now.Before(w.until) {
-		return turnAway, p.gate.turnAway(now)
+		return turnAway, p.turnAway(now)
 	}
-	if !w.returned && (!p.gate.opens(now) || !p.inSight(now, entries, w)) {
-		return turnAway, p.gate.turnAway(now)
+	if !w.returned && (!p.opens(now) || !p.inSight(now, entries, w)) {
+		return turnAway, p.turnAway(now)
 	}
 	p.line.add(w)
 	return letWait, 0
@@ -64,68 +62,72 @@
 // expected is how long a request waits that has others ahead of it, if it gets some part
 // of the places which become free.
 func (p *servicePool) expected(now time.Time, entries, ahead int, part float64) time.Duration {
-	limit := p.gate.limit(now, entries)
+	limit, inflight := p.limit(now, entries)
 	wait := 0.0
-	if p.gate.grouped {
-		wait = float64(ahead+1) / max(p.share(entries), 1) * refillTime.Seconds()
+	if p.grouped() {
+		wait = float64(ahead+1) / max(p.share(now, entries), 1) * refillTime.Seconds()
 	}
-	if taken := ahead + 1 - max(limit-p.gate.inflight, 0); taken > 0 {
-		wait += float64(taken) * p.stay().Seconds() / (part * float64(limit))
+	if taken := ahead + 1 - max(limit-inflight, 0); taken > 0 {
+		wait += float64(taken) * p.stay().Seconds() / (part * float64(max(limit, 1)))
 	}
 	return time.Duration(wait * float64(time.Second))
 }
 
 // share is the entry's even part of the slots.
-func (p *servicePool) share(entries int) float64 {
-	return float64(p.gate.slots) / float64(max(entries, 1))
+func (g *groupPool) share(entries int) float64 {
+	return float64(g.gate.slots) / float64(max(entries, 1))
 }
 
-func (p *servicePool) stay() time.Duration { return cmp.Or(p.gate.stayed, usualStay) }
-
-// admits says whether a request may be let in now.
-func (p *servicePool) admits(now time.Time, entries int, late bool) bool {
-	limit := p.gate.limit(now, entries)
+// places is how many requests may be let into the group, as far as its slots go; 0 if none may now.
+func (g *groupPool) places(now time.Time, entries int, late bool) int {
+	limit := g.gate.limit(now, entries)
 	if late {
 		limit = max(int(lateShare*float64(limit)), 1)
 	}
-	if p.gate.inflight >= limit || !p.gate.passes(now) {
-		return false
+	if len(g.ups) == 0 || g.gate.inflight >= limit || !g.gate.passes(now, g.service.opens(now)) {
+		return 0
 	}
-	if !p.gate.grouped {
-		return true
+	if g.gate.grouped && !g.hasRoom(now, entries, late) {
+		return 0
 	}
-	room := p.gate.brake.room(now)
-	if late && p.line.pressing(now) {
+	return limit - g.gate.inflight
+}
+
+// hasRoom says whether its passes leave room for a request now.
+func (g *groupPool) hasRoom(now time.Time, entries int, late bool) bool {
+	room := g.gate.brake.room(now)
+	if late && g.service.line.pressing(now) {
 		room = max(room, pressedRoom)
 	}
-	p.pace.refill(now, room*p.share(entries))
-	return room > 0 && p.pace.ready()
+	g.pace.refill(now, room*g.share(entries))
+	return room > 0 && g.pace.ready()
 }
 
-func (p *servicePool) admit(now time.Time) {
-	p.gate.admit(now)
-	p.pace.take()
+// admit gives a request a place at a group.
+func (p *servicePool) admit(now time.Time, g *groupPool, w *waiter) {
+	w.at = g
+	p.crowd.admit()
+	g.gate.admit(now)
+	g.pace.take()
 }
 
 // turns lets in those that wait, as far as there are places.
 func (p *servicePool) turns(now time.Time, entries int) {
 	for {
-		lateMayGo := p.admits(now, entries, true)
-		if !lateMayGo && !p.admits(now, entries, false) {
+		late := p.place(now, entries, true)
+		g := late
+		if g == nil {
+			g = p.place(now, entries, false)
+		}
+		if g == nil {
 			return
 		}
-		w := p.line.next(now, lateMayGo)
+		w := p.line.next(now, late != nil)
 		if w == nil {
 			return
 		}
-		p.admit(now)
 		p.line.remove(w)
+		p.admit(now, g, w)
 		close(w.granted)
 	}
 }
-
-// inputs are what a decision depends on, with their age, for logs.
-func (p *servicePool) inputs(now time.Time) string {
-	return fmt.Sprintf("%s; %d wait, pace %.1f, head %d ms, stay %d ms", p.gate.inputs(now, p.entries), len(p.line.list), p.pace.tokens,
-		p.gate.head.Milliseconds(), p.stay().Milliseconds())
-}
--- a/gateway/warmup.go
+++ b/gateway/warmup.go
@@ -107,12 +107,12 @@
 	c.warmup.wait(ctx, c.warmUntil.Sub(c.now()), func() bool { return c.fleet.serves(c.service) })
 }
 
-// serves says whether a service has an upstream and, if its upstreams are a group, that
+// serves says whether a service has an upstream and, if its upstreams are groups, one that
 // isn't down: ranks that lost power with the rest form their group again some tenths of
 // a second after they have registered.
 func (f *fleet) serves(service string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.services[service]
-	return p != nil && len(p.ups) > 0 && !p.gate.down
+	return p != nil && p.serves()
 }
