Late requests are judged by the rate at which such get places

Cause: whether a place comes in sight was reckoned by a set part of the places (0.4), while those that can be in time took all; and one that had come back waited whatever the prospect. Change: once late requests have waited for 0.6 s, the places that such got in the last 1.5 s tell how soon the next gets one.

--- a/gateway/line.go
+++ b/gateway/line.go
@@ -92,6 +92,11 @@
 	})
 }
 
+// hasLate says whether any waits that can't be in time.
+func (l *waitingLine) hasLate(now time.Time) bool {
+	return slices.ContainsFunc(l.list, func(w *waiter) bool { return !w.canBeInTime(now) })
+}
+
 // ahead is how many would be let in before a request that comes now.
 func (l *waitingLine) ahead(now time.Time, inTime bool) int {
 	n := 0
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -20,6 +20,7 @@
 	// order is the groups by name.
 	order []*groupPool
 	line  waitingLine
+	late  lateTurns
 	crowd crowd
 	// head is the usual time to the head of an answer, 0 before the first; stayed is how
 	// long requests usually keep their place.
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -30,9 +30,9 @@
 // ask decides on a request that comes: it is let in, waits, or is refused with the time
 // after which its caller may come back.
 //
-// A first try waits as long as it can be in time, or a place for it comes in sight; else
-// its caller is told at once when to come back. Of one that was tried before nobody knows
-// that it can't be served, and it would have no other try: it waits while there is time.
+// It waits as long as it can be in time, or a place for it comes in sight; else its caller is told
+// at once when to come back. One that was tried before would have no other try: while nobody knows
+// at which rate late ones get places, it waits as long as there is time.
 func (p *servicePool) ask(now time.Time, entries int, w *waiter) (v verdict, wait time.Duration) {
 	if p.line.ahead(now, w.canBeInTime(now)) == 0 {
 		if g := p.place(now, entries, !w.canBeInTime(now)); g != nil {
@@ -43,20 +43,28 @@
 	if len(p.line.list) >= mostWaiting || !now.Before(w.until) {
 		return turnAway, p.turnAway(now)
 	}
-	if !w.returned && (!p.opens(now) || !p.inSight(now, entries, w)) {
+	if !p.inSight(now, entries, w) {
 		return turnAway, p.turnAway(now)
 	}
 	p.line.add(w)
+	p.late.waits(now, &p.line)
 	return letWait, 0
 }
 
 // inSight says whether a request that has to wait is expected to be let in before it must
 // be refused: at the pace of the group where slots are free, and then as others leave.
 func (p *servicePool) inSight(now time.Time, entries int, w *waiter) bool {
+	if !p.opens(now) {
+		return w.returned
+	}
 	if w.canBeInTime(now) && p.expected(now, entries, p.line.ahead(now, true), 1) <= w.inTime.Sub(now) {
 		return true
 	}
-	return p.expected(now, entries, p.line.ahead(now, false), lateRate) <= w.until.Sub(now)
+	ahead := p.line.ahead(now, false)
+	if rate, known := p.late.rate(now); known {
+		return float64(ahead+1) <= rate*w.until.Sub(now).Seconds()
+	}
+	return w.returned || p.expected(now, entries, ahead, lateRate) <= w.until.Sub(now)
 }
 
 // expected is how long a request waits that has others ahead of it, if it gets some part
@@ -106,6 +114,9 @@
 // admit gives a request a place at a group.
 func (p *servicePool) admit(now time.Time, g *groupPool, w *waiter) {
 	w.at = g
+	if !w.canBeInTime(now) {
+		p.late.granted(now)
+	}
 	p.crowd.admit()
 	g.gate.admit(now)
 	g.pace.take()
@@ -113,6 +124,7 @@
 
 // turns lets in those that wait, as far as there are places.
 func (p *servicePool) turns(now time.Time, entries int) {
+	p.late.waits(now, &p.line)
 	for {
 		late := p.place(now, entries, true)
 		g := late
