Late requests are judged by their rate of places only where slots are taken

Cause: passes leave no room for up to 0.7 s after a shift, and late requests get no places then; the rate of the last 1.5 s said so, though slots were free and room was about to come. Why this holds: where slots are free, what holds requests back is the passes of this moment; the expected wait is by the pace, as before.

--- a/gateway/lateturns_test.go
+++ b/gateway/lateturns_test.go
@@ -17,7 +17,7 @@
 // What callers see: those that were refused once and came back are held for 1.6 s, and refused then.
 // What happens: more callers come than a group can serve in time, for many seconds. Those that can be in time get
 // all places, and late ones wait for one that doesn't come. Once late ones have waited in vain for a while the next is told
-// at once; while they get places it waits, and as soon as none waits any more too.
+// at once; while slots are free, or late ones get places, it waits, and as soon as none waits any more too.
 func TestLateRequestsAreToldAtOnceWhereNoneGetsAPlace(t *testing.T) {
 	p, g := poolOf(144)
 	g.inflight = g.limit(start, 8)
@@ -31,6 +31,10 @@
 	v, wait := p.ask(now, 8, lateAgain(now))
 	assert.Assert(t, v == turnAway && wait >= fullWait)
 
+	g.inflight--
+	v, _ = p.ask(now, 8, lateAgain(now))
+	assert.Equal(t, v, letWait, "a slot is free: only the passes leave no room, for a moment")
+	g.inflight++
 	for range 6 {
 		p.late.granted(now)
 	}
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -61,7 +61,9 @@
 		return true
 	}
 	ahead := p.line.ahead(now, false)
-	if rate, known := p.late.rate(now); known {
+	// Where slots are free, passes have left no room for a moment, and soon will.
+	limit, inflight := p.limit(now, entries)
+	if rate, known := p.late.rate(now); known && inflight >= limit {
 		return float64(ahead+1) <= rate*w.until.Sub(now).Seconds()
 	}
 	return w.returned || p.expected(now, entries, ahead, lateRate) <= w.until.Sub(now)
