A burst of an entry is bounded over all groups of a service, no longer by the time of a pass

Change: three at once again, over all groups that answer together; each of three groups for itself was too much, as entries are told what is free in the same moment.

--- a/gateway/line.go
+++ b/gateway/line.go
@@ -124,15 +124,15 @@
 	// 12 slots then reads 12 prompts of 835 tokens a second, at 74,800 tokens a second
 	// 13 in 100 of its time.
 	refillTime = 900 * time.Millisecond
-	// paceBurst is how many requests an entry lets in at once at most, as callers don't come evenly, and
-	// burstTime that for which it may save up: a pass.
-	paceBurst = 3
-	burstTime = 100 * time.Millisecond
+	// paceBurst is how many requests an entry lets in at once, into all groups of a service together: callers
+	// don't come evenly. Where each of a hundred entries could save up one only, callers waited for seconds
+	// and were refused while half of the slots were free. Three for each of three groups were more than
+	// their passes bear: they come in the same moment, when entries are told what is free.
+	paceBurst = 3.0
 )
 
-// refill adds what an entry with a share of the slots may let in since the last time.
-func (p *pacer) refill(now time.Time, share float64) {
-	burst := min(max(share*burstTime.Seconds()/refillTime.Seconds(), 1), paceBurst)
+// refill adds what an entry with a share of the slots may let in since the last time, to a burst at most.
+func (p *pacer) refill(now time.Time, share, burst float64) {
 	if p.at.IsZero() {
 		p.tokens = burst
 	} else {
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -104,11 +104,19 @@
 	g.gate.surveyed(now, v, g.ups)
 }
 
-// opens says whether any group answers, as far as is known.
-func (p *servicePool) opens(now time.Time) bool {
-	return slices.ContainsFunc(p.order, func(g *groupPool) bool { return g.gate.opens(now) })
+// answering is how many groups answer, as far as is known.
+func (p *servicePool) answering(now time.Time) (n int) {
+	for _, g := range p.order {
+		if g.gate.opens(now) {
+			n++
+		}
+	}
+	return n
 }
 
+// opens says whether any group answers.
+func (p *servicePool) opens(now time.Time) bool { return p.answering(now) > 0 }
+
 // serves says whether there is a group that isn't down.
 func (p *servicePool) serves() bool {
 	return slices.ContainsFunc(p.order, func(g *groupPool) bool { return len(g.ups) > 0 && !g.gate.down })
--- a/gateway/pool_test.go
+++ b/gateway/pool_test.go
@@ -96,6 +96,19 @@
 	assert.Assert(t, a.service.place(now, 4, false) == b)
 }
 
+// The load: an entry's callers come in a burst as it is told what is free, to a service of two groups. All groups together get
+// no more at once than a single one would: 28 entries do the same in that moment.
+func TestBurstIsOfAllGroupsTogether(t *testing.T) {
+	_, a, _ := twoGroups(t, false)
+	let := 0
+	for range 10 {
+		if v, _ := a.service.ask(start, 4, comes(start)); v == letIn {
+			let++
+		}
+	}
+	assert.Assert(t, let >= 2 && let <= int(paceBurst), "%d", let)
+}
+
 // All entries are told the same loads. Requests go to each group as often as it has places, not all to the emptier one.
 func TestGroupsAreTakenAsOftenAsTheyHavePlaces(t *testing.T) {
 	_, a, b := twoGroups(t, false)
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -109,7 +109,7 @@
 	if late && g.service.line.pressing(now) {
 		room = max(room, pressedRoom)
 	}
-	g.pace.refill(now, room*g.share(entries))
+	g.pace.refill(now, room*g.share(entries), max(paceBurst/float64(max(g.service.answering(now), 1)), 1))
 	return room > 0 && g.pace.ready()
 }
 
