--- a/gateway/groupsim_test.go
+++ b/gateway/groupsim_test.go
@@ -48,10 +48,13 @@
 	// longer while ranks copy experts.
 	simBusiest, simCopying = 2, 1.15
 	simUsualEvents         = 22.7
+	// simFixed is the part of a pass that doesn't depend on what runs, as the service's profile tells it.
+	simFixed = time.Duration(simStride * simStep * float64(time.Millisecond))
 	// simLateWorth is what a late answer is worth of one in time.
 	simLateWorth = 0.3
 )
 
+// simGroup is the model of one group.
 type simGroup struct {
 	running []*simCaller
 	waiting []*simCaller
@@ -72,9 +75,10 @@
 	events    int
 	late      bool
 	lateFirst bool
-	at        simPlace
+	at        *groupPool
 }
 
+// simEntry drives a real entry in virtual time.
 type simEntry struct {
 	fleet   *fleet
 	weight  float64
@@ -318,3 +322,41 @@
 	return fmt.Sprintf("%d came, %d in time, %d late (%d by their first event), %d refused; worth %.3f; passes p50 %d ms, p90 %d ms, p99 %d ms",
 		s.came, s.inTime, s.late, s.lateFirst, s.refused, s.worth(), at(0.5), at(0.9), at(0.99))
 }
+
+func (e *simEntry) pool() *servicePool { return e.fleet.services[simService] }
+
+func (e *simEntry) ask(now time.Time, w *waiter) (verdict, time.Duration) {
+	return e.pool().ask(now, e.fleet.entries(), w)
+}
+
+func (e *simEntry) turns(now time.Time) { e.pool().turns(now, e.fleet.entries()) }
+
+func (e *simEntry) giveUp(now time.Time, w *waiter) time.Duration {
+	e.pool().line.remove(w)
+	return e.pool().turnAway(now)
+}
+
+func (e *simEntry) pick(now time.Time, c *simCaller) route.Upstream {
+	up, at, ok := e.fleet.pick(now, c.waiter.at, &route.Request{})
+	if !ok {
+		panic("no upstream")
+	}
+	c.at = at
+	return up
+}
+
+func (e *simEntry) head(now time.Time, c *simCaller, after time.Duration) {
+	e.fleet.answered(now, c.at, c.up, nil, after, true)
+}
+
+func (e *simEntry) paused(now time.Time, c *simCaller, pause time.Duration) {
+	e.fleet.alive(now, c.at)
+	e.fleet.paused(now, simService, c.at, pause, simContent, simFixed)
+}
+
+func (e *simEntry) leave(now time.Time, c *simCaller) {
+	e.fleet.done(now, c.at, c.up, &route.Request{}, route.Result{Elapsed: now.Sub(c.sentAt)})
+	c.at.gate.leave()
+	e.pool().stayedFor(now.Sub(c.sentAt))
+	e.pool().turns(now, e.fleet.entries())
+}
