--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -74,8 +74,9 @@
 	occupancy float64
 	told      time.Time
 	held      int
-	// rounding is what this entry adds to its part before it is rounded down: another part of
-	// one at each entry.
+	// rounding is what this entry adds to its part before it is rounded down: another part of one at
+	// each entry. If all rounded up, 28 entries would let 28 requests in at once for one free slot, and
+	// the pass that reads their prompts is long for all streams.
 	rounding float64
 	// surveyAt is when a survey told it last.
 	surveyAt time.Time
@@ -232,7 +233,7 @@
 //
 // Where it knows how many slots of a group are taken it keeps what it has and takes its
 // part of those that are free: by even parts of all, one entry would refuse callers while
-// others leave a quarter of the slots empty.
+// others leave a quarter of the slots empty. If more are taken than may be, it lets its part of these go.
 func (g *gate) limit(now time.Time, entries int) int {
 	slots, n := float64(g.slots), float64(max(entries, 1))
 	if !g.grouped {
--- a/gateway/relief.go
+++ b/gateway/relief.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// bornPart is the part of the content pause that the longest pass may take: what is left is for
-	// the way to the caller, and for what passes differ by.
-	bornPart = 0.97
+	// boundPart is the part of the content pause that the longest pass may take: what is left is for
+	// the way to the caller.
+	boundPart = 0.97
 	// nearPart is the part of the content pause above which a pass tells how many requests would make it
 	// too long. From shorter ones it is too far to guess.
 	nearPart = 0.85
@@ -18,9 +18,9 @@
 	// leastRelief is the least part of the slots that are used: below it the time of a
 	// pass hardly depends on how many requests run.
 	leastRelief = 0.5
-	// heldPass is how many times the content pause a pause is no pass that fewer requests make
-	// shorter, but a group that was held, a rank that is slow, or a stream that moved. With all slots in
-	// use, the highest skew and ranks that copy, a pass takes 1.45 times as long.
+	// heldPass is how many times the content pause a pass takes at most because of what runs: with all
+	// slots in use, the highest skew and ranks that copy it is 1.45. What takes longer is a group that was
+	// held, a slow rank, or a stream that moved, and fewer requests don't change these.
 	heldPass = 1.5
 	// reliefSteps divide the memory: the least of each is kept.
 	reliefSteps = 16
@@ -34,8 +34,9 @@
 // each two seconds. Until their copies are made a pass takes 125 to 145 ms of 120 that callers are
 // content with, and one such pass makes all streams late that run, though the passes between two
 // shifts are short. A pass has a fixed part, and one that grows with the requests that run; so each
-// tells how many would have been in time. With these, a quarter fewer, the passes after a shift
-// are in time too.
+// tells how many would have been in time. With these, a quarter to two fifths fewer, the passes after a
+// shift are in time too: in a model of three such groups 57 in 100 streams are in time and 22 refused, in place
+// of 30 and 4.
 type relief struct {
 	// least are the parts that the passes of each step of the memory bear, the newest last.
 	least [reliefSteps]float64
@@ -47,7 +48,7 @@
 // the requests that run, and the part of the slots that were in use.
 func (r *relief) passed(now time.Time, pass, content, fixed time.Duration, used float64) {
 	r.turn(now)
-	bound := time.Duration(bornPart * float64(content))
+	bound := time.Duration(boundPart * float64(content))
 	near := float64(pass) > nearPart*float64(content) && float64(pass) < heldPass*float64(content)
 	if !near || pass <= fixed || bound <= fixed || used < leastRelief {
 		return
