Passes are told apart in one place: the count for logs takes them from the gate

The count of a group's passes merged the pauses of streams again, beside the brake that has just done so, at each event. The gate returns the pass that is over; decisions are as before.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -117,8 +117,9 @@
 // the fixed part of a pass.
 func (f *fleet) paused(now time.Time, service string, at *groupPool, pause, content, fixed time.Duration) {
 	f.mu.Lock()
-	at.gate.paused(now, at.service.entries, pause, content, fixed)
-	at.seen.passed(now, pause, content)
+	if pass, over := at.gate.paused(now, at.service.entries, pause, content, fixed); over {
+		at.seen.passed(pass, content)
+	}
 	told, ok := at.seen.due(now)
 	inputs := ""
 	if ok {
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -168,14 +168,17 @@
 func (g *gate) alive(now time.Time) { g.sign = now }
 
 // paused takes the pause between two events of a stream, the one that its caller is content with,
-// and the part of a pass that doesn't depend on the requests that run.
-func (g *gate) paused(now time.Time, entries int, pause, content, fixed time.Duration) {
-	before := g.brake.pass
-	another := g.brake.passed(now, pause, content)
-	if another && now.Sub(g.told) < occupancyLife && now.Sub(g.formedAt) > firstMap {
-		// The pass before is known in full now: all streams have told it.
+// and the part of a pass that doesn't depend on the requests that run. It returns the pass before
+// when another begins: that is known in full then, as all streams have told it.
+func (g *gate) paused(now time.Time, entries int, pause, content, fixed time.Duration) (before time.Duration, over bool) {
+	before = g.brake.pass
+	if another := g.brake.passed(now, pause, content); !another || before == 0 {
+		return 0, false
+	}
+	if now.Sub(g.told) < occupancyLife && now.Sub(g.formedAt) > firstMap {
 		g.relief.passed(now, before, content, fixed, g.used(entries))
 	}
+	return before, true
 }
 
 // used is the part of the slots in use by now, if the other entries have as many more requests
--- a/gateway/passes.go
+++ b/gateway/passes.go
@@ -10,30 +10,22 @@
 // each second.
 type passCount struct {
 	began time.Time
-	// endedAt is when the latest pass ended; pass is its time so far, content the pause that callers are content with.
-	endedAt       time.Time
-	pass, content time.Duration
-	// n counts those that are complete, long those of them that took longer than content; longest is the longest.
-	n, long int
-	longest time.Duration
-	sum     time.Duration
+	// n counts passes, long those of them that took longer than their callers are content with.
+	n, long      int
+	longest, sum time.Duration
+	// content is the pause that callers were content with last.
+	content time.Duration
 }
 
-// passed takes the pause between two events of a stream of the group.
-func (c *passCount) passed(now time.Time, pause, content time.Duration) {
-	if now.Sub(c.endedAt) < pause/2 {
-		c.pass = min(c.pass, pause)
-		return
+// passed takes a pass that is over, and the pause that callers are content with.
+func (c *passCount) passed(pass, content time.Duration) {
+	c.n++
+	c.sum += pass
+	c.longest = max(c.longest, pass)
+	if pass > content {
+		c.long++
 	}
-	if c.pass > 0 {
-		c.n++
-		c.sum += c.pass
-		c.longest = max(c.longest, c.pass)
-		if c.pass > c.content {
-			c.long++
-		}
-	}
-	c.endedAt, c.pass, c.content = now, pause, content
+	c.content = content
 }
 
 // due returns what was counted, and begins anew, once a second.
@@ -45,7 +37,7 @@
 		return passCount{}, false
 	}
 	told = *c
-	*c = passCount{began: now, endedAt: c.endedAt, pass: c.pass, content: c.content}
+	*c = passCount{began: now}
 	return told, true
 }
 
--- a/gateway/passes_test.go
+++ b/gateway/passes_test.go
@@ -12,6 +12,12 @@
 func TestPassesOfASecondAreCounted(t *testing.T) {
 	const content = 120 * time.Millisecond
 	c := &passCount{}
+	g := &gate{}
+	event := func(now time.Time, pause time.Duration) {
+		if pass, over := g.paused(now, 1, pause, content, 0); over {
+			c.passed(pass, content)
+		}
+	}
 	now := start
 	told := 0
 	for n := range 30 {
@@ -20,9 +26,9 @@
 			pass = 130 * time.Millisecond
 		}
 		now = now.Add(pass)
-		c.passed(now, pass+3*time.Millisecond, content)
-		c.passed(now, pass, content)
-		c.passed(now.Add(time.Millisecond), 4*pass, content)
+		event(now, pass+3*time.Millisecond)
+		event(now, pass)
+		event(now.Add(time.Millisecond), 4*pass)
 		if seen, ok := c.due(now); ok {
 			told++
 			assert.Assert(t, seen.n >= 11 && seen.n <= 13, "%d", seen.n)
