A line joins a request, by its content, with an upstream that ended while it ran there

On call saw callers told in-doubt and upstreams that went, and no line said that the one request ran at each of them. An attempt that its upstream broke off is followed by one question at the address: refused means that the upstream ended; where it is silent or takes connections, another incarnation that registers there within 10 s says so. Lost answers, cuts, planned stops and attempts given up here are no ends. No decision changes yet.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -119,6 +119,8 @@
 	// head is what the answer's header said, once there was one.
 	head   dialect.Answer
 	status int
+	// broken says that the upstream ended the connection before a whole answer.
+	broken bool
 }
 
 // begin chooses an upstream for the next attempt; nil if there is none.
@@ -202,7 +204,8 @@
 }
 
 // failed classifies an attempt that brought no head, or whose body broke off.
-func (c *call) failed(err error) outcome {
+func (c *call) failed(a *attempt, err error) outcome {
+	a.broken = errors.Is(err, direct.ErrBroken) || errors.Is(err, direct.ErrPartialEvent)
 	switch {
 	case errors.Is(err, direct.ErrNotSent) && c.ctx.Err() == nil:
 		return outcomeNotSent
@@ -234,7 +237,7 @@
 func (c *call) exchange(a *attempt) (*answer, outcome) {
 	resp, err := c.send(a, c.asked.LastEventID)
 	if err != nil {
-		return nil, c.failed(err)
+		return nil, c.failed(a, err)
 	}
 	defer resp.Body.Close()
 	return c.readWhole(a, resp)
@@ -251,7 +254,7 @@
 	if o.ranNothing() {
 		return nil, o
 	}
-	return nil, c.failed(err)
+	return nil, c.failed(a, err)
 }
 
 // eachAttempt makes one attempt after the other until one has served the request, or
@@ -264,6 +267,9 @@
 			return false
 		}
 		o, served := once(a)
+		if c.looksEnded(a, o) {
+			c.noteCut(a)
+		}
 		c.end(a, o)
 		if served {
 			return true
--- /dev/null
+++ b/gateway/ended.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/quarantine"
+	"github.com/snipereach/snipereach/wire"
+)
+
+const (
+	// probeTimeout bounds the question whether an upstream is still there: within a region it
+	// is answered in milliseconds, and a request that may be tried elsewhere waits for it.
+	probeTimeout = 150 * time.Millisecond
+	// pendingFor is how long after an attempt was cut off another incarnation at the address
+	// shows that the upstream ended: it starts again within seconds.
+	pendingFor = 10 * time.Second
+	// mostPending bounds the cut attempts that wait to be explained.
+	mostPending = 256
+	// endLines bounds the lines about upstreams that ended, a second. All that ran at one
+	// have a line: a dozen.
+	endLines = 24
+)
+
+// Signs that an upstream has ended while it ran a request.
+const (
+	// signRefused: it cut the request off, and nothing listens at its address.
+	signRefused = "refused"
+	// signReplaced: it cut the request off, and another incarnation has its address.
+	signReplaced = "replaced"
+)
+
+// pendingEnd is an attempt that was cut off at an upstream that still took connections, or
+// wasn't heard.
+type pendingEnd struct {
+	request  *quarantine.Request
+	route    string
+	id       string
+	upstream string
+	address  string
+	// known are the instances that were known at the address when it was cut off.
+	known []string
+	until time.Time
+}
+
+// replacedBy says whether an instance has come to the address since. One that was known there
+// before may be an earlier incarnation, whose lease hasn't run out yet.
+func (p *pendingEnd) replacedBy(i *directory.Instance) bool {
+	return i.Up() && i.Address == p.address && i.Id != p.upstream && !slices.Contains(p.known, i.Id)
+}
+
+// upstreamEnds finds out which cut attempts were cut because their upstream ended.
+type upstreamEnds struct {
+	probes  singleflight.Group
+	pending []pendingEnd
+	lines   *kernel.LineBudget
+}
+
+// identity is what makes the request the same when it comes again.
+func (c *call) identity() *quarantine.Request {
+	return &quarantine.Request{Team: c.team.GetName(), Method: c.r.Method, Host: c.r.Host, URI: c.r.RequestURI, Body: c.body}
+}
+
+// looksEnded says whether an attempt may have been cut off because its upstream ended: the
+// upstream broke it off, nobody here did, and it hasn't said that it leaves.
+func (c *call) looksEnded(a *attempt, o outcome) bool {
+	return o == outcomeInDoubt && a.broken && a.ctx.Err() == nil && !c.leaves(a.up.ID)
+}
+
+// leaves says whether an upstream has said that it leaves.
+func (g *Gateway) leaves(upstream string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i := g.known[upstream]
+	return i != nil && i.Phase != wire.Phase_PHASE_UP
+}
+
+// noteCut looks after an attempt that was cut off. Whether the upstream ended is asked at its
+// address first; a host that says nothing, or that takes connections already again, shows it
+// later by the incarnation that registers.
+func (c *call) noteCut(a *attempt) {
+	if c.upstreamRefuses(a.up.Address) {
+		c.upstreamEnded(c.identity(), c.route.GetName(), c.asked.ID, a.up.ID, a.up.Address, signRefused)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.ends.pending) >= mostPending {
+		c.ends.pending = c.ends.pending[1:]
+	}
+	p := pendingEnd{
+		request: c.identity(), route: c.route.GetName(), id: c.asked.ID,
+		upstream: a.up.ID, address: a.up.Address, until: c.now().Add(pendingFor),
+	}
+	for _, i := range c.known {
+		if i.Address == a.up.Address {
+			p.known = append(p.known, i.Id)
+		}
+	}
+	c.ends.pending = append(c.ends.pending, p)
+}
+
+// upstreamRefuses asks at an upstream's address whether anything listens there. Many requests
+// are cut off at once when it ends; one question is asked for all of them.
+func (g *Gateway) upstreamRefuses(address string) bool {
+	refuses, _, _ := g.ends.probes.Do(address, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		return g.client.Refuses(ctx, address), nil
+	})
+	return refuses.(bool)
+}
+
+// explainCuts finds the cut attempts whose upstream's address has another incarnation now.
+func (g *Gateway) explainCuts(known []*directory.Instance) {
+	g.mu.Lock()
+	if len(g.ends.pending) == 0 {
+		g.mu.Unlock()
+		return
+	}
+	var left, ended []pendingEnd
+	for _, p := range g.ends.pending {
+		switch {
+		case slices.ContainsFunc(known, p.replacedBy):
+			ended = append(ended, p)
+		case g.now().Before(p.until):
+			left = append(left, p)
+		}
+	}
+	g.ends.pending = left
+	g.mu.Unlock()
+	for _, p := range ended {
+		g.upstreamEnded(p.request, p.route, p.id, p.upstream, p.address, signReplaced)
+	}
+}
+
+// upstreamEnded takes that an upstream has ended while it ran a request.
+func (g *Gateway) upstreamEnded(r *quarantine.Request, route, id, upstream, address, sign string) {
+	g.metrics.Count("gateway.upstream_ended." + sign)
+	if ok, leftOut := g.ends.lines.Take(); ok {
+		kernel.Info(g.log, "Upstream ended under a request.", "request", id, "key", r.Key(), "route", route, "team", r.Team,
+			"upstream", upstream, "addr", address, "sign", sign, "lines_left_out", leftOut)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,6 +78,7 @@
 	cancel  context.CancelFunc
 	// known are the upstreams that were told of last.
 	known map[string]*directory.Instance
+	ends  upstreamEnds
 }
 
 // New makes a gateway from checked settings.
@@ -104,6 +105,7 @@
 	}
 	g.requests, g.metrics = newRequestLog(g.log, now), newGatewayMetrics()
 	g.beliefs = kernel.NewLineBudget(beliefLines, now)
+	g.ends.lines = kernel.NewLineBudget(endLines, now)
 	g.fleet.told, g.fleet.passes, g.fleet.entries = g.tellGate, g.tellPasses, g.entries
 	g.metrics.register(g)
 	g.node = directory.NewNode(directorySettings(), now, g.directoryChanged)
@@ -206,6 +208,7 @@
 	if err := g.fleet.update(time.Now(), known); err != nil {
 		kernel.Warn(g.log, "Upstreams can't be taken up.", "err", err)
 	}
+	g.explainCuts(known)
 	g.client.Forget(g.fleet.addresses())
 	g.warmup.learned()
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -46,7 +46,7 @@
 func (s *stream) run(a *attempt) (*answer, outcome) {
 	resp, err := s.send(a, s.lastID)
 	if err != nil {
-		return nil, s.failed(err)
+		return nil, s.failed(a, err)
 	}
 	defer resp.Body.Close()
 	if o := a.classify(resp.Header); o != outcomeAnswered {
@@ -77,7 +77,7 @@
 			return outcomeAnswered
 		}
 		if err != nil {
-			return s.failed(err)
+			return s.failed(a, err)
 		}
 		if !s.follows(ev) {
 			return outcomeInDoubt
