Requests that end upstreams are known by their content at all gateways, and put in quarantine

What callers saw: a model's group answered for half a second in each four, for half a minute at a time; each time it had formed, one and the same request ended a rank, at whichever gateway it came. Cause: a request had no past. A gateway bounds attempts by caller's request, and forgets it with its answer; other gateways were told nothing.

An upstream that ends while it runs a request is held against it, each incarnation once, and against all that ran there. A whole answer anywhere clears a request. After two ends it runs at one place at a time, without a second attempt and without waiting in line (copies that waited at all gateways for a group were let in side by side); after three it is refused at once as not run, with the time at which it may be tried again. Its ends are then no longer held against what ran beside it. Gateways tell all control replicas, these tell all gateways on the watch that they have; what is put in quarantine stands on the log besides, and outlives a kill of all processes.

Why this holds: ends add up in any order, and no leader is needed for word to reach the others; the log is, for what must outlive processes. Plain requests pay one atomic read while nothing is suspected.

--- a/control/control.go
+++ b/control/control.go
@@ -61,6 +61,8 @@
 	lockstep *lockstepLeader
 	surveys  *surveyFeed
 	metrics  *kernel.Metrics
+	// suspicions are those of requests that may end upstreams.
+	suspicions *suspicions
 
 	mu       sync.Mutex
 	identity *wire.Identity
@@ -75,7 +77,7 @@
 		return nil, err
 	}
 	s.Now = s.clock()
-	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, surveys: newSurveyFeed(), metrics: kernel.NewMetrics()}
+	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, surveys: newSurveyFeed(), metrics: kernel.NewMetrics(), suspicions: newSuspicions(s.Now)}
 	c.groups = newGroupLeader(s, kernel.PartLog(l, "groups"), pool)
 	var err error
 	c.lockstep, err = newLockstepLeader(s, l, pool, c.metrics, c.surveys)
@@ -95,7 +97,7 @@
 	}
 }
 
-// Register adds the Raft and Control services to a server.
+// Register adds the replica's services to a server.
 func (c *Control) Register(mux drpc.Mux) error {
 	if err := wire.DRPCRegisterRaft(mux, raftService{c}); err != nil {
 		return err
@@ -103,6 +105,9 @@
 	if err := wire.DRPCRegisterRouting(mux, routingService{&service{c}}); err != nil {
 		return err
 	}
+	if err := wire.DRPCRegisterQuarantine(mux, quarantineService{&service{c}}); err != nil {
+		return err
+	}
 	return wire.DRPCRegisterControl(mux, &service{c})
 }
 
@@ -179,7 +184,8 @@
 		j.Close()
 		return err
 	}
-	r.entries = c.entries
+	r.entries, r.quarantined = c.entries, c.suspicions.learn
+	r.tellQuarantined(r.machine.quarantine.Told(r.clock())...)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stopped {
@@ -189,6 +195,7 @@
 	r.start(ctx)
 	c.replica = r
 	go c.keepJoined(ctx, r)
+	go c.keepSettled(ctx, r)
 	go c.groups.run(ctx, r)
 	if c.lockstep != nil {
 		go c.lockstep.run(ctx, r)
--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -55,7 +55,7 @@
 		r.clock = func() time.Time { return started.Add(alone) }
 		r.feed.reset(1, &wire.Ring{}, started)
 		var stream sentVersions
-		assert.NilError(t, sendVersion(&stream, r, 1, time.Second))
+		assert.NilError(t, sendVersion(&stream, r, 1, time.Second, nil))
 		age := time.Duration(stream.sent[0].ConfirmedAgeMs) * time.Millisecond
 		assert.Assert(t, age >= min(alone, 24*24*time.Hour), "%s after %s", age, alone)
 	}
--- a/control/machine.go
+++ b/control/machine.go
@@ -4,11 +4,14 @@
 package control
 
 import (
+	"time"
+
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/snipereach/snipereach/fence"
 	"github.com/snipereach/snipereach/internal/deflate"
+	"github.com/snipereach/snipereach/quarantine"
 	"github.com/snipereach/snipereach/rollout"
 	"github.com/snipereach/snipereach/routing"
 	"github.com/snipereach/snipereach/table"
@@ -27,7 +30,7 @@
 // each change by which one log would lead to another state: a new kind of command, a
 // reference or a value that must be unique. A release that brings new rules knows the
 // old ones, too, and proposes by them until all replicas run it.
-const rules = 3
+const rules = 4
 
 // firstRules are those of all commands but the ones below. A command says the
 // lowest rules that carry it out, so that replicas of an older release go on as
@@ -36,7 +39,10 @@
 
 // rulesOf returns the rules that a command needs.
 func rulesOf(c *wire.Command) uint32 {
-	if c.GetRouting() != nil {
+	switch {
+	case c.GetQuarantine() != nil:
+		return quarantineRules
+	case c.GetRouting() != nil:
 		return routingRules
 	}
 	return firstRules
@@ -47,6 +53,8 @@
 	routingRules = 2
 	// deflatedRules are those of deflated commands.
 	deflatedRules = 3
+	// quarantineRules are those of requests in quarantine.
+	quarantineRules = 4
 	// leastDeflated is the size from which on a command is deflated. A configuration of
 	// 400 routes, with the operator's document, is 200 kB on the log of each voter and 15
 	// deflated; on hosts of a tenth of a core sending it to four others took 0.1 s, in
@@ -65,7 +73,24 @@
 	ring   *wire.Ring
 	groups *rollout.Machine
 	// routing holds the routing configuration.
-	routing routing.Machine
+	routing    routing.Machine
+	quarantine quarantine.Machine
+}
+
+// quarantineResult is the result of a committed quarantine, with what is to be told of it.
+type quarantineResult struct {
+	quarantine.Result
+	told *wire.Suspicion
+}
+
+func (m *machine) applyQuarantine(c *wire.QuarantineCommand) quarantineResult {
+	res := quarantineResult{Result: m.quarantine.Apply(c)}
+	if c.Put == nil {
+		res.told = &wire.Suspicion{Key: c.Lift, Cleared: true}
+		return res
+	}
+	res.told = quarantine.TellLogged(time.UnixMilli(int64(c.AtMs)), c.Put)
+	return res
 }
 
 func newMachine() *machine {
@@ -106,7 +131,7 @@
 }
 
 // apply carries out a committed command. The result is a *wire.EditReply, a
-// *wire.Lease, a rollout.Result, a routingResult or nil.
+// *wire.Lease, a rollout.Result, a routingResult, a quarantineResult or nil.
 //
 // A replica of an older release that passed over a command of a newer one would go on
 // with another state than the others: the row that it serves, or the snapshot that it
@@ -126,6 +151,8 @@
 	case c.GetRouting() != nil:
 		accepted := m.routing.Apply(c.GetRouting())
 		return routingResult{accepted: accepted, version: m.routing.Current().Version}, nil
+	case c.GetQuarantine() != nil:
+		return m.applyQuarantine(c.GetQuarantine()), nil
 	case c.GetFormed() != nil:
 		m.formed = true
 	case c.GetRing() != nil:
@@ -144,9 +171,12 @@
 	if m.routing.Current() != nil {
 		needs = routingRules
 	}
+	if !m.quarantine.Empty() {
+		needs = quarantineRules
+	}
 	return proto.Marshal(&wire.MachineSnapshot{
 		Rules: needs, Table: m.table.Snapshot(), Fence: m.fence.Snapshot(), Formed: m.formed, Ring: m.ring,
-		Groups: m.groups.Snapshot(), Routing: m.routing.Current(),
+		Groups: m.groups.Snapshot(), Routing: m.routing.Current(), Quarantine: m.quarantine.Snapshot(),
 	})
 }
 
@@ -162,6 +192,7 @@
 	m.fence.Restore(s.Fence)
 	m.groups.Restore(s.Groups)
 	m.routing.Restore(s.Routing)
+	m.quarantine.Restore(s.Quarantine)
 	m.formed = s.Formed
 	m.ring = s.Ring
 	if m.ring == nil {
--- a/control/replica.go
+++ b/control/replica.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"hash/maphash"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,6 +83,8 @@
 
 	// entries lists the entries that are up, for the ring of claim registers.
 	entries func() []*wire.RingMember
+	// quarantined is called with what is decided about requests in quarantine.
+	quarantined func(...*wire.Suspicion) (news bool)
 
 	mu       sync.Mutex
 	watchers map[chan struct{}]struct{}
@@ -245,6 +249,7 @@
 		r.feed.reset(r.machine.table.Revision(), r.machine.ring, r.rings.changed)
 		r.routingVersion.Store(r.machine.routing.Current().GetVersion())
 		r.forgetWaiting(rd.Snapshot.Index)
+		r.tellQuarantined(r.machine.quarantine.Told(r.clock())...)
 		r.wake()
 	}
 	var changed []*wire.Row
@@ -259,6 +264,9 @@
 		if reply, ok := v.(*wire.EditReply); ok && reply.Status == wire.EditStatus_EDIT_STATUS_ACCEPTED && !reply.Replayed {
 			changed = append(changed, reply.Rows...)
 		}
+		if q, ok := v.(quarantineResult); ok {
+			r.quarantineDecided(q)
+		}
 		r.answer(e, v)
 		r.rings.follow(r.machine.ring.Epoch, r.clock())
 		r.sinceCut++
@@ -275,6 +283,22 @@
 	return r.maybeCompact()
 }
 
+// quarantineDecided takes a committed quarantine, or the end of one.
+func (r *Replica) quarantineDecided(q quarantineResult) {
+	m := q.told
+	kernel.Info(r.log, "Quarantine decided.", "key", hex.EncodeToString(m.Key), "route", m.Route, "team", m.Team, "lifted", m.Cleared,
+		"changed", q.Changed, "upstreams", strings.Join(m.Upstreams, ","), "terms", m.Terms, "left_ms", m.QuarantineMs)
+	if q.Changed || m.Cleared {
+		r.tellQuarantined(m)
+	}
+}
+
+func (r *Replica) tellQuarantined(list ...*wire.Suspicion) {
+	if r.quarantined != nil && len(list) > 0 {
+		r.quarantined(list...)
+	}
+}
+
 // maybeCompact takes a snapshot once enough entries have gathered, so that a
 // start reads a bounded log however many edits there were.
 func (r *Replica) maybeCompact() error {
--- a/control/routing.go
+++ b/control/routing.go
@@ -10,6 +10,7 @@
 
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/quarantine"
 	"github.com/snipereach/snipereach/routing"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -176,17 +177,22 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	sent, current, due := uint64(0), false, true
+	suspected := uint64(0)
 	for {
 		version, confirmed := r.routingVersion.Load(), r.feed.current(r.now())
-		if due || version != sent || confirmed && !current {
+		told := s.suspicions.since(suspected)
+		if due || version != sent || confirmed && !current || len(told.Suspicions) > 0 {
 			next := directory.SpeakInterval(routingConfirmInterval, int(s.routingWatchers.Load()))
-			if err := sendVersion(stream, r, version, next); err != nil {
+			if err := sendVersion(stream, r, version, next, told.Suspicions); err != nil {
 				return err
 			}
-			sent = version
+			sent, suspected = version, told.Version
 			timer.Reset(next)
 		}
 		current, due = confirmed, false
+		if len(told.Suspicions) == quarantine.MostTold {
+			continue
+		}
 		select {
 		case <-stream.Context().Done():
 			return nil
@@ -199,8 +205,8 @@
 	}
 }
 
-func sendVersion(stream wire.DRPCRouting_WatchStream, r *Replica, version uint64, next time.Duration) error {
-	v := &wire.RoutingVersion{Version: version, ConfirmedAgeMs: millis(r.feed.age(r.now())), NextMs: millis(next)}
+func sendVersion(stream wire.DRPCRouting_WatchStream, r *Replica, version uint64, next time.Duration, suspicions []*wire.Suspicion) error {
+	v := &wire.RoutingVersion{Version: version, ConfirmedAgeMs: millis(r.feed.age(r.now())), NextMs: millis(next), Suspicions: suspicions}
 	err := stream.Send(v)
 	if err != nil {
 		return fmt.Errorf("routing watch: %w", err)
--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -16,6 +16,7 @@
 		for _, reply := range announcer.Announce(ctx, g.announcement()) {
 			g.announced(reply)
 		}
+		g.suspects.forget()
 		select {
 		case <-ctx.Done():
 			return
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/direct"
+	"github.com/snipereach/snipereach/quarantine"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/routing"
 	"github.com/snipereach/snipereach/wire"
@@ -43,8 +44,10 @@
 	sent atomic.Int64
 	// paid says that the next attempt was taken from the budget when the one before
 	// was given up.
-	paid   atomic.Bool
-	tried  map[string]bool
+	paid  atomic.Bool
+	tried map[string]bool
+	// key names the request by its content, once that was asked for.
+	key    atomic.Pointer[quarantine.Key]
 	last   outcome
 	reason string
 	// why are the inputs of a decision to refuse.
@@ -267,7 +270,10 @@
 			return false
 		}
 		o, served := once(a)
-		if c.looksEnded(a, o) {
+		switch {
+		case o == outcomeAnswered:
+			c.answeredWhole()
+		case c.looksEnded(a, o):
 			c.noteCut(a)
 		}
 		c.end(a, o)
@@ -314,6 +320,10 @@
 			w.until = ends
 		}
 	}
+	if c.standing().Standing == quarantine.LastTrial {
+		// It is let in now or not at all: see heldBack.
+		w.until = c.began
+	}
 	w.inTime = w.until
 	if content := c.contentFirst(); content > 0 {
 		w.inTime = c.began.Add(content - c.age - time.Duration(headSpread*float64(head)))
@@ -334,8 +344,7 @@
 	if c.draining.Load() {
 		f = refusal{status: http.StatusServiceUnavailable, reason: reasonDraining, wait: drainWait}
 	}
-	c.refuse(c.w, f)
-	c.done(f.status, f.reason, nil)
+	c.turnDown(&f)
 }
 
 // retry says whether another attempt is made.
@@ -344,6 +353,10 @@
 	if !c.history.mayTry(c.route) || time.Until(c.deadline) <= 0 {
 		return false
 	}
+	if reason, only := c.oneAttempt(); only {
+		c.reason = reason
+		return false
+	}
 	// An attempt that never left is no arrival at an upstream.
 	if c.last == outcomeNotSent || c.paid.Swap(false) {
 		return true
@@ -372,6 +385,5 @@
 		return
 	}
 	f := c.history.failure(c.last, c.reason)
-	c.refuse(c.w, f)
-	c.done(f.status, f.reason, nil)
+	c.turnDown(&f)
 }
--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -142,8 +142,10 @@
 // upstreamEnded takes that an upstream has ended while it ran a request.
 func (g *Gateway) upstreamEnded(r *quarantine.Request, route, id, upstream, address, sign string) {
 	g.metrics.Count("gateway.upstream_ended." + sign)
+	s := quarantine.Subject{Key: r.Key(), Hint: r.Hint(), Team: r.Team, Route: route}
+	v := g.suspects.ended(s, upstream)
 	if ok, leftOut := g.ends.lines.Take(); ok {
-		kernel.Info(g.log, "Upstream ended under a request.", "request", id, "key", r.Key(), "route", route, "team", r.Team,
-			"upstream", upstream, "addr", address, "sign", sign, "lines_left_out", leftOut)
+		kernel.Info(g.log, "Upstream ended under a request.", "request", id, "key", s.Key, "route", route, "team", r.Team,
+			"upstream", upstream, "addr", address, "sign", sign, "ends", v.Ends, "standing", v.Standing, "lines_left_out", leftOut)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,8 +77,9 @@
 	servers []*http.Server
 	cancel  context.CancelFunc
 	// known are the upstreams that were told of last.
-	known map[string]*directory.Instance
-	ends  upstreamEnds
+	known    map[string]*directory.Instance
+	ends     upstreamEnds
+	suspects suspects
 }
 
 // New makes a gateway from checked settings.
@@ -106,12 +107,14 @@
 	g.requests, g.metrics = newRequestLog(g.log, now), newGatewayMetrics()
 	g.beliefs = kernel.NewLineBudget(beliefLines, now)
 	g.ends.lines = kernel.NewLineBudget(endLines, now)
+	g.suspects.init(now)
 	g.fleet.told, g.fleet.passes, g.fleet.entries = g.tellGate, g.tellPasses, g.entries
 	g.metrics.register(g)
 	g.node = directory.NewNode(directorySettings(), now, g.directoryChanged)
 	g.budgets = newBudgets(s.Retries, g.entries, now)
 	g.dumps.Add("directory", g.node.Dump)
 	g.dumps.Add("gateway", g.dump)
+	g.dumps.Add("quarantine", g.suspects.dump)
 	return g, nil
 }
 
@@ -143,6 +146,7 @@
 	g.node.FollowEach(ctx, g.targets.Addresses, g.pool.Conn, &wire.DirectoryWatchRequest{Watcher: g.settings.ID})
 	go g.followRouting(ctx)
 	go g.followSurveys(ctx)
+	go directory.FollowList(ctx, g.targets.Addresses, g.tellSuspicions)
 	go g.announceLoop(ctx)
 	kernel.Info(g.log, "Started.", "id", g.settings.ID, "failure_domain", g.settings.FailureDomain, "addr", g.callers.Addr(), "version", kernel.Version)
 	return nil
@@ -220,9 +224,11 @@
 	began := time.Now()
 	g.lastCame.Store(int64(g.now().UnixNano()))
 	c, f := g.admit(w, r, began)
+	if f == nil {
+		f = c.heldBack()
+	}
 	if f != nil {
-		g.refuse(w, *f)
-		c.done(f.status, f.reason, nil)
+		c.turnDown(f)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -238,6 +244,12 @@
 	entered := time.Now()
 	c.at = adm.at
 	defer func() { g.fleet.leave(c.at, time.Since(entered)) }()
+	f, ended := c.beginTrial()
+	defer ended()
+	if f != nil {
+		c.turnDown(f)
+		return
+	}
 	g.budgets.offer(c.service)
 	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
 		c.serveStream()
@@ -299,6 +311,12 @@
 	return nil
 }
 
+// turnDown refuses a request and ends it.
+func (c *call) turnDown(f *refusal) {
+	c.refuse(c.w, *f)
+	c.done(f.status, f.reason, nil)
+}
+
 // refuse answers for the gateway itself.
 func (g *Gateway) refuse(w http.ResponseWriter, f refusal) {
 	h := w.Header()
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -95,6 +95,11 @@
 	reasonInDoubt        = "in-doubt"
 	reasonTimeout        = "timeout"
 	reasonBrokenOff      = "stream-broken-off"
+	// reasonQuarantined: upstreams have ended under the request, and it is sent to none.
+	reasonQuarantined = "quarantined"
+	// reasonLastTrial: upstreams have ended under the request, and one more trial is all that
+	// is left; a copy of it runs, or there is no place for it now.
+	reasonLastTrial = "last-trial"
 )
 
 // failure is the answer to a request for which nothing more is tried. Only a
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -81,7 +81,10 @@
 // but one would be broken off.
 func (c *call) takeMove(now time.Time, at *groupPool) bool {
 	another := c.sent.Load()+1 < int64(c.route.MaxAttempts)
-	if !another || !c.fleet.goesOn(now, at) || c.deadline.Sub(now) <= leastSilence || !c.budgets.take(c.service) {
+	if !another || !c.fleet.goesOn(now, at) || c.deadline.Sub(now) <= leastSilence {
+		return false
+	}
+	if _, only := c.oneAttempt(); only || !c.budgets.take(c.service) {
 		return false
 	}
 	c.paid.Store(true)
--- /dev/null
+++ b/quarantine/table.go
@@ -0,0 +1,422 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/snipereach/snipereach/wire"
+)
+
+// Settings bound what a Table holds against a request and for how long.
+type Settings struct {
+	// Ends is how many upstreams end under a request before it is put in quarantine. Requests
+	// that run beside the one that ends upstreams have an end each, too, and their callers come
+	// again: at two, about half an innocent one a guilty one would be taken with it.
+	Ends int
+	// Memory is how long an end is held against a request that isn't in quarantine.
+	Memory time.Duration
+	// Term is how long the first quarantine lasts. Each further one lasts twice as long as the
+	// one before, up to MostTerm.
+	Term, MostTerm time.Duration
+	// ClearedFor is how long it is told that a request was cleared.
+	ClearedFor time.Duration
+	// Most bounds the requests that are remembered, MostOfTeam those of one team.
+	Most, MostOfTeam int
+}
+
+// DefaultSettings are those of entries and replicas.
+func DefaultSettings() Settings {
+	return Settings{
+		Ends: 3, Memory: 15 * time.Minute, Term: 15 * time.Minute, MostTerm: 24 * time.Hour,
+		ClearedFor: time.Minute, Most: 1024, MostOfTeam: 256,
+	}
+}
+
+// term is how long the n-th quarantine of a request lasts.
+func (s *Settings) term(n int) time.Duration {
+	d := s.Term
+	for i := 1; i < n && d < s.MostTerm; i++ {
+		d *= 2
+	}
+	return min(d, s.MostTerm)
+}
+
+// Subject is a request as a Table knows it.
+type Subject struct {
+	Key         Key
+	Hint        Hint
+	Team, Route string
+}
+
+// Standing is what a Table holds of a request.
+type Standing int
+
+const (
+	// Free: nothing is held against it.
+	Free Standing = iota
+	// Suspect: upstreams ended under it. It may be tried again inside a caller's request.
+	Suspect
+	// LastTrial: one more end puts it in quarantine. It runs at one place at a time, and a
+	// caller's request sends it to one upstream only.
+	LastTrial
+	// Quarantined: it is sent to no upstream.
+	Quarantined
+)
+
+var standingNames = [...]string{"free", "suspect", "last-trial", "quarantined"}
+
+// String returns the standing as logs show it.
+func (s Standing) String() string { return standingNames[s] }
+
+// Verdict is what may be done with a request.
+type Verdict struct {
+	Standing Standing
+	// Ends is how many upstreams ended under it, and Upstreams their IDs.
+	Ends      int
+	Upstreams []string
+	// Left is what is left of its quarantine, and Age the time since the last end.
+	Left, Age time.Duration
+}
+
+// record is what is known of one request.
+type record struct {
+	Subject
+	// upstreams are incarnations that ended under it. Each counts once, however many copies
+	// ran there.
+	upstreams []string
+	lastEnd   time.Time
+	// until is the end of its quarantine, terms how many it had.
+	until time.Time
+	terms int
+	// running counts the copies that run from here.
+	running int
+	// spread says that it was told to those that act on it.
+	spread bool
+	// cleared says that nothing is held against it since clearedAt; it is remembered to be told.
+	cleared   bool
+	clearedAt time.Time
+	// version and own are the Table's versions at which the record changed, at all and by what
+	// was seen here. own is 0 if nothing was.
+	version, own uint64
+}
+
+// Table is what one process knows of requests under which upstreams ended. It is not safe for
+// use by several goroutines.
+//
+// Invariant: what a Table holds against a request only grows, by ends of different upstreams,
+// until the request is cleared or forgotten. So the order in which tables hear of each other's
+// ends doesn't matter.
+type Table struct {
+	settings Settings
+	records  map[Key]*record
+	// hints counts records by hint.
+	hints   map[Hint]int
+	teams   map[string]int
+	version uint64
+}
+
+// NewTable makes an empty table.
+func NewTable(s Settings) *Table {
+	return &Table{settings: s, records: map[Key]*record{}, hints: map[Hint]int{}, teams: map[string]int{}}
+}
+
+// Len is how many requests are remembered.
+func (t *Table) Len() int { return len(t.records) }
+
+// Count is how many requests something is held against, and how many of these are in quarantine.
+func (t *Table) Count(now time.Time) (suspected, quarantined int) {
+	for _, r := range t.records {
+		switch t.standing(now, r) {
+		case Free:
+		case Quarantined:
+			quarantined++
+			suspected++
+		default:
+			suspected++
+		}
+	}
+	return suspected, quarantined
+}
+
+// MayKnow says whether a request with this hint may be remembered.
+func (t *Table) MayKnow(h Hint) bool { return t.hints[h] > 0 }
+
+// Version grows with each change.
+func (t *Table) Version() uint64 { return t.version }
+
+func (t *Table) standing(now time.Time, r *record) Standing {
+	switch {
+	case r.cleared:
+		return Free
+	case now.Before(r.until):
+		return Quarantined
+	case len(r.upstreams) == 0 || t.over(now, r):
+		return Free
+	case r.terms > 0 || len(r.upstreams) >= t.settings.Ends-1:
+		// After a quarantine that has lapsed it is tried once more.
+		return LastTrial
+	}
+	return Suspect
+}
+
+// over says whether the ends under a request are too long ago to be held against it.
+func (t *Table) over(now time.Time, r *record) bool {
+	if r.terms > 0 {
+		return now.Sub(r.until) > t.settings.MostTerm
+	}
+	return now.Sub(r.lastEnd) > t.settings.Memory
+}
+
+// Judge says what may be done with a request.
+func (t *Table) Judge(now time.Time, k Key) Verdict {
+	r := t.records[k]
+	if r == nil {
+		return Verdict{}
+	}
+	v := Verdict{Standing: t.standing(now, r)}
+	if v.Standing == Free {
+		return v
+	}
+	v.Ends, v.Upstreams, v.Age = len(r.upstreams), slices.Clone(r.upstreams), now.Sub(r.lastEnd)
+	v.Left = max(r.until.Sub(now), 0)
+	return v
+}
+
+// Begin notes that a request is about to run. It says no if it is in quarantine, or on its last
+// trial while a copy runs: copies that ran side by side would end an upstream each before the
+// first end is known. Done must follow if it says yes to one that is remembered.
+func (t *Table) Begin(now time.Time, k Key) bool {
+	r := t.records[k]
+	if r == nil {
+		return true
+	}
+	s := t.standing(now, r)
+	if s == Quarantined || s == LastTrial && r.running > 0 {
+		return false
+	}
+	r.running++
+	return true
+}
+
+// Done ends what Begin began. A record that was made meanwhile knows of no copy.
+func (t *Table) Done(k Key) {
+	if r := t.records[k]; r != nil && r.running > 0 {
+		r.running--
+	}
+}
+
+// Ended takes that an upstream ended while it ran a request here. The verdict is that after it.
+func (t *Table) Ended(now time.Time, s Subject, upstream string) Verdict {
+	r := t.record(now, s)
+	if t.hold(now, r, []string{upstream}, now) {
+		t.changed(now, r)
+		r.own = t.version
+	}
+	return t.Judge(now, s.Key)
+}
+
+// Answered takes that an upstream answered a request whole: it isn't one that ends each upstream
+// that runs it. It says whether something was held against it.
+func (t *Table) Answered(now time.Time, k Key) bool {
+	r := t.records[k]
+	if r == nil || r.cleared {
+		return false
+	}
+	t.clear(now, r)
+	r.own = t.version
+	return true
+}
+
+// Learn takes what another process tells, a message that Check has let through. It says whether
+// that changed anything.
+func (t *Table) Learn(now time.Time, m *wire.Suspicion) bool {
+	k := Key(m.Key)
+	if m.Cleared {
+		r := t.records[k]
+		if r == nil || r.cleared {
+			return false
+		}
+		t.clear(now, r)
+		return true
+	}
+	r := t.record(now, Subject{Key: k, Hint: Hint(m.Hint), Team: m.Team, Route: m.Route})
+	at := now.Add(-millis(m.AgeMs))
+	changed := t.hold(now, r, m.Upstreams, at)
+	if terms := int(m.Terms); terms > r.terms {
+		r.terms, r.until, changed = terms, earlier(now, at.Add(t.settings.term(terms))), true
+	}
+	if until := now.Add(millis(m.QuarantineMs)); m.QuarantineMs > 0 && until.After(r.until.Add(termSlack)) {
+		r.until, r.terms, changed = until, max(r.terms, 1), true
+	}
+	if changed {
+		t.changed(now, r)
+	}
+	return changed
+}
+
+// termSlack is the difference between two words of one quarantine's end that doesn't matter:
+// each is relative to the time at which it was told.
+const termSlack = 10 * time.Second
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// changed judges a record that more is held against.
+func (t *Table) changed(now time.Time, r *record) {
+	if t.isDue(now, r) {
+		r.terms++
+		r.until = now.Add(t.settings.term(r.terms))
+	}
+	t.touch(r)
+	s := t.standing(now, r)
+	r.spread = r.spread || s >= LastTrial
+	if s == Quarantined {
+		t.explain(r)
+	}
+}
+
+// isDue says whether a request is to be put in quarantine: enough upstreams have ended under
+// it, or one more after its last quarantine.
+func (t *Table) isDue(now time.Time, r *record) bool {
+	return !now.Before(r.until) && len(r.upstreams) >= t.settings.Ends && !r.lastEnd.Before(r.until) && !t.over(now, r)
+}
+
+// hold adds ends to a record; false if it knew them all.
+func (t *Table) hold(now time.Time, r *record, upstreams []string, at time.Time) (changed bool) {
+	stale := r.cleared || len(r.upstreams) > 0 && t.over(now, r)
+	for _, u := range upstreams {
+		if slices.Contains(r.upstreams, u) || t.explained(now, r, u) {
+			continue
+		}
+		if stale {
+			r.cleared, r.spread, r.upstreams, r.until, r.terms = false, false, nil, time.Time{}, 0
+			stale = false
+		}
+		r.upstreams = append(r.upstreams, u)
+		if len(r.upstreams) > mostUpstreams {
+			r.upstreams = r.upstreams[1:]
+		}
+		changed = true
+	}
+	if changed && at.After(r.lastEnd) {
+		r.lastEnd = at
+	}
+	return changed
+}
+
+// explained says whether a request in quarantine ended an upstream.
+func (t *Table) explained(now time.Time, r *record, upstream string) bool {
+	for _, other := range t.records {
+		if other != r && t.standing(now, other) == Quarantined && slices.Contains(other.upstreams, upstream) {
+			return true
+		}
+	}
+	return false
+}
+
+// explain takes the ends of a request that is put in quarantine off those that ran beside it:
+// they did not end these upstreams, and their callers come again.
+func (t *Table) explain(guilty *record) {
+	for _, r := range t.records {
+		if r == guilty || r.terms > 0 || r.cleared {
+			continue
+		}
+		before := len(r.upstreams)
+		r.upstreams = slices.DeleteFunc(r.upstreams, func(u string) bool { return slices.Contains(guilty.upstreams, u) })
+		if len(r.upstreams) < before {
+			t.touch(r)
+		}
+	}
+}
+
+func (t *Table) clear(now time.Time, r *record) {
+	r.cleared, r.clearedAt = true, now
+	r.upstreams, r.until, r.terms = nil, time.Time{}, 0
+	t.touch(r)
+}
+
+func (t *Table) touch(r *record) {
+	t.version++
+	r.version = t.version
+}
+
+// record returns a request's record, and makes one if there is none.
+func (t *Table) record(now time.Time, s Subject) *record {
+	r := t.records[s.Key]
+	if r != nil {
+		return r
+	}
+	t.Forget(now)
+	if t.teams[s.Team] >= t.settings.MostOfTeam {
+		t.dropWeakest(now, s.Team)
+	} else if len(t.records) >= t.settings.Most {
+		t.dropWeakest(now, t.largestTeam())
+	}
+	r = &record{Subject: s}
+	t.records[s.Key] = r
+	t.hints[s.Hint]++
+	t.teams[s.Team]++
+	return r
+}
+
+// Forget drops what is held no longer.
+func (t *Table) Forget(now time.Time) {
+	for _, r := range t.records {
+		over := t.standing(now, r) == Free
+		if r.cleared {
+			over = now.Sub(r.clearedAt) > t.settings.ClearedFor
+		}
+		if over && r.running == 0 {
+			t.drop(r)
+		}
+	}
+}
+
+func (t *Table) drop(r *record) {
+	delete(t.records, r.Key)
+	if t.hints[r.Hint]--; t.hints[r.Hint] == 0 {
+		delete(t.hints, r.Hint)
+	}
+	if t.teams[r.Team]--; t.teams[r.Team] == 0 {
+		delete(t.teams, r.Team)
+	}
+}
+
+func (t *Table) largestTeam() string {
+	most := ""
+	for name, n := range t.teams {
+		if n > t.teams[most] || n == t.teams[most] && name < most {
+			most = name
+		}
+	}
+	return most
+}
+
+// dropWeakest makes room among a team's records: what is held against least goes first, the
+// oldest of these before the others. So a team that sends many requests that end upstreams
+// pushes out its own only.
+func (t *Table) dropWeakest(now time.Time, team string) {
+	var weakest *record
+	for _, r := range t.records {
+		if r.Team == team && (weakest == nil || t.compare(now, r, weakest) < 0) {
+			weakest = r
+		}
+	}
+	if weakest != nil {
+		t.drop(weakest)
+	}
+}
+
+func (t *Table) compare(now time.Time, a, b *record) int {
+	return cmp.Or(
+		cmp.Compare(t.standing(now, a), t.standing(now, b)),
+		cmp.Compare(len(a.upstreams), len(b.upstreams)),
+		a.lastEnd.Compare(b.lastEnd),
+		slices.Compare(a.Key[:], b.Key[:]),
+	)
+}
