A planned stop isn't held against the requests that it cuts off; cut attempts keep a key, not a body

A server that deregisters without a word that it drains serves on for a while and exits; the gateway knew it no longer, and took its end for a crash. The directory says now whether an instance left by its own word.

--- a/directory/node.go
+++ b/directory/node.go
@@ -116,6 +116,20 @@
 	return 0
 }
 
+// Leaves says whether an instance has said itself that it leaves, or has left.
+func (n *Node) Leaves(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	i := n.state.Get(id)
+	switch {
+	case i == nil:
+		return false
+	case i.Phase == wire.Phase_PHASE_GONE:
+		return !i.expired()
+	}
+	return i.Phase == wire.Phase_PHASE_LEAVING
+}
+
 // Contradicts says whether an announcement can't be one of the incarnation that it names.
 func (n *Node) Contradicts(a *wire.Announcement) bool {
 	n.mu.Lock()
--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -10,7 +10,6 @@
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/quarantine"
-	"github.com/snipereach/snipereach/wire"
 )
 
 const (
@@ -35,11 +34,9 @@
 	signReplaced = "replaced"
 )
 
-// pendingEnd is an attempt that was cut off at an upstream that still took connections, or
-// wasn't heard.
+// pendingEnd is an attempt that was cut off, until it is known whether its upstream ended.
 type pendingEnd struct {
-	request  *quarantine.Request
-	route    string
+	subject  quarantine.Subject
 	id       string
 	upstream string
 	address  string
@@ -66,26 +63,25 @@
 	return &quarantine.Request{Team: c.team.GetName(), Method: c.r.Method, Host: c.r.Host, URI: c.r.RequestURI, Body: c.body}
 }
 
+// subject is the request as others know it.
+func (c *call) subject() quarantine.Subject {
+	r := c.identity()
+	return quarantine.Subject{Key: r.Key(), Hint: r.Hint(), Team: r.Team, Route: c.route.GetName()}
+}
+
 // looksEnded says whether an attempt may have been cut off because its upstream ended: the
 // upstream broke it off, nobody here did, and it hasn't said that it leaves.
 func (c *call) looksEnded(a *attempt, o outcome) bool {
-	return o == outcomeInDoubt && a.broken && a.ctx.Err() == nil && !c.leaves(a.up.ID)
-}
-
-// leaves says whether an upstream has said that it leaves.
-func (g *Gateway) leaves(upstream string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	i := g.known[upstream]
-	return i != nil && i.Phase != wire.Phase_PHASE_UP
+	return o == outcomeInDoubt && a.broken && a.ctx.Err() == nil && !c.node.Leaves(a.up.ID)
 }
 
 // noteCut looks after an attempt that was cut off. Whether the upstream ended is asked at its
 // address first; a host that says nothing, or that takes connections already again, shows it
 // later by the incarnation that registers.
 func (c *call) noteCut(a *attempt) {
-	if c.upstreamRefuses(a.up.Address) {
-		c.upstreamEnded(c.identity(), c.route.GetName(), c.asked.ID, a.up.ID, a.up.Address, signRefused)
+	p := pendingEnd{subject: c.subject(), id: c.asked.ID, upstream: a.up.ID, address: a.up.Address, until: c.now().Add(pendingFor)}
+	if c.upstreamRefuses(p.address) {
+		c.upstreamEnded(&p, signRefused)
 		return
 	}
 	c.mu.Lock()
@@ -93,10 +89,6 @@
 	if len(c.ends.pending) >= mostPending {
 		c.ends.pending = c.ends.pending[1:]
 	}
-	p := pendingEnd{
-		request: c.identity(), route: c.route.GetName(), id: c.asked.ID,
-		upstream: a.up.ID, address: a.up.Address, until: c.now().Add(pendingFor),
-	}
 	for _, i := range c.known {
 		if i.Address == a.up.Address {
 			p.known = append(p.known, i.Id)
@@ -135,17 +127,16 @@
 	g.ends.pending = left
 	g.mu.Unlock()
 	for _, p := range ended {
-		g.upstreamEnded(p.request, p.route, p.id, p.upstream, p.address, signReplaced)
+		g.upstreamEnded(&p, signReplaced)
 	}
 }
 
 // upstreamEnded takes that an upstream has ended while it ran a request.
-func (g *Gateway) upstreamEnded(r *quarantine.Request, route, id, upstream, address, sign string) {
+func (g *Gateway) upstreamEnded(p *pendingEnd, sign string) {
 	g.metrics.Count("gateway.upstream_ended." + sign)
-	s := quarantine.Subject{Key: r.Key(), Hint: r.Hint(), Team: r.Team, Route: route}
-	v := g.suspects.ended(s, upstream)
+	v := g.suspects.ended(p.subject, p.upstream)
 	if ok, leftOut := g.ends.lines.Take(); ok {
-		kernel.Info(g.log, "Upstream ended under a request.", "request", id, "key", s.Key, "route", route, "team", r.Team,
-			"upstream", upstream, "addr", address, "sign", sign, "ends", v.Ends, "standing", v.Standing, "lines_left_out", leftOut)
+		kernel.Info(g.log, "Upstream ended under a request.", "request", p.id, "key", p.subject.Key, "route", p.subject.Route, "team", p.subject.Team,
+			"upstream", p.upstream, "addr", p.address, "sign", sign, "ends", v.Ends, "standing", v.Standing, "lines_left_out", leftOut)
 	}
 }
