--- a/gateway/call.go
+++ b/gateway/call.go
@@ -46,8 +46,8 @@
 	// was given up.
 	paid  atomic.Bool
 	tried map[string]bool
-	// key names the request by its content, once that was asked for.
-	key    atomic.Pointer[quarantine.Key]
+	// trial is what is held against the request.
+	trial  quarantine.Trial
 	last   outcome
 	reason string
 	// why are the inputs of a decision to refuse.
@@ -320,7 +320,7 @@
 			w.until = ends
 		}
 	}
-	if c.standing().Standing == quarantine.LastTrial {
+	if c.trial.Verdict().Standing == quarantine.LastTrial {
 		// It is let in now or not at all: see heldBack.
 		w.until = c.began
 	}
--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -8,7 +8,6 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/snipereach/snipereach/directory"
-	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/quarantine"
 )
 
@@ -21,9 +20,6 @@
 	pendingFor = 10 * time.Second
 	// mostPending bounds the cut attempts that wait to be explained.
 	mostPending = 256
-	// endLines bounds the lines about upstreams that ended, a second. All that ran at one
-	// have a line: a dozen.
-	endLines = 24
 )
 
 // Signs that an upstream has ended while it ran a request.
@@ -36,10 +32,7 @@
 
 // pendingEnd is an attempt that was cut off, until it is known whether its upstream ended.
 type pendingEnd struct {
-	subject  quarantine.Subject
-	id       string
-	upstream string
-	address  string
+	quarantine.End
 	// known are the instances that were known at the address when it was cut off.
 	known []string
 	until time.Time
@@ -48,24 +41,18 @@
 // replacedBy says whether an instance has come to the address since. One that was known there
 // before may be an earlier incarnation, whose lease hasn't run out yet.
 func (p *pendingEnd) replacedBy(i *directory.Instance) bool {
-	return i.Up() && i.Address == p.address && i.Id != p.upstream && !slices.Contains(p.known, i.Id)
+	return i.Up() && i.Address == p.Address && i.Id != p.Upstream && !slices.Contains(p.known, i.Id)
 }
 
 // upstreamEnds finds out which cut attempts were cut because their upstream ended.
 type upstreamEnds struct {
 	probes  singleflight.Group
 	pending []pendingEnd
-	lines   *kernel.LineBudget
-}
-
-// identity is what makes the request the same when it comes again.
-func (c *call) identity() *quarantine.Request {
-	return &quarantine.Request{Team: c.team.GetName(), Method: c.r.Method, Host: c.r.Host, URI: c.r.RequestURI, Body: c.body}
 }
 
 // subject is the request as others know it.
 func (c *call) subject() quarantine.Subject {
-	r := c.identity()
+	r := c.Identity()
 	return quarantine.Subject{Key: r.Key(), Hint: r.Hint(), Team: r.Team, Route: c.route.GetName()}
 }
 
@@ -79,9 +66,10 @@
 // address first; a host that says nothing, or that takes connections already again, shows it
 // later by the incarnation that registers.
 func (c *call) noteCut(a *attempt) {
-	p := pendingEnd{subject: c.subject(), id: c.asked.ID, upstream: a.up.ID, address: a.up.Address, until: c.now().Add(pendingFor)}
-	if c.upstreamRefuses(p.address) {
-		c.upstreamEnded(&p, signRefused)
+	p := pendingEnd{until: c.now().Add(pendingFor)}
+	p.End = quarantine.End{Subject: c.subject(), RequestID: c.asked.ID, Upstream: a.up.ID, Address: a.up.Address}
+	if c.upstreamRefuses(p.Address) {
+		c.upstreamEnded(p.End, signRefused)
 		return
 	}
 	c.mu.Lock()
@@ -127,16 +115,13 @@
 	g.ends.pending = left
 	g.mu.Unlock()
 	for _, p := range ended {
-		g.upstreamEnded(&p, signReplaced)
+		g.upstreamEnded(p.End, signReplaced)
 	}
 }
 
 // upstreamEnded takes that an upstream has ended while it ran a request.
-func (g *Gateway) upstreamEnded(p *pendingEnd, sign string) {
+func (g *Gateway) upstreamEnded(e quarantine.End, sign string) {
+	e.Sign = sign
 	g.metrics.Count("gateway.upstream_ended." + sign)
-	v := g.suspects.ended(p.subject, p.upstream)
-	if ok, leftOut := g.ends.lines.Take(); ok {
-		kernel.Info(g.log, "Upstream ended under a request.", "request", p.id, "key", p.subject.Key, "route", p.subject.Route, "team", p.subject.Team,
-			"upstream", p.upstream, "addr", p.address, "sign", sign, "ends", v.Ends, "standing", v.Standing, "lines_left_out", leftOut)
-	}
+	g.suspects.Ended(e)
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -67,7 +67,7 @@
 func (w *routingWatch) heard(v *wire.RoutingVersion) {
 	if !w.hears {
 		w.believe("Control replica is heard.", "replica", w.addr, "version", v.Version, "confirmed_age_ms", v.ConfirmedAgeMs)
-		w.suspects.tellAgain(w.addr)
+		w.suspects.TellAgain(w.addr)
 	}
 	w.hears = true
 }
@@ -98,7 +98,7 @@
 		}
 		silence.Reset(max(silentRouting, silentParts*time.Duration(v.NextMs)*time.Millisecond))
 		w.heard(v)
-		w.hearSuspicions(w.addr, v.Suspicions)
+		w.suspects.Hear(w.addr, v.Suspicions)
 		if err := w.fetchWanted(ctx, v); err != nil {
 			return err
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/snipereach/snipereach/direct"
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/quarantine"
 	"github.com/snipereach/snipereach/routing"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
@@ -79,7 +80,7 @@
 	// known are the upstreams that were told of last.
 	known    map[string]*directory.Instance
 	ends     upstreamEnds
-	suspects suspects
+	suspects *quarantine.Node
 }
 
 // New makes a gateway from checked settings.
@@ -106,15 +107,14 @@
 	}
 	g.requests, g.metrics = newRequestLog(g.log, now), newGatewayMetrics()
 	g.beliefs = kernel.NewLineBudget(beliefLines, now)
-	g.ends.lines = kernel.NewLineBudget(endLines, now)
-	g.suspects.init(now)
+	g.suspects = quarantine.NewNode(s.ID, g.log, now, g.pool.Conn)
 	g.fleet.told, g.fleet.passes, g.fleet.entries = g.tellGate, g.tellPasses, g.entries
 	g.metrics.register(g)
 	g.node = directory.NewNode(directorySettings(), now, g.directoryChanged)
 	g.budgets = newBudgets(s.Retries, g.entries, now)
 	g.dumps.Add("directory", g.node.Dump)
 	g.dumps.Add("gateway", g.dump)
-	g.dumps.Add("quarantine", g.suspects.dump)
+	g.dumps.Add("quarantine", g.suspects.Dump)
 	return g, nil
 }
 
@@ -146,7 +146,7 @@
 	g.node.FollowEach(ctx, g.targets.Addresses, g.pool.Conn, &wire.DirectoryWatchRequest{Watcher: g.settings.ID})
 	go g.followRouting(ctx)
 	go g.followSurveys(ctx)
-	go directory.FollowList(ctx, g.targets.Addresses, g.tellSuspicions)
+	go g.suspects.Run(ctx, g.targets.Addresses)
 	go g.announceLoop(ctx)
 	kernel.Info(g.log, "Started.", "id", g.settings.ID, "failure_domain", g.settings.FailureDomain, "addr", g.callers.Addr(), "version", kernel.Version)
 	return nil
@@ -244,12 +244,11 @@
 	entered := time.Now()
 	c.at = adm.at
 	defer func() { g.fleet.leave(c.at, time.Since(entered)) }()
-	f, ended := c.beginTrial()
-	defer ended()
-	if f != nil {
+	if f := c.beginTrial(); f != nil {
 		c.turnDown(f)
 		return
 	}
+	defer c.trial.Done()
 	g.budgets.offer(c.service)
 	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
 		c.serveStream()
@@ -261,6 +260,7 @@
 // admit finds the route and the team of a request and reads its body.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, began time.Time) (*call, *refusal) {
 	c := &call{Gateway: g, w: w, r: r, began: began}
+	c.trial.Init(g.suspects, c)
 	var err error
 	c.asked, err = g.dialect.ReadRequest(r.Header)
 	t := c.waitForTable(r.Context())
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,11 +35,11 @@
 		"gateway.upstreams":          func() int64 { return int64(len(g.node.Instances(wire.Role_ROLE_UPSTREAM))) },
 		"gateway.routing_version":    func() int64 { return int64(g.routingVersion()) },
 		"gateway.suspected": func() int64 {
-			suspected, _ := g.suspects.count()
+			suspected, _ := g.suspects.Count()
 			return int64(suspected)
 		},
 		"gateway.quarantined": func() int64 {
-			_, quarantined := g.suspects.count()
+			_, quarantined := g.suspects.Count()
 			return int64(quarantined)
 		},
 	} {
