--- a/control/client.go
+++ b/control/client.go
@@ -7,6 +7,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
+	"storj.io/drpc"
 
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
@@ -38,6 +39,15 @@
 // Call tries the replicas in turn, from the one that answered last, until one
 // call returns no error.
 func (c *Client) Call(ctx context.Context, f func(context.Context, wire.DRPCControlClient) error) error {
+	return c.callAny(ctx, func(ctx context.Context, conn drpc.Conn) error { return f(ctx, wire.NewDRPCControlClient(conn)) })
+}
+
+// CallQuarantine is Call for the Quarantine service.
+func (c *Client) CallQuarantine(ctx context.Context, f func(context.Context, wire.DRPCQuarantineClient) error) error {
+	return c.callAny(ctx, func(ctx context.Context, conn drpc.Conn) error { return f(ctx, wire.NewDRPCQuarantineClient(conn)) })
+}
+
+func (c *Client) callAny(ctx context.Context, f func(context.Context, drpc.Conn) error) error {
 	err := merry.Prepend(ErrUnavailable, "no control replica is known")
 	first := int(c.last.Load())
 	for i := range c.addrs {
@@ -45,7 +55,7 @@
 		if ctx.Err() != nil {
 			return merry.Prepend(ErrUnavailable, ctx.Err().Error())
 		}
-		callErr := f(ctx, wire.NewDRPCControlClient(c.pool.Conn(ctx, c.addrs[n])))
+		callErr := f(ctx, c.pool.Conn(ctx, c.addrs[n]))
 		if callErr == nil {
 			c.last.Store(uint32(n))
 			return nil
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -30,6 +30,9 @@
 	if err := a.addGroups(p); err != nil {
 		return err
 	}
+	if err := a.addQuarantine(p); err != nil {
+		return err
+	}
 	for _, c := range []struct {
 		parent      *flags.Command
 		name, short string
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -29,6 +29,9 @@
 //	endentry ENTRY  ends an entry (1 to 3) at once
 //	waithealth TEXT   waits until members reads that health
 //	finished        ends each script: one that stops before counts as failed
+//	ended N         has the plain service end under a request N times
+//	waitquarantined VAR  waits until a request is in quarantine, and sets VAR to its key
+//	waitserved      waits until that request is served
 //	replica NAME VAR  sets VAR to the ID of the replica with that name
 func TestScripts(t *testing.T) {
 	var finished atomic.Int32
@@ -54,6 +57,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"finished": func(*testscript.TestScript, bool, []string) { finished.Add(1) },
 			"ctl":      cmdCtl, "answer": cmdAnswer, "refused": cmdRefused, "endentry": cmdEndEntry, "replica": cmdReplica, "waithealth": cmdWaitHealth,
+			"ended": cmdEnded, "waitquarantined": cmdWaitQuarantined, "waitserved": cmdWaitServed,
 		},
 	})
 }
--- /dev/null
+++ b/ctl/quarantine_test.go
@@ -0,0 +1,86 @@
+package ctl_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/snipereach/snipereach/fake"
+	"github.com/snipereach/snipereach/operators"
+	"github.com/snipereach/snipereach/quickstart"
+)
+
+// bad is a request at which the plain service ends while a script asks for that.
+const bad = "/services/clock-core/bad"
+
+// cmdEnded has the plain service end under a request so many times, and start again each time.
+func cmdEnded(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.ParseInt(args[0], 10, 64)
+	ts.Check(err)
+	s := scriptOf(ts).system
+	plain := s.Plains[0]
+	var ends atomic.Int64
+	plain.SetFault(func(r *http.Request) fake.Fault {
+		if !strings.HasSuffix(r.URL.Path, "/bad") {
+			return fake.FaultNone
+		}
+		ends.Add(1)
+		return fake.FaultEnd
+	})
+	for end := time.Now().Add(patience); ends.Load() < want; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			ts.Fatalf("%d ends of %d", ends.Load(), want)
+		}
+		before := ends.Load()
+		scriptOf(ts).postBad()
+		if ends.Load() > before {
+			ts.Check(plain.Again())
+		}
+	}
+	plain.SetFault(nil)
+}
+
+// postBad sends the request to the first entry and returns the status; 0 if none came.
+func (s *script) postBad() int {
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.system.Entries[0].CallerAddress()+bad, strings.NewReader("{}"))
+	if err != nil {
+		return 0
+	}
+	req.Header.Set("Authorization", "Bearer "+quickstart.TeamKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// cmdWaitQuarantined waits until a request is in quarantine, and sets a variable to its key.
+func cmdWaitQuarantined(ts *testscript.TestScript, _ bool, args []string) {
+	var out string
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		_, out, _ = run(ts, []string{"quarantine", "-o", "json"}, "")
+		var list operators.Suspicions
+		if json.Unmarshal([]byte(out), &list) == nil && len(list.Requests) == 1 && list.Requests[0].Quarantined {
+			ts.Setenv(args[0], list.Requests[0].Key)
+			return
+		}
+	}
+	ts.Fatalf("no request is in quarantine: %s", out)
+}
+
+// cmdWaitServed waits until the request is served.
+func cmdWaitServed(ts *testscript.TestScript, _ bool, _ []string) {
+	status := 0
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if status = scriptOf(ts).postBad(); status == http.StatusOK {
+			return
+		}
+	}
+	ts.Fatalf("status %d", status)
+}
--- a/operators/operators.go
+++ b/operators/operators.go
@@ -133,6 +133,8 @@
 	r.HandleFunc("/v1/members", h.with(h.members)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/members/{id:.+}", h.with(h.removeMember)).Methods(http.MethodDelete)
 	r.HandleFunc("/v1/replace/{id:.+}", h.with(h.replaceMember)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/quarantine", h.with(h.suspicions)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/quarantine/{key}", h.with(h.liftQuarantine)).Methods(http.MethodDelete)
 	r.HandleFunc("/v1/status", h.with(h.status)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/dump/{id:.+}", h.with(h.dump)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/drain/{id:.+}", h.with(h.drain)).Methods(http.MethodPost)
