Requests that end upstreams are known on the path over agents, too

The same cause: an agent answered 'in doubt', and the next entry, or the next request, knew nothing of it. An agent asks its upstream's address after an attempt was broken off, and names the life that ended; entries hold it against the request, tell the control replicas, and hear of others on the table's watch. Claims aren't taken for a request that is refused so.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -49,6 +49,7 @@
 	tickets   *tickets
 	orders    *orders
 	life      *directory.Life
+	lives     upstreamLives
 	seq       atomic.Uint64
 	metrics   metrics.Registry
 	done      metrics.Counter
--- a/agent/run.go
+++ b/agent/run.go
@@ -29,7 +29,11 @@
 	body     []byte
 	deadline time.Time
 	queued   time.Duration
-	sent     uint64
+	// sentAt is when the attempt went to the upstream, and ended the life of the upstream that
+	// ended under it.
+	sentAt time.Time
+	ended  string
+	sent   uint64
 }
 
 // frames holds buffers for relayed answers. Send encodes a message before it
@@ -101,12 +105,17 @@
 		return at.end(wire.Outcome_OUTCOME_NOT_RUN, queueReason(err), err.Error())
 	}
 	defer release()
+	at.sentAt = at.agent.settings.Now()
 	answer, err := at.agent.up.Do(ctx, at.head, at.body)
 	if err != nil {
+		if errors.Is(err, upstream.ErrFailed) {
+			at.ended = at.endedUnder(ctx)
+		}
 		return at.failed(err)
 	}
+	at.agent.lives.reached(at.sentAt)
 	defer answer.Body.Close()
-	return at.relay(answer)
+	return at.relay(ctx, answer)
 }
 
 func queueReason(err error) wire.Reason {
@@ -135,7 +144,7 @@
 // relay sends the answer on. The first reply of a stream is its head, at once;
 // the head of any other answer waits for the first frame of body, and the last
 // frame goes with the end: a small answer is one message.
-func (at *attempt) relay(answer *upstream.Answer) error {
+func (at *attempt) relay(ctx context.Context, answer *upstream.Answer) error {
 	frame := frames.Get().(*[]byte)
 	defer frames.Put(frame)
 	reply := &wire.RunReply{Head: &wire.RunReplyHead{
@@ -159,6 +168,7 @@
 		case err != nil:
 			// The upstream's answer was cut. It ran, but the caller must not
 			// take the part for the whole.
+			at.ended = at.endedUnder(ctx)
 			return at.sendEnd(reply, wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_ANSWER_INVALID, err.Error())
 		case n == 0:
 			continue
@@ -191,7 +201,7 @@
 	reply.End = &wire.RunEnd{
 		RequestId: at.head.RequestId, AttemptId: at.head.AttemptId,
 		Outcome: o, Reason: r, Detail: detail, Load: at.agent.currentLoad(),
-		BodyBytes: at.sent, QueuedUs: at.queued.Microseconds(),
+		BodyBytes: at.sent, QueuedUs: at.queued.Microseconds(), EndedUpstream: at.ended,
 	}
 	transport.HoldFlush(at.stream)
 	return at.stream.Send(reply)
--- a/control/service.go
+++ b/control/service.go
@@ -135,7 +135,7 @@
 	tick := time.NewTicker(confirmInterval)
 	defer tick.Stop()
 	from := req.FromRevision
-	ringSent := uint64(0)
+	ringSent, suspected := uint64(0), uint64(0)
 	for {
 		u, err := s.update(stream.Context(), r, from)
 		if err != nil {
@@ -147,6 +147,8 @@
 			u.Ring = &wire.Ring{Epoch: ringSent}
 		}
 		ringSent = u.Ring.GetEpoch()
+		told := s.suspicions.since(suspected)
+		u.Suspicions, suspected = told.Suspicions, told.Version
 		if err := stream.Send(u); err != nil {
 			return err
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/snipereach/snipereach/forward"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/operators"
+	"github.com/snipereach/snipereach/quarantine"
 	"github.com/snipereach/snipereach/refusal"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/table"
@@ -70,6 +71,7 @@
 	targets   *directory.Targets
 	announcer *directory.Announcer
 	claims    *claim.Node
+	suspects  *quarantine.Node
 	control   *control.Control
 	client    *control.Client
 	ops       *operators.Handler
@@ -128,7 +130,9 @@
 	e.limits = newLimits(e)
 	e.bodies = newBodies(s.MaxBodyMemory, s.UrgentPercent)
 	e.claims = claim.NewNode(claim.DefaultRegisterSettings(), e.life, e.pool.Conn, s.Now)
+	e.suspects = quarantine.NewNode(s.ID, e.log, s.Now, e.pool.Conn)
 	e.dumps.Add("claims", e.claims.Dump)
+	e.dumps.Add("quarantine", e.suspects.Dump)
 	if err := wire.DRPCRegisterClaim(e.srv.Mux, e.claims); err != nil {
 		return nil, err
 	}
@@ -262,6 +266,7 @@
 		}
 	}
 	go e.followTable(ctx)
+	go e.suspects.Run(ctx, e.settings.replicas)
 	go e.claims.Run(ctx)
 	go e.limits.run(ctx)
 	go e.drainCallers(ctx)
--- a/entry/request.go
+++ b/entry/request.go
@@ -15,6 +15,7 @@
 
 	"github.com/snipereach/snipereach/admit"
 	"github.com/snipereach/snipereach/forward"
+	"github.com/snipereach/snipereach/quarantine"
 	"github.com/snipereach/snipereach/refusal"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/table"
@@ -64,6 +65,8 @@
 	path    string
 	// claimed says that the request holds its idempotency key.
 	claimed bool
+	// trial is what is held against the request.
+	trial quarantine.Trial
 }
 
 func (e *Entry) begin(w http.ResponseWriter, r *http.Request) (*request, *wire.Refusal) {
@@ -79,7 +82,9 @@
 	if team == nil {
 		return nil, e.refuse(wire.Reason_REASON_UNAUTHENTICATED, "the key belongs to no team")
 	}
-	return &request{entry: e, w: w, r: r, id: rand.Text(), view: v, team: team}, nil
+	q := &request{entry: e, w: w, r: r, id: rand.Text(), view: v, team: team}
+	q.trial.Init(e.suspects, q)
+	return q, nil
 }
 
 // modelCall is the part of an OpenAI-shaped body that the entry reads.
@@ -277,6 +282,9 @@
 	if ref != nil {
 		return ref
 	}
+	if ref := q.heldBack(); ref != nil {
+		return ref
+	}
 	hold, done, ref := q.claim(deadline)
 	if done || ref != nil {
 		return ref
@@ -286,6 +294,10 @@
 	res := forward.Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN}
 	defer func() { q.settle(hold, res, sink) }()
 	ref = q.admitted(prio, deadline, func(c *forward.Call) *wire.Refusal {
+		if ref := q.beginTrial(); ref != nil {
+			return ref
+		}
+		defer q.trial.Done()
 		res = e.fwd.Do(q.r.Context(), c, sink)
 		return q.finish(res, sink)
 	})
@@ -322,6 +334,7 @@
 		Body: q.body, Pool: q.view.Pools[q.service.Pool], Deadline: deadline,
 		Route:     &route.Request{Priority: prio, Tokens: q.tokens, Prefix: q.prefix},
 		MaxAnswer: q.service.MaxBody,
+		Trial:     q,
 	})
 }
 
@@ -350,6 +363,7 @@
 func (q *request) finish(res forward.Result, sink *httpSink) *wire.Refusal {
 	if res.Reason == 0 {
 		q.entry.answers.Inc(1)
+		q.trial.Answered(q.id)
 		return nil
 	}
 	if res.Begun || sink.begun {
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -68,12 +68,16 @@
 	// break; without a limit the entry would wait there while others know more.
 	silence := time.AfterFunc(silentWatch, cancel)
 	defer silence.Stop()
+	for _, replica := range e.settings.replicas() {
+		e.suspects.TellAgain(replica)
+	}
 	for {
 		u, err := stream.Recv()
 		if err != nil {
 			return err
 		}
 		silence.Reset(silentWatch)
+		e.suspects.Hear("", u.Suspicions)
 		v, err := f.Apply(e.settings.Now(), u)
 		if err != nil {
 			kernel.Warn(e.log, "Rows are refused.", "err", err)
--- a/fake/server.go
+++ b/fake/server.go
@@ -44,6 +44,9 @@
 	FaultOversized
 	// FaultCutShort cuts the answer after CutAfter bytes of its body.
 	FaultCutShort
+	// FaultEnd ends the server as it runs the request: all connections are reset, and nothing
+	// listens until Again.
+	FaultEnd
 )
 
 // Oversize is more than any service row of the tests lets through.
@@ -91,11 +94,29 @@
 	return nil
 }
 
+// Again serves once more, at its address, after it has ended.
+func (s *Server) Again() error {
+	lis, err := net.Listen("tcp", s.lis.Addr().String())
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lis = lis
+	s.http = &http.Server{Handler: s.http.Handler, ReadHeaderTimeout: s.http.ReadHeaderTimeout}
+	go func(served *http.Server) { _ = served.Serve(lis) }(s.http)
+	return nil
+}
+
 // URL returns the server's address as an http URL.
 func (s *Server) URL() string { return "http://" + s.lis.Addr().String() }
 
 // Close cuts every connection.
-func (s *Server) Close() { _ = s.http.Close() }
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.http.Close()
+}
 
 // Runs returns how often each request ran, by the caller's key (header
 // X-Run-Key), or by request ID where there is none.
@@ -240,6 +261,9 @@
 	switch fault {
 	case FaultDieAfterRun:
 		panic(http.ErrAbortHandler)
+	case FaultEnd:
+		s.Close()
+		panic(http.ErrAbortHandler)
 	case FaultStall:
 		<-r.Context().Done()
 		return
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -43,6 +43,8 @@
 	Deadline time.Time
 	// MaxAnswer bounds an unstreamed answer, in bytes.
 	MaxAnswer int64
+	// Trial follows the request's attempts; nil is nobody.
+	Trial Trial
 
 	// mayMove lets an agent refuse the next attempt if it has no free slot.
 	mayMove bool
@@ -52,6 +54,16 @@
 	slot *slot
 }
 
+// Trial follows what a request does to upstreams.
+type Trial interface {
+	// MaySend says whether the request may be sent to an upstream now, after some attempts that
+	// may have run.
+	MaySend(ran int) bool
+	// Ended takes that an upstream ended while it ran the request. The life is the agent's name of
+	// what ended.
+	Ended(upstream route.Upstream, life string)
+}
+
 // Sink takes an answer. An unstreamed answer reaches it whole, in one Write.
 type Sink interface {
 	Begin(h *wire.RunReplyHead) error
@@ -165,6 +177,12 @@
 	var res Result
 	moves := 0
 	for n := 1; ; n++ {
+		if c.Trial != nil && !c.Trial.MaySend(res.ran()) {
+			if res.ran() == 0 {
+				res.Reason, res.Outcome = wire.Reason_REASON_QUARANTINED, wire.Outcome_OUTCOME_NOT_RUN
+			}
+			return res
+		}
 		c.mayMove = moves < maxMoves && !c.mustQueue && len(c.Body) <= transport.BodyFrame
 		up, end := f.attempt(ctx, c, sink, n)
 		res.Outcome, res.Reason, res.Detail, res.Begun = end.outcome, end.reason, end.detail, end.begun
@@ -176,6 +194,9 @@
 				Upstream: up.ID, Outcome: end.outcome, Reason: end.reason, Detail: end.detail,
 			})
 		}
+		if end.upstreamLife != "" && c.Trial != nil {
+			c.Trial.Ended(up, end.upstreamLife)
+		}
 		if end.move && c.mayMove && f.inTime(ctx, c) {
 			moves++
 			// Where all queues are full, what is left is to ask one upstream once
@@ -196,6 +217,16 @@
 	}
 }
 
+// ran counts the attempts that may have run.
+func (r *Result) ran() (n int) {
+	for _, a := range r.Attempts {
+		if a.Outcome != wire.Outcome_OUTCOME_NOT_RUN {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *Forwarder) inTime(ctx context.Context, c *Call) bool {
 	return ctx.Err() == nil && f.now().Before(c.Deadline)
 }
@@ -255,6 +286,8 @@
 	// move says that the upstream had no free slot after all.
 	move bool
 	load *wire.Load
+	// upstreamLife names what ended under the attempt; empty if the upstream lives on.
+	upstreamLife string
 }
 
 // free says whether the attempt put no load on any upstream: no agent was
--- a/forward/reader.go
+++ b/forward/reader.go
@@ -129,7 +129,7 @@
 }
 
 func (r *reader) finish(end *wire.RunEnd) ending {
-	e := ending{outcome: end.Outcome, reason: end.Reason, detail: end.Detail, load: end.Load, begun: r.begun}
+	e := ending{outcome: end.Outcome, reason: end.Reason, detail: end.Detail, load: end.Load, begun: r.begun, upstreamLife: end.EndedUpstream}
 	if end.Outcome != wire.Outcome_OUTCOME_DONE {
 		if e.reason == 0 {
 			e.reason = wire.Reason_REASON_UPSTREAM_FAILED
--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -16,7 +16,6 @@
 		for _, reply := range announcer.Announce(ctx, g.announcement()) {
 			g.announced(reply)
 		}
-		g.suspects.Forget()
 		select {
 		case <-ctx.Done():
 			return
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"context"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -108,15 +109,21 @@
 	return changes
 }
 
-// Forget drops what is held no longer; it is called now and then.
-func (n *Node) Forget() {
-	if n.known.Load() == 0 {
-		return
+// forgetNowAndThen drops what is held no longer, until the context ends.
+func (n *Node) forgetNowAndThen(ctx context.Context) {
+	tick := time.NewTicker(forgetInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		n.change(func(now time.Time, t *Table) bool {
+			t.Forget(now)
+			return false
+		})
 	}
-	n.change(func(now time.Time, t *Table) bool {
-		t.Forget(now)
-		return false
-	})
 }
 
 // Count is how many requests are suspected, and how many of these are in quarantine.
--- a/quarantine/tell.go
+++ b/quarantine/tell.go
@@ -18,6 +18,8 @@
 	tellTimeout = time.Second
 	tellRetry   = 150 * time.Millisecond
 	tellTries   = 4
+	// forgetInterval is how often what is held no longer is dropped.
+	forgetInterval = 10 * time.Second
 )
 
 // teller tells one replica what was seen here. The node's lock guards it.
@@ -38,6 +40,7 @@
 // All are told: each knows it for itself then, and the loss of some, or of their leader, keeps word
 // from no other entry.
 func (n *Node) Run(ctx context.Context, replicas func() []string) {
+	go n.forgetNowAndThen(ctx)
 	directory.FollowList(ctx, replicas, n.tellReplica)
 }
 
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -134,6 +134,7 @@
 	wire.Reason_REASON_CONFIG_UNCONFIRMED: {http.StatusServiceUnavailable, "The rows in force can't be confirmed."},
 	wire.Reason_REASON_DRAINING:           {http.StatusServiceUnavailable, "The process is stopping."},
 	wire.Reason_REASON_RETRY_BUDGET:       {http.StatusBadGateway, "The retry budget is used up."},
+	wire.Reason_REASON_QUARANTINED:        {http.StatusServiceUnavailable, "Upstreams ended under this request; it is sent to none for a time."},
 	wire.Reason_REASON_DUPLICATE_ATTEMPT:  {http.StatusConflict, "The attempt was seen before."},
 }
 
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -114,6 +115,20 @@
 	}, nil
 }
 
+// Refuses implements Refuser.
+func (h *HTTP) Refuses(ctx context.Context) bool {
+	port := h.base.Port()
+	if port == "" {
+		port = h.base.Scheme
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", net.JoinHostPort(h.base.Hostname(), port))
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 func (h *HTTP) request(ctx context.Context, head *wire.RunHead, body []byte) (*http.Request, error) {
 	ref, err := url.Parse(head.Path)
 	if err != nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -53,6 +53,13 @@
 	Close()
 }
 
+// Refuser is an Upstream that can be asked whether it is there.
+type Refuser interface {
+	// Refuses says whether nothing listens at the upstream's address any more. A host that is
+	// silent doesn't refuse.
+	Refuses(ctx context.Context) bool
+}
+
 // New makes the upstream that an agent's settings name.
 func New(kind string, settings map[string]any) (Upstream, error) {
 	v, err := kernel.Load("upstream."+kind, settings)
