A quarantine that rests on ends of before an answer is void

A table that knew that a request had been answered took the quarantine that another one, which had not heard of it, had decided: the request stayed refused for its term, with no end held against it. Found by the property that tables agree once all is heard (TestTablesAgreeOnceAllIsHeard; three ends at one entry, an answer at another). The word is taken for the ends after the answer only.

--- /dev/null
+++ b/quarantine/bench_test.go
@@ -0,0 +1,43 @@
+package quarantine
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/go-kit/log"
+
+	"github.com/snipereach/snipereach/kernel"
+)
+
+type fixedRequest Request
+
+func (r *fixedRequest) Identity() *Request { return (*Request)(r) }
+
+// What a request pays: while nothing is suspected, while others are, and while one like it is,
+// with bodies of 1 kB and 4 MB.
+func BenchmarkTrial(b *testing.B) {
+	for _, size := range []int{1 << 10, 4 << 20} {
+		r := &fixedRequest{Team: "a", Method: "POST", Host: "h", URI: "/x", Body: []byte(strings.Repeat("x", size))}
+		other, alike := subject("b", "other"), Subject{Key: Key{1}, Hint: (*Request)(r).Hint()}
+		for _, c := range []struct {
+			name string
+			held []Subject
+		}{{"nothing", nil}, {"others", []Subject{other}}, {"alike", []Subject{alike}}} {
+			b.Run(c.name+"/"+[]string{"1kB", "4MB"}[min(size>>20, 1)], func(b *testing.B) {
+				n := NewNode("e", log.NewNopLogger(), kernel.BootClock(), nil)
+				for _, s := range c.held {
+					n.Ended(End{Subject: s, Upstream: "up-1"})
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					var t Trial
+					t.Init(n, r)
+					t.Verdict()
+					t.Begin()
+					t.Answered("id")
+					t.Done()
+				}
+			})
+		}
+	}
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -248,7 +248,12 @@
 		return cleared
 	}
 	r := t.record(now, Subject{Key: k, Hint: Hint(m.Hint), Team: m.Team, Route: m.Route})
-	changed := t.hold(now, r, runsOf(now, m))
+	runs := runsOf(now, m)
+	changed := t.hold(now, r, runs)
+	if r.knowsMore(runs) {
+		// What was decided there rests on ends that aren't held against the request.
+		m = &wire.Suspicion{}
+	}
 	if terms := int(m.Terms); terms > r.terms {
 		r.terms, r.until, changed = terms, earlier(now, r.lastEnd.Add(t.settings.term(terms))), true
 	}
@@ -261,6 +266,11 @@
 	return changed || cleared
 }
 
+// knowsMore says whether the request was cleared after one of these runs.
+func (r *record) knowsMore(runs []Run) bool {
+	return slices.ContainsFunc(runs, func(run Run) bool { return !run.Ended.After(r.clearedAt) })
+}
+
 func (t *Table) learnCleared(k Key, at time.Time) bool {
 	r := t.records[k]
 	if r == nil || !at.After(r.clearedAt) {
