--- a/control/control.go
+++ b/control/control.go
@@ -16,6 +16,7 @@
 
 	"github.com/snipereach/snipereach/consensus"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/quarantine"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/wire"
@@ -420,7 +421,9 @@
 		Identity *wire.Identity `json:"identity"`
 		Replica  any            `json:"replica,omitempty"`
 		Groups   []groupDump    `json:"groups,omitempty"`
-	}{Identity: c.currentIdentity(), Groups: c.groups.dump()}
+		// Suspicions are of requests under which upstreams ended.
+		Suspicions []quarantine.Shown `json:"suspicions"`
+	}{Identity: c.currentIdentity(), Groups: c.groups.dump(), Suspicions: quarantine.Show(c.suspicions.all())}
 	if r := c.current(); r != nil {
 		_ = r.do(ctx, func() { d.Replica = r.dump() })
 	}
--- a/ctl/quarantine.go
+++ b/ctl/quarantine.go
@@ -10,6 +10,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/snipereach/snipereach/operators"
+	"github.com/snipereach/snipereach/quarantine"
 )
 
 // addQuarantine adds the command of requests that end upstreams.
@@ -42,14 +43,14 @@
 	return c.show(list, s)
 }
 
-func quarantineState(s operators.Suspicion) string {
+func quarantineState(s quarantine.Shown) string {
 	if !s.Quarantined {
 		return "suspected"
 	}
-	return "quarantined for " + inSeconds(s.LeftMS)
+	return "quarantined for " + inSeconds(int64(s.LeftMS))
 }
 
-func inSeconds(ms uint32) string {
+func inSeconds(ms int64) string {
 	return (time.Duration(ms) * time.Millisecond).Round(time.Second).String()
 }
 
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -77,7 +77,7 @@
 			return err
 		}
 		silence.Reset(silentWatch)
-		e.suspects.Hear("", u.Suspicions)
+		e.suspects.Hear("table watch", u.Suspicions)
 		v, err := f.Apply(e.settings.Now(), u)
 		if err != nil {
 			kernel.Warn(e.log, "Rows are refused.", "err", err)
--- a/operators/quarantine.go
+++ b/operators/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"net/http"
 
 	"github.com/gorilla/mux"
@@ -12,26 +11,9 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
-// Suspicion is a request under which upstreams ended, as operators see it.
-type Suspicion struct {
-	// Key names the request by its content, as log lines do.
-	Key   string `json:"key"`
-	Team  string `json:"team,omitempty"`
-	Route string `json:"route"`
-	// Upstreams ended while they ran it.
-	Upstreams []string `json:"upstreams"`
-	// AgeMS is the time since the last of these ends.
-	AgeMS uint32 `json:"age_ms"`
-	// Quarantined says that it is sent to no upstream, for LeftMS yet.
-	Quarantined bool   `json:"quarantined"`
-	LeftMS      uint32 `json:"left_ms,omitempty"`
-	// Terms is how often it was put in quarantine.
-	Terms uint32 `json:"terms,omitempty"`
-}
-
 // Suspicions is what one control replica holds against requests.
 type Suspicions struct {
-	Requests []Suspicion `json:"requests"`
+	Requests []quarantine.Shown `json:"requests"`
 }
 
 func (h *Handler) suspicions(c *call) {
@@ -44,14 +26,7 @@
 		c.problem(http.StatusServiceUnavailable, "No control replica answers.", err.Error())
 		return
 	}
-	list := Suspicions{Requests: []Suspicion{}}
-	for _, m := range reply.Suspicions {
-		list.Requests = append(list.Requests, Suspicion{
-			Key: hex.EncodeToString(m.Key), Team: m.Team, Route: m.Route, Upstreams: quarantine.Upstreams(m), AgeMS: uint32(quarantine.Age(m).Milliseconds()),
-			Quarantined: m.QuarantineMs > 0, LeftMS: m.QuarantineMs, Terms: m.Terms,
-		})
-	}
-	kernel.WriteJSON(c.w, http.StatusOK, list)
+	kernel.WriteJSON(c.w, http.StatusOK, Suspicions{Requests: quarantine.Show(reply.Suspicions)})
 }
 
 // liftQuarantine has a request sent to upstreams again, with nothing held against it.
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -140,7 +140,7 @@
 func (n *Node) Dump() any {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.table.All(n.now())
+	return Show(n.table.All(n.now()))
 }
 
 // change calls a function that changes the table, and has the replicas told if it says so.
