--- a/control/calls.go
+++ b/control/calls.go
@@ -192,27 +192,3 @@
 		return ErrStopped
 	}
 }
-
-// subscribe returns a channel that is sent to after each change.
-func (r *Replica) subscribe() (chan struct{}, func()) {
-	ch := make(chan struct{}, 1)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.watchers[ch] = struct{}{}
-	return ch, func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		delete(r.watchers, ch)
-	}
-}
-
-func (r *Replica) wake() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for ch := range r.watchers {
-		select {
-		case ch <- struct{}{}:
-		default:
-		}
-	}
-}
--- a/control/control.go
+++ b/control/control.go
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	s.Now = s.clock()
-	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, surveys: newSurveyFeed(), metrics: kernel.NewMetrics(), suspicions: newSuspicions(s.Now)}
+	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, surveys: &surveyFeed{}, metrics: kernel.NewMetrics(), suspicions: newSuspicions(s.Now)}
 	c.groups = newGroupLeader(s, kernel.PartLog(l, "groups"), pool)
 	var err error
 	c.lockstep, err = newLockstepLeader(s, l, pool, c.metrics, c.surveys)
--- a/control/groups.go
+++ b/control/groups.go
@@ -74,7 +74,7 @@
 		return
 	}
 	defer g.drop()
-	changed, cancel := r.subscribe()
+	changed, cancel := r.watchers.Subscribe()
 	defer cancel()
 	for {
 		wait := groupIdleTick
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -153,7 +153,7 @@
 		return nil, err
 	}
 	if s.suspicions.learn(holds...) {
-		r.wake()
+		r.watchers.Wake()
 	}
 	s.suspicions.wantSettled()
 	for _, m := range lift {
--- a/control/replica.go
+++ b/control/replica.go
@@ -6,7 +6,6 @@
 	"hash/maphash"
 	"math/rand/v2"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -87,8 +86,8 @@
 	// quarantined is called with what is decided about requests in quarantine.
 	quarantined func(...*wire.Suspicion) (news bool)
 
-	mu       sync.Mutex
-	watchers map[chan struct{}]struct{}
+	// watchers are woken after each change.
+	watchers kernel.Watchers
 }
 
 // idOf returns a replica's name/incarnation.
@@ -117,10 +116,10 @@
 		waiting: map[uint64]waiter{},
 		reads:   map[uint64]chan<- error{},
 		queued:  map[uint64][]uint64{},
-		hard:    st.Hard, watchers: map[chan struct{}]struct{}{},
-		leads:  leaseClock{expires: map[string]time.Time{}},
-		leader: leaderWatch{changed: make(chan struct{})},
-		rings:  ringClock{changed: s.Now()},
+		hard:    st.Hard,
+		leads:   leaseClock{expires: map[string]time.Time{}},
+		leader:  leaderWatch{changed: make(chan struct{})},
+		rings:   ringClock{changed: s.Now()},
 	}
 	r.feed.reset(m.table.Revision(), m.ring, r.rings.changed)
 	r.routingVersion.Store(m.routing.Current().GetVersion())
@@ -141,7 +140,7 @@
 	before := r.feed.current(r.now())
 	r.feed.confirm(r.now() - r.node.ConfirmedAge(r.now()))
 	if !before && r.feed.current(r.now()) {
-		r.wake()
+		r.watchers.Wake()
 	}
 }
 
@@ -251,7 +250,7 @@
 		r.routingVersion.Store(r.machine.routing.Current().GetVersion())
 		r.forgetWaiting(rd.Snapshot.Index)
 		r.tellQuarantined(r.machine.quarantine.Told(r.clock())...)
-		r.wake()
+		r.watchers.Wake()
 	}
 	var changed []*wire.Row
 	for _, e := range rd.Apply {
@@ -276,7 +275,7 @@
 	r.routingVersion.Store(r.machine.routing.Current().GetVersion())
 	if len(rd.Apply) > 0 {
 		r.feed.add(r.machine.table.Revision(), changed, r.machine.ring, r.rings.changed)
-		r.wake()
+		r.watchers.Wake()
 	}
 	for _, rs := range rd.Reads {
 		r.answerRead(rs)
--- a/control/routing.go
+++ b/control/routing.go
@@ -170,7 +170,7 @@
 	if r == nil {
 		return merry.Prepend(ErrUnavailable, "replica belongs to no cluster yet")
 	}
-	changed, cancel := r.subscribe()
+	changed, cancel := r.watchers.Subscribe()
 	defer cancel()
 	s.routingWatchers.Add(1)
 	defer s.routingWatchers.Add(-1)
--- a/control/service.go
+++ b/control/service.go
@@ -130,7 +130,7 @@
 	if r == nil {
 		return merry.Prepend(ErrUnavailable, "replica belongs to no cluster yet")
 	}
-	changed, cancel := r.subscribe()
+	changed, cancel := r.watchers.Subscribe()
 	defer cancel()
 	tick := time.NewTicker(confirmInterval)
 	defer tick.Stop()
--- a/control/surveys.go
+++ b/control/surveys.go
@@ -30,7 +30,7 @@
 type surveyFeed struct {
 	mu       sync.Mutex
 	latest   *toldSurvey
-	watchers map[chan struct{}]struct{}
+	watchers kernel.Watchers
 }
 
 // toldSurvey is a survey as it was told at a time by this replica's clock.
@@ -42,31 +42,12 @@
 	own bool
 }
 
-func newSurveyFeed() *surveyFeed { return &surveyFeed{watchers: map[chan struct{}]struct{}{}} }
-
 // tell makes a survey known to the watchers.
 func (f *surveyFeed) tell(s *toldSurvey) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.latest = s
-	for ch := range f.watchers {
-		select {
-		case ch <- struct{}{}:
-		default:
-		}
-	}
-}
-
-func (f *surveyFeed) subscribe() (changed chan struct{}, cancel func()) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	ch := make(chan struct{}, 1)
-	f.watchers[ch] = struct{}{}
-	return ch, func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		delete(f.watchers, ch)
-	}
+	f.mu.Unlock()
+	f.watchers.Wake()
 }
 
 func (f *surveyFeed) current() *toldSurvey {
@@ -86,7 +67,7 @@
 
 // Survey implements the Routing service.
 func (s routingService) Survey(req *wire.WatchSurveyRequest, stream wire.DRPCRouting_SurveyStream) error {
-	changed, cancel := s.surveys.subscribe()
+	changed, cancel := s.surveys.watchers.Subscribe()
 	defer cancel()
 	beat := time.NewTimer(surveyBeat)
 	defer beat.Stop()
--- a/control/surveys_test.go
+++ b/control/surveys_test.go
@@ -10,7 +10,7 @@
 // replica: they would go on telling each other of a group that nobody leads any more, and
 // entries would send to ranks that are long full.
 func TestSurveysGoOneHopBetweenReplicas(t *testing.T) {
-	f := newSurveyFeed()
+	f := &surveyFeed{}
 	heard := &toldSurvey{number: 7, states: []byte{1}}
 	f.tell(heard)
 	assert.Assert(t, f.newFor(nil, true) == nil)
@@ -24,8 +24,8 @@
 }
 
 func TestWatchersAreWokenBySurveys(t *testing.T) {
-	f := newSurveyFeed()
-	changed, cancel := f.subscribe()
+	f := &surveyFeed{}
+	changed, cancel := f.watchers.Subscribe()
 	f.tell(&toldSurvey{number: 1})
 	f.tell(&toldSurvey{number: 2})
 	<-changed
--- a/directory/node.go
+++ b/directory/node.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -30,7 +31,7 @@
 	// ask asks an instance for a sign of life; it may be nil.
 	ask func(*Instance)
 	// watchers are woken by changes; told is how far they were.
-	watchers map[chan struct{}]struct{}
+	watchers kernel.Watchers
 	told     mark
 }
 
@@ -45,7 +46,7 @@
 	if onChange == nil {
 		onChange = func() {}
 	}
-	return &Node{state: New(s, now(), 0), now: now, onChange: onChange, watchers: map[chan struct{}]struct{}{}}
+	return &Node{state: New(s, now(), 0), now: now, onChange: onChange}
 }
 
 // SetReplicas tells where the node learns the control replicas and their failure
@@ -205,7 +206,7 @@
 // what changes, and at least every vouchInterval, or more seldom where there are
 // many watchers, a message that vouches for all that has not changed.
 func (n *Node) Watch(req *wire.DirectoryWatchRequest, stream wire.DRPCDirectory_WatchStream) error {
-	changed, cancel := n.subscribe()
+	changed, cancel := n.watchers.Subscribe()
 	defer cancel()
 	timer := time.NewTimer(watchInterval)
 	defer timer.Stop()
@@ -250,21 +251,7 @@
 	if req.LocalOnly {
 		return vouchInterval
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return SpeakInterval(vouchInterval, len(n.watchers))
-}
-
-func (n *Node) subscribe() (changed chan struct{}, cancel func()) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	ch := make(chan struct{}, 1)
-	n.watchers[ch] = struct{}{}
-	return ch, func() {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		delete(n.watchers, ch)
-	}
+	return SpeakInterval(vouchInterval, n.watchers.Len())
 }
 
 // wakeWatchers wakes the watchers if they lack something. The lock is held.
@@ -274,12 +261,7 @@
 		return
 	}
 	n.told = now
-	for ch := range n.watchers {
-		select {
-		case ch <- struct{}{}:
-		default:
-		}
-	}
+	n.watchers.Wake()
 }
 
 func worthSending(u *wire.DirectoryUpdate) bool {
