What is applied from the log again has the times of its decisions; a lift isn't undone by a replica that missed it

Found on reading: a replica that starts applied a lift, and a quarantine decided an hour later, at one moment, and took the lift for the later one: it told its gateways nothing of the quarantine. A replica that had missed a lift could put the same ends on the log again. A lift of what isn't there, asked by each replica that hears of an answer, stood on the log each time. TestLiftedQuarantineComesBackByNewEndsOnly. Besides, a request stopped between two attempts is told in doubt if one may have run.

--- a/control/machine.go
+++ b/control/machine.go
@@ -4,8 +4,6 @@
 package control
 
 import (
-	"time"
-
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
 
@@ -77,20 +75,10 @@
 	quarantine quarantine.Machine
 }
 
-// quarantineResult is the result of a committed quarantine, with what is to be told of it.
+// quarantineResult is the result of a committed quarantine, and the command.
 type quarantineResult struct {
 	quarantine.Result
-	told *wire.Suspicion
-}
-
-func (m *machine) applyQuarantine(c *wire.QuarantineCommand) quarantineResult {
-	res := quarantineResult{Result: m.quarantine.Apply(c)}
-	if c.Put == nil {
-		res.told = &wire.Suspicion{Key: c.Lift, Cleared: true}
-		return res
-	}
-	res.told = quarantine.TellLogged(time.UnixMilli(int64(c.AtMs)), c.Put)
-	return res
+	command *wire.QuarantineCommand
 }
 
 func newMachine() *machine {
@@ -152,7 +140,7 @@
 		accepted := m.routing.Apply(c.GetRouting())
 		return routingResult{accepted: accepted, version: m.routing.Current().Version}, nil
 	case c.GetQuarantine() != nil:
-		return m.applyQuarantine(c.GetQuarantine()), nil
+		return quarantineResult{Result: m.quarantine.Apply(c.GetQuarantine()), command: c.GetQuarantine()}, nil
 	case c.GetFormed() != nil:
 		m.formed = true
 	case c.GetRing() != nil:
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -206,6 +206,10 @@
 		return reply, err
 	}
 	r := s.current()
+	found := false
+	if err := r.do(ctx, func() { found = r.machine.quarantine.Get(req.Key) != nil }); err != nil || !found {
+		return &wire.LiftQuarantineReply{}, err
+	}
 	v, err := r.propose(ctx, quarantineCommand(&wire.QuarantineCommand{Lift: req.Key, AtMs: uint64(r.clock().UnixMilli())}))
 	if err != nil {
 		return nil, err
--- a/control/replica.go
+++ b/control/replica.go
@@ -283,14 +283,16 @@
 	return r.maybeCompact()
 }
 
-// quarantineDecided takes a committed quarantine, or the end of one.
+// quarantineDecided takes a committed quarantine, or the end of one. Its times are those of the
+// decision: a replica that starts applies it again, days later, between others.
 func (r *Replica) quarantineDecided(q quarantineResult) {
-	m := q.told
-	kernel.Info(r.log, "Quarantine decided.", "key", hex.EncodeToString(m.Key), "route", m.Route, "team", m.Team, "lifted", m.Cleared,
-		"changed", q.Changed, "upstreams", strings.Join(quarantine.Upstreams(m), ","), "terms", m.Terms, "left_ms", m.QuarantineMs)
-	if q.Changed || m.Cleared {
-		r.tellQuarantined(m)
+	if !q.Changed {
+		return
 	}
+	m := quarantine.Decided(r.clock(), q.command)
+	kernel.Info(r.log, "Quarantine decided.", "key", hex.EncodeToString(m.Key), "route", m.Route, "team", m.Team, "lifted", m.Cleared,
+		"upstreams", strings.Join(quarantine.Upstreams(m), ","), "terms", m.Terms, "left_ms", m.QuarantineMs)
+	r.tellQuarantined(m)
 }
 
 func (r *Replica) tellQuarantined(list ...*wire.Suspicion) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -178,6 +178,7 @@
 	moves := 0
 	for n := 1; ; n++ {
 		if c.Trial != nil && !c.Trial.MaySend(res.ran()) {
+			res.Outcome = worst(res)
 			if res.ran() == 0 {
 				res.Reason, res.Outcome = wire.Reason_REASON_QUARANTINED, wire.Outcome_OUTCOME_NOT_RUN
 			}
--- a/quarantine/machine.go
+++ b/quarantine/machine.go
@@ -39,7 +39,12 @@
 	return Result{Changed: m.lift(c.Lift, c.AtMs)}
 }
 
+// put keeps a quarantine, unless the one that is kept is as long, or it rests on what was before a
+// lift: a replica that was cut off meanwhile may still ask for it.
 func (m *Machine) put(q *wire.LoggedQuarantine) bool {
+	if q.EndedMs < m.LiftedAt(q.Request.GetKey()) {
+		return false
+	}
 	at := m.index(q.Request.GetKey())
 	if at >= 0 && m.logged[at].UntilMs >= q.UntilMs {
 		return false
@@ -75,15 +80,15 @@
 }
 
 func (m *Machine) lift(key []byte, atMS uint64) bool {
-	m.lifted = append(m.lifted, &wire.LiftedQuarantine{Key: key, AtMs: atMS})
-	if len(m.lifted) > mostLifted {
-		m.lifted = m.lifted[1:]
-	}
 	at := m.index(key)
 	if at < 0 {
 		return false
 	}
 	m.logged = slices.Delete(m.logged, at, at+1)
+	m.lifted = append(m.lifted, &wire.LiftedQuarantine{Key: key, AtMs: atMS})
+	if len(m.lifted) > mostLifted {
+		m.lifted = m.lifted[1:]
+	}
 	return true
 }
 
@@ -113,13 +118,21 @@
 func (m *Machine) Told(now time.Time) []*wire.Suspicion {
 	list := make([]*wire.Suspicion, len(m.logged))
 	for i, q := range m.logged {
-		list[i] = TellLogged(now, q)
+		list[i] = tellLogged(now, q)
 	}
 	return list
 }
 
-// TellLogged makes the message of a quarantine on the log.
-func TellLogged(now time.Time, q *wire.LoggedQuarantine) *wire.Suspicion {
+// Decided makes the message of a command that has changed something.
+func Decided(now time.Time, c *wire.QuarantineCommand) *wire.Suspicion {
+	if c.Put != nil {
+		return tellLogged(now, c.Put)
+	}
+	return &wire.Suspicion{Key: c.Lift, Cleared: true, ClearedAgeMs: inMillis(now.Sub(time.UnixMilli(int64(c.AtMs))))}
+}
+
+// tellLogged makes the message of a quarantine on the log.
+func tellLogged(now time.Time, q *wire.LoggedQuarantine) *wire.Suspicion {
 	r := q.Request
 	age := inMillis(now.Sub(time.UnixMilli(int64(q.EndedMs))))
 	m := &wire.Suspicion{
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -301,6 +301,40 @@
 	assert.Assert(t, m.Apply(&wire.QuarantineCommand{Lift: bad.Key[:], AtMs: 7}).Changed)
 	assert.Equal(t, m.LiftedAt(bad.Key[:]), uint64(7))
 	assert.Equal(t, len(m.Told(start)), 0)
+	assert.Assert(t, !m.Apply(&wire.QuarantineCommand{Lift: bad.Key[:], AtMs: 9}).Changed, "it isn't there any more")
+}
+
+// An operator lifts a quarantine. A replica that was cut off asks for it again by the ends of
+// before: refused. Then the request ends three more, and is put in quarantine once more. A replica
+// that starts days later applies all three again, at one moment, and comes to the same.
+func TestLiftedQuarantineComesBackByNewEndsOnly(t *testing.T) {
+	tb, m := NewTable(DefaultSettings()), &Machine{}
+	bad := subject("a", "bad")
+	endThree(tb, bad, start)
+	old := Logged(start, tb.All(start)[0])
+	lifted := after(time.Minute)
+	again := after(time.Hour)
+	fresh := NewTable(DefaultSettings())
+	for i := range 3 {
+		at := again.Add(time.Duration(i) * time.Second)
+		fresh.Ended(at, bad, run(fmt.Sprint("new-", i), at))
+	}
+	put := Logged(again.Add(2*time.Second), fresh.All(again.Add(2 * time.Second))[0])
+	commands := []*wire.QuarantineCommand{
+		{Put: old, AtMs: uint64(start.UnixMilli())}, {Lift: bad.Key[:], AtMs: uint64(lifted.UnixMilli())},
+		{Put: old, AtMs: uint64(lifted.UnixMilli())}, {Put: put, AtMs: uint64(again.UnixMilli())},
+	}
+	replayed, late := NewTable(DefaultSettings()), again.Add(5*time.Minute)
+	for i, c := range commands {
+		changed := m.Apply(c).Changed
+		assert.Equal(t, changed, i != 2)
+		if changed {
+			replayed.Learn(late, Decided(late, c))
+		}
+	}
+	v := replayed.Judge(late, bad.Key)
+	assert.Equal(t, v.Standing, Quarantined)
+	assert.DeepEqual(t, v.Upstreams, []string{"new-0", "new-1", "new-2"})
 }
 
 // One team fills the log with its own: it loses its own oldest.
@@ -308,7 +342,7 @@
 	m := &Machine{}
 	add := func(team string, i int) {
 		s := subject(team, fmt.Sprint(i))
-		m.Apply(&wire.QuarantineCommand{Put: &wire.LoggedQuarantine{Request: &wire.Suspicion{Key: s.Key[:], Team: team}, UntilMs: 1}})
+		m.Apply(&wire.QuarantineCommand{Put: &wire.LoggedQuarantine{Request: &wire.Suspicion{Key: s.Key[:], Team: team}, UntilMs: 1, EndedMs: 1}})
 	}
 	add("b", 0)
 	for i := range 2 * mostLogged {
