--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -273,3 +273,49 @@
 	assert.Equal(t, res.Outcome, wire.Outcome_OUTCOME_NOT_RUN)
 	assert.Assert(t, r.attempts() <= 1+maxMoves, "%d attempts", r.attempts())
 }
+
+// heldTrial is a request under which upstreams have ended.
+type heldTrial struct {
+	mu sync.Mutex
+	// may says whether it may be sent after so many runs.
+	may   func(ran int) bool
+	lives []string
+}
+
+func (h *heldTrial) MaySend(ran int) bool { return h.may(ran) }
+
+func (h *heldTrial) Ended(_ route.Upstream, life string, _ time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lives = append(h.lives, life)
+}
+
+// Each upstream ends under a request that may be repeated. Its caller is told "in doubt" after the
+// one attempt that is left to it; before, four upstreams ended for one sending. One that may be
+// sent nowhere reaches no agent and is refused as not run.
+func TestRequestThatEndsUpstreamsIsNotSentOn(t *testing.T) {
+	ends := func(id string, _ *wire.RunHead) *wire.RunEnd {
+		return &wire.RunEnd{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: wire.Reason_REASON_UPSTREAM_FAILED, EndedUpstream: id + "/1/0"}
+	}
+	for _, c := range []struct {
+		may      func(ran int) bool
+		attempts int
+		outcome  wire.Outcome
+		reason   wire.Reason
+	}{
+		{func(int) bool { return false }, 0, wire.Outcome_OUTCOME_NOT_RUN, wire.Reason_REASON_QUARANTINED},
+		{func(ran int) bool { return ran == 0 }, 1, wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_UPSTREAM_FAILED},
+		{func(ran int) bool { return ran < 2 }, 2, wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_UPSTREAM_FAILED},
+	} {
+		r := newRig(t, "least-loaded", 100, 4, ends)
+		trial := &heldTrial{may: c.may}
+		res := r.fwd.Do(context.Background(), &Call{
+			Head: &wire.RunHead{RequestId: "q", Idempotent: true, Method: "POST", Path: "/"},
+			Pool: r.pool, Route: &route.Request{}, Deadline: r.now().Add(time.Minute), MaxAnswer: 1000, Trial: trial,
+		}, &caller{})
+		assert.Equal(t, r.attempts(), c.attempts)
+		assert.Equal(t, len(trial.lives), c.attempts)
+		assert.Equal(t, res.Outcome, c.outcome)
+		assert.Equal(t, res.Reason, c.reason)
+	}
+}
