--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -1,12 +1,14 @@
 package quarantine
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
 	"github.com/go-kit/log"
 
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/wire"
 )
 
 type fixedRequest Request
@@ -41,3 +43,28 @@
 		}
 	}
 }
+
+// A replica hears of all that ran at a group of 192 ranks that is lost, with and without a request
+// in quarantine. It has a tenth of a core, on which its heartbeats wait meanwhile.
+func BenchmarkFlood(b *testing.B) {
+	from := NewTable(DefaultSettings())
+	var list []*wire.Suspicion
+	for i := range 1920 {
+		s := subject(fmt.Sprint("team-", i%24), fmt.Sprint(i))
+		from.Ended(start, s, run(fmt.Sprint("up-", i/10), start))
+		list = append(list, from.message(start, from.records[s.Key]))
+	}
+	for _, quarantined := range []int{0, 64} {
+		b.Run(fmt.Sprint(quarantined), func(b *testing.B) {
+			for b.Loop() {
+				tb := NewTable(DefaultSettings())
+				for i := range quarantined {
+					endThree(tb, subject("bad", fmt.Sprint(i)), start)
+				}
+				for _, m := range list {
+					tb.Learn(start, m)
+				}
+			}
+		})
+	}
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -10,9 +9,9 @@
 
 // Settings bound what a Table holds against a request and for how long.
 type Settings struct {
-	// Ends is how many upstreams end under a request before it is put in quarantine. Requests
-	// that run beside the one that ends upstreams have an end each, too, and their callers come
-	// again: at two, about half an innocent one a guilty one would be taken with it.
+	// Ends is how many upstreams end under a request before it is put in quarantine. What ran
+	// beside the one that ends upstreams has an end each, too, and its callers come again: some
+	// meet it twice.
 	Ends int
 	// Apart is how long after an end another run must have begun to follow it. Ends are heard of
 	// some tens of milliseconds later at other entries.
@@ -123,15 +122,16 @@
 type Table struct {
 	settings Settings
 	records  map[Key]*record
-	// hints counts records by hint.
-	hints   map[Hint]int
-	teams   map[string]int
-	version uint64
+	// hints and teams count records; sentenced are those that were put in quarantine.
+	hints     map[Hint]int
+	teams     map[string]int
+	sentenced map[Key]*record
+	version   uint64
 }
 
 // NewTable makes an empty table.
 func NewTable(s Settings) *Table {
-	return &Table{settings: s, records: map[Key]*record{}, hints: map[Hint]int{}, teams: map[string]int{}}
+	return &Table{settings: s, records: map[Key]*record{}, hints: map[Hint]int{}, teams: map[string]int{}, sentenced: map[Key]*record{}}
 }
 
 // Len is how many requests are remembered.
@@ -298,6 +298,9 @@
 		r.until = now.Add(t.settings.term(r.terms))
 	}
 	t.touch(r)
+	if r.terms > 0 {
+		t.sentenced[r.Key] = r
+	}
 	s := t.standing(now, r)
 	r.spread = r.spread || s >= LastTrial
 	if s == Quarantined {
@@ -388,6 +391,7 @@
 		}
 		if stale {
 			r.spread, r.runs, r.until, r.terms = false, nil, time.Time{}, 0
+			delete(t.sentenced, r.Key)
 			stale = false
 		}
 		r.runs = append(r.runs, run)
@@ -404,7 +408,7 @@
 
 // explained says whether a request in quarantine ended an upstream.
 func (t *Table) explained(now time.Time, r *record, upstream string) bool {
-	for _, other := range t.records {
+	for _, other := range t.sentenced {
 		if other != r && t.standing(now, other) == Quarantined && other.ranAt(upstream) {
 			return true
 		}
@@ -436,6 +440,7 @@
 // clear takes that nothing before a time is to be held against a request.
 func (t *Table) clear(r *record, at time.Time) {
 	r.clearedAt, r.until, r.terms = at, time.Time{}, 0
+	delete(t.sentenced, r.Key)
 	r.runs = slices.DeleteFunc(r.runs, func(run Run) bool { return !run.Ended.After(at) })
 	t.touch(r)
 }
@@ -444,80 +449,3 @@
 	t.version++
 	r.version = t.version
 }
-
-// record returns a request's record, and makes one if there is none.
-func (t *Table) record(now time.Time, s Subject) *record {
-	r := t.records[s.Key]
-	if r != nil {
-		return r
-	}
-	t.Forget(now)
-	if t.teams[s.Team] >= t.settings.MostOfTeam {
-		t.dropWeakest(now, s.Team)
-	} else if len(t.records) >= t.settings.Most {
-		t.dropWeakest(now, t.largestTeam())
-	}
-	r = &record{Subject: s}
-	t.records[s.Key] = r
-	t.hints[s.Hint]++
-	t.teams[s.Team]++
-	return r
-}
-
-// Forget drops what is held no longer.
-func (t *Table) Forget(now time.Time) {
-	for _, r := range t.records {
-		if t.standing(now, r) == Free && !t.isCleared(now, r) && r.running == 0 {
-			t.drop(r)
-		}
-	}
-}
-
-// isCleared says whether a request was cleared lately, which is to be told then.
-func (t *Table) isCleared(now time.Time, r *record) bool {
-	return !r.clearedAt.IsZero() && now.Sub(r.clearedAt) <= t.settings.ClearedFor
-}
-
-func (t *Table) drop(r *record) {
-	delete(t.records, r.Key)
-	if t.hints[r.Hint]--; t.hints[r.Hint] == 0 {
-		delete(t.hints, r.Hint)
-	}
-	if t.teams[r.Team]--; t.teams[r.Team] == 0 {
-		delete(t.teams, r.Team)
-	}
-}
-
-func (t *Table) largestTeam() string {
-	most := ""
-	for name, n := range t.teams {
-		if n > t.teams[most] || n == t.teams[most] && name < most {
-			most = name
-		}
-	}
-	return most
-}
-
-// dropWeakest makes room among a team's records: what is held against least goes first, the
-// oldest of these before the others. So a team that sends many requests that end upstreams
-// pushes out its own only.
-func (t *Table) dropWeakest(now time.Time, team string) {
-	var weakest *record
-	for _, r := range t.records {
-		if r.Team == team && (weakest == nil || t.compare(now, r, weakest) < 0) {
-			weakest = r
-		}
-	}
-	if weakest != nil {
-		t.drop(weakest)
-	}
-}
-
-func (t *Table) compare(now time.Time, a, b *record) int {
-	return cmp.Or(
-		cmp.Compare(t.standing(now, a), t.standing(now, b)),
-		cmp.Compare(len(a.runs), len(b.runs)),
-		a.lastEnd.Compare(b.lastEnd),
-		slices.Compare(a.Key[:], b.Key[:]),
-	)
-}
