--- a/quarantine/sim_test.go
+++ b/quarantine/sim_test.go
@@ -391,6 +391,16 @@
 	return n
 }
 
+// innocentsOnLog is how many requests are in quarantine that end no upstream.
+func (s *sim) innocentsOnLog() (n int) {
+	for _, q := range s.machine.logged {
+		if s.outcome[Key(q.Request.Key)] == nil {
+			n++
+		}
+	}
+	return n
+}
+
 // One to three requests that end upstreams come beside 100 others a second, to entries that are
 // killed, cut off and started again, before replicas that lose their leader, their memory, or all
 // at once. Each ends few upstreams, and once three have ended under it, and the entries have had the
@@ -398,18 +408,19 @@
 // the others hardly any is taken for one.
 func TestRequestsThatEndUpstreamsAreToldFromOthers(t *testing.T) {
 	for bad := 1; bad <= 3; bad++ {
-		total, ends, worst := simCount{}, 0, 0
+		total, ends, worst, innocents := simCount{}, 0, 0, 0
 		for seed := range seeds() {
 			s := newSim(uint64(seed), simOptions{entries: 7, upstreams: 16, bad: bad, rate: 100, crashes: 0.05, faults: true, span: 40 * time.Second})
 			s.run()
 			total.add(s.innocent)
+			innocents += s.innocentsOnLog()
 			for _, b := range s.outcome {
 				ends, worst = ends+len(b.ends), max(worst, len(b.ends))
 				assert.Assert(t, b.lateSends() <= 3, "seed %d: sent %d times later than the contact window after the third end", seed, b.lateSends())
 			}
 		}
-		t.Logf("%d bad, %d seeds: %.2f ends a request, %d at most; others: %d sent, %d set aside, %.3f served",
-			bad, seeds(), float64(ends)/float64(bad*seeds()), worst, total.sent, total.setAside, float64(total.served)/float64(total.sent))
+		t.Logf("%d bad, %d seeds: %.2f ends a request, %d at most; others: %d sent, %d put in quarantine, %d refused for it, %.3f served",
+			bad, seeds(), float64(ends)/float64(bad*seeds()), worst, total.sent, innocents, total.setAside, float64(total.served)/float64(total.sent))
 		assert.Assert(t, total.setAside*1000 <= total.sent, "%d of %d others were set aside", total.setAside, total.sent)
 	}
 }
