--- a/quarantine/memory.go
+++ b/quarantine/memory.go
@@ -54,7 +54,7 @@
 
 func (t *Table) drop(r *record) {
 	delete(t.records, r.Key)
-	delete(t.sentenced, r.Key)
+	delete(t.everQuarantined, r.Key)
 	if t.hints[r.Hint]--; t.hints[r.Hint] == 0 {
 		delete(t.hints, r.Hint)
 	}
--- a/quarantine/sim_test.go
+++ b/quarantine/sim_test.go
@@ -28,7 +28,7 @@
 	named      int
 	events     []simEvent
 
-	innocent simCount
+	harmless simCount
 	// outcome is what became of the bad ones.
 	outcome map[Key]*simBad
 }
@@ -157,7 +157,7 @@
 		e.do()
 	}
 	for s.opts.rate > 0 && s.rnd.Float64() < s.opts.rate*simTick.Seconds()/(1+s.opts.rate*simTick.Seconds()) {
-		s.sendInnocent()
+		s.sendHarmless()
 	}
 	if s.chance(s.opts.crashes) {
 		s.end(s.ups[s.rnd.IntN(len(s.ups))])
@@ -251,12 +251,12 @@
 	s.after(time.Duration(300+s.rnd.IntN(1200))*time.Millisecond, func() { s.sendBad(sub) })
 }
 
-func (s *sim) sendInnocent() {
+func (s *sim) sendHarmless() {
 	body := s.rnd.Uint64()
 	if s.opts.fixed > 0 {
 		body %= uint64(s.opts.fixed)
 	}
-	s.innocent.sent++
+	s.harmless.sent++
 	s.send(&simRequest{Subject: subject(fmt.Sprint("t", body%10), fmt.Sprint(body)), left: 1, entry: s.rnd.IntN(len(s.entries))})
 }
 
@@ -268,7 +268,7 @@
 	switch {
 	case v.Standing == Quarantined:
 		if !r.bad {
-			s.innocent.setAside++
+			s.harmless.setAside++
 		}
 		return
 	case u == nil, !e.table.Begin(s.now, r.Key):
@@ -290,7 +290,7 @@
 	s.after(time.Duration(20+s.rnd.IntN(1500))*time.Millisecond, func() {
 		if _, runs := u.running[r]; runs && u.id == life {
 			delete(u.running, r)
-			s.innocent.served++
+			s.harmless.served++
 			s.entries[r.entry].table.Done(r.Key)
 			s.entries[r.entry].table.Answered(s.now, r.Key)
 		}
@@ -391,8 +391,8 @@
 	return n
 }
 
-// innocentsOnLog is how many requests are in quarantine that end no upstream.
-func (s *sim) innocentsOnLog() (n int) {
+// harmlessOnLog is how many requests are in quarantine that end no upstream.
+func (s *sim) harmlessOnLog() (n int) {
 	for _, q := range s.machine.logged {
 		if s.outcome[Key(q.Request.Key)] == nil {
 			n++
@@ -408,19 +408,19 @@
 // the others hardly any is taken for one.
 func TestRequestsThatEndUpstreamsAreToldFromOthers(t *testing.T) {
 	for bad := 1; bad <= 3; bad++ {
-		total, ends, worst, innocents := simCount{}, 0, 0, 0
+		total, ends, worst, harmless := simCount{}, 0, 0, 0
 		for seed := range seeds() {
 			s := newSim(uint64(seed), simOptions{entries: 7, upstreams: 16, bad: bad, rate: 100, crashes: 0.05, faults: true, span: 40 * time.Second})
 			s.run()
-			total.add(s.innocent)
-			innocents += s.innocentsOnLog()
+			total.add(s.harmless)
+			harmless += s.harmlessOnLog()
 			for _, b := range s.outcome {
 				ends, worst = ends+len(b.ends), max(worst, len(b.ends))
 				assert.Assert(t, b.lateSends() <= 3, "seed %d: sent %d times later than the contact window after the third end", seed, b.lateSends())
 			}
 		}
 		t.Logf("%d bad, %d seeds: %.2f ends a request, %d at most; others: %d sent, %d put in quarantine, %d refused for it, %.3f served",
-			bad, seeds(), float64(ends)/float64(bad*seeds()), worst, total.sent, innocents, total.setAside, float64(total.served)/float64(total.sent))
+			bad, seeds(), float64(ends)/float64(bad*seeds()), worst, total.sent, harmless, total.setAside, float64(total.served)/float64(total.sent))
 		assert.Assert(t, total.setAside*1000 <= total.sent, "%d of %d others were set aside", total.setAside, total.sent)
 	}
 }
@@ -431,7 +431,7 @@
 // time and ran at several of the upstreams.
 func TestLossOfManyUpstreamsSetsNothingAside(t *testing.T) {
 	for _, fixed := range []int{0, 5} {
-		total := playInnocent(t, simOptions{massCrash: true, fixed: fixed})
+		total := playHarmless(t, simOptions{massCrash: true, fixed: fixed})
 		assert.Equal(t, total.setAside, 0, "of %d", total.sent)
 	}
 }
@@ -441,18 +441,18 @@
 // The next answer clears it; hardly any is refused until then.
 func TestUpstreamsThatEndAllTheTimeSetLittleAside(t *testing.T) {
 	for _, fixed := range []int{0, 5} {
-		total := playInnocent(t, simOptions{crashes: 0.5, massCrash: true, fixed: fixed})
+		total := playHarmless(t, simOptions{crashes: 0.5, massCrash: true, fixed: fixed})
 		assert.Assert(t, total.setAside*1000 <= total.sent, "%d of %d were set aside", total.setAside, total.sent)
 	}
 }
 
-// playInnocent plays days without a request that ends upstreams.
-func playInnocent(t *testing.T, o simOptions) (total simCount) {
+// playHarmless plays days without a request that ends upstreams.
+func playHarmless(t *testing.T, o simOptions) (total simCount) {
 	o.entries, o.upstreams, o.rate, o.faults, o.span = 7, 16, 100, true, 40*time.Second
 	for seed := range seeds() {
 		s := newSim(uint64(seed), o)
 		s.run()
-		total.add(s.innocent)
+		total.add(s.harmless)
 	}
 	t.Logf("%d seeds, %d different requests: %d sent, %d set aside, %.3f served", seeds(), o.fixed, total.sent, total.setAside, float64(total.served)/float64(total.sent))
 	return total
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -122,16 +122,16 @@
 type Table struct {
 	settings Settings
 	records  map[Key]*record
-	// hints and teams count records; sentenced are those that were put in quarantine.
-	hints     map[Hint]int
-	teams     map[string]int
-	sentenced map[Key]*record
-	version   uint64
+	// hints and teams count records; everQuarantined are those that were put in quarantine.
+	hints           map[Hint]int
+	teams           map[string]int
+	everQuarantined map[Key]*record
+	version         uint64
 }
 
 // NewTable makes an empty table.
 func NewTable(s Settings) *Table {
-	return &Table{settings: s, records: map[Key]*record{}, hints: map[Hint]int{}, teams: map[string]int{}, sentenced: map[Key]*record{}}
+	return &Table{settings: s, records: map[Key]*record{}, hints: map[Hint]int{}, teams: map[string]int{}, everQuarantined: map[Key]*record{}}
 }
 
 // Len is how many requests are remembered.
@@ -299,7 +299,7 @@
 	}
 	t.touch(r)
 	if r.terms > 0 {
-		t.sentenced[r.Key] = r
+		t.everQuarantined[r.Key] = r
 	}
 	s := t.standing(now, r)
 	r.spread = r.spread || s >= LastTrial
@@ -391,7 +391,7 @@
 		}
 		if stale {
 			r.spread, r.runs, r.until, r.terms = false, nil, time.Time{}, 0
-			delete(t.sentenced, r.Key)
+			delete(t.everQuarantined, r.Key)
 			stale = false
 		}
 		r.runs = append(r.runs, run)
@@ -408,7 +408,7 @@
 
 // explained says whether a request in quarantine ended an upstream.
 func (t *Table) explained(now time.Time, r *record, upstream string) bool {
-	for _, other := range t.sentenced {
+	for _, other := range t.everQuarantined {
 		if other != r && t.standing(now, other) == Quarantined && other.ranAt(upstream) {
 			return true
 		}
@@ -418,14 +418,14 @@
 
 // explain takes the ends of a request that is put in quarantine off those that ran beside it:
 // they did not end these upstreams, and their callers come again.
-func (t *Table) explain(guilty *record) {
+func (t *Table) explain(cause *record) {
 	var explained []*record
 	for _, r := range t.records {
-		if r == guilty || r.terms > 0 {
+		if r == cause || r.terms > 0 {
 			continue
 		}
 		before := len(r.runs)
-		r.runs = slices.DeleteFunc(r.runs, func(run Run) bool { return guilty.ranAt(run.Upstream) })
+		r.runs = slices.DeleteFunc(r.runs, func(run Run) bool { return cause.ranAt(run.Upstream) })
 		if len(r.runs) < before {
 			explained = append(explained, r)
 		}
@@ -440,7 +440,7 @@
 // clear takes that nothing before a time is to be held against a request.
 func (t *Table) clear(r *record, at time.Time) {
 	r.clearedAt, r.until, r.terms = at, time.Time{}, 0
-	delete(t.sentenced, r.Key)
+	delete(t.everQuarantined, r.Key)
 	r.runs = slices.DeleteFunc(r.runs, func(run Run) bool { return !run.Ended.After(at) })
 	t.touch(r)
 }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -152,9 +152,9 @@
 	assert.Equal(t, s.term(100), s.MostTerm)
 }
 
-// Two requests run beside the one that ends upstreams, one of them twice. Once the guilty one is
+// Two requests run beside the one that ends upstreams, one of them twice. Once that one is
 // known, its ends are no longer held against them.
-func TestGuiltyRequestExplainsTheEndsOfOthers(t *testing.T) {
+func TestQuarantineExplainsTheEndsOfOthers(t *testing.T) {
 	tb := NewTable(DefaultSettings())
 	bad, once, twice := subject("a", "bad"), subject("b", "once"), subject("c", "twice")
 	before := after(-time.Second)
