Tests: addresses of what comes back are held, as those of the quickstart are

TestNewGatewayKnowsQuarantines failed with "server can't start: listen tcp 127.0.0.1:42481: bind: address already in use".

Cause: a stand-in server that ends is away for a second, at an address that the system had chosen. Meanwhile the port is free, and any listener of a test that runs beside may be given it.

A port that is held is given to nobody while what listens there is away.

--- a/agent/relay_test.go
+++ b/agent/relay_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -16,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipereach/snipereach/agent"
+	"github.com/snipereach/snipereach/fake"
 	"github.com/snipereach/snipereach/forward"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/table"
@@ -209,10 +209,9 @@
 // is left, also calls that may not be repeated, and with no retry budget.
 func TestDeadAgentCostsNoAnswer(t *testing.T) {
 	r := newRelay(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "mine") })
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	dead, release, err := fake.HoldPort()
 	assert.NilError(t, err)
-	dead := lis.Addr().String()
-	assert.NilError(t, lis.Close())
+	t.Cleanup(release)
 	r.set(t,
 		route.Upstream{ID: "dead-1", Address: dead, FailureDomain: "hall-a"},
 		route.Upstream{ID: "dead-2", Address: dead, FailureDomain: "hall-a"},
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/fake"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
@@ -43,19 +44,24 @@
 	unfollow context.CancelFunc
 }
 
+// heldAddress returns an address that nobody else is given until the test ends, also while the
+// replica there is stopped.
+func heldAddress(t *testing.T) string {
+	address, release, err := fake.HoldPort()
+	assert.NilError(t, err)
+	t.Cleanup(release)
+	return address
+}
+
 func newCluster(t *testing.T, n int) *cluster { return newClusterWith(t, n, nil) }
 
 func newClusterWith(t *testing.T, n int, change func(*control.Settings)) *cluster {
 	c := &cluster{t: t, dir: t.TempDir(), pool: transport.NewPool(sec), running: make([]*runningReplica, n), change: change}
-	var lis []net.Listener
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		lis = append(lis, l)
-		c.addrs = append(c.addrs, l.Addr().String())
+		c.addrs = append(c.addrs, heldAddress(t))
 	}
 	for i := range n {
-		c.start(i, lis[i])
+		c.start(i)
 	}
 	c.client = control.NewClient(c.pool, c.addrs, "test")
 	t.Cleanup(func() {
@@ -69,13 +75,10 @@
 
 func (c *cluster) folder(i int) string { return filepath.Join(c.dir, fmt.Sprint(i)) }
 
-func (c *cluster) start(i int, lis net.Listener) {
+func (c *cluster) start(i int) {
 	c.t.Helper()
-	var err error
-	if lis == nil {
-		lis, err = net.Listen("tcp", c.addrs[i])
-		assert.NilError(c.t, err)
-	}
+	lis, err := net.Listen("tcp", c.addrs[i])
+	assert.NilError(c.t, err)
 	s := control.DefaultSettings()
 	s.DataDir = c.folder(i)
 	s.Members = c.addrs
@@ -254,7 +257,7 @@
 	assert.NilError(t, os.RemoveAll(c.folder(lost)))
 	put(50)
 	c.waitHealth(control.HealthDegraded)
-	c.start(lost, nil)
+	c.start(lost)
 	members := c.waitHealth(control.HealthOK)
 	assert.Equal(t, len(members), 3)
 	second := (lost + 1) % 3
@@ -275,7 +278,7 @@
 		c.stop(i)
 	}
 	for i := range 3 {
-		c.start(i, nil)
+		c.start(i)
 	}
 	assert.DeepEqual(t, c.rows(), map[string]string{"lm": "30"})
 	assert.Assert(t, c.edit(poolEdit("7", "lm", "8", 7)).Replayed)
--- a/control/groups_test.go
+++ b/control/groups_test.go
@@ -214,7 +214,7 @@
 		assert.Assert(t, later.Token > v.Token)
 		assert.Assert(t, slices.ContainsFunc(later.State.Records, func(s *wire.SwitchRecord) bool { return s.Epoch == epoch }),
 			"the switch in doubt has an end in the decision log")
-		r.start(dead, nil)
+		r.start(dead)
 		r.waitHealth(control.HealthOK)
 	}
 	r.waitForSteps(20)
--- a/control/handover_test.go
+++ b/control/handover_test.go
@@ -85,7 +85,7 @@
 		assert.NilError(t, ctx.Err())
 		cancel()
 		c.accept(poolEdit(fmt.Sprint("b", i), "lm", "9", uint64(i+1)))
-		c.start(dead, nil)
+		c.start(dead)
 		c.waitHealth(control.HealthOK)
 		leader = c.leader()
 	}
--- a/control/repair_test.go
+++ b/control/repair_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"sync/atomic"
 	"testing"
@@ -105,12 +104,10 @@
 	c.edited("first")
 	for lost, name := range []string{"c3", "c4"} {
 		c.stop(lost)
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		c.addrs = append(c.addrs, lis.Addr().String())
+		c.addrs = append(c.addrs, heldAddress(t))
 		c.running = append(c.running, nil)
 		i := len(c.addrs) - 1
-		c.start(i, lis)
+		c.start(i)
 		t.Cleanup(func() { c.stop(i) })
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			v := c.voters(c.addrs[2])
@@ -146,14 +143,14 @@
 		named := c.leader()
 		c.stop(named)
 		c.edited(fmt.Sprint("lead-", tries))
-		c.start(named, nil)
+		c.start(named)
 		c.waitHealth(control.HealthOK)
 	}
 	lost := 1
 	old := c.memberAt(lost)
 	c.stop(lost)
 	assert.NilError(t, os.RemoveAll(c.folder(lost)))
-	c.start(lost, nil)
+	c.start(lost)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		m := c.memberAt(lost)
 		if m != nil && m.Id != old.Id && !m.Learner && len(c.voters(c.addrs[3])) == 5 {
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -179,8 +179,12 @@
 			return err
 		}
 	}
-	for i := range s.opts.Plains {
-		p := &fake.Plain{Server: fake.Server{Slots: s.opts.PlainSlots}, Work: max(s.opts.PlainWork, 0)}
+	addresses, err := s.reserve(s.opts.Plains)
+	if err != nil {
+		return err
+	}
+	for i, address := range addresses {
+		p := &fake.Plain{Server: fake.Server{Listen: address, Slots: s.opts.PlainSlots}, Work: max(s.opts.PlainWork, 0)}
 		if err := p.Start(); err != nil {
 			return err
 		}
