An end counts though the upstream is back before the question at its address is answered

What callers saw: a request that ends the upstreams that run it isn't told for some of these ends, so that it ends more of them before it is put in quarantine.

Cause: a gateway asks at the address of an upstream that cut an attempt off whether anything listens there, for up to 150 ms, and took down who is known at that address after that. An incarnation that had registered meanwhile passed for one known all along, and the sign "replaced" never came.

Change: the list is taken before the question; and as the registrations that came meanwhile brought nothing to compare, what is known now is compared once more when the attempt is put with those that await one. Why it holds: each instance at the address is either in the list, as it was known when the attempt was cut, or is compared, now or when it comes.

--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -9,6 +9,7 @@
 
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/quarantine"
+	"github.com/snipereach/snipereach/wire"
 )
 
 const (
@@ -65,25 +66,36 @@
 
 // noteCut looks after an attempt that was cut off. Whether the upstream ended is asked at its
 // address first; a host that says nothing, or that takes connections already again, shows it
-// later by the incarnation that registers.
+// by the incarnation that registers.
 func (c *call) noteCut(a *attempt) {
-	p := pendingEnd{cutAt: c.now()}
-	p.End = quarantine.End{Subject: c.subject(), RequestID: c.asked.ID, Upstream: a.up.ID, Address: a.up.Address, Ran: time.Since(a.began)}
+	p := c.cutOff(a)
 	if c.upstreamRefuses(p.Address) {
 		c.upstreamEnded(p.End, signRefused)
 		return
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if len(c.ends.pending) >= mostPending {
 		c.ends.pending = c.ends.pending[1:]
 	}
+	c.ends.pending = append(c.ends.pending, p)
+	c.mu.Unlock()
+	c.explainCuts(c.node.Instances(wire.Role_ROLE_UPSTREAM))
+}
+
+// cutOff is an attempt that was cut off just now. Who is known at the address is taken down before
+// anything is asked there: an incarnation that registers while the answer is awaited would pass for
+// one that was known all along, and the end would be told to nobody.
+func (c *call) cutOff(a *attempt) pendingEnd {
+	p := pendingEnd{cutAt: c.now()}
+	p.End = quarantine.End{Subject: c.subject(), RequestID: c.asked.ID, Upstream: a.up.ID, Address: a.up.Address, Ran: time.Since(a.began)}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, i := range c.known {
 		if i.Address == a.up.Address {
 			p.known = append(p.known, i.Id)
 		}
 	}
-	c.ends.pending = append(c.ends.pending, p)
+	return p
 }
 
 // upstreamRefuses asks at an upstream's address whether anything listens there. Many requests
