Quarantine: say once what stood twice; two names; no change of behaviour

A Request makes its own Subject (gateway and entry did); an answer wakes tellers by the step that all changes take; knowsMore is clearedSince; what others decided is taken in a step of its own, in place of an empty message that stood in for one that is void. Tests unchanged.

--- a/entry/trial.go
+++ b/entry/trial.go
@@ -29,9 +29,8 @@
 
 // Ended implements forward.Trial.
 func (q *request) Ended(up route.Upstream, life string, ran time.Duration) {
-	r := q.Identity()
 	q.entry.suspects.Ended(quarantine.End{
-		Subject:   quarantine.Subject{Key: r.Key(), Hint: r.Hint(), Team: r.Team, Route: q.service.Name},
+		Subject:   q.Identity().Subject(q.service.Name),
 		RequestID: q.id, Upstream: life, Address: up.Address, Ran: ran, Sign: signAgent,
 	})
 }
--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -52,12 +52,6 @@
 	pending []pendingEnd
 }
 
-// subject is the request as others know it.
-func (c *call) subject() quarantine.Subject {
-	r := c.Identity()
-	return quarantine.Subject{Key: r.Key(), Hint: r.Hint(), Team: r.Team, Route: c.route.GetName()}
-}
-
 // looksEnded says whether an attempt may have been cut off because its upstream ended: the
 // upstream broke it off, nobody here did, and it hasn't said that it leaves.
 func (c *call) looksEnded(a *attempt, o outcome) bool {
@@ -87,7 +81,7 @@
 // one that was known all along, and the end would be told to nobody.
 func (c *call) cutOff(a *attempt) pendingEnd {
 	p := pendingEnd{cutAt: c.now()}
-	p.End = quarantine.End{Subject: c.subject(), RequestID: c.asked.ID, Upstream: a.up.ID, Address: a.up.Address, Ran: time.Since(a.began)}
+	p.End = quarantine.End{Subject: c.Identity().Subject(c.route.GetName()), RequestID: c.asked.ID, Upstream: a.up.ID, Address: a.up.Address, Ran: time.Since(a.began)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, i := range c.known {
--- a/quarantine/identity.go
+++ b/quarantine/identity.go
@@ -71,4 +71,9 @@
 	return k
 }
 
+// Subject is the request as others are told of it; it hashes the body.
+func (r *Request) Subject(route string) Subject {
+	return Subject{Key: r.Key(), Hint: r.Hint(), Team: r.Team, Route: route}
+}
+
 func (r *Request) texts() [4]string { return [4]string{r.Team, r.Method, r.Host, r.URI} }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -250,24 +250,29 @@
 	r := t.record(now, Subject{Key: k, Hint: Hint(m.Hint), Team: m.Team, Route: m.Route})
 	runs := runsOf(now, m)
 	changed := t.hold(now, r, runs)
-	if r.knowsMore(runs) {
-		// What was decided there rests on ends that aren't held against the request.
-		m = &wire.Suspicion{}
+	// What was decided on ends that aren't held against the request any more doesn't count.
+	if !r.clearedSince(runs) && t.decided(now, r, m) {
+		changed = true
+	}
+	if changed {
+		t.changed(now, r)
 	}
+	return changed || cleared
+}
+
+// decided takes what another process has decided of a request, and says whether that changed anything.
+func (t *Table) decided(now time.Time, r *record, m *wire.Suspicion) (changed bool) {
 	if terms := int(m.Terms); terms > r.terms {
 		r.terms, r.until, changed = terms, earlier(now, r.lastEnd.Add(t.settings.term(terms))), true
 	}
 	if until := now.Add(millis(m.QuarantineMs)); m.QuarantineMs > 0 && until.After(r.until.Add(termSlack)) {
 		r.until, r.terms, changed = until, max(r.terms, 1), true
 	}
-	if changed {
-		t.changed(now, r)
-	}
-	return changed || cleared
+	return changed
 }
 
-// knowsMore says whether the request was cleared after one of these runs.
-func (r *record) knowsMore(runs []Run) bool {
+// clearedSince says whether the request was cleared after one of these runs.
+func (r *record) clearedSince(runs []Run) bool {
 	return slices.ContainsFunc(runs, func(run Run) bool { return !run.Ended.After(r.clearedAt) })
 }
 
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync/atomic"
+	"time"
 )
 
 // Requester tells what a request is. It is asked only where something is held against any.
@@ -88,18 +89,12 @@
 	if !ok {
 		return false
 	}
-	n := t.node
-	n.mu.Lock()
-	held := n.table.Judge(n.now(), k).Standing != Free
-	if held {
-		cleared = n.table.Answered(n.now(), k)
-		for _, t := range n.tellers {
-			t.wake()
-		}
-	}
-	n.mu.Unlock()
+	t.node.change(func(now time.Time, table *Table) bool {
+		cleared = table.Judge(now, k).Standing != Free && table.Answered(now, k)
+		return cleared
+	})
 	if cleared {
-		n.tell("Suspected request was answered.", "request", requestID, "key", k)
+		t.node.tell("Suspected request was answered.", "request", requestID, "key", k)
 	}
 	return cleared
 }
