An entry takes its own part of a group, not an even one, where others have no callers

Cause: 64 of 147 entries have callers. Each entry kept to the pace of an even part of the slots (1/147 of a filling in 0.9 s), so that more than half of the pace that the group bears stayed with entries that had nothing to send. The parts of the free slots, and of all slots without surveys, were even too.

Change: an entry's part is the even one, or what it has of the requests that run, as surveys tell it over two seconds, if that is more. Why it holds: over all entries what they have adds up to one, so that the parts grow by no more than what idle entries leave, and by even parts nothing changes where callers are spread evenly. It isn't told anew while a group is nearly empty, when all have more than the survey has seen.

The model of groups takes a profile now, as there are two kinds of group.

--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -30,6 +30,11 @@
 	// occupancyLife the age at which the estimate tells nothing any more.
 	occupancyWeight = 0.1
 	occupancyLife   = 500 * time.Millisecond
+	// leastOwn is the occupancy from which the requests of an entry are compared with all that run, and
+	// ownWeight that of one survey in its part of them: two seconds of surveys make the estimate. While a group
+	// is nearly empty or fills up, all entries have more than the survey has seen.
+	leastOwn  = 0.25
+	ownWeight = 0.1
 	// headWeight is that of one answer in the usual time to a head.
 	headWeight = 0.1
 	// plainQueue is how many requests for each slot a plain service may have: its
@@ -78,6 +83,8 @@
 	// each entry. If all rounded up, 28 entries would let 28 requests in at once for one free slot, and
 	// the pass that reads their prompts is long for all streams.
 	rounding float64
+	// own is the part of the requests of all entries that are this one's; 0 before it is known.
+	own float64
 	// surveyAt is when a survey told it last.
 	surveyAt time.Time
 	// sign is when the group last gave a sign of life, or the first of the requests
@@ -125,8 +132,17 @@
 	g.occupancy = float64(requests) / float64(slots)
 	g.told, g.surveyAt, g.held = now, now, g.inflight
 	g.rounding = v.Turn()
+	if g.occupancy >= leastOwn {
+		g.own += ownWeight * (min(float64(g.held)/float64(requests), 1) - g.own)
+	}
 }
 
+// part is the part of the group that this entry may take: an even one, or what it has of the requests
+// that run, if that is more. Callers come to some of the entries only, and those without any take
+// nothing of what their even parts allow: with callers at 64 of 147 entries a third of the slots stayed
+// free while requests waited for a second. What all entries have adds up to one, so that those parts do too.
+func (g *gate) part(entries int) float64 { return max(1/float64(max(entries, 1)), g.own) }
+
 // occupied takes the load that came with an answer. A group that answers is back.
 func (g *gate) occupied(now time.Time, l *dialect.Load) {
 	if l.Slots <= 0 || now.Sub(g.surveyAt) < occupancyLife {
@@ -238,17 +254,17 @@
 // part of those that are free: by even parts of all, one entry would refuse callers while
 // others leave a quarter of the slots empty. If more are taken than may be, it lets its part of these go.
 func (g *gate) limit(now time.Time, entries int) int {
-	slots, n := float64(g.slots), float64(max(entries, 1))
+	slots, part := float64(g.slots), g.part(entries)
 	if !g.grouped {
-		return max(int(plainShareMargin*plainQueue*slots/n), 1)
+		return max(int(plainShareMargin*plainQueue*slots*part), 1)
 	}
 	if now.Sub(g.told) >= occupancyLife {
-		return max(int(shareMargin*slots/n), 1)
+		return max(int(shareMargin*slots*part), 1)
 	}
 	taken, usable := g.occupancy*slots, min(fillPart, g.relief.part(now))*slots
 	mine := float64(g.held)
 	if usable > taken {
-		mine += freeMargin * (usable - taken) / n
+		mine += freeMargin * (usable - taken) * part
 	} else {
 		mine *= usable / taken
 	}
--- a/gateway/groups_test.go
+++ b/gateway/groups_test.go
@@ -37,7 +37,7 @@
 func TestGroupsWhoseDemandShiftsServeInTime(t *testing.T) {
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			s := newGroupSim(seed, 3, 28, 298)
+			s := newGroupSim(smallGroups, seed, 3, 28, 298)
 			s.skew = shiftsEach(2130 * time.Millisecond)
 			s.run(4 * time.Second)
 			s.forget()
@@ -47,3 +47,28 @@
 		})
 	}
 }
+
+// What callers see: their streams wait at entries for 0.9 s and are late, and some are refused, while a third of the slots is free.
+// What happens: two of five entries have callers; the others have none. Passes are short enough, and no entry is at its limit.
+// Why: each entry kept to the pace of an even part of the slots, so that three fifths of the pace at which the groups can take
+// requests stayed with entries that had none.
+// Bound: callers are served as well as if they came to all entries, but for 0.03.
+func TestCallersAtFewEntriesAreServedAsWell(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			play := func(withCallers int) *groupSim {
+				s := newGroupSim(largeGroup, seed, 1, 147, 470)
+				s.onlyAt(withCallers)
+				s.skew = func(int, time.Duration) (float64, bool) { return 1.6, false }
+				s.run(4 * time.Second)
+				s.forget()
+				s.run(12 * time.Second)
+				return s
+			}
+			all, few := play(147), play(64)
+			t.Logf("at all: %s", all)
+			t.Logf("at 64: %s", few)
+			assert.Assert(t, few.worth() > all.worth()-0.03, "at all entries: %s; at 64 of 147: %s", all, few)
+		})
+	}
+}
--- a/gateway/groupsim_test.go
+++ b/gateway/groupsim_test.go
@@ -17,6 +17,7 @@
 // Entries are real; a group is a model of its passes: a fixed part, and one that grows with the
 // requests that run and the prompts that are read, of which the experts' part grows with the skew.
 type groupSim struct {
+	simProfile
 	rnd     *rand.Rand
 	now     time.Time
 	groups  []*simGroup
@@ -34,26 +35,47 @@
 
 const (
 	simService = "pool"
-	simContent = 120 * time.Millisecond
-	simFirst   = 400 * time.Millisecond
-	simRanks   = 24
-	simSlots   = 10
-	// A step takes 4.84 ms and 0.435 ms for each request that runs; a pass has seven of them, and
-	// reads 74.8 tokens a millisecond of prompts of 800. A rank keeps 0.15 of that work, and
-	// experts have the rest.
-	simStride, simStep, simPerRequest = 7, 4.84, 0.435
-	simPrompt, simReadRate            = 800, 74.8
-	simExpertShare                    = 0.85
+	// Experts have simExpertShare of the work for requests and prompts, and a rank keeps the rest.
+	simExpertShare = 0.85
+	// simReadRate is how many tokens of prompts a rank reads in a millisecond.
+	simReadRate = 74.8
 	// The busiest rank has twice the requests and prompts of the mean one, and passes take 15 in 100
 	// longer while ranks copy experts.
 	simBusiest, simCopying = 2, 1.15
-	simUsualEvents         = 22.7
-	// simFixed is the part of a pass that doesn't depend on what runs, as the service's profile tells it.
-	simFixed = time.Duration(simStride * simStep * float64(time.Millisecond))
-	// simLateWorth is what a late answer is worth of one in time.
-	simLateWorth = 0.3
 )
 
+// simProfile is what a service's groups are like, and what its callers want.
+type simProfile struct {
+	ranks, slots int
+	// A step takes step ms, and perRequest ms for each request that runs on a rank; a pass has stride of them.
+	stride           float64
+	step, perRequest float64
+	// prompt is in tokens, and events is how many a stream has.
+	prompt, events float64
+	// content is the pause between events that callers are content with, first the time to the first event.
+	content, first time.Duration
+	// lateWorth is what a late answer is worth of one in time.
+	lateWorth float64
+}
+
+// smallGroups are groups of 24 ranks with many slots each, whose passes are near the pause that callers are
+// content with if all slots are in use; largeGroup one of 192 with fewer slots.
+var (
+	smallGroups = simProfile{
+		ranks: 24, slots: 10, stride: 7, step: 4.84, perRequest: 0.435, prompt: 800, events: 22.7,
+		content: 120 * time.Millisecond, first: 400 * time.Millisecond, lateWorth: 0.3,
+	}
+	largeGroup = simProfile{
+		ranks: 192, slots: 6, stride: 9, step: 4.84, perRequest: 0.797, prompt: 800, events: 16.9,
+		content: 150 * time.Millisecond, first: 500 * time.Millisecond, lateWorth: 0.5,
+	}
+)
+
+// fixed is the part of a pass that doesn't depend on what runs, as the service's profile tells it.
+func (p *simProfile) fixed() time.Duration {
+	return time.Duration(p.stride * p.step * float64(time.Millisecond))
+}
+
 // simGroup is the model of one group.
 type simGroup struct {
 	running []*simCaller
@@ -85,19 +107,18 @@
 	waiting []*simCaller
 }
 
-func newGroupSim(seed uint64, groups, entries int, perSecond float64) *groupSim {
-	s := &groupSim{rnd: rand.New(rand.NewPCG(seed, 7)), now: start, perSecond: perSecond}
+func newGroupSim(p simProfile, seed uint64, groups, entries int, perSecond float64) *groupSim {
+	s := &groupSim{simProfile: p, rnd: rand.New(rand.NewPCG(seed, 7)), now: start, perSecond: perSecond}
 	var insts []*directory.Instance
 	for g := range groups {
 		s.groups = append(s.groups, &simGroup{ends: start.Add(time.Duration(g*29) * time.Millisecond)})
-		for r := range simRanks {
+		for r := range p.ranks {
 			insts = append(insts, &directory.Instance{Announcement: &wire.Announcement{
 				Id: simUpstream(g, r), Group: fmt.Sprint("g", g), Rank: uint32(r), Incarnation: 1, Pools: []string{simService},
-				Phase: wire.Phase_PHASE_UP, Address: simUpstream(g, r), Direct: &wire.DirectUpstream{Slots: simSlots, GroupEpoch: 1, GroupSize: simRanks},
+				Phase: wire.Phase_PHASE_UP, Address: simUpstream(g, r), Direct: &wire.DirectUpstream{Slots: uint32(p.slots), GroupEpoch: 1, GroupSize: uint32(p.ranks)},
 			}})
 		}
 	}
-	sum := 0.0
 	for i := range entries {
 		f := newFleet(&Settings{ID: fmt.Sprint("entry-", i)})
 		f.place.Seed = seed*1000 + uint64(i)
@@ -106,13 +127,24 @@
 			panic(err)
 		}
 		e := &simEntry{fleet: f, weight: 0.6 + 0.8*s.rnd.Float64()}
-		sum += e.weight
 		s.entries = append(s.entries, e)
 	}
+	s.onlyAt(entries)
+	return s
+}
+
+// onlyAt has callers come to the first entries only, so many.
+func (s *groupSim) onlyAt(entries int) {
+	sum := 0.0
+	for i, e := range s.entries {
+		if i >= entries {
+			e.weight = 0
+		}
+		sum += e.weight
+	}
 	for _, e := range s.entries {
 		e.weight /= sum
 	}
-	return s
 }
 
 func simUpstream(group, rank int) string { return fmt.Sprintf("%d-%02d", group, rank) }
@@ -163,7 +195,7 @@
 	}
 	c.waiter = comes(s.now)
 	if c.tries > 1 {
-		c.waiter.returned, c.waiter.inTime = true, c.first.Add(simFirst-leastHead)
+		c.waiter.returned, c.waiter.inTime = true, c.first.Add(s.first-leastHead)
 	}
 	v, wait := c.entry.ask(s.now, c.waiter)
 	switch v {
@@ -229,7 +261,7 @@
 func (s *groupSim) survey(number uint64) {
 	var states []*wire.RankState
 	for i, g := range s.groups {
-		perRank := make([]uint32, simRanks)
+		perRank := make([]uint32, s.ranks)
 		for _, c := range slices.Concat(g.running, g.waiting) {
 			r := 0
 			_, _ = fmt.Sscanf(c.up.ID[2:], "%d", &r)
@@ -252,14 +284,14 @@
 	}
 	// Those that came meanwhile are read in the next pass, and have their first event at its end.
 	read := 0
-	for len(g.waiting) > 0 && len(g.running) < simRanks*simSlots {
+	for len(g.waiting) > 0 && len(g.running) < s.ranks*s.slots {
 		g.running = append(g.running, g.waiting[0])
 		g.waiting = g.waiting[1:]
 		read++
 	}
-	work := (simStride*simPerRequest*float64(len(g.running)) + simPrompt/simReadRate*float64(read)) / simRanks
+	work := (s.stride*s.perRequest*float64(len(g.running)) + s.prompt/simReadRate*float64(read)) / float64(s.ranks)
 	skew, copies := s.skew(i, s.since())
-	ms := simStride*simStep + work*((1-simExpertShare)*simBusiest+simExpertShare*skew)
+	ms := s.stride*s.step + work*((1-simExpertShare)*simBusiest+simExpertShare*skew)
 	if copies {
 		ms *= simCopying
 	}
@@ -271,16 +303,16 @@
 func (s *groupSim) event(g *simGroup, c *simCaller) {
 	c.events++
 	if c.events == 1 {
-		c.lateFirst = s.now.Sub(c.first) > simFirst
+		c.lateFirst = s.now.Sub(c.first) > s.first
 		c.late = c.lateFirst
 		c.entry.head(s.now, c, s.now.Sub(c.sentAt))
 	} else {
 		pause := s.now.Sub(c.lastAt)
-		c.late = c.late || pause > simContent
-		c.entry.paused(s.now, c, pause)
+		c.late = c.late || pause > s.content
+		c.entry.paused(s.now, c, pause, &s.simProfile)
 	}
 	c.lastAt = s.now
-	if s.rnd.Float64() > 1/simUsualEvents {
+	if s.rnd.Float64() > 1/s.events {
 		return
 	}
 	g.running = slices.DeleteFunc(g.running, func(o *simCaller) bool { return o == c })
@@ -306,7 +338,7 @@
 
 // worth is what those that came got, of all that they wanted.
 func (s *groupSim) worth() float64 {
-	return (float64(s.inTime) + simLateWorth*float64(s.late)) / float64(s.inTime+s.late+s.refused)
+	return (float64(s.inTime) + s.lateWorth*float64(s.late)) / float64(s.inTime+s.late+s.refused)
 }
 
 // String tells what became of callers, for failures.
@@ -349,9 +381,9 @@
 	e.fleet.answered(now, c.at, c.up, nil, after, true)
 }
 
-func (e *simEntry) paused(now time.Time, c *simCaller, pause time.Duration) {
+func (e *simEntry) paused(now time.Time, c *simCaller, pause time.Duration, p *simProfile) {
 	e.fleet.alive(now, c.at)
-	e.fleet.paused(now, simService, c.at, pause, simContent, simFixed)
+	e.fleet.paused(now, simService, c.at, pause, p.content, p.fixed())
 }
 
 func (e *simEntry) leave(now time.Time, c *simCaller) {
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -139,7 +139,7 @@
 	return limit, inflight
 }
 
-// share is the entry's even part of the slots of groups that answer.
+// share is the entry's part of the slots of groups that answer.
 func (p *servicePool) share(now time.Time, entries int) (share float64) {
 	for _, g := range p.order {
 		if g.gate.opens(now) {
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -83,9 +83,9 @@
 	return time.Duration(wait * float64(time.Second))
 }
 
-// share is the entry's even part of the slots.
+// share is the entry's part of the slots.
 func (g *groupPool) share(entries int) float64 {
-	return float64(g.gate.slots) / float64(max(entries, 1))
+	return float64(g.gate.slots) * g.gate.part(entries)
 }
 
 // places is how many requests may be let into the group, as far as its slots go; 0 if none may now.
