A silent upstream doesn't close its plain service to an entry

Cause: an entry's part of 36 slots and of the queue behind each is 1.1 at 147 entries, so one place. One request at an upstream that has gone silent, or is slow, holds it, and all others of the entry wait.

Change: an entry may have three, if the service has as many slots. Why it holds: upstreams that are full say so at once, and the request goes to another; 147 entries with three each are two and a half times slots and queues together, but plain requests take tens of milliseconds, and callers come to a part of the entries.

Test: one of six upstreams says nothing; before, the second request waited. Bounded: never as many as the slots of all.

--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -40,6 +40,9 @@
 	// plainQueue is how many requests for each slot a plain service may have: its
 	// requests are short, and its upstreams queue a few.
 	plainQueue = 3
+	// leastPlain is how many requests an entry may have at a plain service in any case, if it has as many
+	// slots: where entries are many more than these, one request at an upstream that says nothing kept all others of its entry back.
+	leastPlain = 3
 	// probeInterval is the time between two requests that are let through to a group
 	// that is down, to see whether it is back before its ranks have said so.
 	probeInterval = 200 * time.Millisecond
@@ -256,7 +259,7 @@
 func (g *gate) limit(now time.Time, entries int) int {
 	slots, part := float64(g.slots), g.part(entries)
 	if !g.grouped {
-		return max(int(plainShareMargin*plainQueue*slots*part), 1)
+		return max(int(plainShareMargin*plainQueue*slots*part), min(leastPlain, g.slots), 1)
 	}
 	if now.Sub(g.told) >= occupancyLife {
 		return max(int(shareMargin*slots*part), 1)
--- a/gateway/pool_test.go
+++ b/gateway/pool_test.go
@@ -69,6 +69,32 @@
 	assert.Assert(t, ok && at == b)
 }
 
+// What callers saw: a request that may be in time within 150 ms is held for 0.8 s and refused, though nearly all slots of its
+// plain service are free.
+// What happens: one of six upstreams says nothing for a second, with one request of the entry; another comes meanwhile.
+// Why: the entry's part of 36 slots, and of the queue behind each, is less than two where there are a hundred and fifty of them.
+// A few requests go in any case: callers come to some entries only, and an upstream whose queue is full says so at once.
+func TestSilentUpstreamDoesNotCloseItsService(t *testing.T) {
+	f := newFleet(&Settings{ID: "e"})
+	f.entries = func() int { return 150 }
+	var insts []*directory.Instance
+	for i := range 6 {
+		insts = append(insts, &directory.Instance{Announcement: &wire.Announcement{
+			Id: string(rune('a' + i)), Incarnation: 1, Pools: []string{"clock"}, Phase: wire.Phase_PHASE_UP, Direct: &wire.DirectUpstream{Slots: 6},
+		}})
+	}
+	assert.NilError(t, f.update(start, insts))
+	p := f.services["clock"]
+	for range 2 {
+		v, _ := p.ask(start, 150, comes(start))
+		assert.Equal(t, v, letIn)
+	}
+	for range 100 {
+		_, _ = p.ask(start, 150, comes(start))
+	}
+	assert.Assert(t, p.groups[""].gate.inflight < 6, "%d in flight", p.groups[""].gate.inflight)
+}
+
 // What callers saw: streams late by passes of 130 ms, while entries went on to fill the slots.
 // What happens: group a has passes of 130 ms and group b, whose passes end in between, of 70. Taken for those of one group, the
 // pause of a that follows one of b within half a pass counts as the shorter of the two.
