--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -10,15 +10,15 @@
 )
 
 const (
-	// shareMargin is how much more than its even part of a service's slots one entry may
-	// use while it doesn't know how many are taken: callers don't spread evenly over the
-	// entries. That of a plain service is larger, as its requests are short.
+	// shareMargin is how much more than its part of a service's slots one entry may
+	// use while it doesn't know how many are taken: how callers spread over the
+	// entries changes. That of a plain service is larger, as its requests are short.
 	shareMargin      = 1.2
 	plainShareMargin = 1.5
 	// fillPart is the part of a group's slots that entries fill: a rank gets a request more
 	// or less than the others, and what waits at a full one is late.
 	fillPart = 0.95
-	// freeMargin is how much more than its even part of the free slots one entry may take
+	// freeMargin is how much more than its part of the free slots one entry may take
 	// until it is told again: what the others leave is lost for that time otherwise.
 	freeMargin = 1.5
 	// firstMap is how long a group that has formed may run with its first map, which suits no
@@ -140,11 +140,11 @@
 	}
 }
 
-// part is the part of the group that this entry may take: an even one, or what it has of the requests
+// ownPart is the part of the group that this entry may take: an even one, or what it has of the requests
 // that run, if that is more. Callers come to some of the entries only, and those without any take
 // nothing of what their even parts allow: with callers at 64 of 147 entries a third of the slots stayed
 // free while requests waited for a second. What all entries have adds up to one, so that those parts do too.
-func (g *gate) part(entries int) float64 { return max(1/float64(max(entries, 1)), g.own) }
+func (g *gate) ownPart(entries int) float64 { return max(1/float64(max(entries, 1)), g.own) }
 
 // occupied takes the load that came with an answer. A group that answers is back.
 func (g *gate) occupied(now time.Time, l *dialect.Load) {
@@ -242,8 +242,8 @@
 
 // inputs are what a decision depends on, with their age, for logs.
 func (g *gate) inputs(now time.Time, entries int) string {
-	return fmt.Sprintf("%s: %d in flight of %d, room %.2f, part %.2f, %d slots, %d entries, epoch %d, last sign %d ms ago, occupancy %.2f told %d ms ago",
-		g.state(now), g.inflight, g.limit(now, entries), g.brake.room(now), g.relief.part(now), g.slots, entries, g.epoch,
+	return fmt.Sprintf("%s: %d in flight of %d, room %.2f, part %.2f, %d slots, %d entries, own part %.3f, epoch %d, last sign %d ms ago, occupancy %.2f told %d ms ago",
+		g.state(now), g.inflight, g.limit(now, entries), g.brake.room(now), g.relief.part(now), g.slots, entries, g.ownPart(entries), g.epoch,
 		now.Sub(g.sign).Milliseconds(), g.occupancy, now.Sub(g.told).Milliseconds())
 }
 
@@ -257,7 +257,7 @@
 // part of those that are free: by even parts of all, one entry would refuse callers while
 // others leave a quarter of the slots empty. If more are taken than may be, it lets its part of these go.
 func (g *gate) limit(now time.Time, entries int) int {
-	slots, part := float64(g.slots), g.part(entries)
+	slots, part := float64(g.slots), g.ownPart(entries)
 	if !g.grouped {
 		return max(int(plainShareMargin*plainQueue*slots*part), min(leastPlain, g.slots), 1)
 	}
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -85,7 +85,7 @@
 
 // share is the entry's part of the slots.
 func (g *groupPool) share(entries int) float64 {
-	return float64(g.gate.slots) * g.gate.part(entries)
+	return float64(g.gate.slots) * g.gate.ownPart(entries)
 }
 
 // places is how many requests may be let into the group, as far as its slots go; 0 if none may now.
