Taken back: relief's bound of long passes by the slots in use

So the passes of slow ranks aren't told from a load by their length; the leader knows the pace of ranks, and a survey could tell it.

--- a/gateway/relief.go
+++ b/gateway/relief.go
@@ -20,8 +20,8 @@
 	// leastRelief is the least part of the slots that are used: below it the time of a
 	// pass hardly depends on how many requests run.
 	leastRelief = 0.5
-	// heldPass is how many times the content pause a pass takes at most because of what runs, if all slots
-	// are in use: with the highest skew and ranks that copy it is 1.45. What takes longer is a group that was
+	// heldPass is how many times the content pause a pass takes at most because of what runs: with all
+	// slots in use, the highest skew and ranks that copy it is 1.45. What takes longer is a group that was
 	// held, a slow rank, or a stream that moved, and fewer requests don't change these.
 	heldPass = 1.5
 	// reliefSteps divide the memory: the least of each is kept.
@@ -56,7 +56,7 @@
 func (r *relief) passed(now time.Time, pass, content, fixed time.Duration, used float64) {
 	r.turn(now)
 	bound := time.Duration(boundPart * float64(content))
-	near := float64(pass) > nearPart*float64(content) && pass < longestLoaded(content, fixed, used)
+	near := float64(pass) > nearPart*float64(content) && float64(pass) < heldPass*float64(content)
 	if !near || pass <= fixed || bound <= fixed || used < leastRelief {
 		return
 	}
@@ -64,13 +64,6 @@
 	r.least[reliefSteps-1] = min(r.least[reliefSteps-1], max(part, leastRelief))
 }
 
-// longestLoaded is how long a pass takes at most because of what runs: with fewer slots in use its
-// part that grows with the requests is as much less. Without that, ranks that are slow while half of the
-// slots are free pass for a load, and their passes close all slots that they may.
-func longestLoaded(content, fixed time.Duration, used float64) time.Duration {
-	return fixed + time.Duration(min(used, 1)*(heldPass*float64(content)-float64(fixed)))
-}
-
 // turn forgets what is older than the memory. It goes by the time that has passed, as the
 // time of day may jump.
 func (r *relief) turn(now time.Time) {
