snipereachctl trace and losses: from logs to the cause of one request, and of all

trace REQUEST FILES... shows the lines of a request from all processes in order of time, and says in one sentence what became of it; losses FILES... counts requests by cause in windows of time. Both read logs only and need no server.

What it can't do: add up worth. Lines of requests in time are bounded, and what a request is worth stands in no log; the column of lines left out says how much is missing.

--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -51,6 +51,8 @@
 		{p.Command, "drain", "make an upstream or an entry leave; nothing in progress is cut", &drain{app: a}},
 		{p.Command, "explain", "explain a refusal from its token", &explain{app: a}},
 		{p.Command, "dump", "show a process's state as JSON", &dump{app: a}},
+		{p.Command, "trace", "show the lines of one request from logs, and its cause", &trace{app: a}},
+		{p.Command, "losses", "count from logs what became of requests, by cause and time", &losses{app: a}},
 	} {
 		if _, err := c.parent.AddCommand(c.name, c.short, "", c.data); err != nil {
 			return err
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -1,4 +1,4 @@
-// Package ctl is the operators' command line: it speaks HTTP to an entry's
+// Package ctl is the operators' command line: it reads logs, and speaks HTTP to an entry's
 // operators' address.
 package ctl
 
--- /dev/null
+++ b/logread/logread_test.go
@@ -0,0 +1,145 @@
+package logread_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/snipereach/snipereach/logread"
+)
+
+const head = `ts=2026-03-01T10:00:01.5Z level=info part=gateway `
+
+func read(t *testing.T, text string) (lines []logread.Line, skipped int) {
+	skipped, err := logread.Read("a.log", strings.NewReader(text), func(l logread.Line) { lines = append(lines, l) })
+	assert.NilError(t, err)
+	return lines, skipped
+}
+
+func ended(t *testing.T, rest string) logread.Ended {
+	lines, _ := read(t, head+`msg="Request ended." `+rest)
+	assert.Equal(t, len(lines), 1, rest)
+	e, ok := logread.ParseEnded(&lines[0])
+	assert.Assert(t, ok)
+	return e
+}
+
+// A log holds other things than a process's lines: what a collector puts before each, a crash's output, empty lines.
+func TestOnlyLinesOfProcessesAreRead(t *testing.T) {
+	lines, skipped := read(t, "   1.2 gw-1 "+head+"msg=Started. id=gw-1\n\npanic: runtime error\n\tgoroutine 1 [running]:\n"+head+
+		"msg=\"half a line\n"+head+`msg="Replica was late." late_ms=265 text="a b=\"c\""`)
+	assert.Equal(t, len(lines), 2)
+	assert.Equal(t, skipped, 3)
+	assert.Equal(t, lines[0].Msg, "Started.")
+	assert.Equal(t, lines[0].Get("id"), "gw-1")
+	assert.Equal(t, lines[1].Millis("late_ms"), 265*time.Millisecond)
+	assert.Equal(t, lines[1].Get("text"), `a b="c"`)
+	assert.Equal(t, lines[1].Get("none"), "")
+	assert.Equal(t, lines[1].Source, "a.log")
+	assert.Assert(t, lines[1].At.Equal(time.Date(2026, 3, 1, 10, 0, 1, 5e8, time.UTC)))
+	_, ok := logread.ParseEnded(&lines[0])
+	assert.Assert(t, !ok)
+}
+
+func TestLineWithoutEndIsAnError(t *testing.T) {
+	_, err := logread.Read("big.log", strings.NewReader(strings.Repeat("x", 2<<20)), func(logread.Line) {})
+	assert.ErrorIs(t, err, logread.ErrRead)
+	assert.ErrorContains(t, err, "big.log")
+}
+
+// Whoever is on call asks why a request was late, refused or failed: one sentence says it, and requests
+// of one cause count together.
+func TestCauseOfARequest(t *testing.T) {
+	for _, c := range []struct {
+		line     string
+		cause    logread.Cause
+		sentence string
+	}{
+		{"status=200 reason= took_ms=20 attempts=u-1:answered:200:19", logread.InTime, "Answered in time, with 200 after 20ms."},
+		{
+			"status=200 reason= took_ms=900 attempts=u-1:answered:200:900 first_event_ms=100 longest_pause_ms=437 late=pause",
+			logread.LatePause, "Late by a pause of 437ms between two events.",
+		},
+		{
+			"status=200 reason= took_ms=1881 attempts=u-1:answered:200:1007 first_event_ms=1095 waited_ms=873 late=first-event",
+			logread.LateWaited, "Late by its first event, after 1.095s; for 873ms of these it waited at the gateway for a place.",
+		},
+		{
+			"status=200 reason= took_ms=1881 attempts=u-1:answered:200:1007 first_event_ms=967 waited_ms=706 age_ms=1564 late=first-event",
+			logread.LateCameBack, "Late by its first event: its caller had sent it first 1.564s before it came to this gateway.",
+		},
+		{
+			"status=200 reason= took_ms=2000 attempts=u-1:in-doubt:0:700,u-2:answered:200:800 first_event_ms=950 late=first-event",
+			logread.LateEarlier, "Late by its first event, after 950ms; earlier attempts took 700ms of these.",
+		},
+		{
+			"status=200 reason= took_ms=2000 attempts=u-1:answered:200:2000 first_event_ms=800 waited_ms=10 late=first-event",
+			logread.LateUpstream, "Late by its first event, after 800ms; the upstream u-1 took most of these.",
+		},
+		{"status=500 reason= took_ms=40 attempts=u-1:answered:500:40", logread.UpstreamFailed, "The upstream u-1 answered with 500."},
+		{
+			`status=503 reason=upstreams-busy took_ms=0 attempts= why="g0 open: 8 in flight of 8"`,
+			"refused: upstreams-busy", "Ended with 503 after 0s; refused: upstreams-busy (g0 open: 8 in flight of 8); it was sent to no upstream.",
+		},
+		{
+			"status=503 reason=upstreams-busy took_ms=1587 attempts=",
+			"refused after waiting: upstreams-busy", "Ended with 503 after 1.587s; refused after waiting: upstreams-busy; it was sent to no upstream.",
+		},
+		{
+			"status=502 reason=in-doubt took_ms=31 attempts=u-1:in-doubt:0:30 err=reset",
+			"failed: in-doubt", "Ended with 502 after 31ms; failed: in-doubt (reset).",
+		},
+		{"status=404 reason=no-route took_ms=0 attempts=", "not allowed: no-route", "Ended with 404 after 0s; not allowed: no-route; it was sent to no upstream."},
+		{"status=0 reason=caller-gone took_ms=120 attempts=u-1:caller-gone:0:120", logread.CallerLeft, "Ended with 0 after 120ms; caller left."},
+	} {
+		e := ended(t, c.line)
+		assert.Equal(t, e.Cause(), c.cause, c.line)
+		assert.Equal(t, e.Sentence(), c.sentence)
+	}
+}
+
+func TestLossesByWindow(t *testing.T) {
+	s := logread.NewLosses(2 * time.Second)
+	at := time.Date(2026, 3, 1, 10, 0, 0, 0, time.UTC)
+	for i, rest := range []string{
+		"status=200 reason= took_ms=1 attempts=u:answered:200:1 lines_left_out=7", "status=503 reason=draining took_ms=1 attempts=", "status=503 reason=draining took_ms=1 attempts=",
+	} {
+		e := ended(t, rest)
+		e.At = at.Add(time.Duration(i) * 1500 * time.Millisecond)
+		s.Add(&e)
+	}
+	w := s.Windows()
+	assert.Equal(t, len(w), 2)
+	assert.Assert(t, w[0].From.Equal(at) && w[1].From.Equal(at.Add(2*time.Second)))
+	assert.DeepEqual(t, w[0].Causes, map[logread.Cause]int{logread.InTime: 1, "refused: draining": 1})
+	assert.Equal(t, s.Total().Ended, 3)
+	assert.Equal(t, s.Total().LeftOut, int64(7))
+	assert.DeepEqual(t, s.Total().ByNumber(), []logread.Cause{"refused: draining", logread.InTime})
+}
+
+// Whatever stands in a log, reading it ends, each line of it is either read or counted, and each end of a request has a cause.
+func TestAnyTextIsReadOrCounted(t *testing.T) {
+	part := rapid.SampledFrom([]string{
+		head, `msg="Request ended." `, "status=200 ", "status=x ", "reason=upstreams-busy ", "attempts=a:b ", "attempts=:::,, ", "late=first-event ",
+		"first_event_ms=-5 ", `why="`, "\"", "= ", "took_ms=99999999999999999999 ", "age_ms=3 ", "\x00", "é ",
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		var lines []string
+		for range rapid.IntRange(1, 5).Draw(t, "lines") {
+			lines = append(lines, "x"+strings.Join(rapid.SliceOfN(part, 0, 8).Draw(t, "parts"), ""))
+		}
+		n := 0
+		skipped, err := logread.Read("a", strings.NewReader(strings.Join(lines, "\n")), func(l logread.Line) {
+			n++
+			if e, ok := logread.ParseEnded(&l); ok && (e.Cause() == "" || e.Sentence() == "") {
+				t.Fatalf("no cause: %s", l.Text)
+			}
+		})
+		if err != nil || n+skipped != len(lines) {
+			t.Fatalf("%d read and %d counted of %d: %v", n, skipped, len(lines), err)
+		}
+	})
+}
