--- a/gateway/gate_test.go
+++ b/gateway/gate_test.go
@@ -169,6 +169,48 @@
 	})
 }
 
+// However callers are spread over the entries, and wherever they move to, the parts that all entries may take of a group
+// add up to two at most: even parts of all, and what they have of the requests that run. An entry with many callers has its part of these
+// after some seconds of surveys.
+func TestOwnPartsOfAllEntriesAddUp(t *testing.T) {
+	const slots = 192
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(1, 60).Draw(t, "entries")
+		gates := make([]*gate, entries)
+		for i := range gates {
+			gates[i] = &gate{slots: slots, grouped: true}
+		}
+		ups := map[string]*directory.Instance{"u": {Announcement: &wire.Announcement{Direct: &wire.DirectUpstream{Slots: slots}}}}
+		busy, sum := 0, 0.0
+		for range rapid.IntRange(1, 4).Draw(t, "moves") {
+			busy = rapid.IntRange(0, entries-1).Draw(t, "busy")
+			total := 0
+			for i, g := range gates {
+				g.inflight = rapid.IntRange(0, slots/entries/2).Draw(t, "held")
+				if i == busy {
+					g.inflight += slots / 2
+				}
+				total += g.inflight
+			}
+			for range 40 {
+				for _, g := range gates {
+					g.surveyed(start, &route.Survey{Loads: []route.SurveyedLoad{{ID: "u", Requests: total}}}, ups)
+				}
+			}
+			sum = 0
+			for _, g := range gates {
+				sum += g.ownPart(entries)
+			}
+			if sum < 0.999 || sum > 2.001 {
+				t.Fatalf("%d entries may take %.2f of the group together", entries, sum)
+			}
+			if want := float64(gates[busy].inflight) / float64(total); gates[busy].ownPart(entries) < 0.95*want {
+				t.Fatalf("the busy one has %.2f of what runs, and may take %.2f", want, gates[busy].ownPart(entries))
+			}
+		}
+	})
+}
+
 // The load: a rank has crashed, and the group refuses everything until it forms again.
 // Callers are refused at once; a request now and then finds out that it is back, and
 // its answer, or a registration of the next epoch, opens the gate for all.
