Keep a rank registered at its group's leader while it answers

Callers saw late streams for as long as a control replica was cut off from the others: expert maps no longer followed the demand. Cause: registrations of some ranks reached only the replica that was cut off. Their leases ran out at the leader 2.7 s later, the group was no longer complete there, and so it was neither read nor switched although every rank answered.

Now the answer to a leader's reading renews the registration of that run (RenewDirect, as entries do with agents). It restores nothing that is gone and changes no phase, and is passed on to nobody. A replica has no probes, so that one that stops answering is gone with its lease.

--- a/control/control.go
+++ b/control/control.go
@@ -97,6 +97,14 @@
 	}
 }
 
+// SetRankAnswerHandler sets the function that is called for each rank of a lock-step group
+// that has answered a reading of its leader. It must be called before Start.
+func (c *Control) SetRankAnswerHandler(f func(instance string, incarnation uint64)) {
+	if c.lockstep != nil {
+		c.lockstep.onRankAnswer = f
+	}
+}
+
 // Register adds the replica's services to a server.
 func (c *Control) Register(mux drpc.Mux) error {
 	if err := wire.DRPCRegisterRaft(mux, raftService{c}); err != nil {
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -115,7 +115,7 @@
 	d := &Daemon{
 		settings: s, log: kernel.PartLog(l, "control"), certs: certs,
 		pool: transport.NewPool(sec), srv: transport.NewServer(sec),
-		node: directory.NewNode(directory.DefaultSettings(), s.Control.clock(), nil),
+		node: directory.NewNode(directorySettings(), s.Control.clock(), nil),
 	}
 	d.pool.SetDial(s.Dial)
 	if d.control, err = New(s.Control, l, d.pool); err != nil {
@@ -131,6 +131,7 @@
 	}
 	d.node.SetReplicas(d.control.DirectoryReplicas)
 	d.control.SetUpstreamSource(UpstreamLister(d.node))
+	d.control.SetRankAnswerHandler(d.node.RenewDirect)
 	if err := d.control.Register(d.srv.Mux); err != nil {
 		return nil, err
 	}
@@ -140,6 +141,14 @@
 	return d, wire.DRPCRegisterDirectory(d.srv.Mux, NewDirectoryService(d.node, d.control))
 }
 
+// directorySettings returns the settings of a replica's directory. A replica sends no probes
+// and doesn't wait for their replies: the leader reads the ranks of its groups all the time.
+func directorySettings() directory.Settings {
+	s := directory.DefaultSettings()
+	s.ProbeTimeout = 0
+	return s
+}
+
 // Start implements kernel.Daemon.
 func (d *Daemon) Start(ctx context.Context) error {
 	lis, err := transport.Listen(ctx, d.settings.Listen)
--- a/control/lockstep.go
+++ b/control/lockstep.go
@@ -41,6 +41,8 @@
 	rankDialect dialect.Ranks
 	client      *direct.Client
 	upstreams   func() []*wire.Announcement
+	// onRankAnswer is called for each rank that has answered a reading; it may be nil.
+	onRankAnswer func(instance string, incarnation uint64)
 
 	metrics *kernel.Metrics
 	// wake triggers a tick when a rank has answered an order.
--- a/control/lockstepranks.go
+++ b/control/lockstepranks.go
@@ -148,10 +148,25 @@
 	if err != nil || g.epoch != epoch || link.instance != req.Instance || !link.isFromThisRun(reading.Report) {
 		return false
 	}
+	g.confirmRegistration(link)
 	g.applyReading(at, i, link, req, reading)
 	return true
 }
 
+// confirmRegistration renews the registration of a rank that has answered. The replica that
+// its registrations reach may be partitioned from this one; without the renewal the rank's
+// lease would expire here, and the whole group would get no new map although every rank
+// answers.
+//
+// The answer is sufficient proof: the rank checks the instance that a call names, and a
+// rank that has ended or restarted answers none. A registration that was withdrawn or
+// superseded isn't renewed.
+func (g *lockstepGroup) confirmRegistration(link *rankLink) {
+	if g.onRankAnswer != nil {
+		g.onRankAnswer(link.instance, link.incarnation)
+	}
+}
+
 // observeChoices adds the ranks' counts of chosen experts to the demand estimate.
 func (g *lockstepGroup) observeChoices(packed []byte) {
 	chosen, err := lockstep.UnpackChoices(packed)
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -178,3 +178,28 @@
 	assert.Assert(t, s.Get("slow").Up())
 	assert.DeepEqual(t, probed, map[string]int{"slow": 3, "dead": 3})
 }
+
+// A control replica sends no probes. An upstream that answers its leader stays up after its
+// announcements have stopped arriving; once it answers no more it must be gone as soon as
+// its lease expires, without a wait for the reply to a probe.
+func TestWithoutProbesUpstreamIsGoneAsItsLeaseExpires(t *testing.T) {
+	settings := noSettling()
+	settings.ProbeTimeout = 0
+	now := time.Unix(100, 0)
+	s := New(settings, now, 0)
+	s.Announce(now, upAnnouncement("u", 1, 1), 0, true)
+	for range 10 {
+		now = now.Add(settings.DefaultLease / 2)
+		s.RenewDirect(now, "u", 1)
+		s.Tick(now)
+		assert.Assert(t, s.Get("u").Up())
+	}
+	now = now.Add(settings.DefaultLease)
+	s.Tick(now)
+	assert.Assert(t, s.Get("u").Up())
+	for range 2 {
+		now = now.Add(tickInterval)
+		s.Tick(now)
+	}
+	assert.Assert(t, !s.Get("u").Up())
+}
