Release, wait and retry where a process gave up or panicked: transport, kernel, directory, wal

Five faults found by reading, each with a test that failed before: - transport.Serve ended silently at any Accept error, e.g. without free file descriptors, and the process ran on without its peers. It goes on now, with a line for each error. - A client that began no TLS handshake kept its connection for good.

--- a/control/replica.go
+++ b/control/replica.go
@@ -307,10 +307,11 @@
 	}
 }
 
-// maybeCompact takes a snapshot every SnapshotEvery applied entries, which bounds the log that
-// a start must read.
+// maybeCompact takes a snapshot every SnapshotEvery applied entries, or earlier if these are
+// large. This bounds the log that a start must read.
 func (r *Replica) maybeCompact() error {
-	if r.entriesSinceSnapshot < r.settings.SnapshotEvery {
+	due := r.entriesSinceSnapshot >= r.settings.SnapshotEvery || r.entriesSinceSnapshot > 0 && r.journal.SegmentFull()
+	if !due {
 		return nil
 	}
 	r.entriesSinceSnapshot = 0
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -107,16 +107,17 @@
 // FollowOne copies the whole directory of one replica until the context is done, and
 // switches to another when that replica stops sending updates or has just started.
 // Instances reported by the previous replica stay alive in the meantime, for
-// Settings.SourceLease.
+// Settings.SourceLease. While no replica is known, it waits for one.
 func (n *Node) FollowOne(ctx context.Context, targets *Targets, dial Dial, watcher string) {
 	req := &wire.DirectoryWatchRequest{Watcher: watcher}
 	var last *Source
 	for ctx.Err() == nil {
-		addr := targets.Pick(n.now(), 1)[0]
-		last = n.followWatch(ctx, dial(ctx, addr), req, last, func(u *wire.DirectoryUpdate) bool {
-			return u.Settling && targets.HasAlternative(addr, n.now())
-		})
-		targets.MarkFailed(addr, n.now())
+		for _, addr := range targets.Pick(n.now(), 1) {
+			last = n.followWatch(ctx, dial(ctx, addr), req, last, func(u *wire.DirectoryUpdate) bool {
+				return u.Settling && targets.HasAlternative(addr, n.now())
+			})
+			targets.MarkFailed(addr, n.now())
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(redialDelay):
--- a/directory/node_test.go
+++ b/directory/node_test.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
+	"storj.io/drpc"
 
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
@@ -128,3 +129,15 @@
 	}
 	pool.Close()
 }
+
+// A process starts before it knows any replica. It must wait for one to become known.
+func TestFollowOneWaitsForReplica(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 3*redialDelay)
+	defer cancel()
+	n := NewNode(longLeases(), time.Now, nil)
+	dial := func(context.Context, string) drpc.Conn {
+		t.Error("dialed without an address")
+		return nil
+	}
+	n.FollowOne(ctx, NewTargets("e", "z", nil), dial, "e")
+}
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -94,6 +94,22 @@
 	return nil
 }
 
+// unprovisionable is a plug-in that opens a resource before its Provision fails.
+type unprovisionable struct{ testPlugin }
+
+func (*unprovisionable) Provision() error { return errors.New("no such folder") }
+
+// A plug-in that can't be provisioned may hold resources already, which must be released.
+func TestLoadCleansUpAfterFailedProvision(t *testing.T) {
+	cleaned := false
+	kernel.Register(kernel.Module{ID: "test.unprovisionable", New: func() any {
+		return &unprovisionable{testPlugin{Size: 1, cleaned: &cleaned}}
+	}})
+	_, err := kernel.Load("test.unprovisionable", nil)
+	assert.ErrorContains(t, err, "no such folder")
+	assert.Assert(t, cleaned)
+}
+
 func TestLoadValidatesAndCleansUp(t *testing.T) {
 	cleaned := false
 	kernel.Register(kernel.Module{ID: "test.sized", New: func() any { return &testPlugin{Size: 7, cleaned: &cleaned} }})
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -74,8 +74,8 @@
 }
 
 // Load creates a plug-in, decodes its settings, provisions and validates it. Unknown
-// keys are errors; an empty map keeps the defaults. A plug-in that fails validation is
-// cleaned up.
+// keys are errors; an empty map keeps the defaults. A plug-in that can't be provisioned
+// or fails validation is cleaned up.
 func Load(id string, settings map[string]any) (any, error) {
 	registryMu.RLock()
 	m, ok := registry[id]
@@ -89,6 +89,7 @@
 	}
 	if p, ok := v.(Provisioner); ok {
 		if err := p.Provision(); err != nil {
+			cleanup(v)
 			return nil, merry.Prependf(err, "plug-in %s", id)
 		}
 	}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -44,6 +45,7 @@
 
 	dialTimeout            = 2 * time.Second
 	handshakeTimeout       = 2 * time.Second
+	acceptRetryDelay       = 100 * time.Millisecond
 	idleTimeout            = 30 * time.Second
 	poolCapacityPerAddress = 1024
 	poolCapacity           = 4096
@@ -107,13 +109,22 @@
 	return h.Handler.HandleRPC(stream, rpc)
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener or the server is closed or the context is done.
+// It goes on after other errors, such as a lack of file descriptors, which may pass.
 func (s *Server) Serve(ctx context.Context, lis net.Listener) {
 	for {
 		conn, err := lis.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil || s.isClosed() {
+			if err == nil {
+				_ = conn.Close()
+			}
 			return
 		}
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "transport: %s: connection can't be accepted: %v\n", lis.Addr(), err)
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		if !s.trackConn(conn) {
 			_ = conn.Close()
 			return
@@ -132,10 +143,19 @@
 }
 
 func (s *Server) secureConn(conn net.Conn) (net.Conn, error) {
-	if s.sec.Server != nil {
-		return tls.Server(conn, s.sec.Server), nil
+	if s.sec.Server == nil {
+		return conn, serverHandshake(conn, s.sec.Secret)
 	}
-	return conn, serverHandshake(conn, s.sec.Secret)
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	secured := tls.Server(conn, s.sec.Server)
+	return secured, secured.HandshakeContext(ctx)
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
 }
 
 func (s *Server) trackConn(conn net.Conn) bool {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -13,6 +13,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -198,3 +199,49 @@
 	_, _, err = transport.NewSecurity("a secret of the tests", transport.TLSSettings{Certificate: "a", Key: "b"})
 	assert.ErrorContains(t, err, `"ca"`)
 }
+
+// failingListener returns an error from its first Accept, as a process without free file
+// descriptors gets.
+type failingListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// The process has no free file descriptor for a moment. The server must accept connections
+// again after it; otherwise the process would run on without its peers.
+func TestServerAcceptsAgainAfterError(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	sec := secretOnly("a secret of the tests")
+	s := transport.NewServer(sec)
+	assert.NilError(t, wire.DRPCRegisterDirectory(s.Mux, &echoService{}))
+	ended := make(chan struct{})
+	go func() {
+		s.Serve(context.Background(), &failingListener{Listener: lis})
+		close(ended)
+	}()
+	assert.NilError(t, callServer(t, sec, lis.Addr().String()))
+	s.Close()
+	_ = lis.Close()
+	<-ended
+}
+
+// A client connects and never begins the TLS handshake. The server must close the connection
+// instead of keeping it for good.
+func TestSilentTLSClientIsDropped(t *testing.T) {
+	server, _ := newSecurity(t, newTestCA(t).issue(t, "server"))
+	conn, err := net.Dial("tcp", startServer(t, server))
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(20*time.Second)))
+	_, err = conn.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
--- a/wal/recover.go
+++ b/wal/recover.go
@@ -121,6 +121,7 @@
 	if err != nil {
 		return merry.Prepend(err, name)
 	}
+	j.segmentSize = int64(good)
 	if good < len(data) {
 		st.TornBytes = len(data) - good
 		if err := j.fs.Truncate(name, int64(good)); err != nil {
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -56,10 +56,12 @@
 // Journal is the write-ahead log of a replica in an open data folder. It is not safe
 // for concurrent use.
 type Journal struct {
-	fs          FS
-	unlock      func()
-	file        File
-	segment     uint64
+	fs      FS
+	unlock  func()
+	file    File
+	segment uint64
+	// segmentSize is the size of the open segment in bytes, without the records with which
+	// it was started by this process.
 	segmentSize int64
 	hardState   *wire.HardState
 	buf         []byte
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -219,3 +219,19 @@
 	}
 	return f.File.Sync()
 }
+
+// A replica restarts with a full segment. The journal must still report it as full;
+// otherwise the segment would grow with each restart.
+func TestReopenedSegmentKeepsItsSize(t *testing.T) {
+	d := fake.NewDisk()
+	j := newFilledJournal(t, d)
+	large := []*wire.LogEntry{{Index: 9, Term: 1, Data: make([]byte, 16<<20)}}
+	assert.Assert(t, !j.SegmentFull())
+	assert.NilError(t, j.Append(nil, large))
+	assert.Assert(t, j.SegmentFull())
+	j.Close()
+	j, _ = openJournal(t, d)
+	assert.Assert(t, j.SegmentFull())
+	assert.NilError(t, j.Compact(&wire.LogSnapshot{Index: 9, Term: 1}, nil, nil))
+	assert.Assert(t, !j.SegmentFull())
+}
