--- a/control/control_test.go
+++ b/control/control_test.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/directory"
@@ -283,6 +286,46 @@
 	assert.Assert(t, c.edit(poolEdit("7", "lm", "8", 7)).Replayed)
 }
 
+// Few but large configurations are put. A replica must take a snapshot once its segment of the
+// log is full, though the number of entries is far from SnapshotEvery; otherwise the log would
+// outgrow the disk.
+func TestFullSegmentIsReplacedBySnapshot(t *testing.T) {
+	c := newClusterWith(t, 1, func(s *control.Settings) { s.SnapshotEvery = 1_000_000 })
+	pool := transport.NewPool(sec)
+	defer pool.Close()
+	incompressible := make([]byte, 3<<20)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(incompressible)
+	put := func(version uint64) bool {
+		ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+		defer cancel()
+		reply, err := wire.NewDRPCRoutingClient(pool.Conn(ctx, c.addrs[0])).Put(ctx, &wire.PutRoutingRequest{
+			Config: &wire.RoutingConfig{Version: version, Source: incompressible},
+		})
+		return err == nil && reply.Status == wire.PutRoutingStatus_PUT_ROUTING_STATUS_ACCEPTED
+	}
+	snapshots := func() []string {
+		list, err := filepath.Glob(filepath.Join(c.folder(0), "snapshot-*"))
+		assert.NilError(t, err)
+		return list
+	}
+	c.waitHealthAny()
+	before := snapshots()
+	for version := uint64(1); version <= 6; version++ {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if put(version) {
+				return poll.Success()
+			}
+			return poll.Continue("version %d isn't accepted", version)
+		}, poll.WithTimeout(testTimeout))
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if slices.Equal(snapshots(), before) {
+			return poll.Continue("no snapshot but %v", before)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(testTimeout))
+}
+
 // Removing a member that is needed for a quorum is refused with a reason, and the cluster keeps
 // accepting edits.
 func TestRemovalThatLosesQuorumIsRefused(t *testing.T) {
