Finish a switch that holds the group after losing the lease

The old leader goes on with such a switch for up to 0.6 s, and begins none. It is as safe as beside a leader that doesn't know yet that it was replaced: the first order of the next one fences it off.

Test first: TestLeaderFinishesSwitchAfterLosingLease (timed out before).

--- a/control/lockstep.go
+++ b/control/lockstep.go
@@ -136,14 +136,15 @@
 	}
 }
 
-// tick runs one iteration and returns whether this replica leads.
+// tick runs one iteration and returns whether the next one is due after lockstepTick.
 func (l *lockstepLeader) tick(ctx context.Context, r *Replica) bool {
 	if now := l.clock(); now.Sub(l.snapshotAt) >= lockstepTick {
 		l.snapshot, l.snapshotAt = l.readSnapshot(ctx, r), now
 	}
 	if !l.snapshot.isLeader {
+		unfinished := l.finishSwitches(ctx, l.clock())
 		l.dropGroups(l.clock())
-		return false
+		return unfinished
 	}
 	l.lastLedAt = l.clock()
 	for name, g := range l.snapshot.groups {
@@ -233,6 +234,30 @@
 	}
 }
 
+// switchFinishTime is how long after losing its lease a leader goes on with a switch that
+// holds a group: about the time until the next leader has been elected and has read the
+// ranks.
+const switchFinishTime = 600 * time.Millisecond
+
+// finishSwitches goes on with the switches that hold a group after this replica has lost its
+// lease, and returns whether some are unfinished.
+//
+// It guards against a leader that is partitioned from the other replicas in the middle of a
+// switch, but not from the ranks: no pass would begin until the next leader had released the
+// group. It is safe because a switch keeps its invariant beside another leader's: the first
+// order of the next leader makes the ranks reject all later ones of this leader.
+func (l *lockstepLeader) finishSwitches(ctx context.Context, now time.Time) (unfinished bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.lastLedAt) > switchFinishTime {
+		return false
+	}
+	for _, g := range l.groups {
+		unfinished = g.finishSwitch(ctx, now) || unfinished
+	}
+	return unfinished
+}
+
 // directGroup is a group as registered by its ranks.
 type directGroup struct {
 	service     string
--- /dev/null
+++ b/control/lockstep_test.go
@@ -0,0 +1,180 @@
+package control
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/lockstep"
+	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// groupSidecar serves as the sidecar of all ranks of a group. The group makes no passes.
+type groupSidecar struct {
+	wire.DRPCSidecarUnimplementedServer
+
+	mu    sync.Mutex
+	ranks map[string]*wire.RankReport
+	// armsUnanswered says that arm orders get lost.
+	armsUnanswered bool
+}
+
+func (s *groupSidecar) Read(_ context.Context, req *wire.ReadRankRequest) (*wire.RankReading, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &wire.RankReading{Report: s.report(req.Instance), Epoch: 1}, nil
+}
+
+func (s *groupSidecar) report(instance string) *wire.RankReport {
+	r := s.ranks[instance]
+	return &wire.RankReport{Step: r.Step, Map: r.Map, Prepared: r.Prepared, Armed: r.Armed, ArmedStep: r.ArmedStep, Held: r.Held, Pace: 1}
+}
+
+func (s *groupSidecar) Order(_ context.Context, o *wire.RankOrder) (*wire.RankOrderReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.ranks[o.Instance]
+	switch o.Kind {
+	case wire.RankOrderKind_RANK_ORDER_KIND_PREPARE:
+		r.Prepared = o.Version
+	case wire.RankOrderKind_RANK_ORDER_KIND_HOLD:
+		r.Held = o.Step
+	case wire.RankOrderKind_RANK_ORDER_KIND_ARM:
+		if s.armsUnanswered {
+			return &wire.RankOrderReply{After: s.report(o.Instance)}, nil
+		}
+		r.Armed, r.ArmedStep = o.Version, o.Step
+	case wire.RankOrderKind_RANK_ORDER_KIND_GO:
+		r.Held = 0
+	}
+	return &wire.RankOrderReply{Status: wire.RankOrderStatus_RANK_ORDER_STATUS_DONE, After: s.report(o.Instance)}, nil
+}
+
+// held reports whether a rank holds the group.
+func (s *groupSidecar) held() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.ranks {
+		if r.Held != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *groupSidecar) setArmsUnanswered(lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.armsUnanswered = lost
+}
+
+// newLeaderOfGroup returns the leader of a group of two ranks that is about to switch maps. Its
+// view of the directory and the log is fixed.
+func newLeaderOfGroup(t *testing.T, s *groupSidecar) *lockstepLeader {
+	const group, token = "g", 7
+	sec := transport.Security{Secret: []byte("a secret of the tests")}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv, pool := transport.NewServer(sec), transport.NewPool(sec)
+	assert.NilError(t, wire.DRPCRegisterSidecar(srv.Mux, s))
+	go srv.Serve(t.Context(), lis)
+	t.Cleanup(func() { _ = lis.Close(); srv.Close(); pool.Close() })
+
+	found := directGroup{service: "llm", size: 2, ranks: map[int]*wire.Announcement{}, latestEpoch: directory.GroupEpoch{Epoch: 1}}
+	s.ranks = map[string]*wire.RankReport{}
+	for i, id := range []string{"r-0", "r-1"} {
+		found.ranks[i] = &wire.Announcement{Id: id, Incarnation: 1, Address: "127.0.0.1:1", FailureDomain: "z"}
+		s.ranks[id] = &wire.RankReport{Step: 10}
+	}
+	l := &lockstepLeader{
+		settings: &LockstepSettings{SidecarPort: lis.Addr().(*net.TCPAddr).Port, ReadPeriod: kernel.Duration(10 * time.Millisecond)},
+		clock:    time.Now, log: log.NewNopLogger(), pool: pool, readPeriod: 10 * time.Millisecond,
+		groups: map[string]*lockstepGroup{}, wake: make(chan struct{}, 1), metrics: kernel.NewMetrics(), surveys: &surveyFeed{},
+		snapshotAt: time.Now().Add(time.Hour),
+	}
+	l.groups[group] = newLockstepGroup(l, group, token)
+	l.snapshot = lockstepSnapshot{groups: map[string]directGroup{group: found}, lockstepLogState: lockstepLogState{
+		isLeader: true, tokens: map[string]uint64{group: token},
+		config: &wire.RoutingConfig{Services: []*wire.RoutedService{{Name: "llm", Engine: &wire.EngineProfile{Sets: 1, Experts: 4, Places: 3, Spare: 2}}}},
+	}}
+	return l
+}
+
+// tickUntil ticks until a condition holds.
+func (l *lockstepLeader) tickUntil(t *testing.T, what string, ok func(g *lockstepGroup) bool) {
+	t.Helper()
+	g := l.groups["g"]
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		l.tick(t.Context(), nil)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if ok(g) {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+// holdForSwitch begins a switch and ticks until it holds the group and waits for the ranks to
+// be armed.
+func (l *lockstepLeader) holdForSwitch(t *testing.T, s *groupSidecar) {
+	m := lockstep.Map{{{0, 2, 1}, {1, 3, 0}}}
+	l.tickUntil(t, "the ranks are read", func(g *lockstepGroup) bool {
+		if g.switcher == nil {
+			return false
+		}
+		g.switcher.SetCurrent(lockstep.Map{{{0, 2}, {1, 3}}})
+		return g.switcher.Ready(l.clock())
+	})
+	s.setArmsUnanswered(true)
+	g := l.groups["g"]
+	g.mu.Lock()
+	g.switcher.Begin(l.clock(), m)
+	g.mu.Unlock()
+	l.tickUntil(t, "the group is held", func(g *lockstepGroup) bool { return g.switcher.Phase() == lockstep.Arming })
+	s.setArmsUnanswered(false)
+}
+
+// A leader loses its lease in the middle of a switch, when the group is held. As it still
+// reaches the ranks, it must finish the switch; otherwise no pass would begin until another
+// leader has been elected and has released the group.
+func TestLeaderFinishesSwitchAfterLosingLease(t *testing.T) {
+	s := &groupSidecar{}
+	l := newLeaderOfGroup(t, s)
+	l.holdForSwitch(t, s)
+	assert.Assert(t, s.held())
+	l.snapshot.isLeader = false
+	l.tickUntil(t, "the switch ends", func(g *lockstepGroup) bool { return g.switcher.Phase() == lockstep.Idle })
+	assert.Assert(t, !s.held())
+	assert.Equal(t, l.groups["g"].switcher.Outcome(), "in force")
+	assert.Assert(t, !l.tick(t.Context(), nil), "nothing is left to do")
+}
+
+// A leader that lost its lease longer ago must leave a held group to the next leader, and a
+// switch that doesn't hold the group yet must not go on at all.
+func TestLeaderLeavesOtherSwitchesToNextLeader(t *testing.T) {
+	s := &groupSidecar{}
+	l := newLeaderOfGroup(t, s)
+	l.holdForSwitch(t, s)
+	l.snapshot.isLeader = false
+	assert.Assert(t, l.finishSwitches(t.Context(), l.lastLedAt.Add(switchFinishTime)))
+	assert.Assert(t, !l.finishSwitches(t.Context(), l.lastLedAt.Add(switchFinishTime+time.Millisecond)))
+
+	l = newLeaderOfGroup(t, s)
+	l.tickUntil(t, "the ranks are read", func(g *lockstepGroup) bool { return g.switcher != nil })
+	g := l.groups["g"]
+	g.mu.Lock()
+	g.switcher.Begin(l.clock(), lockstep.Map{{{0, 2, 1}, {1, 3, 0}}})
+	g.mu.Unlock()
+	l.snapshot.isLeader = false
+	assert.Assert(t, !l.tick(t.Context(), nil))
+}
--- a/control/lockstepgroup.go
+++ b/control/lockstepgroup.go
@@ -68,6 +68,20 @@
 	g.startPlanning(ctx, now)
 }
 
+// finishSwitch goes on with a switch that holds the group, and returns whether it is
+// unfinished. It begins no other one.
+func (g *lockstepGroup) finishSwitch(ctx context.Context, now time.Time) (unfinished bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.switcher == nil || !g.switcher.HoldsGroup() || g.switcher.Fenced() {
+		return false
+	}
+	g.readRanks(ctx, now)
+	g.sendOrders(ctx, now, g.switcher.Tick(now))
+	g.logPhase(now)
+	return g.switcher.HoldsGroup()
+}
+
 // updateLinks updates the links of ranks that have restarted or moved. It first starts a
 // new epoch if the group has formed again or has another shape.
 func (g *lockstepGroup) updateLinks(found directGroup, shape lockstep.Shape) {
--- a/lockstep/switcher.go
+++ b/lockstep/switcher.go
@@ -180,6 +180,9 @@
 // Phase returns the current phase.
 func (s *Switcher) Phase() Phase { return s.phase }
 
+// HoldsGroup reports whether the switch in progress holds the group, or may.
+func (s *Switcher) HoldsGroup() bool { return s.phase != Idle && s.phase != Preparing }
+
 // Outcome describes how the last switch ended.
 func (s *Switcher) Outcome() string { return s.outcome }
 
