Move the leader of groups in lock-step out of control into a package of its own

control held the log service, registrations, the operators' API and two kinds of group leaders. Package lockstep/leader reads the ranks, plans, switches and surveys; it sees the replicated log through an interface of three methods (leader.Log) that control implements in control/lockstep.go, and hands surveys to a function. Names lose their prefix; registrations and settings have files of their own. Behaviour and settings are unchanged (docs/operations/settings.md is generated alike).

--- a/control/control.go
+++ b/control/control.go
@@ -16,6 +16,7 @@
 
 	"github.com/snipereach/snipereach/consensus"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/lockstep/leader"
 	"github.com/snipereach/snipereach/quarantine"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wal"
@@ -58,7 +59,7 @@
 
 	entries  func() []*wire.RingMember
 	groups   *groupLeader
-	lockstep *lockstepLeader
+	lockstep *leader.Leader
 	surveys  *surveyFeed
 	metrics  *kernel.Metrics
 	// suspicions are about requests that may crash upstreams.
@@ -79,8 +80,14 @@
 	s.Now = s.clock()
 	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, surveys: &surveyFeed{}, metrics: kernel.NewMetrics(), suspicions: newSuspicionStore(s.Now)}
 	c.groups = newGroupLeader(s, kernel.PartLog(l, "groups"), pool)
+	if s.Lockstep == nil {
+		return c, nil
+	}
 	var err error
-	c.lockstep, err = newLockstepLeader(s, l, pool, c.metrics, c.surveys)
+	c.lockstep, err = leader.New(leader.Options{
+		Settings: *s.Lockstep, Clock: s.Now, Log: kernel.PartLog(l, "lockstep"), Pool: pool, Metrics: c.metrics,
+		Publish: c.surveys.publishLocal,
+	})
 	return c, err
 }
 
@@ -93,7 +100,7 @@
 func (c *Control) SetUpstreamSource(f func() []*wire.Announcement) {
 	c.groups.upstreams = f
 	if c.lockstep != nil {
-		c.lockstep.upstreams = f
+		c.lockstep.SetUpstreamSource(f)
 	}
 }
 
@@ -101,7 +108,7 @@
 // that has answered a reading of its leader. It must be called before Start.
 func (c *Control) SetRankAnswerHandler(f func(instance string, incarnation uint64)) {
 	if c.lockstep != nil {
-		c.lockstep.onRankAnswer = f
+		c.lockstep.SetRankAnswerHandler(f)
 	}
 }
 
@@ -207,7 +214,7 @@
 	go c.syncQuarantinesToLog(ctx, r)
 	go c.groups.run(ctx, r)
 	if c.lockstep != nil {
-		go c.lockstep.run(ctx, r)
+		go c.lockstep.Run(ctx, lockstepLog{r})
 	}
 	go c.reopenOnFailure(ctx, r)
 	return nil
--- a/control/settings.go
+++ b/control/settings.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/snipereach/snipereach/kernel"
-	"github.com/snipereach/snipereach/lockstep"
+	"github.com/snipereach/snipereach/lockstep/leader"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wal"
 )
@@ -45,57 +45,7 @@
 	// Groups configures how a leader manages the expert maps of groups.
 	Groups GroupSettings `toml:"groups"`
 	// Lockstep configures groups whose ranks are called directly; nil disables them.
-	Lockstep *LockstepSettings `toml:"lockstep"`
-}
-
-// LockstepSettings is the [control.lockstep] section.
-type LockstepSettings struct {
-	// Dialect names the plug-in that defines the names that ranks use.
-	Dialect string `toml:"dialect"`
-	// SidecarPort is the port of the sidecar of each rank; 0 if there are no sidecars.
-	SidecarPort int `toml:"sidecar_port"`
-	// ReadPeriod is the minimum time between two readings of one rank's counters. The time is
-	// longer if there are many ranks; see maxReadingsPerSecond.
-	ReadPeriod kernel.Duration `toml:"read_period"`
-}
-
-const (
-	// defaultReadPeriod is also the length of the windows of the demand estimate, so that each
-	// window has a reading of every rank. A shift of demand is planned for after two whole
-	// windows, so the period bounds how soon a plan can follow it.
-	defaultReadPeriod = 75 * time.Millisecond
-	// maxReadingsPerSecond bounds the readings of all ranks together, to limit the leader's
-	// CPU time.
-	maxReadingsPerSecond = 480
-	// readingsPerRelayCall is the number of readings that one call to a relay counts as. The
-	// reply has the states of several ranks and the sum of their counters.
-	readingsPerRelayCall = 5
-)
-
-// readPeriodFor returns the time between two readings of one rank if there are groups of
-// these sizes, in ranks.
-func (s *LockstepSettings) readPeriodFor(groups []int) time.Duration {
-	readings := 0
-	for _, ranks := range groups {
-		if calls, relayed := lockstep.EstimateCalls(ranks); relayed {
-			readings += readingsPerRelayCall * calls
-		} else {
-			readings += calls
-		}
-	}
-	return max(s.ReadPeriod.D(), time.Duration(readings)*time.Second/maxReadingsPerSecond)
-}
-
-func (s *LockstepSettings) check(bad func(key, detail string) error) error {
-	switch {
-	case s.Dialect == "":
-		return bad("lockstep.dialect", "must not be empty")
-	case s.SidecarPort < 0 || s.SidecarPort > 65535:
-		return bad("lockstep.sidecar_port", "must be a port")
-	case s.ReadPeriod <= 0:
-		return bad("lockstep.read_period", "must be positive")
-	}
-	return nil
+	Lockstep *leader.Settings `toml:"lockstep"`
 }
 
 // Tolerance is the [control.tolerate] section: the simultaneous losses after which all
@@ -164,7 +114,7 @@
 	s.ReplaceAfter = cmp.Or(s.ReplaceAfter, d.ReplaceAfter)
 	s.Members = transport.WithPort(s.Members, s.PeerPort)
 	if s.Lockstep != nil {
-		s.Lockstep.ReadPeriod = cmp.Or(s.Lockstep.ReadPeriod, kernel.Duration(defaultReadPeriod))
+		s.Lockstep.SetDefaults()
 	}
 	g := &s.Groups
 	g.CounterPeriod = cmp.Or(g.CounterPeriod, d.Groups.CounterPeriod)
@@ -202,7 +152,7 @@
 		return bad("groups."+key, "must be positive")
 	}
 	if s.Lockstep != nil {
-		if err := s.Lockstep.check(bad); err != nil {
+		if err := s.Lockstep.Check(bad); err != nil {
 			return err
 		}
 	}
--- a/control/surveys.go
+++ b/control/surveys.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/lockstep/leader"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -51,6 +51,11 @@
 	f.watchers.Notify()
 }
 
+// publishLocal publishes a survey that this replica has taken.
+func (f *surveyFeed) publishLocal(s leader.Survey) {
+	f.publish(&publishedSurvey{number: s.Number, states: s.States, takenAt: s.TakenAt, local: true})
+}
+
 func (f *surveyFeed) current() *publishedSurvey {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -141,8 +146,3 @@
 		}
 	}
 }
-
-// encodeRankStates encodes the states of ranks, once for all watchers.
-func encodeRankStates(ranks []*wire.RankState) ([]byte, error) {
-	return proto.Marshal(&wire.RankStates{Ranks: ranks})
-}
--- a/internal/settingsdoc/main.go
+++ b/internal/settingsdoc/main.go
@@ -11,6 +11,7 @@
 	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/entry"
 	"github.com/snipereach/snipereach/gateway"
+	"github.com/snipereach/snipereach/lockstep/leader"
 	"github.com/snipereach/snipereach/sidecar"
 )
 
@@ -36,7 +37,7 @@
 	e.Control = &replica
 	c := control.DefaultDaemonSettings()
 	c.Control.Tolerate = &control.Tolerance{}
-	c.Control.Lockstep = &control.LockstepSettings{}
+	c.Control.Lockstep = &leader.Settings{}
 	c.API = &control.APISettings{}
 	c.SetDefaults()
 	return []program{
--- a/control/lockstepcalls.go
+++ b/lockstep/leader/calls.go
@@ -1,4 +1,4 @@
-package control
+package leader
 
 import (
 	"context"
@@ -36,7 +36,7 @@
 
 // relayPart returns the part of the group, served by one relay, in which a rank is called
 // now. It is noPart if the rank is called on its own, e.g. while its sidecar doesn't answer.
-func (g *lockstepGroup) relayPart(now time.Time, rank int) int {
+func (g *group) relayPart(now time.Time, rank int) int {
 	part, ok := g.relays.PartOf(rank)
 	if !ok || g.settings.SidecarPort == 0 || !now.After(g.links[rank].sidecarRetryAt) {
 		return noPart
@@ -46,7 +46,7 @@
 
 // relayFor returns the rank whose sidecar relays a call to some ranks of a part. A single
 // rank is called without a relay, which would only add a hop.
-func (g *lockstepGroup) relayFor(now time.Time, part int, ranks []int) (via int, ok bool) {
+func (g *group) relayFor(now time.Time, part int, ranks []int) (via int, ok bool) {
 	if part == noPart || len(ranks) < 2 {
 		return 0, false
 	}
@@ -54,14 +54,14 @@
 }
 
 // markRelayFailed records that a sidecar did not answer as a relay.
-func (g *lockstepGroup) markRelayFailed(via int, err error) {
+func (g *group) markRelayFailed(via int, err error) {
 	kernel.Info(g.log, "Relay doesn't answer.", "group", g.name, "rank", via, "upstream", g.links[via].instance, "err", err)
 	g.metrics.Count("lockstep.relays.failed")
 	g.relays.MarkFailed(g.clock(), via)
 }
 
 // sidecarAddress returns the address of a rank's sidecar; empty if there is none.
-func (g *lockstepGroup) sidecarAddress(link *rankLink) string {
+func (g *group) sidecarAddress(link *rankLink) string {
 	host, _, err := net.SplitHostPort(link.address)
 	if err != nil || g.settings.SidecarPort == 0 {
 		return ""
@@ -69,12 +69,12 @@
 	return net.JoinHostPort(host, strconv.Itoa(g.settings.SidecarPort))
 }
 
-func (g *lockstepGroup) sidecarClient(address string) wire.DRPCSidecarClient {
+func (g *group) sidecarClient(address string) wire.DRPCSidecarClient {
 	return wire.NewDRPCSidecarClient(g.pool.Conn(context.Background(), address))
 }
 
 // readThroughRelay reads ranks of one part through the sidecar of rank via.
-func (g *lockstepGroup) readThroughRelay(ctx context.Context, via int, ranks []int, read *wire.ReadRankRequest) {
+func (g *group) readThroughRelay(ctx context.Context, via int, ranks []int, read *wire.ReadRankRequest) {
 	limit := relayReadTimeout + time.Duration(read.AwaitMs)*time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, limit+relayRoundTrip)
 	defer cancel()
@@ -117,7 +117,7 @@
 // suspendSidecar stops calls to a rank's sidecar, which did not answer, for
 // sidecarRetryDelay. The rank is called directly meanwhile, so that it doesn't delay the
 // other ranks of its part.
-func (g *lockstepGroup) suspendSidecar(link *rankLink) {
+func (g *group) suspendSidecar(link *rankLink) {
 	link.sidecarRetryAt = g.clock().Add(sidecarRetryDelay)
 	kernel.Debug(g.log, "Sidecar doesn't answer.", "group", g.name, "upstream", link.instance)
 }
@@ -131,7 +131,7 @@
 }
 
 // sendOrders sends the orders of one round, through relays where possible.
-func (g *lockstepGroup) sendOrders(ctx context.Context, now time.Time, orders []lockstep.Order) {
+func (g *group) sendOrders(ctx context.Context, now time.Time, orders []lockstep.Order) {
 	batches := map[orderBatchKey][]lockstep.Order{}
 	for _, o := range orders {
 		key := orderBatchKey{part: g.relayPart(now, o.Rank)}
@@ -157,7 +157,7 @@
 
 // sendThroughRelay sends orders through the sidecar of rank via. All must carry the same
 // map, or none.
-func (g *lockstepGroup) sendThroughRelay(ctx context.Context, via int, orders []lockstep.Order) {
+func (g *group) sendThroughRelay(ctx context.Context, via int, orders []lockstep.Order) {
 	limit := relayOrderTimeoutFor(len(orders), len(orders[0].Map))
 	req := &wire.OrderRanksRequest{Map: orders[0].Map, LimitMs: uint32(limit.Milliseconds())}
 	links, switcher, relay, epoch := g.links, g.switcher, g.sidecarAddress(g.links[via]), g.epoch
@@ -198,7 +198,7 @@
 }
 
 // sendOrder sends an order without a relay and passes the answer to the switcher.
-func (g *lockstepGroup) sendOrder(ctx context.Context, o lockstep.Order) {
+func (g *group) sendOrder(ctx context.Context, o lockstep.Order) {
 	link, switcher := g.links[o.Rank], g.switcher
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -218,7 +218,7 @@
 
 // handleReply passes the answer to an order to the switcher; reply is nil if none came. An
 // answer from another run of the rank counts as none.
-func (g *lockstepGroup) handleReply(switcher *lockstep.Switcher, link *rankLink, o lockstep.Order, reply *wire.RankOrderReply, err error) {
+func (g *group) handleReply(switcher *lockstep.Switcher, link *rankLink, o lockstep.Order, reply *wire.RankOrderReply, err error) {
 	if err != nil || !link.isFromThisRun(reply.GetAfter()) {
 		reply = nil
 	}
@@ -233,7 +233,7 @@
 
 // callRank calls a rank through its sidecar, or directly if it has none or the sidecar
 // did not answer lately.
-func callRank[R any](g *lockstepGroup, link *rankLink, viaSidecar func(wire.DRPCSidecarClient) (R, error), directly func(*sidecar.Rank) (R, error)) (R, error) {
+func callRank[R any](g *group, link *rankLink, viaSidecar func(wire.DRPCSidecarClient) (R, error), directly func(*sidecar.Rank) (R, error)) (R, error) {
 	g.mu.Lock()
 	address, sidecarAddr, retryAt := link.address, g.sidecarAddress(link), link.sidecarRetryAt
 	g.mu.Unlock()
--- a/control/lockstepgroup.go
+++ b/lockstep/leader/group.go
@@ -1,4 +1,4 @@
-package control
+package leader
 
 import (
 	"context"
@@ -13,10 +13,10 @@
 // reportLagFactor allows for reports that are older than the engine profile says.
 const reportLagFactor = 2
 
-// lockstepGroup runs one group under one fencing token: it connects a Switcher to the
+// group runs one group under one fencing token: it connects a Switcher to the
 // network and the clock, and plans maps from the ranks' counters.
-type lockstepGroup struct {
-	*lockstepLeader
+type group struct {
+	*Leader
 	name  string
 	token uint64
 
@@ -41,12 +41,12 @@
 	reportLag time.Duration
 }
 
-func newLockstepGroup(l *lockstepLeader, name string, token uint64) *lockstepGroup {
-	return &lockstepGroup{lockstepLeader: l, name: name, token: token}
+func newGroup(l *Leader, name string, token uint64) *group {
+	return &group{Leader: l, name: name, token: token}
 }
 
 // tick applies the ranks' registrations and the engine profile, and does what is due.
-func (g *lockstepGroup) tick(ctx context.Context, now time.Time, found directGroup, profile *wire.EngineProfile) {
+func (g *group) tick(ctx context.Context, now time.Time, found registeredGroup, profile *wire.EngineProfile) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	// A switch in progress continues while a registration is missing: the group may be
@@ -70,7 +70,7 @@
 
 // finishSwitch goes on with a switch that holds the group, and returns whether it is
 // unfinished. It begins no other one.
-func (g *lockstepGroup) finishSwitch(ctx context.Context, now time.Time) (unfinished bool) {
+func (g *group) finishSwitch(ctx context.Context, now time.Time) (unfinished bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.switcher == nil || !g.switcher.HoldsGroup() || g.switcher.Fenced() {
@@ -84,7 +84,7 @@
 
 // updateLinks updates the links of ranks that have restarted or moved. It first starts a
 // new epoch if the group has formed again or has another shape.
-func (g *lockstepGroup) updateLinks(found directGroup, shape lockstep.Shape) {
+func (g *group) updateLinks(found registeredGroup, shape lockstep.Shape) {
 	if g.switcher == nil || found.latestEpoch.Epoch > g.epoch || shape != g.shape {
 		g.startEpoch(found, shape)
 	}
@@ -101,7 +101,7 @@
 }
 
 // startEpoch resets the state for the epoch and the shape in which the group has formed.
-func (g *lockstepGroup) startEpoch(found directGroup, shape lockstep.Shape) {
+func (g *group) startEpoch(found registeredGroup, shape lockstep.Shape) {
 	epoch := found.latestEpoch.Epoch
 	g.epoch, g.shape = epoch, shape
 	g.relays = lockstep.NewRelays(found.failureDomains())
@@ -124,7 +124,7 @@
 
 // startPlanning looks for a better map in a goroutine of its own and begins the switch to
 // it.
-func (g *lockstepGroup) startPlanning(ctx context.Context, now time.Time) {
+func (g *group) startPlanning(ctx context.Context, now time.Time) {
 	slowdown := g.rankSlowdowns()
 	if g.planning || !g.canBeginSwitch(now) || !g.demand.Stable() || !g.schedule.StartIfDue(now, g.demand.Shifts(), slowdown) {
 		return
@@ -150,6 +150,6 @@
 
 // canBeginSwitch reports whether a switch may begin now: the switcher is ready for one, or
 // the switch in progress is still preparing and the demand has shifted since it began.
-func (g *lockstepGroup) canBeginSwitch(now time.Time) bool {
+func (g *group) canBeginSwitch(now time.Time) bool {
 	return g.switcher.Ready(now) || g.switcher.Phase() == lockstep.Preparing && g.demand.Shifts() != g.shiftsAtBegin
 }
--- a/control/lockstep_test.go
+++ b/lockstep/leader/leader_test.go
@@ -1,8 +1,10 @@
-package control
+package leader
 
 import (
 	"context"
+	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +13,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/snipereach/snipereach/dialect"
+	"github.com/snipereach/snipereach/direct"
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/lockstep"
@@ -77,10 +81,20 @@
 	s.armsUnanswered = lost
 }
 
+// errNoDirectCalls is the error of calls that don't go through a sidecar.
+var errNoDirectCalls = errors.New("ranks are reached through their sidecars only")
+
+// sidecarsOnly is a dialect for ranks that can't be called directly.
+type sidecarsOnly struct{ dialect.Ranks }
+
+func (sidecarsOnly) RankCalls() dialect.RankCalls                     { return dialect.RankCalls{} }
+func (sidecarsOnly) SetInstance(http.Header, string)                  {}
+func (sidecarsOnly) EncodeOrder(*wire.RankOrder, [][][]uint32) []byte { return nil }
+
 // newLeaderOfGroup returns the leader of a group of two ranks that is about to switch maps. Its
 // view of the directory and the log is fixed.
-func newLeaderOfGroup(t *testing.T, s *groupSidecar) *lockstepLeader {
-	const group, token = "g", 7
+func newLeaderOfGroup(t *testing.T, s *groupSidecar) *Leader {
+	const name, token = "g", 7
 	sec := transport.Security{Secret: []byte("a secret of the tests")}
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -89,28 +103,30 @@
 	go srv.Serve(t.Context(), lis)
 	t.Cleanup(func() { _ = lis.Close(); srv.Close(); pool.Close() })
 
-	found := directGroup{service: "llm", size: 2, ranks: map[int]*wire.Announcement{}, latestEpoch: directory.GroupEpoch{Epoch: 1}}
+	found := registeredGroup{service: "llm", size: 2, ranks: map[int]*wire.Announcement{}, latestEpoch: directory.GroupEpoch{Epoch: 1}}
 	s.ranks = map[string]*wire.RankReport{}
 	for i, id := range []string{"r-0", "r-1"} {
 		found.ranks[i] = &wire.Announcement{Id: id, Incarnation: 1, Address: "127.0.0.1:1", FailureDomain: "z"}
 		s.ranks[id] = &wire.RankReport{Step: 10}
 	}
-	l := &lockstepLeader{
-		settings: &LockstepSettings{SidecarPort: lis.Addr().(*net.TCPAddr).Port, ReadPeriod: kernel.Duration(10 * time.Millisecond)},
-		clock:    time.Now, log: log.NewNopLogger(), pool: pool, readPeriod: 10 * time.Millisecond,
-		groups: map[string]*lockstepGroup{}, wake: make(chan struct{}, 1), metrics: kernel.NewMetrics(), surveys: &surveyFeed{},
-		snapshotAt: time.Now().Add(time.Hour),
+	l := &Leader{
+		settings:    &Settings{SidecarPort: lis.Addr().(*net.TCPAddr).Port, ReadPeriod: kernel.Duration(10 * time.Millisecond)},
+		rankDialect: sidecarsOnly{},
+		client:      direct.NewClient(func(context.Context, string, string) (net.Conn, error) { return nil, errNoDirectCalls }),
+		clock:       time.Now, log: log.NewNopLogger(), pool: pool, readPeriod: 10 * time.Millisecond,
+		groups: map[string]*group{}, wake: make(chan struct{}, 1), metrics: kernel.NewMetrics(), publish: func(Survey) {},
+		viewAt: time.Now().Add(time.Hour),
 	}
-	l.groups[group] = newLockstepGroup(l, group, token)
-	l.snapshot = lockstepSnapshot{groups: map[string]directGroup{group: found}, lockstepLogState: lockstepLogState{
-		isLeader: true, tokens: map[string]uint64{group: token},
-		config: &wire.RoutingConfig{Services: []*wire.RoutedService{{Name: "llm", Engine: &wire.EngineProfile{Sets: 1, Experts: 4, Places: 3, Spare: 2}}}},
+	l.groups[name] = newGroup(l, name, token)
+	l.view = view{groups: map[string]registeredGroup{name: found}, LogState: LogState{
+		Leads: true, Tokens: map[string]uint64{name: token},
+		Config: &wire.RoutingConfig{Services: []*wire.RoutedService{{Name: "llm", Engine: &wire.EngineProfile{Sets: 1, Experts: 4, Places: 3, Spare: 2}}}},
 	}}
 	return l
 }
 
 // tickUntil ticks until a condition holds.
-func (l *lockstepLeader) tickUntil(t *testing.T, what string, ok func(g *lockstepGroup) bool) {
+func (l *Leader) tickUntil(t *testing.T, what string, ok func(g *group) bool) {
 	t.Helper()
 	g := l.groups["g"]
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -126,9 +142,9 @@
 
 // holdForSwitch begins a switch and ticks until it holds the group and waits for the ranks to
 // be armed.
-func (l *lockstepLeader) holdForSwitch(t *testing.T, s *groupSidecar) {
+func (l *Leader) holdForSwitch(t *testing.T, s *groupSidecar) {
 	m := lockstep.Map{{{0, 2, 1}, {1, 3, 0}}}
-	l.tickUntil(t, "the ranks are read", func(g *lockstepGroup) bool {
+	l.tickUntil(t, "the ranks are read", func(g *group) bool {
 		if g.switcher == nil {
 			return false
 		}
@@ -140,7 +156,7 @@
 	g.mu.Lock()
 	g.switcher.Begin(l.clock(), m)
 	g.mu.Unlock()
-	l.tickUntil(t, "the group is held", func(g *lockstepGroup) bool { return g.switcher.Phase() == lockstep.Arming })
+	l.tickUntil(t, "the group is held", func(g *group) bool { return g.switcher.Phase() == lockstep.Arming })
 	s.setArmsUnanswered(false)
 }
 
@@ -152,8 +168,8 @@
 	l := newLeaderOfGroup(t, s)
 	l.holdForSwitch(t, s)
 	assert.Assert(t, s.held())
-	l.snapshot.isLeader = false
-	l.tickUntil(t, "the switch ends", func(g *lockstepGroup) bool { return g.switcher.Phase() == lockstep.Idle })
+	l.view.Leads = false
+	l.tickUntil(t, "the switch ends", func(g *group) bool { return g.switcher.Phase() == lockstep.Idle })
 	assert.Assert(t, !s.held())
 	assert.Equal(t, l.groups["g"].switcher.Outcome(), "in force")
 	assert.Assert(t, !l.tick(t.Context(), nil), "nothing is left to do")
@@ -165,16 +181,16 @@
 	s := &groupSidecar{}
 	l := newLeaderOfGroup(t, s)
 	l.holdForSwitch(t, s)
-	l.snapshot.isLeader = false
+	l.view.Leads = false
 	assert.Assert(t, l.finishSwitches(t.Context(), l.lastLedAt.Add(switchFinishTime)))
 	assert.Assert(t, !l.finishSwitches(t.Context(), l.lastLedAt.Add(switchFinishTime+time.Millisecond)))
 
-	l = newLeaderOfGroup(t, s)
-	l.tickUntil(t, "the ranks are read", func(g *lockstepGroup) bool { return g.switcher != nil })
+	l = newLeaderOfGroup(t, &groupSidecar{})
+	l.tickUntil(t, "the ranks are read", func(g *group) bool { return g.switcher != nil })
 	g := l.groups["g"]
 	g.mu.Lock()
 	g.switcher.Begin(l.clock(), lockstep.Map{{{0, 2, 1}, {1, 3, 0}}})
 	g.mu.Unlock()
-	l.snapshot.isLeader = false
+	l.view.Leads = false
 	assert.Assert(t, !l.tick(t.Context(), nil))
 }
--- a/control/lockstepranks.go
+++ b/lockstep/leader/ranks.go
@@ -1,4 +1,4 @@
-package control
+package leader
 
 import (
 	"context"
@@ -62,7 +62,7 @@
 
 // readRanks reads the ranks that are due. To bound the leader's CPU use, only those that a
 // switch waits for are read more often, and one that copies answers when it is done.
-func (g *lockstepGroup) readRanks(ctx context.Context, now time.Time) {
+func (g *group) readRanks(ctx context.Context, now time.Time) {
 	due := map[readBatchKey][]int{}
 	for i, link := range g.links {
 		key, ok := g.dueRead(now, i, link)
@@ -99,7 +99,7 @@
 const noPart = -1
 
 // dueRead reports whether a rank is to be read now, and how.
-func (g *lockstepGroup) dueRead(now time.Time, i int, link *rankLink) (key readBatchKey, ok bool) {
+func (g *group) dueRead(now time.Time, i int, link *rankLink) (key readBatchKey, ok bool) {
 	usual := g.readPeriod
 	period := usual
 	if g.switcher.AwaitsRank(i) {
@@ -113,7 +113,7 @@
 	return key, true
 }
 
-func (g *lockstepGroup) readRequest(key readBatchKey) *wire.ReadRankRequest {
+func (g *group) readRequest(key readBatchKey) *wire.ReadRankRequest {
 	req := &wire.ReadRankRequest{Counts: key.counts, HeldExperts: g.switcher.Current() == nil, Reader: g.token}
 	if key.copying {
 		req.AwaitPrepared, req.AwaitMs = g.switcher.Version(), uint32(min(g.readPeriod, maxCopyWait).Milliseconds())
@@ -121,7 +121,7 @@
 	return req
 }
 
-func (g *lockstepGroup) readRank(ctx context.Context, i int, link *rankLink, req *wire.ReadRankRequest, epoch uint64) {
+func (g *group) readRank(ctx context.Context, i int, link *rankLink, req *wire.ReadRankRequest, epoch uint64) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	at := g.clock()
@@ -140,7 +140,7 @@
 
 // handleReading handles the result of a read. It returns whether the reading succeeded
 // and is from the expected run of the rank and the current epoch.
-func (g *lockstepGroup) handleReading(at time.Time, i int, link *rankLink, req *wire.ReadRankRequest, epoch uint64, reading *wire.RankReading, err error) bool {
+func (g *group) handleReading(at time.Time, i int, link *rankLink, req *wire.ReadRankRequest, epoch uint64, reading *wire.RankReading, err error) bool {
 	link.readInFlight = false
 	if err != nil {
 		kernel.Debug(g.log, "Rank can't be read.", "group", g.name, "rank", i, "upstream", req.Instance, "err", err)
@@ -161,14 +161,14 @@
 // The answer is sufficient proof: the rank checks the instance that a call names, and a
 // rank that has ended or restarted answers none. A registration that was withdrawn or
 // superseded isn't renewed.
-func (g *lockstepGroup) confirmRegistration(link *rankLink) {
+func (g *group) confirmRegistration(link *rankLink) {
 	if g.onRankAnswer != nil {
 		g.onRankAnswer(link.instance, link.incarnation)
 	}
 }
 
 // observeChoices adds the ranks' counts of chosen experts to the demand estimate.
-func (g *lockstepGroup) observeChoices(packed []byte) {
+func (g *group) observeChoices(packed []byte) {
 	chosen, err := lockstep.UnpackChoices(packed)
 	if err != nil {
 		kernel.Warn(g.log, "Expert choices can't be decoded.", "group", g.name, "err", err)
@@ -180,7 +180,7 @@
 }
 
 // applyReading updates the state of a rank from a reading.
-func (g *lockstepGroup) applyReading(at time.Time, i int, link *rankLink, req *wire.ReadRankRequest, reading *wire.RankReading) {
+func (g *group) applyReading(at time.Time, i int, link *rankLink, req *wire.ReadRankRequest, reading *wire.RankReading) {
 	if reading.Epoch != 0 && reading.Epoch != g.epoch {
 		// The group has formed again, and the directory is about to announce it.
 		return
@@ -202,7 +202,7 @@
 }
 
 // updateSlowdown records the slowdown of a rank, and logs when the rank becomes slow or recovers.
-func (g *lockstepGroup) updateSlowdown(i int, link *rankLink, slowdown float64) {
+func (g *group) updateSlowdown(i int, link *rankLink, slowdown float64) {
 	if (slowdown < lockstep.StragglerSlowdown) != (link.slowdown < lockstep.StragglerSlowdown) {
 		kernel.Info(g.log, "Rank pace changed.", "group", g.name, "rank", i, "upstream", link.instance, "pace", slowdown, "before", link.slowdown)
 	}
@@ -211,7 +211,7 @@
 
 // assembleMap assembles the map in force once all ranks have reported the experts that
 // they hold under the same map version.
-func (g *lockstepGroup) assembleMap() {
+func (g *group) assembleMap() {
 	if g.switcher.Current() != nil {
 		return
 	}
@@ -234,13 +234,13 @@
 // withReportLag sets the age of a reading taken from another host, to which a rank reports
 // its state with a delay. Taken as fresh, a report from before a hold would show that the
 // group isn't held.
-func (g *lockstepGroup) withReportLag(reading *wire.RankReading) *wire.RankReading {
+func (g *group) withReportLag(reading *wire.RankReading) *wire.RankReading {
 	g.setReportAge(reading.GetReport())
 	return reading
 }
 
 // setReportAge sets the age of a report, if there is one, to reportLag.
-func (g *lockstepGroup) setReportAge(report *wire.RankReport) {
+func (g *group) setReportAge(report *wire.RankReport) {
 	if report != nil {
 		report.AgeMs = uint32(g.reportLag.Milliseconds())
 	}
@@ -251,7 +251,7 @@
 const maxSurveyAge = 600 * time.Millisecond
 
 // rankStates returns the states of the ranks for a survey, without outdated ones.
-func (g *lockstepGroup) rankStates(now time.Time) (list []*wire.RankState) {
+func (g *group) rankStates(now time.Time) (list []*wire.RankState) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, link := range g.links {
@@ -269,7 +269,7 @@
 
 // rankSlowdowns returns the slowdown of each rank, with 1 for those that aren't slow; nil if none
 // is slow.
-func (g *lockstepGroup) rankSlowdowns() lockstep.Slowdown {
+func (g *group) rankSlowdowns() lockstep.Slowdown {
 	var slowdown lockstep.Slowdown
 	for i, link := range g.links {
 		if link.slowdown < lockstep.StragglerSlowdown {
--- a/control/locksteplog.go
+++ b/lockstep/leader/statelog.go
@@ -1,4 +1,4 @@
-package control
+package leader
 
 import (
 	"math"
@@ -12,7 +12,7 @@
 const stateLogPeriod = time.Second
 
 // logState logs the group's load, skew and pass time once per stateLogPeriod.
-func (g *lockstepGroup) logState(now time.Time) {
+func (g *group) logState(now time.Time) {
 	if now.Sub(g.stateLoggedAt) < stateLogPeriod || g.switcher.Current() == nil {
 		return
 	}
@@ -34,7 +34,7 @@
 }
 
 // recordPhase counts switches, and records how long each one took and held the group.
-func (g *lockstepGroup) recordPhase(now time.Time, phase lockstep.Phase) {
+func (g *group) recordPhase(now time.Time, phase lockstep.Phase) {
 	switch phase {
 	case lockstep.Preparing:
 		g.metrics.Count("lockstep.switches.begun")
@@ -55,7 +55,7 @@
 }
 
 // logPhase logs and counts the phases of a switch.
-func (g *lockstepGroup) logPhase(now time.Time) {
+func (g *group) logPhase(now time.Time) {
 	phase := g.switcher.Phase()
 	if phase == g.loggedPhase {
 		return
