Refuse at once for a group that lacks ranks and can't form

Where 18 of 72 ranks of a group register, no stream can be served, and the registrations say so. Callers were told otherwise: each gateway probed the ranks each 0.2 s, callers that came back were queued to the end of their time, and Retry-After named 1.5 s.

A group that serves nothing and has lacked ranks for 5 s is incomplete now: a state of its own in lines ('N of M ranks'), refused at once as group-incomplete with 5 s, probed each 2 s, and named by a line of its leader. A group that serves, or has just lost a rank, is treated as before.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -18,8 +18,8 @@
 	retryAfter time.Duration
 	// waited is how long the request was queued.
 	waited time.Duration
-	// cause describes the inputs of a refusal.
-	cause string
+	// reason is the reason of a refusal, and cause describes its inputs.
+	reason, cause string
 }
 
 // acquire admits a request to a service, after queueing it if necessary. If it is admitted,
@@ -31,11 +31,14 @@
 	p := m.services[service]
 	if p == nil {
 		m.mu.Unlock()
-		return admission{retryAfter: retryAfterBusy, cause: "no upstream of the service is known"}
+		return admission{retryAfter: retryAfterBusy, reason: reasonUpstreamsBusy, cause: "no upstream of the service is known"}
 	}
 	p.gateways = gateways
 	changes := p.stateChanges(now)
-	a := admission{}
+	a := admission{reason: reasonUpstreamsBusy}
+	if p.incomplete(now) {
+		a.reason = reasonGroupIncomplete
+	}
 	d, wait := p.decide(now, gateways, w)
 	if d != decisionAdmit {
 		a.cause = p.describe(now)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -336,12 +336,12 @@
 }
 
 // refuseUnadmitted answers a request that was not admitted.
-func (c *call) refuseUnadmitted(wait time.Duration) {
+func (c *call) refuseUnadmitted(a admission) {
 	if c.r.Context().Err() != nil {
 		c.finish(0, "caller-gone", nil)
 		return
 	}
-	f := refusal{status: http.StatusServiceUnavailable, reason: reasonUpstreamsBusy, retryAfter: wait}
+	f := refusal{status: http.StatusServiceUnavailable, reason: a.reason, retryAfter: a.retryAfter}
 	if c.draining.Load() {
 		f = refusal{status: http.StatusServiceUnavailable, reason: reasonDraining, retryAfter: retryAfterDrain}
 	}
--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -30,8 +30,8 @@
 //
 // A request is queued only if it is expected to be admitted in time; otherwise its caller learns
 // at once when to retry. The caller of a retried request may have no further try, so the request
-// is queued also while no group is available, and while the rate of late admissions is unknown or
-// doesn't apply.
+// is queued also while no group is available, unless all are incomplete, and while the rate of
+// late admissions is unknown or doesn't apply.
 func (p *servicePool) decide(now time.Time, gateways int, w *waiter) (d decision, wait time.Duration) {
 	if p.queue.ahead(now, w.canBeOnTime(now)) == 0 {
 		if g := p.pickGroup(now, gateways, !w.canBeOnTime(now)); g != nil {
@@ -55,7 +55,7 @@
 // are released.
 func (p *servicePool) likelyAdmitted(now time.Time, gateways int, w *waiter) bool {
 	if !p.available(now) {
-		return w.retried
+		return w.retried && !p.incomplete(now)
 	}
 	if w.canBeOnTime(now) && p.expectedWait(now, gateways, p.queue.ahead(now, true), 1) <= w.onTimeBy.Sub(now) {
 		return true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -237,7 +237,7 @@
 	c.waited = a.waited
 	if !a.ok {
 		c.cause = a.cause
-		c.refuseUnadmitted(a.retryAfter)
+		c.refuseUnadmitted(a)
 		return
 	}
 	admittedAt := time.Now()
--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -55,6 +55,9 @@
 	// available. Each failed probe costs a retry there, and with many gateways frequent probes
 	// would use up much of the service.
 	failoverProbeInterval = 2 * time.Second
+	// incompleteTimeout is how long a group that serves nothing may lack ranks before it counts
+	// as incomplete. A rank that restarts registers again within it.
+	incompleteTimeout = 5 * time.Second
 	// stallTimeout is how long a group may give no event to any stream of this gateway before it
 	// counts as stalled; it is several times the duration of a slow pass. stallMinRequests
 	// requests must be in flight, so that one slow response isn't taken for a stall.
@@ -81,6 +84,10 @@
 	formedAt time.Time
 	down     bool
 	probedAt time.Time
+	// ranks is how many ranks of the group are registered, size how many it has. lacksRanksSince
+	// is since when some are missing; zero if none is.
+	ranks, size     int
+	lacksRanksSince time.Time
 	// occupancy is the estimated fraction of the slots in use, as of occupancyAt.
 	// reportedInflight is how many requests this gateway had in flight then.
 	occupancy        float64
@@ -105,13 +112,17 @@
 // setUpstreams updates the slots and the group epoch from the registrations of the upstreams that
 // are up.
 func (g *groupLimiter) setUpstreams(now time.Time, insts []*directory.Instance) {
-	g.slots, g.lockstep = 0, false
+	g.slots, g.lockstep, g.size = 0, false, 0
 	var reported directory.GroupEpoch
+	ranks := map[uint32]bool{}
 	for _, i := range insts {
 		g.slots += int(i.Direct.Slots)
 		g.lockstep = g.lockstep || i.Group != ""
+		g.size = max(g.size, int(i.Direct.GroupSize))
+		ranks[i.Rank] = true
 		reported.Merge(i.Direct)
 	}
+	g.setRanks(now, len(ranks))
 	switch {
 	case reported.Epoch > g.epoch:
 		g.epoch, g.down, g.formedAt, g.slotCap = reported.Epoch, reported.Broken, now, slotCap{}
@@ -121,6 +132,23 @@
 	}
 }
 
+// setRanks records how many ranks of the group are registered.
+func (g *groupLimiter) setRanks(now time.Time, ranks int) {
+	g.ranks = ranks
+	switch {
+	case !g.lockstep || ranks >= g.size:
+		g.lacksRanksSince = time.Time{}
+	case g.lacksRanksSince.IsZero():
+		g.lacksRanksSince = now
+	}
+}
+
+// incomplete reports whether the group serves nothing and can't form, as ranks have been missing
+// for incompleteTimeout. A request that waits for it would wait in vain.
+func (g *groupLimiter) incomplete(now time.Time) bool {
+	return g.down && !g.lacksRanksSince.IsZero() && now.Sub(g.lacksRanksSince) >= incompleteTimeout
+}
+
 // markDown records that the group serves nothing.
 func (g *groupLimiter) markDown(now time.Time) {
 	g.down = true
@@ -172,10 +200,11 @@
 func (g *groupLimiter) available(now time.Time) bool { return !g.down && !g.stalled(now) }
 
 // mayAdmit reports whether a request may be sent: the group is available, or a probe is due.
-// alternatives says that other groups of the service are available.
+// alternatives says that other groups of the service are available. An incomplete group is probed
+// seldom, as the registrations of its ranks tell when it may form.
 func (g *groupLimiter) mayAdmit(now time.Time, alternatives bool) bool {
 	interval := probeInterval
-	if alternatives {
+	if alternatives || g.incomplete(now) {
 		interval = failoverProbeInterval
 	}
 	return g.available(now) || now.Sub(g.probedAt) >= interval
@@ -233,15 +262,19 @@
 	groupDown
 	// groupStalled means that no stream gets events.
 	groupStalled
+	// groupIncomplete means that the group serves nothing and lacks ranks that it needs to form.
+	groupIncomplete
 )
 
-var groupStateNames = [...]string{"open", "down", "stalled"}
+var groupStateNames = [...]string{"open", "down", "stalled", "incomplete"}
 
 // String returns the state as shown in logs.
 func (s groupState) String() string { return groupStateNames[s] }
 
 func (g *groupLimiter) state(now time.Time) groupState {
 	switch {
+	case g.incomplete(now):
+		return groupIncomplete
 	case g.down:
 		return groupDown
 	case g.stalled(now):
@@ -252,11 +285,19 @@
 
 // describe returns the inputs of admission decisions with their ages, for logs.
 func (g *groupLimiter) describe(now time.Time, gateways int) string {
-	return fmt.Sprintf("%s: %d in flight of %d, admit fraction %.2f, slot fraction %.2f, %d slots, %d gateways, share %.3f, epoch %d, last progress %d ms ago, occupancy %.2f reported %d ms ago",
-		g.state(now), g.inflight, g.limit(now, gateways), g.throttle.admitFraction(now), g.slotCap.fraction(now), g.slots, gateways, g.share(gateways), g.epoch,
+	return fmt.Sprintf("%s: %d in flight of %d, admit fraction %.2f, slot fraction %.2f, %d slots%s, %d gateways, share %.3f, epoch %d, last progress %d ms ago, occupancy %.2f reported %d ms ago",
+		g.state(now), g.inflight, g.limit(now, gateways), g.throttle.admitFraction(now), g.slotCap.fraction(now), g.slots, g.describeRanks(), gateways, g.share(gateways), g.epoch,
 		now.Sub(g.progressAt).Milliseconds(), g.occupancy, now.Sub(g.occupancyAt).Milliseconds())
 }
 
+// describeRanks returns how many ranks of a group in lock-step are registered, for logs.
+func (g *groupLimiter) describeRanks() string {
+	if !g.lockstep {
+		return ""
+	}
+	return fmt.Sprintf(", %d of %d ranks", g.ranks, g.size)
+}
+
 // progressing reports whether the group has made progress lately, so that a stalled request waits
 // for its own upstream only.
 func (g *groupLimiter) progressing(now time.Time) bool {
--- a/gateway/limiter_test.go
+++ b/gateway/limiter_test.go
@@ -332,3 +332,58 @@
 		assert.Equal(t, h.failure(last, reasonUpstreamsBusy).status, c.status, "%v", c.outcomes)
 	}
 }
+
+// 18 of the 72 ranks of a group register, so that it can't form. Its callers must be refused at
+// once, with a Retry-After beyond most callers' time, and hardly any request be sent to its ranks.
+// When all ranks have registered, requests must be served again.
+func TestIncompleteGroupRefusesAtOnce(t *testing.T) {
+	const size = 72
+	ranks := func(n int, broken bool) []*directory.Instance {
+		list := registeredRanks(n, 0, broken)
+		for _, i := range list {
+			i.Direct.GroupSize = size
+		}
+		return list
+	}
+	p, g := singleGroup(ranks(18, true))
+	probes := 0
+	arrive := func(at time.Duration, retried bool) (decision, time.Duration) {
+		now := start.Add(at)
+		d, wait := p.decide(now, 6, &waiter{retried: retried, onTimeBy: now, giveUpAt: now.Add(1500 * time.Millisecond)})
+		if d == decisionAdmit {
+			probes++
+			g.release()
+		}
+		return d, wait
+	}
+	d, _ := arrive(100*time.Millisecond, true)
+	assert.Equal(t, d, decisionQueue, "a rank may be restarting")
+	p.queue = waitQueue{}
+	assert.Equal(t, g.state(start.Add(incompleteTimeout)), groupIncomplete)
+	probes = 0
+	for at := incompleteTimeout; at < incompleteTimeout+10*time.Second; at += 50 * time.Millisecond {
+		d, wait := arrive(at, at%(100*time.Millisecond) == 0)
+		assert.Assert(t, d != decisionQueue)
+		assert.Assert(t, d == decisionAdmit || wait == retryAfterIncomplete)
+	}
+	assert.Assert(t, probes <= 6, "%d probes", probes)
+
+	now := start.Add(20 * time.Second)
+	formed := ranks(size, false)
+	for _, i := range formed {
+		i.Direct.GroupEpoch = 1
+	}
+	assert.NilError(t, p.update(now, route.EntryInfo{ID: "e"}, formed))
+	d, _ = arrive(20*time.Second, false)
+	assert.Equal(t, d, decisionAdmit)
+}
+
+// A group that serves is not incomplete, however few of its ranks are known to be registered.
+func TestServingGroupIsNotIncomplete(t *testing.T) {
+	insts := registeredRanks(16, 1, false)
+	for _, i := range insts {
+		i.Direct.GroupSize = 18
+	}
+	_, g := singleGroup(insts)
+	assert.Equal(t, g.state(start.Add(2*incompleteTimeout)), groupOpen)
+}
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -90,6 +90,7 @@
 	reasonBodyTooLarge    = "body-too-large"
 	reasonNoUpstream      = "no-upstream"
 	reasonUpstreamsBusy   = "upstreams-busy"
+	reasonGroupIncomplete = "group-incomplete"
 	reasonDraining        = "draining"
 	reasonRetryBudget     = "retry-budget"
 	reasonInDoubt         = "in-doubt"
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -122,6 +122,16 @@
 	return slices.ContainsFunc(p.sorted, func(g *groupPool) bool { return len(g.upstreams) > 0 && !g.limiter.down })
 }
 
+// incomplete reports whether the service has groups and all of them are incomplete.
+func (p *servicePool) incomplete(now time.Time) bool {
+	for _, g := range p.sorted {
+		if !g.limiter.incomplete(now) {
+			return false
+		}
+	}
+	return len(p.sorted) > 0
+}
+
 // lockstep reports whether the upstreams run in lock-step.
 func (p *servicePool) lockstep() bool {
 	return slices.ContainsFunc(p.sorted, func(g *groupPool) bool { return g.limiter.lockstep })
@@ -184,7 +194,10 @@
 
 // refused records a refused request and returns its Retry-After.
 func (p *servicePool) refused(now time.Time) time.Duration {
-	if !p.available(now) {
+	switch {
+	case p.incomplete(now):
+		return retryAfterIncomplete
+	case !p.available(now):
 		return retryAfterDown
 	}
 	return p.retryAfter.refused()
--- a/gateway/retryafter.go
+++ b/gateway/retryafter.go
@@ -6,6 +6,9 @@
 	// retryAfterDown is the Retry-After while no group of the service is available. A group
 	// usually forms again within it once its rank is back.
 	retryAfterDown = 1500 * time.Millisecond
+	// retryAfterIncomplete is the Retry-After while all groups of the service are incomplete.
+	// Missing ranks are started by somebody, which takes longer than most callers wait.
+	retryAfterIncomplete = 5 * time.Second
 	// retryAfterMin is the Retry-After when few requests are refused for lack of slots, and
 	// retryAfterMax when nearly all are.
 	retryAfterMin = 600 * time.Millisecond
--- a/lockstep/leader/group.go
+++ b/lockstep/leader/group.go
@@ -35,6 +35,8 @@
 	// holdBeganAt is when the switch in progress began to hold the group; zero if it hasn't.
 	holdBeganAt   time.Time
 	stateLoggedAt time.Time
+	// incompleteLoggedAt is when missing ranks were last logged.
+	incompleteLoggedAt time.Time
 	// shiftsAtBegin is the number of demand shifts seen when the latest switch began.
 	shiftsAtBegin int
 	// reportLag is the assumed maximum age of a report that a rank gives to another host.
@@ -53,6 +55,7 @@
 	// held, and the ranks can be reached at their last addresses.
 	switching := g.switcher != nil && g.switcher.Phase() != lockstep.Idle
 	if (!found.complete() || found.latestEpoch.Broken) && !switching {
+		g.logIncomplete(now, found)
 		return
 	}
 	shape := lockstep.ShapeOf(profile, found.size)
--- a/lockstep/leader/statelog.go
+++ b/lockstep/leader/statelog.go
@@ -11,6 +11,19 @@
 // stateLogPeriod is the interval at which a group's state is logged.
 const stateLogPeriod = time.Second
 
+// incompleteLogPeriod is the interval at which an incomplete group is logged.
+const incompleteLogPeriod = 5 * time.Second
+
+// logIncomplete logs, once per incompleteLogPeriod, that ranks of the group aren't registered,
+// so that it is neither read nor switched.
+func (g *group) logIncomplete(now time.Time, found registeredGroup) {
+	if found.complete() || now.Sub(g.incompleteLoggedAt) < incompleteLogPeriod {
+		return
+	}
+	g.incompleteLoggedAt = now
+	kernel.Warn(g.log, "Group is incomplete.", "group", g.name, "epoch", found.latestEpoch.Epoch, "broken", found.latestEpoch.Broken, "ranks", len(found.ranks), "size", found.size, "token", g.token)
+}
+
 // logState logs the group's load, skew and pass time once per stateLogPeriod.
 func (g *group) logState(now time.Time) {
 	if now.Sub(g.stateLoggedAt) < stateLogPeriod || g.switcher.Current() == nil {
