--- a/lockstep/leader/leader.go
+++ b/lockstep/leader/leader.go
@@ -249,7 +249,7 @@
 const groupRetention = 5 * time.Second
 
 // dropGroups removes all groups once this replica hasn't led for groupRetention. Until
-// then nothing is read or ordered. Keeping them is safe: the fencing token of orders in
+// then nothing is read or ordered, but by finishSwitches. Keeping them is safe: the fencing token of orders in
 // flight is superseded by the next leader's, and a group that another replica has led
 // meanwhile has another token in the log and is set up again.
 func (l *Leader) dropGroups(now time.Time) {
@@ -270,8 +270,9 @@
 //
 // It guards against a leader that is partitioned from the other replicas in the middle of a
 // switch, but not from the ranks: no pass would begin until the next leader had released the
-// group. It is safe because a switch keeps its invariant beside another leader's: the first
-// order of the next leader makes the ranks reject all later ones of this leader.
+// group. It is safe because the invariant of a switch holds beside the orders of another leader:
+// any leader may be late to learn that it was replaced, and a rank that has had an order of
+// the next one rejects those of this one.
 func (l *Leader) finishSwitches(ctx context.Context, now time.Time) (unfinished bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
