lockstep/leader: tell the replicated log from the logger

The interface of the log and the option of the logger were both called Log. The interface is ReplicatedLog and the option Logger now; the tests begin a switch in one place.

--- a/control/control.go
+++ b/control/control.go
@@ -85,7 +85,7 @@
 	}
 	var err error
 	c.lockstep, err = leader.New(leader.Options{
-		Settings: *s.Lockstep, Clock: s.Now, Log: kernel.PartLog(l, "lockstep"), Pool: pool, Metrics: c.metrics,
+		Settings: *s.Lockstep, Clock: s.Now, Logger: kernel.PartLog(l, "lockstep"), Pool: pool, Metrics: c.metrics,
 		Publish: c.surveys.publishLocal,
 	})
 	return c, err
--- a/control/lockstep.go
+++ b/control/lockstep.go
@@ -10,10 +10,10 @@
 const lockstepLeasePrefix = "lockstep/"
 
 // lockstepLog is the log of a replica as the leader of groups in lock-step uses it. It
-// implements leader.Log.
+// implements leader.ReplicatedLog.
 type lockstepLog struct{ *Replica }
 
-// State implements leader.Log.
+// State implements leader.ReplicatedLog.
 func (r lockstepLog) State(ctx context.Context, groups []string) leader.LogState {
 	state := leader.LogState{Tokens: map[string]uint64{}}
 	_ = r.runInLoop(ctx, func() {
@@ -26,10 +26,10 @@
 	return state
 }
 
-// AcquireLease implements leader.Log.
+// AcquireLease implements leader.ReplicatedLog.
 func (r lockstepLog) AcquireLease(ctx context.Context, group string) (token uint64, err error) {
 	return r.acquireGroupLease(ctx, lockstepLeasePrefix+group)
 }
 
-// Done implements leader.Log.
+// Done implements leader.ReplicatedLog.
 func (r lockstepLog) Done() <-chan struct{} { return r.done }
--- a/lockstep/leader/leader.go
+++ b/lockstep/leader/leader.go
@@ -33,8 +33,8 @@
 	rankDialTimeout = 500 * time.Millisecond
 )
 
-// Log is the replicated log, as a Leader uses it.
-type Log interface {
+// ReplicatedLog is the replicated log, as a Leader uses it.
+type ReplicatedLog interface {
 	// State returns what the log says of groups, given by name.
 	State(ctx context.Context, groups []string) LogState
 	// AcquireLease acquires the lease of a group and returns its fencing token.
@@ -65,7 +65,7 @@
 type Options struct {
 	Settings Settings
 	Clock    func() time.Time
-	Log      log.Logger
+	Logger   log.Logger
 	Pool     *transport.Pool
 	Metrics  *kernel.Metrics
 	// Publish publishes a survey to the entries.
@@ -120,7 +120,7 @@
 		return nil, err
 	}
 	return &Leader{
-		settings: &o.Settings, clock: o.Clock, log: o.Log, pool: o.Pool, rankDialect: d,
+		settings: &o.Settings, clock: o.Clock, log: o.Logger, pool: o.Pool, rankDialect: d,
 		client: direct.NewClient(transport.NewDialer(rankDialTimeout).DialContext), groups: map[string]*group{},
 		wake: make(chan struct{}, 1), metrics: o.Metrics, publish: o.Publish,
 	}, nil
@@ -136,7 +136,7 @@
 }
 
 // Run drives the groups until ctx is done or the replica stops.
-func (l *Leader) Run(ctx context.Context, r Log) {
+func (l *Leader) Run(ctx context.Context, r ReplicatedLog) {
 	for {
 		wait := idleTickInterval
 		if l.tick(ctx, r) {
@@ -164,7 +164,7 @@
 }
 
 // tick runs one iteration and returns whether the next one is due after tickInterval.
-func (l *Leader) tick(ctx context.Context, r Log) bool {
+func (l *Leader) tick(ctx context.Context, r ReplicatedLog) bool {
 	if now := l.clock(); now.Sub(l.viewAt) >= tickInterval {
 		l.view, l.viewAt = l.readView(ctx, r), now
 	}
@@ -182,17 +182,17 @@
 }
 
 // readView reads the directory and the log, and adapts readPeriod to the groups' sizes.
-func (l *Leader) readView(ctx context.Context, r Log) view {
-	s := view{groups: registeredGroups(l.upstreams())}
-	names := make([]string, 0, len(s.groups))
-	sizes := make([]int, 0, len(s.groups))
-	for name, g := range s.groups {
+func (l *Leader) readView(ctx context.Context, r ReplicatedLog) view {
+	v := view{groups: registeredGroups(l.upstreams())}
+	names := make([]string, 0, len(v.groups))
+	sizes := make([]int, 0, len(v.groups))
+	for name, g := range v.groups {
 		names = append(names, name)
 		sizes = append(sizes, g.size)
 	}
 	l.readPeriod = l.settings.readPeriodFor(sizes)
-	s.LogState = r.State(ctx, names)
-	return s
+	v.LogState = r.State(ctx, names)
+	return v
 }
 
 // publishSurvey publishes the states of the ranks once per surveyPeriod.
@@ -220,7 +220,7 @@
 	l.publish(Survey{Number: l.surveyNumber, States: states, TakenAt: now})
 }
 
-func (l *Leader) tickGroup(ctx context.Context, r Log, name string, found registeredGroup, state LogState) {
+func (l *Leader) tickGroup(ctx context.Context, r ReplicatedLog, name string, found registeredGroup, state LogState) {
 	profile := engineProfileOf(state.Config, found.service)
 	if profile.GetSets() == 0 {
 		return
--- a/lockstep/leader/leader_test.go
+++ b/lockstep/leader/leader_test.go
@@ -140,10 +140,17 @@
 	}, poll.WithTimeout(20*time.Second), poll.WithDelay(time.Millisecond))
 }
 
+// beginSwitch begins a switch for which each rank copies an expert.
+func (l *Leader) beginSwitch() {
+	g := l.groups["g"]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.switcher.Begin(l.clock(), lockstep.Map{{{0, 2, 1}, {1, 3, 0}}})
+}
+
 // holdForSwitch begins a switch and ticks until it holds the group and waits for the ranks to
 // be armed.
 func (l *Leader) holdForSwitch(t *testing.T, s *groupSidecar) {
-	m := lockstep.Map{{{0, 2, 1}, {1, 3, 0}}}
 	l.tickUntil(t, "the ranks are read", func(g *group) bool {
 		if g.switcher == nil {
 			return false
@@ -152,10 +159,7 @@
 		return g.switcher.Ready(l.clock())
 	})
 	s.setArmsUnanswered(true)
-	g := l.groups["g"]
-	g.mu.Lock()
-	g.switcher.Begin(l.clock(), m)
-	g.mu.Unlock()
+	l.beginSwitch()
 	l.tickUntil(t, "the group is held", func(g *group) bool { return g.switcher.Phase() == lockstep.Arming })
 	s.setArmsUnanswered(false)
 }
@@ -187,10 +191,7 @@
 
 	l = newLeaderOfGroup(t, &groupSidecar{})
 	l.tickUntil(t, "the ranks are read", func(g *group) bool { return g.switcher != nil })
-	g := l.groups["g"]
-	g.mu.Lock()
-	g.switcher.Begin(l.clock(), lockstep.Map{{{0, 2, 1}, {1, 3, 0}}})
-	g.mu.Unlock()
+	l.beginSwitch()
 	l.view.Leads = false
 	assert.Assert(t, !l.tick(t.Context(), nil))
 }
