--- a/gateway/retryafter.go
+++ b/gateway/retryafter.go
@@ -7,7 +7,7 @@
 	// usually forms again within it once its rank is back.
 	retryAfterDown = 1500 * time.Millisecond
 	// retryAfterIncomplete is the Retry-After while all groups of the service are incomplete.
-	// Missing ranks are started by somebody, which takes longer than most callers wait.
+	// Starting the missing ranks takes longer than most callers wait.
 	retryAfterIncomplete = 5 * time.Second
 	// retryAfterMin is the Retry-After when few requests are refused for lack of slots, and
 	// retryAfterMax when nearly all are.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -114,18 +114,15 @@
 func (s *Server) Serve(ctx context.Context, lis net.Listener) {
 	for {
 		conn, err := lis.Accept()
-		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil || s.isClosed() {
-			if err == nil {
-				_ = conn.Close()
-			}
-			return
-		}
 		if err != nil {
+			if errors.Is(err, net.ErrClosed) || ctx.Err() != nil || s.isClosed() {
+				return
+			}
 			fmt.Fprintf(os.Stderr, "transport: %s: connection can't be accepted: %v\n", lis.Addr(), err)
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		if !s.trackConn(conn) {
+		if ctx.Err() != nil || !s.trackConn(conn) {
 			_ = conn.Close()
 			return
 		}
