directory: one place for replies that an announcement is superseded

Gateway, entry and agent each raised their incarnation and logged by themselves. All three shared a fault: an announcement goes to two replicas, and the second reply, after the first had raised the number, logged "Another process may be using the same ID" wrongly. Incarnation.HandleReply serves all three and warns only of a number above the own; the gateway's line of a raised incarnation names the id too, and the other line the known number.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -5,7 +5,6 @@
 	"math"
 	"time"
 
-	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -31,14 +30,7 @@
 func (a *Agent) announceAll(ctx context.Context, phase wire.Phase) {
 	for addr, reply := range a.announcer.Announce(ctx, a.announcement(phase)) {
 		a.applyPoolSettings(reply.Pools)
-		if !reply.Superseded {
-			continue
-		}
-		if a.incarnation.RaiseAbove(reply.KnownIncarnation) {
-			kernel.Warn(a.log, "This host's clock is behind that of an earlier incarnation. Raised the incarnation.", "id", a.settings.ID, "incarnation", a.incarnation.Number(), "told_by", addr)
-			continue
-		}
-		kernel.Warn(a.log, "A higher incarnation of this ID is known. Another process may be using the same ID.", "id", a.settings.ID, "told_by", addr)
+		a.incarnation.HandleReply(a.log, reply, "told_by", addr)
 	}
 }
 
--- a/directory/incarnation.go
+++ b/directory/incarnation.go
@@ -4,6 +4,9 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+
+	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -56,3 +59,24 @@
 	i.raised = true
 	return true
 }
+
+// HandleReply raises the number if the reply to an announcement names a later incarnation
+// of the ID, and reports whether it did. It logs that with kv, or that another process may be
+// using the ID.
+//
+// An announcement goes to several replicas. Once the first reply has raised the number, those
+// of the others name no later one, and nothing is logged.
+func (i *Incarnation) HandleReply(l log.Logger, reply *wire.AnnounceReply, kv ...any) (raised bool) {
+	if !reply.Superseded {
+		return false
+	}
+	kv = append([]any{"id", i.id}, kv...)
+	if i.RaiseAbove(reply.KnownIncarnation) {
+		kernel.Warn(l, "This host's clock is behind that of an earlier incarnation. Raised the incarnation.", append(kv, "incarnation", i.Number())...)
+		return true
+	}
+	if reply.KnownIncarnation > i.Number() {
+		kernel.Warn(l, "A higher incarnation of this ID is known. Another process may be using the same ID.", append(kv, "known", reply.KnownIncarnation)...)
+	}
+	return false
+}
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -41,15 +40,9 @@
 // handleAnnounceReply raises the entry's incarnation if the directory knows a
 // higher one, as it does when the host's clock was set back before a restart.
 func (e *Entry) handleAnnounceReply(reply *wire.AnnounceReply) {
-	if !reply.Superseded {
-		return
-	}
-	if !e.incarnation.RaiseAbove(reply.KnownIncarnation) {
-		kernel.Warn(e.log, "A higher incarnation of this ID is known. Another process may be using the same ID.", "id", e.settings.ID)
-		return
+	if e.incarnation.HandleReply(e.log, reply) {
+		e.claims.RaiseIncarnation()
 	}
-	e.claims.RaiseIncarnation()
-	kernel.Warn(e.log, "This host's clock is behind that of an earlier incarnation. Raised the incarnation.", "id", e.settings.ID, "incarnation", e.incarnation.Number())
 }
 
 // followDirectory keeps the entry's directory up to date. An entry that is a control
--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/snipereach/snipereach/directory"
-	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -35,15 +34,9 @@
 
 // handleReply takes a higher incarnation if an earlier process with this ID had a higher one.
 func (g *Gateway) handleReply(reply *wire.AnnounceReply) {
-	if !reply.Superseded {
-		return
+	if g.incarnation.HandleReply(g.log, reply) {
+		g.triggerAnnounce()
 	}
-	if !g.incarnation.RaiseAbove(reply.KnownIncarnation) {
-		kernel.Warn(g.log, "A higher incarnation of this ID is known. Another process may be using the same ID.", "id", g.settings.ID, "known", reply.KnownIncarnation)
-		return
-	}
-	kernel.Warn(g.log, "This host's clock is behind that of an earlier incarnation. Raised the incarnation.", "incarnation", g.incarnation.Number())
-	g.triggerAnnounce()
 }
 
 func (g *Gateway) announcement() *wire.Announcement {
--- a/gateway/announce_test.go
+++ b/gateway/announce_test.go
@@ -25,6 +25,8 @@
 	g.handleReply(&wire.AnnounceReply{Superseded: true, KnownIncarnation: first + 10})
 	assert.Assert(t, strings.Contains(text.String(), "Raised the incarnation."), text.String())
 	text.Reset()
+	g.handleReply(&wire.AnnounceReply{Superseded: true, KnownIncarnation: first + 10})
+	assert.Equal(t, text.String(), "", "a second replica says what the first has said")
 	g.handleReply(&wire.AnnounceReply{Superseded: true, KnownIncarnation: first + 20})
 	assert.Assert(t, strings.Contains(text.String(), "Another process may be using the same ID."), text.String())
 	text.Reset()
