Evacuation of failure domains, limits for cold upstreams, callers that stop reading

Cause: POST and DELETE /evacuation/ZONE were answered 404, an evacuation was never acknowledged, and nothing limited requests to cold upstreams or ended a response whose caller had stopped reading.

Change: an evacuation is a row of the table (kind evacuation), so that it is linearizable, durable and has a history; the edit names the version that was in force when the order came, so that a copy that is held up can't undo a later order. Replicas tell gateways with the routing version; the revision only grows. Evacuated ranks stay members of their group. Requests to one cold upstream are divided into whole requests among the gateways; upstreams that come back from an evacuation count as cold for as long as after a start. A caller that accepts nothing of a response for 5 s is cut off. snipereachctl evacuate, restore; status shows evacuated domains.

--- a/control/api.go
+++ b/control/api.go
@@ -132,6 +132,8 @@
 		{calls.Deregister, a.deregister},
 		{calls.PutRouting, a.putRouting},
 		{calls.GetRouting, a.getRouting},
+		{calls.Evacuate, a.evacuate},
+		{calls.Restore, a.restore},
 	} {
 		r.HandleFunc(c.call.Path, c.handle).Methods(c.call.Method)
 	}
--- a/control/replica.go
+++ b/control/replica.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"hash/maphash"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/snipereach/snipereach/consensus"
+	"github.com/snipereach/snipereach/evacuation"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/quarantine"
 	"github.com/snipereach/snipereach/transport"
@@ -76,6 +78,8 @@
 	// routingVersion is the version of the applied configuration. It is also read outside the
 	// loop, by watchers.
 	routingVersion atomic.Uint64
+	// evacuations are those in force, also read by watchers.
+	evacuations atomic.Pointer[evacuation.State]
 	feed           feed
 	// proposedEpoch is the last proposed ring epoch, and proposedAt the time of its proposal.
 	proposedEpoch uint64
@@ -127,6 +131,7 @@
 	}
 	r.feed.reset(m.table.Revision(), m.ring, r.ringTracker.changed)
 	r.routingVersion.Store(m.routing.Current().GetVersion())
+	r.updateEvacuations()
 	r.updateConfirmation()
 	return r, nil
 }
@@ -253,6 +258,7 @@
 		}
 		r.feed.reset(r.machine.table.Revision(), r.machine.ring, r.ringTracker.changed)
 		r.routingVersion.Store(r.machine.routing.Current().GetVersion())
+		r.updateEvacuations()
 		r.failSnapshottedProposals(rd.Snapshot.Index)
 		r.notifyQuarantines(r.machine.quarantine.Suspicions(r.clock())...)
 		r.watchers.Notify()
@@ -277,6 +283,9 @@
 		r.entriesSinceSnapshot++
 	}
 	r.applyRowChanges(r.clock())
+	if slices.ContainsFunc(changed, isEvacuation) {
+		r.updateEvacuations()
+	}
 	r.routingVersion.Store(r.machine.routing.Current().GetVersion())
 	if len(rd.CommittedEntries) > 0 {
 		r.feed.add(r.machine.table.Revision(), changed, r.machine.ring, r.ringTracker.changed)
--- a/control/routing.go
+++ b/control/routing.go
@@ -167,8 +167,8 @@
 	return packed, nil
 }
 
-// Watch implements the Routing service. It sends the applied version and new suspicions when
-// they change or the replica becomes current, and otherwise at intervals.
+// Watch implements the Routing service. It sends the applied version, the evacuations and new
+// suspicions when they change or the replica becomes current, and otherwise at intervals.
 func (s routingService) Watch(_ *wire.WatchRoutingRequest, stream wire.DRPCRouting_WatchStream) error {
 	r := s.currentReplica()
 	if r == nil {
@@ -181,16 +181,22 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	sent, current, due := uint64(0), false, true
+	sentEvacuations := uint64(0)
 	suspicionVersion := uint64(0)
 	for {
 		version, confirmed := r.routingVersion.Load(), r.feed.isCurrent(r.now())
 		changes := s.suspicions.changesSince(suspicionVersion)
-		if due || version != sent || confirmed && !current || len(changes.Suspicions) > 0 {
+		evacuations := r.evacuations.Load()
+		if due || version != sent || evacuations.Revision != sentEvacuations || confirmed && !current || len(changes.Suspicions) > 0 {
 			next := directory.KeepaliveInterval(routingConfirmInterval, int(s.routingWatchers.Load()))
-			if err := sendVersion(stream, r, version, next, changes.Suspicions); err != nil {
-				return err
+			msg := &wire.RoutingVersion{
+				Version: version, ConfirmedAgeMs: clampedMillis(r.feed.confirmedAge(r.now())), NextMs: clampedMillis(next),
+				Suspicions: changes.Suspicions, Evacuated: evacuations.Domains, EvacuationRevision: evacuations.Revision,
 			}
-			sent, suspicionVersion = version, changes.Version
+			if err := stream.Send(msg); err != nil {
+				return fmt.Errorf("routing watch: %w", err)
+			}
+			sent, sentEvacuations, suspicionVersion = version, evacuations.Revision, changes.Version
 			timer.Reset(next)
 		}
 		current, due = confirmed, false
@@ -208,12 +214,3 @@
 		}
 	}
 }
-
-func sendVersion(stream wire.DRPCRouting_WatchStream, r *Replica, version uint64, next time.Duration, suspicions []*wire.Suspicion) error {
-	v := &wire.RoutingVersion{Version: version, ConfirmedAgeMs: clampedMillis(r.feed.confirmedAge(r.now())), NextMs: clampedMillis(next), Suspicions: suspicions}
-	err := stream.Send(v)
-	if err != nil {
-		return fmt.Errorf("routing watch: %w", err)
-	}
-	return nil
-}
--- a/ctl/system.go
+++ b/ctl/system.go
@@ -28,6 +28,9 @@
 	if err := c.show(s, memberTable(s.Replicas), entryTable(s.Entries), upstreamTable(s.Upstreams)); err != nil {
 		return err
 	}
+	if len(s.Evacuated) > 0 {
+		fmt.Fprintln(c.stderr, "evacuated: "+strings.Join(s.Evacuated, ", "))
+	}
 	c.printHealth(s.Health, s.Detail)
 	return nil
 }
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -84,12 +84,13 @@
 }
 
 // ServedCalls are the calls that the load balancer serves. InstanceID is the name of the path
-// variable in Register and Deregister.
+// variable in Register and Deregister, DomainName that of the failure domain in Evacuate and Restore.
 type ServedCalls struct {
 	Ready, Resolve         Call
 	Register, Deregister   Call
 	PutRouting, GetRouting Call
-	InstanceID             string
+	Evacuate, Restore      Call
+	InstanceID, DomainName string
 }
 
 // Callers translates the headers of requests and responses.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -305,9 +305,13 @@
 
 func sameDirect(a, b *wire.DirectUpstream) bool {
 	return a.GetSlots() == b.GetSlots() && a.GetGroupEpoch() == b.GetGroupEpoch() &&
-		a.GetGroupBroken() == b.GetGroupBroken() && a.GetGroupSize() == b.GetGroupSize()
+		a.GetGroupBroken() == b.GetGroupBroken() && a.GetGroupSize() == b.GetGroupSize() && sameColdness(a.GetColdMs(), b.GetColdMs())
 }
 
+// sameColdness reports whether a later announcement doesn't change when an upstream gets warm: what is
+// left of the time before it shrinks with each announcement, which isn't sent to watchers.
+func sameColdness(before, after uint32) bool { return (before > 0) == (after > 0) && after <= before }
+
 // Settled reports whether the directory has settled, and may mark instances as gone
 // that did not announce to it directly.
 //
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -203,9 +203,9 @@
 			break
 		}
 	}
-	// Balancers and agent watches depend on the pools' rows only. Skipping other
+	// Balancers and agent watches depend on pools and evacuations only. Skipping other
 	// edits, such as of a team's limit, saves a pass over thousands of upstreams.
-	if old == nil || !maps.Equal(old.Pools, v.Pools) {
+	if old == nil || !maps.Equal(old.Pools, v.Pools) || !maps.Equal(old.Evacuated, v.Evacuated) {
 		e.updateRouting()
 	}
 	select {
@@ -224,7 +224,7 @@
 	byPool := map[string][]route.Upstream{}
 	instances := e.node.Instances(wire.Role_ROLE_UPSTREAM)
 	for _, i := range instances {
-		if !i.Up() {
+		if !i.Up() || v.Evacuated[i.FailureDomain] {
 			continue
 		}
 		up := route.Upstream{
--- a/entry/system.go
+++ b/entry/system.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -47,6 +49,15 @@
 	return list
 }
 
+// Evacuated implements operators.System.
+func (p systemView) Evacuated() []string {
+	v := p.view.Load()
+	if v == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(v.Evacuated))
+}
+
 // Upstreams implements operators.System.
 func (p systemView) Upstreams() []operators.UpstreamState {
 	list := []operators.UpstreamState{}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -36,7 +36,10 @@
 	p.gateways = gateways
 	changes := p.stateChanges(now)
 	a := admission{reason: reasonUpstreamsBusy}
-	if p.incomplete(now) {
+	switch {
+	case p.allEvacuated():
+		a.reason = reasonEvacuated
+	case p.incomplete(now):
 		a.reason = reasonGroupIncomplete
 	}
 	d, wait := p.decide(now, gateways, w)
--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -39,7 +39,7 @@
 			return decisionAdmit, 0
 		}
 	}
-	if len(p.queue.waiters) >= maxQueued || !now.Before(w.giveUpAt) {
+	if p.allEvacuated() || len(p.queue.waiters) >= maxQueued || !now.Before(w.giveUpAt) {
 		return decisionRefuse, p.refused(now)
 	}
 	if !p.likelyAdmitted(now, gateways, w) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/direct"
 	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/evacuation"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/quarantine"
 	"github.com/snipereach/snipereach/routing"
@@ -77,6 +78,7 @@
 	// knownUpstreams are the upstreams at the last change of the directory, by ID.
 	knownUpstreams map[string]*directory.Instance
 	exits          exitDetector
+	evacuations    evacuation.Tracker
 	quarantine     *quarantine.Node
 }
 
@@ -208,7 +210,7 @@
 func (g *Gateway) directoryChanged() {
 	known := g.node.Instances(wire.Role_ROLE_UPSTREAM)
 	g.logUpstreams(known)
-	if err := g.services.update(time.Now(), known); err != nil {
+	if err := g.services.update(time.Now(), known, g.surroundings()); err != nil {
 		kernel.Warn(g.log, "Updating the upstreams failed.", "err", err)
 	}
 	g.resolvePendingExits(known)
@@ -216,6 +218,11 @@
 	g.warmup.notify()
 }
 
+// surroundings returns what else than the upstreams themselves decides on which of them are used.
+func (g *Gateway) surroundings() surroundings {
+	return surroundings{evacuations: g.evacuations.Current(), position: g.position(), heardNow: g.now()}
+}
+
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
--- a/gateway/groupsim_test.go
+++ b/gateway/groupsim_test.go
@@ -126,7 +126,7 @@
 		f := newServiceManager(&Settings{ID: fmt.Sprint("entry-", i)})
 		f.entryInfo.Seed = seed*1000 + uint64(i)
 		f.gateways = func() int { return gateways }
-		if err := f.update(s.now, insts); err != nil {
+		if err := f.update(s.now, insts, surroundings{}); err != nil {
 			panic(err)
 		}
 		e := &simGateway{services: f, weight: 0.6 + 0.8*s.rng.Float64()}
--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -109,14 +109,16 @@
 	slotCap    slotCap
 }
 
-// setUpstreams updates the slots and the group epoch from the registrations of the upstreams that
-// are up.
-func (g *groupLimiter) setUpstreams(now time.Time, insts []*directory.Instance) {
+// setUpstreams updates the slots, those of evacuated upstreams apart, and the group epoch from the
+// registrations of the upstreams that are up.
+func (g *groupLimiter) setUpstreams(now time.Time, insts []*directory.Instance, evacuated map[string]bool) {
 	g.slots, g.lockstep, g.size = 0, false, 0
 	var reported directory.GroupEpoch
 	ranks := map[uint32]bool{}
 	for _, i := range insts {
-		g.slots += int(i.Direct.Slots)
+		if !evacuated[i.Id] {
+			g.slots += int(i.Direct.Slots)
+		}
 		g.lockstep = g.lockstep || i.Group != ""
 		g.size = max(g.size, int(i.Direct.GroupSize))
 		ranks[i.Rank] = true
--- a/gateway/limiter_test.go
+++ b/gateway/limiter_test.go
@@ -33,7 +33,7 @@
 // singleGroup returns the pool of a service with one group, and that group's limiter.
 func singleGroup(insts []*directory.Instance) (*servicePool, *groupLimiter) {
 	p := newServicePool(route.EntryInfo{ID: "e"})
-	if err := p.update(start, route.EntryInfo{ID: "e"}, insts); err != nil {
+	if err := p.update(start, route.EntryInfo{ID: "e"}, insts, surroundings{}); err != nil {
 		panic(err)
 	}
 	return p, &p.sorted[0].limiter
@@ -101,7 +101,7 @@
 	const gateways = 6
 	taken := func(part float64, held int) groupLimiter {
 		g := groupLimiter{inflight: held}
-		g.setUpstreams(start, registeredRanks(16, 1, false))
+		g.setUpstreams(start, registeredRanks(16, 1, false), nil)
 		g.recordLoad(start, &dialect.Load{Running: int(part * 120), Slots: 120})
 		return g
 	}
@@ -135,7 +135,7 @@
 // a survey.
 func reportedLimiter(total, held, index, gateways int, number uint64) *groupLimiter {
 	g := &groupLimiter{inflight: held}
-	g.setUpstreams(start, registeredRanks(16, 1, false))
+	g.setUpstreams(start, registeredRanks(16, 1, false), nil)
 	g.occupancy, g.occupancyAt, g.reportedInflight = float64(total)/192, start, held
 	g.rounding = (&route.Survey{Index: index, Entries: gateways, Number: number}).Offset()
 	return g
@@ -228,11 +228,11 @@
 	assert.Assert(t, fillGroup(p, start.Add(2*time.Second), 6) > 10)
 
 	g = &groupLimiter{}
-	g.setUpstreams(start, registeredRanks(16, 1, true))
+	g.setUpstreams(start, registeredRanks(16, 1, true), nil)
 	assert.Assert(t, g.down, "a rank reports the group as broken")
-	g.setUpstreams(start, registeredRanks(16, 2, false))
+	g.setUpstreams(start, registeredRanks(16, 2, false), nil)
 	assert.Assert(t, !g.down)
-	g.setUpstreams(start, registeredRanks(16, 1, true))
+	g.setUpstreams(start, registeredRanks(16, 1, true), nil)
 	assert.Assert(t, !g.down, "a registration of an earlier epoch marks the group down")
 }
 
@@ -373,7 +373,7 @@
 	for _, i := range formed {
 		i.Direct.GroupEpoch = 1
 	}
-	assert.NilError(t, p.update(now, route.EntryInfo{ID: "e"}, formed))
+	assert.NilError(t, p.update(now, route.EntryInfo{ID: "e"}, formed, surroundings{}))
 	d, _ = arrive(20*time.Second, false)
 	assert.Equal(t, d, decisionAdmit)
 }
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -19,6 +19,14 @@
 	// memory of a connection.
 	maxHeaderBytes = 1 << 20
 
+	// callerWriteTimeout is how long a caller may accept nothing of a response. A caller that stops
+	// reading would otherwise hold memory, and one of the requests that the gateway may have in
+	// flight, until it closes its connection.
+	callerWriteTimeout = 5 * time.Second
+	// maxWriteBytes bounds one write to a caller, so that the timeout measures progress also while
+	// a large response is written.
+	maxWriteBytes = 64 << 10
+
 	// headSentinel and idleSentinel are passed to the HTTP server as its header and idle
 	// timeouts, so that callerConn can tell which of the two a deadline stands for. They differ
 	// enough from each other and from any real timeout not to be confused.
@@ -88,13 +96,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, limits: l.limits}, nil
+	return &callerConn{Conn: c, limits: l.limits, writeTimeout: callerWriteTimeout}, nil
 }
 
 // callerConn is one caller's connection.
 type callerConn struct {
 	net.Conn
-	limits func() callerLimits
+	limits       func() callerLimits
+	writeTimeout time.Duration
 }
 
 // SetReadDeadline implements net.Conn. It replaces the sentinels by the configured timeouts.
@@ -107,3 +116,18 @@
 	}
 	return c.Conn.SetReadDeadline(t)
 }
+
+// Write implements net.Conn. It fails if the caller accepts nothing for writeTimeout.
+func (c *callerConn) Write(b []byte) (written int, err error) {
+	for {
+		part := b[written:min(written+maxWriteBytes, len(b))]
+		if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(part)
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -76,3 +78,26 @@
 	assert.Assert(t, n <= int64(onWire), "%d of %d", n, onWire)
 	assert.Assert(t, n >= 100)
 }
+
+// Guards against callers that stop reading in the middle of a response and hold its memory for good. One
+// that reads slowly gets all of it.
+func TestCallerThatStopsReadingIsCutOff(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	c := &callerConn{Conn: ours, limits: (&Gateway{}).limits, writeTimeout: 200 * time.Millisecond}
+	body := make([]byte, 3*maxWriteBytes)
+	go func() {
+		slow := make([]byte, maxWriteBytes)
+		for range 3 {
+			time.Sleep(100 * time.Millisecond)
+			_, _ = io.ReadFull(theirs, slow)
+		}
+	}()
+	n, err := c.Write(body)
+	assert.NilError(t, err)
+	assert.Equal(t, n, len(body))
+	began := time.Now()
+	_, err = c.Write(body)
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	assert.Assert(t, time.Since(began) < 5*time.Second)
+}
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -91,6 +91,7 @@
 	reasonNoUpstream      = "no-upstream"
 	reasonUpstreamsBusy   = "upstreams-busy"
 	reasonGroupIncomplete = "group-incomplete"
+	reasonEvacuated       = "evacuated"
 	reasonDraining        = "draining"
 	reasonRetryBudget     = "retry-budget"
 	reasonInDoubt         = "in-doubt"
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/evacuation"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -30,6 +31,9 @@
 	gateways     int
 	timerPending bool
 	rng          *rand.Rand
+	cold         coldUpstreams
+	// evacuated has the upstreams that are up in evacuated failure domains.
+	evacuated map[string]bool
 }
 
 // groupPool is the state of one group at a gateway: upstreams that run in lock-step with each
@@ -57,7 +61,9 @@
 }
 
 // update replaces the upstreams that are up.
-func (p *servicePool) update(now time.Time, entryInfo route.EntryInfo, insts []*directory.Instance) error {
+func (p *servicePool) update(now time.Time, entryInfo route.EntryInfo, insts []*directory.Instance, s surroundings) error {
+	p.updateEvacuated(now, insts, s.evacuations)
+	p.updateCold(now, insts, s.heardNow)
 	byGroup := map[string][]*directory.Instance{}
 	for _, i := range insts {
 		byGroup[i.Group] = append(byGroup[i.Group], i)
@@ -74,7 +80,7 @@
 	}
 	for name, g := range p.groups {
 		g.update(now, byGroup[name])
-		if len(g.upstreams) == 0 && g.limiter.inflight == 0 {
+		if len(byGroup[name]) == 0 && g.limiter.inflight == 0 {
 			delete(p.groups, name)
 		}
 	}
@@ -82,10 +88,46 @@
 	return nil
 }
 
+// updateEvacuated updates which upstreams are evacuated. Those of a domain that was restored count as
+// cold for as long as after a start: what they report of it comes later than the requests.
+func (p *servicePool) updateEvacuated(now time.Time, insts []*directory.Instance, s *evacuation.State) {
+	before := p.evacuated
+	p.evacuated = map[string]bool{}
+	for _, i := range insts {
+		switch {
+		case s.Contains(i.FailureDomain):
+			p.evacuated[i.Id] = true
+		case before[i.Id] && p.cold.limit.start > 0:
+			p.cold.mark(i.Id, now.Add(p.cold.limit.start))
+		}
+	}
+}
+
+// updateCold records which upstreams report that they are cold. heardNow is the time by the clock of
+// the directory.
+func (p *servicePool) updateCold(now time.Time, insts []*directory.Instance, heardNow time.Time) {
+	for _, i := range insts {
+		left := time.Duration(i.Direct.ColdMs)*time.Millisecond - heardNow.Sub(i.Heard)
+		if i.Direct.ColdMs > 0 && left > 0 {
+			p.cold.mark(i.Id, now.Add(left))
+		}
+	}
+}
+
+// allEvacuated reports whether the service has upstreams and all of them are evacuated.
+func (p *servicePool) allEvacuated() bool {
+	return len(p.evacuated) > 0 && !slices.ContainsFunc(p.sorted, func(g *groupPool) bool { return len(g.upstreams) > 0 })
+}
+
+// update replaces the upstreams by those of insts that aren't evacuated. An evacuated rank still
+// belongs to its group, which can't pass without it.
 func (g *groupPool) update(now time.Time, insts []*directory.Instance) {
 	g.upstreams = map[string]*directory.Instance{}
 	var upstreams []route.Upstream
 	for _, i := range insts {
+		if g.service.evacuated[i.Id] {
+			continue
+		}
 		g.upstreams[i.Id] = i
 		upstreams = append(upstreams, route.Upstream{
 			ID: i.Id, Incarnation: i.Incarnation, Address: i.Address, FailureDomain: i.FailureDomain,
@@ -93,7 +135,7 @@
 		})
 	}
 	g.balancer.SetUpstreams(now, upstreams)
-	g.limiter.setUpstreams(now, insts)
+	g.limiter.setUpstreams(now, insts, g.service.evacuated)
 }
 
 // applySurvey applies a survey of the group's ranks that are known here.
--- a/gateway/routingwatch.go
+++ b/gateway/routingwatch.go
@@ -99,6 +99,7 @@
 		silence.Reset(max(watchSilenceTimeout, silentIntervals*time.Duration(v.NextMs)*time.Millisecond))
 		w.recordVersion(v)
 		w.quarantine.ApplyReport(w.addr, v.Suspicions)
+		w.applyEvacuations(v, w.addr)
 		if err := w.fetchIfNewer(ctx, v); err != nil {
 			return err
 		}
@@ -161,6 +162,7 @@
 	}
 	g.table.Store(routing.NewTable(c))
 	g.timeouts.retain(c.Routes)
+	g.services.setColdLimits(c)
 	kernel.Info(g.log, "Routing configuration in force.", "version", c.Version, "from", from, "routes", len(c.Routes), "teams", len(c.Teams))
 	if old == nil {
 		g.triggerAnnounce()
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -8,6 +8,7 @@
 
 	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/evacuation"
 	"github.com/snipereach/snipereach/lockstep"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/wire"
@@ -35,6 +36,32 @@
 	onPasses func(service, group string, stats passStats, inputs string)
 	// gateways returns the number of gateways that are up. It is called without the lock.
 	gateways func() int
+	// position is that of this gateway at the last update.
+	position gatewayPosition
+	// coldLimits has the limits of services whose upstreams start cold.
+	coldLimits map[string]coldLimit
+}
+
+// surroundings is what else than the upstreams themselves decides on which of them are used.
+type surroundings struct {
+	evacuations *evacuation.State
+	position    gatewayPosition
+	// heardNow is the time by the directory's clock.
+	heardNow time.Time
+}
+
+// setColdLimits sets the limits of a routing configuration.
+func (m *serviceManager) setColdLimits(c *wire.RoutingConfig) {
+	limits := map[string]coldLimit{}
+	for _, s := range c.Services {
+		limits[s.Name] = newColdLimit(s)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.coldLimits = limits
+	for name, p := range m.services {
+		p.cold.limit = limits[name]
+	}
 }
 
 func newServiceManager(s *Settings) *serviceManager {
@@ -45,7 +72,7 @@
 }
 
 // update replaces the upstreams by those of insts that are up.
-func (m *serviceManager) update(now time.Time, insts []*directory.Instance) error {
+func (m *serviceManager) update(now time.Time, insts []*directory.Instance, s surroundings) error {
 	byService := map[string][]*directory.Instance{}
 	for _, i := range insts {
 		if i.Direct == nil || !i.Up() {
@@ -57,13 +84,15 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.position = s.position
 	for name := range byService {
 		if m.services[name] == nil {
 			m.services[name] = newServicePool(m.entryInfo)
 		}
 	}
 	for name, p := range m.services {
-		if err := p.update(now, m.entryInfo, byService[name]); err != nil {
+		p.cold.limit = m.coldLimits[name]
+		if err := p.update(now, m.entryInfo, byService[name], s); err != nil {
 			return err
 		}
 	}
@@ -169,10 +198,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, g := range group.candidates(now) {
-		c, ok := g.balancer.Pick(now, r)
+		c, ok := g.balancer.Pick(now, r.Excluding(g.service.cold.exhausted(now, m.position)))
 		if !ok {
 			continue
 		}
+		g.service.cold.recordSend(now, c.Upstream.ID, m.position)
 		if g != group {
 			group.limiter.release()
 			g.limiter.acquire(now)
--- a/gateway/slowrank_test.go
+++ b/gateway/slowrank_test.go
@@ -38,7 +38,7 @@
 			Id: id, Group: "g", Pools: []string{"llm"}, Phase: wire.Phase_PHASE_UP, Direct: &wire.DirectUpstream{Slots: 12},
 		}})
 	}
-	assert.NilError(t, c.services.update(now, ranks))
+	assert.NilError(t, c.services.update(now, ranks, surroundings{}))
 	at := c.services.services["llm"].sorted[0]
 	c.services.recordProgress(now, at)
 	for i := range streams {
--- a/gateway/warmup_test.go
+++ b/gateway/warmup_test.go
@@ -92,9 +92,9 @@
 			}},
 		}
 	}
-	assert.NilError(t, c.services.update(now, known(1, true)))
+	assert.NilError(t, c.services.update(now, known(1, true), surroundings{}))
 	assert.Assert(t, c.services.serves("clock"))
 	assert.Assert(t, !c.services.serves("llm"), "the group is down")
-	assert.NilError(t, c.services.update(now, known(2, false)))
+	assert.NilError(t, c.services.update(now, known(2, false), surroundings{}))
 	assert.Assert(t, c.services.serves("llm"))
 }
--- a/operators/system.go
+++ b/operators/system.go
@@ -66,6 +66,8 @@
 type System interface {
 	Entries() []EntryState
 	Upstreams() []UpstreamState
+	// Evacuated returns the evacuated failure domains, sorted.
+	Evacuated() []string
 	// Dump returns the state of a process as JSON. The address is used if the
 	// directory doesn't contain the ID.
 	Dump(ctx context.Context, id, address string) (json.RawMessage, error)
@@ -82,13 +84,15 @@
 	Replicas  []Member        `json:"replicas"`
 	Entries   []EntryState    `json:"entries"`
 	Upstreams []UpstreamState `json:"upstreams"`
+	// Evacuated are the evacuated failure domains, sorted.
+	Evacuated []string `json:"evacuated,omitempty"`
 }
 
 // HealthUnknown is the health of a log whose leader doesn't answer.
 const HealthUnknown = "no-leader"
 
 func (h *Handler) getStatus(c *call) {
-	s := Status{Replicas: []Member{}, Entries: h.system.Entries(), Upstreams: h.system.Upstreams()}
+	s := Status{Replicas: []Member{}, Entries: h.system.Entries(), Upstreams: h.system.Upstreams(), Evacuated: h.system.Evacuated()}
 	reply, err := h.callMembers(c.r.Context(), &wire.MembersRequest{Verb: control.VerbList})
 	if err != nil {
 		s.Health, s.Detail = HealthUnknown, err.Error()
--- a/operators/system_test.go
+++ b/operators/system_test.go
@@ -27,6 +27,8 @@
 
 func (f staticSystem) Entries() []operators.EntryState      { return f.entries }
 func (f staticSystem) Upstreams() []operators.UpstreamState { return nil }
+
+func (f staticSystem) Evacuated() []string { return nil }
 func (f staticSystem) Dump(context.Context, string, string) (json.RawMessage, error) {
 	return json.RawMessage("{}"), f.err
 }
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,51 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/snipereach/snipereach/quota"
+)
+
+// Guards against shares that add up to more than the allowance, and shares of nothing where there is
+// enough for all, at any number of members.
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(0, 3000).Draw(t, "total")
+		count := rapid.SampledFrom([]int{1, 2, 40, 400, 427, 2000, 5000}).Draw(t, "members")
+		sum := 0
+		for i := range count {
+			s := quota.Share(total, i, count)
+			assert.Assert(t, s == total/count || s == total/count+1, "share %d of %d for %d", s, total, count)
+			sum += s
+		}
+		assert.Equal(t, sum, total)
+	})
+}
+
+// Guards against more events in some window than allowed, wherever it begins.
+func TestWindowHoldsForEverySpan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const length = 10 * time.Second
+		limit := rapid.IntRange(0, 5).Draw(t, "limit")
+		var w quota.Window
+		now := time.Unix(0, 0)
+		var taken []time.Time
+		for range rapid.IntRange(1, 80).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "gap")) * time.Millisecond)
+			if w.Take(now, length, limit) {
+				taken = append(taken, now)
+			}
+			inSpan := 0
+			for _, at := range taken {
+				if now.Sub(at) < length {
+					inSpan++
+				}
+			}
+			assert.Assert(t, inSpan <= limit)
+		}
+	})
+}
--- a/route/route.go
+++ b/route/route.go
@@ -3,6 +3,7 @@
 package route
 
 import (
+	"maps"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -36,6 +37,17 @@
 	Exclude map[string]bool
 }
 
+// Excluding returns the request with more upstreams excluded; r itself if there are none.
+func (r *Request) Excluding(ids map[string]bool) *Request {
+	if len(ids) == 0 {
+		return r
+	}
+	next := *r
+	next.Exclude = maps.Clone(ids)
+	maps.Copy(next.Exclude, r.Exclude)
+	return &next
+}
+
 // Result describes how an attempt ended.
 type Result struct {
 	Outcome wire.Outcome
--- a/table/machine.go
+++ b/table/machine.go
@@ -229,6 +229,19 @@
 	return r
 }
 
+// VersionOf returns the version of a row, also if it is deleted; 0 if there never was one.
+func (m *Machine) VersionOf(kind, key string) uint64 { return m.versionOf(m.rows[rowID{kind, key}]) }
+
+// LatestRevision returns the latest revision at which a row of a kind was changed or deleted; 0 if none was.
+func (m *Machine) LatestRevision(kind string) (latest uint64) {
+	for id, r := range m.rows {
+		if id.kind == kind {
+			latest = max(latest, r.Revision)
+		}
+	}
+	return latest
+}
+
 // Rows returns the current rows of a kind, or of all kinds if kind is empty, sorted by kind and key.
 func (m *Machine) Rows(kind string) []*wire.Row {
 	var list []*wire.Row
--- a/table/schema.go
+++ b/table/schema.go
@@ -19,6 +19,9 @@
 	KindLimit   = "limit"
 	KindWeight  = "weight"
 	KindGroup   = "group"
+	// KindEvacuation rows are named after failure domains. They are set to "no" rather than deleted
+	// when an evacuation ends, so that an order that arrives late has an outdated base version.
+	KindEvacuation = "evacuation"
 )
 
 // ColumnKeySHA256 is the column with the digests of a team's bearer keys, which callers must not see.
@@ -144,6 +147,9 @@
 		{Name: "step_us", Default: "5000", Unit: "us", Doc: "time of a step when all ranks are even", check: intBetween(1, 60_000_000)},
 		{Name: "paused", Default: "no", Doc: "yes stops rebalancing", check: oneOf("yes", "no")},
 	},
+	KindEvacuation: {
+		{Name: "evacuated", Default: "yes", Doc: "yes sends no new requests to the upstreams of the failure domain", check: oneOf("yes", "no")},
+	},
 }
 
 // Kinds returns the kinds of rows, sorted.
--- a/table/view.go
+++ b/table/view.go
@@ -88,24 +88,27 @@
 	Services map[string]*Service
 	Pools    map[string]*Pool
 	Groups   map[string]*Group
-	limits   map[string]*Limit
-	weights  map[string]*Weight
-	byModel  map[string]*Service
-	byKey    map[[sha256.Size]byte]*Team
+	// Evacuated has the evacuated failure domains.
+	Evacuated map[string]bool
+	limits    map[string]*Limit
+	weights   map[string]*Weight
+	byModel   map[string]*Service
+	byKey     map[[sha256.Size]byte]*Team
 }
 
 // NewView checks rows and returns their view. Deleted rows are left out.
 func NewView(revision uint64, rows []*wire.Row) (*View, error) {
 	v := &View{
-		Revision: revision,
-		Teams:    map[string]*Team{},
-		Services: map[string]*Service{},
-		Pools:    map[string]*Pool{},
-		Groups:   map[string]*Group{},
-		limits:   map[string]*Limit{},
-		weights:  map[string]*Weight{},
-		byModel:  map[string]*Service{},
-		byKey:    map[[sha256.Size]byte]*Team{},
+		Revision:  revision,
+		Teams:     map[string]*Team{},
+		Services:  map[string]*Service{},
+		Pools:     map[string]*Pool{},
+		Groups:    map[string]*Group{},
+		Evacuated: map[string]bool{},
+		limits:    map[string]*Limit{},
+		weights:   map[string]*Weight{},
+		byModel:   map[string]*Service{},
+		byKey:     map[[sha256.Size]byte]*Team{},
 	}
 	for _, r := range rows {
 		if err := v.checkAndAdd(r); err != nil {
@@ -192,6 +195,10 @@
 			Source: src, Requests: c.float("requests_per_second"),
 			Tokens: c.float("tokens_per_second"), Concurrent: c.int("concurrent"),
 		}
+	case KindEvacuation:
+		if c.yes("evacuated") {
+			v.Evacuated[r.Key] = true
+		}
 	case KindWeight:
 		v.weights[r.Key] = &Weight{Source: src, Weight: c.int("weight")}
 	case KindGroup:
--- a/table/viewchange.go
+++ b/table/viewchange.go
@@ -55,6 +55,9 @@
 	if touched[KindLimit] {
 		v.limits = maps.Clone(v.limits)
 	}
+	if touched[KindEvacuation] {
+		v.Evacuated = maps.Clone(v.Evacuated)
+	}
 	if touched[KindWeight] {
 		v.weights = maps.Clone(v.weights)
 	}
@@ -72,6 +75,8 @@
 		delete(v.Groups, id.key)
 	case KindLimit:
 		delete(v.limits, id.key)
+	case KindEvacuation:
+		delete(v.Evacuated, id.key)
 	case KindWeight:
 		delete(v.weights, id.key)
 	}
