Retry allowance in whole tokens: own shares, and single retries lent by control replicas

Change: package retry. A gateway has what its requests earn (bounded by its whole share of 0.2 of the slack), its whole share of 0.3 of the slack in a sliding window, and borrows single tokens of another 0.3 from the nearest replica, which lends its own whole share in a sliding window and nothing in the first window after its start. Streams leave slow ranks with own tokens only.

--- a/control/control.go
+++ b/control/control.go
@@ -18,6 +18,7 @@
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/lockstep/leader"
 	"github.com/snipereach/snipereach/quarantine"
+	"github.com/snipereach/snipereach/retry"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/wire"
@@ -64,6 +65,8 @@
 	metrics  *kernel.Metrics
 	// suspicions are about requests that may crash upstreams.
 	suspicions *suspicionStore
+	// lender lends retries to gateways.
+	lender *retry.Lender
 
 	mu       sync.Mutex
 	identity *wire.Identity
@@ -78,7 +81,7 @@
 		return nil, err
 	}
 	s.Now = s.clock()
-	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, surveys: &surveyFeed{}, metrics: kernel.NewMetrics(), suspicions: newSuspicionStore(s.Now)}
+	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, surveys: &surveyFeed{}, metrics: kernel.NewMetrics(), suspicions: newSuspicionStore(s.Now), lender: retry.NewLender(s.Now)}
 	c.groups = newGroupLeader(s, kernel.PartLog(l, "groups"), pool)
 	if s.Lockstep == nil {
 		return c, nil
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -362,7 +362,7 @@
 	if c.lastOutcome == outcomeNotSent || c.retryReserved.Swap(false) {
 		return true
 	}
-	if !c.retryBudgets.takeToken(c.service) {
+	if !c.retryBudget.Take(c.service) {
 		c.reason = reasonRetryBudget
 		return false
 	}
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -4,5 +4,5 @@
 //
 // Decisions are made by code without network access: package routing matches routes, package
 // route chooses upstreams, and here groupLimiter, servicePool and waitQueue decide on admission,
-// retryBudgets and attemptHistory on retries.
+// attemptHistory on retries, within the limits of package retry.
 package gateway
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/snipereach/snipereach/evacuation"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/quarantine"
+	"github.com/snipereach/snipereach/retry"
 	"github.com/snipereach/snipereach/routing"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
@@ -39,24 +40,24 @@
 
 // Gateway serves the requests of callers. It implements kernel.Daemon.
 type Gateway struct {
-	settings     *Settings
-	log          log.Logger
-	dialect      dialect.Dialect
-	now          func() time.Time
-	certs        *transport.Certificates
-	pool         *transport.Pool
-	client       *direct.Client
-	node         *directory.Node
-	targets      *directory.Targets
-	incarnation  *directory.Incarnation
-	services     *serviceManager
-	movable      *movableAttempts
-	fetches      *fetchGroup
-	warmup       *warmup
-	timeouts     *callerTimeouts
-	retryBudgets *retryBudgets
-	requestLog   *requestLog
-	metrics      *gatewayMetrics
+	settings    *Settings
+	log         log.Logger
+	dialect     dialect.Dialect
+	now         func() time.Time
+	certs       *transport.Certificates
+	pool        *transport.Pool
+	client      *direct.Client
+	node        *directory.Node
+	targets     *directory.Targets
+	incarnation *directory.Incarnation
+	services    *serviceManager
+	movable     *movableAttempts
+	fetches     *fetchGroup
+	warmup      *warmup
+	timeouts    *callerTimeouts
+	retryBudget *retry.Budget
+	requestLog  *requestLog
+	metrics     *gatewayMetrics
 	// stateLog limits the log lines about the state of other processes.
 	stateLog *kernel.LogLimiter
 	dumps    kernel.Dumps
@@ -78,8 +79,10 @@
 	// knownUpstreams are the upstreams at the last change of the directory, by ID.
 	knownUpstreams map[string]*directory.Instance
 	exits          exitDetector
-	evacuations    evacuation.Tracker
-	quarantine     *quarantine.Node
+	// lastPosition is the position at the last change of the directory.
+	lastPosition atomic.Pointer[gatewayPosition]
+	evacuations  evacuation.Tracker
+	quarantine   *quarantine.Node
 }
 
 // New creates a Gateway. It returns an error if the settings are invalid.
@@ -110,7 +113,7 @@
 	g.services.onStateChange, g.services.onPasses, g.services.gateways = g.logStateChange, g.logPasses, g.gatewayCount
 	g.metrics.register(g)
 	g.node = directory.NewNode(directorySettings(), now, g.directoryChanged)
-	g.retryBudgets = newRetryBudgets(s.Retries, g.gatewayCount, now)
+	g.retryBudget = retry.NewBudget(s.Retries.allowance(), g.retryPosition, g.borrowRetry, now)
 	g.dumps.Add("directory", g.node.Dump)
 	g.dumps.Add("gateway", g.dump)
 	g.dumps.Add("quarantine", g.quarantine.Dump)
@@ -195,6 +198,7 @@
 	index, count int
 }
 
+// position counts the gateways that are up, for which it looks at all instances.
 func (g *Gateway) position() gatewayPosition {
 	known := g.node.Instances(wire.Role_ROLE_ENTRY)
 	p := gatewayPosition{count: max(len(known), 1)}
@@ -220,7 +224,9 @@
 
 // surroundings returns what else than the upstreams themselves decides on which of them are used.
 func (g *Gateway) surroundings() surroundings {
-	return surroundings{evacuations: g.evacuations.Current(), position: g.position(), heardNow: g.now()}
+	p := g.position()
+	g.lastPosition.Store(&p)
+	return surroundings{evacuations: g.evacuations.Current(), position: p, heardNow: g.now()}
 }
 
 // ServeHTTP serves one request of a caller.
@@ -255,7 +261,7 @@
 		return
 	}
 	defer c.guard.Done()
-	g.retryBudgets.recordRequest(c.service)
+	g.retryBudget.RecordRequest(c.service)
 	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
 		c.serveStream()
 		return
--- a/gateway/limiter_test.go
+++ b/gateway/limiter_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/retry"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -262,14 +263,17 @@
 
 // All gateways together stay within the retry budget in any window.
 func TestRetryBudgetOfAllGateways(t *testing.T) {
-	s := RetrySettings{Ratio: 0.2, Slack: 88}
-	s.Window = durationOf(10 * time.Second)
+	s := retry.Allowance{Ratio: 0.2, Slack: 88, Window: 10 * time.Second}
 	rapid.Check(t, func(t *rapid.T) {
 		gateways := rapid.IntRange(1, 40).Draw(t, "gateways")
 		now := start
-		var all []*retryBudgets
-		for range gateways {
-			all = append(all, newRetryBudgets(s, func() int { return gateways }, func() time.Time { return now }))
+		clock := func() time.Time { return now }
+		lender := retry.NewLender(clock)
+		now = now.Add(s.Window)
+		borrow := func(service string) bool { return lender.Lend(service, s, retry.Position{Count: 1}) }
+		var all []*retry.Budget
+		for i := range gateways {
+			all = append(all, retry.NewBudget(s, func() retry.Position { return retry.Position{Index: i, Count: gateways} }, borrow, clock))
 		}
 		type tick struct{ requests, retries int }
 		var ticks []tick
@@ -278,8 +282,8 @@
 			k := tick{requests: offered}
 			for i := range offered {
 				b := all[i%gateways]
-				b.recordRequest("pool")
-				for b.takeToken("pool") {
+				b.RecordRequest("pool")
+				for b.Take("pool") {
 					k.retries++
 				}
 			}
--- a/gateway/slowrank.go
+++ b/gateway/slowrank.go
@@ -70,7 +70,8 @@
 	return list
 }
 
-// applySurvey applies the states of ranks, and has running requests leave the slow ones.
+// applySurvey applies the states of ranks, and has running requests leave the slow ones, without
+// borrowing retries, for which surveys would have to wait.
 func (g *Gateway) applySurvey(number uint64, ranks []*wire.RankState) {
 	if len(ranks) == 0 {
 		return
@@ -78,7 +79,7 @@
 	now := time.Now()
 	for _, id := range g.services.applySurvey(now, number, ranks, g.position()) {
 		for _, w := range g.movable.at(id) {
-			if w.call.reserveRetry(now, w.group) {
+			if w.call.reserveRetry(now, w.group, g.retryBudget.TakeOwn) {
 				g.logState("Request leaves a slow upstream.", "request", w.call.params.ID, "upstream", id)
 				g.metrics.Count("gateway.left_slow")
 				w.cancel()
--- a/gateway/slowrank_test.go
+++ b/gateway/slowrank_test.go
@@ -10,6 +10,7 @@
 	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/retry"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -20,9 +21,12 @@
 	left []int
 }
 
-// newSlowRankGateway returns a gateway with the given numbers of streams at r2 and of retries in
-// the budget.
-func newSlowRankGateway(t *testing.T, streams int, attempts float64) *slowRankGateway {
+// slackForThree is a slack of which a single gateway may use three retries at once.
+const slackForThree = 7
+
+// newSlowRankGateway returns a gateway with the given numbers of streams at r2 and the given slack of
+// the retry budget.
+func newSlowRankGateway(t *testing.T, streams int, slack float64) *slowRankGateway {
 	set := DefaultSettings()
 	set.ID = "entry-1"
 	now := time.Now()
@@ -30,8 +34,8 @@
 		settings: set, movable: newMovableAttempts(), metrics: newGatewayMetrics(), log: log.NewNopLogger(),
 		stateLog: kernel.NewLogLimiter(stateLogLines, time.Now), services: newServiceManager(set), node: directory.NewNode(directory.DefaultSettings(), time.Now, nil),
 	}}
-	retries := RetrySettings{Slack: attempts / budgetMargin / budgetBurstFraction, Window: durationOf(10 * time.Second)}
-	c.retryBudgets = newRetryBudgets(retries, func() int { return 1 }, func() time.Time { return now })
+	alone := func() retry.Position { return retry.Position{Count: 1} }
+	c.retryBudget = retry.NewBudget(retry.Allowance{Slack: slack, Window: 10 * time.Second}, alone, nil, func() time.Time { return now })
 	var ranks []*directory.Instance
 	for _, id := range []string{"r0", "r1", "r2", "r3", "r4", "r5"} {
 		ranks = append(ranks, &directory.Instance{Announcement: &wire.Announcement{
@@ -62,17 +66,17 @@
 // Streams leave a rank that becomes slow, as it delays the whole group, but no more of them than
 // the retry budget allows.
 func TestStreamsLeaveSlowRankWithinBudget(t *testing.T) {
-	c := newSlowRankGateway(t, 5, 3)
+	c := newSlowRankGateway(t, 5, slackForThree)
 	c.applySurvey(1, rankStates(100, 100, 100, 100, 100, 100))
 	assert.Equal(t, len(c.left), 0)
 	c.applySurvey(1, rankStates(100, 100, 500, 100, 100, 100))
 	assert.Equal(t, len(c.left), 3)
-	assert.Assert(t, !c.retryBudgets.takeToken("llm"), "the retry budget was exceeded")
+	assert.Assert(t, !c.retryBudget.Take("llm"), "the retry budget was exceeded")
 }
 
 // A stream without another attempt stays, as leaving would end it.
 func TestStreamWithoutRetryStays(t *testing.T) {
-	c := newSlowRankGateway(t, 1, 3)
+	c := newSlowRankGateway(t, 1, slackForThree)
 	for _, w := range c.movable.at("r2") {
 		w.call.sent.Store(1)
 	}
@@ -82,7 +86,7 @@
 
 // If too many ranks are slow, the others have no room for their requests, so none leaves.
 func TestStreamsStayInSlowGroup(t *testing.T) {
-	c := newSlowRankGateway(t, 2, 3)
+	c := newSlowRankGateway(t, 2, slackForThree)
 	c.applySurvey(1, rankStates(500, 100, 500, 100, 100, 100))
 	assert.Equal(t, len(c.left), 0)
 	assert.Equal(t, len(ranksToLeave([]*wire.RankState{{Upstream: "r0", PacePercent: 500}})), 0)
@@ -90,7 +94,7 @@
 
 // An attempt that has ended is removed, and its upstream if it was the last.
 func TestEndedAttemptsAreRemoved(t *testing.T) {
-	c := newSlowRankGateway(t, 1, 3)
+	c := newSlowRankGateway(t, 1, slackForThree)
 	ws := c.movable.at("r2")
 	assert.Equal(t, len(ws), 1)
 	ws[0].stop()
