--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -15,12 +15,12 @@
 	// the occupancy is unknown, as requests don't spread evenly over gateways. plainShareMargin
 	// is the same for a plain service, whose occupancy is never used; it is larger, as its
 	// requests are short.
-	evenShareMargin = 1.2
+	evenShareMargin  = 1.2
+	plainShareMargin = 1.5
 	// evenShareDeviations is the room above a small share, in standard deviations of a number of
 	// requests that come at random, and maxEvenShareRoom its bound, in requests.
 	evenShareDeviations = 2
 	maxEvenShareRoom    = 3
-	plainShareMargin    = 1.5
 	// maxFill is the fraction of a group's slots that gateways fill. Ranks aren't loaded evenly,
 	// and a request that queues at a full rank is late.
 	maxFill = 0.95
