Revert "Room above a small even share while a group's load is unknown"

While a third of the ranks has registered, the room goes to these alone, and the busiest of them makes the passes of all long; the bound by registered slots is what protects them.

--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"github.com/snipereach/snipereach/dialect"
@@ -17,10 +16,6 @@
 	// requests are short.
 	evenShareMargin  = 1.2
 	plainShareMargin = 1.5
-	// evenShareDeviations is the room above a small share, in standard deviations of a number of
-	// requests that come at random, and maxEvenShareRoom its bound, in requests.
-	evenShareDeviations = 2
-	maxEvenShareRoom    = 3
 	// maxFill is the fraction of a group's slots that gateways fill. Ranks aren't loaded evenly,
 	// and a request that queues at a full rank is late.
 	maxFill = 0.95
@@ -324,7 +319,7 @@
 		return max(int(plainShareMargin*plainRequestsPerSlot*slots*share), min(minPlainLimit, g.slots), 1)
 	}
 	if now.Sub(g.occupancyAt) >= occupancyStaleness {
-		return evenShareLimit(slots * share)
+		return max(int(evenShareMargin*slots*share), 1)
 	}
 	used, usable := g.occupancy*slots, min(maxFill, g.slotCap.fraction(now))*slots
 	own := float64(g.reportedInflight)
@@ -336,14 +331,6 @@
 	return max(int(own+g.rounding), 1)
 }
 
-// evenShareLimit returns how many requests a gateway may have in flight whose even share of the slots is
-// the given one. Requests come to gateways at random, so a gateway with a small share often has more
-// than its share while others have less; rounded down, an even share would hold it back.
-func evenShareLimit(share float64) int {
-	room := min(evenShareDeviations*math.Sqrt(share), maxEvenShareRoom)
-	return max(int(max(evenShareMargin*share, share+room)), 1)
-}
-
 func (g *groupLimiter) release() { g.inflight-- }
 
 // markUp records that the group has served a request.
