Split the process and the HTTP API of control replicas off into control/daemon

control held the replicated log's service, the process around it and the HTTP API. The package daemon has the settings, servers and API of snipereach-control and uses control through exported methods only (PutRouting, GetRouting, SetEvacuation, ReplicaAddresses, FollowSurveys, Metrics). No behaviour changes.

--- a/cmd/snipereach-control/main.go
+++ b/cmd/snipereach-control/main.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/control/daemon"
 	"github.com/snipereach/snipereach/kernel"
 	_ "github.com/snipereach/snipereach/platform"
 )
@@ -15,10 +15,10 @@
 func main() {
 	os.Exit(kernel.Main(kernel.Program{
 		Name:        "snipereach-control",
-		NewSettings: func() any { return control.DefaultDaemonSettings() },
+		NewSettings: func() any { return daemon.DefaultSettings() },
 		Build: func(v any, l log.Logger) (kernel.Daemon, time.Duration, error) {
-			s := v.(*control.DaemonSettings)
-			d, err := control.NewDaemon(s, l)
+			s := v.(*daemon.Settings)
+			d, err := daemon.New(s, l)
 			return d, s.StopLimit.D(), err
 		},
 	}, os.Args[1:], os.Stdout, os.Stderr))
--- a/control/control.go
+++ b/control/control.go
@@ -80,7 +80,7 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	s.Now = s.clock()
+	s.Now = s.Clock()
 	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, surveys: &surveyFeed{}, metrics: kernel.NewMetrics(), suspicions: newSuspicionStore(s.Now), lender: retry.NewLender(s.Now)}
 	c.groups = newGroupLeader(s, kernel.PartLog(l, "groups"), pool)
 	if s.Lockstep == nil {
@@ -94,6 +94,9 @@
 	return c, err
 }
 
+// Metrics returns the counters of the replica.
+func (c *Control) Metrics() *kernel.Metrics { return c.metrics }
+
 // SetEntrySource sets the source from which a leader learns which entries are up. It must be
 // called before Start; without it there is no ring of claim registers.
 func (c *Control) SetEntrySource(f func() []*wire.RingMember) { c.entries = f }
@@ -365,9 +368,9 @@
 	}
 }
 
-// knownReplicaAddresses returns the addresses of the other members in the settings and on the
+// ReplicaAddresses returns the addresses of the other members in the settings and on the
 // log. Either may be out of date.
-func (c *Control) knownReplicaAddresses(ctx context.Context) []string {
+func (c *Control) ReplicaAddresses(ctx context.Context) []string {
 	list := c.otherMembers()
 	for _, p := range c.DirectoryReplicas(ctx) {
 		if p.Address != c.info.Address && !slices.Contains(list, p.Address) {
@@ -381,7 +384,7 @@
 // return. Otherwise a replica with an empty data folder could not find a leader that its
 // settings don't list.
 func (c *Control) requestJoinFromAll(ctx context.Context) {
-	list := c.knownReplicaAddresses(ctx)
+	list := c.ReplicaAddresses(ctx)
 	for i := 0; i < len(list) && ctx.Err() == nil; i++ {
 		for _, addr := range c.requestJoin(ctx, list[i]) {
 			if addr != c.info.Address && !slices.Contains(list, addr) {
--- a/control/daemon/api.go
+++ b/control/daemon/api.go
@@ -1,4 +1,4 @@
-package control
+package daemon
 
 import (
 	"cmp"
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/gorilla/mux"
 
+	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
@@ -68,7 +69,7 @@
 type api struct {
 	settings APISettings
 	dialect  dialect.Dialect
-	control  *Control
+	control  *control.Control
 	node     *directory.Node
 	pool     *transport.Pool
 	log      log.Logger
@@ -77,12 +78,12 @@
 	servers             []*http.Server
 }
 
-func newAPI(s APISettings, c *Control, n *directory.Node, l log.Logger) (*api, error) {
+func newAPI(s APISettings, c *control.Control, n *directory.Node, pool *transport.Pool, now func() time.Time, l log.Logger) (*api, error) {
 	d, err := dialect.ByName(s.Dialect)
 	if err != nil {
 		return nil, err
 	}
-	return &api{settings: s, dialect: d, control: c, node: n, pool: c.pool, log: kernel.PartLog(l, "api"), rejectionLogLimiter: kernel.NewLogLimiter(maxRejectionLogsPerSecond, c.settings.Now)}, nil
+	return &api{settings: s, dialect: d, control: c, node: n, pool: pool, log: kernel.PartLog(l, "api"), rejectionLogLimiter: kernel.NewLogLimiter(maxRejectionLogsPerSecond, now)}, nil
 }
 
 // start listens at the API's addresses and serves in the background.
@@ -184,7 +185,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), routingRequestTimeout)
 	defer cancel()
-	reply, err := routingService{&service{a.control}}.Put(ctx, &wire.PutRoutingRequest{Config: c})
+	reply, err := a.control.PutRouting(ctx, c)
 	if err != nil {
 		a.writeError(w, http.StatusBadRequest, err.Error())
 		return
@@ -201,7 +202,7 @@
 func (a *api) getRouting(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), routingRequestTimeout)
 	defer cancel()
-	c, err := routingService{&service{a.control}}.Get(ctx, &wire.GetRoutingRequest{})
+	c, err := a.control.GetRouting(ctx)
 	switch {
 	case err != nil:
 		a.writeError(w, http.StatusServiceUnavailable, err.Error())
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -1,4 +1,7 @@
-package control
+// Package daemon is the process of a control replica, snipereach-control: its settings, its
+// servers, and the HTTP API for operators, for upstreams without an agent and for callers that
+// discover entries.
+package daemon
 
 import (
 	"cmp"
@@ -10,6 +13,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/go-kit/log"
 
+	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/transport"
@@ -28,8 +32,8 @@
 // ErrStart is returned if the daemon or its API can't listen.
 var ErrStart = merry.Sentinel("control can't start")
 
-// DaemonSettings are the settings of snipereach-control.
-type DaemonSettings struct {
+// Settings are the settings of snipereach-control.
+type Settings struct {
 	ID            string                `toml:"id"`
 	FailureDomain string                `toml:"failure_domain"`
 	ClusterSecret string                `toml:"cluster_secret"`
@@ -41,25 +45,25 @@
 	// OperatorsListen is the HTTP address of the metrics and the state dump; empty disables it.
 	OperatorsListen string `toml:"operators_listen"`
 	// API configures the HTTP API; nil disables it.
-	API       *APISettings    `toml:"api"`
-	Control   Settings        `toml:"control"`
-	StopLimit kernel.Duration `toml:"stop_limit"`
+	API       *APISettings     `toml:"api"`
+	Control   control.Settings `toml:"control"`
+	StopLimit kernel.Duration  `toml:"stop_limit"`
 	// Dial, if set, opens connections to other processes. Programs that embed a replica may
 	// set it.
 	Dial transport.DialFunc `toml:"-"`
 }
 
-// DefaultDaemonSettings returns the default settings.
-func DefaultDaemonSettings() *DaemonSettings {
-	return &DaemonSettings{
+// DefaultSettings returns the default settings.
+func DefaultSettings() *Settings {
+	return &Settings{
 		Listen:    "127.0.0.1:0",
-		Control:   DefaultSettings(),
+		Control:   control.DefaultSettings(),
 		StopLimit: kernel.Duration(30 * time.Second),
 	}
 }
 
 // Check returns an error that names the first invalid key.
-func (s *DaemonSettings) Check() error {
+func (s *Settings) Check() error {
 	bad := kernel.InvalidKey
 	switch {
 	case s.ID == "":
@@ -79,7 +83,7 @@
 }
 
 // SetDefaults implements kernel.Defaulter.
-func (s *DaemonSettings) SetDefaults() {
+func (s *Settings) SetDefaults() {
 	s.Control.SetDefaults()
 	if s.API != nil {
 		s.API.EntryListTTL = cmp.Or(s.API.EntryListTTL, kernel.Duration(defaultKeep))
@@ -89,13 +93,13 @@
 
 // Daemon is the process of a control replica, snipereach-control. It implements kernel.Daemon.
 type Daemon struct {
-	settings *DaemonSettings
+	settings *Settings
 	log      log.Logger
 	certs    *transport.Certificates
 	pool     *transport.Pool
 	srv      *transport.Server
 	node     *directory.Node
-	control  *Control
+	control  *control.Control
 	dumps    kernel.Dumps
 	lis      net.Listener
 	ops      *http.Server
@@ -103,8 +107,8 @@
 	cancel   context.CancelFunc
 }
 
-// NewDaemon returns a daemon. It returns an error if the settings are invalid.
-func NewDaemon(s *DaemonSettings, l log.Logger) (*Daemon, error) {
+// New returns a daemon. It returns an error if the settings are invalid.
+func New(s *Settings, l log.Logger) (*Daemon, error) {
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
@@ -115,23 +119,23 @@
 	d := &Daemon{
 		settings: s, log: kernel.PartLog(l, "control"), certs: certs,
 		pool: transport.NewPool(sec), srv: transport.NewServer(sec),
-		node: directory.NewNode(directorySettings(), s.Control.clock(), nil),
+		node: directory.NewNode(directorySettings(), s.Control.Clock(), nil),
 	}
 	d.pool.SetDial(s.Dial)
-	if d.control, err = New(s.Control, l, d.pool); err != nil {
+	if d.control, err = control.New(s.Control, l, d.pool); err != nil {
 		return nil, err
 	}
-	d.srv.CountTraffic(transport.NewTraffic(d.control.metrics.Registry))
+	d.srv.CountTraffic(transport.NewTraffic(d.control.Metrics().Registry))
 	d.dumps.Add("control", d.control.Dump)
 	d.dumps.Add("directory", d.node.Dump)
 	if s.API == nil {
 		// Entries without agents make no claims, so there is no ring of registers.
 		d.control.SetEntrySource(d.node.RingMembers)
-	} else if d.api, err = newAPI(*s.API, d.control, d.node, l); err != nil {
+	} else if d.api, err = newAPI(*s.API, d.control, d.node, d.pool, s.Control.Clock(), l); err != nil {
 		return nil, err
 	}
 	d.node.SetReplicas(d.control.DirectoryReplicas)
-	d.control.SetUpstreamSource(UpstreamLister(d.node))
+	d.control.SetUpstreamSource(control.UpstreamLister(d.node))
 	d.control.SetRankAnswerHandler(d.node.RenewDirect)
 	if err := d.control.Register(d.srv.Mux); err != nil {
 		return nil, err
@@ -139,7 +143,7 @@
 	if err := d.dumps.Register(d.srv.Mux); err != nil {
 		return nil, err
 	}
-	return d, wire.DRPCRegisterDirectory(d.srv.Mux, NewDirectoryService(d.node, d.control))
+	return d, wire.DRPCRegisterDirectory(d.srv.Mux, control.NewDirectoryService(d.node, d.control))
 }
 
 // directorySettings returns the settings of a replica's directory. A replica sends no probes
@@ -160,14 +164,14 @@
 	ctx, d.cancel = context.WithCancel(ctx)
 	go d.srv.Serve(ctx, lis)
 	go d.node.Run(ctx)
-	info := ReplicaInfo{Name: d.settings.ID, Address: d.address(), FailureDomain: d.settings.FailureDomain}
+	info := control.ReplicaInfo{Name: d.settings.ID, Address: d.address(), FailureDomain: d.settings.FailureDomain}
 	if err := d.control.Start(ctx, info); err != nil {
 		return err
 	}
-	peers := func() []string { return d.control.knownReplicaAddresses(ctx) }
+	peers := func() []string { return d.control.ReplicaAddresses(ctx) }
 	d.node.FollowEach(ctx, peers, d.pool.Conn, &wire.DirectoryWatchRequest{Watcher: d.settings.ID, LocalOnly: true})
 	if d.settings.Control.Lockstep != nil {
-		go d.control.followSurveys(ctx, d.settings.ID, peers)
+		go d.control.FollowSurveys(ctx, d.settings.ID, peers)
 	}
 	if d.api != nil {
 		if err := d.api.start(); err != nil {
@@ -195,7 +199,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/debug/state", &d.dumps)
-	m := d.control.metrics
+	m := d.control.Metrics()
 	d.control.RegisterMetrics(m.Registry)
 	mux.Handle("/metrics", kernel.MetricsHandler(m.Registry))
 	mux.Handle("/metrics.txt", m)
--- a/control/daemon/registrations.go
+++ b/control/daemon/registrations.go
@@ -1,4 +1,4 @@
-package control
+package daemon
 
 import (
 	"context"
@@ -96,7 +96,7 @@
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for _, addr := range a.control.knownReplicaAddresses(ctx) {
+	for _, addr := range a.control.ReplicaAddresses(ctx) {
 		others++
 		wg.Add(1)
 		go func() {
--- a/control/routing.go
+++ b/control/routing.go
@@ -37,6 +37,16 @@
 	return forwardServiceToLeader(ctx, s, wire.NewDRPCRoutingClient, call)
 }
 
+// PutRouting is Routing.Put for a caller in this process.
+func (c *Control) PutRouting(ctx context.Context, config *wire.RoutingConfig) (*wire.PutRoutingReply, error) {
+	return routingService{&service{c}}.Put(ctx, &wire.PutRoutingRequest{Config: config})
+}
+
+// GetRouting is Routing.Get for a caller in this process.
+func (c *Control) GetRouting(ctx context.Context) (*wire.RoutingConfig, error) {
+	return routingService{&service{c}}.Get(ctx, &wire.GetRoutingRequest{})
+}
+
 // Put implements the Routing service. It returns once the configuration, or one with the same
 // or a higher version, is durable on a majority of the voters.
 func (s routingService) Put(ctx context.Context, req *wire.PutRoutingRequest) (*wire.PutRoutingReply, error) {
--- a/control/settings.go
+++ b/control/settings.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// clock returns Now, or the default clock if it isn't set.
-func (s *Settings) clock() func() time.Time {
+// Clock returns Now, or the default clock if it isn't set.
+func (s *Settings) Clock() func() time.Time {
 	if s.Now == nil {
 		return kernel.BootClock()
 	}
--- a/control/surveys.go
+++ b/control/surveys.go
@@ -106,9 +106,9 @@
 	}
 }
 
-// followSurveys receives the surveys of each peer replica and publishes them to the
+// FollowSurveys receives the surveys of each peer replica and publishes them to the
 // watchers of this one, until ctx is done.
-func (c *Control) followSurveys(ctx context.Context, watcher string, peers func() []string) {
+func (c *Control) FollowSurveys(ctx context.Context, watcher string, peers func() []string) {
 	directory.FollowList(ctx, peers, func(ctx context.Context, addr string) {
 		for ctx.Err() == nil {
 			err := c.followSurvey(ctx, watcher, addr)
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/snipereach/snipereach/agent"
 	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/control/daemon"
 	"github.com/snipereach/snipereach/entry"
 	"github.com/snipereach/snipereach/gateway"
 	"github.com/snipereach/snipereach/kernel"
@@ -27,7 +28,7 @@
 	case "agent.toml":
 		return agent.DefaultSettings()
 	case "control.toml":
-		return control.DefaultDaemonSettings()
+		return daemon.DefaultSettings()
 	case "gateway.toml":
 		return gateway.DefaultSettings()
 	case "sidecar.toml":
--- a/internal/settingsdoc/main.go
+++ b/internal/settingsdoc/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/snipereach/snipereach/agent"
 	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/control/daemon"
 	"github.com/snipereach/snipereach/entry"
 	"github.com/snipereach/snipereach/gateway"
 	"github.com/snipereach/snipereach/lockstep/leader"
@@ -35,10 +36,10 @@
 	e := entry.DefaultSettings()
 	replica := control.DefaultSettings()
 	e.Control = &replica
-	c := control.DefaultDaemonSettings()
+	c := daemon.DefaultSettings()
 	c.Control.Tolerate = &control.Tolerance{}
 	c.Control.Lockstep = &leader.Settings{}
-	c.API = &control.APISettings{}
+	c.API = &daemon.APISettings{}
 	c.SetDefaults()
 	return []program{
 		{"snipereach-entry", "entry.toml", e},
--- a/quickstart/parts.go
+++ b/quickstart/parts.go
@@ -12,6 +12,7 @@
 
 	"github.com/snipereach/snipereach/agent"
 	"github.com/snipereach/snipereach/control"
+	"github.com/snipereach/snipereach/control/daemon"
 	"github.com/snipereach/snipereach/entry"
 	"github.com/snipereach/snipereach/fake"
 	"github.com/snipereach/snipereach/kernel"
@@ -294,12 +295,12 @@
 	s.nameAddress(operators, p.name)
 	s.assignStorage(p)
 	p.start = func(ctx context.Context) (kernel.Daemon, error) {
-		set := control.DefaultDaemonSettings()
+		set := daemon.DefaultSettings()
 		set.ID, set.FailureDomain, set.ClusterSecret = p.name, p.domain, ClusterSecret
 		set.Listen, set.OperatorsListen = s.controlAddrs[i], operators
 		set.Control = s.controlSettings(p)
 		set.Dial = s.dialer(p.name)
-		d, err := control.NewDaemon(set, s.opts.Log)
+		d, err := daemon.New(set, s.opts.Log)
 		return startDaemon(ctx, d, err)
 	}
 	return s.addPart(ctx, p)
