Control replicas save registrations and restore them after the loss of all replicas

Change: replicas keep the upstreams that are up in a file, written each 2 s, with a checksum and the time. After a start they are restored if the file is at most 8 s old and at least half of the other replicas are connected and all of them settling; if any has kept running, what it knows is newer. A restored upstream has the lease of an announcement made now.

Tests: restored, not restored beside a running replica, yields to newer registrations; damaged and old files; the platform's servers used without another heartbeat after all processes restarted.

--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -177,11 +177,26 @@
 		if err := d.api.start(); err != nil {
 			return err
 		}
+		d.keepRegistrations(ctx)
 	}
 	kernel.Info(d.log, "Listening.", "id", d.settings.ID, "addr", lis.Addr())
 	return d.startOperators()
 }
 
+// keepRegistrations offers the registrations that were saved before the start, and saves those of now
+// in the background.
+func (d *Daemon) keepRegistrations(ctx context.Context) {
+	if d.settings.Control.DataDir == "" {
+		return
+	}
+	store := registrationStore{folder: d.settings.Control.DataDir, wallClock: time.Now}
+	saved, err := store.load()
+	peers := len(d.control.ReplicaAddresses(ctx))
+	kernel.Info(d.log, "Saved registrations.", "upstreams", len(saved), "replicas", peers, "err", err)
+	d.node.OfferSaved(saved, peers)
+	go store.keep(ctx, d.log, d.node.Registrations)
+}
+
 func (d *Daemon) address() string {
 	if d.settings.Advertise != "" {
 		return d.settings.Advertise
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -128,6 +128,9 @@
 	// probes are the instances to probe, until TakeProbes returns them.
 	probes     []*Instance
 	references referenceIndex
+	// saved are registrations to restore if savedPeers other replicas have just started too.
+	saved      []*wire.Announcement
+	savedPeers int
 }
 
 // contact is the lease of one incarnation that was renewed by direct communication.
@@ -357,14 +360,15 @@
 	}
 }
 
-// Tick expires leases and returns the instances that are gone as a result.
+// Tick expires leases and restores saved registrations. It returns the instances that changed.
 func (s *State) Tick(now time.Time) []*Instance {
 	s.removeStaleSources(now)
+	restored := s.restoreSaved(now)
 	settled := s.Settled(now) && !s.onlySettlingSources(now) && !s.inSourceLossGrace(now)
 	if !now.After(s.nextCheck) {
-		return nil
+		return restored
 	}
-	changed := s.expireLeases(now, settled)
+	changed := append(restored, s.expireLeases(now, settled)...)
 	s.nextCheck = now.Add(s.settings.MaxLease)
 	for _, inst := range s.instances {
 		s.checkBy(s.nextDeadline(inst))
--- a/directory/node.go
+++ b/directory/node.go
@@ -107,6 +107,20 @@
 	return reply, nil
 }
 
+// Registrations returns the announcements of the upstreams that are up, to be saved.
+func (n *Node) Registrations() []*wire.Announcement {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Registrations()
+}
+
+// OfferSaved provides saved registrations; see State.OfferSaved.
+func (n *Node) OfferSaved(list []*wire.Announcement, peers int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.state.OfferSaved(list, peers)
+}
+
 // Incarnation returns the latest known incarnation number of an ID, or 0.
 func (n *Node) Incarnation(id string) uint64 {
 	n.mu.Lock()
