--- a/control/retrylending.go
+++ b/control/retrylending.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/snipereach/snipereach/quota"
 	"github.com/snipereach/snipereach/retry"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -24,12 +25,12 @@
 
 // lendingPosition returns the position of this replica among the members of the log; ok is false if it
 // isn't one of them.
-func (c *Control) lendingPosition(ctx context.Context) (p retry.Position, ok bool) {
+func (c *Control) lendingPosition(ctx context.Context) (p quota.Position, ok bool) {
 	var addresses []string
 	for _, m := range c.DirectoryReplicas(ctx) {
 		addresses = append(addresses, m.Address)
 	}
 	slices.Sort(addresses)
 	index, ok := slices.BinarySearch(addresses, c.info.Address)
-	return retry.Position{Index: index, Count: len(addresses)}, ok
+	return quota.Position{Index: index, Count: len(addresses)}, ok
 }
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -18,7 +18,7 @@
 	f.gateways = func() int { return 5 }
 	assert.NilError(t, f.update(time.Now(), []*directory.Instance{{Announcement: &wire.Announcement{
 		Id: "u", Address: "127.0.0.1:1", Pools: []string{"plain"}, Phase: wire.Phase_PHASE_UP, Direct: &wire.DirectUpstream{Slots: 1},
-	}}}, surroundings{}))
+	}}}, updateInputs{}))
 	assert.Assert(t, f.acquire(context.Background(), "plain", patientWaiter()).ok)
 	return f
 }
--- a/gateway/coldstart.go
+++ b/gateway/coldstart.go
@@ -63,7 +63,7 @@
 
 // exhausted returns the cold upstreams to which this gateway may send nothing now; nil if there are
 // none. It forgets those that have become warm.
-func (c *coldUpstreams) exhausted(now time.Time, p gatewayPosition) map[string]bool {
+func (c *coldUpstreams) exhausted(now time.Time, p quota.Position) map[string]bool {
 	var list map[string]bool
 	for id, u := range c.byID {
 		if !now.Before(u.until) {
@@ -81,14 +81,12 @@
 }
 
 // recordSend counts a request that is sent to an upstream, if that is cold.
-func (c *coldUpstreams) recordSend(now time.Time, id string, p gatewayPosition) {
+func (c *coldUpstreams) recordSend(now time.Time, id string, p quota.Position) {
 	if u := c.byID[id]; u != nil {
 		u.sent.Take(now, c.limit.window, c.share(id, p))
 	}
 }
 
-func (c *coldUpstreams) share(id string, p gatewayPosition) int {
-	count := max(p.count, 1)
-	turned := (p.index + int(xxhash.Sum64String(id)%uint64(count))) % count
-	return quota.Share(c.limit.requests, turned, count)
+func (c *coldUpstreams) share(id string, p quota.Position) int {
+	return p.Turned(xxhash.Sum64String(id)).Share(c.limit.requests)
 }
--- a/gateway/coldstart_test.go
+++ b/gateway/coldstart_test.go
@@ -29,7 +29,7 @@
 		total := 0
 		for now := start; now.Before(start.Add(3 * time.Second)); now = now.Add(250 * time.Millisecond) {
 			for i := range all {
-				p := gatewayPosition{index: i, count: count}
+				p := quota.Position{Index: i, Count: count}
 				for !all[i].exhausted(now, p)["u"] {
 					all[i].recordSend(now, "u", p)
 					assert.Assert(t, sent.Take(now, time.Second, rate), "more than %d in a second", rate)
@@ -52,7 +52,7 @@
 			for u := range 72 {
 				c.mark(fmt.Sprint("u", u), start.Add(time.Minute))
 			}
-			if len(c.exhausted(start, gatewayPosition{index: i, count: count})) == 72 {
+			if len(c.exhausted(start, quota.Position{Index: i, Count: count})) == 72 {
 				none++
 			}
 		}
@@ -64,7 +64,7 @@
 // the time for which an upstream is cold.
 func TestWarmUpstreamsAreNotLimited(t *testing.T) {
 	c := coldUpstreams{limit: newColdLimit(&wire.RoutedService{ColdPerS: 1})}
-	p := gatewayPosition{count: 1}
+	p := quota.Position{Count: 1}
 	c.mark("u", start.Add(2*time.Second))
 	c.mark("u", start.Add(time.Second))
 	c.recordSend(start.Add(1900*time.Millisecond), "u", p)
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/evacuation"
+	"github.com/snipereach/snipereach/quota"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -24,8 +25,8 @@
 	return insts
 }
 
-func evacuated(revision uint64, domains ...string) surroundings {
-	return surroundings{evacuations: &evacuation.State{Revision: revision, Domains: domains}, position: gatewayPosition{count: 1}}
+func evacuated(revision uint64, domains ...string) updateInputs {
+	return updateInputs{evacuations: &evacuation.State{Revision: revision, Domains: domains}, position: quota.Position{Count: 1}}
 }
 
 // Guards against requests, first ones and retries, to ranks of an evacuated domain, and against
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/snipereach/snipereach/evacuation"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/quarantine"
+	"github.com/snipereach/snipereach/quota"
 	"github.com/snipereach/snipereach/retry"
 	"github.com/snipereach/snipereach/routing"
 	"github.com/snipereach/snipereach/transport"
@@ -80,7 +81,7 @@
 	knownUpstreams map[string]*directory.Instance
 	exits          exitDetector
 	// lastPosition is the position at the last change of the directory.
-	lastPosition atomic.Pointer[gatewayPosition]
+	lastPosition atomic.Pointer[quota.Position]
 	evacuations  evacuation.Tracker
 	quarantine   *quarantine.Node
 }
@@ -113,7 +114,7 @@
 	g.services.onStateChange, g.services.onPasses, g.services.gateways = g.logStateChange, g.logPasses, g.gatewayCount
 	g.metrics.register(g)
 	g.node = directory.NewNode(directorySettings(), now, g.directoryChanged)
-	g.retryBudget = retry.NewBudget(s.Retries.allowance(), g.retryPosition, g.borrowRetry, now)
+	g.retryBudget = retry.NewBudget(s.Retries.allowance(), g.lastKnownPosition, g.borrowRetry, now)
 	g.dumps.Add("directory", g.node.Dump)
 	g.dumps.Add("gateway", g.dump)
 	g.dumps.Add("quarantine", g.quarantine.Dump)
@@ -192,19 +193,14 @@
 	return max(len(g.node.Instances(wire.Role_ROLE_ENTRY)), 1)
 }
 
-// gatewayPosition is the index of this gateway among those that are up, ordered by ID, and their
-// number.
-type gatewayPosition struct {
-	index, count int
-}
-
-// position counts the gateways that are up, for which it looks at all instances.
-func (g *Gateway) position() gatewayPosition {
+// position returns the index of this gateway among those that are up, ordered by ID, and their number.
+// It looks at all instances.
+func (g *Gateway) position() quota.Position {
 	known := g.node.Instances(wire.Role_ROLE_ENTRY)
-	p := gatewayPosition{count: max(len(known), 1)}
+	p := quota.Position{Count: max(len(known), 1)}
 	for _, i := range known {
 		if i.Id < g.settings.ID {
-			p.index++
+			p.Index++
 		}
 	}
 	return p
@@ -214,7 +210,7 @@
 func (g *Gateway) directoryChanged() {
 	known := g.node.Instances(wire.Role_ROLE_UPSTREAM)
 	g.logUpstreams(known)
-	if err := g.services.update(time.Now(), known, g.surroundings()); err != nil {
+	if err := g.services.update(time.Now(), known, g.updateInputs()); err != nil {
 		kernel.Warn(g.log, "Updating the upstreams failed.", "err", err)
 	}
 	g.resolvePendingExits(known)
@@ -222,11 +218,11 @@
 	g.warmup.notify()
 }
 
-// surroundings returns what else than the upstreams themselves decides on which of them are used.
-func (g *Gateway) surroundings() surroundings {
+// updateInputs returns what else than the upstreams themselves decides on which of them are used.
+func (g *Gateway) updateInputs() updateInputs {
 	p := g.position()
 	g.lastPosition.Store(&p)
-	return surroundings{evacuations: g.evacuations.Current(), position: p, heardNow: g.now()}
+	return updateInputs{evacuations: g.evacuations.Current(), position: p, heardNow: g.now()}
 }
 
 // ServeHTTP serves one request of a caller.
--- a/gateway/groupsim_test.go
+++ b/gateway/groupsim_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/quota"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -126,7 +127,7 @@
 		f := newServiceManager(&Settings{ID: fmt.Sprint("entry-", i)})
 		f.entryInfo.Seed = seed*1000 + uint64(i)
 		f.gateways = func() int { return gateways }
-		if err := f.update(s.now, insts, surroundings{}); err != nil {
+		if err := f.update(s.now, insts, updateInputs{}); err != nil {
 			panic(err)
 		}
 		e := &simGateway{services: f, weight: 0.6 + 0.8*s.rng.Float64()}
@@ -275,7 +276,7 @@
 		}
 	}
 	for i, e := range s.gateways {
-		e.services.applySurvey(s.now, number, states, gatewayPosition{index: i, count: len(s.gateways)})
+		e.services.applySurvey(s.now, number, states, quota.Position{Index: i, Count: len(s.gateways)})
 	}
 }
 
--- a/gateway/limiter_test.go
+++ b/gateway/limiter_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/quota"
 	"github.com/snipereach/snipereach/retry"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/wire"
@@ -34,7 +35,7 @@
 // singleGroup returns the pool of a service with one group, and that group's limiter.
 func singleGroup(insts []*directory.Instance) (*servicePool, *groupLimiter) {
 	p := newServicePool(route.EntryInfo{ID: "e"})
-	if err := p.update(start, route.EntryInfo{ID: "e"}, insts, surroundings{}); err != nil {
+	if err := p.update(start, route.EntryInfo{ID: "e"}, insts, updateInputs{}); err != nil {
 		panic(err)
 	}
 	return p, &p.sorted[0].limiter
@@ -270,10 +271,10 @@
 		clock := func() time.Time { return now }
 		lender := retry.NewLender(clock)
 		now = now.Add(s.Window)
-		borrow := func(service string) bool { return lender.Lend(service, s, retry.Position{Count: 1}) }
+		borrow := func(service string) bool { return lender.Lend(service, s, quota.Position{Count: 1}) }
 		var all []*retry.Budget
 		for i := range gateways {
-			all = append(all, retry.NewBudget(s, func() retry.Position { return retry.Position{Index: i, Count: gateways} }, borrow, clock))
+			all = append(all, retry.NewBudget(s, func() quota.Position { return quota.Position{Index: i, Count: gateways} }, borrow, clock))
 		}
 		type tick struct{ requests, retries int }
 		var ticks []tick
@@ -377,7 +378,7 @@
 	for _, i := range formed {
 		i.Direct.GroupEpoch = 1
 	}
-	assert.NilError(t, p.update(now, route.EntryInfo{ID: "e"}, formed, surroundings{}))
+	assert.NilError(t, p.update(now, route.EntryInfo{ID: "e"}, formed, updateInputs{}))
 	d, _ = arrive(20*time.Second, false)
 	assert.Equal(t, d, decisionAdmit)
 }
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -61,9 +61,9 @@
 }
 
 // update replaces the upstreams that are up.
-func (p *servicePool) update(now time.Time, entryInfo route.EntryInfo, insts []*directory.Instance, s surroundings) error {
-	p.updateEvacuated(now, insts, s.evacuations)
-	p.updateCold(now, insts, s.heardNow)
+func (p *servicePool) update(now time.Time, entryInfo route.EntryInfo, insts []*directory.Instance, in updateInputs) error {
+	p.updateEvacuated(now, insts, in.evacuations)
+	p.updateCold(now, insts, in.heardNow)
 	byGroup := map[string][]*directory.Instance{}
 	for _, i := range insts {
 		byGroup[i.Group] = append(byGroup[i.Group], i)
--- a/gateway/pool_test.go
+++ b/gateway/pool_test.go
@@ -24,7 +24,7 @@
 			Direct: &wire.DirectUpstream{Slots: 10, GroupEpoch: 1, GroupBroken: broken && i == 0},
 		}})
 	}
-	assert.NilError(t, f.update(start, insts, surroundings{}))
+	assert.NilError(t, f.update(start, insts, updateInputs{}))
 	p := f.services["llm"]
 	return f, p.groups["a"], p.groups["b"]
 }
@@ -79,7 +79,7 @@
 			Id: string(rune('a' + i)), Incarnation: 1, Pools: []string{"clock"}, Phase: wire.Phase_PHASE_UP, Direct: &wire.DirectUpstream{Slots: 6},
 		}})
 	}
-	assert.NilError(t, f.update(start, insts, surroundings{}))
+	assert.NilError(t, f.update(start, insts, updateInputs{}))
 	p := f.services["clock"]
 	for range 2 {
 		v, _ := p.decide(start, 150, newArrival(start))
--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/snipereach/snipereach/quota"
 	"github.com/snipereach/snipereach/retry"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -17,12 +18,12 @@
 	return retry.Allowance{Ratio: s.Ratio, Slack: s.Slack, Window: s.Window.D()}
 }
 
-func (g *Gateway) retryPosition() retry.Position {
-	p := g.lastPosition.Load()
-	if p == nil {
-		return retry.Position{Count: 1}
+// lastKnownPosition returns the position of this gateway at the last change of the directory.
+func (g *Gateway) lastKnownPosition() quota.Position {
+	if p := g.lastPosition.Load(); p != nil {
+		return *p
 	}
-	return retry.Position{Index: p.index, Count: p.count}
+	return quota.Position{Count: 1}
 }
 
 // borrowRetry asks the nearest control replica for the token of one retry.
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -10,6 +10,7 @@
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/evacuation"
 	"github.com/snipereach/snipereach/lockstep"
+	"github.com/snipereach/snipereach/quota"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -37,15 +38,15 @@
 	// gateways returns the number of gateways that are up. It is called without the lock.
 	gateways func() int
 	// position is that of this gateway at the last update.
-	position gatewayPosition
+	position quota.Position
 	// coldLimits has the limits of services whose upstreams start cold.
 	coldLimits map[string]coldLimit
 }
 
-// surroundings is what else than the upstreams themselves decides on which of them are used.
-type surroundings struct {
+// updateInputs is what else than the upstreams themselves decides on which of them are used.
+type updateInputs struct {
 	evacuations *evacuation.State
-	position    gatewayPosition
+	position    quota.Position
 	// heardNow is the time by the directory's clock.
 	heardNow time.Time
 }
@@ -72,7 +73,7 @@
 }
 
 // update replaces the upstreams by those of insts that are up.
-func (m *serviceManager) update(now time.Time, insts []*directory.Instance, s surroundings) error {
+func (m *serviceManager) update(now time.Time, insts []*directory.Instance, in updateInputs) error {
 	byService := map[string][]*directory.Instance{}
 	for _, i := range insts {
 		if i.Direct == nil || !i.Up() {
@@ -84,7 +85,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.position = s.position
+	m.position = in.position
 	for name := range byService {
 		if m.services[name] == nil {
 			m.services[name] = newServicePool(m.entryInfo)
@@ -92,7 +93,7 @@
 	}
 	for name, p := range m.services {
 		p.cold.limit = m.coldLimits[name]
-		if err := p.update(now, m.entryInfo, byService[name], s); err != nil {
+		if err := p.update(now, m.entryInfo, byService[name], in); err != nil {
 			return err
 		}
 	}
@@ -101,7 +102,7 @@
 
 // applySurvey applies the states of ranks that the leader of their groups has read. It returns the
 // upstreams that running requests should leave because they are slow.
-func (m *serviceManager) applySurvey(now time.Time, number uint64, ranks []*wire.RankState, position gatewayPosition) (slow []string) {
+func (m *serviceManager) applySurvey(now time.Time, number uint64, ranks []*wire.RankState, position quota.Position) (slow []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.loadSeq++
@@ -112,7 +113,7 @@
 				continue
 			}
 			g.applySurvey(now, &route.Survey{
-				Entries: position.count, Index: position.index, Number: number,
+				Entries: position.Count, Index: position.Index, Number: number,
 				Seq: m.loadSeq, Loads: surveyedLoads(known),
 			})
 			slow = append(slow, ranksToLeave(known)...)
--- a/gateway/slowrank_test.go
+++ b/gateway/slowrank_test.go
@@ -10,6 +10,7 @@
 	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/quota"
 	"github.com/snipereach/snipereach/retry"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -34,7 +35,7 @@
 		settings: set, movable: newMovableAttempts(), metrics: newGatewayMetrics(), log: log.NewNopLogger(),
 		stateLog: kernel.NewLogLimiter(stateLogLines, time.Now), services: newServiceManager(set), node: directory.NewNode(directory.DefaultSettings(), time.Now, nil),
 	}}
-	alone := func() retry.Position { return retry.Position{Count: 1} }
+	alone := func() quota.Position { return quota.Position{Count: 1} }
 	c.retryBudget = retry.NewBudget(retry.Allowance{Slack: slack, Window: 10 * time.Second}, alone, nil, func() time.Time { return now })
 	var ranks []*directory.Instance
 	for _, id := range []string{"r0", "r1", "r2", "r3", "r4", "r5"} {
@@ -42,7 +43,7 @@
 			Id: id, Group: "g", Pools: []string{"llm"}, Phase: wire.Phase_PHASE_UP, Direct: &wire.DirectUpstream{Slots: 12},
 		}})
 	}
-	assert.NilError(t, c.services.update(now, ranks, surroundings{}))
+	assert.NilError(t, c.services.update(now, ranks, updateInputs{}))
 	at := c.services.services["llm"].sorted[0]
 	c.services.recordProgress(now, at)
 	for i := range streams {
--- a/gateway/warmup_test.go
+++ b/gateway/warmup_test.go
@@ -92,9 +92,9 @@
 			}},
 		}
 	}
-	assert.NilError(t, c.services.update(now, known(1, true), surroundings{}))
+	assert.NilError(t, c.services.update(now, known(1, true), updateInputs{}))
 	assert.Assert(t, c.services.serves("clock"))
 	assert.Assert(t, !c.services.serves("llm"), "the group is down")
-	assert.NilError(t, c.services.update(now, known(2, false), surroundings{}))
+	assert.NilError(t, c.services.update(now, known(2, false), updateInputs{}))
 	assert.Assert(t, c.services.serves("llm"))
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -5,18 +5,29 @@
 
 import "time"
 
-// Share returns the whole share of total that the member with the given index has among count
-// members. The shares of all members add up to total, and differ by one at most; if total is
-// less than count, some members have none. It returns total for a single member.
-func Share(total, index, count int) int {
+// Position is the index of a member among those that share an allowance, and their number.
+type Position struct {
+	Index, Count int
+}
+
+// Share returns the member's whole share of total. The shares of all members add up to total, and differ
+// by one at most; if total is less than Count, some members have none. A single member has all.
+func (p Position) Share(total int) int {
 	if total <= 0 {
 		return 0
 	}
-	count = max(count, 1)
-	index = min(max(index, 0), count-1)
+	count := max(p.Count, 1)
+	index := min(max(p.Index, 0), count-1)
 	return total*(index+1)/count - total*index/count
 }
 
+// Turned returns the position moved round by a number of members. Of several allowances, each turned by
+// another number, other members have the shares that are larger by one.
+func (p Position) Turned(by uint64) Position {
+	count := max(p.Count, 1)
+	return Position{Index: (p.Index + int(by%uint64(count))) % count, Count: count}
+}
+
 // Window counts the events in a sliding window of time. The zero value is empty.
 type Window struct {
 	// times are those of the events in the window, the oldest first.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -18,7 +18,7 @@
 		count := rapid.SampledFrom([]int{1, 2, 40, 400, 427, 2000, 5000}).Draw(t, "members")
 		sum := 0
 		for i := range count {
-			s := quota.Share(total, i, count)
+			s := quota.Position{Index: i, Count: count}.Share(total)
 			assert.Assert(t, s == total/count || s == total/count+1, "share %d of %d for %d", s, total, count)
 			sum += s
 		}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -41,20 +41,15 @@
 // lend or didn't answer: during an outage every request would ask.
 const refusalMemory = 500 * time.Millisecond
 
-// Position is the index of a member among those that share an allowance, and their number.
-type Position struct {
-	Index, Count int
-}
-
 // Share returns the member's whole share of a part of the slack.
-func (a Allowance) share(fraction float64, p Position) int {
-	return quota.Share(int(fraction*a.Slack), p.Index, p.Count)
+func (a Allowance) share(fraction float64, p quota.Position) int {
+	return p.Share(int(fraction * a.Slack))
 }
 
 // Budget is the part of one gateway, by service. It is safe for concurrent use.
 type Budget struct {
 	allowance Allowance
-	position  func() Position
+	position  func() quota.Position
 	// borrow asks a replica for one token; it may block, and is called without the lock.
 	borrow func(service string) bool
 	now    func() time.Time
@@ -71,12 +66,12 @@
 }
 
 // NewBudget returns a budget. borrow may be nil.
-func NewBudget(a Allowance, position func() Position, borrow func(string) bool, now func() time.Time) *Budget {
+func NewBudget(a Allowance, position func() quota.Position, borrow func(string) bool, now func() time.Time) *Budget {
 	return &Budget{allowance: a, position: position, borrow: borrow, now: now, services: map[string]*serviceBudget{}}
 }
 
 // service returns the budget of a service. The caller holds the lock.
-func (b *Budget) service(name string, p Position) *serviceBudget {
+func (b *Budget) service(name string, p quota.Position) *serviceBudget {
 	s := b.services[name]
 	if s == nil {
 		s = &serviceBudget{earned: float64(b.allowance.share(earnedFraction, p))}
--- a/retry/lender.go
+++ b/retry/lender.go
@@ -24,7 +24,7 @@
 
 // Lend lends a token for a retry at a service, and reports whether it had one. A replica lends nothing
 // in the first window after its start, as it doesn't know what it lent before.
-func (l *Lender) Lend(service string, a Allowance, p Position) bool {
+func (l *Lender) Lend(service string, a Allowance, p quota.Position) bool {
 	now := l.now()
 	if now.Sub(l.started) < a.Window {
 		return false
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -7,6 +7,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/snipereach/snipereach/quota"
 )
 
 // fleet is a number of gateways and replicas that share an allowance, in virtual time.
@@ -31,9 +33,9 @@
 				return false
 			}
 			r := i % replicas
-			return f.lenders[r].Lend(service, a, Position{r, replicas})
+			return f.lenders[r].Lend(service, a, quota.Position{Index: r, Count: replicas})
 		}
-		position := func() Position { return Position{i, gateways} }
+		position := func() quota.Position { return quota.Position{Index: i, Count: gateways} }
 		f.gateways = append(f.gateways, NewBudget(a, position, borrow, clock))
 	}
 	f.now = f.now.Add(a.Window)
@@ -131,7 +133,7 @@
 func TestRefusedGatewayAsksNoMoreForAWhile(t *testing.T) {
 	now := time.Unix(0, 0)
 	asked := 0
-	b := NewBudget(Allowance{Window: time.Second}, func() Position { return Position{0, 1} }, func(string) bool { asked++; return false }, func() time.Time { return now })
+	b := NewBudget(Allowance{Window: time.Second}, func() quota.Position { return quota.Position{Index: 0, Count: 1} }, func(string) bool { asked++; return false }, func() time.Time { return now })
 	for range 100 {
 		assert.Assert(t, !b.Take("pool"))
 	}
@@ -146,10 +148,10 @@
 	a := Allowance{Slack: 100, Window: 10 * time.Second}
 	now := time.Unix(0, 0)
 	l := NewLender(func() time.Time { return now })
-	assert.Assert(t, !l.Lend("pool", a, Position{0, 1}))
+	assert.Assert(t, !l.Lend("pool", a, quota.Position{Index: 0, Count: 1}))
 	now = now.Add(a.Window)
 	lent := 0
-	for l.Lend("pool", a, Position{0, 1}) {
+	for l.Lend("pool", a, quota.Position{Index: 0, Count: 1}) {
 		lent++
 	}
 	assert.Equal(t, lent, 30)
