A gateway that has just started takes the configuration while no replica has a leader

Change: if more than half of the known replicas are connected and none is current, the highest version that they report is taken. What is accepted lies on most disks; one that was accepted just before and isn't applied yet comes from the leader. A current replica that is heard goes first, as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,7 @@
 	// lastPosition is the position at the last change of the directory.
 	lastPosition atomic.Pointer[quota.Position]
 	evacuations  evacuation.Tracker
+	reports      versionReports
 	quarantine   *quarantine.Node
 }
 
--- a/gateway/routingwatch.go
+++ b/gateway/routingwatch.go
@@ -70,6 +70,7 @@
 		w.quarantine.ReportAll(w.addr)
 	}
 	w.connected = true
+	w.reports.record(w.addr, versionReport{version: v.Version, current: isCurrent(v)})
 }
 
 // recordEnd records the end of a watch.
@@ -78,6 +79,7 @@
 		w.logState("Control replica disconnected.", "replica", w.addr, "err", err)
 	}
 	w.connected = false
+	w.reports.remove(w.addr)
 }
 
 func (w *routingWatch) watchOnce(ctx context.Context) error {
@@ -125,7 +127,8 @@
 }
 
 // wantsVersion reports whether a replica's configuration is to be fetched. The first one must be
-// current, or a gateway that has just started would bring back an outdated configuration.
+// current, or a gateway that has just started would bring back an outdated configuration, unless no
+// replica is.
 func (g *Gateway) wantsVersion(v *wire.RoutingVersion, started time.Time) bool {
 	if t := g.table.Load(); t != nil {
 		return v.Version > t.Config.Version
@@ -133,8 +136,16 @@
 	if v.Version == 0 {
 		return false
 	}
-	current := time.Duration(v.ConfirmedAgeMs)*time.Millisecond < maxConfirmedAge
-	return current || g.now().Sub(started) > freshReplicaTimeout
+	if isCurrent(v) || g.now().Sub(started) > freshReplicaTimeout {
+		return true
+	}
+	latest, ok := g.reports.latestWithoutLeader(g.targets.Addresses())
+	return ok && g.targets.DomainsKnown() && v.Version >= latest
+}
+
+// isCurrent reports whether a replica's version was confirmed by a leader lately.
+func isCurrent(v *wire.RoutingVersion) bool {
+	return time.Duration(v.ConfirmedAgeMs)*time.Millisecond < maxConfirmedAge
 }
 
 func (g *Gateway) fetchRouting(ctx context.Context, addr string) error {
