--- a/control/evacuation.go
+++ b/control/evacuation.go
@@ -19,9 +19,9 @@
 // ErrInvalidOrder is returned for an order that the table refuses, such as one with an invalid name.
 var ErrInvalidOrder = merry.Sentinel("order is not valid")
 
-// SetEvacuation evacuates a failure domain or ends its evacuation on behalf of the operator by. It returns once that is durable
-// on a majority of the voters; ErrUnavailable if that isn't certain. An order that is sent again
-// changes nothing.
+// SetEvacuation evacuates a failure domain or ends its evacuation, on behalf of the operator by. It
+// returns once that is durable on a majority of the voters, and ErrUnavailable if that isn't certain.
+// An order that is sent again changes nothing.
 //
 // The edit names the version of the row that was current when the order arrived, so that an order
 // that is held up on its way to the leader can't undo one that was decided meanwhile.
