--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -125,7 +125,7 @@
 	if d.control, err = control.New(s.Control, l, d.pool); err != nil {
 		return nil, err
 	}
-	d.srv.CountTraffic(transport.NewTraffic(d.control.Metrics().Registry))
+	d.srv.CountTraffic(transport.NewTraffic("control.traffic.", d.control.Metrics().Registry))
 	d.dumps.Add("control", d.control.Dump)
 	d.dumps.Add("directory", d.node.Dump)
 	if s.API == nil {
--- a/internal/docscheck/days_test.go
+++ b/internal/docscheck/days_test.go
@@ -26,10 +26,18 @@
 	Zone    string  `toml:"zone"`
 }
 
+// closing is the fault at the end of a day.
+type closing struct {
+	Kind string  `toml:"kind"`
+	Down float64 `toml:"down_s"`
+	How  string  `toml:"how"`
+}
+
 type day struct {
-	Name   string  `toml:"name"`
-	Plan   []event `toml:"plan"`
-	Faults []event `toml:"faults"`
+	Name    string   `toml:"name"`
+	Plan    []event  `toml:"plan"`
+	Faults  []event  `toml:"faults"`
+	Closing *closing `toml:"closing"`
 }
 
 // The day files must not name the services or zones of one deployment, since others
@@ -49,6 +57,7 @@
 		assert.NilError(t, decoder.Decode(&file), path)
 		for _, d := range file.Days {
 			assert.Assert(t, d.Name != "" && len(d.Faults) > 0, path)
+			assert.Assert(t, d.Closing == nil || d.Closing.Kind != "", path)
 			for _, e := range append(d.Plan, d.Faults...) {
 				assert.Assert(t, e.Kind != "" && e.At > 0, "%s: %+v", path, e)
 				for _, name := range []string{e.Service, e.Class, e.Zone} {
--- a/transport/traffic.go
+++ b/transport/traffic.go
@@ -9,16 +9,19 @@
 	"storj.io/drpc/drpcenc"
 )
 
-// Traffic counts the messages and bytes of a server's calls by method, in the metrics
-// traffic.METHOD.sent_bytes, sent_messages, received_bytes and received_messages. Bytes are those
+// Traffic counts the messages and bytes of a server's calls by method, in metrics named by a prefix,
+// SERVICE.METHOD, and sent_bytes, sent_messages, received_bytes or received_messages. Bytes are those
 // of encoded messages, without what the connection adds.
 type Traffic struct {
+	prefix   string
 	registry metrics.Registry
 	methods  sync.Map
 }
 
 // NewTraffic returns counters that register in r at the first call of each method.
-func NewTraffic(r metrics.Registry) *Traffic { return &Traffic{registry: r} }
+func NewTraffic(prefix string, r metrics.Registry) *Traffic {
+	return &Traffic{prefix: prefix, registry: r}
+}
 
 // methodTraffic holds the counters of one method.
 type methodTraffic struct {
@@ -30,7 +33,7 @@
 	if m, ok := t.methods.Load(rpc); ok {
 		return m.(*methodTraffic)
 	}
-	name := "traffic." + strings.ReplaceAll(rpc[strings.LastIndexByte(rpc, '.')+1:], "/", ".")
+	name := t.prefix + strings.ReplaceAll(rpc[strings.LastIndexByte(rpc, '.')+1:], "/", ".")
 	counter := func(kind string) metrics.Counter { return metrics.GetOrRegisterCounter(name+"."+kind, t.registry) }
 	m, _ := t.methods.LoadOrStore(rpc, &methodTraffic{
 		sentBytes: counter("sent_bytes"), sentMessages: counter("sent_messages"),
--- a/transport/traffic_test.go
+++ b/transport/traffic_test.go
@@ -30,7 +30,7 @@
 	assert.NilError(t, err)
 	registry := metrics.NewRegistry()
 	srv := transport.NewServer(sec)
-	srv.CountTraffic(transport.NewTraffic(registry))
+	srv.CountTraffic(transport.NewTraffic("control.traffic.", registry))
 	service := versionService{version: &wire.RoutingVersion{Version: 7, Evacuated: []string{"hall-a"}}}
 	assert.NilError(t, wire.DRPCRegisterRouting(srv.Mux, service))
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
@@ -47,7 +47,7 @@
 	_, err = stream.Recv()
 	assert.NilError(t, err)
 	count := func(name string) int64 {
-		return metrics.GetOrRegisterCounter("traffic.Routing.Watch."+name, registry).Count()
+		return metrics.GetOrRegisterCounter("control.traffic.Routing.Watch."+name, registry).Count()
 	}
 	assert.Equal(t, count("sent_messages"), int64(1))
 	assert.Equal(t, count("sent_bytes"), int64(proto.Size(service.version)))
