directory.Reporters: what quarantine told replicas with, for other observations too

No change of behaviour: the reporters that tell every replica what a process has observed move out of quarantine, as the news of upstreams' limits needs the same.

--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -35,19 +35,21 @@
 	// request costs one atomic load.
 	recordCount atomic.Int64
 
+	reporters *directory.Reporters
+
 	mu    sync.Mutex
 	table *Table
-	// reporters report to the control replicas, by address.
-	reporters map[string]*reporter
 }
 
 // NewNode returns the node of the entry or gateway with this ID. It uses dial to reach control
 // replicas.
 func NewNode(id string, l log.Logger, now func() time.Time, dial directory.Dial) *Node {
-	return &Node{
+	n := &Node{
 		id: id, log: l, now: now, dial: dial, lineBudget: kernel.NewLogLimiter(maxLinesPerSecond, now),
-		table: NewTable(DefaultSettings()), reporters: map[string]*reporter{},
+		table: NewTable(DefaultSettings()),
 	}
+	n.reporters = directory.NewReporters(n.report)
+	return n
 }
 
 // Crash describes the crash of an upstream while it ran a request.
@@ -151,14 +153,11 @@
 // updateTable calls f with the table. If f returns true, the reporters are notified.
 func (n *Node) updateTable(f func(now time.Time, t *Table) (notify bool)) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	notify := f(n.now(), n.table)
 	n.recordCount.Store(int64(n.table.Len()))
-	if !notify {
-		return
-	}
-	for _, r := range n.reporters {
-		r.notify()
+	n.mu.Unlock()
+	if notify {
+		n.reporters.Notify()
 	}
 }
 
