Gateways together keep to the limit that an upstream names

What callers saw: nothing; the upstream in need got as many requests as before, 13 to 17 in 4 s where 12 or 13 were allowed.

Cause: nobody read the limit, and a limit over all gateways had no place: gateways divide what is whole and known beforehand (cold upstreams, retries), but had no way to act on news that one of them hears.

Now: a gateway tells all control replicas what an upstream says; they pass changes on to all gateways with the watch of the routing version, all of them at first. Each request to a limited upstream needs a permit, which the gateway borrows from the replicas; each lends its whole share of the limit in a sliding window of 2 s or more, and nothing in the first window after its start. So no gateway needs to know how many there are, and one that is cut off sends elsewhere. All attempts (first, retries, resumed streams, those of requests that run at most once) choose their upstream at one place, which asks for the permit. What no upstream takes is refused at once, with the time after which a permit is asked for again.

--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -35,18 +35,6 @@
 	assert.Assert(t, len(st.changes) <= maxKeptChanges*5/4+2)
 }
 
-// versionRecorder is a stream that records the versions sent on a watch of the routing
-// configuration.
-type versionRecorder struct {
-	wire.DRPCRouting_WatchStream
-	sent []*wire.RoutingVersion
-}
-
-func (s *versionRecorder) Send(v *wire.RoutingVersion) error {
-	s.sent = append(s.sent, v)
-	return nil
-}
-
 // The confirmed age must not wrap around to zero when it exceeds the range of the message
 // field: a gateway would take the stale configuration of an isolated replica for current.
 func TestConfirmedAgeStaysLargeAfterLongIsolation(t *testing.T) {
@@ -55,9 +43,10 @@
 		r := &Replica{started: started}
 		r.clock = func() time.Time { return started.Add(isolated) }
 		r.feed.reset(1, &wire.Ring{}, started)
-		var stream versionRecorder
-		assert.NilError(t, sendVersion(&stream, r, 1, time.Second, &evacuation.State{}, nil))
-		age := time.Duration(stream.sent[0].ConfirmedAgeMs) * time.Millisecond
+		r.evacuations.Store(&evacuation.State{})
+		c := &Control{suspicions: newSuspicionStore(time.Now), limits: newLimitStore(time.Now)}
+		v, _ := new(routingUpdates).next(routingService{&service{c}}, r, true)
+		age := time.Duration(v.ConfirmedAgeMs) * time.Millisecond
 		assert.Assert(t, age >= min(isolated, 24*24*time.Hour), "%s after %s", age, isolated)
 	}
 }
--- a/control/routing.go
+++ b/control/routing.go
@@ -9,9 +9,9 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/snipereach/snipereach/directory"
-	"github.com/snipereach/snipereach/evacuation"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/quarantine"
+	"github.com/snipereach/snipereach/ratelimit"
 	"github.com/snipereach/snipereach/routing"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -178,8 +178,37 @@
 	return packed, nil
 }
 
-// Watch implements the Routing service. It sends the applied version, the evacuations and new
-// suspicions when they change or the replica becomes current, and otherwise at intervals.
+// routingUpdates is what one watcher of the routing version has been sent.
+type routingUpdates struct {
+	version, evacuations, suspicions, limits uint64
+	// current says that the replica was current at the last look.
+	current bool
+}
+
+// next returns the next message for a watcher, or nil if nothing has changed and none is due. full
+// says that more changes wait.
+func (u *routingUpdates) next(s routingService, r *Replica, due bool) (v *wire.RoutingVersion, full bool) {
+	confirmed, evacuations := r.feed.isCurrent(r.now()), r.evacuations.Load()
+	suspicions := s.suspicions.changesSince(u.suspicions)
+	limits, limitsUpTo := s.limits.changesSince(u.limits)
+	v = &wire.RoutingVersion{
+		Version: r.routingVersion.Load(), ConfirmedAgeMs: clampedMillis(r.feed.confirmedAge(r.now())),
+		Suspicions: suspicions.Suspicions, Limits: limits,
+		Evacuated: evacuations.Domains, EvacuationRevision: evacuations.Revision,
+	}
+	full = len(suspicions.Suspicions) == quarantine.MaxBatch || len(limits) == ratelimit.MaxStatements
+	changed := v.Version != u.version || evacuations.Revision != u.evacuations || len(v.Suspicions) > 0 || len(v.Limits) > 0
+	becameCurrent := confirmed && !u.current
+	u.current = confirmed
+	if !due && !changed && !becameCurrent {
+		return nil, false
+	}
+	u.version, u.evacuations, u.suspicions, u.limits = v.Version, evacuations.Revision, suspicions.Version, limitsUpTo
+	return v, full
+}
+
+// Watch implements the Routing service. It sends the applied version, the evacuations, new suspicions
+// and changed limits when they change or the replica becomes current, and otherwise at intervals.
 func (s routingService) Watch(_ *wire.WatchRoutingRequest, stream wire.DRPCRouting_WatchStream) error {
 	r := s.currentReplica()
 	if r == nil {
@@ -191,23 +220,20 @@
 	defer s.routingWatchers.Add(-1)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	sent, current, due := uint64(0), false, true
-	sentEvacuations := uint64(0)
-	suspicionVersion := uint64(0)
+	var updates routingUpdates
+	due := true
 	for {
-		version, confirmed := r.routingVersion.Load(), r.feed.isCurrent(r.now())
-		changes := s.suspicions.changesSince(suspicionVersion)
-		evacuations := r.evacuations.Load()
-		if due || version != sent || evacuations.Revision != sentEvacuations || confirmed && !current || len(changes.Suspicions) > 0 {
-			next := directory.KeepaliveInterval(routingConfirmInterval, int(s.routingWatchers.Load()))
-			if err := sendVersion(stream, r, version, next, evacuations, changes.Suspicions); err != nil {
-				return err
+		v, full := updates.next(s, r, due)
+		if v != nil {
+			interval := directory.KeepaliveInterval(routingConfirmInterval, int(s.routingWatchers.Load()))
+			v.NextMs = clampedMillis(interval)
+			if err := stream.Send(v); err != nil {
+				return fmt.Errorf("routing watch: %w", err)
 			}
-			sent, sentEvacuations, suspicionVersion = version, evacuations.Revision, changes.Version
-			timer.Reset(next)
+			timer.Reset(interval)
 		}
-		current, due = confirmed, false
-		if len(changes.Suspicions) == quarantine.MaxBatch {
+		due = false
+		if full {
 			continue
 		}
 		select {
@@ -221,15 +247,3 @@
 		}
 	}
 }
-
-func sendVersion(stream wire.DRPCRouting_WatchStream, r *Replica, version uint64, next time.Duration, evacuations *evacuation.State, suspicions []*wire.Suspicion) error {
-	v := &wire.RoutingVersion{
-		Version: version, ConfirmedAgeMs: clampedMillis(r.feed.confirmedAge(r.now())), NextMs: clampedMillis(next), Suspicions: suspicions,
-		Evacuated: evacuations.Domains, EvacuationRevision: evacuations.Revision,
-	}
-	err := stream.Send(v)
-	if err != nil {
-		return fmt.Errorf("routing watch: %w", err)
-	}
-	return nil
-}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -25,7 +25,7 @@
 // acquire admits a request to a service, after queueing it if necessary. If it is admitted,
 // release must follow.
 func (m *serviceManager) acquire(ctx context.Context, service string, w *waiter) admission {
-	gateways := m.gateways()
+	gateways, held := m.gateways(), m.restraints()
 	now := time.Now()
 	m.mu.Lock()
 	p := m.services[service]
@@ -33,6 +33,10 @@
 		m.mu.Unlock()
 		return admission{retryAfter: retryAfterBusy, reason: reasonUpstreamsBusy, cause: "no upstream of the service is known"}
 	}
+	if wait, none := p.takesNone(held); none {
+		m.mu.Unlock()
+		return admission{retryAfter: wait, reason: reasonUpstreamsHeld, cause: held.describe()}
+	}
 	p.gateways = gateways
 	changes := p.stateChanges(now)
 	a := admission{reason: reasonUpstreamsBusy}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -129,19 +129,35 @@
 
 // beginAttempt chooses an upstream for the next attempt; it returns nil if there is none.
 func (c *call) beginAttempt() *attempt {
-	req := &route.Request{Exclude: c.tried, Tokens: c.params.PromptTokens + c.params.MaxTokens}
-	now := time.Now()
-	upstream, group, ok := c.services.pick(now, c.group, req)
+	upstream, req, ok := c.chooseUpstream()
 	if !ok {
 		return nil
 	}
-	c.group = group
-	a := &attempt{upstream: upstream, group: group, request: req, startedAt: now}
+	a := &attempt{upstream: upstream, group: c.group, request: req, startedAt: time.Now()}
 	a.ctx, a.cancel = context.WithCancel(c.ctx)
 	a.watchdog = c.watchAttempt(upstream.ID, a.cancel)
 	return a
 }
 
+// chooseUpstream chooses an upstream that takes a request from this gateway now. One whose limit
+// leaves no permit for it is left out.
+func (c *call) chooseUpstream() (route.Upstream, *route.Request, bool) {
+	req := &route.Request{Exclude: c.tried, Tokens: c.params.PromptTokens + c.params.MaxTokens}
+	for c.ctx.Err() == nil {
+		upstream, group, ok := c.services.pick(time.Now(), c.group, req)
+		if !ok {
+			break
+		}
+		c.group = group
+		if c.rateLimits.Acquire(c.ctx, upstream.ID) {
+			return upstream, req, true
+		}
+		c.services.unpick(time.Now(), group, upstream, req)
+		req = req.Excluding(map[string]bool{upstream.ID: true})
+	}
+	return route.Upstream{}, nil, false
+}
+
 // endAttempt records the outcome of an attempt.
 func (c *call) endAttempt(a *attempt, o outcome) {
 	a.watchdog.stop()
@@ -387,5 +403,8 @@
 		return
 	}
 	f := c.history.failure(c.lastOutcome, c.reason)
+	if wait, held := c.services.retryAfterHeld(c.service); held && f.status == http.StatusServiceUnavailable {
+		f.reason, f.retryAfter = reasonUpstreamsHeld, wait
+	}
 	c.refuseAndEnd(&f)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,14 +115,18 @@
 	g.requestLog, g.metrics = newRequestLog(g.log, now), newGatewayMetrics()
 	g.stateLog = kernel.NewLogLimiter(stateLogLines, now)
 	g.quarantine = quarantine.NewNode(s.ID, g.log, now, g.pool.Conn)
-	g.rateLimits = ratelimit.NewNode(s.ID, g.log, now, g.metrics.Metrics)
+	g.rateLimits = ratelimit.NewNode(ratelimit.Options{
+		ID: s.ID, Log: g.log, Now: now, Metrics: g.metrics.Metrics, Dial: g.pool.Conn, Replicas: g.targets.Addresses,
+	})
 	g.services.onStateChange, g.services.onPasses, g.services.gateways = g.logStateChange, g.logPasses, g.gatewayCount
+	g.services.restraints, g.services.onHeldBack = g.restraints, g.countHeldBack
 	g.metrics.register(g)
 	g.node = directory.NewNode(directorySettings(), now, g.directoryChanged)
 	g.retryBudget = retry.NewBudget(s.Retries.allowance(), g.lastKnownPosition, g.borrowRetry, now)
 	g.dumps.Add("directory", g.node.Dump)
 	g.dumps.Add("gateway", g.dump)
 	g.dumps.Add("quarantine", g.quarantine.Dump)
+	g.dumps.Add("limits", g.rateLimits.Dump)
 	return g, nil
 }
 
@@ -155,6 +159,7 @@
 	go g.followRouting(ctx)
 	go g.followSurveys(ctx)
 	go g.quarantine.Run(ctx, g.targets.Addresses)
+	go g.rateLimits.Run(ctx)
 	go g.announceLoop(ctx)
 	kernel.Info(g.log, "Started.", "id", g.settings.ID, "failure_domain", g.settings.FailureDomain, "addr", g.callerListener.Addr(), "version", kernel.Version)
 	return nil
@@ -219,6 +224,7 @@
 		kernel.Warn(g.log, "Updating the upstreams failed.", "err", err)
 	}
 	g.resolvePendingExits(known)
+	g.forgetGone(known)
 	g.client.CloseIdleExcept(g.services.addresses())
 	g.warmup.notify()
 }
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -92,6 +92,9 @@
 	reasonUpstreamsBusy   = "upstreams-busy"
 	reasonGroupIncomplete = "group-incomplete"
 	reasonEvacuated       = "evacuated"
+	// reasonUpstreamsHeld means that all upstreams have asked for fewer requests, so that none takes
+	// one from this gateway now.
+	reasonUpstreamsHeld   = "upstreams-held"
 	reasonDraining        = "draining"
 	reasonRetryBudget     = "retry-budget"
 	reasonInDoubt         = "in-doubt"
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -35,8 +35,12 @@
 	onStateChange func(service string, c stateChange)
 	// onPasses is called, without the lock, with the passes of a group since the last call.
 	onPasses func(service, group string, stats passStats, inputs string)
-	// gateways returns the number of gateways that are up. It is called without the lock.
-	gateways func() int
+	// gateways returns the number of gateways that are up, restraints what upstreams have asked
+	// for. They are called without the lock.
+	gateways   func() int
+	restraints func() restraints
+	// onHeldBack is called with the cause for each upstream that is left out of a choice.
+	onHeldBack func(cause string)
 	// position is that of this gateway at the last update.
 	position quota.Position
 	// coldLimits has the limits of services whose upstreams start cold.
@@ -69,6 +73,7 @@
 	return &serviceManager{
 		entryInfo: route.EntryInfo{ID: s.ID, FailureDomain: s.FailureDomain, Seed: rand.Uint64()},
 		services:  map[string]*servicePool{}, loadSeq: firstLoad,
+		restraints: func() restraints { return nil }, onHeldBack: func(string) {},
 	}
 }
 
@@ -196,10 +201,12 @@
 // unavailable or has no upstream left, another group is used and the permit moves there. finish
 // must be called with the result.
 func (m *serviceManager) pick(now time.Time, group *groupPool, r *route.Request) (upstream route.Upstream, holder *groupPool, ok bool) {
+	held := m.restraints()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, g := range group.candidates(now) {
-		c, ok := g.balancer.Pick(now, r.Excluding(g.service.cold.exhausted(now, m.position)))
+		allowed := r.Excluding(g.service.cold.exhausted(now, m.position)).Excluding(held.excluded(g.upstreams, m.onHeldBack))
+		c, ok := g.balancer.Pick(now, allowed)
 		if !ok {
 			continue
 		}
@@ -225,6 +232,11 @@
 	return []*groupPool{other, g}
 }
 
+// unpick takes back a choice of pick: nothing was sent.
+func (m *serviceManager) unpick(now time.Time, group *groupPool, upstream route.Upstream, r *route.Request) {
+	m.finish(now, group, upstream, r, route.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, CallerGone: true})
+}
+
 // finish ends an attempt at an upstream that pick chose.
 func (m *serviceManager) finish(now time.Time, group *groupPool, upstream route.Upstream, r *route.Request, res route.Result) {
 	m.mu.Lock()
--- a/gateway/statements_test.go
+++ b/gateway/statements_test.go
@@ -31,7 +31,7 @@
 		{"not an upstream's answer", 502, dialect.Answer{Limit: &perS}, ""},
 	} {
 		g := &Gateway{metrics: newGatewayMetrics()}
-		g.rateLimits = ratelimit.NewNode("g", log.NewNopLogger(), kernel.BootClock(), g.metrics.Metrics)
+		g.rateLimits = ratelimit.NewNode(ratelimit.Options{ID: "g", Log: log.NewNopLogger(), Now: kernel.BootClock(), Metrics: g.metrics.Metrics})
 		a := &attempt{upstream: route.Upstream{ID: "asked"}, status: c.status, head: c.head}
 		(&call{Gateway: g}).recordStatements(a)
 		for _, id := range []string{"asked", "other"} {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -37,11 +37,25 @@
 // Take records an event and returns true, if there were fewer than limit in the window that
 // ends now. Any span of that length has at most limit events, as long as limit stays the same.
 func (w *Window) Take(now time.Time, length time.Duration, limit int) bool {
-	if w.Used(now, length) >= limit {
-		return false
+	return w.TakeUpTo(now, length, limit, 1) == 1
+}
+
+// TakeUpTo records up to n events, as many as Take would, and returns how many.
+func (w *Window) TakeUpTo(now time.Time, length time.Duration, limit, n int) int {
+	n = max(min(n, limit-w.Used(now, length)), 0)
+	for range n {
+		w.times = append(w.times, now)
+	}
+	return n
+}
+
+// NextFree returns how long it takes until the oldest event leaves the window that ends now; 0 if it is
+// empty.
+func (w *Window) NextFree(now time.Time, length time.Duration) time.Duration {
+	if w.Used(now, length) == 0 {
+		return 0
 	}
-	w.times = append(w.times, now)
-	return true
+	return length - now.Sub(w.times[0])
 }
 
 // Used returns the number of events in the window that ends now.
