--- a/ratelimit/book.go
+++ b/backpressure/book.go
@@ -6,7 +6,7 @@
 // the control replicas. And the gateways' parts must not add up to more than the limit: each
 // request to a limited upstream needs a permit, which the Lender of a control replica lends from
 // its whole share of the limit. So no gateway has to know how many others there are.
-package ratelimit
+package backpressure
 
 import (
 	"cmp"
--- a/ratelimit/book_test.go
+++ b/backpressure/book_test.go
@@ -1,4 +1,4 @@
-package ratelimit
+package backpressure
 
 import (
 	"fmt"
--- a/ratelimit/message.go
+++ b/backpressure/message.go
@@ -1,4 +1,4 @@
-package ratelimit
+package backpressure
 
 import (
 	"math"
@@ -9,8 +9,8 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
-// ErrInvalidLimit is returned for a message that no gateway sends.
-var ErrInvalidLimit = merry.Sentinel("invalid limit")
+// ErrInvalidStatement is returned for a message that no gateway sends.
+var ErrInvalidStatement = merry.Sentinel("invalid limit")
 
 const (
 	// MaxStatements bounds the statements in one message.
@@ -19,28 +19,28 @@
 	maxIDBytes = 256
 )
 
-// Check returns ErrInvalidLimit if a message can't be a statement.
-func Check(m *wire.UpstreamLimit) error {
+// Check returns ErrInvalidStatement if a message can't be a statement.
+func Check(m *wire.UpstreamStatement) error {
 	switch {
 	case m.Upstream == "" || len(m.Upstream) > maxIDBytes || len(m.HeardBy) > maxIDBytes:
-		return merry.Prepend(ErrInvalidLimit, "the upstream's or the gateway's ID is missing or too long")
+		return merry.Prepend(ErrInvalidStatement, "the upstream's or the gateway's ID is missing or too long")
 	case math.IsNaN(m.PerS) || m.PerS < 0 || m.PerS > MaxPerS:
-		return merry.Prependf(ErrInvalidLimit, "%g requests a second", m.PerS)
+		return merry.Prependf(ErrInvalidStatement, "%g requests a second", m.PerS)
 	}
 	return nil
 }
 
 // ToWire returns the messages of statements that are sent now.
-func ToWire(now time.Time, list []Statement) (messages []*wire.UpstreamLimit) {
+func ToWire(now time.Time, list []Statement) (messages []*wire.UpstreamStatement) {
 	for _, s := range list {
 		age := min(max(now.Sub(s.HeardAt).Milliseconds(), 0), math.MaxInt32)
-		messages = append(messages, &wire.UpstreamLimit{Upstream: s.Upstream, Limited: s.Limited, PerS: s.PerS, AgeMs: uint32(age), HeardBy: s.Source})
+		messages = append(messages, &wire.UpstreamStatement{Upstream: s.Upstream, Limited: s.Limited, PerS: s.PerS, AgeMs: uint32(age), HeardBy: s.Source})
 	}
 	return messages
 }
 
 // FromWire returns the statement of a message that was received now.
-func FromWire(now time.Time, m *wire.UpstreamLimit) Statement {
+func FromWire(now time.Time, m *wire.UpstreamStatement) Statement {
 	return Statement{
 		Upstream: m.Upstream, Limited: m.Limited, PerS: m.PerS,
 		HeardAt: now.Add(-time.Duration(m.AgeMs) * time.Millisecond), Source: m.HeardBy,
--- a/ratelimit/node.go
+++ b/backpressure/node.go
@@ -1,4 +1,4 @@
-package ratelimit
+package backpressure
 
 import (
 	"context"
@@ -83,7 +83,7 @@
 }
 
 // ApplyReport records statements that a replica passes on. Invalid ones are logged and skipped.
-func (n *Node) ApplyReport(replica string, list []*wire.UpstreamLimit) {
+func (n *Node) ApplyReport(replica string, list []*wire.UpstreamStatement) {
 	for _, m := range list {
 		if err := Check(m); err != nil {
 			n.logInfo("Invalid limit skipped.", "replica", replica, "err", err)
@@ -158,8 +158,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, directory.ReportTimeout)
 	defer cancel()
-	req := &wire.TellLimitsRequest{Teller: n.id, Limits: ToWire(n.now(), own)}
-	if _, err := wire.NewDRPCRateLimitsClient(n.dial(ctx, replica)).Tell(ctx, req); err != nil {
+	req := &wire.TellStatementsRequest{Teller: n.id, Statements: ToWire(n.now(), own)}
+	if _, err := wire.NewDRPCBackpressureClient(n.dial(ctx, replica)).Tell(ctx, req); err != nil {
 		n.logInfo("Reporting limits to a replica failed.", "replica", replica, "limits", len(own), "err", err)
 		return after, false, err
 	}
@@ -264,7 +264,7 @@
 	defer cancel()
 	askedAt := n.now()
 	req := &wire.BorrowPermitsRequest{Upstream: upstream, PerS: step.perS, Want: uint32(step.want)}
-	reply, err := wire.NewDRPCRateLimitsClient(n.dial(ctx, step.replica)).Borrow(ctx, req)
+	reply, err := wire.NewDRPCBackpressureClient(n.dial(ctx, step.replica)).Borrow(ctx, req)
 	if err != nil {
 		n.logInfo("A permit can't be borrowed.", "replica", step.replica, "upstream", upstream, "err", err)
 	}
--- a/control/ratelimits.go
+++ b/control/backpressure.go
@@ -7,7 +7,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/snipereach/snipereach/ratelimit"
+	"github.com/snipereach/snipereach/backpressure"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -17,7 +17,7 @@
 	now func() time.Time
 
 	mu   sync.Mutex
-	book *ratelimit.Book
+	book *backpressure.Book
 	// forgotAt is when obsolete statements were last dropped.
 	forgotAt time.Time
 }
@@ -26,34 +26,34 @@
 const limitsForgetInterval = 10 * time.Second
 
 func newLimitStore(now func() time.Time) *limitStore {
-	return &limitStore{now: now, book: ratelimit.NewBook()}
+	return &limitStore{now: now, book: backpressure.NewBook()}
 }
 
 // record applies validated statements and reports whether watchers must be sent any of them.
-func (s *limitStore) record(list []*wire.UpstreamLimit) (changed bool) {
+func (s *limitStore) record(list []*wire.UpstreamStatement) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	for _, m := range list {
-		_, c := s.book.Record(ratelimit.FromWire(now, m))
+		_, c := s.book.Record(backpressure.FromWire(now, m))
 		changed = changed || c
 	}
 	return changed
 }
 
 // changesSince returns what a watcher that has seen a version must be sent next.
-func (s *limitStore) changesSince(version uint64) (list []*wire.UpstreamLimit, upTo uint64) {
+func (s *limitStore) changesSince(version uint64) (list []*wire.UpstreamStatement, upTo uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	statements, upTo := s.book.Since(version, ratelimit.MaxStatements)
-	return ratelimit.ToWire(s.now(), statements), upTo
+	statements, upTo := s.book.Since(version, backpressure.MaxStatements)
+	return backpressure.ToWire(s.now(), statements), upTo
 }
 
 // all returns all statements.
-func (s *limitStore) all() []*wire.UpstreamLimit {
+func (s *limitStore) all() []*wire.UpstreamStatement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return ratelimit.ToWire(s.now(), s.book.All())
+	return backpressure.ToWire(s.now(), s.book.All())
 }
 
 // perS returns the lower of a limit that a gateway knows and the one known here.
@@ -85,16 +85,16 @@
 	s.book.Forget(s.forgotAt, func(id string) bool { return known[id] })
 }
 
-// rateLimitService implements the RateLimits service, which gateways call.
-type rateLimitService struct{ *service }
+// backpressureService implements the Backpressure service, which gateways call.
+type backpressureService struct{ *service }
 
-// Tell implements the RateLimits service.
-func (s rateLimitService) Tell(_ context.Context, req *wire.TellLimitsRequest) (*wire.TellLimitsReply, error) {
-	if len(req.Limits) > ratelimit.MaxStatements {
-		return nil, merry.Prependf(ratelimit.ErrInvalidLimit, "%d statements", len(req.Limits))
+// Tell implements the Backpressure service.
+func (s backpressureService) Tell(_ context.Context, req *wire.TellStatementsRequest) (*wire.TellStatementsReply, error) {
+	if len(req.Statements) > backpressure.MaxStatements {
+		return nil, merry.Prependf(backpressure.ErrInvalidStatement, "%d statements", len(req.Statements))
 	}
-	for _, m := range req.Limits {
-		if err := ratelimit.Check(m); err != nil {
+	for _, m := range req.Statements {
+		if err := backpressure.Check(m); err != nil {
 			return nil, err
 		}
 	}
@@ -102,17 +102,17 @@
 	if r == nil {
 		return nil, merry.Prepend(ErrUnavailable, "replica belongs to no cluster yet")
 	}
-	if s.limits.record(req.Limits) {
+	if s.limits.record(req.Statements) {
 		s.metrics.Count("control.limits.changed")
 		r.watchers.Notify()
 	}
 	s.limits.forgetObsolete(s.groups.upstreams)
-	return &wire.TellLimitsReply{}, nil
+	return &wire.TellStatementsReply{}, nil
 }
 
-// Borrow implements the RateLimits service.
-func (s rateLimitService) Borrow(ctx context.Context, req *wire.BorrowPermitsRequest) (*wire.BorrowPermitsReply, error) {
-	if err := ratelimit.Check(&wire.UpstreamLimit{Upstream: req.Upstream, PerS: req.PerS}); err != nil {
+// Borrow implements the Backpressure service.
+func (s backpressureService) Borrow(ctx context.Context, req *wire.BorrowPermitsRequest) (*wire.BorrowPermitsReply, error) {
+	if err := backpressure.Check(&wire.UpstreamStatement{Upstream: req.Upstream, PerS: req.PerS}); err != nil {
 		return nil, err
 	}
 	position, ok := s.lendingPosition(ctx)
@@ -129,7 +129,7 @@
 	return &wire.BorrowPermitsReply{Lent: uint32(lent), RetryMs: clampedMillis(retry)}, nil
 }
 
-// List implements the RateLimits service.
-func (s rateLimitService) List(context.Context, *wire.ListLimitsRequest) (*wire.ListLimitsReply, error) {
-	return &wire.ListLimitsReply{Limits: s.limits.all()}, nil
+// List implements the Backpressure service.
+func (s backpressureService) List(context.Context, *wire.ListStatementsRequest) (*wire.ListStatementsReply, error) {
+	return &wire.ListStatementsReply{Statements: s.limits.all()}, nil
 }
--- a/control/control.go
+++ b/control/control.go
@@ -14,11 +14,11 @@
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 
+	"github.com/snipereach/snipereach/backpressure"
 	"github.com/snipereach/snipereach/consensus"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/lockstep/leader"
 	"github.com/snipereach/snipereach/quarantine"
-	"github.com/snipereach/snipereach/ratelimit"
 	"github.com/snipereach/snipereach/retry"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wal"
@@ -70,7 +70,7 @@
 	lender *retry.Lender
 	// limits are what upstreams say of their limits, permits lends permits within them.
 	limits  *limitStore
-	permits *ratelimit.Lender
+	permits *backpressure.Lender
 
 	mu       sync.Mutex
 	identity *wire.Identity
@@ -85,7 +85,7 @@
 		return nil, err
 	}
 	s.Now = s.Clock()
-	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, surveys: &surveyFeed{}, metrics: kernel.NewMetrics(), suspicions: newSuspicionStore(s.Now), lender: retry.NewLender(s.Now), limits: newLimitStore(s.Now), permits: ratelimit.NewLender(s.Now)}
+	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, surveys: &surveyFeed{}, metrics: kernel.NewMetrics(), suspicions: newSuspicionStore(s.Now), lender: retry.NewLender(s.Now), limits: newLimitStore(s.Now), permits: backpressure.NewLender(s.Now)}
 	c.groups = newGroupLeader(s, kernel.PartLog(l, "groups"), pool)
 	if s.Lockstep == nil {
 		return c, nil
@@ -133,7 +133,7 @@
 	if err := wire.DRPCRegisterQuarantine(mux, quarantineService{&service{c}}); err != nil {
 		return err
 	}
-	if err := wire.DRPCRegisterRateLimits(mux, rateLimitService{&service{c}}); err != nil {
+	if err := wire.DRPCRegisterBackpressure(mux, backpressureService{&service{c}}); err != nil {
 		return err
 	}
 	return wire.DRPCRegisterControl(mux, &service{c})
--- a/control/routing.go
+++ b/control/routing.go
@@ -8,10 +8,10 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/snipereach/snipereach/backpressure"
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/quarantine"
-	"github.com/snipereach/snipereach/ratelimit"
 	"github.com/snipereach/snipereach/routing"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -193,11 +193,11 @@
 	limits, limitsUpTo := s.limits.changesSince(u.limits)
 	v = &wire.RoutingVersion{
 		Version: r.routingVersion.Load(), ConfirmedAgeMs: clampedMillis(r.feed.confirmedAge(r.now())),
-		Suspicions: suspicions.Suspicions, Limits: limits,
+		Suspicions: suspicions.Suspicions, Statements: limits,
 		Evacuated: evacuations.Domains, EvacuationRevision: evacuations.Revision,
 	}
-	full = len(suspicions.Suspicions) == quarantine.MaxBatch || len(limits) == ratelimit.MaxStatements
-	changed := v.Version != u.version || evacuations.Revision != u.evacuations || len(v.Suspicions) > 0 || len(v.Limits) > 0
+	full = len(suspicions.Suspicions) == quarantine.MaxBatch || len(limits) == backpressure.MaxStatements
+	changed := v.Version != u.version || evacuations.Revision != u.evacuations || len(v.Suspicions) > 0 || len(v.Statements) > 0
 	becameCurrent := confirmed && !u.current
 	u.current = confirmed
 	if !due && !changed && !becameCurrent {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -149,7 +149,7 @@
 			break
 		}
 		c.group = group
-		if c.rateLimits.Acquire(c.ctx, upstream.ID) {
+		if c.backpressure.Acquire(c.ctx, upstream.ID) {
 			return upstream, req, true
 		}
 		c.services.unpick(time.Now(), group, upstream, req)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/go-kit/log"
 
+	"github.com/snipereach/snipereach/backpressure"
 	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/direct"
 	"github.com/snipereach/snipereach/directory"
@@ -23,7 +24,6 @@
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/quarantine"
 	"github.com/snipereach/snipereach/quota"
-	"github.com/snipereach/snipereach/ratelimit"
 	"github.com/snipereach/snipereach/retry"
 	"github.com/snipereach/snipereach/routing"
 	"github.com/snipereach/snipereach/transport"
@@ -86,7 +86,7 @@
 	evacuations  evacuation.Tracker
 	reports      versionReports
 	quarantine   *quarantine.Node
-	rateLimits   *ratelimit.Node
+	backpressure *backpressure.Node
 	unreadable   unreadableValues
 }
 
@@ -115,7 +115,7 @@
 	g.requestLog, g.metrics = newRequestLog(g.log, now), newGatewayMetrics()
 	g.stateLog = kernel.NewLogLimiter(stateLogLines, now)
 	g.quarantine = quarantine.NewNode(s.ID, g.log, now, g.pool.Conn)
-	g.rateLimits = ratelimit.NewNode(ratelimit.Options{
+	g.backpressure = backpressure.NewNode(backpressure.Options{
 		ID: s.ID, Log: g.log, Now: now, Metrics: g.metrics.Metrics, Dial: g.pool.Conn, Replicas: g.targets.Addresses,
 	})
 	g.services.onStateChange, g.services.onPasses, g.services.gateways = g.logStateChange, g.logPasses, g.gatewayCount
@@ -126,7 +126,7 @@
 	g.dumps.Add("directory", g.node.Dump)
 	g.dumps.Add("gateway", g.dump)
 	g.dumps.Add("quarantine", g.quarantine.Dump)
-	g.dumps.Add("limits", g.rateLimits.Dump)
+	g.dumps.Add("limits", g.backpressure.Dump)
 	return g, nil
 }
 
@@ -159,7 +159,7 @@
 	go g.followRouting(ctx)
 	go g.followSurveys(ctx)
 	go g.quarantine.Run(ctx, g.targets.Addresses)
-	go g.rateLimits.Run(ctx)
+	go g.backpressure.Run(ctx)
 	go g.announceLoop(ctx)
 	kernel.Info(g.log, "Started.", "id", g.settings.ID, "failure_domain", g.settings.FailureDomain, "addr", g.callerListener.Addr(), "version", kernel.Version)
 	return nil
--- a/gateway/restraints.go
+++ b/gateway/restraints.go
@@ -27,7 +27,7 @@
 
 // restraints returns what upstreams have asked for that keeps this gateway from sending to them now.
 func (g *Gateway) restraints() restraints {
-	blocked := g.rateLimits.Blocked()
+	blocked := g.backpressure.Blocked()
 	if len(blocked) == 0 {
 		return nil
 	}
@@ -47,7 +47,7 @@
 	for _, i := range upstreams {
 		known[i.Id] = true
 	}
-	g.rateLimits.Forget(func(id string) bool { return known[id] })
+	g.backpressure.Forget(func(id string) bool { return known[id] })
 }
 
 // excluded returns the upstreams among those given that are under restraint, and counts them with
--- a/gateway/routingwatch.go
+++ b/gateway/routingwatch.go
@@ -68,7 +68,7 @@
 	if !w.connected {
 		w.logState("Control replica connected.", "replica", w.addr, "version", v.Version, "confirmed_age_ms", v.ConfirmedAgeMs)
 		w.quarantine.ReportAll(w.addr)
-		w.rateLimits.ReportAll(w.addr)
+		w.backpressure.ReportAll(w.addr)
 	}
 	w.connected = true
 	w.reports.record(w.addr, versionReport{version: v.Version, current: isCurrent(v)})
@@ -102,7 +102,7 @@
 		silence.Reset(max(watchSilenceTimeout, silentIntervals*time.Duration(v.NextMs)*time.Millisecond))
 		w.recordVersion(v)
 		w.quarantine.ApplyReport(w.addr, v.Suspicions)
-		w.rateLimits.ApplyReport(w.addr, v.Limits)
+		w.backpressure.ApplyReport(w.addr, v.Statements)
 		w.applyEvacuations(v, w.addr)
 		if err := w.fetchIfNewer(ctx, v); err != nil {
 			return err
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -53,6 +53,6 @@
 		}
 	}
 	if a.head.Limit != nil && (a.head.FromUpstream || a.head.NotRun) || a.head.FromUpstream && len(a.head.Unreadable) == 0 {
-		c.rateLimits.Observe(instance, a.head.Limit)
+		c.backpressure.Observe(instance, a.head.Limit)
 	}
 }
--- a/gateway/statements_test.go
+++ b/gateway/statements_test.go
@@ -8,9 +8,9 @@
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
+	"github.com/snipereach/snipereach/backpressure"
 	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/kernel"
-	"github.com/snipereach/snipereach/ratelimit"
 	"github.com/snipereach/snipereach/route"
 )
 
@@ -31,18 +31,18 @@
 		{"not an upstream's answer", 502, dialect.Answer{Limit: &perS}, ""},
 	} {
 		g := &Gateway{metrics: newGatewayMetrics()}
-		g.rateLimits = ratelimit.NewNode(ratelimit.Options{ID: "g", Log: log.NewNopLogger(), Now: kernel.BootClock(), Metrics: g.metrics.Metrics})
+		g.backpressure = backpressure.NewNode(backpressure.Options{ID: "g", Log: log.NewNopLogger(), Now: kernel.BootClock(), Metrics: g.metrics.Metrics})
 		a := &attempt{upstream: route.Upstream{ID: "asked"}, status: c.status, head: c.head}
 		(&call{Gateway: g}).recordStatements(a)
 		for _, id := range []string{"asked", "other"} {
-			assert.Equal(t, g.rateLimits.Known(id).Limited, id == c.want, c.name)
+			assert.Equal(t, g.backpressure.Known(id).Limited, id == c.want, c.name)
 		}
 		a.status, a.head = http.StatusServiceUnavailable, dialect.Answer{NotRun: true, Instance: c.want}
 		(&call{Gateway: g}).recordStatements(a)
-		assert.Equal(t, g.rateLimits.Known(c.want).Limited, c.want != "", "a refusal has ended the limit")
+		assert.Equal(t, g.backpressure.Known(c.want).Limited, c.want != "", "a refusal has ended the limit")
 		a.head = dialect.Answer{FromUpstream: true, Instance: c.want}
 		(&call{Gateway: g}).recordStatements(a)
-		assert.Assert(t, !g.rateLimits.Known(c.want).Limited, "%s: the limit hasn't ended", c.name)
+		assert.Assert(t, !g.backpressure.Known(c.want).Limited, "%s: the limit hasn't ended", c.name)
 	}
 }
 
