--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,6 +87,7 @@
 	reports      versionReports
 	quarantine   *quarantine.Node
 	backpressure *backpressure.Node
+	rests        *backpressure.Rests
 	unreadable   unreadableValues
 }
 
@@ -118,6 +119,7 @@
 	g.backpressure = backpressure.NewNode(backpressure.Options{
 		ID: s.ID, Log: g.log, Now: now, Metrics: g.metrics.Metrics, Dial: g.pool.Conn, Replicas: g.targets.Addresses,
 	})
+	g.rests = backpressure.NewRests(now)
 	g.services.onStateChange, g.services.onPasses, g.services.gateways = g.logStateChange, g.logPasses, g.gatewayCount
 	g.services.restraints, g.services.onHeldBack = g.restraints, g.countHeldBack
 	g.metrics.register(g)
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 )
 
 // maxUnreadableUpstreams bounds the upstreams of which it is remembered that a value can't be read.
@@ -52,7 +53,20 @@
 			c.logState("Value of an upstream can't be read.", "upstream", instance, "field", field)
 		}
 	}
+	if a.head.Rest > 0 {
+		c.recordRest(instance, a.head.Rest)
+	}
 	if a.head.Limit != nil && (a.head.FromUpstream || a.head.NotRun) || a.head.FromUpstream && len(a.head.Unreadable) == 0 {
 		c.backpressure.Observe(instance, a.head.Limit)
 	}
 }
+
+// recordRest records for how long an upstream that has refused wants no request from this gateway.
+func (g *Gateway) recordRest(upstream string, d time.Duration) {
+	if !g.rests.Ask(upstream, d) {
+		g.metrics.Count("gateway.rests.repeated")
+		return
+	}
+	g.metrics.Count("gateway.rests")
+	g.logState("Upstream asks for rest.", "upstream", upstream, "rest_ms", d.Milliseconds())
+}
