Gateways keep the rest that an upstream asks for

What callers saw: streams refused as upstreams-busy or for the retry budget while most ranks served.

Cause: nobody read the Retry-After of a refusal. An upstream that refuses reports no load, so it looked empty and was chosen more often than others, again within 0.1 s.

Now: from its refusal to the end of the time that it names, an upstream is left out of the choice of first attempts, retries, resumed streams and requests that run at most once, which all go through one place.

--- a/gateway/restraints.go
+++ b/gateway/restraints.go
@@ -14,6 +14,8 @@
 const (
 	// heldByLimit means that its limit allows this gateway none.
 	heldByLimit = "limit"
+	// heldByRest means that it has refused this gateway and asked for rest.
+	heldByRest = "rest"
 )
 
 // restraint is why an upstream gets no request from this gateway now, and for how much longer.
@@ -27,15 +29,22 @@
 
 // restraints returns what upstreams have asked for that keeps this gateway from sending to them now.
 func (g *Gateway) restraints() restraints {
-	blocked := g.backpressure.Blocked()
-	if len(blocked) == 0 {
-		return nil
+	var list restraints
+	list = list.with(heldByLimit, g.backpressure.Blocked())
+	return list.with(heldByRest, g.rests.Left())
+}
+
+// with returns the restraints and others of one cause. Of two about one upstream the longer holds.
+func (r restraints) with(cause string, left map[string]time.Duration) restraints {
+	if r == nil && len(left) > 0 {
+		r = restraints{}
 	}
-	list := restraints{}
-	for id, left := range blocked {
-		list[id] = restraint{cause: heldByLimit, left: left}
+	for id, d := range left {
+		if d > r[id].left {
+			r[id] = restraint{cause: cause, left: d}
+		}
 	}
-	return list
+	return r
 }
 
 // countHeldBack counts an upstream that is left out of a choice.
