An upstream that says in an answer that it leaves gets no more requests

Cause: leaving was read from registrations only; some upstreams never register it, and others say so in answers first.

Now: an answer that says so takes the upstream out of the choice of all attempts at the gateway that got it, and, as with limits, at all others through the control replicas. It holds for the incarnation: no other news undoes it, and one that starts anew under the ID is used. Its end isn't taken for a crash.

--- a/backpressure/book.go
+++ b/backpressure/book.go
@@ -1,11 +1,12 @@
-// Package ratelimit keeps the requests of all gateways to an upstream within the limit that the
-// upstream names in its answers.
+// Package backpressure keeps what upstreams ask of gateways in their answers: a limit for the
+// requests of all gateways together, rest for the gateway that they have refused, and no more
+// requests as they leave.
 //
-// A limit over all gateways needs two things. Each gateway must know it, also one that hasn't
-// been answered by the upstream: a Book holds what is known, and gateways pass news on through
-// the control replicas. And the gateways' parts must not add up to more than the limit: each
-// request to a limited upstream needs a permit, which the Lender of a control replica lends from
-// its whole share of the limit. So no gateway has to know how many others there are.
+// What is asked of all gateways needs to be known to each, also to one that hasn't been answered
+// by the upstream: a Book holds what is known, and gateways pass news on through the control
+// replicas. And the gateways' parts of a limit must not add up to more: each request to a limited
+// upstream needs a permit, which the Lender of a control replica lends from its whole share of the
+// limit. So no gateway has to know how many others there are.
 package backpressure
 
 import (
@@ -27,10 +28,13 @@
 	MaxUpstreams = 20_000
 )
 
-// Statement is what an upstream has said about its limit.
+// Statement is what an upstream has said in an answer.
 type Statement struct {
-	// Upstream is the instance that said it.
-	Upstream string
+	// Upstream is the instance that said it, Incarnation its incarnation.
+	Upstream    string
+	Incarnation uint64
+	// Leaving says that it wants no more requests.
+	Leaving bool
 	// Limited says whether there is a limit, PerS is the limit in requests a second.
 	Limited bool
 	PerS    float64
@@ -42,7 +46,7 @@
 
 // same reports whether two statements say the same.
 func (s Statement) same(other Statement) bool {
-	return s.Limited == other.Limited && s.PerS == other.PerS
+	return s.Limited == other.Limited && s.PerS == other.PerS && s.Leaving == other.Leaving
 }
 
 // relaxes reports whether the statement allows more than an earlier one.
@@ -53,57 +57,84 @@
 // entry is the latest statement of an upstream.
 type entry struct {
 	Statement
-	// version is the Book's version at which the limit last changed.
+	// version is the Book's version at which what it says last changed.
 	version uint64
 }
 
-// Book holds the latest statement of each upstream that has had a limit. It isn't safe for
+// Book holds the latest statement of each upstream that has asked for anything. It isn't safe for
 // concurrent use.
+//
+// Invariant: an incarnation that leaves never comes back, so that it leaves is kept whatever else
+// is heard of it, in any order.
 type Book struct {
 	byUpstream map[string]*entry
 	version    uint64
-	limited    int
+	// limited and leaving are the numbers of upstreams that have a limit and that leave.
+	limited, leaving int
 }
 
 // NewBook returns an empty Book.
 func NewBook() *Book { return &Book{byUpstream: map[string]*entry{}} }
 
 // Record applies a statement, unless a later one is known. It returns the statement before, and
-// whether the limit has changed.
+// whether anything but its age has changed.
 //
-// That an upstream has no limit is only remembered of one that had one: it keeps older news from
-// bringing the limit back.
+// That an upstream asks for nothing is only remembered of one that did before: it keeps older news
+// from bringing a limit back.
 func (b *Book) Record(s Statement) (before Statement, changed bool) {
 	e := b.byUpstream[s.Upstream]
 	if e == nil {
-		if !s.Limited || len(b.byUpstream) >= MaxUpstreams {
+		if !s.Limited && !s.Leaving || len(b.byUpstream) >= MaxUpstreams {
 			return Statement{}, false
 		}
 		e = &entry{}
 		b.byUpstream[s.Upstream] = e
 	}
 	before = e.Statement
-	if s.HeardAt.Before(before.HeardAt) {
-		return before, false
-	}
-	if s.relaxes(before) && s.Source != before.Source && s.HeardAt.Sub(before.HeardAt) < contradictionDelay {
+	next, accepted := before.followedBy(s)
+	if !accepted {
 		return before, false
 	}
-	switch {
-	case s.Limited && !before.Limited:
-		b.limited++
-	case !s.Limited && before.Limited:
-		b.limited--
-	}
-	e.Statement = s
-	if changed = !s.same(before); changed {
+	b.count(before, -1)
+	b.count(next, 1)
+	e.Statement = next
+	if changed = !next.same(before); changed {
 		b.version++
 		e.version = b.version
 	}
 	return before, changed
 }
 
-// Get returns the latest statement of an upstream; the zero value if it has never had a limit.
+// followedBy returns what is known of an upstream after a statement; accepted is false if that is
+// what was known before.
+func (s Statement) followedBy(next Statement) (after Statement, accepted bool) {
+	switch {
+	case next.Incarnation > s.Incarnation:
+		return next, true
+	case next.Incarnation < s.Incarnation:
+		return s, false
+	}
+	contradicts := next.relaxes(s) && next.Source != s.Source && next.HeardAt.Sub(s.HeardAt) < contradictionDelay
+	if next.HeardAt.Before(s.HeardAt) || contradicts {
+		leaves := next.Leaving && !s.Leaving
+		s.Leaving = s.Leaving || next.Leaving
+		return s, leaves
+	}
+	next.Leaving = next.Leaving || s.Leaving
+	return next, true
+}
+
+// count adds n to the numbers of what a statement says.
+func (b *Book) count(s Statement, n int) {
+	if s.Limited {
+		b.limited += n
+	}
+	if s.Leaving {
+		b.leaving += n
+	}
+}
+
+// Get returns the latest statement of an upstream; the zero value if it has never asked for anything.
 func (b *Book) Get(upstream string) Statement {
 	if e := b.byUpstream[upstream]; e != nil {
 		return e.Statement
@@ -114,6 +145,20 @@
 // Limited returns the number of upstreams that have a limit.
 func (b *Book) Limited() int { return b.limited }
 
+// Leaving returns the incarnations of the upstreams that leave; nil if none does.
+func (b *Book) Leaving() (list map[string]uint64) {
+	if b.leaving == 0 {
+		return nil
+	}
+	list = map[string]uint64{}
+	for id, e := range b.byUpstream {
+		if e.Leaving {
+			list[id] = e.Incarnation
+		}
+	}
+	return list
+}
+
 // Version returns the number of changes so far.
 func (b *Book) Version() uint64 { return b.version }
 
@@ -156,9 +201,7 @@
 		if now.Sub(e.HeardAt) < forgetAfter || known(id) {
 			continue
 		}
-		if e.Limited {
-			b.limited--
-		}
+		b.count(e.Statement, -1)
 		delete(b.byUpstream, id)
 	}
 }
--- a/backpressure/book_test.go
+++ b/backpressure/book_test.go
@@ -55,7 +55,7 @@
 		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			s := Statement{
 				Upstream: fmt.Sprint("u", rapid.IntRange(0, 3).Draw(t, "upstream")), Source: "g",
-				Limited: rapid.Bool().Draw(t, "limited"), HeardAt: start.Add(time.Duration(i) * time.Second),
+				Limited: rapid.Bool().Draw(t, "limited"), Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0, HeardAt: start.Add(time.Duration(i) * time.Second),
 			}
 			if s.Limited {
 				s.PerS = rapid.SampledFrom([]float64{0, 0.5, 3}).Draw(t, "rate")
@@ -94,3 +94,28 @@
 	assert.Equal(t, b.Limited(), 1)
 	assert.Assert(t, b.Get("here").Limited && !b.Get("gone").Limited)
 }
+
+// Guards against requests to an upstream that leaves, because news of its limit came later, and against
+// leaving out one that has started anew under its ID.
+func TestLeavingLastsForTheIncarnation(t *testing.T) {
+	b := NewBook()
+	leaving := Statement{Upstream: "u", Incarnation: 1, Leaving: true, HeardAt: start, Source: "g1"}
+	later := limited("u", "g2", 1, time.Second)
+	later.Incarnation = 1
+	b.Record(later)
+	before, changed := b.Record(leaving)
+	assert.Assert(t, changed && !before.Leaving, "older news that it leaves is lost")
+	assert.Assert(t, b.Get("u").Leaving && b.Get("u").PerS == 1)
+	ended := unlimited("u", "g1", 2*time.Second)
+	ended.Incarnation = 1
+	b.Record(ended)
+	assert.Assert(t, b.Get("u").Leaving && !b.Get("u").Limited)
+	assert.DeepEqual(t, b.Leaving(), map[string]uint64{"u": 1})
+
+	anew := limited("u", "g1", 2, 3*time.Second)
+	anew.Incarnation = 2
+	b.Record(anew)
+	assert.Assert(t, !b.Get("u").Leaving && b.Leaving() == nil)
+	_, changed = b.Record(leaving)
+	assert.Assert(t, !changed, "news of the incarnation before is taken for the new one")
+}
--- a/backpressure/message.go
+++ b/backpressure/message.go
@@ -10,7 +10,7 @@
 )
 
 // ErrInvalidStatement is returned for a message that no gateway sends.
-var ErrInvalidStatement = merry.Sentinel("invalid limit")
+var ErrInvalidStatement = merry.Sentinel("invalid statement of an upstream")
 
 const (
 	// MaxStatements bounds the statements in one message.
@@ -34,7 +34,7 @@
 func ToWire(now time.Time, list []Statement) (messages []*wire.UpstreamStatement) {
 	for _, s := range list {
 		age := min(max(now.Sub(s.HeardAt).Milliseconds(), 0), math.MaxInt32)
-		messages = append(messages, &wire.UpstreamStatement{Upstream: s.Upstream, Limited: s.Limited, PerS: s.PerS, AgeMs: uint32(age), HeardBy: s.Source})
+		messages = append(messages, &wire.UpstreamStatement{Upstream: s.Upstream, Incarnation: s.Incarnation, Limited: s.Limited, PerS: s.PerS, Leaving: s.Leaving, AgeMs: uint32(age), HeardBy: s.Source})
 	}
 	return messages
 }
@@ -42,7 +42,7 @@
 // FromWire returns the statement of a message that was received now.
 func FromWire(now time.Time, m *wire.UpstreamStatement) Statement {
 	return Statement{
-		Upstream: m.Upstream, Limited: m.Limited, PerS: m.PerS,
+		Upstream: m.Upstream, Incarnation: m.Incarnation, Limited: m.Limited, PerS: m.PerS, Leaving: m.Leaving,
 		HeardAt: now.Add(-time.Duration(m.AgeMs) * time.Millisecond), Source: m.HeardBy,
 	}
 }
--- a/backpressure/node.go
+++ b/backpressure/node.go
@@ -22,8 +22,8 @@
 	acquireTimeout = 100 * time.Millisecond
 )
 
-// Node is what a gateway knows of the limits of upstreams, and its permits. It is safe for
-// concurrent use.
+// Node is what a gateway knows of what upstreams ask of all gateways, and its permits. It is safe
+// for concurrent use.
 type Node struct {
 	id         string
 	log        log.Logger
@@ -33,9 +33,9 @@
 	replicas   func() []string
 	lineBudget *kernel.LogLimiter
 	reporters  *directory.Reporters
-	// limited is the number of limited upstreams. While it is 0, which is the usual case, a request
-	// costs one atomic load.
-	limited atomic.Int64
+	// limited is the number of limited upstreams, leaving those that leave. While they are 0, which
+	// is the usual case, a request costs two atomic loads.
+	limited, leaving atomic.Int64
 
 	mu        sync.Mutex
 	book      *Book
@@ -67,16 +67,13 @@
 // Run reports what upstreams say here to the control replicas until ctx is done.
 func (n *Node) Run(ctx context.Context) { n.reporters.Run(ctx, n.replicas) }
 
-// Observe records what an upstream has said in an answer to this gateway. limit is nil if the
-// answer had no limit.
-func (n *Node) Observe(upstream string, limit *float64) {
-	if limit == nil && n.limited.Load() == 0 {
+// Observe records what an upstream has said in an answer to this gateway. The time and the source are
+// set here.
+func (n *Node) Observe(s Statement) {
+	if !s.Limited && !s.Leaving && n.limited.Load() == 0 {
 		return
 	}
-	s := Statement{Upstream: upstream, HeardAt: n.now(), Source: n.id}
-	if limit != nil {
-		s.Limited, s.PerS = true, *limit
-	}
+	s.HeardAt, s.Source = n.now(), n.id
 	if n.record(s, "") {
 		n.reporters.Notify()
 	}
@@ -86,7 +83,7 @@
 func (n *Node) ApplyReport(replica string, list []*wire.UpstreamStatement) {
 	for _, m := range list {
 		if err := Check(m); err != nil {
-			n.logInfo("Invalid limit skipped.", "replica", replica, "err", err)
+			n.logInfo("Invalid statement skipped.", "replica", replica, "err", err)
 			continue
 		}
 		n.record(FromWire(n.now(), m), replica)
@@ -96,7 +93,7 @@
 // ReportAll has everything reported to a replica again, because it may have restarted and know
 // nothing.
 func (n *Node) ReportAll(replica string) {
-	if n.limited.Load() > 0 {
+	if n.limited.Load()+n.leaving.Load() > 0 {
 		n.reporters.Repeat(replica)
 	}
 }
@@ -113,7 +110,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.book.Forget(n.now(), known)
-	n.limited.Store(int64(n.book.Limited()))
+	n.updateCounts()
 	for id, b := range n.borrowers {
 		if b.asking == nil && !n.book.Get(id).Limited {
 			delete(n.borrowers, id)
@@ -126,18 +123,41 @@
 func (n *Node) record(s Statement, replica string) (changed bool) {
 	n.mu.Lock()
 	before, changed := n.book.Record(s)
-	n.limited.Store(int64(n.book.Limited()))
+	after := n.book.Get(s.Upstream)
+	n.updateCounts()
 	n.mu.Unlock()
 	if !changed {
 		return false
 	}
-	n.metrics.Count("gateway.limits.changed")
-	n.logInfo("Upstream limit changed.", "upstream", s.Upstream, "limited", s.Limited, "per_s", s.PerS,
-		"limited_before", before.Limited, "per_s_before", before.PerS,
-		"heard_by", s.Source, "age_ms", n.now().Sub(s.HeardAt).Milliseconds(), "replica", replica)
+	source := []any{"heard_by", s.Source, "age_ms", n.now().Sub(s.HeardAt).Milliseconds(), "replica", replica}
+	if after.Leaving && !before.Leaving {
+		n.metrics.Count("gateway.leaving")
+		n.logInfo("Upstream says that it leaves.", append([]any{"upstream", s.Upstream, "incarnation", s.Incarnation}, source...)...)
+	}
+	if after.Limited != before.Limited || after.PerS != before.PerS {
+		n.metrics.Count("gateway.limits.changed")
+		n.logInfo("Upstream limit changed.", append([]any{"upstream", s.Upstream, "limited", after.Limited, "per_s", after.PerS,
+			"limited_before", before.Limited, "per_s_before", before.PerS}, source...)...)
+	}
 	return true
 }
 
+// updateCounts updates the numbers of upstreams that ask for anything. The caller holds the lock.
+func (n *Node) updateCounts() {
+	n.limited.Store(int64(n.book.limited))
+	n.leaving.Store(int64(n.book.leaving))
+}
+
+// Leaving returns the incarnations of the upstreams that leave; nil if none does.
+func (n *Node) Leaving() map[string]uint64 {
+	if n.leaving.Load() == 0 {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.book.Leaving()
+}
+
 // report implements directory.ReportFunc. A replica that has been told nothing yet gets all
 // statements; otherwise it gets those that were heard here, as it has the others itself.
 func (n *Node) report(ctx context.Context, replica string, after uint64) (upTo uint64, sent bool, err error) {
@@ -160,7 +180,7 @@
 	defer cancel()
 	req := &wire.TellStatementsRequest{Teller: n.id, Statements: ToWire(n.now(), own)}
 	if _, err := wire.NewDRPCBackpressureClient(n.dial(ctx, replica)).Tell(ctx, req); err != nil {
-		n.logInfo("Reporting limits to a replica failed.", "replica", replica, "limits", len(own), "err", err)
+		n.logInfo("Reporting statements to a replica failed.", "replica", replica, "statements", len(own), "err", err)
 		return after, false, err
 	}
 	return upTo, true, nil
@@ -284,26 +304,27 @@
 	}
 }
 
-// limitView is what a dump shows of one limit.
-type limitView struct {
+// statementView is what a dump shows of one upstream.
+type statementView struct {
 	Upstream string  `json:"upstream"`
 	Limited  bool    `json:"limited"`
 	PerS     float64 `json:"per_s"`
+	Leaving  bool    `json:"leaving"`
 	AgeMS    int64   `json:"age_ms"`
 	HeardBy  string  `json:"heard_by"`
 	// BlockedMS is for how much longer this gateway asks for no permit.
 	BlockedMS int64 `json:"blocked_ms"`
 }
 
-// Dump returns the limits that are known, for operators.
+// Dump returns what is known, for operators.
 func (n *Node) Dump() any {
 	blocked := n.Blocked()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	list := []limitView{}
+	list := []statementView{}
 	for _, s := range n.book.All() {
-		v := limitView{Upstream: s.Upstream, Limited: s.Limited, PerS: s.PerS, AgeMS: now.Sub(s.HeardAt).Milliseconds(), HeardBy: s.Source}
+		v := statementView{Upstream: s.Upstream, Limited: s.Limited, PerS: s.PerS, Leaving: s.Leaving, AgeMS: now.Sub(s.HeardAt).Milliseconds(), HeardBy: s.Source}
 		v.BlockedMS = blocked[s.Upstream].Milliseconds()
 		list = append(list, v)
 	}
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -74,6 +74,8 @@
 	// Limit is the number of requests a second that the upstream takes from all gateways together,
 	// for as long as its answers have it; nil if this one has none.
 	Limit *float64
+	// Leaving reports that the upstream leaves and wants no more requests.
+	Leaving bool
 	// Rest is for how long the upstream, which has refused, wants no request from this gateway; 0 if it
 	// names no time.
 	Rest time.Duration
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,7 +128,7 @@
 	g.dumps.Add("directory", g.node.Dump)
 	g.dumps.Add("gateway", g.dump)
 	g.dumps.Add("quarantine", g.quarantine.Dump)
-	g.dumps.Add("limits", g.backpressure.Dump)
+	g.dumps.Add("backpressure", g.backpressure.Dump)
 	return g, nil
 }
 
--- a/gateway/restraints.go
+++ b/gateway/restraints.go
@@ -16,8 +16,14 @@
 	heldByLimit = "limit"
 	// heldByRest means that it has refused this gateway and asked for rest.
 	heldByRest = "rest"
+	// heldByLeaving means that it leaves.
+	heldByLeaving = "leaving"
 )
 
+// leavingRetryAfter is the Retry-After of requests while all upstreams leave: others may have come by
+// then.
+const leavingRetryAfter = retryAfterBusy
+
 // restraint is why an upstream gets no request from this gateway now, and for how much longer.
 type restraint struct {
 	cause string
@@ -31,7 +37,26 @@
 func (g *Gateway) restraints() restraints {
 	var list restraints
 	list = list.with(heldByLimit, g.backpressure.Blocked())
-	return list.with(heldByRest, g.rests.Left())
+	list = list.with(heldByRest, g.rests.Left())
+	return list.with(heldByLeaving, g.leavingUpstreams())
+}
+
+// leavingUpstreams returns the upstreams that leave, with the time after which a request that none takes
+// may be tried again. One that has started anew under its ID isn't among them.
+func (g *Gateway) leavingUpstreams() map[string]time.Duration {
+	incarnations := g.backpressure.Leaving()
+	if len(incarnations) == 0 {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := map[string]time.Duration{}
+	for id, leaving := range incarnations {
+		if i := g.knownUpstreams[id]; i == nil || i.Incarnation <= leaving {
+			list[id] = leavingRetryAfter
+		}
+	}
+	return list
 }
 
 // with returns the restraints and others of one cause. Of two about one upstream the longer holds.
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/snipereach/snipereach/backpressure"
 )
 
 // maxUnreadableUpstreams bounds the upstreams of which it is remembered that a value can't be read.
@@ -56,9 +58,42 @@
 	if a.head.Rest > 0 {
 		c.recordRest(instance, a.head.Rest)
 	}
-	if a.head.Limit != nil && (a.head.FromUpstream || a.head.NotRun) || a.head.FromUpstream && len(a.head.Unreadable) == 0 {
-		c.backpressure.Observe(instance, a.head.Limit)
+	if s, ok := c.statement(a, instance); ok {
+		s.Upstream, s.Incarnation = instance, c.incarnationOf(a, instance)
+		c.backpressure.Observe(s)
+	}
+}
+
+// statement returns what an answer says that concerns all gateways; ok is false if it says nothing. A
+// limit stays as it was known if the answer doesn't show that there is none.
+func (c *call) statement(a *attempt, instance string) (s backpressure.Statement, ok bool) {
+	switch {
+	case !a.head.FromUpstream && !a.head.NotRun:
+		return s, false
+	case a.head.Limit != nil:
+		s.Limited, s.PerS = true, *a.head.Limit
+	case a.head.FromUpstream && len(a.head.Unreadable) == 0:
+	case a.head.Leaving:
+		known := c.backpressure.Known(instance)
+		s.Limited, s.PerS = known.Limited, known.PerS
+	default:
+		return s, false
+	}
+	s.Leaving = a.head.Leaving
+	return s, true
+}
+
+// incarnationOf returns the incarnation of the instance that has answered an attempt; 0 if it isn't known.
+func (c *call) incarnationOf(a *attempt, instance string) uint64 {
+	if instance == a.upstream.ID {
+		return a.upstream.Incarnation
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if i := c.knownUpstreams[instance]; i != nil {
+		return i.Incarnation
 	}
+	return 0
 }
 
 // recordRest records for how long an upstream that has refused wants no request from this gateway.
--- a/gateway/upstreamexit.go
+++ b/gateway/upstreamexit.go
@@ -57,7 +57,8 @@
 // upstream closed the connection, the attempt wasn't given up here, and the upstream hasn't
 // announced that it leaves.
 func (c *call) mayHaveExited(a *attempt, o outcome) bool {
-	return o == outcomeInDoubt && a.cut && a.ctx.Err() == nil && !c.node.IsLeaving(a.upstream.ID)
+	leaves := c.node.IsLeaving(a.upstream.ID) || c.backpressure.Known(a.upstream.ID).Leaving
+	return o == outcomeInDoubt && a.cut && a.ctx.Err() == nil && !leaves
 }
 
 // recordCut looks for evidence that the upstream of a cut attempt exited. It first probes the
