Operators see what upstreams ask of gateways: snipereachctl backpressure, web page, state dumps

Limits and leaving with age and the gateway that heard them, as replicas know them; rests by gateway, which a gateway that keeps any tells its nearest replica each 2 s, for show only. docs/operations/backpressure.md.

--- a/backpressure/node.go
+++ b/backpressure/node.go
@@ -20,6 +20,8 @@
 	// waits for them, and can go to another upstream instead.
 	borrowTimeout  = 50 * time.Millisecond
 	acquireTimeout = 100 * time.Millisecond
+	// restsReportInterval is how often a gateway that keeps any rest tells a replica.
+	restsReportInterval = 2 * time.Second
 )
 
 // Node is what a gateway knows of what upstreams ask of all gateways, and its permits. It is safe
@@ -33,6 +35,7 @@
 	replicas   func() []string
 	lineBudget *kernel.LogLimiter
 	reporters  *directory.Reporters
+	rests      *Rests
 	// limited is the number of limited upstreams, leaving those that leave. While they are 0, which
 	// is the usual case, a request costs two atomic loads.
 	limited, leaving atomic.Int64
@@ -49,6 +52,8 @@
 	Log     log.Logger
 	Now     func() time.Time
 	Metrics *kernel.Metrics
+	// Rests are those that the gateway keeps.
+	Rests *Rests
 	// Dial opens connections to control replicas, Replicas lists their addresses, the nearest first.
 	Dial     directory.Dial
 	Replicas func() []string
@@ -57,7 +62,7 @@
 // NewNode returns the node of a gateway.
 func NewNode(o Options) *Node {
 	n := &Node{
-		id: o.ID, log: o.Log, now: o.Now, metrics: o.Metrics, dial: o.Dial, replicas: o.Replicas,
+		id: o.ID, log: o.Log, now: o.Now, metrics: o.Metrics, dial: o.Dial, replicas: o.Replicas, rests: o.Rests,
 		lineBudget: kernel.NewLogLimiter(maxLinesPerSecond, o.Now), book: NewBook(), borrowers: map[string]*borrower{},
 	}
 	n.reporters = directory.NewReporters(n.report)
@@ -65,7 +70,10 @@
 }
 
 // Run reports what upstreams say here to the control replicas until ctx is done.
-func (n *Node) Run(ctx context.Context) { n.reporters.Run(ctx, n.replicas) }
+func (n *Node) Run(ctx context.Context) {
+	go n.reportRests(ctx)
+	n.reporters.Run(ctx, n.replicas)
+}
 
 // Observe records what an upstream has said in an answer to this gateway. The time and the source are
 // set here.
@@ -176,10 +184,7 @@
 	if len(own) == 0 {
 		return upTo, true, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, directory.ReportTimeout)
-	defer cancel()
-	req := &wire.TellStatementsRequest{Teller: n.id, Statements: ToWire(n.now(), own)}
-	if _, err := wire.NewDRPCBackpressureClient(n.dial(ctx, replica)).Tell(ctx, req); err != nil {
+	if err := n.tell(ctx, replica, &wire.TellStatementsRequest{Teller: n.id, Statements: ToWire(n.now(), own)}); err != nil {
 		n.logInfo("Reporting statements to a replica failed.", "replica", replica, "statements", len(own), "err", err)
 		return after, false, err
 	}
@@ -304,33 +309,65 @@
 	}
 }
 
-// statementView is what a dump shows of one upstream.
-type statementView struct {
-	Upstream string  `json:"upstream"`
-	Limited  bool    `json:"limited"`
-	PerS     float64 `json:"per_s"`
-	Leaving  bool    `json:"leaving"`
-	AgeMS    int64   `json:"age_ms"`
-	HeardBy  string  `json:"heard_by"`
-	// BlockedMS is for how much longer this gateway asks for no permit.
-	BlockedMS int64 `json:"blocked_ms"`
+// dumpView is what a dump shows: what is known of upstreams, and for how much longer this gateway asks
+// for no permit to send to a limited one, in milliseconds.
+type dumpView struct {
+	Upstreams []View           `json:"upstreams"`
+	Blocked   map[string]int64 `json:"blocked_ms"`
 }
 
 // Dump returns what is known, for operators.
 func (n *Node) Dump() any {
-	blocked := n.Blocked()
+	v := dumpView{Blocked: map[string]int64{}}
+	for id, left := range n.Blocked() {
+		v.Blocked[id] = left.Milliseconds()
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.now()
-	list := []statementView{}
-	for _, s := range n.book.All() {
-		v := statementView{Upstream: s.Upstream, Limited: s.Limited, PerS: s.PerS, Leaving: s.Leaving, AgeMS: now.Sub(s.HeardAt).Milliseconds(), HeardBy: s.Source}
-		v.BlockedMS = blocked[s.Upstream].Milliseconds()
-		list = append(list, v)
+	v.Upstreams = Views(ToWire(n.now(), n.book.All()), n.ownRests())
+	return v
+}
+
+// ownRests returns the rests that this gateway keeps, as many as fit in a message.
+func (n *Node) ownRests() (list []*wire.UpstreamRest) {
+	for id, left := range n.rests.Left() {
+		if len(list) == MaxStatements {
+			break
+		}
+		list = append(list, &wire.UpstreamRest{Upstream: id, Gateway: n.id, LeftMs: uint32(left.Milliseconds())})
 	}
 	return list
 }
 
+// reportRests tells the nearest replica at intervals which rests this gateway keeps, for operators,
+// until ctx is done.
+func (n *Node) reportRests(ctx context.Context) {
+	tick := time.NewTicker(restsReportInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		rests, replicas := n.ownRests(), n.replicas()
+		if len(rests) == 0 || len(replicas) == 0 {
+			continue
+		}
+		if err := n.tell(ctx, replicas[0], &wire.TellStatementsRequest{Teller: n.id, Rests: rests}); err != nil {
+			n.logInfo("Reporting rests to a replica failed.", "replica", replicas[0], "rests", len(rests), "err", err)
+		}
+	}
+}
+
+// tell reports to a replica.
+func (n *Node) tell(ctx context.Context, replica string, req *wire.TellStatementsRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, directory.ReportTimeout)
+	defer cancel()
+	_, err := wire.NewDRPCBackpressureClient(n.dial(ctx, replica)).Tell(ctx, req)
+	return err
+}
+
 // logInfo logs a line unless the line budget is exhausted.
 func (n *Node) logInfo(msg string, kv ...any) {
 	ok, leftOut := n.lineBudget.Allow()
--- a/control/backpressure.go
+++ b/control/backpressure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -11,26 +12,35 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
-// limitStore holds what a replica knows of the limits that upstreams name: the reports of gateways.
-// Each gateway reports to all replicas, so news reaches the others even if some replicas are lost.
-type limitStore struct {
+// statementStore holds what a replica knows of what upstreams ask of gateways: the reports of gateways.
+// Each gateway reports statements to all replicas, so news reaches the others even if some replicas are
+// lost.
+type statementStore struct {
 	now func() time.Time
 
 	mu   sync.Mutex
 	book *backpressure.Book
+	// rests is when each rest ends that a gateway has reported here.
+	rests map[restKey]time.Time
 	// forgotAt is when obsolete statements were last dropped.
 	forgotAt time.Time
 }
 
-// limitsForgetInterval is how often obsolete statements are dropped.
-const limitsForgetInterval = 10 * time.Second
+// restKey identifies a rest: upstreams ask each gateway by itself.
+type restKey struct{ upstream, gateway string }
 
-func newLimitStore(now func() time.Time) *limitStore {
-	return &limitStore{now: now, book: backpressure.NewBook()}
+// maxRests bounds the rests that a replica remembers.
+const maxRests = 20_000
+
+// statementsForgetInterval is how often obsolete statements are dropped.
+const statementsForgetInterval = 10 * time.Second
+
+func newStatementStore(now func() time.Time) *statementStore {
+	return &statementStore{now: now, book: backpressure.NewBook(), rests: map[restKey]time.Time{}}
 }
 
 // record applies validated statements and reports whether watchers must be sent any of them.
-func (s *limitStore) record(list []*wire.UpstreamStatement) (changed bool) {
+func (s *statementStore) record(list []*wire.UpstreamStatement) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -42,7 +52,7 @@
 }
 
 // changesSince returns what a watcher that has seen a version must be sent next.
-func (s *limitStore) changesSince(version uint64) (list []*wire.UpstreamStatement, upTo uint64) {
+func (s *statementStore) changesSince(version uint64) (list []*wire.UpstreamStatement, upTo uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	statements, upTo := s.book.Since(version, backpressure.MaxStatements)
@@ -50,14 +60,40 @@
 }
 
 // all returns all statements.
-func (s *limitStore) all() []*wire.UpstreamStatement {
+func (s *statementStore) all() []*wire.UpstreamStatement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return backpressure.ToWire(s.now(), s.book.All())
 }
 
+// recordRests records the rests that a gateway keeps.
+func (s *statementStore) recordRests(gateway string, list []*wire.UpstreamRest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	maps.DeleteFunc(s.rests, func(_ restKey, until time.Time) bool { return !now.Before(until) })
+	for _, m := range list {
+		if len(s.rests) < maxRests {
+			s.rests[restKey{m.Upstream, gateway}] = now.Add(time.Duration(m.LeftMs) * time.Millisecond)
+		}
+	}
+}
+
+// allRests returns the rests that haven't ended.
+func (s *statementStore) allRests() (list []*wire.UpstreamRest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	for key, until := range s.rests {
+		if left := until.Sub(now); left > 0 {
+			list = append(list, &wire.UpstreamRest{Upstream: key.upstream, Gateway: key.gateway, LeftMs: clampedMillis(left)})
+		}
+	}
+	return list
+}
+
 // perS returns the lower of a limit that a gateway knows and the one known here.
-func (s *limitStore) perS(upstream string, told float64) float64 {
+func (s *statementStore) perS(upstream string, told float64) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if known := s.book.Get(upstream); known.Limited {
@@ -68,9 +104,9 @@
 
 // forgetObsolete drops statements about upstreams that are gone. upstreams lists those that aren't; it may
 // be nil if the replica knows none.
-func (s *limitStore) forgetObsolete(upstreams func() []*wire.Announcement) {
+func (s *statementStore) forgetObsolete(upstreams func() []*wire.Announcement) {
 	s.mu.Lock()
-	due := len(s.book.All()) > 0 && s.now().Sub(s.forgotAt) >= limitsForgetInterval
+	due := len(s.book.All()) > 0 && s.now().Sub(s.forgotAt) >= statementsForgetInterval
 	s.mu.Unlock()
 	if !due || upstreams == nil {
 		return
@@ -90,8 +126,8 @@
 
 // Tell implements the Backpressure service.
 func (s backpressureService) Tell(_ context.Context, req *wire.TellStatementsRequest) (*wire.TellStatementsReply, error) {
-	if len(req.Statements) > backpressure.MaxStatements {
-		return nil, merry.Prependf(backpressure.ErrInvalidStatement, "%d statements", len(req.Statements))
+	if len(req.Statements) > backpressure.MaxStatements || len(req.Rests) > backpressure.MaxStatements {
+		return nil, merry.Prependf(backpressure.ErrInvalidStatement, "%d statements, %d rests", len(req.Statements), len(req.Rests))
 	}
 	for _, m := range req.Statements {
 		if err := backpressure.Check(m); err != nil {
@@ -102,11 +138,12 @@
 	if r == nil {
 		return nil, merry.Prepend(ErrUnavailable, "replica belongs to no cluster yet")
 	}
-	if s.limits.record(req.Statements) {
-		s.metrics.Count("control.limits.changed")
+	s.statements.recordRests(req.Teller, req.Rests)
+	if s.statements.record(req.Statements) {
+		s.metrics.Count("control.statements.changed")
 		r.watchers.Notify()
 	}
-	s.limits.forgetObsolete(s.groups.upstreams)
+	s.statements.forgetObsolete(s.groups.upstreams)
 	return &wire.TellStatementsReply{}, nil
 }
 
@@ -119,7 +156,7 @@
 	if !ok {
 		return nil, merry.Prepend(ErrUnavailable, "replica is not a member of the log")
 	}
-	perS := s.limits.perS(req.Upstream, req.PerS)
+	perS := s.statements.perS(req.Upstream, req.PerS)
 	lent, retry := s.permits.Lend(req.Upstream, perS, max(int(req.Want), 1), position)
 	if lent > 0 {
 		s.metrics.Count("control.permits.lent")
@@ -131,5 +168,5 @@
 
 // List implements the Backpressure service.
 func (s backpressureService) List(context.Context, *wire.ListStatementsRequest) (*wire.ListStatementsReply, error) {
-	return &wire.ListStatementsReply{Statements: s.limits.all()}, nil
+	return &wire.ListStatementsReply{Statements: s.statements.all(), Rests: s.statements.allRests()}, nil
 }
--- a/control/client.go
+++ b/control/client.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"storj.io/drpc"
 
+	"github.com/snipereach/snipereach/backpressure"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -47,6 +48,30 @@
 	return c.callAny(ctx, func(ctx context.Context, conn drpc.Conn) error { return f(ctx, wire.NewDRPCQuarantineClient(conn)) })
 }
 
+// ListBackpressure returns what upstreams ask of gateways, as far as any replica that answers within the
+// timeout knows. It returns ErrUnavailable if none answers.
+func (c *Client) ListBackpressure(ctx context.Context, timeout time.Duration) ([]backpressure.View, error) {
+	var statements []*wire.UpstreamStatement
+	var rests []*wire.UpstreamRest
+	err := merry.Prepend(ErrUnavailable, "no control replica is known")
+	answered := false
+	for _, addr := range c.addrs {
+		one, cancel := context.WithTimeout(ctx, timeout)
+		reply, callErr := wire.NewDRPCBackpressureClient(c.pool.Conn(one, addr)).List(one, &wire.ListStatementsRequest{})
+		cancel()
+		if callErr != nil {
+			err = merry.Prependf(ErrUnavailable, "%s: %v", addr, callErr)
+			continue
+		}
+		answered = true
+		statements, rests = append(statements, reply.Statements...), append(rests, reply.Rests...)
+	}
+	if !answered {
+		return nil, err
+	}
+	return backpressure.Views(statements, rests), nil
+}
+
 func (c *Client) callAny(ctx context.Context, f func(context.Context, drpc.Conn) error) error {
 	err := merry.Prepend(ErrUnavailable, "no control replica is known")
 	first := int(c.last.Load())
--- a/control/control.go
+++ b/control/control.go
@@ -68,9 +68,9 @@
 	suspicions *suspicionStore
 	// lender lends retries to gateways.
 	lender *retry.Lender
-	// limits are what upstreams say of their limits, permits lends permits within them.
-	limits  *limitStore
-	permits *backpressure.Lender
+	// statements are what upstreams ask of gateways, permits lends permits within their limits.
+	statements *statementStore
+	permits    *backpressure.Lender
 
 	mu       sync.Mutex
 	identity *wire.Identity
@@ -85,7 +85,7 @@
 		return nil, err
 	}
 	s.Now = s.Clock()
-	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, surveys: &surveyFeed{}, metrics: kernel.NewMetrics(), suspicions: newSuspicionStore(s.Now), lender: retry.NewLender(s.Now), limits: newLimitStore(s.Now), permits: backpressure.NewLender(s.Now)}
+	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, surveys: &surveyFeed{}, metrics: kernel.NewMetrics(), suspicions: newSuspicionStore(s.Now), lender: retry.NewLender(s.Now), statements: newStatementStore(s.Now), permits: backpressure.NewLender(s.Now)}
 	c.groups = newGroupLeader(s, kernel.PartLog(l, "groups"), pool)
 	if s.Lockstep == nil {
 		return c, nil
@@ -452,7 +452,11 @@
 		Groups   []groupDump    `json:"groups,omitempty"`
 		// Suspicions are about requests that may crash upstreams.
 		Suspicions []quarantine.SuspicionView `json:"suspicions"`
-	}{Identity: c.currentIdentity(), Groups: c.groups.dump(), Suspicions: quarantine.SuspicionViews(c.suspicions.all())}
+		Upstreams  []backpressure.View        `json:"backpressure"`
+	}{
+		Identity: c.currentIdentity(), Groups: c.groups.dump(), Suspicions: quarantine.SuspicionViews(c.suspicions.all()),
+		Upstreams: backpressure.Views(c.statements.all(), c.statements.allRests()),
+	}
 	if r := c.currentReplica(); r != nil {
 		_ = r.runInLoop(ctx, func() { d.Replica = r.dump() })
 	}
--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -44,7 +44,7 @@
 		r.clock = func() time.Time { return started.Add(isolated) }
 		r.feed.reset(1, &wire.Ring{}, started)
 		r.evacuations.Store(&evacuation.State{})
-		c := &Control{suspicions: newSuspicionStore(time.Now), limits: newLimitStore(time.Now)}
+		c := &Control{suspicions: newSuspicionStore(time.Now), statements: newStatementStore(time.Now)}
 		v, _ := new(routingUpdates).next(routingService{&service{c}}, r, true)
 		age := time.Duration(v.ConfirmedAgeMs) * time.Millisecond
 		assert.Assert(t, age >= min(isolated, 24*24*time.Hour), "%s after %s", age, isolated)
--- a/control/routing.go
+++ b/control/routing.go
@@ -180,7 +180,7 @@
 
 // routingUpdates is what one watcher of the routing version has been sent.
 type routingUpdates struct {
-	version, evacuations, suspicions, limits uint64
+	version, evacuations, suspicions, statements uint64
 	// current says that the replica was current at the last look.
 	current bool
 }
@@ -190,25 +190,25 @@
 func (u *routingUpdates) next(s routingService, r *Replica, due bool) (v *wire.RoutingVersion, full bool) {
 	confirmed, evacuations := r.feed.isCurrent(r.now()), r.evacuations.Load()
 	suspicions := s.suspicions.changesSince(u.suspicions)
-	limits, limitsUpTo := s.limits.changesSince(u.limits)
+	statements, statementsUpTo := s.statements.changesSince(u.statements)
 	v = &wire.RoutingVersion{
 		Version: r.routingVersion.Load(), ConfirmedAgeMs: clampedMillis(r.feed.confirmedAge(r.now())),
-		Suspicions: suspicions.Suspicions, Statements: limits,
+		Suspicions: suspicions.Suspicions, Statements: statements,
 		Evacuated: evacuations.Domains, EvacuationRevision: evacuations.Revision,
 	}
-	full = len(suspicions.Suspicions) == quarantine.MaxBatch || len(limits) == backpressure.MaxStatements
+	full = len(suspicions.Suspicions) == quarantine.MaxBatch || len(statements) == backpressure.MaxStatements
 	changed := v.Version != u.version || evacuations.Revision != u.evacuations || len(v.Suspicions) > 0 || len(v.Statements) > 0
 	becameCurrent := confirmed && !u.current
 	u.current = confirmed
 	if !due && !changed && !becameCurrent {
 		return nil, false
 	}
-	u.version, u.evacuations, u.suspicions, u.limits = v.Version, evacuations.Revision, suspicions.Version, limitsUpTo
+	u.version, u.evacuations, u.suspicions, u.statements = v.Version, evacuations.Revision, suspicions.Version, statementsUpTo
 	return v, full
 }
 
 // Watch implements the Routing service. It sends the applied version, the evacuations, new suspicions
-// and changed limits when they change or the replica becomes current, and otherwise at intervals.
+// and changed statements of upstreams when they change or the replica becomes current, and otherwise at intervals.
 func (s routingService) Watch(_ *wire.WatchRoutingRequest, stream wire.DRPCRouting_WatchStream) error {
 	r := s.currentReplica()
 	if r == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,10 +116,10 @@
 	g.requestLog, g.metrics = newRequestLog(g.log, now), newGatewayMetrics()
 	g.stateLog = kernel.NewLogLimiter(stateLogLines, now)
 	g.quarantine = quarantine.NewNode(s.ID, g.log, now, g.pool.Conn)
+	g.rests = backpressure.NewRests(now)
 	g.backpressure = backpressure.NewNode(backpressure.Options{
-		ID: s.ID, Log: g.log, Now: now, Metrics: g.metrics.Metrics, Dial: g.pool.Conn, Replicas: g.targets.Addresses,
+		Rests: g.rests, ID: s.ID, Log: g.log, Now: now, Metrics: g.metrics.Metrics, Dial: g.pool.Conn, Replicas: g.targets.Addresses,
 	})
-	g.rests = backpressure.NewRests(now)
 	g.services.onStateChange, g.services.onPasses, g.services.gateways = g.logStateChange, g.logPasses, g.gatewayCount
 	g.services.restraints, g.services.onHeldBack = g.restraints, g.countHeldBack
 	g.metrics.register(g)
--- a/operators/page/table.js
+++ b/operators/page/table.js
@@ -268,7 +268,33 @@
   showCount(list);
 }
 
+const seconds = ms => (ms / 1000).toFixed(1) + ' s';
+const restsText = list => (list || []).map(r => r.gateway + ' ' + seconds(r.left_ms)).join(', ');
+
+// showBackpressure shows the upstreams that ask gateways for less. It is hidden while none does, or
+// while that isn't known.
+async function showBackpressure() {
+  let upstreams = [];
+  try {
+    const r = await call('GET', '/v1/backpressure');
+    if (r.ok) upstreams = r.value.upstreams;
+  } catch { /* The state line tells that the server doesn't answer. */ }
+  $('asking').replaceChildren(...upstreams.map(u => {
+    const tr = document.createElement('tr');
+    const heard = u.heard_by ? seconds(u.age_ms) + ' ago' : '';
+    for (const text of [u.upstream, u.limited ? u.per_s : '', u.leaving ? 'yes' : '', heard, u.heard_by || '', restsText(u.rests)]) {
+      const td = document.createElement('td');
+      td.textContent = text;
+      tr.append(td);
+    }
+    return tr;
+  }));
+  $('backpressure').hidden = upstreams.length === 0;
+}
+
 $('key').value = sessionStorage.getItem('key') || '';
 $('key').addEventListener('change', () => { sessionStorage.setItem('key', $('key').value); start(); });
 setInterval(refresh, refreshInterval);
+setInterval(showBackpressure, refreshInterval);
 start();
+showBackpressure();
