--- a/gateway/call.go
+++ b/gateway/call.go
@@ -285,6 +285,9 @@
 		a := c.beginAttempt()
 		if a == nil {
 			c.reason = reasonNoUpstream
+			if c.r.Context().Err() != nil {
+				c.lastOutcome = outcomeCallerGone
+			}
 			return false
 		}
 		o, served := once(a)
--- a/gateway/restraints.go
+++ b/gateway/restraints.go
@@ -144,3 +144,25 @@
 	}
 	return 0, false
 }
+
+// takesElsewhere reports whether an upstream of a service other than the given one is under no restraint.
+func (m *serviceManager) takesElsewhere(service, except string) bool {
+	list := m.restraints()
+	if len(list) == 0 {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.services[service]
+	if p == nil {
+		return false
+	}
+	for _, g := range p.sorted {
+		for id := range g.upstreams {
+			if _, held := list[id]; !held && id != except {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/gateway/restraints_test.go
+++ b/gateway/restraints_test.go
@@ -28,12 +28,14 @@
 		assert.Assert(t, ok && up.ID == "r3", up.ID)
 	}
 	assert.Equal(t, counted[heldByRest], 200)
+	assert.Assert(t, f.takesElsewhere("llm", "r2") && f.takesElsewhere("llm", "r3"))
 
 	held = held.with(heldByLimit, map[string]time.Duration{"r0": 5 * time.Second, "r2": time.Millisecond, "r3": time.Minute})
 	a := f.acquire(context.Background(), "llm", newArrival(time.Now()))
 	assert.Assert(t, !a.ok && a.waited == 0)
 	assert.Equal(t, a.reason, reasonUpstreamsHeld)
 	assert.Equal(t, a.retryAfter, minRetryAfterHeld)
+	assert.Assert(t, !f.takesElsewhere("llm", "r0"), "an attempt may be given up though none takes another")
 	held["r2"] = restraint{heldByLimit, 3 * time.Second}
 	a = f.acquire(context.Background(), "llm", newArrival(time.Now()))
 	assert.Equal(t, a.retryAfter, 2*time.Second, fmt.Sprint(held))
--- a/gateway/slowrank.go
+++ b/gateway/slowrank.go
@@ -79,7 +79,7 @@
 	now := time.Now()
 	for _, id := range g.services.applySurvey(now, number, ranks, g.position()) {
 		for _, w := range g.movable.at(id) {
-			if w.call.reserveRetry(now, w.group, g.retryBudget.TakeOwn) {
+			if w.call.reserveRetry(now, w, g.retryBudget.TakeOwn) {
 				g.logState("Request leaves a slow upstream.", "request", w.call.params.ID, "upstream", id)
 				g.metrics.Count("gateway.left_slow")
 				w.cancel()
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -67,7 +67,7 @@
 	switch {
 	case left > 0:
 		w.timer.Reset(left)
-	case w.call.reserveRetry(now, w.group, w.call.retryBudget.Take):
+	case w.call.reserveRetry(now, w, w.call.retryBudget.Take):
 		w.cancel()
 	default:
 		w.timer.Reset(w.timeout / 2)
@@ -77,10 +77,10 @@
 // reserveRetry reports whether a running attempt may be given up for another one, and if so
 // charges the retry budget by take. The budget is charged before the attempt is cancelled: otherwise
 // several requests could give up their upstreams for a single remaining retry, and all but one
-// would fail.
-func (c *call) reserveRetry(now time.Time, group *groupPool, take func(service string) bool) bool {
-	another := c.sent.Load()+1 < int64(c.route.MaxAttempts)
-	if !another || !c.services.progressing(now, group) || c.deadline.Sub(now) <= minSilence {
+// would fail. So would those that no other upstream takes now.
+func (c *call) reserveRetry(now time.Time, w *silenceWatchdog, take func(service string) bool) bool {
+	another := c.sent.Load()+1 < int64(c.route.MaxAttempts) && c.services.takesElsewhere(c.service, w.upstream)
+	if !another || !c.services.progressing(now, w.group) || c.deadline.Sub(now) <= minSilence {
 		return false
 	}
 	if _, only := c.retryForbidden(); only || !take(c.service) {
