--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -49,3 +49,18 @@
 		}
 	})
 }
+
+// Guards against a window that lets more events pass when several are taken at once.
+func TestWindowTakesUpToItsLimit(t *testing.T) {
+	var w quota.Window
+	now := time.Unix(1000, 0)
+	assert.Equal(t, w.NextFree(now, time.Second), time.Duration(0))
+	assert.Equal(t, w.TakeUpTo(now, time.Second, 5, 3), 3)
+	now = now.Add(400 * time.Millisecond)
+	assert.Equal(t, w.TakeUpTo(now, time.Second, 5, 3), 2)
+	assert.Equal(t, w.TakeUpTo(now, time.Second, 5, 3), 0)
+	assert.Equal(t, w.NextFree(now, time.Second), 600*time.Millisecond)
+	assert.Equal(t, w.TakeUpTo(now, time.Second, 1, 3), 0, "the limit was lowered")
+	now = now.Add(600 * time.Millisecond)
+	assert.Equal(t, w.TakeUpTo(now, time.Second, 5, 9), 3)
+}
