--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,8 +60,8 @@
 	retryBudget *retry.Budget
 	requestLog  *requestLog
 	metrics     *gatewayMetrics
-	// stateLog limits the log lines about the state of other processes.
-	stateLog *kernel.LogLimiter
+	// stateLog has the log lines about the state of other processes.
+	stateLog *kernel.LimitedLogger
 	dumps    kernel.Dumps
 
 	table    atomic.Pointer[routing.Table]
@@ -114,7 +114,7 @@
 		announceNow: make(chan struct{}, 1),
 	}
 	g.requestLog, g.metrics = newRequestLog(g.log, now), newGatewayMetrics()
-	g.stateLog = kernel.NewLogLimiter(stateLogLines, now)
+	g.stateLog = kernel.NewLimitedLogger(g.log, stateLogLines, now)
 	g.quarantine = quarantine.NewNode(s.ID, g.log, now, g.pool.Conn)
 	g.rests = backpressure.NewRests(now)
 	g.backpressure = backpressure.NewNode(backpressure.Options{
--- a/gateway/slowrank_test.go
+++ b/gateway/slowrank_test.go
@@ -33,7 +33,7 @@
 	now := time.Now()
 	c := &slowRankGateway{Gateway: &Gateway{
 		settings: set, movable: newMovableAttempts(), metrics: newGatewayMetrics(), log: log.NewNopLogger(),
-		stateLog: kernel.NewLogLimiter(stateLogLines, time.Now), services: newServiceManager(set), node: directory.NewNode(directory.DefaultSettings(), time.Now, nil),
+		stateLog: kernel.NewLimitedLogger(log.NewNopLogger(), stateLogLines, time.Now), services: newServiceManager(set), node: directory.NewNode(directory.DefaultSettings(), time.Now, nil),
 	}}
 	alone := func() quota.Position { return quota.Position{Count: 1} }
 	c.retryBudget = retry.NewBudget(retry.Allowance{Slack: slack, Window: 10 * time.Second}, alone, nil, func() time.Time { return now })
--- a/gateway/statelog.go
+++ b/gateway/statelog.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/snipereach/snipereach/directory"
-	"github.com/snipereach/snipereach/kernel"
 )
 
 // stateLogLines bounds the log lines per second about the state of upstreams, groups and control
@@ -13,16 +12,7 @@
 const stateLogLines = 20
 
 // logState writes a line about the state of another process, unless the limit is reached.
-func (g *Gateway) logState(msg string, kv ...any) {
-	ok, leftOut := g.stateLog.Allow()
-	if !ok {
-		return
-	}
-	if leftOut > 0 {
-		kv = append(kv, "lines_left_out", leftOut)
-	}
-	kernel.Info(g.log, msg, kv...)
-}
+func (g *Gateway) logState(msg string, kv ...any) { g.stateLog.Info(msg, kv...) }
 
 // logUpstreams logs which upstreams appeared, changed or are gone.
 func (g *Gateway) logUpstreams(current []*directory.Instance) {
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -14,8 +14,7 @@
 	"github.com/snipereach/snipereach/wire"
 )
 
-// maxLinesPerSecond limits a node's log lines. Every request that was running on a crashed upstream
-// logs one.
+// maxLinesPerSecond limits a node's log lines.
 const maxLinesPerSecond = 24
 
 // Node is what an entry or gateway knows of requests that may crash upstreams: what it observed
@@ -26,11 +25,12 @@
 // Its caller then sends it again, possibly to another entry that has not seen it yet; unless entries
 // share what they observe, one such request can keep a group down.
 type Node struct {
-	id         string
-	log        log.Logger
-	now        func() time.Time
-	dial       directory.Dial
-	lineBudget *kernel.LogLimiter
+	id   string
+	log  log.Logger
+	now  func() time.Time
+	dial directory.Dial
+	// lines has a limit: every request that was running on a crashed upstream logs one.
+	lines *kernel.LimitedLogger
 	// recordCount is the number of remembered requests. While it is 0, which is the usual case, a
 	// request costs one atomic load.
 	recordCount atomic.Int64
@@ -45,7 +45,7 @@
 // replicas.
 func NewNode(id string, l log.Logger, now func() time.Time, dial directory.Dial) *Node {
 	n := &Node{
-		id: id, log: l, now: now, dial: dial, lineBudget: kernel.NewLogLimiter(maxLinesPerSecond, now),
+		id: id, log: l, now: now, dial: dial, lines: kernel.NewLimitedLogger(l, maxLinesPerSecond, now),
 		table: NewTable(DefaultSettings()),
 	}
 	n.reporters = directory.NewReporters(n.report)
@@ -73,7 +73,7 @@
 		v = t.RecordCrash(now, e.RequestInfo, CrashedRun{Upstream: e.Upstream, Began: ended.Add(-e.RunTime), Ended: ended})
 		return true
 	})
-	n.logInfo("Upstream ended under a request.", "request", e.RequestID, "key", e.Key, "route", e.Route, "team", e.Team,
+	n.lines.Info("Upstream ended under a request.", "request", e.RequestID, "key", e.Key, "route", e.Route, "team", e.Team,
 		"upstream", e.Upstream, "addr", e.Address, "sign", e.DetectedBy, "ends", v.Crashes, "standing", v.Status)
 	return v
 }
@@ -85,7 +85,7 @@
 		return
 	}
 	for _, c := range n.merge(from, list) {
-		n.logInfo("Request standing changed.", "replica", from, "key", c.key, "route", c.suspicion.Route, "team", c.suspicion.Team,
+		n.lines.Info("Request standing changed.", "replica", from, "key", c.key, "route", c.suspicion.Route, "team", c.suspicion.Team,
 			"standing", c.verdict.Status, "ends", c.verdict.Crashes, "upstreams", strings.Join(c.verdict.Upstreams, ","),
 			"left_ms", c.verdict.Left.Milliseconds())
 	}
@@ -104,7 +104,7 @@
 	n.updateTable(func(now time.Time, t *Table) bool {
 		for _, m := range list {
 			if err := Check(m); err != nil {
-				n.logInfo("Invalid suspicion skipped.", "replica", from, "err", err)
+				n.lines.Info("Invalid suspicion skipped.", "replica", from, "err", err)
 				continue
 			}
 			k := Key(m.Key)
@@ -160,15 +160,3 @@
 		n.reporters.Notify()
 	}
 }
-
-// logInfo logs a line unless the line budget is exhausted.
-func (n *Node) logInfo(msg string, kv ...any) {
-	ok, leftOut := n.lineBudget.Allow()
-	if !ok {
-		return
-	}
-	if leftOut > 0 {
-		kv = append(kv, "lines_left_out", leftOut)
-	}
-	kernel.Info(n.log, msg, kv...)
-}
--- a/quarantine/reporter.go
+++ b/quarantine/reporter.go
@@ -36,7 +36,7 @@
 		return batch.Version, false, nil
 	}
 	if err := n.send(ctx, replica, batch.Suspicions); err != nil {
-		n.logInfo("Reporting suspicions to a replica failed.", "replica", replica, "suspicions", len(batch.Suspicions), "err", err)
+		n.lines.Info("Reporting suspicions to a replica failed.", "replica", replica, "suspicions", len(batch.Suspicions), "err", err)
 		return after, false, err
 	}
 	return batch.Version, true, nil
--- a/quarantine/requestguard.go
+++ b/quarantine/requestguard.go
@@ -95,7 +95,7 @@
 		return cleared
 	})
 	if cleared {
-		t.node.logInfo("Suspected request was answered and cleared.", "request", requestID, "key", k)
+		t.node.lines.Info("Suspected request was answered and cleared.", "request", requestID, "key", k)
 	}
 	return cleared
 }
