--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -156,3 +156,28 @@
 	}
 	assert.Equal(t, lent, 30)
 }
+
+// Guards against retries beyond the allowance while gateways start one after another, and each divides it by
+// the number that it knows so far.
+func TestGatewaysThatStartInTurnStayWithinTheAllowance(t *testing.T) {
+	const gateways = 7
+	a := Allowance{Ratio: 0.2, Slack: 88, Window: 10 * time.Second}
+	up := 0
+	f := newFleet(a, 0, 3)
+	k := tick{}
+	for i := range gateways {
+		up++
+		position := func() quota.Position { return quota.Position{Index: i, Count: up} }
+		borrow := func(service string) bool {
+			return f.lenders[i%3].Lend(service, a, quota.Position{Index: i % 3, Count: 3})
+		}
+		b := NewBudget(a, position, borrow, func() time.Time { return f.now })
+		k.requests++
+		b.RecordRequest("pool")
+		for b.Take("pool") {
+			k.retries++
+		}
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+	checkBound(t, a, []tick{k}, 1)
+}
