--- a/gateway/coldstart.go
+++ b/gateway/coldstart.go
@@ -63,14 +63,14 @@
 
 // exhausted returns the cold upstreams to which this gateway may send nothing now; nil if there are
 // none. It forgets those that have become warm.
-func (c *coldUpstreams) exhausted(now time.Time, h *quota.History) map[string]bool {
+func (c *coldUpstreams) exhausted(now time.Time, p quota.Position) map[string]bool {
 	var list map[string]bool
 	for id, u := range c.byID {
 		if !now.Before(u.until) {
 			delete(c.byID, id)
 			continue
 		}
-		if c.limit.requests > 0 && u.sent.Used(now, c.limit.window) >= c.share(now, id, h) {
+		if c.limit.requests > 0 && u.sent.Used(now, c.limit.window) >= c.share(id, p) {
 			if list == nil {
 				list = map[string]bool{}
 			}
@@ -81,12 +81,12 @@
 }
 
 // recordSend counts a request that is sent to an upstream, if that is cold.
-func (c *coldUpstreams) recordSend(now time.Time, id string, h *quota.History) {
+func (c *coldUpstreams) recordSend(now time.Time, id string, p quota.Position) {
 	if u := c.byID[id]; u != nil {
-		u.sent.Take(now, c.limit.window, c.share(now, id, h))
+		u.sent.Take(now, c.limit.window, c.share(id, p))
 	}
 }
 
-func (c *coldUpstreams) share(now time.Time, id string, h *quota.History) int {
-	return h.Share(now, c.limit.window, c.limit.requests, xxhash.Sum64String(id))
+func (c *coldUpstreams) share(id string, p quota.Position) int {
+	return p.Turned(xxhash.Sum64String(id)).Share(c.limit.requests)
 }
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -41,8 +41,8 @@
 	restraints func() restraints
 	// onHeldBack is called with the cause for each upstream that is left out of a choice.
 	onHeldBack func(cause string)
-	// positions are those of this gateway at the last updates.
-	positions quota.History
+	// position is that of this gateway at the last update.
+	position quota.Position
 	// coldLimits has the limits of services whose upstreams start cold.
 	coldLimits map[string]coldLimit
 }
@@ -90,7 +90,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.positions.Set(now, in.position)
+	m.position = in.position
 	for name := range byService {
 		if m.services[name] == nil {
 			m.services[name] = newServicePool(m.entryInfo)
@@ -205,12 +205,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, g := range group.candidates(now) {
-		allowed := r.Excluding(g.service.cold.exhausted(now, &m.positions)).Excluding(held.excluded(g.upstreams, m.onHeldBack))
+		allowed := r.Excluding(g.service.cold.exhausted(now, m.position)).Excluding(held.excluded(g.upstreams, m.onHeldBack))
 		c, ok := g.balancer.Pick(now, allowed)
 		if !ok {
 			continue
 		}
-		g.service.cold.recordSend(now, c.Upstream.ID, &m.positions)
+		g.service.cold.recordSend(now, c.Upstream.ID, m.position)
 		if g != group {
 			group.limiter.release()
 			g.limiter.acquire(now)
