One counter of recent events in place of two; less work on the way of requests and reports

Found on reading the change again. borrower and lender counted over two spans each by itself: quota.Recent. A request to an upstream without a limit no longer makes a timer while another is limited. A replica no longer sorts all statements at each report to see whether there are any. Book.Version had no callers. No change of behaviour; tests of backpressure and quota pass with their assertions as they were.

--- a/backpressure/acquire.go
+++ b/backpressure/acquire.go
@@ -41,7 +41,7 @@
 // it takes a permit, and asks the replicas for one if none is held; it returns false if none of
 // them has one, or ctx ends.
 func (n *Node) Acquire(ctx context.Context, upstream string) bool {
-	if n.limited.Load() == 0 {
+	if n.limited.Load() == 0 || !n.Known(upstream).Limited {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
--- a/backpressure/book.go
+++ b/backpressure/book.go
@@ -159,8 +159,8 @@
 	return list
 }
 
-// Version returns the number of changes so far.
-func (b *Book) Version() uint64 { return b.version }
+// Len returns the number of upstreams of which anything is remembered.
+func (b *Book) Len() int { return len(b.byUpstream) }
 
 // Since returns at most limit statements that have changed after a version, in the order of their
 // changes, and the version that they lead to.
--- a/backpressure/borrower.go
+++ b/backpressure/borrower.go
@@ -1,6 +1,10 @@
 package backpressure
 
-import "time"
+import (
+	"time"
+
+	"github.com/snipereach/snipereach/quota"
+)
 
 // unreachableDelay is when a gateway asks a replica again that didn't answer. A request waits for
 // the call.
@@ -14,9 +18,8 @@
 	heldUntil time.Time
 	// notBefore is when a replica may be asked again, by its address.
 	notBefore map[string]time.Time
-	// used counts the permits taken since usedSince, usedBefore those of the lifetime before.
-	used, usedBefore int
-	usedSince        time.Time
+	// used counts the permits taken in the lifetime of one.
+	used quota.Recent
 	// asking is closed when the call that is being made has ended; nil if none is.
 	asking chan struct{}
 }
@@ -28,23 +31,13 @@
 		return false
 	}
 	b.held--
-	if since := now.Sub(b.usedSince); since >= permitLifetime {
-		b.usedBefore = 0
-		if since < 2*permitLifetime {
-			b.usedBefore = b.used
-		}
-		b.used, b.usedSince = 0, now
-	}
-	b.used++
+	b.used.Add(now, permitLifetime)
 	return true
 }
 
 // want returns how many permits to ask for: as many as were used in a permit's lifetime.
 func (b *borrower) want(now time.Time) int {
-	if now.Sub(b.usedSince) >= 2*permitLifetime {
-		return 1
-	}
-	return max(b.used, b.usedBefore, 1)
+	return max(b.used.Most(now, permitLifetime), 1)
 }
 
 // next returns the replica to ask, the first that may have a permit.
--- a/backpressure/lender.go
+++ b/backpressure/lender.go
@@ -39,9 +39,8 @@
 type lending struct {
 	lent    quota.Window
 	askedAt time.Time
-	// refused counts the refusals since refusedSince, refusedBefore those of the window before.
-	refused, refusedBefore int
-	refusedSince           time.Time
+	// refused counts the refusals in a window.
+	refused quota.Recent
 }
 
 // NewLender returns the lender of a replica that starts now.
@@ -96,15 +95,8 @@
 // recordRefusal counts a refusal, and returns for how much longer than until the next permit the
 // gateway should not ask: the more gateways were refused for each permit, the longer.
 func (u *lending) recordRefusal(now time.Time, window time.Duration, share int) time.Duration {
-	if since := now.Sub(u.refusedSince); since >= window {
-		u.refusedBefore = 0
-		if since < 2*window {
-			u.refusedBefore = u.refused
-		}
-		u.refused, u.refusedSince = 0, now
-	}
-	u.refused++
-	crowd := float64(max(u.refused, u.refusedBefore)) / float64(asksPerPermit*share)
+	u.refused.Add(now, window)
+	crowd := float64(u.refused.Most(now, window)) / float64(asksPerPermit*share)
 	if crowd < 1 {
 		return 0
 	}
--- a/control/backpressure.go
+++ b/control/backpressure.go
@@ -106,7 +106,7 @@
 // be nil if the replica knows none.
 func (s *statementStore) forgetObsolete(upstreams func() []*wire.Announcement) {
 	s.mu.Lock()
-	due := len(s.book.All()) > 0 && s.now().Sub(s.forgotAt) >= statementsForgetInterval
+	due := s.book.Len() > 0 && s.now().Sub(s.forgotAt) >= statementsForgetInterval
 	s.mu.Unlock()
 	if !due || upstreams == nil {
 		return
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -64,3 +64,22 @@
 	now = now.Add(600 * time.Millisecond)
 	assert.Equal(t, w.TakeUpTo(now, time.Second, 5, 9), 3)
 }
+
+// Guards against a count that outlives its span, or that begins anew each time that a span ends.
+func TestRecentCountsTwoSpans(t *testing.T) {
+	const span = time.Second
+	var r quota.Recent
+	now := time.Unix(1000, 0)
+	assert.Equal(t, r.Most(now, span), 0)
+	for range 5 {
+		r.Add(now, span)
+	}
+	now = now.Add(1500 * time.Millisecond)
+	assert.Equal(t, r.Most(now, span), 5)
+	r.Add(now, span)
+	assert.Equal(t, r.Most(now, span), 5, "the span before counts too")
+	now = now.Add(span)
+	r.Add(now, span)
+	assert.Equal(t, r.Most(now, span), 1)
+	assert.Equal(t, r.Most(now.Add(2*span), span), 0)
+}
