--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -52,8 +52,9 @@
 	Team string
 	// LastEventID is the event after which a stream resumes; empty to start from the beginning.
 	LastEventID string
-	// Urgent asks the upstream to run the request before others.
-	Urgent bool
+	// Priority asks the upstream to run the request before those with a larger number; nil to ask
+	// for nothing.
+	Priority *uint32
 }
 
 // Answer holds what the header of an upstream's response says.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -30,6 +30,8 @@
 	ctx     context.Context
 	route   *wire.Route
 	service string
+	// priority is that of the request; nil if all requests of the service have the same one.
+	priority *uint32
 	// group is the group whose permit the request holds.
 	group      *groupPool
 	team       *wire.KeyedTeam
@@ -199,7 +201,7 @@
 func (c *call) send(a *attempt, lastEventID string) (*direct.Response, error) {
 	header := forwardHeader(c.r.Header)
 	c.dialect.SetUpstreamHeader(header, dialect.UpstreamHeader{
-		Remaining: time.Until(c.deadline), Instance: a.upstream.ID, Team: c.team.GetName(), LastEventID: lastEventID,
+		Remaining: time.Until(c.deadline), Instance: a.upstream.ID, Team: c.team.GetName(), LastEventID: lastEventID, Priority: c.priority,
 	})
 	req := &direct.Request{Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body}
 	resp, err := c.client.Do(a.ctx, a.upstream.Address, req, func(status int, h http.Header) bool {
@@ -330,6 +332,9 @@
 	head := c.services.headTime(c.service)
 	c.age = c.timeouts.age(c.receivedAt, c.route, c.params.Deadline)
 	w := &waiter{retried: c.age > 0, admitted: make(chan struct{})}
+	if c.priority != nil {
+		w.priority = *c.priority
+	}
 	w.giveUpAt = c.deadline.Add(-head)
 	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
 		if callerLeavesAt := c.receivedAt.Add(firstEventTimeout - firstEventMargin - head); callerLeavesAt.Before(w.giveUpAt) {
--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -33,8 +33,10 @@
 // is queued also while no group is available, unless all are incomplete, and while the rate of
 // late admissions is unknown or doesn't apply.
 func (p *servicePool) decide(now time.Time, gateways int, w *waiter) (d decision, wait time.Duration) {
-	if p.queue.ahead(now, w.canBeOnTime(now)) == 0 {
-		if g := p.pickGroup(now, gateways, !w.canBeOnTime(now)); g != nil {
+	p.policy.RecordArrival(now, w.priority)
+	c := p.classOf(now, w)
+	if p.ahead(now, c) == 0 {
+		if g := p.pickGroup(now, gateways, c); g != nil {
 			p.admit(now, g, w)
 			return decisionAdmit, 0
 		}
@@ -57,23 +59,41 @@
 	if !p.available(now) {
 		return w.retried && !p.incomplete(now)
 	}
-	if w.canBeOnTime(now) && p.expectedWait(now, gateways, p.queue.ahead(now, true), 1) <= w.onTimeBy.Sub(now) {
+	c := p.classOf(now, w)
+	if !c.late && p.expectedWait(now, gateways, c, p.ahead(now, c), 1) <= w.onTimeBy.Sub(now) {
 		return true
 	}
-	ahead := p.queue.ahead(now, false)
+	c.late = true
+	ahead := p.ahead(now, c)
 	// With free slots, only long passes hold requests back for a moment, so the rate of late
 	// admissions doesn't apply.
-	limit, inflight := p.limit(now, gateways)
+	limit, inflight := p.limit(now, gateways, c)
 	if rate, known := p.late.rate(now); known && inflight >= limit {
 		return float64(ahead+1) <= rate*w.giveUpAt.Sub(now).Seconds()
 	}
-	return w.retried || p.expectedWait(now, gateways, ahead, lateSlotFraction) <= w.giveUpAt.Sub(now)
+	return w.retried || p.expectedWait(now, gateways, c, ahead, lateSlotFraction) <= w.giveUpAt.Sub(now)
 }
 
-// expectedWait returns how long a request is expected to be queued with others ahead of it, if
-// the given fraction of released permits goes to them.
-func (p *servicePool) expectedWait(now time.Time, gateways, ahead int, fraction float64) time.Duration {
-	limit, inflight := p.limit(now, gateways)
+// classOf returns the class of a request of the service.
+func (p *servicePool) classOf(now time.Time, w *waiter) class { return w.class(now, p.starved(now)) }
+
+// starved returns whether requests of a priority get too little, or nil if all have the same one.
+func (p *servicePool) starved(now time.Time) func(uint32) bool {
+	if !p.policy.Enabled() {
+		return nil
+	}
+	return func(priority uint32) bool { return p.policy.Starved(now, priority) }
+}
+
+// ahead returns how many queued requests would be admitted before one of a class that arrives now.
+func (p *servicePool) ahead(now time.Time, c class) int {
+	return p.queue.ahead(now, c, p.starved(now))
+}
+
+// expectedWait returns how long a request of a class is expected to be queued with others ahead of
+// it, if the given fraction of released permits goes to them.
+func (p *servicePool) expectedWait(now time.Time, gateways int, c class, ahead int, fraction float64) time.Duration {
+	limit, inflight := p.limit(now, gateways, c)
 	wait := 0.0
 	if p.lockstep() {
 		wait = float64(ahead+1) / max(p.slotShare(now, gateways), 1) * minFillTime.Seconds()
@@ -89,17 +109,29 @@
 	return float64(g.limiter.slots) * g.limiter.share(gateways)
 }
 
-// permits returns how many more requests the group's concurrency limit allows this gateway; 0 if
-// none may be admitted now.
-func (g *groupPool) permits(now time.Time, gateways int, late bool) int {
-	limit := g.limiter.limit(now, gateways)
-	if late {
+// limit returns how many requests this gateway may have in flight at the group when it admits one
+// of a class. Requests that aren't of the most urgent priority leave room for more urgent ones, and
+// for long passes after the next shift of expert demand.
+func (g *groupPool) limit(now time.Time, gateways int, c class) int {
+	policy := &g.service.policy
+	if !policy.Enabled() || policy.MostUrgent(c.priority) || c.starved {
+		return g.limiter.limit(now, gateways)
+	}
+	fraction := g.slotShare(gateways) / max(g.service.slotShare(now, gateways), 1)
+	return g.limiter.limitWithin(now, gateways, g.limiter.fillWithHeadroom(now), policy.Reserved(now, c.priority)*min(fraction, 1))
+}
+
+// permits returns how many more requests of a class the group's concurrency limit allows this
+// gateway; 0 if none may be admitted now.
+func (g *groupPool) permits(now time.Time, gateways int, c class) int {
+	limit := g.limit(now, gateways, c)
+	if c.late {
 		limit = max(int(lateLimitFraction*float64(limit)), 1)
 	}
 	if len(g.upstreams) == 0 || g.limiter.inflight >= limit || !g.limiter.mayAdmit(now, g.service.available(now)) {
 		return 0
 	}
-	if g.limiter.lockstep && !g.paceAllows(now, gateways, late) {
+	if g.limiter.lockstep && !g.paceAllows(now, gateways, c.late) {
 		return 0
 	}
 	return limit - g.limiter.inflight
@@ -122,6 +154,7 @@
 	if !w.canBeOnTime(now) {
 		p.late.recordAdmission(now)
 	}
+	p.policy.RecordAdmission(now, w.priority)
 	p.retryAfter.admitted()
 	g.limiter.acquire(now)
 	g.pacer.takeToken()
@@ -130,21 +163,29 @@
 // admitQueued admits queued requests as far as permits allow.
 func (p *servicePool) admitQueued(now time.Time, gateways int) {
 	p.late.observeQueue(now, &p.queue)
-	for {
-		late := p.pickGroup(now, gateways, true)
-		g := late
-		if g == nil {
-			g = p.pickGroup(now, gateways, false)
+	for p.admitNext(now, gateways) {
+	}
+}
+
+// admitNext admits the first queued request for which there is a permit, and reports whether there
+// was one. A class that gets none now doesn't hold up those behind it.
+func (p *servicePool) admitNext(now time.Time, gateways int) bool {
+	for _, g := range p.sorted {
+		// While a late request is about to expire all tokens come faster, also those that requests
+		// before it take.
+		if g.limiter.lockstep {
+			g.paceAllows(now, gateways, true)
 		}
+	}
+	for _, w := range p.queue.firsts(now, p.starved(now)) {
+		g := p.pickGroup(now, gateways, p.classOf(now, w))
 		if g == nil {
-			return
-		}
-		w := p.queue.next(now, late != nil)
-		if w == nil {
-			return
+			continue
 		}
 		p.queue.remove(w)
 		p.admit(now, g, w)
 		close(w.admitted)
+		return true
 	}
+	return false
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -306,6 +306,10 @@
 		}
 	}
 	c.service = routing.ChooseService(c.route, rand.Float64())
+	if g.services.prioritized(c.service) {
+		priority := routing.RequestPriority(c.route, c.team)
+		c.priority = &priority
+	}
 	c.fixedPass = fixedPassTime(t.Service(c.service).GetEngine())
 	c.waitForService(r.Context())
 	c.deadline = began.Add(time.Duration(c.route.TimeoutMs) * time.Millisecond)
--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -6,6 +6,7 @@
 
 	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/directory"
+	"github.com/snipereach/snipereach/overload"
 	"github.com/snipereach/snipereach/route"
 )
 
@@ -108,6 +109,10 @@
 	progressAt time.Time
 	throttle   passThrottle
 	slotCap    slotCap
+	headroom   overload.Headroom
+	// targetGap and fixedPass are the target gap of the last pass, and the part of a pass that
+	// doesn't depend on the running requests.
+	targetGap, fixedPass time.Duration
 }
 
 // setUpstreams updates the slots, those of evacuated upstreams apart, and the group epoch from the
@@ -236,7 +241,10 @@
 		return 0, false
 	}
 	if now.Sub(g.occupancyAt) < occupancyStaleness && now.Sub(g.formedAt) > initialPlacementPeriod {
-		g.slotCap.observePass(now, prevPass, targetGap, fixed, g.estimatedOccupancy(gateways))
+		fill := g.estimatedOccupancy(gateways)
+		g.slotCap.observePass(now, prevPass, targetGap, fixed, fill)
+		g.headroom.Observe(now, prevPass, targetGap, fixed, fill)
+		g.targetGap, g.fixedPass = targetGap, fixed
 	}
 	return prevPass, true
 }
@@ -314,21 +322,43 @@
 // leave slots unused. If more slots are in use than may be, the gateway gives up a proportional
 // part of its own.
 func (g *groupLimiter) limit(now time.Time, gateways int) int {
-	slots, share := float64(g.slots), g.share(gateways)
 	if !g.lockstep {
-		return max(int(plainShareMargin*plainRequestsPerSlot*slots*share), min(minPlainLimit, g.slots), 1)
+		return g.plainLimit(gateways)
+	}
+	return max(g.limitWithin(now, gateways, maxFill, 0), 1)
+}
+
+// limitWithin returns the limit if gateways fill the group up to a fraction of its slots and this
+// one leaves a number of its own free. The number may be a fraction: the rounding differs between
+// gateways and from survey to survey, so that all together leave free what the fractions add up to.
+func (g *groupLimiter) limitWithin(now time.Time, gateways int, fill, reserved float64) int {
+	if !g.lockstep {
+		return max(g.plainLimit(gateways)-int(reserved+g.rounding), 0)
 	}
+	slots, share := float64(g.slots), g.share(gateways)
 	if now.Sub(g.occupancyAt) >= occupancyStaleness {
-		return max(int(evenShareMargin*slots*share), 1)
+		return max(int(evenShareMargin*slots*share*fill/maxFill-reserved), 0)
 	}
-	used, usable := g.occupancy*slots, min(maxFill, g.slotCap.fraction(now))*slots
+	used, usable := g.occupancy*slots, min(fill, g.slotCap.fraction(now))*slots
 	own := float64(g.reportedInflight)
 	if usable > used {
 		own += freeSlotMargin * (usable - used) * share
 	} else {
 		own *= usable / used
 	}
-	return max(int(own+g.rounding), 1)
+	return max(int(own+g.rounding-reserved), 0)
+}
+
+// plainLimit is the limit of a plain service.
+func (g *groupLimiter) plainLimit(gateways int) int {
+	limit := int(plainShareMargin * plainRequestsPerSlot * float64(g.slots) * g.share(gateways))
+	return max(limit, min(minPlainLimit, g.slots), 1)
+}
+
+// fillWithHeadroom returns the fraction of the slots that may be filled if passes are to stay
+// within the target gap after the next shift of expert demand.
+func (g *groupLimiter) fillWithHeadroom(now time.Time) float64 {
+	return min(g.headroom.Fill(now, g.targetGap, g.fixedPass), maxFill)
 }
 
 func (g *groupLimiter) release() { g.inflight-- }
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/evacuation"
+	"github.com/snipereach/snipereach/overload"
 	"github.com/snipereach/snipereach/route"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -21,6 +22,7 @@
 	// sorted holds the groups sorted by name.
 	sorted     []*groupPool
 	queue      waitQueue
+	policy     overload.Policy
 	late       lateAdmissions
 	retryAfter retryAfterEstimator
 	// headTime is the EWMA of the time to the head of a response, holdTime that of the time that
@@ -179,12 +181,12 @@
 	return slices.ContainsFunc(p.sorted, func(g *groupPool) bool { return g.limiter.lockstep })
 }
 
-// limit returns how many requests the gateway may have in flight at the available groups, and how
-// many it has.
-func (p *servicePool) limit(now time.Time, gateways int) (limit, inflight int) {
+// limit returns how many requests the gateway may have in flight at the available groups when it
+// admits one of a class, and how many it has.
+func (p *servicePool) limit(now time.Time, gateways int, c class) (limit, inflight int) {
 	for _, g := range p.sorted {
 		if g.limiter.available(now) {
-			limit += g.limiter.limit(now, gateways)
+			limit += g.limit(now, gateways, c)
 			inflight += g.limiter.inflight
 		}
 	}
@@ -201,14 +203,14 @@
 	return share
 }
 
-// pickGroup returns a group that a request may be admitted to now, or nil. It picks at random,
+// pickGroup returns a group that a request of a class may be admitted to now, or nil. It picks at random,
 // weighted by permits: all gateways know the same loads, and if each took the emptiest group it
 // would get all requests until the next report.
-func (p *servicePool) pickGroup(now time.Time, gateways int, late bool) *groupPool {
+func (p *servicePool) pickGroup(now time.Time, gateways int, c class) *groupPool {
 	permits := make([]int, len(p.sorted))
 	sum := 0
 	for i, g := range p.sorted {
-		permits[i] = g.permits(now, gateways, late)
+		permits[i] = g.permits(now, gateways, c)
 		sum += permits[i]
 	}
 	if sum == 0 {
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -35,6 +36,11 @@
 	onTimeBy, giveUpAt time.Time
 	// retried says that the caller has sent the request before, so it may have no further try.
 	retried bool
+	// priority is that of the request, 0 the most urgent; 0 if all requests of the service have
+	// the same one.
+	priority uint32
+	// overShare says that the request's team asks for more than its fair part of the service.
+	overShare bool
 	// admitted is closed when the request is admitted; group is then the group that it may go to.
 	admitted chan struct{}
 	group    *groupPool
@@ -43,6 +49,37 @@
 // canBeOnTime reports whether the request can still be answered in time.
 func (w *waiter) canBeOnTime(now time.Time) bool { return !now.After(w.onTimeBy) }
 
+// class is what the order of admission depends on, besides the time of the request.
+type class struct {
+	// starved says that requests of this priority get too little and go first.
+	starved   bool
+	priority  uint32
+	overShare bool
+	late      bool
+}
+
+// before reports whether requests of class c are admitted before those of class d.
+func (c class) before(d class) bool {
+	switch {
+	case c.starved != d.starved:
+		return c.starved
+	case c.priority != d.priority:
+		return c.priority < d.priority
+	case c.overShare != d.overShare:
+		return d.overShare
+	}
+	return !c.late && d.late
+}
+
+// class returns the class of the request. starved reports whether a priority gets too little; nil
+// means that none does.
+func (w *waiter) class(now time.Time, starved func(uint32) bool) class {
+	return class{
+		starved: starved != nil && starved(w.priority), priority: w.priority,
+		overShare: w.overShare, late: !w.canBeOnTime(now),
+	}
+}
+
 // waitQueue holds the queued requests of one service.
 //
 // After a stall of the group, the callers of several seconds are queued while new ones arrive. In
@@ -60,27 +97,34 @@
 	}
 }
 
-// next returns the request to admit first, or nil if there is none. Requests that can be on time
-// come first, by earliest onTimeBy; then, if lateAllowed, late ones by earliest giveUpAt. Late
-// requests past giveUpAt are skipped.
-func (q *waitQueue) next(now time.Time, lateAllowed bool) *waiter {
-	var onTime, late *waiter
+// firsts returns the first request of each class that is queued, in the order of admission. Of the
+// requests of a class that can be on time the one with the earliest onTimeBy is first, of late ones
+// that with the earliest giveUpAt. Late requests past giveUpAt are skipped.
+func (q *waitQueue) firsts(now time.Time, starved func(uint32) bool) []*waiter {
+	byClass := map[class]*waiter{}
 	for _, w := range q.waiters {
-		switch {
-		case w.canBeOnTime(now):
-			if onTime == nil || w.onTimeBy.Before(onTime.onTimeBy) {
-				onTime = w
-			}
-		case now.Before(w.giveUpAt):
-			if late == nil || w.giveUpAt.Before(late.giveUpAt) {
-				late = w
-			}
+		c := w.class(now, starved)
+		if c.late && !now.Before(w.giveUpAt) {
+			continue
+		}
+		if first := byClass[c]; first == nil || w.dueBy(c.late).Before(first.dueBy(c.late)) {
+			byClass[c] = w
 		}
 	}
-	if onTime == nil && lateAllowed {
-		return late
+	return slices.SortedFunc(maps.Values(byClass), func(a, b *waiter) int {
+		if a.class(now, starved).before(b.class(now, starved)) {
+			return -1
+		}
+		return 1
+	})
+}
+
+// dueBy returns the time by which requests of one class are ordered.
+func (w *waiter) dueBy(late bool) time.Time {
+	if late {
+		return w.giveUpAt
 	}
-	return onTime
+	return w.onTimeBy
 }
 
 // hasExpiring reports whether a late request will have to be refused within expiringWindow.
@@ -96,12 +140,11 @@
 	return slices.ContainsFunc(q.waiters, func(w *waiter) bool { return !w.canBeOnTime(now) })
 }
 
-// ahead returns how many queued requests would be admitted before one that arrives now; onTime
-// says that this one can be on time, so that late ones don't count.
-func (q *waitQueue) ahead(now time.Time, onTime bool) int {
+// ahead returns how many queued requests would be admitted before one of a class that arrives now.
+func (q *waitQueue) ahead(now time.Time, c class, starved func(uint32) bool) int {
 	n := 0
 	for _, w := range q.waiters {
-		if !onTime || w.canBeOnTime(now) {
+		if !c.before(w.class(now, starved)) {
 			n++
 		}
 	}
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -69,6 +69,9 @@
 	if c.age > 0 {
 		kv = append(kv, "age_ms", c.age.Milliseconds())
 	}
+	if c.priority != nil {
+		kv = append(kv, "priority", *c.priority)
+	}
 	if c.waited > 0 {
 		kv = append(kv, "waited_ms", c.waited.Milliseconds())
 	}
--- a/gateway/routingwatch.go
+++ b/gateway/routingwatch.go
@@ -173,7 +173,9 @@
 	if old != nil && old.Config.Version >= c.Version {
 		return
 	}
-	g.table.Store(routing.NewTable(c))
+	t := routing.NewTable(c)
+	g.table.Store(t)
+	g.services.setPriorities(t)
 	g.timeouts.retain(c.Routes)
 	g.services.setColdLimits(c)
 	kernel.Info(g.log, "Routing configuration in force.", "version", c.Version, "from", from, "routes", len(c.Routes), "teams", len(c.Teams))
