--- a/gateway/call.go
+++ b/gateway/call.go
@@ -30,7 +30,8 @@
 	ctx     context.Context
 	route   *wire.Route
 	service string
-	// priority is that of the request; nil if all requests of the service have the same one.
+	// priority is the rank of the request's priority among those of the service, 0 for the most
+	// urgent; nil if all requests of the service have the same one.
 	priority *uint32
 	// group is the group whose permit the request holds.
 	group      *groupPool
--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -114,7 +114,7 @@
 // for long passes after the next shift of expert demand.
 func (g *groupPool) limit(now time.Time, gateways int, c class) int {
 	policy := &g.service.policy
-	if !policy.Enabled() || policy.MostUrgent(c.priority) || c.starved {
+	if !policy.Enabled() || c.priority == 0 || c.starved {
 		return g.limiter.limit(now, gateways)
 	}
 	fraction := g.slotShare(gateways) / max(g.service.slotShare(now, gateways), 1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -306,9 +306,9 @@
 		}
 	}
 	c.service = routing.ChooseService(c.route, rand.Float64())
-	if g.services.prioritized(c.service) {
-		priority := routing.RequestPriority(c.route, c.team)
-		c.priority = &priority
+	if t.Urgencies(c.service) > 1 {
+		rank := t.Rank(c.service, c.route, c.team)
+		c.priority = &rank
 	}
 	c.fixedPass = fixedPassTime(t.Service(c.service).GetEngine())
 	c.waitForService(r.Context())
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -36,8 +36,8 @@
 	onTimeBy, giveUpAt time.Time
 	// retried says that the caller has sent the request before, so it may have no further try.
 	retried bool
-	// priority is that of the request, 0 the most urgent; 0 if all requests of the service have
-	// the same one.
+	// priority is the rank of the request's priority among those of the service, 0 for the most
+	// urgent.
 	priority uint32
 	// overShare says that the request's team asks for more than its fair part of the service.
 	overShare bool
--- a/gateway/routingwatch.go
+++ b/gateway/routingwatch.go
@@ -175,10 +175,10 @@
 	}
 	t := routing.NewTable(c)
 	g.table.Store(t)
-	g.services.setPriorities(t)
+	g.services.setRanks(t)
 	g.timeouts.retain(c.Routes)
 	g.services.setColdLimits(c)
-	kernel.Info(g.log, "Routing configuration in force.", "version", c.Version, "from", from, "routes", len(c.Routes), "teams", len(c.Teams))
+	kernel.Info(g.log, "Routing configuration in force.", "version", c.Version, "from", from, "routes", len(c.Routes), "teams", len(c.Teams), "ranked", t.RankedServices())
 	if old == nil {
 		g.triggerAnnounce()
 		g.warmup.notify()
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -46,8 +46,8 @@
 	position quota.Position
 	// coldLimits has the limits of services whose upstreams start cold.
 	coldLimits map[string]coldLimit
-	// priorities has the priorities that requests of each service may have.
-	priorities map[string][]uint32
+	// ranks has the number of ranks that requests of each service may have.
+	ranks map[string]int
 }
 
 // updateInputs is what else than the upstreams themselves decides on which of them are used.
@@ -58,27 +58,20 @@
 	heardNow time.Time
 }
 
-// setPriorities sets the priorities of the requests of each service from a routing configuration.
-func (m *serviceManager) setPriorities(t *routing.Table) {
-	priorities := map[string][]uint32{}
+// setRanks sets how many ranks the requests of each service may have in a routing configuration.
+func (m *serviceManager) setRanks(t *routing.Table) {
+	ranks := map[string]int{}
 	for _, s := range t.Config.Services {
-		priorities[s.Name] = t.PrioritiesOf(s.Name)
+		ranks[s.Name] = t.Urgencies(s.Name)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.priorities = priorities
+	m.ranks = ranks
 	for name, p := range m.services {
-		p.policy.SetPriorities(priorities[name])
+		p.policy.SetRanks(ranks[name])
 	}
 }
 
-// prioritized reports whether requests of a service have different priorities.
-func (m *serviceManager) prioritized(service string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.priorities[service]) > 1
-}
-
 // setColdLimits sets the limits of a routing configuration.
 func (m *serviceManager) setColdLimits(c *wire.RoutingConfig) {
 	limits := map[string]coldLimit{}
@@ -118,7 +111,7 @@
 	for name := range byService {
 		if m.services[name] == nil {
 			m.services[name] = newServicePool(m.entryInfo)
-			m.services[name].policy.SetPriorities(m.priorities[name])
+			m.services[name].policy.SetRanks(m.ranks[name])
 		}
 	}
 	for name, p := range m.services {
--- a/overload/policy.go
+++ b/overload/policy.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -23,86 +22,73 @@
 	minArrivals = 3.0
 )
 
-// Policy tracks the requests of one service at one gateway by priority. The zero value is one for
-// a service whose requests all have the same priority.
+// Policy tracks the requests of one service at one gateway by rank of priority, from 0 for the most
+// urgent. The zero value is one for a service whose requests all have the same rank.
 type Policy struct {
-	// priorities are those that the service's requests may have, the most urgent first.
-	priorities []uint32
-	traffic    map[uint32]*traffic
+	// traffic is that of each rank.
+	traffic []traffic
 }
 
-// traffic counts the requests of one priority.
+// traffic counts the requests of one rank.
 type traffic struct {
 	arrived, admitted decayingCount
 }
 
-// SetPriorities sets the priorities that the service's requests may have.
-func (p *Policy) SetPriorities(list []uint32) {
-	p.priorities = slices.Compact(slices.Sorted(slices.Values(list)))
-	if p.traffic == nil {
-		p.traffic = map[uint32]*traffic{}
-	}
-	for known := range p.traffic {
-		if !slices.Contains(p.priorities, known) {
-			delete(p.traffic, known)
-		}
+// SetRanks sets how many ranks there are. The counts start anew if the number changes, as a rank
+// then means another priority.
+func (p *Policy) SetRanks(n int) {
+	if len(p.traffic) != n {
+		p.traffic = make([]traffic, n)
 	}
 }
 
-// Enabled reports whether the service's requests have different priorities.
-func (p *Policy) Enabled() bool { return len(p.priorities) > 1 }
-
-// MostUrgent reports whether no other priority of the service is more urgent than this one.
-func (p *Policy) MostUrgent(priority uint32) bool {
-	return len(p.priorities) == 0 || priority <= p.priorities[0]
-}
+// Enabled reports whether the service's requests have different ranks.
+func (p *Policy) Enabled() bool { return len(p.traffic) > 1 }
 
 // RecordArrival counts the arrival of a request.
-func (p *Policy) RecordArrival(now time.Time, priority uint32) {
-	if p.Enabled() {
-		p.of(priority).arrived.add(now)
+func (p *Policy) RecordArrival(now time.Time, rank uint32) {
+	if t := p.of(rank); t != nil {
+		t.arrived.add(now)
 	}
 }
 
 // RecordAdmission counts the admission of a request.
-func (p *Policy) RecordAdmission(now time.Time, priority uint32) {
-	if p.Enabled() {
-		p.of(priority).admitted.add(now)
+func (p *Policy) RecordAdmission(now time.Time, rank uint32) {
+	if t := p.of(rank); t != nil {
+		t.admitted.add(now)
 	}
 }
 
-func (p *Policy) of(priority uint32) *traffic {
-	t := p.traffic[priority]
-	if t == nil {
-		t = &traffic{}
-		p.traffic[priority] = t
+// of returns the counts of a rank; nil if the policy isn't enabled or a request has a rank of an
+// earlier configuration.
+func (p *Policy) of(rank uint32) *traffic {
+	if !p.Enabled() || int(rank) >= len(p.traffic) {
+		return nil
 	}
-	return t
+	return &p.traffic[rank]
 }
 
-// Reserved returns how many slots requests of a priority leave free for more urgent ones: as many
-// as these are expected to need within reserveTime. It is a fraction where requests are few.
-func (p *Policy) Reserved(now time.Time, priority uint32) float64 {
+// Reserved returns how many slots requests of a rank leave free for more urgent ones: as many as
+// these are expected to need within reserveTime. It is a fraction where requests are few.
+func (p *Policy) Reserved(now time.Time, rank uint32) float64 {
 	expected := 0.0
-	for other, t := range p.traffic {
-		if other < priority {
-			expected += t.arrived.perSecond(now)
-		}
+	for i := range min(int(rank), len(p.traffic)) {
+		expected += p.traffic[i].arrived.perSecond(now)
 	}
 	return expected * reserveTime.Seconds()
 }
 
-// Starved reports whether requests of a priority get so little that they go before more urgent
-// ones: under minServedRatio of the fraction that is admitted of all.
-func (p *Policy) Starved(now time.Time, priority uint32) bool {
-	t := p.traffic[priority]
+// Starved reports whether requests of a rank get so little that they go before more urgent ones:
+// under minServedRatio of the fraction that is admitted of all.
+func (p *Policy) Starved(now time.Time, rank uint32) bool {
+	t := p.of(rank)
 	if t == nil || t.arrived.at(now) < minArrivals {
 		return false
 	}
 	arrived, admitted := 0.0, 0.0
-	for _, other := range p.traffic {
-		arrived += other.arrived.at(now)
-		admitted += other.admitted.at(now)
+	for i := range p.traffic {
+		arrived += p.traffic[i].arrived.at(now)
+		admitted += p.traffic[i].admitted.at(now)
 	}
 	return t.admitted.at(now)*arrived < minServedRatio*admitted*t.arrived.at(now)
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -2,9 +2,7 @@
 
 import (
 	"crypto/sha256"
-	"maps"
 	"net"
-	"slices"
 	"sort"
 	"strings"
 
@@ -20,6 +18,9 @@
 	// prefix first.
 	routesByHost map[string][]*wire.Route
 	teams        map[keyHash]*wire.KeyedTeam
+	// urgencies holds for each model service the urgencies that its requests may have, the most
+	// urgent first.
+	urgencies map[string][]Urgency
 }
 
 type keyHash [sha256.Size]byte
@@ -53,6 +54,7 @@
 			t.teams[keyHash(k)] = team
 		}
 	}
+	t.urgencies = t.findUrgencies()
 	return t
 }
 
@@ -109,24 +111,6 @@
 	return r.Kind == wire.RouteKind_ROUTE_KIND_SAFE || r.Kind == wire.RouteKind_ROUTE_KIND_STREAMING && r.Resume
 }
 
-// PrioritiesOf returns the priorities that requests of a service may have, the most urgent first.
-func (t *Table) PrioritiesOf(service string) []uint32 {
-	found := map[uint32]bool{}
-	for _, r := range t.Config.Routes {
-		if !slices.ContainsFunc(r.Split, func(s *wire.WeightedService) bool { return s.Service == service }) {
-			continue
-		}
-		if !t.NeedsKey(r) {
-			found[r.Priority] = true
-			continue
-		}
-		for _, team := range t.Config.Teams {
-			found[RequestPriority(r, team)] = true
-		}
-	}
-	return slices.Sorted(maps.Keys(found))
-}
-
 // RequestPriority returns the priority of a request: that of its team if it has one, otherwise
 // that of its route. 0 is the highest priority.
 func RequestPriority(r *wire.Route, team *wire.KeyedTeam) uint32 {
