--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -48,7 +48,7 @@
 		return decisionRefuse, p.refused(now)
 	}
 	p.queue.add(w)
-	p.late.observeQueue(now, &p.queue)
+	p.late.of(w.priority).observeQueue(now, &p.queue)
 	return decisionQueue, 0
 }
 
@@ -68,7 +68,7 @@
 	// With free slots, only long passes hold requests back for a moment, so the rate of late
 	// admissions doesn't apply.
 	limit, inflight := p.limit(now, gateways, c)
-	if rate, known := p.late.rate(now); known && inflight >= limit {
+	if rate, known := p.late.of(w.priority).rate(now); known && inflight >= limit {
 		return float64(ahead+1) <= rate*w.giveUpAt.Sub(now).Seconds()
 	}
 	return w.retried || p.expectedWait(now, gateways, c, ahead, lateSlotFraction) <= w.giveUpAt.Sub(now)
@@ -118,7 +118,8 @@
 		return g.limiter.limit(now, gateways)
 	}
 	fraction := g.slotShare(gateways) / max(g.service.slotShare(now, gateways), 1)
-	return g.limiter.limitWithin(now, gateways, g.limiter.fillWithHeadroom(now), policy.Reserved(now, c.priority)*min(fraction, 1))
+	fill := g.limiter.fillFor(now, policy.UrgentFraction(now, c.priority))
+	return g.limiter.limitWithin(now, gateways, fill, policy.Reserved(now, c.priority)*min(fraction, 1))
 }
 
 // permits returns how many more requests of a class the group's concurrency limit allows this
@@ -152,7 +153,7 @@
 func (p *servicePool) admit(now time.Time, g *groupPool, w *waiter) {
 	w.group = g
 	if !w.canBeOnTime(now) {
-		p.late.recordAdmission(now)
+		p.late.of(w.priority).recordAdmission(now)
 	}
 	p.policy.RecordAdmission(now, w.priority)
 	p.retryAfter.admitted()
--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -355,10 +355,11 @@
 	return max(limit, min(minPlainLimit, g.slots), 1)
 }
 
-// fillWithHeadroom returns the fraction of the slots that may be filled if passes are to stay
-// within the target gap after the next shift of expert demand.
-func (g *groupLimiter) fillWithHeadroom(now time.Time) float64 {
-	return min(g.headroom.Fill(now, g.targetGap, g.fixedPass), maxFill)
+// fillFor returns the fraction of the slots that requests may fill, if those that are a given
+// fraction of all are more urgent: passes are to stay within the target gap after the next shift of
+// expert demand.
+func (g *groupLimiter) fillFor(now time.Time, urgentFraction float64) float64 {
+	return overload.FillFor(g.headroom.Fill(now, g.targetGap, g.fixedPass), maxFill, urgentFraction)
 }
 
 func (g *groupLimiter) release() { g.inflight-- }
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -23,7 +23,7 @@
 	sorted     []*groupPool
 	queue      waitQueue
 	policy     overload.Policy
-	late       lateAdmissions
+	late       lateByPriority
 	retryAfter retryAfterEstimator
 	// headTime is the EWMA of the time to the head of a response, holdTime that of the time that
 	// a request holds its permit; 0 before the first.
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -135,9 +135,9 @@
 	})
 }
 
-// hasLate reports whether a queued request can't be on time any more.
-func (q *waitQueue) hasLate(now time.Time) bool {
-	return slices.ContainsFunc(q.waiters, func(w *waiter) bool { return !w.canBeOnTime(now) })
+// hasLate reports whether a queued request of a priority can't be on time any more.
+func (q *waitQueue) hasLate(now time.Time, priority uint32) bool {
+	return slices.ContainsFunc(q.waiters, func(w *waiter) bool { return w.priority == priority && !w.canBeOnTime(now) })
 }
 
 // ahead returns how many queued requests would be admitted before one of a class that arrives now.
--- a/overload/headroom.go
+++ b/overload/headroom.go
@@ -19,8 +19,20 @@
 	maxObservedRatio = 1.5
 	// minFill is the least fill that a group is limited to.
 	minFill = 0.5
+	// fullHeadroomFraction is the fraction of more urgent requests from which all of the headroom
+	// is left free. Where nearly all requests have the same rank they have no one to leave it to,
+	// and would be refused for nothing.
+	fullHeadroomFraction = 0.3
 )
 
+// FillFor returns how far requests may fill a group of which most may be filled at all, if full is
+// the fill that leaves all of the headroom free and urgentFraction the fraction of more urgent
+// requests.
+func FillFor(full, most, urgentFraction float64) float64 {
+	left := min(urgentFraction/fullHeadroomFraction, 1)
+	return most - left*max(most-full, 0)
+}
+
 // Headroom tells how full a group may be so that its passes stay within the target gap after the
 // next shift of expert demand.
 //
--- a/overload/policy.go
+++ b/overload/policy.go
@@ -78,6 +78,22 @@
 	return expected * reserveTime.Seconds()
 }
 
+// UrgentFraction returns the fraction of the arrivals that are more urgent than those of a rank.
+func (p *Policy) UrgentFraction(now time.Time, rank uint32) float64 {
+	all, urgent := 0.0, 0.0
+	for i := range p.traffic {
+		n := p.traffic[i].arrived.at(now)
+		all += n
+		if i < int(rank) {
+			urgent += n
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return urgent / all
+}
+
 // Starved reports whether requests of a rank get so little that they go before more urgent ones:
 // under minServedRatio of the fraction that is admitted of all.
 func (p *Policy) Starved(now time.Time, rank uint32) bool {
