Delay the hold of a switch while a rank's newest reading is old

Callers saw all running streams pause for 321 ms at a switch of expert maps, 0.6 s after the host beside one rank had been killed for 0.5 s: the group was held although that rank's newest reading was 431 ms old. A rank that is read late is also armed late, and the group stands still until all ranks are armed.

A switch that all ranks have prepared begins its hold only when no rank's newest reading is older than 250 ms, or after 2 s. Until then it is still preparing: nothing is held, and a shift of demand may replace its map. Late ranks are read at the period of a switch meanwhile. A rank whose relay doesn't respond counts as late too, since its readings come through the same relay. Readings of groups without sidecars are taken to be older by the report lag of the engine profile, so their limit is higher by that lag. A switch that all ranks have prepared isn't given up for PrepareTimeout any more: the delay may end after it.

The leader logs the late rank once per switch, adds hold_delay_ms to the line of the hold, and counts lockstep.holds.delayed. AwaitsRank takes the time; its test is adapted and checks the same as before.

--- a/lockstep/leader/group.go
+++ b/lockstep/leader/group.go
@@ -35,6 +35,8 @@
 	// holdBeganAt is when the switch in progress began to hold the group; zero if it hasn't.
 	holdBeganAt   time.Time
 	stateLoggedAt time.Time
+	// delayLogged is the version of the latest switch for which a delay of the hold was logged.
+	delayLogged uint64
 	// incompleteLoggedAt is when missing ranks were last logged.
 	incompleteLoggedAt time.Time
 	// shiftsAtBegin is the number of demand shifts seen when the latest switch began.
@@ -67,6 +69,7 @@
 	g.readRanks(ctx, now)
 	g.sendOrders(ctx, now, g.switcher.Tick(now))
 	g.logPhase(now)
+	g.logHoldDelay()
 	g.logState(now)
 	g.startPlanning(ctx, now)
 }
@@ -109,6 +112,11 @@
 	g.epoch, g.shape = epoch, shape
 	g.relays = lockstep.NewRelays(found.failureDomains())
 	cfg := lockstep.DefaultConfig(shape.Ranks, g.token, epoch)
+	if g.settings.SidecarPort == 0 {
+		// Without this, each hold of a group without sidecars would be delayed: all of its
+		// readings are taken to be older by this time.
+		cfg.MaxReadingAge += g.reportLag
+	}
 	if g.switcher != nil {
 		cfg.LastVersion = g.switcher.LastVersion()
 	}
--- a/lockstep/leader/leader_test.go
+++ b/lockstep/leader/leader_test.go
@@ -1,10 +1,12 @@
 package leader
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -30,6 +32,8 @@
 	ranks map[string]*wire.RankReport
 	// armsUnanswered says that arm orders get lost.
 	armsUnanswered bool
+	// reportAge is the age of the reports of rank r-1.
+	reportAge time.Duration
 }
 
 func (s *groupSidecar) Read(_ context.Context, req *wire.ReadRankRequest) (*wire.RankReading, error) {
@@ -40,7 +44,11 @@
 
 func (s *groupSidecar) report(instance string) *wire.RankReport {
 	r := s.ranks[instance]
-	return &wire.RankReport{Step: r.Step, Map: r.Map, Prepared: r.Prepared, Armed: r.Armed, ArmedStep: r.ArmedStep, Held: r.Held, Pace: 1}
+	report := &wire.RankReport{Step: r.Step, Map: r.Map, Prepared: r.Prepared, Armed: r.Armed, ArmedStep: r.ArmedStep, Held: r.Held, Pace: 1}
+	if instance == "r-1" {
+		report.AgeMs = uint32(s.reportAge.Milliseconds())
+	}
+	return report
 }
 
 func (s *groupSidecar) Order(_ context.Context, o *wire.RankOrder) (*wire.RankOrderReply, error) {
@@ -81,6 +89,12 @@
 	s.armsUnanswered = lost
 }
 
+func (s *groupSidecar) setReportAge(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reportAge = age
+}
+
 // errNoDirectCalls is the error of calls that don't go through a sidecar.
 var errNoDirectCalls = errors.New("ranks are reached through their sidecars only")
 
@@ -151,6 +165,16 @@
 // holdForSwitch begins a switch and ticks until it holds the group and waits for the ranks to
 // be armed.
 func (l *Leader) holdForSwitch(t *testing.T, s *groupSidecar) {
+	l.awaitReady(t)
+	s.setArmsUnanswered(true)
+	l.beginSwitch()
+	l.tickUntil(t, "the group is held", func(g *group) bool { return g.switcher.Phase() == lockstep.Arming })
+	s.setArmsUnanswered(false)
+}
+
+// awaitReady ticks until a switch may begin.
+func (l *Leader) awaitReady(t *testing.T) {
+	t.Helper()
 	l.tickUntil(t, "the ranks are read", func(g *group) bool {
 		if g.switcher == nil {
 			return false
@@ -158,10 +182,6 @@
 		g.switcher.SetCurrent(lockstep.Map{{{0, 2}, {1, 3}}})
 		return g.switcher.Ready(l.clock())
 	})
-	s.setArmsUnanswered(true)
-	l.beginSwitch()
-	l.tickUntil(t, "the group is held", func(g *group) bool { return g.switcher.Phase() == lockstep.Arming })
-	s.setArmsUnanswered(false)
 }
 
 // A leader loses its lease in the middle of a switch, when the group is held. As it still
@@ -195,3 +215,57 @@
 	l.view.Leads = false
 	assert.Assert(t, !l.tick(t.Context(), nil))
 }
+
+// An operator who sees that a switch takes long must find the late rank in the log, in one line
+// per switch however long the delay is.
+func TestDelayedHoldIsLoggedOncePerSwitch(t *testing.T) {
+	const delayed = "Hold of the group is delayed"
+	var lines bytes.Buffer
+	s := &groupSidecar{}
+	l := newLeaderOfGroup(t, s)
+	l.log = log.NewSyncLogger(log.NewLogfmtLogger(&lines))
+	l.awaitReady(t)
+	s.setReportAge(400 * time.Millisecond)
+	l.beginSwitch()
+	l.tickUntil(t, "the hold is delayed", func(g *group) bool { _, ok := g.switcher.HoldDelay(); return ok })
+	for range 3 {
+		l.tick(t.Context(), nil)
+	}
+	assert.Assert(t, !s.held())
+	s.setReportAge(0)
+	l.tickUntil(t, "the switch ends", func(g *group) bool { return g.switcher.Outcome() == "in force" })
+
+	g := l.groups["g"]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	assert.Equal(t, strings.Count(lines.String(), delayed), 1, lines.String())
+	for _, line := range strings.Split(lines.String(), "\n") {
+		if strings.Contains(line, delayed) {
+			assert.Assert(t, strings.Contains(line, "group=g epoch=1") && strings.Contains(line, "rank=1 upstream=r-1 reading_age_ms="), line)
+		}
+	}
+	assert.Assert(t, strings.Contains(lines.String(), "hold_delay_ms="), lines.String())
+}
+
+// A rank without a sidecar reports its state with a lag. Were that taken for lateness, each
+// switch of a group without sidecars would be delayed.
+func TestReportLagOfGroupWithoutSidecarsDoesNotDelayHold(t *testing.T) {
+	const lag = 400 * time.Millisecond
+	for _, c := range []struct {
+		port int
+		held bool
+	}{{0, true}, {1, false}} {
+		l := newLeaderOfGroup(t, &groupSidecar{})
+		l.settings.SidecarPort = c.port
+		g := l.groups["g"]
+		g.reportLag = lag
+		g.updateLinks(l.view.groups["g"], lockstep.Shape{Ranks: 2, Sets: 1, Experts: 4, Places: 3, Spare: 2})
+		now := l.clock()
+		g.switcher.Begin(now, lockstep.Map{{{0, 2, 1}, {1, 3, 0}}})
+		for i, id := range []string{"r-0", "r-1"} {
+			g.switcher.HandleReport(now, i, id, &wire.RankReport{Prepared: g.switcher.Version(), AgeMs: uint32(lag.Milliseconds())})
+		}
+		g.switcher.Tick(now)
+		assert.Equal(t, g.switcher.HoldsGroup(), c.held, "port %d", c.port)
+	}
+}
--- a/lockstep/leader/ranks.go
+++ b/lockstep/leader/ranks.go
@@ -102,7 +102,7 @@
 func (g *group) dueRead(now time.Time, i int, link *rankLink) (key readBatchKey, ok bool) {
 	usual := g.readPeriod
 	period := usual
-	if g.switcher.AwaitsRank(i) {
+	if g.switcher.AwaitsRank(now, i) {
 		period, key.copying = min(usual, switchReadPeriod), g.switcher.Phase() == lockstep.Preparing
 	}
 	if link.instance == "" || link.readInFlight || now.Sub(link.lastReadAt) < period {
--- a/lockstep/leader/statelog.go
+++ b/lockstep/leader/statelog.go
@@ -78,9 +78,24 @@
 	if phase == lockstep.Preparing {
 		kv = append(kv, "copies", g.proposal.Copies, "skew", g.proposal.SkewBefore, "skew_after", g.proposal.SkewAfter, "windows", g.demand.Windows())
 	}
+	if d, ok := g.switcher.HoldDelay(); ok && phase == lockstep.Holding {
+		kv = append(kv, "hold_delay_ms", now.Sub(d.Since).Milliseconds())
+	}
 	if phase == lockstep.Idle || phase == lockstep.Cleaning {
 		kv = append(kv, "outcome", g.switcher.Outcome())
 	}
 	kernel.Info(g.log, "Switch of expert maps.", kv...)
 	g.loggedPhase = phase
 }
+
+// logHoldDelay logs and counts a delay of the hold, once per switch.
+func (g *group) logHoldDelay() {
+	d, ok := g.switcher.HoldDelay()
+	if !ok || g.delayLogged == g.switcher.Version() {
+		return
+	}
+	g.delayLogged = g.switcher.Version()
+	g.metrics.Count("lockstep.holds.delayed")
+	kernel.Info(g.log, "Hold of the group is delayed: a rank is late.", "group", g.name, "epoch", g.epoch, "version", g.switcher.Version(),
+		"rank", d.Rank, "upstream", g.links[d.Rank].instance, "reading_age_ms", d.ReadingAge.Milliseconds())
+}
--- a/lockstep/relaysim_test.go
+++ b/lockstep/relaysim_test.go
@@ -30,6 +30,11 @@
 	}
 }
 
+// relayIsDown reports whether a rank is reached through a relay whose host doesn't respond.
+func (s *sim) relayIsDown(i int) bool {
+	return s.hostRelays && s.now < s.ranks[i-i%simRelayRanks].unresponsiveUntil
+}
+
 // sendViaRelay sends orders through one relay. It may work, fail after passing on some orders,
 // pass them on seconds later without an answer, or pass each of them on twice.
 func (s *sim) sendViaRelay(l *simLeader, list []Order) {
@@ -38,6 +43,7 @@
 		draw = 0
 	}
 	switch {
+	case s.relayIsDown(list[0].Rank):
 	case draw < 0.6:
 		s.passOn(l, list)
 		return
--- a/lockstep/sim_test.go
+++ b/lockstep/sim_test.go
@@ -23,8 +23,13 @@
 	token     uint64
 	// unresponsiveUntil is the time until which the rank's host doesn't respond.
 	unresponsiveUntil time.Duration
+	// slowUntil is the time until which the rank's sidecar takes simSlowAnswer longer to answer.
+	slowUntil time.Duration
 }
 
+// simSlowAnswer is longer than the timeout of an order.
+const simSlowAnswer = 300 * time.Millisecond
+
 // event is a callback at a time of the simulation.
 type event struct {
 	at time.Duration
@@ -53,6 +58,11 @@
 	// relays sends orders through relays. omitAge makes the relays omit the age of the reports
 	// that they return.
 	relays, omitAge bool
+	// hostRelays makes the first rank of each part the host of its relay: no rank of the part is
+	// reached while that host doesn't respond. Unless it is set, relays have hosts of their own.
+	hostRelays bool
+	// longestHold is the longest time for which a pass was due and held.
+	longestHold time.Duration
 	// violation describes a violation of the invariant, finished counts the successful switches.
 	violation string
 	finished  int
@@ -149,6 +159,7 @@
 	}
 	for _, r := range s.ranks {
 		if r.held == s.step+1 {
+			s.longestHold = max(s.longestHold, s.now-s.nextRun)
 			return
 		}
 	}
@@ -287,12 +298,12 @@
 
 // read reads a rank's state for a leader, unless the rank doesn't respond.
 func (s *sim) read(l *simLeader, i int) {
-	if s.now < s.ranks[i].unresponsiveUntil || l.epoch != s.epoch {
+	if s.now < s.ranks[i].unresponsiveUntil || l.epoch != s.epoch || s.relayIsDown(i) {
 		return
 	}
 	at := s.time()
 	instance, rep := s.report(i)
-	s.after(s.ms(1, 20), func() { l.switcher.HandleReport(at, i, instance, rep) })
+	s.after(s.ms(1, 20)+s.slowness(i), func() { l.switcher.HandleReport(at, i, instance, rep) })
 }
 
 // send sends an order and passes the reply to the leader, or nil after a timeout.
@@ -339,11 +350,24 @@
 			if s.rnd.Float64() < lost {
 				return
 			}
-			answer(&wire.RankOrderReply{Status: status, After: rep})
+			reply := &wire.RankOrderReply{Status: status, After: rep}
+			if d := s.slowness(o.Rank); d > 0 {
+				s.after(d, func() { answer(reply) })
+				return
+			}
+			answer(reply)
 		})
 	}
 }
 
+// slowness returns the additional time that the sidecar of a rank takes to answer now.
+func (s *sim) slowness(i int) time.Duration {
+	if s.now < s.ranks[i].slowUntil {
+		return simSlowAnswer
+	}
+	return 0
+}
+
 // execute executes an order as the platform's documentation specifies.
 func (s *sim) execute(o Order) wire.RankOrderStatus {
 	const conflict = wire.RankOrderStatus_RANK_ORDER_STATUS_CONFLICT
--- a/lockstep/switcher.go
+++ b/lockstep/switcher.go
@@ -46,6 +46,9 @@
 	// PrepareTimeout bounds the copying of experts, HoldTimeout the time from the hold until
 	// all ranks are armed. A switch that exceeds one of them is given up.
 	PrepareTimeout, HoldTimeout time.Duration
+	// MaxReadingAge is the age of the newest reading of a rank above which a hold isn't begun, and
+	// MaxHoldDelay the time for which a hold is delayed at most.
+	MaxReadingAge, MaxHoldDelay time.Duration
 	// TakeoverGrace is the time for which a group that is held by an earlier leader's switch is
 	// left alone.
 	TakeoverGrace time.Duration
@@ -65,6 +68,8 @@
 	voidArmOrders bool
 	// holdBeforeArm: the group is held before any rank is armed.
 	holdBeforeArm bool
+	// delayHold: the group isn't held while a rank is late.
+	delayHold bool
 }
 
 // DefaultConfig returns a configuration for passes of some tens of milliseconds and orders that
@@ -73,6 +78,7 @@
 	return Config{
 		Ranks: ranks, Token: token, Epoch: epoch,
 		Lead: 60 * time.Millisecond, PrepareTimeout: 4 * time.Second, HoldTimeout: 1200 * time.Millisecond,
+		MaxReadingAge: defaultMaxReadingAge, MaxHoldDelay: defaultMaxHoldDelay,
 		TakeoverGrace:  300 * time.Millisecond,
 		ResendInterval: 40 * time.Millisecond, DefaultPassTime: 50 * time.Millisecond,
 	}
@@ -118,6 +124,11 @@
 	phase      Phase
 	phaseSince time.Time
 	version    uint64
+	// preparedAt is when all ranks were first known to have prepared the version, zero if they
+	// haven't.
+	preparedAt time.Time
+	// holdDelay is the delay of the latest switch's hold, zero if there was none.
+	holdDelay HoldDelay
 	// target is the map of the latest switch, current the map in use; nil if unknown.
 	target, current Map
 	// targetEncoded is target as orders carry it. It is encoded only once per switch, because
@@ -213,9 +224,9 @@
 	return true
 }
 
-// AwaitsRank reports whether the switch is waiting for the state of a rank to change. Other ranks
-// can be read less often.
-func (s *Switcher) AwaitsRank(i int) bool {
+// AwaitsRank reports whether the switch is waiting for the state of a rank to change, or for a newer
+// reading of it. Other ranks can be read less often.
+func (s *Switcher) AwaitsRank(now time.Time, i int) bool {
 	r := &s.ranks[i]
 	switch {
 	case s.phase == Idle:
@@ -224,7 +235,7 @@
 	case r.report == nil || s.phase == Cleaning:
 		return true
 	case s.phase == Preparing:
-		return r.report.Prepared != s.version
+		return r.report.Prepared != s.version || s.holdAwaitsRank(now, i)
 	case i == s.holder:
 		// The hold must remain until all ranks are armed, and end after that.
 		return true
@@ -239,6 +250,7 @@
 func (s *Switcher) Begin(now time.Time, m Map) {
 	s.lastVersion++
 	s.version, s.target, s.targetEncoded, s.targetChanges = s.lastVersion, m, m.encode(), nil
+	s.preparedAt, s.holdDelay = time.Time{}, HoldDelay{}
 	if v := s.ranks[0].report.GetMap(); v != baseRoundRobin && s.current != nil {
 		s.targetChanges = m.encodeChanges(s.current, v)
 	}
--- a/lockstep/switcher_test.go
+++ b/lockstep/switcher_test.go
@@ -109,7 +109,7 @@
 	}
 	awaited := func() (list []int) {
 		for i := range 4 {
-			if s.AwaitsRank(i) {
+			if s.AwaitsRank(now, i) {
 				list = append(list, i)
 			}
 		}
@@ -140,7 +140,7 @@
 	other := (s.holder + 1) % 4
 	report(other, &wire.RankReport{Step: 1, Prepared: s.Version(), Armed: s.Version()})
 	assert.Equal(t, len(awaited()), 3)
-	assert.Assert(t, !s.AwaitsRank(other) && s.AwaitsRank(s.holder))
+	assert.Assert(t, !s.AwaitsRank(now, other) && s.AwaitsRank(now, s.holder))
 
 	for i := range 4 {
 		if i != s.holder {
@@ -155,7 +155,7 @@
 	assert.Equal(t, len(awaited()), 4, "the next switch may begin when no rank is armed any more")
 	report(other, &wire.RankReport{Step: 9, Map: s.Version()})
 	assert.Equal(t, len(awaited()), 3)
-	assert.Assert(t, !s.AwaitsRank(other))
+	assert.Assert(t, !s.AwaitsRank(now, other))
 }
 
 // After a restart of its sidecar, a rank lacks the base of the changes. It must get the full
--- a/lockstep/switchersteps.go
+++ b/lockstep/switchersteps.go
@@ -60,31 +60,39 @@
 // prepareRanks has each rank copy the experts that are new to it. As nothing is armed or held
 // yet, the switch can be given up without a cleanup.
 func (s *Switcher) prepareRanks(now time.Time) []Order {
+	if s.allPrepared() {
+		if s.mayHold(now) {
+			s.enterPhase(now, Holding)
+		}
+		return nil
+	}
 	if now.Sub(s.phaseSince) > s.cfg.PrepareTimeout {
 		s.outcome = "given up: not all ranks prepared the map in time"
 		s.enterPhase(now, Idle)
 		return nil
 	}
 	var out []Order
-	done := true
 	for i := range s.ranks {
 		r := &s.ranks[i]
-		if r.report.Prepared == s.version {
-			continue
-		}
-		done = false
-		if r.preparing != s.version {
+		if r.report.Prepared != s.version && r.preparing != s.version {
 			out = append(out, s.makeOrder(now, i, &wire.RankOrder{
 				Kind: wire.RankOrderKind_RANK_ORDER_KIND_PREPARE, Version: s.version, Map: s.mapFor(r),
 			})...)
 		}
 	}
-	if done {
-		s.enterPhase(now, Holding)
-	}
 	return out
 }
 
+// allPrepared reports whether every rank is known to have prepared the version of the switch.
+func (s *Switcher) allPrepared() bool {
+	for i := range s.ranks {
+		if s.ranks[i].report.Prepared != s.version {
+			return false
+		}
+	}
+	return true
+}
+
 // pickStep chooses the step of the switch, far enough ahead that the hold arrives before it,
 // and the rank that is to hold the group.
 func (s *Switcher) pickStep(now time.Time) {
