Don't use a sidecar that doesn't answer its own rank's calls as a relay

The sidecar was still the relay of the other ranks of its part, until a relayed call had failed too: the next orders, to arm them, took up to 220 ms more while the group was held.

A sidecar that is suspended as its rank's is marked as failed as a relay as well, for the same 2 s.

Test first: TestSuspendedSidecarIsNotUsedAsRelay ("rank 0 relays, whose sidecar is suspended").

--- a/lockstep/leader/calls.go
+++ b/lockstep/leader/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -117,9 +118,13 @@
 
 // suspendSidecar stops calls to a rank's sidecar, which did not answer, for
 // sidecarRetryDelay. The rank is called directly meanwhile, so that it doesn't delay the
-// other ranks of its part.
+// other ranks of its part. For the same reason the sidecar isn't used as their relay.
 func (g *group) suspendSidecar(link *rankLink) {
 	link.sidecarRetryAt = g.clock().Add(sidecarRetryDelay)
+	if rank := slices.Index(g.links, link); rank >= 0 {
+		// A link of an earlier epoch has no rank.
+		g.relays.MarkFailed(g.clock(), rank)
+	}
 	kernel.Debug(g.log, "Sidecar doesn't answer.", "group", g.name, "upstream", link.instance)
 }
 
--- a/lockstep/leader/leader_test.go
+++ b/lockstep/leader/leader_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -269,3 +270,26 @@
 		assert.Equal(t, g.switcher.HoldsGroup(), c.held, "port %d", c.port)
 	}
 }
+
+// A sidecar that hadn't answered the order to hold was used as the relay of the orders that
+// followed, and the group was held until that call timed out as well.
+func TestSuspendedSidecarIsNotUsedAsRelay(t *testing.T) {
+	const ranks = 20
+	l := newLeaderOfGroup(t, &groupSidecar{})
+	found := registeredGroup{service: "llm", size: ranks, ranks: map[int]*wire.Announcement{}, latestEpoch: directory.GroupEpoch{Epoch: 1}}
+	for i := range ranks {
+		found.ranks[i] = &wire.Announcement{Id: fmt.Sprint("r-", i), Incarnation: 1, Address: "127.0.0.1:1", FailureDomain: "z"}
+	}
+	g := l.groups["g"]
+	g.updateLinks(found, lockstep.Shape{Ranks: ranks, Sets: 1, Experts: 40, Places: 3, Spare: 2})
+	now := l.clock()
+	part := g.relayPart(now, 0)
+	relay, ok := g.relayFor(now, part, []int{0, 1})
+	assert.Assert(t, ok)
+
+	g.suspendSidecar(g.links[relay])
+	other, ok := g.relayFor(l.clock(), part, []int{0, 1})
+	assert.Assert(t, ok && other != relay, "rank %d relays, whose sidecar is suspended", other)
+	again, ok := g.relayFor(l.clock().Add(sidecarRetryDelay), part, []int{0, 1})
+	assert.Assert(t, ok && again == relay, "a suspended sidecar isn't used again")
+}
