--- a/gateway/groupsim_test.go
+++ b/gateway/groupsim_test.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -26,14 +25,15 @@
 	gateways []*simGateway
 	// skew returns the skew of a group at a time since the start, and whether its ranks are
 	// replicating experts.
-	skew func(group int, at time.Duration) (skew float64, copies bool)
-	// perSecond is the arrival rate of new callers over all gateways.
-	perSecond float64
-	retries   []*simCaller
-
-	arrived, onTime, late, refused int
-	// lateFirst counts the late streams whose first event was late.
-	lateFirst int
+	skew    func(group int, at time.Duration) (skew float64, copies bool)
+	routes  []simRoute
+	retries []*simCaller
+	// surveysEnd is the time since the start from which the leader of the groups sends no surveys;
+	// 0 if it always does.
+	surveysEnd time.Duration
+
+	arrived int
+	results []simResult
 }
 
 const (
@@ -47,39 +47,6 @@
 	simBusiest, simCopying = 2, 1.15
 )
 
-// simProfile describes the groups of a service and its callers.
-type simProfile struct {
-	ranks, slots int
-	// A pass has stride steps. A step takes step ms, plus perRequest ms for each request that
-	// runs on a rank.
-	stride           float64
-	step, perRequest float64
-	// prompt is the length of a prompt in tokens, events the mean number of events of a stream.
-	prompt, events float64
-	// targetGap and targetFirstEvent are the targets of the route.
-	targetGap, targetFirstEvent time.Duration
-	// lateWorth is the worth of a late response, relative to one on time.
-	lateWorth float64
-}
-
-// smallGroups are groups of 24 ranks with many slots, whose passes come close to the target gap
-// if all slots are in use. largeGroup is a group of 192 ranks with fewer slots each.
-var (
-	smallGroups = simProfile{
-		ranks: 24, slots: 10, stride: 7, step: 4.84, perRequest: 0.435, prompt: 800, events: 22.7,
-		targetGap: 120 * time.Millisecond, targetFirstEvent: 400 * time.Millisecond, lateWorth: 0.3,
-	}
-	largeGroup = simProfile{
-		ranks: 192, slots: 6, stride: 9, step: 4.84, perRequest: 0.797, prompt: 800, events: 16.9,
-		targetGap: 150 * time.Millisecond, targetFirstEvent: 500 * time.Millisecond, lateWorth: 0.5,
-	}
-)
-
-// fixedPass returns the part of a pass that doesn't depend on the running requests.
-func (p *simProfile) fixedPass() time.Duration {
-	return time.Duration(p.stride * p.step * float64(time.Millisecond))
-}
-
 // simGroup models one group.
 type simGroup struct {
 	running  []*simCaller
@@ -88,22 +55,6 @@
 	passes   []time.Duration
 }
 
-// simCaller is one request over both of its tries.
-type simCaller struct {
-	firstTryAt  time.Time
-	arrivedAt   time.Time
-	tries       int
-	gateway     *simGateway
-	waiter      *waiter
-	upstream    route.Upstream
-	sentAt      time.Time
-	lastEventAt time.Time
-	events      int
-	late        bool
-	lateFirst   bool
-	group       *groupPool
-}
-
 // simGateway drives the real code of a gateway in virtual time.
 type simGateway struct {
 	services *serviceManager
@@ -112,7 +63,12 @@
 }
 
 func newGroupSim(p simProfile, seed uint64, groups, gateways int, perSecond float64) *groupSim {
-	s := &groupSim{simProfile: p, rng: rand.New(rand.NewPCG(seed, 7)), now: start, perSecond: perSecond}
+	return newPrioritySim(p, seed, groups, gateways, []simRoute{{perSecond: perSecond, targetFirstEvent: p.targetFirstEvent, worth: 1}})
+}
+
+// newPrioritySim returns a simulation with callers of several routes.
+func newPrioritySim(p simProfile, seed uint64, groups, gateways int, routes []simRoute) *groupSim {
+	s := &groupSim{simProfile: p, rng: rand.New(rand.NewPCG(seed, 7)), now: start, routes: routes}
 	var insts []*directory.Instance
 	for g := range groups {
 		s.groups = append(s.groups, &simGroup{passEnds: start.Add(time.Duration(g*29) * time.Millisecond)})
@@ -127,6 +83,7 @@
 		f := newServiceManager(&Settings{ID: fmt.Sprint("entry-", i)})
 		f.entryInfo.Seed = seed*1000 + uint64(i)
 		f.gateways = func() int { return gateways }
+		f.priorities = map[string][]uint32{simService: s.priorities()}
 		if err := f.update(s.now, insts, updateInputs{}); err != nil {
 			panic(err)
 		}
@@ -168,14 +125,16 @@
 			s.pass(slices.Index(s.groups, g))
 		case s.now.Equal(survey):
 			number++
-			s.survey(number)
+			if s.surveysEnd == 0 || s.elapsed() < s.surveysEnd {
+				s.survey(number)
+			}
 			survey = survey.Add(200 * time.Millisecond)
 		case s.now.Equal(turn):
 			s.tick()
 			turn = turn.Add(admitInterval)
 		default:
-			s.arrive(&simCaller{firstTryAt: s.now, gateway: s.randomGateway()})
-			arrival = arrival.Add(time.Duration(s.rng.ExpFloat64() / s.perSecond * float64(time.Second)))
+			s.arrive(&simCaller{route: s.randomRoute(), firstTryAt: s.now, gateway: s.randomGateway()})
+			arrival = arrival.Add(time.Duration(s.rng.ExpFloat64() / s.perSecond() * float64(time.Second)))
 		}
 	}
 }
@@ -197,10 +156,7 @@
 	if c.tries == 1 {
 		s.arrived++
 	}
-	c.waiter = newArrival(s.now)
-	if c.tries > 1 {
-		c.waiter.retried, c.waiter.onTimeBy = true, c.firstTryAt.Add(s.targetFirstEvent-defaultHeadTime)
-	}
+	c.waiter = s.newWaiter(c)
 	v, wait := c.gateway.decide(s.now, c.waiter)
 	switch v {
 	case decisionAdmit:
@@ -214,7 +170,7 @@
 
 func (s *groupSim) refuse(c *simCaller, wait time.Duration) {
 	if c.tries > 1 {
-		s.refused++
+		s.record(c, simRefused)
 		return
 	}
 	c.sentAt = s.now.Add(wait)
@@ -224,6 +180,7 @@
 // send sends a request to the rank that its gateway chooses.
 func (s *groupSim) send(c *simCaller) {
 	c.sentAt, c.upstream = s.now, c.gateway.pick(s.now, c)
+	_, _ = fmt.Sscanf(c.upstream.ID[2:], "%d", &c.rank)
 	g := s.groups[c.upstream.ID[0]-'0']
 	g.waiting = append(g.waiting, c)
 }
@@ -255,6 +212,7 @@
 		case isAdmitted(c.waiter):
 			s.send(c)
 		case s.now.After(c.waiter.giveUpAt):
+			c.queuedInVain = true
 			s.refuse(c, e.giveUp(s.now, c.waiter))
 		default:
 			e.waiting = append(e.waiting, c)
@@ -267,9 +225,7 @@
 	for i, g := range s.groups {
 		perRank := make([]uint32, s.ranks)
 		for _, c := range slices.Concat(g.running, g.waiting) {
-			r := 0
-			_, _ = fmt.Sscanf(c.upstream.ID[2:], "%d", &r)
-			perRank[r]++
+			perRank[c.rank]++
 		}
 		for r, n := range perRank {
 			states = append(states, &wire.RankState{Upstream: simUpstream(i, r), Running: n, PacePercent: 100, AgeMs: 100})
@@ -287,13 +243,8 @@
 		s.event(g, c)
 	}
 	// New requests are read in the next pass and get their first event at its end.
-	read := 0
-	for len(g.waiting) > 0 && len(g.running) < s.ranks*s.slots {
-		g.running = append(g.running, g.waiting[0])
-		g.waiting = g.waiting[1:]
-		read++
-	}
-	work := (s.stride*s.perRequest*float64(len(g.running)) + s.prompt/simReadRate*float64(read)) / float64(s.ranks)
+	read := s.startWaiting(g)
+	work := (s.stride*s.perRequest*float64(len(g.running)) + s.prompt/cmp.Or(s.readRate, simReadRate)*float64(read)) / float64(s.ranks)
 	skew, copies := s.skew(i, s.elapsed())
 	ms := s.stride*s.step + work*((1-simExpertShare)*simBusiest+simExpertShare*skew)
 	if copies {
@@ -304,10 +255,47 @@
 	g.passEnds = s.now.Add(pass)
 }
 
+// startWaiting starts waiting requests of a group as far as slots are free, and returns how many.
+func (s *groupSim) startWaiting(g *simGroup) (started int) {
+	if s.slotsPerRank {
+		return s.startAtRanks(g)
+	}
+	for len(g.waiting) > 0 && len(g.running) < s.ranks*s.slots {
+		g.running = append(g.running, g.waiting[0])
+		g.waiting = g.waiting[1:]
+		started++
+	}
+	return started
+}
+
+// startAtRanks starts waiting requests at the ranks that they were sent to: the most urgent first,
+// those of one priority in the order in which they came.
+func (s *groupSim) startAtRanks(g *simGroup) (started int) {
+	free := make([]int, s.ranks)
+	for r := range free {
+		free[r] = s.slots
+	}
+	for _, c := range g.running {
+		free[c.rank]--
+	}
+	slices.SortStableFunc(g.waiting, func(a, b *simCaller) int { return cmp.Compare(a.route.priority, b.route.priority) })
+	g.waiting = slices.DeleteFunc(g.waiting, func(c *simCaller) bool {
+		if free[c.rank] == 0 {
+			return false
+		}
+		free[c.rank]--
+		started++
+		g.running = append(g.running, c)
+		return true
+	})
+	return started
+}
+
 func (s *groupSim) event(g *simGroup, c *simCaller) {
 	c.events++
 	if c.events == 1 {
-		c.lateFirst = s.now.Sub(c.firstTryAt) > s.targetFirstEvent
+		c.firstEvent = s.now.Sub(c.firstTryAt)
+		c.lateFirst = c.firstEvent > c.route.targetFirstEvent
 		c.late = c.lateFirst
 		c.gateway.recordHead(s.now, c, s.now.Sub(c.sentAt))
 	} else {
@@ -320,45 +308,11 @@
 		return
 	}
 	g.running = slices.DeleteFunc(g.running, func(o *simCaller) bool { return o == c })
-	if c.lateFirst {
-		s.lateFirst++
-	}
-	if c.late {
-		s.late++
-	} else {
-		s.onTime++
-	}
+	s.record(c, c.outcome())
 	c.gateway.release(s.now, c)
 	s.sendAdmitted(c.gateway)
 }
 
-// resetCounts drops the counts of the warm-up phase.
-func (s *groupSim) resetCounts() {
-	s.arrived, s.onTime, s.late, s.lateFirst, s.refused = 0, 0, 0, 0, 0
-	for _, g := range s.groups {
-		g.passes = nil
-	}
-}
-
-// worth returns the mean worth of the requests that ended.
-func (s *groupSim) worth() float64 {
-	return (float64(s.onTime) + s.lateWorth*float64(s.late)) / float64(s.onTime+s.late+s.refused)
-}
-
-// String summarizes the results.
-func (s *groupSim) String() string {
-	var all []time.Duration
-	for _, g := range s.groups {
-		all = append(all, g.passes...)
-	}
-	slices.SortFunc(all, cmp.Compare[time.Duration])
-	at := func(q float64) int64 {
-		return all[int(math.Min(q*float64(len(all)), float64(len(all)-1)))].Milliseconds()
-	}
-	return fmt.Sprintf("%d came, %d in time, %d late (%d by their first event), %d refused; worth %.3f; passes p50 %d ms, p90 %d ms, p99 %d ms",
-		s.arrived, s.onTime, s.late, s.lateFirst, s.refused, s.worth(), at(0.5), at(0.9), at(0.99))
-}
-
 func (e *simGateway) pool() *servicePool { return e.services.services[simService] }
 
 func (e *simGateway) decide(now time.Time, w *waiter) (decision, time.Duration) {
--- a/gateway/slotcap_test.go
+++ b/gateway/slotcap_test.go
@@ -89,7 +89,7 @@
 		s.resetCounts()
 		s.run(25 * time.Second)
 		t.Log(s)
-		assert.Assert(t, s.refused*100 <= s.arrived, "%s", s)
+		assert.Assert(t, s.all().refused*100 <= s.arrived, "%s", s)
 	}
 }
 
