--- a/gateway/groupsim_test.go
+++ b/gateway/groupsim_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/quota"
 	"github.com/snipereach/snipereach/route"
@@ -116,17 +117,24 @@
 func (s *groupSim) run(d time.Duration) {
 	end := s.now.Add(d)
 	arrival, survey, turn := s.now, s.now, s.now
+	// A survey is read at the ranks, and reaches the gateways surveyAge later.
+	never := end.Add(time.Hour)
+	delivery := never
+	var states []*wire.RankState
 	number := uint64(0)
 	for s.now.Before(end) {
 		g := slices.MinFunc(s.groups, func(a, b *simGroup) int { return a.passEnds.Compare(b.passEnds) })
-		s.now = slices.MinFunc([]time.Time{g.passEnds, arrival, survey, turn}, time.Time.Compare)
+		s.now = slices.MinFunc([]time.Time{g.passEnds, arrival, survey, delivery, turn}, time.Time.Compare)
 		switch {
 		case s.now.Equal(g.passEnds):
 			s.pass(slices.Index(s.groups, g))
-		case s.now.Equal(survey):
+		case s.now.Equal(delivery):
 			number++
+			s.deliver(number, states)
+			delivery = never
+		case s.now.Equal(survey):
 			if s.surveysEnd == 0 || s.elapsed() < s.surveysEnd {
-				s.survey(number)
+				states, delivery = s.rankStates(), s.now.Add(s.surveyAge)
 			}
 			survey = survey.Add(200 * time.Millisecond)
 		case s.now.Equal(turn):
@@ -188,8 +196,10 @@
 // tick admits queued requests and lets refused callers retry.
 func (s *groupSim) tick() {
 	for _, e := range s.gateways {
-		e.admitQueued(s.now)
-		s.sendAdmitted(e)
+		if len(e.waiting) > 0 {
+			e.admitQueued(s.now)
+			s.sendAdmitted(e)
+		}
 	}
 	back := s.retries
 	s.retries = nil
@@ -220,8 +230,8 @@
 	}
 }
 
-func (s *groupSim) survey(number uint64) {
-	var states []*wire.RankState
+// rankStates reads the states of all ranks.
+func (s *groupSim) rankStates() (states []*wire.RankState) {
 	for i, g := range s.groups {
 		perRank := make([]uint32, s.ranks)
 		for _, c := range slices.Concat(g.running, g.waiting) {
@@ -231,6 +241,11 @@
 			states = append(states, &wire.RankState{Upstream: simUpstream(i, r), Running: n, PacePercent: 100, AgeMs: 100})
 		}
 	}
+	return states
+}
+
+// deliver delivers a survey to all gateways.
+func (s *groupSim) deliver(number uint64, states []*wire.RankState) {
 	for i, e := range s.gateways {
 		e.services.applySurvey(s.now, number, states, quota.Position{Index: i, Count: len(s.gateways)})
 	}
@@ -255,6 +270,22 @@
 	g.passEnds = s.now.Add(pass)
 }
 
+// load returns the load of a rank as it comes with a response; nil if ranks don't tell it.
+func (s *groupSim) load(g *simGroup, rank int) *dialect.Load {
+	if !s.slotsPerRank {
+		return nil
+	}
+	at := func(list []*simCaller) (n int) {
+		for _, c := range list {
+			if c.rank == rank {
+				n++
+			}
+		}
+		return n
+	}
+	return &dialect.Load{Running: at(g.running), Waiting: at(g.waiting), Slots: s.slots}
+}
+
 // startWaiting starts waiting requests of a group as far as slots are free, and returns how many.
 func (s *groupSim) startWaiting(g *simGroup) (started int) {
 	if s.slotsPerRank {
@@ -297,7 +328,7 @@
 		c.firstEvent = s.now.Sub(c.firstTryAt)
 		c.lateFirst = c.firstEvent > c.route.targetFirstEvent
 		c.late = c.lateFirst
-		c.gateway.recordHead(s.now, c, s.now.Sub(c.sentAt))
+		c.gateway.recordHead(s.now, c, s.load(g, c.rank), s.now.Sub(c.sentAt))
 	} else {
 		pause := s.now.Sub(c.lastEventAt)
 		c.late = c.late || pause > s.targetGap
@@ -335,8 +366,8 @@
 	return up
 }
 
-func (e *simGateway) recordHead(now time.Time, c *simCaller, after time.Duration) {
-	e.services.recordHead(now, c.group, c.upstream, nil, after, true)
+func (e *simGateway) recordHead(now time.Time, c *simCaller, load *dialect.Load, after time.Duration) {
+	e.services.recordHead(now, c.group, c.upstream, load, after, true)
 }
 
 func (e *simGateway) recordGap(now time.Time, c *simCaller, pause time.Duration, p *simProfile) {
--- a/gateway/simcallers_test.go
+++ b/gateway/simcallers_test.go
@@ -21,9 +21,12 @@
 	prompt, events float64
 	// readRate is the number of prompt tokens that a rank reads per millisecond; simReadRate if 0.
 	readRate float64
-	// slotsPerRank says that a rank with all slots in use queues requests, by their priority.
-	// Otherwise a group runs as many requests as all its ranks have slots.
+	// slotsPerRank says that a rank with all slots in use queues requests, by their priority, and
+	// that responses carry its load. Otherwise a group runs as many requests as all its ranks have
+	// slots.
 	slotsPerRank bool
+	// surveyAge is how old surveys are when they reach the gateways.
+	surveyAge time.Duration
 	// targetGap and targetFirstEvent are the targets of the route.
 	targetGap, targetFirstEvent time.Duration
 	// lateWorth is the worth of a late response, relative to one on time.
