--- a/gateway/groupsim_test.go
+++ b/gateway/groupsim_test.go
@@ -117,7 +117,7 @@
 func (s *groupSim) run(d time.Duration) {
 	end := s.now.Add(d)
 	arrival, survey, turn := s.now, s.now, s.now
-	// A survey is read at the ranks, and reaches the gateways surveyAge later.
+	// A survey of the ranks reaches the gateways surveyAge after it was read.
 	never := end.Add(time.Hour)
 	delivery := never
 	var states []*wire.RankState
@@ -128,15 +128,17 @@
 		switch {
 		case s.now.Equal(g.passEnds):
 			s.pass(slices.Index(s.groups, g))
-		case s.now.Equal(delivery):
-			number++
-			s.deliver(number, states)
-			delivery = never
 		case s.now.Equal(survey):
-			if s.surveysEnd == 0 || s.elapsed() < s.surveysEnd {
-				states, delivery = s.rankStates(), s.now.Add(s.surveyAge)
+			number++
+			if states = s.rankStates(); s.surveyAge == 0 {
+				s.deliver(number, states)
+			} else {
+				delivery = s.now.Add(s.surveyAge)
 			}
 			survey = survey.Add(200 * time.Millisecond)
+		case s.now.Equal(delivery):
+			s.deliver(number, states)
+			delivery = never
 		case s.now.Equal(turn):
 			s.tick()
 			turn = turn.Add(admitInterval)
@@ -196,10 +198,8 @@
 // tick admits queued requests and lets refused callers retry.
 func (s *groupSim) tick() {
 	for _, e := range s.gateways {
-		if len(e.waiting) > 0 {
-			e.admitQueued(s.now)
-			s.sendAdmitted(e)
-		}
+		e.admitQueued(s.now)
+		s.sendAdmitted(e)
 	}
 	back := s.retries
 	s.retries = nil
@@ -244,8 +244,11 @@
 	return states
 }
 
-// deliver delivers a survey to all gateways.
+// deliver delivers a survey to all gateways, unless the leader is frozen.
 func (s *groupSim) deliver(number uint64, states []*wire.RankState) {
+	if s.surveysEnd > 0 && s.elapsed() >= s.surveysEnd {
+		return
+	}
 	for i, e := range s.gateways {
 		e.services.applySurvey(s.now, number, states, quota.Position{Index: i, Count: len(s.gateways)})
 	}
