--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -12,6 +12,9 @@
 	// expiringAdmitFraction is the least fraction of the admission rate that late requests get
 	// while one of them is about to expire.
 	expiringAdmitFraction = 0.6
+	// maxExpectedWait stands for a wait that has no end in sight. It is longer than any request is
+	// queued.
+	maxExpectedWait = time.Minute
 )
 
 // decision is what becomes of a request that arrives.
@@ -71,7 +74,10 @@
 	if rate, known := p.late.of(w.priority).rate(now); known && inflight >= limit {
 		return float64(ahead+1) <= rate*w.giveUpAt.Sub(now).Seconds()
 	}
-	return w.retried || p.expectedWait(now, gateways, c, ahead, lateSlotFraction) <= w.giveUpAt.Sub(now)
+	if w.retried && !p.policy.Enabled() {
+		return true
+	}
+	return p.expectedWait(now, gateways, c, ahead, lateSlotFraction) <= w.giveUpAt.Sub(now)
 }
 
 // classOf returns the class of a request of the service.
@@ -98,10 +104,19 @@
 	if p.lockstep() {
 		wait = float64(ahead+1) / max(p.slotShare(now, gateways), 1) * minFillTime.Seconds()
 	}
-	if needed := ahead + 1 - max(limit-inflight, 0); needed > 0 {
-		wait += float64(needed) * p.meanHoldTime().Seconds() / (fraction * float64(max(limit, 1)))
+	free := max(limit-inflight, 0)
+	if p.policy.Enabled() {
+		// More urgent requests may have filled the group beyond the limit of this class.
+		free = limit - inflight
 	}
-	return time.Duration(wait * float64(time.Second))
+	if needed := ahead + 1 - free; needed > 0 {
+		released := fraction*float64(max(limit, 1))/p.meanHoldTime().Seconds() - p.policy.MoreUrgentPerSecond(now, c.priority)
+		if released <= 0 {
+			return maxExpectedWait
+		}
+		wait += float64(needed) / released
+	}
+	return min(time.Duration(wait*float64(time.Second)), maxExpectedWait)
 }
 
 // slotShare returns the number of the group's slots that this gateway may use.
@@ -113,6 +128,15 @@
 // of a class. Requests that aren't of the most urgent priority leave room for more urgent ones, and
 // for long passes after the next shift of expert demand.
 func (g *groupPool) limit(now time.Time, gateways int, c class) int {
+	limit := g.limitOf(now, gateways, c)
+	if c.late {
+		return max(int(lateLimitFraction*float64(limit)), 1)
+	}
+	return limit
+}
+
+// limitOf returns the limit of a class as if its requests were on time.
+func (g *groupPool) limitOf(now time.Time, gateways int, c class) int {
 	policy := &g.service.policy
 	if !policy.Enabled() || c.priority == 0 || c.starved {
 		return g.limiter.limit(now, gateways)
@@ -126,9 +150,6 @@
 // gateway; 0 if none may be admitted now.
 func (g *groupPool) permits(now time.Time, gateways int, c class) int {
 	limit := g.limit(now, gateways, c)
-	if c.late {
-		limit = max(int(lateLimitFraction*float64(limit)), 1)
-	}
 	if len(g.upstreams) == 0 || g.limiter.inflight >= limit || !g.limiter.mayAdmit(now, g.service.available(now)) {
 		return 0
 	}
--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -110,6 +110,10 @@
 	throttle   passThrottle
 	slotCap    slotCap
 	headroom   overload.Headroom
+	// longestPass is the longest pass since the last survey, and longestPassFill the largest fill
+	// estimated since then.
+	longestPass     time.Duration
+	longestPassFill float64
 	// targetGap and fixedPass are the target gap of the last pass, and the part of a pass that
 	// doesn't depend on the running requests.
 	targetGap, fixedPass time.Duration
@@ -176,6 +180,7 @@
 	}
 	g.occupancy = float64(requests) / float64(slots)
 	g.occupancyAt, g.surveyedAt, g.reportedInflight = now, now, g.inflight
+	g.learnHeadroom(now)
 	g.rounding = v.Offset()
 	if g.occupancy >= minOccupancyForShare {
 		g.ownFraction += shareSmoothing * (min(float64(g.reportedInflight)/float64(requests), 1) - g.ownFraction)
@@ -243,12 +248,27 @@
 	if now.Sub(g.occupancyAt) < occupancyStaleness && now.Sub(g.formedAt) > initialPlacementPeriod {
 		fill := g.estimatedOccupancy(gateways)
 		g.slotCap.observePass(now, prevPass, targetGap, fixed, fill)
-		g.headroom.Observe(now, prevPass, targetGap, fixed, fill)
-		g.targetGap, g.fixedPass = targetGap, fixed
+		g.observeHeadroom(prevPass, targetGap, fixed, fill)
 	}
 	return prevPass, true
 }
 
+// observeHeadroom records a pass until the next survey.
+func (g *groupLimiter) observeHeadroom(pass, targetGap, fixed time.Duration, fill float64) {
+	g.longestPass, g.longestPassFill = max(g.longestPass, pass), max(g.longestPassFill, fill)
+	g.targetGap, g.fixedPass = targetGap, fixed
+}
+
+// learnHeadroom takes the longest pass since the last survey into account. A survey is some 100 ms
+// old, so while the group fills up the pass belongs to the fill that the next survey shows; with
+// an earlier one it would seem to grow faster with the fill than it does.
+func (g *groupLimiter) learnHeadroom(now time.Time) {
+	if g.longestPass > 0 {
+		g.headroom.Observe(now, g.longestPass, g.targetGap, g.fixedPass, max(g.longestPassFill, g.occupancy))
+	}
+	g.longestPass, g.longestPassFill = 0, 0
+}
+
 // estimatedOccupancy returns the fraction of the slots in use now, assuming that each gateway has
 // added as many requests since the last report as this one. While a group fills up the reported
 // occupancy is too low.
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -182,8 +182,10 @@
 }
 
 // limit returns how many requests the gateway may have in flight at the available groups when it
-// admits one of a class, and how many it has.
+// admits one of a class, and how many it has. That late requests may not use all of it counts only
+// where requests are ranked; elsewhere more of them are queued.
 func (p *servicePool) limit(now time.Time, gateways int, c class) (limit, inflight int) {
+	c.late = c.late && p.policy.Enabled()
 	for _, g := range p.sorted {
 		if g.limiter.available(now) {
 			limit += g.limit(now, gateways, c)
--- a/overload/policy.go
+++ b/overload/policy.go
@@ -68,14 +68,19 @@
 	return &p.traffic[rank]
 }
 
+// MoreUrgentPerSecond returns the rate at which more urgent requests than those of a rank arrive.
+func (p *Policy) MoreUrgentPerSecond(now time.Time, rank uint32) float64 {
+	rate := 0.0
+	for i := range min(int(rank), len(p.traffic)) {
+		rate += p.traffic[i].arrived.perSecond(now)
+	}
+	return rate
+}
+
 // Reserved returns how many slots requests of a rank leave free for more urgent ones: as many as
 // these are expected to need within reserveTime. It is a fraction where requests are few.
 func (p *Policy) Reserved(now time.Time, rank uint32) float64 {
-	expected := 0.0
-	for i := range min(int(rank), len(p.traffic)) {
-		expected += p.traffic[i].arrived.perSecond(now)
-	}
-	return expected * reserveTime.Seconds()
+	return p.MoreUrgentPerSecond(now, rank) * reserveTime.Seconds()
 }
 
 // UrgentFraction returns the fraction of the arrivals that are more urgent than those of a rank.
