--- a/gateway/prioritysim_test.go
+++ b/gateway/prioritysim_test.go
@@ -16,7 +16,7 @@
 	// simCapacity is the load, relative to the usual one, of which hardly any request is late or
 	// refused at 40 gateways; at 1.6 some are.
 	simCapacity = 1.4
-	// Bursts last from burstStart to burstEnd, and the time after them that is looked at for afterBurst.
+	// Bursts last from burstStart, which is just after a shift of demand, to burstEnd, and the time after them that is looked at for afterBurst.
 	// settleTime is the time after the last request that is counted, by which most have had their
 	// first event.
 	burstStart, burstEnd = 4 * time.Second, 10 * time.Second
@@ -93,8 +93,8 @@
 	{name: "400 gateways", gateways: 400, shifts: true},
 }
 
-// playBurst plays a load, relative to the usual one, with a burst of the listed priorities. Requests
-// count that came until afterBurst has passed, unless the burst is all that is of interest.
+// playBurst plays a load, relative to the usual one, with a burst of the listed priorities, and goes on
+// for untilAfter with requests that count.
 func playBurst(c conditions, load, factor float64, untilAfter time.Duration, bursting ...uint32) *groupSim {
 	p, scale := scaled(c.gateways)
 	routes := usualRoutes(load * scale)
