--- a/gateway/prioritysim_test.go
+++ b/gateway/prioritysim_test.go
@@ -16,9 +16,9 @@
 	// simCapacity is the load, relative to the usual one, of which hardly any request is late or
 	// refused at 40 gateways; at 1.6 some are.
 	simCapacity = 1.4
-	// Bursts last from burstStart, which is just after a shift of demand, to burstEnd, and the time after them that is looked at for afterBurst.
-	// settleTime is the time after the last request that is counted, by which most have had their
-	// first event.
+	// Bursts last from burstStart, which is just after a shift of demand, to burstEnd. The time after
+	// them that is looked at lasts for afterBurst. settleTime is the time after the last request that
+	// is counted, by which most have had their first event.
 	burstStart, burstEnd = 4 * time.Second, 10 * time.Second
 	afterBurst           = 4 * time.Second
 	settleTime           = 1500 * time.Millisecond
@@ -170,6 +170,30 @@
 	}
 }
 
+// Without contention different priorities cost nothing: at least as many requests are in time as if
+// all had the same one. Guards against slots that stay free for requests that don't come.
+func TestPrioritiesCostNothingWithoutContention(t *testing.T) {
+	for _, load := range []float64{1, simCapacity} {
+		t.Run(fmt.Sprintf("%.1f times the usual load", load), func(t *testing.T) {
+			play := func(routes []simRoute) simCounts {
+				s := newPrioritySim(priorityGroup, 1, 1, simUsualGateways, routes)
+				s.skew = demandShifts
+				s.run(burstEnd + settleTime)
+				s.settle()
+				return inBurst(s)
+			}
+			equal := usualRoutes(load)
+			for i := range equal {
+				equal[i].priority = simUrgent
+			}
+			different, same := play(usualRoutes(load)), play(equal)
+			t.Logf("different priorities: %s; equal ones: %s", &different, &same)
+			assert.Assert(t, different.onTimeFraction() >= same.onTimeFraction()-0.01, "%s; with equal priorities %s", &different, &same)
+			assert.Assert(t, different.inVainFraction() <= maxInVain, "%s", &different)
+		})
+	}
+}
+
 // burstRates are the rates per second at which requests come and at which those that are in time come.
 type burstRates struct{ came, inTime float64 }
 
