--- a/gateway/groupsim_test.go
+++ b/gateway/groupsim_test.go
@@ -84,7 +84,7 @@
 		f := newServiceManager(&Settings{ID: fmt.Sprint("entry-", i)})
 		f.entryInfo.Seed = seed*1000 + uint64(i)
 		f.gateways = func() int { return gateways }
-		f.priorities = map[string][]uint32{simService: s.priorities()}
+		f.ranks = map[string]int{simService: len(s.routes)}
 		if err := f.update(s.now, insts, updateInputs{}); err != nil {
 			panic(err)
 		}
--- a/gateway/lateadmissions_test.go
+++ b/gateway/lateadmissions_test.go
@@ -35,7 +35,7 @@
 	assert.Equal(t, v, decisionQueue, "a slot is free, the request is only held back by long passes")
 	g.inflight++
 	for range 6 {
-		p.late.recordAdmission(now)
+		p.late.of(0).recordAdmission(now)
 	}
 	v, _ = p.decide(now, 8, newLateRetry(now))
 	assert.Equal(t, v, decisionQueue, "late requests are admitted")
--- a/gateway/reservation_test.go
+++ b/gateway/reservation_test.go
@@ -51,22 +51,22 @@
 	for range 40 {
 		p.policy.RecordArrival(start, 0)
 	}
-	assert.Equal(t, limit(class{priority: 2}), full, "all requests have the same priority")
-	p.policy.SetPriorities([]uint32{0, 2})
+	assert.Equal(t, limit(class{priority: 1}), full, "all requests have the same priority")
+	p.policy.SetRanks(2)
 	for range 20 {
 		p.policy.RecordArrival(start, 0)
 	}
 	assert.Equal(t, limit(class{}), full, "the most urgent priority")
-	assert.Equal(t, limit(class{priority: 2}), full-3, "20 in 2 s need 3 slots in 0.3 s")
-	assert.Equal(t, limit(class{priority: 2, starved: true}), full)
+	assert.Equal(t, limit(class{priority: 1}), full-3, "20 in 2 s need 3 slots in 0.3 s")
+	assert.Equal(t, limit(class{priority: 1, starved: true}), full)
 	later := start.Add(400 * time.Millisecond)
-	assert.Assert(t, p.sorted[0].limit(later, 8, class{priority: 2}) > full-3, "the reservation wears off")
+	assert.Assert(t, p.sorted[0].limit(later, 8, class{priority: 1}) > full-3, "the reservation wears off")
 }
 
 // A service of one priority is limited as before, whatever the priority of its requests.
 func TestOnePriorityIsLimitedAsBefore(t *testing.T) {
 	p, g := poolWithSlots(144)
-	p.policy.SetPriorities([]uint32{4})
+	p.policy.SetRanks(1)
 	for _, fill := range []float64{0, 0.3, 0.9, 1.2} {
 		g.occupancy, g.occupancyAt, g.rounding, g.reportedInflight = fill, start, defaultRounding, 10
 		for _, priority := range []uint32{0, 4, 9} {
--- a/gateway/simcallers_test.go
+++ b/gateway/simcallers_test.go
@@ -159,14 +159,6 @@
 	s.retries = nil
 }
 
-// priorities returns the priorities of all routes.
-func (s *groupSim) priorities() (list []uint32) {
-	for _, r := range s.routes {
-		list = append(list, r.priority)
-	}
-	return list
-}
-
 // perSecond returns the arrival rate of all routes now.
 func (s *groupSim) perSecond() (sum float64) {
 	for i := range s.routes {
