--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -12,6 +12,10 @@
 	// expiringAdmitFraction is the least fraction of the admission rate that late requests get
 	// while one of them is about to expire.
 	expiringAdmitFraction = 0.6
+	// rankedWaitMargin is how much longer than expected ranked requests may have to wait: more
+	// urgent requests don't arrive evenly, and one that is refused after it has waited would have
+	// done better to come back later.
+	rankedWaitMargin = 1.3
 	// maxExpectedWait stands for a wait that has no end in sight. It is longer than any request is
 	// queued.
 	maxExpectedWait = time.Minute
@@ -104,13 +108,11 @@
 	if p.lockstep() {
 		wait = float64(ahead+1) / max(p.slotShare(now, gateways), 1) * minFillTime.Seconds()
 	}
-	free := max(limit-inflight, 0)
+	free, released := max(limit-inflight, 0), fraction*float64(max(limit, 1))/p.meanHoldTime().Seconds()
 	if p.policy.Enabled() {
-		// More urgent requests may have filled the group beyond the limit of this class.
-		free = limit - inflight
+		free, released = limit-inflight, p.releasedFor(now, c, limit)/rankedWaitMargin
 	}
 	if needed := ahead + 1 - free; needed > 0 {
-		released := fraction*float64(max(limit, 1))/p.meanHoldTime().Seconds() - p.policy.MoreUrgentPerSecond(now, c.priority)
 		if released <= 0 {
 			return maxExpectedWait
 		}
@@ -119,6 +121,17 @@
 	return min(time.Duration(wait*float64(time.Second)), maxExpectedWait)
 }
 
+// releasedFor returns how many of the permits that are released in a second are left for ranked
+// requests of a class: more urgent requests that arrive take theirs before, and before late ones
+// also those of the same rank.
+func (p *servicePool) releasedFor(now time.Time, c class, limit int) float64 {
+	released := float64(max(limit, 1)) / p.meanHoldTime().Seconds()
+	if c.late {
+		return released - p.policy.MoreUrgentPerSecond(now, c.priority+1)
+	}
+	return released - p.policy.MoreUrgentPerSecond(now, c.priority)
+}
+
 // slotShare returns the number of the group's slots that this gateway may use.
 func (g *groupPool) slotShare(gateways int) float64 {
 	return float64(g.limiter.slots) * g.limiter.share(gateways)
