--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -92,7 +92,8 @@
 	if !p.policy.Enabled() {
 		return nil
 	}
-	return func(priority uint32) bool { return p.policy.Starved(now, priority) }
+	starved := p.policy.StarvedRanks(now)
+	return func(rank uint32) bool { return int(rank) < len(starved) && starved[rank] }
 }
 
 // ahead returns how many queued requests would be admitted before one of a class that arrives now.
--- a/overload/policy.go
+++ b/overload/policy.go
@@ -99,6 +99,15 @@
 	return urgent / all
 }
 
+// StarvedRanks returns for each rank whether its requests are starved.
+func (p *Policy) StarvedRanks(now time.Time) []bool {
+	list := make([]bool, len(p.traffic))
+	for i := range list {
+		list[i] = p.Starved(now, uint32(i))
+	}
+	return list
+}
+
 // Starved reports whether requests of a rank get so little that they go before more urgent ones:
 // under minServedRatio of the fraction that is admitted of all.
 func (p *Policy) Starved(now time.Time, rank uint32) bool {
