Gateway: forecasts of outages of prioritized services

A group that is down is tracked: missing ranks, registrations, and earlier outages give the earliest and the expected time of its recovery. Requests are held, refused, or told to come back accordingly.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -66,6 +67,7 @@
 		a.retryAfter = wait
 	case decisionQueue:
 		a.ok, a.retryAfter = m.awaitAdmission(ctx, p, w)
+		a.cause = cmp.Or(w.cause, a.cause)
 		a.waited = time.Since(now)
 	}
 	if a.ok && ctx.Err() != nil {
@@ -104,6 +106,7 @@
 	select {
 	case <-w.admitted:
 		return true, 0
+	case <-w.refused:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -115,7 +118,9 @@
 	default:
 	}
 	p.queue.remove(w)
-	return false, p.refused(time.Now())
+	now := time.Now()
+	p.observeOutages(now)
+	return false, p.refusedRequest(now, w)
 }
 
 // scheduleAdmission sets a timer that admits queued requests until none is left. Permits become
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -32,6 +32,8 @@
 	service string
 	// priority is that of the request; nil if all requests of the service have the same one.
 	priority *uint32
+	// waiter is the request's waiter for a permit; nil before newWaiter.
+	waiter *waiter
 	// group is the group whose permit the request holds.
 	group      *groupPool
 	team       *wire.KeyedTeam
@@ -327,17 +329,29 @@
 	c.refuseFailed()
 }
 
+// firstEventTimeout returns how long the caller of a stream waits for its first event before it
+// leaves. Callers that expect slower streams wait longer; those of services without priorities are
+// taken to wait the same time on all routes.
+func (c *call) firstEventTimeout() time.Duration {
+	if c.priority == nil {
+		return firstEventTimeout
+	}
+	return max(firstEventTimeout, firstEventTargets*c.targetFirstEvent(), firstEventGaps*c.targetGap())
+}
+
 // newWaiter returns the waiter of the request with its admission deadlines.
 func (c *call) newWaiter() *waiter {
 	head := c.services.headTime(c.service)
 	c.age = c.timeouts.age(c.receivedAt, c.route, c.params.Deadline)
-	w := &waiter{retried: c.age > 0, admitted: make(chan struct{})}
+	w := &waiter{retried: c.age > 0, admitted: make(chan struct{}), refused: make(chan struct{})}
+	c.waiter = w
 	if c.priority != nil {
 		w.priority = *c.priority
 	}
 	w.giveUpAt = c.deadline.Add(-head)
+	w.deadline, w.lastStart = c.deadline, w.giveUpAt
 	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
-		if callerLeavesAt := c.receivedAt.Add(firstEventTimeout - firstEventMargin - head); callerLeavesAt.Before(w.giveUpAt) {
+		if callerLeavesAt := c.receivedAt.Add(c.firstEventTimeout() - firstEventMargin - head); callerLeavesAt.Before(w.giveUpAt) {
 			w.giveUpAt = callerLeavesAt
 		}
 	}
@@ -350,6 +364,7 @@
 		// A request on its last trial is admitted now or not at all; see quarantineRefusal.
 		w.giveUpAt = c.receivedAt
 	}
+	w.hold = w.giveUpAt.Sub(c.receivedAt)
 	w.onTimeBy = w.giveUpAt
 	if target := c.targetFirstEvent(); target > 0 {
 		w.onTimeBy = c.receivedAt.Add(target - c.age - time.Duration(headTimeFactor*float64(head)))
@@ -411,8 +426,17 @@
 		return
 	}
 	f := c.history.failure(c.lastOutcome, c.reason)
-	if wait, held := c.services.retryAfterHeld(c.service); held && f.status == http.StatusServiceUnavailable {
-		f.reason, f.retryAfter = reasonUpstreamsHeld, wait
+	if f.status == http.StatusServiceUnavailable {
+		c.setRetryAfter(&f)
 	}
 	c.refuseAndEnd(&f)
 }
+
+// setRetryAfter sets the Retry-After of a request that has run nowhere, if its service takes none now.
+func (c *call) setRetryAfter(f *refusal) {
+	if wait, held := c.services.retryAfterHeld(c.service); held {
+		f.reason, f.retryAfter = reasonUpstreamsHeld, wait
+	} else if wait, cause, down := c.services.retryAfterOutage(time.Now(), c.service, c.waiter); down {
+		f.retryAfter, c.cause = wait, cause
+	}
+}
--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -34,6 +34,7 @@
 // late admissions is unknown or doesn't apply.
 func (p *servicePool) decide(now time.Time, gateways int, w *waiter) (d decision, wait time.Duration) {
 	p.policy.RecordArrival(now, w.priority)
+	p.observeOutages(now)
 	c := p.classOf(now, w)
 	if p.ahead(now, c) == 0 {
 		if g := p.pickGroup(now, gateways, c); g != nil {
@@ -42,10 +43,10 @@
 		}
 	}
 	if p.allEvacuated() || len(p.queue.waiters) >= maxQueued || !now.Before(w.giveUpAt) {
-		return decisionRefuse, p.refused(now)
+		return decisionRefuse, p.refusedRequest(now, w)
 	}
 	if !p.likelyAdmitted(now, gateways, w) {
-		return decisionRefuse, p.refused(now)
+		return decisionRefuse, p.refusedRequest(now, w)
 	}
 	p.queue.add(w)
 	p.late.observeQueue(now, &p.queue)
@@ -56,6 +57,10 @@
 // before it must be refused: at the pace of the groups while slots are free, and then as others
 // are released.
 func (p *servicePool) likelyAdmitted(now time.Time, gateways int, w *waiter) bool {
+	if f, down := p.outage(now); down {
+		r := p.outageRequest(w, p.ahead(now, p.classOf(now, w)))
+		return r.Holds(now, f)
+	}
 	if !p.available(now) {
 		return w.retried && !p.incomplete(now)
 	}
@@ -128,7 +133,7 @@
 	if c.late {
 		limit = max(int(lateLimitFraction*float64(limit)), 1)
 	}
-	if len(g.upstreams) == 0 || g.limiter.inflight >= limit || !g.limiter.mayAdmit(now, g.service.available(now)) {
+	if len(g.upstreams) == 0 || g.limiter.inflight >= limit || !g.limiter.mayAdmit(now, g.service.available(now) || g.cannotForm(now)) {
 		return 0
 	}
 	if g.limiter.lockstep && !g.paceAllows(now, gateways, c.late) {
@@ -162,6 +167,8 @@
 
 // admitQueued admits queued requests as far as permits allow.
 func (p *servicePool) admitQueued(now time.Time, gateways int) {
+	p.observeOutages(now)
+	p.refuseHopeless(now)
 	p.late.observeQueue(now, &p.queue)
 	for p.admitNext(now, gateways) {
 	}
--- /dev/null
+++ b/gateway/outages.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/snipereach/snipereach/outage"
+	"github.com/snipereach/snipereach/wire"
+)
+
+const (
+	// maxGoneGroups bounds the trackers of groups that are gone. A group whose ranks are all lost is
+	// gone until the first of them registers again.
+	maxGoneGroups = 16
+	// returnPaceFraction is the part of the pace at which a recovered group is filled for which
+	// callers are told to come back. The rest is for new requests.
+	returnPaceFraction = 0.5
+)
+
+// outages tracks the outages of a prioritized service's groups. Other services don't use it.
+type outages struct {
+	// off says that the gateway's settings turn it off.
+	off      bool
+	formTime time.Duration
+	trackers map[string]*outage.Tracker
+	returns  outage.Returns
+}
+
+// setFormTimes sets the times that groups need to form from a routing configuration.
+func (m *serviceManager) setFormTimes(c *wire.RoutingConfig) {
+	times := map[string]time.Duration{}
+	for _, s := range c.Services {
+		times[s.Name] = time.Duration(s.GetEngine().GetFormMs() * float64(time.Millisecond))
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.formTimes = times
+	for name, p := range m.services {
+		p.outages.formTime = times[name]
+	}
+}
+
+// observeOutages records the states of the groups.
+func (p *servicePool) observeOutages(now time.Time) {
+	if !p.tracksOutages() {
+		p.outages.trackers = nil
+		return
+	}
+	if p.outages.trackers == nil {
+		p.outages.trackers = map[string]*outage.Tracker{}
+	}
+	gone := 0
+	for name, t := range p.outages.trackers {
+		if p.groups[name] != nil {
+			continue
+		}
+		if gone++; gone > maxGoneGroups {
+			delete(p.outages.trackers, name)
+			continue
+		}
+		t.Observe(now, outage.Observation{Down: true})
+	}
+	for _, g := range p.sorted {
+		t := p.outages.trackers[g.name]
+		if t == nil {
+			t = &outage.Tracker{}
+			p.outages.trackers[g.name] = t
+		}
+		t.Observe(now, g.observation())
+	}
+}
+
+// tracksOutages reports whether outages of the service are predicted: of prioritized services whose
+// upstreams run in lock-step, also while none of them is registered.
+func (p *servicePool) tracksOutages() bool {
+	return p.policy.Enabled() && !p.outages.off && (p.lockstep() || len(p.sorted) == 0)
+}
+
+func (g *groupPool) observation() outage.Observation {
+	l := &g.limiter
+	return outage.Observation{Down: l.down || l.ranks == 0, Ranks: l.ranks, Size: l.size, Incarnations: l.incarnations}
+}
+
+// outage returns the forecast of the service if all its groups are down and it is tracked.
+func (p *servicePool) outage(now time.Time) (f outage.Forecast, down bool) {
+	for _, t := range p.outages.trackers {
+		one, groupDown := t.Forecast(now, p.outages.formTime)
+		if !groupDown {
+			return outage.Forecast{}, false
+		}
+		if down {
+			one = f.Sooner(one)
+		}
+		f, down = one, true
+	}
+	return f, down
+}
+
+// cannotForm reports whether a probe of the group is certain to fail, as it can't have formed yet.
+func (g *groupPool) cannotForm(now time.Time) bool {
+	t := g.service.outages.trackers[g.name]
+	if t == nil {
+		return false
+	}
+	f, down := t.Forecast(now, g.service.outages.formTime)
+	return down && f.Earliest.After(now)
+}
+
+// outageRequest returns what decides on a request during an outage, with a number of others ahead
+// of it in the queue.
+func (p *servicePool) outageRequest(w *waiter, ahead int) *outage.Request {
+	r := &outage.Request{GiveUpAt: w.giveUpAt, Deadline: w.deadline, LastStart: w.lastStart, Hold: w.hold, Retried: w.retried}
+	if ahead > 0 {
+		r.AdmitTime = p.admitTimeAfterRecovery(ahead)
+	}
+	return r
+}
+
+// admitTimeAfterRecovery returns how long it takes after the recovery to admit a number of requests:
+// as the groups are filled, and beyond their slots as these become free.
+func (p *servicePool) admitTimeAfterRecovery(n int) time.Duration {
+	slots := p.recoverySlots()
+	seconds := min(float64(n), slots)/slots*minFillTime.Seconds() + max(float64(n)-slots, 0)/slots*p.meanHoldTime().Seconds()
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// recoverySlots returns how many slots this gateway may use once all groups have recovered; at
+// least 1.
+func (p *servicePool) recoverySlots() float64 {
+	slots := 0.0
+	for _, g := range p.sorted {
+		slots += g.slotShare(p.gateways)
+	}
+	return max(slots, 1)
+}
+
+// outageRetryAfter returns the Retry-After of a request that is refused during an outage, and
+// records that its caller comes back.
+func (p *servicePool) outageRetryAfter(now time.Time, f outage.Forecast, w *waiter) time.Duration {
+	offset := p.outages.returns.Offset(now, f, w.priority, returnPaceFraction*p.recoverySlots()/minFillTime.Seconds(), p.rng.Float64())
+	wait := p.outageRequest(w, 0).RetryAfter(now, f, offset)
+	if !w.retried && f.Aimed(now, wait) {
+		p.outages.returns.Record(now, f, w.priority)
+	}
+	return wait
+}
+
+// refusedRequest records a refused request and returns its Retry-After.
+func (p *servicePool) refusedRequest(now time.Time, w *waiter) time.Duration {
+	if f, down := p.outage(now); down {
+		return p.outageRetryAfter(now, f, w)
+	}
+	return p.refused(now)
+}
+
+// refuseHopeless refuses the queued requests that aren't worth holding any longer during an outage,
+// as the recovery will come too late for them.
+func (p *servicePool) refuseHopeless(now time.Time) {
+	f, down := p.outage(now)
+	if !down {
+		return
+	}
+	for _, w := range append([]*waiter(nil), p.queue.waiters...) {
+		if w.refused == nil || p.outageRequest(w, 0).Holds(now, f) {
+			continue
+		}
+		p.queue.remove(w)
+		w.cause = p.describe(now)
+		close(w.refused)
+	}
+}
+
+// retryAfterOutage returns the Retry-After of a request that a group has refused; down is false if
+// its service isn't down or its outages aren't tracked.
+func (m *serviceManager) retryAfterOutage(now time.Time, service string, w *waiter) (wait time.Duration, cause string, down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.services[service]
+	if p == nil || w == nil {
+		return 0, "", false
+	}
+	p.observeOutages(now)
+	f, down := p.outage(now)
+	if !down {
+		return 0, "", false
+	}
+	return p.outageRetryAfter(now, f, w), p.describe(now), true
+}
+
+// describeOutages returns the forecasts of the groups that are down, for logs.
+func (p *servicePool) describeOutages(now time.Time) string {
+	var b strings.Builder
+	for name, t := range p.outages.trackers {
+		if f, down := t.Forecast(now, p.outages.formTime); down {
+			fmt.Fprintf(&b, "%s %s; ", name, f.Describe(now))
+		}
+	}
+	return b.String()
+}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -25,6 +25,7 @@
 	policy     overload.Policy
 	late       lateAdmissions
 	retryAfter retryAfterEstimator
+	outages    outages
 	// headTime is the EWMA of the time to the head of a response, holdTime that of the time that
 	// a request holds its permit; 0 before the first.
 	headTime, holdTime time.Duration
@@ -87,6 +88,7 @@
 		}
 	}
 	p.sorted = slices.SortedFunc(maps.Values(p.groups), func(a, b *groupPool) int { return cmp.Compare(a.name, b.name) })
+	p.observeOutages(now)
 	return nil
 }
 
@@ -279,6 +281,7 @@
 	for _, g := range p.sorted {
 		fmt.Fprintf(&b, "%s, tokens %.1f; ", g.describe(now, p.gateways), g.pacer.tokens)
 	}
+	b.WriteString(p.describeOutages(now))
 	fmt.Fprintf(&b, "%d queued, head time %d ms, hold time %d ms", len(p.queue.waiters), p.headTime.Milliseconds(), p.meanHoldTime().Milliseconds())
 	return b.String()
 }
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -24,6 +24,10 @@
 	// firstEventTimeout is how long callers wait for the first event of a stream before they
 	// leave.
 	firstEventTimeout = 2 * time.Second
+	// firstEventTargets and firstEventGaps are how many times the target for the first event, and
+	// the target gap, callers of a prioritized service wait for the first event if that is longer.
+	firstEventTargets = 4
+	firstEventGaps    = 8
 	// firstEventMargin allows for the network path between caller and gateway, and for a slow
 	// pass.
 	firstEventMargin = 150 * time.Millisecond
@@ -41,6 +45,13 @@
 	priority uint32
 	// overShare says that the request's team asks for more than its fair part of the service.
 	overShare bool
+	// deadline is when the caller's time is over, and lastStart the latest admission of a retry;
+	// zero if unknown. hold is how long a try may be queued.
+	deadline, lastStart time.Time
+	hold                time.Duration
+	// refused is closed when the queued request is refused before giveUpAt, with its cause.
+	refused chan struct{}
+	cause   string
 	// admitted is closed when the request is admitted; group is then the group that it may go to.
 	admitted chan struct{}
 	group    *groupPool
--- a/gateway/routingwatch.go
+++ b/gateway/routingwatch.go
@@ -178,6 +178,7 @@
 	g.services.setPriorities(t)
 	g.timeouts.retain(c.Routes)
 	g.services.setColdLimits(c)
+	g.services.setFormTimes(c)
 	kernel.Info(g.log, "Routing configuration in force.", "version", c.Version, "from", from, "routes", len(c.Routes), "teams", len(c.Teams))
 	if old == nil {
 		g.triggerAnnounce()
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -48,6 +48,10 @@
 	coldLimits map[string]coldLimit
 	// priorities has the priorities that requests of each service may have.
 	priorities map[string][]uint32
+	// formTimes has the times that the groups of each service need to form.
+	formTimes map[string]time.Duration
+	// outagesOff says that the settings turn off the forecasts of outages.
+	outagesOff bool
 }
 
 // updateInputs is what else than the upstreams themselves decides on which of them are used.
@@ -96,7 +100,7 @@
 func newServiceManager(s *Settings) *serviceManager {
 	return &serviceManager{
 		entryInfo: route.EntryInfo{ID: s.ID, FailureDomain: s.FailureDomain, Seed: rand.Uint64()},
-		services:  map[string]*servicePool{}, loadSeq: firstLoad,
+		services:  map[string]*servicePool{}, loadSeq: firstLoad, outagesOff: s.IgnoreOutageForecast,
 		restraints: func() restraints { return nil }, onHeldBack: func(string) {},
 	}
 }
@@ -123,6 +127,7 @@
 	}
 	for name, p := range m.services {
 		p.cold.limit = m.coldLimits[name]
+		p.outages.formTime, p.outages.off = m.formTimes[name], m.outagesOff
 		if err := p.update(now, m.entryInfo, byService[name], in); err != nil {
 			return err
 		}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -41,6 +41,9 @@
 	// StopLimit is the time between the stop signal and the forced stop.
 	StopLimit kernel.Duration `toml:"stop_limit"`
 	Retries   RetrySettings   `toml:"retries"`
+	// IgnoreOutageForecast treats requests of prioritized services during outages as those of
+	// other services.
+	IgnoreOutageForecast bool `toml:"ignore_outage_forecast"`
 }
 
 // RetrySettings is the [retries] section: the retry budget of a service, shared by all gateways.
