--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -80,7 +80,9 @@
 }
 
 // classOf returns the class of a request of the service.
-func (p *servicePool) classOf(now time.Time, w *waiter) class { return w.class(now, p.starved(now)) }
+func (p *servicePool) classOf(now time.Time, w *waiter) class {
+	return p.queue.classOf(now, w, p.starved(now))
+}
 
 // starved returns whether requests of a priority get too little, or nil if all have the same one.
 func (p *servicePool) starved(now time.Time) func(uint32) bool {
@@ -149,7 +151,8 @@
 	if late && g.service.queue.hasExpiring(now) {
 		fraction = max(fraction, expiringAdmitFraction)
 	}
-	g.pacer.refill(now, fraction*g.slotShare(gateways), max(paceBurst/float64(max(g.service.availableGroups(now), 1)), 1))
+	share := fraction * g.slotShare(gateways)
+	g.pacer.refill(now, share, max(paceBurst/float64(max(g.service.availableGroups(now), 1)), g.service.minBurst(share)))
 	return fraction > 0 && g.pacer.hasToken()
 }
 
--- a/gateway/outages.go
+++ b/gateway/outages.go
@@ -16,6 +16,8 @@
 	// returnPaceFraction is the part of the pace at which a recovered group is filled for which
 	// callers are told to come back. The rest is for new requests.
 	returnPaceFraction = 0.5
+	// recoveryTime is how long after an outage of a service its backlog is expected to last.
+	recoveryTime = 2 * time.Second
 )
 
 // outages tracks the outages of a prioritized service's groups. Other services don't use it.
@@ -25,6 +27,8 @@
 	formTime time.Duration
 	trackers map[string]*outage.Tracker
 	returns  outage.Returns
+	// down says that all groups were down at the last observation.
+	down bool
 }
 
 // setFormTimes sets the times that groups need to form from a routing configuration.
@@ -69,6 +73,21 @@
 		}
 		t.Observe(now, g.observation())
 	}
+	_, down := p.outage(now)
+	if p.outages.down && !down {
+		p.queue.backlogUntil = now.Add(recoveryTime)
+	}
+	p.outages.down = down
+}
+
+// minBurst returns the least burst of the pacer for a number of slots to be filled in minFillTime.
+// While none of the requests of a prioritized service ends, as after an outage, queued ones are
+// admitted only each admitInterval. A gateway with many slots would fill them too slowly otherwise.
+func (p *servicePool) minBurst(share float64) float64 {
+	if !p.tracksOutages() {
+		return 1
+	}
+	return max(share*admitInterval.Seconds()/minFillTime.Seconds(), 1)
 }
 
 // tracksOutages reports whether outages of the service are predicted: of prioritized services whose
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -63,7 +63,9 @@
 // class is what the order of admission depends on, besides the time of the request.
 type class struct {
 	// starved says that requests of this priority get too little and go first.
-	starved   bool
+	starved bool
+	// backlog says that the request is late just after an outage of the service.
+	backlog   bool
 	priority  uint32
 	overShare bool
 	late      bool
@@ -74,6 +76,8 @@
 	switch {
 	case c.starved != d.starved:
 		return c.starved
+	case c.backlog != d.backlog:
+		return d.backlog
 	case c.priority != d.priority:
 		return c.priority < d.priority
 	case c.overShare != d.overShare:
@@ -98,6 +102,15 @@
 // still be answered in time therefore go first; late ones lose little by waiting longer.
 type waitQueue struct {
 	waiters []*waiter
+	// backlogUntil is until when late requests come after all others: for a while after an outage.
+	backlogUntil time.Time
+}
+
+// classOf returns the class of a request, which needn't be queued.
+func (q *waitQueue) classOf(now time.Time, w *waiter, starved func(uint32) bool) class {
+	c := w.class(now, starved)
+	c.backlog = c.late && now.Before(q.backlogUntil)
+	return c
 }
 
 func (q *waitQueue) add(w *waiter) { q.waiters = append(q.waiters, w) }
@@ -114,7 +127,7 @@
 func (q *waitQueue) firsts(now time.Time, starved func(uint32) bool) []*waiter {
 	byClass := map[class]*waiter{}
 	for _, w := range q.waiters {
-		c := w.class(now, starved)
+		c := q.classOf(now, w, starved)
 		if c.late && !now.Before(w.giveUpAt) {
 			continue
 		}
@@ -123,7 +136,7 @@
 		}
 	}
 	return slices.SortedFunc(maps.Values(byClass), func(a, b *waiter) int {
-		if a.class(now, starved).before(b.class(now, starved)) {
+		if q.classOf(now, a, starved).before(q.classOf(now, b, starved)) {
 			return -1
 		}
 		return 1
@@ -155,7 +168,7 @@
 func (q *waitQueue) ahead(now time.Time, c class, starved func(uint32) bool) int {
 	n := 0
 	for _, w := range q.waiters {
-		if !c.before(w.class(now, starved)) {
+		if !c.before(q.classOf(now, w, starved)) {
 			n++
 		}
 	}
--- a/outage/decide.go
+++ b/outage/decide.go
@@ -28,7 +28,7 @@
 
 // Holds reports whether to hold the request until the group is back.
 //
-// A first try is held only while the group forms: otherwise its caller does better to come back, as
+// A first try is held only while the lost ranks come back: otherwise its caller does better to come back, as
 // a request that is held in vain costs its caller more than an immediate refusal. A retry has no
 // other chance, so it is held if it may well be served. No request is held that even the earliest
 // recovery would be too late for.
@@ -40,7 +40,7 @@
 	case r.Retried || !r.canReturn(now, f):
 		return true
 	}
-	return f.Forming && reaches(f.Expected)
+	return f.Returning && reaches(f.Expected)
 }
 
 // RetryAfter returns the Retry-After of the request if it is refused. offset is the caller's place
--- a/outage/tracker.go
+++ b/outage/tracker.go
@@ -48,8 +48,13 @@
 	// zero during an outage and before the first. brokenAt is when the group broke last: later than
 	// downSince if it has formed for a moment.
 	downSince, upSince, brokenAt time.Time
-	// registeredAt is when a rank last registered anew.
-	registeredAt time.Time
+	// registeredAt is when a rank last registered anew, and returnBegan when the first of those
+	// registered that came within registerTime of each other. several says that there were others.
+	registeredAt, returnBegan time.Time
+	several                   bool
+	// lacked says that ranks were known to be missing in the present outage, so that all are
+	// registered when none is missing. A restart may be over before a lease lapses.
+	lacked bool
 	// unknownStart says that the group was down when it was first observed, so that the duration
 	// of the outage isn't known.
 	unknownStart bool
@@ -61,7 +66,7 @@
 func (t *Tracker) Observe(now time.Time, o Observation) {
 	t.size = max(t.size, o.Size)
 	if t.observed && (o.Ranks > t.last.Ranks || o.Ranks == t.last.Ranks && o.Incarnations != t.last.Incarnations) {
-		t.registeredAt = now
+		t.recordRegistration(now, o.Ranks > t.last.Ranks+1)
 	}
 	switch {
 	case o.Down && !t.last.Down:
@@ -70,6 +75,17 @@
 		t.upSince = now
 	}
 	t.last, t.observed = o, true
+	t.lacked = o.Down && (t.lacked || t.Missing() > 0)
+}
+
+// recordRegistration records that one or several ranks have registered anew.
+func (t *Tracker) recordRegistration(now time.Time, several bool) {
+	if now.Sub(t.returnBegan) > registerTime || t.returnBegan.Before(t.brokenAt) {
+		t.returnBegan, t.several = now, several
+	} else {
+		t.several = true
+	}
+	t.registeredAt = now
 }
 
 // begin records that the group has broken.
@@ -96,8 +112,9 @@
 	// Earliest is the time before which the group can't have formed. It is as likely as not back
 	// by Expected.
 	Earliest, Expected time.Time
-	// Forming says that all ranks are registered and form the group.
-	Forming bool
+	// Returning says that the lost ranks have registered or are doing so, so that Expected is known
+	// to about a heartbeat.
+	Returning bool
 	// Missing is how many ranks aren't registered.
 	Missing int
 }
@@ -112,37 +129,47 @@
 		formTime = DefaultFormTime
 	}
 	f = Forecast{DownSince: t.downSince, Missing: t.Missing()}
-	registered := t.registeredAt.After(t.brokenAt)
-	formed := latest(t.brokenAt, t.registeredAt).Add(formTime)
-	switch {
-	case f.Missing > 0:
+	f.Earliest = latest(t.brokenAt, t.registeredAt).Add(formTime)
+	if f.Missing > 0 {
 		f.Earliest = now.Add(formTime)
-		f.Expected = t.expectedEnd(now, formTime, max(now.Sub(t.downSince), registerTime/2+formTime))
-	case registered && now.Before(formed.Add(newsTime)):
-		f.Earliest, f.Expected, f.Forming = formed, formed.Add(newsTime), true
-	default:
-		f.Earliest = formed
-		f.Expected = t.expectedEnd(now, formTime, 0)
+	}
+	f.Expected = t.returnEnds().Add(formTime + newsTime)
+	f.Returning = t.registeredAt.After(t.brokenAt) && now.Before(f.Expected)
+	if !f.Returning {
+		f.Expected = t.expectedEnd(now, formTime)
 	}
 	f.Earliest = latest(now, f.Earliest)
 	f.Expected = latest(f.Earliest, f.Expected)
 	return f, true
 }
 
-// expectedEnd returns when the outage is expected to end, if it goes on for atLeast. Earlier
-// outages that were longer tell, and without any the usual time of a restart. One that lasts longer
-// than expected is expected to go on for as long as it has been overdue.
-func (t *Tracker) expectedEnd(now time.Time, formTime, atLeast time.Duration) time.Time {
+// returnEnds returns by when the lost ranks are registered, if those that have registered show it.
+// Ranks that were lost together start again together, so the last one follows the first within a
+// heartbeat.
+func (t *Tracker) returnEnds() time.Time {
+	if t.Missing() > 0 || t.several && !t.lacked {
+		return t.returnBegan.Add(registerTime)
+	}
+	return t.registeredAt
+}
+
+// expectedEnd returns when the outage is expected to end if no rank has registered lately. Earlier
+// outages that were longer tell, and without any the usual time of a restart. Once ranks are missing,
+// or none has registered for longer than a restart takes, nothing is known but the time that has
+// passed, and the outage is as likely as not to last as long again.
+func (t *Tracker) expectedEnd(now time.Time, formTime time.Duration) time.Time {
 	elapsed := now.Sub(t.downSince)
 	if longer := t.longerThan(elapsed); len(longer) > 0 {
 		return t.downSince.Add(longer[len(longer)/2])
 	}
-	usual := restartTime + registerTime + formTime
-	overdue := elapsed - usual
-	if overdue < 0 {
-		return now.Add(max(usual-elapsed, atLeast))
+	left := max(restartTime+registerTime+formTime-elapsed, minOverdue)
+	if t.Missing() > 0 {
+		left = max(left, registerTime/2+formTime)
+	}
+	if t.Missing() > 0 || elapsed > restartTime+registerTime {
+		left = max(left, elapsed)
 	}
-	return now.Add(max(overdue, minOverdue, atLeast))
+	return now.Add(left)
 }
 
 // longerThan returns the durations of earlier outages that were longer than d, in order.
@@ -176,10 +203,12 @@
 func (f *Forecast) Describe(now time.Time) string {
 	what := "cause unknown"
 	switch {
+	case f.Missing > 0 && f.Returning:
+		what = fmt.Sprintf("%d ranks missing, others registered", f.Missing)
 	case f.Missing > 0:
 		what = fmt.Sprintf("%d ranks missing", f.Missing)
-	case f.Forming:
-		what = "forming"
+	case f.Returning:
+		what = "ranks registered"
 	}
 	return fmt.Sprintf("down for %d ms, %s, recovery in %d ms at the earliest, expected in %d ms",
 		now.Sub(f.DownSince).Milliseconds(), what, f.Earliest.Sub(now).Milliseconds(), f.Expected.Sub(now).Milliseconds())
