--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -58,8 +58,7 @@
 // are released.
 func (p *servicePool) likelyAdmitted(now time.Time, gateways int, w *waiter) bool {
 	if f, down := p.outage(now); down {
-		r := p.outageRequest(w, p.ahead(now, p.classOf(now, w)))
-		return r.Holds(now, f)
+		return p.outageRequest(w, p.backlogAhead(now, w)).Holds(now, f)
 	}
 	if !p.available(now) {
 		return w.retried && !p.incomplete(now)
@@ -70,6 +69,9 @@
 	}
 	c.late = true
 	ahead := p.ahead(now, c)
+	if now.Before(p.queue.backlogUntil) {
+		return p.backlogAdmitted(now, w)
+	}
 	// With free slots, only long passes hold requests back for a moment, so the rate of late
 	// admissions doesn't apply.
 	limit, inflight := p.limit(now, gateways, c)
--- a/gateway/outages.go
+++ b/gateway/outages.go
@@ -13,9 +13,11 @@
 	// maxGoneGroups bounds the trackers of groups that are gone. A group whose ranks are all lost is
 	// gone until the first of them registers again.
 	maxGoneGroups = 16
-	// returnPaceFraction is the part of the pace at which a recovered group is filled for which
-	// callers are told to come back. The rest is for new requests.
-	returnPaceFraction = 0.5
+	// backlogFillFraction is the fraction of a recovered group's slots that its backlog is expected
+	// to fill at first. The rest is for new requests.
+	backlogFillFraction = 0.5
+	// maxReturnTime bounds the time after a recovery over which callers are told to come back.
+	maxReturnTime = 10 * time.Second
 	// recoveryTime is how long after an outage of a service its backlog is expected to last.
 	recoveryTime = 2 * time.Second
 )
@@ -128,7 +130,7 @@
 
 // outageRequest returns what decides on a request during an outage, with a number of others ahead
 // of it in the queue.
-func (p *servicePool) outageRequest(w *waiter, ahead int) *outage.Request {
+func (p *servicePool) outageRequest(w *waiter, ahead float64) *outage.Request {
 	r := &outage.Request{GiveUpAt: w.giveUpAt, Deadline: w.deadline, LastStart: w.lastStart, Hold: w.hold, Retried: w.retried}
 	if ahead > 0 {
 		r.AdmitTime = p.admitTimeAfterRecovery(ahead)
@@ -136,12 +138,32 @@
 	return r
 }
 
-// admitTimeAfterRecovery returns how long it takes after the recovery to admit a number of requests:
-// as the groups are filled, and beyond their slots as these become free.
-func (p *servicePool) admitTimeAfterRecovery(n int) time.Duration {
+// admitTimeAfterRecovery returns how long it takes after the recovery to admit a number of requests
+// of the backlog beside new ones: at first as the groups are filled, and then as slots become free.
+func (p *servicePool) admitTimeAfterRecovery(n float64) time.Duration {
 	slots := p.recoverySlots()
-	seconds := min(float64(n), slots)/slots*minFillTime.Seconds() + max(float64(n)-slots, 0)/slots*p.meanHoldTime().Seconds()
-	return time.Duration(seconds * float64(time.Second))
+	fill := min(n, backlogFillFraction*slots)
+	seconds := fill/(backlogFillFraction*slots)*minFillTime.Seconds() + (n-fill)/(lateSlotFraction*slots)*p.meanHoldTime().Seconds()
+	return min(time.Duration(seconds*float64(time.Second)), maxReturnTime)
+}
+
+// backlogAdmitted reports whether a late request that arrives just after an outage is expected to be
+// admitted in time.
+func (p *servicePool) backlogAdmitted(now time.Time, w *waiter) bool {
+	return p.admitTimeAfterRecovery(p.backlogAhead(now, w)) <= w.giveUpAt.Sub(now)
+}
+
+// backlogAhead returns how many requests are expected to be admitted before one that arrives now:
+// those ahead of it in the queue, and as many more urgent ones as are queued, as those came within
+// the time that this one may be held, and others will come while it is.
+func (p *servicePool) backlogAhead(now time.Time, w *waiter) float64 {
+	n := p.ahead(now, p.classOf(now, w))
+	for _, q := range p.queue.waiters {
+		if q.priority < w.priority {
+			n++
+		}
+	}
+	return float64(n)
 }
 
 // recoverySlots returns how many slots this gateway may use once all groups have recovered; at
@@ -157,7 +179,7 @@
 // outageRetryAfter returns the Retry-After of a request that is refused during an outage, and
 // records that its caller comes back.
 func (p *servicePool) outageRetryAfter(now time.Time, f outage.Forecast, w *waiter) time.Duration {
-	offset := p.outages.returns.Offset(now, f, w.priority, returnPaceFraction*p.recoverySlots()/minFillTime.Seconds(), p.rng.Float64())
+	offset := p.admitTimeAfterRecovery(p.outages.returns.Position(now, f, w.priority, p.rng.Float64()))
 	wait := p.outageRequest(w, 0).RetryAfter(now, f, offset)
 	if !w.retried && f.Aimed(now, wait) {
 		p.outages.returns.Record(now, f, w.priority)
