--- a/gateway/outages.go
+++ b/gateway/outages.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -10,9 +12,9 @@
 )
 
 const (
-	// maxGoneGroups bounds the trackers of groups that are gone. A group whose ranks are all lost is
-	// gone until the first of them registers again.
-	maxGoneGroups = 16
+	// maxGoneTime is how long a group without any registered rank is expected to come back. After
+	// that it counts as removed.
+	maxGoneTime = 10 * time.Minute
 	// backlogFillFraction is the fraction of a recovered group's slots that its backlog is expected
 	// to fill at first. The rest is for new requests.
 	backlogFillFraction = 0.5
@@ -29,8 +31,6 @@
 	formTime time.Duration
 	trackers map[string]*outage.Tracker
 	returns  outage.Returns
-	// down says that all groups were down at the last observation.
-	down bool
 }
 
 // setFormTimes sets the times that groups need to form from a routing configuration.
@@ -50,22 +50,20 @@
 // observeOutages records the states of the groups.
 func (p *servicePool) observeOutages(now time.Time) {
 	if !p.tracksOutages() {
-		p.outages.trackers = nil
+		p.outages.trackers, p.queue.backlogUntil = nil, time.Time{}
 		return
 	}
 	if p.outages.trackers == nil {
 		p.outages.trackers = map[string]*outage.Tracker{}
 	}
-	gone := 0
 	for name, t := range p.outages.trackers {
 		if p.groups[name] != nil {
 			continue
 		}
-		if gone++; gone > maxGoneGroups {
+		t.Observe(now, outage.Observation{Down: true})
+		if f, _ := t.Forecast(now, p.outages.formTime); now.Sub(f.DownSince) > maxGoneTime {
 			delete(p.outages.trackers, name)
-			continue
 		}
-		t.Observe(now, outage.Observation{Down: true})
 	}
 	for _, g := range p.sorted {
 		t := p.outages.trackers[g.name]
@@ -75,18 +73,16 @@
 		}
 		t.Observe(now, g.observation())
 	}
-	_, down := p.outage(now)
-	if p.outages.down && !down {
+	if _, down := p.outage(now); down {
 		p.queue.backlogUntil = now.Add(recoveryTime)
 	}
-	p.outages.down = down
 }
 
 // minBurst returns the least burst of the pacer for a number of slots to be filled in minFillTime.
-// While none of the requests of a prioritized service ends, as after an outage, queued ones are
-// admitted only each admitInterval. A gateway with many slots would fill them too slowly otherwise.
-func (p *servicePool) minBurst(share float64) float64 {
-	if !p.tracksOutages() {
+// Just after an outage no request ends, so queued ones are admitted only each admitInterval. A
+// gateway with many slots would fill them too slowly otherwise.
+func (p *servicePool) minBurst(now time.Time, share float64) float64 {
+	if !now.Before(p.queue.backlogUntil) {
 		return 1
 	}
 	return max(share*admitInterval.Seconds()/minFillTime.Seconds(), 1)
@@ -202,7 +198,7 @@
 	if !down {
 		return
 	}
-	for _, w := range append([]*waiter(nil), p.queue.waiters...) {
+	for _, w := range slices.Clone(p.queue.waiters) {
 		if w.refused == nil || p.outageRequest(w, 0).Holds(now, f) {
 			continue
 		}
@@ -232,8 +228,8 @@
 // describeOutages returns the forecasts of the groups that are down, for logs.
 func (p *servicePool) describeOutages(now time.Time) string {
 	var b strings.Builder
-	for name, t := range p.outages.trackers {
-		if f, down := t.Forecast(now, p.outages.formTime); down {
+	for _, name := range slices.Sorted(maps.Keys(p.outages.trackers)) {
+		if f, down := p.outages.trackers[name].Forecast(now, p.outages.formTime); down {
 			fmt.Fprintf(&b, "%s %s; ", name, f.Describe(now))
 		}
 	}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -64,7 +64,7 @@
 type class struct {
 	// starved says that requests of this priority get too little and go first.
 	starved bool
-	// backlog says that the request is late just after an outage of the service.
+	// backlog says that the request is late during an outage of the service or just after it.
 	backlog   bool
 	priority  uint32
 	overShare bool
@@ -102,7 +102,7 @@
 // still be answered in time therefore go first; late ones lose little by waiting longer.
 type waitQueue struct {
 	waiters []*waiter
-	// backlogUntil is until when late requests come after all others: for a while after an outage.
+	// backlogUntil is until when late requests come after all others: during an outage and for a while after it.
 	backlogUntil time.Time
 }
 
