--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -155,7 +155,7 @@
 		fraction = max(fraction, expiringAdmitFraction)
 	}
 	share := fraction * g.slotShare(gateways)
-	g.pacer.refill(now, share, max(paceBurst/float64(max(g.service.availableGroups(now), 1)), g.service.minBurst(now, share)))
+	g.pacer.refill(now, share, max(paceBurst/float64(max(g.service.availableGroups(now), 1)), g.service.minBurst(share)))
 	return fraction > 0 && g.pacer.hasToken()
 }
 
--- a/gateway/outages.go
+++ b/gateway/outages.go
@@ -79,10 +79,11 @@
 }
 
 // minBurst returns the least burst of the pacer for a number of slots to be filled in minFillTime.
-// Just after an outage no request ends, so queued ones are admitted only each admitInterval. A
-// gateway with many slots would fill them too slowly otherwise.
-func (p *servicePool) minBurst(now time.Time, share float64) float64 {
-	if !now.Before(p.queue.backlogUntil) {
+// While requests are queued, others are admitted only each admitInterval and when one ends. Just
+// after an outage none does, and those of a group end together with its passes, so a gateway with
+// many slots would fill them too slowly otherwise.
+func (p *servicePool) minBurst(share float64) float64 {
+	if !p.policy.Enabled() {
 		return 1
 	}
 	return max(share*admitInterval.Seconds()/minFillTime.Seconds(), 1)
--- a/gateway/outagesim_test.go
+++ b/gateway/outagesim_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/quota"
 	"github.com/snipereach/snipereach/route"
@@ -362,6 +364,21 @@
 	heldFor                                                        time.Duration
 }
 
+func (n *outageCounts) add(other outageCounts) {
+	n.callers += other.callers
+	n.served += other.served
+	n.inTime += other.inTime
+	n.refusedTwice += other.refusedTwice
+	n.refusedOnce += other.refusedOnce
+	n.heldInVain += other.heldInVain
+	n.heldFor += other.heldFor
+}
+
+// fraction returns the fraction of the callers that a count is.
+func (n *outageCounts) fraction(count int) float64 {
+	return float64(count) / float64(max(n.callers, 1))
+}
+
 // count counts the callers that came between two times.
 func (s *outageSim) count(from, to time.Time, which func(*outageCaller) bool) (n outageCounts) {
 	for _, c := range s.all {
@@ -390,32 +407,133 @@
 	return func(c *outageCaller) bool { return c.priority == p }
 }
 
-func TestOutageSimTrial(t *testing.T) {
-	for _, kind := range []string{"third", "all", "one"} {
-		for _, gateways := range []int{1, 40} {
-			for _, off := range []bool{true, false} {
-				s := newOutageSim(1, gateways, 0.6, off)
-				s.run(5 * time.Second)
-				lost := s.now
-				switch kind {
-				case "third":
-					s.lose(0, 24, 5600*time.Millisecond)
-				case "all":
-					s.lose(0, 72, 600*time.Millisecond)
-				case "one":
-					s.lose(0, 1, time.Second)
-				}
-				s.run(20 * time.Second)
-				end := s.now
-				t.Logf("%s %d gateways off=%v before: %+v", kind, gateways, off, s.count(start, lost, nil))
-				t.Logf("   outage %+v", s.count(lost, s.formsAt, nil))
-				t.Logf("   2 s    %+v", s.count(s.formsAt, s.formsAt.Add(2*time.Second), nil))
-				t.Logf("   4 s    %+v", s.count(s.formsAt.Add(2*time.Second), s.formsAt.Add(4*time.Second), nil))
-				t.Logf("   rest   %+v", s.count(s.formsAt.Add(4*time.Second), end.Add(-3*time.Second), nil))
-				for p := range uint32(3) {
-					t.Logf("   2s priority %d %+v", p, s.count(s.formsAt, s.formsAt.Add(2*time.Second), priorityIs(p)))
-				}
+// outageScenario is the loss of ranks in a simulation.
+type outageScenario struct {
+	gateways, ranks int
+	startAfter      time.Duration
+	// during is called within the outage, if set.
+	during func(*outageSim)
+	off    bool
+}
+
+// play returns the simulation after the outage, and when the ranks were lost.
+func (o outageScenario) play(seed uint64) (s *outageSim, lost time.Time) {
+	s = newOutageSim(seed, o.gateways, 0.6, o.off)
+	s.run(3 * time.Second)
+	lost = s.now
+	s.lose(0, o.ranks, o.startAfter)
+	s.run(4 * time.Second)
+	if o.during != nil {
+		o.during(s)
+	}
+	s.run(10 * time.Second)
+	return s, lost
+}
+
+// playAll adds up the callers from the loss to the formation of the group, and those of the two
+// seconds after it, over some seeds.
+func (o outageScenario) playAll() (outage, after outageCounts) {
+	for seed := range uint64(2) {
+		s, lost := o.play(seed)
+		outage.add(s.count(lost, s.formsAt, nil))
+		after.add(s.count(s.formsAt, s.formsAt.Add(2*time.Second), nil))
+	}
+	return outage, after
+}
+
+// Guards against callers that are told to come back into the same outage, or are held until they
+// leave, while a third of the ranks is lost for 5.6 s. Those that came in the first three seconds
+// can't be served by anybody: their second hold ends before the group is back.
+func TestThirdOfTheRanksIsLost(t *testing.T) {
+	for _, gateways := range []int{1, 40} {
+		before, afterBefore := outageScenario{gateways: gateways, ranks: 24, startAfter: 5600 * time.Millisecond, off: true}.playAll()
+		now, afterNow := outageScenario{gateways: gateways, ranks: 24, startAfter: 5600 * time.Millisecond}.playAll()
+		t.Logf("%d gateways, during the outage: %+v, was %+v; in the next 2 s: %+v, was %+v", gateways, now, before, afterNow, afterBefore)
+		assert.Assert(t, now.fraction(now.served) > before.fraction(before.served)-0.02)
+		assert.Assert(t, now.fraction(now.refusedTwice) < before.fraction(before.refusedTwice)+0.02)
+		assert.Assert(t, now.fraction(now.heldInVain) < 0.6*before.fraction(before.heldInVain))
+		assert.Assert(t, afterNow.fraction(afterNow.inTime) > afterBefore.fraction(afterBefore.inTime)-0.02)
+		assert.Assert(t, afterNow.fraction(afterNow.inTime) > 0.9)
+	}
+}
+
+// Guards against requests of a short outage that are refused for good: one rank restarts in 1 s, and
+// nearly all callers can be served when they come back.
+func TestOneRankRestarts(t *testing.T) {
+	for _, gateways := range []int{1, 40} {
+		n, after := outageScenario{gateways: gateways, ranks: 1, startAfter: time.Second}.playAll()
+		t.Logf("%d gateways, during the outage: %+v; in the next 2 s: %+v", gateways, n, after)
+		assert.Assert(t, n.fraction(n.served) > 0.85)
+		assert.Assert(t, n.fraction(n.heldInVain) < 0.2)
+	}
+}
+
+// Guards against a backlog that makes new requests late after a recovery, and against one that is
+// forgotten for them.
+func TestNewRequestsAreInTimeAfterRecovery(t *testing.T) {
+	for _, gateways := range []int{1, 40} {
+		o := outageScenario{gateways: gateways, ranks: 72, startAfter: 600 * time.Millisecond}
+		var after, backlog outageCounts
+		for seed := range uint64(2) {
+			s, lost := o.play(seed)
+			for priority := range uint32(3) {
+				n := s.count(s.formsAt, s.formsAt.Add(2*time.Second), priorityIs(priority))
+				assert.Assert(t, n.fraction(n.inTime) > 0.88, "%d gateways, priority %d: %+v", gateways, priority, n)
+				late := s.count(lost, s.formsAt, priorityIs(priority))
+				assert.Assert(t, late.fraction(late.served) > 0.4, "%d gateways, backlog of priority %d: %+v", gateways, priority, late)
 			}
+			after.add(s.count(s.formsAt, s.formsAt.Add(2*time.Second), nil))
+			backlog.add(s.count(lost, s.formsAt, nil))
+		}
+		t.Logf("%d gateways, backlog: %+v; in the next 2 s: %+v", gateways, backlog, after)
+		assert.Assert(t, after.fraction(after.inTime) > 0.95)
+		assert.Assert(t, backlog.fraction(backlog.served) > 0.7)
+	}
+}
+
+// Guards against a gateway that starts during an outage and, without a history, holds requests in vain
+// or sends callers away for good.
+func TestGatewayStartsDuringOutage(t *testing.T) {
+	const others = 4
+	o := outageScenario{gateways: others, ranks: 24, startAfter: 5600 * time.Millisecond, during: func(s *outageSim) {
+		s.addGateway(99, false, others+1)
+		s.update()
+	}}
+	for seed := range uint64(2) {
+		s, lost := o.play(seed)
+		old := s.count(lost.Add(4*time.Second), s.formsAt, func(c *outageCaller) bool { return c.gateway < others })
+		started := s.count(lost.Add(4*time.Second), s.formsAt, func(c *outageCaller) bool { return c.gateway == others })
+		t.Logf("old gateways: %+v, the one that started: %+v", old, started)
+		assert.Assert(t, started.callers > 50)
+		assert.Assert(t, started.fraction(started.served) > old.fraction(old.served)-0.15)
+		assert.Assert(t, started.fraction(started.heldInVain) < old.fraction(old.heldInVain)+0.15)
+	}
+}
+
+// Guards against requests that aren't told apart from those of the first outage when the group breaks
+// again just after it has formed.
+func TestGroupBreaksAgainInSimulation(t *testing.T) {
+	var before, now outageCounts
+	for _, off := range []bool{true, false} {
+		s := newOutageSim(3, 10, 0.6, off)
+		s.run(3 * time.Second)
+		lost := s.now
+		s.lose(0, 1, 500*time.Millisecond)
+		for !s.formed {
+			s.run(20 * time.Millisecond)
+		}
+		s.run(200 * time.Millisecond)
+		s.lose(5, 6, 500*time.Millisecond)
+		s.run(10 * time.Second)
+		n := s.count(lost, s.formsAt, nil)
+		t.Logf("off %v: %+v", off, n)
+		if off {
+			before = n
+		} else {
+			now = n
 		}
 	}
+	assert.Assert(t, now.fraction(now.served) > before.fraction(before.served))
+	assert.Assert(t, now.fraction(now.refusedTwice) < before.fraction(before.refusedTwice))
+	assert.Assert(t, now.heldFor.Seconds()/float64(now.callers) < before.heldFor.Seconds()/float64(before.callers))
 }
