--- a/gateway/outages_test.go
+++ b/gateway/outages_test.go
@@ -84,7 +84,7 @@
 	began := time.Now()
 	m.recordGroupDown(began, p.sorted[0])
 	w := newOutageArrival(began, true)
-	w.giveUpAt = began.Add(5 * time.Second)
+	w.giveUpAt = began.Add(10 * time.Second)
 	done := make(chan admission)
 	go func() { done <- m.acquire(context.Background(), "llm", w) }()
 	for queued := 0; queued == 0; time.Sleep(time.Millisecond) {
@@ -92,15 +92,42 @@
 		queued = len(p.queue.waiters)
 		m.mu.Unlock()
 	}
-	m.mu.Lock()
-	w.giveUpAt = began.Add(100 * time.Millisecond)
-	m.mu.Unlock()
+	m.setFormTimes(&wire.RoutingConfig{Services: []*wire.RoutedService{{Name: "llm", Engine: &wire.EngineProfile{FormMs: 60_000}}}})
 	a := <-done
-	assert.Assert(t, !a.ok && time.Since(began) < 4*time.Second)
+	assert.Assert(t, !a.ok && time.Since(began) < 9*time.Second)
 	assert.Assert(t, strings.Contains(a.cause, "g down for"), a.cause)
 	assert.Assert(t, a.retryAfter > 0 && a.waited > 0)
 }
 
+// Guards against a request that a group has refused as it is down, and whose caller comes back into the
+// same outage.
+func TestRefusalByGroupHasRetryAfterOfOutage(t *testing.T) {
+	m, p := prioritizedService(t, 3, ranksOf("g", 16, 1, false))
+	now := time.Now()
+	m.recordGroupDown(now, p.sorted[0])
+	c := &call{Gateway: &Gateway{services: m}, service: "llm", waiter: newOutageArrival(now, false)}
+	f := refusal{status: 503, reason: reasonUpstreamsBusy}
+	c.setRetryAfter(&f)
+	assert.Assert(t, f.retryAfter > time.Second && f.retryAfter <= 8*time.Second/3, "%s", f.retryAfter)
+	assert.Assert(t, strings.Contains(c.cause, "g down for"), c.cause)
+	f = refusal{status: 503, reason: reasonUpstreamsBusy}
+	c.waiter = nil
+	c.setRetryAfter(&f)
+	assert.Equal(t, f.retryAfter, time.Duration(0), "it was never admitted")
+}
+
+// Guards against callers that are all told to come back at the recovery, and against a place that is
+// beyond any caller's time.
+func TestBacklogIsAdmittedOverTime(t *testing.T) {
+	_, p := prioritizedService(t, 3, ranksOf("g", 16, 1, false))
+	const half = 16 * 12 / 2
+	assert.Equal(t, p.admitTimeAfterRecovery(0), time.Duration(0))
+	assert.Equal(t, p.admitTimeAfterRecovery(half), minFillTime)
+	more := p.admitTimeAfterRecovery(half + 0.4*16*12)
+	assert.Equal(t, (more - minFillTime).Round(time.Millisecond), defaultHoldTime)
+	assert.Equal(t, p.admitTimeAfterRecovery(1e6), maxReturnTime)
+}
+
 // Guards against an outage of one group that affects requests which the other serves, and against one
 // of both that goes unnoticed.
 func TestOutageOfOneOfTwoGroups(t *testing.T) {
--- a/outage/tracker.go
+++ b/outage/tracker.go
@@ -64,7 +64,9 @@
 
 // Observe records the state of the group.
 func (t *Tracker) Observe(now time.Time, o Observation) {
-	t.size = max(t.size, o.Size)
+	if o.Size > 0 {
+		t.size = o.Size
+	}
 	if t.observed && (o.Ranks > t.last.Ranks || o.Ranks == t.last.Ranks && o.Incarnations != t.last.Incarnations) {
 		t.recordRegistration(now, o.Ranks > t.last.Ranks+1)
 	}
--- a/outage/tracker_test.go
+++ b/outage/tracker_test.go
@@ -151,6 +151,17 @@
 	assert.DeepEqual(t, g.history, []time.Duration{5 * time.Second})
 }
 
+// Guards against ranks that count as missing for good after a group was made smaller, and against a
+// group without any registered rank that counts as complete.
+func TestSizeOfGroupChanges(t *testing.T) {
+	g := newGroup()
+	g.at(time.Second, func(o *Observation) { o.Ranks, o.Size = 24, 24 })
+	g.at(2*time.Second, breaks)
+	assert.Equal(t, g.Missing(), 0)
+	g.at(3*time.Second, func(o *Observation) { *o = Observation{Down: true} })
+	assert.Equal(t, g.Missing(), 24)
+}
+
 // A service of two groups recovers with the first of them, and its outage began when the second one
 // went down.
 func TestServiceRecoversWithItsFirstGroup(t *testing.T) {
