--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -90,8 +90,6 @@
 	// is since when some are missing; zero if none is.
 	ranks, size     int
 	lacksRanksSince time.Time
-	// incarnations is the sum of the incarnations of the registered ranks.
-	incarnations uint64
 	// occupancy is the estimated fraction of the slots in use, as of occupancyAt.
 	// reportedInflight is how many requests this gateway had in flight then.
 	occupancy        float64
@@ -124,7 +122,7 @@
 // setUpstreams updates the slots, those of evacuated upstreams apart, and the group epoch from the
 // registrations of the upstreams that are up.
 func (g *groupLimiter) setUpstreams(now time.Time, insts []*directory.Instance, evacuated map[string]bool) {
-	g.slots, g.lockstep, g.size, g.incarnations = 0, false, 0, 0
+	g.slots, g.lockstep, g.size = 0, false, 0
 	var reported directory.GroupEpoch
 	ranks := map[uint32]bool{}
 	for _, i := range insts {
@@ -134,7 +132,6 @@
 		g.lockstep = g.lockstep || i.Group != ""
 		g.size = max(g.size, int(i.Direct.GroupSize))
 		ranks[i.Rank] = true
-		g.incarnations += i.Incarnation
 		reported.Merge(i.Direct)
 	}
 	g.setRanks(now, len(ranks))
--- a/gateway/outages.go
+++ b/gateway/outages.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/outage"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -95,9 +96,21 @@
 	return p.policy.Enabled() && !p.outages.off && (p.lockstep() || len(p.sorted) == 0)
 }
 
+// countRegistrations counts the ranks that have registered anew.
+func (g *groupPool) countRegistrations(insts []*directory.Instance) {
+	known := make(map[string]uint64, len(insts))
+	for _, i := range insts {
+		known[i.Id] = i.Incarnation
+		if before, ok := g.incarnations[i.Id]; !ok || i.Incarnation > before {
+			g.registrations++
+		}
+	}
+	g.incarnations = known
+}
+
 func (g *groupPool) observation() outage.Observation {
 	l := &g.limiter
-	return outage.Observation{Down: l.down || l.ranks == 0, Ranks: l.ranks, Size: l.size, Incarnations: l.incarnations}
+	return outage.Observation{Down: l.down || l.ranks == 0, Ranks: l.ranks, Size: l.size, Registrations: g.registrations}
 }
 
 // outage returns the forecast of the service if all its groups are down and it is tracked.
--- a/gateway/outages_test.go
+++ b/gateway/outages_test.go
@@ -156,6 +156,22 @@
 	assert.Assert(t, d == decisionAdmit && w.group.name == "a")
 }
 
+// Guards against a lapsed lease of a rank that has registered under another ID meanwhile, which looks like
+// a registration, and against a registration that isn't noticed.
+func TestRegistrationsAreCounted(t *testing.T) {
+	m, p := prioritizedService(t, 3, ranksOf("g", 16, 1, false))
+	g := p.sorted[0]
+	assert.Equal(t, g.registrations, 16)
+	again := ranksOf("g", 16, 1, true)
+	restarted := *again[3]
+	restarted.Announcement = &wire.Announcement{Id: "other", Incarnation: 7, Group: "g", Rank: 3, Pools: again[3].Pools, Phase: again[3].Phase, Direct: again[3].Direct}
+	again[5].Incarnation++
+	assert.NilError(t, m.update(start, append(again, &restarted), updateInputs{}))
+	assert.Equal(t, g.registrations, 18)
+	assert.NilError(t, m.update(start, append(again[4:], &restarted), updateInputs{}))
+	assert.Equal(t, g.registrations, 18)
+}
+
 // Guards against callers of a service whose ranks are all gone being held as if it weren't down.
 func TestOutageOfGroupWithoutRanks(t *testing.T) {
 	m, p := prioritizedService(t, 3, ranksOf("g", 16, 1, false))
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -52,6 +52,10 @@
 	balancer  route.Balancer
 	upstreams map[string]*directory.Instance
 	limiter   groupLimiter
+	// registrations counts the upstreams that have registered anew, and incarnations has those of
+	// the present ones by ID.
+	registrations int
+	incarnations  map[string]uint64
 	// lastState is the state of the limiter at the last request.
 	lastState groupState
 	pacer     pacer
@@ -138,6 +142,7 @@
 			Load: &wire.Load{Seq: firstLoad, Slots: i.Direct.Slots},
 		})
 	}
+	g.countRegistrations(insts)
 	g.balancer.SetUpstreams(now, upstreams)
 	g.limiter.setUpstreams(now, insts, g.service.evacuated)
 }
--- a/outage/tracker.go
+++ b/outage/tracker.go
@@ -34,9 +34,9 @@
 	Down bool
 	// Ranks is how many ranks are registered, Size how many the group has; 0 if unknown.
 	Ranks, Size int
-	// Incarnations is the sum of the incarnations of the registered ranks. It changes when a rank
-	// registers after a restart that its lease has outlasted.
-	Incarnations uint64
+	// Registrations counts the ranks that have registered anew, also after a restart that their
+	// lease has outlasted. It starts anew when the group has no rank.
+	Registrations int
 }
 
 // Tracker tracks the outages of one group. The zero value is one of which nothing is known.
@@ -67,8 +67,8 @@
 	if o.Size > 0 {
 		t.size = o.Size
 	}
-	if t.observed && (o.Ranks > t.last.Ranks || o.Ranks == t.last.Ranks && o.Incarnations != t.last.Incarnations) {
-		t.recordRegistration(now, o.Ranks > t.last.Ranks+1)
+	if n := o.Registrations - t.last.Registrations; t.observed && n > 0 {
+		t.recordRegistration(now, n > 1)
 	}
 	switch {
 	case o.Down && !t.last.Down:
--- a/outage/tracker_test.go
+++ b/outage/tracker_test.go
@@ -23,7 +23,7 @@
 
 // newGroup returns a group of 72 ranks that serves.
 func newGroup() *group {
-	g := &group{now: start, obs: Observation{Ranks: 72, Size: 72, Incarnations: 72}}
+	g := &group{now: start, obs: Observation{Ranks: 72, Size: 72, Registrations: 72}}
 	g.Observe(g.now, g.obs)
 	return g
 }
@@ -48,11 +48,11 @@
 
 func breaks(o *Observation)      { o.Down = true }
 func forms(o *Observation)       { o.Down = false }
-func lose(o *Observation)        { o.Ranks, o.Incarnations = 48, 48 }
-func registerOne(o *Observation) { o.Ranks++; o.Incarnations += 2 }
+func lose(o *Observation)        { o.Ranks = 48 }
+func registerOne(o *Observation) { o.Ranks++; o.Registrations++ }
 
 // restart is the registration of a rank that was lost for less than its lease.
-func restart(o *Observation) { o.Incarnations++ }
+func restart(o *Observation) { o.Registrations++ }
 
 // Guards against holding requests for, or aiming callers at, a time before which no group can have
 // formed: while ranks are missing, and within the form time of the last registration.
@@ -123,7 +123,7 @@
 
 // Guards against a gateway that starts during an outage and remembers the rest of it as a short one.
 func TestOutageOfUnknownStartIsNotRemembered(t *testing.T) {
-	g := &group{now: start, obs: Observation{Down: true, Ranks: 48, Size: 72, Incarnations: 48}}
+	g := &group{now: start, obs: Observation{Down: true, Ranks: 48, Size: 72, Registrations: 72}}
 	g.Observe(g.now, g.obs)
 	g.expect(t, 0, formTime, restartTime+registerTime+formTime, false)
 	g.at(time.Second, forms)
