--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -24,6 +24,10 @@
 	// firstEventTimeout is how long callers wait for the first event of a stream before they
 	// leave.
 	firstEventTimeout = 2 * time.Second
+	// firstEventTargets and firstEventGaps are how many times the target for the first event, and
+	// the target gap, callers of a prioritized service wait for the first event if that is longer.
+	firstEventTargets = 4
+	firstEventGaps    = 8
 	// firstEventMargin allows for the network path between caller and gateway, and for a slow
 	// pass.
 	firstEventMargin = 150 * time.Millisecond
@@ -41,6 +45,13 @@
 	priority uint32
 	// overShare says that the request's team asks for more than its fair part of the service.
 	overShare bool
+	// deadline is when the caller's time is over, and lastStart the latest admission of a retry;
+	// zero if unknown. hold is how long a try may be queued.
+	deadline, lastStart time.Time
+	hold                time.Duration
+	// refused is closed when the queued request is refused before giveUpAt, with its cause.
+	refused chan struct{}
+	cause   string
 	// admitted is closed when the request is admitted; group is then the group that it may go to.
 	admitted chan struct{}
 	group    *groupPool
@@ -52,7 +63,9 @@
 // class is what the order of admission depends on, besides the time of the request.
 type class struct {
 	// starved says that requests of this priority get too little and go first.
-	starved   bool
+	starved bool
+	// backlog says that the request is late during an outage of the service or just after it.
+	backlog   bool
 	priority  uint32
 	overShare bool
 	late      bool
@@ -63,6 +76,8 @@
 	switch {
 	case c.starved != d.starved:
 		return c.starved
+	case c.backlog != d.backlog:
+		return d.backlog
 	case c.priority != d.priority:
 		return c.priority < d.priority
 	case c.overShare != d.overShare:
@@ -87,6 +102,15 @@
 // still be answered in time therefore go first; late ones lose little by waiting longer.
 type waitQueue struct {
 	waiters []*waiter
+	// backlogUntil is until when late requests come after all others: during an outage and for a while after it.
+	backlogUntil time.Time
+}
+
+// classOf returns the class of a request, which needn't be queued.
+func (q *waitQueue) classOf(now time.Time, w *waiter, starved func(uint32) bool) class {
+	c := w.class(now, starved)
+	c.backlog = c.late && now.Before(q.backlogUntil)
+	return c
 }
 
 func (q *waitQueue) add(w *waiter) { q.waiters = append(q.waiters, w) }
@@ -103,7 +127,7 @@
 func (q *waitQueue) firsts(now time.Time, starved func(uint32) bool) []*waiter {
 	byClass := map[class]*waiter{}
 	for _, w := range q.waiters {
-		c := w.class(now, starved)
+		c := q.classOf(now, w, starved)
 		if c.late && !now.Before(w.giveUpAt) {
 			continue
 		}
@@ -112,7 +136,7 @@
 		}
 	}
 	return slices.SortedFunc(maps.Values(byClass), func(a, b *waiter) int {
-		if a.class(now, starved).before(b.class(now, starved)) {
+		if q.classOf(now, a, starved).before(q.classOf(now, b, starved)) {
 			return -1
 		}
 		return 1
@@ -144,7 +168,7 @@
 func (q *waitQueue) ahead(now time.Time, c class, starved func(uint32) bool) int {
 	n := 0
 	for _, w := range q.waiters {
-		if !c.before(w.class(now, starved)) {
+		if !c.before(q.classOf(now, w, starved)) {
 			n++
 		}
 	}
