--- a/control/control.go
+++ b/control/control.go
@@ -20,6 +20,7 @@
 	"github.com/snipereach/snipereach/lockstep/leader"
 	"github.com/snipereach/snipereach/quarantine"
 	"github.com/snipereach/snipereach/retry"
+	"github.com/snipereach/snipereach/teamshare"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/wire"
@@ -71,6 +72,8 @@
 	// statements are what upstreams ask of gateways, permits lends permits within their limits.
 	statements *statementStore
 	permits    *backpressure.Lender
+	// demand sums up what callers ask of contended services.
+	demand *teamshare.Collector
 
 	mu       sync.Mutex
 	identity *wire.Identity
@@ -85,7 +88,7 @@
 		return nil, err
 	}
 	s.Now = s.Clock()
-	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, surveys: &surveyFeed{}, metrics: kernel.NewMetrics(), suspicions: newSuspicionStore(s.Now), lender: retry.NewLender(s.Now), statements: newStatementStore(s.Now), permits: backpressure.NewLender(s.Now)}
+	c := &Control{settings: s, log: kernel.PartLog(l, "control"), pool: pool, surveys: &surveyFeed{}, metrics: kernel.NewMetrics(), suspicions: newSuspicionStore(s.Now), lender: retry.NewLender(s.Now), statements: newStatementStore(s.Now), permits: backpressure.NewLender(s.Now), demand: teamshare.NewCollector(s.Now)}
 	c.groups = newGroupLeader(s, kernel.PartLog(l, "groups"), pool)
 	if s.Lockstep == nil {
 		return c, nil
@@ -136,6 +139,9 @@
 	if err := wire.DRPCRegisterBackpressure(mux, backpressureService{&service{c}}); err != nil {
 		return err
 	}
+	if err := wire.DRPCRegisterDemand(mux, demandService{c}); err != nil {
+		return err
+	}
 	return wire.DRPCRegisterControl(mux, &service{c})
 }
 
