--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -65,6 +65,9 @@
 	case decisionRefuse:
 		a.retryAfter = wait
 	case decisionQueue:
+		if w.onQueued != nil {
+			w.onQueued()
+		}
 		a.ok, a.retryAfter = m.awaitAdmission(ctx, p, w)
 		a.waited = time.Since(now)
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -32,6 +32,8 @@
 	service string
 	// priority is that of the request; nil if all requests of the service have the same one.
 	priority *uint32
+	// overShare says that the request is beyond its team's share of the service.
+	overShare bool
 	// group is the group whose permit the request holds.
 	group      *groupPool
 	team       *wire.KeyedTeam
@@ -331,7 +333,8 @@
 func (c *call) newWaiter() *waiter {
 	head := c.services.headTime(c.service)
 	c.age = c.timeouts.age(c.receivedAt, c.route, c.params.Deadline)
-	w := &waiter{retried: c.age > 0, admitted: make(chan struct{})}
+	c.overShare = c.beyondTeamShare()
+	w := &waiter{retried: c.age > 0, overShare: c.overShare, admitted: make(chan struct{})}
 	if c.priority != nil {
 		w.priority = *c.priority
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/snipereach/snipereach/quota"
 	"github.com/snipereach/snipereach/retry"
 	"github.com/snipereach/snipereach/routing"
+	"github.com/snipereach/snipereach/teamshare"
 	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
 )
@@ -88,7 +89,9 @@
 	quarantine   *quarantine.Node
 	backpressure *backpressure.Node
 	rests        *backpressure.Rests
-	unreadable   unreadableValues
+	// teamShares knows which teams ask for more than their share; nil if that is turned off.
+	teamShares *teamshare.Node
+	unreadable unreadableValues
 }
 
 // New creates a Gateway. It returns an error if the settings are invalid.
@@ -120,6 +123,11 @@
 	g.backpressure = backpressure.NewNode(backpressure.Options{
 		Rests: g.rests, ID: s.ID, Log: g.log, Now: now, Metrics: g.metrics.Metrics, Dial: g.pool.Conn, Replicas: g.targets.Addresses,
 	})
+	if s.Admission.TeamShares {
+		g.teamShares = teamshare.NewNode(teamshare.Options{
+			ID: s.ID, Log: g.log, Now: now, Metrics: g.metrics.Metrics, Dial: g.pool.Conn, Replicas: g.targets.Addresses, Gateways: g.gatewayCount,
+		})
+	}
 	g.services.onStateChange, g.services.onPasses, g.services.gateways = g.logStateChange, g.logPasses, g.gatewayCount
 	g.services.restraints, g.services.onHeldBack = g.restraints, g.countHeldBack
 	g.metrics.register(g)
@@ -129,6 +137,7 @@
 	g.dumps.Add("gateway", g.dump)
 	g.dumps.Add("quarantine", g.quarantine.Dump)
 	g.dumps.Add("backpressure", g.backpressure.Dump)
+	g.dumps.Add("team-shares", g.teamShares.Dump)
 	return g, nil
 }
 
@@ -162,6 +171,7 @@
 	go g.followSurveys(ctx)
 	go g.quarantine.Run(ctx, g.targets.Addresses)
 	go g.backpressure.Run(ctx)
+	go g.teamShares.Run(ctx)
 	go g.announceLoop(ctx)
 	kernel.Info(g.log, "Started.", "id", g.settings.ID, "failure_domain", g.settings.FailureDomain, "addr", g.callerListener.Addr(), "version", kernel.Version)
 	return nil
@@ -255,7 +265,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
-	a := g.services.acquire(ctx, c.service, c.newWaiter())
+	a := c.acquire()
 	c.waited = a.waited
 	if !a.ok {
 		c.cause = a.cause
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -41,6 +41,8 @@
 	priority uint32
 	// overShare says that the request's team asks for more than its fair part of the service.
 	overShare bool
+	// onQueued, if set, is called without a lock when the request is queued.
+	onQueued func()
 	// admitted is closed when the request is admitted; group is then the group that it may go to.
 	admitted chan struct{}
 	group    *groupPool
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -39,8 +39,16 @@
 	// Keep is how long callers may keep the list of gateways.
 	Keep kernel.Duration `toml:"keep"`
 	// StopLimit is the time between the stop signal and the forced stop.
-	StopLimit kernel.Duration `toml:"stop_limit"`
-	Retries   RetrySettings   `toml:"retries"`
+	StopLimit kernel.Duration   `toml:"stop_limit"`
+	Retries   RetrySettings     `toml:"retries"`
+	Admission AdmissionSettings `toml:"admission"`
+}
+
+// AdmissionSettings is the [admission] section: which requests of services with several priorities are
+// admitted first while not all can be.
+type AdmissionSettings struct {
+	// TeamShares limits teams that ask for more than their fair share first.
+	TeamShares bool `toml:"team_shares"`
 }
 
 // RetrySettings is the [retries] section: the retry budget of a service, shared by all gateways.
@@ -62,6 +70,7 @@
 		Keep:             kernel.Duration(2 * time.Second),
 		StopLimit:        kernel.Duration(8 * time.Second),
 		Retries:          RetrySettings{Ratio: 0.1, Slack: 10, Window: kernel.Duration(10 * time.Second)},
+		Admission:        AdmissionSettings{TeamShares: true},
 	}
 }
 
--- a/teamshare/demand.go
+++ b/teamshare/demand.go
@@ -26,17 +26,19 @@
 
 // Demand counts the requests of one team and priority.
 type Demand struct {
-	Team                       string
-	Priority                   uint32
-	Arrived, Admitted, Refused uint32
+	Team     string `json:"team"`
+	Priority uint32 `json:"priority"`
+	Arrived  uint32 `json:"arrived"`
+	Admitted uint32 `json:"admitted"`
+	Refused  uint32 `json:"refused"`
 	// Causes counts the refused requests by cause.
-	Causes []CauseCount
+	Causes []CauseCount `json:"causes,omitempty"`
 }
 
 // CauseCount is the number of requests that were refused for a cause.
 type CauseCount struct {
-	Cause string
-	Count uint32
+	Cause string `json:"cause"`
+	Count uint32 `json:"count"`
 }
 
 // add adds the counts of another Demand. The two must not share Causes.
--- /dev/null
+++ b/teamshare/level_test.go
@@ -0,0 +1,105 @@
+package teamshare
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a level that leaves capacity unused, exceeds it, or holds back a team that asks for less
+// than others get: the definition of max-min fairness.
+func TestLevelIsMaxMinFair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demands := rapid.SliceOfN(rapid.Float64Range(0, 1000), 0, 40).Draw(t, "demands")
+		capacity := rapid.Float64Range(0, 20_000).Draw(t, "capacity")
+		level := Level(demands, capacity)
+		total, served := 0.0, 0.0
+		for _, d := range demands {
+			total += d
+			served += min(d, level)
+		}
+		if math.IsInf(level, 1) {
+			assert.Assert(t, total <= capacity*(1+1e-9), "capacity for %f of %f is said to suffice", capacity, total)
+			return
+		}
+		assert.Assert(t, math.Abs(served-capacity) <= 1e-6*max(capacity, 1), "%f served of a capacity of %f", served, capacity)
+		assert.Assert(t, total >= capacity*(1-1e-9), "limited to %f without need", level)
+		// The unused part of no team can raise another: whoever is held back gets the level, which is
+		// at least what any other team gets.
+		for _, d := range demands {
+			assert.Assert(t, min(d, level) == d || min(d, level) == level)
+		}
+		shuffled := slices.Clone(demands)
+		slices.Reverse(shuffled)
+		assert.Equal(t, Level(shuffled, capacity), level)
+	})
+}
+
+func demandOf(team string, arrived, admitted int) Demand {
+	return Demand{Team: team, Arrived: uint32(arrived), Admitted: uint32(admitted)}
+}
+
+// Guards against a limit on teams that are within their share or a tenth over it, and on all the teams that
+// are counted together.
+func TestOnlyTeamsOverTheirShareAreLimited(t *testing.T) {
+	s := NewShares([]Demand{
+		demandOf("small", 10, 10), demandOf("near", 109, 90), demandOf("flood", 1000, 110), demandOf(OtherTeams, 5000, 50),
+	})
+	assert.Equal(t, s.Level(), 100.0)
+	assert.DeepEqual(t, s.Teams(), []string{"flood"})
+	assert.Assert(t, s.Beyond("flood", 0), "of the most demanding team all requests are beyond its share")
+	for _, team := range []string{"small", "near", OtherTeams, "unknown"} {
+		assert.Assert(t, !s.Over(team) && !s.Beyond(team, 0.999), team)
+	}
+	assert.Assert(t, NewShares([]Demand{demandOf("a", 9, 9), demandOf("b", 90, 90)}).Teams() == nil, "a team is limited though all was admitted")
+	assert.Assert(t, NewShares(nil).Teams() == nil)
+}
+
+// Guards against shares that add up the priorities of a team as different teams.
+func TestPrioritiesOfATeamAreOneDemand(t *testing.T) {
+	s := NewShares([]Demand{
+		{Team: "a", Priority: 0, Arrived: 60, Admitted: 30}, {Team: "a", Priority: 2, Arrived: 60, Admitted: 20},
+		{Team: "b", Priority: 2, Arrived: 50, Admitted: 50},
+	})
+	assert.Equal(t, s.Level(), 50.0)
+	assert.DeepEqual(t, s.Teams(), []string{"a"})
+}
+
+// Guards against a team that is served more than the level because it sends more requests than other teams
+// over their share, which callers that ignore Retry-After would bring about.
+func TestTeamsOverTheirShareAreServedTheLevel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var list []Demand
+		total := 0
+		for i := range rapid.IntRange(1, 30).Draw(t, "teams") {
+			n := rapid.IntRange(1, 100_000).Draw(t, "arrived")
+			total += n
+			list = append(list, demandOf(fmt.Sprint("t", i), n, 0))
+		}
+		admitted := rapid.IntRange(1, total).Draw(t, "admitted")
+		for i := range list {
+			// How what is admitted is divided now doesn't count, so the last team has it all.
+			list[i].Admitted = 0
+		}
+		list[len(list)-1].Admitted = uint32(admitted)
+		s := NewShares(list)
+		highest := 0.0
+		for _, d := range list {
+			highest = max(highest, float64(d.Arrived))
+		}
+		for _, d := range list {
+			if !s.Over(d.Team) {
+				assert.Assert(t, float64(d.Arrived) <= overMargin*s.Level())
+				continue
+			}
+			demand, within := float64(d.Arrived), s.withinShare[d.Team]
+			assert.Assert(t, within >= 0 && within < 1, "fraction %f within the share", within)
+			served := within*demand + (1-within)*demand*s.Level()/highest
+			assert.Assert(t, math.Abs(served-s.Level()) < 1e-6*s.Level(), "%f served at a level of %f", served, s.Level())
+		}
+	})
+}
