--- a/teamshare/collector.go
+++ b/teamshare/collector.go
@@ -126,7 +126,7 @@
 		totals.SpanMs = max(totals.SpanMs, r.spanMs)
 		totals.AgeMs = max(totals.AgeMs, uint32(age.Milliseconds()))
 	}
-	totals.Teams = toWire(all.list(MaxTeams))
+	totals.Teams = ToWire(all.list(MaxTeams))
 	s.totals, s.summedAt = totals, now
 	return totals
 }
--- a/teamshare/collector_test.go
+++ b/teamshare/collector_test.go
@@ -19,7 +19,7 @@
 func (c *clock) pass(d time.Duration) { c.at = c.at.Add(d) }
 
 func reportOf(gateway string, list ...Demand) *wire.DemandReport {
-	return &wire.DemandReport{Gateway: gateway, Service: "s", SpanMs: 5000, Teams: toWire(list)}
+	return &wire.DemandReport{Gateway: gateway, Service: "s", SpanMs: 5000, Teams: ToWire(list)}
 }
 
 func mustReport(t *testing.T, c *Collector, r *wire.DemandReport) *wire.DemandTotals {
--- a/teamshare/counter_test.go
+++ b/teamshare/counter_test.go
@@ -71,7 +71,7 @@
 		}
 	}
 	list := c.Recent(now)
-	report := &wire.DemandReport{Gateway: "g", Service: "s", Teams: toWire(list)}
+	report := &wire.DemandReport{Gateway: "g", Service: "s", Teams: ToWire(list)}
 	assert.NilError(t, Check(report), "the replica refuses the report")
 	assert.Equal(t, find(list, "flood").Arrived, uint32(windows*teams/10))
 	sum := uint32(0)
--- a/teamshare/demand.go
+++ b/teamshare/demand.go
@@ -142,8 +142,8 @@
 	return list
 }
 
-// toWire returns Demands as a message has them.
-func toWire(list []Demand) []*wire.TeamDemand {
+// ToWire returns Demands as a message has them.
+func ToWire(list []Demand) []*wire.TeamDemand {
 	out := make([]*wire.TeamDemand, len(list))
 	for i, d := range list {
 		out[i] = &wire.TeamDemand{Team: d.Team, Priority: d.Priority, Arrived: d.Arrived, Admitted: d.Admitted}
--- a/teamshare/node.go
+++ b/teamshare/node.go
@@ -265,7 +265,7 @@
 	now := n.now()
 	s.mu.Lock()
 	order := s.tracker.replicas.order(now, s.name, known)
-	req := &wire.DemandReport{Gateway: n.id, Service: s.name, SpanMs: uint32(Span.Milliseconds()), Teams: toWire(s.tracker.counter.Recent(now))}
+	req := &wire.DemandReport{Gateway: n.id, Service: s.name, SpanMs: uint32(Span.Milliseconds()), Teams: ToWire(s.tracker.counter.Recent(now))}
 	s.tracker.reportedAt = now
 	s.mu.Unlock()
 	for _, replica := range order[:min(attemptsPerReport, len(order))] {
