--- a/overload/sharereserve.go
+++ b/overload/sharereserve.go
@@ -9,10 +9,9 @@
 	// maxReservedRanks bounds the ranks that are counted. Less urgent ones are counted with the last.
 	maxReservedRanks = 10
 	// reserveDeviations is how many standard deviations of the expected requests are reserved in
-	// addition. With 18 slots at each of 40 gateways, the expected ones alone cost the other teams 4
-	// points of requests in time beside a flood. More than half a deviation refuses requests that
-	// could be served: of a group that is just full, one deviation costs 5 points.
-	reserveDeviations = 0.5
+	// addition. With 18 slots at each of 40 gateways, the expected requests alone cost the other teams
+	// over 4 points of requests in time beside a flood, with one deviation it is less than 2.
+	reserveDeviations = 1.0
 )
 
 // ShareReserve tells how many slots requests beyond the share of their team leave free for the other
--- a/teamshare/shares.go
+++ b/teamshare/shares.go
@@ -11,7 +11,7 @@
 	overMargin = 1.1
 	// overDeviations is by how many standard deviations it must exceed the level in addition, where that is
 	// more. Of teams that ask for 50 requests in a span each, a third exceeds the mean by a tenth by chance;
-	// limiting these cost the others 20 points of requests in time beside a flood.
+	// limiting these cost the others 10 points of requests in time beside a flood.
 	overDeviations = 3
 )
 
@@ -41,46 +41,81 @@
 	withinShare map[string]float64
 }
 
+// teamCounts are the requests of a team over all priorities.
+type teamCounts struct{ arrived, refused, admitted float64 }
+
+// demand returns how many callers have asked, if each that is refused at first asks once more. Requests
+// that come again aren't demand: with them, a team that is limited by chance asks for more than the others
+// for as long as it is limited, and so stays limited.
+func (c teamCounts) demand() float64 {
+	if c.arrived == 0 {
+		return 0
+	}
+	return c.arrived / (1 + min(c.refused/c.arrived, 1))
+}
+
 // NewShares computes the shares from the counts of a span of time.
 //
 // OtherTeams have no share, and what they were admitted isn't available to the others: as many small
 // teams as they may stand for, none of them is held to a level.
 func NewShares(list []Demand) *Shares {
-	demands, admitted := map[string]float64{}, 0.0
+	teams := map[string]teamCounts{}
 	for _, d := range list {
 		if d.Team != OtherTeams {
-			demands[d.Team] += float64(d.Arrived)
-			admitted += float64(d.Admitted)
+			c := teams[d.Team]
+			c.arrived += float64(d.Arrived)
+			c.refused += float64(d.Refused)
+			c.admitted += float64(d.Admitted)
+			teams[d.Team] = c
 		}
 	}
-	s := &Shares{level: Level(slices.Collect(maps.Values(demands)), admitted)}
-	highest := 0.0
-	for _, d := range demands {
-		highest = max(highest, d)
+	var demands []float64
+	admitted := 0.0
+	for _, c := range teams {
+		demands = append(demands, c.demand())
+		admitted += c.admitted
 	}
-	for team, d := range demands {
-		if d <= overFrom(s.level) {
-			continue
-		}
-		if s.withinShare == nil {
-			s.withinShare = map[string]float64{}
+	s := &Shares{level: Level(demands, admitted)}
+	excess := 0.0
+	maps.DeleteFunc(teams, func(_ string, c teamCounts) bool {
+		d := c.demand()
+		if d > overFrom(s.level) {
+			return false
 		}
-		s.withinShare[team] = withinShare(d, s.level, highest)
-	}
+		excess += max(d-s.level, 0)
+		return true
+	})
+	s.limit(teams, excess)
 	return s
 }
 
-// withinShare returns the fraction of the requests of a team with a demand over level that counts as
-// within its share, so that the team is served level requests in all. highest is the highest demand.
+// limit sets which requests of the teams over their shares are within them. excess is what the other teams
+// ask for above the level. It is taken of what is left for the teams over their shares, and so given to these.
+func (s *Shares) limit(over map[string]teamCounts, excess float64) {
+	highest, taken := 0.0, min(excess/(float64(len(over))*s.level), 1)
+	for _, c := range over {
+		highest = max(highest, c.arrived)
+	}
+	if len(over) > 0 {
+		s.withinShare = make(map[string]float64, len(over))
+	}
+	for team, c := range over {
+		within := withinShare(c.arrived, s.level, highest)
+		s.withinShare[team] = within + (s.level/c.arrived-within)*taken
+	}
+}
+
+// withinShare returns the fraction of the requests of a team over its share that counts as within it, so that
+// the team is served level requests in all. highest is the highest number of requests of such a team.
 //
 // Requests beyond the shares are served in proportion to their number, if any are. With all requests of
 // all teams over their shares beyond them, a team whose callers ignore Retry-After would be served most.
-// So the team with the highest demand has no request within its share, and is served level/highest
-// of them; each other team has as many within its share as make up what it is served less at that ratio:
+// So the team with the most requests has none within its share, and is served level/highest of them;
+// each other team has as many within its share as make up for what it is served less at that ratio:
 //
-//	within + (demand-within) * level/highest = level
-func withinShare(demand, level, highest float64) float64 {
-	return level * (highest - demand) / (highest - level) / demand
+//	within + (arrived-within) * level/highest = level
+func withinShare(arrived, level, highest float64) float64 {
+	return level * (highest - arrived) / (highest - level) / arrived
 }
 
 // scale multiplies the level, which is for showing, with what the counts were scaled down by.
