--- a/teamshare/collector_test.go
+++ b/teamshare/collector_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/snipereach/snipereach/wire"
@@ -105,3 +106,28 @@
 	}
 	assert.Equal(t, c.reports, 0)
 }
+
+// Guards against a replica that takes more than a small part of a core for the reports of 400 gateways with
+// 256 teams each, which come each second: one operation is such a second.
+func BenchmarkSecondOfReports(b *testing.B) {
+	at := &clock{start}
+	c := NewCollector(at.now)
+	list := make([]Demand, MaxTeams)
+	for i := range list {
+		list[i] = Demand{Team: fmt.Sprint("team-", i), Priority: 1, Arrived: 100, Admitted: 50, Refused: 50, Causes: []CauseCount{{"upstreams-busy", 50}}}
+	}
+	reports := make([]*wire.DemandReport, 400)
+	for i := range reports {
+		reports[i] = reportOf(fmt.Sprint("gateway-", i), list...)
+	}
+	data, err := proto.Marshal(reports[0])
+	assert.NilError(b, err)
+	for b.Loop() {
+		for _, r := range reports {
+			at.pass(time.Second / time.Duration(len(reports)))
+			_, err := c.Report(r)
+			assert.NilError(b, err)
+		}
+	}
+	b.ReportMetric(float64(len(data)), "B/report")
+}
