--- a/control/demand_test.go
+++ b/control/demand_test.go
@@ -91,6 +91,7 @@
 // Guards against a replica that takes reports of any size.
 func TestInvalidDemandReportIsRefused(t *testing.T) {
 	c := newCluster(t, 1)
+	c.leader()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	_, err := wire.NewDRPCDemandClient(c.pool.Conn(ctx, c.addrs[0])).Report(ctx, &wire.DemandReport{Service: "s"})
--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -12,6 +12,13 @@
 	// expiringAdmitFraction is the least fraction of the admission rate that late requests get
 	// while one of them is about to expire.
 	expiringAdmitFraction = 0.6
+	// rankedWaitMargin is how much longer than expected ranked requests may have to wait: more
+	// urgent requests don't arrive evenly, and one that is refused after it has waited would have
+	// done better to come back later.
+	rankedWaitMargin = 1.3
+	// maxExpectedWait stands for a wait that has no end in sight. It is longer than any request is
+	// queued.
+	maxExpectedWait = time.Minute
 )
 
 // decision is what becomes of a request that arrives.
@@ -37,6 +44,7 @@
 	if !w.overShare {
 		p.shareReserve.RecordArrival(now, w.priority)
 	}
+	p.observeOutages(now)
 	c := p.classOf(now, w)
 	if p.ahead(now, c) == 0 {
 		if g := p.pickGroup(now, gateways, c); g != nil {
@@ -45,13 +53,13 @@
 		}
 	}
 	if p.allEvacuated() || len(p.queue.waiters) >= maxQueued || !now.Before(w.giveUpAt) {
-		return decisionRefuse, p.refused(now)
+		return decisionRefuse, p.refusedRequest(now, w)
 	}
 	if !p.likelyAdmitted(now, gateways, w) {
-		return decisionRefuse, p.refused(now)
+		return decisionRefuse, p.refusedRequest(now, w)
 	}
 	p.queue.add(w)
-	p.late.observeQueue(now, &p.queue)
+	p.late.of(w.priority).observeQueue(now, &p.queue)
 	return decisionQueue, 0
 }
 
@@ -59,6 +67,9 @@
 // before it must be refused: at the pace of the groups while slots are free, and then as others
 // are released.
 func (p *servicePool) likelyAdmitted(now time.Time, gateways int, w *waiter) bool {
+	if f, down := p.outage(now); down {
+		return p.outageRequest(w, p.backlogAhead(now, w)).Holds(now, f)
+	}
 	if !p.available(now) {
 		return w.retried && !p.incomplete(now)
 	}
@@ -68,24 +79,33 @@
 	}
 	c.late = true
 	ahead := p.ahead(now, c)
+	if now.Before(p.queue.backlogUntil) {
+		return p.backlogAdmitted(now, w)
+	}
 	// With free slots, only long passes hold requests back for a moment, so the rate of late
 	// admissions doesn't apply.
 	limit, inflight := p.limit(now, gateways, c)
-	if rate, known := p.late.rate(now); known && inflight >= limit {
+	if rate, known := p.late.of(w.priority).rate(now); known && inflight >= limit {
 		return float64(ahead+1) <= rate*w.giveUpAt.Sub(now).Seconds()
 	}
-	return w.retried || p.expectedWait(now, gateways, c, ahead, lateSlotFraction) <= w.giveUpAt.Sub(now)
+	if w.retried && !p.policy.Enabled() {
+		return true
+	}
+	return p.expectedWait(now, gateways, c, ahead, lateSlotFraction) <= w.giveUpAt.Sub(now)
 }
 
 // classOf returns the class of a request of the service.
-func (p *servicePool) classOf(now time.Time, w *waiter) class { return w.class(now, p.starved(now)) }
+func (p *servicePool) classOf(now time.Time, w *waiter) class {
+	return p.queue.classOf(now, w, p.starved(now))
+}
 
 // starved returns whether requests of a priority get too little, or nil if all have the same one.
 func (p *servicePool) starved(now time.Time) func(uint32) bool {
 	if !p.policy.Enabled() {
 		return nil
 	}
-	return func(priority uint32) bool { return p.policy.Starved(now, priority) }
+	starved := p.policy.StarvedRanks(now)
+	return func(rank uint32) bool { return int(rank) < len(starved) && starved[rank] }
 }
 
 // ahead returns how many queued requests would be admitted before one of a class that arrives now.
@@ -101,10 +121,28 @@
 	if p.lockstep() {
 		wait = float64(ahead+1) / max(p.slotShare(now, gateways), 1) * minFillTime.Seconds()
 	}
-	if needed := ahead + 1 - max(limit-inflight, 0); needed > 0 {
-		wait += float64(needed) * p.meanHoldTime().Seconds() / (fraction * float64(max(limit, 1)))
+	free, released := max(limit-inflight, 0), fraction*float64(max(limit, 1))/p.meanHoldTime().Seconds()
+	if p.policy.Enabled() {
+		free, released = limit-inflight, p.releasedFor(now, c, limit)/rankedWaitMargin
+	}
+	if needed := ahead + 1 - free; needed > 0 {
+		if released <= 0 {
+			return maxExpectedWait
+		}
+		wait += float64(needed) / released
+	}
+	return min(time.Duration(wait*float64(time.Second)), maxExpectedWait)
+}
+
+// releasedFor returns how many of the permits that are released in a second are left for ranked
+// requests of a class: more urgent requests that arrive take theirs before, and before late ones
+// also those of the same rank.
+func (p *servicePool) releasedFor(now time.Time, c class, limit int) float64 {
+	released := float64(max(limit, 1)) / p.meanHoldTime().Seconds()
+	if c.late {
+		return released - p.policy.MoreUrgentPerSecond(now, c.priority+1)
 	}
-	return time.Duration(wait * float64(time.Second))
+	return released - p.policy.MoreUrgentPerSecond(now, c.priority)
 }
 
 // slotShare returns the number of the group's slots that this gateway may use.
@@ -117,14 +155,23 @@
 // for long passes after the next shift of expert demand; those beyond the share of their team leave
 // room for the others of their priority.
 func (g *groupPool) limit(now time.Time, gateways int, c class) int {
+	limit := g.limitOf(now, gateways, c)
+	if c.late {
+		return max(int(lateLimitFraction*float64(limit)), 1)
+	}
+	return limit
+}
+
+// limitOf returns the limit of a class as if its requests were on time.
+func (g *groupPool) limitOf(now time.Time, gateways int, c class) int {
 	policy := &g.service.policy
-	urgent := !policy.Enabled() || policy.MostUrgent(c.priority) || c.starved
+	urgent := !policy.Enabled() || c.priority == 0 || c.starved
 	if urgent && !c.overShare {
 		return g.limiter.limit(now, gateways)
 	}
 	fill, reserved := maxFill, g.service.reservedForShares(now, c)
 	if !urgent {
-		fill = g.limiter.fillWithHeadroom(now)
+		fill = g.limiter.fillFor(now, policy.UrgentFraction(now, c.priority))
 		reserved += policy.Reserved(now, c.priority)
 	}
 	fraction := g.slotShare(gateways) / max(g.service.slotShare(now, gateways), 1)
@@ -135,10 +182,7 @@
 // gateway; 0 if none may be admitted now.
 func (g *groupPool) permits(now time.Time, gateways int, c class) int {
 	limit := g.limit(now, gateways, c)
-	if c.late {
-		limit = max(int(lateLimitFraction*float64(limit)), 1)
-	}
-	if len(g.upstreams) == 0 || g.limiter.inflight >= limit || !g.limiter.mayAdmit(now, g.service.available(now)) {
+	if len(g.upstreams) == 0 || g.limiter.inflight >= limit || !g.limiter.mayAdmit(now, g.service.available(now) || g.cannotForm(now)) {
 		return 0
 	}
 	if g.limiter.lockstep && !g.paceAllows(now, gateways, c.late) {
@@ -154,7 +198,8 @@
 	if late && g.service.queue.hasExpiring(now) {
 		fraction = max(fraction, expiringAdmitFraction)
 	}
-	g.pacer.refill(now, fraction*g.slotShare(gateways), max(paceBurst/float64(max(g.service.availableGroups(now), 1)), 1))
+	share := fraction * g.slotShare(gateways)
+	g.pacer.refill(now, share, max(paceBurst/float64(max(g.service.availableGroups(now), 1)), g.service.minBurst(share)))
 	return fraction > 0 && g.pacer.hasToken()
 }
 
@@ -162,7 +207,7 @@
 func (p *servicePool) admit(now time.Time, g *groupPool, w *waiter) {
 	w.group = g
 	if !w.canBeOnTime(now) {
-		p.late.recordAdmission(now)
+		p.late.of(w.priority).recordAdmission(now)
 	}
 	p.policy.RecordAdmission(now, w.priority)
 	p.retryAfter.admitted()
@@ -172,6 +217,8 @@
 
 // admitQueued admits queued requests as far as permits allow.
 func (p *servicePool) admitQueued(now time.Time, gateways int) {
+	p.observeOutages(now)
+	p.refuseHopeless(now)
 	p.late.observeQueue(now, &p.queue)
 	for p.admitNext(now, gateways) {
 	}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -25,8 +25,9 @@
 	policy overload.Policy
 	// shareReserve tells how much room requests beyond the share of their team leave to others.
 	shareReserve overload.ShareReserve
-	late         lateAdmissions
+	late         lateByPriority
 	retryAfter   retryAfterEstimator
+	outages      outages
 	// headTime is the EWMA of the time to the head of a response, holdTime that of the time that
 	// a request holds its permit; 0 before the first.
 	headTime, holdTime time.Duration
@@ -53,6 +54,10 @@
 	balancer  route.Balancer
 	upstreams map[string]*directory.Instance
 	limiter   groupLimiter
+	// registrations counts the upstreams that have registered anew, and incarnations has those of
+	// the present ones by ID.
+	registrations int
+	incarnations  map[string]uint64
 	// lastState is the state of the limiter at the last request.
 	lastState groupState
 	pacer     pacer
@@ -89,6 +94,7 @@
 		}
 	}
 	p.sorted = slices.SortedFunc(maps.Values(p.groups), func(a, b *groupPool) int { return cmp.Compare(a.name, b.name) })
+	p.observeOutages(now)
 	return nil
 }
 
@@ -138,6 +144,7 @@
 			Load: &wire.Load{Seq: firstLoad, Slots: i.Direct.Slots},
 		})
 	}
+	g.countRegistrations(insts)
 	g.balancer.SetUpstreams(now, upstreams)
 	g.limiter.setUpstreams(now, insts, g.service.evacuated)
 }
@@ -184,8 +191,10 @@
 }
 
 // limit returns how many requests the gateway may have in flight at the available groups when it
-// admits one of a class, and how many it has.
+// admits one of a class, and how many it has. That late requests may not use all of it counts only
+// where requests are ranked; elsewhere more of them are queued.
 func (p *servicePool) limit(now time.Time, gateways int, c class) (limit, inflight int) {
+	c.late = c.late && p.policy.Enabled()
 	for _, g := range p.sorted {
 		if g.limiter.available(now) {
 			limit += g.limit(now, gateways, c)
@@ -281,6 +290,7 @@
 	for _, g := range p.sorted {
 		fmt.Fprintf(&b, "%s, tokens %.1f; ", g.describe(now, p.gateways), g.pacer.tokens)
 	}
+	b.WriteString(p.describeOutages(now))
 	fmt.Fprintf(&b, "%d queued, head time %d ms, hold time %d ms", len(p.queue.waiters), p.headTime.Milliseconds(), p.meanHoldTime().Milliseconds())
 	return b.String()
 }
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -24,6 +24,10 @@
 	// firstEventTimeout is how long callers wait for the first event of a stream before they
 	// leave.
 	firstEventTimeout = 2 * time.Second
+	// firstEventTargets and firstEventGaps are how many times the target for the first event, and
+	// the target gap, callers of a prioritized service wait for the first event if that is longer.
+	firstEventTargets = 4
+	firstEventGaps    = 8
 	// firstEventMargin allows for the network path between caller and gateway, and for a slow
 	// pass.
 	firstEventMargin = 150 * time.Millisecond
@@ -36,13 +40,20 @@
 	onTimeBy, giveUpAt time.Time
 	// retried says that the caller has sent the request before, so it may have no further try.
 	retried bool
-	// priority is that of the request, 0 the most urgent; 0 if all requests of the service have
-	// the same one.
+	// priority is the rank of the request's priority among those of the service, 0 for the most
+	// urgent.
 	priority uint32
 	// overShare says that the request's team asks for more than its fair part of the service.
 	overShare bool
 	// onQueued, if set, is called without a lock when the request is queued.
 	onQueued func()
+	// deadline is when the caller's time is over, and lastStart the latest admission of a retry;
+	// zero if unknown. hold is how long a try may be queued.
+	deadline, lastStart time.Time
+	hold                time.Duration
+	// refused is closed when the queued request is refused before giveUpAt, with its cause.
+	refused chan struct{}
+	cause   string
 	// admitted is closed when the request is admitted; group is then the group that it may go to.
 	admitted chan struct{}
 	group    *groupPool
@@ -54,7 +65,9 @@
 // class is what the order of admission depends on, besides the time of the request.
 type class struct {
 	// starved says that requests of this priority get too little and go first.
-	starved   bool
+	starved bool
+	// backlog says that the request is late during an outage of the service or just after it.
+	backlog   bool
 	priority  uint32
 	overShare bool
 	late      bool
@@ -65,6 +78,8 @@
 	switch {
 	case c.starved != d.starved:
 		return c.starved
+	case c.backlog != d.backlog:
+		return d.backlog
 	case c.priority != d.priority:
 		return c.priority < d.priority
 	case c.overShare != d.overShare:
@@ -89,6 +104,15 @@
 // still be answered in time therefore go first; late ones lose little by waiting longer.
 type waitQueue struct {
 	waiters []*waiter
+	// backlogUntil is until when late requests come after all others: during an outage and for a while after it.
+	backlogUntil time.Time
+}
+
+// classOf returns the class of a request, which needn't be queued.
+func (q *waitQueue) classOf(now time.Time, w *waiter, starved func(uint32) bool) class {
+	c := w.class(now, starved)
+	c.backlog = c.late && now.Before(q.backlogUntil)
+	return c
 }
 
 func (q *waitQueue) add(w *waiter) { q.waiters = append(q.waiters, w) }
@@ -105,7 +129,7 @@
 func (q *waitQueue) firsts(now time.Time, starved func(uint32) bool) []*waiter {
 	byClass := map[class]*waiter{}
 	for _, w := range q.waiters {
-		c := w.class(now, starved)
+		c := q.classOf(now, w, starved)
 		if c.late && !now.Before(w.giveUpAt) {
 			continue
 		}
@@ -114,7 +138,7 @@
 		}
 	}
 	return slices.SortedFunc(maps.Values(byClass), func(a, b *waiter) int {
-		if a.class(now, starved).before(b.class(now, starved)) {
+		if q.classOf(now, a, starved).before(q.classOf(now, b, starved)) {
 			return -1
 		}
 		return 1
@@ -137,16 +161,16 @@
 	})
 }
 
-// hasLate reports whether a queued request can't be on time any more.
-func (q *waitQueue) hasLate(now time.Time) bool {
-	return slices.ContainsFunc(q.waiters, func(w *waiter) bool { return !w.canBeOnTime(now) })
+// hasLate reports whether a queued request of a priority can't be on time any more.
+func (q *waitQueue) hasLate(now time.Time, priority uint32) bool {
+	return slices.ContainsFunc(q.waiters, func(w *waiter) bool { return w.priority == priority && !w.canBeOnTime(now) })
 }
 
 // ahead returns how many queued requests would be admitted before one of a class that arrives now.
 func (q *waitQueue) ahead(now time.Time, c class, starved func(uint32) bool) int {
 	n := 0
 	for _, w := range q.waiters {
-		if !c.before(w.class(now, starved)) {
+		if !c.before(q.classOf(now, w, starved)) {
 			n++
 		}
 	}
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -46,8 +46,12 @@
 	position quota.Position
 	// coldLimits has the limits of services whose upstreams start cold.
 	coldLimits map[string]coldLimit
-	// priorities has the priorities that requests of each service may have.
-	priorities map[string][]uint32
+	// formTimes has the times that the groups of each service need to form.
+	formTimes map[string]time.Duration
+	// outagesOff says that the settings turn off the forecasts of outages.
+	outagesOff bool
+	// ranks has the number of ranks that requests of each service may have.
+	ranks map[string]int
 }
 
 // updateInputs is what else than the upstreams themselves decides on which of them are used.
@@ -58,27 +62,20 @@
 	heardNow time.Time
 }
 
-// setPriorities sets the priorities of the requests of each service from a routing configuration.
-func (m *serviceManager) setPriorities(t *routing.Table) {
-	priorities := map[string][]uint32{}
+// setRanks sets how many ranks the requests of each service may have in a routing configuration.
+func (m *serviceManager) setRanks(t *routing.Table) {
+	ranks := map[string]int{}
 	for _, s := range t.Config.Services {
-		priorities[s.Name] = t.PrioritiesOf(s.Name)
+		ranks[s.Name] = t.Urgencies(s.Name)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.priorities = priorities
+	m.ranks = ranks
 	for name, p := range m.services {
-		p.policy.SetPriorities(priorities[name])
+		p.policy.SetRanks(ranks[name])
 	}
 }
 
-// prioritized reports whether requests of a service have different priorities.
-func (m *serviceManager) prioritized(service string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.priorities[service]) > 1
-}
-
 // setColdLimits sets the limits of a routing configuration.
 func (m *serviceManager) setColdLimits(c *wire.RoutingConfig) {
 	limits := map[string]coldLimit{}
@@ -96,7 +93,7 @@
 func newServiceManager(s *Settings) *serviceManager {
 	return &serviceManager{
 		entryInfo: route.EntryInfo{ID: s.ID, FailureDomain: s.FailureDomain, Seed: rand.Uint64()},
-		services:  map[string]*servicePool{}, loadSeq: firstLoad,
+		services:  map[string]*servicePool{}, loadSeq: firstLoad, outagesOff: s.IgnoreOutageForecast,
 		restraints: func() restraints { return nil }, onHeldBack: func(string) {},
 	}
 }
@@ -118,11 +115,12 @@
 	for name := range byService {
 		if m.services[name] == nil {
 			m.services[name] = newServicePool(m.entryInfo)
-			m.services[name].policy.SetPriorities(m.priorities[name])
+			m.services[name].policy.SetRanks(m.ranks[name])
 		}
 	}
 	for name, p := range m.services {
 		p.cold.limit = m.coldLimits[name]
+		p.outages.formTime, p.outages.off = m.formTimes[name], m.outagesOff
 		if err := p.update(now, m.entryInfo, byService[name], in); err != nil {
 			return err
 		}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -39,9 +39,12 @@
 	// Keep is how long callers may keep the list of gateways.
 	Keep kernel.Duration `toml:"keep"`
 	// StopLimit is the time between the stop signal and the forced stop.
-	StopLimit kernel.Duration   `toml:"stop_limit"`
-	Retries   RetrySettings     `toml:"retries"`
-	Admission AdmissionSettings `toml:"admission"`
+	StopLimit kernel.Duration `toml:"stop_limit"`
+	Retries   RetrySettings   `toml:"retries"`
+	// IgnoreOutageForecast treats requests of prioritized services during outages as those of
+	// other services.
+	IgnoreOutageForecast bool              `toml:"ignore_outage_forecast"`
+	Admission            AdmissionSettings `toml:"admission"`
 }
 
 // AdmissionSettings is the [admission] section: which requests of services with several priorities are
