--- a/gateway/call.go
+++ b/gateway/call.go
@@ -33,6 +33,8 @@
 	// priority is the rank of the request's priority among those of the service, 0 for the most
 	// urgent; nil if all requests of the service have the same one.
 	priority *uint32
+	// overShare says that the request is beyond its team's share of the service.
+	overShare bool
 	// waiter is the request's waiter for a permit; nil before newWaiter.
 	waiter *waiter
 	// group is the group whose permit the request holds.
@@ -344,7 +346,8 @@
 func (c *call) newWaiter() *waiter {
 	head := c.services.headTime(c.service)
 	c.age = c.timeouts.age(c.receivedAt, c.route, c.params.Deadline)
-	w := &waiter{retried: c.age > 0, admitted: make(chan struct{}), refused: make(chan struct{})}
+	c.overShare = c.beyondTeamShare()
+	w := &waiter{retried: c.age > 0, overShare: c.overShare, admitted: make(chan struct{}), refused: make(chan struct{})}
 	c.waiter = w
 	if c.priority != nil {
 		w.priority = *c.priority
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -20,12 +20,14 @@
 type servicePool struct {
 	groups map[string]*groupPool
 	// sorted holds the groups sorted by name.
-	sorted     []*groupPool
-	queue      waitQueue
-	policy     overload.Policy
-	late       lateByPriority
-	retryAfter retryAfterEstimator
-	outages    outages
+	sorted []*groupPool
+	queue  waitQueue
+	policy overload.Policy
+	// shareReserve tells how much room requests beyond the share of their team leave to others.
+	shareReserve overload.ShareReserve
+	late         lateByPriority
+	retryAfter   retryAfterEstimator
+	outages      outages
 	// headTime is the EWMA of the time to the head of a response, holdTime that of the time that
 	// a request holds its permit; 0 before the first.
 	headTime, holdTime time.Duration
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -45,6 +45,8 @@
 	priority uint32
 	// overShare says that the request's team asks for more than its fair part of the service.
 	overShare bool
+	// onQueued, if set, is called without a lock when the request is queued.
+	onQueued func()
 	// deadline is when the caller's time is over, and lastStart the latest admission of a retry;
 	// zero if unknown. hold is how long a try may be queued.
 	deadline, lastStart time.Time
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -43,7 +43,15 @@
 	Retries   RetrySettings   `toml:"retries"`
 	// IgnoreOutageForecast treats requests of prioritized services during outages as those of
 	// other services.
-	IgnoreOutageForecast bool `toml:"ignore_outage_forecast"`
+	IgnoreOutageForecast bool              `toml:"ignore_outage_forecast"`
+	Admission            AdmissionSettings `toml:"admission"`
+}
+
+// AdmissionSettings is the [admission] section: which requests of services with several priorities are
+// admitted first while not all can be.
+type AdmissionSettings struct {
+	// TeamShares limits teams that ask for more than their fair share first.
+	TeamShares bool `toml:"team_shares"`
 }
 
 // RetrySettings is the [retries] section: the retry budget of a service, shared by all gateways.
@@ -65,6 +73,7 @@
 		Keep:             kernel.Duration(2 * time.Second),
 		StopLimit:        kernel.Duration(8 * time.Second),
 		Retries:          RetrySettings{Ratio: 0.1, Slack: 10, Window: kernel.Duration(10 * time.Second)},
+		Admission:        AdmissionSettings{TeamShares: true},
 	}
 }
 
