--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -52,6 +52,7 @@
 		{p.Command, "evacuate", "send no new requests to the upstreams of a failure domain", &evacuateCommand{app: a}},
 		{p.Command, "restore", "end the evacuation of a failure domain", &restoreCommand{app: a}},
 		{p.Command, "backpressure", "show the limits, rests and leaving of upstreams that gateways keep", &backpressureCommand{app: a}},
+		{p.Command, "demand", "show what callers ask of contended services, by priority and team", &demandCommand{app: a}},
 		{p.Command, "explain", "explain a refusal from its token", &explainCommand{app: a}},
 		{p.Command, "dump", "show the state of a process as JSON", &dumpCommand{app: a}},
 		{p.Command, "trace", "show the log lines and the outcome of one request", &traceCommand{app: a}},
--- /dev/null
+++ b/ctl/demand_test.go
@@ -0,0 +1,72 @@
+package ctl_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipereach/snipereach/ctl"
+	"github.com/snipereach/snipereach/demand"
+	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/wire"
+)
+
+// serveDemand serves a list of demand as an entry does, and returns a function that runs snipereachctl
+// against it.
+func serveDemand(t *testing.T, list demand.List) (run func(args ...string) (code int, stdout, stderr string)) {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/demand" {
+			http.NotFound(w, r)
+			return
+		}
+		kernel.WriteJSON(w, http.StatusOK, list)
+	}))
+	t.Cleanup(srv.Close)
+	return func(args ...string) (code int, stdout, stderr string) {
+		var out, errs strings.Builder
+		code = ctl.Main(append([]string{"--server", srv.URL, "--key", "k"}, args...), strings.NewReader(""), &out, &errs)
+		return code, out.String(), errs.String()
+	}
+}
+
+// contendedList has a service that is contended, with a team over its share, and one that isn't.
+func contendedList() demand.List {
+	return demand.List{
+		Unanswered: []string{"127.0.0.1:9"},
+		Services: demand.Merge([]demand.Reply{{Replica: "127.0.0.1:7", Services: []*wire.DemandTotals{
+			{Service: "lm", SpanMs: 5000, Gateways: 40, AgeMs: 1230, Teams: []*wire.TeamDemand{
+				{Team: "mill", Arrived: 20, Admitted: 20},
+				{Team: "farm", Priority: 2, Arrived: 200, Admitted: 60, Refused: []*wire.RefusedCount{{Cause: "draining", Count: 1}, {Cause: "upstreams-busy", Count: 130}}},
+				{Priority: 2, Arrived: 45, Admitted: 35, Refused: []*wire.RefusedCount{{Cause: "upstreams-busy", Count: 10}}},
+			}},
+			{Service: "tick", SpanMs: 5000, Gateways: 3, AgeMs: 40, Teams: []*wire.TeamDemand{{Team: "mill", Priority: 1, Arrived: 7, Admitted: 7}}},
+		}}}),
+	}
+}
+
+// Guards against operators who can't tell whose requests wait or are refused under contention, and why.
+func TestDemandIsShown(t *testing.T) {
+	run := serveDemand(t, contendedList())
+	code, out, errs := run("demand", "-o", "tsv")
+	assert.Equal(t, code, kernel.ExitOK, errs)
+	assert.Equal(t, out, `lm	0	mill	20	20	0	50.0		40	1.2s	127.0.0.1:7
+lm	2	farm	200	60	131 (upstreams-busy)	50.0	yes	40	1.2s	127.0.0.1:7
+lm	2	(others)	45	35	10 (upstreams-busy)	50.0		40	1.2s	127.0.0.1:7
+tick	1	mill	7	7	0	-		3	0s	127.0.0.1:7
+`)
+	assert.Equal(t, errs, "Services may be missing; no answer from control replicas 127.0.0.1:9\n")
+	_, out, _ = run("demand")
+	header := strings.Fields(strings.Split(out, "\n")[0])
+	assert.DeepEqual(t, header, []string{
+		"SERVICE", "PRIORITY", "TEAM", "ARRIVED", "ADMITTED", "REFUSED", "FAIR", "SHARE", "OVER", "GATEWAYS", "AGE", "REPLICA",
+	})
+	_, out, _ = run("demand", "-o", "json")
+	var list demand.List
+	assert.NilError(t, json.Unmarshal([]byte(out), &list))
+	assert.DeepEqual(t, list, contendedList())
+}
--- a/operators/operators.go
+++ b/operators/operators.go
@@ -138,6 +138,7 @@
 	r.HandleFunc("/v1/members/{id:.+}", h.withAuth(h.removeMember)).Methods(http.MethodDelete)
 	r.HandleFunc("/v1/replace/{id:.+}", h.withAuth(h.replaceMember)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/backpressure", h.withAuth(h.listBackpressure)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/demand", h.withAuth(h.listDemand)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/quarantine", h.withAuth(h.listSuspected)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/quarantine/{key}", h.withAuth(h.liftQuarantine)).Methods(http.MethodDelete)
 	r.HandleFunc("/v1/status", h.withAuth(h.getStatus)).Methods(http.MethodGet)
--- a/operators/system_test.go
+++ b/operators/system_test.go
@@ -39,10 +39,16 @@
 // routerWithoutReplicas returns the routes of a handler whose client knows no
 // control replica.
 func routerWithoutReplicas(t testing.TB, f staticSystem) *mux.Router {
+	t.Helper()
+	return routerOf(t, control.NewClient(nil, nil, "test"), f)
+}
+
+// routerOf returns the routes of a handler with a client of control replicas.
+func routerOf(t testing.TB, c *control.Client, f staticSystem) *mux.Router {
 	t.Helper()
 	digest := sha256.Sum256([]byte("key"))
 	ops := []operators.Operator{{Name: "asha", KeySHA256: hex.EncodeToString(digest[:])}}
-	h, err := operators.New(ops, control.NewClient(nil, nil, "test"), f, metrics.NewRegistry(), log.NewNopLogger())
+	h, err := operators.New(ops, c, f, metrics.NewRegistry(), log.NewNopLogger())
 	assert.NilError(t, err)
 	r := mux.NewRouter()
 	h.Register(r)
