--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -255,8 +255,10 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
-	a := g.services.acquire(ctx, c.service, c.newWaiter())
-	c.waited = a.waited
+	queued := c.newWaiter()
+	a := g.services.acquire(ctx, c.service, queued)
+	c.waited, c.overShare = a.waited, queued.overShare
+	g.metrics.recordQueued(c)
 	if !a.ok {
 		c.cause = a.cause
 		c.refuseUnadmitted(a)
@@ -309,6 +311,7 @@
 	if g.services.prioritized(c.service) {
 		priority := routing.RequestPriority(c.route, c.team)
 		c.priority = &priority
+		g.metrics.recordArrival(c)
 	}
 	c.fixedPass = fixedPassTime(t.Service(c.service).GetEngine())
 	c.waitForService(r.Context())
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -47,6 +48,9 @@
 	}
 }
 
+// recordArrival counts a request that arrives.
+func (m *gatewayMetrics) recordArrival(c *call) { m.countByPriority(c, "arrived") }
+
 // record counts a request by its outcome.
 func (m *gatewayMetrics) record(c *call, status int, reason string, err error) {
 	if c.waited > 0 {
@@ -55,6 +59,7 @@
 	switch {
 	case reason != "" && status == http.StatusServiceUnavailable:
 		m.Count("gateway.refused." + reason)
+		m.countByPriority(c, "refused."+reason)
 	case reason != "":
 		m.Count("gateway.failed." + reason)
 	case err != nil:
@@ -74,6 +79,24 @@
 	}
 }
 
+// recordQueued counts a request that had to wait for its admission, once it is admitted or not.
+func (m *gatewayMetrics) recordQueued(c *call) {
+	if c.waited > 0 {
+		m.countByPriority(c, "queued")
+	}
+}
+
+// maxCountedPriority bounds the number of metrics: requests of priorities above it count as of this one.
+const maxCountedPriority = 9
+
+// countByPriority counts an event of a request whose service is prioritized.
+func (m *gatewayMetrics) countByPriority(c *call, event string) {
+	if c.priority == nil {
+		return
+	}
+	m.Count("gateway.priority." + strconv.Itoa(int(min(*c.priority, maxCountedPriority))) + "." + event)
+}
+
 func (m *gatewayMetrics) recordLatency(c *call) {
 	took := time.Since(c.receivedAt)
 	if c.firstEvent == 0 {
