--- a/ctl/logs.go
+++ b/ctl/logs.go
@@ -102,11 +102,15 @@
 	*app    `no-flag:"yes"`
 	Window  time.Duration `long:"window" default:"5s" description:"time that one row is of" value-name:"TIME"`
 	Service string        `long:"service" description:"count requests of this service only" value-name:"NAME"`
+	By      string        `long:"by" description:"count requests apart; by priority only" value-name:"priority"`
 	Args    struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes"`
 }
 
+// byPriority is the value of --by that splits the counts by priority.
+const byPriority = "priority"
+
 const minWindow = 100 * time.Millisecond
 
 // Execute implements flags.Commander.
@@ -114,7 +118,13 @@
 	if c.Window < minWindow {
 		return merry.Prependf(ErrUsage, "--window %v is under %v", c.Window, minWindow)
 	}
+	if c.By != "" && c.By != byPriority {
+		return merry.Prependf(ErrUsage, "--by %s isn't --by %s", c.By, byPriority)
+	}
 	sum := logread.NewCauseCounter(c.Window)
+	if c.By == byPriority {
+		sum.SplitByPriority()
+	}
 	err := c.readLogs(c.Args.Files, func(l logread.Line) {
 		if e, ok := logread.ParseEndedRequest(&l); ok && (c.Service == "" || e.Service == c.Service) {
 			sum.Add(&e)
@@ -123,27 +133,50 @@
 	if err != nil {
 		return err
 	}
-	return c.show(sum.Windows(), lossTable(sum))
+	return c.show(sum.Windows(), lossTable(sum, c.By == byPriority))
 }
 
-// lossTable has a row for each time window and one for the total, and a column for each cause.
-func lossTable(sum *logread.CauseCounter) textTable {
+// lossTable has a row for each time window and one for the total, and a column for each cause. Split by
+// priority, it has a row for each priority in a window and in the total.
+func lossTable(sum *logread.CauseCounter, split bool) textTable {
 	total := sum.Total()
 	causes := total.CausesByCount()
 	s := textTable{header: []string{"from", "ended", "left out"}}
 	for _, cause := range causes {
 		s.header = append(s.header, string(cause))
 	}
-	row := func(name string, w *logread.Window) {
-		values := []string{name, strconv.Itoa(w.Ended), strconv.FormatInt(w.LeftOut, 10)}
-		for _, cause := range causes {
-			values = append(values, strconv.Itoa(w.Causes[cause]))
+	row := func(name, priority string, w *logread.Window) {
+		values := lossRow(name, w, causes)
+		if split {
+			values = slices.Insert(values, 1, priority)
 		}
 		s.rows = append(s.rows, values)
 	}
 	for _, w := range sum.Windows() {
-		row(w.From.Format("15:04:05.0"), w)
+		row(w.From.Format("15:04:05.0"), priorityText(w), w)
 	}
-	row("all", total)
+	if split {
+		s.header = slices.Insert(s.header, 1, "priority")
+		for _, w := range sum.TotalsByPriority() {
+			row("all", priorityText(w), w)
+		}
+	}
+	row("all", "all", total)
 	return s
 }
+
+func lossRow(name string, w *logread.Window, causes []logread.Cause) []string {
+	values := []string{name, strconv.Itoa(w.Ended), strconv.FormatInt(w.LeftOut, 10)}
+	for _, cause := range causes {
+		values = append(values, strconv.Itoa(w.Causes[cause]))
+	}
+	return values
+}
+
+// priorityText returns the priority of the requests in a window, or "-" if they have none.
+func priorityText(w *logread.Window) string {
+	if w.Priority == nil {
+		return "-"
+	}
+	return formatCount(*w.Priority)
+}
--- a/ctl/logs_test.go
+++ b/ctl/logs_test.go
@@ -64,6 +64,27 @@
 	assert.Assert(t, strings.Contains(out, "LATE: CAME BACK"), out)
 }
 
+// Guards against losses of urgent requests that can't be told from those of others, in all forms of output.
+func TestLossesAreSplitByPriority(t *testing.T) {
+	const text = `ts=2026-03-01T10:00:00Z level=info msg="Request ended." request=r-1 status=503 reason=upstreams-busy took_ms=0 service=lm attempts= priority=2
+ts=2026-03-01T10:00:01Z level=info msg="Request ended." request=r-2 status=200 reason= took_ms=20 service=lm attempts=u-1:answered:200:20 priority=0
+ts=2026-03-01T10:00:06Z level=info msg="Request ended." request=r-3 status=503 reason=upstreams-busy took_ms=0 service=lm attempts= priority=2 lines_left_out=3
+ts=2026-03-01T10:00:07Z level=info msg="Request ended." request=r-4 status=200 reason= took_ms=20 service=clock attempts=u-3:answered:200:20
+`
+	code, out, errs := runOffline(text, "losses", "--by", "priority", "-", "-o", "tsv")
+	assert.Equal(t, code, kernel.ExitOK, errs)
+	assert.Equal(t, out, "10:00:00.0\t0\t1\t0\t1\t0\n10:00:00.0\t2\t1\t0\t0\t1\n10:00:05.0\t2\t1\t3\t0\t1\n10:00:05.0\t-\t1\t0\t1\t0\n"+
+		"all\t0\t1\t0\t1\t0\nall\t2\t2\t3\t0\t2\nall\t-\t1\t0\t1\t0\nall\tall\t4\t3\t2\t2\n")
+	_, out, _ = runOffline(text, "losses", "--by", "priority", "-")
+	assert.DeepEqual(t, strings.Fields(out)[:6], []string{"FROM", "PRIORITY", "ENDED", "LEFT", "OUT", "IN"})
+	_, out, _ = runOffline(text, "losses", "--by", "priority", "-", "-o", "json")
+	assert.Equal(t, strings.Count(out, `"priority": 2`), 2, out)
+	_, out, _ = runOffline(text, "losses", "-", "-o", "json")
+	assert.Assert(t, !strings.Contains(out, "priority"), out)
+	_, out, _ = runOffline(text, "trace", "r-3", "-", "-o", "tsv")
+	assert.Assert(t, strings.Contains(out, "Ended with 503 after 0s; refused: upstreams-busy; it was sent to no upstream; its priority was 2."), out)
+}
+
 func TestLogCommandErrors(t *testing.T) {
 	first, _ := writeGatewayLogs(t)
 	for _, c := range []struct {
@@ -75,6 +96,7 @@
 		{[]string{"trace", "r-1"}, kernel.ExitSettings, "FILE"},
 		{[]string{"trace", "r-1", "no-such.log"}, kernel.ExitSettings, "no-such.log"},
 		{[]string{"losses"}, kernel.ExitSettings, "FILE"},
+		{[]string{"losses", "--by", "team", first}, kernel.ExitSettings, "--by team isn't --by priority"},
 		{[]string{"losses", "--window", "1ms", first}, kernel.ExitSettings, "--window 1ms is under 100ms"},
 	} {
 		code, _, errs := runOffline("", c.args...)
--- a/logread/ended.go
+++ b/logread/ended.go
@@ -50,6 +50,11 @@
 	At               time.Time
 	Request, Service string
 	Status           int
+	// Priority is that of the request, 0 the most urgent; nil if all requests of the service have the
+	// same one.
+	Priority *uint32
+	// OverShare says that the team was over its fair share of the service.
+	OverShare bool
 	// Reason is the gateway's reason for passing no answer on, Why the inputs of a refusal, and Err the
 	// error.
 	Reason, Why, Err string
@@ -77,6 +82,7 @@
 	}
 	return EndedRequest{
 		At: l.At, Request: l.Get("request"), Service: l.Get("service"), Status: int(l.Int("status")),
+		Priority: l.Uint("priority"), OverShare: l.Get("over_share") == "true",
 		Reason: l.Get("reason"), Why: l.Get("why"), Err: l.Get("err"),
 		Took: l.Millis("took_ms"), Waited: l.Millis("waited_ms"), Age: l.Millis("age_ms"),
 		FirstEvent: l.Millis("first_event_ms"), LongestPause: l.Millis("longest_pause_ms"),
@@ -151,8 +157,23 @@
 	return cause
 }
 
-// Sentence describes the outcome and its cause in one sentence.
+// Sentence describes the outcome and its cause in one sentence. It names the priority of the request
+// where there is one.
 func (e *EndedRequest) Sentence() string {
+	return strings.TrimSuffix(e.outcomeSentence(), ".") + e.priorityText() + "."
+}
+
+func (e *EndedRequest) priorityText() (text string) {
+	if e.Priority != nil {
+		text = "; its priority was " + strconv.FormatUint(uint64(*e.Priority), 10)
+	}
+	if e.OverShare {
+		text += "; its team was over its fair share"
+	}
+	return text
+}
+
+func (e *EndedRequest) outcomeSentence() string {
 	switch cause := e.Cause(); cause {
 	case OnTime:
 		return fmt.Sprintf("Answered in time, with %d after %v.", e.Status, e.Took)
--- a/logread/line.go
+++ b/logread/line.go
@@ -51,6 +51,16 @@
 	return n
 }
 
+// Uint returns the value of a key, or nil if it is absent or not a whole number from 0.
+func (l *Line) Uint(key string) *uint32 {
+	n, err := strconv.ParseUint(l.Get(key), 10, 32)
+	if err != nil {
+		return nil
+	}
+	value := uint32(n)
+	return &value
+}
+
 // Read calls f for each line of a log, in order. Text that a log collector put before a line is
 // ignored. Lines that no process logged, such as the output of a crash, are counted in skipped, without
 // empty ones. Read returns ErrRead if reading fails or a line is too long.
--- a/logread/logread_test.go
+++ b/logread/logread_test.go
@@ -1,6 +1,8 @@
 package logread_test
 
 import (
+	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -50,6 +52,36 @@
 	assert.ErrorContains(t, err, "big.log")
 }
 
+// Guards against losses of the most urgent requests that are hidden among those of all others, and against
+// lines without a priority that count as the most urgent.
+func TestLossesByPriority(t *testing.T) {
+	s := logread.NewCauseCounter(2 * time.Second)
+	s.SplitByPriority()
+	at := time.Date(2026, 3, 1, 10, 0, 0, 0, time.UTC)
+	for i, rest := range []string{
+		"status=503 reason=upstreams-busy took_ms=1 attempts=", "status=503 reason=upstreams-busy took_ms=1 attempts= priority=2", "status=503 reason=draining took_ms=1 attempts= priority=2",
+		"status=200 reason= took_ms=1 attempts=u:answered:200:1 priority=0", "status=200 reason= took_ms=1 attempts=u:answered:200:1 priority=2", "status=200 reason= took_ms=1 attempts=u:answered:200:1 priority=12",
+	} {
+		e := parseEnded(t, rest)
+		e.At = at.Add(time.Duration(i) * 500 * time.Millisecond)
+		s.Add(&e)
+	}
+	texts := func(list []*logread.Window) (texts []string) {
+		for _, w := range list {
+			priority := "none"
+			if w.Priority != nil {
+				priority = strconv.Itoa(int(*w.Priority))
+			}
+			texts = append(texts, fmt.Sprint(w.From.Sub(at), " ", priority, " ", w.Ended))
+		}
+		return texts
+	}
+	assert.DeepEqual(t, texts(s.Windows()), []string{"0s 0 1", "0s 2 2", "0s none 1", "2s 2 1", "2s 12 1"})
+	assert.DeepEqual(t, texts(s.TotalsByPriority()), []string{"0s 0 1", "0s 2 3", "2s 12 1", "0s none 1"})
+	assert.DeepEqual(t, s.TotalsByPriority()[1].Causes, map[logread.Cause]int{"refused: upstreams-busy": 1, "refused: draining": 1, logread.OnTime: 1})
+	assert.DeepEqual(t, texts([]*logread.Window{s.Total()}), []string{"0s none 6"})
+}
+
 // Every kind of outcome must have the cause and sentence that tell an operator what took the time.
 func TestCauseAndSentence(t *testing.T) {
 	for _, c := range []struct {
@@ -93,6 +125,15 @@
 		},
 		{"status=404 reason=no-route took_ms=0 attempts=", "not allowed: no-route", "Ended with 404 after 0s; not allowed: no-route; it was sent to no upstream."},
 		{"status=0 reason=caller-gone took_ms=120 attempts=u-1:caller-gone:0:120", logread.CallerGone, "Ended with 0 after 120ms; caller left."},
+		{
+			"status=503 reason=upstreams-busy took_ms=0 attempts= priority=2 over_share=true",
+			"refused: upstreams-busy", "Ended with 503 after 0s; refused: upstreams-busy; it was sent to no upstream; its priority was 2; its team was over its fair share.",
+		},
+		{
+			"status=200 reason= took_ms=900 attempts=u-1:answered:200:900 first_event_ms=800 waited_ms=700 late=first-event priority=0",
+			logread.LateQueued, "Late by its first event, after 800ms; it waited 700ms of that at the gateway for a slot; its priority was 0.",
+		},
+		{"status=200 reason= took_ms=20 attempts=u-1:answered:200:19 priority=-1 over_share=no", logread.OnTime, "Answered in time, with 200 after 20ms."},
 	} {
 		e := parseEnded(t, c.line)
 		assert.Equal(t, e.Cause(), c.cause, c.line)
@@ -122,7 +163,7 @@
 // Each line of any text must be either read or counted, and each ended request have a cause.
 func TestReadAccountsForEveryLine(t *testing.T) {
 	part := rapid.SampledFrom([]string{
-		linePrefix, `msg="Request ended." `, "status=200 ", "status=x ", "reason=upstreams-busy ", "attempts=a:b ", "attempts=:::,, ", "late=first-event ",
+		linePrefix, `msg="Request ended." `, "status=200 ", "status=x ", "reason=upstreams-busy ", "attempts=a:b ", "attempts=:::,, ", "late=first-event ", "priority=1 ", "priority=99999999999 ", "over_share=true ",
 		"first_event_ms=-5 ", `why="`, "\"", "= ", "took_ms=99999999999999999999 ", "age_ms=3 ", "\x00", "é ",
 	})
 	rapid.Check(t, func(t *rapid.T) {
