--- a/operators/page/table.js
+++ b/operators/page/table.js
@@ -271,6 +271,16 @@
 const seconds = ms => (ms / 1000).toFixed(1) + ' s';
 const restsText = list => (list || []).map(r => r.gateway + ' ' + seconds(r.left_ms)).join(', ');
 
+function textRow(texts) {
+  const tr = document.createElement('tr');
+  for (const text of texts) {
+    const td = document.createElement('td');
+    td.textContent = text;
+    tr.append(td);
+  }
+  return tr;
+}
+
 // showBackpressure shows the upstreams that ask gateways for less. It is hidden while none does, or
 // while that isn't known.
 async function showBackpressure() {
@@ -280,21 +290,38 @@
     if (r.ok) upstreams = r.value.upstreams;
   } catch { /* The state line tells that the server doesn't answer. */ }
   $('asking').replaceChildren(...upstreams.map(u => {
-    const tr = document.createElement('tr');
     const heard = u.heard_by ? seconds(u.age_ms) + ' ago' : '';
-    for (const text of [u.upstream, u.limited ? u.per_s : '', u.leaving ? 'yes' : '', heard, u.heard_by || '', restsText(u.rests)]) {
-      const td = document.createElement('td');
-      td.textContent = text;
-      tr.append(td);
-    }
-    return tr;
+    return textRow([u.upstream, u.limited ? u.per_s : '', u.leaving ? 'yes' : '', heard, u.heard_by || '', restsText(u.rests)]);
   }));
   $('backpressure').hidden = upstreams.length === 0;
 }
 
+// teamCells returns the cells of one team and priority, as the command demand prints them.
+function teamCells(s, t) {
+  const refused = t.causes ? t.refused + ' (' + t.causes[0].cause + ')' : t.refused;
+  const share = s.limited ? s.fair_share.toFixed(1) : '-';
+  return [s.service, t.priority, t.team || '(others)', t.arrived, t.admitted, refused, share, t.over_share ? 'yes' : '',
+    s.gateways, seconds(s.age_ms), s.replica];
+}
+
+// showDemand shows what callers ask of contended services. It is hidden while there are none, or while that
+// isn't known.
+async function showDemand() {
+  let list = { services: [] };
+  try {
+    const r = await call('GET', '/v1/demand');
+    if (r.ok) list = r.value;
+  } catch { /* The state line tells that the server doesn't answer. */ }
+  $('unanswered').textContent = list.unanswered ? 'Services may be missing; no answer from ' + list.unanswered.join(', ') + '.' : '';
+  $('teams').replaceChildren(...list.services.flatMap(s => s.teams.map(t => textRow(teamCells(s, t)))));
+  $('demand').hidden = list.services.length === 0;
+}
+
 $('key').value = sessionStorage.getItem('key') || '';
 $('key').addEventListener('change', () => { sessionStorage.setItem('key', $('key').value); start(); });
 setInterval(refresh, refreshInterval);
 setInterval(showBackpressure, refreshInterval);
+setInterval(showDemand, refreshInterval);
 start();
 showBackpressure();
+showDemand();
