--- a/ctl/demand_test.go
+++ b/ctl/demand_test.go
@@ -54,9 +54,9 @@
 	run := serveDemand(t, contendedList())
 	code, out, errs := run("demand", "-o", "tsv")
 	assert.Equal(t, code, kernel.ExitOK, errs)
-	assert.Equal(t, out, `lm	0	mill	20	20	0	50.0		40	1.2s	127.0.0.1:7
-lm	2	farm	200	60	131 (upstreams-busy)	50.0	yes	40	1.2s	127.0.0.1:7
-lm	2	(others)	45	35	10 (upstreams-busy)	50.0		40	1.2s	127.0.0.1:7
+	assert.Equal(t, out, `lm	0	mill	20	20	0	60.0		40	1.2s	127.0.0.1:7
+lm	2	farm	200	60	131 (upstreams-busy)	60.0	yes	40	1.2s	127.0.0.1:7
+lm	2	(others)	45	35	10 (upstreams-busy)	60.0		40	1.2s	127.0.0.1:7
 tick	1	mill	7	7	0	-		3	0s	127.0.0.1:7
 `)
 	assert.Equal(t, errs, "Services may be missing; no answer from control replicas 127.0.0.1:9\n")
--- a/demand/demand.go
+++ b/demand/demand.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/snipereach/snipereach/wire"
@@ -28,8 +29,8 @@
 	Gateways uint32 `json:"gateways"`
 	AgeMS    int64  `json:"age_ms"`
 	Replica  string `json:"replica"`
-	// FairShare is the fair share of each team, in requests within the span. If Limited is false,
-	// everything that arrived was admitted, and no team is held to a share.
+	// FairShare is the fair share of each team, in requests within the span over all its priorities. If
+	// Limited is false, everything that teams asked for was admitted, and none is held to a share.
 	FairShare float64 `json:"fair_share"`
 	Limited   bool    `json:"limited"`
 	Teams     []Team  `json:"teams"`
@@ -97,15 +98,20 @@
 	}
 	arrived, admitted := map[string]float64{}, 0.0
 	for _, d := range t.Teams {
-		arrived[d.Team] += float64(d.Arrived)
-		admitted += float64(d.Admitted)
 		s.Teams = append(s.Teams, newTeam(d))
+		// Teams that aren't counted by themselves are many: none of them is held to a share, and what
+		// they were admitted isn't available to the others.
+		if d.Team != "" {
+			arrived[d.Team] += float64(d.Arrived)
+			admitted += float64(d.Admitted)
+		}
+	}
+	level := fairShare(slices.Collect(maps.Values(arrived)), admitted)
+	if s.Limited = !math.IsInf(level, 1); s.Limited {
+		s.FairShare = level
 	}
-	s.FairShare, s.Limited = fairShare(slices.Collect(maps.Values(arrived)), admitted)
 	for i, team := range s.Teams {
-		// Teams that aren't counted by themselves are many; that their sum is above a share says
-		// nothing about one of them.
-		s.Teams[i].OverShare = team.Team != "" && overShare(arrived[team.Team], s.FairShare)
+		s.Teams[i].OverShare = team.Team != "" && overShare(arrived[team.Team], level)
 	}
 	slices.SortFunc(s.Teams, compareTeams)
 	return s
--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -37,23 +37,23 @@
 	refused := func(cause string, n uint32) *wire.RefusedCount { return &wire.RefusedCount{Cause: cause, Count: n} }
 	list := demand.Merge([]demand.Reply{{Replica: "a", Services: []*wire.DemandTotals{totals(
 		"lm", 2, 0,
-		&wire.TeamDemand{Team: "farm", Priority: 2, Arrived: 90, Admitted: 10, Refused: []*wire.RefusedCount{
-			refused("group-incomplete", 3), refused("upstreams-busy", 70), refused("draining", 3),
+		&wire.TeamDemand{Team: "farm", Priority: 2, Arrived: 90, Admitted: 34, Refused: []*wire.RefusedCount{
+			refused("group-incomplete", 3), refused("upstreams-busy", 50), refused("draining", 3),
 		}},
 		&wire.TeamDemand{Team: "mill", Priority: 2, Arrived: 44, Admitted: 36},
 		&wire.TeamDemand{Team: "farm", Priority: 0, Arrived: 10, Admitted: 10},
 		&wire.TeamDemand{Priority: 2, Arrived: 200, Admitted: 64},
 	)}}})
 	s := list[0]
-	// 120 admitted between three: 40 for each.
+	// 80 admitted between the two teams: 40 for each.
 	assert.Equal(t, s.FairShare, 40.0)
 	assert.Assert(t, s.Limited)
 	assert.DeepEqual(t, s.Teams, []demand.Team{
 		{Team: "farm", Priority: 0, Arrived: 10, Admitted: 10, OverShare: true},
 		{Priority: 2, Arrived: 200, Admitted: 64},
 		{
-			Team: "farm", Priority: 2, Arrived: 90, Admitted: 10, Refused: 76, OverShare: true,
-			Causes: []demand.CauseCount{{Cause: "upstreams-busy", Count: 70}, {Cause: "draining", Count: 3}, {Cause: "group-incomplete", Count: 3}},
+			Team: "farm", Priority: 2, Arrived: 90, Admitted: 34, Refused: 56, OverShare: true,
+			Causes: []demand.CauseCount{{Cause: "upstreams-busy", Count: 50}, {Cause: "draining", Count: 3}, {Cause: "group-incomplete", Count: 3}},
 		},
 		// 44 is a tenth above the share, and not more.
 		{Team: "mill", Priority: 2, Arrived: 44, Admitted: 36},
--- a/demand/fairshare.go
+++ b/demand/fairshare.go
@@ -1,26 +1,27 @@
 package demand
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // overShareFactor is how far above the fair share a team's requests must be for the team to count as
-// over it. Teams at their fair share vary by some percent from one report to the next.
+// over it. Counts of a few seconds vary by some percent, also where all teams ask for the same.
 const overShareFactor = 1.1
 
 // fairShare returns the max-min fair share of teams: the level at which the sum over the teams of
-// min(arrived, level) is what was admitted. If everything was admitted, limited is false and the level
-// is the highest number of arrivals.
-func fairShare(arrived []float64, admitted float64) (level float64, limited bool) {
-	ascending := slices.Sorted(slices.Values(arrived))
+// min(arrived, level) is what was admitted. It is +Inf if everything was admitted.
+func fairShare(arrived []float64, admitted float64) float64 {
 	left := max(admitted, 0)
+	ascending := slices.Sorted(slices.Values(arrived))
 	for i, n := range ascending {
-		teams := float64(len(ascending) - i)
-		if n*teams > left {
-			return left / teams, true
+		even := left / float64(len(ascending)-i)
+		if n > even {
+			return even
 		}
 		left -= n
-		level = n
 	}
-	return level, false
+	return math.Inf(1)
 }
 
 // overShare reports whether a team is over its fair share.
--- a/demand/fairshare_test.go
+++ b/demand/fairshare_test.go
@@ -13,22 +13,18 @@
 // between the larger ones, and a team that asks for ten times as much doesn't raise its share.
 func TestFairShareOfUnevenTeams(t *testing.T) {
 	for _, c := range []struct {
-		arrived  []float64
-		admitted float64
-		level    float64
-		limited  bool
+		arrived         []float64
+		admitted, level float64
 	}{
-		{nil, 0, 0, false},
-		{[]float64{10, 20, 30}, 60, 30, false},
-		{[]float64{10, 20, 30}, 75, 30, false},
-		{[]float64{10, 20, 30}, 0, 0, true},
-		{[]float64{10, 100, 1000}, 90, 40, true},
-		{[]float64{1000, 10, 100}, 90, 40, true},
-		{[]float64{50, 50, 500}, 150, 50, true},
+		{nil, 0, math.Inf(1)},
+		{[]float64{10, 20, 30}, 60, math.Inf(1)},
+		{[]float64{10, 20, 30}, 75, math.Inf(1)},
+		{[]float64{10, 20, 30}, 0, 0},
+		{[]float64{10, 100, 1000}, 90, 40},
+		{[]float64{1000, 10, 100}, 90, 40},
+		{[]float64{50, 50, 500}, 150, 50},
 	} {
-		level, limited := fairShare(c.arrived, c.admitted)
-		assert.Equal(t, level, c.level, "%v", c)
-		assert.Equal(t, limited, c.limited, "%v", c)
+		assert.Equal(t, fairShare(c.arrived, c.admitted), c.level, "%v", c)
 	}
 }
 
@@ -43,13 +39,13 @@
 		}
 		admitted := float64(rapid.IntRange(0, int(sum)+100).Draw(t, "admitted"))
 		before := slices.Clone(arrived)
-		level, limited := fairShare(arrived, admitted)
+		level := fairShare(arrived, admitted)
 		got := 0.0
 		for _, n := range arrived {
 			got += min(n, level)
 		}
-		if math.Abs(got-min(admitted, sum)) > 1e-6*(1+sum) || limited != (admitted < sum) {
-			t.Fatalf("level %v, limited %v: sum %v of %v admitted", level, limited, got, admitted)
+		if math.Abs(got-min(admitted, sum)) > 1e-6*(1+sum) || math.IsInf(level, 1) != (admitted >= sum) {
+			t.Fatalf("level %v: sum %v of %v admitted", level, got, admitted)
 		}
 		if !slices.Equal(before, arrived) {
 			t.Fatal("the arrivals were changed")
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -32,8 +32,6 @@
 	service string
 	// priority is that of the request; nil if all requests of the service have the same one.
 	priority *uint32
-	// overShare says that the team was over its fair share of the service when the request arrived.
-	overShare bool
 	// group is the group whose permit the request holds.
 	group      *groupPool
 	team       *wire.KeyedTeam
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -255,9 +255,8 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
-	queued := c.newWaiter()
-	a := g.services.acquire(ctx, c.service, queued)
-	c.waited, c.overShare = a.waited, queued.overShare
+	a := g.services.acquire(ctx, c.service, c.newWaiter())
+	c.waited = a.waited
 	g.metrics.recordQueued(c)
 	if !a.ok {
 		c.cause = a.cause
--- a/gateway/metrics_test.go
+++ b/gateway/metrics_test.go
@@ -132,16 +132,3 @@
 		assert.Equal(t, countOf(g.metrics, event), want, "%s: %v", event, priorityCounters(g.metrics))
 	}
 }
-
-// Guards against lines from which operators can't tell whose requests were limited: a line has the priority
-// of a request of a prioritized service, and says if its team was over its share.
-func TestRequestLinesHavePriorityAndShare(t *testing.T) {
-	var text strings.Builder
-	priority := uint32(2)
-	g := &Gateway{metrics: newGatewayMetrics(), requestLog: newRequestLog(log.NewLogfmtLogger(&text), time.Now)}
-	(&call{Gateway: g, priority: &priority, overShare: true}).finish(http.StatusServiceUnavailable, reasonUpstreamsBusy, nil)
-	assert.Assert(t, strings.Contains(text.String(), " priority=2 over_share=true"), text.String())
-	text.Reset()
-	(&call{Gateway: g}).finish(http.StatusServiceUnavailable, reasonUpstreamsBusy, nil)
-	assert.Assert(t, !strings.Contains(text.String(), "priority") && !strings.Contains(text.String(), "over_share"), text.String())
-}
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -72,9 +72,6 @@
 	if c.priority != nil {
 		kv = append(kv, "priority", *c.priority)
 	}
-	if c.overShare {
-		kv = append(kv, "over_share", true)
-	}
 	if c.waited > 0 {
 		kv = append(kv, "waited_ms", c.waited.Milliseconds())
 	}
