--- a/ctl/demand_test.go
+++ b/ctl/demand_test.go
@@ -1,6 +1,7 @@
 package ctl_test
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,9 @@
 	"github.com/snipereach/snipereach/ctl"
 	"github.com/snipereach/snipereach/demand"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/operators"
+	"github.com/snipereach/snipereach/quickstart"
+	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -49,6 +53,37 @@
 	}
 }
 
+// Guards against operators who can't see demand that a control replica of the running system knows: the
+// path from a gateway's report through the replica and an entry to the command.
+func TestDemandOfRunningSystemIsShown(t *testing.T) {
+	s := start(t, quickstart.Options{})
+	code, out := runCtlAt(s, 0, "status", "-o", "json")
+	assert.Equal(t, code, kernel.ExitOK, out)
+	var status operators.Status
+	assert.NilError(t, json.Unmarshal([]byte(out), &status))
+	pool := transport.NewPool(transport.Security{Secret: []byte(quickstart.ClusterSecret)})
+	defer pool.Close()
+	ctx, replica := context.Background(), status.Replicas[1].Address
+	_, err := wire.NewDRPCDemandClient(pool.Conn(ctx, replica)).Report(ctx, &wire.DemandReport{
+		Gateway: "g1", Service: "lm", SpanMs: 5000, Teams: []*wire.TeamDemand{
+			{Team: "farm", Priority: 1, Arrived: 30, Admitted: 20, Refused: []*wire.RefusedCount{{Cause: "upstreams-busy", Count: 10}}},
+		},
+	})
+	assert.NilError(t, err)
+	code, out = runCtlAt(s, 0, "demand", "-o", "json")
+	assert.Equal(t, code, kernel.ExitOK, out)
+	var list demand.List
+	assert.NilError(t, json.Unmarshal([]byte(out), &list))
+	assert.Equal(t, len(list.Services), 1, out)
+	got := list.Services[0]
+	assert.Equal(t, got.Replica, replica)
+	assert.Equal(t, got.Gateways, uint32(1))
+	assert.DeepEqual(t, got.Teams, []demand.Team{{
+		Team: "farm", Priority: 1, Arrived: 30, Admitted: 20, Refused: 10, OverShare: true,
+		Causes: []demand.CauseCount{{Cause: "upstreams-busy", Count: 10}},
+	}})
+}
+
 // Guards against operators who can't tell whose requests wait or are refused under contention, and why.
 func TestDemandIsShown(t *testing.T) {
 	run := serveDemand(t, contendedList())
