--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -42,7 +42,7 @@
 	// defaults to the listener's address.
 	Listen    string `toml:"listen"`
 	Advertise string `toml:"advertise"`
-	// OperatorsListen is the HTTP address of the metrics and the state dump; empty disables it.
+	// OperatorsListen is the HTTP address of the metrics, the state dump and the demand; empty disables it.
 	OperatorsListen string `toml:"operators_listen"`
 	// API configures the HTTP API; nil disables it.
 	API       *APISettings     `toml:"api"`
@@ -214,6 +214,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/debug/state", &d.dumps)
+	mux.HandleFunc("GET /v1/demand", d.serveDemand)
 	m := d.control.Metrics()
 	d.control.RegisterMetrics(m.Registry)
 	mux.Handle("/metrics", kernel.MetricsHandler(m.Registry))
