--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -310,7 +310,6 @@
 	if g.services.prioritized(c.service) {
 		priority := routing.RequestPriority(c.route, c.team)
 		c.priority = &priority
-		g.metrics.recordArrival(c)
 	}
 	c.fixedPass = fixedPassTime(t.Service(c.service).GetEngine())
 	c.waitForService(r.Context())
@@ -318,6 +317,7 @@
 	if c.params.Deadline > 0 && began.Add(c.params.Deadline).Before(c.deadline) {
 		c.deadline = began.Add(c.params.Deadline)
 	}
+	g.metrics.recordArrival(c)
 	if !g.finishesBeforeStop(c) {
 		return c, &refusal{status: http.StatusServiceUnavailable, reason: reasonDraining, retryAfter: retryAfterDrain}
 	}
