--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -267,6 +267,7 @@
 	c.ctx = ctx
 	a := c.acquire()
 	c.waited = a.waited
+	g.metrics.recordQueued(c)
 	if !a.ok {
 		c.cause = a.cause
 		c.refuseUnadmitted(a)
@@ -326,6 +327,7 @@
 	if c.params.Deadline > 0 && began.Add(c.params.Deadline).Before(c.deadline) {
 		c.deadline = began.Add(c.params.Deadline)
 	}
+	g.metrics.recordArrival(c)
 	if !g.finishesBeforeStop(c) {
 		return c, &refusal{status: http.StatusServiceUnavailable, reason: reasonDraining, retryAfter: retryAfterDrain}
 	}
