Eject a silent rank of a prioritized service after one attempt

All ranks of a group in lock-step take part in each pass, so one that sends nothing while the group makes progress has failed. A rank that has begun to respond to another request of the gateway meanwhile is busy and isn't ejected.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -192,6 +192,7 @@
 		res.Outcome, res.Reason = wire.Outcome_OUTCOME_NOT_RUN, wire.Reason_REASON_UPSTREAM_LEAVING
 	case outcomeNotSent, outcomeInDoubt:
 		res.Reason = wire.Reason_REASON_UPSTREAM_FAILED
+		res.SilentFor = a.watchdog.silence()
 	case outcomeCallerGone:
 		res.CallerGone = true
 	}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -54,6 +54,7 @@
 	// lastState is the state of the limiter at the last request.
 	lastState groupState
 	pacer     pacer
+	responded responseTimes
 	// stats counts the passes, for logs.
 	stats passStats
 }
@@ -78,7 +79,7 @@
 		if err != nil {
 			return err
 		}
-		p.groups[name] = &groupPool{service: p, name: name, balancer: b}
+		p.groups[name] = &groupPool{service: p, name: name, balancer: b, responded: responseTimes{}}
 	}
 	for name, g := range p.groups {
 		g.update(now, byGroup[name])
@@ -136,6 +137,7 @@
 			Load: &wire.Load{Seq: firstLoad, Slots: i.Direct.Slots},
 		})
 	}
+	g.responded.retain(g.upstreams)
 	g.balancer.SetUpstreams(now, upstreams)
 	g.limiter.setUpstreams(now, insts, g.service.evacuated)
 }
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -255,11 +255,14 @@
 	m.finish(now, group, upstream, r, route.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, CallerGone: true})
 }
 
-// finish ends an attempt at an upstream that pick chose.
-func (m *serviceManager) finish(now time.Time, group *groupPool, upstream route.Upstream, r *route.Request, res route.Result) {
+// finish ends an attempt at an upstream that pick chose. It reports whether the attempt shows that
+// the upstream is silent.
+func (m *serviceManager) finish(now time.Time, group *groupPool, upstream route.Upstream, r *route.Request, res route.Result) (silent bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	group.checkSilence(now, upstream, &res)
 	group.balancer.Done(now, upstream, r, res)
+	return res.SilentFor > 0
 }
 
 // recordHead records the head of a response after the given time, with the upstream's load if it
@@ -267,6 +270,7 @@
 func (m *serviceManager) recordHead(now time.Time, group *groupPool, upstream route.Upstream, load *dialect.Load, after time.Duration, ran bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	group.responded[upstream.ID] = now
 	var l *wire.Load
 	if load != nil {
 		m.loadSeq++
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -32,6 +32,9 @@
 	// lastHeard is when the upstream last sent something, in nanoseconds since startedAt.
 	lastHeard atomic.Int64
 	startedAt time.Time
+	// silentFor is for how long the upstream had been silent when the attempt was cancelled for it, in
+	// nanoseconds; 0 if it wasn't.
+	silentFor atomic.Int64
 }
 
 // watchAttempt starts the watchdog of an attempt. It returns nil if the request isn't repeatable.
@@ -52,6 +55,15 @@
 	}
 }
 
+// silence returns for how long the upstream had been silent when the attempt was given up for it; 0
+// if it wasn't.
+func (w *silenceWatchdog) silence() time.Duration {
+	if w == nil {
+		return 0
+	}
+	return time.Duration(w.silentFor.Load())
+}
+
 func (w *silenceWatchdog) stop() {
 	if w != nil {
 		w.timer.Stop()
@@ -63,11 +75,13 @@
 // the group as a whole makes progress.
 func (w *silenceWatchdog) check() {
 	now := time.Now()
-	left := w.timeout - now.Sub(w.startedAt) + time.Duration(w.lastHeard.Load())
+	silentFor := now.Sub(w.startedAt) - time.Duration(w.lastHeard.Load())
+	left := w.timeout - silentFor
 	switch {
 	case left > 0:
 		w.timer.Reset(left)
 	case w.call.reserveRetry(now, w, w.call.retryBudget.Take):
+		w.silentFor.Store(int64(silentFor))
 		w.cancel()
 	default:
 		w.timer.Reset(w.timeout / 2)
--- a/route/health.go
+++ b/route/health.go
@@ -127,7 +127,7 @@
 		s.leaving = true
 	case isUpstreamFailure(res):
 		s.failures++
-		if s.probing || s.failures >= failuresToEject {
+		if s.probing || s.failures >= failuresToEject || res.SilentFor > 0 {
 			p.eject(now, s)
 		}
 	case res.Outcome == wire.Outcome_OUTCOME_DONE:
--- a/route/route.go
+++ b/route/route.go
@@ -59,6 +59,9 @@
 	// CallerGone is true if the caller disconnected before the attempt ended. Such a
 	// result says nothing about the upstream.
 	CallerGone bool
+	// SilentFor is for how long the upstream had sent nothing when the attempt was given
+	// up, if this attempt alone is to eject it; 0 if not.
+	SilentFor time.Duration
 }
 
 // Choice is the upstream selected for an attempt.
