--- a/control/control.go
+++ b/control/control.go
@@ -71,6 +71,8 @@
 	// statements are what upstreams ask of gateways, permits lends permits within their limits.
 	statements *statementStore
 	permits    *backpressure.Lender
+	// silences are reports of silent upstreams.
+	silences silenceStore
 
 	mu       sync.Mutex
 	identity *wire.Identity
@@ -136,6 +138,9 @@
 	if err := wire.DRPCRegisterBackpressure(mux, backpressureService{&service{c}}); err != nil {
 		return err
 	}
+	if err := wire.DRPCRegisterOutliers(mux, outlierService{&service{c}}); err != nil {
+		return err
+	}
 	return wire.DRPCRegisterControl(mux, &service{c})
 }
 
--- a/control/routing.go
+++ b/control/routing.go
@@ -11,6 +11,7 @@
 	"github.com/snipereach/snipereach/backpressure"
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
+	"github.com/snipereach/snipereach/outlier"
 	"github.com/snipereach/snipereach/quarantine"
 	"github.com/snipereach/snipereach/routing"
 	"github.com/snipereach/snipereach/wire"
@@ -180,7 +181,7 @@
 
 // routingUpdates is what one watcher of the routing version has been sent.
 type routingUpdates struct {
-	version, evacuations, suspicions, statements uint64
+	version, evacuations, suspicions, statements, silences uint64
 	// current says that the replica was current at the last look.
 	current bool
 }
@@ -191,24 +192,26 @@
 	confirmed, evacuations := r.feed.isCurrent(r.now()), r.evacuations.Load()
 	suspicions := s.suspicions.changesSince(u.suspicions)
 	statements, statementsUpTo := s.statements.changesSince(u.statements)
+	silences, silencesUpTo := s.silences.changesSince(u.silences, r.clock)
 	v = &wire.RoutingVersion{
 		Version: r.routingVersion.Load(), ConfirmedAgeMs: clampedMillis(r.feed.confirmedAge(r.now())),
-		Suspicions: suspicions.Suspicions, Statements: statements,
+		Suspicions: suspicions.Suspicions, Statements: statements, Silences: silences,
 		Evacuated: evacuations.Domains, EvacuationRevision: evacuations.Revision,
 	}
-	full = len(suspicions.Suspicions) == quarantine.MaxBatch || len(statements) == backpressure.MaxStatements
-	changed := v.Version != u.version || evacuations.Revision != u.evacuations || len(v.Suspicions) > 0 || len(v.Statements) > 0
+	full = len(suspicions.Suspicions) == quarantine.MaxBatch || len(statements) == backpressure.MaxStatements || len(silences) == outlier.MaxReports
+	changed := v.Version != u.version || evacuations.Revision != u.evacuations || len(v.Suspicions) > 0 || len(v.Statements) > 0 || len(v.Silences) > 0
 	becameCurrent := confirmed && !u.current
 	u.current = confirmed
 	if !due && !changed && !becameCurrent {
 		return nil, false
 	}
 	u.version, u.evacuations, u.suspicions, u.statements = v.Version, evacuations.Revision, suspicions.Version, statementsUpTo
+	u.silences = silencesUpTo
 	return v, full
 }
 
-// Watch implements the Routing service. It sends the applied version, the evacuations, new suspicions
-// and changed statements of upstreams when they change or the replica becomes current, and otherwise at intervals.
+// Watch implements the Routing service. It sends the applied version, the evacuations, new suspicions,
+// changed statements of upstreams and reports of silent ones when they change or the replica becomes current, and otherwise at intervals.
 func (s routingService) Watch(_ *wire.WatchRoutingRequest, stream wire.DRPCRouting_WatchStream) error {
 	r := s.currentReplica()
 	if r == nil {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -145,7 +145,7 @@
 // chooseUpstream chooses an upstream that takes a request from this gateway now. One whose limit
 // leaves no permit for it is left out.
 func (c *call) chooseUpstream() (route.Upstream, *route.Request, bool) {
-	req := &route.Request{Exclude: c.tried, Tokens: c.params.PromptTokens + c.params.MaxTokens}
+	req := &route.Request{Exclude: c.tried, Tokens: c.params.PromptTokens + c.params.MaxTokens, MayProbe: c.mayProbe()}
 	for c.ctx.Err() == nil {
 		upstream, group, ok := c.services.pick(time.Now(), c.group, req)
 		if !ok {
@@ -166,7 +166,9 @@
 	a.watchdog.stop()
 	a.cancel()
 	now := time.Now()
-	c.services.finish(now, a.group, a.upstream, a.request, a.result(o, now))
+	if c.services.finish(now, a.group, a.upstream, a.request, a.result(o, now)) {
+		c.services.silent.observe(a.upstream)
+	}
 	c.history.record(o)
 	c.sent.Store(int64(c.history.sent))
 	c.lastOutcome = o
@@ -217,6 +219,9 @@
 	c.recordStatements(a)
 	now := time.Now()
 	c.services.recordHead(now, a.group, a.upstream, a.head.Load, now.Sub(a.startedAt), resp.Status == http.StatusOK)
+	if resp.Status != http.StatusMisdirectedRequest {
+		c.services.silent.responded(a.upstream.ID)
+	}
 	if a.head.GroupDown {
 		c.services.recordGroupDown(now, a.group)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,6 +122,7 @@
 	})
 	g.services.onStateChange, g.services.onPasses, g.services.gateways = g.logStateChange, g.logPasses, g.gatewayCount
 	g.services.restraints, g.services.onHeldBack = g.restraints, g.countHeldBack
+	g.services.silent = newSilentUpstreams(g)
 	g.metrics.register(g)
 	g.node = directory.NewNode(directorySettings(), now, g.directoryChanged)
 	g.retryBudget = retry.NewBudget(s.Retries.allowance(), g.lastKnownPosition, g.borrowRetry, now)
@@ -162,6 +163,7 @@
 	go g.followSurveys(ctx)
 	go g.quarantine.Run(ctx, g.targets.Addresses)
 	go g.backpressure.Run(ctx)
+	go g.services.silent.run(ctx, g.targets.Addresses)
 	go g.announceLoop(ctx)
 	kernel.Info(g.log, "Started.", "id", g.settings.ID, "failure_domain", g.settings.FailureDomain, "addr", g.callerListener.Addr(), "version", kernel.Version)
 	return nil
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -36,6 +36,8 @@
 	cold         coldUpstreams
 	// evacuated has the upstreams that are up in evacuated failure domains.
 	evacuated map[string]bool
+	// ignoreSilence is the setting.
+	ignoreSilence bool
 }
 
 // groupPool is the state of one group at a gateway: upstreams that run in lock-step with each
--- a/gateway/routingwatch.go
+++ b/gateway/routingwatch.go
@@ -103,6 +103,7 @@
 		w.recordVersion(v)
 		w.quarantine.ApplyReport(w.addr, v.Suspicions)
 		w.backpressure.ApplyReport(w.addr, v.Statements)
+		w.services.silent.applyReports(w.addr, v.Silences)
 		w.applyEvacuations(v, w.addr)
 		if err := w.fetchIfNewer(ctx, v); err != nil {
 			return err
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -40,6 +40,10 @@
 	// for. They are called without the lock.
 	gateways   func() int
 	restraints func() restraints
+	// silent are the upstreams that gateways found silent. Its lock is taken after that of the manager.
+	silent *silentUpstreams
+	// ignoreSilence is the setting.
+	ignoreSilence bool
 	// onHeldBack is called with the cause for each upstream that is left out of a choice.
 	onHeldBack func(cause string)
 	// position is that of this gateway at the last update.
@@ -91,6 +95,7 @@
 		entryInfo: route.EntryInfo{ID: s.ID, FailureDomain: s.FailureDomain, Seed: rand.Uint64()},
 		services:  map[string]*servicePool{}, loadSeq: firstLoad,
 		restraints: func() restraints { return nil }, onHeldBack: func(string) {},
+		silent: &silentUpstreams{}, ignoreSilence: s.IgnoreSilence,
 	}
 }
 
@@ -112,6 +117,7 @@
 		if m.services[name] == nil {
 			m.services[name] = newServicePool(m.entryInfo)
 			m.services[name].policy.SetRanks(m.ranks[name])
+			m.services[name].ignoreSilence = m.ignoreSilence
 		}
 	}
 	for name, p := range m.services {
@@ -222,6 +228,13 @@
 	held := m.restraints()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.pickAvoiding(group.candidates(now), r, func(r *route.Request) (route.Upstream, *groupPool, bool) {
+		return m.pickAllowed(now, group, r, held)
+	})
+}
+
+// pickAllowed chooses an upstream that the request doesn't exclude and that isn't held.
+func (m *serviceManager) pickAllowed(now time.Time, group *groupPool, r *route.Request, held restraints) (upstream route.Upstream, holder *groupPool, ok bool) {
 	for _, g := range group.candidates(now) {
 		allowed := r.Excluding(g.service.cold.exhausted(now, m.position)).Excluding(held.excluded(g.upstreams, m.onHeldBack))
 		c, ok := g.balancer.Pick(now, allowed)
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"github.com/snipereach/snipereach/dialect"
@@ -26,7 +27,9 @@
 func allBut(g *groupPool, only string, other string) *route.Request {
 	r := &route.Request{Exclude: map[string]bool{}}
 	for id := range g.upstreams {
-		r.Exclude[id] = id != only && id != other
+		if id != only && id != other {
+			r.Exclude[id] = true
+		}
 	}
 	return r
 }
@@ -85,3 +88,85 @@
 	assert.Assert(t, !ejected(f, g, giveUpAt(f, g, waiting, r, start.Add(time.Second))))
 	assert.Assert(t, ejected(f, g, giveUpAt(f, g, running, r, start.Add(1600*time.Millisecond))))
 }
+
+// withReports lets a gateway know that two others have found upstreams silent, at the time of now.
+func withReports(f *serviceManager, now *time.Time, upstreams ...string) *silentUpstreams {
+	f.silent.now, f.silent.metrics, f.silent.log = func() time.Time { return *now }, newGatewayMetrics(), func(string, ...any) {}
+	for _, id := range upstreams {
+		f.silent.applyReports("replica", []*wire.SilenceReport{{Upstream: id, Incarnation: 1, Reporter: "a"}, {Upstream: id, Incarnation: 1, Reporter: "b"}})
+	}
+	return f.silent
+}
+
+// Guards against requests, repeatable or not, to ranks that others have found silent; and against a rank
+// that is avoided for ever.
+func TestRanksThatOthersFoundSilentAreLeftOut(t *testing.T) {
+	f, g := silenceGateway(t, ranksInDomains(16), 2)
+	now := start
+	s := withReports(f, &now, "r1")
+	for range 100 {
+		up, _, ok := f.pick(now, g, allBut(g, "r1", "r2"))
+		assert.Assert(t, ok && up.ID == "r2", up.ID)
+	}
+	up, _, ok := f.pick(now, g, allBut(g, "r1", ""))
+	assert.Assert(t, ok && up.ID == "r1", "it isn't used though it is the only one left")
+	assert.Equal(t, s.metrics.Registry.Get("gateway.silent.avoided").(metrics.Counter).Count(), int64(100))
+	now = now.Add(3 * time.Second)
+	assert.Assert(t, !ejected(f, g, now))
+}
+
+// Guards against avoidance in services that aren't prioritized, and against a setting without effect.
+func TestOtherServicesAvoidNoUpstream(t *testing.T) {
+	now := start
+	f, g := silenceGateway(t, ranksInDomains(16), 1)
+	withReports(f, &now, "r1")
+	assert.Assert(t, !ejected(f, g, now))
+	f, g = silenceGateway(t, ranksInDomains(16), 2)
+	f.services["llm"].ignoreSilence = true
+	withReports(f, &now, "r1")
+	assert.Assert(t, !ejected(f, g, now))
+	assert.Assert(t, !ejected(f, g, giveUp(t, f, g)))
+}
+
+// Guards against more than one request in a second, or one that can't be repeated, to avoided ranks; and
+// against a rank that no gateway looks at again.
+func TestAvoidedRanksGetOneProbeAtATime(t *testing.T) {
+	f, g := silenceGateway(t, ranksInDomains(16), 2)
+	now, probes := start, 0
+	withReports(f, &now, "r1")
+	for range 299 {
+		now = now.Add(10 * time.Millisecond)
+		r := allBut(g, "r1", "r2")
+		up, _, _ := f.pick(now, g, r)
+		assert.Assert(t, up.ID != "r1", "a request that isn't repeatable")
+		r.MayProbe = true
+		if up, _, _ = f.pick(now, g, r); up.ID == "r1" {
+			probes++
+		}
+	}
+	assert.Assert(t, probes >= 1 && probes <= 3, "%d", probes)
+}
+
+// Guards against a rank that is avoided though it has responded to this gateway.
+func TestResponseEndsAvoidance(t *testing.T) {
+	f, g := silenceGateway(t, ranksInDomains(16), 2)
+	now := start
+	s := withReports(f, &now, "r1")
+	assert.Assert(t, ejected(f, g, now))
+	now = now.Add(time.Millisecond)
+	s.responded("r1")
+	assert.Assert(t, !ejected(f, g, now))
+}
+
+// Guards against probes of all gateways at once, and against so few that reports stop while an upstream
+// is still silent.
+func TestProbesAreSpreadOverGateways(t *testing.T) {
+	for _, gateways := range []int{1, 2, 40, 400} {
+		for avoided := 1; avoided <= 9; avoided++ {
+			every := probeIntervalOf(avoided, gateways)
+			perUpstream := float64(gateways) / every.Seconds() / float64(avoided)
+			assert.Assert(t, every >= silentProbeInterval && perUpstream <= silentProbesPerS+1e-6, "%d gateways, %d avoided: %s", gateways, avoided, every)
+		}
+	}
+	assert.Equal(t, probeIntervalOf(5, 40), 4*time.Second)
+}
--- a/route/route.go
+++ b/route/route.go
@@ -35,6 +35,9 @@
 	Prefix []uint64
 	// Exclude holds the IDs of the upstreams of earlier attempts.
 	Exclude map[string]bool
+	// MayProbe is true if another attempt can follow one at an upstream that doesn't
+	// respond.
+	MayProbe bool
 }
 
 // Excluding returns the request with more upstreams excluded; r itself if there are none.
