--- a/gateway/silentupstreams.go
+++ b/gateway/silentupstreams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -156,7 +157,7 @@
 		s.silent[one.Upstream] = one
 		if old, known := before[one.Upstream]; !known || old.Incarnation != one.Incarnation {
 			s.metrics.Count("gateway.silent.began")
-			s.log("Upstream is silent.", "upstream", one.Upstream, "incarnation", one.Incarnation, "reporters", one.Reporters, "age_ms", now.Sub(one.Latest).Milliseconds())
+			s.log("Upstream is silent.", "upstream", one.Upstream, "incarnation", one.Incarnation, "reporters", strings.Join(one.Reporters, ","), "age_ms", now.Sub(one.Latest).Milliseconds())
 		}
 	}
 	for id, old := range before {
