--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -40,10 +40,10 @@
 	Keep kernel.Duration `toml:"keep"`
 	// StopLimit is the time between the stop signal and the forced stop.
 	StopLimit kernel.Duration `toml:"stop_limit"`
-	Retries   RetrySettings   `toml:"retries"`
 	// IgnoreSilence turns off that silent ranks of prioritized services are ejected after one attempt,
 	// and avoided because other gateways have reported them.
-	IgnoreSilence bool `toml:"ignore_silence"`
+	IgnoreSilence bool          `toml:"ignore_silence"`
+	Retries       RetrySettings `toml:"retries"`
 }
 
 // RetrySettings is the [retries] section: the retry budget of a service, shared by all gateways.
