--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,7 +29,9 @@
 	group    *groupPool
 	cancel   context.CancelFunc
 	timeout  time.Duration
-	timer    *time.Timer
+	// timer is set after it has been started, so that check, which it calls, waits for mu.
+	mu    sync.Mutex
+	timer *time.Timer
 	// lastHeard is when the upstream last sent something, in nanoseconds since startedAt.
 	lastHeard atomic.Int64
 	startedAt time.Time
@@ -43,7 +46,9 @@
 		return nil
 	}
 	w := &silenceWatchdog{call: c, upstream: upstream, group: c.group, cancel: cancel, timeout: c.services.silenceLimit(c.group), startedAt: time.Now()}
+	w.mu.Lock()
 	w.timer = time.AfterFunc(w.timeout, w.check)
+	w.mu.Unlock()
 	c.movable.add(w)
 	return w
 }
@@ -71,6 +76,12 @@
 	}
 }
 
+func (w *silenceWatchdog) resetTimer(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer.Reset(d)
+}
+
 // check cancels the attempt if it has been silent for too long, another attempt may follow, and
 // the group as a whole makes progress.
 func (w *silenceWatchdog) check() {
@@ -79,12 +90,12 @@
 	left := w.timeout - silentFor
 	switch {
 	case left > 0:
-		w.timer.Reset(left)
+		w.resetTimer(left)
 	case w.call.reserveRetry(now, w, w.call.retryBudget.Take):
 		w.silentFor.Store(int64(silentFor))
 		w.cancel()
 	default:
-		w.timer.Reset(w.timeout / 2)
+		w.resetTimer(w.timeout / 2)
 	}
 }
 
--- a/outlier/table_test.go
+++ b/outlier/table_test.go
@@ -71,12 +71,17 @@
 // Guards against a bound that leaves out an upstream that most gateways have found silent.
 func TestMostReportedAreAvoidedFirst(t *testing.T) {
 	table := &Table{}
+	for _, id := range []string{"r7", "r11"} {
+		record(table, id, "c", 0)
+		record(table, id, "d", 0)
+		record(table, id, "e", 0)
+	}
 	for i := range 16 {
-		record(table, fmt.Sprint("r", i), "a", 0)
-		record(table, fmt.Sprint("r", i), "b", 0)
+		if id := fmt.Sprint("r", i); id != "r7" && id != "r11" {
+			record(table, id, "a", 0.1)
+			record(table, id, "b", 0.2)
+		}
 	}
-	record(table, "r7", "c", 0.1)
-	record(table, "r11", "d", 0.2)
 	assert.DeepEqual(t, table.Avoided(seconds(0.3), groupOf(16)), map[string]bool{"r7": true, "r11": true})
 	assert.DeepEqual(t, table.Avoided(seconds(0.3), groupOf(5)), map[string]bool{"r0": true})
 }
@@ -118,16 +123,18 @@
 	upstream := fmt.Sprint("r", rapid.IntRange(0, 19).Draw(t, "upstream"))
 	switch rapid.IntRange(0, 5).Draw(t, "step") {
 	case 0:
-		m.now = m.now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+		longest := rapid.SampledFrom([]int{10, 10, 500, 4000}).Draw(t, "longest")
+		m.now = m.now.Add(time.Duration(rapid.IntRange(0, longest).Draw(t, "ms")) * time.Millisecond)
 	case 1:
 		m.Responded(m.now, upstream)
 	case 2:
 		m.Expire(m.now)
 	default:
+		oldest := rapid.SampledFrom([]int{10, 3000, 11000}).Draw(t, "oldest")
 		r := Report{
-			Upstream: upstream, Incarnation: uint64(rapid.IntRange(1, 2).Draw(t, "incarnation")),
+			Upstream: upstream, Incarnation: rapid.SampledFrom([]uint64{1, 1, 1, 1, 1, 1, 1, 1, 1, 2}).Draw(t, "incarnation"),
 			Reporter: fmt.Sprint("g", rapid.IntRange(0, 12).Draw(t, "reporter")),
-			At:       m.now.Add(-time.Duration(rapid.IntRange(-100, 11000).Draw(t, "age")) * time.Millisecond),
+			At:       m.now.Add(-time.Duration(rapid.IntRange(-5, oldest).Draw(t, "age")) * time.Millisecond),
 		}
 		m.Record(m.now, r)
 		m.reports = append(m.reports, r)
@@ -205,6 +212,26 @@
 	})
 }
 
+// Guards against reports that are lost when there are more than a message may have.
+func TestReportsAreSentInParts(t *testing.T) {
+	table, other, version := &Table{}, &Table{}, uint64(0)
+	for i := range 10 {
+		record(table, fmt.Sprint("r", i), "a", 0)
+		record(table, fmt.Sprint("r", i), "b", 0)
+	}
+	for sent := 0; sent < 20; {
+		list, upTo := table.Since(version, 3)
+		assert.Assert(t, len(list) > 0 && len(list) <= 3 && upTo > version)
+		for _, r := range list {
+			other.Record(seconds(0), r)
+		}
+		sent, version = sent+len(list), upTo
+	}
+	assert.DeepEqual(t, table.Silent(seconds(0)), other.Silent(seconds(0)))
+	list, upTo := table.Since(version, 3)
+	assert.Assert(t, len(list) == 0 && upTo == version)
+}
+
 // Guards against messages that no gateway sends.
 func TestCheck(t *testing.T) {
 	assert.NilError(t, Check(&wire.SilenceReport{Upstream: "r", Reporter: "g"}))
