--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -12,6 +12,10 @@
 	// expiringAdmitFraction is the least fraction of the admission rate that late requests get
 	// while one of them is about to expire.
 	expiringAdmitFraction = 0.6
+	// rankedWaitMargin is how much longer than expected ranked requests may have to wait: more
+	// urgent requests don't arrive evenly, and one that is refused after it has waited would have
+	// done better to come back later.
+	rankedWaitMargin = 1.3
 	// maxExpectedWait stands for a wait that has no end in sight. It is longer than any request is
 	// queued.
 	maxExpectedWait = time.Minute
@@ -37,6 +41,7 @@
 // late admissions is unknown or doesn't apply.
 func (p *servicePool) decide(now time.Time, gateways int, w *waiter) (d decision, wait time.Duration) {
 	p.policy.RecordArrival(now, w.priority)
+	p.observeOutages(now)
 	c := p.classOf(now, w)
 	if p.ahead(now, c) == 0 {
 		if g := p.pickGroup(now, gateways, c); g != nil {
@@ -45,10 +50,10 @@
 		}
 	}
 	if p.allEvacuated() || len(p.queue.waiters) >= maxQueued || !now.Before(w.giveUpAt) {
-		return decisionRefuse, p.refused(now)
+		return decisionRefuse, p.refusedRequest(now, w)
 	}
 	if !p.likelyAdmitted(now, gateways, w) {
-		return decisionRefuse, p.refused(now)
+		return decisionRefuse, p.refusedRequest(now, w)
 	}
 	p.queue.add(w)
 	p.late.of(w.priority).observeQueue(now, &p.queue)
@@ -59,6 +64,9 @@
 // before it must be refused: at the pace of the groups while slots are free, and then as others
 // are released.
 func (p *servicePool) likelyAdmitted(now time.Time, gateways int, w *waiter) bool {
+	if f, down := p.outage(now); down {
+		return p.outageRequest(w, p.backlogAhead(now, w)).Holds(now, f)
+	}
 	if !p.available(now) {
 		return w.retried && !p.incomplete(now)
 	}
@@ -68,6 +76,9 @@
 	}
 	c.late = true
 	ahead := p.ahead(now, c)
+	if now.Before(p.queue.backlogUntil) {
+		return p.backlogAdmitted(now, w)
+	}
 	// With free slots, only long passes hold requests back for a moment, so the rate of late
 	// admissions doesn't apply.
 	limit, inflight := p.limit(now, gateways, c)
@@ -81,14 +92,17 @@
 }
 
 // classOf returns the class of a request of the service.
-func (p *servicePool) classOf(now time.Time, w *waiter) class { return w.class(now, p.starved(now)) }
+func (p *servicePool) classOf(now time.Time, w *waiter) class {
+	return p.queue.classOf(now, w, p.starved(now))
+}
 
 // starved returns whether requests of a priority get too little, or nil if all have the same one.
 func (p *servicePool) starved(now time.Time) func(uint32) bool {
 	if !p.policy.Enabled() {
 		return nil
 	}
-	return func(priority uint32) bool { return p.policy.Starved(now, priority) }
+	starved := p.policy.StarvedRanks(now)
+	return func(rank uint32) bool { return int(rank) < len(starved) && starved[rank] }
 }
 
 // ahead returns how many queued requests would be admitted before one of a class that arrives now.
@@ -104,13 +118,11 @@
 	if p.lockstep() {
 		wait = float64(ahead+1) / max(p.slotShare(now, gateways), 1) * minFillTime.Seconds()
 	}
-	free := max(limit-inflight, 0)
+	free, released := max(limit-inflight, 0), fraction*float64(max(limit, 1))/p.meanHoldTime().Seconds()
 	if p.policy.Enabled() {
-		// More urgent requests may have filled the group beyond the limit of this class.
-		free = limit - inflight
+		free, released = limit-inflight, p.releasedFor(now, c, limit)/rankedWaitMargin
 	}
 	if needed := ahead + 1 - free; needed > 0 {
-		released := fraction*float64(max(limit, 1))/p.meanHoldTime().Seconds() - p.policy.MoreUrgentPerSecond(now, c.priority)
 		if released <= 0 {
 			return maxExpectedWait
 		}
@@ -119,6 +131,17 @@
 	return min(time.Duration(wait*float64(time.Second)), maxExpectedWait)
 }
 
+// releasedFor returns how many of the permits that are released in a second are left for ranked
+// requests of a class: more urgent requests that arrive take theirs before, and before late ones
+// also those of the same rank.
+func (p *servicePool) releasedFor(now time.Time, c class, limit int) float64 {
+	released := float64(max(limit, 1)) / p.meanHoldTime().Seconds()
+	if c.late {
+		return released - p.policy.MoreUrgentPerSecond(now, c.priority+1)
+	}
+	return released - p.policy.MoreUrgentPerSecond(now, c.priority)
+}
+
 // slotShare returns the number of the group's slots that this gateway may use.
 func (g *groupPool) slotShare(gateways int) float64 {
 	return float64(g.limiter.slots) * g.limiter.share(gateways)
@@ -150,7 +173,7 @@
 // gateway; 0 if none may be admitted now.
 func (g *groupPool) permits(now time.Time, gateways int, c class) int {
 	limit := g.limit(now, gateways, c)
-	if len(g.upstreams) == 0 || g.limiter.inflight >= limit || !g.limiter.mayAdmit(now, g.service.available(now)) {
+	if len(g.upstreams) == 0 || g.limiter.inflight >= limit || !g.limiter.mayAdmit(now, g.service.available(now) || g.cannotForm(now)) {
 		return 0
 	}
 	if g.limiter.lockstep && !g.paceAllows(now, gateways, c.late) {
@@ -166,7 +189,8 @@
 	if late && g.service.queue.hasExpiring(now) {
 		fraction = max(fraction, expiringAdmitFraction)
 	}
-	g.pacer.refill(now, fraction*g.slotShare(gateways), max(paceBurst/float64(max(g.service.availableGroups(now), 1)), 1))
+	share := fraction * g.slotShare(gateways)
+	g.pacer.refill(now, share, max(paceBurst/float64(max(g.service.availableGroups(now), 1)), g.service.minBurst(share)))
 	return fraction > 0 && g.pacer.hasToken()
 }
 
@@ -184,6 +208,8 @@
 
 // admitQueued admits queued requests as far as permits allow.
 func (p *servicePool) admitQueued(now time.Time, gateways int) {
+	p.observeOutages(now)
+	p.refuseHopeless(now)
 	p.late.observeQueue(now, &p.queue)
 	for p.admitNext(now, gateways) {
 	}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -25,6 +25,7 @@
 	policy     overload.Policy
 	late       lateByPriority
 	retryAfter retryAfterEstimator
+	outages    outages
 	// headTime is the EWMA of the time to the head of a response, holdTime that of the time that
 	// a request holds its permit; 0 before the first.
 	headTime, holdTime time.Duration
@@ -53,6 +54,10 @@
 	balancer  route.Balancer
 	upstreams map[string]*directory.Instance
 	limiter   groupLimiter
+	// registrations counts the upstreams that have registered anew, and incarnations has those of
+	// the present ones by ID.
+	registrations int
+	incarnations  map[string]uint64
 	// lastState is the state of the limiter at the last request.
 	lastState groupState
 	pacer     pacer
@@ -90,6 +95,7 @@
 		}
 	}
 	p.sorted = slices.SortedFunc(maps.Values(p.groups), func(a, b *groupPool) int { return cmp.Compare(a.name, b.name) })
+	p.observeOutages(now)
 	return nil
 }
 
@@ -140,6 +146,7 @@
 		})
 	}
 	g.responded.retain(g.upstreams)
+	g.countRegistrations(insts)
 	g.balancer.SetUpstreams(now, upstreams)
 	g.limiter.setUpstreams(now, insts, g.service.evacuated)
 }
@@ -285,6 +292,7 @@
 	for _, g := range p.sorted {
 		fmt.Fprintf(&b, "%s, tokens %.1f; ", g.describe(now, p.gateways), g.pacer.tokens)
 	}
+	b.WriteString(p.describeOutages(now))
 	fmt.Fprintf(&b, "%d queued, head time %d ms, hold time %d ms", len(p.queue.waiters), p.headTime.Milliseconds(), p.meanHoldTime().Milliseconds())
 	return b.String()
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -40,10 +40,13 @@
 	Keep kernel.Duration `toml:"keep"`
 	// StopLimit is the time between the stop signal and the forced stop.
 	StopLimit kernel.Duration `toml:"stop_limit"`
+	Retries   RetrySettings   `toml:"retries"`
+	// IgnoreOutageForecast treats requests of prioritized services during outages as those of
+	// other services.
+	IgnoreOutageForecast bool `toml:"ignore_outage_forecast"`
 	// IgnoreSilence turns off that silent ranks of prioritized services are ejected after one attempt,
 	// and avoided because other gateways have reported them.
-	IgnoreSilence bool          `toml:"ignore_silence"`
-	Retries       RetrySettings `toml:"retries"`
+	IgnoreSilence bool `toml:"ignore_silence"`
 }
 
 // RetrySettings is the [retries] section: the retry budget of a service, shared by all gateways.
--- a/gateway/simcallers_test.go
+++ b/gateway/simcallers_test.go
@@ -96,6 +96,8 @@
 	events     int
 	late       bool
 	lateFirst  bool
+	// ended says that the stream has had its last event.
+	ended bool
 	// queuedInVain says that a try was refused after it had been queued.
 	queuedInVain bool
 	group        *groupPool
@@ -159,14 +161,6 @@
 	s.retries = nil
 }
 
-// priorities returns the priorities of all routes.
-func (s *groupSim) priorities() (list []uint32) {
-	for _, r := range s.routes {
-		list = append(list, r.priority)
-	}
-	return list
-}
-
 // perSecond returns the arrival rate of all routes now.
 func (s *groupSim) perSecond() (sum float64) {
 	for i := range s.routes {
