--- a/control/control.go
+++ b/control/control.go
@@ -74,6 +74,8 @@
 	permits    *backpressure.Lender
 	// demand sums up what callers ask of contended services.
 	demand *teamshare.Collector
+	// silences are reports of silent upstreams.
+	silences silenceStore
 
 	mu       sync.Mutex
 	identity *wire.Identity
@@ -142,6 +144,9 @@
 	if err := wire.DRPCRegisterDemand(mux, demandService{c}); err != nil {
 		return err
 	}
+	if err := wire.DRPCRegisterOutliers(mux, outlierService{&service{c}}); err != nil {
+		return err
+	}
 	return wire.DRPCRegisterControl(mux, &service{c})
 }
 
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -39,6 +39,8 @@
 	cold         coldUpstreams
 	// evacuated has the upstreams that are up in evacuated failure domains.
 	evacuated map[string]bool
+	// ignoreSilence is the setting.
+	ignoreSilence bool
 }
 
 // groupPool is the state of one group at a gateway: upstreams that run in lock-step with each
@@ -61,6 +63,7 @@
 	// lastState is the state of the limiter at the last request.
 	lastState groupState
 	pacer     pacer
+	responded responseTimes
 	// stats counts the passes, for logs.
 	stats passStats
 }
@@ -85,7 +88,7 @@
 		if err != nil {
 			return err
 		}
-		p.groups[name] = &groupPool{service: p, name: name, balancer: b}
+		p.groups[name] = &groupPool{service: p, name: name, balancer: b, responded: responseTimes{}}
 	}
 	for name, g := range p.groups {
 		g.update(now, byGroup[name])
@@ -144,6 +147,7 @@
 			Load: &wire.Load{Seq: firstLoad, Slots: i.Direct.Slots},
 		})
 	}
+	g.responded.retain(g.upstreams)
 	g.countRegistrations(insts)
 	g.balancer.SetUpstreams(now, upstreams)
 	g.limiter.setUpstreams(now, insts, g.service.evacuated)
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -40,6 +40,10 @@
 	// for. They are called without the lock.
 	gateways   func() int
 	restraints func() restraints
+	// silent are the upstreams that gateways found silent. Its lock is taken after that of the manager.
+	silent *silentUpstreams
+	// ignoreSilence is the setting.
+	ignoreSilence bool
 	// onHeldBack is called with the cause for each upstream that is left out of a choice.
 	onHeldBack func(cause string)
 	// position is that of this gateway at the last update.
@@ -95,6 +99,7 @@
 		entryInfo: route.EntryInfo{ID: s.ID, FailureDomain: s.FailureDomain, Seed: rand.Uint64()},
 		services:  map[string]*servicePool{}, loadSeq: firstLoad, outagesOff: s.IgnoreOutageForecast,
 		restraints: func() restraints { return nil }, onHeldBack: func(string) {},
+		silent: &silentUpstreams{}, ignoreSilence: s.IgnoreSilence,
 	}
 }
 
@@ -116,6 +121,7 @@
 		if m.services[name] == nil {
 			m.services[name] = newServicePool(m.entryInfo)
 			m.services[name].policy.SetRanks(m.ranks[name])
+			m.services[name].ignoreSilence = m.ignoreSilence
 		}
 	}
 	for name, p := range m.services {
@@ -227,6 +233,13 @@
 	held := m.restraints()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.pickAvoiding(group.candidates(now), r, func(r *route.Request) (route.Upstream, *groupPool, bool) {
+		return m.pickAllowed(now, group, r, held)
+	})
+}
+
+// pickAllowed chooses an upstream that the request doesn't exclude and that isn't held.
+func (m *serviceManager) pickAllowed(now time.Time, group *groupPool, r *route.Request, held restraints) (upstream route.Upstream, holder *groupPool, ok bool) {
 	for _, g := range group.candidates(now) {
 		allowed := r.Excluding(g.service.cold.exhausted(now, m.position)).Excluding(held.excluded(g.upstreams, m.onHeldBack))
 		c, ok := g.balancer.Pick(now, allowed)
@@ -260,11 +273,14 @@
 	m.finish(now, group, upstream, r, route.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, CallerGone: true})
 }
 
-// finish ends an attempt at an upstream that pick chose.
-func (m *serviceManager) finish(now time.Time, group *groupPool, upstream route.Upstream, r *route.Request, res route.Result) {
+// finish ends an attempt at an upstream that pick chose. It reports whether the attempt shows that
+// the upstream is silent.
+func (m *serviceManager) finish(now time.Time, group *groupPool, upstream route.Upstream, r *route.Request, res route.Result) (silent bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	group.checkSilence(now, upstream, &res)
 	group.balancer.Done(now, upstream, r, res)
+	return res.SilentFor > 0
 }
 
 // recordHead records the head of a response after the given time, with the upstream's load if it
@@ -272,6 +288,7 @@
 func (m *serviceManager) recordHead(now time.Time, group *groupPool, upstream route.Upstream, load *dialect.Load, after time.Duration, ran bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	group.responded[upstream.ID] = now
 	var l *wire.Load
 	if load != nil {
 		m.loadSeq++
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -43,8 +43,11 @@
 	Retries   RetrySettings   `toml:"retries"`
 	// IgnoreOutageForecast treats requests of prioritized services during outages as those of
 	// other services.
-	IgnoreOutageForecast bool              `toml:"ignore_outage_forecast"`
-	Admission            AdmissionSettings `toml:"admission"`
+	IgnoreOutageForecast bool `toml:"ignore_outage_forecast"`
+	// IgnoreSilence turns off that silent ranks of prioritized services are ejected after one attempt,
+	// and avoided because other gateways have reported them.
+	IgnoreSilence bool              `toml:"ignore_silence"`
+	Admission     AdmissionSettings `toml:"admission"`
 }
 
 // AdmissionSettings is the [admission] section: which requests of services with several priorities are
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,10 +29,15 @@
 	group    *groupPool
 	cancel   context.CancelFunc
 	timeout  time.Duration
-	timer    *time.Timer
+	// timer is set after it has been started, so that check, which it calls, waits for mu.
+	mu    sync.Mutex
+	timer *time.Timer
 	// lastHeard is when the upstream last sent something, in nanoseconds since startedAt.
 	lastHeard atomic.Int64
 	startedAt time.Time
+	// silentFor is for how long the upstream had been silent when the attempt was cancelled for it, in
+	// nanoseconds; 0 if it wasn't.
+	silentFor atomic.Int64
 }
 
 // watchAttempt starts the watchdog of an attempt. It returns nil if the request isn't repeatable.
@@ -40,7 +46,9 @@
 		return nil
 	}
 	w := &silenceWatchdog{call: c, upstream: upstream, group: c.group, cancel: cancel, timeout: c.services.silenceLimit(c.group), startedAt: time.Now()}
+	w.mu.Lock()
 	w.timer = time.AfterFunc(w.timeout, w.check)
+	w.mu.Unlock()
 	c.movable.add(w)
 	return w
 }
@@ -52,6 +60,15 @@
 	}
 }
 
+// silence returns for how long the upstream had been silent when the attempt was given up for it; 0
+// if it wasn't.
+func (w *silenceWatchdog) silence() time.Duration {
+	if w == nil {
+		return 0
+	}
+	return time.Duration(w.silentFor.Load())
+}
+
 func (w *silenceWatchdog) stop() {
 	if w != nil {
 		w.timer.Stop()
@@ -59,18 +76,26 @@
 	}
 }
 
+func (w *silenceWatchdog) resetTimer(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer.Reset(d)
+}
+
 // check cancels the attempt if it has been silent for too long, another attempt may follow, and
 // the group as a whole makes progress.
 func (w *silenceWatchdog) check() {
 	now := time.Now()
-	left := w.timeout - now.Sub(w.startedAt) + time.Duration(w.lastHeard.Load())
+	silentFor := now.Sub(w.startedAt) - time.Duration(w.lastHeard.Load())
+	left := w.timeout - silentFor
 	switch {
 	case left > 0:
-		w.timer.Reset(left)
+		w.resetTimer(left)
 	case w.call.reserveRetry(now, w, w.call.retryBudget.Take):
+		w.silentFor.Store(int64(silentFor))
 		w.cancel()
 	default:
-		w.timer.Reset(w.timeout / 2)
+		w.resetTimer(w.timeout / 2)
 	}
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -35,6 +35,9 @@
 	Prefix []uint64
 	// Exclude holds the IDs of the upstreams of earlier attempts.
 	Exclude map[string]bool
+	// MayProbe is true if another attempt can follow one at an upstream that doesn't
+	// respond.
+	MayProbe bool
 }
 
 // Excluding returns the request with more upstreams excluded; r itself if there are none.
@@ -59,6 +62,9 @@
 	// CallerGone is true if the caller disconnected before the attempt ended. Such a
 	// result says nothing about the upstream.
 	CallerGone bool
+	// SilentFor is for how long the upstream had sent nothing when the attempt was given
+	// up, if this attempt alone is to eject it; 0 if not.
+	SilentFor time.Duration
 }
 
 // Choice is the upstream selected for an attempt.
