Retry a sidecar that refused a connection after 250 ms

A sidecar that was killed and restarted within a second wasn't called for 2 s. Its rank was called directly meanwhile, its reports were late, and the hold of the next switch was delayed for them.

A refused connection shows that the process is gone and its host lives: a call costs no timeout, and the sidecar may be back soon. It is called again after 250 ms; one that didn't answer after 2 s as before. In a large group it is the relay whose connection is refused, so relays tell so (RankReading.refused, RankOrderReply.refused). The pool returns transport.ErrRefused, where the cause was lost in the text of ErrDial. As a relay, the sidecar is still unused for 2 s.

TestRelayTellsWhichSidecarsRefuse fails without the relay's part. TestSuspendedSidecarIsNotUsedAsRelay passes one argument more and checks the same.

--- a/lockstep/leader/calls.go
+++ b/lockstep/leader/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"strconv"
@@ -12,6 +13,7 @@
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/lockstep"
 	"github.com/snipereach/snipereach/sidecar"
+	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -104,7 +106,7 @@
 		reading := reply.Readings[n]
 		if reading.Report == nil {
 			links[i].readInFlight = false
-			g.suspendSidecar(links[i])
+			g.suspendSidecar(links[i], reading.Refused)
 			continue
 		}
 		rankRead := proto.Clone(read).(*wire.ReadRankRequest)
@@ -116,16 +118,20 @@
 	}
 }
 
-// suspendSidecar stops calls to a rank's sidecar, which did not answer, for
-// sidecarRetryDelay. The rank is called directly meanwhile, so that it doesn't delay the
+// suspendSidecar stops calls to a rank's sidecar, which did not answer or refused the connection,
+// for a while. The rank is called directly meanwhile, so that it doesn't delay the
 // other ranks of its part. For the same reason the sidecar isn't used as their relay.
-func (g *group) suspendSidecar(link *rankLink) {
-	link.sidecarRetryAt = g.clock().Add(sidecarRetryDelay)
+func (g *group) suspendSidecar(link *rankLink, refused bool) {
+	delay := sidecarRetryDelay
+	if refused {
+		delay = sidecarRestartDelay
+	}
+	link.sidecarRetryAt = g.clock().Add(delay)
 	if rank := slices.Index(g.links, link); rank >= 0 {
 		// A link of an earlier epoch has no rank.
 		g.relays.MarkFailed(g.clock(), rank)
 	}
-	kernel.Debug(g.log, "Sidecar doesn't answer.", "group", g.name, "upstream", link.instance)
+	kernel.Debug(g.log, "Sidecar doesn't answer.", "group", g.name, "upstream", link.instance, "refused", refused)
 }
 
 // orderBatchKey identifies the orders that may share a call to a relay: those to one part of
@@ -186,7 +192,7 @@
 			if complete {
 				rankReply = reply.Replies[n]
 				if rankReply.After == nil {
-					g.suspendSidecar(links[o.Rank])
+					g.suspendSidecar(links[o.Rank], rankReply.Refused)
 				}
 			}
 			g.handleReply(switcher, links[o.Rank], o, rankReply, err)
@@ -249,7 +255,7 @@
 	reply, err := viaSidecar(g.sidecarClient(sidecarAddr))
 	if err != nil {
 		g.mu.Lock()
-		g.suspendSidecar(link)
+		g.suspendSidecar(link, errors.Is(err, transport.ErrRefused))
 		g.mu.Unlock()
 	}
 	return reply, err
--- a/lockstep/leader/leader_test.go
+++ b/lockstep/leader/leader_test.go
@@ -287,7 +287,7 @@
 	relay, ok := g.relayFor(now, part, []int{0, 1})
 	assert.Assert(t, ok)
 
-	g.suspendSidecar(g.links[relay])
+	g.suspendSidecar(g.links[relay], false)
 	other, ok := g.relayFor(l.clock(), part, []int{0, 1})
 	assert.Assert(t, ok && other != relay, "rank %d relays, whose sidecar is suspended", other)
 	again, ok := g.relayFor(l.clock().Add(sidecarRetryDelay), part, []int{0, 1})
--- a/lockstep/leader/ranks.go
+++ b/lockstep/leader/ranks.go
@@ -26,6 +26,9 @@
 	// sidecarRetryDelay is how long a sidecar that did not answer isn't called; its rank is
 	// called directly meanwhile.
 	sidecarRetryDelay = 2 * time.Second
+	// sidecarRestartDelay is the same for a sidecar that refused a connection. Its host is up, so
+	// a call costs no timeout, and a restarted sidecar is back within a second.
+	sidecarRestartDelay = 250 * time.Millisecond
 )
 
 // rankLink holds the address of one rank and what was last read from it.
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -72,7 +73,7 @@
 	for _, a := range answers {
 		reading := a.value
 		if reading == nil {
-			reading = &wire.RankReading{}
+			reading = &wire.RankReading{Refused: a.refused}
 		}
 		chosen, err := lockstep.UnpackChoices(reading.Chosen)
 		if err != nil {
@@ -105,7 +106,7 @@
 	for _, a := range answers {
 		one := a.value
 		if one == nil {
-			one = &wire.RankOrderReply{}
+			one = &wire.RankOrderReply{Refused: a.refused}
 		}
 		if one.After != nil {
 			// Add the time that the state waited for the answers of other ranks.
@@ -131,6 +132,8 @@
 type timedAnswer[T any] struct {
 	value T
 	at    time.Time
+	// refused says that there is no answer, as the rank's sidecar refused the connection.
+	refused bool
 }
 
 // gather calls f concurrently for each of n ranks and returns the answers that arrive
@@ -145,13 +148,14 @@
 		go func() {
 			defer pending.Done()
 			v, err := f(i)
+			mu.Lock()
+			defer mu.Unlock()
 			if err != nil {
 				// The leader logs the missing answer.
+				answers[i].refused = errors.Is(err, transport.ErrRefused)
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			answers[i] = timedAnswer[T]{v, time.Now()}
+			answers[i] = timedAnswer[T]{value: v, at: time.Now()}
 		}()
 	}
 	all := make(chan struct{})
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/snipereach/snipereach/transport"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -49,3 +51,30 @@
 	assert.Equal(t, len(reply.Replies), 1)
 	assert.Equal(t, reply.Replies[0].Status, wire.RankOrderStatus_RANK_ORDER_STATUS_UNKNOWN)
 }
+
+// The leader must learn which sidecars refused connections: their processes have ended but their
+// hosts are up, so they may be back soon. One that doesn't answer must not be taken for such.
+func TestRelayTellsWhichSidecarsRefuse(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	stopped, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, stopped.Close())
+	pool := transport.NewPool(transport.Security{Secret: []byte("a secret of the tests")})
+	t.Cleanup(pool.Close)
+	s := NewService(nil, "127.0.0.1:1", pool)
+
+	reading, err := s.ReadRanks(t.Context(), &wire.ReadRanksRequest{LimitMs: 300, Ranks: []*wire.RankPlace{
+		{Sidecar: silent.Addr().String()}, {Sidecar: stopped.Addr().String()},
+	}})
+	assert.NilError(t, err)
+	assert.Assert(t, !reading.Readings[0].Refused && reading.Readings[1].Refused)
+
+	orders, err := s.OrderRanks(t.Context(), &wire.OrderRanksRequest{LimitMs: 300, Orders: []*wire.PlacedOrder{
+		{Order: &wire.RankOrder{}, Sidecar: silent.Addr().String()}, {Order: &wire.RankOrder{}, Sidecar: stopped.Addr().String()},
+	}})
+	assert.NilError(t, err)
+	assert.Assert(t, !orders.Replies[0].Refused && orders.Replies[1].Refused)
+	assert.Equal(t, orders.Replies[1].Status, wire.RankOrderStatus_RANK_ORDER_STATUS_UNKNOWN)
+}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -16,6 +16,7 @@
 	"os"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -32,6 +33,7 @@
 // Errors returned by this package.
 var (
 	ErrDial      = merry.Sentinel("peer can't be reached")
+	ErrRefused   = merry.Sentinel("peer's host refuses the connection")
 	ErrHandshake = merry.Sentinel("peer doesn't know the cluster secret")
 	ErrHandler   = merry.Sentinel("call can't be served")
 )
@@ -269,6 +271,9 @@
 // Dial opens a connection and authenticates both sides.
 func (p *Pool) Dial(ctx context.Context, addr string) (net.Conn, error) {
 	conn, err := p.dialNet(ctx, "tcp", addr)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, merry.Prepend(ErrRefused, err.Error())
+	}
 	if err != nil {
 		return nil, merry.Prepend(ErrDial, err.Error())
 	}
