--- a/overload/headroom.go
+++ b/overload/headroom.go
@@ -12,8 +12,8 @@
 	// grows with the running requests is small below it, and an error in it large.
 	minObservedFill = 0.3
 	// maxPassRatio is the longest pass to plan for, as a fraction of the target gap. The rest is
-	// for the network path to the caller and for the prompts that a pass happens to read.
-	maxPassRatio = 0.92
+	// for the network path to the caller.
+	maxPassRatio = 0.97
 	// maxObservedRatio is the longest pass, as a fraction of the target gap, that running requests
 	// alone can cause. A longer one comes from a paused group or a slow rank.
 	maxObservedRatio = 1.5
