Headroom doesn't learn from passes of over 1.1 times the target gap

A switch of expert maps whose orders are answered late held the group: passes of 143 and 151 ms at half load.

--- a/overload/headroom.go
+++ b/overload/headroom.go
@@ -14,9 +14,10 @@
 	// maxPassRatio is the longest pass to plan for, as a fraction of the target gap. The rest is
 	// for the network path to the caller.
 	maxPassRatio = 0.97
-	// maxObservedRatio is the longest pass, as a fraction of the target gap, that running requests
-	// alone can cause. A longer one comes from a paused group or a slow rank.
-	maxObservedRatio = 1.5
+	// maxObservedRatio is the longest pass to learn from, as a fraction of the target gap. Longer
+	// ones come from a paused group or a slow rank: a group that leaves headroom hardly has others,
+	// and one pause would keep slots free for the whole window.
+	maxObservedRatio = 1.1
 	// minFill is the least fill that a group is limited to.
 	minFill = 0.5
 	// fullHeadroomFraction is the fraction of more urgent requests from which all of the headroom
