Small improvements of expert maps aren't worth slow holds

After a slow hold a switch now needs a reduction of the skew of 0.4 for 5 s; those after a shift of demand bring 1.1.

--- a/lockstep/leader/group.go
+++ b/lockstep/leader/group.go
@@ -34,6 +34,7 @@
 	switchBeganAt time.Time
 	// holdBeganAt is when the switch in progress began to hold the group; zero if it hasn't.
 	holdBeganAt   time.Time
+	holdCost      lockstep.HoldCost
 	stateLoggedAt time.Time
 	// delayLogged is the version of the latest switch for which a delay of the hold was logged.
 	delayLogged uint64
@@ -148,6 +149,10 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.planning = false
+		if ok && !g.holdCost.Allows(g.clock(), p.SkewBefore-p.SkewAfter) {
+			g.metrics.Count("lockstep.switches.not_worth_hold")
+			ok = false
+		}
 		if !ok {
 			g.schedule.MarkNoResult()
 		}
--- a/lockstep/leader/statelog.go
+++ b/lockstep/leader/statelog.go
@@ -53,6 +53,10 @@
 		g.metrics.Count("lockstep.switches.begun")
 	case lockstep.Holding:
 		g.holdBeganAt = now
+	case lockstep.Releasing:
+		if !g.holdBeganAt.IsZero() {
+			g.holdCost.Record(now, now.Sub(g.holdBeganAt))
+		}
 	case lockstep.Cleaning:
 		g.metrics.Count("lockstep.switches.given_up")
 	case lockstep.Idle:
