Show operators the fair shares that gateways apply

Package demand had its own level and its own limit of a tenth, so it named teams over their share that no gateway limits: those above the level by chance, or by requests that came again after a refusal. It now uses teamshare.NewShares.

--- a/demand/demand.go
+++ b/demand/demand.go
@@ -8,6 +8,7 @@
 	"math"
 	"slices"
 
+	"github.com/snipereach/snipereach/teamshare"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -96,29 +97,19 @@
 		Service: t.Service, SpanMS: int64(t.SpanMs), Gateways: t.Gateways, AgeMS: int64(t.AgeMs), Replica: replica,
 		Teams: []Team{},
 	}
-	arrived, admitted := map[string]float64{}, 0.0
-	for _, d := range t.Teams {
-		s.Teams = append(s.Teams, newTeam(d))
-		// Teams that aren't counted by themselves are many: none of them is held to a share, and what
-		// they were admitted isn't available to the others.
-		if d.Team != "" {
-			arrived[d.Team] += float64(d.Arrived)
-			admitted += float64(d.Admitted)
-		}
+	shares := teamshare.NewShares(teamshare.FromWire(t.Teams))
+	if s.Limited = !math.IsInf(shares.Level(), 1); s.Limited {
+		s.FairShare = shares.Level()
 	}
-	level := fairShare(slices.Collect(maps.Values(arrived)), admitted)
-	if s.Limited = !math.IsInf(level, 1); s.Limited {
-		s.FairShare = level
-	}
-	for i, team := range s.Teams {
-		s.Teams[i].OverShare = team.Team != "" && overShare(arrived[team.Team], level)
+	for _, d := range t.Teams {
+		s.Teams = append(s.Teams, newTeam(d, shares.Over(d.Team)))
 	}
 	slices.SortFunc(s.Teams, compareTeams)
 	return s
 }
 
-func newTeam(d *wire.TeamDemand) Team {
-	t := Team{Team: d.Team, Priority: d.Priority, Arrived: d.Arrived, Admitted: d.Admitted}
+func newTeam(d *wire.TeamDemand, overShare bool) Team {
+	t := Team{Team: d.Team, Priority: d.Priority, Arrived: d.Arrived, Admitted: d.Admitted, OverShare: overShare}
 	for _, r := range d.Refused {
 		t.Refused += r.Count
 		t.Causes = append(t.Causes, CauseCount{Cause: r.Cause, Count: r.Count})
--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipereach/snipereach/demand"
+	"github.com/snipereach/snipereach/teamshare"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -59,3 +60,24 @@
 		{Team: "mill", Priority: 2, Arrived: 44, Admitted: 36},
 	})
 }
+
+// Guards against operators being shown another fair share than gateways apply: teams that exceed the level
+// by chance, as counts are small, or by requests that come again after a refusal aren't limited.
+func TestOperatorsSeeSharesThatGatewaysApply(t *testing.T) {
+	byChance := totals(
+		"lm", 2, 0, &wire.TeamDemand{Team: "a", Arrived: 18, Admitted: 10},
+		&wire.TeamDemand{Team: "b", Arrived: 12, Admitted: 8}, &wire.TeamDemand{Team: "c", Arrived: 4, Admitted: 2},
+	)
+	retries := totals(
+		"lm", 2, 0, &wire.TeamDemand{Team: "a", Arrived: 1000, Admitted: 1000},
+		&wire.TeamDemand{Team: "again", Arrived: 1500, Admitted: 750, Refused: []*wire.RefusedCount{{Cause: "upstreams-busy", Count: 750}}},
+	)
+	for _, sums := range []*wire.DemandTotals{byChance, retries} {
+		shares := teamshare.NewShares(teamshare.FromWire(sums.Teams))
+		s := demand.Merge([]demand.Reply{{Replica: "a", Services: []*wire.DemandTotals{sums}}})[0]
+		assert.Equal(t, s.FairShare, shares.Level())
+		for _, team := range s.Teams {
+			assert.Equal(t, team.OverShare, shares.Over(team.Team), "%s", team.Team)
+		}
+	}
+}
