Don't send expired reports of silent upstreams to new watches

A replica dropped them only when another report came, so after an incident each new routing watch was sent up to 256 upstreams' reports, which the gateway then rejected.

--- a/control/outlier.go
+++ b/control/outlier.go
@@ -30,15 +30,19 @@
 }
 
 // changesSince returns what a watcher that has seen a version must be sent next. The clock is read only
-// if there is anything.
+// if there is anything. Reports that have expired since the last record are dropped first, or each new
+// watch would be sent them.
 func (s *silenceStore) changesSince(version uint64, clock func() time.Time) (list []*wire.SilenceReport, upTo uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reports, upTo := s.table.Since(version, outlier.MaxReports)
-	if len(reports) == 0 {
+	if s.table.Len() == 0 {
+		_, upTo = s.table.Since(version, outlier.MaxReports)
 		return nil, upTo
 	}
-	return outlier.ToWire(clock(), reports), upTo
+	now := clock()
+	s.table.Expire(now)
+	reports, upTo := s.table.Since(version, outlier.MaxReports)
+	return outlier.ToWire(now, reports), upTo
 }
 
 // outlierService implements the Outliers service, which gateways call.
--- a/control/outlier_test.go
+++ b/control/outlier_test.go
@@ -38,3 +38,16 @@
 		assert.ErrorIs(t, err, outlier.ErrInvalidReport)
 	}
 }
+
+// Guards against a watcher that is sent up to 256 upstreams' reports of an incident that is long over, each
+// time it opens a watch: without a new report, nothing else drops the old ones.
+func TestExpiredReportsOfSilentUpstreamsAreNotSent(t *testing.T) {
+	now := time.Now()
+	var s silenceStore
+	assert.Assert(t, s.record(now, []*wire.SilenceReport{{Upstream: "u", Reporter: "g"}}))
+	list, _ := s.changesSince(0, func() time.Time { return now.Add(9 * time.Second) })
+	assert.Equal(t, len(list), 1)
+	list, _ = s.changesSince(0, func() time.Time { return now.Add(time.Minute) })
+	assert.Equal(t, len(list), 0)
+	assert.Equal(t, s.table.Len(), 0, "expired reports are kept")
+}
