Count a team with a name over 256 bytes among the others

Replicas refuse a report that has such a name, so no team of the service was counted over all gateways for as long as that team sent requests.

--- a/teamshare/counter.go
+++ b/teamshare/counter.go
@@ -52,7 +52,8 @@
 		// A new map instead of an emptied one, which would keep the size of the largest window.
 		w.number, w.sums = number, sums{byTeam: map[string][]Demand{}}
 	}
-	if _, known := w.sums.byTeam[team]; !known && len(w.sums.byTeam) >= MaxTeams {
+	// Replicas refuse a report with a longer name, and with it the counts of all other teams.
+	if _, known := w.sums.byTeam[team]; len(team) > maxNameBytes || !known && len(w.sums.byTeam) >= MaxTeams {
 		team = OtherTeams
 	}
 	return w.sums.of(team, priority)
--- a/teamshare/counter_test.go
+++ b/teamshare/counter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -103,3 +104,13 @@
 	})
 	assert.Equal(t, allocs, 0.0)
 }
+
+// Guards against a team with a long name for which replicas refuse all reports of a service.
+func TestLongTeamNameDoesNotInvalidateReports(t *testing.T) {
+	var c Counter
+	c.Arrived(start, strings.Repeat("x", maxNameBytes+1), 0)
+	c.Arrived(start, "a", 0)
+	list := c.Recent(start)
+	assert.NilError(t, Check(&wire.DemandReport{Gateway: "g", Service: "s", Teams: ToWire(list)}))
+	assert.DeepEqual(t, list, []Demand{{Team: OtherTeams, Arrived: 1}, {Team: "a", Arrived: 1}})
+}
