--- a/teamshare/level_test.go
+++ b/teamshare/level_test.go
@@ -188,3 +188,11 @@
 		}
 	})
 }
+
+// Guards against all teams being shown as over their share during an outage: nothing was admitted, so
+// nothing is known of how much can be, and gateways limit none of them.
+func TestNoTeamIsOverItsShareIfNothingIsAdmitted(t *testing.T) {
+	s := NewShares([]Demand{demandOf("a", 100, 0), demandOf("b", 10, 0)})
+	assert.Equal(t, s.Level(), 0.0)
+	assert.Equal(t, len(s.Teams()), 0)
+}
--- a/teamshare/node.go
+++ b/teamshare/node.go
@@ -54,7 +54,7 @@
 // service is one service at the gateway.
 type service struct {
 	name string
-	// shares are those in force; nil while no team is over its share.
+	// shares are those in force; nil while the service is not contended.
 	shares atomic.Pointer[Shares]
 	// reporting says that a report is on its way.
 	reporting atomic.Bool
--- a/teamshare/shares.go
+++ b/teamshare/shares.go
@@ -76,6 +76,10 @@
 		admitted += c.admitted
 	}
 	s := &Shares{level: Level(demands, admitted)}
+	if s.level == 0 {
+		// Nothing was admitted, so nothing is known of how much can be.
+		return s
+	}
 	excess := 0.0
 	maps.DeleteFunc(teams, func(_ string, c teamCounts) bool {
 		d := c.demand()
--- a/teamshare/tracker.go
+++ b/teamshare/tracker.go
@@ -57,27 +57,22 @@
 	t.totals, t.totalsAt = totals, now.Add(-age)
 }
 
-// shares returns the shares to use from now on; nil if the service isn't contended or nothing was
-// admitted, so that nothing is known of how much can be. gateways is the number of gateways.
+// shares returns the shares to use from now on; nil if the service isn't contended. gateways is the number
+// of gateways.
 func (t *tracker) shares(now time.Time, gateways int) *Shares {
 	t.source = sourceNone
 	if !t.contended(now) {
 		t.totals = nil
 		return nil
 	}
-	var s *Shares
 	if t.totals != nil && now.Sub(t.totalsAt) < totalsLifetime {
 		t.source = sourceTotals
-		s = NewShares(t.totals)
-	} else {
-		// That all gateways count the same changes nothing in the shares but the level. The counts aren't
-		// scaled up, as they would seem to vary less than they do.
-		t.source = sourceOwn
-		s = NewShares(t.counter.Recent(now))
-		s.scale(gateways)
-	}
-	if s.level == 0 {
-		return nil
+		return NewShares(t.totals)
 	}
+	// That all gateways count the same changes nothing in the shares but the level. The counts aren't
+	// scaled up, as they would seem to vary less than they do.
+	t.source = sourceOwn
+	s := NewShares(t.counter.Recent(now))
+	s.scale(gateways)
 	return s
 }
