Ask further replicas for sums while calls fail at once

Two replicas were asked for each report and again 5 s later, so where ten or more replicas in the order don't know the Demand service, as during an update of 19, the gateway never came to one that does. It now goes on along the order as long as calls fail within the time of one call; replicas that failed lately are still asked two a second at most.

--- a/teamshare/node.go
+++ b/teamshare/node.go
@@ -18,10 +18,12 @@
 )
 
 const (
-	// reportTimeout bounds a call to a replica, so that two replicas can be asked before the next report
-	// is due.
+	// reportTimeout bounds a call to a replica, so that attemptsPerReport replicas can be asked before the
+	// next report is due. No further one is asked when so much time has passed.
 	reportTimeout = 450 * time.Millisecond
-	// attemptsPerReport is how many replicas are asked for one report.
+	// attemptsPerReport is how many replicas are asked for one report, if they don't answer in time. Those
+	// that fail at once, as they are of an earlier release or not running, leave time for more: without
+	// these, replicas late in the order would never be asked.
 	attemptsPerReport = 2
 	// maxServices bounds the services that a gateway counts. Configurations have tens of them.
 	maxServices = 1_000
@@ -267,8 +269,13 @@
 	order := s.tracker.replicas.order(now, s.name, known)
 	req := &wire.DemandReport{Gateway: n.id, Service: s.name, SpanMs: uint32(Span.Milliseconds()), Teams: ToWire(s.tracker.counter.Recent(now))}
 	s.tracker.reportedAt = now
+	waiting := s.tracker.replicas.backingOff(now, known)
 	s.mu.Unlock()
-	for _, replica := range order[:min(attemptsPerReport, len(order))] {
+	// Replicas that have failed lately are the last in the order.
+	for i, replica := range order[:max(len(order)-waiting, min(attemptsPerReport, len(order)))] {
+		if i >= attemptsPerReport && n.now().Sub(now) >= reportTimeout {
+			return
+		}
 		totals, err := n.call(ctx, replica, req)
 		if ctx.Err() != nil {
 			return
--- a/teamshare/node_test.go
+++ b/teamshare/node_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 	"storj.io/drpc"
 
@@ -206,6 +207,34 @@
 	assert.Equal(t, w.replicas["c0"].List()[0].Gateways, uint32(2))
 }
 
+// Guards against replicas that are never asked, as those before them in the order don't answer and are asked
+// again before the turn comes to these: most replicas may be of an earlier release during an update.
+func TestLastReplicaInTheOrderIsReached(t *testing.T) {
+	w := newNetwork(19)
+	n := w.node("g", 1)
+	order := (&replicaOrder{}).order(w.now(), "s", w.addresses())
+	for _, r := range order[:len(order)-1] {
+		w.down[r] = true
+	}
+	play(w, 5, n)
+	assert.Equal(t, source(n), sourceTotals)
+}
+
+// Guards against a gateway that calls every replica each second while none answers.
+func TestCallsAreBoundedWhileNoReplicaAnswers(t *testing.T) {
+	w := newNetwork(19)
+	n := w.node("g", 1)
+	for _, r := range w.addresses() {
+		w.down[r] = true
+	}
+	const seconds = 20
+	play(w, seconds, n)
+	failed := n.metrics.Registry.Get("gateway.team_shares.reports_failed").(metrics.Counter).Count()
+	// Each replica once in failureBackoff, and attemptsPerReport a second in between.
+	most := int64(seconds/5*19 + seconds*attemptsPerReport)
+	assert.Assert(t, failed > 0 && failed <= most, "%d calls", failed)
+}
+
 // Guards against a gateway that is cut off from all replicas and goes on with old sums for ever, or has no
 // shares at all.
 func TestCutOffGatewayUsesItsOwnCounts(t *testing.T) {
--- a/teamshare/replicas.go
+++ b/teamshare/replicas.go
@@ -22,7 +22,7 @@
 // order returns the replicas in the order in which they are to be asked about a service.
 func (o *replicaOrder) order(now time.Time, service string, replicas []string) []string {
 	failed := func(r string) int {
-		if at, ok := o.failedAt[r]; ok && now.Sub(at) < failureBackoff {
+		if o.failedLately(now, r) {
 			return 1
 		}
 		return 0
@@ -33,6 +33,21 @@
 	})
 }
 
+func (o *replicaOrder) failedLately(now time.Time, replica string) bool {
+	at, failed := o.failedAt[replica]
+	return failed && now.Sub(at) < failureBackoff
+}
+
+// backingOff returns how many of the replicas have failed lately: these are the last in the order.
+func (o *replicaOrder) backingOff(now time.Time, replicas []string) (n int) {
+	for _, r := range replicas {
+		if o.failedLately(now, r) {
+			n++
+		}
+	}
+	return n
+}
+
 // record records whether a replica has answered. known are the replicas that exist; others are forgotten.
 func (o *replicaOrder) record(now time.Time, replica string, answered bool, known []string) {
 	for r := range o.failedAt {
