--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -357,7 +357,7 @@
 	}
 	slots, share := float64(g.slots), g.share(gateways)
 	if now.Sub(g.occupancyAt) >= occupancyStaleness {
-		return max(int(evenShareMargin*slots*share*fill/maxFill-reserved), 0)
+		return max(int(evenShareMargin*slots*share*(fill/maxFill)-reserved), 0)
 	}
 	used, usable := g.occupancy*slots, min(fill, g.slotCap.fraction(now))*slots
 	own := float64(g.reportedInflight)
