--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -17,8 +17,8 @@
 	// done better to come back later.
 	rankedWaitMargin = 1.3
 	// maxExpectedWait stands for a wait that has no end in sight. It is longer than any request is
-	// queued.
-	maxExpectedWait = time.Minute
+	// queued, and bounds waits that would overflow.
+	maxExpectedWait = 24 * time.Hour
 )
 
 // decision is what becomes of a request that arrives.
@@ -131,7 +131,7 @@
 		}
 		wait += float64(needed) / released
 	}
-	return min(time.Duration(wait*float64(time.Second)), maxExpectedWait)
+	return time.Duration(min(wait, maxExpectedWait.Seconds()) * float64(time.Second))
 }
 
 // releasedFor returns how many of the permits that are released in a second are left for ranked
--- a/gateway/unranked_test.go
+++ b/gateway/unranked_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -17,3 +18,21 @@
 		}
 	}
 }
+
+// Guards against a request that is queued for minutes although the wait is expected to be longer than that,
+// and against waits so long that they overflow.
+func TestLongExpectedWaitIsNotCutShort(t *testing.T) {
+	p, g := poolWithSlots(12)
+	g.inflight, g.progressAt, p.holdTime = g.limit(start, 1), start, time.Hour
+	for range maxQueued - 1 {
+		p.queue.add(newArrival(start))
+	}
+	w := newArrival(start)
+	w.onTimeBy, w.giveUpAt = start.Add(5*time.Minute), start.Add(5*time.Minute)
+	assert.Assert(t, !p.likelyAdmitted(start, 1, w))
+	p.holdTime = 1 << 62
+	for range 2 {
+		assert.Assert(t, p.expectedWait(start, 1, class{}, maxQueued, 1) > time.Hour)
+		p.policy.SetRanks(2)
+	}
+}
