Services without priorities admit queued requests in the order that they had

While a late request was about to expire and passes were long, it overtook requests that can be on time, and pacers were refilled at other times than before.

--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -224,9 +224,46 @@
 	}
 }
 
-// admitNext admits the first queued request for which there is a permit, and reports whether there
-// was one. A class that gets none now doesn't hold up those behind it.
+// admitNext admits the next queued request for which there is a permit, and reports whether there
+// was one.
 func (p *servicePool) admitNext(now time.Time, gateways int) bool {
+	next := p.nextUnranked
+	if p.policy.Enabled() {
+		next = p.nextRanked
+	}
+	w, g := next(now, gateways)
+	if w == nil {
+		return false
+	}
+	p.queue.remove(w)
+	p.admit(now, g, w)
+	close(w.admitted)
+	return true
+}
+
+// nextUnranked returns the queued request to admit next in a service without priorities, and its
+// group; nil if there is none. Requests that can be on time go first, also with a permit that only
+// late ones get while one of these is about to expire.
+func (p *servicePool) nextUnranked(now time.Time, gateways int) (*waiter, *groupPool) {
+	g := p.pickGroup(now, gateways, class{late: true})
+	lateAllowed := g != nil
+	if !lateAllowed {
+		g = p.pickGroup(now, gateways, class{})
+	}
+	if g == nil {
+		return nil, nil
+	}
+	for _, w := range p.queue.firsts(now, nil) {
+		if lateAllowed || w.canBeOnTime(now) {
+			return w, g
+		}
+	}
+	return nil, nil
+}
+
+// nextRanked returns the queued request to admit next in a prioritized service, and its group; nil
+// if there is none. A class that gets no permit now doesn't hold up those behind it.
+func (p *servicePool) nextRanked(now time.Time, gateways int) (*waiter, *groupPool) {
 	for _, g := range p.sorted {
 		// While a late request is about to expire all tokens come faster, also those that requests
 		// before it take.
@@ -235,14 +272,9 @@
 		}
 	}
 	for _, w := range p.queue.firsts(now, p.starved(now)) {
-		g := p.pickGroup(now, gateways, p.classOf(now, w))
-		if g == nil {
-			continue
+		if g := p.pickGroup(now, gateways, p.classOf(now, w)); g != nil {
+			return w, g
 		}
-		p.queue.remove(w)
-		p.admit(now, g, w)
-		close(w.admitted)
-		return true
 	}
-	return false
+	return nil, nil
 }
--- a/gateway/unranked_test.go
+++ b/gateway/unranked_test.go
@@ -19,6 +19,24 @@
 	}
 }
 
+// While a late request is about to expire, requests of a service without priorities that can be on time are
+// admitted before it, at the same pace. Guards against ones that are held back by long passes and overtaken.
+func TestExpiringRequestDoesNotOvertake(t *testing.T) {
+	p, g := poolWithSlots(144)
+	late := newArrival(start)
+	now := late.giveUpAt.Add(-expiringWindow / 2)
+	fresh := newArrival(now)
+	g.throttle.observeGap(now, 115*time.Millisecond, 120*time.Millisecond)
+	p.sorted[0].pacer = pacer{tokens: 1, refilledAt: now}
+	p.queue.add(late)
+	p.queue.add(fresh)
+	p.admitQueued(now, 8)
+	assert.Assert(t, isAdmitted(fresh) && !isAdmitted(late))
+	p.sorted[0].pacer.tokens = 1
+	p.admitQueued(now, 8)
+	assert.Assert(t, isAdmitted(late))
+}
+
 // Guards against a request that is queued for minutes although the wait is expected to be longer than that,
 // and against waits so long that they overflow.
 func TestLongExpectedWaitIsNotCutShort(t *testing.T) {
