--- a/gateway/outages.go
+++ b/gateway/outages.go
@@ -187,11 +187,12 @@
 }
 
 // outageRetryAfter returns the Retry-After of a request that is refused during an outage, and
-// records that its caller comes back.
+// records its caller if it comes back.
 func (p *servicePool) outageRetryAfter(now time.Time, f outage.Forecast, w *waiter) time.Duration {
 	offset := p.admitTimeAfterRecovery(p.outages.returns.Position(now, f, w.priority, p.rng.Float64()))
-	wait := p.outageRequest(w, 0).RetryAfter(now, f, offset)
-	if !w.retried && f.Aimed(now, wait) {
+	r := p.outageRequest(w, 0)
+	wait := r.RetryAfter(now, f, offset)
+	if r.ReturnsAfterRecovery(now, f, wait) {
 		p.outages.returns.Record(now, f, w.priority)
 	}
 	return wait
--- a/gateway/outages_test.go
+++ b/gateway/outages_test.go
@@ -186,6 +186,20 @@
 	assert.Equal(t, len(p.outages.trackers), 0)
 }
 
+// Guards against callers that are refused for good and are counted as coming back.
+func TestCallerRefusedForGoodDoesNotComeBack(t *testing.T) {
+	m, p := prioritizedService(t, 3, ranksOf("g", 16, 1, false))
+	m.recordGroupDown(start, p.sorted[0])
+	p.observeOutages(start)
+	f, _ := p.outage(start)
+	w := newOutageArrival(start, false)
+	w.deadline, w.lastStart = start.Add(time.Second), start.Add(time.Second)
+	assert.Assert(t, p.outageRetryAfter(start, f, w) > time.Second/3, "it can't come back in time")
+	assert.Equal(t, p.outages.returns.Position(start, f, w.priority+1, 0), 0.0)
+	p.outageRetryAfter(start, f, newOutageArrival(start, false))
+	assert.Assert(t, p.outages.returns.Position(start, f, w.priority+1, 0) >= 1)
+}
+
 // Guards against probes that use up requests while ranks are missing, so that the group can't have
 // formed.
 func TestGroupThatLacksRanksIsProbedSeldom(t *testing.T) {
--- a/outage/decide.go
+++ b/outage/decide.go
@@ -61,9 +61,11 @@
 	return min(wait, honored)
 }
 
-// Aimed reports whether a Retry-After brings the caller back only after the expected recovery.
-func (f *Forecast) Aimed(now time.Time, wait time.Duration) bool {
-	return !now.Add(wait).Before(f.Expected)
+// ReturnsAfterRecovery reports whether a Retry-After brings the caller back, and only after the expected
+// recovery. One that has come back already, or doesn't honor a wait as long as this, doesn't come again.
+func (r *Request) ReturnsAfterRecovery(now time.Time, f Forecast, wait time.Duration) bool {
+	honored, known := r.honored(now)
+	return !r.Retried && !now.Add(wait).Before(f.Expected) && (!known || wait <= honored)
 }
 
 // honored returns the longest Retry-After that the caller honors; known is false if its time left
--- a/outage/decide_test.go
+++ b/outage/decide_test.go
@@ -66,7 +66,11 @@
 	r.Deadline = time.Time{}
 	assert.Equal(t, r.RetryAfter(start, in(600*ms, 9*time.Second), time.Second), 10*time.Second, "the time left is unknown")
 	f := in(600*ms, 2*time.Second)
-	assert.Assert(t, f.Aimed(start, 2*time.Second) && !f.Aimed(start, 1999*ms))
+	assert.Assert(t, r.ReturnsAfterRecovery(start, f, 2*time.Second) && !r.ReturnsAfterRecovery(start, f, 1999*ms))
+	r = streamRequest(start, false)
+	assert.Assert(t, r.ReturnsAfterRecovery(start, f, honored) && !r.ReturnsAfterRecovery(start, f, honored+1))
+	r.Retried = true
+	assert.Assert(t, !r.ReturnsAfterRecovery(start, f, honored))
 }
 
 // Guards against a Retry-After that the caller doesn't honor though it could be served, against
