--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -122,6 +122,10 @@
 	}
 	p.queue.remove(w)
 	now := time.Now()
+	if ctx.Err() != nil {
+		// The caller doesn't come back.
+		return false, p.refused(now)
+	}
 	p.observeOutages(now)
 	return false, p.refusedRequest(now, w)
 }
--- a/gateway/outages_test.go
+++ b/gateway/outages_test.go
@@ -186,6 +186,24 @@
 	assert.Equal(t, len(p.outages.trackers), 0)
 }
 
+// Guards against callers that have left and are counted as coming back, so that others are told to come
+// back later.
+func TestCallerThatHasLeftDoesNotComeBack(t *testing.T) {
+	m, p := prioritizedService(t, 3, ranksOf("g", 16, 1, false))
+	now := time.Now()
+	m.recordGroupDown(now, p.sorted[0])
+	p.observeOutages(now)
+	w := newOutageArrival(now, false)
+	w.deadline, w.lastStart = now.Add(time.Minute), now.Add(time.Minute)
+	p.queue.add(w)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	ok, _ := m.awaitAdmission(ctx, p, w)
+	f, down := p.outage(now)
+	assert.Assert(t, !ok && down && len(p.queue.waiters) == 0)
+	assert.Equal(t, p.outages.returns.Position(now, f, w.priority+1, 0), 0.0)
+}
+
 // Guards against callers that are refused for good and are counted as coming back.
 func TestCallerRefusedForGoodDoesNotComeBack(t *testing.T) {
 	m, p := prioritizedService(t, 3, ranksOf("g", 16, 1, false))
