--- a/gateway/outages.go
+++ b/gateway/outages.go
@@ -68,6 +68,9 @@
 	}
 	for _, g := range p.sorted {
 		t := p.outages.trackers[g.name]
+		if t == nil && !g.limiter.lockstep {
+			continue
+		}
 		if t == nil {
 			t = &outage.Tracker{}
 			p.outages.trackers[g.name] = t
@@ -93,7 +96,13 @@
 // tracksOutages reports whether outages of the service are predicted: of prioritized services whose
 // upstreams run in lock-step, also while none of them is registered.
 func (p *servicePool) tracksOutages() bool {
-	return p.policy.Enabled() && !p.outages.off && (p.lockstep() || len(p.sorted) == 0)
+	return p.policy.Enabled() && !p.outages.off && (p.lockstep() || !p.hasRanks())
+}
+
+// hasRanks reports whether any upstream of the service is registered. A group without any is kept while
+// it has requests in flight, but isn't known to run in lock-step.
+func (p *servicePool) hasRanks() bool {
+	return slices.ContainsFunc(p.sorted, func(g *groupPool) bool { return g.limiter.ranks > 0 })
 }
 
 // countRegistrations counts the ranks that have registered anew.
--- a/gateway/outages_test.go
+++ b/gateway/outages_test.go
@@ -186,6 +186,27 @@
 	assert.Equal(t, len(p.outages.trackers), 0)
 }
 
+// Guards against an outage that is forgotten while requests of the lost ranks are still in flight.
+func TestOutageOfGroupWithoutRanksButRequests(t *testing.T) {
+	m, p := prioritizedService(t, 3, ranksOf("g", 16, 1, false))
+	p.sorted[0].limiter.acquire(start)
+	now := start.Add(time.Second)
+	assert.NilError(t, m.update(now, nil, updateInputs{}))
+	f, down := p.outage(now)
+	assert.Assert(t, down && f.Missing == 16)
+}
+
+// A service whose upstreams run independently has no outages that are tracked, also while all of them are
+// gone and requests are in flight.
+func TestOutageOfPlainServiceIsNotTracked(t *testing.T) {
+	insts := ranksOf("", 16, 0, false)
+	m, p := prioritizedService(t, 3, insts)
+	p.sorted[0].limiter.acquire(start)
+	assert.NilError(t, m.update(start.Add(time.Second), nil, updateInputs{}))
+	_, down := p.outage(start.Add(time.Second))
+	assert.Assert(t, !down && len(p.outages.trackers) == 0)
+}
+
 // Guards against callers that have left and are counted as coming back, so that others are told to come
 // back later.
 func TestCallerThatHasLeftDoesNotComeBack(t *testing.T) {
