--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -145,64 +145,6 @@
 	return released - p.policy.MoreUrgentPerSecond(now, c.priority)
 }
 
-// slotShare returns the number of the group's slots that this gateway may use.
-func (g *groupPool) slotShare(gateways int) float64 {
-	return float64(g.limiter.slots) * g.limiter.share(gateways)
-}
-
-// limit returns how many requests this gateway may have in flight at the group when it admits one
-// of a class. Requests that aren't of the most urgent priority leave room for more urgent ones, and
-// for long passes after the next shift of expert demand; those beyond the share of their team leave
-// room for the others of their priority.
-func (g *groupPool) limit(now time.Time, gateways int, c class) int {
-	limit := g.limitOf(now, gateways, c)
-	if c.late {
-		return max(int(lateLimitFraction*float64(limit)), 1)
-	}
-	return limit
-}
-
-// limitOf returns the limit of a class as if its requests were on time.
-func (g *groupPool) limitOf(now time.Time, gateways int, c class) int {
-	policy := &g.service.policy
-	urgent := !policy.Enabled() || c.priority == 0 || c.starved
-	if urgent && !c.overShare {
-		return g.limiter.limit(now, gateways)
-	}
-	fill, reserved := maxFill, g.service.reservedForShares(now, c)
-	if !urgent {
-		fill = g.limiter.fillFor(now, policy.UrgentFraction(now, c.priority))
-		reserved += policy.Reserved(now, c.priority)
-	}
-	fraction := g.slotShare(gateways) / max(g.service.slotShare(now, gateways), 1)
-	return g.limiter.limitWithin(now, gateways, fill, reserved*min(fraction, 1))
-}
-
-// permits returns how many more requests of a class the group's concurrency limit allows this
-// gateway; 0 if none may be admitted now.
-func (g *groupPool) permits(now time.Time, gateways int, c class) int {
-	limit := g.limit(now, gateways, c)
-	if len(g.upstreams) == 0 || g.limiter.inflight >= limit || !g.limiter.mayAdmit(now, g.service.available(now) || g.cannotForm(now)) {
-		return 0
-	}
-	if g.limiter.lockstep && !g.paceAllows(now, gateways, c.late) {
-		return 0
-	}
-	return limit - g.limiter.inflight
-}
-
-// paceAllows refills the pacer and reports whether it and the duration of passes allow another
-// request now.
-func (g *groupPool) paceAllows(now time.Time, gateways int, late bool) bool {
-	fraction := g.limiter.throttle.admitFraction(now)
-	if late && g.service.queue.hasExpiring(now) {
-		fraction = max(fraction, expiringAdmitFraction)
-	}
-	share := fraction * g.slotShare(gateways)
-	g.pacer.refill(now, share, max(paceBurst/float64(max(g.service.availableGroups(now), 1)), g.service.minBurst(share)))
-	return fraction > 0 && g.pacer.hasToken()
-}
-
 // admit takes a permit of a group for a request.
 func (p *servicePool) admit(now time.Time, g *groupPool, w *waiter) {
 	w.group = g
--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -6,7 +6,6 @@
 
 	"github.com/snipereach/snipereach/dialect"
 	"github.com/snipereach/snipereach/directory"
-	"github.com/snipereach/snipereach/overload"
 	"github.com/snipereach/snipereach/route"
 )
 
@@ -109,14 +108,7 @@
 	progressAt time.Time
 	throttle   passThrottle
 	slotCap    slotCap
-	headroom   overload.Headroom
-	// longestPass is the longest pass since the last survey, and longestPassFill the largest fill
-	// estimated since then.
-	longestPass     time.Duration
-	longestPassFill float64
-	// targetGap and fixedPass are the target gap of the last pass, and the part of a pass that
-	// doesn't depend on the running requests.
-	targetGap, fixedPass time.Duration
+	headroom   headroomEstimate
 }
 
 // setUpstreams updates the slots, those of evacuated upstreams apart, and the group epoch from the
@@ -180,7 +172,7 @@
 	}
 	g.occupancy = float64(requests) / float64(slots)
 	g.occupancyAt, g.surveyedAt, g.reportedInflight = now, now, g.inflight
-	g.learnHeadroom(now)
+	g.headroom.applySurvey(now, g.occupancy)
 	g.rounding = v.Offset()
 	if g.occupancy >= minOccupancyForShare {
 		g.ownFraction += shareSmoothing * (min(float64(g.reportedInflight)/float64(requests), 1) - g.ownFraction)
@@ -248,27 +240,11 @@
 	if now.Sub(g.occupancyAt) < occupancyStaleness && now.Sub(g.formedAt) > initialPlacementPeriod {
 		fill := g.estimatedOccupancy(gateways)
 		g.slotCap.observePass(now, prevPass, targetGap, fixed, fill)
-		g.observeHeadroom(prevPass, targetGap, fixed, fill)
+		g.headroom.observePass(prevPass, targetGap, fixed, fill)
 	}
 	return prevPass, true
 }
 
-// observeHeadroom records a pass until the next survey.
-func (g *groupLimiter) observeHeadroom(pass, targetGap, fixed time.Duration, fill float64) {
-	g.longestPass, g.longestPassFill = max(g.longestPass, pass), max(g.longestPassFill, fill)
-	g.targetGap, g.fixedPass = targetGap, fixed
-}
-
-// learnHeadroom takes the longest pass since the last survey into account. A survey is some 100 ms
-// old, so while the group fills up the pass belongs to the fill that the next survey shows; with
-// an earlier one it would seem to grow faster with the fill than it does.
-func (g *groupLimiter) learnHeadroom(now time.Time) {
-	if g.longestPass > 0 {
-		g.headroom.Observe(now, g.longestPass, g.targetGap, g.fixedPass, max(g.longestPassFill, g.occupancy))
-	}
-	g.longestPass, g.longestPassFill = 0, 0
-}
-
 // estimatedOccupancy returns the fraction of the slots in use now, assuming that each gateway has
 // added as many requests since the last report as this one. While a group fills up the reported
 // occupancy is too low.
@@ -348,40 +324,12 @@
 	return max(g.limitWithin(now, gateways, maxFill, 0), 1)
 }
 
-// limitWithin returns the limit if gateways fill the group up to a fraction of its slots and this
-// one leaves a number of its own free. The number may be a fraction: the rounding differs between
-// gateways and from survey to survey, so that all together leave free what the fractions add up to.
-func (g *groupLimiter) limitWithin(now time.Time, gateways int, fill, reserved float64) int {
-	if !g.lockstep {
-		return max(g.plainLimit(gateways)-int(reserved+g.rounding), 0)
-	}
-	slots, share := float64(g.slots), g.share(gateways)
-	if now.Sub(g.occupancyAt) >= occupancyStaleness {
-		return max(int(evenShareMargin*slots*share*(fill/maxFill)-reserved), 0)
-	}
-	used, usable := g.occupancy*slots, min(fill, g.slotCap.fraction(now))*slots
-	own := float64(g.reportedInflight)
-	if usable > used {
-		own += freeSlotMargin * (usable - used) * share
-	} else {
-		own *= usable / used
-	}
-	return max(int(own+g.rounding-reserved), 0)
-}
-
 // plainLimit is the limit of a plain service.
 func (g *groupLimiter) plainLimit(gateways int) int {
 	limit := int(plainShareMargin * plainRequestsPerSlot * float64(g.slots) * g.share(gateways))
 	return max(limit, min(minPlainLimit, g.slots), 1)
 }
 
-// fillFor returns the fraction of the slots that requests may fill, if those that are a given
-// fraction of all are more urgent: passes are to stay within the target gap after the next shift of
-// expert demand.
-func (g *groupLimiter) fillFor(now time.Time, urgentFraction float64) float64 {
-	return overload.FillFor(g.headroom.Fill(now, g.targetGap, g.fixedPass), maxFill, urgentFraction)
-}
-
 func (g *groupLimiter) release() { g.inflight-- }
 
 // markUp records that the group has served a request.
