--- a/overload/policy.go
+++ b/overload/policy.go
@@ -102,8 +102,12 @@
 // StarvedRanks returns for each rank whether its requests are starved.
 func (p *Policy) StarvedRanks(now time.Time) []bool {
 	list := make([]bool, len(p.traffic))
+	if !p.Enabled() {
+		return list
+	}
+	arrived, admitted := p.total(now)
 	for i := range list {
-		list[i] = p.Starved(now, uint32(i))
+		list[i] = p.traffic[i].starved(now, arrived, admitted)
 	}
 	return list
 }
@@ -112,15 +116,26 @@
 // under minServedRatio of the fraction that is admitted of all.
 func (p *Policy) Starved(now time.Time, rank uint32) bool {
 	t := p.of(rank)
-	if t == nil || t.arrived.at(now) < minArrivals {
+	if t == nil {
 		return false
 	}
-	arrived, admitted := 0.0, 0.0
+	arrived, admitted := p.total(now)
+	return t.starved(now, arrived, admitted)
+}
+
+// total returns how many requests of all ranks have arrived and been admitted.
+func (p *Policy) total(now time.Time) (arrived, admitted float64) {
 	for i := range p.traffic {
 		arrived += p.traffic[i].arrived.at(now)
 		admitted += p.traffic[i].admitted.at(now)
 	}
-	return t.admitted.at(now)*arrived < minServedRatio*admitted*t.arrived.at(now)
+	return arrived, admitted
+}
+
+// starved reports whether the rank is starved, given the requests of all ranks.
+func (t *traffic) starved(now time.Time, arrived, admitted float64) bool {
+	n := t.arrived.at(now)
+	return n >= minArrivals && t.admitted.at(now)*arrived < minServedRatio*admitted*n
 }
 
 // decayingCount counts events with a weight that decays with their age.
