--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -17,8 +17,8 @@
 	// done better to come back later.
 	rankedWaitMargin = 1.3
 	// maxExpectedWait stands for a wait that has no end in sight. It is longer than any request is
-	// queued.
-	maxExpectedWait = time.Minute
+	// queued, and bounds waits that would overflow.
+	maxExpectedWait = 24 * time.Hour
 )
 
 // decision is what becomes of a request that arrives.
@@ -131,7 +131,7 @@
 		}
 		wait += float64(needed) / released
 	}
-	return min(time.Duration(wait*float64(time.Second)), maxExpectedWait)
+	return time.Duration(min(wait, maxExpectedWait.Seconds()) * float64(time.Second))
 }
 
 // releasedFor returns how many of the permits that are released in a second are left for ranked
@@ -145,64 +145,6 @@
 	return released - p.policy.MoreUrgentPerSecond(now, c.priority)
 }
 
-// slotShare returns the number of the group's slots that this gateway may use.
-func (g *groupPool) slotShare(gateways int) float64 {
-	return float64(g.limiter.slots) * g.limiter.share(gateways)
-}
-
-// limit returns how many requests this gateway may have in flight at the group when it admits one
-// of a class. Requests that aren't of the most urgent priority leave room for more urgent ones, and
-// for long passes after the next shift of expert demand; those beyond the share of their team leave
-// room for the others of their priority.
-func (g *groupPool) limit(now time.Time, gateways int, c class) int {
-	limit := g.limitOf(now, gateways, c)
-	if c.late {
-		return max(int(lateLimitFraction*float64(limit)), 1)
-	}
-	return limit
-}
-
-// limitOf returns the limit of a class as if its requests were on time.
-func (g *groupPool) limitOf(now time.Time, gateways int, c class) int {
-	policy := &g.service.policy
-	urgent := !policy.Enabled() || c.priority == 0 || c.starved
-	if urgent && !c.overShare {
-		return g.limiter.limit(now, gateways)
-	}
-	fill, reserved := maxFill, g.service.reservedForShares(now, c)
-	if !urgent {
-		fill = g.limiter.fillFor(now, policy.UrgentFraction(now, c.priority))
-		reserved += policy.Reserved(now, c.priority)
-	}
-	fraction := g.slotShare(gateways) / max(g.service.slotShare(now, gateways), 1)
-	return g.limiter.limitWithin(now, gateways, fill, reserved*min(fraction, 1))
-}
-
-// permits returns how many more requests of a class the group's concurrency limit allows this
-// gateway; 0 if none may be admitted now.
-func (g *groupPool) permits(now time.Time, gateways int, c class) int {
-	limit := g.limit(now, gateways, c)
-	if len(g.upstreams) == 0 || g.limiter.inflight >= limit || !g.limiter.mayAdmit(now, g.service.available(now) || g.cannotForm(now)) {
-		return 0
-	}
-	if g.limiter.lockstep && !g.paceAllows(now, gateways, c.late) {
-		return 0
-	}
-	return limit - g.limiter.inflight
-}
-
-// paceAllows refills the pacer and reports whether it and the duration of passes allow another
-// request now.
-func (g *groupPool) paceAllows(now time.Time, gateways int, late bool) bool {
-	fraction := g.limiter.throttle.admitFraction(now)
-	if late && g.service.queue.hasExpiring(now) {
-		fraction = max(fraction, expiringAdmitFraction)
-	}
-	share := fraction * g.slotShare(gateways)
-	g.pacer.refill(now, share, max(paceBurst/float64(max(g.service.availableGroups(now), 1)), g.service.minBurst(share)))
-	return fraction > 0 && g.pacer.hasToken()
-}
-
 // admit takes a permit of a group for a request.
 func (p *servicePool) admit(now time.Time, g *groupPool, w *waiter) {
 	w.group = g
@@ -224,9 +166,46 @@
 	}
 }
 
-// admitNext admits the first queued request for which there is a permit, and reports whether there
-// was one. A class that gets none now doesn't hold up those behind it.
+// admitNext admits the next queued request for which there is a permit, and reports whether there
+// was one.
 func (p *servicePool) admitNext(now time.Time, gateways int) bool {
+	next := p.nextUnranked
+	if p.policy.Enabled() {
+		next = p.nextRanked
+	}
+	w, g := next(now, gateways)
+	if w == nil {
+		return false
+	}
+	p.queue.remove(w)
+	p.admit(now, g, w)
+	close(w.admitted)
+	return true
+}
+
+// nextUnranked returns the queued request to admit next in a service without priorities, and its
+// group; nil if there is none. Requests that can be on time go first, also with a permit that only
+// late ones get while one of these is about to expire.
+func (p *servicePool) nextUnranked(now time.Time, gateways int) (*waiter, *groupPool) {
+	g := p.pickGroup(now, gateways, class{late: true})
+	lateAllowed := g != nil
+	if !lateAllowed {
+		g = p.pickGroup(now, gateways, class{})
+	}
+	if g == nil {
+		return nil, nil
+	}
+	for _, w := range p.queue.firsts(now, nil) {
+		if lateAllowed || w.canBeOnTime(now) {
+			return w, g
+		}
+	}
+	return nil, nil
+}
+
+// nextRanked returns the queued request to admit next in a prioritized service, and its group; nil
+// if there is none. A class that gets no permit now doesn't hold up those behind it.
+func (p *servicePool) nextRanked(now time.Time, gateways int) (*waiter, *groupPool) {
 	for _, g := range p.sorted {
 		// While a late request is about to expire all tokens come faster, also those that requests
 		// before it take.
@@ -235,14 +214,9 @@
 		}
 	}
 	for _, w := range p.queue.firsts(now, p.starved(now)) {
-		g := p.pickGroup(now, gateways, p.classOf(now, w))
-		if g == nil {
-			continue
+		if g := p.pickGroup(now, gateways, p.classOf(now, w)); g != nil {
+			return w, g
 		}
-		p.queue.remove(w)
-		p.admit(now, g, w)
-		close(w.admitted)
-		return true
 	}
-	return false
+	return nil, nil
 }
--- a/gateway/outages.go
+++ b/gateway/outages.go
@@ -68,6 +68,9 @@
 	}
 	for _, g := range p.sorted {
 		t := p.outages.trackers[g.name]
+		if t == nil && !g.limiter.lockstep {
+			continue
+		}
 		if t == nil {
 			t = &outage.Tracker{}
 			p.outages.trackers[g.name] = t
@@ -93,7 +96,13 @@
 // tracksOutages reports whether outages of the service are predicted: of prioritized services whose
 // upstreams run in lock-step, also while none of them is registered.
 func (p *servicePool) tracksOutages() bool {
-	return p.policy.Enabled() && !p.outages.off && (p.lockstep() || len(p.sorted) == 0)
+	return p.policy.Enabled() && !p.outages.off && (p.lockstep() || !p.hasRanks())
+}
+
+// hasRanks reports whether any upstream of the service is registered. A group without any is kept while
+// it has requests in flight, but isn't known to run in lock-step.
+func (p *servicePool) hasRanks() bool {
+	return slices.ContainsFunc(p.sorted, func(g *groupPool) bool { return g.limiter.ranks > 0 })
 }
 
 // countRegistrations counts the ranks that have registered anew.
@@ -187,11 +196,12 @@
 }
 
 // outageRetryAfter returns the Retry-After of a request that is refused during an outage, and
-// records that its caller comes back.
+// records its caller if it comes back.
 func (p *servicePool) outageRetryAfter(now time.Time, f outage.Forecast, w *waiter) time.Duration {
 	offset := p.admitTimeAfterRecovery(p.outages.returns.Position(now, f, w.priority, p.rng.Float64()))
-	wait := p.outageRequest(w, 0).RetryAfter(now, f, offset)
-	if !w.retried && f.Aimed(now, wait) {
+	r := p.outageRequest(w, 0)
+	wait := r.RetryAfter(now, f, offset)
+	if r.ReturnsAfterRecovery(now, f, wait) {
 		p.outages.returns.Record(now, f, w.priority)
 	}
 	return wait
--- a/gateway/outages_test.go
+++ b/gateway/outages_test.go
@@ -186,6 +186,59 @@
 	assert.Equal(t, len(p.outages.trackers), 0)
 }
 
+// Guards against an outage that is forgotten while requests of the lost ranks are still in flight.
+func TestOutageOfGroupWithoutRanksButRequests(t *testing.T) {
+	m, p := prioritizedService(t, 3, ranksOf("g", 16, 1, false))
+	p.sorted[0].limiter.acquire(start)
+	now := start.Add(time.Second)
+	assert.NilError(t, m.update(now, nil, updateInputs{}))
+	f, down := p.outage(now)
+	assert.Assert(t, down && f.Missing == 16)
+}
+
+// A service whose upstreams run independently has no outages that are tracked, also while all of them are
+// gone and requests are in flight.
+func TestOutageOfPlainServiceIsNotTracked(t *testing.T) {
+	insts := ranksOf("", 16, 0, false)
+	m, p := prioritizedService(t, 3, insts)
+	p.sorted[0].limiter.acquire(start)
+	assert.NilError(t, m.update(start.Add(time.Second), nil, updateInputs{}))
+	_, down := p.outage(start.Add(time.Second))
+	assert.Assert(t, !down && len(p.outages.trackers) == 0)
+}
+
+// Guards against callers that have left and are counted as coming back, so that others are told to come
+// back later.
+func TestCallerThatHasLeftDoesNotComeBack(t *testing.T) {
+	m, p := prioritizedService(t, 3, ranksOf("g", 16, 1, false))
+	now := time.Now()
+	m.recordGroupDown(now, p.sorted[0])
+	p.observeOutages(now)
+	w := newOutageArrival(now, false)
+	w.deadline, w.lastStart = now.Add(time.Minute), now.Add(time.Minute)
+	p.queue.add(w)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	ok, _ := m.awaitAdmission(ctx, p, w)
+	f, down := p.outage(now)
+	assert.Assert(t, !ok && down && len(p.queue.waiters) == 0)
+	assert.Equal(t, p.outages.returns.Position(now, f, w.priority+1, 0), 0.0)
+}
+
+// Guards against callers that are refused for good and are counted as coming back.
+func TestCallerRefusedForGoodDoesNotComeBack(t *testing.T) {
+	m, p := prioritizedService(t, 3, ranksOf("g", 16, 1, false))
+	m.recordGroupDown(start, p.sorted[0])
+	p.observeOutages(start)
+	f, _ := p.outage(start)
+	w := newOutageArrival(start, false)
+	w.deadline, w.lastStart = start.Add(time.Second), start.Add(time.Second)
+	assert.Assert(t, p.outageRetryAfter(start, f, w) > time.Second/3, "it can't come back in time")
+	assert.Equal(t, p.outages.returns.Position(start, f, w.priority+1, 0), 0.0)
+	p.outageRetryAfter(start, f, newOutageArrival(start, false))
+	assert.Assert(t, p.outages.returns.Position(start, f, w.priority+1, 0) >= 1)
+}
+
 // Guards against probes that use up requests while ranks are missing, so that the group can't have
 // formed.
 func TestGroupThatLacksRanksIsProbedSeldom(t *testing.T) {
