--- a/gateway/queueorder_test.go
+++ b/gateway/queueorder_test.go
@@ -10,7 +10,8 @@
 )
 
 // Classes of requests are admitted in this order: starved ones, then by priority, within a priority
-// those within their fair share, and of these those that can be on time.
+// those within their fair share, and of these those that can be on time. After an outage, its backlog
+// comes after all that aren't starved.
 func TestClassOrder(t *testing.T) {
 	ordered := []class{
 		{starved: true, priority: 1},
@@ -25,6 +26,8 @@
 		{priority: 2},
 		{priority: 2, late: true},
 		{priority: 2, overShare: true},
+		{late: true, backlog: true},
+		{priority: 2, late: true, backlog: true},
 	}
 	for i, c := range ordered {
 		for j, d := range ordered {
@@ -40,11 +43,18 @@
 	}
 }
 
+// drawOutageClass returns a class that may also be of the backlog of an outage.
+func drawOutageClass(t *rapid.T) class {
+	c := drawClass(t)
+	c.backlog = c.late && rapid.Bool().Draw(t, "backlog")
+	return c
+}
+
 // The order of classes is total. Guards against an order in which two requests each wait for the
 // other, or in which the sorted queue depends on the order of arrival.
 func TestClassOrderIsTotal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a, b, c := drawClass(t), drawClass(t), drawClass(t)
+		a, b, c := drawOutageClass(t), drawOutageClass(t), drawOutageClass(t)
 		if a.before(a) {
 			t.Fatalf("%+v is before itself", a)
 		}
