--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -40,13 +40,7 @@
 	}
 	p.gateways = gateways
 	changes := p.stateChanges(now)
-	a := admission{reason: reasonUpstreamsBusy}
-	switch {
-	case p.allEvacuated():
-		a.reason = reasonEvacuated
-	case p.incomplete(now):
-		a.reason = reasonGroupIncomplete
-	}
+	a := admission{reason: p.refusalReason(now)}
 	d, wait := p.decide(now, gateways, w)
 	if d != decisionAdmit {
 		a.cause = p.describe(now)
@@ -83,6 +77,17 @@
 	return a
 }
 
+// refusalReason returns the reason of a request that is refused now.
+func (p *servicePool) refusalReason(now time.Time) string {
+	switch {
+	case p.allEvacuated():
+		return reasonEvacuated
+	case p.incomplete(now):
+		return reasonGroupIncomplete
+	}
+	return reasonUpstreamsBusy
+}
+
 // stateChange is a change of the state of a group.
 type stateChange struct {
 	group         string
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -358,31 +358,38 @@
 	if c.priority != nil {
 		w.priority = *c.priority
 	}
-	w.giveUpAt = c.deadline.Add(-head)
-	w.deadline, w.lastStart = c.deadline, w.giveUpAt
-	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
-		if callerLeavesAt := c.receivedAt.Add(c.firstEventTimeout() - firstEventMargin - head); callerLeavesAt.Before(w.giveUpAt) {
-			w.giveUpAt = callerLeavesAt
-		}
-	}
-	if c.draining.Load() {
-		if queueEndsAt := time.Now().Add(c.maxQueueTime()); queueEndsAt.Before(w.giveUpAt) {
-			w.giveUpAt = queueEndsAt
-		}
+	w.deadline, w.lastStart = c.deadline, c.deadline.Add(-head)
+	w.giveUpAt = c.giveUpTime(head)
+	w.hold = w.giveUpAt.Sub(c.receivedAt)
+	w.onTimeBy = w.giveUpAt
+	if target := c.targetFirstEvent(); target > 0 {
+		w.onTimeBy = earlier(w.giveUpAt, c.receivedAt.Add(target-c.age-time.Duration(headTimeFactor*float64(head))))
 	}
+	return w
+}
+
+// giveUpTime returns the latest time at which the request may be admitted, if a response takes the given
+// time to its head.
+func (c *call) giveUpTime(head time.Duration) time.Time {
 	if c.guard.Verdict().Status == quarantine.LastTrial {
 		// A request on its last trial is admitted now or not at all; see quarantineRefusal.
-		w.giveUpAt = c.receivedAt
+		return c.receivedAt
 	}
-	w.hold = w.giveUpAt.Sub(c.receivedAt)
-	w.onTimeBy = w.giveUpAt
-	if target := c.targetFirstEvent(); target > 0 {
-		w.onTimeBy = c.receivedAt.Add(target - c.age - time.Duration(headTimeFactor*float64(head)))
+	at := c.deadline.Add(-head)
+	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
+		at = earlier(at, c.receivedAt.Add(c.firstEventTimeout()-firstEventMargin-head))
+	}
+	if c.draining.Load() {
+		at = earlier(at, time.Now().Add(c.maxQueueTime()))
 	}
-	if w.giveUpAt.Before(w.onTimeBy) {
-		w.onTimeBy = w.giveUpAt
+	return at
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
 	}
-	return w
+	return a
 }
 
 // refuseUnadmitted answers a request that was not admitted.
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -88,7 +88,7 @@
 	return !c.late && d.late
 }
 
-// class returns the class of the request. starved reports whether a priority gets too little; nil
+// class returns the class of the request outside an outage. starved reports whether a priority gets too little; nil
 // means that none does.
 func (w *waiter) class(now time.Time, starved func(uint32) bool) class {
 	return class{
