--- a/routing/urgency.go
+++ b/routing/urgency.go
@@ -39,7 +39,8 @@
 	return uint32(i)
 }
 
-// findUrgencies returns the urgencies of the requests of each model service.
+// findUrgencies returns the urgencies of the requests of each model service. A route with weight 0 sends
+// it none.
 func (t *Table) findUrgencies() map[string][]Urgency {
 	found := map[string]map[Urgency]bool{}
 	for _, s := range t.Config.Services {
@@ -51,7 +52,7 @@
 	for _, r := range t.Config.Routes {
 		for _, s := range r.Split {
 			list := found[s.Service]
-			if list == nil {
+			if list == nil || s.Weight == 0 {
 				continue
 			}
 			if !t.NeedsKey(r) {
--- a/routing/urgency_test.go
+++ b/routing/urgency_test.go
@@ -118,3 +118,12 @@
 		}
 	})
 }
+
+// Guards against a service that is treated as ranked for a route that sends it no request now.
+func TestRouteWithoutWeightDoesNotRank(t *testing.T) {
+	idle := routeTo(2, false, "clock", "pool")
+	idle.Split[1].Weight = 0
+	table := routing.NewTable(&wire.RoutingConfig{Version: 1, Routes: []*wire.Route{idle, routeTo(1, false, "pool")}, Services: modelServices()})
+	assert.Equal(t, table.Urgencies("pool"), 1)
+	assert.Equal(t, table.Urgencies("clock"), 1)
+}
