--- a/gateway/outages.go
+++ b/gateway/outages.go
@@ -163,7 +163,7 @@
 	slots := p.recoverySlots()
 	fill := min(n, backlogFillFraction*slots)
 	seconds := fill/(backlogFillFraction*slots)*minFillTime.Seconds() + (n-fill)/(lateSlotFraction*slots)*p.meanHoldTime().Seconds()
-	return min(time.Duration(seconds*float64(time.Second)), maxReturnTime)
+	return time.Duration(min(seconds, maxReturnTime.Seconds()) * float64(time.Second))
 }
 
 // backlogAdmitted reports whether a late request that arrives just after an outage is expected to be
--- a/gateway/outages_test.go
+++ b/gateway/outages_test.go
@@ -126,6 +126,7 @@
 	more := p.admitTimeAfterRecovery(half + 0.4*16*12)
 	assert.Equal(t, (more - minFillTime).Round(time.Millisecond), defaultHoldTime)
 	assert.Equal(t, p.admitTimeAfterRecovery(1e6), maxReturnTime)
+	assert.Equal(t, p.admitTimeAfterRecovery(1e12), maxReturnTime)
 }
 
 // Guards against an outage of one group that affects requests which the other serves, and against one
