--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -170,7 +170,7 @@
 // was one.
 func (p *servicePool) admitNext(now time.Time, gateways int) bool {
 	next := p.nextUnranked
-	if p.policy.Enabled() {
+	if p.policy.Enabled() || p.queue.hasRanked() {
 		next = p.nextRanked
 	}
 	w, g := next(now, gateways)
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -166,6 +166,12 @@
 	return slices.ContainsFunc(q.waiters, func(w *waiter) bool { return w.priority == priority && !w.canBeOnTime(now) })
 }
 
+// hasRanked reports whether the class of a queued request depends on more than its time. A request keeps
+// its priority when the configuration changes.
+func (q *waitQueue) hasRanked() bool {
+	return slices.ContainsFunc(q.waiters, func(w *waiter) bool { return w.priority > 0 || w.overShare })
+}
+
 // ahead returns how many queued requests would be admitted before one of a class that arrives now.
 func (q *waitQueue) ahead(now time.Time, c class, starved func(uint32) bool) int {
 	n := 0
