--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -88,7 +88,7 @@
 	return !c.late && d.late
 }
 
-// class returns the class of the request. starved reports whether a priority gets too little; nil
+// class returns the class of the request outside an outage. starved reports whether a priority gets too little; nil
 // means that none does.
 func (w *waiter) class(now time.Time, starved func(uint32) bool) class {
 	return class{
@@ -166,6 +166,12 @@
 	return slices.ContainsFunc(q.waiters, func(w *waiter) bool { return w.priority == priority && !w.canBeOnTime(now) })
 }
 
+// hasRanked reports whether the class of a queued request depends on more than its time. A request keeps
+// its priority when the configuration changes.
+func (q *waitQueue) hasRanked() bool {
+	return slices.ContainsFunc(q.waiters, func(w *waiter) bool { return w.priority > 0 || w.overShare })
+}
+
 // ahead returns how many queued requests would be admitted before one of a class that arrives now.
 func (q *waitQueue) ahead(now time.Time, c class, starved func(uint32) bool) int {
 	n := 0
