--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -319,7 +319,7 @@
 		}
 	}
 	c.service = routing.ChooseService(c.route, rand.Float64())
-	if t.Urgencies(c.service) > 1 {
+	if g.settings.Admission.Priorities && t.Urgencies(c.service) > 1 {
 		rank := t.Rank(c.service, c.route, c.team)
 		c.priority = &rank
 	}
--- a/gateway/routingwatch.go
+++ b/gateway/routingwatch.go
@@ -176,7 +176,9 @@
 	}
 	t := routing.NewTable(c)
 	g.table.Store(t)
-	g.services.setRanks(t)
+	if g.settings.Admission.Priorities {
+		g.services.setRanks(t)
+	}
 	g.timeouts.retain(c.Routes)
 	g.services.setColdLimits(c)
 	g.services.setFormTimes(c)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -53,6 +53,9 @@
 // AdmissionSettings is the [admission] section: which requests of services with several priorities are
 // admitted first while not all can be.
 type AdmissionSettings struct {
+	// Priorities admits more urgent requests first and keeps room for them, where the requests of a
+	// service differ in priority. Without it no service counts as prioritized.
+	Priorities bool `toml:"priorities"`
 	// TeamShares limits teams that ask for more than their fair share first.
 	TeamShares bool `toml:"team_shares"`
 }
@@ -76,7 +79,7 @@
 		Keep:             kernel.Duration(2 * time.Second),
 		StopLimit:        kernel.Duration(8 * time.Second),
 		Retries:          RetrySettings{Ratio: 0.1, Slack: 10, Window: kernel.Duration(10 * time.Second)},
-		Admission:        AdmissionSettings{TeamShares: true},
+		Admission:        AdmissionSettings{Priorities: true, TeamShares: true},
 	}
 }
 
