--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -43,7 +43,7 @@
 	// priority is the rank of the request's priority among those of the service, 0 for the most
 	// urgent.
 	priority uint32
-	// overShare says that the request's team asks for more than its fair part of the service.
+	// overShare says that the request's team asks for more than its fair share of the service.
 	overShare bool
 	// onQueued, if set, is called without a lock when the request is queued.
 	onQueued func()
