--- a/overload/sharereserve.go
+++ b/overload/sharereserve.go
@@ -9,8 +9,7 @@
 	// maxReservedRanks bounds the ranks that are counted. Less urgent ones are counted with the last.
 	maxReservedRanks = 10
 	// reserveDeviations is how many standard deviations of the expected requests are reserved in
-	// addition. With 18 slots at each of 40 gateways, the expected requests alone cost the other teams
-	// over 4 points of requests in time beside a flood, with one deviation it is less than 2.
+	// addition, as these don't arrive evenly. More would refuse requests that could be served.
 	reserveDeviations = 1.0
 )
 
--- a/teamshare/shares.go
+++ b/teamshare/shares.go
@@ -10,8 +10,7 @@
 	// overMargin is how much a team's demand must exceed the fair level for the team to be over its share.
 	overMargin = 1.1
 	// overDeviations is by how many standard deviations it must exceed the level in addition, where that is
-	// more. Of teams that ask for 50 requests in a span each, a third exceeds the mean by a tenth by chance;
-	// limiting these cost the others 10 points of requests in time beside a flood.
+	// more. Of teams that ask for 50 requests in a span each, a third exceeds the mean by a tenth by chance.
 	overDeviations = 3
 )
 
