Control replicas log what they do between their start and their part in the cluster

After the loss of all control replicas no line told what they did for 3.2 s until they had a leader. "Replica takes part." gives how many log entries were applied first, how long that took, and when a majority had vouched for the folder.

--- a/control/replica.go
+++ b/control/replica.go
@@ -70,6 +70,7 @@
 	lastMaintenance time.Time
 	leadership      leadershipTimes
 	leader          leaderState
+	startup         startupLog
 	ticks           tickMonitor
 	ringTracker     ringTracker
 	shares          shareState
@@ -195,6 +196,7 @@
 		}
 		r.node.SendProposals()
 		r.processReady()
+		r.logStartup()
 		r.updateLeaderState()
 	}
 }
@@ -264,6 +266,7 @@
 		r.watchers.Notify()
 	}
 	var changed []*wire.Row
+	began := r.clock()
 	for _, e := range rd.CommittedEntries {
 		var v any
 		if e.Type == wire.EntryType_ENTRY_TYPE_COMMAND {
@@ -282,6 +285,7 @@
 		r.ringTracker.setEpoch(r.machine.ring.Epoch, r.clock())
 		r.entriesSinceSnapshot++
 	}
+	r.startup.recordApplied(len(rd.CommittedEntries), r.clock().Sub(began))
 	r.applyRowChanges(r.clock())
 	if slices.ContainsFunc(changed, isEvacuation) {
 		r.updateEvacuations()
