--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,6 +116,7 @@
 		targets:     directory.NewTargets(s.ID, s.FailureDomain, s.Replicas).AllowNewReplicas(),
 		announceNow: make(chan struct{}, 1),
 	}
+	g.pool.SetDial(s.Dial)
 	g.requestLog, g.metrics = newRequestLog(g.log, now), newGatewayMetrics()
 	g.stateLog = kernel.NewLimitedLogger(g.log, stateLogLines, now)
 	g.quarantine = quarantine.NewNode(s.ID, g.log, now, g.pool.Conn)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -48,6 +48,9 @@
 	// and avoided because other gateways have reported them.
 	IgnoreSilence bool              `toml:"ignore_silence"`
 	Admission     AdmissionSettings `toml:"admission"`
+	// Dial, if set, opens the connections to control replicas. A program that embeds a gateway may
+	// set it, e.g. to simulate partitions.
+	Dial transport.DialFunc `toml:"-"`
 }
 
 // AdmissionSettings is the [admission] section: which requests of services with several priorities are
