Gateways refuse only by a configuration that is known to be current

Callers saw 404 for a route whose version had been acknowledged 3.5 s before, at gateways of two failure domains. They had not fetched the version when all control replicas were lost 0.12 s after its acknowledgement, and the replicas had no leader for seconds.

Cause: a gateway refuses for good (401, 404, 413, 431) in the name of the configuration that it holds, and doesn't know how old that is. Class: an answer that is certain, from a copy without a bound on its age.

Change: before such a refusal a gateway needs a confirmation that the configuration was current at most routing_max_age ago (2 s; deploy: the time within which changes must be in force). It asks a replica by the new call Routing.Confirm and counts from its own time of asking, so that a late answer confirms nothing; fetches a newer version if there is one, and decides again by that; otherwise it answers 503 with Retry-After, at once if no connected replica is current. Confirmations are shared and reused (package freshness), failed ones are repeated after 0.1 s at the earliest. A request that the configuration allows asks nothing.

--- a/control/routing.go
+++ b/control/routing.go
@@ -156,6 +156,18 @@
 	return s.packed.forConfig(c)
 }
 
+// Confirm implements the Routing service.
+func (s routingService) Confirm(context.Context, *wire.ConfirmRoutingRequest) (*wire.RoutingConfirmation, error) {
+	r := s.currentReplica()
+	if r == nil {
+		return nil, merry.Prepend(ErrUnavailable, "replica belongs to no cluster yet")
+	}
+	// The age is read before the version: read after it, the age could include a version that was
+	// applied in between.
+	age := clampedMillis(r.feed.confirmedAge(r.now()))
+	return &wire.RoutingConfirmation{Version: r.routingVersion.Load(), ConfirmedAgeMs: age}, nil
+}
+
 // packedRouting caches the latest configuration in the packed form that entries fetch.
 type packedRouting struct {
 	mu     sync.Mutex
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/snipereach/snipereach/direct"
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/evacuation"
+	"github.com/snipereach/snipereach/freshness"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/quarantine"
 	"github.com/snipereach/snipereach/quota"
@@ -86,6 +87,8 @@
 	lastPosition atomic.Pointer[quota.Position]
 	evacuations  evacuation.Tracker
 	reports      versionReports
+	// freshness knows until when the configuration in force here is known to be the current one.
+	freshness    *freshness.Confirmer
 	quarantine   *quarantine.Node
 	backpressure *backpressure.Node
 	rests        *backpressure.Rests
@@ -117,6 +120,7 @@
 		announceNow: make(chan struct{}, 1),
 	}
 	g.pool.SetDial(s.Dial)
+	g.freshness = freshness.NewConfirmer(s.RoutingMaxAge.D(), now, g.askReplicas)
 	g.requestLog, g.metrics = newRequestLog(g.log, now), newGatewayMetrics()
 	g.stateLog = kernel.NewLimitedLogger(g.log, stateLogLines, now)
 	g.quarantine = quarantine.NewNode(s.ID, g.log, now, g.pool.Conn)
@@ -299,25 +303,9 @@
 	c.guard.Init(g.quarantine, c)
 	var err error
 	c.params, err = g.dialect.ReadRequest(r.Header)
-	t := c.waitForTable(r.Context())
-	if t == nil {
-		return c, &refusal{status: http.StatusServiceUnavailable, reason: reasonNoConfig}
-	}
-	limits := limitsOf(t)
-	if headerSize(r) > limits.headerBytes {
-		return c, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeaderTooLarge}
-	}
-	if err != nil || !strings.HasPrefix(r.RequestURI, "/") {
-		return c, &refusal{status: http.StatusBadRequest, reason: reasonBadRequest}
-	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	if c.route = t.Match(r.Host, path); c.route == nil {
-		return c, &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
-	}
-	if t.NeedsKey(c.route) {
-		if c.team = t.TeamOf(c.params.Key); c.team == nil {
-			return c, &refusal{status: http.StatusUnauthorized, reason: reasonUnknownKey}
-		}
+	t, f := c.findRoute(c.waitForTable(r.Context()), err != nil)
+	if f != nil {
+		return c, f
 	}
 	c.service = routing.ChooseService(c.route, rand.Float64())
 	if g.settings.Admission.Priorities && t.Urgencies(c.service) > 1 {
@@ -334,17 +322,57 @@
 	if !g.finishesBeforeStop(c) {
 		return c, &refusal{status: http.StatusServiceUnavailable, reason: reasonDraining, retryAfter: retryAfterDrain}
 	}
-	return c, c.readBody(limits.bodyBytes)
+	return c, c.readBody(t)
+}
+
+// findRoute finds the route and the team of a request by the configuration in force, t or one that has
+// replaced it, and returns that configuration. unreadable says that the request's headers can't be read.
+func (c *call) findRoute(t *routing.Table, unreadable bool) (*routing.Table, *refusal) {
+	for {
+		if t == nil {
+			return nil, &refusal{status: http.StatusServiceUnavailable, reason: reasonNoConfig}
+		}
+		f := c.matchRoute(t, unreadable)
+		if f == nil || !byConfiguration(f.reason) {
+			return t, f
+		}
+		if f = c.refuseBy(t, f); f != nil {
+			return t, f
+		}
+		t = c.table.Load()
+	}
+}
+
+// matchRoute finds the route and the team of a request by a configuration. It returns a refusal if that
+// doesn't allow the request.
+func (c *call) matchRoute(t *routing.Table, unreadable bool) *refusal {
+	c.route, c.team = nil, nil
+	if headerSize(c.r) > limitsOf(t).headerBytes {
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeaderTooLarge}
+	}
+	if unreadable || !strings.HasPrefix(c.r.RequestURI, "/") {
+		return &refusal{status: http.StatusBadRequest, reason: reasonBadRequest}
+	}
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	if c.route = t.Match(c.r.Host, path); c.route == nil {
+		return &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
+	}
+	if t.NeedsKey(c.route) {
+		if c.team = t.TeamOf(c.params.Key); c.team == nil {
+			return &refusal{status: http.StatusUnauthorized, reason: reasonUnknownKey}
+		}
+	}
+	return nil
 }
 
 // readBody reads the whole body, so that the request can be retried and no upstream waits for a
-// slow caller. limit is in bytes.
-func (c *call) readBody(limit int64) *refusal {
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+// slow caller. t has the limit.
+func (c *call) readBody(t *routing.Table) *refusal {
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limitsOf(t).bodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
+		return c.refuseBody(t)
 	case err != nil:
 		return &refusal{status: http.StatusBadRequest, reason: reasonBadRequest, detail: err.Error()}
 	}
@@ -352,6 +380,16 @@
 	return nil
 }
 
+// refuseBody returns the refusal to a request whose body is too large by a configuration. A part of the
+// body is lost, so that a request that a newer configuration allows must be sent again.
+func (c *call) refuseBody(t *routing.Table) *refusal {
+	f := c.refuseBy(t, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge})
+	if f == nil {
+		f = &refusal{status: http.StatusServiceUnavailable, reason: reasonUnconfirmed}
+	}
+	return f
+}
+
 // refuseAndEnd writes a refusal and ends the request.
 func (c *call) refuseAndEnd(f *refusal) {
 	c.writeRefusal(c.w, *f)
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -33,16 +33,17 @@
 	}
 	assert.NilError(t, valid().Check())
 	for key, spoil := range map[string]func(*Settings){
-		"id":             func(s *Settings) { s.ID = "" },
-		"failure_domain": func(s *Settings) { s.FailureDomain = "" },
-		"dialect":        func(s *Settings) { s.Dialect = "" },
-		"replicas":       func(s *Settings) { s.Replicas = nil },
-		"peer_port":      func(s *Settings) { s.PeerPort = 70000 },
-		"lease":          func(s *Settings) { s.Lease = s.AnnounceInterval },
-		"stop_limit":     func(s *Settings) { s.StopLimit = 0 },
-		"retries":        func(s *Settings) { s.Retries.Ratio = -1 },
-		"listen":         func(s *Settings) { s.Listen = "nowhere" },
-		"ready_listen":   func(s *Settings) { s.Ready = "" },
+		"id":              func(s *Settings) { s.ID = "" },
+		"failure_domain":  func(s *Settings) { s.FailureDomain = "" },
+		"dialect":         func(s *Settings) { s.Dialect = "" },
+		"replicas":        func(s *Settings) { s.Replicas = nil },
+		"peer_port":       func(s *Settings) { s.PeerPort = 70000 },
+		"lease":           func(s *Settings) { s.Lease = s.AnnounceInterval },
+		"stop_limit":      func(s *Settings) { s.StopLimit = 0 },
+		"routing_max_age": func(s *Settings) { s.RoutingMaxAge = minRoutingMaxAge - 1 },
+		"retries":         func(s *Settings) { s.Retries.Ratio = -1 },
+		"listen":          func(s *Settings) { s.Listen = "nowhere" },
+		"ready_listen":    func(s *Settings) { s.Ready = "" },
 	} {
 		s := valid()
 		spoil(s)
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -82,9 +82,12 @@
 
 // Reasons of refusals and failures, as logs and metrics show them.
 const (
-	reasonNoConfig        = "no-configuration"
-	reasonNoRoute         = "no-route"
-	reasonUnknownKey      = "unknown-key"
+	reasonNoConfig   = "no-configuration"
+	reasonNoRoute    = "no-route"
+	reasonUnknownKey = "unknown-key"
+	// reasonUnconfirmed means that the configuration in force here doesn't allow the request, and that
+	// no control replica can tell whether it is still the current one.
+	reasonUnconfirmed     = "configuration-unconfirmed"
 	reasonBadRequest      = "bad-request"
 	reasonHeaderTooLarge  = "header-too-large"
 	reasonBodyTooLarge    = "body-too-large"
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -15,6 +15,9 @@
 	ErrStart = merry.Sentinel("gateway can't start")
 )
 
+// minRoutingMaxAge leaves time for a follower's state to be confirmed by its leader, and for the answer.
+const minRoutingMaxAge = kernel.Duration(500 * time.Millisecond)
+
 // Settings are the settings of snipereach-gateway.
 type Settings struct {
 	ID            string                `toml:"id"`
@@ -38,6 +41,10 @@
 	Lease            kernel.Duration `toml:"lease"`
 	// Keep is how long callers may keep the list of gateways.
 	Keep kernel.Duration `toml:"keep"`
+	// RoutingMaxAge is how old the configuration may be by which a request is refused for good: one that
+	// was last confirmed longer ago may have been replaced. It is the time within which operators expect
+	// a change to be in force everywhere.
+	RoutingMaxAge kernel.Duration `toml:"routing_max_age"`
 	// StopLimit is the time between the stop signal and the forced stop.
 	StopLimit kernel.Duration `toml:"stop_limit"`
 	Retries   RetrySettings   `toml:"retries"`
@@ -80,6 +87,7 @@
 		AnnounceInterval: kernel.Duration(time.Second),
 		Lease:            kernel.Duration(3 * time.Second),
 		Keep:             kernel.Duration(2 * time.Second),
+		RoutingMaxAge:    kernel.Duration(2 * time.Second),
 		StopLimit:        kernel.Duration(8 * time.Second),
 		Retries:          RetrySettings{Ratio: 0.1, Slack: 10, Window: kernel.Duration(10 * time.Second)},
 		Admission:        AdmissionSettings{Priorities: true, TeamShares: true},
@@ -105,6 +113,8 @@
 		return bad("peer_port", "must be a port")
 	case s.AnnounceInterval <= 0 || s.Lease < 2*s.AnnounceInterval:
 		return bad("lease", "must be at least twice announce_interval")
+	case s.RoutingMaxAge < minRoutingMaxAge:
+		return bad("routing_max_age", "must be at least "+minRoutingMaxAge.D().String())
 	case s.StopLimit <= 0:
 		return bad("stop_limit", "must be positive")
 	case s.Retries.Ratio < 0 || s.Retries.Slack < 0 || s.Retries.Window <= 0:
--- a/gateway/versionreports.go
+++ b/gateway/versionreports.go
@@ -53,3 +53,16 @@
 	}
 	return latest, 2*connected > len(replicas)
 }
+
+// current returns the connected replicas whose state is current, and the number of all connected ones.
+func (r *versionReports) current() (current map[string]bool, connected int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current = map[string]bool{}
+	for addr, report := range r.byReplica {
+		if report.current {
+			current[addr] = true
+		}
+	}
+	return current, len(r.byReplica)
+}
