Entries refuse only by rows that are known to be current

The same class as at gateways: an entry that is cut off from the control replicas refused for good (401, 403, 404, 413) by rows that had been replaced; it leaves the list of entries only after config_lease (10 s), and callers keep the list for as long.

Change: before such a refusal the entry asks the leader for the table's revision and waits until it is in force here (package freshness, rows_max_age, 2 s), and otherwise refuses with config-unconfirmed (503), which may be retried.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/snipereach/snipereach/control"
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/forward"
+	"github.com/snipereach/snipereach/freshness"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/operators"
 	"github.com/snipereach/snipereach/quarantine"
@@ -81,6 +82,8 @@
 	// rowsConfirmedAt is when the rows in force were last confirmed as current; nil
 	// if they never were.
 	rowsConfirmedAt atomic.Pointer[time.Time]
+	// freshness knows until when the rows in force here are known to be the current ones.
+	freshness *freshness.Confirmer
 	// announceNow triggers an announcement before the end of the interval.
 	announceNow chan struct{}
 }
@@ -110,6 +113,7 @@
 		}, s.Now),
 	}
 	e.pool.SetDial(s.Dial)
+	e.freshness = freshness.NewConfirmer(s.RowsMaxAge.D(), s.Now, e.askRevision)
 	e.answers = metrics.GetOrRegisterCounter("entry.answers", e.metrics)
 	if certs != nil {
 		e.certs = append(e.certs, certs)
--- a/entry/request.go
+++ b/entry/request.go
@@ -80,7 +80,9 @@
 	}
 	team := v.TeamByKey(key)
 	if team == nil {
-		return nil, e.refuse(wire.Reason_REASON_UNAUTHENTICATED, "the key belongs to no team")
+		ref := e.refuse(wire.Reason_REASON_UNAUTHENTICATED, "the key belongs to no team")
+		ref.Revision = v.Revision
+		return nil, ref
 	}
 	q := &request{entry: e, w: w, r: r, id: rand.Text(), view: v, team: team}
 	q.guard.Init(e.quarantine, q)
@@ -117,6 +119,10 @@
 		ref = q.serve()
 	}
 	if ref != nil {
+		if q != nil {
+			ref.Revision = q.view.Revision
+		}
+		ref = e.confirmRefusal(r.Context(), ref)
 		markPossiblyRun(r, q, ref)
 		e.writeRefusal(w, q, ref)
 	}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -59,6 +59,9 @@
 	// ConfigLease is how long the entry stays in the list of entries without a
 	// confirmation that its rows are current.
 	ConfigLease kernel.Duration `toml:"config_lease"`
+	// RowsMaxAge is how old the rows may be by which a request is refused for good: rows that were last
+	// confirmed longer ago may have been replaced.
+	RowsMaxAge kernel.Duration `toml:"rows_max_age"`
 	// EntryListTTL is how long callers may cache the list of entries.
 	EntryListTTL kernel.Duration `toml:"keep"`
 	// Slots is the maximum number of concurrent requests.
@@ -82,6 +85,9 @@
 	AnnounceInterval kernel.Duration `toml:"announce_interval"`
 }
 
+// minRowsMaxAge leaves time for the answer of the leader.
+const minRowsMaxAge = kernel.Duration(500 * time.Millisecond)
+
 // Values of ClaimsDataDir.
 const (
 	ClaimsDirAuto = "auto"
@@ -106,6 +112,7 @@
 		Lease:             kernel.Duration(3 * time.Second),
 		AnnounceInterval:  kernel.Duration(500 * time.Millisecond),
 		ConfigLease:       kernel.Duration(10 * time.Second),
+		RowsMaxAge:        kernel.Duration(2 * time.Second),
 	}
 }
 
@@ -144,6 +151,8 @@
 		return badKey("claims_data_dir", "must not be control.data_dir itself")
 	case s.ConfigLease < kernel.Duration(3*time.Second):
 		return badKey("config_lease", "must be at least 3s")
+	case s.RowsMaxAge < minRowsMaxAge:
+		return badKey("rows_max_age", "must be at least "+minRowsMaxAge.D().String())
 	case s.CallersTLS.CA != "":
 		return badKey("callers_tls.ca", "must be empty: callers do not use client certificates")
 	case s.OperatorsTLS.CA != "":
