Replicas read the age of their state before the state

A watcher could be told that an old version of the configuration, or old rows, are current: a replica read the version, its loop applied a newer one and confirmed it, and then the replica read the age. Now the age is read first, so that it is that of the version read or of an older one.

TestWatchedVersionIsNotOlderThanItsAge and TestWatchedRevisionIsNotOlderThanItsAge failed before (version 4 said to be as old as 5), and pass.

--- a/control/routing.go
+++ b/control/routing.go
@@ -162,10 +162,18 @@
 	if r == nil {
 		return nil, merry.Prepend(ErrUnavailable, "replica belongs to no cluster yet")
 	}
-	// The age is read before the version: read after it, the age could include a version that was
-	// applied in between.
-	age := clampedMillis(r.feed.confirmedAge(r.now()))
-	return &wire.RoutingConfirmation{Version: r.routingVersion.Load(), ConfirmedAgeMs: age}, nil
+	age, version := r.confirmedRoutingVersion()
+	return &wire.RoutingConfirmation{Version: version, ConfirmedAgeMs: age}, nil
+}
+
+// confirmedRoutingVersion returns the version that this replica has applied, and how many milliseconds ago
+// it was known to be current.
+//
+// The age must be read before the version. Read after it, the age could be that of a version which the
+// replica's loop applied in between, and watchers would take the older one for current.
+func (r *Replica) confirmedRoutingVersion() (ageMs uint32, version uint64) {
+	ageMs = clampedMillis(r.feed.confirmedAge(r.now()))
+	return ageMs, r.routingVersion.Load()
 }
 
 // packedRouting caches the latest configuration in the packed form that entries fetch.
@@ -205,8 +213,9 @@
 	suspicions := s.suspicions.changesSince(u.suspicions)
 	statements, statementsUpTo := s.statements.changesSince(u.statements)
 	silences, silencesUpTo := s.silences.changesSince(u.silences, r.clock)
+	age, version := r.confirmedRoutingVersion()
 	v = &wire.RoutingVersion{
-		Version: r.routingVersion.Load(), ConfirmedAgeMs: clampedMillis(r.feed.confirmedAge(r.now())),
+		Version: version, ConfirmedAgeMs: age,
 		Suspicions: suspicions.Suspicions, Statements: statements, Silences: silences,
 		Evacuated: evacuations.Domains, EvacuationRevision: evacuations.Revision,
 	}
--- a/control/service.go
+++ b/control/service.go
@@ -169,11 +169,13 @@
 // tableUpdate returns the changes after revision from, or the whole table if those changes are
 // no longer known.
 func (s *service) tableUpdate(ctx context.Context, r *Replica, from uint64) (*wire.TableUpdate, error) {
+	// The age must be read before the rows, as in confirmedRoutingVersion.
+	age := clampedMillis(r.feed.confirmedAge(r.now()))
 	st := r.feed.state.Load()
 	u := &wire.TableUpdate{
 		Cluster: s.currentIdentity().Cluster, Revision: st.revision, Ring: st.ring,
 		RingAgeMs:      clampedMillis(s.currentReplica().clock().Sub(st.ringAt)),
-		ConfirmedAgeMs: clampedMillis(r.feed.confirmedAge(r.now())),
+		ConfirmedAgeMs: age,
 	}
 	if rows, ok := st.since(from); ok {
 		u.Rows = rows
