Agents report streams broken off that end with their connection inside an event

An answer may have neither a length nor chunks and end with its connection. An agent took the end of such a stream inside an event for its end, and its caller got a part of the stream as the whole. A reset was told before.

Change: an agent reports an unframed stream that ends inside an event as broken off. Framed ones are told by their framing, as before.

--- a/agent/run.go
+++ b/agent/run.go
@@ -158,11 +158,17 @@
 		}
 		reply, read = &wire.RunReply{}, io.Reader.Read
 	}
+	var events eventBoundary
 	for {
 		n, err := read(answer.Body, *frame)
 		at.bodyBytesSent += uint64(n)
 		reply.Body = (*frame)[:n]
+		events.write((*frame)[:n])
 		switch {
+		case err == io.EOF && answer.Streaming && answer.Unframed && !events.complete():
+			// The end of the connection is the end of such a stream, also if the upstream has broken it off.
+			at.exitedUpstream = at.detectUpstreamExit(ctx)
+			return at.sendRunEnd(reply, wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_ANSWER_INVALID, "the stream ends inside an event")
 		case err == io.EOF:
 			return at.sendRunEnd(reply, wire.Outcome_OUTCOME_DONE, 0, "")
 		case err != nil:
@@ -206,3 +212,22 @@
 	transport.BufferUntilReturn(at.stream)
 	return at.stream.Send(reply)
 }
+
+// eventBoundary tells whether the bytes of a stream of events end between two events.
+type eventBoundary struct {
+	// tail holds the last bytes without carriage returns.
+	tail [2]byte
+	any  bool
+}
+
+func (b *eventBoundary) write(data []byte) {
+	b.any = b.any || len(data) > 0
+	for _, c := range data[max(len(data)-2*len(b.tail), 0):] {
+		if c != '\r' {
+			b.tail[0], b.tail[1] = b.tail[1], c
+		}
+	}
+}
+
+// complete reports whether the last event ended with an empty line, or there was none.
+func (b *eventBoundary) complete() bool { return !b.any || b.tail == [2]byte{'\n', '\n'} }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -33,6 +33,8 @@
 	Headers   []*wire.Header
 	Streaming bool
 	Body      io.ReadCloser
+	// Unframed says that the answer has neither a length nor chunks and ends with its connection.
+	Unframed bool
 }
 
 // Upstream is the client of one server. It is safe for concurrent use.
