Parts of prompts that crash upstreams are quarantined

Cause: what is held against a request is known by the whole request (team, method, host, path, body), so that nothing is known of the next one. Class: evidence kept under a name that is too narrow for its cause.

Change: when an upstream crashes, it is also held against the parts of the prompts of the requests that ran there, the last part excepted, by service and part ID. Such records take the same way as those of requests: through all replicas to all gateways, on the log, last trial after two crashes (no second attempt, one at a time at a gateway), quarantine after three, operators' list and lift, bounded memory. Exonerated are parts that were answered within 15 minutes here, or at a gateway that hears of the suspicion; without answers yet, as after a start, parts that a quarter of the latest requests have, or that several requests had at a crash. While another part ran at the same crashes, the quarantine waits for up to two more. A request without a prompt costs nothing more.

--- a/ctl/quarantine.go
+++ b/ctl/quarantine.go
@@ -33,10 +33,10 @@
 	if err := c.getJSON("/v1/quarantine", &list); err != nil {
 		return err
 	}
-	s := textTable{header: []string{"key", "team", "route", "state", "ended", "last", "upstreams"}}
+	s := textTable{header: []string{"key", "team", "route", "state", "ended", "last", "upstreams", "part"}}
 	for _, r := range list.Requests {
 		s.rows = append(s.rows, []string{
-			r.Key, r.Team, r.Route, suspicionState(r), fmt.Sprint(len(r.Upstreams)), formatSeconds(r.AgeMS) + " ago", strings.Join(r.Upstreams, " "),
+			r.Key, r.Team, r.Route, suspicionState(r), fmt.Sprint(len(r.Upstreams)), formatSeconds(r.AgeMS) + " ago", strings.Join(r.Upstreams, " "), r.Part,
 		})
 	}
 	return c.show(list, s)
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -35,6 +35,8 @@
 	// LastEventID is the last event of a stream that the caller has received; empty to
 	// start from the beginning.
 	LastEventID string
+	// SharedParts are the IDs of the parts of the prompt that other requests may have as well, in order.
+	SharedParts []string
 	// PromptTokens and MaxTokens are the sizes of a generation; 0 if unknown.
 	PromptTokens, MaxTokens int
 	// ExpectedTokens is the caller's estimate of the number of tokens in the response; 0 if
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -319,6 +319,7 @@
 		c.deadline = began.Add(c.params.Deadline)
 	}
 	g.metrics.recordArrival(c)
+	c.guard.RecordArrival(c.promptParts())
 	if !g.finishesBeforeStop(c) {
 		return c, &refusal{status: http.StatusServiceUnavailable, reason: reasonDraining, retryAfter: retryAfterDrain}
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -11,6 +11,14 @@
 	return &quarantine.Request{Team: c.team.GetName(), Method: c.r.Method, Host: c.r.Host, URI: c.r.RequestURI, Body: c.body}
 }
 
+// promptParts returns the parts of the request's prompt that other requests to its service may have as well.
+func (c *call) promptParts() (parts []quarantine.PromptPart) {
+	for _, id := range c.params.SharedParts {
+		parts = append(parts, quarantine.PromptPart{Service: c.service, ID: id})
+	}
+	return parts
+}
+
 // quarantineRefusal returns the refusal of a request that must not be sent to any upstream, or
 // nil.
 //
--- a/gateway/upstreamexit.go
+++ b/gateway/upstreamexit.go
@@ -84,7 +84,11 @@
 // would pass for one that was known before, and the exit would never be reported.
 func (c *call) newPendingExit(a *attempt) pendingExit {
 	p := pendingExit{cutAt: c.now()}
-	p.Crash = quarantine.Crash{RequestInfo: c.Identity().Info(c.route.GetName()), RequestID: c.params.ID, Upstream: a.upstream.ID, Address: a.upstream.Address, RunTime: time.Since(a.startedAt)}
+	route := c.route.GetName()
+	p.Crash = quarantine.Crash{
+		RequestInfo: c.Identity().Info(route), Parts: quarantine.PartInfos(c.promptParts(), c.team.GetName(), route), RequestID: c.params.ID,
+		Upstream: a.upstream.ID, Address: a.upstream.Address, RunTime: time.Since(a.startedAt),
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, i := range c.knownUpstreams {
--- a/quarantine/machine.go
+++ b/quarantine/machine.go
@@ -139,7 +139,7 @@
 	r := q.Request
 	age := toMillis(now.Sub(time.UnixMilli(int64(q.EndedMs))))
 	m := &wire.Suspicion{
-		Key: r.GetKey(), Hint: r.GetHint(), Team: r.GetTeam(), Route: r.GetRoute(), Terms: r.GetTerms(),
+		Key: r.GetKey(), Hint: r.GetHint(), Team: r.GetTeam(), Route: r.GetRoute(), Part: r.GetPart(), Terms: r.GetTerms(),
 		QuarantineMs: toMillis(time.UnixMilli(int64(q.UntilMs)).Sub(now)),
 	}
 	for _, run := range r.GetRuns() {
@@ -150,7 +150,7 @@
 
 // NewLoggedQuarantine returns the form in which a quarantine is kept on the log, with absolute times.
 func NewLoggedQuarantine(now time.Time, s *wire.Suspicion) *wire.LoggedQuarantine {
-	r := &wire.Suspicion{Key: s.Key, Hint: s.Hint, Team: s.Team, Route: s.Route, Terms: s.Terms}
+	r := &wire.Suspicion{Key: s.Key, Hint: s.Hint, Team: s.Team, Route: s.Route, Part: s.Part, Terms: s.Terms}
 	for _, run := range s.Runs {
 		r.Runs = append(r.Runs, &wire.EndedRun{Upstream: run.Upstream})
 	}
--- a/quarantine/message.go
+++ b/quarantine/message.go
@@ -32,8 +32,8 @@
 		return merry.Prependf(ErrInvalidSuspicion, "key has %d bytes", len(m.Key))
 	case len(m.Runs) > maxRuns:
 		return merry.Prependf(ErrInvalidSuspicion, "%d runs are too many", len(m.Runs))
-	case len(m.Team) > maxNameBytes || len(m.Route) > maxNameBytes:
-		return merry.Prepend(ErrInvalidSuspicion, "team or route name is too long")
+	case len(m.Team) > maxNameBytes || len(m.Route) > maxNameBytes || len(m.Part) > maxNameBytes:
+		return merry.Prepend(ErrInvalidSuspicion, "team, route or part name is too long")
 	case m.Terms > maxTerms:
 		return merry.Prependf(ErrInvalidSuspicion, "%d terms are too many", m.Terms)
 	case !m.Cleared && len(m.Runs) == 0:
@@ -43,6 +43,9 @@
 		if run.GetUpstream() == "" || len(run.Upstream) > maxNameBytes {
 			return merry.Prepend(ErrInvalidSuspicion, "upstream name is empty or too long")
 		}
+		if len(run.Requests) > maxRunRequests {
+			return merry.Prependf(ErrInvalidSuspicion, "%d requests of one run are too many", len(run.Requests))
+		}
 	}
 	return nil
 }
@@ -110,7 +113,7 @@
 
 func (t *Table) toSuspicion(now time.Time, r *record) *wire.Suspicion {
 	m := &wire.Suspicion{
-		Key: r.Key[:], Hint: uint64(r.Hint), Team: r.Team, Route: r.Route, Runs: toWireRuns(now, r.runs),
+		Key: r.Key[:], Hint: uint64(r.Hint), Team: r.Team, Route: r.Route, Part: r.Part, Runs: toWireRuns(now, r.runs),
 		QuarantineMs: toMillis(r.until.Sub(now)), Terms: uint32(r.quarantineCount),
 	}
 	if t.clearedRecently(now, r) {
@@ -122,7 +125,7 @@
 func toWireRuns(now time.Time, runs []CrashedRun) []*wire.EndedRun {
 	list := make([]*wire.EndedRun, len(runs))
 	for i, run := range runs {
-		list[i] = &wire.EndedRun{Upstream: run.Upstream, AgeMs: toMillis(now.Sub(run.Ended)), RanMs: toMillis(run.Ended.Sub(run.Began))}
+		list[i] = &wire.EndedRun{Upstream: run.Upstream, AgeMs: toMillis(now.Sub(run.Ended)), RanMs: toMillis(run.Ended.Sub(run.Began)), Requests: run.Requests}
 	}
 	return list
 }
@@ -131,7 +134,7 @@
 	list := make([]CrashedRun, len(m.Runs))
 	for i, run := range m.Runs {
 		ended := now.Add(-fromMillis(run.AgeMs))
-		list[i] = CrashedRun{Upstream: run.Upstream, Began: ended.Add(-fromMillis(run.RanMs)), Ended: ended}
+		list[i] = CrashedRun{Upstream: run.Upstream, Began: ended.Add(-fromMillis(run.RanMs)), Ended: ended, Requests: run.Requests}
 	}
 	return list
 }
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,6 +38,9 @@
 
 	reporters *directory.Reporters
 
+	// parts is what is known of the parts of prompts that are served here.
+	parts *partHistory
+
 	mu    sync.Mutex
 	table *Table
 }
@@ -46,7 +50,7 @@
 func NewNode(id string, l log.Logger, now func() time.Time, dial directory.Dial) *Node {
 	n := &Node{
 		id: id, log: l, now: now, dial: dial, lines: kernel.NewLimitedLogger(l, maxLinesPerSecond, now),
-		table: NewTable(DefaultSettings()),
+		table: NewTable(DefaultSettings()), parts: newPartHistory(),
 	}
 	n.reporters = directory.NewReporters(n.report)
 	return n
@@ -55,6 +59,8 @@
 // Crash describes the crash of an upstream while it ran a request.
 type Crash struct {
 	RequestInfo
+	// Parts are the parts of the request's prompt that other requests may have as well.
+	Parts []RequestInfo
 	// RequestID is the caller's ID of the request, for logs.
 	RequestID string
 	// Upstream is the ID of the incarnation that crashed, Address where it was reached.
@@ -67,14 +73,27 @@
 
 // RecordCrash records a crash that was observed here, and returns the verdict on the request after
 // it.
+//
+// The parts of its prompt come first: where one of them explains the crashes, the request itself needs no
+// record of them, and the next one with the part is another request.
 func (n *Node) RecordCrash(e Crash) (v Verdict) {
+	var suspects []string
 	n.updateTable(func(now time.Time, t *Table) bool {
 		ended := now.Add(-e.Age)
-		v = t.RecordCrash(now, e.RequestInfo, CrashedRun{Upstream: e.Upstream, Began: ended.Add(-e.RunTime), Ended: ended})
+		run := CrashedRun{Upstream: e.Upstream, Began: ended.Add(-e.RunTime), Ended: ended}
+		partRun := run
+		partRun.Requests = []uint32{hashRequestID(e.RequestID)}
+		for _, part := range e.Parts {
+			if !n.parts.exonerates(now, uint64(part.Hint)) {
+				pv := t.RecordCrash(now, part, partRun)
+				suspects = append(suspects, fmt.Sprintf("%s:%d:%s", part.Part, pv.Crashes, pv.Status))
+			}
+		}
+		v = t.RecordCrash(now, e.RequestInfo, run)
 		return true
 	})
 	n.lines.Info("Upstream ended under a request.", "request", e.RequestID, "key", e.Key, "route", e.Route, "team", e.Team,
-		"upstream", e.Upstream, "addr", e.Address, "sign", e.DetectedBy, "ends", v.Crashes, "standing", v.Status)
+		"upstream", e.Upstream, "addr", e.Address, "sign", e.DetectedBy, "ends", v.Crashes, "standing", v.Status, "parts", strings.Join(suspects, ","))
 	return v
 }
 
@@ -85,7 +104,7 @@
 		return
 	}
 	for _, c := range n.merge(from, list) {
-		n.lines.Info("Request standing changed.", "replica", from, "key", c.key, "route", c.suspicion.Route, "team", c.suspicion.Team,
+		n.lines.Info("Request standing changed.", "replica", from, "key", c.key, "part", c.suspicion.Part, "route", c.suspicion.Route, "team", c.suspicion.Team,
 			"standing", c.verdict.Status, "ends", c.verdict.Crashes, "upstreams", strings.Join(c.verdict.Upstreams, ","),
 			"left_ms", c.verdict.Left.Milliseconds())
 	}
@@ -101,7 +120,7 @@
 // merge merges suspicions into the table and returns the resulting changes of status. Invalid
 // suspicions are logged and skipped.
 func (n *Node) merge(from string, list []*wire.Suspicion) (changes []statusChange) {
-	n.updateTable(func(now time.Time, t *Table) bool {
+	n.updateTable(func(now time.Time, t *Table) (clears bool) {
 		for _, m := range list {
 			if err := Check(m); err != nil {
 				n.lines.Info("Invalid suspicion skipped.", "replica", from, "err", err)
@@ -110,11 +129,15 @@
 			k := Key(m.Key)
 			before := t.Verdict(now, k).Status
 			t.Merge(now, m)
+			if m.Part != "" && t.Verdict(now, k).Status == LastTrial && n.parts.exonerates(now, m.Hint) {
+				// Those that suspect it haven't served it lately, e.g. as they have just started.
+				clears = t.RecordAnswer(now, k) || clears
+			}
 			if v := t.Verdict(now, k); v.Status != before {
 				changes = append(changes, statusChange{key: k, suspicion: m, verdict: v})
 			}
 		}
-		return false
+		return clears
 	})
 	return changes
 }
--- a/quarantine/show.go
+++ b/quarantine/show.go
@@ -12,6 +12,8 @@
 	Key   string `json:"key"`
 	Team  string `json:"team,omitempty"`
 	Route string `json:"route"`
+	// Part is the part of prompts that is suspected, empty if one whole request is.
+	Part string `json:"part,omitempty"`
 	// Upstreams are the IDs of the upstreams that crashed while running it.
 	Upstreams []string `json:"upstreams"`
 	// AgeMS is the time since the last of these crashes.
@@ -28,7 +30,7 @@
 	shown := []SuspicionView{}
 	for _, m := range list {
 		shown = append(shown, SuspicionView{
-			Key: hex.EncodeToString(m.Key), Team: m.Team, Route: m.Route, Upstreams: CrashedUpstreams(m), AgeMS: LastCrashAge(m).Milliseconds(),
+			Key: hex.EncodeToString(m.Key), Team: m.Team, Route: m.Route, Part: m.Part, Upstreams: CrashedUpstreams(m), AgeMS: LastCrashAge(m).Milliseconds(),
 			Quarantined: m.QuarantineMs > 0, LeftMS: m.QuarantineMs, Terms: m.Terms,
 		})
 	}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -55,6 +55,8 @@
 	Key         Key
 	Hint        Hint
 	Team, Route string
+	// Part is the ID of the part of prompts that the record is about; empty if it is about one request.
+	Part string
 }
 
 // Status tells how strongly a request is suspected to crash upstreams.
@@ -86,6 +88,9 @@
 	Upstreams []string
 	// Left is the remaining time of its quarantine, Age the time since the last crash.
 	Left, Age time.Duration
+	// Key is what is suspected, Part the part of prompts that it stands for; both only from RequestGuard.
+	Key  Key
+	Part string
 }
 
 // CrashedRun is a run of a request during which its upstream crashed.
@@ -93,6 +98,9 @@
 	// Upstream is the ID of the incarnation that crashed.
 	Upstream     string
 	Began, Ended time.Time
+	// Requests are hashes of the IDs of the requests that ran there, up to maxRunRequests, if the record is
+	// about a part of prompts.
+	Requests []uint32
 }
 
 // record is what a Table knows of one request.
@@ -254,7 +262,7 @@
 	if len(m.Runs) == 0 {
 		return cleared
 	}
-	r := t.recordFor(now, RequestInfo{Key: k, Hint: Hint(m.Hint), Team: m.Team, Route: m.Route})
+	r := t.recordFor(now, RequestInfo{Key: k, Hint: Hint(m.Hint), Team: m.Team, Route: m.Route, Part: m.Part})
 	runs := fromWireRuns(now, m)
 	changed := t.addRuns(now, r, runs)
 	// A quarantine that rests on crashes from before the last clearing doesn't count.
@@ -335,7 +343,7 @@
 	if r.quarantineCount > 0 {
 		return len(r.runs) > 0
 	}
-	return len(r.runs) >= t.settings.CrashThreshold && t.countCrashes(r) >= t.settings.CrashThreshold && r.countSequential(t.settings.MinSeparation) > 1
+	return len(r.runs) >= t.settings.CrashThreshold && !t.isAmbiguous(now, r) && t.countCrashes(r) >= t.settings.CrashThreshold && r.countSequential(t.settings.MinSeparation) > 1
 }
 
 // countCrashes counts the crashes held against a request. Those of one outage, in which many
@@ -405,6 +413,9 @@
 func (t *Table) addRuns(now time.Time, r *record, runs []CrashedRun) (changed bool) {
 	expired := len(r.runs) > 0 && t.isExpired(now, r)
 	for _, run := range runs {
+		if r.addRequests(run) {
+			changed = true
+		}
 		if !run.Ended.After(r.clearedAt) || r.crashedDuring(run.Upstream) || t.isAttributed(now, r, run.Upstream) {
 			continue
 		}
