Bad parts that run side by side at crashes aren't taken for common ones

Change: from the fifth crash on, which also ends ties with other parts, a part counts as common only if several requests with it ran at two thirds of its crashes.

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -187,7 +187,8 @@
 	if r.Part == "" {
 		return false
 	}
-	return r.commonAtCrashes() || len(r.runs) < t.settings.CrashThreshold+maxAmbiguousCrashes && t.hasRival(now, r)
+	tieEnds := t.settings.CrashThreshold + maxAmbiguousCrashes
+	return r.commonAtCrashes(tieEnds) || len(r.runs) < tieEnds && t.hasRival(now, r)
 }
 
 // hasRival reports whether another suspected part ran at all crashes of a part but one at most.
@@ -210,17 +211,20 @@
 }
 
 // commonAtCrashes reports whether at half of the crashes, and at two at least, several requests with the part ran
-// side by side.
+// side by side; at two thirds of them once there are as many as end a tie.
 //
 // One request with a bad part is enough for a crash, and rarely do two run at the same upstream; a part that many
-// requests have is at each crash several times. It tells them apart where nobody has seen answers yet, as
+// requests have is at most crashes several times. It tells them apart where nobody has seen answers yet, as
 // after a restart of all entries.
-func (r *record) commonAtCrashes() bool {
+func (r *record) commonAtCrashes(tieEnds int) bool {
 	several := 0
 	for _, run := range r.runs {
 		if len(run.Requests) > 1 {
 			several++
 		}
 	}
+	if len(r.runs) >= tieEnds {
+		return 3*several >= 2*len(r.runs)
+	}
 	return several > 1 && 2*several >= len(r.runs)
 }
