Parts that are tied at five crashes are quarantined together

Change: parts that nothing tells apart at five crashes are both put in quarantine, and keep their crashes.

TestTiedPartsAreQuarantinedTogether failed before.

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -187,29 +187,61 @@
 	if r.Part == "" {
 		return false
 	}
-	tieEnds := t.settings.CrashThreshold + maxAmbiguousCrashes
-	return r.commonAtCrashes(tieEnds) || len(r.runs) < tieEnds && t.hasRival(now, r)
+	return r.commonAtCrashes(t.tieEnds()) || len(r.runs) < t.tieEnds() && t.hasRival(now, r)
 }
 
+// tieEnds is the number of crashes from which on a part is put in quarantine though another one ran at the same.
+func (t *Table) tieEnds() int { return t.settings.CrashThreshold + maxAmbiguousCrashes }
+
 // hasRival reports whether another suspected part ran at all crashes of a part but one at most.
 func (t *Table) hasRival(now time.Time, r *record) bool {
 	for _, other := range t.records {
-		if other == r || other.Part == "" || t.status(now, other) == Unsuspected {
-			continue
-		}
-		shared := 0
-		for _, run := range r.runs {
-			if other.crashedDuring(run.Upstream) {
-				shared++
-			}
-		}
-		if shared >= len(r.runs)-1 {
+		if other != r && t.status(now, other) != Unsuspected && r.isRivalled(other) {
 			return true
 		}
 	}
 	return false
 }
 
+// isRivalled reports whether another part ran at all crashes of a part but one at most.
+func (r *record) isRivalled(other *record) bool {
+	if r.Part == "" || other.Part == "" {
+		return false
+	}
+	shared := 0
+	for _, run := range r.runs {
+		if other.crashedDuring(run.Upstream) {
+			shared++
+		}
+	}
+	return shared >= len(r.runs)-1
+}
+
+// isTied reports whether nothing tells a part that is put in quarantine from another one. Both are put in
+// quarantine then: if the bad one weren't, it would go on crashing upstreams.
+func (t *Table) isTied(cause, other *record) bool {
+	return len(cause.runs) >= t.tieEnds() && cause.isRivalled(other)
+}
+
+// reassessTied decides on the parts that are tied with one that was put in quarantine.
+func (t *Table) reassessTied(now time.Time, cause *record) {
+	var tied []*record
+	for _, r := range t.records {
+		if r != cause && t.isTied(cause, r) && t.isQuarantineDue(now, r) {
+			tied = append(tied, r)
+		}
+	}
+	sortByKey(tied)
+	for _, r := range tied {
+		t.reassess(now, r)
+	}
+}
+
+// sortByKey brings records into a defined order, so that versions are assigned reproducibly.
+func sortByKey(list []*record) {
+	slices.SortFunc(list, func(a, b *record) int { return slices.Compare(a.Key[:], b.Key[:]) })
+}
+
 // commonAtCrashes reports whether at half of the crashes, and at two at least, several requests with the part ran
 // side by side; at two thirds of them once there are as many as end a tie.
 //
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -130,6 +130,23 @@
 	}
 }
 
+// Guards against a bad part that stays free since a sound one ran at the same crashes by chance and was put in
+// quarantine for them.
+func TestTiedPartsAreQuarantinedTogether(t *testing.T) {
+	now := start
+	n := newPartNode(&now)
+	for i := range 5 {
+		for _, id := range []string{"bad", "sound"} {
+			assert.Assert(t, guardFor(n, "another", partOf(id)).Verdict().Status < Quarantined, "%d crashes", i)
+			crashWith(n, 10*i+len(id), i, partOf(id))
+		}
+		now = now.Add(time.Second)
+	}
+	for _, id := range []string{"bad", "sound"} {
+		assert.Equal(t, guardFor(n, "another", partOf(id)).Verdict().Status, Quarantined, id)
+	}
+}
+
 // Guards against a part under suspicion that is tried at several upstreams side by side.
 func TestPartOnItsLastTrialRunsOnce(t *testing.T) {
 	now := start
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -327,6 +327,7 @@
 	r.announced = r.announced || s >= LastTrial
 	if s == Quarantined {
 		t.attributeCrashes(r)
+		t.reassessTied(now, r)
 	}
 }
 
@@ -440,7 +441,7 @@
 // crashed.
 func (t *Table) isAttributed(now time.Time, r *record, upstream string) bool {
 	for _, other := range t.everQuarantined {
-		if other != r && t.status(now, other) == Quarantined && other.crashedDuring(upstream) {
+		if other != r && t.status(now, other) == Quarantined && other.crashedDuring(upstream) && !t.isTied(other, r) {
 			return true
 		}
 	}
@@ -453,7 +454,7 @@
 func (t *Table) attributeCrashes(cause *record) {
 	var changed []*record
 	for _, r := range t.records {
-		if r == cause || r.quarantineCount > 0 {
+		if r == cause || r.quarantineCount > 0 || t.isTied(cause, r) {
 			continue
 		}
 		before := len(r.runs)
@@ -462,8 +463,7 @@
 			changed = append(changed, r)
 		}
 	}
-	// In a defined order, so that versions are assigned reproducibly.
-	slices.SortFunc(changed, func(a, b *record) int { return slices.Compare(a.Key[:], b.Key[:]) })
+	sortByKey(changed)
 	for _, r := range changed {
 		t.bumpVersion(r)
 	}
