Entry.Revision in place of four copies of it

The confirmation of refusals, the gauge, the dump and refusals read the revision in force each by themselves.

--- a/entry/confirmation.go
+++ b/entry/confirmation.go
@@ -42,21 +42,13 @@
 // confirmRefusal returns the refusal itself if the rows by which it was decided are known to be current, and
 // one that may be retried otherwise.
 func (e *Entry) confirmRefusal(ctx context.Context, ref *wire.Refusal) *wire.Refusal {
-	if !finalByRows(ref.Reason) || e.freshness.Confirm(ctx) && e.revisionInForce() == ref.Revision {
+	if !finalByRows(ref.Reason) || e.freshness.Confirm(ctx) && e.Revision() == ref.Revision {
 		return ref
 	}
-	kernel.Info(e.log, "Refusal can't be confirmed.", "reason", ref.Reason, "detail", ref.Detail, "revision", ref.Revision, "in_force", e.revisionInForce(), "err", e.freshness.LastError())
+	kernel.Info(e.log, "Refusal can't be confirmed.", "reason", ref.Reason, "detail", ref.Detail, "revision", ref.Revision, "in_force", e.Revision(), "err", e.freshness.LastError())
 	return e.refuse(wire.Reason_REASON_CONFIG_UNCONFIRMED, "by rows that may have been replaced: "+ref.Detail)
 }
 
-// revisionInForce returns the revision of the rows in force, or 0 before the first.
-func (e *Entry) revisionInForce() uint64 {
-	if v := e.view.Load(); v != nil {
-		return v.Revision
-	}
-	return 0
-}
-
 // askRevision asks the leader for the table's revision and waits until it is in force here. It implements
 // freshness.AskFunc.
 func (e *Entry) askRevision(ctx context.Context) (asOf time.Time, err error) {
@@ -74,7 +66,7 @@
 	if reply == nil {
 		return time.Time{}, errNoReplica
 	}
-	for e.revisionInForce() < reply.Revision {
+	for e.Revision() < reply.Revision {
 		select {
 		case <-ctx.Done():
 			return time.Time{}, errRowsBehind
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -393,10 +393,7 @@
 	_, waiting := e.runner.Counts()
 	d := entryDump{
 		ID: e.settings.ID, Incarnation: e.incarnation.Number(), Draining: e.draining.Load(),
-		Requests: e.requests.Load(), Waiting: waiting,
-	}
-	if v := e.view.Load(); v != nil {
-		d.Revision = v.Revision
+		Requests: e.requests.Load(), Waiting: waiting, Revision: e.Revision(),
 	}
 	return d
 }
--- a/entry/gauges.go
+++ b/entry/gauges.go
@@ -28,12 +28,7 @@
 	return int64(waiting)
 }
 
-func (e *Entry) revision() int64 {
-	if v := e.view.Load(); v != nil {
-		return int64(v.Revision)
-	}
-	return 0
-}
+func (e *Entry) revision() int64 { return int64(e.Revision()) }
 
 // rowsAgeMS returns rowsAge in milliseconds, or -1 if the rows were never confirmed.
 func (e *Entry) rowsAgeMS() int64 {
--- a/entry/request.go
+++ b/entry/request.go
@@ -39,15 +39,11 @@
 
 // refuse returns a refusal with the outcome "not run".
 func (e *Entry) refuse(reason wire.Reason, detail string) *wire.Refusal {
-	r := &wire.Refusal{
+	return &wire.Refusal{
 		RequestId: rand.Text(), Reason: reason, Outcome: wire.Outcome_OUTCOME_NOT_RUN,
 		Detail: detail, Entry: e.settings.ID, AtUnixMs: e.settings.Now().UnixMilli(),
-		RetryAfterMs: uint32(refusal.RetryAfter(reason).Milliseconds()),
+		RetryAfterMs: uint32(refusal.RetryAfter(reason).Milliseconds()), Revision: e.Revision(),
 	}
-	if v := e.view.Load(); v != nil {
-		r.Revision = v.Revision
-	}
-	return r
 }
 
 // request is the state of one caller's request.
