--- a/direct/client.go
+++ b/direct/client.go
@@ -214,7 +214,7 @@
 
 // discardResponse reads the rest of a response that is discarded.
 func discardResponse(resp *http.Response) error {
-	if !hasFraming(resp) {
+	if !transport.HasFraming(resp) {
 		return merry.Prepend(ErrInvalidResponse, "response to another attempt has no length")
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBytes))
@@ -227,12 +227,6 @@
 	return nil
 }
 
-// hasFraming reports whether a response has a Content-Length or is chunked. Otherwise it ends
-// with the connection, so that a truncated body can't be detected.
-func hasFraming(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
-
 // encodeRequest encodes a request in a single buffer, so that a small one is sent in a single
 // packet.
 func encodeRequest(r *Request) []byte {
@@ -300,7 +294,7 @@
 		b.conn.abort()
 		return
 	}
-	if b.resp.Close || !hasFraming(b.resp) || b.conn.br.Buffered() > 0 {
+	if b.resp.Close || !transport.HasFraming(b.resp) || b.conn.br.Buffered() > 0 {
 		_ = b.conn.Close()
 		return
 	}
--- /dev/null
+++ b/transport/framing.go
@@ -0,0 +1,9 @@
+package transport
+
+import "net/http"
+
+// HasFraming reports whether a response has a Content-Length or is chunked. Otherwise it ends
+// with the connection, so that a truncated body can't be detected.
+func HasFraming(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -109,7 +109,7 @@
 		Status:    resp.StatusCode,
 		Headers:   ForwardedHeaders(resp.Header, ""),
 		Streaming: strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"),
-		Unframed:  resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		Unframed:  !transport.HasFraming(resp),
 		Body:      resp.Body,
 	}, nil
 }
