No map for batches without compressed configurations; dead fields and loops of the change go

A replica made a map each time that it applied anything. askReplicas counts by a slice, keys that can't be equal aren't compacted, the simulation of parts sorts by the library and has no fields that nothing sets.

--- a/control/routingbatch.go
+++ b/control/routingbatch.go
@@ -20,10 +20,11 @@
 }
 
 func newRoutingBatch(entries []*wire.LogEntry) *routingBatch {
-	b := &routingBatch{versions: map[uint64]uint64{}}
+	b := &routingBatch{}
 	if len(entries) < 2 {
 		return b
 	}
+	b.versions = make(map[uint64]uint64)
 	for _, e := range entries {
 		version := compressedRoutingVersion(e)
 		if version == 0 {
--- a/gateway/confirmation.go
+++ b/gateway/confirmation.go
@@ -64,12 +64,8 @@
 // if they have one. It implements freshness.AskFunc.
 func (g *Gateway) askReplicas(ctx context.Context) (asOf time.Time, err error) {
 	err = errUnconfirmed
-	asked := 0
-	for _, addr := range g.currentReplicas() {
-		if asked == maxConfirmAttempts {
-			break
-		}
-		asked++
+	replicas := g.currentReplicas()
+	for _, addr := range replicas[:min(len(replicas), maxConfirmAttempts)] {
 		if asOf, err = g.askReplica(ctx, addr); err == nil {
 			g.metrics.Count("gateway.routing_confirmed")
 			return asOf, nil
--- a/quarantine/partsim_test.go
+++ b/quarantine/partsim_test.go
@@ -1,8 +1,11 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -71,8 +74,6 @@
 	bad     string
 	gateway int
 	guard   RequestGuard
-	left    int
-	ended   bool
 }
 
 // Identity implements Identifier.
@@ -187,7 +188,7 @@
 
 func (s *partSim) newRequest(parts ...string) *partSimRequest {
 	s.nextID++
-	r := &partSimRequest{id: s.nextID, gateway: s.rnd.IntN(len(s.gateways)), left: 1}
+	r := &partSimRequest{id: s.nextID, gateway: s.rnd.IntN(len(s.gateways))}
 	for _, p := range parts {
 		r.parts = append(r.parts, PromptPart{Service: partSimService, ID: p})
 	}
@@ -264,7 +265,7 @@
 		return
 	}
 	s.after(time.Duration(200+s.rnd.IntN(600))*time.Millisecond, func() {
-		if _, runs := u.running[r]; !runs || r.ended {
+		if _, runs := u.running[r]; !runs {
 			return
 		}
 		delete(u.running, r)
@@ -294,18 +295,8 @@
 	}
 }
 
-func sortedByID(set map[*partSimRequest]time.Time) (list []*partSimRequest) {
-	for r := range set {
-		list = append(list, r)
-	}
-	for i := range list {
-		for j := i + 1; j < len(list); j++ {
-			if list[j].id < list[i].id {
-				list[i], list[j] = list[j], list[i]
-			}
-		}
-	}
-	return list
+func sortedByID(set map[*partSimRequest]time.Time) []*partSimRequest {
+	return slices.SortedFunc(maps.Keys(set), func(a, b *partSimRequest) int { return cmp.Compare(a.id, b.id) })
 }
 
 // propagate exchanges suspicions between gateways and replicas.
--- a/quarantine/requestguard.go
+++ b/quarantine/requestguard.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -181,7 +180,7 @@
 		return len(list) > 0
 	})
 	if len(list) > 0 {
-		t.node.lines.Info("Suspected request was answered and cleared.", "request", requestID, "key", strings.Join(slices.Compact(list), ","))
+		t.node.lines.Info("Suspected request was answered and cleared.", "request", requestID, "key", strings.Join(list, ","))
 	}
 	return len(list) > 0
 }
