Review case 4: the loss of a disk right after a planned replacement ends control

Cause: a caught-up successor stays a learner until the replica that was stopped as planned has been silent for replace_after; until then two voters of three are live, and the loss of one more disk ends the log for good.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -29,6 +29,7 @@
 	"departure":   departure,
 	"foreign":     foreign,
 	"overwritten": overwritten,
+	"planned":     planned,
 }
 
 func main() { os.Exit(run()) }
--- /dev/null
+++ b/review/standins-2/planned.go
@@ -0,0 +1,77 @@
+//go:build review
+
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+)
+
+const (
+	// catchUp is catchUpS of the deployment, with a margin.
+	catchUp = 4*time.Second + 2*time.Second
+	// readBack is how long the configuration is read back: recoveryS after the last machine is back, and
+	// more than contactWindowMs then.
+	readBack = 30 * time.Second
+)
+
+// planned: a control machine is replaced as planned, the new one first. Its successor has had more than
+// catchUpS when the old one gets SIGTERM and ends. Half a second later another control machine loses its disk.
+func planned(s *system, trouble bool) (bool, error) {
+	delay := 500 * time.Millisecond
+	if d, err := time.ParseDuration(os.Getenv("DELAY")); err == nil {
+		delay = d
+	}
+	s.addControls(3)
+	if err := s.startAll(); err != nil {
+		return false, err
+	}
+	op := &operator{s: s, http: newHTTPClient(time.Second)}
+	routes := []route{{Name: "r1", Host: "ping.example", Prefix: "/ping/", Kind: "unsafe", Service: "yard", TimeoutMS: 600, MaxAttempts: 2}}
+	for v := 1; v <= 3; v++ {
+		if err := op.put(v, configuration(v, routes, []string{"yard"}, "key1"), 15*time.Second); err != nil {
+			return false, err
+		}
+		time.Sleep(time.Second)
+	}
+	old, another := s.controls[0], s.controls[1]
+	seeds := s.seeds()
+	successor := s.newMachine("core", 3, 13, old.zone, false)
+	s.seedNodes = seeds
+	s.controls = append(s.controls, successor)
+	if err := s.start(successor); err != nil {
+		return false, err
+	}
+	time.Sleep(catchUp)
+	s.signal(old, syscall.SIGTERM)
+	<-old.exited
+	s.removed = append(s.removed, old)
+	s.controls = s.controls[1:]
+	if trouble {
+		time.Sleep(delay)
+		s.kill(another)
+		s.wipe(another)
+		time.Sleep(time.Second)
+		if err := s.start(another); err != nil {
+			return false, err
+		}
+	}
+	last := time.Now()
+	read, answers := 0, 0
+	for n := 0; time.Since(last) < readBack; n++ {
+		m := s.controls[n%len(s.controls)]
+		status, body, err := op.call(http.MethodGet, op.controlURL(m, "/configuration"), nil)
+		var c struct{ Version int }
+		if err == nil && status == http.StatusOK && json.Unmarshal(body, &c) == nil {
+			read = max(read, c.Version)
+			answers++
+		}
+		s.rec.log("read at %s: %d version %d %v", m.name, status, c.Version, err)
+		time.Sleep(300 * time.Millisecond)
+	}
+	s.rec.say("version 3 was acknowledged; read back in the %v after the last machine was back: version %d, %d answers", readBack, read, answers)
+	return read < 3, nil
+}
--- a/review/standins-2/system.go
+++ b/review/standins-2/system.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -31,18 +30,20 @@
 // system is a small deployment: control machines, gateways, and the ports that are the same on all
 // machines.
 type system struct {
-	rec          *recorder
-	root, tmp    string
-	prefix       string
-	ports        ports
-	controls     []*machine
-	gateways     []*machine
-	sides        []*machine
-	sideApps     map[string]string
-	mu           sync.Mutex
-	zones        []string
-	heartbeatMS  int
-	extraContext map[string]any
+	rec         *recorder
+	root, tmp   string
+	prefix      string
+	ports       ports
+	controls    []*machine
+	gateways    []*machine
+	sides       []*machine
+	sideApps    map[string]string
+	zones       []string
+	heartbeatMS int
+	// seedNodes, if set, is what the settings of machines that start from now on name.
+	seedNodes []string
+	// removed are machines that are gone for good.
+	removed []*machine
 }
 
 // ports are free ports that hold on each machine.
@@ -91,6 +92,9 @@
 }
 
 func (s *system) seeds() []string {
+	if s.seedNodes != nil {
+		return s.seedNodes
+	}
 	var list []string
 	for _, m := range s.controls[:min(3, len(s.controls))] {
 		list = append(list, fmt.Sprintf("%s:%d", m.ip, s.ports.control))
