--- a/review/standins-2/planned.go
+++ b/review/standins-2/planned.go
@@ -56,14 +56,12 @@
 	time.Sleep(catchUp)
 	s.signal(old, syscall.SIGTERM)
 	<-old.exited
-	s.removed = append(s.removed, old)
 	s.controls = s.controls[1:]
 	switch {
 	case trouble && second == "removed":
 		time.Sleep(delay)
 		s.signal(another, syscall.SIGTERM)
 		<-another.exited
-		s.removed = append(s.removed, another)
 		s.controls = s.controls[1:]
 	case trouble:
 		time.Sleep(delay)
--- a/review/standins-2/stopping.go
+++ b/review/standins-2/stopping.go
@@ -51,7 +51,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go c.load(ctx, 2, func() *machine { return s.gateways[rand.IntN(len(s.gateways))] }, http.MethodPost, "ping.example", "/ping/x", slowDeadlineMS)
+	go c.load(ctx, 6, func() *machine { return s.gateways[rand.IntN(len(s.gateways))] }, http.MethodPost, "ping.example", "/ping/x", slowDeadlineMS)
 	time.Sleep(8 * time.Second)
 	stopped := s.gateways[0]
 	at := time.Now()
--- a/review/standins-2/system.go
+++ b/review/standins-2/system.go
@@ -36,14 +36,10 @@
 	ports       ports
 	controls    []*machine
 	gateways    []*machine
-	sides       []*machine
-	sideApps    map[string]string
 	zones       []string
 	heartbeatMS int
 	// seedNodes, if set, is what the settings of machines that start from now on name.
 	seedNodes []string
-	// removed are machines that are gone for good.
-	removed []*machine
 }
 
 // ports are free ports that hold on each machine.
@@ -111,7 +107,6 @@
 	return map[string]any{
 		"nodeName": m.name, "zone": m.zone, "ipAddress": m.ip, "internalPortRange": []any{s.ports.internal, s.ports.internal2},
 		"seedNodes": s.seeds(), "bootstrap": m.bootstrap, "dataDirectory": filepath.Join(m.dir, "data"), "listenAddresses": listen,
-		"app":            s.sideApps[m.name],
 		"faultTolerance": map[string]any{"machines": 1, "zones": 0, "regions": 0},
 		"bounds": map[string]any{
 			"gracePeriodS": 8, "configurationApplyMs": 2000, "retryBudgetRatio": 0.2, "retryBudgetSlack": 90, "budgetWindowS": 10,
@@ -144,7 +139,7 @@
 	})
 }
 
-var roles = map[string]string{"core": "control", "frontend": "gateway", "side": "sidecar"}
+var roles = map[string]string{"core": "control", "frontend": "gateway"}
 
 // start starts a machine's process with the command of the deploy file.
 func (s *system) start(m *machine) error {
@@ -178,7 +173,7 @@
 }
 
 func (s *system) startAll() error {
-	for _, list := range [][]*machine{s.controls, s.gateways, s.sides} {
+	for _, list := range [][]*machine{s.controls, s.gateways} {
 		for _, m := range list {
 			if err := s.start(m); err != nil {
 				return err
@@ -214,7 +209,7 @@
 
 // stop ends all processes and removes the temporary folder, or keeps it if KEEP is set.
 func (s *system) stop() {
-	for _, list := range [][]*machine{s.controls, s.gateways, s.sides} {
+	for _, list := range [][]*machine{s.controls, s.gateways} {
 		for _, m := range list {
 			if m.cmd != nil {
 				_ = m.cmd.Process.Kill()
