A control replica that stops as planned hands over its vote

Cause: a caught-up learner was promoted only once a voter had been silent for replace_after (2 s). A planned stop handed over the leadership but not the vote, so for 2 s two of three voters ran, and one more loss ended the log. Two planned replacements side by side ended it without any loss.

Change: a stopping replica announces it (Raft.Leave). The leader promotes a learner that has caught up, then removes the leaving voter, each at the tick after the one before is committed. All four voters run in between, so one loss is survived throughout.

--- a/consensus/members.go
+++ b/consensus/members.go
@@ -61,6 +61,9 @@
 	})
 }
 
+// MembershipPending reports whether a membership change is not committed yet.
+func (n *Node) MembershipPending() bool { return n.log.configIndex() > n.log.committed }
+
 // CaughtUp reports whether a peer durably holds all committed entries. It is false
 // unless this replica is the leader.
 func (n *Node) CaughtUp(id string) bool {
@@ -103,7 +106,7 @@
 	if n.transfer != nil {
 		return ErrTransferring
 	}
-	if n.log.configIndex() > n.log.committed {
+	if n.MembershipPending() {
 		return ErrConfigPending
 	}
 	if !n.committedInTerm() {
--- a/control/leadershiptimes.go
+++ b/control/leadershiptimes.go
@@ -12,7 +12,9 @@
 	lastContact  map[string]time.Time
 	// replaced holds the IDs of replicas that another process has replaced at their address.
 	replaced map[string]bool
-	expires  map[string]time.Time
+	// leaving is when each leaving replica last announced its planned stop.
+	leaving map[string]time.Time
+	expires map[string]time.Time
 }
 
 // updateLeadership resets the state when this replica becomes the leader.
@@ -21,6 +23,7 @@
 		c.leadingSince = now
 		c.lastContact = map[string]time.Time{}
 		c.replaced = map[string]bool{}
+		c.leaving = map[string]time.Time{}
 		c.expires = map[string]time.Time{}
 	}
 	c.leading = leads
@@ -39,6 +42,21 @@
 	}
 }
 
+// leavingTimeout is how long an announcement of a planned stop counts. The replica repeats it
+// every leaveInterval; a replica that has started again does not.
+const leavingTimeout = time.Second
+
+func (c *leadershipTimes) markLeaving(id string, now time.Time) {
+	if c.leaving != nil {
+		c.leaving[id] = now
+	}
+}
+
+func (c *leadershipTimes) isLeaving(id string, now time.Time) bool {
+	at, ok := c.leaving[id]
+	return ok && now.Sub(at) < leavingTimeout
+}
+
 // silentFor reports whether a replica has terminated or has not been heard from for d,
 // counted from the start of the leadership if it was never heard from.
 func (c *leadershipTimes) silentFor(id string, now time.Time, d time.Duration) bool {
--- a/control/leadertransfer.go
+++ b/control/leadertransfer.go
@@ -18,13 +18,19 @@
 
 // Drain prepares a planned stop. If this replica leads, it transfers leadership first, so that
 // edits don't wait for an election timeout. It gives up after leaderTransferAttempts election
-// timeouts; the other replicas then elect a leader as after a crash.
+// timeouts; the other replicas then elect a leader as after a crash. It then hands over its vote.
 func (c *Control) Drain(ctx context.Context) {
 	r := c.currentReplica()
 	if r == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, leaderTransferAttempts*c.settings.ElectionTimeout.D())
+	r.drainLeadership(ctx)
+	r.handOverVote(ctx)
+}
+
+// drainLeadership transfers leadership, if this replica leads, and logs the outcome.
+func (r *Replica) drainLeadership(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaderTransferAttempts*r.settings.ElectionTimeout.D())
 	defer cancel()
 	began := time.Now()
 	led, next := r.transferLeadership(ctx)
--- a/control/maintenance.go
+++ b/control/maintenance.go
@@ -7,14 +7,16 @@
 
 // maintainMembership updates the state that belongs to one leadership. On a leader it then
 // proposes, at most once per membershipInterval, that the cluster is formed, the next ring of
-// claim registers and the next membership change.
+// claim registers and the next membership change. The change after a proposed one, and one that
+// a leaving replica waits for, are not delayed by membershipInterval.
 func (r *Replica) maintainMembership() {
 	r.leadership.updateLeadership(r.node.IsLeader(r.now()), r.clock())
 	r.syncShareAllocator()
-	if !r.node.IsLeader(r.now()) || r.clock().Sub(r.lastMaintenance) < membershipInterval {
+	due := r.membershipDue || r.clock().Sub(r.lastMaintenance) >= membershipInterval
+	if !due || !r.node.IsLeader(r.now()) || r.node.MembershipPending() {
 		return
 	}
-	r.lastMaintenance = r.clock()
+	r.lastMaintenance, r.membershipDue = r.clock(), false
 	members := r.memberList()
 	voters := 0
 	for _, m := range members {
@@ -36,6 +38,7 @@
 	default:
 		return
 	}
+	r.membershipDue = err == nil
 	r.logMembershipChange(s, err)
 }
 
@@ -56,12 +59,15 @@
 
 // presumedLive reports whether a replica was live within ReplaceAfter; until it is heard, time
 // counts from the start of this leadership. A replica whose address another incarnation has
-// taken over is never presumed live.
+// taken over is never presumed live, and a silent one that has announced its stop isn't either.
 func (r *Replica) presumedLive(id string) bool {
 	if r.node.IsLive(id) && !r.leadership.replaced[id] {
 		r.leadership.recordContact(id, r.clock())
 		return true
 	}
+	if r.leadership.isLeaving(id, r.clock()) {
+		return false
+	}
 	return !r.leadership.silentFor(id, r.clock(), r.settings.ReplaceAfter.D())
 }
 
--- a/control/members.go
+++ b/control/members.go
@@ -99,7 +99,10 @@
 func (r *Replica) memberList() []member {
 	var list []member
 	for _, p := range r.node.Peers() {
-		list = append(list, member{Peer: p, live: r.presumedLive(p.Id), caughtUp: r.node.CaughtUp(p.Id)})
+		list = append(list, member{
+			Peer: p, live: r.presumedLive(p.Id), caughtUp: r.node.CaughtUp(p.Id),
+			leaving: r.leadership.isLeaving(p.Id, r.clock()),
+		})
 	}
 	return list
 }
--- a/control/membership.go
+++ b/control/membership.go
@@ -13,8 +13,13 @@
 	*wire.Peer
 	live     bool
 	caughtUp bool
+	// leaving reports that the replica has announced that it is about to stop as planned.
+	leaving bool
 }
 
+// canVoteNext reports whether a learner may be promoted.
+func (m *member) canVoteNext() bool { return m.Learner && m.live && m.caughtUp && !m.leaving }
+
 // ReplicaName returns the name part of a replica ID of the form NAME/INCARNATION.
 func ReplicaName(id string) string {
 	name, _, _ := strings.Cut(id, "/")
@@ -29,18 +34,21 @@
 // nextMembershipChange returns the next membership change, or the zero value if there is
 // none:
 //
-//  1. A dead replica is replaced by a live, caught-up replica of the same name. The
-//     replacement is promoted before the dead replica is removed, so that the number of
-//     caught-up voters never decreases.
-//  2. While there are fewer live voters than target, and no excess voters, the live,
-//     caught-up learner is promoted whose failure domain has the fewest live voters. This
-//     replaces a lost host by a host of another name.
-//  3. While there are more voters than target, a dead one is removed.
+//  1. A dead replica is replaced by a live, caught-up replica of the same name.
+//  2. While there are more voters than target, a dead one is removed, or else one that is
+//     leaving.
+//  3. While fewer voters than target are live and stay, the live, caught-up learner is
+//     promoted whose failure domain has the fewest of them. This replaces a lost host by a
+//     host of another name, and a leaving voter while it still runs.
+//
+// The replacement of a voter is promoted before the voter is removed, so that the number of
+// caught-up voters never decreases.
 //
 // A partitioned host looks the same as a lost one. Replacing it by mistake is safe: there is
 // one change at a time, a replacement is caught up before it votes, and the partitioned
 // replica joins again as a learner when it returns.
 func nextMembershipChange(members []member, target int) membershipChange {
+	voters := voterCounts(members)
 	for _, dead := range members {
 		heir := replacementOf(members, dead)
 		if heir == nil {
@@ -51,49 +59,94 @@
 		}
 		return membershipChange{promote: heir.Id}
 	}
-	voters, live := 0, 0
-	domains := map[string]int{}
+	if voters.all > target {
+		return removeSurplusVoter(members)
+	}
+	if voters.staying >= target {
+		return membershipChange{}
+	}
+	best := nextVoter(members, voters.domains)
+	if best == nil {
+		return membershipChange{}
+	}
+	return membershipChange{promote: best.Id}
+}
+
+// voterCount counts voters.
+type voterCount struct {
+	all int
+	// staying counts those that are live and don't leave, and domains counts these by failure
+	// domain.
+	staying int
+	domains map[string]int
+}
+
+func voterCounts(members []member) voterCount {
+	c := voterCount{domains: map[string]int{}}
 	for _, m := range members {
 		if m.Learner {
 			continue
 		}
-		voters++
-		if m.live {
-			live++
-			domains[m.FailureDomain]++
+		c.all++
+		if m.live && !m.leaving {
+			c.staying++
+			c.domains[m.FailureDomain]++
 		}
 	}
-	if live >= target || voters > target {
-		return removeExcessDeadVoter(members, voters, target)
-	}
+	return c
+}
+
+// nextVoter returns the learner to promote next, or nil: the one whose failure domain has the
+// fewest voters.
+func nextVoter(members []member, domains map[string]int) *member {
 	var best *member
 	for i, m := range members {
-		if !m.Learner || !m.live || !m.caughtUp {
+		if !m.canVoteNext() {
 			continue
 		}
 		if best == nil || domains[m.FailureDomain] < domains[best.FailureDomain] {
 			best = &members[i]
 		}
 	}
-	if best == nil {
-		return membershipChange{}
-	}
-	return membershipChange{promote: best.Id}
+	return best
 }
 
-// removeExcessDeadVoter removes a dead voter if there are more voters than target.
-func removeExcessDeadVoter(members []member, voters, target int) membershipChange {
-	if voters <= target {
-		return membershipChange{}
+// removeSurplusVoter removes a dead voter, or else one that is leaving.
+func removeSurplusVoter(members []member) membershipChange {
+	if dead := firstDeadVoter(members); dead != nil {
+		return membershipChange{remove: dead.Id}
 	}
 	for _, m := range members {
-		if !m.Learner && !m.live {
+		if !m.Learner && m.leaving {
 			return membershipChange{remove: m.Id}
 		}
 	}
 	return membershipChange{}
 }
 
+func firstDeadVoter(members []member) *member {
+	for i, m := range members {
+		if !m.Learner && !m.live {
+			return &members[i]
+		}
+	}
+	return nil
+}
+
+// vacates reports whether a membership change may remove a leaving replica from the voters, now
+// or once a learner has caught up. The replica has to wait for that before it stops.
+func vacates(members []member, id string, target int) bool {
+	voter, replaceable := false, voterCounts(members).all > target
+	for _, m := range members {
+		if m.Id == id {
+			voter = !m.Learner
+		} else if m.Learner && m.live && !m.leaving {
+			replaceable = true
+		}
+	}
+	return voter && replaceable
+}
+
 // nextReplacementChange returns the next membership change of an operator's request to
 // replace the replica with ID old, or the reason for refusing the request. The replacement
 // is a caught-up replica of the same name, or else a caught-up learner, preferably in the
@@ -157,7 +210,7 @@
 		return nil
 	}
 	for i, m := range members {
-		if m.Id != dead.Id && ReplicaName(m.Id) == ReplicaName(dead.Id) && m.live && m.caughtUp {
+		if m.Id != dead.Id && ReplicaName(m.Id) == ReplicaName(dead.Id) && m.live && m.caughtUp && !m.leaving {
 			return &members[i]
 		}
 	}
--- a/control/raftservice.go
+++ b/control/raftservice.go
@@ -83,6 +83,17 @@
 	kernel.Info(r.log, "Added a replica as a learner.", "replica", idOf(id), "addr", id.Address)
 }
 
+// Leave implements the Raft service.
+func (c raftService) Leave(ctx context.Context, req *wire.LeaveRequest) (*wire.LeaveReply, error) {
+	r := c.currentReplica()
+	if r == nil {
+		return &wire.LeaveReply{Detail: "replica belongs to no cluster yet"}, nil
+	}
+	reply := &wire.LeaveReply{}
+	err := r.runInLoop(ctx, func() { r.handleLeave(req.Id, reply) })
+	return reply, err
+}
+
 // membershipStatus reports whether the membership includes this replica, and whether it knows
 // a leader, which may be itself.
 func (r *Replica) membershipStatus(ctx context.Context) (member, hasLeader bool) {
--- a/control/replica.go
+++ b/control/replica.go
@@ -68,12 +68,14 @@
 	// refusedChange is the last membership change if it was refused.
 	refusedChange   membershipChange
 	lastMaintenance time.Time
-	leadership      leadershipTimes
-	leader          leaderState
-	startup         startupLog
-	ticks           tickMonitor
-	ringTracker     ringTracker
-	shares          shareState
+	// membershipDue requests the next membership check before membershipInterval has passed.
+	membershipDue bool
+	leadership    leadershipTimes
+	leader        leaderState
+	startup       startupLog
+	ticks         tickMonitor
+	ringTracker   ringTracker
+	shares        shareState
 	// pools is also read outside the loop, by announcements.
 	pools atomic.Pointer[poolSettings]
 	// routingVersion is the version of the applied configuration. It is also read outside the
