A leaving replica asks the leader whether another can take its vote

Causes: it asked nobody if its own log named no learner, and a follower's log may lack the latest one; and the leader took a replica for leaving for a second after its announcement, also if it had started again as a learner.

Change: the leader is always asked, the own log decides only if none answers. An announcement holds for the process that made it, by its boot ID.

--- a/consensus/members.go
+++ b/consensus/members.go
@@ -80,6 +80,18 @@
 	return 0
 }
 
+// BootID returns the ID of the process in which a peer last replied to this leader, or 0 if it has
+// not replied yet.
+func (n *Node) BootID(id string) uint32 {
+	if id == n.cfg.ID {
+		return n.bootID
+	}
+	if p := n.progress[id]; p != nil {
+		return p.boot
+	}
+	return 0
+}
+
 // IsLive reports whether a peer acknowledged an append that was sent within the election
 // timeout.
 func (n *Node) IsLive(id string) bool {
--- a/control/handover.go
+++ b/control/handover.go
@@ -19,12 +19,10 @@
 // any more. If it simply ended, it would count towards the majority until it had been silent for
 // ReplaceAfter, and the loss of one more host before would end the log although a replacement had
 // caught up. It returns at once if no other replica could take the vote, as in a restart of the
-// replicas in turn: the voters must not become fewer.
+// replicas in turn: the voters must not become fewer. Only the leader knows that for sure; the own
+// log, which may lack the latest learner, decides if no leader answers.
 func (r *Replica) handOverVote(ctx context.Context) {
 	began := time.Now()
-	if !r.hasLearners(ctx) {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, voteHandoverTimeout)
 	defer cancel()
 	repeat := time.NewTicker(leaveInterval)
@@ -32,8 +30,11 @@
 	answered := began
 	for {
 		reply := r.announceLeave(ctx)
-		if reply != nil {
+		switch {
+		case reply != nil:
 			answered = time.Now()
+		case !r.hasLearners(ctx):
+			return
 		}
 		if reply.GetDone() {
 			kernel.Info(r.log, "This replica may stop.", "detail", reply.Detail, "took", time.Since(began))
@@ -117,7 +118,7 @@
 		return
 	}
 	reply.Leads = true
-	r.leadership.markLeaving(id, r.clock())
+	r.leadership.markLeaving(id, r.node.BootID(id), r.clock())
 	switch {
 	case r.node.MembershipPending():
 		reply.Detail = "a membership change is being committed"
--- a/control/leadershiptimes.go
+++ b/control/leadershiptimes.go
@@ -12,8 +12,8 @@
 	lastContact  map[string]time.Time
 	// replaced holds the IDs of replicas that another process has replaced at their address.
 	replaced map[string]bool
-	// leaving is when each leaving replica last announced its planned stop.
-	leaving map[string]time.Time
+	// leaving holds the last announcement of each replica that is about to stop.
+	leaving map[string]leaveMark
 	expires map[string]time.Time
 }
 
@@ -23,7 +23,7 @@
 		c.leadingSince = now
 		c.lastContact = map[string]time.Time{}
 		c.replaced = map[string]bool{}
-		c.leaving = map[string]time.Time{}
+		c.leaving = map[string]leaveMark{}
 		c.expires = map[string]time.Time{}
 	}
 	c.leading = leads
@@ -43,18 +43,26 @@
 }
 
 // leavingTimeout is how long an announcement of a planned stop counts. The replica repeats it
-// every leaveInterval; a replica that has started again does not.
+// every leaveInterval.
 const leavingTimeout = time.Second
 
-func (c *leadershipTimes) markLeaving(id string, now time.Time) {
+// leaveMark is when a process of a replica, by its boot ID, announced that it is about to stop.
+type leaveMark struct {
+	at   time.Time
+	boot uint32
+}
+
+func (c *leadershipTimes) markLeaving(id string, boot uint32, now time.Time) {
 	if c.leaving != nil {
-		c.leaving[id] = now
+		c.leaving[id] = leaveMark{at: now, boot: boot}
 	}
 }
 
-func (c *leadershipTimes) isLeaving(id string, now time.Time) bool {
-	at, ok := c.leaving[id]
-	return ok && now.Sub(at) < leavingTimeout
+// isLeaving reports whether the process with a boot ID is about to stop. A process of the replica
+// that was started since is not.
+func (c *leadershipTimes) isLeaving(id string, boot uint32, now time.Time) bool {
+	mark, ok := c.leaving[id]
+	return ok && mark.boot == boot && now.Sub(mark.at) < leavingTimeout
 }
 
 // silentFor reports whether a replica has terminated or has not been heard from for d,
--- a/control/maintenance.go
+++ b/control/maintenance.go
@@ -65,7 +65,7 @@
 		r.leadership.recordContact(id, r.clock())
 		return true
 	}
-	if r.leadership.isLeaving(id, r.clock()) {
+	if r.leadership.isLeaving(id, r.node.BootID(id), r.clock()) {
 		return false
 	}
 	return !r.leadership.silentFor(id, r.clock(), r.settings.ReplaceAfter.D())
--- a/control/members.go
+++ b/control/members.go
@@ -101,7 +101,7 @@
 	for _, p := range r.node.Peers() {
 		list = append(list, member{
 			Peer: p, live: r.presumedLive(p.Id), caughtUp: r.node.CaughtUp(p.Id),
-			leaving: r.leadership.isLeaving(p.Id, r.clock()),
+			leaving: r.leadership.isLeaving(p.Id, r.node.BootID(p.Id), r.clock()),
 		})
 	}
 	return list
