That a replica's address was taken over follows from the membership

Cause: the leader remembered in its own memory that the incarnation had ended, when the new one joined. A leader elected right after, or one whose lease had lapsed for a moment, didn't know it, and the replica doesn't join again.

Change: a member whose address a later member has is never presumed live. The membership says so to each leader.

--- a/control/leadershiptimes.go
+++ b/control/leadershiptimes.go
@@ -10,8 +10,6 @@
 	leading      bool
 	leadingSince time.Time
 	lastContact  map[string]time.Time
-	// replaced holds the IDs of replicas that another process has replaced at their address.
-	replaced map[string]bool
 	// leaving holds the last announcement of each replica that is about to stop.
 	leaving map[string]leaveMark
 	expires map[string]time.Time
@@ -22,7 +20,6 @@
 	if leads && !c.leading {
 		c.leadingSince = now
 		c.lastContact = map[string]time.Time{}
-		c.replaced = map[string]bool{}
 		c.leaving = map[string]leaveMark{}
 		c.expires = map[string]time.Time{}
 	}
@@ -35,13 +32,6 @@
 	}
 }
 
-// markReplaced records that a replica has terminated for good, so that silentFor needn't wait.
-func (c *leadershipTimes) markReplaced(id string) {
-	if c.replaced != nil {
-		c.replaced[id] = true
-	}
-}
-
 // leavingTimeout is how long an announcement of a planned stop counts. The replica repeats it
 // every leaveInterval.
 const leavingTimeout = time.Second
@@ -65,12 +55,8 @@
 	return ok && mark.boot == boot && now.Sub(mark.at) < leavingTimeout
 }
 
-// silentFor reports whether a replica has terminated or has not been heard from for d,
-// counted from the start of the leadership if it was never heard from.
+// silentFor reports whether a replica has not been heard from for d, counted from the start of the leadership if it was never heard from.
 func (c *leadershipTimes) silentFor(id string, now time.Time, d time.Duration) bool {
-	if c.replaced[id] {
-		return true
-	}
 	last, ok := c.lastContact[id]
 	if !ok {
 		last = c.leadingSince
--- a/control/maintenance.go
+++ b/control/maintenance.go
@@ -61,7 +61,10 @@
 // counts from the start of this leadership. A replica whose address another incarnation has
 // taken over is never presumed live, and a silent one that has announced its stop isn't either.
 func (r *Replica) presumedLive(id string) bool {
-	if r.node.IsLive(id) && !r.leadership.replaced[id] {
+	if addressTakenOver(r.node.Peers(), id) {
+		return false
+	}
+	if r.node.IsLive(id) {
 		r.leadership.recordContact(id, r.clock())
 		return true
 	}
--- a/control/membership.go
+++ b/control/membership.go
@@ -17,6 +17,17 @@
 	leaving bool
 }
 
+// addressTakenOver reports whether a later member has the address of the one with this ID. As
+// only one process can listen at an address, the earlier one has ended. This follows from the
+// membership, so that each leader knows it, also one that didn't add the later member.
+func addressTakenOver(peers []*wire.Peer, id string) bool {
+	i := slices.IndexFunc(peers, func(p *wire.Peer) bool { return p.Id == id })
+	if i < 0 {
+		return false
+	}
+	return slices.ContainsFunc(peers[i+1:], func(p *wire.Peer) bool { return p.Address == peers[i].Address })
+}
+
 // canVoteNext reports whether a learner may be promoted.
 func (m *member) canVoteNext() bool { return m.Learner && m.live && m.caughtUp && !m.leaving }
 
--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -66,3 +66,14 @@
 		assert.Equal(t, nextMembershipChange(parseMembers(c.members), 3), membershipChange{promote: c.promote, remove: c.remove}, c.name)
 	}
 }
+
+// A replica that lost its disk would stay a learner for replace_after if a new leader presumed its
+// earlier incarnation live; the leader that added it may be lost right after.
+func TestAddressTakenOver(t *testing.T) {
+	peers := []*wire.Peer{
+		{Id: "a/1", Address: "h1"}, {Id: "b/1", Address: "h2"}, {Id: "c/1", Address: "h3"}, {Id: "b/2", Address: "h2", Learner: true},
+	}
+	for id, want := range map[string]bool{"a/1": false, "b/1": true, "c/1": false, "b/2": false, "d/1": false} {
+		assert.Equal(t, addressTakenOver(peers, id), want, id)
+	}
+}
--- a/control/raftservice.go
+++ b/control/raftservice.go
@@ -62,12 +62,7 @@
 		if ReplicaName(p.Id) != id.Name || p.Id == idOf(id) {
 			continue
 		}
-		if p.Address == id.Address {
-			// Only one process can listen at an address, so the earlier incarnation has ended.
-			r.leadership.markReplaced(p.Id)
-			continue
-		}
-		if r.presumedLive(p.Id) {
+		if p.Address != id.Address && r.presumedLive(p.Id) {
 			// Two hosts that are configured with the same name would otherwise keep replacing
 			// each other.
 			reply.Detail = "the name is in use by a live replica: " + p.Id
