A dead voter is removed before its replacement is promoted

Found by a test in virtual time over generated schedules of starts, planned stops, restarts and losses (TestLogSurvivesNextLoss): a host loses its disk, comes back, and is lost again just after its replica was promoted. The log has ended, although one host only was lost.

Cause: the replacement was promoted first, so that four voters counted of which three ran, and all three had to go on until the dead one was removed up to membershipInterval (250 ms) later.

Change: the dead voter is removed first, if a caught-up learner stands ready and the voters are not fewer than the target. Without it the remaining voters need one vote less, so they bear as much as before, and the promotion bears the loss of the promoted one. A leaving voter still votes and is removed after the promotion as before.

--- a/control/membership.go
+++ b/control/membership.go
@@ -52,8 +52,10 @@
 //     promoted whose failure domain has the fewest of them. This replaces a lost host by a
 //     host of another name, and a leaving voter while it still runs.
 //
-// The replacement of a voter is promoted before the voter is removed, so that the number of
-// caught-up voters never decreases.
+// A dead voter is removed before its replacement is promoted: without it, the others need one
+// vote less for a majority, whereas a promotion before needs the vote of the replacement too.
+// If the replacement's host failed again right then, the log would end although one host only
+// was lost. A leaving voter still votes, so its replacement is promoted before it is removed.
 //
 // A partitioned host looks the same as a lost one. Replacing it by mistake is safe: there is
 // one change at a time, a replacement is caught up before it votes, and the partitioned
@@ -65,7 +67,7 @@
 		if heir == nil {
 			continue
 		}
-		if dead.Learner || !heir.Learner {
+		if dead.Learner || !heir.Learner || voters.all >= target {
 			return membershipChange{remove: dead.Id}
 		}
 		return membershipChange{promote: heir.Id}
@@ -80,6 +82,9 @@
 	if best == nil {
 		return membershipChange{}
 	}
+	if dead := firstDeadVoter(members); dead != nil && voters.all >= target {
+		return membershipChange{remove: dead.Id}
+	}
 	return membershipChange{promote: best.Id}
 }
 
