Departures of upstreams are synced before they are acknowledged

Cause: replicas write the registrations of upstreams to a file every two seconds, unsynced, and wrote nothing when a departure was acknowledged; departures were kept in memory only. After a restart of all, an older file brought the upstream back with a new lease.

Change: a replica appends the announcement that an upstream leaves or is gone to a log of its own and syncs it before it answers, the upstream or the replica that asks. A departure is acknowledged once a majority of the voters has stored it (800 ms at most, otherwise 503 and the upstream calls the next replica); before, one other replica had to know it. Stored departures are applied at the start, before anything older can arrive, and told to all; registrations from the file are ordered by incarnation and sequence. Those that arrive together share a sync, repeated ones cost none, and they are forgotten with the directory's tombstones after 10 minutes.

--- a/control/control.go
+++ b/control/control.go
@@ -442,6 +442,10 @@
 	}
 }
 
+// DurableCopies returns how many replicas must hold a fact on their disks so that it survives the
+// losses that the cluster bears.
+func (c *Control) DurableCopies() int { return c.settings.durableCopies() }
+
 // Formed reports whether the cluster is formed and accepts edits. It is false if the replica
 // doesn't run or ctx ends.
 func (c *Control) Formed(ctx context.Context) bool {
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/transport"
+	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -162,6 +163,9 @@
 	}
 	d.lis = lis
 	ctx, d.cancel = context.WithCancel(ctx)
+	if err := d.keepDepartures(ctx); err != nil {
+		return err
+	}
 	go d.srv.Serve(ctx, lis)
 	go d.node.Run(ctx)
 	info := control.ReplicaInfo{Name: d.settings.ID, Address: d.address(), FailureDomain: d.settings.FailureDomain}
@@ -183,6 +187,28 @@
 	return d.startOperators()
 }
 
+// keepDepartures restores the departures that were stored before the start, before anything that is
+// older can arrive, and stores later ones before they are acknowledged.
+func (d *Daemon) keepDepartures(ctx context.Context) error {
+	folder := d.settings.Control.FS
+	if folder == nil && d.settings.Control.DataDir == "" {
+		return nil
+	}
+	if folder == nil {
+		var err error
+		if folder, err = wal.OpenFolder(d.settings.Control.DataDir); err != nil {
+			return merry.Prepend(ErrStart, err.Error())
+		}
+	}
+	departures := newDepartureLog(folder, d.log, time.Now)
+	list, err := departures.load()
+	kernel.Info(d.log, "Stored departures.", "upstreams", len(list), "err", err)
+	d.node.RestoreDepartures(list)
+	d.node.SetDepartureLog(departures)
+	go departures.run(ctx)
+	return nil
+}
+
 // keepRegistrations offers the registrations that were saved before the start, and saves those of now
 // in the background.
 func (d *Daemon) keepRegistrations(ctx context.Context) {
--- a/control/daemon/registrations.go
+++ b/control/daemon/registrations.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -16,9 +16,11 @@
 const (
 	// maxRegistrationBytes bounds the body of a registration.
 	maxRegistrationBytes = 64 << 10
-	// departureNotifyTimeout bounds how long an upstream that leaves waits for the other
-	// replicas to be notified.
+	// departureNotifyTimeout is how long an upstream that leaves waits for all replicas to be
+	// notified, and departureTimeout how long it waits for enough of them to have stored it. It is
+	// shorter than the second after which upstreams call another replica.
 	departureNotifyTimeout = 400 * time.Millisecond
+	departureTimeout       = 800 * time.Millisecond
 	// defaultIncarnation is the incarnation of upstreams that register without one; they take a
 	// new ID at each start. It is lower than any incarnation that upstreams send.
 	defaultIncarnation = 1
@@ -69,48 +71,75 @@
 }
 
 // announce adds an upstream's announcement to the directory and answers the call.
-//
-// If the upstream leaves, other replicas are notified before the call is acknowledged: the
-// upstream stops soon after the acknowledgement, and this replica may fail before entries
-// have learned of the departure from it. With other replicas, at least one must accept it.
 func (a *api) announce(w http.ResponseWriter, r *http.Request, msg *wire.Announcement) {
+	if msg.Phase != wire.Phase_PHASE_UP {
+		a.announceDeparture(w, r, msg)
+		return
+	}
 	if _, err := a.node.Announce(r.Context(), msg); err != nil {
 		a.writeError(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
-	if msg.Phase != wire.Phase_PHASE_UP {
-		notified, others := a.notifyReplicas(r.Context(), msg)
-		kernel.Info(a.log, "An upstream leaves.", "upstream", msg.Id, "incarnation", msg.Incarnation, "addr", msg.Address, "phase", msg.Phase, "seq", msg.Seq, "told", notified, "others", others)
-		if others > 0 && notified == 0 {
-			a.writeError(w, http.StatusServiceUnavailable, "no other replica could be notified")
-			return
-		}
+	a.writeJSON(w, http.StatusOK, a.dialect.EncodeRegistered())
+}
+
+// announceDeparture notifies all replicas that an upstream leaves and acknowledges it once enough of
+// them have stored it.
+//
+// The upstream stops soon after the acknowledgement. This replica may fail before entries have
+// learned of the departure from it, and after the loss of all processes an older registration must
+// not bring the upstream back.
+func (a *api) announceDeparture(w http.ResponseWriter, r *http.Request, msg *wire.Announcement) {
+	others := a.control.ReplicaAddresses(r.Context())
+	needed := min(a.control.DurableCopies(), len(others)+1)
+	stored := a.storeDeparture(r.Context(), msg, others, needed)
+	kernel.Info(a.log, "An upstream leaves.", "upstream", msg.Id, "incarnation", msg.Incarnation, "addr", msg.Address, "phase", msg.Phase, "seq", msg.Seq, "stored", stored, "needed", needed, "others", len(others))
+	if stored < needed {
+		a.control.Metrics().Count("control.departures.unstored")
+		a.writeError(w, http.StatusServiceUnavailable, fmt.Sprintf("%d replicas have stored the departure, %d are needed", stored, needed))
+		return
 	}
+	a.control.Metrics().Count("control.departures.stored")
 	a.writeJSON(w, http.StatusOK, a.dialect.EncodeRegistered())
 }
 
-// notifyReplicas sends an announcement to the other replicas. It returns how many accepted it,
-// and how many there are.
-func (a *api) notifyReplicas(ctx context.Context, msg *wire.Announcement) (notified, others int) {
-	ctx, cancel := context.WithTimeout(ctx, departureNotifyTimeout)
+// storeDeparture notifies this replica and the others. It returns how many have stored the departure
+// once all have answered, or departureNotifyTimeout has passed and they are enough, or after
+// departureTimeout.
+func (a *api) storeDeparture(ctx context.Context, msg *wire.Announcement, others []string, needed int) (stored int) {
+	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
 	defer cancel()
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	for _, addr := range a.control.ReplicaAddresses(ctx) {
-		others++
-		wg.Add(1)
+	answers := make(chan error, len(others)+1)
+	go func() {
+		_, err := a.node.Announce(ctx, msg)
+		answers <- err
+	}()
+	for _, addr := range others {
 		go func() {
-			defer wg.Done()
 			_, err := wire.NewDRPCDirectoryClient(a.pool.Conn(ctx, addr)).Announce(ctx, msg)
 			if err != nil {
 				kernel.Debug(a.log, "Replica could not be notified that an upstream leaves.", "replica", addr, "upstream", msg.Id, "err", err)
-				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			notified++
+			answers <- err
 		}()
 	}
-	wg.Wait()
-	return notified, others
+	notifyAll := time.After(departureNotifyTimeout)
+	late := false
+	for answered := 0; answered <= len(others); {
+		select {
+		case err := <-answers:
+			answered++
+			if err == nil {
+				stored++
+			}
+		case <-notifyAll:
+			late = true
+		case <-ctx.Done():
+			return stored
+		}
+		if late && stored >= needed {
+			return stored
+		}
+	}
+	return stored
 }
--- a/control/settings.go
+++ b/control/settings.go
@@ -178,6 +178,10 @@
 	return ""
 }
 
+// durableCopies returns how many replicas must hold a fact on their disks so that it survives the
+// losses that the cluster bears: a majority of the voters.
+func (s *Settings) durableCopies() int { return s.voterTarget()/2 + 1 }
+
 // voterTarget returns the number of voters that the cluster should have. It is odd.
 func (s *Settings) voterTarget() int {
 	if s.Tolerate != nil {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -44,12 +44,15 @@
 	ProbeTimeout time.Duration
 }
 
+// TombstoneTime is the default of Settings.Tombstone.
+const TombstoneTime = 10 * time.Minute
+
 // DefaultSettings returns the settings of a daemon without a [directory] section.
 func DefaultSettings() Settings {
 	return Settings{
 		DefaultLease:    3 * time.Second,
 		MaxLease:        30 * time.Second,
-		Tombstone:       10 * time.Minute,
+		Tombstone:       TombstoneTime,
 		SettleTime:      10 * time.Second,
 		SettleShare:     0.9,
 		SourceLease:     3 * time.Second,
--- a/directory/node.go
+++ b/directory/node.go
@@ -19,6 +19,14 @@
 	minKeepaliveInterval = 400 * time.Millisecond
 )
 
+// DepartureLog stores durably that upstreams leave or are gone.
+type DepartureLog interface {
+	// Record returns once the announcement, or one that says at least as much, is durable.
+	Record(ctx context.Context, a *wire.Announcement) error
+	// Revive reports that an upstream has announced to be up.
+	Revive(id string)
+}
+
 // Node is a State for concurrent use: it serves announcements and watches, and follows
 // other nodes.
 type Node struct {
@@ -30,6 +38,8 @@
 	replicas func(context.Context) []*wire.DirectoryReplica
 	// probe sends a probe to an instance without waiting for the reply; it may be nil.
 	probe func(*Instance)
+	// departures stores departures before they are acknowledged; it may be nil.
+	departures DepartureLog
 	// watchers are woken by changes; notified is the watermark of the last wake-up.
 	watchers kernel.Watchers
 	notified watermark
@@ -53,6 +63,10 @@
 // domains for processes that announce here. Call it before the node serves.
 func (n *Node) SetReplicas(f func(context.Context) []*wire.DirectoryReplica) { n.replicas = f }
 
+// SetDepartureLog sets where departures are stored before they are acknowledged. Call it before
+// the node serves.
+func (n *Node) SetDepartureLog(d DepartureLog) { n.departures = d }
+
 // SetProbe sets the function that probes an instance; it must not wait for the reply.
 // Call it before Run.
 func (n *Node) SetProbe(f func(*Instance)) { n.probe = f }
@@ -88,7 +102,7 @@
 	}
 }
 
-// Announce implements the Directory service.
+// Announce implements the Directory service. That an upstream leaves is durable when it returns.
 func (n *Node) Announce(ctx context.Context, a *wire.Announcement) (*wire.AnnounceReply, error) {
 	changed, superseded, known := n.applyAnnouncement(a, 0, true)
 	if changed {
@@ -100,6 +114,8 @@
 	}
 	if superseded {
 		reply.KnownIncarnation = n.Incarnation(a.Id)
+	} else if err := n.recordDeparture(ctx, a, changed); err != nil {
+		return nil, err
 	}
 	if a.AskReplicas && n.replicas != nil {
 		reply.Replicas = n.replicas(ctx)
@@ -107,6 +123,26 @@
 	return reply, nil
 }
 
+func (n *Node) recordDeparture(ctx context.Context, a *wire.Announcement, changed bool) error {
+	switch {
+	case n.departures == nil || a.Role != wire.Role_ROLE_UPSTREAM:
+		return nil
+	case a.Phase != wire.Phase_PHASE_UP:
+		return n.departures.Record(ctx, a)
+	case changed:
+		n.departures.Revive(a.Id)
+	}
+	return nil
+}
+
+// RestoreDepartures applies stored departures; see State.RestoreDepartures.
+func (n *Node) RestoreDepartures(list []Departure) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	defer n.wakeWatchers()
+	n.state.RestoreDepartures(n.now(), list)
+}
+
 // Registrations returns the announcements of the upstreams that are up, to be saved.
 func (n *Node) Registrations() []*wire.Announcement {
 	n.mu.Lock()
--- a/directory/saved.go
+++ b/directory/saved.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -44,16 +46,40 @@
 		return nil
 	}
 	for _, a := range s.saved {
-		if s.instances[a.Id] != nil || s.addressTaken(a) {
+		if s.addressTaken(a) {
 			continue
 		}
-		s.Announce(now, a, 0, true)
-		restored = append(restored, s.instances[a.Id])
+		if changed, _ := s.Announce(now, a, 0, true); changed {
+			restored = append(restored, s.instances[a.Id])
+		}
 	}
 	s.saved = nil
 	return restored
 }
 
+// Departure is an announcement of an upstream that leaves or is gone, as it was stored Age ago.
+type Departure struct {
+	Announcement *wire.Announcement
+	Age          time.Duration
+}
+
+// maxLeavingAge is the age from which a stored announcement of an upstream that leaves is taken for
+// its end. One that goes on longer repeats it.
+const maxLeavingAge = 8 * time.Second
+
+// RestoreDepartures applies departures that were stored before the start, whatever other replicas
+// know: each replica tells the others, as one of them may have an older state. What is newer, by
+// incarnation and sequence, stays.
+func (s *State) RestoreDepartures(now time.Time, list []Departure) {
+	for _, d := range list {
+		a := proto.Clone(d.Announcement).(*wire.Announcement)
+		if d.Age > maxLeavingAge {
+			a.Phase = wire.Phase_PHASE_GONE
+		}
+		s.Announce(now, a, d.Age, true)
+	}
+}
+
 // connectedPeers returns the number of sources with a valid lease, and whether one of them has settled.
 func (s *State) connectedPeers(now time.Time) (connected int, settled bool) {
 	for _, src := range s.sources {
