What other replicas no longer name ends while a replica settles

Cause: a replica that has started doesn't end instances known from other replicas only for SettleTime (10 s), as these may have started too. An entry announces itself to two replicas. When their leases of it ended they withdrew it, but the third went on naming it until it had settled. Gateways whose sources all settle did the same.

Change: an instance that a source has withdrawn, and that none reports since, ends with its lease. A source that starts again withdraws nothing, so that what hasn't registered yet is kept as before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -75,6 +75,9 @@
 	localExpires time.Time
 	// sources are the sources that report this incarnation as alive.
 	sources []*Source
+	// withdrawn reports that a source which had reported this incarnation as alive has stopped doing
+	// so, and that none has reported it since.
+	withdrawn bool
 	// beforeExpiry is the announcement of an instance before its lease expired here;
 	// otherwise nil. It is used to restore the instance if a source reports it again.
 	beforeExpiry *wire.Announcement
@@ -211,7 +214,7 @@
 func (s *State) carryOver(inst, old *Instance) {
 	inst.sources = old.sources
 	if inst.localExpires.IsZero() {
-		inst.localExpires = old.localExpires
+		inst.localExpires, inst.withdrawn = old.localExpires, old.withdrawn
 	}
 	if old.Expires.After(inst.Expires) {
 		inst.Expires = old.Expires
@@ -392,9 +395,10 @@
 		}
 		if !inst.alive(now) && !s.hasDirectLease(now, inst) {
 			// An instance that announced here and stopped is gone even before this
-			// process has settled. One known only from other directories may be up
-			// without this process having heard of it.
-			if !settled && inst.localExpires.IsZero() {
+			// process has settled, and so is one that a source has withdrawn: the source
+			// had heard of it since its start and no longer does. Any other one known only
+			// from other directories may be up without this process having heard of it.
+			if !settled && inst.localExpires.IsZero() && !inst.withdrawn {
 				continue
 			}
 			if s.awaitsProbe(now, inst) {
--- a/directory/source.go
+++ b/directory/source.go
@@ -97,6 +97,7 @@
 
 // addSource copies the list, which is shared with earlier versions of the instance.
 func (i *Instance) addSource(src *Source) {
+	i.withdrawn = false
 	if slices.Contains(i.sources, src) {
 		return
 	}
@@ -111,6 +112,7 @@
 	}
 	next := *old
 	next.sources = slices.DeleteFunc(slices.Clone(old.sources), func(h *Source) bool { return h == src })
+	next.withdrawn = true
 	s.instances[w.Id] = &next
 	s.checkBy(s.nextDeadline(&next))
 }
