A departure at a replica that doesn't know the upstream ends its latest run

A replica that had just started took the lowest one; the others ignored that as outdated and the call was acknowledged, while the upstream stayed up.

Change: if other replicas know a later run, the departure is announced once more for that.

--- a/control/daemon/registrations.go
+++ b/control/daemon/registrations.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/wire"
@@ -60,7 +61,7 @@
 	a.writeError(w, http.StatusBadRequest, detail)
 }
 
-// deregister ends the incarnation of an upstream that this replica knows, because the call
+// deregister ends the latest incarnation of an upstream that the replicas know, because the call
 // doesn't name one.
 func (a *api) deregister(w http.ResponseWriter, r *http.Request) {
 	id := mux.Vars(r)[a.dialect.Calls().InstanceID]
@@ -92,7 +93,12 @@
 func (a *api) announceDeparture(w http.ResponseWriter, r *http.Request, msg *wire.Announcement) {
 	others := a.control.ReplicaAddresses(r.Context())
 	needed := min(a.control.DurableCopies(), len(others)+1)
-	stored := a.storeDeparture(r.Context(), msg, others, needed)
+	stored, known := a.storeDeparture(r.Context(), msg, others, needed)
+	if known > msg.Incarnation && namesNoRun(msg) {
+		// This replica doesn't know the upstream, perhaps because it has just started.
+		msg.Incarnation = known
+		stored, _ = a.storeDeparture(r.Context(), msg, others, needed)
+	}
 	kernel.Info(a.log, "An upstream leaves.", "upstream", msg.Id, "incarnation", msg.Incarnation, "addr", msg.Address, "phase", msg.Phase, "seq", msg.Seq, "stored", stored, "needed", needed, "others", len(others))
 	if stored < needed {
 		a.control.Metrics().Count("control.departures.unstored")
@@ -103,43 +109,55 @@
 	a.writeJSON(w, http.StatusOK, a.dialect.EncodeRegistered())
 }
 
+// namesNoRun reports whether a departure comes from a call that names no run of the upstream.
+func namesNoRun(msg *wire.Announcement) bool { return msg.Seq == math.MaxUint64 }
+
+// departureAnswer is a replica's answer to a departure. known is the later run that it knows, or 0.
+type departureAnswer struct {
+	err   error
+	known uint64
+}
+
 // storeDeparture notifies this replica and the others. It returns how many have stored the departure
 // once all have answered, or departureNotifyTimeout has passed and they are enough, or after
-// departureTimeout.
-func (a *api) storeDeparture(ctx context.Context, msg *wire.Announcement, others []string, needed int) (stored int) {
+// departureTimeout; and the latest run of the upstream that one of them knows, if it is later than
+// the one that leaves.
+func (a *api) storeDeparture(ctx context.Context, msg *wire.Announcement, others []string, needed int) (stored int, known uint64) {
 	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
 	defer cancel()
-	answers := make(chan error, len(others)+1)
+	msg = proto.Clone(msg).(*wire.Announcement)
+	answers := make(chan departureAnswer, len(others)+1)
 	go func() {
-		_, err := a.node.Announce(ctx, msg)
-		answers <- err
+		reply, err := a.node.Announce(ctx, msg)
+		answers <- departureAnswer{err, reply.GetKnownIncarnation()}
 	}()
 	for _, addr := range others {
 		go func() {
-			_, err := wire.NewDRPCDirectoryClient(a.pool.Conn(ctx, addr)).Announce(ctx, msg)
+			reply, err := wire.NewDRPCDirectoryClient(a.pool.Conn(ctx, addr)).Announce(ctx, msg)
 			if err != nil {
 				kernel.Debug(a.log, "Replica could not be notified that an upstream leaves.", "replica", addr, "upstream", msg.Id, "err", err)
 			}
-			answers <- err
+			answers <- departureAnswer{err, reply.GetKnownIncarnation()}
 		}()
 	}
 	notifyAll := time.After(departureNotifyTimeout)
 	late := false
 	for answered := 0; answered <= len(others); {
 		select {
-		case err := <-answers:
+		case answer := <-answers:
 			answered++
-			if err == nil {
+			known = max(known, answer.known)
+			if answer.err == nil {
 				stored++
 			}
 		case <-notifyAll:
 			late = true
 		case <-ctx.Done():
-			return stored
+			return stored, known
 		}
 		if late && stored >= needed {
-			return stored
+			return stored, known
 		}
 	}
-	return stored
+	return stored, known
 }
