A draining gateway takes only what ends before its stop, and answers the rest

Cause: a draining gateway took a plain request if 1.2 s were left, and a stream if 5 s were, whatever its deadline. At the limit it closed the connections of what was in progress.

Change: what arrives while it drains is taken only if its deadline falls before the stop, otherwise refused as not run. What was accepted before and is still queued isn't sent once a usual response no longer fits. At the limit, requests that have run nowhere get 503, the others 502; only streams that have begun are broken off.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -241,10 +241,12 @@
 func (c *call) classifyError(a *attempt, err error) outcome {
 	a.cut = errors.Is(err, direct.ErrConnectionFailed) || errors.Is(err, direct.ErrPartialEvent)
 	switch {
-	case errors.Is(err, direct.ErrNotSent) && c.ctx.Err() == nil:
+	case errors.Is(err, direct.ErrNotSent) && (c.ctx.Err() == nil || c.aborted()):
 		return outcomeNotSent
 	case c.r.Context().Err() != nil:
 		return outcomeCallerGone
+	case c.aborted():
+		return outcomeInDoubt
 	case c.ctx.Err() != nil:
 		return outcomeExpired
 	default:
@@ -295,6 +297,10 @@
 // whether one has.
 func (c *call) runAttempts(once func(*attempt) (o outcome, served bool)) bool {
 	for {
+		if c.tooLateToSend() {
+			c.reason = reasonDraining
+			return false
+		}
 		a := c.beginAttempt()
 		if a == nil {
 			c.reason = reasonNoUpstream
@@ -411,6 +417,10 @@
 	if !c.history.mayRetry(c.route) || time.Until(c.deadline) <= 0 {
 		return false
 	}
+	if c.aborted() {
+		c.reason = reasonDraining
+		return false
+	}
 	if reason, only := c.retryForbidden(); only {
 		c.reason = reason
 		return false
@@ -443,7 +453,11 @@
 		return
 	}
 	f := c.history.failure(c.lastOutcome, c.reason)
-	if f.status == http.StatusServiceUnavailable {
+	switch {
+	case f.status != http.StatusServiceUnavailable:
+	case f.reason == reasonDraining:
+		f.retryAfter = retryAfterDrain
+	default:
 		c.setRetryAfter(&f)
 	}
 	c.refuseAndEnd(&f)
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -17,47 +17,82 @@
 	// listLifetimeFactor allows for callers that keep the list of gateways longer than they were
 	// told.
 	listLifetimeFactor = 2
-	// maxStreamTime is the longest expected duration of a stream: some sixty events at passes of
-	// 80 ms.
-	maxStreamTime = 5 * time.Second
-	// maxPlainTime is the longest expected duration of a plain response, unless its caller's
-	// deadline is earlier.
-	maxPlainTime = 1200 * time.Millisecond
+	// usualStreamTime and usualPlainTime are how long responses take at most as a rule: some sixty
+	// events at passes of 80 ms, and a plain response, unless its caller's deadline is earlier.
+	usualStreamTime = 5 * time.Second
+	usualPlainTime  = 1200 * time.Millisecond
+	// abortTime is how long Drain waits for the answers to aborted requests.
+	abortTime = 200 * time.Millisecond
 	// retryAfterDrain is the Retry-After of a request that is refused because of draining:
 	// another gateway can serve it at once.
 	retryAfterDrain = 50 * time.Millisecond
 )
 
-// finishesBeforeStop reports whether a request that arrives now can end before a draining gateway
-// is stopped by force. A request that can't is refused as not run, so that its caller can retry
-// elsewhere; otherwise its response would be cut.
-func (g *Gateway) finishesBeforeStop(c *call) bool {
-	if !g.draining.Load() {
-		return true
-	}
-	return g.drainTimeLeft() >= c.maxResponseTime()
+// endsBeforeStop reports whether a request certainly ends before a draining gateway is stopped by
+// force: at its deadline. Any other one that arrives while the gateway drains is refused as not run,
+// so that its caller goes elsewhere at once. It could be cut while an upstream works on it, whatever
+// responses take as a rule.
+func (g *Gateway) endsBeforeStop(c *call) bool {
+	return !g.draining.Load() || !c.deadline.After(g.stopsAt())
 }
 
+// stopsAt returns when a draining gateway aborts the requests in progress.
+func (g *Gateway) stopsAt() time.Time { return time.Now().Add(g.drainTimeLeft()) }
+
 // drainTimeLeft returns how much time a draining gateway has for requests in progress.
 func (g *Gateway) drainTimeLeft() time.Duration {
 	return g.settings.StopLimit.D() - drainMargin - g.now().Sub(*g.drainBegan.Load())
 }
 
-// maxResponseTime returns the longest expected duration of the response.
-func (c *call) maxResponseTime() time.Duration {
+// usualResponseTime returns how long the response takes at most as a rule.
+func (c *call) usualResponseTime() time.Duration {
 	if c.route.Kind == wire.RouteKind_ROUTE_KIND_STREAMING {
-		return maxStreamTime
+		return usualStreamTime
 	}
-	return min(maxPlainTime, time.Until(c.deadline))
+	return min(usualPlainTime, time.Until(c.deadline))
 }
 
 // maxQueueTime returns how long a request may be queued at a draining gateway, so that its
 // response still ends before the stop.
-func (c *call) maxQueueTime() time.Duration { return max(c.drainTimeLeft()-c.maxResponseTime(), 0) }
+func (c *call) maxQueueTime() time.Duration {
+	return max(c.drainTimeLeft()-c.usualResponseTime(), 0)
+}
+
+// tooLateToSend reports whether a request that was accepted before the gateway began to drain, and
+// that has run nowhere, would be aborted as a rule if it were sent now.
+func (c *call) tooLateToSend() bool {
+	return !c.endsBeforeStop(c) && !c.history.inDoubt && c.drainTimeLeft() < c.usualResponseTime()
+}
+
+// aborted reports whether the gateway has stopped waiting for the requests in progress.
+func (g *Gateway) aborted() bool { return g.draining.Load() && g.stopping.Err() != nil }
+
+// abortRequests ends the requests in progress with an answer: 503 for those that have run nowhere,
+// otherwise 502. A closed connection would tell the callers less, and later. A stream that has begun
+// is broken off.
+func (g *Gateway) abortRequests(ctx context.Context) {
+	active := g.active.Load()
+	if active == 0 {
+		return
+	}
+	g.abort()
+	kernel.Warn(g.log, "Requests in progress were aborted at the stop limit.", "requests", active)
+	ctx, cancel := context.WithTimeout(ctx, abortTime)
+	defer cancel()
+	tick := time.NewTicker(abortTime / 20)
+	defer tick.Stop()
+	for g.active.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
 
 // Drain implements kernel.Daemon. The gateway leaves the list of gateways at once and continues
-// to serve requests, as callers keep the list for a while. It returns when the gateway has been
-// idle for long enough, or at the stop limit.
+// to serve requests that end in time, as callers keep the list for a while. It returns when the
+// gateway has been idle for long enough, or at the stop limit.
 func (g *Gateway) Drain(ctx context.Context) error {
 	began := g.now()
 	g.drainBegan.CompareAndSwap(nil, &began)
@@ -72,7 +107,11 @@
 	for {
 		waited := g.now().Sub(began)
 		quiet := g.now().UnixNano()-g.lastRequestAt.Load() > int64(g.settings.Keep.D())
-		if g.active.Load() == 0 && waited >= linger && quiet || waited >= limit {
+		if g.active.Load() == 0 && waited >= linger && quiet {
+			return nil
+		}
+		if waited >= limit {
+			g.abortRequests(ctx)
 			return nil
 		}
 		select {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,9 @@
 	draining atomic.Bool
 	// drainBegan is when the gateway began to drain.
 	drainBegan atomic.Pointer[time.Time]
+	// stopping ends when the requests in progress are aborted.
+	stopping context.Context
+	abort    context.CancelFunc
 	active     atomic.Int64
 	// lastRequestAt is when the last request arrived, in Unix nanoseconds of now.
 	lastRequestAt atomic.Int64
@@ -117,6 +120,7 @@
 	}
 	g.pool.SetDial(s.Dial)
 	g.freshness = freshness.NewConfirmer(s.RoutingMaxAge.D(), now, g.askReplicas)
+	g.stopping, g.abort = context.WithCancel(context.Background())
 	g.requestLog, g.metrics = newRequestLog(g.log, now), newGatewayMetrics()
 	g.stateLog = kernel.NewLimitedLogger(g.log, stateLogLines, now)
 	g.quarantine = quarantine.NewNode(s.ID, g.log, now, g.pool.Conn)
@@ -267,6 +271,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.stopping, cancel)()
 	c.ctx = ctx
 	a := c.acquire()
 	c.waited = a.waited
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -35,7 +35,7 @@
 	}
 	g.metrics.recordArrival(c)
 	c.guard.RecordArrival(c.promptParts())
-	if !g.finishesBeforeStop(c) {
+	if !g.endsBeforeStop(c) {
 		return c, &refusal{status: http.StatusServiceUnavailable, reason: reasonDraining, retryAfter: retryAfterDrain}
 	}
 	return c, c.readBody(t)
