Heads, events and bodies of upstreams are read within bounds

Cause: the head of a response, informational responses and a line of a stream were read without a limit until the request's deadline. Bodies and events had limits of 16 MB and 1 MB each, but none over all of them.

All buffered responses and events of a gateway draw from one budget of 32 MB beyond 64 KB each, which is free, so that sound upstreams are read also while long responses use it up. What exceeds a bound ends that upstream's own connection; the attempt is in doubt.

--- a/direct/client.go
+++ b/direct/client.go
@@ -1,9 +1,9 @@
 package direct
 
 import (
-	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -127,7 +127,7 @@
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferSize)}, nil
+	return newConn(nc), nil
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil.
@@ -196,10 +196,15 @@
 	return nil, merry.Prepend(ErrInvalidResponse, "only responses to other attempts")
 }
 
-// readHead reads the head of the next response, skipping informational ones (1xx).
+// readHead reads the head of the next response, skipping a few informational ones (1xx).
 func readHead(cn *conn, method string) (*http.Response, error) {
-	for {
+	defer cn.limiter.endHead()
+	for range maxInformational + 1 {
+		cn.limiter.beginHead()
 		resp, err := http.ReadResponse(cn.br, &http.Request{Method: method})
+		if errors.Is(err, ErrInvalidResponse) {
+			return nil, err
+		}
 		if err != nil {
 			return nil, merry.Prepend(ErrConnectionFailed, err.Error())
 		}
@@ -210,6 +215,7 @@
 			return nil, merry.Prepend(ErrInvalidResponse, resp.Status)
 		}
 	}
+	return nil, merry.Prepend(ErrInvalidResponse, "too many informational responses")
 }
 
 // discardResponse reads the rest of a response that is discarded.
--- a/direct/client_test.go
+++ b/direct/client_test.go
@@ -202,7 +202,7 @@
 
 func TestEventsAreReadWhole(t *testing.T) {
 	const text = "id: 1\ndata: a\n\n: note\r\nid:2\r\ndata: b\r\n\r\n"
-	e := direct.NewEventReader(strings.NewReader(text))
+	e := direct.NewEventReader(strings.NewReader(text), direct.NewMemoryBudget(1<<20))
 	var raw, ids string
 	for {
 		ev, err := e.Next()
@@ -216,7 +216,7 @@
 	assert.Equal(t, raw, text)
 	assert.Equal(t, ids, "1,2,")
 	// A stream that ends in the middle of an event is incomplete.
-	e = direct.NewEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"))
+	e = direct.NewEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"), direct.NewMemoryBudget(1<<20))
 	_, err := e.Next()
 	assert.NilError(t, err)
 	_, err = e.Next()
@@ -229,7 +229,7 @@
 	f.Add("\n\n\n")
 	f.Add("id:\r\n\r\n")
 	f.Fuzz(func(t *testing.T, text string) {
-		e := direct.NewEventReader(strings.NewReader(text))
+		e := direct.NewEventReader(strings.NewReader(text), direct.NewMemoryBudget(1<<20))
 		out := ""
 		for {
 			ev, err := e.Next()
--- a/direct/conn.go
+++ b/direct/conn.go
@@ -14,10 +14,17 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
+	// limiter is what br reads from.
+	limiter *headLimiter
 	// idleUntil is until when the connection may be reused after being idle.
 	idleUntil time.Time
 }
 
+func newConn(nc net.Conn) *conn {
+	l := &headLimiter{r: nc}
+	return &conn{Conn: nc, limiter: l, br: bufio.NewReaderSize(l, readBufferSize)}
+}
+
 // abort resets the connection in the middle of a call. Unlike an orderly close, a reset
 // drops data that a frozen or unreachable upstream has not received yet; it would
 // otherwise execute the request later, after the caller has given up.
--- a/direct/events.go
+++ b/direct/events.go
@@ -26,29 +26,40 @@
 // EventReader reads a text/event-stream body. It returns only complete events: a stream that
 // is resumed at another upstream must not continue in the middle of an event.
 type EventReader struct {
-	br *bufio.Reader
+	br    *bufio.Reader
+	share share
 }
 
-// NewEventReader creates a reader of the events in a body.
-func NewEventReader(r io.Reader) *EventReader {
-	return &EventReader{br: bufio.NewReaderSize(r, readBufferSize)}
+// NewEventReader creates a reader of the events in a body, which hold memory of a budget. Close must
+// be called at the end.
+func NewEventReader(r io.Reader, budget *MemoryBudget) *EventReader {
+	return &EventReader{br: bufio.NewReaderSize(r, readBufferSize), share: share{budget: budget}}
 }
 
-// Next returns the next event. It returns io.EOF at the end of the stream,
-// ErrPartialEvent if the stream ends in the middle of an event, and ErrInvalidResponse if an
-// event is too long.
+// Close gives the memory of the last event back.
+func (e *EventReader) Close() { e.share.resize(0) }
+
+// Next returns the next event, whose bytes are valid until the next call. It returns io.EOF at the end
+// of the stream, ErrPartialEvent if the stream ends in the middle of an event, and ErrInvalidResponse
+// if an event is too long or the budget has too little left for it.
 func (e *EventReader) Next() (Event, error) {
+	e.share.resize(0)
 	var ev Event
+	lineStart := 0
 	for {
-		line, err := e.br.ReadBytes('\n')
-		ev.Raw = append(ev.Raw, line...)
+		part, err := e.br.ReadSlice('\n')
+		ev.Raw = append(ev.Raw, part...)
+		if len(ev.Raw) > maxEventBytes || !e.share.resize(cap(ev.Raw)) {
+			return Event{}, merry.Prependf(ErrInvalidResponse, "event is too long after %d bytes", len(ev.Raw))
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
 		if err != nil {
 			return Event{}, streamEnd(ev, err)
 		}
-		if len(ev.Raw) > maxEventBytes {
-			return Event{}, merry.Prepend(ErrInvalidResponse, "event is too long")
-		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(ev.Raw[lineStart:], "\r\n")
+		lineStart = len(ev.Raw)
 		if len(text) == 0 {
 			return ev, nil
 		}
--- /dev/null
+++ b/direct/memory.go
@@ -0,0 +1,78 @@
+package direct
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	// freeBytes is what each response may hold in memory without drawing from the MemoryBudget. Nearly
+	// all responses and events are shorter, so that those of other upstreams are read also while
+	// long ones use up the budget.
+	freeBytes = 64 << 10
+	// firstReadBytes is the first size of a buffer for a body.
+	firstReadBytes = 2 << 10
+)
+
+// MemoryBudget bounds the memory of all responses that a process buffers, beyond freeBytes of each. Without
+// it a few upstreams that send bodies or events without end would take all memory of the process, and
+// with it the responses of all other upstreams.
+type MemoryBudget struct{ left atomic.Int64 }
+
+// NewMemoryBudget returns a budget of so many bytes.
+func NewMemoryBudget(bytes int64) *MemoryBudget {
+	b := &MemoryBudget{}
+	b.left.Store(bytes)
+	return b
+}
+
+// share is what one response has drawn from a budget.
+type share struct {
+	budget *MemoryBudget
+	drawn  int64
+}
+
+// resize draws what a buffer of so many bytes needs, or returns what it no longer does. It returns
+// false if the budget has too little left.
+func (s *share) resize(bytes int) bool {
+	needed := max(int64(bytes)-freeBytes, 0) - s.drawn
+	if needed > 0 && s.budget.left.Add(-needed) < 0 {
+		s.budget.left.Add(needed)
+		return false
+	}
+	if needed < 0 {
+		s.budget.left.Add(-needed)
+	}
+	s.drawn += needed
+	return true
+}
+
+// ReadBody reads a body to its end and returns it with a function that gives its memory back. It
+// returns ErrInvalidResponse for a body of more than limit bytes, or one for which the budget has too
+// little left.
+func (b *MemoryBudget) ReadBody(r io.Reader, limit int) (body []byte, release func(), err error) {
+	s := &share{budget: b}
+	release = func() { s.resize(0) }
+	buf := make([]byte, 0, firstReadBytes)
+	for {
+		n, err := r.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if err == io.EOF {
+			return buf, release, nil
+		}
+		if err != nil {
+			release()
+			return nil, func() {}, err
+		}
+		if len(buf) < cap(buf) {
+			continue
+		}
+		if len(buf) >= limit || !s.resize(2*cap(buf)) {
+			release()
+			return nil, func() {}, merry.Prependf(ErrInvalidResponse, "body is too long after %d bytes", len(buf))
+		}
+		buf = append(make([]byte, 0, 2*cap(buf)), buf...)
+	}
+}
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"syscall"
@@ -19,6 +18,8 @@
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
-	c.putIdle(addr, &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferSize), idleUntil: time.Now().Add(maxIdleTime)})
+	cn := newConn(nc)
+	cn.idleUntil = time.Now().Add(maxIdleTime)
+	c.putIdle(addr, cn)
 	return false
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -21,6 +20,10 @@
 // bytes.
 const maxBufferedBody = 16 << 20
 
+// maxResponseMemory bounds the memory of all buffered responses and events together, in bytes, beyond a
+// small part of each that is free.
+const maxResponseMemory = 32 << 20
+
 // call is one request of a caller.
 type call struct {
 	*Gateway
@@ -115,6 +118,15 @@
 	status int
 	header http.Header
 	body   []byte
+	// release gives the memory of the body back.
+	release func()
+}
+
+// discard gives the memory of a response back that isn't passed on; a may be nil.
+func (a *bufferedResponse) discard() {
+	if a != nil {
+		a.release()
+	}
 }
 
 // attempt is one try of a request at an upstream.
@@ -282,10 +294,10 @@
 // readWhole reads a response to its end. A truncated response is never passed on as complete, and
 // the request may still be retried.
 func (c *call) readWhole(a *attempt, resp *direct.Response) (*bufferedResponse, outcome) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
+	body, release, err := c.responseMemory.ReadBody(resp.Body, maxBufferedBody)
 	o := a.classifyHead(resp.Header)
-	if err == nil && len(body) <= maxBufferedBody {
-		return &bufferedResponse{status: resp.Status, header: resp.Header, body: body}, o
+	if err == nil {
+		return &bufferedResponse{status: resp.Status, header: resp.Header, body: body, release: release}, o
 	}
 	if o.certainlyNotRun() {
 		return nil, o
@@ -332,8 +344,10 @@
 	c.runAttempts(func(a *attempt) (outcome, bool) {
 		resp, o := c.exchange(a)
 		if o != outcomeAnswered {
+			resp.discard()
 			return o, false
 		}
+		buffered.discard()
 		buffered = resp
 		return o, resp.status < http.StatusInternalServerError || !routing.Retryable(c.route)
 	})
@@ -438,6 +452,7 @@
 
 // writeResponse passes a buffered response on unchanged.
 func (c *call) writeResponse(a *bufferedResponse) {
+	defer a.release()
 	copyResponseHeader(c.w.Header(), a.header)
 	c.closeIfDraining()
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,10 +66,12 @@
 	draining atomic.Bool
 	// drainBegan is when the gateway began to drain.
 	drainBegan atomic.Pointer[time.Time]
+	// responseMemory bounds what is buffered of responses.
+	responseMemory *direct.MemoryBudget
 	// stopping ends when the requests in progress are aborted.
 	stopping context.Context
 	abort    context.CancelFunc
-	active     atomic.Int64
+	active   atomic.Int64
 	// lastRequestAt is when the last request arrived, in Unix nanoseconds of now.
 	lastRequestAt atomic.Int64
 	announceNow   chan struct{}
@@ -112,9 +114,10 @@
 	now := kernel.BootClock()
 	g := &Gateway{
 		settings: s, log: kernel.PartLog(l, "gateway"), dialect: d, now: now, certs: certs,
-		pool:        transport.NewPool(sec),
-		client:      direct.NewClient(transport.NewDialer(upstreamDialTimeout).DialContext),
-		incarnation: directory.NewIncarnation(s.ID, now()), services: newServiceManager(s), movable: newMovableAttempts(), fetches: newFetchGroup(), warmup: newWarmup(now()), timeouts: newCallerTimeouts(),
+		pool:           transport.NewPool(sec),
+		responseMemory: direct.NewMemoryBudget(maxResponseMemory),
+		client:         direct.NewClient(transport.NewDialer(upstreamDialTimeout).DialContext),
+		incarnation:    directory.NewIncarnation(s.ID, now()), services: newServiceManager(s), movable: newMovableAttempts(), fetches: newFetchGroup(), warmup: newWarmup(now()), timeouts: newCallerTimeouts(),
 		targets:     directory.NewTargets(s.ID, s.FailureDomain, s.Replicas).AllowNewReplicas(),
 		announceNow: make(chan struct{}, 1),
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -54,6 +54,7 @@
 	if resp.Status != http.StatusOK {
 		buffered, o := s.readWhole(a, resp)
 		if s.started && o == outcomeAnswered {
+			buffered.discard()
 			// An error response can't follow the head of a stream.
 			return nil, outcomeInDoubt
 		}
@@ -65,7 +66,8 @@
 // forward passes events on as they arrive. It returns outcomeAnswered only if the upstream
 // completed the stream.
 func (s *stream) forward(a *attempt, resp *direct.Response) outcome {
-	events := direct.NewEventReader(resp.Body)
+	events := direct.NewEventReader(resp.Body, s.responseMemory)
+	defer events.Close()
 	for {
 		ev, err := events.Next()
 		a.watchdog.recordProgress()
