An answer that ends with its head is in doubt, not empty

Shown here: cut inside the head, an answer was an error already, after each byte. Cut right after the head it was taken for one that ends with its connection: the caller of a plain request got a 200 with Content-Length 0, that of a stream a complete stream without an event.

Change: an answer with neither a length nor chunks that ends with its head is in doubt: tried elsewhere if it may be, otherwise 502. A stream that goes on after Last-Event-Id may still be empty. Agents report it the same way.

--- a/agent/run.go
+++ b/agent/run.go
@@ -169,6 +169,10 @@
 			// The end of the connection is the end of such a stream, also if the upstream has broken it off.
 			at.exitedUpstream = at.detectUpstreamExit(ctx)
 			return at.sendRunEnd(reply, wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_ANSWER_INVALID, "the stream ends inside an event")
+		case err == io.EOF && answer.Unframed && at.bodyBytesSent == 0:
+			// The upstream may have stopped after the head.
+			at.exitedUpstream = at.detectUpstreamExit(ctx)
+			return at.sendRunEnd(reply, wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_ANSWER_INVALID, "the answer ends with its head")
 		case err == io.EOF:
 			return at.sendRunEnd(reply, wire.Outcome_OUTCOME_DONE, 0, "")
 		case err != nil:
--- a/agent/unframed_test.go
+++ b/agent/unframed_test.go
@@ -36,6 +36,8 @@
 		"empty stream":    {"text/event-stream", "", true},
 		"inside a line":   {"text/event-stream", "id: 1\ndata: a\n\nid: 2\nda", false},
 		"inside an event": {"text/event-stream", "id: 1\ndata: a\n\nid: 2\n", false},
+		"no event":        {"text/event-stream", "", false},
+		"no body":         {"text/plain", "", false},
 	} {
 		r := newRelayFixture(t, func(w http.ResponseWriter, _ *http.Request) { unframed(w, c.contentType, c.body) })
 		caller, res := r.call(context.Background(), name, "/x", nil)
--- a/direct/client.go
+++ b/direct/client.go
@@ -61,7 +61,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is unknown.
 	Length int64
-	Body   *Body
+	// Unframed says that the response has neither a length nor chunks and ends with its connection.
+	Unframed bool
+	Body     *Body
 }
 
 // Client sends requests to upstreams and pools its connections to them. It is safe for
@@ -105,7 +107,7 @@
 		return nil, err
 	}
 	body := &Body{client: c, addr: addr, conn: cn, resp: resp, stopAbort: stop}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: body}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Unframed: !transport.HasFraming(resp), Body: body}, nil
 }
 
 // connect returns an idle connection that can be reused, or opens a new one.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -292,10 +292,16 @@
 }
 
 // readWhole reads a response to its end. A truncated response is never passed on as complete, and
-// the request may still be retried.
+// the request may still be retried. One that ends with its connection right after its head is taken as
+// truncated: an upstream that stops there closes the connection the same way.
 func (c *call) readWhole(a *attempt, resp *direct.Response) (*bufferedResponse, outcome) {
 	body, release, err := c.responseMemory.ReadBody(resp.Body, maxBufferedBody)
 	o := a.classifyHead(resp.Header)
+	if err == nil && len(body) == 0 && resp.Unframed && o == outcomeAnswered {
+		release()
+		a.cut = true
+		return nil, outcomeInDoubt
+	}
 	if err == nil {
 		return &bufferedResponse{status: resp.Status, header: resp.Header, body: body, release: release}, o
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -72,6 +72,11 @@
 		ev, err := events.Next()
 		a.watchdog.recordProgress()
 		if errors.Is(err, io.EOF) {
+			if resp.Unframed && s.lastID == "" && s.events == 0 {
+				// A stream has an event at least. Without any, its upstream has stopped after the head.
+				a.cut = true
+				return outcomeInDoubt
+			}
 			if !s.started {
 				s.start(resp)
 			}
