Responses of known length draw their length from the memory budget

A body of 4 MB drew 8 MB, as its buffer was doubled when it was full at its end: four of them used up the 32 MB, and the fifth was in doubt although it was sound. With a known length the buffer now ends one byte beyond it, and others grow by half from 1 MB on. Memory is still drawn as bytes arrive.

--- a/direct/memory.go
+++ b/direct/memory.go
@@ -12,8 +12,11 @@
 	// all responses and events are shorter, so that those of other upstreams are read also while
 	// long ones use up the budget.
 	freeBytes = 64 << 10
-	// firstReadBytes is the first size of a buffer for a body.
+	// firstReadBytes is the first size of a buffer for a body of unknown length.
 	firstReadBytes = 2 << 10
+	// doubledBytes is the size up to which a buffer is doubled when it is full. A larger one grows by half,
+	// which draws less that stays unused.
+	doubledBytes = 1 << 20
 )
 
 // MemoryBudget bounds the memory of all responses that a process buffers, beyond freeBytes of each. Without
@@ -49,13 +52,15 @@
 	return true
 }
 
-// ReadBody reads a body to its end and returns it with a function that gives its memory back. It
-// returns ErrInvalidResponse for a body of more than limit bytes, or one for which the budget has too
-// little left.
-func (b *MemoryBudget) ReadBody(r io.Reader, limit int) (body []byte, release func(), err error) {
+// ReadBody reads a body to its end and returns it with a function that gives its memory back. length is
+// its length, or -1 if it is unknown. It returns ErrInvalidResponse for a body of more than limit bytes,
+// or one for which the budget has too little left.
+//
+// Memory is drawn as bytes arrive: an upstream could announce a long body and send nothing.
+func (b *MemoryBudget) ReadBody(r io.Reader, length int64, limit int) (body []byte, release func(), err error) {
 	s := &share{budget: b}
 	release = func() { s.resize(0) }
-	buf := make([]byte, 0, firstReadBytes)
+	buf := make([]byte, 0, firstBuffer(length))
 	for {
 		n, err := r.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
@@ -69,10 +74,32 @@
 		if len(buf) < cap(buf) {
 			continue
 		}
-		if len(buf) >= limit || !s.resize(2*cap(buf)) {
+		next := nextBuffer(cap(buf), length)
+		if len(buf) >= limit || !s.resize(next) {
 			release()
 			return nil, func() {}, merry.Prependf(ErrInvalidResponse, "body is too long after %d bytes", len(buf))
 		}
-		buf = append(make([]byte, 0, 2*cap(buf)), buf...)
+		buf = append(make([]byte, 0, next), buf...)
 	}
 }
+
+// firstBuffer returns the first size of the buffer for a body. The end of a body of known length is
+// found with one more byte.
+func firstBuffer(length int64) int {
+	if length < 0 || length >= freeBytes {
+		return firstReadBytes
+	}
+	return int(length) + 1
+}
+
+// nextBuffer returns the size after a full buffer of so many bytes.
+func nextBuffer(full int, length int64) int {
+	next := 2 * full
+	if full >= doubledBytes {
+		next = full + full/2
+	}
+	if length >= int64(full) && int64(next) > length {
+		next = int(length) + 1
+	}
+	return next
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -295,7 +295,7 @@
 // the request may still be retried. One that ends with its connection right after its head is taken as
 // truncated: an upstream that stops there closes the connection the same way.
 func (c *call) readWhole(a *attempt, resp *direct.Response) (*bufferedResponse, outcome) {
-	body, release, err := c.responseMemory.ReadBody(resp.Body, maxBufferedBody)
+	body, release, err := c.responseMemory.ReadBody(resp.Body, resp.Length, maxBufferedBody)
 	o := a.classifyHead(resp.Header)
 	if err == nil && len(body) == 0 && resp.Unframed && o == outcomeAnswered {
 		release()
