A leader's memory of its leadership begins before its first tick

Its lines: leadership is transferred, and 2 ms later the new leader answers that no other replica could take the vote.

Cause: what a leader keeps of its leadership (who was heard when, when leases of groups end) was begun at the tick, up to 25 ms after it could answer. Until then all others looked silent, announcements of leaving were dropped, and any lease of a group looked expired.

Change: each call that uses it begins it first: leaving, joining, membership requests and leases of groups.

--- a/control/groups.go
+++ b/control/groups.go
@@ -250,6 +250,7 @@
 	var expired bool
 	if err := r.runInLoop(ctx, func() {
 		held = r.machine.fence.Get(group)
+		r.syncLeadership()
 		expired = held.Token == 0 || r.leadership.expired(group, r.clock())
 	}); err != nil {
 		return 0, err
--- a/control/maintenance.go
+++ b/control/maintenance.go
@@ -10,7 +10,7 @@
 // claim registers and the next membership change. The change after a proposed one, and one that
 // a leaving replica waits for, are not delayed by membershipInterval.
 func (r *Replica) maintainMembership() {
-	r.leadership.updateLeadership(r.node.IsLeader(r.now()), r.clock())
+	r.syncLeadership()
 	r.syncShareAllocator()
 	due := r.membershipDue || r.clock().Sub(r.lastMaintenance) >= membershipInterval
 	if !due || !r.node.IsLeader(r.now()) || r.node.MembershipPending() {
@@ -42,6 +42,13 @@
 	r.logMembershipChange(s, err)
 }
 
+// syncLeadership begins the state that belongs to a leadership, if this replica leads since. Each
+// call that uses it begins with this: before the first tick of a leadership all others would look
+// silent.
+func (r *Replica) syncLeadership() {
+	r.leadership.updateLeadership(r.node.IsLeader(r.now()), r.clock())
+}
+
 // logMembershipChange logs a proposed or refused membership change. A change that is refused
 // repeatedly is logged once.
 func (r *Replica) logMembershipChange(s membershipChange, err error) {
--- a/control/members.go
+++ b/control/members.go
@@ -97,6 +97,7 @@
 
 // memberList returns the peers as the leader sees them.
 func (r *Replica) memberList() []member {
+	r.syncLeadership()
 	var list []member
 	for _, p := range r.node.Peers() {
 		list = append(list, member{
--- a/control/service.go
+++ b/control/service.go
@@ -238,6 +238,7 @@
 	l := r.machine.fence.Get(req.Group)
 	reply.Holder, reply.Token = l.Holder, l.Token
 	now := r.clock()
+	r.syncLeadership()
 	expired := l.Token == 0 || r.leadership.expired(req.Group, now)
 	switch {
 	case l.Holder != req.Holder:
