No names of the platform in the tests of direct

The header fields of a test's answers had the platform's names, which only platform/ and deploy/ may know. The tests accept any response, so the names mean nothing there; the assertions are unchanged.

--- a/direct/endless_test.go
+++ b/direct/endless_test.go
@@ -248,7 +248,7 @@
 // An answer that is cut after any byte must not be taken for a whole one: a server that stopped in the middle of
 // a head gave callers a 200 with less.
 func TestAnswerCutAnywhereIsNotWhole(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nX-Snipereach-Attempt-Id: a\r\nX-Snipereach-Response-Signature: s\r\n"
+	const head = "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\n"
 	events := "id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
 	for name, c := range map[string]struct {
 		answer string
