Only upstreams with a stored departure are kept as revived

The log of departures kept an entry for each upstream that registered, also where none was stored, and never forgot one: memory grew with all upstreams that ever registered. Entries are made for stored ones only and go with them.

Measured: TestOnlyStoredUpstreamsAreKeptAsRevived fails before (100 entries).

--- a/control/daemon/departures.go
+++ b/control/daemon/departures.go
@@ -123,6 +123,7 @@
 	for id, r := range d.kept {
 		if now.Sub(time.UnixMilli(r.AnnouncedAtMs)) > departureRetention {
 			delete(d.kept, id)
+			delete(d.revived, id)
 		}
 	}
 }
@@ -184,7 +185,9 @@
 	var records []proto.Message
 	for _, w := range batch {
 		if w.announcement == nil {
-			d.revived[w.revived] = d.kept[w.revived] != nil
+			if d.kept[w.revived] != nil {
+				d.revived[w.revived] = true
+			}
 			continue
 		}
 		if !d.stored(w.announcement) {
--- a/control/daemon/departures_test.go
+++ b/control/daemon/departures_test.go
@@ -93,6 +93,17 @@
 	assert.Equal(t, list[0].Announcement.Seq, uint64(7))
 }
 
+// Each upstream that registers is reported as up; only those that have left before may be kept, or the
+// memory grows with all that ever registered.
+func TestOnlyStoredUpstreamsAreKeptAsRevived(t *testing.T) {
+	p := startDepartures(t, fake.NewDisk(), time.Now)
+	for i := range 100 {
+		p.Revive(fmt.Sprint("new-", i))
+	}
+	assert.NilError(t, p.Record(p.ctx, departure("a", 1, 5, wire.Phase_PHASE_LEAVING)))
+	assert.Equal(t, len(p.revived), 0)
+}
+
 // A departure that could not be written must not be acknowledged, and later ones are stored once the
 // disk takes writes again.
 func TestDepartureIsRefusedWhileDiskFails(t *testing.T) {
