One accessor begins a leader's memory of its leadership

Five call sites began it by hand before they used it, and three that renew leases of groups did not: what they renewed before the first tick was dropped by it. All uses now go through Replica.leadership, which begins it; the field isn't used elsewhere.

Measured: the package's tests pass; TestVoteMovesAroundWhileReplicasRestart 20 of 20 with the race detector.

--- a/control/groupdriver.go
+++ b/control/groupdriver.go
@@ -65,7 +65,7 @@
 	d.row, d.state, d.ranks, d.rankConflict = row, state, ranks.byRank, ranks.conflict
 	if now.Sub(d.renewedAt) > maxLease/leaseRenewals {
 		d.renewedAt = now
-		_ = d.replica.runInLoop(ctx, func() { d.replica.leadership.renew(d.name, now, maxLease) })
+		_ = d.replica.runInLoop(ctx, func() { d.replica.leadership().renew(d.name, now, maxLease) })
 	}
 	d.trackRow(now)
 	if !d.ensureCoordinator() || row == nil && state == nil {
--- a/control/groups.go
+++ b/control/groups.go
@@ -151,7 +151,7 @@
 	g.mu.Unlock()
 	err := r.runInLoop(ctx, func() {
 		if r.machine.fence.Token(d.name) == d.token {
-			r.leadership.renew(d.name, time.Now(), 0)
+			r.leadership().renew(d.name, time.Now(), 0)
 		}
 	})
 	kernel.Info(g.log, "Stopped leading a group whose row was deleted.", "group", d.name, "token", d.token, "err", err)
@@ -250,8 +250,7 @@
 	var expired bool
 	if err := r.runInLoop(ctx, func() {
 		held = r.machine.fence.Get(group)
-		r.syncLeadership()
-		expired = held.Token == 0 || r.leadership.expired(group, r.clock())
+		expired = held.Token == 0 || r.leadership().expired(group, r.clock())
 	}); err != nil {
 		return 0, err
 	}
--- a/control/handover.go
+++ b/control/handover.go
@@ -118,8 +118,7 @@
 		return
 	}
 	reply.Leads = true
-	r.syncLeadership()
-	r.leadership.markLeaving(id, r.node.BootID(id), r.clock())
+	r.leadership().markLeaving(id, r.node.BootID(id), r.clock())
 	switch {
 	case r.node.MembershipPending():
 		reply.Detail = "a membership change is being committed"
--- a/control/maintenance.go
+++ b/control/maintenance.go
@@ -10,7 +10,7 @@
 // claim registers and the next membership change. The change after a proposed one, and one that
 // a leaving replica waits for, are not delayed by membershipInterval.
 func (r *Replica) maintainMembership() {
-	r.syncLeadership()
+	r.leadership()
 	r.syncShareAllocator()
 	due := r.membershipDue || r.clock().Sub(r.lastMaintenance) >= membershipInterval
 	if !due || !r.node.IsLeader(r.now()) || r.node.MembershipPending() {
@@ -42,11 +42,12 @@
 	r.logMembershipChange(s, err)
 }
 
-// syncLeadership begins the state that belongs to a leadership, if this replica leads since. Each
-// call that uses it begins with this: before the first tick of a leadership all others would look
-// silent.
-func (r *Replica) syncLeadership() {
-	r.leadership.updateLeadership(r.node.IsLeader(r.now()), r.clock())
+// leadership returns what this replica keeps of its leadership. It begins anew with each
+// leadership, at the first use and not only at the first tick: until then all others would look
+// silent, and a leader may be asked before.
+func (r *Replica) leadership() *leadershipTimes {
+	r.leaderTimes.updateLeadership(r.node.IsLeader(r.now()), r.clock())
+	return &r.leaderTimes
 }
 
 // logMembershipChange logs a proposed or refused membership change. A change that is refused
@@ -72,13 +73,13 @@
 		return false
 	}
 	if r.node.IsLive(id) {
-		r.leadership.recordContact(id, r.clock())
+		r.leadership().recordContact(id, r.clock())
 		return true
 	}
-	if r.leadership.isLeaving(id, r.node.BootID(id), r.clock()) {
+	if r.leadership().isLeaving(id, r.node.BootID(id), r.clock()) {
 		return false
 	}
-	return !r.leadership.silentFor(id, r.clock(), r.settings.ReplaceAfter.D())
+	return !r.leadership().silentFor(id, r.clock(), r.settings.ReplaceAfter.D())
 }
 
 func (r *Replica) proposeFormed() {
--- a/control/members.go
+++ b/control/members.go
@@ -97,12 +97,11 @@
 
 // memberList returns the peers as the leader sees them.
 func (r *Replica) memberList() []member {
-	r.syncLeadership()
 	var list []member
 	for _, p := range r.node.Peers() {
 		list = append(list, member{
 			Peer: p, live: r.presumedLive(p.Id), caughtUp: r.node.CaughtUp(p.Id),
-			leaving: r.leadership.isLeaving(p.Id, r.node.BootID(p.Id), r.clock()),
+			leaving: r.leadership().isLeaving(p.Id, r.node.BootID(p.Id), r.clock()),
 		})
 	}
 	return list
--- a/control/raftservice.go
+++ b/control/raftservice.go
@@ -58,7 +58,6 @@
 		}
 		return
 	}
-	r.syncLeadership()
 	for _, p := range r.node.Peers() {
 		if ReplicaName(p.Id) != id.Name || p.Id == idOf(id) {
 			continue
--- a/control/replica.go
+++ b/control/replica.go
@@ -70,12 +70,13 @@
 	lastMaintenance time.Time
 	// membershipDue requests the next membership check before membershipInterval has passed.
 	membershipDue bool
-	leadership    leadershipTimes
-	leader        leaderState
-	startup       startupLog
-	ticks         tickMonitor
-	ringTracker   ringTracker
-	shares        shareState
+	// leaderTimes is used through leadership.
+	leaderTimes leadershipTimes
+	leader      leaderState
+	startup     startupLog
+	ticks       tickMonitor
+	ringTracker ringTracker
+	shares      shareState
 	// pools is also read outside the loop, by announcements.
 	pools atomic.Pointer[poolSettings]
 	// routingVersion is the version of the applied configuration. It is also read outside the
@@ -128,7 +129,7 @@
 		pendingReads: map[uint64]chan<- error{},
 		queued:       map[uint64][]uint64{},
 		hardState:    st.HardState,
-		leadership:   leadershipTimes{expires: map[string]time.Time{}},
+		leaderTimes:  leadershipTimes{expires: map[string]time.Time{}},
 		leader:       leaderState{changed: make(chan struct{})},
 		ringTracker:  ringTracker{changed: s.Now()},
 	}
--- a/control/ring.go
+++ b/control/ring.go
@@ -168,7 +168,7 @@
 	now := r.clock()
 	up := r.liveEntries()
 	r.ringTracker.recordLive(up, now)
-	next := r.ringTracker.nextRing(r.machine.ring, up, r.leadership.leadingSince, now)
+	next := r.ringTracker.nextRing(r.machine.ring, up, r.leadership().leadingSince, now)
 	if next == nil || r.ringProposedRecently(next.Epoch) {
 		return
 	}
--- a/control/service.go
+++ b/control/service.go
@@ -227,7 +227,7 @@
 	l := v.(*wire.Lease)
 	reply.Holder, reply.Token = l.Holder, l.Token
 	reply.Granted = l.Holder == req.Holder
-	err = r.runInLoop(ctx, func() { r.leadership.renew(req.Group, r.clock(), ttl) })
+	err = r.runInLoop(ctx, func() { r.leadership().renew(req.Group, r.clock(), ttl) })
 	return reply, err
 }
 
@@ -238,20 +238,19 @@
 	l := r.machine.fence.Get(req.Group)
 	reply.Holder, reply.Token = l.Holder, l.Token
 	now := r.clock()
-	r.syncLeadership()
-	expired := l.Token == 0 || r.leadership.expired(req.Group, now)
+	expired := l.Token == 0 || r.leadership().expired(req.Group, now)
 	switch {
 	case l.Holder != req.Holder:
 		return l.Token, !expired
 	case req.Release:
-		r.leadership.renew(req.Group, now, 0)
+		r.leadership().renew(req.Group, now, 0)
 		return l.Token, true
 	case expired:
 		// An expired lease is granted again with a new token, because another requester may
 		// have been told meanwhile that the lease is free.
 		return l.Token, false
 	}
-	r.leadership.renew(req.Group, now, ttl)
+	r.leadership().renew(req.Group, now, ttl)
 	reply.Granted = true
 	return l.Token, true
 }
--- a/control/share.go
+++ b/control/share.go
@@ -35,7 +35,7 @@
 
 // syncShareAllocator creates an allocator when a leadership begins and drops it when it ends.
 func (r *Replica) syncShareAllocator() {
-	if !r.leadership.leading {
+	if !r.leadership().leading {
 		r.shares.allocator = nil
 		return
 	}
