--- a/control/control.go
+++ b/control/control.go
@@ -175,14 +175,10 @@
 	return nil
 }
 
-// openJournal opens the journal in Settings.FS if that is set, or else in the data folder.
 func (c *Control) openJournal() (*wal.Journal, *wal.State, error) {
-	fs := c.settings.FS
-	if fs == nil {
-		var err error
-		if fs, err = wal.OpenFolder(c.settings.DataDir); err != nil {
-			return nil, nil, err
-		}
+	fs, err := c.settings.OpenFolder()
+	if err != nil {
+		return nil, nil, err
 	}
 	return wal.Open(fs)
 }
@@ -443,8 +439,8 @@
 }
 
 // DurableCopies returns how many replicas must hold a fact on their disks so that it survives the
-// losses that the cluster bears.
-func (c *Control) DurableCopies() int { return c.settings.durableCopies() }
+// losses that the cluster bears: a majority of the voters.
+func (c *Control) DurableCopies() int { return c.settings.voterTarget()/2 + 1 }
 
 // Formed reports whether the cluster is formed and accepts edits. It is false if the replica
 // doesn't run or ctx ends.
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -17,7 +17,6 @@
 	"github.com/snipereach/snipereach/directory"
 	"github.com/snipereach/snipereach/kernel"
 	"github.com/snipereach/snipereach/transport"
-	"github.com/snipereach/snipereach/wal"
 	"github.com/snipereach/snipereach/wire"
 )
 
@@ -190,15 +189,9 @@
 // keepDepartures restores the departures that were stored before the start, before anything that is
 // older can arrive, and stores later ones before they are acknowledged.
 func (d *Daemon) keepDepartures(ctx context.Context) error {
-	folder := d.settings.Control.FS
-	if folder == nil && d.settings.Control.DataDir == "" {
-		return nil
-	}
-	if folder == nil {
-		var err error
-		if folder, err = wal.OpenFolder(d.settings.Control.DataDir); err != nil {
-			return merry.Prepend(ErrStart, err.Error())
-		}
+	folder, err := d.settings.Control.OpenFolder()
+	if err != nil {
+		return merry.Prepend(ErrStart, err.Error())
 	}
 	departures := newDepartureLog(folder, d.log, time.Now)
 	list, err := departures.load()
--- a/control/daemon/departures.go
+++ b/control/daemon/departures.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -17,8 +16,6 @@
 )
 
 const (
-	// departureFilePrefix begins the names of the files in the data folder.
-	departureFilePrefix = "records-"
 	// maxDepartureBatch bounds the departures that share one sync.
 	maxDepartureBatch = 256
 	// minRewriteBytes is the least size of the files from which they are rewritten without what is
@@ -60,28 +57,16 @@
 
 func newDepartureLog(fs wal.FS, l log.Logger, wallClock func() time.Time) *departureLog {
 	return &departureLog{
-		fs: departureFiles{fs}, log: l, wallClock: wallClock, queue: make(chan departureWrite, maxDepartureBatch),
+		fs: sharedFolder{fs}, log: l, wallClock: wallClock, queue: make(chan departureWrite, maxDepartureBatch),
 		kept: map[string]*wire.SavedDeparture{}, revived: map[string]bool{},
 	}
 }
 
-// departureFiles shows the files of departures in a data folder that the journal has locked.
-type departureFiles struct{ wal.FS }
-
-// List implements wal.FS.
-func (f departureFiles) List() ([]string, error) {
-	names, err := f.FS.List()
-	var own []string
-	for _, name := range names {
-		if strings.HasPrefix(name, departureFilePrefix) {
-			own = append(own, name)
-		}
-	}
-	return own, err
-}
+// sharedFolder is a data folder that the journal of the same process has locked.
+type sharedFolder struct{ wal.FS }
 
 // Lock implements wal.FS.
-func (departureFiles) Lock() (func(), error) { return func() {}, nil }
+func (sharedFolder) Lock() (func(), error) { return func() {}, nil }
 
 // load reads the stored departures. It must be called before run. What precedes damage is used;
 // other replicas hold what is lost.
--- a/control/settings.go
+++ b/control/settings.go
@@ -178,9 +178,13 @@
 	return ""
 }
 
-// durableCopies returns how many replicas must hold a fact on their disks so that it survives the
-// losses that the cluster bears: a majority of the voters.
-func (s *Settings) durableCopies() int { return s.voterTarget()/2 + 1 }
+// OpenFolder returns FS if that is set, or else the data folder.
+func (s *Settings) OpenFolder() (wal.FS, error) {
+	if s.FS != nil {
+		return s.FS, nil
+	}
+	return wal.OpenFolder(s.DataDir)
+}
 
 // voterTarget returns the number of voters that the cluster should have. It is odd.
 func (s *Settings) voterTarget() int {
--- a/wal/log.go
+++ b/wal/log.go
@@ -61,6 +61,10 @@
 	}
 	var numbers []uint64
 	for _, name := range names {
+		if !strings.HasPrefix(name, logFilePrefix) {
+			// A Journal may have its files in the same folder.
+			continue
+		}
 		n, err := strconv.ParseUint(strings.TrimPrefix(name, logFilePrefix), 10, 64)
 		switch {
 		case strings.HasSuffix(name, tempSuffix):
--- a/wal/log_test.go
+++ b/wal/log_test.go
@@ -109,3 +109,26 @@
 		assert.Assert(t, errors.Is(err, wal.ErrFailed))
 	}
 }
+
+// A Log and a Journal may share a folder, and each is opened again after an error while the other writes. Neither may
+// remove the temporary file that the other is about to rename.
+func TestLogAndJournalLeaveEachOthersTemporaryFiles(t *testing.T) {
+	const ofLog, ofJournal = "records-00000000000000000007.tmp", "snapshot-9.tmp"
+	create := func(d *fake.Disk, name string) {
+		f, err := d.Create(name)
+		assert.NilError(t, err)
+		assert.NilError(t, f.Close())
+	}
+	d := fake.NewDisk()
+	create(d, ofLog)
+	j, _, err := wal.Open(d)
+	assert.NilError(t, err)
+	j.Close()
+	assert.Assert(t, d.Size(ofLog) >= 0, "the journal removed a file of the log")
+	create(d, ofJournal)
+	l, _, err := readLog(t, d)
+	assert.NilError(t, err)
+	l.Close()
+	assert.Assert(t, d.Size(ofJournal) >= 0, "the log removed a file of the journal")
+	assert.Equal(t, d.Size(ofLog), -1)
+}
--- a/wal/recover.go
+++ b/wal/recover.go
@@ -19,6 +19,8 @@
 	var logs, snapshots []string
 	for _, n := range names {
 		switch {
+		case strings.HasPrefix(n, logFilePrefix):
+			// A Log has its files in the same folder.
 		case strings.HasSuffix(n, tempSuffix):
 			// A file that wasn't renamed holds no acknowledged records.
 			_ = j.fs.Remove(n)
