--- a/control/control_test.go
+++ b/control/control_test.go
@@ -124,6 +124,17 @@
 	r.pool.Close()
 }
 
+// addReplica starts a replica at a further address and returns its index.
+func (c *cluster) addReplica() int {
+	c.t.Helper()
+	c.addrs = append(c.addrs, reserveAddress(c.t))
+	c.running = append(c.running, nil)
+	i := len(c.addrs) - 1
+	c.start(i)
+	c.t.Cleanup(func() { c.stop(i) })
+	return i
+}
+
 const testTimeout = 20 * time.Second
 
 // edit sends an edit until it is accepted or refused.
--- a/control/handover_test.go
+++ b/control/handover_test.go
@@ -27,24 +27,25 @@
 
 // addCaughtUpReplica starts a further replica and waits until the leader knows that it has
 // caught up.
-func (c *cluster) addCaughtUpReplica() int {
+func (c *cluster) addCaughtUpReplica() {
+	c.t.Helper()
+	i := c.addReplica()
+	c.waitCaughtUp(i)
+	c.client = control.NewClient(c.pool, c.addrs, "test")
+}
+
+// waitCaughtUp waits until the leader knows that a learner has caught up.
+func (c *cluster) waitCaughtUp(i int) {
 	c.t.Helper()
-	c.addrs = append(c.addrs, reserveAddress(c.t))
-	c.running = append(c.running, nil)
-	i := len(c.addrs) - 1
-	c.start(i)
-	c.t.Cleanup(func() { c.stop(i) })
 	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
 		_, members := c.health()
 		for _, m := range members {
-			if m.Address == c.addrs[i] && m.CaughtUp {
+			if m.Address == c.addrs[i] && m.Learner && m.CaughtUp {
 				return poll.Success()
 			}
 		}
 		return poll.Continue("%v", members)
 	}, poll.WithTimeout(testTimeout), poll.WithDelay(20*time.Millisecond))
-	c.client = control.NewClient(c.pool, c.addrs, "test")
-	return i
 }
 
 // stopAsPlanned drains a replica and stops it for good.
@@ -124,15 +125,7 @@
 			assert.Assert(t, m.Learner || m.Address != c.addrs[i], "a stopped replica is still a voter: %v", m)
 		}
 		c.start(i)
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			_, members := c.health()
-			for _, m := range members {
-				if m.Address == c.addrs[i] && m.Learner && m.CaughtUp {
-					return poll.Success()
-				}
-			}
-			return poll.Continue("%v", members)
-		}, poll.WithTimeout(testTimeout), poll.WithDelay(20*time.Millisecond))
+		c.waitCaughtUp(i)
 	}
 	c.acceptNewRow("last")
 }
--- a/control/membership.go
+++ b/control/membership.go
@@ -28,8 +28,8 @@
 	return slices.ContainsFunc(peers[i+1:], func(p *wire.Peer) bool { return p.Address == peers[i].Address })
 }
 
-// canVoteNext reports whether a learner may be promoted.
-func (m *member) canVoteNext() bool { return m.Learner && m.live && m.caughtUp && !m.leaving }
+// mayReplace reports whether a replica can take the place of a voter.
+func (m *member) mayReplace() bool { return m.live && m.caughtUp && !m.leaving }
 
 // ReplicaName returns the name part of a replica ID of the form NAME/INCARNATION.
 func ReplicaName(id string) string {
@@ -117,7 +117,7 @@
 func nextVoter(members []member, domains map[string]int) *member {
 	var best *member
 	for i, m := range members {
-		if !m.canVoteNext() {
+		if !m.Learner || !m.mayReplace() {
 			continue
 		}
 		if best == nil || domains[m.FailureDomain] < domains[best.FailureDomain] {
@@ -209,7 +209,7 @@
 func bestLearnerFor(members []member, lost member) *member {
 	var best *member
 	for i, m := range members {
-		if !m.Learner || !m.live || !m.caughtUp {
+		if !m.Learner || !m.mayReplace() {
 			continue
 		}
 		if best == nil || m.FailureDomain == lost.FailureDomain && best.FailureDomain != lost.FailureDomain {
@@ -226,7 +226,7 @@
 		return nil
 	}
 	for i, m := range members {
-		if m.Id != dead.Id && ReplicaName(m.Id) == ReplicaName(dead.Id) && m.live && m.caughtUp && !m.leaving {
+		if m.Id != dead.Id && ReplicaName(m.Id) == ReplicaName(dead.Id) && m.mayReplace() {
 			return &members[i]
 		}
 	}
--- a/control/replacement_test.go
+++ b/control/replacement_test.go
@@ -103,11 +103,7 @@
 	c.acceptNewRow("first")
 	for lost, name := range []string{"c3", "c4"} {
 		c.stop(lost)
-		c.addrs = append(c.addrs, reserveAddress(t))
-		c.running = append(c.running, nil)
-		i := len(c.addrs) - 1
-		c.start(i)
-		t.Cleanup(func() { c.stop(i) })
+		c.addReplica()
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			v := c.voterNames(c.addrs[2])
 			if len(v) == 3 && v[name] {
