--- a/direct/client.go
+++ b/direct/client.go
@@ -122,10 +122,19 @@
 		}
 		_ = cn.Close()
 	}
-	nc, err := c.dial(ctx, "tcp", addr)
+	cn, err := c.open(ctx, addr)
 	if err != nil {
 		return nil, merry.Prepend(ErrNotSent, err.Error())
 	}
+	return cn, nil
+}
+
+// open opens a connection. The error is that of dial.
+func (c *Client) open(ctx context.Context, addr string) (*conn, error) {
+	nc, err := c.dial(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
--- a/direct/headlimit.go
+++ b/direct/headlimit.go
@@ -4,12 +4,12 @@
 	"io"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/snipereach/snipereach/transport"
 )
 
 const (
-	// maxHeadBytes and maxHeadLines bound the head of a response, and each informational one before
-	// it.
-	maxHeadBytes = 16 << 10
+	// maxHeadLines bounds the head of a response, as transport.MaxResponseHeadBytes does.
 	maxHeadLines = 256
 	// maxInformational bounds the informational responses (1xx) before a response.
 	maxInformational = 8
@@ -43,7 +43,7 @@
 			break
 		}
 		l.count(b)
-		if l.bytes > maxHeadBytes || l.lines > maxHeadLines {
+		if l.bytes > transport.MaxResponseHeadBytes || l.lines > maxHeadLines {
 			return 0, merry.Prepend(ErrInvalidResponse, "head is too long")
 		}
 	}
--- a/direct/probe.go
+++ b/direct/probe.go
@@ -11,14 +11,10 @@
 // process listens there. It returns false for an unreachable host, and for an upstream that
 // accepts the connection, which is then kept for a later call.
 func (c *Client) RefusesConnections(ctx context.Context, addr string) bool {
-	nc, err := c.dial(ctx, "tcp", addr)
+	cn, err := c.open(ctx, addr)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	c.mu.Lock()
-	c.opened++
-	c.mu.Unlock()
-	cn := newConn(nc)
 	cn.idleUntil = time.Now().Add(maxIdleTime)
 	c.putIdle(addr, cn)
 	return false
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -297,18 +297,16 @@
 func (c *call) readWhole(a *attempt, resp *direct.Response) (*bufferedResponse, outcome) {
 	body, release, err := c.responseMemory.ReadBody(resp.Body, resp.Length, maxBufferedBody)
 	o := a.classifyHead(resp.Header)
-	if err == nil && len(body) == 0 && resp.Unframed && o == outcomeAnswered {
-		release()
+	switch {
+	case err != nil && o.certainlyNotRun():
+		return nil, o
+	case err != nil:
+		return nil, c.classifyError(a, err)
+	case o == outcomeAnswered && resp.Unframed && len(body) == 0:
 		a.cut = true
 		return nil, outcomeInDoubt
 	}
-	if err == nil {
-		return &bufferedResponse{status: resp.Status, header: resp.Header, body: body, release: release}, o
-	}
-	if o.certainlyNotRun() {
-		return nil, o
-	}
-	return nil, c.classifyError(a, err)
+	return &bufferedResponse{status: resp.Status, header: resp.Header, body: body, release: release}, o
 }
 
 // runAttempts makes attempts until one has served the request or no other may follow. It reports
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -32,13 +32,10 @@
 // force: at its deadline. Any other one that arrives while the gateway drains is refused as not run,
 // so that its caller goes elsewhere at once. It could be cut while an upstream works on it, whatever
 // responses take as a rule.
-func (g *Gateway) endsBeforeStop(c *call) bool {
-	return !g.draining.Load() || !c.deadline.After(g.stopsAt())
+func (c *call) endsBeforeStop() bool {
+	return !c.draining.Load() || time.Until(c.deadline) <= c.drainTimeLeft()
 }
 
-// stopsAt returns when a draining gateway aborts the requests in progress.
-func (g *Gateway) stopsAt() time.Time { return time.Now().Add(g.drainTimeLeft()) }
-
 // drainTimeLeft returns how much time a draining gateway has for requests in progress.
 func (g *Gateway) drainTimeLeft() time.Duration {
 	return g.settings.StopLimit.D() - drainMargin - g.now().Sub(*g.drainBegan.Load())
@@ -61,7 +58,7 @@
 // tooLateToSend reports whether a request that was accepted before the gateway began to drain, and
 // that has run nowhere, would be aborted as a rule if it were sent now.
 func (c *call) tooLateToSend() bool {
-	return !c.endsBeforeStop(c) && !c.history.inDoubt && c.drainTimeLeft() < c.usualResponseTime()
+	return !c.endsBeforeStop() && !c.history.inDoubt && c.drainTimeLeft() < c.usualResponseTime()
 }
 
 // aborted reports whether the gateway has stopped waiting for the requests in progress.
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -48,8 +48,8 @@
 		{8500 * time.Millisecond, 100 * time.Millisecond, false},
 	} {
 		for _, kind := range []wire.RouteKind{wire.RouteKind_ROUTE_KIND_STREAMING, wire.RouteKind_ROUTE_KIND_SAFE, wire.RouteKind_ROUTE_KIND_UNSAFE} {
-			g := drainingGateway(now, c.since)
-			assert.Equal(t, g.endsBeforeStop(drainedCall(g, kind, now, c.left)), c.taken, "%+v %s", c, kind)
+			call := drainedCall(drainingGateway(now, c.since), kind, now, c.left)
+			assert.Equal(t, call.endsBeforeStop(), c.taken, "%+v %s", c, kind)
 		}
 	}
 }
@@ -85,7 +85,7 @@
 	patience := c.newWaiter().giveUpAt.Sub(now)
 	assert.Assert(t, patience > 1500*time.Millisecond && patience < firstEventTimeout)
 	c.Gateway = drainingGateway(now, 2500*time.Millisecond)
-	assert.Assert(t, c.endsBeforeStop(c))
+	assert.Assert(t, c.endsBeforeStop())
 	w := c.newWaiter()
 	assert.Assert(t, w.giveUpAt.Sub(now) < 300*time.Millisecond, "%s", w.giveUpAt.Sub(now))
 	assert.Assert(t, !w.onTimeBy.After(w.giveUpAt))
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -35,7 +35,7 @@
 	}
 	g.metrics.recordArrival(c)
 	c.guard.RecordArrival(c.promptParts())
-	if !g.endsBeforeStop(c) {
+	if !c.endsBeforeStop() {
 		return c, &refusal{status: http.StatusServiceUnavailable, reason: reasonDraining, retryAfter: retryAfterDrain}
 	}
 	return c, c.readBody(t)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -54,8 +54,8 @@
 	if resp.Status != http.StatusOK {
 		buffered, o := s.readWhole(a, resp)
 		if s.started && o == outcomeAnswered {
-			buffered.discard()
 			// An error response can't follow the head of a stream.
+			buffered.discard()
 			return nil, outcomeInDoubt
 		}
 		return buffered, o
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -45,9 +45,6 @@
 	client *http.Client
 }
 
-// maxHeadBytes bounds the head of a response.
-const maxHeadBytes = 16 << 10
-
 func defaultHTTP() HTTP {
 	return HTTP{ControlTimeout: kernel.Duration(2 * time.Second), MaxIdle: 256}
 }
@@ -66,7 +63,7 @@
 			IdleConnTimeout:     30 * time.Second,
 			DisableCompression:  true,
 			// Without this bound an upstream that sends a head without end would take 10 MB a call.
-			MaxResponseHeaderBytes: maxHeadBytes,
+			MaxResponseHeaderBytes: transport.MaxResponseHeadBytes,
 			DialContext:            (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
